--- /dev/null
+++ b/src/base/name_defs.h
@@ -0,0 +1,17 @@
+/* name_defs: short identifiers (of VMs, regions, services, operators).  */
+
+#ifndef BASE_NAME_DEFS_H
+#define BASE_NAME_DEFS_H
+
+enum
+{
+  NAME_BYTES = 48, /* with the closing NUL */
+};
+
+/* Letters, digits, '-', '_' and '.', NUL-terminated.  */
+typedef struct name
+{
+  char text[NAME_BYTES];
+} name_t;
+
+#endif
