fix(base): log lines stay whole under long and binary input

Cause: a value longer than the line was cut inside its quotes, so the quote ran on into the next line; the fields after it and suppressed= were lost; bytes above ASCII went out raw (U+0085 breaks a line for some readers); the rate limit went by the event's pointer, so one name in two files had two limits.

Now a value is cut at 512 bytes and closed, a field that does not fit is left out whole and cut=true says so, all bytes outside printable ASCII are escaped, and the limit goes by the name's text.

Seen failing first: unit/test_base_log /base/log/bytes, ascii, cut, fit (0 pairs in place of 3 and 4) and name (40 lines in place of 20). The rate limit held before. Ruled out: dropping a long line (its event would be lost).

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -6,19 +6,25 @@
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 
 enum
 {
   LINE_BYTES = 2048,
+  TAIL_BYTES = 64,   /* of a line, kept for cut= and suppressed= */
+  VALUE_BYTES = 512, /* of one value, after escaping */
+  ESCAPE_BYTES = 4,  /* the longest escape: \\xHH */
   EVENT_SLOTS = 256,
 };
 
+static const char cut_field[] = " cut=true";
+
 typedef struct event_rate
 {
-  const char *event;
-  usec_t second; /* start of the counted second */
+  const char *event; /* compared by its text */
+  usec_t second;     /* start of the counted second */
   uint32_t written;
   uint64_t suppressed;
 } event_rate_t;
@@ -40,6 +46,7 @@
   char *text;
   size_t size;
   size_t length;
+  bool full; /* something did not fit */
 } line_t;
 
 static void
@@ -47,6 +54,8 @@
 {
   if (line->length + 1 < line->size)
     line->text[line->length++] = c;
+  else
+    line->full = true;
 }
 
 static void
@@ -65,53 +74,57 @@
 static bool
 text_is_plain (const char *text)
 {
-  if (!*text)
-    return false;
-  for (; *text; text++)
-    if (!char_is_plain (*text))
-      return false;
-  return true;
+  size_t n = 0;
+  while (char_is_plain (text[n]))
+    n++;
+  return n > 0 && n <= VALUE_BYTES && !text[n];
 }
 
 static void
+line_escaped (line_t *line, char c)
+{
+  if (c == '"' || c == '\\')
+    line_char (line, '\\');
+  if (c >= ' ' && c < 0x7f)
+    {
+      line_char (line, c);
+      return;
+    }
+  char escape[ESCAPE_BYTES + 1];
+  snprintf (escape, sizeof escape, "\\x%02x", (unsigned char)c);
+  line_text (line, escape);
+}
+
+/* TEXT in quotes, cut at VALUE_BYTES; false where it was cut.  */
+static bool
 line_quoted (line_t *line, const char *text)
 {
+  size_t end = line->length + VALUE_BYTES;
   line_char (line, '"');
-  for (; *text; text++)
-    if (*text == '"' || *text == '\\')
-      {
-        line_char (line, '\\');
-        line_char (line, *text);
-      }
-    else if ((unsigned char)*text < ' ' || *text == 0x7f)
-      {
-        char escape[8];
-        snprintf (escape, sizeof escape, "\\x%02x", (unsigned char)*text);
-        line_text (line, escape);
-      }
-    else
-      line_char (line, *text);
+  while (*text && line->length + ESCAPE_BYTES <= end)
+    line_escaped (line, *text++);
   line_char (line, '"');
+  return *text == '\0';
 }
 
-static void
-line_field (line_t *line, const log_field_t *field)
+static bool
+line_string (line_t *line, const char *text)
+{
+  if (!text_is_plain (text))
+    return line_quoted (line, text);
+  line_text (line, text);
+  return true;
+}
+
+static bool
+line_value (line_t *line, const log_field_t *field)
 {
   char number[64];
-  line_char (line, ' ');
-  line_text (line, field->key);
-  line_char (line, '=');
   switch (field->kind)
     {
     case LOG_FIELD_STRING:
-      {
-        const char *text = field->value.string ? field->value.string : "";
-        if (text_is_plain (text))
-          line_text (line, text);
-        else
-          line_quoted (line, text);
-        return;
-      }
+      return line_string (line,
+                          field->value.string ? field->value.string : "");
     case LOG_FIELD_UNSIGNED:
       snprintf (number, sizeof number, "%llu",
                 (unsigned long long)field->value.number);
@@ -125,16 +138,41 @@
       break;
     }
   line_text (line, number);
+  return true;
 }
 
+/* Write the whole of FIELD, or nothing where it does not fit.  False where it
+   was left out or its value was cut.  */
+static bool
+line_field (line_t *line, const log_field_t *field)
+{
+  size_t start = line->length;
+  line_char (line, ' ');
+  line_text (line, field->key);
+  line_char (line, '=');
+  bool whole = line_value (line, field);
+  if (!line->full)
+    return whole;
+  line->length = start;
+  line->full = false;
+  return false;
+}
+
+/* The event and its fields, which leave room for the tail; then the tail.  */
 static void
 line_event (line_t *line, const char *event, const log_field_t *fields,
             size_t n_fields)
 {
+  size_t size = line->size;
+  bool whole = true;
+  line->size = size > TAIL_BYTES ? size - TAIL_BYTES : 1;
   line_text (line, "event=");
   line_text (line, event);
   for (size_t i = 0; i < n_fields; i++)
-    line_field (line, &fields[i]);
+    whole = line_field (line, &fields[i]) && whole;
+  line->size = size;
+  if (!whole)
+    line_text (line, cut_field);
 }
 
 size_t
@@ -175,13 +213,13 @@
 static event_rate_t *
 rate_find (const char *event)
 {
-  size_t start = ((uintptr_t)event >> 3) % EVENT_SLOTS;
+  size_t start = XXH3_64bits (event, strlen (event)) % EVENT_SLOTS;
   for (size_t i = 0; i < EVENT_SLOTS; i++)
     {
       event_rate_t *rate = &log_state.rates[(start + i) % EVENT_SLOTS];
       if (!rate->event)
         rate->event = event;
-      if (rate->event == event)
+      if (strcmp (rate->event, event) == 0)
         return rate;
     }
   return &log_state.rates[start];
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,7 +4,9 @@
                 LOG_U ("number", number), LOG_S ("operator", name.text));
 
    Strings are quoted and escaped where they hold anything but plain
-   characters, so a caller's input can't forge a field or a line.  An event
+   ASCII characters, so a caller's input can't forge a field or a line.  A
+   value over 512 bytes is cut, a field that doesn't fit into the line is left
+   out; cut=true then ends the line.  An event
    that repeats is written at most LOG_BURST times a second; the number of
    lines held back stands in its next line as suppressed=N.  Thread-safe.  */
 
--- /dev/null
+++ b/test/unit/test_base_log.c
@@ -0,0 +1,211 @@
+/* Tests of base: log lines under hostile input and repeated events.  */
+
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "base/random.h"
+
+enum
+{
+  LONG_BYTES = 5000,
+  LINE_BYTES = 1024,
+  FUZZ_RUNS = 20000,
+};
+
+/* Send standard error to a file while a test writes its lines.  */
+typedef struct capture
+{
+  char *path;
+  int saved;
+} capture_t;
+
+static void
+capture_start (capture_t *capture)
+{
+  int fd = g_file_open_tmp ("mulberry-log-XXXXXX", &capture->path, NULL);
+  capture->saved = dup (STDERR_FILENO);
+  dup2 (fd, STDERR_FILENO);
+  close (fd);
+}
+
+/* The lines written since capture_start, for g_strfreev.  */
+static char **
+capture_end (capture_t *capture)
+{
+  dup2 (capture->saved, STDERR_FILENO);
+  close (capture->saved);
+  char *text = NULL;
+  g_file_get_contents (capture->path, &text, NULL, NULL);
+  g_unlink (capture->path);
+  char **lines = g_strsplit (text, "\n", -1);
+  g_free (text);
+  g_free (capture->path);
+  return lines;
+}
+
+/* Step over one value; NULL where it isn't plain or a closed quoted one.  */
+static const char *
+skip_value (const char *at)
+{
+  if (*at != '"')
+    {
+      size_t n = strcspn (at, " \"=\\\n");
+      return n > 0 ? at + n : NULL;
+    }
+  for (at++; *at && *at != '"'; at++)
+    {
+      if (*at == '\\')
+        at++;
+      if (*at < ' ' || *at > '~')
+        return NULL;
+    }
+  return *at == '"' ? at + 1 : NULL;
+}
+
+/* The number of key=value pairs of LINE; 0 where it is not made of them.  */
+static size_t
+count_pairs (const char *line)
+{
+  for (size_t pairs = 1;; pairs++)
+    {
+      size_t key = strspn (line, "abcdefghijklmnopqrstuvwxyz_");
+      if (key == 0 || line[key] != '=')
+        return 0;
+      line = skip_value (line + key + 1);
+      if (!line)
+        return 0;
+      if (!*line)
+        return pairs;
+      if (*line++ != ' ')
+        return 0;
+    }
+}
+
+static void
+test_any_bytes_stay_in_their_field (void)
+{
+  random_state_t random;
+  random_seed (&random, 3);
+  for (int run = 0; run < FUZZ_RUNS; run++)
+    {
+      char bytes[64];
+      size_t n = random_below (&random, sizeof bytes);
+      for (size_t i = 0; i < n; i++)
+        bytes[i] = (char)random_below (&random, 256);
+      bytes[n] = '\0';
+      char line[LINE_BYTES];
+      const log_field_t fields[] = { LOG_S ("path", bytes), LOG_U ("n", 1) };
+      log_format (line, sizeof line, "request", fields, 2);
+      g_assert_cmpuint (count_pairs (line), ==, 3);
+    }
+}
+
+static void
+test_bytes_above_ascii_are_escaped (void)
+{
+  char line[LINE_BYTES];
+  const log_field_t field = LOG_S ("path", "a\xc2\x85z");
+  log_format (line, sizeof line, "request", &field, 1);
+  g_assert_cmpstr (line, ==, "event=request path=\"a\\xc2\\x85z\"");
+}
+
+static void
+test_a_long_value_is_cut_and_closed (void)
+{
+  char *bytes = g_strnfill (LONG_BYTES, '"');
+  char line[LINE_BYTES];
+  const log_field_t fields[]
+      = { LOG_S ("path", bytes), LOG_S ("reason", "too_long") };
+  log_format (line, sizeof line, "request", fields, 2);
+  g_assert_cmpuint (count_pairs (line), ==, 4);
+  g_assert_nonnull (strstr (line, " reason=too_long cut=true"));
+  g_free (bytes);
+}
+
+static void
+test_a_field_that_does_not_fit_is_left_out (void)
+{
+  char *bytes = g_strnfill (LONG_BYTES, 'a');
+  char line[LINE_BYTES];
+  const log_field_t fields[] = { LOG_S ("a", bytes), LOG_S ("b", bytes),
+                                 LOG_S ("c", bytes), LOG_U ("d", 7) };
+  log_format (line, sizeof line, "request", fields, 4);
+  g_assert_cmpuint (count_pairs (line), >, 0);
+  g_assert_true (g_str_has_suffix (line, " cut=true"));
+  g_free (bytes);
+}
+
+static void
+write_burst (const char *event, int n)
+{
+  for (int i = 0; i < n; i++)
+    LOG_EVENT (LOG_LEVEL_WARNING, event, LOG_I ("i", i));
+}
+
+/* The most lines of one event between START and now.  */
+static guint
+lines_allowed (gint64 start)
+{
+  gint64 seconds = (g_get_monotonic_time () - start) / G_USEC_PER_SEC + 1;
+  return (guint)seconds * LOG_BURST;
+}
+
+static void
+test_a_repeated_event_is_limited (void)
+{
+  capture_t capture;
+  capture_start (&capture);
+  gint64 start = g_get_monotonic_time ();
+  write_burst ("stale_message", 10 * LOG_BURST);
+  guint allowed = lines_allowed (start);
+  LOG_EVENT (LOG_LEVEL_WARNING, "other_message", LOG_I ("i", 1));
+  LOG_EVENT (LOG_LEVEL_DEBUG, "below_level", LOG_I ("i", 1));
+  g_usleep (G_USEC_PER_SEC + G_USEC_PER_SEC / 10);
+  write_burst ("stale_message", 1);
+  char **lines = capture_end (&capture);
+  guint n = g_strv_length (lines) - 1; /* the text ends with a newline */
+  g_assert_cmpuint (n, >=, LOG_BURST + 2);
+  g_assert_cmpuint (n, <=, allowed + 2);
+  for (guint i = 0; i < n; i++)
+    g_assert_cmpuint (count_pairs (lines[i]), >=, 6);
+  g_assert_nonnull (strstr (lines[n - 2], "event=other_message"));
+  g_assert_nonnull (
+      strstr (lines[n - 1], "event=stale_message i=0 suppressed="));
+  g_strfreev (lines);
+}
+
+/* The same event name in two places of memory is one event.  */
+static void
+test_the_limit_goes_by_the_name (void)
+{
+  char copy[] = "copied_event";
+  capture_t capture;
+  capture_start (&capture);
+  gint64 start = g_get_monotonic_time ();
+  write_burst ("copied_event", 2 * LOG_BURST);
+  write_burst (copy, 2 * LOG_BURST);
+  guint allowed = lines_allowed (start);
+  char **lines = capture_end (&capture);
+  g_assert_cmpuint (g_strv_length (lines) - 1, <=, allowed);
+  g_assert_cmpuint (g_strv_length (lines) - 1, >=, LOG_BURST);
+  g_strfreev (lines);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  log_open ("test", "vm-1", LOG_LEVEL_INFO);
+  g_test_add_func ("/base/log/bytes", test_any_bytes_stay_in_their_field);
+  g_test_add_func ("/base/log/ascii", test_bytes_above_ascii_are_escaped);
+  g_test_add_func ("/base/log/cut", test_a_long_value_is_cut_and_closed);
+  g_test_add_func ("/base/log/fit",
+                   test_a_field_that_does_not_fit_is_left_out);
+  g_test_add_func ("/base/log/rate", test_a_repeated_event_is_limited);
+  g_test_add_func ("/base/log/name", test_the_limit_goes_by_the_name);
+  return g_test_run ();
+}
