--- /dev/null
+++ b/src/ctl/options.c
@@ -0,0 +1,338 @@
+#include "ctl/options.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *argp_program_version = "mulberryctl " MULBERRY_VERSION;
+
+enum
+{
+  TIMEOUT_SECONDS_DEFAULT = 15,
+  TIMEOUT_SECONDS_MAX = 600,
+  WORDS_MAX = 2,
+  NAME_BYTES_MAX = 64,
+};
+
+typedef enum
+{
+  ARGUMENT_NONE,
+  ARGUMENT_FILE,
+  ARGUMENT_NAME,
+} argument_t;
+
+typedef struct command_row
+{
+  const char *words[WORDS_MAX];
+  argument_t argument;
+  const char *doc;
+} command_row_t;
+
+static const command_row_t commands[COMMAND_NONE] = {
+  [COMMAND_SHEET_CHECK]
+  = { { "sheet", "check" },
+      ARGUMENT_FILE,
+      "Check a sheet without submitting it: every bad row with its column and "
+      "remedy, and the plan's expected and worst cost by region and link, "
+      "held "
+      "against the cost cap.  Nothing is sent.\vExit codes: 0 the sheet can "
+      "be "
+      "submitted, 2 usage, 3 it would be refused." },
+  [COMMAND_SHEET_SUBMIT]
+  = { { "sheet", "submit" },
+      ARGUMENT_FILE,
+      "Submit a sheet and wait until it is accepted, that is, until a "
+      "majority "
+      "of the control VMs has it on disk.  Sending the same file again is "
+      "safe "
+      "and gives the same answer.\vExit codes: 0 accepted, 3 refused, 4 the "
+      "number is taken by other content or has passed, 5 no final answer "
+      "(send "
+      "it again), 6 credential refused." },
+  [COMMAND_SHEET_SHOW] = { { "sheet", "show" },
+                           ARGUMENT_NONE,
+                           "Print the newest accepted sheet as CSV, as it was "
+                           "submitted." },
+  [COMMAND_SHIFT_STATUS]
+  = { { "shift", "status" },
+      ARGUMENT_NONE,
+      "Tell which sheet is accepted, and for each entry VM which one it has "
+      "in "
+      "force, since when, and whether it can be reached.\vExit codes: 0 in "
+      "force on every VM, 1 not in force on every VM or some can't be "
+      "reached, "
+      "5 control can't be reached." },
+  [COMMAND_SHIFT_LIST]
+  = { { "shift", "list" },
+      ARGUMENT_NONE,
+      "Print the accepted shift: cost cap, prices and traffic by service and "
+      "region." },
+  [COMMAND_BACKEND_LIST] = { { "backend", "list" },
+                             ARGUMENT_NONE,
+                             "List the backend servers of the accepted sheet "
+                             "with their state." },
+  [COMMAND_BACKEND_DRAIN]
+  = { { "backend", "drain" },
+      ARGUMENT_NAME,
+      "Take a backend server out of service: submits the accepted sheet under "
+      "the next number with the backend server's state set to leaving.  Where "
+      "another operator was faster nothing is changed, and the exit code is "
+      "4." },
+  [COMMAND_VM_LIST] = { { "vm", "list" },
+                        ARGUMENT_NONE,
+                        "List the VMs of the settings with failure domain, "
+                        "address, role, health and sheet in force." },
+  [COMMAND_METRICS]
+  = { { "metrics", NULL },
+      ARGUMENT_NONE,
+      "Fetch the counters and latency histograms of all VMs, merge them, and "
+      "draw the histograms." },
+  [COMMAND_CHECK]
+  = { { "check", NULL },
+      ARGUMENT_NONE,
+      "Look at all VMs and say what is wrong and how to mend it.\vExit codes: "
+      "0 all is well, 1 something is wrong." },
+};
+
+static const char global_doc[]
+    = "Operate mulberrychute: submit sheets and look at its state.\v"
+      "Commands:\n"
+      "  sheet check FILE     check a sheet; costs against the cap\n"
+      "  sheet submit FILE    submit a sheet\n"
+      "  sheet show           print the accepted sheet\n"
+      "  shift status         which sheet is in force where\n"
+      "  shift list           cap, prices and traffic of the accepted sheet\n"
+      "  backend list         backend servers and their states\n"
+      "  backend drain NAME   take a backend server out of service\n"
+      "  vm list              VMs and their health\n"
+      "  metrics              counters and latencies of all VMs, merged\n"
+      "  check                what is wrong, and how to mend it\n"
+      "\n`mulberryctl COMMAND --help` tells more.\n"
+      "\nExit codes: 0 good, 1 something found, 2 usage or settings, 3 "
+      "refused, 4 conflict, 5 no final answer (ask again), 6 credential "
+      "refused.";
+
+enum
+{
+  KEY_SERVICE = 0x100,
+  KEY_STOP,
+};
+
+static const struct argp_option global_options[] = {
+  { "settings", 's', "FILE", 0,
+    "The organisation's settings (or MULBERRY_SETTINGS)", 0 },
+  { "key", 'k', "FILE", 0,
+    "The operator's key file (or MULBERRY_KEY_FILE; else operator.key beside "
+    "the settings)",
+    0 },
+  { "output", 'o', "FORMAT", 0, "text (the default) or json", 0 },
+  { "timeout", 't', "SECONDS", 0, "Wait this long for a final answer (15)",
+    0 },
+  { "vm", 'v', "NAME", 0,
+    "Ask this VM alone (metrics), or first (everything else)", 0 },
+  { 0 },
+};
+
+static const struct argp_option metrics_options[] = {
+  { "service", KEY_SERVICE, "NAME", 0, "Only this service", 0 },
+  { 0 },
+};
+
+static const struct argp_option drain_options[] = {
+  { "stop", KEY_STOP, NULL, 0, "A planned stop: state stopping, not leaving",
+    0 },
+  { 0 },
+};
+
+/* What the parsers carry.  */
+typedef struct parse
+{
+  options_t *options;
+  int argc; /* the command's words and what follows */
+  char **argv;
+} parse_t;
+
+static usec_t
+parse_timeout (struct argp_state *state, const char *text)
+{
+  char *end;
+  long seconds = strtol (text, &end, 10);
+  if (end == text || *end || seconds < 1 || seconds > TIMEOUT_SECONDS_MAX)
+    argp_error (state, "--timeout takes 1 to %d seconds", TIMEOUT_SECONDS_MAX);
+  return seconds * USEC_PER_SEC;
+}
+
+static output_t
+parse_output (struct argp_state *state, const char *text)
+{
+  if (strcmp (text, "json") == 0)
+    return OUTPUT_JSON;
+  if (strcmp (text, "text") != 0)
+    argp_error (state, "--output takes text or json");
+  return OUTPUT_TEXT;
+}
+
+static error_t
+parse_global (int key, char *text, struct argp_state *state)
+{
+  parse_t *parse = state->input;
+  options_t *options = parse->options;
+  switch (key)
+    {
+    case 's':
+      options->settings = text;
+      return 0;
+    case 'k':
+      options->key = text;
+      return 0;
+    case 'o':
+      options->output = parse_output (state, text);
+      return 0;
+    case 't':
+      options->timeout = parse_timeout (state, text);
+      return 0;
+    case 'v':
+      options->vm = text;
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/* The first word ends the global options.  */
+static error_t
+parse_words (int key, char *text, struct argp_state *state)
+{
+  parse_t *parse = state->input;
+  if (key == ARGP_KEY_ARG)
+    {
+      parse->argv = state->argv + state->next - 1;
+      parse->argc = state->argc - state->next + 1;
+      state->next = state->argc;
+      return 0;
+    }
+  if (key == ARGP_KEY_NO_ARGS)
+    argp_usage (state);
+  return parse_global (key, text, state);
+}
+
+static error_t
+parse_argument (int key, char *text, struct argp_state *state)
+{
+  options_t *options = ((parse_t *)state->input)->options;
+  argument_t wanted = commands[options->command].argument;
+  switch (key)
+    {
+    case ARGP_KEY_ARG:
+      if (wanted == ARGUMENT_NONE || options->argument)
+        argp_error (state, "'%s' is one word too many", text);
+      options->argument = text;
+      return 0;
+    case ARGP_KEY_END:
+      if (wanted != ARGUMENT_NONE && !options->argument)
+        argp_error (state, "%s is missing",
+                    wanted == ARGUMENT_FILE ? "FILE" : "NAME");
+      return 0;
+    case KEY_SERVICE:
+      options->service = text;
+      return 0;
+    case KEY_STOP:
+      options->stop = true;
+      return 0;
+    default:
+      return parse_global (key, text, state);
+    }
+}
+
+/* How many words of ARGV name the command of ROW; 0: another one.  */
+static int
+match_words (const command_row_t *row, int argc, char **argv)
+{
+  int n = 0;
+  for (; n < WORDS_MAX && row->words[n]; n++)
+    if (n >= argc || strcmp (argv[n], row->words[n]) != 0)
+      return 0;
+  return n;
+}
+
+static const struct argp_option *
+own_options (command_t command)
+{
+  if (command == COMMAND_METRICS)
+    return metrics_options;
+  if (command == COMMAND_BACKEND_DRAIN)
+    return drain_options;
+  return NULL;
+}
+
+static const char *
+argument_name (argument_t argument)
+{
+  switch (argument)
+    {
+    case ARGUMENT_NONE:
+      return NULL;
+    case ARGUMENT_FILE:
+      return "FILE";
+    case ARGUMENT_NAME:
+      return "NAME";
+    }
+  return NULL;
+}
+
+/* Parse what follows the command's N_WORDS words.  */
+static void
+parse_command (parse_t *parse, int n_words)
+{
+  const command_row_t *row = &commands[parse->options->command];
+  char name[NAME_BYTES_MAX];
+  snprintf (name, sizeof name, "mulberryctl %s%s%s", row->words[0],
+            row->words[1] ? " " : "", row->words[1] ? row->words[1] : "");
+  const struct argp global = { .options = global_options };
+  const struct argp_child children[]
+      = { { &global, 0, "Everywhere:", 1 }, { 0 } };
+  const struct argp argp = { .options = own_options (parse->options->command),
+                             .parser = parse_argument,
+                             .args_doc = argument_name (row->argument),
+                             .doc = row->doc,
+                             .children = children };
+  int argc = parse->argc - n_words + 1;
+  char **argv = parse->argv + n_words - 1;
+  argv[0] = name;
+  argp_parse (&argp, argc, argv, 0, NULL, parse);
+}
+
+void
+options_parse (options_t *options, int argc, char **argv)
+{
+  *options = (options_t){ .command = COMMAND_NONE,
+                          .settings = getenv ("MULBERRY_SETTINGS"),
+                          .key = getenv ("MULBERRY_KEY_FILE"),
+                          .timeout = TIMEOUT_SECONDS_DEFAULT * USEC_PER_SEC };
+  const struct argp argp = { .options = global_options,
+                             .parser = parse_words,
+                             .args_doc = "COMMAND",
+                             .doc = global_doc };
+  argp_err_exit_status = EXIT_USAGE;
+  parse_t parse = { .options = options };
+  argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &parse);
+  for (command_t command = 0; command < COMMAND_NONE; command++)
+    {
+      int n_words = match_words (&commands[command], parse.argc, parse.argv);
+      if (n_words == 0)
+        continue;
+      options->command = command;
+      parse_command (&parse, n_words);
+      break;
+    }
+  const char *wrong = NULL;
+  if (options->command == COMMAND_NONE)
+    wrong = "no such command; `mulberryctl --help` lists them";
+  else if (!options->settings)
+    wrong = "name the settings: --settings FILE or MULBERRY_SETTINGS";
+  if (!wrong)
+    return;
+  fprintf (stderr, "mulberryctl: %s\n", wrong);
+  exit (EXIT_USAGE);
+}
