feat: a thin whole path of settings, sheets, control and entry processes

Cause: a caller must get its answer through the system before any part of it can be improved and measured.

Settings are YAML read with line numbers (libyaml's document nodes; libcyaml was ruled out because a semantic fault found after loading has no line there). Sheets are CSV with six fixed columns; every bad row is named at once. mulberry-control syncs a sheet before it answers "accepted"; entry VMs pull it; mulberry-entry proxies a request over libcurl, checks the request id and the framing of the answer, and lets a non-idempotent request reach a connection once only.

Not yet: agreement among control processes, tickets, slots, steering, the operators' tool. One control process accepts on its own.

--- /dev/null
+++ b/src/entry/caller_port.h
@@ -0,0 +1,33 @@
+/* caller_port: what callers see of an entry VM, over HTTP.
+
+   GET /v1/lookup?service=S&block=B   which entry VMs to use
+   any /s/SERVICE/...                 a request to a backend server
+
+   Every answer to a request carries X-Mulberry-Outcome: answer, not-run or
+   unknown.  docs/API.md has the whole of it.  */
+
+#ifndef ENTRY_CALLER_PORT_H
+#define ENTRY_CALLER_PORT_H
+
+#include "entry/exchange.h"
+#include "entry/route_table.h"
+#include "settings/settings_defs.h"
+
+typedef struct caller_port caller_port_t;
+
+typedef struct caller_port_options
+{
+  const settings_t *settings;
+  vm_id_t self;
+  uint64_t incarnation;
+  route_table_t *routes;
+} caller_port_options_t;
+
+caller_port_t *caller_port_open (const caller_port_options_t *options,
+                                 err_t *err);
+
+/* Take no new connections, finish what is under way, then end; waits at most
+   the longest deadline.  */
+void caller_port_close (caller_port_t *port);
+
+#endif
--- /dev/null
+++ b/src/entry/exchange.c
@@ -0,0 +1,62 @@
+#include "entry/exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+exchange_t *
+exchange_new (void)
+{
+  exchange_t *exchange = calloc (1, sizeof *exchange);
+  if (!exchange)
+    abort ();
+  list_init (&exchange->link);
+  exchange->service = TOPOLOGY_NONE;
+  return exchange;
+}
+
+void
+exchange_free (exchange_t *exchange)
+{
+  free (exchange->body);
+  free (exchange->answer);
+  free (exchange);
+}
+
+bool
+exchange_is_idempotent (const exchange_t *exchange)
+{
+  return strcmp (exchange->method, "GET") == 0
+         || strcmp (exchange->method, "HEAD") == 0;
+}
+
+void
+exchange_add_body (exchange_t *exchange, const char *data, size_t length,
+                   size_t limit)
+{
+  if (exchange->body_bytes + length > limit)
+    {
+      exchange->body_too_long = true;
+      return;
+    }
+  char *grown = realloc (exchange->body, exchange->body_bytes + length);
+  if (!grown)
+    abort ();
+  memcpy (grown + exchange->body_bytes, data, length);
+  exchange->body = grown;
+  exchange->body_bytes += length;
+}
+
+const char *
+outcome_name (outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case OUTCOME_ANSWER:
+      return "answer";
+    case OUTCOME_NOT_RUN:
+      return "not-run";
+    case OUTCOME_UNKNOWN:
+      return "unknown";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/src/entry/exchange.h
@@ -0,0 +1,77 @@
+/* exchange: one caller's request on its way through an entry VM.
+
+   It is owned by one thread at a time: the caller port's until it is pushed
+   to the backend client, then the backend client's until the caller port is
+   told that it is done.  */
+
+#ifndef ENTRY_EXCHANGE_H
+#define ENTRY_EXCHANGE_H
+
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/error.h"
+#include "base/list.h"
+#include "base/time_defs.h"
+#include "placement/topology_defs.h"
+#include "shift/sheet_defs.h"
+
+enum
+{
+  EXCHANGE_ID_BYTES = 40,
+  EXCHANGE_METHOD_BYTES = 8,
+  EXCHANGE_TARGET_BYTES = 2048,
+  EXCHANGE_HEADER_BYTES = 256,
+};
+
+/* What the caller is told.  */
+typedef enum
+{
+  OUTCOME_ANSWER,  /* the whole answer to this very request */
+  OUTCOME_NOT_RUN, /* the request did not run and will not */
+  OUTCOME_UNKNOWN, /* it may have run */
+} outcome_t;
+
+typedef struct exchange
+{
+  list_t link;
+  struct MHD_Connection *connection;
+  char id[EXCHANGE_ID_BYTES]; /* our own, also to the backend server */
+  char method[EXCHANGE_METHOD_BYTES];
+  char target[EXCHANGE_TARGET_BYTES]; /* path and query as they came */
+  char caller_id[EXCHANGE_HEADER_BYTES];
+  char ticket[EXCHANGE_HEADER_BYTES];
+  char content_type[EXCHANGE_HEADER_BYTES];
+  service_id_t service;
+  const char *service_path; /* inside TARGET, after the service's name */
+  usec_t deadline;          /* monotonic */
+  char *body;
+  size_t body_bytes;
+  bool body_too_long;
+  bool begun;
+  bool done;
+  backend_t backend; /* that it was sent to */
+
+  outcome_t outcome;
+  unsigned int status;
+  char answer_type[EXCHANGE_HEADER_BYTES];
+  char *answer;
+  size_t answer_bytes;
+  err_t reason; /* where there is no answer */
+} exchange_t;
+
+exchange_t *exchange_new (void);
+
+void exchange_free (exchange_t *exchange);
+
+/* GET and HEAD alone may run twice.  */
+bool exchange_is_idempotent (const exchange_t *exchange);
+
+/* Append to the body; past LIMIT it is only marked as too long.  */
+void exchange_add_body (exchange_t *exchange, const char *data, size_t length,
+                        size_t limit);
+
+const char *outcome_name (outcome_t outcome);
+
+#endif
--- /dev/null
+++ b/src/entry/main_entry.c
@@ -0,0 +1,98 @@
+/* mulberry-entry: answers callers' look-ups and carries their requests to
+   backend servers.  */
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "entry/caller_port.h"
+#include "entry/route_table.h"
+#include "entry/version_feed.h"
+#include "settings/program.h"
+#include "wire/rpc.h"
+
+const char *argp_program_version = "mulberry-entry " MULBERRY_VERSION;
+
+static const char doc[]
+    = "Tells callers which entry VM to use and carries their requests to "
+      "backend servers.  On SIGTERM it takes no new requests, finishes those "
+      "under way and stops.";
+
+typedef struct entry
+{
+  route_table_t *routes;
+  rpc_t *rpc;
+  version_feed_t *feed;
+  caller_port_t *port;
+} entry_t;
+
+static bool
+entry_open (entry_t *entry, const program_t *program, err_t *err)
+{
+  const settings_t *settings = program->settings;
+  entry->routes = route_table_new (&settings->topology, program->vm_id);
+  const rpc_options_t rpc_options = { .address = program->vm->address,
+                                      .port = settings->ports.entry_peer,
+                                      .vm = program->vm_id,
+                                      .incarnation = program->incarnation,
+                                      .key = program->key };
+  entry->rpc = rpc_open (&rpc_options, err);
+  if (!entry->rpc || !rpc_start (entry->rpc, err))
+    return false;
+  const version_feed_options_t feed_options
+      = { .settings = settings, .rpc = entry->rpc, .routes = entry->routes };
+  entry->feed = version_feed_start (&feed_options, err);
+  if (!entry->feed)
+    return false;
+  const caller_port_options_t port_options
+      = { .settings = settings,
+          .self = program->vm_id,
+          .incarnation = program->incarnation,
+          .routes = entry->routes };
+  entry->port = caller_port_open (&port_options, err);
+  return entry->port != NULL;
+}
+
+static void
+entry_close (entry_t *entry)
+{
+  if (entry->port)
+    caller_port_close (entry->port);
+  if (entry->feed)
+    version_feed_stop (entry->feed);
+  if (entry->rpc)
+    rpc_close (entry->rpc);
+  if (entry->feed)
+    version_feed_free (entry->feed);
+  if (entry->routes)
+    route_table_free (entry->routes);
+}
+
+int
+main (int argc, char **argv)
+{
+  program_t program;
+  int exit_code = 0;
+  if (!program_start (&program, "mulberry-entry", doc, argc, argv, &exit_code))
+    return exit_code;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  entry_t entry = { 0 };
+  err_t err = { 0 };
+  if (entry_open (&entry, &program, &err))
+    {
+      LOG_EVENT (LOG_LEVEL_INFO, "started",
+                 LOG_S ("address", program.vm->address));
+      program_wait_stop ();
+      LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_S ("reason", "signal"));
+    }
+  else
+    {
+      log_error (LOG_LEVEL_ERROR, "start_failed", &err);
+      exit_code = EXIT_FAILURE;
+    }
+  entry_close (&entry);
+  program_finish (&program);
+  curl_global_cleanup ();
+  return exit_code;
+}
--- /dev/null
+++ b/src/entry/route_table.h
@@ -0,0 +1,30 @@
+/* route_table: the accepted sheet as an entry VM uses it.  Thread-safe; a
+   newer sheet replaces an older one, never the other way.  */
+
+#ifndef ENTRY_ROUTE_TABLE_H
+#define ENTRY_ROUTE_TABLE_H
+
+#include <stdbool.h>
+
+#include "placement/topology_defs.h"
+#include "shift/sheet_defs.h"
+
+typedef struct route_table route_table_t;
+
+/* For the VM with the index SELF.  */
+route_table_t *route_table_new (const topology_t *topology, vm_id_t self);
+
+void route_table_free (route_table_t *table);
+
+/* Put SHEET in force; it becomes the table's.  False (and released) where
+   the table has it or a newer one already.  */
+bool route_table_apply (route_table_t *table, sheet_t *sheet);
+
+/* The number of the sheet in force; 0 for none.  */
+uint64_t route_table_version (route_table_t *table);
+
+/* A backend server of SERVICE that takes new work; false where none does.  */
+bool route_table_pick (route_table_t *table, service_id_t service,
+                       backend_t *backend);
+
+#endif
--- /dev/null
+++ b/src/settings/program.c
@@ -0,0 +1,173 @@
+#include "settings/program.h"
+
+#include <apr_general.h>
+#include <argp.h>
+#include <openssl/rand.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "placement/topology.h"
+
+typedef struct arguments
+{
+  const char *settings;
+  const char *vm;
+  const char *data_folder;
+  bool check_settings;
+  log_level_t level;
+} arguments_t;
+
+static const struct argp_option options[] = {
+  { "settings", 's', "FILE", 0, "The organisation's settings (YAML)", 0 },
+  { "vm", 'v', "NAME", 0, "Which of the settings' VMs this is", 0 },
+  { "data-folder", 'd', "FOLDER", 0,
+    "Where state lasts; default: the settings' data_folder/NAME", 0 },
+  { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
+  { "log-level", 'l', "LEVEL", 0, "debug, info (default), warning or error",
+    0 },
+  { 0 },
+};
+
+static bool
+parse_level (const char *text, log_level_t *level)
+{
+  static const char *const names[] = { "debug", "info", "warning", "error" };
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcmp (text, names[i]) == 0)
+      {
+        *level = (log_level_t)i;
+        return true;
+      }
+  return false;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  arguments_t *arguments = state->input;
+  switch (key)
+    {
+    case 's':
+      arguments->settings = arg;
+      return 0;
+    case 'v':
+      arguments->vm = arg;
+      return 0;
+    case 'd':
+      arguments->data_folder = arg;
+      return 0;
+    case 'c':
+      arguments->check_settings = true;
+      return 0;
+    case 'l':
+      if (!parse_level (arg, &arguments->level))
+        argp_error (state,
+                    "unknown level '%s'; use debug, info, warning or "
+                    "error",
+                    arg);
+      return 0;
+    case ARGP_KEY_END:
+      if (!arguments->settings)
+        argp_error (state, "--settings FILE is missing");
+      if (!arguments->vm && !arguments->check_settings)
+        argp_error (state, "--vm NAME is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+mask_stop_signals (sigset_t *set)
+{
+  sigemptyset (set);
+  sigaddset (set, SIGTERM);
+  sigaddset (set, SIGINT);
+}
+
+/* The parts of the start that can fail.  */
+static bool
+load (program_t *program, const arguments_t *arguments, err_t *err)
+{
+  program->settings = settings_load (arguments->settings, err);
+  if (!program->settings)
+    return false;
+  const topology_t *topology = &program->settings->topology;
+  if (!settings_read_key (program->settings->key_file, program->key, err))
+    return false;
+  if (!arguments->vm)
+    return true;
+  program->vm_id = topology_vm (topology, arguments->vm);
+  if (program->vm_id == TOPOLOGY_NONE)
+    return err_set (err, ERR_USAGE, "name one of the VMs in the settings",
+                    "--vm %s: not in %s", arguments->vm, arguments->settings);
+  program->vm = &topology->vms[program->vm_id];
+  int n = arguments->data_folder
+              ? snprintf (program->data_folder, sizeof program->data_folder,
+                          "%s", arguments->data_folder)
+              : snprintf (program->data_folder, sizeof program->data_folder,
+                          "%s/%s", program->settings->data_folder,
+                          arguments->vm);
+  if (n < 0 || (size_t)n >= sizeof program->data_folder)
+    return err_set (err, ERR_USAGE, "use a shorter path",
+                    "the data folder's path is too long");
+  return true;
+}
+
+bool
+program_start (program_t *program, const char *name, const char *doc, int argc,
+               char **argv, int *exit_code)
+{
+  memset (program, 0, sizeof *program);
+  arguments_t arguments = { .level = LOG_LEVEL_INFO };
+  const struct argp argp
+      = { .options = options, .parser = parse_option, .doc = doc };
+  argp_err_exit_status = PROGRAM_EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  apr_initialize ();
+  sigset_t stop;
+  mask_stop_signals (&stop);
+  pthread_sigmask (SIG_BLOCK, &stop, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  err_t err = { 0 };
+  if (!load (program, &arguments, &err))
+    {
+      fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err.message, name,
+               err.remedy);
+      program_finish (program);
+      *exit_code = PROGRAM_EXIT_USAGE;
+      return false;
+    }
+  if (arguments.check_settings)
+    {
+      printf ("%s: the settings are good\n", arguments.settings);
+      program_finish (program);
+      *exit_code = 0;
+      return false;
+    }
+  RAND_bytes ((unsigned char *)&program->incarnation,
+              sizeof program->incarnation);
+  program->incarnation |= 1;
+  log_open (name, program->vm->name.text, arguments.level);
+  return true;
+}
+
+void
+program_wait_stop (void)
+{
+  sigset_t stop;
+  mask_stop_signals (&stop);
+  int signal_number = 0;
+  sigwait (&stop, &signal_number);
+}
+
+void
+program_finish (program_t *program)
+{
+  settings_free (program->settings);
+  program->settings = NULL;
+  apr_terminate ();
+}
--- /dev/null
+++ b/src/settings/program.h
@@ -0,0 +1,36 @@
+/* program: what mulberry-entry and mulberry-control share at their start:
+   the command line, the settings, the log, the stop signal.  */
+
+#ifndef SETTINGS_PROGRAM_H
+#define SETTINGS_PROGRAM_H
+
+#include "settings/settings.h"
+
+enum
+{
+  PROGRAM_EXIT_USAGE = 2, /* bad command line or settings */
+};
+
+typedef struct program
+{
+  settings_t *settings;
+  const vm_t *vm; /* this VM, inside the settings */
+  vm_id_t vm_id;
+  uint64_t incarnation; /* of this start of the process; never 0 */
+  unsigned char key[SETTINGS_KEY_BYTES];
+  char data_folder[SETTINGS_PATH_BYTES];
+} program_t;
+
+/* Read the command line (--settings FILE --vm NAME ...) and the settings.
+   Returns true where the program should go on; else *EXIT_CODE says how it
+   ends: 0 after --check-settings, PROGRAM_EXIT_USAGE after a fault, which
+   has been printed.  */
+bool program_start (program_t *program, const char *name, const char *doc,
+                    int argc, char **argv, int *exit_code);
+
+/* Block until SIGTERM or SIGINT; program_start has masked both.  */
+void program_wait_stop (void);
+
+void program_finish (program_t *program);
+
+#endif
--- /dev/null
+++ b/src/shift/sheet.c
@@ -0,0 +1,525 @@
+#include "shift/sheet.h"
+
+#include <arpa/inet.h>
+#include <csv.h>
+#include <errno.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/name.h"
+#include "placement/topology.h"
+
+enum
+{
+  COLUMN_RECORD,
+  COLUMN_SERVICE,
+  COLUMN_PLACE,
+  COLUMN_NAME,
+  COLUMN_ADDRESS,
+  COLUMN_VALUE,
+  N_COLUMNS,
+  FIELD_BYTES = 128,
+  PERCENT_WHOLE = 100,
+  PORT_MAX = 65535,
+};
+
+static const char *const column_names[N_COLUMNS]
+    = { "record", "service", "place", "name", "address", "value" };
+
+typedef struct row
+{
+  size_t number;
+  size_t n_fields;
+  char field[N_COLUMNS][FIELD_BYTES];
+  bool too_long;
+} row_t;
+
+typedef struct parser
+{
+  const topology_t *topology;
+  sheet_faults_t *faults;
+  sheet_t *sheet;
+  row_t row;
+  bool has_number;
+  bool has_operator;
+  bool has_currency;
+  bool has_cap;
+} parser_t;
+
+static void fault (parser_t *parser, int column, const char *remedy,
+                   const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+static void
+fault (parser_t *parser, int column, const char *remedy, const char *format,
+       ...)
+{
+  sheet_faults_t *faults = parser->faults;
+  if (faults->n_faults++ >= SHEET_FAULTS_MAX)
+    return;
+  sheet_fault_t *at = &faults->fault[faults->n_faults - 1];
+  at->row = parser->row.number;
+  at->column = column_names[column];
+  snprintf (at->remedy, sizeof at->remedy, "%s", remedy);
+  va_list args;
+  va_start (args, format);
+  vsnprintf (at->message, sizeof at->message, format, args);
+  va_end (args);
+}
+
+/* Grow the array at *ITEMS by one zeroed item.  */
+static void *
+array_add (void **items, size_t *n, size_t item_bytes)
+{
+  if ((*n & (*n - 1)) == 0)
+    {
+      void *grown = realloc (*items, (*n ? 2 * *n : 1) * item_bytes);
+      if (!grown)
+        abort ();
+      *items = grown;
+    }
+  char *item = (char *)*items + (*n)++ * item_bytes;
+  memset (item, 0, item_bytes);
+  return item;
+}
+
+static bool
+parse_whole (parser_t *parser, int column, int64_t max, int64_t *number)
+{
+  const char *text = parser->row.field[column];
+  char *end = NULL;
+  errno = 0;
+  long long value = strtoll (text, &end, 10);
+  if (end != text && *end == '\0' && errno == 0 && value >= 0 && value <= max)
+    {
+      *number = value;
+      return true;
+    }
+  fault (parser, column, "write a whole number without signs or separators",
+         "'%.40s' is not a whole number from 0 to %lld", text, (long long)max);
+  return false;
+}
+
+static bool
+parse_name (parser_t *parser, int column, name_t *name)
+{
+  err_t why = { 0 };
+  if (name_parse (name, parser->row.field[column], &why))
+    return true;
+  fault (parser, column, why.remedy, "%s", why.message);
+  return false;
+}
+
+/* An empty service stands for all where ANY.  */
+static bool
+parse_service (parser_t *parser, service_id_t *service, bool any)
+{
+  const char *text = parser->row.field[COLUMN_SERVICE];
+  *service = topology_service (parser->topology, text);
+  if (*service != TOPOLOGY_NONE || (any && !*text))
+    return true;
+  fault (parser, COLUMN_SERVICE, "use a service that the settings list",
+         "unknown service '%.40s'", text);
+  return false;
+}
+
+static bool
+parse_region (parser_t *parser, region_id_t *region)
+{
+  const char *text = parser->row.field[COLUMN_PLACE];
+  *region = topology_region (parser->topology, text);
+  if (*region != TOPOLOGY_NONE)
+    return true;
+  fault (parser, COLUMN_PLACE, "use a region that the settings list",
+         "unknown region '%.40s'", text);
+  return false;
+}
+
+static bool
+parse_domain (parser_t *parser, domain_id_t *domain)
+{
+  const char *text = parser->row.field[COLUMN_PLACE];
+  *domain = topology_domain (parser->topology, text);
+  if (*domain != TOPOLOGY_NONE)
+    return true;
+  fault (parser, COLUMN_PLACE, "use a failure domain that the settings list",
+         "unknown failure domain '%.40s'", text);
+  return false;
+}
+
+static bool
+parse_address (parser_t *parser, backend_t *backend)
+{
+  char text[FIELD_BYTES];
+  memcpy (text, parser->row.field[COLUMN_ADDRESS], sizeof text);
+  char *colon = strchr (text, ':');
+  struct in_addr parsed;
+  char *end = NULL;
+  if (colon)
+    {
+      *colon = '\0';
+      long port = strtol (colon + 1, &end, 10);
+      if (inet_pton (AF_INET, text, &parsed) == 1 && end != colon + 1
+          && *end == '\0' && port > 0 && port <= PORT_MAX)
+        {
+          memcpy (backend->address, text, strlen (text) + 1);
+          backend->port = (uint16_t)port;
+          return true;
+        }
+    }
+  fault (parser, COLUMN_ADDRESS, "write it as 127.10.1.1:9000",
+         "'%.40s' is not an IPv4 address and port",
+         parser->row.field[COLUMN_ADDRESS]);
+  return false;
+}
+
+static const char *const state_names[]
+    = { "serving", "joining", "leaving", "stopping" };
+
+const char *
+sheet_state_name (backend_state_t state)
+{
+  return state_names[state];
+}
+
+static bool
+parse_state (parser_t *parser, backend_state_t *state)
+{
+  const char *text = parser->row.field[COLUMN_VALUE];
+  for (size_t i = 0; i < sizeof state_names / sizeof state_names[0]; i++)
+    if (strcmp (text, state_names[i]) == 0)
+      {
+        *state = (backend_state_t)i;
+        return true;
+      }
+  fault (parser, COLUMN_VALUE, "write serving, joining, leaving or stopping",
+         "unknown state '%.40s'", text);
+  return false;
+}
+
+static void
+take_shift (parser_t *parser)
+{
+  sheet_t *sheet = parser->sheet;
+  const char *name = parser->row.field[COLUMN_NAME];
+  bool *seen = NULL;
+  int64_t number = 0;
+  bool ok = true;
+  if (strcmp (name, "number") == 0)
+    {
+      seen = &parser->has_number;
+      ok = parse_whole (parser, COLUMN_VALUE, INT64_MAX, &number);
+      sheet->number = (uint64_t)number;
+      if (ok && number == 0)
+        fault (parser, COLUMN_VALUE, "begin at 1", "the number is 0");
+    }
+  else if (strcmp (name, "operator") == 0)
+    {
+      seen = &parser->has_operator;
+      ok = parse_name (parser, COLUMN_VALUE, &sheet->operator_name);
+    }
+  else if (strcmp (name, "currency") == 0)
+    {
+      seen = &parser->has_currency;
+      ok = parse_name (parser, COLUMN_VALUE, &sheet->currency);
+    }
+  else if (strcmp (name, "cost_cap") == 0)
+    {
+      seen = &parser->has_cap;
+      ok = parse_whole (parser, COLUMN_VALUE, INT64_MAX / 2, &sheet->cost_cap);
+    }
+  else if (strcmp (name, "expected_requests") == 0)
+    {
+      ok = parse_whole (parser, COLUMN_VALUE, INT64_MAX / 2, &number);
+      sheet->expected_requests = (uint64_t)number;
+    }
+  else
+    fault (parser, COLUMN_NAME,
+           "use number, operator, currency, cost_cap or expected_requests",
+           "unknown shift value '%.40s'", name);
+  if (seen && *seen)
+    fault (parser, COLUMN_NAME, "keep one of the rows", "'%s' stands twice",
+           name);
+  if (seen && ok)
+    *seen = true;
+}
+
+static void
+take_price (parser_t *parser)
+{
+  price_t price = { 0 };
+  bool ok = parse_service (parser, &price.service, true);
+  ok = parse_region (parser, &price.region) && ok;
+  ok = parse_whole (parser, COLUMN_VALUE, INT32_MAX, &price.per_thousand)
+       && ok;
+  sheet_t *sheet = parser->sheet;
+  for (size_t i = 0; ok && i < sheet->n_prices; i++)
+    if (sheet->prices[i].service == price.service
+        && sheet->prices[i].region == price.region)
+      {
+        fault (parser, COLUMN_PLACE, "keep one of the rows",
+               "a second price for the same service and region");
+        return;
+      }
+  if (ok)
+    *(price_t *)array_add ((void **)&sheet->prices, &sheet->n_prices,
+                           sizeof price)
+        = price;
+}
+
+static void
+take_traffic (parser_t *parser)
+{
+  traffic_share_t share = { 0 };
+  int64_t percent = 0;
+  bool ok = parse_service (parser, &share.service, false);
+  ok = parse_region (parser, &share.region) && ok;
+  ok = parse_whole (parser, COLUMN_VALUE, PERCENT_WHOLE, &percent) && ok;
+  share.percent = (uint32_t)percent;
+  sheet_t *sheet = parser->sheet;
+  for (size_t i = 0; ok && i < sheet->n_shares; i++)
+    if (sheet->shares[i].service == share.service
+        && sheet->shares[i].region == share.region)
+      {
+        fault (parser, COLUMN_PLACE, "keep one of the rows",
+               "a second share for the same service and region");
+        return;
+      }
+  if (ok)
+    *(traffic_share_t *)array_add ((void **)&sheet->shares, &sheet->n_shares,
+                                   sizeof share)
+        = share;
+}
+
+static void
+take_backend (parser_t *parser)
+{
+  backend_t backend = { 0 };
+  bool ok = parse_service (parser, &backend.service, false);
+  ok = parse_domain (parser, &backend.domain) && ok;
+  ok = parse_name (parser, COLUMN_NAME, &backend.name) && ok;
+  ok = parse_address (parser, &backend) && ok;
+  ok = parse_state (parser, &backend.state) && ok;
+  if (ok)
+    *(backend_t *)array_add ((void **)&parser->sheet->backends,
+                             &parser->sheet->n_backends, sizeof backend)
+        = backend;
+}
+
+static void
+take_heading (parser_t *parser)
+{
+  const row_t *row = &parser->row;
+  for (int i = 0; i < N_COLUMNS; i++)
+    if (strcmp (row->field[i], column_names[i]) != 0)
+      fault (parser, i, "begin with: record,service,place,name,address,value",
+             "the heading is '%.40s'", row->field[i]);
+}
+
+/* libcsv calls this at the end of each field.  */
+static void
+on_field (void *text, size_t length, void *closure)
+{
+  row_t *row = &((parser_t *)closure)->row;
+  if (row->n_fields < N_COLUMNS)
+    {
+      char *field = row->field[row->n_fields];
+      row->too_long = row->too_long || length >= FIELD_BYTES
+                      || memchr (text, '\0', length);
+      size_t kept = length < FIELD_BYTES ? length : FIELD_BYTES - 1;
+      memcpy (field, text, kept);
+      field[kept] = '\0';
+    }
+  row->n_fields++;
+}
+
+static void
+take_row (parser_t *parser)
+{
+  const row_t *row = &parser->row;
+  const char *record = row->field[COLUMN_RECORD];
+  if (row->n_fields != N_COLUMNS || row->too_long)
+    fault (parser, COLUMN_RECORD,
+           "give 6 columns of at most 127 bytes; leave unused ones empty",
+           "a row of %zu columns%s", row->n_fields,
+           row->too_long ? ", one too long" : "");
+  else if (row->number == 1)
+    take_heading (parser);
+  else if (strcmp (record, "shift") == 0)
+    take_shift (parser);
+  else if (strcmp (record, "price") == 0)
+    take_price (parser);
+  else if (strcmp (record, "traffic") == 0)
+    take_traffic (parser);
+  else if (strcmp (record, "backend") == 0)
+    take_backend (parser);
+  else
+    fault (parser, COLUMN_RECORD, "use shift, price, traffic or backend",
+           "unknown record '%.40s'", record);
+}
+
+/* libcsv calls this at the end of each row; rows without text are passed
+   over, as spreadsheets leave them at the end.  */
+static void
+on_row (int terminator, void *closure)
+{
+  (void)terminator;
+  parser_t *parser = closure;
+  row_t *row = &parser->row;
+  row->number++;
+  bool empty = true;
+  for (size_t i = 0; i < row->n_fields && i < N_COLUMNS; i++)
+    empty = empty && row->field[i][0] == '\0';
+  if (!empty || row->number == 1)
+    take_row (parser);
+  size_t number = row->number;
+  memset (row, 0, sizeof *row);
+  row->number = number;
+}
+
+static int
+compare_backend_names (const void *a, const void *b)
+{
+  return name_compare (&(*(const backend_t *const *)a)->name,
+                       &(*(const backend_t *const *)b)->name);
+}
+
+static int
+compare_backend_addresses (const void *a, const void *b)
+{
+  const backend_t *x = *(const backend_t *const *)a;
+  const backend_t *y = *(const backend_t *const *)b;
+  int order = strcmp (x->address, y->address);
+  return order ? order : (int)x->port - (int)y->port;
+}
+
+/* Two backend servers may share neither a name nor an address.  */
+static void
+check_backends (parser_t *parser)
+{
+  sheet_t *sheet = parser->sheet;
+  const backend_t **sorted = calloc (sheet->n_backends + 1, sizeof *sorted);
+  if (!sorted)
+    abort ();
+  for (size_t i = 0; i < sheet->n_backends; i++)
+    sorted[i] = &sheet->backends[i];
+  qsort (sorted, sheet->n_backends, sizeof *sorted, compare_backend_names);
+  for (size_t i = 1; i < sheet->n_backends; i++)
+    if (compare_backend_names (&sorted[i - 1], &sorted[i]) == 0)
+      fault (parser, COLUMN_NAME, "give each backend server its own name",
+             "'%s' stands twice", sorted[i]->name.text);
+  qsort (sorted, sheet->n_backends, sizeof *sorted, compare_backend_addresses);
+  for (size_t i = 1; i < sheet->n_backends; i++)
+    if (compare_backend_addresses (&sorted[i - 1], &sorted[i]) == 0)
+      fault (parser, COLUMN_ADDRESS,
+             "give each backend server its own address",
+             "'%s' and '%s' have the same", sorted[i - 1]->name.text,
+             sorted[i]->name.text);
+  free (sorted);
+}
+
+/* Every service with backend servers has shares that sum to 100.  */
+static void
+check_shares (parser_t *parser)
+{
+  const sheet_t *sheet = parser->sheet;
+  for (size_t s = 0; s < parser->topology->n_services; s++)
+    {
+      uint32_t sum = 0;
+      bool used = false;
+      for (size_t i = 0; i < sheet->n_backends; i++)
+        used = used || sheet->backends[i].service == s;
+      for (size_t i = 0; i < sheet->n_shares; i++)
+        if (sheet->shares[i].service == s)
+          {
+            sum += sheet->shares[i].percent;
+            used = true;
+          }
+      if (used && sum != PERCENT_WHOLE)
+        fault (parser, COLUMN_VALUE,
+               "let the service's traffic rows sum to 100",
+               "traffic of service '%s' sums to %u percent",
+               parser->topology->services[s].name.text, sum);
+    }
+}
+
+static void
+check_whole (parser_t *parser)
+{
+  parser->row.number = 0;
+  if (!parser->has_number)
+    fault (parser, COLUMN_NAME, "add: shift,,,number,,N",
+           "the shift's number is missing");
+  if (!parser->has_operator)
+    fault (parser, COLUMN_NAME, "add: shift,,,operator,,NAME",
+           "the shift's operator is missing");
+  if (!parser->has_currency)
+    fault (parser, COLUMN_NAME, "add: shift,,,currency,,CODE",
+           "the shift's currency is missing");
+  if (!parser->has_cap)
+    fault (parser, COLUMN_NAME, "add: shift,,,cost_cap,,AMOUNT",
+           "the shift's cost cap is missing");
+  check_backends (parser);
+  check_shares (parser);
+}
+
+static bool
+read_rows (parser_t *parser, const char *text, size_t length)
+{
+  struct csv_parser csv;
+  if (csv_init (&csv, CSV_STRICT | CSV_STRICT_FINI) != 0)
+    abort ();
+  bool ok = csv_parse (&csv, text, length, on_field, on_row, parser) == length
+            && csv_fini (&csv, on_field, on_row, parser) == 0;
+  if (!ok)
+    {
+      parser->row.number++;
+      fault (parser, COLUMN_RECORD,
+             "export it as CSV again; write a quote inside quotes twice",
+             "not CSV: %s", csv_strerror (csv_error (&csv)));
+    }
+  csv_free (&csv);
+  return ok;
+}
+
+sheet_t *
+sheet_parse (const char *text, size_t length, const topology_t *topology,
+             sheet_faults_t *faults, err_t *err)
+{
+  faults->n_faults = 0;
+  parser_t parser = { .topology = topology,
+                      .faults = faults,
+                      .sheet = calloc (1, sizeof (sheet_t)) };
+  if (!parser.sheet)
+    abort ();
+  if (length > SHEET_BYTES_MAX)
+    fault (&parser, COLUMN_RECORD, "split it or remove rows",
+           "the sheet has %zu bytes, over %d", length, SHEET_BYTES_MAX);
+  else if (read_rows (&parser, text, length))
+    check_whole (&parser);
+  if (faults->n_faults == 0)
+    return parser.sheet;
+  const sheet_fault_t *first = &faults->fault[0];
+  err_set (err, ERR_SHEET,
+           "mend every bad row, then submit the sheet again; nothing of it "
+           "has taken effect",
+           "%zu bad row%s; the first: row %zu, column %s: %s",
+           faults->n_faults, faults->n_faults == 1 ? "" : "s", first->row,
+           first->column, first->message);
+  sheet_free (parser.sheet);
+  return NULL;
+}
+
+void
+sheet_free (sheet_t *sheet)
+{
+  if (!sheet)
+    return;
+  free (sheet->backends);
+  free (sheet->shares);
+  free (sheet->prices);
+  free (sheet);
+}
--- a/src/shift/sheet.h
+++ b/src/shift/sheet.h
@@ -1,6 +1,6 @@
 /* sheet: reading an operator's sheet, a CSV file as a spreadsheet exports it.
 
-   The first row names the columns: record,service,place,name,value,state.
+   The first row names the columns: record,service,place,name,address,value.
    docs/OPERATIONS.md gives each record with an example.  A sheet is taken
    whole or not at all.  */
 
@@ -12,14 +12,14 @@
 
 enum
 {
-  SHEET_BYTES_MAX = 4 * 1024 * 1024,
-  SHEET_FAULTS_MAX = 64, /* bad rows that are named before it stops */
+  SHEET_BYTES_MAX = 900 * 1024, /* fits one RPC record */
+  SHEET_FAULTS_MAX = 64,        /* bad rows that are named; more are counted */
 };
 
 /* One bad row.  */
 typedef struct sheet_fault
 {
-  size_t row; /* from 1, the heading row being 1 */
+  size_t row; /* from 1, the heading row being 1; 0: the sheet as a whole */
   const char *column;
   char message[160];
   char remedy[160];
@@ -28,7 +28,7 @@
 typedef struct sheet_faults
 {
   sheet_fault_t fault[SHEET_FAULTS_MAX];
-  size_t n_faults;
+  size_t n_faults; /* may be over SHEET_FAULTS_MAX */
 } sheet_faults_t;
 
 /* Parse TEXT of LENGTH bytes against TOPOLOGY's names.  Returns NULL with
@@ -40,4 +40,7 @@
 
 void sheet_free (sheet_t *sheet);
 
+/* The name of a state as it stands in a sheet, "joining" say.  */
+const char *sheet_state_name (backend_state_t state);
+
 #endif
--- a/src/wire/rpc_connection.c
+++ b/src/wire/rpc_connection.c
@@ -83,32 +83,40 @@
   return true;
 }
 
+/* Send what is left of OUT, the first frame.  */
+static apr_status_t
+out_send (rpc_connection_t *connection, const rpc_out_t *out, uint64_t *sent)
+{
+  apr_size_t length = out->length - connection->out_sent;
+  apr_status_t status = apr_socket_send (
+      connection->socket, out->bytes + connection->out_sent, &length);
+  *sent += length;
+  connection->out_sent += length;
+  return status;
+}
+
 bool
 rpc_connection_flush (rpc_connection_t *connection, uint64_t *sent)
 {
   *sent = 0;
-  while (!connection->connecting && !list_empty (&connection->out))
-    {
-      rpc_out_t *out = LIST_ENTRY (connection->out.next, rpc_out_t, link);
-      apr_size_t length = out->length - connection->out_sent;
-      apr_status_t status = apr_socket_send (
-          connection->socket, out->bytes + connection->out_sent, &length);
-      *sent += length;
-      connection->out_sent += length;
-      if (connection->out_sent == out->length)
-        {
-          connection->out_bytes -= out->length;
-          connection->out_sent = 0;
-          list_remove (&out->link);
-          free (out->bytes);
-          free (out);
-          continue;
-        }
-      if (APR_STATUS_IS_EAGAIN (status))
+  LIST_FOREACH (link, &connection->out)
+  {
+    if (connection->connecting)
+      break;
+    rpc_out_t *out = LIST_ENTRY (link, rpc_out_t, link);
+    apr_status_t status = out_send (connection, out, sent);
+    if (connection->out_sent < out->length)
+      {
+        if (status != APR_SUCCESS && !APR_STATUS_IS_EAGAIN (status))
+          return false;
         break;
-      if (status != APR_SUCCESS)
-        return false;
-    }
+      }
+    connection->out_bytes -= out->length;
+    connection->out_sent = 0;
+    list_remove (&out->link);
+    free (out->bytes);
+    free (out);
+  }
   connection_watch (connection,
                     connection->connecting || !list_empty (&connection->out));
   return true;
