--- /dev/null
+++ b/src/ctl/accepted_sheet.c
@@ -0,0 +1,21 @@
+#include "ctl/accepted_sheet.h"
+
+#include "shift/sheet.h"
+
+sheet_t *
+accepted_sheet (session_t *session, err_t *err)
+{
+  const client_request_t request = { .method = "GET", .target = "/v1/sheet" };
+  client_reply_t reply;
+  sheet_t *sheet = NULL;
+  if (session_ask (session, &request, &reply, err))
+    {
+      sheet_faults_t faults = { 0 };
+      sheet = sheet_parse (reply.body, reply.length,
+                           &session->settings->topology, &faults, err);
+      if (!sheet)
+        err_prefix (err, "the accepted sheet does not fit these settings");
+    }
+  client_reply_free (&reply);
+  return sheet;
+}
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -224,6 +224,9 @@
   argument_t wanted = commands[options->command].argument;
   switch (key)
     {
+    case ARGP_KEY_INIT:
+      state->child_inputs[0] = state->input;
+      return 0;
     case ARGP_KEY_ARG:
       if (wanted == ARGUMENT_NONE || options->argument)
         argp_error (state, "'%s' is one word too many", text);
@@ -241,7 +244,7 @@
       options->stop = true;
       return 0;
     default:
-      return parse_global (key, text, state);
+      return ARGP_ERR_UNKNOWN;
     }
 }
 
@@ -289,7 +292,8 @@
   char name[NAME_BYTES_MAX];
   snprintf (name, sizeof name, "mulberryctl %s%s%s", row->words[0],
             row->words[1] ? " " : "", row->words[1] ? row->words[1] : "");
-  const struct argp global = { .options = global_options };
+  const struct argp global
+      = { .options = global_options, .parser = parse_global };
   const struct argp_child children[]
       = { { &global, 0, "Everywhere:", 1 }, { 0 } };
   const struct argp argp = { .options = own_options (parse->options->command),
