--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -250,7 +250,7 @@
   free (exchange->answer);
   exchange->answer = NULL;
   exchange->answer_bytes = 0;
-  exchange->outcome = sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+  exchange->outcome = sent ? EXCHANGE_UNKNOWN : EXCHANGE_NOT_RUN;
   err_set (&exchange->reason, kind,
            sent ? "ask again with the same ticket" : "send it again",
            "backend server %s: %s", exchange->backend.name.text, why);
@@ -273,7 +273,7 @@
   else if (whole && status == STATUS_SHED && attempt->not_started)
     exchange_fail (exchange, false, ERR_LIMIT, "it refused before starting");
   else if (whole)
-    exchange->outcome = OUTCOME_ANSWER;
+    exchange->outcome = EXCHANGE_ANSWER;
   else if (attempt->answer_too_long)
     exchange_fail (exchange, true, ERR_LIMIT, "its answer is too long");
   else if (code == CURLE_OK)
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -96,14 +96,14 @@
 {
   switch (exchange->outcome)
     {
-    case OUTCOME_ANSWER:
+    case EXCHANGE_ANSWER:
       return exchange->status;
-    case OUTCOME_NOT_RUN:
+    case EXCHANGE_NOT_RUN:
       return exchange->reason.kind == ERR_USAGE ? MHD_HTTP_BAD_REQUEST
              : exchange->reason.kind == ERR_AUTH
                  ? MHD_HTTP_FORBIDDEN
                  : MHD_HTTP_SERVICE_UNAVAILABLE;
-    case OUTCOME_UNKNOWN:
+    case EXCHANGE_UNKNOWN:
       return exchange->reason.kind == ERR_TIMEOUT ? MHD_HTTP_GATEWAY_TIMEOUT
                                                   : MHD_HTTP_BAD_GATEWAY;
     }
@@ -113,7 +113,7 @@
 static struct MHD_Response *
 outcome_response (exchange_t *exchange)
 {
-  if (exchange->outcome == OUTCOME_ANSWER)
+  if (exchange->outcome == EXCHANGE_ANSWER)
     {
       struct MHD_Response *response = MHD_create_response_from_buffer (
           exchange->answer_bytes, exchange->answer ? exchange->answer : "",
@@ -135,10 +135,10 @@
   if (!response)
     return MHD_NO;
   MHD_add_response_header (response, "X-Mulberry-Outcome",
-                           outcome_name (exchange->outcome));
+                           exchange_outcome_name (exchange->outcome));
   if (exchange->caller_id[0])
     MHD_add_response_header (response, "X-Request-Id", exchange->caller_id);
-  if (exchange->outcome == OUTCOME_ANSWER && exchange->answer_type[0])
+  if (exchange->outcome == EXCHANGE_ANSWER && exchange->answer_type[0])
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                              exchange->answer_type);
   enum MHD_Result result = MHD_queue_response (
@@ -152,7 +152,7 @@
 refuse (exchange_t *exchange, err_kind_t kind, const char *remedy,
         const char *why)
 {
-  exchange->outcome = OUTCOME_NOT_RUN;
+  exchange->outcome = EXCHANGE_NOT_RUN;
   err_set (&exchange->reason, kind, remedy, "%s", why);
   exchange->done = true;
   return reply_outcome (exchange);
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -47,15 +47,15 @@
 }
 
 const char *
-outcome_name (outcome_t outcome)
+exchange_outcome_name (exchange_outcome_t outcome)
 {
   switch (outcome)
     {
-    case OUTCOME_ANSWER:
+    case EXCHANGE_ANSWER:
       return "answer";
-    case OUTCOME_NOT_RUN:
+    case EXCHANGE_NOT_RUN:
       return "not-run";
-    case OUTCOME_UNKNOWN:
+    case EXCHANGE_UNKNOWN:
       return "unknown";
     }
   return "unknown";
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -28,10 +28,10 @@
 /* What the caller is told.  */
 typedef enum
 {
-  OUTCOME_ANSWER,  /* the whole answer to this very request */
-  OUTCOME_NOT_RUN, /* the request did not run and will not */
-  OUTCOME_UNKNOWN, /* it may have run */
-} outcome_t;
+  EXCHANGE_ANSWER,  /* the whole answer to this very request */
+  EXCHANGE_NOT_RUN, /* the request did not run and will not */
+  EXCHANGE_UNKNOWN, /* it may have run */
+} exchange_outcome_t;
 
 typedef struct exchange
 {
@@ -53,7 +53,7 @@
   bool done;
   backend_t backend; /* that it was sent to */
 
-  outcome_t outcome;
+  exchange_outcome_t outcome;
   unsigned int status;
   char answer_type[EXCHANGE_HEADER_BYTES];
   char *answer;
@@ -72,6 +72,6 @@
 void exchange_add_body (exchange_t *exchange, const char *data, size_t length,
                         size_t limit);
 
-const char *outcome_name (outcome_t outcome);
+const char *exchange_outcome_name (exchange_outcome_t outcome);
 
 #endif
