--- /dev/null
+++ b/src/admission/admit.c
@@ -0,0 +1,207 @@
+#include "admission/admit.h"
+
+#include <math.h>
+
+/* Weight of a new run in the moving averages.  */
+static const double service_time_gain = 0.05;
+
+/* Mean deviations that are kept between the estimate and the deadline: for
+   the own run, and for the root of the number of runs waited for.  */
+static const double run_deviations = 1.0;
+static const double wait_deviations = 1.0;
+
+void
+admit_init (admit_t *admit, const admit_options_t *options)
+{
+  *admit = (admit_t){ .options = *options,
+                      .slots = options->slots,
+                      .service_time = (double)options->service_time };
+  fair_share_init (&admit->fair);
+  list_init (&admit->refused);
+}
+
+void
+admit_set_slots (admit_t *admit, uint32_t slots)
+{
+  admit->slots = slots;
+}
+
+static bool
+slot_free (const admit_t *admit)
+{
+  return admit->n_running < admit->slots;
+}
+
+/* Expected time until a request with N_AHEAD queued before it gets a slot,
+   with a margin.  */
+static double
+expected_wait (const admit_t *admit, size_t n_ahead)
+{
+  if (slot_free (admit) && n_ahead == 0)
+    return 0;
+  double slots = admit->slots > 0 ? admit->slots : 1;
+  double n_runs = (double)n_ahead + 1;
+  return (n_runs * admit->service_time
+          + wait_deviations * sqrt (n_runs) * admit->deviation)
+         / slots;
+}
+
+usec_t
+admit_expected_wait (const admit_t *admit, tenant_id_t tenant)
+{
+  return (usec_t)expected_wait (admit,
+                                fair_share_ahead (&admit->fair, tenant));
+}
+
+/* Time from now in which ITEM must get its slot.  */
+static double
+slack (const admit_t *admit, const admit_item_t *item, usec_t now)
+{
+  double left = (double)(item->deadline - item->return_time - now);
+  return left - admit->service_time - run_deviations * admit->deviation;
+}
+
+static bool
+start (admit_t *admit, admit_item_t *item, usec_t now, refusal_t *refusal)
+{
+  uint32_t keep = reservation_keep (admit->options.keep_percent, item->weight,
+                                    admit->options.weight_max);
+  if (!reservation_take (&item->reservation, &item->budgets, &item->needs,
+                         keep, item->deadline, now, refusal))
+    return false;
+  admit->n_running++;
+  fair_share_run (&admit->fair, item->fair.tenant, 1);
+  return true;
+}
+
+/* Where the queue has grown longer than what can be served in time, the item
+   that its burstiest tenant sent last.  */
+static admit_item_t *
+displace (admit_t *admit, const admit_item_t *newest, double wait_max)
+{
+  double pace = admit->service_time / (admit->slots > 0 ? admit->slots : 1);
+  double fit = wait_max / pace;
+  size_t limit = admit->options.queue_max;
+  if (fit < (double)limit)
+    limit = (size_t)fit;
+  if (admit->fair.n_queued <= limit)
+    return NULL;
+  fair_item_t *victim = fair_share_victim (&admit->fair, limit);
+  if (!victim || victim == &newest->fair)
+    return NULL;
+  fair_share_remove (&admit->fair, victim);
+  admit_item_t *item = LIST_ENTRY (victim, admit_item_t, fair);
+  item->refusal = REFUSAL_TENANT;
+  return item;
+}
+
+admit_verdict_t
+admit_offer (admit_t *admit, admit_item_t *item, usec_t now,
+             refusal_t *refusal, admit_item_t **displaced)
+{
+  tenant_id_t tenant = item->fair.tenant;
+  *displaced = NULL;
+  *refusal = REFUSAL_NONE;
+  if (admit->slots == 0)
+    {
+      *refusal = REFUSAL_DRAINING;
+      return ADMIT_REFUSE;
+    }
+  size_t n_ahead = fair_share_ahead (&admit->fair, tenant);
+  double wait_max = slack (admit, item, now);
+  if (expected_wait (admit, n_ahead) > wait_max)
+    {
+      *refusal = REFUSAL_DEADLINE;
+      return ADMIT_REFUSE;
+    }
+  if (slot_free (admit) && admit->fair.n_queued == 0)
+    return start (admit, item, now, refusal) ? ADMIT_RUN : ADMIT_REFUSE;
+  fair_share_push (&admit->fair, &item->fair, tenant);
+  *displaced = displace (admit, item, wait_max);
+  if (!*displaced && admit->fair.n_queued > admit->options.queue_max)
+    {
+      fair_share_remove (&admit->fair, &item->fair);
+      *refusal = REFUSAL_TENANT;
+      return ADMIT_REFUSE;
+    }
+  return ADMIT_QUEUE;
+}
+
+static void
+set_aside (admit_t *admit, admit_item_t *item, refusal_t refusal)
+{
+  item->refusal = refusal;
+  list_push_back (&admit->refused, &item->fair.link);
+}
+
+admit_item_t *
+admit_next (admit_t *admit, usec_t now)
+{
+  while (slot_free (admit))
+    {
+      fair_item_t *fair = fair_share_pop (&admit->fair);
+      if (!fair)
+        return NULL;
+      admit_item_t *item = LIST_ENTRY (fair, admit_item_t, fair);
+      refusal_t refusal = REFUSAL_DEADLINE;
+      if (slack (admit, item, now) >= 0 && start (admit, item, now, &refusal))
+        return item;
+      set_aside (admit, item, refusal);
+    }
+  return NULL;
+}
+
+/* Set aside the heads of all tenants' queues that can't be in time.  */
+static void
+set_aside_late (admit_t *admit, usec_t now)
+{
+  for (int i = 0; i < FAIR_SHARE_TENANTS_MAX; i++)
+    {
+      list_t *queue = &admit->fair.tenants[i].queue;
+      while (!list_empty (queue))
+        {
+          fair_item_t *fair = LIST_ENTRY (queue->next, fair_item_t, link);
+          admit_item_t *item = LIST_ENTRY (fair, admit_item_t, fair);
+          if (slack (admit, item, now) >= 0 && admit->slots > 0)
+            break;
+          fair_share_remove (&admit->fair, fair);
+          set_aside (admit, item,
+                     admit->slots > 0 ? REFUSAL_DEADLINE : REFUSAL_DRAINING);
+        }
+    }
+}
+
+admit_item_t *
+admit_expired (admit_t *admit, usec_t now, refusal_t *refusal)
+{
+  if (list_empty (&admit->refused))
+    set_aside_late (admit, now);
+  list_t *link = list_pop_front (&admit->refused);
+  if (!link)
+    return NULL;
+  admit_item_t *item
+      = LIST_ENTRY (LIST_ENTRY (link, fair_item_t, link), admit_item_t, fair);
+  *refusal = item->refusal;
+  return item;
+}
+
+void
+admit_cancel (admit_t *admit, admit_item_t *item)
+{
+  fair_share_remove (&admit->fair, &item->fair);
+}
+
+void
+admit_end (admit_t *admit, admit_item_t *item, usec_t ran)
+{
+  if (!item->reservation.held)
+    return;
+  reservation_end (&item->reservation, ran > 0);
+  admit->n_running--;
+  fair_share_end (&admit->fair, item->fair.tenant);
+  if (ran <= 0)
+    return;
+  double error = (double)ran - admit->service_time;
+  admit->service_time += service_time_gain * error;
+  admit->deviation += service_time_gain * (fabs (error) - admit->deviation);
+}
--- a/src/admission/admit.h
+++ b/src/admission/admit.h
@@ -34,20 +34,29 @@
 } refusal_t;
 
 /* The budgets that one request draws on; a NULL one is not needed.  The
-   link is NULL inside a region.  */
+   links are NULL inside a region.  */
 typedef struct admit_budgets
 {
   escrow_holder_t *capacity;
   escrow_holder_t *spend;
-  escrow_holder_t *link;
+  escrow_holder_t *request_link; /* towards the backend server */
+  escrow_holder_t *answer_link;  /* back from it */
 } admit_budgets_t;
 
+/* What one request needs of them.  */
+typedef struct admit_needs
+{
+  money_t price; /* worst */
+  int64_t request_bytes;
+  int64_t answer_bytes; /* expected */
+} admit_needs_t;
+
 /* What a request has charged.  Zeroed: nothing.  */
 typedef struct reservation
 {
   admit_budgets_t budgets;
-  money_t price;
-  int64_t bytes;
+  admit_needs_t needs;
+  uint64_t spend_generation;
   bool held;
 } reservation_t;
 
@@ -56,12 +65,11 @@
 {
   fair_item_t fair;
   admit_budgets_t budgets;
-  money_t price; /* worst */
-  int64_t bytes; /* expected on the link */
-  usec_t arrived_at;
+  admit_needs_t needs;
   usec_t deadline;    /* own clock; the answer must be back by then */
   usec_t return_time; /* from the end of the run to the caller */
   uint16_t weight;    /* of the class */
+  refusal_t refusal;  /* why it was taken off the queue */
   reservation_t reservation;
 } admit_item_t;
 
@@ -78,6 +86,7 @@
 {
   admit_options_t options;
   fair_share_t fair;
+  list_t refused; /* off the queue, for admit_expired */
   uint32_t slots; /* now, ramps included */
   uint32_t n_running;
   double service_time; /* moving average, usec */
@@ -114,12 +123,18 @@
 /* Expected wait of a new request of TENANT before it gets a slot.  */
 usec_t admit_expected_wait (const admit_t *admit, tenant_id_t tenant);
 
-/* Reserve for a request that is sent on to another region's gate: spend and
-   link are charged where it leaves.  False with *REFUSAL, nothing held.  */
+/* Charge NEEDS to BUDGETS, for a use that ends by UNTIL; KEEP_PERCENT of each
+   stays for weightier classes.  The gate does it for its items; the VM that
+   sends a request to another region's gate does it for spend and links.
+   False with *REFUSAL, nothing held.  */
 bool reservation_take (reservation_t *reservation,
-                       const admit_budgets_t *budgets, money_t price,
-                       int64_t bytes, int64_t keep_percent, usec_t until,
-                       usec_t now, refusal_t *refusal);
+                       const admit_budgets_t *budgets,
+                       const admit_needs_t *needs, uint32_t keep_percent,
+                       usec_t until, usec_t now, refusal_t *refusal);
+
+/* Percent of a budget that a class of WEIGHT leaves to the weightiest.  */
+uint32_t reservation_keep (uint32_t keep_percent, uint16_t weight,
+                           uint16_t weight_max);
 
 /* Give back what RAN does not justify; a second call does nothing.  */
 void reservation_end (reservation_t *reservation, bool ran);
--- a/src/admission/escrow.h
+++ b/src/admission/escrow.h
@@ -8,9 +8,10 @@
    Leased kinds (capacity, rate): the holder counts its lease from when it
    sent the ask, by its own clock; the granter from when it applied it, and
    waits longer by the drift bound and the margin.  So the holder always
-   stops first.  Spend: what an account did not return before it closed
-   counts as spent for ever, hence its holder may go on spending it while it
-   is cut off.
+   stops first; what it charges beyond its floor must end before its lease
+   does.  Spend: what an account did not return before its holder opened a
+   newer generation counts as spent for ever, so there is no lease, and a
+   holder may go on spending while it is cut off.
 
    A holder also has a FLOOR: a part of a leased budget that is its own for
    good by the settings, so a cut-off VM goes on within it.  The floors of
@@ -66,8 +67,8 @@
 escrow_answer_t escrow_apply (escrow_t *escrow, const escrow_ask_t *ask,
                               usec_t now);
 
-/* Close lapsed accounts: a lease's amount is free again, a spend account's
-   counts as spent.  escrow_apply does it by itself.  */
+/* Close lapsed accounts: a lease's amount is free again.  escrow_apply does
+   it by itself.  */
 void escrow_expire (escrow_t *escrow, usec_t now);
 
 /* A new leader with another clock took over: every open lease counts from
@@ -109,7 +110,11 @@
   usec_t expiry;  /* of the lease, own clock */
   int64_t in_use; /* spend: total spent; capacity: in flight */
   int64_t peak;   /* highest use since the last ask */
-  double tokens;  /* BUDGET_RATE: bytes that may go now; may be in debt */
+  bool denied;    /* a charge was refused since the last ask */
+  usec_t asked_at;
+  /* BUDGET_RATE: bytes that may go now; in debt by one charge at most.  */
+  double floor_tokens;
+  double lease_tokens;
   usec_t filled_at;
 } escrow_holder_t;
 
@@ -126,10 +131,12 @@
 bool escrow_holder_can_charge (escrow_holder_t *holder, int64_t amount,
                                int64_t keep, usec_t until, usec_t now);
 
-/* Give back AMOUNT of a charge: spend that was not run or cost less, a
-   request in flight that ended, bytes that were not sent.  The caller gives
-   each charge back once; reservation_t in admit.h sees to that.  */
-void escrow_holder_release (escrow_holder_t *holder, int64_t amount);
+/* Give back AMOUNT of a charge made in GENERATION: spend that was not run or
+   cost less, a request in flight that ended, bytes that were not sent.  The
+   caller gives each charge back once; reservation_t in admit.h sees to
+   that.  */
+void escrow_holder_release (escrow_holder_t *holder, int64_t amount,
+                            uint64_t generation);
 
 /* Bytes that came over the expected size: a debt on the bucket.  */
 void escrow_holder_overrun (escrow_holder_t *holder, int64_t amount);
--- /dev/null
+++ b/src/admission/reservation.c
@@ -0,0 +1,136 @@
+#include "admission/admit.h"
+
+enum
+{
+  PERCENT = 100,
+};
+
+/* What a class that keeps PERCENT out of reach must leave in HOLDER.  */
+static int64_t
+keep_amount (escrow_holder_t *holder, uint32_t keep_percent, usec_t now)
+{
+  if (keep_percent == 0)
+    return 0;
+  int64_t whole = 0;
+  switch (holder->options.kind)
+    {
+    case BUDGET_SPEND:
+      whole = holder->options.step;
+      break;
+    case BUDGET_CAPACITY:
+      whole = escrow_holder_share (holder, now);
+      break;
+    case BUDGET_RATE:
+      whole = escrow_holder_share (holder, now) * holder->options.burst
+              / USEC_PER_SEC;
+      break;
+    }
+  return whole * keep_percent / PERCENT;
+}
+
+static bool
+budget_take (escrow_holder_t *holder, int64_t amount, uint32_t keep_percent,
+             usec_t until, usec_t now)
+{
+  if (!holder)
+    return true;
+  int64_t keep = keep_amount (holder, keep_percent, now);
+  if (keep > 0 && !escrow_holder_can_charge (holder, amount, keep, until, now))
+    return false;
+  return escrow_holder_charge (holder, amount, until, now);
+}
+
+static void
+budget_give (escrow_holder_t *holder, int64_t amount, uint64_t generation)
+{
+  if (holder)
+    escrow_holder_release (holder, amount, generation);
+}
+
+uint32_t
+reservation_keep (uint32_t keep_percent, uint16_t weight, uint16_t weight_max)
+{
+  if (weight >= weight_max)
+    return 0;
+  return keep_percent * (uint32_t)(weight_max - weight) / weight_max;
+}
+
+bool
+reservation_take (reservation_t *reservation, const admit_budgets_t *budgets,
+                  const admit_needs_t *needs, uint32_t keep_percent,
+                  usec_t until, usec_t now, refusal_t *refusal)
+{
+  uint64_t generation = 0;
+  if (!budget_take (budgets->capacity, 1, keep_percent, until, now))
+    {
+      *refusal = REFUSAL_CAPACITY;
+      return false;
+    }
+  if (!budget_take (budgets->spend, needs->price, keep_percent, until, now))
+    {
+      *refusal = REFUSAL_SPEND;
+      goto give_capacity;
+    }
+  if (budgets->spend)
+    generation = budgets->spend->account.generation;
+  *refusal = REFUSAL_LINK;
+  if (!budget_take (budgets->request_link, needs->request_bytes, keep_percent,
+                    until, now))
+    goto give_spend;
+  if (!budget_take (budgets->answer_link, needs->answer_bytes, keep_percent,
+                    until, now))
+    goto give_request_link;
+  *refusal = REFUSAL_NONE;
+  *reservation = (reservation_t){ .budgets = *budgets,
+                                  .needs = *needs,
+                                  .spend_generation = generation,
+                                  .held = true };
+  return true;
+
+give_request_link:
+  budget_give (budgets->request_link, needs->request_bytes, 0);
+give_spend:
+  budget_give (budgets->spend, needs->price, generation);
+give_capacity:
+  budget_give (budgets->capacity, 1, 0);
+  return false;
+}
+
+void
+reservation_end (reservation_t *reservation, bool ran)
+{
+  if (!reservation->held)
+    return;
+  reservation->held = false;
+  const admit_budgets_t *budgets = &reservation->budgets;
+  const admit_needs_t *needs = &reservation->needs;
+  budget_give (budgets->capacity, 1, 0);
+  if (ran)
+    return;
+  budget_give (budgets->spend, needs->price, reservation->spend_generation);
+  budget_give (budgets->request_link, needs->request_bytes, 0);
+  budget_give (budgets->answer_link, needs->answer_bytes, 0);
+}
+
+const char *
+refusal_name (refusal_t refusal)
+{
+  switch (refusal)
+    {
+    case REFUSAL_NONE:
+      return "none";
+    case REFUSAL_DEADLINE:
+      return "deadline";
+    case REFUSAL_TENANT:
+      return "tenant";
+    case REFUSAL_CAPACITY:
+      return "capacity";
+    case REFUSAL_SPEND:
+      return "spend";
+    case REFUSAL_LINK:
+      return "link";
+    case REFUSAL_DRAINING:
+      return "draining";
+    }
+  return "unknown";
+}
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/error.h"
 #include "base/random.h"
 #include "placement/observe.h"
 #include "shift/sheet_defs.h"
