--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -60,8 +60,7 @@
 
 void observe_start (observe_t *observe);
 
-/* One request ended at NOW after LATENCY, measured from sending it to the
-   server.  */
+/* One request ended at NOW; its run at the server took LATENCY.  */
 void observe_end (observe_t *observe, outcome_t outcome, usec_t latency,
                   usec_t now);
 
--- /dev/null
+++ b/src/placement/ramp.c
@@ -0,0 +1,65 @@
+#include "placement/ramp.h"
+
+static const double shrink_factor = 0.7;
+static const double slow_growth_part = 0.5; /* of the growth, unmeasured */
+static const double overload_multiple = 2;  /* of the tolerance */
+
+ramp_options_t
+ramp_defaults (void)
+{
+  return (ramp_options_t){ .start = 0.1,
+                           .growth = 1.3,
+                           .period = 250 * USEC_PER_MSEC,
+                           .bound = 20 * USEC_PER_SEC,
+                           .tolerance = 1.5 };
+}
+
+void
+ramp_begin (ramp_t *ramp, const ramp_options_t *options, usec_t now)
+{
+  *ramp = (ramp_t){ .options = *options,
+                    .fraction = options->start,
+                    .began_at = now,
+                    .stepped_at = now };
+}
+
+void
+ramp_finish (ramp_t *ramp)
+{
+  ramp->fraction = 1;
+}
+
+bool
+ramp_over (const ramp_t *ramp)
+{
+  return ramp->fraction >= 1;
+}
+
+/* The factor of one period.  */
+static double
+ramp_factor (const ramp_t *ramp, usec_t measured, usec_t warm)
+{
+  const ramp_options_t *options = &ramp->options;
+  if (measured <= 0 || warm <= 0)
+    return 1 + (options->growth - 1) * slow_growth_part;
+  double ratio = (double)measured / (double)warm;
+  if (ratio <= options->tolerance)
+    return options->growth;
+  if (ratio <= options->tolerance * overload_multiple)
+    return 1;
+  return shrink_factor;
+}
+
+double
+ramp_step (ramp_t *ramp, usec_t measured, usec_t warm, usec_t now)
+{
+  if (ramp_over (ramp) || now - ramp->stepped_at < ramp->options.period)
+    return ramp->fraction;
+  ramp->stepped_at = now;
+  ramp->fraction *= ramp_factor (ramp, measured, warm);
+  if (ramp->fraction < ramp->options.start)
+    ramp->fraction = ramp->options.start;
+  if (ramp->fraction > 1 || now - ramp->began_at >= ramp->options.bound)
+    ramp->fraction = 1;
+  return ramp->fraction;
+}
--- /dev/null
+++ b/src/placement/steer.c
@@ -0,0 +1,502 @@
+#include "placement/steer.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  PERCENT = 100,
+  LATENCY_GUESS_DIVISOR = 10, /* of the deadline, until it is measured */
+  JUDGE_PEERS_MIN = 3,
+};
+
+/* Cost of leaving the home region, in expected service times, by the weight
+   of headroom: a narrow link is left alone until waiting costs more.  */
+static const double headroom_cost = 1.0;
+
+/* Cost of the dearest region against a free one, in service times.  */
+static const double price_cost = 0.25;
+
+/* One backend server, known by name over sheets.  */
+typedef struct entry
+{
+  backend_t backend;
+  observe_t observe;
+  bool known; /* in use: in the sheet, or requests are in flight to it */
+  bool in_sheet;
+  bool listed; /* in the sheet, and takes new work */
+} entry_t;
+
+struct steer
+{
+  steer_options_t options;
+  entry_t *entries;
+  size_t n_entries;
+  size_t n_room;
+  backend_slot_t *order; /* listed slots, by service and domain */
+  uint32_t *first;       /* into order, by service * n_domains + domain */
+  double *share;         /* 0 to 1, by service * n_regions + region */
+  double *price;         /* against the dearest, as share */
+  double *latency;       /* moving median of answers, by service */
+  domain_id_t *nearest;  /* domains by delay from home */
+};
+
+static size_t
+table_domains (const steer_t *steer)
+{
+  return steer->options.topology->n_domains;
+}
+
+static usec_t
+home_delay (const steer_t *steer, domain_id_t domain)
+{
+  return topology_delay (steer->options.topology, steer->options.home, domain);
+}
+
+static void
+sort_domains (steer_t *steer)
+{
+  size_t n = table_domains (steer);
+  for (size_t i = 0; i < n; i++)
+    {
+      domain_id_t domain = (domain_id_t)i;
+      size_t at = i;
+      while (at > 0
+             && home_delay (steer, steer->nearest[at - 1])
+                    > home_delay (steer, domain))
+        {
+          steer->nearest[at] = steer->nearest[at - 1];
+          at--;
+        }
+      steer->nearest[at] = domain;
+    }
+}
+
+steer_t *
+steer_new (const steer_options_t *options, err_t *err)
+{
+  const topology_t *topology = options->topology;
+  if (topology->n_regions > STEER_REGIONS_MAX
+      || options->home >= topology->n_domains)
+    {
+      err_set (err, ERR_USAGE, "name at most 64 regions and a known home",
+               "%zu regions, home domain %u of %zu", topology->n_regions,
+               options->home, topology->n_domains);
+      return NULL;
+    }
+  steer_t *steer = calloc (1, sizeof *steer);
+  steer->options = *options;
+  size_t by_region = topology->n_services * topology->n_regions;
+  size_t by_domain = topology->n_services * topology->n_domains;
+  steer->share = calloc (by_region, sizeof *steer->share);
+  steer->price = calloc (by_region, sizeof *steer->price);
+  steer->latency = calloc (topology->n_services, sizeof *steer->latency);
+  steer->first = calloc (by_domain + 1, sizeof *steer->first);
+  steer->nearest = calloc (topology->n_domains, sizeof *steer->nearest);
+  sort_domains (steer);
+  return steer;
+}
+
+void
+steer_free (steer_t *steer)
+{
+  if (!steer)
+    return;
+  free (steer->entries);
+  free (steer->order);
+  free (steer->first);
+  free (steer->share);
+  free (steer->price);
+  free (steer->latency);
+  free (steer->nearest);
+  free (steer);
+}
+
+bool
+steer_find (const steer_t *steer, const char *name, backend_slot_t *slot)
+{
+  for (size_t i = 0; i < steer->n_entries; i++)
+    if (steer->entries[i].known
+        && strcmp (steer->entries[i].backend.name.text, name) == 0)
+      {
+        *slot = (backend_slot_t)i;
+        return true;
+      }
+  return false;
+}
+
+/* A slot that nothing uses, growing the table where there is none.  */
+static entry_t *
+entry_place (steer_t *steer)
+{
+  for (size_t i = 0; i < steer->n_entries; i++)
+    if (!steer->entries[i].known)
+      return &steer->entries[i];
+  if (steer->n_entries == steer->n_room)
+    {
+      steer->n_room = steer->n_room * 2 + 16;
+      steer->entries
+          = realloc (steer->entries, steer->n_room * sizeof (entry_t));
+    }
+  return &steer->entries[steer->n_entries++];
+}
+
+static bool
+takes_work (backend_state_t state)
+{
+  return state == BACKEND_SERVING || state == BACKEND_JOINING;
+}
+
+static void
+entry_update (steer_t *steer, const backend_t *backend, bool first_sheet,
+              usec_t now)
+{
+  backend_slot_t slot;
+  entry_t *entry = NULL;
+  bool fresh = !steer_find (steer, backend->name.text, &slot);
+  if (fresh)
+    {
+      entry = entry_place (steer);
+      memset (entry, 0, sizeof *entry);
+    }
+  else
+    entry = &steer->entries[slot];
+  bool listed = takes_work (backend->state);
+  if (fresh || (listed && !takes_work (entry->backend.state)))
+    {
+      uint32_t in_flight = entry->observe.in_flight;
+      bool cold = !first_sheet || backend->state == BACKEND_JOINING;
+      observe_init (&entry->observe, cold, now);
+      entry->observe.in_flight = in_flight;
+    }
+  entry->backend = *backend;
+  entry->known = true;
+  entry->in_sheet = true;
+  entry->listed = listed;
+}
+
+static size_t
+entry_bin (const steer_t *steer, const entry_t *entry)
+{
+  return entry->backend.service * table_domains (steer)
+         + entry->backend.domain;
+}
+
+/* Counting sort of the listed slots by service and domain.  */
+static void
+order_build (steer_t *steer)
+{
+  size_t n_bins = steer->options.topology->n_services * table_domains (steer);
+  memset (steer->first, 0, (n_bins + 1) * sizeof *steer->first);
+  for (size_t i = 0; i < steer->n_entries; i++)
+    if (steer->entries[i].listed)
+      steer->first[entry_bin (steer, &steer->entries[i]) + 1]++;
+  for (size_t bin = 0; bin < n_bins; bin++)
+    steer->first[bin + 1] += steer->first[bin];
+  free (steer->order);
+  steer->order = calloc (steer->first[n_bins] + 1, sizeof *steer->order);
+  uint32_t *next = calloc (n_bins + 1, sizeof *next);
+  memcpy (next, steer->first, n_bins * sizeof *next);
+  for (size_t i = 0; i < steer->n_entries; i++)
+    if (steer->entries[i].listed)
+      steer->order[next[entry_bin (steer, &steer->entries[i])]++]
+          = (backend_slot_t)i;
+  free (next);
+}
+
+static void
+shares_build (steer_t *steer, const sheet_t *sheet)
+{
+  const topology_t *topology = steer->options.topology;
+  size_t n = topology->n_services * topology->n_regions;
+  for (size_t i = 0; i < n; i++)
+    {
+      steer->share[i] = 1.0 / (double)topology->n_regions;
+      steer->price[i] = 0;
+    }
+  for (size_t i = 0; i < sheet->n_shares; i++)
+    for (size_t r = 0; r < topology->n_regions; r++)
+      steer->share[sheet->shares[i].service * topology->n_regions + r] = 0;
+  for (size_t i = 0; i < sheet->n_shares; i++)
+    {
+      const traffic_share_t *share = &sheet->shares[i];
+      steer->share[share->service * topology->n_regions + share->region]
+          = share->percent / (double)PERCENT;
+    }
+  money_t dearest = 1;
+  for (size_t i = 0; i < sheet->n_prices; i++)
+    if (sheet->prices[i].per_thousand > dearest)
+      dearest = sheet->prices[i].per_thousand;
+  for (size_t i = 0; i < sheet->n_prices; i++)
+    {
+      const price_t *price = &sheet->prices[i];
+      steer->price[price->service * topology->n_regions + price->region]
+          = (double)price->per_thousand / (double)dearest;
+    }
+}
+
+bool
+steer_update (steer_t *steer, const sheet_t *sheet, usec_t now, err_t *err)
+{
+  if (sheet->n_backends > STEER_BACKENDS_MAX / 2)
+    return err_set (err, ERR_LIMIT, "list fewer backend servers",
+                    "%zu backend servers in a sheet, %d at most",
+                    sheet->n_backends, STEER_BACKENDS_MAX / 2);
+  bool first_sheet = steer->n_entries == 0;
+  for (size_t i = 0; i < steer->n_entries; i++)
+    {
+      entry_t *entry = &steer->entries[i];
+      entry->in_sheet = false;
+      entry->listed = false;
+    }
+  for (size_t i = 0; i < sheet->n_backends; i++)
+    entry_update (steer, &sheet->backends[i], first_sheet, now);
+  for (size_t i = 0; i < steer->n_entries; i++)
+    {
+      entry_t *entry = &steer->entries[i];
+      entry->known = entry->in_sheet || entry->observe.in_flight > 0;
+    }
+  order_build (steer);
+  shares_build (steer, sheet);
+  return true;
+}
+
+/* What one choice goes by.  */
+typedef struct search
+{
+  steer_t *steer;
+  const steer_request_t *request;
+  usec_t now;
+  random_state_t *random;
+  steer_choice_t best;
+  double best_score;
+  bool found;
+} search_t;
+
+static double
+default_latency (const steer_t *steer, service_id_t service)
+{
+  if (steer->latency[service] > 0)
+    return steer->latency[service];
+  const service_t *known = &steer->options.topology->services[service];
+  return (double)known->deadline / LATENCY_GUESS_DIVISOR;
+}
+
+static bool
+was_tried (const steer_request_t *request, backend_slot_t slot)
+{
+  for (size_t i = 0; i < request->n_tried; i++)
+    if (request->tried[i] == slot)
+      return true;
+  return false;
+}
+
+/* Cost of sending it to REGION besides time, in usec.  */
+static double
+region_cost (const steer_t *steer, service_id_t service, region_id_t region)
+{
+  const topology_t *topology = steer->options.topology;
+  double unit = default_latency (steer, service);
+  double cost = price_cost * unit
+                * steer->price[service * topology->n_regions + region];
+  if (region != topology->domains[steer->options.home].region)
+    cost += headroom_cost * topology->objective.headroom * unit;
+  return cost;
+}
+
+/* Score SLOT; keep it where it is the best so far.  */
+static void
+consider (search_t *search, backend_slot_t slot)
+{
+  steer_t *steer = search->steer;
+  entry_t *entry = &steer->entries[slot];
+  if (was_tried (search->request, slot)
+      || !observe_usable (&entry->observe, search->now))
+    return;
+  const topology_t *topology = steer->options.topology;
+  service_id_t service = search->request->service;
+  domain_id_t domain = entry->backend.domain;
+  region_id_t region = topology->domains[domain].region;
+  double limit = observe_limit (
+      &entry->observe, topology->services[service].slots, search->now);
+  double load = observe_load (&entry->observe, search->now);
+  double latency = observe_latency (
+      &entry->observe, default_latency (steer, service), search->now);
+  double queued = fmax (0, load + 1 - limit);
+  double time = 2 * (double)home_delay (steer, domain)
+                + latency * (1 + queued / limit);
+  /* Spread over equal servers by how full they are.  */
+  double score = time + latency * load / limit / 2
+                 + region_cost (steer, service, region);
+  if (search->found && score >= search->best_score)
+    return;
+  search->found = true;
+  search->best_score = score;
+  search->best = (steer_choice_t){ .slot = slot,
+                                   .region = region,
+                                   .domain = domain,
+                                   .free = queued <= 0,
+                                   .expected = (usec_t)time };
+}
+
+/* The better of two sampled servers of DOMAIN.  */
+static void
+sample_domain (search_t *search, domain_id_t domain)
+{
+  steer_t *steer = search->steer;
+  size_t bin = search->request->service * table_domains (steer) + domain;
+  uint32_t first = steer->first[bin];
+  uint32_t n = steer->first[bin + 1] - first;
+  if (n == 0)
+    return;
+  uint32_t a = (uint32_t)random_below (search->random, n);
+  consider (search, steer->order[first + a]);
+  if (n == 1)
+    return;
+  uint32_t b = (a + 1 + (uint32_t)random_below (search->random, n - 1)) % n;
+  consider (search, steer->order[first + b]);
+}
+
+static bool
+region_allowed (const steer_t *steer, const steer_request_t *request,
+                region_id_t region)
+{
+  const topology_t *topology = steer->options.topology;
+  bool planned
+      = steer->share[request->service * topology->n_regions + region] > 0;
+  return planned && (request->regions_open >> region & 1);
+}
+
+/* Sample the domains nearest first; each ring of equal delay is left only
+   where it has no free slot.  */
+static void
+search_rings (search_t *search)
+{
+  const steer_t *steer = search->steer;
+  const topology_t *topology = steer->options.topology;
+  usec_t ring = 0;
+  for (size_t i = 0; i < table_domains (steer); i++)
+    {
+      domain_id_t domain = steer->nearest[i];
+      usec_t delay = home_delay (steer, domain);
+      if (delay != ring && search->found && search->best.free)
+        return;
+      ring = delay;
+      if (region_allowed (steer, search->request,
+                          topology->domains[domain].region))
+        sample_domain (search, domain);
+    }
+}
+
+bool
+steer_choose (steer_t *steer, const steer_request_t *request, usec_t now,
+              random_state_t *random, steer_choice_t *choice)
+{
+  search_t search
+      = { .steer = steer, .request = request, .now = now, .random = random };
+  search_rings (&search);
+  *choice = search.best;
+  return search.found;
+}
+
+bool
+steer_choose_in_domain (steer_t *steer, const steer_request_t *request,
+                        domain_id_t domain, usec_t now, random_state_t *random,
+                        steer_choice_t *choice)
+{
+  search_t search
+      = { .steer = steer, .request = request, .now = now, .random = random };
+  sample_domain (&search, domain);
+  *choice = search.best;
+  return search.found;
+}
+
+void
+steer_started (steer_t *steer, backend_slot_t slot)
+{
+  observe_start (&steer->entries[slot].observe);
+}
+
+void
+steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
+                usec_t latency, usec_t now)
+{
+  static const double step_part = 0.02;
+  entry_t *entry = &steer->entries[slot];
+  observe_end (&entry->observe, outcome, latency, now);
+  entry->known = entry->in_sheet || entry->observe.in_flight > 0;
+  if (outcome != OUTCOME_ANSWERED)
+    return;
+  double *median = &steer->latency[entry->backend.service];
+  if (*median <= 0)
+    *median = (double)latency;
+  else
+    *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
+}
+
+void
+steer_report_slot (steer_t *steer, backend_slot_t slot, hint_source_t source,
+                   const hint_t *hint)
+{
+  observe_hint (&steer->entries[slot].observe, source, hint);
+}
+
+void
+steer_report (steer_t *steer, const char *name, hint_source_t source,
+              const hint_t *hint)
+{
+  backend_slot_t slot;
+  if (steer_find (steer, name, &slot))
+    steer_report_slot (steer, slot, source, hint);
+}
+
+/* Servers of SERVICE that may be chosen; ejecting stops below half.  */
+static size_t
+count_usable (const steer_t *steer, service_id_t service, usec_t now,
+              size_t *n_listed)
+{
+  size_t n_usable = 0;
+  *n_listed = 0;
+  for (size_t i = 0; i < steer->n_entries; i++)
+    {
+      const entry_t *entry = &steer->entries[i];
+      if (!entry->listed || entry->backend.service != service)
+        continue;
+      (*n_listed)++;
+      n_usable += observe_usable (&entry->observe, now);
+    }
+  return n_usable;
+}
+
+size_t
+steer_tick (steer_t *steer, usec_t now)
+{
+  size_t n_ejected = 0;
+  for (size_t i = 0; i < steer->n_entries; i++)
+    {
+      entry_t *entry = &steer->entries[i];
+      size_t n_listed = 0;
+      if (!entry->listed)
+        continue;
+      size_t n_usable
+          = count_usable (steer, entry->backend.service, now, &n_listed);
+      if (n_usable * 2 <= n_listed + 1 || n_usable < JUDGE_PEERS_MIN)
+        continue;
+      n_ejected += observe_judge (&entry->observe,
+                                  steer->latency[entry->backend.service], now);
+    }
+  return n_ejected;
+}
+
+const backend_t *
+steer_backend (const steer_t *steer, backend_slot_t slot)
+{
+  return &steer->entries[slot].backend;
+}
+
+const observe_t *
+steer_observe (const steer_t *steer, backend_slot_t slot)
+{
+  return &steer->entries[slot].observe;
+}
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -19,6 +19,7 @@
 #include "base/error.h"
 #include "base/random.h"
 #include "placement/observe.h"
+#include "placement/topology.h"
 #include "shift/sheet_defs.h"
 
 enum
@@ -79,7 +80,8 @@
 
 void steer_started (steer_t *steer, backend_slot_t slot);
 
-/* LATENCY counts from steer_started.  */
+/* LATENCY is the run at the backend server, as the VM that admits there
+   measured it: without the wait for a slot and the way there.  */
 void steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
                      usec_t latency, usec_t now);
 
