--- a/test/functional/cluster.sh
+++ b/test/functional/cluster.sh
@@ -86,7 +86,7 @@
 stop_one() {
   local pid=${PIDS[$1]}
   unset "PIDS[$1]"
-  kill -TERM "$pid"
+  kill -TERM "$pid" 2>/dev/null || true # it may have had the signal already
   wait "$pid"
 }
 
