feat(control): an administration API that lets no one in unsigned

Cause: the thin API took a sheet from anybody. Every request is now signed and checked before anything else; refusals are counted by reason and logged with their sender, served requests with their operator and outcome. A sheet has to name the operator that signed it, and its plan has to fit its cap (shift/cost). Control serves /metrics and /health; the RPC layer's counters stand there too. admin_service is the one file between HTTP and the accepted state, for the replicated log to take its place.

A connection has its own thread, since a submission waits for its outcome; 16 at most, as each may hold 900 KiB before its signature can be checked.

sheet check prints expected and worst cost by region and the links.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -196,6 +196,25 @@
   return metric ? metric->value.histogram : NULL;
 }
 
+bool
+metrics_counter_at (metrics_t *metrics, const metric_options_t *options,
+                    const _Atomic uint64_t *source, err_t *err)
+{
+  metric_t *metric = metrics_register (metrics, METRIC_COUNTER, options, err);
+  if (!metric)
+    return false;
+  metric->source = source;
+  return true;
+}
+
+uint64_t
+metric_count (const metric_t *metric)
+{
+  if (metric->source)
+    return atomic_load_explicit (metric->source, memory_order_relaxed);
+  return counter_read (&metric->value.counter);
+}
+
 void
 counter_add (counter_t *counter, uint64_t n)
 {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -85,7 +85,8 @@
   metric_kind_t kind;
   name_t name;
   char help[80];
-  name_t label[METRIC_LABELS]; /* "" where it is left out */
+  name_t label[METRIC_LABELS];    /* "" where it is left out */
+  const _Atomic uint64_t *source; /* of metrics_counter_at; else NULL */
   union
   {
     counter_t counter;
@@ -107,6 +108,14 @@
 histogram_t *metrics_histogram (metrics_t *metrics,
                                 const metric_options_t *options, err_t *err);
 
+/* Show the number at SOURCE, which only grows and outlives the registry, as a
+   counter.  False as above.  */
+bool metrics_counter_at (metrics_t *metrics, const metric_options_t *options,
+                         const _Atomic uint64_t *source, err_t *err);
+
+/* The value of a metric that is a counter, of either sort.  */
+uint64_t metric_count (const metric_t *metric);
+
 void counter_add (counter_t *counter, uint64_t n);
 uint64_t counter_read (const counter_t *counter);
 void gauge_set (gauge_t *gauge, int64_t value);
--- a/src/base/metrics_text.c
+++ b/src/base/metrics_text.c
@@ -86,7 +86,7 @@
     {
     case METRIC_COUNTER:
       write_key (metric, "", NULL, stream);
-      fprintf (stream, "%" PRIu64 "\n", counter_read (&metric->value.counter));
+      fprintf (stream, "%" PRIu64 "\n", metric_count (metric));
       return;
     case METRIC_GAUGE:
       write_key (metric, "", NULL, stream);
--- a/src/control/admin_port.c
+++ b/src/control/admin_port.c
@@ -1,83 +1,173 @@
 #include "control/admin_port.h"
 
 #include <arpa/inet.h>
-#include <jansson.h>
 #include <microhttpd.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/log.h"
-#include "shift/sheet.h"
-#include "wire/http_reply.h"
+#include "control/admin_exchange.h"
+#include "control/admin_metrics.h"
 
 enum
 {
-  CONNECTIONS_MAX = 64,
+  /* Each may hold a whole sheet before its signature can be checked.  */
+  CONNECTIONS_MAX = 16,
   IDLE_SECONDS = 30,
+  VM_BYTES = ADDRESS_BYTES + 8,
 };
 
 struct admin_port
 {
   struct MHD_Daemon *daemon;
-  accepted_t *accepted;
+  admin_service_t service;
+  char vm[VM_BYTES];    /* ADDRESS:PORT, as clients sign it */
+  pthread_mutex_t lock; /* guards the verifier */
+  credential_verifier_t *verifier;
+  admin_metrics_t metrics;
 };
 
 /* One request's body as it comes in.  */
 typedef struct upload
 {
+  usec_t begun;
   char *text;
   size_t length;
   bool too_long;
 } upload_t;
 
 static enum MHD_Result
-reply_submitted (struct MHD_Connection *connection, uint64_t number)
-{
-  char text[96];
-  int n = snprintf (text, sizeof text,
-                    "{\"status\":\"accepted\",\"number\":%llu}",
-                    (unsigned long long)number);
-  return http_reply_text (connection, MHD_HTTP_OK, "application/json", text,
-                          (size_t)n);
-}
-
-static enum MHD_Result
-serve_submit (admin_port_t *port, struct MHD_Connection *connection,
+serve_submit (admin_port_t *port, admin_exchange_t *exchange,
               const upload_t *upload)
 {
   err_t err = { 0 };
-  uint64_t number = 0;
+  admin_accepted_t accepted = { 0 };
+  sheet_faults_t faults = { 0 };
   if (upload->too_long)
-    err_set (&err, ERR_LIMIT, "split the sheet or remove rows",
-             "the body has more than %d bytes", SHEET_BYTES_MAX);
-  else if (accepted_submit (port->accepted, upload->text ? upload->text : "",
-                            upload->length, &number, &err))
     {
-      LOG_EVENT (LOG_LEVEL_INFO, "sheet_accepted", LOG_U ("number", number));
-      return reply_submitted (connection, number);
+      err_set (&err, ERR_LIMIT, "split the sheet or remove rows",
+               "the body has more than %d bytes", SHEET_BYTES_MAX);
+      return admin_reply_error (exchange, MHD_HTTP_CONTENT_TOO_LARGE, &err);
     }
-  log_error (LOG_LEVEL_WARNING, "sheet_refused", &err);
-  return http_reply_error (connection, &err);
+  bool ok = admin_submit (&port->service, upload->text ? upload->text : "",
+                          upload->length, &exchange->who->operator_name,
+                          &faults, &accepted, &err);
+  admin_metrics_sheet (&port->metrics, ok ? ERR_NONE : err.kind);
+  if (ok)
+    return admin_reply_accepted (exchange, &accepted);
+  return admin_reply_refused (exchange, &faults, &err);
 }
 
 static enum MHD_Result
-serve_show (admin_port_t *port, struct MHD_Connection *connection)
+serve_show (admin_port_t *port, admin_exchange_t *exchange)
 {
   size_t length = 0;
-  uint64_t number = 0;
-  char *text = accepted_newer (port->accepted, 0, &length, &number);
-  if (!text)
+  char *text = admin_sheet (&port->service, &length);
+  if (text)
+    return admin_reply_text (exchange, MHD_HTTP_OK, "text/csv", text, length);
+  err_t err = { 0 };
+  err_set (&err, ERR_USAGE, "submit a sheet first",
+           "no sheet has been accepted yet");
+  return admin_reply_error (exchange, MHD_HTTP_NOT_FOUND, &err);
+}
+
+static enum MHD_Result
+serve_status (admin_port_t *port, admin_exchange_t *exchange)
+{
+  admin_status_t status;
+  admin_get_status (&port->service, &status);
+  return admin_reply_status (exchange, port->service.settings,
+                             port->service.self, &status);
+}
+
+static enum MHD_Result
+serve (admin_port_t *port, admin_exchange_t *exchange, const upload_t *upload)
+{
+  const char *method = exchange->method;
+  if (strcmp (exchange->target, "/v1/sheet") == 0)
     {
-      err_t err = { 0 };
-      err_set (&err, ERR_UNAVAILABLE, "submit a sheet first",
-               "no sheet has been accepted yet");
-      return http_reply_error (connection, &err);
+      if (strcmp (method, MHD_HTTP_METHOD_POST) == 0)
+        return serve_submit (port, exchange, upload);
+      if (strcmp (method, MHD_HTTP_METHOD_GET) == 0)
+        return serve_show (port, exchange);
     }
-  enum MHD_Result result
-      = http_reply_text (connection, MHD_HTTP_OK, "text/csv", text, length);
-  free (text);
-  return result;
+  if (strcmp (exchange->target, "/v1/status") == 0
+      && strcmp (method, MHD_HTTP_METHOD_GET) == 0)
+    return serve_status (port, exchange);
+  err_t err = { 0 };
+  err_set (&err, ERR_USAGE, "docs/API.md lists the requests",
+           "no such request: %.8s %.100s", method, exchange->target);
+  return admin_reply_error (exchange, MHD_HTTP_NOT_FOUND, &err);
+}
+
+/* Check the signature; false where the refusal has been queued.  */
+static bool
+authenticate (admin_port_t *port, admin_exchange_t *exchange,
+              const upload_t *upload, enum MHD_Result *queued)
+{
+  const credential_request_t covered = { .method = exchange->method,
+                                         .target = exchange->target,
+                                         .vm = port->vm,
+                                         .body = upload->text,
+                                         .body_bytes = upload->length };
+  exchange->header = MHD_lookup_connection_value (
+      exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+  pthread_mutex_lock (&port->lock);
+  credential_verdict_t verdict
+      = credential_verify (port->verifier, &covered, exchange->header,
+                           clock_wall (), &exchange->who);
+  pthread_mutex_unlock (&port->lock);
+  if (verdict == CREDENTIAL_GOOD)
+    return true;
+  err_t err = { 0 };
+  credential_verdict_error (verdict, &err);
+  admin_metrics_refused (&port->metrics, verdict);
+  LOG_EVENT (LOG_LEVEL_WARNING, "admin_refused",
+             LOG_S ("reason", credential_verdict_name (verdict)),
+             LOG_S ("from", exchange->from),
+             LOG_S ("method", exchange->method),
+             LOG_S ("target", exchange->target));
+  *queued = admin_reply_error (exchange, MHD_HTTP_UNAUTHORIZED, &err);
+  return false;
+}
+
+static void
+exchange_begin (admin_exchange_t *exchange, struct MHD_Connection *connection,
+                const char *method, const char *target)
+{
+  *exchange = (admin_exchange_t){ .connection = connection,
+                                  .method = method,
+                                  .target = target };
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info && info->client_addr->sa_family == AF_INET)
+    inet_ntop (AF_INET,
+               &((const struct sockaddr_in *)info->client_addr)->sin_addr,
+               exchange->from, sizeof exchange->from);
+}
+
+static enum MHD_Result
+serve_whole (admin_port_t *port, struct MHD_Connection *connection,
+             const char *method, const char *target, const upload_t *upload)
+{
+  admin_exchange_t exchange;
+  enum MHD_Result queued = MHD_NO;
+  exchange_begin (&exchange, connection, method, target);
+  if (!authenticate (port, &exchange, upload, &queued))
+    return queued;
+  queued = serve (port, &exchange, upload);
+  usec_t took = clock_monotonic () - upload->begun;
+  admin_metrics_served (&port->metrics, took);
+  LOG_EVENT (LOG_LEVEL_INFO, "admin_request",
+             LOG_S ("operator", exchange.who->operator_name.text),
+             LOG_S ("from", exchange.from), LOG_S ("method", method),
+             LOG_S ("target", target), LOG_U ("status", exchange.status),
+             LOG_U ("number", exchange.number),
+             LOG_S ("reason", exchange.reason), LOG_I ("usec", took));
+  return queued;
 }
 
 static void
@@ -103,12 +193,15 @@
             size_t *data_bytes, void **state)
 {
   (void)version;
-  admin_port_t *port = closure;
   upload_t *upload = *state;
   if (!upload)
     {
-      *state = calloc (1, sizeof *upload);
-      return *state ? MHD_YES : MHD_NO;
+      upload = calloc (1, sizeof *upload);
+      if (!upload)
+        return MHD_NO;
+      upload->begun = clock_monotonic ();
+      *state = upload;
+      return MHD_YES;
     }
   if (*data_bytes > 0)
     {
@@ -116,14 +209,7 @@
       *data_bytes = 0;
       return MHD_YES;
     }
-  if (strcmp (url, "/v1/sheet") == 0 && strcmp (method, "POST") == 0)
-    return serve_submit (port, connection, upload);
-  if (strcmp (url, "/v1/sheet") == 0 && strcmp (method, "GET") == 0)
-    return serve_show (port, connection);
-  err_t err = { 0 };
-  err_set (&err, ERR_USAGE, "docs/API.md lists the requests",
-           "no such request: %.8s %.100s", method, url);
-  return http_reply_error (connection, &err);
+  return serve_whole (closure, connection, method, url, upload);
 }
 
 static void
@@ -141,35 +227,56 @@
   *state = NULL;
 }
 
-admin_port_t *
-admin_port_open (const admin_port_options_t *options, err_t *err)
+static bool
+start_daemon (admin_port_t *port, const admin_port_options_t *options,
+              err_t *err)
 {
-  admin_port_t *port = calloc (1, sizeof *port);
-  if (!port)
-    abort ();
-  port->accepted = options->accepted;
   struct sockaddr_in at
       = { .sin_family = AF_INET, .sin_port = htons (options->port) };
   inet_pton (AF_INET, options->address, &at.sin_addr);
+  /* A thread for each connection: a submission waits for its outcome.  */
   port->daemon = MHD_start_daemon (
-      MHD_USE_INTERNAL_POLLING_THREAD, options->port, NULL, NULL, on_request,
-      port, MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned int)IDLE_SECONDS, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      NULL, MHD_OPTION_END);
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+      options->port, NULL, NULL, on_request, port, MHD_OPTION_SOCK_ADDR, &at,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_SECONDS,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, NULL, MHD_OPTION_END);
   if (port->daemon)
+    return true;
+  return err_set (err, ERR_IO,
+                  "check that this VM has the address and that no other "
+                  "process holds the port",
+                  "can't listen on %s:%u", options->address, options->port);
+}
+
+admin_port_t *
+admin_port_open (const admin_port_options_t *options, err_t *err)
+{
+  admin_port_t *port = calloc (1, sizeof *port);
+  if (!port)
+    abort ();
+  port->service = options->service;
+  snprintf (port->vm, sizeof port->vm, "%s:%u", options->address,
+            options->port);
+  pthread_mutex_init (&port->lock, NULL);
+  port->verifier
+      = credential_verifier_new (options->credentials, clock_wall ());
+  if (!port->verifier)
+    abort ();
+  if (admin_metrics_register (&port->metrics, options->metrics, err)
+      && start_daemon (port, options, err))
     return port;
-  err_set (err, ERR_IO,
-           "check that this VM has the address and that no other process "
-           "holds the port",
-           "can't listen on %s:%u", options->address, options->port);
-  free (port);
+  admin_port_close (port);
   return NULL;
 }
 
 void
 admin_port_close (admin_port_t *port)
 {
-  MHD_stop_daemon (port->daemon);
+  if (port->daemon)
+    MHD_stop_daemon (port->daemon);
+  credential_verifier_free (port->verifier);
+  pthread_mutex_destroy (&port->lock);
   free (port);
 }
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -8,7 +8,9 @@
 #include "control/admin_port.h"
 #include "control/peer_port.h"
 #include "settings/program.h"
+#include "wire/metrics_page.h"
 #include "wire/rpc.h"
+#include "wire/rpc_metrics.h"
 
 const char *argp_program_version = "mulberry-control " MULBERRY_VERSION;
 
@@ -21,8 +23,58 @@
   accepted_t *accepted;
   rpc_t *rpc;
   admin_port_t *admin;
+  credentials_t credentials;
+  metrics_t *metrics;
+  metrics_page_t *page;
 } control_t;
 
+/* The operators' keys; without a file nobody is let in.  */
+static bool
+open_credentials (control_t *control, const settings_t *settings, err_t *err)
+{
+  if (settings->operators_file[0])
+    return credentials_load (&control->credentials, settings->operators_file,
+                             err);
+  LOG_EVENT (LOG_LEVEL_WARNING, "admin_closed",
+             LOG_S ("remedy", "set operators_file in the settings"));
+  return true;
+}
+
+static bool
+open_metrics (control_t *control, const program_t *program, err_t *err)
+{
+  control->metrics = metrics_new ();
+  if (!control->metrics)
+    return err_set (err, ERR_LIMIT, "give the VM more memory",
+                    "out of memory");
+  if (!rpc_metrics_register (control->rpc, control->metrics, err))
+    return false;
+  const metrics_page_options_t options
+      = { .address = program->vm->address,
+          .port = program->settings->ports.control_metrics,
+          .metrics = control->metrics };
+  control->page = metrics_page_start (&options, err);
+  return control->page != NULL;
+}
+
+static bool
+open_admin (control_t *control, const program_t *program, err_t *err)
+{
+  const settings_t *settings = program->settings;
+  if (!open_credentials (control, settings, err))
+    return false;
+  const admin_port_options_t options
+      = { .address = program->vm->address,
+          .port = settings->ports.admin,
+          .service = { .settings = settings,
+                       .self = program->vm_id,
+                       .accepted = control->accepted },
+          .credentials = &control->credentials,
+          .metrics = control->metrics };
+  control->admin = admin_port_open (&options, err);
+  return control->admin != NULL;
+}
+
 static bool
 control_open (control_t *control, const program_t *program, err_t *err)
 {
@@ -42,11 +94,8 @@
   peer_port_register (control->rpc, control->accepted);
   if (!rpc_start (control->rpc, err))
     return false;
-  const admin_port_options_t admin_options = { .address = program->vm->address,
-                                               .port = settings->ports.admin,
-                                               .accepted = control->accepted };
-  control->admin = admin_port_open (&admin_options, err);
-  return control->admin != NULL;
+  return open_metrics (control, program, err)
+         && open_admin (control, program, err);
 }
 
 static void
@@ -54,10 +103,14 @@
 {
   if (control->admin)
     admin_port_close (control->admin);
+  if (control->page)
+    metrics_page_stop (control->page);
   if (control->rpc)
     rpc_close (control->rpc);
   if (control->accepted)
     accepted_close (control->accepted);
+  metrics_free (control->metrics);
+  credentials_free (&control->credentials);
 }
 
 int
--- a/src/control/peer_port.c
+++ b/src/control/peer_port.c
@@ -14,7 +14,8 @@
   control_pull_result_t result = { .kind = CONTROL_PULL_NOT_NEWER };
   size_t length = 0;
   uint64_t number = 0;
-  char *sheet = accepted_newer (accepted, args.sheet_version, &length, &number);
+  char *sheet
+      = accepted_newer (accepted, args.sheet_version, &length, &number);
   if (sheet)
     {
       result.kind = CONTROL_PULL_FULL;
--- a/src/ctl/sheet_report.c
+++ b/src/ctl/sheet_report.c
@@ -3,14 +3,95 @@
 #include <inttypes.h>
 #include <stdio.h>
 
+#include "shift/cost.h"
+
+/* JSON of SHEET's COST, by region and link.  */
+static json_t *
+cost_json (const topology_t *topology, const sheet_t *sheet,
+           const cost_t *cost)
+{
+  json_t *regions = json_array ();
+  for (size_t i = 0; i < topology->n_regions; i++)
+    json_array_append_new (
+        regions,
+        json_pack ("{s:s,s:I,s:I}", "region", topology->regions[i].name.text,
+                   "expected", (json_int_t)cost->regions[i].expected, "worst",
+                   (json_int_t)cost->regions[i].worst));
+  json_t *links = json_array ();
+  for (size_t i = 0; i < topology->n_links; i++)
+    {
+      const link_t *link = &topology->links[i];
+      json_array_append_new (
+          links, json_pack ("{s:s,s:s,s:f,s:I}", "from",
+                            topology->regions[link->from].name.text, "to",
+                            topology->regions[link->to].name.text,
+                            "bytes_per_second", cost->link_bytes[i],
+                            "capacity", (json_int_t)link->bytes_per_second));
+    }
+  return json_pack (
+      "{s:s,s:I,s:I,s:I,s:I,s:o,s:o}", "currency", sheet->currency.text, "cap",
+      (json_int_t)sheet->cost_cap, "expected", (json_int_t)cost->expected,
+      "worst", (json_int_t)cost->worst, "worst_request",
+      (json_int_t)cost->worst_request, "regions", regions, "links", links);
+}
+
+static void
+print_cost (const topology_t *topology, const sheet_t *sheet,
+            const cost_t *cost)
+{
+  printf ("sheet %" PRIu64 " of operator %s, in %s, %" PRIu64
+          " expected requests\n",
+          sheet->number, sheet->operator_name.text, sheet->currency.text,
+          sheet->expected_requests);
+  printf ("%-28s %14s %14s\n", "REGION", "EXPECTED", "WORST");
+  for (size_t i = 0; i < topology->n_regions; i++)
+    printf ("%-28s %14" PRId64 " %14" PRId64 "\n",
+            topology->regions[i].name.text, cost->regions[i].expected,
+            cost->regions[i].worst);
+  printf ("%-28s %14" PRId64 " %14" PRId64 "\n", "whole shift", cost->expected,
+          cost->worst);
+  printf ("%-28s %14" PRId64 "%s\n", "cap", sheet->cost_cap,
+          cost->worst > sheet->cost_cap
+              ? "  (the worst case is cut off at the cap)"
+              : "");
+  printf ("%-28s %14s %14s\n", "LINK", "PLANNED B/s", "CAPACITY B/s");
+  for (size_t i = 0; i < topology->n_links; i++)
+    {
+      const link_t *link = &topology->links[i];
+      printf ("%-13s %-14s %14.0f %14" PRIu64 "\n",
+              topology->regions[link->from].name.text,
+              topology->regions[link->to].name.text, cost->link_bytes[i],
+              link->bytes_per_second);
+    }
+}
+
 exit_code_t
 sheet_report (const session_t *session, const sheet_t *sheet)
 {
+  const topology_t *topology = &session->settings->topology;
+  err_t err = { 0 };
+  cost_t cost = { 0 };
+  bool good = cost_of_sheet (&cost, sheet, topology, NULL, &err);
+  if (good && session->options->output == OUTPUT_TEXT)
+    print_cost (topology, sheet, &cost);
+  json_t *json = good ? cost_json (topology, sheet, &cost) : json_null ();
+  good = good && cost_check (sheet, topology, NULL, &err);
+  cost_free (&cost);
   if (session->options->output == OUTPUT_JSON)
-    printf ("{\"good\": true, \"number\": %" PRIu64 "}\n", sheet->number);
-  else
-    printf ("sheet %" PRIu64 ": every row is good\n", sheet->number);
-  return EXIT_GOOD;
+    {
+      json_t *report
+          = json_pack ("{s:b,s:I,s:O,s:s,s:s}", "good", good, "number",
+                       (json_int_t)sheet->number, "cost", json, "problem",
+                       err.message, "remedy", err.remedy);
+      session_print_json (report);
+      json_decref (report);
+    }
+  json_decref (json);
+  if (good)
+    return EXIT_GOOD;
+  if (session->options->output == OUTPUT_TEXT)
+    session_fail (session, &err);
+  return EXIT_REFUSED;
 }
 
 static size_t
--- a/src/ctl/shift_command.c
+++ b/src/ctl/shift_command.c
@@ -9,14 +9,6 @@
 #include "ctl/vm_view.h"
 #include "shift/sheet.h"
 
-static const char *
-service_text (const topology_t *topology, service_id_t service)
-{
-  if (service == TOPOLOGY_NONE)
-    return "(all)";
-  return topology->services[service].name.text;
-}
-
 static json_t *
 plan_json (const topology_t *topology, const sheet_t *sheet)
 {
@@ -25,10 +17,11 @@
     {
       const price_t *price = &sheet->prices[i];
       json_array_append_new (
-          prices, json_pack ("{s:s,s:s,s:I}", "service",
-                             service_text (topology, price->service), "region",
-                             topology->regions[price->region].name.text,
-                             "per_thousand", (json_int_t)price->per_thousand));
+          prices,
+          json_pack ("{s:s,s:s,s:I}", "service",
+                     topology->services[price->service].name.text, "region",
+                     topology->regions[price->region].name.text,
+                     "per_thousand", (json_int_t)price->per_thousand));
     }
   json_t *traffic = json_array ();
   for (size_t i = 0; i < sheet->n_shares; i++)
@@ -37,7 +30,7 @@
       json_array_append_new (
           traffic,
           json_pack ("{s:s,s:s,s:i}", "service",
-                     service_text (topology, share->service), "region",
+                     topology->services[share->service].name.text, "region",
                      topology->regions[share->region].name.text, "percent",
                      (int)share->percent));
     }
@@ -61,13 +54,13 @@
   printf ("%-20s %-20s %s\n", "SERVICE", "REGION", "PRICE OF 1000");
   for (size_t i = 0; i < sheet->n_prices; i++)
     printf ("%-20s %-20s %" PRId64 "\n",
-            service_text (topology, sheet->prices[i].service),
+            topology->services[sheet->prices[i].service].name.text,
             topology->regions[sheet->prices[i].region].name.text,
             sheet->prices[i].per_thousand);
   printf ("%-20s %-20s %s\n", "SERVICE", "REGION", "TRAFFIC %");
   for (size_t i = 0; i < sheet->n_shares; i++)
     printf ("%-20s %-20s %" PRIu32 "\n",
-            service_text (topology, sheet->shares[i].service),
+            topology->services[sheet->shares[i].service].name.text,
             topology->regions[sheet->shares[i].region].name.text,
             sheet->shares[i].percent);
 }
--- a/src/ctl/vm_command.c
+++ b/src/ctl/vm_command.c
@@ -86,7 +86,7 @@
   switch (metric->kind)
     {
     case METRIC_COUNTER:
-      printf (" %" PRIu64 "\n", counter_read (&metric->value.counter));
+      printf (" %" PRIu64 "\n", metric_count (metric));
       return;
     case METRIC_GAUGE:
       printf (" %" PRId64 "\n", gauge_read (&metric->value.gauge));
@@ -117,7 +117,7 @@
   switch (metric->kind)
     {
     case METRIC_COUNTER:
-      return json_integer ((json_int_t)counter_read (&metric->value.counter));
+      return json_integer ((json_int_t)metric_count (metric));
     case METRIC_GAUGE:
       return json_integer (gauge_read (&metric->value.gauge));
     case METRIC_HISTOGRAM:
--- a/src/ctl/vm_view.c
+++ b/src/ctl/vm_view.c
@@ -162,6 +162,6 @@
        metric = metrics_next (process->metrics, metric))
     if (metric->kind == METRIC_COUNTER
         && strcmp (metric->name.text, name) == 0)
-      sum += counter_read (&metric->value.counter);
+      sum += metric_count (metric);
   return sum;
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -29,6 +29,7 @@
   usec_t client_delay;
   char key_file[SETTINGS_PATH_BYTES];
   char data_folder[SETTINGS_PATH_BYTES];
+  char operators_file[SETTINGS_PATH_BYTES];
   yaml_node_t *objective;
   yaml_node_t *ports;
   yaml_node_t *limits;
@@ -47,6 +48,8 @@
     0, 1e6 },
   { "key_file", YAML_FIELD_PATH, offsetof (root_t, key_file), true },
   { "data_folder", YAML_FIELD_PATH, offsetof (root_t, data_folder), true },
+  { "operators_file", YAML_FIELD_PATH, offsetof (root_t, operators_file),
+    false },
   { "objective", YAML_FIELD_NODE, offsetof (root_t, objective), true },
   { "ports", YAML_FIELD_NODE, offsetof (root_t, ports), true },
   { "limits", YAML_FIELD_NODE, offsetof (root_t, limits), false },
@@ -376,7 +379,7 @@
 path_resolve (char *path, const char *file, err_t *err)
 {
   const char *slash = strrchr (file, '/');
-  if (path[0] == '/' || !slash)
+  if (path[0] == '/' || path[0] == '\0' || !slash)
     return true;
   char joined[2 * SETTINGS_PATH_BYTES];
   int n = snprintf (joined, sizeof joined, "%.*s/%s", (int)(slash - file),
@@ -412,8 +415,11 @@
   topology->client_delay = root.client_delay;
   memcpy (settings->key_file, root.key_file, sizeof root.key_file);
   memcpy (settings->data_folder, root.data_folder, sizeof root.data_folder);
+  memcpy (settings->operators_file, root.operators_file,
+          sizeof root.operators_file);
   return path_resolve (settings->key_file, reader->path, err)
          && path_resolve (settings->data_folder, reader->path, err)
+         && path_resolve (settings->operators_file, reader->path, err)
          && read_lists (reader, &root, topology, err);
 }
 
--- a/src/settings/settings_defs.h
+++ b/src/settings/settings_defs.h
@@ -40,8 +40,9 @@
   topology_t topology;
   settings_ports_t ports;
   settings_limits_t limits;
-  char key_file[SETTINGS_PATH_BYTES];    /* for calls between VMs */
-  char data_folder[SETTINGS_PATH_BYTES]; /* of the control process */
+  char key_file[SETTINGS_PATH_BYTES];       /* for calls between VMs */
+  char data_folder[SETTINGS_PATH_BYTES];    /* of the control process */
+  char operators_file[SETTINGS_PATH_BYTES]; /* operators' keys; "": none */
 } settings_t;
 
 #endif
--- a/src/shift/sheet.c
+++ b/src/shift/sheet.c
@@ -451,6 +451,42 @@
     }
 }
 
+static bool
+price_stands (const sheet_t *sheet, service_id_t service, region_id_t region)
+{
+  for (size_t i = 0; i < sheet->n_prices; i++)
+    if (sheet->prices[i].service == service
+        && sheet->prices[i].region == region)
+      return true;
+  return false;
+}
+
+/* Replace each price for all services by one for every service that has none
+   of its own there.  */
+static void
+spread_prices (parser_t *parser)
+{
+  sheet_t *sheet = parser->sheet;
+  size_t n_rows = sheet->n_prices;
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      price_t price = sheet->prices[i];
+      if (price.service != TOPOLOGY_NONE)
+        continue;
+      for (price.service = 0; price.service < parser->topology->n_services;
+           price.service++)
+        if (!price_stands (sheet, price.service, price.region))
+          *(price_t *)array_add ((void **)&sheet->prices, &sheet->n_prices,
+                                 sizeof price)
+              = price;
+    }
+  size_t n_kept = 0;
+  for (size_t i = 0; i < sheet->n_prices; i++)
+    if (sheet->prices[i].service != TOPOLOGY_NONE)
+      sheet->prices[n_kept++] = sheet->prices[i];
+  sheet->n_prices = n_kept;
+}
+
 static void
 check_whole (parser_t *parser)
 {
@@ -504,7 +540,10 @@
     fault (&parser, COLUMN_RECORD, "split it or remove rows",
            "the sheet has %zu bytes, over %d", length, SHEET_BYTES_MAX);
   else if (read_rows (&parser, text, length))
-    check_whole (&parser);
+    {
+      check_whole (&parser);
+      spread_prices (&parser);
+    }
   if (faults->n_faults == 0)
     return parser.sheet;
   const sheet_fault_t *first = &faults->fault[0];
--- a/src/shift/sheet_defs.h
+++ b/src/shift/sheet_defs.h
@@ -38,7 +38,8 @@
   uint32_t percent;
 } traffic_share_t;
 
-/* What 1,000 requests of SERVICE cost in REGION.  */
+/* What 1,000 requests of SERVICE cost in REGION.  A row for all services has
+   become one for each.  */
 typedef struct price
 {
   service_id_t service;
--- a/src/shift/sheet_text.c
+++ b/src/shift/sheet_text.c
@@ -18,14 +18,6 @@
              sheet->expected_requests);
 }
 
-static const char *
-service_text (const topology_t *topology, service_id_t service)
-{
-  if (service == TOPOLOGY_NONE)
-    return "";
-  return topology->services[service].name.text;
-}
-
 static void
 write_plan (const sheet_t *sheet, const topology_t *topology, FILE *stream)
 {
@@ -33,7 +25,7 @@
     {
       const price_t *price = &sheet->prices[i];
       fprintf (stream, "price,%s,%s,,,%" PRId64 "\n",
-               service_text (topology, price->service),
+               topology->services[price->service].name.text,
                topology->regions[price->region].name.text,
                price->per_thousand);
     }
@@ -41,7 +33,7 @@
     {
       const traffic_share_t *share = &sheet->shares[i];
       fprintf (stream, "traffic,%s,%s,,,%" PRIu32 "\n",
-               service_text (topology, share->service),
+               topology->services[share->service].name.text,
                topology->regions[share->region].name.text, share->percent);
     }
 }
@@ -53,7 +45,7 @@
     {
       const backend_t *backend = &sheet->backends[i];
       fprintf (stream, "backend,%s,%s,%s,%s:%u,%s\n",
-               service_text (topology, backend->service),
+               topology->services[backend->service].name.text,
                topology->domains[backend->domain].name.text,
                backend->name.text, backend->address, backend->port,
                sheet_state_name (backend->state));
--- a/test/functional/cluster.sh
+++ b/test/functional/cluster.sh
@@ -19,12 +19,24 @@
     umask 077
     od -An -N32 -tx1 /dev/urandom | tr -d ' \n' >"$FOLDER/keys/peer.key"
   )
+  cluster_operator "$(sed -nE 's/^shift,,,operator,,(.*)$/\1/p' "$SHEET")"
   VMS=$(sed -nE 's/.*\{name: ([^,]*), failure_domain.*/\1/p' "$SETTINGS")
   CONTROL_VMS=$(sed -nE 's/.*\{name: ([^,]*), failure_domain.*control: true.*/\1/p' "$SETTINGS")
   DOMAINS=$(sed -nE 's/.*\{name: ([^,]*), region: .*/\1/p' "$SETTINGS")
   ADMINS=$(for vm in $CONTROL_VMS; do echo "$(vm_address "$vm"):8081"; done)
 }
 
+# A key for operator NAME, in control's list and in the operator's own file.
+cluster_operator() (
+  umask 077
+  [ -f "$FOLDER/operator.key" ] && return
+  echo "$1 $(od -An -N32 -tx1 /dev/urandom | tr -d ' \n')" >"$FOLDER/operator.key"
+  cp "$FOLDER/operator.key" "$FOLDER/keys/operators"
+)
+
+# mulberryctl as that operator.
+ctl() { "$BUILD/mulberryctl" -s "$SETTINGS" "$@"; }
+
 vm_address() {
   sed -nE "s/.*\{name: $1, failure_domain.*address: ([0-9.]*).*/\1/p" "$SETTINGS"
 }
--- a/test/unit/test_base_metrics.c
+++ b/test/unit/test_base_metrics.c
@@ -189,6 +189,22 @@
   metrics_free (metrics);
 }
 
+static void
+test_a_number_kept_elsewhere_is_shown (void)
+{
+  metrics_t *metrics = metrics_new ();
+  err_t err = { 0 };
+  static _Atomic uint64_t source;
+  g_assert_true (
+      metrics_counter_at (metrics, &refused_options, &source, &err));
+  atomic_store (&source, 17);
+  char *text = metrics_render (metrics, NULL);
+  g_assert_nonnull (
+      strstr (text, "mulberry_refused_total{reason=\"no_slot\"} 17\n"));
+  free (text);
+  metrics_free (metrics);
+}
+
 static void
 test_bad_text_is_refused (void)
 {
@@ -230,6 +246,8 @@
                    test_text_form_is_the_exposition_format);
   g_test_add_func ("/base/metrics/registration",
                    test_bad_registrations_are_refused);
+  g_test_add_func ("/base/metrics/elsewhere",
+                   test_a_number_kept_elsewhere_is_shown);
   g_test_add_func ("/base/metrics/bad", test_bad_text_is_refused);
   return g_test_run ();
 }
