fix(fakes): the signal's mark is not the first backend server's address

Seen: a fake with one backend server took no connection; its event's pointer equalled that of the signal descriptor, which was then read and blocked.

--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -547,7 +547,7 @@
       for (int i = 0; i < n; i++)
         {
           client_t *client = events[i].data.ptr;
-          if (events[i].data.ptr == &fake)
+          if (events[i].data.ptr == &fake.epoll)
             {
               struct signalfd_siginfo info;
               if (read (signals, &info, sizeof info) > 0)
@@ -652,7 +652,7 @@
   sigprocmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
   int fd = signalfd (-1, &set, SFD_CLOEXEC);
-  struct epoll_event event = { .events = EPOLLIN, .data.ptr = &fake };
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = &fake.epoll };
   epoll_ctl (fake.epoll, EPOLL_CTL_ADD, fd, &event);
   return fd;
 }
