--- /dev/null
+++ b/src/ledger/ticket.h
@@ -0,0 +1,105 @@
+/* ticket: the identity of one non-idempotent request.
+
+   An entry VM issues a ticket with a look-up; the caller sends it back as
+   `Idempotency-Key`.  The ticket names the replicas of its own claim, so any
+   entry VM can run the claim without asking who holds it.  A keyed hash
+   keeps callers from naming replicas of their own.
+
+   The generation starts at 1.  A refusal as "not run" carries the same
+   ticket stamped with the next generation: a ticket of generation G + 1
+   exists only where no run under G or below has happened or ever will.  */
+
+#ifndef LEDGER_TICKET_H
+#define LEDGER_TICKET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "base/random.h"
+#include "base/time_defs.h"
+#include "placement/topology_defs.h"
+
+enum
+{
+  TICKET_REPLICAS_MAX = 3,
+  TICKET_KEY_BYTES = 32,       /* of the shared HMAC key */
+  TICKET_TEXT_BYTES = 256,     /* a buffer that holds any text form */
+  TICKET_CANDIDATES_MAX = 256, /* entry VMs that one issuer chooses from */
+  TICKET_GENERATION_FIRST = 1,
+};
+
+/* What tells one ticket from all others.  */
+typedef struct ticket_id
+{
+  uint64_t issuer_incarnation;
+  uint64_t sequence;
+  vm_id_t issuer;
+} ticket_id_t;
+
+/* A replica of the claim; it votes only under this incarnation.  */
+typedef struct ticket_replica
+{
+  vm_id_t vm;
+  uint64_t incarnation;
+} ticket_replica_t;
+
+typedef struct ticket
+{
+  ticket_id_t id;
+  uint32_t generation;
+  usec_t issued_at; /* on the issuer's monotonic clock */
+  uint8_t n_replicas;
+  ticket_replica_t replicas[TICKET_REPLICAS_MAX];
+} ticket_t;
+
+/* The key that all entry VMs of one organisation share.  */
+typedef struct ticket_key
+{
+  uint8_t bytes[TICKET_KEY_BYTES];
+} ticket_key_t;
+
+/* An entry VM that may hold a replica.  */
+typedef struct ticket_candidate
+{
+  vm_id_t vm;
+  uint64_t incarnation;
+  domain_id_t domain;
+  region_id_t region;
+  bool reachable;
+} ticket_candidate_t;
+
+typedef struct ticket_issue
+{
+  vm_id_t issuer;
+  uint64_t incarnation;
+  uint64_t sequence; /* never used before under this incarnation */
+  usec_t now;        /* on the issuer's monotonic clock */
+  const ticket_candidate_t *candidates; /* the issuer among them */
+  size_t n_candidates;
+} ticket_issue_t;
+
+/* Make a ticket.  The first replica is the issuer; the others are reachable
+   VMs of other failure domains, the issuer's region first, then VMs of
+   domains that are named already, down to one replica in all.  RANDOM
+   spreads the choice among equals.  Fails with ERR_USAGE where the issuer
+   isn't among the candidates.  */
+bool ticket_issue (ticket_t *ticket, const ticket_issue_t *issue,
+                   random_state_t *random, err_t *err);
+
+/* Write the text form with its keyed hash into TEXT, NUL-terminated.  */
+void ticket_format (char text[TICKET_TEXT_BYTES], const ticket_t *ticket,
+                    const ticket_key_t *key);
+
+/* Read a text form.  Fails with ERR_PROTOCOL where TEXT isn't a ticket, and
+   with ERR_AUTH where its keyed hash is wrong.  */
+bool ticket_parse (ticket_t *ticket, const char *text, const ticket_key_t *key,
+                   err_t *err);
+
+bool ticket_id_equal (const ticket_id_t *a, const ticket_id_t *b);
+
+/* The replicas that decide: more than half.  */
+size_t ticket_majority (const ticket_t *ticket);
+
+#endif
