--- /dev/null
+++ b/src/delivery/quarantine.c
@@ -0,0 +1,464 @@
+#include "delivery/quarantine.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/list.h"
+
+typedef struct mark
+{
+  vm_id_t seen_by;
+  uint64_t incarnation;
+  uint64_t number;
+  usec_t at; /* on the own clock */
+  bool cleared;
+  bool wide;
+  uint64_t written_in; /* number of a message; 0: in none */
+} mark_t;
+
+typedef struct suspect
+{
+  list_t bucket_link;
+  list_t age_link; /* of all suspects or of the unused */
+  list_t run_link; /* in flight */
+  fingerprint_t fingerprint;
+  uint32_t backend; /* where it is in flight */
+  size_t n_marks;
+  mark_t marks[QUARANTINE_MARKS_MAX];
+} suspect_t;
+
+struct quarantine
+{
+  quarantine_options_t options;
+  suspect_t *suspects;
+  list_t *buckets;
+  size_t n_buckets; /* a power of two */
+  list_t ages;
+  list_t unused;
+  list_t running;
+  uint64_t n_crashes;
+  usec_t crashed_at[QUARANTINE_WIDE_CRASHES]; /* the last crashes, in turn */
+  uint64_t n_messages;
+};
+
+fingerprint_t
+quarantine_fingerprint (const char *service, const char *method,
+                        const char *path, const void *body, size_t n_body)
+{
+  const XXH128_hash_t parts[4]
+      = { XXH3_128bits (service, strlen (service)),
+          XXH3_128bits (method, strlen (method)),
+          XXH3_128bits (path, strlen (path)), XXH3_128bits (body, n_body) };
+  XXH128_hash_t hash = XXH3_128bits (parts, sizeof parts);
+  return (fingerprint_t){ .low = hash.low64, .high = hash.high64 };
+}
+
+quarantine_t *
+quarantine_new (const quarantine_options_t *options, err_t *err)
+{
+  size_t n_buckets = 1;
+  while (n_buckets < options->max_fingerprints)
+    n_buckets *= 2;
+  quarantine_t *quarantine = calloc (1, sizeof *quarantine);
+  suspect_t *suspects = calloc (options->max_fingerprints, sizeof *suspects);
+  list_t *buckets = calloc (n_buckets, sizeof *buckets);
+  if (!quarantine || !suspects || !buckets || options->max_fingerprints == 0)
+    {
+      free (quarantine);
+      free (suspects);
+      free (buckets);
+      err_set (err, ERR_SETTINGS,
+               "bound the quarantine above zero and below "
+               "the free memory",
+               "no room for %zu fingerprints", options->max_fingerprints);
+      return NULL;
+    }
+  *quarantine = (quarantine_t){ .options = *options,
+                                .suspects = suspects,
+                                .buckets = buckets,
+                                .n_buckets = n_buckets };
+  list_init (&quarantine->ages);
+  list_init (&quarantine->unused);
+  list_init (&quarantine->running);
+  for (size_t i = 0; i < n_buckets; i++)
+    list_init (&buckets[i]);
+  for (size_t i = 0; i < options->max_fingerprints; i++)
+    {
+      list_init (&suspects[i].bucket_link);
+      list_init (&suspects[i].run_link);
+      list_push_back (&quarantine->unused, &suspects[i].age_link);
+    }
+  return quarantine;
+}
+
+void
+quarantine_free (quarantine_t *quarantine)
+{
+  if (!quarantine)
+    return;
+  free (quarantine->suspects);
+  free (quarantine->buckets);
+  free (quarantine);
+}
+
+static list_t *
+bucket_of (const quarantine_t *quarantine, fingerprint_t fingerprint)
+{
+  return &quarantine->buckets[fingerprint.low & (quarantine->n_buckets - 1)];
+}
+
+static suspect_t *
+find_suspect (const quarantine_t *quarantine, fingerprint_t fingerprint)
+{
+  LIST_FOREACH (link, bucket_of (quarantine, fingerprint))
+  {
+    suspect_t *suspect = LIST_ENTRY (link, suspect_t, bucket_link);
+    if (suspect->fingerprint.low == fingerprint.low
+        && suspect->fingerprint.high == fingerprint.high)
+      return suspect;
+  }
+  return NULL;
+}
+
+static void
+drop_suspect (quarantine_t *quarantine, suspect_t *suspect)
+{
+  list_remove (&suspect->bucket_link);
+  list_remove (&suspect->run_link);
+  list_remove (&suspect->age_link);
+  list_push_front (&quarantine->unused, &suspect->age_link);
+}
+
+/* Marks that stand and are younger than LIFE.  */
+static size_t
+count_marks (const suspect_t *suspect, usec_t life, bool with_wide, usec_t now)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < suspect->n_marks; i++)
+    {
+      const mark_t *mark = &suspect->marks[i];
+      if (!mark->cleared && now - mark->at < life
+          && (with_wide || !mark->wide))
+        n++;
+    }
+  return n;
+}
+
+static bool
+is_quarantined (const quarantine_t *quarantine, const suspect_t *suspect,
+                usec_t now)
+{
+  usec_t life = quarantine->options.quarantine_life;
+  return count_marks (suspect, life, false, now) >= QUARANTINE_CRASHES;
+}
+
+static bool
+is_suspect (const quarantine_t *quarantine, const suspect_t *suspect,
+            usec_t now)
+{
+  usec_t life = quarantine->options.suspect_life;
+  return count_marks (suspect, life, true, now) > 0;
+}
+
+/* The suspect for FINGERPRINT.  Where the table is full, the oldest one that
+   isn't quarantined makes room, else the oldest.  */
+static suspect_t *
+get_suspect (quarantine_t *quarantine, fingerprint_t fingerprint, usec_t now)
+{
+  suspect_t *suspect = find_suspect (quarantine, fingerprint);
+  if (suspect)
+    return suspect;
+  if (list_empty (&quarantine->unused))
+    {
+      suspect_t *victim
+          = LIST_ENTRY (quarantine->ages.next, suspect_t, age_link);
+      LIST_FOREACH (link, &quarantine->ages)
+      {
+        suspect_t *candidate = LIST_ENTRY (link, suspect_t, age_link);
+        if (is_quarantined (quarantine, candidate, now))
+          continue;
+        victim = candidate;
+        break;
+      }
+      drop_suspect (quarantine, victim);
+    }
+  suspect
+      = LIST_ENTRY (list_pop_front (&quarantine->unused), suspect_t, age_link);
+  suspect->fingerprint = fingerprint;
+  suspect->n_marks = 0;
+  list_push_back (bucket_of (quarantine, fingerprint), &suspect->bucket_link);
+  list_push_back (&quarantine->ages, &suspect->age_link);
+  return suspect;
+}
+
+static mark_t *
+find_mark (suspect_t *suspect, const quarantine_mark_t *heard)
+{
+  for (size_t i = 0; i < suspect->n_marks; i++)
+    {
+      mark_t *mark = &suspect->marks[i];
+      if (mark->seen_by == heard->seen_by && mark->number == heard->number
+          && mark->incarnation == heard->incarnation)
+        return mark;
+    }
+  return NULL;
+}
+
+/* A place for a new mark: an unused one, else a cleared one, else the
+   oldest.  */
+static mark_t *
+place_mark (suspect_t *suspect)
+{
+  if (suspect->n_marks < QUARANTINE_MARKS_MAX)
+    return &suspect->marks[suspect->n_marks++];
+  mark_t *place = &suspect->marks[0];
+  for (size_t i = 0; i < QUARANTINE_MARKS_MAX; i++)
+    {
+      mark_t *mark = &suspect->marks[i];
+      if (mark->cleared)
+        return mark;
+      if (mark->at < place->at)
+        place = mark;
+    }
+  return place;
+}
+
+static bool
+other_suspect_on (const quarantine_t *quarantine, uint32_t backend)
+{
+  LIST_FOREACH (link, &quarantine->running)
+  {
+    if (LIST_ENTRY (link, suspect_t, run_link)->backend == backend)
+      return true;
+  }
+  return false;
+}
+
+quarantine_verdict_t
+quarantine_check (const quarantine_t *quarantine, fingerprint_t fingerprint,
+                  uint32_t backend, usec_t now)
+{
+  const suspect_t *suspect = find_suspect (quarantine, fingerprint);
+  if (!suspect)
+    return QUARANTINE_PASS;
+  if (is_quarantined (quarantine, suspect, now))
+    return QUARANTINE_REFUSE;
+  if (!is_suspect (quarantine, suspect, now))
+    return QUARANTINE_PASS;
+  if (!list_empty (&suspect->run_link)
+      || other_suspect_on (quarantine, backend))
+    return QUARANTINE_LATER;
+  return QUARANTINE_ALONE;
+}
+
+void
+quarantine_on_send (quarantine_t *quarantine, fingerprint_t fingerprint,
+                    uint32_t backend, usec_t now)
+{
+  suspect_t *suspect = find_suspect (quarantine, fingerprint);
+  if (!suspect || !is_suspect (quarantine, suspect, now))
+    return;
+  suspect->backend = backend;
+  list_remove (&suspect->run_link);
+  list_push_back (&quarantine->running, &suspect->run_link);
+}
+
+void
+quarantine_on_end (quarantine_t *quarantine, fingerprint_t fingerprint,
+                   uint32_t backend, bool whole, usec_t now)
+{
+  suspect_t *suspect = find_suspect (quarantine, fingerprint);
+  if (!suspect)
+    return;
+  if (suspect->backend == backend)
+    list_remove (&suspect->run_link);
+  if (!whole || is_quarantined (quarantine, suspect, now))
+    return;
+  for (size_t i = 0; i < suspect->n_marks; i++)
+    {
+      mark_t *mark = &suspect->marks[i];
+      if (mark->cleared)
+        continue;
+      mark->cleared = true;
+      mark->written_in = 0;
+    }
+}
+
+/* Note one more crash; true where it is one of several at once.  */
+static bool
+note_crash (quarantine_t *quarantine, usec_t now)
+{
+  size_t at = quarantine->n_crashes % QUARANTINE_WIDE_CRASHES;
+  quarantine->crashed_at[at] = now;
+  quarantine->n_crashes++;
+  if (quarantine->n_crashes < QUARANTINE_WIDE_CRASHES)
+    return false;
+  size_t oldest = quarantine->n_crashes % QUARANTINE_WIDE_CRASHES;
+  return now - quarantine->crashed_at[oldest]
+         < quarantine->options.wide_window;
+}
+
+/* The own marks of the crashes that came together.  */
+static void
+mark_wide (quarantine_t *quarantine, usec_t now)
+{
+  LIST_FOREACH (link, &quarantine->ages)
+  {
+    suspect_t *suspect = LIST_ENTRY (link, suspect_t, age_link);
+    for (size_t i = 0; i < suspect->n_marks; i++)
+      {
+        mark_t *mark = &suspect->marks[i];
+        bool is_own = mark->seen_by == quarantine->options.self
+                      && mark->incarnation == quarantine->options.incarnation;
+        if (!is_own || mark->wide
+            || now - mark->at >= quarantine->options.wide_window)
+          continue;
+        mark->wide = true;
+        mark->written_in = 0;
+      }
+  }
+}
+
+bool
+quarantine_on_crash (quarantine_t *quarantine, uint32_t backend,
+                     const fingerprint_t *in_flight, size_t n_in_flight,
+                     usec_t now)
+{
+  bool is_wide = note_crash (quarantine, now);
+  for (size_t i = 0; i < n_in_flight; i++)
+    {
+      suspect_t *suspect = get_suspect (quarantine, in_flight[i], now);
+      if (suspect->backend == backend)
+        list_remove (&suspect->run_link);
+      quarantine_mark_t seen
+          = { .seen_by = quarantine->options.self,
+              .incarnation = quarantine->options.incarnation,
+              .number = quarantine->n_crashes };
+      if (find_mark (suspect, &seen))
+        continue;
+      *place_mark (suspect)
+          = (mark_t){ .seen_by = quarantine->options.self,
+                      .incarnation = quarantine->options.incarnation,
+                      .number = quarantine->n_crashes,
+                      .at = now };
+    }
+  if (is_wide)
+    mark_wide (quarantine, now);
+  return n_in_flight > 0;
+}
+
+static void
+write_mark (quarantine_t *quarantine, quarantine_message_t *message,
+            const suspect_t *suspect, mark_t *mark, usec_t now)
+{
+  mark->written_in = quarantine->n_messages;
+  message->marks[message->n++]
+      = (quarantine_mark_t){ .fingerprint = suspect->fingerprint,
+                             .seen_by = mark->seen_by,
+                             .incarnation = mark->incarnation,
+                             .number = mark->number,
+                             .age = now - mark->at,
+                             .cleared = mark->cleared,
+                             .wide = mark->wide };
+}
+
+/* All marks (where ALL is set) or those that no message had.  */
+static void
+write_suspect (quarantine_t *quarantine, quarantine_message_t *message,
+               suspect_t *suspect, bool all, usec_t now)
+{
+  for (size_t i = 0; i < suspect->n_marks; i++)
+    {
+      mark_t *mark = &suspect->marks[i];
+      bool is_due = all ? mark->written_in != quarantine->n_messages
+                        : mark->written_in == 0;
+      if (is_due && message->n < QUARANTINE_MESSAGE_MARKS)
+        write_mark (quarantine, message, suspect, mark, now);
+    }
+}
+
+void
+quarantine_write (quarantine_t *quarantine, quarantine_message_t *message,
+                  usec_t now)
+{
+  message->n = 0;
+  quarantine->n_messages++;
+  LIST_FOREACH (link, &quarantine->ages)
+  {
+    suspect_t *suspect = LIST_ENTRY (link, suspect_t, age_link);
+    write_suspect (quarantine, message, suspect, false, now);
+  }
+  for (size_t i = 0; i < quarantine->options.max_fingerprints
+                     && message->n < QUARANTINE_MESSAGE_MARKS;
+       i++)
+    {
+      list_t *link = list_pop_front (&quarantine->ages);
+      if (!link)
+        return;
+      list_push_back (&quarantine->ages, link);
+      write_suspect (quarantine, message,
+                     LIST_ENTRY (link, suspect_t, age_link), true, now);
+    }
+}
+
+static void
+merge_mark (quarantine_t *quarantine, const quarantine_mark_t *heard,
+            usec_t now)
+{
+  usec_t life = quarantine->options.quarantine_life;
+  if (life < quarantine->options.suspect_life)
+    life = quarantine->options.suspect_life;
+  if (heard->age < 0 || heard->age >= life)
+    return;
+  suspect_t *suspect = get_suspect (quarantine, heard->fingerprint, now);
+  mark_t *mark = find_mark (suspect, heard);
+  if (!mark)
+    {
+      mark = place_mark (suspect);
+      *mark = (mark_t){ .seen_by = heard->seen_by,
+                        .incarnation = heard->incarnation,
+                        .number = heard->number,
+                        .at = now - heard->age };
+    }
+  if (now - heard->age < mark->at)
+    mark->at = now - heard->age;
+  if ((heard->cleared && !mark->cleared) || (heard->wide && !mark->wide))
+    mark->written_in = 0;
+  mark->cleared = mark->cleared || heard->cleared;
+  mark->wide = mark->wide || heard->wide;
+}
+
+void
+quarantine_merge (quarantine_t *quarantine,
+                  const quarantine_message_t *message, usec_t now)
+{
+  for (size_t i = 0; i < message->n && i < QUARANTINE_MESSAGE_MARKS; i++)
+    merge_mark (quarantine, &message->marks[i], now);
+}
+
+bool
+quarantine_changes (const quarantine_t *quarantine)
+{
+  LIST_FOREACH (link, &quarantine->ages)
+  {
+    const suspect_t *suspect = LIST_ENTRY (link, suspect_t, age_link);
+    for (size_t i = 0; i < suspect->n_marks; i++)
+      if (suspect->marks[i].written_in == 0)
+        return true;
+  }
+  return false;
+}
+
+size_t
+quarantine_count (const quarantine_t *quarantine, usec_t now)
+{
+  size_t n = 0;
+  LIST_FOREACH (link, &quarantine->ages)
+  {
+    if (is_quarantined (quarantine, LIST_ENTRY (link, suspect_t, age_link),
+                        now))
+      n++;
+  }
+  return n;
+}
--- a/src/delivery/quarantine.h
+++ b/src/delivery/quarantine.h
@@ -4,9 +4,10 @@
    One crash makes a fingerprint a suspect: it runs only alone, that is one
    request of it at a time, on a backend server where no other suspect is in
    flight.  A whole answer clears it.  A second crash quarantines it: it is
-   refused as "not run" everywhere until it expires.  Entry VMs send each
-   other what they know; a crash is named by the VM that saw it, so hearing
-   of it twice counts once.  */
+   refused as "not run" everywhere until it expires.  Where several backend
+   servers crash at once (a rack, a switch) the crashes make suspects, but
+   quarantine none.  Entry VMs send each other what they know; a crash is
+   named by the VM that saw it, so hearing of it twice counts once.  */
 
 #ifndef DELIVERY_QUARANTINE_H
 #define DELIVERY_QUARANTINE_H
@@ -24,6 +25,8 @@
   QUARANTINE_CRASHES = 2,        /* that a fingerprint may cause */
   QUARANTINE_MARKS_MAX = 4,      /* crashes remembered of one fingerprint */
   QUARANTINE_MESSAGE_MARKS = 64, /* in one message */
+  QUARANTINE_WIDE_CRASHES = 3,   /* backend servers that crash together for
+                                    another cause than one request */
 };
 
 typedef struct quarantine quarantine_t;
@@ -35,6 +38,7 @@
   size_t max_fingerprints;
   usec_t suspect_life;    /* of one crash's mark */
   usec_t quarantine_life; /* after the second crash */
+  usec_t wide_window;     /* crashes within it may have one cause */
 } quarantine_options_t;
 
 typedef enum
@@ -53,7 +57,8 @@
   uint64_t incarnation; /* of the VM that saw it */
   uint64_t number;      /* of the crash at that VM */
   usec_t age;
-  bool cleared;
+  bool cleared; /* a whole answer came since */
+  bool wide;    /* other backend servers crashed at the same time */
 } quarantine_mark_t;
 
 typedef struct quarantine_message
--- /dev/null
+++ b/src/delivery/request.c
@@ -0,0 +1,469 @@
+#include "delivery/request.h"
+
+#include "delivery/request_step.h"
+
+static void
+on_placing (step_t *step)
+{
+  request_t *request = step->request;
+  switch (step->event->kind)
+    {
+    case EVENT_ADMITTED:
+      request->token = step->event->as.admitted.token;
+      request->slot_held = true;
+      if (step_is_past_deadline (step))
+        {
+          step_free_slot (step);
+          step_refuse (step, REASON_DEADLINE);
+        }
+      else if (request->options.idempotent || request->claim_won)
+        step_send_now (step);
+      else
+        {
+          request->phase = REQUEST_ADMITTED;
+          step_start_claim (step, CLAIM_TO_RUN);
+        }
+      break;
+    case EVENT_FORWARD:
+      /* The other entry VM would find this one's claim.  */
+      if (request->claim_won)
+        {
+          step_refuse (step, REASON_NO_CAPACITY);
+          break;
+        }
+      request->forwarded = true;
+      step_send_now (step);
+      break;
+    case EVENT_NOT_PLACED:
+      step_refuse (step, step->event->as.reason);
+      break;
+    case EVENT_CANCEL:
+      if (request->claim_won)
+        step_release_claim (step);
+      step_tell_unknown (step, REASON_CALLER_GONE);
+      break;
+    case EVENT_TICK:
+      if (step_is_past_deadline (step))
+        step_refuse (step, REASON_DEADLINE);
+      break;
+    default:
+      break;
+    }
+}
+
+static request_reason_t
+reason_of_cause (claim_cause_t cause)
+{
+  switch (cause)
+    {
+    case CLAIM_CAUSE_OTHER:
+    case CLAIM_CAUSE_SPLIT:
+      return REASON_CLAIMED;
+    case CLAIM_CAUSE_EXPIRED:
+      return REASON_TICKET_EXPIRED;
+    case CLAIM_CAUSE_CONFLICT:
+      return REASON_TICKET_CONFLICT;
+    case CLAIM_CAUSE_FULL:
+      return REASON_NO_CAPACITY;
+    case CLAIM_CAUSE_NONE:
+    case CLAIM_CAUSE_UNREACHABLE:
+    case CLAIM_CAUSE_RESTARTED:
+      break;
+    }
+  return REASON_LEDGER;
+}
+
+static void
+tell_recorded (step_t *step)
+{
+  if (!step->event->as.claim.body_kept)
+    {
+      step_tell_unknown (step, REASON_ANSWER_NOT_KEPT);
+      return;
+    }
+  step_tell (step, (request_outcome_t){ .kind = OUTCOME_ANSWER,
+                                        .status = step->event->as.claim.status,
+                                        .from_record = true });
+  step_settle (step);
+}
+
+/* A claim that this attempt did not win says how the request ends.  */
+static void
+end_by_claim (step_t *step, request_reason_t refused_as)
+{
+  request_reason_t reason = reason_of_cause (step->event->as.claim.cause);
+  switch (step->event->as.claim.phase)
+    {
+    case CLAIM_REFUSED:
+      step_tell_not_run (step, refused_as == REASON_NONE ? reason : refused_as,
+                         step->event->as.claim.generation);
+      break;
+    case CLAIM_ANSWERED:
+      tell_recorded (step);
+      break;
+    case CLAIM_ASKING:
+    case CLAIM_WAITING:
+    case CLAIM_WON:
+    case CLAIM_UNKNOWN:
+      step_tell_unknown (step, reason);
+      break;
+    }
+}
+
+static void
+on_admitted (step_t *step)
+{
+  request_t *request = step->request;
+  switch (step->event->kind)
+    {
+    case EVENT_CLAIM_SETTLED:
+      request->claim_pending = false;
+      request->claim_won = step->event->as.claim.phase == CLAIM_WON;
+      if (request->claim_won && !step_is_past_deadline (step))
+        {
+          step_send_now (step);
+          break;
+        }
+      step_free_slot (step);
+      if (request->claim_won)
+        step_refuse (step, REASON_DEADLINE);
+      else
+        end_by_claim (step, REASON_NONE);
+      break;
+    case EVENT_CANCEL:
+      step_abandon (step, REASON_CALLER_GONE);
+      break;
+    case EVENT_TICK:
+      if (step_is_past_deadline (step))
+        step_abandon (step, REASON_DEADLINE);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_refusing (step_t *step)
+{
+  switch (step->event->kind)
+    {
+    case EVENT_CLAIM_SETTLED:
+      step->request->claim_pending = false;
+      end_by_claim (step, step->request->reason);
+      break;
+    case EVENT_CANCEL:
+      step_tell_unknown (step, REASON_CALLER_GONE);
+      break;
+    case EVENT_TICK:
+      if (step->now >= step->request->until)
+        step_tell_unknown (step, step->request->reason);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Whether a target's event belongs to the present attempt.  */
+static bool
+is_own (const step_t *step)
+{
+  switch (step->event->kind)
+    {
+    case EVENT_HEAD:
+    case EVENT_BODY:
+    case EVENT_END:
+    case EVENT_TARGET_REFUSED:
+    case EVENT_TARGET_UNKNOWN:
+      return step->event->request_id == step->request->send_id;
+    default:
+      return true;
+    }
+}
+
+static bool
+is_whole (const step_t *step)
+{
+  const request_t *request = step->request;
+  if (request->phase != REQUEST_PARTLY)
+    return false;
+  switch (request->framing)
+    {
+    case FRAMING_LENGTH:
+      return request->n_received == request->n_expected;
+    case FRAMING_CHUNKED:
+      return step->event->as.answer.framed_end;
+    case FRAMING_CLOSE:
+      break;
+    }
+  return false;
+}
+
+static void
+take_head (step_t *step)
+{
+  request_t *request = step->request;
+  request->bytes_left = true;
+  request->phase = REQUEST_PARTLY;
+  request->status = step->event->as.answer.status;
+  request->framing = step->event->as.answer.framing;
+  request->n_expected = step->event->as.answer.length;
+  request->n_received = 0;
+}
+
+/* A whole answer, which the caller gets unless it was told otherwise.  */
+static void
+take_answer (step_t *step)
+{
+  request_t *request = step->request;
+  step_free_slot (step);
+  step_tell (step, (request_outcome_t){ .kind = OUTCOME_ANSWER,
+                                        .status = request->status });
+  step_settle (step);
+  if (!request->claim_won)
+    return;
+  step_add_action (step, ACTION_RECORD);
+  step_linger (step, REQUEST_ANSWERED);
+}
+
+static void
+on_target_refused (step_t *step)
+{
+  request_t *request = step->request;
+  request_reason_t reason = step->event->as.refusal.reason;
+  uint32_t generation = step->event->as.refusal.generation;
+  step_free_slot (step);
+  request->bytes_left = false;
+  if (request->forwarded && generation != 0)
+    {
+      step_tell_not_run (step, reason, generation);
+      return;
+    }
+  /* No backend server was troubled: this needs no budget.  */
+  if (request->forwarded && step_may_send_again (step))
+    {
+      step_place (step);
+      return;
+    }
+  step_retry (step, reason);
+}
+
+static void
+on_target_unknown (step_t *step)
+{
+  if (step->request->options.idempotent)
+    {
+      step->request->bytes_left = true;
+      step_fail_attempt (step, step->event->as.reason);
+      return;
+    }
+  step_tell_unknown (step, step->event->as.reason);
+}
+
+static void
+on_sent (step_t *step)
+{
+  request_t *request = step->request;
+  switch (step->event->kind)
+    {
+    case EVENT_BYTES_LEFT:
+      request->bytes_left = true;
+      if (request->phase == REQUEST_CLAIMED)
+        request->phase = REQUEST_SENT;
+      break;
+    case EVENT_HEAD:
+      if (request->phase != REQUEST_PARTLY)
+        take_head (step);
+      break;
+    case EVENT_BODY:
+      request->n_received += step->event->as.answer.n_bytes;
+      break;
+    case EVENT_END:
+      if (is_whole (step))
+        {
+          take_answer (step);
+          break;
+        }
+      step->counters->short_answers++;
+      request->bytes_left = true;
+      step_fail_attempt (step, REASON_SHORT_ANSWER);
+      break;
+    case EVENT_BROKEN:
+      step_fail_attempt (step, REASON_BACKEND_FAILED);
+      break;
+    case EVENT_TARGET_REFUSED:
+      on_target_refused (step);
+      break;
+    case EVENT_TARGET_UNKNOWN:
+      on_target_unknown (step);
+      break;
+    case EVENT_CANCEL:
+      step_abandon (step, REASON_CALLER_GONE);
+      break;
+    case EVENT_TICK:
+      if (step_is_past_deadline (step))
+        step_abandon (step, REASON_DEADLINE);
+      break;
+    default:
+      break;
+    }
+}
+
+/* The target is done with the cancelled work.  */
+static void
+end_lingering (step_t *step, bool stopped)
+{
+  request_t *request = step->request;
+  if (stopped || !request->bytes_left)
+    step_free_slot (step);
+  if (!request->bytes_left && request->claim_won)
+    step_release_claim (step);
+  step_settle (step);
+}
+
+static void
+on_lingering (step_t *step)
+{
+  request_t *request = step->request;
+  switch (step->event->kind)
+    {
+    case EVENT_CLAIM_SETTLED:
+      request->claim_won = step->event->as.claim.phase == CLAIM_WON;
+      if (request->claim_won)
+        step_release_claim (step);
+      step_settle (step);
+      break;
+    case EVENT_BYTES_LEFT:
+      request->bytes_left = true;
+      break;
+    case EVENT_HEAD:
+      take_head (step);
+      request->phase = REQUEST_LINGERING;
+      break;
+    default:
+      break;
+    }
+}
+
+/* The rest of lingering: an answer that came after its request's end still
+   becomes the outcome that a resend gets.  */
+static void
+on_lingering_end (step_t *step)
+{
+  request_t *request = step->request;
+  switch (step->event->kind)
+    {
+    case EVENT_BODY:
+      request->n_received += step->event->as.answer.n_bytes;
+      break;
+    case EVENT_END:
+      if (request->status == 0)
+        {
+          end_lingering (step, false);
+          break;
+        }
+      request->phase = REQUEST_PARTLY;
+      if (is_whole (step))
+        take_answer (step);
+      else
+        end_lingering (step, false);
+      break;
+    case EVENT_TARGET_STOPPED:
+    case EVENT_TARGET_REFUSED:
+      end_lingering (step, true);
+      break;
+    case EVENT_TARGET_UNKNOWN:
+    case EVENT_BROKEN:
+      end_lingering (step, false);
+      break;
+    case EVENT_TICK:
+      if (step->now >= request->until)
+        step_settle (step);
+      break;
+    default:
+      on_lingering (step);
+      break;
+    }
+}
+
+static void
+on_answered (step_t *step)
+{
+  bool is_over = step->event->kind == EVENT_RECORDED
+                 || (step->event->kind == EVENT_TICK
+                     && step->now >= step->request->until);
+  if (is_over)
+    step_settle (step);
+}
+
+void
+request_start (request_t *request, const request_options_t *options,
+               usec_t now, request_actions_t *actions)
+{
+  *request = (request_t){ .options = *options };
+  actions->n = 0;
+  step_t step = { .request = request, .now = now, .actions = actions };
+  if (step_is_past_deadline (&step))
+    step_refuse (&step, REASON_DEADLINE);
+  else
+    step_place (&step);
+}
+
+void
+request_on_event (request_t *request, const request_event_t *event,
+                  retry_budget_t *budget, request_counters_t *counters,
+                  usec_t now, request_actions_t *actions)
+{
+  actions->n = 0;
+  step_t step = { .request = request,
+                  .event = event,
+                  .budget = budget,
+                  .counters = counters,
+                  .now = now,
+                  .actions = actions };
+  if (!is_own (&step))
+    {
+      counters->foreign_answers++;
+      return;
+    }
+  switch (request->phase)
+    {
+    case REQUEST_PLACING:
+      on_placing (&step);
+      break;
+    case REQUEST_ADMITTED:
+      on_admitted (&step);
+      break;
+    case REQUEST_CLAIMED:
+    case REQUEST_SENT:
+    case REQUEST_PARTLY:
+      on_sent (&step);
+      break;
+    case REQUEST_REFUSING:
+      on_refusing (&step);
+      break;
+    case REQUEST_ANSWERED:
+      on_answered (&step);
+      break;
+    case REQUEST_LINGERING:
+      on_lingering_end (&step);
+      break;
+    case REQUEST_SETTLED:
+      break;
+    }
+}
+
+usec_t
+request_wakeup (const request_t *request)
+{
+  switch (request->phase)
+    {
+    case REQUEST_SETTLED:
+      return INT64_MAX;
+    case REQUEST_REFUSING:
+    case REQUEST_ANSWERED:
+    case REQUEST_LINGERING:
+      return request->until;
+    default:
+      return request->options.deadline;
+    }
+}
--- a/src/delivery/request.h
+++ b/src/delivery/request.h
@@ -3,7 +3,10 @@
 
    The same machine runs at the entry VM that the caller chose (the origin)
    and at the one that it forwards to; the latter's REQUEST_HOP outcomes go
-   back over the wire as EVENT_TARGET_REFUSED and EVENT_TARGET_UNKNOWN.
+   back over the wire as EVENT_TARGET_REFUSED and EVENT_TARGET_UNKNOWN.  A
+   hop's "not run" may carry generation 0: it left the ticket untouched, and
+   the origin may try elsewhere.  Only the origin retries, so that one budget
+   bounds a service's extra attempts.
 
    Invariants: a non-idempotent request is sent by its claim's winner only,
    and once; "not run" is told only where no attempt sent a byte and, with a
@@ -39,10 +42,14 @@
 {
   request_role_t role;
   bool idempotent;
-  uint64_t id;       /* of this request at this entry VM */
-  usec_t deadline;   /* on the own clock */
-  usec_t linger;     /* after the end, for late answers and records */
-  uint8_t max_sends; /* to targets, in all */
+  uint64_t id;        /* of this request; its lowest byte is 0, and numbers the
+                         sends */
+  usec_t deadline;    /* on the own clock */
+  usec_t linger;      /* after the end, for late answers and records */
+  usec_t refuse_time; /* for the ledger to make a refusal true, also past
+                         the deadline */
+  uint32_t generation; /* of the ticket; 0 where idempotent */
+  uint8_t max_sends;   /* to targets, in all; a hop sends once */
 } request_options_t;
 
 typedef struct request
@@ -50,21 +57,21 @@
   request_options_t options;
   request_phase_t phase;
   uint8_t n_sends;
-  uint8_t n_places;
   bool told;
   bool slot_held;
   bool claim_won;
-  bool forwarded;    /* the target is an entry VM */
-  bool may_have_run; /* bytes left in some attempt that didn't refuse */
+  bool claim_pending;
+  bool forwarded;    /* the present target is an entry VM */
   bool bytes_left;   /* in the present attempt */
+  bool may_have_run; /* bytes left in an attempt that nobody refused */
   slot_token_t token;
   uint64_t send_id; /* of the present attempt */
   uint16_t status;
   answer_framing_t framing;
-  uint64_t n_expected;
+  uint64_t n_expected; /* bytes of the answer */
   uint64_t n_received;
   request_reason_t reason; /* of the refusal that is being made true */
-  usec_t linger_until;
+  usec_t until;            /* end of REQUEST_REFUSING and of lingering */
 } request_t;
 
 /* What the machine counts, for metrics; passed in at each step.  */
@@ -76,8 +83,8 @@
   uint64_t retries_denied;
 } request_counters_t;
 
-/* Start with EVENT-less step: the first action is ACTION_PLACE, or the end
-   where the deadline has passed.  */
+/* Start: the first action is ACTION_PLACE, or the refusal where the deadline
+   has passed.  */
 void request_start (request_t *request, const request_options_t *options,
                     usec_t now, request_actions_t *actions);
 
@@ -89,7 +96,4 @@
 /* When EVENT_TICK is due.  */
 usec_t request_wakeup (const request_t *request);
 
-const char *outcome_kind_name (outcome_kind_t kind);
-const char *request_reason_name (request_reason_t reason);
-
 #endif
--- a/src/delivery/request_defs.h
+++ b/src/delivery/request_defs.h
@@ -38,6 +38,7 @@
   REASON_LEDGER,         /* the claim could not be decided */
   REASON_TICKET_EXPIRED,
   REASON_TICKET_CONFLICT, /* the ticket belongs to another request */
+  REASON_ANSWER_NOT_KEPT, /* it ran, and its answer passed a bound */
 } request_reason_t;
 
 typedef struct request_outcome
@@ -81,6 +82,8 @@
 typedef struct request_event
 {
   request_event_kind_t kind;
+  uint64_t request_id; /* that the target gave back: EVENT_HEAD to
+                          EVENT_TARGET_UNKNOWN, but for EVENT_BROKEN */
   union
   {
     struct
@@ -105,7 +108,6 @@
     } refusal;
     struct
     {
-      uint64_t request_id; /* that the target gave back */
       uint16_t status;
       answer_framing_t framing;
       uint64_t length;  /* FRAMING_LENGTH: bytes */
--- /dev/null
+++ b/src/delivery/request_step.c
@@ -0,0 +1,212 @@
+#include "delivery/request_step.h"
+
+request_action_t *
+step_add_action (step_t *step, request_action_kind_t kind)
+{
+  request_action_t *action = &step->actions->items[step->actions->n++];
+  *action = (request_action_t){ .kind = kind };
+  return action;
+}
+
+void
+step_start_claim (step_t *step, claim_intent_t intent)
+{
+  step->request->claim_pending = true;
+  step_add_action (step, ACTION_CLAIM)->as.intent = intent;
+}
+
+void
+step_tell (step_t *step, request_outcome_t outcome)
+{
+  if (step->request->told)
+    return;
+  step->request->told = true;
+  step_add_action (step, ACTION_TELL)->as.outcome = outcome;
+}
+
+void
+step_settle (step_t *step)
+{
+  step->request->phase = REQUEST_SETTLED;
+}
+
+void
+step_linger (step_t *step, request_phase_t phase)
+{
+  step->request->phase = phase;
+  step->request->until = step->now + step->request->options.linger;
+}
+
+void
+step_free_slot (step_t *step)
+{
+  request_t *request = step->request;
+  if (!request->slot_held)
+    return;
+  request->slot_held = false;
+  step_add_action (step, ACTION_FREE_SLOT)->as.token = request->token;
+}
+
+/* The work may go on: only a confirmation or the deadline frees the slot.  */
+static void
+cancel_slot (step_t *step)
+{
+  if (step->request->slot_held)
+    step_add_action (step, ACTION_CANCEL_SLOT)->as.token
+        = step->request->token;
+}
+
+void
+step_tell_not_run (step_t *step, request_reason_t reason, uint32_t generation)
+{
+  step_tell (step, (request_outcome_t){ .kind = OUTCOME_NOT_RUN,
+                                        .reason = reason,
+                                        .generation = generation });
+  step_settle (step);
+}
+
+void
+step_tell_unknown (step_t *step, request_reason_t reason)
+{
+  step_tell (step,
+             (request_outcome_t){ .kind = OUTCOME_UNKNOWN, .reason = reason });
+  step_settle (step);
+}
+
+void
+step_release_claim (step_t *step)
+{
+  step->request->claim_won = false;
+  step_add_action (step, ACTION_RELEASE_CLAIM);
+}
+
+/* End as "not run", or as "unknown" where that may be untrue.  */
+void
+step_refuse (step_t *step, request_reason_t reason)
+{
+  request_t *request = step->request;
+  if (request->may_have_run)
+    {
+      step_tell_unknown (step, reason);
+      return;
+    }
+  if (request->claim_won)
+    {
+      step_release_claim (step);
+      step_tell_not_run (step, reason, request->options.generation);
+      return;
+    }
+  if (request->options.idempotent || request->options.role == REQUEST_HOP)
+    {
+      step_tell_not_run (step, reason, 0);
+      return;
+    }
+  request->reason = reason;
+  request->phase = REQUEST_REFUSING;
+  request->until = step->now + request->options.refuse_time;
+  if (request->until < request->options.deadline)
+    request->until = request->options.deadline;
+  step_start_claim (step, CLAIM_TO_REFUSE);
+}
+
+void
+step_place (step_t *step)
+{
+  request_t *request = step->request;
+  request->phase = REQUEST_PLACING;
+  request->forwarded = false;
+  request->bytes_left = false;
+  step_add_action (step, ACTION_PLACE);
+}
+
+bool
+step_may_send_again (const step_t *step)
+{
+  const request_t *request = step->request;
+  return request->options.role == REQUEST_ORIGIN
+         && request->n_sends < request->options.max_sends
+         && step->now < request->options.deadline;
+}
+
+/* Try elsewhere within the budget, or end.  */
+void
+step_retry (step_t *step, request_reason_t reason)
+{
+  if (!step_may_send_again (step))
+    {
+      step_refuse (step, reason);
+      return;
+    }
+  if (!retry_budget_spend (step->budget))
+    {
+      step->counters->retries_denied++;
+      step_refuse (step, REASON_RETRY_BUDGET);
+      return;
+    }
+  step->counters->retries++;
+  step_place (step);
+}
+
+/* The present attempt failed.  */
+void
+step_fail_attempt (step_t *step, request_reason_t reason)
+{
+  request_t *request = step->request;
+  if (!request->bytes_left)
+    {
+      step_free_slot (step);
+      step_retry (step, reason);
+      return;
+    }
+  cancel_slot (step);
+  request->slot_held = false;
+  if (request->options.idempotent)
+    {
+      request->may_have_run = true;
+      step_retry (step, reason);
+      return;
+    }
+  /* The ledger knows whether the other entry VM ran it.  */
+  if (!request->forwarded)
+    request->may_have_run = true;
+  step_refuse (step, reason);
+}
+
+void
+step_send_now (step_t *step)
+{
+  request_t *request = step->request;
+  if (request->n_sends == 0)
+    retry_budget_earn (step->budget);
+  request->n_sends++;
+  request->bytes_left = false;
+  request->n_received = 0;
+  request->send_id = request->options.id + request->n_sends;
+  request->phase = REQUEST_CLAIMED;
+  step_add_action (step, ACTION_SEND)->as.send_id = request->send_id;
+}
+
+/* The request ends, but its target or its claim has not yet.  */
+void
+step_abandon (step_t *step, request_reason_t reason)
+{
+  request_t *request = step->request;
+  bool has_target = request->phase == REQUEST_CLAIMED
+                    || request->phase == REQUEST_SENT
+                    || request->phase == REQUEST_PARTLY;
+  if (has_target)
+    {
+      step_add_action (step, ACTION_CANCEL_TARGET);
+      cancel_slot (step);
+    }
+  else
+    step_free_slot (step);
+  step_tell_unknown (step, reason);
+  step_linger (step, REQUEST_LINGERING);
+}
+
+bool
+step_is_past_deadline (const step_t *step)
+{
+  return step->now >= step->request->options.deadline;
+}
--- a/src/ledger/claim.h
+++ b/src/ledger/claim.h
@@ -67,9 +67,10 @@
 
 typedef struct claim_replica
 {
-  bool asked;
   bool failed;
+  bool late;
   bool answered;
+  bool granted;  /* it voted for this attempt once */
   bool withdraw; /* it may hold a vote of ours that must go back */
   usec_t asked_at;
   vote_kind_t vote;
@@ -85,6 +86,7 @@
   outcome_t outcome;   /* CLAIM_ANSWERED; the body is the claim's */
   usec_t contend_until;
   usec_t poll_at;
+  size_t n_asked; /* replicas, from the ticket's first on */
   claim_replica_t replicas[TICKET_REPLICAS_MAX];
 } claim_t;
 
@@ -131,6 +133,8 @@
 /* Whether the phase is one of the last four.  */
 bool claim_is_settled (const claim_t *claim);
 
+const char *claim_cause_name (claim_cause_t cause);
+
 /* Release the kept body; the struct itself is the caller's.  */
 void claim_destroy (claim_t *claim);
 
