--- /dev/null
+++ b/test/unit/test_ledger_claim.c
@@ -0,0 +1,318 @@
+/* Tests of a claim on three replicas, each with a ledger of its own.  */
+
+#include <glib.h>
+
+#include "ledger/claim.h"
+#include "ledger/ledger.h"
+
+enum
+{
+  N_REPLICAS = 3,
+};
+
+static const usec_t TIMEOUT = 50 * USEC_PER_MSEC;
+static const usec_t DEADLINE = 2 * USEC_PER_SEC;
+
+typedef struct replicas
+{
+  ledger_t *ledgers[N_REPLICAS];
+  bool dead[N_REPLICAS];   /* fails at once */
+  bool silent[N_REPLICAS]; /* never answers */
+  usec_t now;
+} replicas_t;
+
+static void
+open_replica (replicas_t *replicas, vm_id_t vm, uint64_t incarnation)
+{
+  ledger_free (replicas->ledgers[vm]);
+  const ledger_options_t options = { .self = vm,
+                                     .incarnation = incarnation,
+                                     .max_vms = N_REPLICAS,
+                                     .max_claims = 8,
+                                     .max_bytes = 100,
+                                     .max_body = 100,
+                                     .ticket_life = 60 * USEC_PER_SEC };
+  replicas->ledgers[vm] = ledger_new (&options, 0, NULL);
+}
+
+static void
+open_all (replicas_t *replicas)
+{
+  *replicas = (replicas_t){ 0 };
+  for (vm_id_t i = 0; i < N_REPLICAS; i++)
+    open_replica (replicas, i, 1);
+}
+
+static void
+close_all (replicas_t *replicas)
+{
+  for (size_t i = 0; i < N_REPLICAS; i++)
+    ledger_free (replicas->ledgers[i]);
+}
+
+static claim_options_t
+options_for (uint64_t attempt, claim_intent_t intent)
+{
+  claim_options_t options
+      = { .order = CLAIM_ORDER_FIXED,
+          .intent = intent,
+          .attempt = { .incarnation = 1, .number = attempt },
+          .vote_timeout = TIMEOUT,
+          .contend_pause = 10 * USEC_PER_MSEC,
+          .poll_interval = 100 * USEC_PER_MSEC,
+          .deadline = DEADLINE };
+  options.ticket = (ticket_t){ .id = { .issuer_incarnation = 1 },
+                               .generation = 1,
+                               .n_replicas = N_REPLICAS };
+  for (vm_id_t i = 0; i < N_REPLICAS; i++)
+    options.ticket.replicas[i]
+        = (ticket_replica_t){ .vm = i, .incarnation = 1 };
+  return options;
+}
+
+static void
+carry (replicas_t *replicas, claim_t *claim, const claim_asks_t *asks)
+{
+  for (size_t i = 0; i < asks->n; i++)
+    {
+      size_t replica = asks->items[i].replica;
+      if (replicas->silent[replica])
+        continue;
+      claim_asks_t next = { 0 };
+      if (replicas->dead[replica])
+        claim_on_failure (claim, replica, replicas->now, &next);
+      else
+        {
+          ledger_ask_t ask = claim_message (claim, asks->items[i].op);
+          ask.outcome = (outcome_t){
+            .status = 201, .body_kept = true, .n_body = 2, .body = "ok"
+          };
+          ledger_vote_t vote = ledger_on_ask (replicas->ledgers[replica], &ask,
+                                              replicas->now);
+          claim_on_vote (claim, replica, &vote, replicas->now, &next);
+        }
+      carry (replicas, claim, &next);
+    }
+}
+
+/* Run the claim until it settles; it must do so by its deadline.  */
+static claim_phase_t
+settle (replicas_t *replicas, claim_t *claim)
+{
+  while (!claim_is_settled (claim))
+    {
+      usec_t due = claim_wakeup (claim);
+      g_assert_cmpint (due, >=, replicas->now);
+      g_assert_cmpint (due, <=, DEADLINE);
+      replicas->now = due;
+      claim_asks_t asks = { 0 };
+      claim_tick (claim, replicas->now, &asks);
+      carry (replicas, claim, &asks);
+    }
+  return claim->phase;
+}
+
+static claim_phase_t
+run_claim (replicas_t *replicas, claim_t *claim, uint64_t attempt,
+           claim_intent_t intent, uint32_t generation)
+{
+  claim_options_t options = options_for (attempt, intent);
+  options.ticket.generation = generation;
+  claim_asks_t asks = { 0 };
+  claim_start (claim, &options, replicas->now, &asks);
+  carry (replicas, claim, &asks);
+  return settle (replicas, claim);
+}
+
+static void
+test_claim_with_lost_replicas (void)
+{
+  for (int mask = 0; mask < 1 << N_REPLICAS; mask++)
+    for (int silent = 0; silent < 2; silent++)
+      {
+        replicas_t replicas;
+        open_all (&replicas);
+        for (int i = 0; i < N_REPLICAS; i++)
+          {
+            bool lost = mask & 1 << i;
+            replicas.dead[i] = lost && !silent;
+            replicas.silent[i] = lost && silent;
+          }
+        bool majority = __builtin_popcount ((unsigned)mask) <= 1;
+        claim_t claim;
+        g_assert_cmpint (run_claim (&replicas, &claim, 1, CLAIM_TO_RUN, 1), ==,
+                         majority ? CLAIM_WON : CLAIM_UNKNOWN);
+        g_assert_true (majority || claim.cause == CLAIM_CAUSE_UNREACHABLE);
+        close_all (&replicas);
+      }
+}
+
+static void
+test_second_attempt_gets_the_outcome (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t first;
+  g_assert_cmpint (run_claim (&replicas, &first, 1, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_WON);
+  claim_t second;
+  g_assert_cmpint (run_claim (&replicas, &second, 2, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_UNKNOWN);
+  g_assert_cmpint (second.cause, ==, CLAIM_CAUSE_OTHER);
+  replicas.now = 0;
+  g_assert_cmpint (run_claim (&replicas, &second, 3, CLAIM_TO_REFUSE, 1), ==,
+                   CLAIM_UNKNOWN);
+  claim_asks_t asks;
+  claim_record (&first, &asks);
+  g_assert_cmpuint (asks.n, ==, N_REPLICAS);
+  carry (&replicas, &first, &asks);
+  replicas.now = 0;
+  g_assert_cmpint (run_claim (&replicas, &second, 4, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_ANSWERED);
+  g_assert_cmpuint (second.outcome.status, ==, 201);
+  g_assert_cmpmem (second.outcome.body, second.outcome.n_body, "ok", 2);
+  claim_destroy (&second);
+  close_all (&replicas);
+}
+
+/* While an attempt runs, another one waits and then gets its outcome.  */
+static void
+test_waiting_attempt_sees_the_record (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t first;
+  run_claim (&replicas, &first, 1, CLAIM_TO_RUN, 1);
+  claim_t second;
+  claim_options_t options = options_for (2, CLAIM_TO_RUN);
+  claim_asks_t asks = { 0 };
+  claim_start (&second, &options, 0, &asks);
+  carry (&replicas, &second, &asks);
+  replicas.now = claim_wakeup (&second);
+  claim_tick (&second, replicas.now, &asks);
+  carry (&replicas, &second, &asks);
+  g_assert_cmpint (second.phase, ==, CLAIM_WAITING);
+  claim_record (&first, &asks);
+  carry (&replicas, &first, &asks);
+  g_assert_cmpint (settle (&replicas, &second), ==, CLAIM_ANSWERED);
+  g_assert_cmpint (replicas.now, <=, 200 * USEC_PER_MSEC);
+  claim_destroy (&second);
+  close_all (&replicas);
+}
+
+static void
+test_released_claim_starts_a_generation (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t claim;
+  run_claim (&replicas, &claim, 1, CLAIM_TO_RUN, 1);
+  claim_asks_t asks;
+  claim_release (&claim, &asks);
+  g_assert_cmpint (claim.phase, ==, CLAIM_REFUSED);
+  g_assert_cmpuint (claim.generation, ==, 1);
+  carry (&replicas, &claim, &asks);
+  g_assert_cmpint (run_claim (&replicas, &claim, 2, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_REFUSED);
+  g_assert_cmpint (run_claim (&replicas, &claim, 3, CLAIM_TO_RUN, 2), ==,
+                   CLAIM_WON);
+  close_all (&replicas);
+}
+
+/* A refusal stands against an attempt that was sent before it and comes
+   after it.  */
+static void
+test_refusal_stops_a_frozen_attempt (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t claim;
+  g_assert_cmpint (run_claim (&replicas, &claim, 1, CLAIM_TO_REFUSE, 1), ==,
+                   CLAIM_REFUSED);
+  g_assert_cmpint (run_claim (&replicas, &claim, 2, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_REFUSED);
+  close_all (&replicas);
+}
+
+static void
+test_restarted_replicas_never_vote_again (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t claim;
+  run_claim (&replicas, &claim, 1, CLAIM_TO_RUN, 1);
+  open_replica (&replicas, 0, 2);
+  open_replica (&replicas, 1, 2);
+  g_assert_cmpint (run_claim (&replicas, &claim, 2, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_UNKNOWN);
+  g_assert_cmpint (claim.cause, ==, CLAIM_CAUSE_RESTARTED);
+  close_all (&replicas);
+}
+
+/* Two attempts hold one vote each and the third replica is dead: both take
+   their votes back, and both learn that nothing ran.  */
+static void
+test_split_votes_end_as_not_run (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t claims[2];
+  claim_asks_t asks[2] = { 0 };
+  for (size_t i = 0; i < 2; i++)
+    {
+      claim_options_t options = options_for (i + 1, CLAIM_TO_RUN);
+      options.order = CLAIM_ORDER_PARALLEL;
+      claim_start (&claims[i], &options, 0, &asks[i]);
+      g_assert_cmpuint (asks[i].n, ==, N_REPLICAS);
+    }
+  replicas.dead[2] = true;
+  /* Each one's message is the first at another replica.  */
+  for (size_t i = 0; i < 2; i++)
+    {
+      claim_asks_t one = { .n = 1 };
+      one.items[0] = asks[i].items[i];
+      carry (&replicas, &claims[i], &one);
+    }
+  for (size_t i = 0; i < 2; i++)
+    carry (&replicas, &claims[i], &asks[i]);
+  for (size_t i = 0; i < 2; i++)
+    {
+      g_assert_cmpint (settle (&replicas, &claims[i]), ==, CLAIM_REFUSED);
+      g_assert_cmpuint (claims[i].generation, ==, 1);
+    }
+  close_all (&replicas);
+}
+
+/* A claimant that crashed with one vote leaves the others free to win.  */
+static void
+test_crashed_minority_does_not_block (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t crashed;
+  claim_options_t options = options_for (1, CLAIM_TO_RUN);
+  claim_asks_t asks = { 0 };
+  claim_start (&crashed, &options, 0, &asks);
+  ledger_ask_t ask = claim_message (&crashed, LEDGER_CLAIM);
+  ledger_on_ask (replicas.ledgers[0], &ask, 0);
+  claim_t claim;
+  g_assert_cmpint (run_claim (&replicas, &claim, 2, CLAIM_TO_RUN, 1), ==,
+                   CLAIM_WON);
+  close_all (&replicas);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/claim/lost-replicas", test_claim_with_lost_replicas);
+  g_test_add_func ("/claim/outcome", test_second_attempt_gets_the_outcome);
+  g_test_add_func ("/claim/waiting", test_waiting_attempt_sees_the_record);
+  g_test_add_func ("/claim/released", test_released_claim_starts_a_generation);
+  g_test_add_func ("/claim/refusal", test_refusal_stops_a_frozen_attempt);
+  g_test_add_func ("/claim/restarted",
+                   test_restarted_replicas_never_vote_again);
+  g_test_add_func ("/claim/split", test_split_votes_end_as_not_run);
+  g_test_add_func ("/claim/crashed", test_crashed_minority_does_not_block);
+  return g_test_run ();
+}
