--- a/src/ledger/ticket.c
+++ b/src/ledger/ticket.c
@@ -15,9 +15,9 @@
   HEX_DIGITS_MAX = 16,
 };
 
-static const usec_t ISSUED_AT_MAX = INT64_MAX / 2;
+static const usec_t issued_at_max = INT64_MAX / 2;
 
-static const char BAD_TICKET_REMEDY[]
+static const char bad_ticket_remedy[]
     = "get a ticket with GET /v1/lookup and send it unchanged";
 
 /* The lower, the better a replica of the issuer's next ticket.  */
@@ -228,7 +228,7 @@
       || !read_field (&text, UINT64_MAX, &ticket->id.issuer_incarnation)
       || !read_field (&text, UINT64_MAX, &ticket->id.sequence)
       || !read_field (&text, UINT32_MAX - 1, &generation)
-      || !read_field (&text, (uint64_t)ISSUED_AT_MAX, &issued_at)
+      || !read_field (&text, (uint64_t)issued_at_max, &issued_at)
       || !read_field (&text, TICKET_REPLICAS_MAX, &n_replicas))
     return false;
   if (n_replicas == 0 || generation < TICKET_GENERATION_FIRST)
@@ -247,14 +247,14 @@
   size_t length = strnlen (text, TICKET_TEXT_BYTES);
   ticket_t parsed = { 0 };
   if (length >= TICKET_TEXT_BYTES || !parse_fields (&parsed, text))
-    return err_set (err, ERR_PROTOCOL, BAD_TICKET_REMEDY,
+    return err_set (err, ERR_PROTOCOL, bad_ticket_remedy,
                     "the idempotency key isn't a ticket");
   /* Written again it must be the same text, keyed hash and all.  */
   char expected[TICKET_TEXT_BYTES];
   ticket_format (expected, &parsed, key);
   if (strlen (expected) != length
       || CRYPTO_memcmp (expected, text, length) != 0)
-    return err_set (err, ERR_AUTH, BAD_TICKET_REMEDY,
+    return err_set (err, ERR_AUTH, bad_ticket_remedy,
                     "the ticket's keyed hash is wrong");
   *ticket = parsed;
   return true;
--- a/src/ledger/ticket.h
+++ b/src/ledger/ticket.h
@@ -63,8 +63,8 @@
 /* An entry VM that may hold a replica.  */
 typedef struct ticket_candidate
 {
-  vm_id_t vm;
   uint64_t incarnation;
+  vm_id_t vm;
   domain_id_t domain;
   region_id_t region;
   bool reachable;
--- a/test/fuzz/fuzz_delivery.c
+++ b/test/fuzz/fuzz_delivery.c
@@ -121,9 +121,11 @@
   else if (kind < 14)
     step_vm (world, op % 5, argument % N_VMS);
   else
-    world_pass (world, argument * 8 * USEC_PER_MSEC);
+    world_pass (world, (usec_t)argument * 8 * USEC_PER_MSEC);
 }
 
+/* The name is libFuzzer's.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/test/fuzz/fuzz_ledger.c
+++ b/test/fuzz/fuzz_ledger.c
@@ -23,9 +23,10 @@
   MAX_CLAIMS = 3, /* small, so that the ledgers fill up */
   STATUS_BASE = 200,
   BODY_BYTES = 4,
+  BODIES_BYTES = 3 * BODY_BYTES,
 };
 
-static const usec_t TICKET_LIFE = 10 * USEC_PER_SEC;
+static const usec_t ticket_life = 10 * USEC_PER_SEC;
 
 typedef struct vm_state
 {
@@ -112,9 +113,9 @@
                                      .incarnation = state->incarnation,
                                      .max_vms = N_VMS,
                                      .max_claims = MAX_CLAIMS,
-                                     .max_bytes = 3 * BODY_BYTES,
+                                     .max_bytes = BODIES_BYTES,
                                      .max_body = BODY_BYTES,
-                                     .ticket_life = TICKET_LIFE,
+                                     .ticket_life = ticket_life,
                                      .drift_ppm = 1000 };
   state->ledger = ledger_new (&options, local_time (world, vm), NULL);
 }
@@ -126,12 +127,12 @@
   if (state->issued)
     return;
   ticket_candidate_t candidates[N_VMS];
-  for (vm_id_t i = 0; i < N_VMS; i++)
+  for (size_t i = 0; i < N_VMS; i++)
     candidates[i]
-        = (ticket_candidate_t){ .vm = i,
+        = (ticket_candidate_t){ .vm = (vm_id_t)i,
                                 .incarnation = world->vms[i].incarnation,
-                                .domain = i,
-                                .region = i / 2,
+                                .domain = (domain_id_t)i,
+                                .region = (region_id_t)(i / 2),
                                 .reachable = true };
   vm_id_t issuer = next_byte (world) % N_VMS;
   const ticket_issue_t options
@@ -360,7 +361,7 @@
 pass_time (world_t *world)
 {
   uint8_t how = next_byte (world);
-  usec_t span = (how & 15) * 10 * USEC_PER_MSEC;
+  usec_t span = (usec_t)(how & 15) * 10 * USEC_PER_MSEC;
   if (how & 128)
     span *= 100;
   world->now += span;
@@ -432,6 +433,8 @@
     }
 }
 
+/* The name is libFuzzer's.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -440,14 +443,14 @@
   world->n_data = size;
   world->now = USEC_PER_SEC;
   random_seed (&world->random, 1);
-  for (vm_id_t i = 0; i < N_VMS; i++)
+  for (size_t i = 0; i < N_VMS; i++)
     {
-      world->vms[i].offset = (i + 1) * 1000 * USEC_PER_SEC;
-      start_vm (world, i);
+      world->vms[i].offset = (usec_t)(i + 1) * 1000 * USEC_PER_SEC;
+      start_vm (world, (vm_id_t)i);
     }
   while (world->n_data > 0)
     step (world);
-  for (vm_id_t i = 0; i < N_VMS; i++)
+  for (size_t i = 0; i < N_VMS; i++)
     ledger_free (world->vms[i].ledger);
   for (size_t i = 0; i < N_ATTEMPTS; i++)
     claim_destroy (&world->attempts[i].claim);
--- a/test/support/delivery_world.h
+++ b/test/support/delivery_world.h
@@ -31,9 +31,9 @@
   STATUS_BASE = 200,
 };
 
-static const usec_t REQUEST_DEADLINE = 1 * USEC_PER_SEC;
-static const usec_t LONGEST_DEADLINE = 2 * USEC_PER_SEC;
-static const usec_t STOP_MARGIN = 100 * USEC_PER_MSEC;
+static const usec_t request_deadline = 1 * USEC_PER_SEC;
+static const usec_t longest_deadline = 2 * USEC_PER_SEC;
+static const usec_t stop_margin = 100 * USEC_PER_MSEC;
 
 /* A request under way at one VM.  */
 typedef struct flight
@@ -115,7 +115,7 @@
   abort ();
 }
 
-static void
+static inline void
 world_start_vm (world_t *world, vm_id_t vm)
 {
   ledger_free (world->ledgers[vm]);
@@ -133,8 +133,8 @@
                                   .owners = { vm },
                                   .n_owners = 1,
                                   .max_backends = N_VMS,
-                                  .longest_deadline = LONGEST_DEADLINE,
-                                  .stop_margin = STOP_MARGIN,
+                                  .longest_deadline = longest_deadline,
+                                  .stop_margin = stop_margin,
                                   .started_at = world->now };
   world->slots[vm] = slots_new (&slots, NULL);
   const slot_backend_t backend
@@ -142,14 +142,14 @@
   slots_set_backend (world->slots[vm], vm, &backend, NULL);
 }
 
-static void
+static inline void
 world_open (world_t *world)
 {
   memset (world, 0, sizeof *world);
   retry_budget_init (&world->budget, 1000, 10);
   for (vm_id_t i = 0; i < N_VMS; i++)
     world_start_vm (world, i);
-  world->now = LONGEST_DEADLINE + STOP_MARGIN;
+  world->now = longest_deadline + stop_margin;
   for (size_t i = 0; i < N_CONTENTS; i++)
     {
       ticket_t *ticket = &world->contents[i].ticket;
@@ -162,7 +162,7 @@
     }
 }
 
-static void
+static inline void
 world_close (world_t *world)
 {
   for (size_t i = 0; i < N_VMS; i++)
@@ -174,10 +174,10 @@
     claim_destroy (&world->flights[i].claim);
 }
 
-static void world_event (world_t *world, int index,
-                         const request_event_t *event);
+static inline void world_event (world_t *world, int index,
+                                const request_event_t *event);
 
-static bool
+static inline bool
 world_reaches (const world_t *world, vm_id_t from, vm_id_t to)
 {
   if (from == to)
@@ -241,7 +241,7 @@
           .vote_timeout = 50 * USEC_PER_MSEC,
           .contend_pause = 10 * USEC_PER_MSEC,
           .poll_interval = 100 * USEC_PER_MSEC,
-          .deadline = world->now + REQUEST_DEADLINE / 2 };
+          .deadline = world->now + request_deadline / 2 };
   options.ticket.generation = flight->request.options.generation;
   claim_destroy (&flight->claim);
   claim_asks_t asks = { 0 };
@@ -393,7 +393,7 @@
     }
 }
 
-static void
+static inline void
 world_act (world_t *world, int index, const request_actions_t *actions)
 {
   for (size_t i = 0; i < actions->n; i++)
@@ -401,7 +401,7 @@
   claim_settled (world, index);
 }
 
-static void
+static inline void
 world_event (world_t *world, int index, const request_event_t *event)
 {
   flight_t *flight = &world->flights[index];
@@ -422,7 +422,7 @@
 }
 
 /* A caller sends CONTENT to VM; returns the flight.  */
-static int
+static inline int
 world_send (world_t *world, vm_id_t vm, size_t content)
 {
   int index = add_flight (world, vm, content);
@@ -433,9 +433,9 @@
       = { .role = REQUEST_ORIGIN,
           .idempotent = flight->idempotent,
           .id = flight->number << 8,
-          .deadline = world->now + REQUEST_DEADLINE,
-          .linger = REQUEST_DEADLINE,
-          .refuse_time = REQUEST_DEADLINE / 2,
+          .deadline = world->now + request_deadline,
+          .linger = request_deadline,
+          .refuse_time = request_deadline / 2,
           .generation = flight->idempotent
                             ? 0
                             : world->contents[content].ticket.generation,
@@ -445,7 +445,7 @@
 }
 
 /* The hop's message arrives.  */
-static void
+static inline void
 world_arrive (world_t *world, int index)
 {
   flight_t *flight = &world->flights[index];
@@ -465,7 +465,7 @@
 }
 
 /* Answer ACTION_PLACE: by a slot here, another entry VM or nothing.  */
-static void
+static inline void
 world_place (world_t *world, int index, request_event_kind_t kind)
 {
   flight_t *flight = &world->flights[index];
@@ -497,7 +497,7 @@
 }
 
 /* The first byte leaves, if the slot still allows it.  */
-static void
+static inline void
 world_leave (world_t *world, int index)
 {
   work_t *work = &world->works[index];
@@ -544,7 +544,7 @@
 }
 
 /* The bytes reach the backend server, which starts the work in time.  */
-static void
+static inline void
 world_run (world_t *world, int index)
 {
   work_t *work = &world->works[index];
@@ -576,7 +576,7 @@
   world_event (world, to, &event);
 }
 
-static void
+static inline void
 world_finish (world_t *world, int index, bool cut_short)
 {
   work_t *work = &world->works[index];
@@ -588,7 +588,7 @@
 }
 
 /* The connection breaks; the work goes on.  */
-static void
+static inline void
 world_break (world_t *world, int index)
 {
   work_t *work = &world->works[index];
@@ -604,7 +604,7 @@
 }
 
 /* The backend server says that it refused before it started.  */
-static void
+static inline void
 world_turn_away (world_t *world, int index)
 {
   work_t *work = &world->works[index];
@@ -619,7 +619,7 @@
 }
 
 /* An answer goes to a flight that did not ask for it.  */
-static void
+static inline void
 world_cross (world_t *world, int index, int to)
 {
   const work_t *work = &world->works[index];
@@ -629,7 +629,7 @@
   send_answer (world, to, work, false);
 }
 
-static void
+static inline void
 world_crash_backend (world_t *world, uint32_t backend)
 {
   for (int i = 0; i < N_WORKS; i++)
@@ -643,7 +643,7 @@
 }
 
 /* What the hop INDEX was told to say reaches its origin, or is lost.  */
-static void
+static inline void
 world_return (world_t *world, int index, bool lost)
 {
   flight_t *hop = &world->flights[index];
@@ -683,7 +683,7 @@
   world_event (world, hop->parent, &event);
 }
 
-static void
+static inline void
 world_cancel (world_t *world, int index)
 {
   const request_event_t event = { .kind = EVENT_CANCEL };
@@ -691,7 +691,7 @@
     world_event (world, index, &event);
 }
 
-static void
+static inline void
 world_kill_vm (world_t *world, vm_id_t vm)
 {
   for (size_t i = 0; i < N_FLIGHTS; i++)
@@ -723,7 +723,7 @@
 }
 
 /* Let SPAN pass; backend servers stop what is past its deadline.  */
-static void
+static inline void
 world_pass (world_t *world, usec_t span)
 {
   world->now += span;
--- /dev/null
+++ b/test/unit/test_delivery_matrix.c
@@ -0,0 +1,237 @@
+/* The fault matrix of a non-idempotent request: every fault at every step.
+
+   A request through VM 0 is brought to a step, the fault happens, and all
+   that was under way goes on as far as it can.  Then the caller sends the
+   same ticket again through VM 1, and once more after each "not run".  The
+   oracle of delivery_world.h holds throughout; the table says, for each cell,
+   what the first send and the last one were told (a: answer, n: not run, u:
+   unknown, -: nothing, for its VM or its caller is gone) and how often the
+   request ran.  */
+
+#include <glib.h>
+
+#include "../support/delivery_world.h"
+
+enum
+{
+  CONTENT = 0,
+  CELL_BYTES = 4,
+  N_RESENDS = 3,
+};
+
+typedef enum
+{
+  STEP_LOOKED_UP,
+  STEP_ADMITTED,
+  STEP_CLAIMED,
+  STEP_SENT,
+  STEP_PARTLY,
+  STEP_ANSWERED,
+  STEP_RECORDED,
+  N_STEPS,
+} step_t;
+
+typedef enum
+{
+  FAULT_NONE, /* the answer is lost on its way to the caller */
+  FAULT_KILL,
+  FAULT_KILL_TWO,    /* a second VM right after */
+  FAULT_FREEZE,      /* for longer than the deadline, then thaw */
+  FAULT_CUT,         /* VM 0 from the others, for good */
+  FAULT_CUT_ONE_WAY, /* votes are lost, asks arrive */
+  FAULT_SILENT,      /* the connection to the backend server */
+  FAULT_CRASH,       /* of the backend server: a poison request, say */
+  FAULT_DOMAIN,      /* VM 0 and its backend server */
+  FAULT_CANCEL,      /* the caller goes */
+  FAULT_SHORT,       /* the answer ends before its end */
+  N_FAULTS,
+} fault_t;
+
+static const char *const step_names[]
+    = { "looked-up", "admitted", "claimed", "sent",
+        "partly",    "answered", "recorded" };
+
+static const char *const fault_names[]
+    = { "lost-answer", "kill",  "kill-two", "freeze", "cut",  "cut-one-way",
+        "silent",      "crash", "domain",   "cancel", "short" };
+
+/* Columns as in step_t.  */
+static const char *const expected[N_FAULTS][N_STEPS] = {
+  [FAULT_NONE] = { "aa1", "na1", "aa1", "aa1", "aa1", "aa1", "aa1" },
+  [FAULT_KILL] = { "-a1", "-a1", "-u0", "-u1", "-u1", "au1", "aa1" },
+  [FAULT_KILL_TWO] = { "-u0", "-u0", "-u0", "-u1", "-u1", "au1", "aa1" },
+  [FAULT_FREEZE] = { "na1", "ua1", "na1", "uu1", "uu1", "aa1", "aa1" },
+  [FAULT_CUT] = { "ua1", "ua1", "au1", "au1", "au1", "au1", "aa1" },
+  [FAULT_CUT_ONE_WAY] = { "ua1", "ua1", "aa1", "aa1", "aa1", "aa1", "aa1" },
+  [FAULT_SILENT] = { "na1", "ua1", "ua1", "uu1", "uu1", "aa1", "aa1" },
+  [FAULT_CRASH] = { "aa1", "na1", "aa1", "uu1", "uu1", "aa1", "aa1" },
+  [FAULT_DOMAIN] = { "-a1", "-a1", "-u0", "uu1", "uu1", "au1", "aa1" },
+  [FAULT_CANCEL] = { "ua1", "ua1", "ua1", "ua1", "ua1", "aa1", "aa1" },
+  [FAULT_SHORT] = { "aa1", "na1", "aa1", "uu1", "uu1", "aa1", "aa1" },
+};
+
+/* Bring a new request at VM 0 to STEP.  */
+static int
+reach (world_t *world, step_t step)
+{
+  int index = world_send (world, 0, CONTENT);
+  flight_t *flight = &world->flights[index];
+  if (step == STEP_LOOKED_UP)
+    return index;
+  world->lose_votes = step == STEP_ADMITTED;
+  world_place (world, index, EVENT_ADMITTED);
+  world->lose_votes = false;
+  if (step <= STEP_CLAIMED)
+    return index;
+  world_leave (world, flight->work);
+  world_run (world, flight->work);
+  if (step == STEP_SENT)
+    return index;
+  request_event_t head
+      = { .kind = EVENT_HEAD, .request_id = flight->request.send_id };
+  head.as.answer.status = STATUS_BASE + CONTENT;
+  head.as.answer.length = ANSWER_BYTES;
+  if (step == STEP_PARTLY)
+    {
+      world_event (world, index, &head);
+      return index;
+    }
+  /* The record of an answer that was just told is at its own replica.  */
+  world->cut[0] = step == STEP_ANSWERED;
+  world_finish (world, flight->work, false);
+  world->cut[0] = false;
+  const request_event_t recorded = { .kind = EVENT_RECORDED };
+  if (step == STEP_RECORDED)
+    world_event (world, index, &recorded);
+  return index;
+}
+
+static void
+inject (world_t *world, fault_t fault, int index)
+{
+  switch (fault)
+    {
+    case FAULT_KILL_TWO:
+      world_kill_vm (world, 0);
+      world_kill_vm (world, 2);
+      break;
+    case FAULT_DOMAIN:
+      world_crash_backend (world, 0);
+      world_kill_vm (world, 0);
+      break;
+    case FAULT_KILL:
+      world_kill_vm (world, 0);
+      break;
+    case FAULT_FREEZE:
+      world->frozen[0] = true;
+      world_pass (world, 3 * request_deadline);
+      world->frozen[0] = false;
+      break;
+    case FAULT_CUT:
+      world->cut[0] = true;
+      break;
+    case FAULT_CUT_ONE_WAY:
+      world->lose_votes = true;
+      break;
+    case FAULT_SILENT:
+      world_pass (world, 3 * request_deadline);
+      break;
+    case FAULT_CRASH:
+      world_crash_backend (world, 0);
+      break;
+    case FAULT_CANCEL:
+      world_cancel (world, index);
+      break;
+    case FAULT_SHORT:
+      if (world->flights[index].work != NO_FLIGHT)
+        world_finish (world, world->flights[index].work, true);
+      break;
+    case FAULT_NONE:
+    case N_FAULTS:
+      break;
+    }
+}
+
+/* All that is under way goes on as far as it can.  */
+static void
+go_on (world_t *world)
+{
+  for (int round = 0; round < 8; round++)
+    {
+      for (int i = 0; i < N_FLIGHTS; i++)
+        world_place (world, i, EVENT_ADMITTED);
+      for (int i = 0; i < N_WORKS; i++)
+        {
+          world_leave (world, i);
+          world_run (world, i);
+          world_finish (world, i, false);
+        }
+      world_pass (world, request_deadline / 6);
+    }
+}
+
+static char
+told (const flight_t *flight)
+{
+  if (!flight->told)
+    return '-';
+  switch (flight->outcome.kind)
+    {
+    case OUTCOME_ANSWER:
+      return 'a';
+    case OUTCOME_NOT_RUN:
+      return 'n';
+    case OUTCOME_UNKNOWN:
+      break;
+    }
+  return 'u';
+}
+
+static void
+run_cell (fault_t fault, step_t step, char cell[CELL_BYTES])
+{
+  static world_t world;
+  world_open (&world);
+  int first = reach (&world, step);
+  inject (&world, fault, first);
+  go_on (&world);
+  cell[0] = told (&world.flights[first]);
+  world.flights[first].alive = true;
+  world.lose_votes = false;
+  for (int i = 0; i < N_RESENDS; i++)
+    {
+      int again = world_send (&world, 1, CONTENT);
+      go_on (&world);
+      cell[1] = told (&world.flights[again]);
+      if (cell[1] != 'n')
+        break;
+    }
+  cell[2] = (char)('0' + world.contents[CONTENT].n_runs);
+  cell[3] = '\0';
+  world_close (&world);
+}
+
+static void
+test_cell (const void *data)
+{
+  size_t index = GPOINTER_TO_SIZE (data);
+  fault_t fault = (fault_t)(index / N_STEPS);
+  step_t step = (step_t)(index % N_STEPS);
+  char cell[CELL_BYTES];
+  run_cell (fault, step, cell);
+  g_assert_cmpstr (cell, ==, expected[fault][step]);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < (size_t)N_FAULTS * N_STEPS; i++)
+    {
+      char path[64];
+      snprintf (path, sizeof path, "/matrix/%s/%s", fault_names[i / N_STEPS],
+                step_names[i % N_STEPS]);
+      g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_cell);
+    }
+  return g_test_run ();
+}
--- a/test/unit/test_ledger.c
+++ b/test/unit/test_ledger.c
@@ -12,8 +12,9 @@
   ISSUER = 1,
 };
 
-static const usec_t LIFE = 60 * USEC_PER_SEC;
-static const ticket_key_t KEY = { .bytes = "0123456789abcdef0123456789abcde" };
+static const usec_t ticket_life = 60 * USEC_PER_SEC;
+static const ticket_key_t shared_key
+    = { .bytes = "0123456789abcdef0123456789abcde" };
 
 static ticket_candidate_t
 candidate (vm_id_t vm, domain_id_t domain, region_id_t region)
@@ -79,12 +80,12 @@
       = { candidate (0, 0, 0), candidate (2, 1, 0), candidate (3, 2, 1) };
   ticket_t ticket = issue (candidates, 3);
   char text[TICKET_TEXT_BYTES];
-  ticket_format (text, &ticket, &KEY);
+  ticket_format (text, &ticket, &shared_key);
   ticket_t parsed;
   err_t err = { 0 };
-  g_assert_true (ticket_parse (&parsed, text, &KEY, &err));
+  g_assert_true (ticket_parse (&parsed, text, &shared_key, &err));
   char again[TICKET_TEXT_BYTES];
-  ticket_format (again, &parsed, &KEY);
+  ticket_format (again, &parsed, &shared_key);
   g_assert_cmpstr (text, ==, again);
   g_assert_true (ticket_id_equal (&ticket.id, &parsed.id));
   g_assert_cmpint (parsed.issued_at, ==, ticket.issued_at);
@@ -97,7 +98,7 @@
       = { candidate (0, 0, 0), candidate (2, 1, 0), candidate (3, 2, 1) };
   ticket_t ticket = issue (candidates, 3);
   char text[TICKET_TEXT_BYTES];
-  ticket_format (text, &ticket, &KEY);
+  ticket_format (text, &ticket, &shared_key);
   err_t err = { 0 };
   ticket_t parsed;
   for (size_t i = 0; text[i] != '\0'; i++)
@@ -105,13 +106,13 @@
       char changed[TICKET_TEXT_BYTES];
       memcpy (changed, text, sizeof changed);
       changed[i] = changed[i] == '1' ? '2' : '1';
-      g_assert_false (ticket_parse (&parsed, changed, &KEY, &err));
+      g_assert_false (ticket_parse (&parsed, changed, &shared_key, &err));
       g_assert_true (err.kind == ERR_AUTH || err.kind == ERR_PROTOCOL);
     }
   const char *const bad[] = { "", "1", "x", "1.0.1.1.1.1.9.0.0.0", "1.-1" };
   for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
     {
-      g_assert_false (ticket_parse (&parsed, bad[i], &KEY, &err));
+      g_assert_false (ticket_parse (&parsed, bad[i], &shared_key, &err));
       g_assert_cmpint (err.kind, ==, ERR_PROTOCOL);
     }
 }
@@ -125,7 +126,7 @@
                                      .max_claims = max_claims,
                                      .max_bytes = 8,
                                      .max_body = 6,
-                                     .ticket_life = LIFE,
+                                     .ticket_life = ticket_life,
                                      .drift_ppm = 1000 };
   ledger_t *ledger = ledger_new (&options, 0, NULL);
   g_assert_nonnull (ledger);
@@ -239,12 +240,12 @@
   vote (ledger, LEDGER_CLAIM, 1, 1, 1, 0);
   vote (ledger, LEDGER_CLAIM, 2, 1, 1, 0);
   ledger_ask_t ask = ask_for (LEDGER_CLAIM, 3, 1);
-  ask.ticket.issued_at += 2 * LIFE / 3;
+  ask.ticket.issued_at += 2 * ticket_life / 3;
   ask.ticket.generation = 2;
   g_assert_cmpint (ledger_on_ask (ledger, &ask, 0).kind, ==, VOTE_FULL);
   /* The other two expire; there is room, but the promise holds for
      generation 2.  */
-  usec_t later = LIFE / 2;
+  usec_t later = ticket_life / 2;
   ask.ticket.generation = 1;
   g_assert_cmpint (ledger_on_ask (ledger, &ask, later).kind, ==, VOTE_GRANTED);
   ask.ticket.generation = 2;
@@ -261,8 +262,8 @@
 {
   ledger_t *ledger = open_ledger (2);
   g_assert_cmpint (vote (ledger, LEDGER_CLAIM, 1, 1, 1, 0), ==, VOTE_GRANTED);
-  g_assert_cmpuint (ledger_sweep (ledger, 10, LIFE), ==, 0);
-  usec_t after = LIFE + LIFE / 500;
+  g_assert_cmpuint (ledger_sweep (ledger, 10, ticket_life), ==, 0);
+  usec_t after = ticket_life + ticket_life / 500;
   g_assert_cmpuint (ledger_sweep (ledger, 10, after), ==, 1);
   g_assert_cmpint (vote (ledger, LEDGER_CLAIM, 1, 2, 1, after), ==,
                    VOTE_EXPIRED);
--- a/test/unit/test_ledger_claim.c
+++ b/test/unit/test_ledger_claim.c
@@ -10,8 +10,8 @@
   N_REPLICAS = 3,
 };
 
-static const usec_t TIMEOUT = 50 * USEC_PER_MSEC;
-static const usec_t DEADLINE = 2 * USEC_PER_SEC;
+static const usec_t vote_timeout = 50 * USEC_PER_MSEC;
+static const usec_t claim_deadline = 2 * USEC_PER_SEC;
 
 typedef struct replicas
 {
@@ -39,8 +39,8 @@
 open_all (replicas_t *replicas)
 {
   *replicas = (replicas_t){ 0 };
-  for (vm_id_t i = 0; i < N_REPLICAS; i++)
-    open_replica (replicas, i, 1);
+  for (int i = 0; i < N_REPLICAS; i++)
+    open_replica (replicas, (vm_id_t)i, 1);
 }
 
 static void
@@ -57,16 +57,16 @@
       = { .order = CLAIM_ORDER_FIXED,
           .intent = intent,
           .attempt = { .incarnation = 1, .number = attempt },
-          .vote_timeout = TIMEOUT,
+          .vote_timeout = vote_timeout,
           .contend_pause = 10 * USEC_PER_MSEC,
           .poll_interval = 100 * USEC_PER_MSEC,
-          .deadline = DEADLINE };
+          .deadline = claim_deadline };
   options.ticket = (ticket_t){ .id = { .issuer_incarnation = 1 },
                                .generation = 1,
                                .n_replicas = N_REPLICAS };
-  for (vm_id_t i = 0; i < N_REPLICAS; i++)
+  for (int i = 0; i < N_REPLICAS; i++)
     options.ticket.replicas[i]
-        = (ticket_replica_t){ .vm = i, .incarnation = 1 };
+        = (ticket_replica_t){ .vm = (vm_id_t)i, .incarnation = 1 };
   return options;
 }
 
@@ -103,7 +103,7 @@
     {
       usec_t due = claim_wakeup (claim);
       g_assert_cmpint (due, >=, replicas->now);
-      g_assert_cmpint (due, <=, DEADLINE);
+      g_assert_cmpint (due, <=, claim_deadline);
       replicas->now = due;
       claim_asks_t asks = { 0 };
       claim_tick (claim, replicas->now, &asks);
