--- a/test/fuzz/fuzz_ledger.c
+++ b/test/fuzz/fuzz_ledger.c
@@ -433,8 +433,6 @@
     }
 }
 
-/* The name is libFuzzer's.  */
-/* NOLINTNEXTLINE(readability-identifier-naming) */
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
