--- a/test/fuzz/fuzz_delivery.c
+++ b/test/fuzz/fuzz_delivery.c
@@ -124,6 +124,10 @@
     world_pass (world, (usec_t)argument * 8 * USEC_PER_MSEC);
 }
 
+/* The name is libFuzzer's.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/test/fuzz/fuzz_ledger.c
+++ b/test/fuzz/fuzz_ledger.c
@@ -433,6 +433,10 @@
     }
 }
 
+/* The name is libFuzzer's.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
