--- a/src/delivery/request.c
+++ b/src/delivery/request.c
@@ -110,6 +110,16 @@
     }
 }
 
+/* The caller has gone, or the deadline passed, amid a claim or a send.  */
+static void
+end_early (step_t *step)
+{
+  if (step->event->kind == EVENT_CANCEL)
+    step_abandon (step, REASON_CALLER_GONE);
+  else if (step_is_past_deadline (step))
+    step_abandon (step, REASON_DEADLINE);
+}
+
 static void
 on_admitted (step_t *step)
 {
@@ -131,11 +141,8 @@
         end_by_claim (step, REASON_NONE);
       break;
     case EVENT_CANCEL:
-      step_abandon (step, REASON_CALLER_GONE);
-      break;
     case EVENT_TICK:
-      if (step_is_past_deadline (step))
-        step_abandon (step, REASON_DEADLINE);
+      end_early (step);
       break;
     default:
       break;
@@ -297,11 +304,8 @@
       on_target_unknown (step);
       break;
     case EVENT_CANCEL:
-      step_abandon (step, REASON_CALLER_GONE);
-      break;
     case EVENT_TICK:
-      if (step_is_past_deadline (step))
-        step_abandon (step, REASON_DEADLINE);
+      end_early (step);
       break;
     default:
       break;
--- a/test/fuzz/fuzz_delivery.c
+++ b/test/fuzz/fuzz_delivery.c
@@ -5,21 +5,6 @@
 
 #include "../support/delivery_world.h"
 
-typedef struct input
-{
-  const uint8_t *data;
-  size_t size;
-} input_t;
-
-static uint8_t
-next_byte (input_t *input)
-{
-  if (input->size == 0)
-    return 0;
-  input->size--;
-  return *input->data++;
-}
-
 static void
 step_flight (world_t *world, uint8_t op, int index)
 {
@@ -107,10 +92,10 @@
 }
 
 static void
-step (world_t *world, input_t *input)
+step (world_t *world, fuzz_input_t *input)
 {
-  uint8_t op = next_byte (input);
-  uint8_t argument = next_byte (input);
+  uint8_t op = fuzz_next_byte (input);
+  uint8_t argument = fuzz_next_byte (input);
   uint8_t kind = op / 16;
   if (kind < 2)
     world_send (world, argument % N_VMS, argument / N_VMS % N_CONTENTS);
@@ -132,7 +117,7 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   static world_t world;
-  input_t input = { .data = data, .size = size };
+  fuzz_input_t input = { .data = data, .size = size };
   world_open (&world);
   while (input.size > 0)
     step (&world, &input);
--- a/test/fuzz/fuzz_ledger.c
+++ b/test/fuzz/fuzz_ledger.c
@@ -7,10 +7,9 @@
    none did before; a recorded outcome is the run's own.  A frozen VM is one
    whose attempts and messages the schedule leaves alone.  */
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "../support/fuzz_input.h"
 #include "ledger/claim.h"
 #include "ledger/ledger.h"
 
@@ -68,8 +67,7 @@
 
 typedef struct world
 {
-  const uint8_t *data;
-  size_t n_data;
+  fuzz_input_t input;
   usec_t now;
   uint64_t n_numbers;
   random_state_t random;
@@ -79,24 +77,6 @@
   message_t messages[N_MESSAGES];
 } world_t;
 
-static void
-require (bool holds, const char *what)
-{
-  if (holds)
-    return;
-  fprintf (stderr, "violated: %s\n", what);
-  abort ();
-}
-
-static uint8_t
-next_byte (world_t *world)
-{
-  if (world->n_data == 0)
-    return 0;
-  world->n_data--;
-  return *world->data++;
-}
-
 static usec_t
 local_time (const world_t *world, vm_id_t vm)
 {
@@ -134,7 +114,7 @@
                                 .domain = (domain_id_t)i,
                                 .region = (region_id_t)(i / 2),
                                 .reachable = true };
-  vm_id_t issuer = next_byte (world) % N_VMS;
+  vm_id_t issuer = fuzz_next_byte (&world->input) % N_VMS;
   const ticket_issue_t options
       = { .issuer = issuer,
           .incarnation = world->vms[issuer].incarnation,
@@ -222,9 +202,9 @@
 static void
 start_attempt (world_t *world)
 {
-  size_t index = next_byte (world) % N_ATTEMPTS;
-  size_t ticket = next_byte (world) % N_TICKETS;
-  uint8_t how = next_byte (world);
+  size_t index = fuzz_next_byte (&world->input) % N_ATTEMPTS;
+  size_t ticket = fuzz_next_byte (&world->input) % N_TICKETS;
+  uint8_t how = fuzz_next_byte (&world->input);
   attempt_state_t *attempt = &world->attempts[index];
   if (attempt->alive || !world->tickets[ticket].issued)
     return;
@@ -253,7 +233,7 @@
 static void
 run_or_release (world_t *world, bool run)
 {
-  size_t index = next_byte (world) % N_ATTEMPTS;
+  size_t index = fuzz_next_byte (&world->input) % N_ATTEMPTS;
   attempt_state_t *attempt = &world->attempts[index];
   if (!attempt->alive || attempt->claim.phase != CLAIM_WON)
     return;
@@ -299,7 +279,7 @@
 static void
 deliver (world_t *world, bool keep, bool lose)
 {
-  size_t index = next_byte (world) % N_MESSAGES;
+  size_t index = fuzz_next_byte (&world->input) % N_MESSAGES;
   message_t message = world->messages[index];
   if (!message.used)
     return;
@@ -334,20 +314,17 @@
   for (size_t i = 0; i < N_MESSAGES; i++)
     {
       const uint8_t index = (uint8_t)i;
-      const uint8_t *data = world->data;
-      size_t n_data = world->n_data;
-      world->data = &index;
-      world->n_data = 1;
+      const fuzz_input_t input = world->input;
+      world->input = (fuzz_input_t){ .data = &index, .size = 1 };
       deliver (world, false, false);
-      world->data = data;
-      world->n_data = n_data;
+      world->input = input;
     }
 }
 
 static void
 restart (world_t *world)
 {
-  vm_id_t vm = next_byte (world) % N_VMS;
+  vm_id_t vm = fuzz_next_byte (&world->input) % N_VMS;
   for (size_t i = 0; i < N_ATTEMPTS; i++)
     if (world->attempts[i].alive && world->attempts[i].vm == vm)
       {
@@ -360,7 +337,7 @@
 static void
 pass_time (world_t *world)
 {
-  uint8_t how = next_byte (world);
+  uint8_t how = fuzz_next_byte (&world->input);
   usec_t span = (usec_t)(how & 15) * 10 * USEC_PER_MSEC;
   if (how & 128)
     span *= 100;
@@ -381,7 +358,7 @@
 static void
 heartbeat (world_t *world)
 {
-  uint8_t how = next_byte (world);
+  uint8_t how = fuzz_next_byte (&world->input);
   vm_id_t from = how % N_VMS;
   vm_id_t to = how / N_VMS % N_VMS;
   ledger_on_heartbeat (world->vms[to].ledger, from,
@@ -393,10 +370,10 @@
 static void
 step (world_t *world)
 {
-  switch (next_byte (world) % 12)
+  switch (fuzz_next_byte (&world->input) % 12)
     {
     case 0:
-      issue (world, next_byte (world) % N_TICKETS);
+      issue (world, fuzz_next_byte (&world->input) % N_TICKETS);
       break;
     case 1:
     case 2:
@@ -425,7 +402,7 @@
       deliver_all (world);
       break;
     default:
-      if (next_byte (world) & 1)
+      if (fuzz_next_byte (&world->input) & 1)
         heartbeat (world);
       else
         restart (world);
@@ -441,8 +418,7 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   world_t *world = calloc (1, sizeof *world);
-  world->data = data;
-  world->n_data = size;
+  world->input = (fuzz_input_t){ .data = data, .size = size };
   world->now = USEC_PER_SEC;
   random_seed (&world->random, 1);
   for (size_t i = 0; i < N_VMS; i++)
@@ -450,7 +426,7 @@
       world->vms[i].offset = (usec_t)(i + 1) * 1000 * USEC_PER_SEC;
       start_vm (world, (vm_id_t)i);
     }
-  while (world->n_data > 0)
+  while (world->input.size > 0)
     step (world);
   for (size_t i = 0; i < N_VMS; i++)
     ledger_free (world->vms[i].ledger);
--- a/test/support/delivery_world.h
+++ b/test/support/delivery_world.h
@@ -10,14 +10,14 @@
 #ifndef TEST_SUPPORT_DELIVERY_WORLD_H
 #define TEST_SUPPORT_DELIVERY_WORLD_H
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "delivery/request.h"
 #include "delivery/slots.h"
 #include "ledger/ledger.h"
 
+#include "fuzz_input.h"
+
 enum
 {
   N_VMS = 3,
@@ -53,6 +53,7 @@
   claim_t claim;
   bool has_claim;
   bool told;
+  uint64_t freed; /* serial of the last slot that was given back */
   request_outcome_t outcome;
 } flight_t;
 
@@ -106,15 +107,6 @@
   bool idempotent_refused[N_ROOTS];
 } world_t;
 
-static void
-require (bool holds, const char *what)
-{
-  if (holds)
-    return;
-  fprintf (stderr, "violated: %s\n", what);
-  abort ();
-}
-
 static inline void
 world_start_vm (world_t *world, vm_id_t vm)
 {
@@ -382,6 +374,9 @@
       break;
     case ACTION_FREE_SLOT:
       {
+        require (action->as.token.serial != flight->freed,
+                 "a slot was given back twice");
+        flight->freed = action->as.token.serial;
         bool freed = slots_free (world->slots[flight->vm], &action->as.token);
         require (freed || world->now >= flight->request.options.deadline,
                  "a slot was freed twice");
--- a/test/unit/test_delivery.c
+++ b/test/unit/test_delivery.c
@@ -307,6 +307,48 @@
   g_assert_cmpint (actions.items[0].as.outcome.kind, ==, OUTCOME_UNKNOWN);
 }
 
+static size_t
+count_frees (const request_actions_t *actions)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < actions->n; i++)
+    n += actions->items[i].kind == ACTION_FREE_SLOT;
+  return n;
+}
+
+/* The caller goes while the claim is under way; whatever is heard later, the
+   slot is given back once, and a claim that was won is released.  */
+static void
+test_abandoned_request_frees_its_slot_once (void)
+{
+  request_t request;
+  request_actions_t actions;
+  request_counters_t counters = { 0 };
+  retry_budget_t budget;
+  retry_budget_init (&budget, 100, 1);
+  const request_options_t options
+      = { .id = 256, .deadline = USEC_PER_SEC, .linger = USEC_PER_SEC };
+  request_start (&request, &options, 0, &actions);
+  const request_event_kind_t events[]
+      = { EVENT_ADMITTED, EVENT_CANCEL, EVENT_TARGET_STOPPED };
+  size_t n_frees = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+    {
+      const request_event_t event = { .kind = events[i] };
+      request_on_event (&request, &event, &budget, &counters, 1, &actions);
+      n_frees += count_frees (&actions);
+      if (events[i] != EVENT_CANCEL)
+        continue;
+      request_t before = request;
+      request_event_t won = { .kind = EVENT_CLAIM_SETTLED };
+      won.as.claim.phase = CLAIM_WON;
+      request_on_event (&before, &won, &budget, &counters, 2, &actions);
+      g_assert_cmpuint (actions.n, ==, 1);
+      g_assert_cmpint (actions.items[0].kind, ==, ACTION_RELEASE_CLAIM);
+    }
+  g_assert_cmpuint (n_frees, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -324,5 +366,7 @@
   g_test_add_func ("/quarantine/wide", test_wide_crash_quarantines_nobody);
   g_test_add_func ("/quarantine/bounded", test_quarantine_is_bounded);
   g_test_add_func ("/request/idempotent", test_idempotent_request_retries);
+  g_test_add_func ("/request/abandoned",
+                   test_abandoned_request_frees_its_slot_once);
   return g_test_run ();
 }
