--- /dev/null
+++ b/src/agreement/replica.c
@@ -0,0 +1,444 @@
+#include "agreement/replica.h"
+
+#include <stdlib.h>
+
+#include "agreement/replica_internal.h"
+
+enum
+{
+  SNAPSHOT_ENTRIES = 64,
+};
+
+action_t *
+replica_action (replica_t *replica, action_kind_t kind)
+{
+  action_t *action = calloc (1, sizeof *action);
+  if (!action)
+    abort ();
+  action->kind = kind;
+  list_push_back (replica->actions, &action->link);
+  return action;
+}
+
+void
+action_free (action_t *action)
+{
+  switch (action->kind)
+    {
+    case ACTION_SEND:
+      message_clear (&action->body.send);
+      break;
+    case ACTION_PERSIST:
+      for (size_t i = 0; i < action->body.persist.n_entries; i++)
+        entry_unref (action->body.persist.entries[i]);
+      free (action->body.persist.entries);
+      blob_unref (action->body.persist.snapshot.data);
+      break;
+    case ACTION_APPLY:
+      entry_unref (action->body.apply);
+      break;
+    case ACTION_RESTORE:
+      blob_unref (action->body.restore.data);
+      break;
+    case ACTION_TAKE_SNAPSHOT:
+    case ACTION_REFUSE:
+      break;
+    }
+  free (action);
+}
+
+static void
+options_default (replica_options_t *options)
+{
+  if (options->heartbeat == 0)
+    options->heartbeat = REPLICA_HEARTBEAT;
+  if (options->election == 0)
+    options->election = REPLICA_ELECTION;
+  if (options->snapshot_entries == 0)
+    options->snapshot_entries = SNAPSHOT_ENTRIES;
+}
+
+static void
+replica_load (replica_t *replica, replica_image_t *image)
+{
+  replica->incarnation = image->incarnation;
+  replica->vote = image->vote;
+  replica->snapshot = image->snapshot;
+  replica->last = image->snapshot.index;
+  replica->last_term = image->snapshot.term;
+  while (!list_empty (&image->log))
+    log_append (replica,
+                LIST_ENTRY (list_pop_front (&image->log), entry_t, link));
+  replica->is_dirty = false;
+  replica->stored_last = replica->last;
+  replica->synced_last = replica->last;
+}
+
+replica_t *
+replica_new (const replica_options_t *options, replica_image_t *image,
+             usec_t now)
+{
+  replica_t *replica = calloc (1, sizeof *replica);
+  if (!replica)
+    abort ();
+  replica->options = *options;
+  options_default (&replica->options);
+  random_seed (&replica->random, options->seed);
+  replica->now = now;
+  list_init (&replica->log);
+  list_init (&replica->sync_marks);
+  list_init (&replica->held);
+  replica->vote.slot = SLOT_NONE;
+  replica->leader = SLOT_NONE;
+  replica->pending_slot = SLOT_NONE;
+  replica->heard_at = now;
+  if (image->incarnation != 0)
+    replica_load (replica, image);
+  else
+    {
+      replica->incarnation = random_next (&replica->random) | 1;
+      replica->is_dirty = true;
+      replica->is_replacing = true;
+    }
+  replica->applied_config = replica->snapshot.config;
+  replica->commit = replica->snapshot.index;
+  replica->applied = replica->snapshot.index;
+  replica->role
+      = replica->snapshot.config.n_slots ? ROLE_FOLLOWER : ROLE_BLANK;
+  config_refresh (replica);
+  election_reset (replica);
+  return replica;
+}
+
+void
+replica_free (replica_t *replica)
+{
+  log_clear (replica);
+  blob_unref (replica->snapshot.data);
+  blob_unref (replica->transfer.data);
+  LIST_FOREACH (link, &replica->sync_marks)
+  free (LIST_ENTRY (link, sync_mark_t, link));
+  LIST_FOREACH (link, &replica->held)
+  {
+    held_message_t *held = LIST_ENTRY (link, held_message_t, link);
+    message_clear (&held->message);
+    free (held);
+  }
+  free (replica);
+}
+
+void
+replica_refuse (replica_t *replica, proposal_id_t id, refuse_reason_t reason)
+{
+  action_t *action = replica_action (replica, ACTION_REFUSE);
+  action->body.refuse.id = id;
+  action->body.refuse.reason = reason;
+  action->body.refuse.leader = replica->leader;
+}
+
+/* Proposals that were not committed under this leadership have an unknown
+   outcome.  */
+static void
+proposals_abandon (replica_t *replica)
+{
+  LIST_FOREACH (link, &replica->log)
+  {
+    entry_t *entry = LIST_ENTRY (link, entry_t, link);
+    if (entry->index > replica->applied && entry->proposal != 0)
+      replica_refuse (replica, entry->proposal, REFUSE_UNKNOWN);
+    entry->proposal = 0;
+  }
+  replica->n_proposals = 0;
+  replica->proposal_bytes = 0;
+}
+
+void
+replica_become_follower (replica_t *replica, term_t term, slot_t leader)
+{
+  if (term > replica->vote.term)
+    {
+      replica->vote.term = term;
+      replica->vote.slot = SLOT_NONE;
+      replica->vote.incarnation = 0;
+      replica->is_dirty = true;
+    }
+  replica->leader = leader;
+  replica->is_pre_candidate = false;
+  if (replica->role == ROLE_LEADER)
+    proposals_abandon (replica);
+  if (replica->role != ROLE_FOLLOWER)
+    election_reset (replica);
+  replica->role = replica->config.n_slots ? ROLE_FOLLOWER : ROLE_BLANK;
+}
+
+static void
+replica_halt (replica_t *replica)
+{
+  if (replica->role == ROLE_LEADER)
+    proposals_abandon (replica);
+  replica->role = ROLE_HALTED;
+  replica->leader = SLOT_NONE;
+}
+
+static void
+apply_entry (replica_t *replica, entry_t *entry)
+{
+  replica->applied = entry->index;
+  if (entry->kind == ENTRY_SWAP)
+    replica->applied_config.incarnation[entry->body.swap.slot]
+        = entry->body.swap.new_incarnation;
+  if (entry->proposal != 0)
+    {
+      replica->n_proposals--;
+      replica->proposal_bytes -= entry_bytes (entry);
+    }
+  replica_action (replica, ACTION_APPLY)->body.apply = entry_ref (entry);
+}
+
+/* A swap is saved at once: after a restart only the snapshot says which
+   swaps are committed.  */
+static void
+snapshot_ask (replica_t *replica, bool swapped)
+{
+  log_index_t since = replica->applied - replica->snapshot.index;
+  if (replica->snapshot_asked
+      || (!swapped && since < replica->options.snapshot_entries))
+    return;
+  replica->snapshot_asked = true;
+  replica_action (replica, ACTION_TAKE_SNAPSHOT)->body.take_snapshot
+      = replica->applied;
+}
+
+void
+replica_advance (replica_t *replica, log_index_t commit)
+{
+  if (commit <= replica->commit)
+    return;
+  replica->commit = commit;
+  bool swapped = false;
+  LIST_FOREACH (link, &replica->log)
+  {
+    entry_t *entry = LIST_ENTRY (link, entry_t, link);
+    if (entry->index <= replica->applied || entry->index > commit)
+      continue;
+    apply_entry (replica, entry);
+    swapped = swapped || entry->kind == ENTRY_SWAP;
+  }
+  config_refresh (replica);
+  snapshot_ask (replica, swapped);
+}
+
+static void
+snapshot_taken (replica_t *replica, log_index_t index, blob_t *data)
+{
+  replica->snapshot_asked = false;
+  replica_snapshot_t snapshot
+      = { .index = index, .config = replica->applied_config, .data = data };
+  if (index != replica->applied || index <= replica->snapshot.index
+      || !log_term (replica, index, &snapshot.term))
+    return;
+  log_compact (replica, &snapshot);
+}
+
+/* Only what is for this incarnation and its cluster is taken in.  */
+static bool
+message_is_ours (const replica_t *replica, const message_t *message)
+{
+  if (message->to != replica->options.slot
+      || message->from == replica->options.slot
+      || message->from >= replica->options.n_slots)
+    return false;
+  if (message->kind == MESSAGE_JOIN)
+    return true;
+  if (message->to_incarnation != replica->incarnation)
+    return message->kind == MESSAGE_VOTE_REQUEST
+           && message->to_incarnation == 0;
+  return replica->role == ROLE_BLANK
+         || message->cluster == replica->config.cluster;
+}
+
+static bool
+message_is_response (const message_t *message)
+{
+  return message->kind == MESSAGE_APPEND_RESPONSE
+         || message->kind == MESSAGE_SNAPSHOT_RESPONSE
+         || message->kind == MESSAGE_VOTE_RESPONSE;
+}
+
+static void
+replica_message (replica_t *replica, message_t *message)
+{
+  if (!message_is_ours (replica, message))
+    return;
+  bool is_pre = message->kind == MESSAGE_VOTE_RESPONSE
+                && message->body.vote_response.is_pre
+                && message->body.vote_response.granted;
+  if (message_is_response (message) && !is_pre)
+    {
+      if (message->term > replica->vote.term)
+        replica_become_follower (replica, message->term, SLOT_NONE);
+      if (message->term < replica->vote.term)
+        return;
+    }
+  switch (message->kind)
+    {
+    case MESSAGE_VOTE_REQUEST:
+      election_vote_request (replica, message);
+      return;
+    case MESSAGE_VOTE_RESPONSE:
+      election_vote_response (replica, message);
+      return;
+    case MESSAGE_APPEND:
+      follower_append (replica, message);
+      return;
+    case MESSAGE_APPEND_RESPONSE:
+      leader_append_response (replica, message);
+      return;
+    case MESSAGE_SNAPSHOT:
+      follower_snapshot (replica, message);
+      return;
+    case MESSAGE_SNAPSHOT_RESPONSE:
+      leader_snapshot_response (replica, message);
+      return;
+    case MESSAGE_JOIN:
+      join_message (replica, message);
+      return;
+    case MESSAGE_BOOTSTRAP:
+      join_bootstrap (replica, message);
+      return;
+    case MESSAGE_KINDS:
+      return;
+    }
+}
+
+static void
+replica_tick (replica_t *replica)
+{
+  if (replica->role == ROLE_LEADER)
+    leader_tick (replica);
+  else
+    election_tick (replica);
+  join_tick (replica);
+}
+
+/* Before all else, so that applies come after it.  */
+static void
+restore_once (replica_t *replica)
+{
+  if (replica->is_restored)
+    return;
+  replica->is_restored = true;
+  if (!replica->snapshot.data)
+    return;
+  action_t *action = replica_action (replica, ACTION_RESTORE);
+  action->body.restore.index = replica->snapshot.index;
+  action->body.restore.data = blob_ref (replica->snapshot.data);
+}
+
+static void
+replica_propose (replica_t *replica, proposal_id_t id, entry_t *entry)
+{
+  if (replica->role == ROLE_LEADER)
+    leader_propose (replica, id, entry);
+  else
+    replica_refuse (replica, id, REFUSE_NOT_LEADER);
+}
+
+void
+replica_step (replica_t *replica, usec_t now, const event_t *event,
+              list_t *actions)
+{
+  replica->now = now;
+  replica->actions = actions;
+  if (replica->role == ROLE_HALTED)
+    {
+      if (event->kind == EVENT_PROPOSE)
+        replica_refuse (replica, event->body.propose.id, REFUSE_HALTED);
+      return;
+    }
+  restore_once (replica);
+  /* A leader that slept past its lease learns it before it does anything. */
+  if (event->kind != EVENT_TICK && replica->role == ROLE_LEADER)
+    leader_tick (replica);
+  switch (event->kind)
+    {
+    case EVENT_TICK:
+      replica_tick (replica);
+      break;
+    case EVENT_MESSAGE:
+      replica_message (replica, event->body.message);
+      break;
+    case EVENT_PROPOSE:
+      replica_propose (replica, event->body.propose.id,
+                       event->body.propose.entry);
+      break;
+    case EVENT_SYNCED:
+      disk_synced (replica, event->body.synced);
+      break;
+    case EVENT_SNAPSHOT:
+      snapshot_taken (replica, event->body.snapshot.index,
+                      event->body.snapshot.data);
+      break;
+    case EVENT_DISK_FAILED:
+      replica_halt (replica);
+      return;
+    }
+  disk_flush (replica);
+}
+
+static replica_role_t
+role_of (const replica_t *replica)
+{
+  if (replica->role == ROLE_FOLLOWER
+      && replica->config.incarnation[replica->options.slot]
+             != replica->incarnation)
+    return ROLE_LEARNER;
+  return replica->role;
+}
+
+replica_status_t
+replica_status (const replica_t *replica)
+{
+  return (replica_status_t){ .role = role_of (replica),
+                             .incarnation = replica->incarnation,
+                             .term = replica->vote.term,
+                             .leader = replica->leader,
+                             .last = replica->last,
+                             .commit = replica->commit,
+                             .applied = replica->applied,
+                             .snapshot = replica->snapshot.index,
+                             .config = replica->config,
+                             .pending_slot = replica->pending_slot,
+                             .n_entries = replica->n_entries };
+}
+
+bool
+replica_holds_lease (const replica_t *replica, usec_t now)
+{
+  usec_t acked_at = 0;
+  usec_t margin = replica->options.election / 8;
+  return replica->role == ROLE_LEADER
+         && leader_majority_acked_at (replica, &acked_at)
+         && now < acked_at + replica->options.election - margin;
+}
+
+const char *
+replica_role_name (replica_role_t role)
+{
+  switch (role)
+    {
+    case ROLE_BLANK:
+      return "blank";
+    case ROLE_LEARNER:
+      return "learner";
+    case ROLE_FOLLOWER:
+      return "follower";
+    case ROLE_CANDIDATE:
+      return "candidate";
+    case ROLE_LEADER:
+      return "leader";
+    case ROLE_HALTED:
+      return "halted";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/src/agreement/replica_election.c
@@ -0,0 +1,150 @@
+#include "agreement/replica_internal.h"
+
+#include <string.h>
+
+void
+election_reset (replica_t *replica)
+{
+  usec_t election = replica->options.election;
+  usec_t spread = (usec_t)random_below (&replica->random, (uint64_t)election);
+  replica->election_at = replica->now + election + spread;
+}
+
+static size_t
+count_granted (const replica_t *replica)
+{
+  size_t n = 0;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    if (replica->granted[slot] && slot != replica->pending_slot)
+      n++;
+  return n;
+}
+
+static void
+election_ask (replica_t *replica, bool is_pre)
+{
+  memset (replica->granted, 0, sizeof replica->granted);
+  replica->granted[replica->options.slot] = true;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    {
+      if (slot == replica->options.slot)
+        continue;
+      message_t message = message_to (replica, MESSAGE_VOTE_REQUEST, slot,
+                                      replica->config.incarnation[slot]);
+      message.term = replica->vote.term + (is_pre ? 1 : 0);
+      message.body.vote_request.is_pre = is_pre;
+      message.body.vote_request.last_index = replica->last;
+      message.body.vote_request.last_term = replica->last_term;
+      message_hold (replica, &message);
+    }
+}
+
+static void
+election_start (replica_t *replica)
+{
+  replica->role = ROLE_CANDIDATE;
+  replica->is_pre_candidate = false;
+  replica->vote.term++;
+  replica->vote.slot = replica->options.slot;
+  replica->vote.incarnation = replica->incarnation;
+  replica->is_dirty = true;
+  election_reset (replica);
+  election_ask (replica, false);
+}
+
+static void
+election_count (replica_t *replica)
+{
+  if (count_granted (replica) < config_majority (replica))
+    return;
+  if (replica->is_pre_candidate)
+    election_start (replica);
+  else if (replica->role == ROLE_CANDIDATE)
+    leader_start (replica);
+}
+
+void
+election_tick (replica_t *replica)
+{
+  if (replica->now < replica->election_at || replica->role == ROLE_BLANK)
+    return;
+  election_reset (replica);
+  replica->leader = SLOT_NONE;
+  if (!config_has_vote (replica, replica->options.slot, replica->incarnation))
+    return;
+  replica->role = ROLE_FOLLOWER;
+  replica->is_pre_candidate = true;
+  election_ask (replica, true);
+  election_count (replica);
+}
+
+static bool
+log_is_current (const replica_t *replica, const vote_request_t *request)
+{
+  if (request->last_term != replica->last_term)
+    return request->last_term > replica->last_term;
+  return request->last_index >= replica->last;
+}
+
+/* True while a leader may hold a lease that this replica has acknowledged,
+   also before its own restart.  */
+static bool
+leader_is_near (const replica_t *replica)
+{
+  if (replica->role == ROLE_LEADER)
+    return true;
+  return replica->now < replica->heard_at + replica->options.election;
+}
+
+static bool
+vote_may_be_given (const replica_t *replica, const message_t *message)
+{
+  const vote_request_t *request = &message->body.vote_request;
+  if (message->term < replica->vote.term || !log_is_current (replica, request))
+    return false;
+  if (request->is_pre)
+    return message->term > replica->vote.term;
+  return replica->vote.slot == SLOT_NONE
+         || (replica->vote.slot == message->from
+             && replica->vote.incarnation == message->from_incarnation);
+}
+
+void
+election_vote_request (replica_t *replica, const message_t *message)
+{
+  const vote_request_t *request = &message->body.vote_request;
+  if (replica->role == ROLE_BLANK || leader_is_near (replica))
+    return;
+  if (!request->is_pre && message->term > replica->vote.term)
+    replica_become_follower (replica, message->term, SLOT_NONE);
+  bool granted = vote_may_be_given (replica, message);
+  if (granted && !request->is_pre)
+    {
+      replica->vote.slot = message->from;
+      replica->vote.incarnation = message->from_incarnation;
+      replica->is_dirty = true;
+      election_reset (replica);
+    }
+  message_t response = message_to (replica, MESSAGE_VOTE_RESPONSE,
+                                   message->from, message->from_incarnation);
+  if (granted)
+    response.term = message->term;
+  response.body.vote_response.is_pre = request->is_pre;
+  response.body.vote_response.granted = granted;
+  message_hold (replica, &response);
+}
+
+void
+election_vote_response (replica_t *replica, const message_t *message)
+{
+  const vote_response_t *response = &message->body.vote_response;
+  term_t asked = replica->vote.term + (response->is_pre ? 1 : 0);
+  if (!response->granted || message->term != asked
+      || response->is_pre != replica->is_pre_candidate
+      || !config_has_vote (replica, message->from, message->from_incarnation))
+    return;
+  if (!response->is_pre && replica->role != ROLE_CANDIDATE)
+    return;
+  replica->granted[message->from] = true;
+  election_count (replica);
+}
--- /dev/null
+++ b/src/agreement/replica_leader.c
@@ -0,0 +1,345 @@
+#include "agreement/replica_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  RESEND_HEARTBEATS = 4, /* until entries or a chunk count as lost */
+  LEARNER_LAG = 16,      /* entries behind at which a learner is swapped in */
+};
+
+static bool
+peer_has_vote (const replica_t *replica, slot_t slot)
+{
+  return config_has_vote (replica, slot, replica->peers[slot].incarnation);
+}
+
+static void
+peer_reset (replica_t *replica, slot_t slot, incarnation_t incarnation)
+{
+  peer_t *peer = &replica->peers[slot];
+  memset (peer, 0, sizeof *peer);
+  peer->incarnation = incarnation;
+  peer->heard_at = replica->now;
+}
+
+void
+leader_start (replica_t *replica)
+{
+  replica->role = ROLE_LEADER;
+  replica->leader = replica->options.slot;
+  replica->led_since = replica->now;
+  replica->n_proposals = 0;
+  replica->proposal_bytes = 0;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    {
+      peer_reset (replica, slot, replica->config.incarnation[slot]);
+      replica->peers[slot].next = replica->last + 1;
+    }
+  entry_t *entry = entry_new (ENTRY_NOOP);
+  entry->index = replica->last + 1;
+  entry->term = replica->vote.term;
+  replica->term_start = entry->index;
+  log_append (replica, entry);
+  replica->heartbeat_at = replica->now + replica->options.heartbeat;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    leader_replicate (replica, slot, true);
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  usec_t x = *(const usec_t *)a;
+  usec_t y = *(const usec_t *)b;
+  return x < y ? 1 : (x > y ? -1 : 0);
+}
+
+bool
+leader_majority_acked_at (const replica_t *replica, usec_t *at)
+{
+  usec_t times[REPLICAS_MAX];
+  size_t n = 0;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    if (slot == replica->options.slot)
+      times[n++] = replica->now;
+    else if (peer_has_vote (replica, slot) && replica->peers[slot].has_acked)
+      times[n++] = replica->peers[slot].acked_at;
+  size_t majority = config_majority (replica);
+  if (n < majority)
+    return false;
+  qsort (times, n, sizeof times[0], compare_times);
+  *at = times[majority - 1];
+  return true;
+}
+
+/* Whether the last majority of answers is older than an election takes.  */
+static bool
+lease_lapsed (const replica_t *replica)
+{
+  usec_t acked_at = replica->led_since;
+  if (leader_majority_acked_at (replica, &acked_at)
+      && acked_at < replica->led_since)
+    acked_at = replica->led_since;
+  return replica->now >= acked_at + replica->options.election;
+}
+
+void
+leader_tick (replica_t *replica)
+{
+  if (lease_lapsed (replica))
+    {
+      replica_become_follower (replica, replica->vote.term, SLOT_NONE);
+      return;
+    }
+  bool beats = replica->now >= replica->heartbeat_at;
+  if (beats)
+    replica->heartbeat_at = replica->now + replica->options.heartbeat;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    leader_replicate (replica, slot, beats);
+}
+
+static void
+send_snapshot (replica_t *replica, slot_t slot)
+{
+  peer_t *peer = &replica->peers[slot];
+  const replica_snapshot_t *snapshot = &replica->snapshot;
+  if (peer->snapshot_index != snapshot->index)
+    peer->snapshot_offset = 0;
+  peer->snapshot_index = snapshot->index;
+  uint32_t total = snapshot->data ? snapshot->data->length : 0;
+  uint32_t length = total - peer->snapshot_offset;
+  if (length > SNAPSHOT_CHUNK_BYTES)
+    length = SNAPSHOT_CHUNK_BYTES;
+  const uint8_t *start
+      = snapshot->data ? snapshot->data->bytes + peer->snapshot_offset : NULL;
+  message_t message
+      = message_to (replica, MESSAGE_SNAPSHOT, slot, peer->incarnation);
+  message.body.snapshot
+      = (snapshot_chunk_t){ .index = snapshot->index,
+                            .index_term = snapshot->term,
+                            .config = snapshot->config,
+                            .sent_at = replica->now,
+                            .offset = peer->snapshot_offset,
+                            .total = total,
+                            .data = blob_new (start, length) };
+  peer->resend_at
+      = replica->now + RESEND_HEARTBEATS * replica->options.heartbeat;
+  message_send (replica, &message);
+}
+
+static void
+add_entries (const replica_t *replica, const peer_t *peer, append_t *append)
+{
+  size_t bytes = 0;
+  LIST_FOREACH (link, &replica->log)
+  {
+    entry_t *entry = LIST_ENTRY (link, entry_t, link);
+    if (entry->index < peer->next)
+      continue;
+    bytes += entry_bytes (entry);
+    if (append->n_entries == MESSAGE_ENTRIES
+        || (append->n_entries > 0 && bytes > MESSAGE_BYTES))
+      return;
+    append->entries[append->n_entries++] = entry_ref (entry);
+  }
+}
+
+static void
+send_append (replica_t *replica, slot_t slot, bool with_entries)
+{
+  peer_t *peer = &replica->peers[slot];
+  message_t message
+      = message_to (replica, MESSAGE_APPEND, slot, peer->incarnation);
+  append_t *append = &message.body.append;
+  append->prev_index = peer->next - 1;
+  append->commit = replica->commit;
+  append->sent_at = replica->now;
+  if (!log_term (replica, append->prev_index, &append->prev_term))
+    return;
+  if (with_entries)
+    add_entries (replica, peer, append);
+  if (append->n_entries > 0)
+    peer->resend_at
+        = replica->now + RESEND_HEARTBEATS * replica->options.heartbeat;
+  message_send (replica, &message);
+}
+
+void
+leader_replicate (replica_t *replica, slot_t slot, bool force)
+{
+  peer_t *peer = &replica->peers[slot];
+  if (slot == replica->options.slot || peer->incarnation == 0)
+    return;
+  bool is_waiting = peer->resend_at > replica->now;
+  if (peer->next <= replica->snapshot.index)
+    {
+      if (!is_waiting)
+        send_snapshot (replica, slot);
+      return;
+    }
+  bool has_entries = !is_waiting && peer->next <= replica->last;
+  if (force || has_entries)
+    send_append (replica, slot, has_entries);
+}
+
+void
+leader_propose (replica_t *replica, proposal_id_t id, entry_t *entry)
+{
+  if (replica->n_proposals >= REPLICA_PROPOSALS_MAX
+      || replica->proposal_bytes + entry_bytes (entry)
+             > REPLICA_PROPOSAL_BYTES_MAX)
+    {
+      replica_refuse (replica, id, REFUSE_LIMIT);
+      return;
+    }
+  entry->index = replica->last + 1;
+  entry->term = replica->vote.term;
+  entry->proposal = id;
+  if (id != 0)
+    {
+      replica->n_proposals++;
+      replica->proposal_bytes += entry_bytes (entry);
+    }
+  log_append (replica, entry_ref (entry));
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    leader_replicate (replica, slot, false);
+}
+
+static bool
+is_on_majority (const replica_t *replica, log_index_t index)
+{
+  size_t n = 0;
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    {
+      bool has_entry = slot == replica->options.slot
+                           ? replica->synced_last >= index
+                           : replica->peers[slot].match >= index;
+      incarnation_t incarnation = slot == replica->options.slot
+                                      ? replica->incarnation
+                                      : replica->peers[slot].incarnation;
+      if (has_entry && config_has_vote (replica, slot, incarnation))
+        n++;
+    }
+  return n >= config_majority (replica);
+}
+
+void
+leader_commit (replica_t *replica)
+{
+  log_index_t commit = replica->last;
+  while (commit > replica->commit && !is_on_majority (replica, commit))
+    commit--;
+  /* Entries of earlier terms are committed by one of this term.  */
+  if (commit <= replica->commit || commit < replica->term_start)
+    return;
+  replica_advance (replica, commit);
+  for (slot_t slot = 0; slot < replica->config.n_slots; slot++)
+    leader_replicate (replica, slot, true);
+}
+
+/* One swap at a time, and none before an entry of this term is committed:
+   else two leaders could change the configuration in different ways.  */
+static void
+swap_in (replica_t *replica, slot_t slot)
+{
+  const peer_t *peer = &replica->peers[slot];
+  if (replica->pending_slot != SLOT_NONE
+      || replica->commit < replica->term_start
+      || replica->config.incarnation[slot] == peer->incarnation
+      || peer->match + LEARNER_LAG < replica->last)
+    return;
+  entry_t *entry = entry_new (ENTRY_SWAP);
+  entry->body.swap.slot = slot;
+  entry->body.swap.old_incarnation = replica->config.incarnation[slot];
+  entry->body.swap.new_incarnation = peer->incarnation;
+  leader_propose (replica, 0, entry);
+  entry_unref (entry);
+}
+
+static bool
+peer_heard (replica_t *replica, const message_t *message, usec_t sent_at)
+{
+  peer_t *peer = &replica->peers[message->from];
+  if (replica->role != ROLE_LEADER
+      || peer->incarnation != message->from_incarnation)
+    return false;
+  peer->heard_at = replica->now;
+  if (!peer->has_acked || sent_at > peer->acked_at)
+    peer->acked_at = sent_at;
+  peer->has_acked = true;
+  return true;
+}
+
+void
+leader_append_response (replica_t *replica, const message_t *message)
+{
+  const append_response_t *response = &message->body.append_response;
+  if (!peer_heard (replica, message, response->sent_at))
+    return;
+  peer_t *peer = &replica->peers[message->from];
+  if (response->success && response->index > peer->match)
+    {
+      peer->match = response->index;
+      peer->resend_at = 0;
+    }
+  if (response->success && peer->next <= peer->match)
+    peer->next = peer->match + 1;
+  if (!response->success && response->index + 1 < peer->next
+      && response->index >= peer->match)
+    {
+      peer->next = response->index + 1;
+      peer->resend_at = 0;
+    }
+  leader_commit (replica);
+  if (response->success)
+    swap_in (replica, message->from);
+  leader_replicate (replica, message->from, false);
+}
+
+void
+leader_snapshot_response (replica_t *replica, const message_t *message)
+{
+  const snapshot_response_t *response = &message->body.snapshot_response;
+  if (!peer_heard (replica, message, response->sent_at))
+    return;
+  peer_t *peer = &replica->peers[message->from];
+  if (response->installed)
+    {
+      if (response->index > peer->match)
+        peer->match = response->index;
+      if (peer->next <= peer->match)
+        peer->next = peer->match + 1;
+      if (peer->next == 0)
+        peer->next = 1;
+      peer->resend_at = 0;
+    }
+  else if (response->index == peer->snapshot_index)
+    {
+      const blob_t *data = replica->snapshot.data;
+      uint32_t total = data ? data->length : 0;
+      peer->snapshot_offset
+          = response->next_offset <= total ? response->next_offset : 0;
+      peer->resend_at = 0;
+    }
+  leader_commit (replica);
+  leader_replicate (replica, message->from, false);
+}
+
+/* A new incarnation takes over a slot whose present one is silent.  */
+void
+leader_join (replica_t *replica, const message_t *message)
+{
+  peer_t *peer = &replica->peers[message->from];
+  bool is_silent = replica->now >= peer->heard_at + replica->options.election;
+  if (peer->incarnation == message->from_incarnation)
+    {
+      if (message->body.join.is_blank && peer->next > 0)
+        peer->next = 0;
+      return;
+    }
+  bool is_voter = replica->config.incarnation[message->from]
+                  == message->from_incarnation;
+  if (is_silent || is_voter)
+    peer_reset (replica, message->from, message->from_incarnation);
+}
--- /dev/null
+++ b/test/agreement_cluster.h
@@ -0,0 +1,702 @@
+/* agreement_cluster: replicas in one thread, with disks, a network and a
+   clock that a test drives step by step, and the oracle that judges them:
+   a plain map from a number to the content that won it.  */
+
+#ifndef TEST_AGREEMENT_CLUSTER_H
+#define TEST_AGREEMENT_CLUSTER_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agreement/replica.h"
+#include "agreement/sheet_registry.h"
+
+enum
+{
+  NODES = 5,
+  LOSSES_MAX = 2, /* disks lost and not yet swapped in: a minority */
+  NUMBERS_MAX = 4096,
+  INDEXES_MAX = 16384,
+  CONTENTS = 4,
+  LARGE_CONTENT = 3,
+  LARGE_CONTENT_BYTES = 40000,
+  PROPOSALS = 256,
+  RECEIVERS = 3,
+  PACKETS_MAX = 512,
+  SETTLE_ROUNDS = 2000,
+};
+
+#define TICK (25 * USEC_PER_MSEC)
+
+#define REQUIRE(condition, ...)                                               \
+  do                                                                          \
+    if (!(condition))                                                         \
+      {                                                                       \
+        fprintf (stderr, "violated: " __VA_ARGS__);                           \
+        fputc ('\n', stderr);                                                 \
+        abort ();                                                             \
+      }                                                                       \
+  while (0)
+
+typedef struct packet
+{
+  list_t link;
+  slot_t from;
+  slot_t to;
+  blob_t *bytes;
+} packet_t;
+
+typedef struct disk
+{
+  replica_image_t image; /* what was synced */
+  list_t pending;        /* persist actions that were not */
+} disk_t;
+
+typedef struct submission
+{
+  uint64_t number;
+  int content;
+} submission_t;
+
+typedef struct node
+{
+  replica_t *replica; /* NULL: the process is dead */
+  sheet_registry_t *registry;
+  log_index_t applied;
+  disk_t disk;
+  bool is_frozen;
+  bool is_lost;   /* its disk, and it is not swapped in yet */
+  uint64_t shown; /* the newest number that this process has shown */
+} node_t;
+
+typedef struct cluster
+{
+  usec_t now;
+  uint64_t seed;
+  node_t nodes[NODES];
+  list_t packets;
+  size_t n_packets;
+  bool cut[NODES][NODES];
+  submission_t proposals[PROPOSALS];
+  proposal_id_t next_proposal;
+  uint64_t highest; /* number submitted */
+  uint64_t steps;
+  size_t n_accepted;
+  size_t n_conflicts;
+
+  /* The oracle; contents are stored as their id + 1.  */
+  uint8_t winner[NUMBERS_MAX];
+  bool is_accepted[NUMBERS_MAX];
+  term_t applied_term[INDEXES_MAX];
+  uint64_t receiver[RECEIVERS];
+} cluster_t;
+
+static inline blob_t *
+content_new (uint64_t number, int content)
+{
+  char text[64];
+  int length = snprintf (text, sizeof text, "sheet %llu content %d",
+                         (unsigned long long)number, content);
+  blob_t *blob = blob_new (NULL, content == LARGE_CONTENT ? LARGE_CONTENT_BYTES
+                                                          : (size_t)length);
+  memcpy (blob->bytes, text, (size_t)length);
+  return blob;
+}
+
+/* The id + 1 of the content that RECORD's digest stands for.  */
+static inline uint8_t
+content_of (const sheet_record_t *record)
+{
+  for (int content = 0; content < CONTENTS; content++)
+    {
+      sheet_registry_t *registry = sheet_registry_new ();
+      sheet_submission_t submission
+          = { .number = record->number,
+              .content = content_new (record->number, content) };
+      sheet_outcome_t outcome
+          = sheet_registry_apply (registry, 1, &submission);
+      blob_unref (submission.content);
+      sheet_registry_free (registry);
+      if (memcmp (outcome.winner.digest, record->digest, SHEET_DIGEST_BYTES)
+          == 0)
+        return (uint8_t)(content + 1);
+    }
+  REQUIRE (false, "sheet %llu has a content that nobody submitted",
+           (unsigned long long)record->number);
+  return 0;
+}
+
+static inline void
+oracle_won (cluster_t *cluster, const sheet_record_t *record, uint8_t content)
+{
+  uint8_t *winner = &cluster->winner[record->number];
+  REQUIRE (*winner == 0 || *winner == content, "sheet %llu has two winners",
+           (unsigned long long)record->number);
+  *winner = content;
+}
+
+/* Unsynced data of a lost disk counts as the fault that it is.  */
+static inline void
+oracle_durable (const cluster_t *cluster, log_index_t index)
+{
+  int n = 0;
+  for (int i = 0; i < NODES; i++)
+    {
+      const node_t *node = &cluster->nodes[i];
+      bool has_entry = node->disk.image.snapshot.index >= index;
+      LIST_FOREACH (link, &node->disk.image.log)
+      if (LIST_ENTRY (link, entry_t, link)->index == index)
+        has_entry = true;
+      n += has_entry || node->is_lost;
+    }
+  REQUIRE (n > NODES / 2, "entry %llu was answered with %d of %d disks",
+           (unsigned long long)index, n, NODES);
+}
+
+static inline void
+oracle_answer (cluster_t *cluster, const submission_t *submission,
+               const sheet_outcome_t *outcome)
+{
+  if (outcome->verdict == SHEET_STALE)
+    return;
+  uint8_t content = (uint8_t)(submission->content + 1);
+  bool is_accepted = outcome->verdict == SHEET_ACCEPTED;
+  uint8_t won = is_accepted ? content : content_of (&outcome->winner);
+  REQUIRE (is_accepted || won != content, "a conflict with itself");
+  oracle_won (cluster, &outcome->winner, won);
+  if (is_accepted)
+    {
+      oracle_durable (cluster, outcome->winner.index);
+      cluster->is_accepted[submission->number] = true;
+      cluster->n_accepted++;
+    }
+  else
+    cluster->n_conflicts++;
+}
+
+static inline void
+disk_apply (disk_t *disk, const persist_t *persist)
+{
+  replica_image_t *image = &disk->image;
+  image->incarnation = persist->incarnation;
+  image->vote = persist->vote;
+  if (persist->replaces)
+    {
+      blob_unref (image->snapshot.data);
+      image->snapshot = persist->snapshot;
+      if (image->snapshot.data)
+        blob_ref (image->snapshot.data);
+    }
+  LIST_FOREACH (link, &image->log)
+  {
+    entry_t *entry = LIST_ENTRY (link, entry_t, link);
+    if (!persist->replaces && entry->index <= persist->keep)
+      continue;
+    list_remove (link);
+    entry_unref (entry);
+  }
+  for (size_t i = 0; i < persist->n_entries; i++)
+    {
+      entry_t *copy = entry_new (persist->entries[i]->kind);
+      copy->index = persist->entries[i]->index;
+      copy->term = persist->entries[i]->term;
+      copy->body = persist->entries[i]->body;
+      if (copy->kind == ENTRY_SHEET)
+        blob_ref (copy->body.sheet.content);
+      list_push_back (&image->log, &copy->link);
+    }
+}
+
+static inline void
+disk_clear (disk_t *disk)
+{
+  blob_unref (disk->image.snapshot.data);
+  LIST_FOREACH (link, &disk->image.log)
+  entry_unref (LIST_ENTRY (link, entry_t, link));
+  memset (&disk->image, 0, sizeof disk->image);
+  disk->image.vote.slot = SLOT_NONE;
+  list_init (&disk->image.log);
+}
+
+static inline void
+disk_drop_pending (disk_t *disk)
+{
+  list_t *link;
+  while ((link = list_pop_front (&disk->pending)))
+    action_free (LIST_ENTRY (link, action_t, link));
+}
+
+static inline void cluster_step (cluster_t *cluster, slot_t slot,
+                                 const event_t *event);
+
+static inline void
+cluster_send (cluster_t *cluster, const message_t *message)
+{
+  if (cluster->n_packets >= PACKETS_MAX)
+    return;
+  packet_t *packet = calloc (1, sizeof *packet);
+  packet->from = message->from;
+  packet->to = message->to;
+  packet->bytes = message_encode (message);
+  REQUIRE (packet->bytes->length <= MESSAGE_BYTES + LARGE_CONTENT_BYTES + 256,
+           "a message of %u bytes", packet->bytes->length);
+  list_push_back (&cluster->packets, &packet->link);
+  cluster->n_packets++;
+}
+
+static inline void
+cluster_show (cluster_t *cluster, node_t *node)
+{
+  const sheet_record_t *newest = sheet_registry_newest (node->registry);
+  if (!newest)
+    return;
+  REQUIRE (newest->number >= node->shown, "a replica went back to %llu",
+           (unsigned long long)newest->number);
+  node->shown = newest->number;
+  (void)cluster;
+}
+
+static inline void
+cluster_apply (cluster_t *cluster, slot_t slot, const entry_t *entry)
+{
+  node_t *node = &cluster->nodes[slot];
+  REQUIRE (entry->index == node->applied + 1, "entry %llu applied after %llu",
+           (unsigned long long)entry->index,
+           (unsigned long long)node->applied);
+  node->applied = entry->index;
+  REQUIRE (entry->index < INDEXES_MAX, "the log is too long for the test");
+  term_t *term = &cluster->applied_term[entry->index];
+  REQUIRE (*term == 0 || *term == entry->term,
+           "entry %llu differs between replicas",
+           (unsigned long long)entry->index);
+  *term = entry->term;
+  if (entry->kind != ENTRY_SHEET)
+    return;
+  sheet_outcome_t outcome = sheet_registry_apply (node->registry, entry->index,
+                                                  &entry->body.sheet);
+  if (outcome.verdict == SHEET_ACCEPTED)
+    oracle_won (cluster, &outcome.winner, content_of (&outcome.winner));
+  if (entry->proposal != 0)
+    oracle_answer (cluster, &cluster->proposals[entry->proposal % PROPOSALS],
+                   &outcome);
+  cluster_show (cluster, node);
+}
+
+static inline void
+cluster_restore (cluster_t *cluster, slot_t slot, const action_t *action)
+{
+  node_t *node = &cluster->nodes[slot];
+  REQUIRE (action->body.restore.index >= node->applied, "a restore goes back");
+  node->applied = action->body.restore.index;
+  REQUIRE (
+      sheet_registry_restore (node->registry, action->body.restore.data, NULL),
+      "a snapshot is not legal");
+  cluster_show (cluster, node);
+}
+
+static inline void
+cluster_save (cluster_t *cluster, slot_t slot, log_index_t index)
+{
+  blob_t *data = sheet_registry_save (cluster->nodes[slot].registry);
+  event_t event = { .kind = EVENT_SNAPSHOT };
+  event.body.snapshot.index = index;
+  event.body.snapshot.data = data;
+  cluster_step (cluster, slot, &event);
+  blob_unref (data);
+}
+
+static inline void
+oracle_lease (const cluster_t *cluster)
+{
+  int n = 0;
+  for (int i = 0; i < NODES; i++)
+    n += cluster->nodes[i].replica
+         && replica_holds_lease (cluster->nodes[i].replica, cluster->now);
+  REQUIRE (n <= 1, "%d replicas hold the lease", n);
+}
+
+static inline void
+cluster_step (cluster_t *cluster, slot_t slot, const event_t *event)
+{
+  list_t actions;
+  list_init (&actions);
+  replica_step (cluster->nodes[slot].replica, cluster->now, event, &actions);
+  list_t *link;
+  while ((link = list_pop_front (&actions)))
+    {
+      action_t *action = LIST_ENTRY (link, action_t, link);
+      switch (action->kind)
+        {
+        case ACTION_SEND:
+          cluster_send (cluster, &action->body.send);
+          break;
+        case ACTION_PERSIST:
+          list_push_back (&cluster->nodes[slot].disk.pending, &action->link);
+          continue;
+        case ACTION_APPLY:
+          cluster_apply (cluster, slot, action->body.apply);
+          break;
+        case ACTION_RESTORE:
+          cluster_restore (cluster, slot, action);
+          break;
+        case ACTION_TAKE_SNAPSHOT:
+          cluster_save (cluster, slot, action->body.take_snapshot);
+          break;
+        case ACTION_REFUSE:
+          break;
+        }
+      action_free (action);
+    }
+}
+
+static inline bool
+node_runs (const node_t *node)
+{
+  return node->replica && !node->is_frozen;
+}
+
+static inline void
+cluster_start (cluster_t *cluster, slot_t slot)
+{
+  node_t *node = &cluster->nodes[slot];
+  if (node->replica)
+    return;
+  replica_image_t image = node->disk.image;
+  list_init (&image.log);
+  disk_t copy = { .image = image };
+  copy.image.snapshot.data = NULL;
+  persist_t all = { .incarnation = image.incarnation, .vote = image.vote };
+  entry_t *entries[INDEXES_MAX / 16];
+  all.entries = entries;
+  LIST_FOREACH (link, &node->disk.image.log)
+  entries[all.n_entries++] = LIST_ENTRY (link, entry_t, link);
+  list_init (&copy.image.log);
+  disk_apply (&copy, &all);
+  copy.image.snapshot = image.snapshot;
+  if (image.snapshot.data)
+    blob_ref (image.snapshot.data);
+  replica_options_t options = { .slot = slot,
+                                .n_slots = NODES,
+                                .snapshot_entries = 8,
+                                .seed = ++cluster->seed };
+  node->replica = replica_new (&options, &copy.image, cluster->now);
+  node->registry = sheet_registry_new ();
+  node->applied = image.snapshot.data ? 0 : image.snapshot.index;
+  node->shown = 0;
+  node->is_frozen = false;
+}
+
+/* SURVIVING of the unsynced writes have reached the disk all the same.  */
+static inline void
+cluster_crash (cluster_t *cluster, slot_t slot, int surviving)
+{
+  node_t *node = &cluster->nodes[slot];
+  if (!node->replica)
+    return;
+  list_t *link;
+  while (surviving-- > 0 && (link = list_pop_front (&node->disk.pending)))
+    {
+      action_t *action = LIST_ENTRY (link, action_t, link);
+      disk_apply (&node->disk, &action->body.persist);
+      action_free (action);
+    }
+  disk_drop_pending (&node->disk);
+  replica_free (node->replica);
+  sheet_registry_free (node->registry);
+  node->replica = NULL;
+  node->registry = NULL;
+  node->is_frozen = false;
+}
+
+static inline int
+cluster_losses (const cluster_t *cluster)
+{
+  int n = 0;
+  for (int i = 0; i < NODES; i++)
+    n += cluster->nodes[i].is_lost;
+  return n;
+}
+
+/* Kill it and wipe its data folder, unless a majority would be lost.  */
+static inline bool
+cluster_lose_disk (cluster_t *cluster, slot_t slot)
+{
+  node_t *node = &cluster->nodes[slot];
+  if (!node->is_lost && cluster_losses (cluster) >= LOSSES_MAX)
+    return false;
+  cluster_crash (cluster, slot, 0);
+  disk_clear (&node->disk);
+  node->is_lost = true;
+  return true;
+}
+
+static inline void
+cluster_sync (cluster_t *cluster, slot_t slot)
+{
+  node_t *node = &cluster->nodes[slot];
+  if (!node_runs (node) || list_empty (&node->disk.pending))
+    return;
+  list_t *link = list_pop_front (&node->disk.pending);
+  action_t *action = LIST_ENTRY (link, action_t, link);
+  disk_apply (&node->disk, &action->body.persist);
+  event_t event
+      = { .kind = EVENT_SYNCED, .body.synced = action->body.persist.sequence };
+  action_free (action);
+  const replica_image_t *image = &node->disk.image;
+  if (image->snapshot.config.incarnation[slot] == image->incarnation)
+    node->is_lost = false;
+  cluster_step (cluster, slot, &event);
+}
+
+static inline packet_t *
+cluster_packet (cluster_t *cluster, size_t i)
+{
+  if (cluster->n_packets == 0)
+    return NULL;
+  i %= cluster->n_packets;
+  LIST_FOREACH (link, &cluster->packets)
+  if (i-- == 0)
+    return LIST_ENTRY (link, packet_t, link);
+  return NULL;
+}
+
+static inline void
+cluster_drop (cluster_t *cluster, packet_t *packet)
+{
+  list_remove (&packet->link);
+  cluster->n_packets--;
+  blob_unref (packet->bytes);
+  free (packet);
+}
+
+static inline void
+cluster_receive (cluster_t *cluster, const packet_t *packet)
+{
+  message_t message;
+  REQUIRE (message_decode (&message, packet->bytes->bytes,
+                           packet->bytes->length, NULL),
+           "a message does not decode");
+  event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+  cluster_step (cluster, packet->to, &event);
+  message_clear (&message);
+}
+
+/* A frozen process leaves it in its socket's buffer.  */
+static inline void
+cluster_deliver (cluster_t *cluster, packet_t *packet, bool again)
+{
+  if (!packet || cluster->nodes[packet->to].is_frozen)
+    return;
+  if (cluster->nodes[packet->to].replica
+      && !cluster->cut[packet->from][packet->to])
+    cluster_receive (cluster, packet);
+  if (!again)
+    cluster_drop (cluster, packet);
+}
+
+static inline void
+cluster_tick (cluster_t *cluster)
+{
+  cluster->now += TICK;
+  event_t event = { .kind = EVENT_TICK };
+  for (slot_t slot = 0; slot < NODES; slot++)
+    if (node_runs (&cluster->nodes[slot]))
+      cluster_step (cluster, slot, &event);
+  oracle_lease (cluster);
+}
+
+/* One tick with a quick network and quick disks.  */
+static inline void
+cluster_round (cluster_t *cluster)
+{
+  cluster_tick (cluster);
+  for (int pass = 0; pass < 3; pass++)
+    {
+      for (slot_t slot = 0; slot < NODES; slot++)
+        while (node_runs (&cluster->nodes[slot])
+               && !list_empty (&cluster->nodes[slot].disk.pending))
+          cluster_sync (cluster, slot);
+      size_t n = cluster->n_packets;
+      LIST_FOREACH (link, &cluster->packets)
+      {
+        if (n-- == 0)
+          break;
+        cluster_deliver (cluster, LIST_ENTRY (link, packet_t, link), false);
+      }
+    }
+}
+
+static inline void
+cluster_submit (cluster_t *cluster, slot_t slot, uint64_t number, int content)
+{
+  node_t *node = &cluster->nodes[slot];
+  if (!node_runs (node) || number == 0 || number >= NUMBERS_MAX)
+    return;
+  if (number > cluster->highest)
+    cluster->highest = number;
+  submission_t submission = { .number = number, .content = content };
+  name_t operator_name = { "operator" };
+  blob_t *blob = content_new (number, content);
+  entry_t *entry = entry_new_sheet (number, &operator_name, blob);
+  blob_unref (blob);
+  sheet_outcome_t outcome;
+  if (sheet_registry_find (node->registry, &entry->body.sheet, &outcome))
+    oracle_answer (cluster, &submission, &outcome);
+  else
+    {
+      proposal_id_t id = ++cluster->next_proposal;
+      cluster->proposals[id % PROPOSALS] = submission;
+      event_t event = { .kind = EVENT_PROPOSE };
+      event.body.propose.id = id;
+      event.body.propose.entry = entry;
+      cluster_step (cluster, slot, &event);
+    }
+  entry_unref (entry);
+}
+
+/* A receiver without a disk asks SLOT for its version.  */
+static inline void
+cluster_pull (cluster_t *cluster, int receiver, slot_t slot)
+{
+  const node_t *node = &cluster->nodes[slot];
+  if (!node_runs (node))
+    return;
+  const sheet_record_t *newest = sheet_registry_newest (node->registry);
+  if (!newest || newest->number <= cluster->receiver[receiver])
+    return;
+  oracle_won (cluster, newest, content_of (newest));
+  cluster->receiver[receiver] = newest->number;
+}
+
+static inline slot_t
+cluster_leader (const cluster_t *cluster)
+{
+  for (slot_t slot = 0; slot < NODES; slot++)
+    if (node_runs (&cluster->nodes[slot])
+        && replica_holds_lease (cluster->nodes[slot].replica, cluster->now))
+      return slot;
+  return SLOT_NONE;
+}
+
+static inline void
+cluster_init (cluster_t *cluster, uint64_t seed)
+{
+  memset (cluster, 0, sizeof *cluster);
+  cluster->seed = seed * 1000;
+  cluster->now = USEC_PER_SEC;
+  list_init (&cluster->packets);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    {
+      disk_t *disk = &cluster->nodes[slot].disk;
+      list_init (&disk->pending);
+      list_init (&disk->image.log);
+      disk->image.vote.slot = SLOT_NONE;
+      cluster_start (cluster, slot);
+    }
+}
+
+static inline void
+cluster_heal (cluster_t *cluster)
+{
+  memset (cluster->cut, 0, sizeof cluster->cut);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    {
+      cluster->nodes[slot].is_frozen = false;
+      cluster_start (cluster, slot);
+    }
+}
+
+static inline bool
+cluster_is_whole (const cluster_t *cluster)
+{
+  slot_t leader = cluster_leader (cluster);
+  if (leader == SLOT_NONE || cluster_losses (cluster) > 0)
+    return false;
+  replica_status_t status = replica_status (cluster->nodes[leader].replica);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    if (!node_runs (&cluster->nodes[slot])
+        || cluster->nodes[slot].applied != status.last)
+      return false;
+  return true;
+}
+
+static inline void
+cluster_print (const cluster_t *cluster)
+{
+  for (slot_t slot = 0; slot < NODES; slot++)
+    {
+      const node_t *node = &cluster->nodes[slot];
+      replica_status_t s = replica_status (node->replica);
+      fprintf (stderr,
+               "slot=%d role=%s term=%llu leader=%d last=%llu commit=%llu "
+               "applied=%llu snapshot=%llu pending=%d lost=%d "
+               "incarnation=%llx cluster=%llx config=",
+               slot, replica_role_name (s.role), (unsigned long long)s.term,
+               s.leader, (unsigned long long)s.last,
+               (unsigned long long)s.commit, (unsigned long long)s.applied,
+               (unsigned long long)s.snapshot, s.pending_slot, node->is_lost,
+               (unsigned long long)s.incarnation,
+               (unsigned long long)s.config.cluster);
+      for (int i = 0; i < NODES; i++)
+        fprintf (stderr, "%llx ", (unsigned long long)s.config.incarnation[i]);
+      fputc ('\n', stderr);
+    }
+}
+
+/* Run until all replicas have a vote and the same state.  */
+static inline void
+cluster_settle (cluster_t *cluster)
+{
+  int rounds = 0;
+  while (!cluster_is_whole (cluster))
+    {
+      if (++rounds == SETTLE_ROUNDS)
+        cluster_print (cluster);
+      REQUIRE (rounds < SETTLE_ROUNDS, "the cluster does not settle");
+      cluster_round (cluster);
+    }
+}
+
+/* Heal all and require that every accepted sheet is still there, everywhere,
+   and that a new one is accepted.  */
+static inline void
+cluster_judge (cluster_t *cluster)
+{
+  cluster_heal (cluster);
+  cluster_settle (cluster);
+  uint64_t number = cluster->highest + 1;
+  cluster_submit (cluster, cluster_leader (cluster), number, 0);
+  cluster_settle (cluster);
+  REQUIRE (cluster->is_accepted[number], "sheet %llu is not accepted",
+           (unsigned long long)number);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    for (uint64_t i = 1; i <= number; i++)
+      {
+        if (!cluster->is_accepted[i])
+          continue;
+        sheet_submission_t sheet
+            = { .number = i,
+                .content = content_new (i, cluster->winner[i] - 1) };
+        sheet_outcome_t outcome = { .verdict = SHEET_STALE };
+        bool found = sheet_registry_find (cluster->nodes[slot].registry,
+                                          &sheet, &outcome);
+        blob_unref (sheet.content);
+        REQUIRE (found && outcome.verdict == SHEET_ACCEPTED,
+                 "replica %d forgot sheet %llu", slot, (unsigned long long)i);
+      }
+}
+
+static inline void
+cluster_free (cluster_t *cluster)
+{
+  for (slot_t slot = 0; slot < NODES; slot++)
+    {
+      cluster_crash (cluster, slot, 0);
+      disk_clear (&cluster->nodes[slot].disk);
+    }
+  while (cluster->n_packets > 0)
+    cluster_drop (cluster, cluster_packet (cluster, 0));
+}
+
+#endif
