--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -56,6 +56,8 @@
     options->election = REPLICA_ELECTION;
   if (options->snapshot_entries == 0)
     options->snapshot_entries = SNAPSHOT_ENTRIES;
+  if (options->snapshot_bytes == 0)
+    options->snapshot_bytes = REPLICA_SNAPSHOT_BYTES;
 }
 
 static void
@@ -201,8 +203,9 @@
 snapshot_ask (replica_t *replica, bool swapped)
 {
   log_index_t since = replica->applied - replica->snapshot.index;
-  if (replica->snapshot_asked
-      || (!swapped && since < replica->options.snapshot_entries))
+  bool is_due = swapped || since >= replica->options.snapshot_entries
+                || replica->log_bytes >= replica->options.snapshot_bytes;
+  if (replica->snapshot_asked || !is_due)
     return;
   replica->snapshot_asked = true;
   replica_action (replica, ACTION_TAKE_SNAPSHOT)->body.take_snapshot
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -27,7 +27,8 @@
   REPLICA_PROPOSALS_MAX = 64, /* entries that wait for their quorum */
 };
 
-#define REPLICA_PROPOSAL_BYTES_MAX ((size_t)8 * 1024 * 1024)
+#define REPLICA_PROPOSAL_BYTES_MAX ((size_t)4 * 1024 * 1024)
+#define REPLICA_SNAPSHOT_BYTES ((size_t)2 * 1024 * 1024)
 #define REPLICA_HEARTBEAT (50 * USEC_PER_MSEC)
 #define REPLICA_ELECTION (400 * USEC_PER_MSEC)
 #define REPLICA_JOIN_INTERVAL (200 * USEC_PER_MSEC)
@@ -64,6 +65,7 @@
   usec_t heartbeat;
   usec_t election; /* shortest silence of a leader before another is chosen */
   uint32_t snapshot_entries; /* applied between two snapshots */
+  size_t snapshot_bytes;     /* or so many bytes of them */
   uint64_t seed;
 } replica_options_t;
 
--- a/src/agreement/replica_internal.h
+++ b/src/agreement/replica_internal.h
@@ -60,6 +60,7 @@
   log_index_t last; /* of the log, or the snapshot's where it is empty */
   term_t last_term;
   size_t n_entries;
+  size_t log_bytes;
   log_index_t commit;
   log_index_t applied;
   replica_config_t applied_config;
--- a/src/agreement/replica_log.c
+++ b/src/agreement/replica_log.c
@@ -40,6 +40,7 @@
   replica->last = entry->index;
   replica->last_term = entry->term;
   replica->n_entries++;
+  replica->log_bytes += entry_bytes (entry);
   replica->is_dirty = true;
   if (entry->kind == ENTRY_SWAP)
     config_refresh (replica);
@@ -50,6 +51,7 @@
 {
   list_remove (&entry->link);
   replica->n_entries--;
+  replica->log_bytes -= entry_bytes (entry);
   entry_unref (entry);
 }
 
--- /dev/null
+++ b/src/agreement/storage.c
@@ -0,0 +1,225 @@
+#include "agreement/storage.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "agreement/storage_record.h"
+
+#define LOG_NAME "log"
+#define LOG_NEW_NAME "log.new"
+
+struct storage
+{
+  char folder[256];
+  int folder_fd;
+  int log_fd;   /* -1 before the first record */
+  uint64_t end; /* of the log's records, all synced */
+  bool has_failed;
+};
+
+static bool
+fail (storage_t *storage, const char *what, err_t *err)
+{
+  int error = errno;
+  storage->has_failed = true;
+  return err_set (err, ERR_STORAGE,
+                  "free or mend the data folder's disk and restart the "
+                  "process",
+                  "can't %s in %s: %s", what, storage->folder,
+                  strerror (error));
+}
+
+static void
+image_clear (replica_image_t *image)
+{
+  blob_unref (image->snapshot.data);
+  LIST_FOREACH (link, &image->log)
+  entry_unref (LIST_ENTRY (link, entry_t, link));
+  memset (image, 0, sizeof *image);
+  list_init (&image->log);
+  image->vote.slot = SLOT_NONE;
+}
+
+static bool
+read_all (storage_t *storage, uint8_t *data, size_t length, err_t *err)
+{
+  size_t done = 0;
+  while (done < length)
+    {
+      ssize_t n
+          = pread (storage->log_fd, data + done, length - done, (off_t)done);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n <= 0)
+        return fail (storage, "read the log", err);
+      done += (size_t)n;
+    }
+  return true;
+}
+
+/* What was read may never have been synced by the process that wrote it; what
+   was cut must not come back.  */
+static bool
+settle (storage_t *storage, size_t length, err_t *err)
+{
+  if (storage->end < length
+      && ftruncate (storage->log_fd, (off_t)storage->end) != 0)
+    return fail (storage, "cut the log's end", err);
+  if (fsync (storage->log_fd) != 0 || fsync (storage->folder_fd) != 0)
+    return fail (storage, "sync the log", err);
+  return true;
+}
+
+static bool
+load (storage_t *storage, replica_image_t *image, err_t *err)
+{
+  storage->log_fd = openat (storage->folder_fd, LOG_NAME, O_RDWR | O_CLOEXEC);
+  if (storage->log_fd < 0)
+    return errno == ENOENT || fail (storage, "open the log", err);
+  struct stat status;
+  if (fstat (storage->log_fd, &status) != 0)
+    return fail (storage, "read the log", err);
+  size_t length = (size_t)status.st_size;
+  uint8_t *data = malloc (length + 1);
+  if (!data)
+    abort ();
+  size_t end = 0;
+  bool ok = read_all (storage, data, length, err);
+  if (ok && !records_read (image, data, length, &end, err))
+    ok = err_prefix (err, "data folder %s", storage->folder);
+  free (data);
+  storage->end = end;
+  return ok && settle (storage, length, err);
+}
+
+static bool
+open_folder (storage_t *storage, const char *folder, err_t *err)
+{
+  snprintf (storage->folder, sizeof storage->folder, "%s", folder);
+  storage->folder_fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (storage->folder_fd < 0)
+    return fail (storage, "open the data folder", err);
+  if (flock (storage->folder_fd, LOCK_EX | LOCK_NB) != 0)
+    return fail (storage, "lock the data folder", err);
+  return true;
+}
+
+storage_t *
+storage_open (const char *folder, replica_image_t *image, err_t *err)
+{
+  storage_t *storage = calloc (1, sizeof *storage);
+  if (!storage)
+    abort ();
+  storage->log_fd = -1;
+  memset (image, 0, sizeof *image);
+  list_init (&image->log);
+  image->vote.slot = SLOT_NONE;
+  if (open_folder (storage, folder, err) && load (storage, image, err))
+    return storage;
+  image_clear (image);
+  storage_close (storage);
+  return NULL;
+}
+
+void
+storage_close (storage_t *storage)
+{
+  if (storage->log_fd >= 0)
+    close (storage->log_fd);
+  if (storage->folder_fd >= 0)
+    close (storage->folder_fd);
+  free (storage);
+}
+
+static bool
+write_all (int fd, uint64_t *at, const void *bytes, size_t length)
+{
+  size_t done = 0;
+  while (done < length)
+    {
+      ssize_t n = pwrite (fd, (const uint8_t *)bytes + done, length - done,
+                          (off_t)(*at + done));
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0)
+        return false;
+      done += (size_t)n;
+    }
+  *at += length;
+  return true;
+}
+
+static bool
+write_record (int fd, uint64_t *at, const blob_t *payload, uint64_t synced_end)
+{
+  uint8_t padding[RECORD_ALIGN_BYTES];
+  memset (padding, 0xff, sizeof padding);
+  uint8_t header[RECORD_HEADER_BYTES];
+  record_header_encode (header, payload, synced_end);
+  return write_all (fd, at, header, sizeof header)
+         && write_all (fd, at, payload->bytes, payload->length)
+         && write_all (fd, at, padding,
+                       record_padded (payload->length) - payload->length);
+}
+
+static bool
+append (storage_t *storage, blob_t *const *records, size_t n, err_t *err)
+{
+  uint64_t at = storage->end;
+  for (size_t i = 0; i < n; i++)
+    if (!write_record (storage->log_fd, &at, records[i], storage->end))
+      return fail (storage, "write the log", err);
+  if (fdatasync (storage->log_fd) != 0)
+    return fail (storage, "sync the log", err);
+  storage->end = at;
+  return true;
+}
+
+static bool
+replace (storage_t *storage, const blob_t *record, err_t *err)
+{
+  int fd = openat (storage->folder_fd, LOG_NEW_NAME,
+                   O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return fail (storage, "create a new log", err);
+  uint64_t at = 0;
+  if (!write_record (fd, &at, record, 0) || fsync (fd) != 0
+      || renameat (storage->folder_fd, LOG_NEW_NAME, storage->folder_fd,
+                   LOG_NAME)
+             != 0
+      || fsync (storage->folder_fd) != 0)
+    {
+      fail (storage, "write a new log", err);
+      close (fd);
+      return false;
+    }
+  if (storage->log_fd >= 0)
+    close (storage->log_fd);
+  storage->log_fd = fd;
+  storage->end = at;
+  return true;
+}
+
+bool
+storage_write (storage_t *storage, blob_t *const *records, size_t n,
+               bool replaces, err_t *err)
+{
+  if (storage->has_failed)
+    return err_set (err, ERR_STORAGE, "mend the disk and restart the process",
+                    "an earlier write to %s failed", storage->folder);
+  if (replaces)
+    return replace (storage, records[0], err);
+  return append (storage, records, n, err);
+}
+
+uint64_t
+storage_bytes (const storage_t *storage)
+{
+  return storage->end;
+}
--- /dev/null
+++ b/test/unit/test_agreement_storage.c
@@ -0,0 +1,310 @@
+/* Tests of agreement's storage: what survives and what stops the replica.  */
+
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "agreement/storage.h"
+
+enum
+{
+  CONTENT_BYTES = 700,
+};
+
+static char *
+folder_new (void)
+{
+  char *folder = g_dir_make_tmp ("agreement-XXXXXX", NULL);
+  g_assert_nonnull (folder);
+  return folder;
+}
+
+static void
+folder_free (char *folder)
+{
+  const char *names[] = { "log", "log.new" };
+  for (int i = 0; i < 2; i++)
+    {
+      char *path = g_build_filename (folder, names[i], NULL);
+      g_unlink (path);
+      g_free (path);
+    }
+  g_rmdir (folder);
+  g_free (folder);
+}
+
+static void
+image_clear (replica_image_t *image)
+{
+  blob_unref (image->snapshot.data);
+  LIST_FOREACH (link, &image->log)
+  entry_unref (LIST_ENTRY (link, entry_t, link));
+  list_init (&image->log);
+}
+
+static log_index_t
+image_last (const replica_image_t *image)
+{
+  if (list_empty (&image->log))
+    return image->snapshot.index;
+  return LIST_ENTRY (image->log.prev, entry_t, link)->index;
+}
+
+static bool
+write_persist (storage_t *storage, const persist_t *persist, err_t *err)
+{
+  blob_t *record = storage_encode (persist);
+  bool ok = storage_write (storage, &record, 1, persist->replaces, err);
+  blob_unref (record);
+  return ok;
+}
+
+static bool
+write_snapshot (storage_t *storage, log_index_t index, err_t *err)
+{
+  persist_t persist = { .incarnation = 7,
+                        .vote = { .term = 3, .slot = 1, .incarnation = 9 },
+                        .replaces = true };
+  persist.snapshot.index = index;
+  persist.snapshot.config.n_slots = 3;
+  persist.snapshot.data = blob_new ("state", 5);
+  bool ok = write_persist (storage, &persist, err);
+  blob_unref (persist.snapshot.data);
+  return ok;
+}
+
+static bool
+write_entry (storage_t *storage, log_index_t index, term_t term, err_t *err)
+{
+  name_t name = { "operator" };
+  blob_t *content = blob_new (NULL, CONTENT_BYTES);
+  memset (content->bytes, 'x', content->length);
+  entry_t *entry = entry_new_sheet (index, &name, content);
+  entry->index = index;
+  entry->term = term;
+  persist_t persist = { .incarnation = 7,
+                        .vote = { .term = term, .slot = SLOT_NONE },
+                        .keep = index - 1,
+                        .n_entries = 1,
+                        .entries = &entry };
+  bool ok = write_persist (storage, &persist, err);
+  entry_unref (entry);
+  blob_unref (content);
+  return ok;
+}
+
+/* A folder with a snapshot at 4 and N entries after it.  */
+static char *
+folder_with (log_index_t n)
+{
+  char *folder = folder_new ();
+  replica_image_t image;
+  storage_t *storage = storage_open (folder, &image, NULL);
+  g_assert_nonnull (storage);
+  g_assert_cmpuint (image.incarnation, ==, 0);
+  g_assert_true (write_snapshot (storage, 4, NULL));
+  for (log_index_t i = 5; i < 5 + n; i++)
+    g_assert_true (write_entry (storage, i, 3, NULL));
+  storage_close (storage);
+  return folder;
+}
+
+static char *
+log_read (const char *folder, gsize *length)
+{
+  char *path = g_build_filename (folder, "log", NULL);
+  char *data = NULL;
+  g_assert_true (g_file_get_contents (path, &data, length, NULL));
+  g_free (path);
+  return data;
+}
+
+static void
+log_write_bytes (const char *folder, const char *data, gsize length)
+{
+  char *path = g_build_filename (folder, "log", NULL);
+  g_assert_true (g_file_set_contents (path, data, (gssize)length, NULL));
+  g_free (path);
+}
+
+/* The last index that FOLDER holds; fails where it can't be opened.  */
+static log_index_t
+reopen (const char *folder)
+{
+  replica_image_t image;
+  err_t err = { 0 };
+  storage_t *storage = storage_open (folder, &image, &err);
+  g_assert_cmpstr (err.message, ==, "");
+  g_assert_cmpuint (image.incarnation, ==, 7);
+  log_index_t last = image_last (&image);
+  image_clear (&image);
+  storage_close (storage);
+  return last;
+}
+
+static void
+test_what_was_written_is_read (void)
+{
+  char *folder = folder_with (3);
+  replica_image_t image;
+  storage_t *storage = storage_open (folder, &image, NULL);
+  g_assert_cmpuint (image_last (&image), ==, 7);
+  g_assert_cmpuint (image.snapshot.index, ==, 4);
+  g_assert_cmpmem (image.snapshot.data->bytes, image.snapshot.data->length,
+                   "state", 5);
+  image_clear (&image);
+  g_assert_true (write_entry (storage, 6, 4, NULL));
+  storage_close (storage);
+  g_assert_cmpuint (reopen (folder), ==, 6);
+  folder_free (folder);
+}
+
+static void
+test_folder_has_one_owner (void)
+{
+  char *folder = folder_with (1);
+  replica_image_t image;
+  replica_image_t other;
+  err_t err = { 0 };
+  storage_t *storage = storage_open (folder, &image, NULL);
+  g_assert_null (storage_open (folder, &other, &err));
+  g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+  image_clear (&image);
+  storage_close (storage);
+  folder_free (folder);
+}
+
+static void
+test_torn_tail_is_cut_at_every_byte (void)
+{
+  char *folder = folder_with (2);
+  gsize length = 0;
+  char *data = log_read (folder, &length);
+  char *short_folder = folder_with (1);
+  gsize before = 0;
+  g_free (log_read (short_folder, &before));
+  folder_free (short_folder);
+  for (gsize cut = before; cut < length; cut += 7)
+    {
+      log_write_bytes (folder, data, cut);
+      g_assert_cmpuint (reopen (folder), ==, 5);
+    }
+  for (gsize cut = before; cut + 512 < length; cut += 64)
+    {
+      char *torn = g_memdup2 (data, length);
+      memset (torn + cut, 0, length - cut);
+      log_write_bytes (folder, torn, length);
+      g_assert_cmpuint (reopen (folder), ==, 5);
+      g_free (torn);
+    }
+  g_free (data);
+  folder_free (folder);
+}
+
+static void
+test_damage_of_synced_records_stops (void)
+{
+  char *folder = folder_with (3);
+  gsize length = 0;
+  char *data = log_read (folder, &length);
+  for (gsize at = 0; at < length; at += 5)
+    {
+      char *damaged = g_memdup2 (data, length);
+      damaged[at] ^= 0x10;
+      log_write_bytes (folder, damaged, length);
+      g_free (damaged);
+      replica_image_t image;
+      err_t err = { 0 };
+      storage_t *storage = storage_open (folder, &image, &err);
+      if (storage)
+        {
+          /* Padding and reserved bytes carry nothing.  */
+          g_assert_cmpuint (image_last (&image), ==, 7);
+          image_clear (&image);
+          storage_close (storage);
+          continue;
+        }
+      g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+      g_assert_cmpstr (err.remedy, !=, "");
+    }
+  log_write_bytes (folder, data, 0);
+  replica_image_t image;
+  g_assert_null (storage_open (folder, &image, NULL));
+  g_free (data);
+  folder_free (folder);
+}
+
+static void
+test_unfinished_snapshot_is_ignored (void)
+{
+  char *folder = folder_with (2);
+  char *path = g_build_filename (folder, "log.new", NULL);
+  g_assert_true (g_file_set_contents (path, "half", 4, NULL));
+  g_free (path);
+  g_assert_cmpuint (reopen (folder), ==, 6);
+  folder_free (folder);
+}
+
+/* A file size limit stands for a full disk.  */
+static void
+test_full_disk_stops_for_good (void)
+{
+  char *folder = folder_with (1);
+  replica_image_t image;
+  storage_t *storage = storage_open (folder, &image, NULL);
+  image_clear (&image);
+  signal (SIGXFSZ, SIG_IGN);
+  struct rlimit old;
+  getrlimit (RLIMIT_FSIZE, &old);
+  struct rlimit full = { .rlim_cur = storage_bytes (storage) + 300,
+                         .rlim_max = old.rlim_max };
+  setrlimit (RLIMIT_FSIZE, &full);
+  err_t err = { 0 };
+  g_assert_false (write_entry (storage, 6, 3, &err));
+  setrlimit (RLIMIT_FSIZE, &old);
+  g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+  g_assert_false (write_entry (storage, 6, 3, &err));
+  storage_close (storage);
+  g_assert_cmpuint (reopen (folder), ==, 5);
+  folder_free (folder);
+}
+
+static void
+test_unusable_folder_stops (void)
+{
+  const char *folders[] = { "/proc/self", "/nowhere" };
+  for (int i = 0; i < 2; i++)
+    {
+      replica_image_t image;
+      err_t err = { 0 };
+      storage_t *storage = storage_open (folders[i], &image, &err);
+      if (storage)
+        {
+          g_assert_false (write_snapshot (storage, 1, &err));
+          storage_close (storage);
+        }
+      g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/agreement/storage/round-trip",
+                   test_what_was_written_is_read);
+  g_test_add_func ("/agreement/storage/owner", test_folder_has_one_owner);
+  g_test_add_func ("/agreement/storage/torn",
+                   test_torn_tail_is_cut_at_every_byte);
+  g_test_add_func ("/agreement/storage/damage",
+                   test_damage_of_synced_records_stops);
+  g_test_add_func ("/agreement/storage/unfinished",
+                   test_unfinished_snapshot_is_ignored);
+  g_test_add_func ("/agreement/storage/full", test_full_disk_stops_for_good);
+  g_test_add_func ("/agreement/storage/folder", test_unusable_folder_stops);
+  return g_test_run ();
+}
