--- /dev/null
+++ b/test/unit/test_agreement_replica.c
@@ -0,0 +1,231 @@
+/* Tests of agreement's replica and sheet registry, one rule each.  */
+
+#include <glib.h>
+
+#include "../agreement_cluster.h"
+
+static cluster_t *
+settled_new (uint64_t seed)
+{
+  cluster_t *cluster = g_new0 (cluster_t, 1);
+  cluster_init (cluster, seed);
+  cluster_settle (cluster);
+  return cluster;
+}
+
+static void
+settled_free (cluster_t *cluster)
+{
+  cluster_free (cluster);
+  g_free (cluster);
+}
+
+static void
+accept_next (cluster_t *cluster, int content)
+{
+  uint64_t number = cluster->highest + 1;
+  cluster_submit (cluster, cluster_leader (cluster), number, content);
+  for (int i = 0; i < 8 && !cluster->is_accepted[number]; i++)
+    cluster_round (cluster);
+  g_assert_true (cluster->is_accepted[number]);
+}
+
+/* Its responses once named no cluster, so that the leader dropped them.  */
+static void
+test_blank_replica_takes_a_snapshot_of_many_chunks (void)
+{
+  cluster_t *cluster = settled_new (1);
+  for (int i = 0; i < 20; i++)
+    accept_next (cluster, LARGE_CONTENT);
+  slot_t victim = (slot_t)((cluster_leader (cluster) + 1) % NODES);
+  g_assert_true (cluster_lose_disk (cluster, victim));
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
+static void
+test_cluster_starts_only_with_all_slots (void)
+{
+  cluster_t *cluster = g_new0 (cluster_t, 1);
+  cluster_init (cluster, 1);
+  cluster_crash (cluster, 4, 0);
+  for (int i = 0; i < 400; i++)
+    cluster_round (cluster);
+  for (slot_t slot = 0; slot < 4; slot++)
+    g_assert_cmpint (replica_status (cluster->nodes[slot].replica).role, ==,
+                     ROLE_BLANK);
+  cluster_start (cluster, 4);
+  cluster_settle (cluster);
+  settled_free (cluster);
+}
+
+/* One disk that remembers is enough to keep the others from starting anew. */
+static void
+test_lost_majority_never_starts_anew (void)
+{
+  cluster_t *cluster = settled_new (1);
+  accept_next (cluster, 0);
+  for (slot_t slot = 0; slot < 4; slot++)
+    {
+      cluster_crash (cluster, slot, 0);
+      disk_clear (&cluster->nodes[slot].disk);
+    }
+  cluster_heal (cluster);
+  for (int i = 0; i < 400; i++)
+    {
+      cluster_round (cluster);
+      g_assert_cmpint (cluster_leader (cluster), ==, SLOT_NONE);
+    }
+  settled_free (cluster);
+}
+
+static void
+test_failed_disk_halts_the_replica (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t leader = cluster_leader (cluster);
+  event_t event = { .kind = EVENT_DISK_FAILED };
+  cluster_step (cluster, leader, &event);
+  uint64_t number = cluster->highest + 1;
+  cluster_submit (cluster, leader, number, 0);
+  g_assert_false (cluster->is_accepted[number]);
+  g_assert_cmpint (replica_status (cluster->nodes[leader].replica).role, ==,
+                   ROLE_HALTED);
+  for (int i = 0; i < 100; i++)
+    cluster_round (cluster);
+  g_assert_cmpint (cluster_leader (cluster), !=, SLOT_NONE);
+  g_assert_cmpint (cluster_leader (cluster), !=, leader);
+  settled_free (cluster);
+}
+
+static void
+test_thawed_leader_steps_down_first (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t leader = cluster_leader (cluster);
+  cluster->nodes[leader].is_frozen = true;
+  for (int i = 0; i < 100; i++)
+    cluster_round (cluster);
+  g_assert_cmpint (cluster_leader (cluster), !=, SLOT_NONE);
+  cluster->nodes[leader].is_frozen = false;
+  uint64_t number = cluster->highest + 1;
+  cluster_submit (cluster, leader, number, 0);
+  g_assert_cmpint (replica_status (cluster->nodes[leader].replica).role, ==,
+                   ROLE_FOLLOWER);
+  cluster_settle (cluster);
+  g_assert_false (cluster->is_accepted[number]);
+  settled_free (cluster);
+}
+
+/* A replica that was away can't depose a leader that the others hear.  */
+static void
+test_returning_replica_does_not_disturb (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t leader = cluster_leader (cluster);
+  term_t term = replica_status (cluster->nodes[leader].replica).term;
+  slot_t away = (slot_t)((leader + 1) % NODES);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    cluster->cut[away][slot] = cluster->cut[slot][away] = true;
+  for (int i = 0; i < 400; i++)
+    cluster_round (cluster);
+  cluster_heal (cluster);
+  for (int i = 0; i < 100; i++)
+    cluster_round (cluster);
+  g_assert_cmpint (cluster_leader (cluster), ==, leader);
+  g_assert_cmpuint (replica_status (cluster->nodes[leader].replica).term, ==,
+                    term);
+  settled_free (cluster);
+}
+
+static void
+test_far_behind_catches_up_in_bounds (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t away = (slot_t)((cluster_leader (cluster) + 1) % NODES);
+  cluster_crash (cluster, away, 0);
+  for (int i = 0; i < 500; i++)
+    accept_next (cluster, 0);
+  replica_status_t status
+      = replica_status (cluster->nodes[cluster_leader (cluster)].replica);
+  g_assert_cmpuint (status.n_entries, <, 32);
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
+static sheet_outcome_t
+apply (sheet_registry_t *registry, uint64_t number, const char *text)
+{
+  sheet_submission_t sheet
+      = { .number = number, .content = blob_new (text, strlen (text)) };
+  sheet_outcome_t outcome = sheet_registry_apply (registry, number, &sheet);
+  blob_unref (sheet.content);
+  return outcome;
+}
+
+static void
+test_registry_answers_by_number_and_content (void)
+{
+  sheet_registry_t *registry = sheet_registry_new ();
+  g_assert_cmpint (apply (registry, 5, "a").verdict, ==, SHEET_ACCEPTED);
+  g_assert_cmpint (apply (registry, 5, "a").verdict, ==, SHEET_ACCEPTED);
+  sheet_outcome_t conflict = apply (registry, 5, "b");
+  g_assert_cmpint (conflict.verdict, ==, SHEET_CONFLICT);
+  char digest[2 * SHEET_DIGEST_BYTES + 1];
+  sheet_digest_text (&conflict.winner, digest);
+  char *expected = g_compute_checksum_for_string (G_CHECKSUM_SHA256, "a", -1);
+  g_assert_cmpstr (digest, ==, expected);
+  g_free (expected);
+  g_assert_cmpint (apply (registry, 4, "a").verdict, ==, SHEET_STALE);
+  g_assert_cmpint (apply (registry, 6, "b").verdict, ==, SHEET_ACCEPTED);
+  g_assert_cmpint (apply (registry, 5, "a").verdict, ==, SHEET_ACCEPTED);
+  g_assert_cmpint (apply (registry, 5, "c").verdict, ==, SHEET_CONFLICT);
+  sheet_registry_free (registry);
+}
+
+static void
+test_registry_is_bounded_and_saved_whole (void)
+{
+  sheet_registry_t *registry = sheet_registry_new ();
+  for (uint64_t i = 1; i <= SHEET_HISTORY + 10; i++)
+    apply (registry, i, "x");
+  blob_t *saved = sheet_registry_save (registry);
+  sheet_registry_t *copy = sheet_registry_new ();
+  g_assert_true (sheet_registry_restore (copy, saved, NULL));
+  g_assert_cmpuint (sheet_registry_newest (copy)->number, ==,
+                    SHEET_HISTORY + 10);
+  g_assert_cmpint (apply (copy, 10, "x").verdict, ==, SHEET_STALE);
+  g_assert_cmpint (apply (copy, 11, "x").verdict, ==, SHEET_ACCEPTED);
+  g_assert_cmpint (apply (copy, 12, "y").verdict, ==, SHEET_CONFLICT);
+  saved->length--;
+  g_assert_false (sheet_registry_restore (copy, saved, NULL));
+  g_assert_cmpint (apply (copy, 11, "x").verdict, ==, SHEET_ACCEPTED);
+  blob_unref (saved);
+  sheet_registry_free (copy);
+  sheet_registry_free (registry);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/agreement/replica/blank-chunks",
+                   test_blank_replica_takes_a_snapshot_of_many_chunks);
+  g_test_add_func ("/agreement/replica/bootstrap",
+                   test_cluster_starts_only_with_all_slots);
+  g_test_add_func ("/agreement/replica/lost-majority",
+                   test_lost_majority_never_starts_anew);
+  g_test_add_func ("/agreement/replica/disk-failed",
+                   test_failed_disk_halts_the_replica);
+  g_test_add_func ("/agreement/replica/thaw",
+                   test_thawed_leader_steps_down_first);
+  g_test_add_func ("/agreement/replica/return",
+                   test_returning_replica_does_not_disturb);
+  g_test_add_func ("/agreement/replica/far-behind",
+                   test_far_behind_catches_up_in_bounds);
+  g_test_add_func ("/agreement/registry/answers",
+                   test_registry_answers_by_number_and_content);
+  g_test_add_func ("/agreement/registry/bounded",
+                   test_registry_is_bounded_and_saved_whole);
+  return g_test_run ();
+}
