--- a/src/agreement/replica_join.c
+++ b/src/agreement/replica_join.c
@@ -1,12 +1,13 @@
 #include "agreement/replica_internal.h"
 
+/* A swap that is not known to be committed may yet be overwritten.  */
 static bool
 needs_to_join (const replica_t *replica)
 {
   return replica->role == ROLE_BLANK
          || (replica->role == ROLE_FOLLOWER
-             && replica->config.incarnation[replica->options.slot]
-                    != replica->incarnation);
+             && !config_has_vote (replica, replica->options.slot,
+                                  replica->incarnation));
 }
 
 void
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -117,6 +117,33 @@
   settled_free (cluster);
 }
 
+/* A swap that only the newcomer had heard of was overwritten; it once took
+   itself for a voter for ever and no longer asked to join.  */
+static void
+test_overwritten_swap_is_asked_for_again (void)
+{
+  cluster_t *cluster = settled_new (1);
+  accept_next (cluster, 0);
+  slot_t leader = cluster_leader (cluster);
+  slot_t newcomer = (slot_t)((leader + 1) % NODES);
+  g_assert_true (cluster_lose_disk (cluster, newcomer));
+  for (int i = 0; i < 20; i++)
+    cluster_round (cluster);
+  for (slot_t slot = 0; slot < NODES; slot++)
+    cluster->cut[leader][slot] = slot != newcomer;
+  cluster_start (cluster, newcomer);
+  for (int i = 0; i < 12; i++)
+    cluster_round (cluster);
+  g_assert_cmpint (
+      replica_status (cluster->nodes[newcomer].replica).pending_slot, ==,
+      newcomer);
+  cluster_crash (cluster, leader, 0);
+  for (int i = 0; i < 100; i++)
+    cluster_round (cluster);
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
 /* A replica that was away can't depose a leader that the others hear.  */
 static void
 test_returning_replica_does_not_disturb (void)
@@ -219,6 +246,8 @@
                    test_failed_disk_halts_the_replica);
   g_test_add_func ("/agreement/replica/thaw",
                    test_thawed_leader_steps_down_first);
+  g_test_add_func ("/agreement/replica/overwritten-swap",
+                   test_overwritten_swap_is_asked_for_again);
   g_test_add_func ("/agreement/replica/return",
                    test_returning_replica_does_not_disturb);
   g_test_add_func ("/agreement/replica/far-behind",
