--- /dev/null
+++ b/src/membership/version_store.c
@@ -0,0 +1,135 @@
+#include "membership/version_store.h"
+
+#include <stdlib.h>
+
+typedef struct stored_version
+{
+  uint64_t version;
+  text_t text;
+} stored_version_t;
+
+struct version_store
+{
+  stored_version_t kept[VERSION_HISTORY]; /* newest first */
+};
+
+void
+version_answer_clear (version_answer_t *answer)
+{
+  text_clear (&answer->text);
+}
+
+version_store_t *
+version_store_new (void)
+{
+  version_store_t *store = calloc (1, sizeof *store);
+  if (!store)
+    abort ();
+  return store;
+}
+
+void
+version_store_free (version_store_t *store)
+{
+  for (int i = 0; i < VERSION_HISTORY; i++)
+    text_clear (&store->kept[i].text);
+  free (store);
+}
+
+uint64_t
+version_store_version (const version_store_t *store)
+{
+  return store->kept[0].version;
+}
+
+const text_t *
+version_store_text (const version_store_t *store)
+{
+  return store->kept[0].version > 0 ? &store->kept[0].text : NULL;
+}
+
+bool
+version_store_put (version_store_t *store, uint64_t version, text_t *text)
+{
+  if (version <= store->kept[0].version)
+    {
+      text_clear (text);
+      return false;
+    }
+  text_clear (&store->kept[VERSION_HISTORY - 1].text);
+  for (int i = VERSION_HISTORY - 1; i > 0; i--)
+    store->kept[i] = store->kept[i - 1];
+  store->kept[0] = (stored_version_t){ .version = version, .text = *text };
+  *text = (text_t){ 0 };
+  return true;
+}
+
+static const stored_version_t *
+stored_find (const version_store_t *store, uint64_t version)
+{
+  for (int i = 0; i < VERSION_HISTORY; i++)
+    if (version > 0 && store->kept[i].version == version)
+      return &store->kept[i];
+  return NULL;
+}
+
+version_answer_t
+version_store_answer (const version_store_t *store, uint64_t version,
+                      usec_t freshness)
+{
+  const stored_version_t *newest = &store->kept[0];
+  version_answer_t answer = { .kind = VERSION_NOT_NEWER,
+                              .version = newest->version,
+                              .freshness = freshness };
+  if (newest->version <= version)
+    return answer;
+  answer.checksum = text_checksum (&newest->text);
+  const stored_version_t *base = stored_find (store, version);
+  if (base)
+    {
+      answer.kind = VERSION_DELTA;
+      answer.base = version;
+      answer.text = delta_make (&base->text, &newest->text);
+      if (answer.text.length < newest->text.length)
+        return answer;
+      text_clear (&answer.text);
+    }
+  answer.kind = VERSION_FULL;
+  answer.base = 0;
+  answer.text = text_copy (newest->text.bytes, newest->text.length);
+  return answer;
+}
+
+/* The whole text that ANSWER stands for.  */
+static bool
+answer_text (const version_store_t *store, const version_answer_t *answer,
+             text_t *text)
+{
+  if (answer->kind == VERSION_FULL)
+    *text = text_copy (answer->text.bytes, answer->text.length);
+  else
+    {
+      const stored_version_t *base = stored_find (store, answer->base);
+      if (!base
+          || !delta_apply (&base->text, &answer->text, VERSION_TEXT_BYTES_MAX,
+                           text))
+        return false;
+    }
+  if (text_checksum (text) == answer->checksum)
+    return true;
+  text_clear (text);
+  return false;
+}
+
+version_verdict_t
+version_store_take (version_store_t *store, const version_answer_t *answer)
+{
+  if (answer->kind == VERSION_NOT_NEWER
+      || answer->version <= store->kept[0].version)
+    return VERSION_KEPT;
+  text_t text = { 0 };
+  if (!answer_text (store, answer, &text))
+    return VERSION_DAMAGED;
+  version_store_put (store, answer->version, &text);
+  return VERSION_TAKEN;
+}
