--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -425,6 +425,13 @@
          && now < acked_at + replica->options.election - margin;
 }
 
+bool
+replica_is_current (const replica_t *replica, usec_t now)
+{
+  return replica_holds_lease (replica, now)
+         && replica->applied >= replica->term_start;
+}
+
 const char *
 replica_role_name (replica_role_t role)
 {
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -201,6 +201,10 @@
 /* True while no other replica can have become leader.  */
 bool replica_holds_lease (const replica_t *replica, usec_t now);
 
+/* True where what this replica has applied is the newest at NOW: nobody can
+   have accepted anything that it has not.  */
+bool replica_is_current (const replica_t *replica, usec_t now);
+
 const char *replica_role_name (replica_role_t role);
 
 #endif
--- a/src/control/accepted.h
+++ b/src/control/accepted.h
@@ -1,34 +1,38 @@
-/* accepted: the newest accepted sheet of a control process, in memory and in
-   the data folder.  Thread-safe.  */
+/* accepted: the accepted sheet as this process has applied it, for all who
+   read it.  Thread-safe; it never goes back.  */
 
 #ifndef CONTROL_ACCEPTED_H
 #define CONTROL_ACCEPTED_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include "base/error.h"
-#include "placement/topology_defs.h"
+#include "agreement/sheet_registry.h"
+#include "membership/version_store.h"
+#include "membership/version_table.h"
 
 typedef struct accepted accepted_t;
 
-/* Read what lasts in FOLDER (made if it is missing).  NULL and ERR_STORAGE
-   where the folder can't be used.  */
-accepted_t *accepted_open (const char *folder, const topology_t *topology,
-                           err_t *err);
+accepted_t *accepted_new (size_t n_vms);
+void accepted_free (accepted_t *accepted);
+
+/* The log has accepted RECORD with the content TEXT.  */
+void accepted_put (accepted_t *accepted, const sheet_record_t *record,
+                   const char *text, size_t length);
+
+/* At AT nobody could have accepted a newer one.  */
+void accepted_confirm (accepted_t *accepted, usec_t at);
+
+/* The number of the newest; 0 before the first.  */
+uint64_t accepted_number (accepted_t *accepted);
 
-void accepted_close (accepted_t *accepted);
+/* A copy of the newest text, for free; NULL before the first.  */
+char *accepted_text (accepted_t *accepted, size_t *length);
 
-/* Check the sheet TEXT and sync it before returning true.  ERR_SHEET,
-   ERR_STALE, ERR_CONFLICT or ERR_STORAGE otherwise.  The same sheet again
-   succeeds again.  *NUMBER is the sheet's.  */
-bool accepted_submit (accepted_t *accepted, const char *text, size_t length,
-                      uint64_t *number, err_t *err);
+/* Answer a pull at NOW.  */
+version_answer_t accepted_pull (accepted_t *accepted, usec_t now,
+                                uint64_t version,
+                                const version_report_t *reports,
+                                size_t n_reports);
 
-/* A malloc'd copy of the newest sheet where its number is above VERSION;
-   NULL otherwise.  */
-char *accepted_newer (accepted_t *accepted, uint64_t version, size_t *length,
-                      uint64_t *number);
+/* What is known of VM.  */
+version_row_t accepted_row (accepted_t *accepted, vm_id_t vm);
 
 #endif
--- /dev/null
+++ b/src/control/core_thread.c
@@ -0,0 +1,281 @@
+#include "control/core_internal.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+enum
+{
+  RING_ITEMS = 1024,
+  TICK_NSEC = 20 * 1000 * 1000,
+};
+
+#define PEER_DEADLINE (2 * USEC_PER_SEC)
+
+static void
+core_wake (void *closure)
+{
+  core_thread_t *core = closure;
+  if (!atomic_exchange (&core->is_awake, true)
+      && !ring_push (core->ring, &core->wake))
+    atomic_store (&core->is_awake, false);
+}
+
+bool
+core_push (core_thread_t *core, const core_item_t *item)
+{
+  core_item_t *copy = malloc (sizeof *copy);
+  if (!copy)
+    abort ();
+  *copy = *item;
+  pthread_mutex_lock (&core->lock);
+  bool ok = !atomic_load (&core->stops) && ring_push (core->ring, copy);
+  pthread_mutex_unlock (&core->lock);
+  if (!ok)
+    free (copy);
+  return ok;
+}
+
+/* The thread.  */
+
+static void
+take_disk (core_thread_t *core)
+{
+  core_write_records (core);
+  if (storage_thread_failed (core->disk) && !core->is_halted)
+    {
+      core->is_halted = true;
+      event_t event = { .kind = EVENT_DISK_FAILED };
+      core_step (core, &event);
+      return;
+    }
+  uint64_t synced = storage_thread_synced (core->disk);
+  if (synced == core->synced)
+    return;
+  core->synced = synced;
+  event_t event = { .kind = EVENT_SYNCED, .body.synced = synced };
+  core_step (core, &event);
+}
+
+static void
+take_wake (core_thread_t *core)
+{
+  atomic_store (&core->is_awake, false);
+  take_disk (core);
+  event_t event = { .kind = EVENT_TICK };
+  core_step (core, &event);
+  usec_t now = clock_monotonic ();
+  if (replica_is_current (core->replica, now))
+    accepted_confirm (core->options.accepted, now);
+  core_submissions_tick (core, now);
+}
+
+static void
+take_message (core_thread_t *core, blob_t *bytes)
+{
+  message_t message;
+  err_t err = { 0 };
+  if (message_decode (&message, bytes->bytes, bytes->length, &err))
+    {
+      event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+      core_step (core, &event);
+      message_clear (&message);
+    }
+  else
+    log_error (LOG_LEVEL_WARNING, "message_refused", &err);
+  blob_unref (bytes);
+}
+
+static void
+take_item (core_thread_t *core, core_item_t *item)
+{
+  switch (item->kind)
+    {
+    case CORE_ITEM_WAKE:
+      take_wake (core);
+      return;
+    case CORE_ITEM_MESSAGE:
+      take_message (core, item->body.message);
+      break;
+    case CORE_ITEM_SUBMISSION:
+      core_submission_take (core, item->body.submission);
+      break;
+    case CORE_ITEM_FORWARDED:
+      core_submission_forwarded (core, item);
+      break;
+    }
+  free (item);
+}
+
+static void
+status_update (core_thread_t *core)
+{
+  replica_status_t status = replica_status (core->replica);
+  pthread_mutex_lock (&core->lock);
+  bool changed
+      = status.role != core->status.role || status.term != core->status.term;
+  core->status = status;
+  pthread_mutex_unlock (&core->lock);
+  if (changed)
+    LOG_EVENT (LOG_LEVEL_INFO, "replica_role",
+               LOG_S ("role", replica_role_name (status.role)),
+               LOG_U ("term", status.term),
+               LOG_U ("incarnation", status.incarnation));
+}
+
+static void *
+core_run (void *closure)
+{
+  core_thread_t *core = closure;
+  while (!atomic_load (&core->stops))
+    {
+      core_item_t *item = ring_wait (core->ring);
+      if (!item)
+        break;
+      take_item (core, item);
+      status_update (core);
+    }
+  LIST_FOREACH (link, &core->submissions)
+  core_submission_finish (core, LIST_ENTRY (link, submission_t, link),
+                          SUBMISSION_UNKNOWN, NULL);
+  return NULL;
+}
+
+static void *
+timer_run (void *closure)
+{
+  core_thread_t *core = closure;
+  const struct timespec span = { .tv_nsec = TICK_NSEC };
+  while (!atomic_load (&core->stops))
+    {
+      nanosleep (&span, NULL);
+      core_wake (core);
+    }
+  return NULL;
+}
+
+/* Runs on the RPC thread.  */
+static void
+on_message (void *closure, blob_t *message)
+{
+  core_item_t item = { .kind = CORE_ITEM_MESSAGE, .body.message = message };
+  if (!core_push (closure, &item))
+    blob_unref (message);
+}
+
+/* Runs on the RPC thread.  */
+static void
+on_submit (void *closure, rpc_call_t *call)
+{
+  core_thread_t *core = closure;
+  submission_t *submission
+      = submission_new_peer (call, clock_monotonic () + PEER_DEADLINE);
+  if (submission && !core_thread_submit (core, submission))
+    submission_complete (submission, SUBMISSION_REFUSED, NULL);
+}
+
+bool
+core_thread_submit (core_thread_t *core, submission_t *submission)
+{
+  core_item_t item
+      = { .kind = CORE_ITEM_SUBMISSION, .body.submission = submission };
+  return core_push (core, &item);
+}
+
+replica_status_t
+core_thread_status (core_thread_t *core)
+{
+  pthread_mutex_lock (&core->lock);
+  replica_status_t status = core->status;
+  pthread_mutex_unlock (&core->lock);
+  return status;
+}
+
+vm_id_t
+core_thread_slot_vm (const core_thread_t *core, slot_t slot)
+{
+  return peer_link_vm (core->links, slot);
+}
+
+static replica_t *
+replica_open (const core_thread_options_t *options, const peer_link_t *links)
+{
+  replica_options_t replica = { .slot = peer_link_slot (links, options->vm),
+                                .n_slots = peer_link_count (links),
+                                .seed = options->seed };
+  return replica_new (&replica, options->image, clock_monotonic ());
+}
+
+core_thread_t *
+core_thread_start (const core_thread_options_t *options, err_t *err)
+{
+  core_thread_t *core = calloc (1, sizeof *core);
+  if (!core)
+    abort ();
+  core->options = *options;
+  core->ring = ring_new (RING_ITEMS);
+  core->wake.kind = CORE_ITEM_WAKE;
+  list_init (&core->submissions);
+  list_init (&core->records);
+  pthread_mutex_init (&core->lock, NULL);
+  const peer_link_options_t link_options = { .settings = options->settings,
+                                             .rpc = options->rpc,
+                                             .receive = on_message,
+                                             .submit = on_submit,
+                                             .closure = core };
+  core->links = peer_link_new (&link_options);
+  core->replica = replica_open (options, core->links);
+  core->registry = sheet_registry_new ();
+  const storage_thread_options_t disk_options
+      = { .storage = options->storage, .wake = core_wake, .closure = core };
+  core->disk = storage_thread_start (&disk_options, err);
+  if (core->disk && pthread_create (&core->thread, NULL, core_run, core) == 0
+      && pthread_create (&core->timer, NULL, timer_run, core) == 0)
+    return core;
+  err_set (err, ERR_IO, "raise the limit of threads",
+           "no threads for the replicated log");
+  return NULL;
+}
+
+static void
+item_drop (core_item_t *item)
+{
+  if (item->kind == CORE_ITEM_WAKE)
+    return;
+  if (item->kind == CORE_ITEM_MESSAGE)
+    blob_unref (item->body.message);
+  if (item->kind == CORE_ITEM_SUBMISSION)
+    submission_complete (item->body.submission, SUBMISSION_UNKNOWN, NULL);
+  free (item);
+}
+
+void
+core_thread_stop (core_thread_t *core)
+{
+  pthread_mutex_lock (&core->lock);
+  atomic_store (&core->stops, true);
+  pthread_mutex_unlock (&core->lock);
+  core_wake (core);
+  pthread_join (core->thread, NULL);
+  pthread_join (core->timer, NULL);
+  storage_thread_stop (core->disk);
+  core_item_t *item;
+  while ((item = ring_pop (core->ring)))
+    item_drop (item);
+}
+
+void
+core_thread_free (core_thread_t *core)
+{
+  list_t *link;
+  while ((link = list_pop_front (&core->records)))
+    action_free (LIST_ENTRY (link, action_t, link));
+  replica_free (core->replica);
+  sheet_registry_free (core->registry);
+  peer_link_free (core->links);
+  ring_free (core->ring);
+  pthread_mutex_destroy (&core->lock);
+  free (core);
+}
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -1,11 +1,15 @@
 /* mulberry-control: keeps the accepted sheets on a VM with a disk.  */
 
 #include <argp.h>
+#include <errno.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
 
 #include "base/log.h"
 #include "control/accepted.h"
 #include "control/admin_port.h"
+#include "control/core_thread.h"
 #include "control/peer_port.h"
 #include "settings/program.h"
 #include "wire/rpc.h"
@@ -19,18 +23,47 @@
 typedef struct control
 {
   accepted_t *accepted;
+  storage_t *storage;
   rpc_t *rpc;
+  core_thread_t *core;
   admin_port_t *admin;
 } control_t;
 
+static bool
+folder_make (const char *folder, err_t *err)
+{
+  if (mkdir (folder, 0700) == 0 || errno == EEXIST)
+    return true;
+  return err_set (err, ERR_STORAGE,
+                  "check the data folder's disk, its space and its owner",
+                  "can't make %s: %s", folder, strerror (errno));
+}
+
+static bool
+core_open (control_t *control, const program_t *program, err_t *err)
+{
+  replica_image_t image;
+  if (!folder_make (program->data_folder, err))
+    return false;
+  control->storage = storage_open (program->data_folder, &image, err);
+  if (!control->storage)
+    return false;
+  const core_thread_options_t options = { .settings = program->settings,
+                                          .vm = program->vm_id,
+                                          .rpc = control->rpc,
+                                          .accepted = control->accepted,
+                                          .storage = control->storage,
+                                          .image = &image,
+                                          .seed = program->incarnation };
+  control->core = core_thread_start (&options, err);
+  return control->core != NULL;
+}
+
 static bool
 control_open (control_t *control, const program_t *program, err_t *err)
 {
   const settings_t *settings = program->settings;
-  control->accepted
-      = accepted_open (program->data_folder, &settings->topology, err);
-  if (!control->accepted)
-    return false;
+  control->accepted = accepted_new (settings->topology.n_vms);
   const rpc_options_t rpc_options = { .address = program->vm->address,
                                       .port = settings->ports.control_peer,
                                       .vm = program->vm_id,
@@ -40,24 +73,32 @@
   if (!control->rpc)
     return false;
   peer_port_register (control->rpc, control->accepted);
-  if (!rpc_start (control->rpc, err))
+  if (!core_open (control, program, err) || !rpc_start (control->rpc, err))
     return false;
   const admin_port_options_t admin_options = { .address = program->vm->address,
                                                .port = settings->ports.admin,
-                                               .accepted = control->accepted };
+                                               .topology = &settings->topology,
+                                               .accepted = control->accepted,
+                                               .core = control->core };
   control->admin = admin_port_open (&admin_options, err);
   return control->admin != NULL;
 }
 
+/* The core thread goes first: it ends the requests that wait for it.  */
 static void
 control_close (control_t *control)
 {
+  if (control->core)
+    core_thread_stop (control->core);
   if (control->admin)
     admin_port_close (control->admin);
   if (control->rpc)
     rpc_close (control->rpc);
-  if (control->accepted)
-    accepted_close (control->accepted);
+  if (control->core)
+    core_thread_free (control->core);
+  if (control->storage)
+    storage_close (control->storage);
+  accepted_free (control->accepted);
 }
 
 int
--- a/src/control/peer_port.h
+++ b/src/control/peer_port.h
@@ -1,4 +1,4 @@
-/* peer_port: the RPC procedures of a control process.  */
+/* peer_port: pulls of the accepted sheet from a control process.  */
 
 #ifndef CONTROL_PEER_PORT_H
 #define CONTROL_PEER_PORT_H
--- /dev/null
+++ b/src/control/storage_thread.c
@@ -0,0 +1,169 @@
+#include "control/storage_thread.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "base/ring.h"
+
+enum
+{
+  RING_ITEMS = 512,
+  BATCH_RECORDS = 64,
+};
+
+typedef struct storage_item
+{
+  uint64_t sequence;
+  bool replaces;
+  blob_t *record;
+} storage_item_t;
+
+struct storage_thread
+{
+  storage_thread_options_t options;
+  ring_t *ring;
+  pthread_t thread;
+  _Atomic uint64_t synced;
+  _Atomic bool failed;
+};
+
+static void
+item_free (storage_item_t *item)
+{
+  blob_unref (item->record);
+  free (item);
+}
+
+/* Records that may be synced together: those before the next that replaces
+   all.  *NEXT is one that was taken off the ring but is not among them.  */
+static size_t
+take_batch (storage_thread_t *thread, storage_item_t *first,
+            storage_item_t **items, storage_item_t **next)
+{
+  size_t n = 0;
+  items[n++] = first;
+  *next = NULL;
+  while (!first->replaces && n < BATCH_RECORDS)
+    {
+      storage_item_t *item = ring_pop (thread->ring);
+      if (!item)
+        break;
+      if (item->replaces)
+        {
+          *next = item;
+          break;
+        }
+      items[n++] = item;
+    }
+  return n;
+}
+
+static void
+write_batch (storage_thread_t *thread, storage_item_t **items, size_t n)
+{
+  blob_t *records[BATCH_RECORDS];
+  for (size_t i = 0; i < n; i++)
+    records[i] = items[i]->record;
+  err_t err = { 0 };
+  if (storage_write (thread->options.storage, records, n, items[0]->replaces,
+                     &err))
+    atomic_store (&thread->synced, items[n - 1]->sequence);
+  else if (!atomic_exchange (&thread->failed, true))
+    log_error (LOG_LEVEL_ERROR, "storage_failed", &err);
+  for (size_t i = 0; i < n; i++)
+    item_free (items[i]);
+  thread->options.wake (thread->options.closure);
+}
+
+static void *
+storage_run (void *closure)
+{
+  storage_thread_t *thread = closure;
+  storage_item_t *items[BATCH_RECORDS];
+  storage_item_t *next = NULL;
+  for (;;)
+    {
+      storage_item_t *first = next ? next : ring_wait (thread->ring);
+      if (!first || !first->record)
+        {
+          free (first);
+          return NULL;
+        }
+      size_t n = take_batch (thread, first, items, &next);
+      if (!items[n - 1]->record)
+        {
+          next = items[--n];
+          if (n == 0)
+            continue;
+        }
+      write_batch (thread, items, n);
+    }
+}
+
+storage_thread_t *
+storage_thread_start (const storage_thread_options_t *options, err_t *err)
+{
+  storage_thread_t *thread = calloc (1, sizeof *thread);
+  if (!thread)
+    abort ();
+  thread->options = *options;
+  thread->ring = ring_new (RING_ITEMS);
+  if (pthread_create (&thread->thread, NULL, storage_run, thread) == 0)
+    return thread;
+  err_set (err, ERR_IO, "raise the limit of threads",
+           "no thread for the storage");
+  ring_free (thread->ring);
+  free (thread);
+  return NULL;
+}
+
+static bool
+push (storage_thread_t *thread, uint64_t sequence, bool replaces,
+      blob_t *record)
+{
+  storage_item_t *item = calloc (1, sizeof *item);
+  if (!item)
+    abort ();
+  *item = (storage_item_t){ .sequence = sequence,
+                            .replaces = replaces,
+                            .record = record };
+  if (ring_push (thread->ring, item))
+    return true;
+  free (item);
+  return false;
+}
+
+void
+storage_thread_stop (storage_thread_t *thread)
+{
+  /* An item without a record ends the thread.  */
+  while (!push (thread, 0, false, NULL))
+    sched_yield ();
+  pthread_join (thread->thread, NULL);
+  ring_free (thread->ring);
+  free (thread);
+}
+
+bool
+storage_thread_write (storage_thread_t *thread, const persist_t *persist)
+{
+  blob_t *record = storage_encode (persist);
+  if (push (thread, persist->sequence, persist->replaces, record))
+    return true;
+  blob_unref (record);
+  return false;
+}
+
+uint64_t
+storage_thread_synced (const storage_thread_t *thread)
+{
+  return atomic_load (&thread->synced);
+}
+
+bool
+storage_thread_failed (const storage_thread_t *thread)
+{
+  return atomic_load (&thread->failed);
+}
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -38,12 +38,14 @@
                                       .incarnation = program->incarnation,
                                       .key = program->key };
   entry->rpc = rpc_open (&rpc_options, err);
-  if (!entry->rpc || !rpc_start (entry->rpc, err))
+  if (!entry->rpc)
     return false;
-  const version_feed_options_t feed_options
-      = { .settings = settings, .rpc = entry->rpc, .routes = entry->routes };
-  entry->feed = version_feed_start (&feed_options, err);
-  if (!entry->feed)
+  const version_feed_options_t feed_options = { .settings = settings,
+                                                .vm = program->vm_id,
+                                                .rpc = entry->rpc,
+                                                .routes = entry->routes };
+  entry->feed = version_feed_open (&feed_options);
+  if (!rpc_start (entry->rpc, err) || !version_feed_start (entry->feed, err))
     return false;
   const caller_port_options_t port_options
       = { .settings = settings,
--- a/src/entry/version_feed.c
+++ b/src/entry/version_feed.c
@@ -4,12 +4,14 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "shift/sheet.h"
-#include "wire/generated/control.h"
+#include "wire/pull_wire.h"
 
 enum
 {
+  TICKS_PER_INTERVAL = 5,
   NSEC_PER_USEC = 1000,
   NSEC_PER_SEC = 1000000000,
 };
@@ -18,76 +20,131 @@
 {
   version_feed_options_t options;
   pthread_t thread;
-  pthread_mutex_t lock;
+  bool runs;
   pthread_cond_t stopped;
+  pthread_mutex_t lock; /* guards what follows */
   bool stop;
+  spread_t *spread;
 };
 
-/* Runs on the RPC thread.  */
+/* One pull that is under way.  */
+typedef struct pull
+{
+  version_feed_t *feed;
+  vm_id_t vm;
+  usec_t sent_at;
+} pull_t;
+
 static void
-on_pulled (void *closure, const rpc_result_t *result)
+put_in_force (version_feed_t *feed, uint64_t version)
 {
-  version_feed_t *feed = closure;
-  control_pull_result_t pulled = { 0 };
-  if (!rpc_result_decode (result, (xdrproc_t)xdr_control_pull_result_t,
-                          &pulled))
-    return;
-  if (pulled.kind == CONTROL_PULL_FULL)
+  const text_t *text = spread_text (feed->spread);
+  sheet_faults_t faults;
+  err_t err = { 0 };
+  sheet_t *sheet
+      = sheet_parse (text->bytes, text->length,
+                     &feed->options.settings->topology, &faults, &err);
+  if (!sheet)
+    log_error (LOG_LEVEL_ERROR, "sheet_not_understood", &err);
+  else if (route_table_apply (feed->options.routes, sheet))
+    LOG_EVENT (LOG_LEVEL_INFO, "sheet_in_force", LOG_U ("number", version));
+}
+
+static void on_pulled (void *closure, const rpc_result_t *result);
+
+static void
+send_pull (version_feed_t *feed, const spread_pull_t *ask)
+{
+  const settings_t *settings = feed->options.settings;
+  pull_t *pull = malloc (sizeof *pull);
+  if (!pull)
+    abort ();
+  *pull
+      = (pull_t){ .feed = feed, .vm = ask->vm, .sent_at = clock_monotonic () };
+  pull_wire_send (feed->options.rpc, ask,
+                  settings->topology.vms[ask->vm].address,
+                  ask->is_control ? settings->ports.control_peer
+                                  : settings->ports.entry_peer,
+                  settings->limits.pull_interval, on_pulled, pull);
+}
+
+/* With the lock held.  */
+static void
+perform (version_feed_t *feed, list_t *actions)
+{
+  list_t *link;
+  while ((link = list_pop_front (actions)))
     {
-      const control_full_t *full = &pulled.control_pull_result_t_u.full;
-      sheet_faults_t faults;
-      err_t err = { 0 };
-      sheet_t *sheet
-          = sheet_parse (full->sheet.sheet_val, full->sheet.sheet_len,
-                         &feed->options.settings->topology, &faults, &err);
-      if (!sheet)
-        log_error (LOG_LEVEL_ERROR, "sheet_not_understood", &err);
-      else if (route_table_apply (feed->options.routes, sheet))
-        LOG_EVENT (LOG_LEVEL_INFO, "sheet_in_force",
-                   LOG_U ("number", full->sheet_version));
+      spread_action_t *action = LIST_ENTRY (link, spread_action_t, link);
+      switch (action->kind)
+        {
+        case SPREAD_ACTION_PULL:
+          send_pull (feed, &action->body.pull);
+          break;
+        case SPREAD_ACTION_APPLY:
+          put_in_force (feed, action->body.apply);
+          break;
+        }
+      free (action);
     }
-  xdr_free ((xdrproc_t)xdr_control_pull_result_t, (char *)&pulled);
 }
 
+/* Runs on the RPC thread.  */
 static void
-pull_all (version_feed_t *feed)
+on_pulled (void *closure, const rpc_result_t *result)
 {
-  const settings_t *settings = feed->options.settings;
-  control_pull_args_t args
-      = { .sheet_version = route_table_version (feed->options.routes) };
-  for (size_t i = 0; i < settings->topology.n_vms; i++)
+  pull_t *pull = closure;
+  version_feed_t *feed = pull->feed;
+  list_t actions;
+  list_init (&actions);
+  version_answer_t answer;
+  pthread_mutex_lock (&feed->lock);
+  if (pull_wire_answer (result, &answer))
     {
-      const vm_t *vm = &settings->topology.vms[i];
-      if (!vm->has_control)
-        continue;
-      const rpc_request_t request
-          = { .address = vm->address,
-              .port = settings->ports.control_peer,
-              .program = MULBERRY_CONTROL,
-              .version = MULBERRY_CONTROL_V1,
-              .procedure = CONTROL_PULL,
-              .encode = (xdrproc_t)xdr_control_pull_args_t,
-              .args = &args,
-              .timeout = settings->limits.pull_interval,
-              .done = on_pulled,
-              .closure = feed };
-      rpc_send (feed->options.rpc, &request);
+      spread_answered (feed->spread, clock_monotonic (), pull->vm,
+                       pull->sent_at, &answer, &actions);
+      version_answer_clear (&answer);
     }
+  else
+    spread_failed (feed->spread, pull->vm);
+  perform (feed, &actions);
+  pthread_mutex_unlock (&feed->lock);
+  free (pull);
+}
+
+/* Runs on the RPC thread.  */
+static void
+serve_pull (void *closure, rpc_call_t *call)
+{
+  version_feed_t *feed = closure;
+  pull_asked_t asked;
+  if (!pull_wire_asked (call, &asked))
+    return;
+  pthread_mutex_lock (&feed->lock);
+  version_answer_t answer
+      = spread_serve (feed->spread, clock_monotonic (), asked.version,
+                      asked.reports, asked.n_reports);
+  pthread_mutex_unlock (&feed->lock);
+  pull_wire_reply (call, &answer);
 }
 
 static void *
 feed_run (void *closure)
 {
   version_feed_t *feed = closure;
-  usec_t interval = feed->options.settings->limits.pull_interval;
+  usec_t step
+      = feed->options.settings->limits.pull_interval / TICKS_PER_INTERVAL;
   pthread_mutex_lock (&feed->lock);
   while (!feed->stop)
     {
-      pull_all (feed);
+      list_t actions;
+      list_init (&actions);
+      spread_tick (feed->spread, clock_monotonic (), &actions);
+      perform (feed, &actions);
       struct timespec until;
       clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += (interval % USEC_PER_SEC) * NSEC_PER_USEC;
-      until.tv_sec += interval / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
+      until.tv_nsec += (step % USEC_PER_SEC) * NSEC_PER_USEC;
+      until.tv_sec += step / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
       until.tv_nsec %= NSEC_PER_SEC;
       pthread_cond_timedwait (&feed->stopped, &feed->lock, &until);
     }
@@ -96,20 +153,31 @@
 }
 
 version_feed_t *
-version_feed_start (const version_feed_options_t *options, err_t *err)
+version_feed_open (const version_feed_options_t *options)
 {
   version_feed_t *feed = calloc (1, sizeof *feed);
   if (!feed)
     abort ();
   feed->options = *options;
+  const spread_options_t spread
+      = { .topology = &options->settings->topology,
+          .self = options->vm,
+          .interval = options->settings->limits.pull_interval };
+  feed->spread = spread_new (&spread, clock_monotonic ());
   pthread_mutex_init (&feed->lock, NULL);
   pthread_cond_init (&feed->stopped, NULL);
-  if (pthread_create (&feed->thread, NULL, feed_run, feed) == 0)
-    return feed;
-  err_set (err, ERR_IO, "raise the limit of threads",
-           "no thread for the version feed");
-  free (feed);
-  return NULL;
+  pull_wire_register (options->rpc, serve_pull, feed);
+  return feed;
+}
+
+bool
+version_feed_start (version_feed_t *feed, err_t *err)
+{
+  feed->runs = pthread_create (&feed->thread, NULL, feed_run, feed) == 0;
+  if (feed->runs)
+    return true;
+  return err_set (err, ERR_IO, "raise the limit of threads",
+                  "no thread for the version feed");
 }
 
 void
@@ -119,12 +187,14 @@
   feed->stop = true;
   pthread_cond_signal (&feed->stopped);
   pthread_mutex_unlock (&feed->lock);
-  pthread_join (feed->thread, NULL);
+  if (feed->runs)
+    pthread_join (feed->thread, NULL);
 }
 
 void
 version_feed_free (version_feed_t *feed)
 {
+  spread_free (feed->spread);
   pthread_mutex_destroy (&feed->lock);
   pthread_cond_destroy (&feed->stopped);
   free (feed);
--- a/src/entry/version_feed.h
+++ b/src/entry/version_feed.h
@@ -1,10 +1,11 @@
-/* version_feed: a thread that asks the control processes for a newer sheet
-   and puts it in force.  */
+/* version_feed: a thread that asks other processes for a newer sheet, puts it
+   in force and passes it on (membership/spread).  */
 
 #ifndef ENTRY_VERSION_FEED_H
 #define ENTRY_VERSION_FEED_H
 
 #include "entry/route_table.h"
+#include "membership/spread.h"
 #include "settings/settings_defs.h"
 #include "wire/rpc.h"
 
@@ -13,14 +14,19 @@
 typedef struct version_feed_options
 {
   const settings_t *settings;
-  rpc_t *rpc;
+  vm_id_t vm;
+  rpc_t *rpc; /* not started yet */
   route_table_t *routes;
 } version_feed_options_t;
 
-version_feed_t *version_feed_start (const version_feed_options_t *options,
-                                    err_t *err);
+/* Registers its RPC procedure.  */
+version_feed_t *version_feed_open (const version_feed_options_t *options);
 
-/* End the thread; answers under way may still come until rpc_close.  */
+/* After rpc_start.  */
+bool version_feed_start (version_feed_t *feed, err_t *err);
+
+/* End the thread, if it runs; answers under way may still come until
+ * rpc_close.  */
 void version_feed_stop (version_feed_t *feed);
 
 /* After version_feed_stop and rpc_close.  */
--- a/src/wire/control.x
+++ b/src/wire/control.x
@@ -1,31 +1,39 @@
 /* control.x: calls to a control process.  Sizes bound what a peer may send. */
 
 const CONTROL_SHEET_BYTES_MAX = 921600;
+const CONTROL_MESSAGE_BYTES_MAX = 1000000;
+const CONTROL_NAME_BYTES_MAX = 47;
+const CONTROL_DIGEST_BYTES = 32;
 
-/* An entry VM names the version that it has in force, 0 for none. */
-struct control_pull_args_t
+/* One message between replicas, encoded by agreement/message. */
+struct control_agree_args_t
 {
-  uint64_t sheet_version;
+  opaque message<CONTROL_MESSAGE_BYTES_MAX>;
 };
 
-enum control_pull_kind_t
+/* A sheet that another control process was given. */
+struct control_submit_args_t
 {
-  CONTROL_PULL_NOT_NEWER = 0,
-  CONTROL_PULL_FULL = 1
+  uint64_t number;
+  string operator_name<CONTROL_NAME_BYTES_MAX>;
+  opaque sheet<CONTROL_SHEET_BYTES_MAX>;
 };
 
-struct control_full_t
+enum control_verdict_t
 {
-  uint64_t sheet_version;
-  opaque sheet<CONTROL_SHEET_BYTES_MAX>;
+  CONTROL_ACCEPTED = 0,
+  CONTROL_CONFLICT = 1,
+  CONTROL_STALE = 2,
+  CONTROL_REFUSED = 3 /* not leading, or too busy: try again */
 };
 
-union control_pull_result_t switch (control_pull_kind_t kind)
+struct control_submit_result_t
 {
-case CONTROL_PULL_FULL:
-  control_full_t full;
-default:
-  void;
+  control_verdict_t verdict;
+  uint64_t number; /* the winner's, as all that follows */
+  string operator_name<CONTROL_NAME_BYTES_MAX>;
+  opaque digest[CONTROL_DIGEST_BYTES];
+  uint64_t index;
 };
 
 program MULBERRY_CONTROL
@@ -33,6 +41,7 @@
   version MULBERRY_CONTROL_V1
   {
     void CONTROL_GREET (void) = 0;
-    control_pull_result_t CONTROL_PULL (control_pull_args_t) = 1;
+    void CONTROL_AGREE (control_agree_args_t) = 1;
+    control_submit_result_t CONTROL_SUBMIT (control_submit_args_t) = 2;
   } = 1;
 } = 0x20004d01;
