fix(agreement): a member that never heard of its cluster is told late

A blank incarnation that a configuration names has never voted or acknowledged anything, so any later configuration may be told to it with an empty log. Ruled out: to keep the first configuration for ever, which says no more.

test_agreement_replica blank-member failed before and passes after.

--- a/src/agreement/replica_join.c
+++ b/src/agreement/replica_join.c
@@ -68,14 +68,14 @@
     send_bootstrap (replica, slot);
 }
 
-/* A blank replica that the first configuration names has never voted.  */
+/* A blank replica that the configuration names was there at the start and
+   has never voted or acknowledged anything, so it may begin with an empty
+   log under any later configuration.  */
 static void
 answer_blank (replica_t *replica, const message_t *message)
 {
-  const replica_snapshot_t *snapshot = &replica->snapshot;
-  if (snapshot->index == 0
-      && snapshot->config.incarnation[message->from]
-             == message->from_incarnation)
+  if (replica->snapshot.config.incarnation[message->from]
+      == message->from_incarnation)
     send_bootstrap (replica, message->from);
 }
 
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -59,6 +59,37 @@
   settled_free (cluster);
 }
 
+/* It is in the first configuration but never heard of it, and the others have
+   no leader without it.  */
+static void
+test_blank_member_is_told_late (void)
+{
+  cluster_t *cluster = g_new0 (cluster_t, 1);
+  cluster_init (cluster, 1);
+  slot_t deaf = 3;
+  while (cluster_leader (cluster) == SLOT_NONE)
+    {
+      cluster_tick (cluster);
+      for (slot_t slot = 0; slot < NODES; slot++)
+        while (!list_empty (&cluster->nodes[slot].disk.pending))
+          cluster_sync (cluster, slot);
+      bool is_started
+          = replica_status (cluster->nodes[0].replica).role != ROLE_BLANK;
+      for (slot_t slot = 0; slot < NODES; slot++)
+        cluster->cut[slot][deaf] = is_started;
+      for (size_t n = cluster->n_packets; n > 0; n--)
+        cluster_deliver (cluster, cluster_packet (cluster, 0), false);
+    }
+  for (int i = 0; i < 12; i++)
+    accept_next (cluster, 0);
+  g_assert_cmpint (replica_status (cluster->nodes[deaf].replica).role, ==,
+                   ROLE_BLANK);
+  g_assert_true (cluster_lose_disk (cluster, 1));
+  g_assert_true (cluster_lose_disk (cluster, 4));
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
 /* One disk that remembers is enough to keep the others from starting anew. */
 static void
 test_lost_majority_never_starts_anew (void)
@@ -240,6 +271,8 @@
                    test_blank_replica_takes_a_snapshot_of_many_chunks);
   g_test_add_func ("/agreement/replica/bootstrap",
                    test_cluster_starts_only_with_all_slots);
+  g_test_add_func ("/agreement/replica/blank-member",
+                   test_blank_member_is_told_late);
   g_test_add_func ("/agreement/replica/lost-majority",
                    test_lost_majority_never_starts_anew);
   g_test_add_func ("/agreement/replica/disk-failed",
