--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -12,7 +12,9 @@
 #include "control/core_thread.h"
 #include "control/peer_port.h"
 #include "settings/program.h"
+#include "wire/metrics_page.h"
 #include "wire/rpc.h"
+#include "wire/rpc_metrics.h"
 
 const char *argp_program_version = "mulberry-control " MULBERRY_VERSION;
 
@@ -27,10 +29,61 @@
   rpc_t *rpc;
   core_thread_t *core;
   admin_port_t *admin;
+  credentials_t credentials;
+  metrics_t *metrics;
+  metrics_page_t *page;
 } control_t;
 
+/* The operators' keys; without a file nobody is let in.  */
 static bool
-folder_make (const char *folder, err_t *err)
+open_credentials (control_t *control, const settings_t *settings, err_t *err)
+{
+  if (settings->operators_file[0])
+    return credentials_load (&control->credentials, settings->operators_file,
+                             err);
+  LOG_EVENT (LOG_LEVEL_WARNING, "admin_closed",
+             LOG_S ("remedy", "set operators_file in the settings"));
+  return true;
+}
+
+static bool
+open_metrics (control_t *control, const program_t *program, err_t *err)
+{
+  control->metrics = metrics_new ();
+  if (!control->metrics)
+    return err_set (err, ERR_LIMIT, "give the VM more memory",
+                    "out of memory");
+  if (!rpc_metrics_register (control->rpc, control->metrics, err))
+    return false;
+  const metrics_page_options_t options
+      = { .address = program->vm->address,
+          .port = program->settings->ports.control_metrics,
+          .metrics = control->metrics };
+  control->page = metrics_page_start (&options, err);
+  return control->page != NULL;
+}
+
+static bool
+open_admin (control_t *control, const program_t *program, err_t *err)
+{
+  const settings_t *settings = program->settings;
+  if (!open_credentials (control, settings, err))
+    return false;
+  const admin_port_options_t options
+      = { .address = program->vm->address,
+          .port = settings->ports.admin,
+          .service = { .settings = settings,
+                       .self = program->vm_id,
+                       .accepted = control->accepted,
+                       .core = control->core },
+          .credentials = &control->credentials,
+          .metrics = control->metrics };
+  control->admin = admin_port_open (&options, err);
+  return control->admin != NULL;
+}
+
+static bool
+make_folder (const char *folder, err_t *err)
 {
   if (mkdir (folder, 0700) == 0 || errno == EEXIST)
     return true;
@@ -40,10 +93,10 @@
 }
 
 static bool
-core_open (control_t *control, const program_t *program, err_t *err)
+open_core (control_t *control, const program_t *program, err_t *err)
 {
   replica_image_t image;
-  if (!folder_make (program->data_folder, err))
+  if (!make_folder (program->data_folder, err))
     return false;
   control->storage = storage_open (program->data_folder, &image, err);
   if (!control->storage)
@@ -73,15 +126,10 @@
   if (!control->rpc)
     return false;
   peer_port_register (control->rpc, control->accepted);
-  if (!core_open (control, program, err) || !rpc_start (control->rpc, err))
+  if (!open_core (control, program, err) || !rpc_start (control->rpc, err))
     return false;
-  const admin_port_options_t admin_options = { .address = program->vm->address,
-                                               .port = settings->ports.admin,
-                                               .topology = &settings->topology,
-                                               .accepted = control->accepted,
-                                               .core = control->core };
-  control->admin = admin_port_open (&admin_options, err);
-  return control->admin != NULL;
+  return open_metrics (control, program, err)
+         && open_admin (control, program, err);
 }
 
 /* The core thread goes first: it ends the requests that wait for it.  */
@@ -92,6 +140,8 @@
     core_thread_stop (control->core);
   if (control->admin)
     admin_port_close (control->admin);
+  if (control->page)
+    metrics_page_stop (control->page);
   if (control->rpc)
     rpc_close (control->rpc);
   if (control->core)
@@ -99,6 +149,8 @@
   if (control->storage)
     storage_close (control->storage);
   accepted_free (control->accepted);
+  metrics_free (control->metrics);
+  credentials_free (&control->credentials);
 }
 
 int
--- a/src/control/sheet_port.c
+++ b/src/control/sheet_submit.c
@@ -1,8 +1,6 @@
-#include "control/sheet_port.h"
+#include "control/sheet_submit.h"
 
 #include "base/clock.h"
-#include "shift/sheet.h"
-
 /* Shorter than a client waits for an answer.  */
 #define SUBMIT_DEADLINE (6 * USEC_PER_SEC)
 
@@ -41,7 +39,7 @@
       *winner = submission->outcome.winner;
       return settled (&submission->outcome, submission->sheet.number, err);
     case SUBMISSION_REFUSED:
-      return err_set (err, ERR_LIMIT, "submit the same sheet again",
+      return err_set (err, ERR_UNAVAILABLE, "submit the same sheet again",
                       "too many sheets wait to be accepted");
     case SUBMISSION_HALTED:
       return err_set (err, ERR_STORAGE,
@@ -58,18 +56,12 @@
 }
 
 bool
-sheet_submit (core_thread_t *core, const topology_t *topology,
-              const char *text, size_t length, sheet_record_t *winner,
-              err_t *err)
+sheet_submit (core_thread_t *core, const sheet_t *sheet, const char *text,
+              size_t length, sheet_record_t *winner, err_t *err)
 {
-  sheet_faults_t faults;
-  sheet_t *sheet = sheet_parse (text, length, topology, &faults, err);
-  if (!sheet)
-    return false;
   submission_t *submission = submission_new_local (
       sheet->number, &sheet->operator_name, blob_new (text, length),
       clock_monotonic () + SUBMIT_DEADLINE);
-  sheet_free (sheet);
   bool ok = core_thread_submit (core, submission);
   if (ok)
     {
