--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -105,7 +105,7 @@
   ACTION_PERSIST,
   ACTION_APPLY,
   ACTION_RESTORE,       /* replace the applied state */
-  ACTION_TAKE_SNAPSHOT, /* answer by EVENT_SNAPSHOT before more applies */
+  ACTION_TAKE_SNAPSHOT, /* make the next event an EVENT_SNAPSHOT */
   ACTION_REFUSE,
 } action_kind_t;
 
@@ -190,7 +190,10 @@
 void replica_free (replica_t *replica);
 
 /* Take one event at NOW, which never goes back.  Appends to ACTIONS; each
-   is the caller's, for action_free.  The caller keeps EVENT.  */
+   is the caller's, for action_free.  The caller keeps EVENT.  All actions of
+   one step are carried out before the next one, also before the snapshot that
+   one of them asks for: state that went to the disk out of order would undo
+   newer state.  */
 void replica_step (replica_t *replica, usec_t now, const event_t *event,
                    list_t *actions);
 
--- a/src/control/core_actions.c
+++ b/src/control/core_actions.c
@@ -56,17 +56,6 @@
   publish (core);
 }
 
-static void
-save (core_thread_t *core, log_index_t index)
-{
-  blob_t *data = sheet_registry_save (core->registry);
-  event_t event = { .kind = EVENT_SNAPSHOT };
-  event.body.snapshot.index = index;
-  event.body.snapshot.data = data;
-  core_step (core, &event);
-  blob_unref (data);
-}
-
 static void
 refuse (core_thread_t *core, const action_t *action)
 {
@@ -115,7 +104,7 @@
       restore (core, action);
       break;
     case ACTION_TAKE_SNAPSHOT:
-      save (core, action->body.take_snapshot);
+      core->snapshot_wanted = action->body.take_snapshot;
       break;
     case ACTION_REFUSE:
       refuse (core, action);
@@ -124,6 +113,19 @@
   return false;
 }
 
+static void
+save (core_thread_t *core)
+{
+  log_index_t index = core->snapshot_wanted;
+  core->snapshot_wanted = 0;
+  blob_t *data = sheet_registry_save (core->registry);
+  event_t event = { .kind = EVENT_SNAPSHOT };
+  event.body.snapshot.index = index;
+  event.body.snapshot.data = data;
+  core_step (core, &event);
+  blob_unref (data);
+}
+
 void
 core_step (core_thread_t *core, const event_t *event)
 {
@@ -137,4 +139,6 @@
       if (!perform (core, action))
         action_free (action);
     }
+  if (core->snapshot_wanted > 0)
+    save (core);
 }
--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -56,6 +56,7 @@
   proposal_id_t next_id;
   uint64_t synced;
   bool is_halted;
+  log_index_t snapshot_wanted; /* 0: none */
 
   pthread_mutex_t lock; /* guards the status, and pushes against the stop */
   replica_status_t status;
--- a/test/agreement_cluster.h
+++ b/test/agreement_cluster.h
@@ -52,6 +52,7 @@
 {
   replica_image_t image; /* what was synced */
   list_t pending;        /* persist actions that were not */
+  uint64_t sequence;     /* of the newest handed over, in this life */
 } disk_t;
 
 typedef struct submission
@@ -207,6 +208,11 @@
         blob_ref (copy->body.sheet.content);
       list_push_back (&image->log, &copy->link);
     }
+  log_index_t expected = image->snapshot.index;
+  LIST_FOREACH (link, &image->log)
+  REQUIRE (LIST_ENTRY (link, entry_t, link)->index == ++expected,
+           "the disk has a gap before entry %llu",
+           (unsigned long long)expected);
 }
 
 static inline void
@@ -322,6 +328,7 @@
 {
   list_t actions;
   list_init (&actions);
+  log_index_t wanted = 0;
   replica_step (cluster->nodes[slot].replica, cluster->now, event, &actions);
   list_t *link;
   while ((link = list_pop_front (&actions)))
@@ -333,6 +340,9 @@
           cluster_send (cluster, &action->body.send);
           break;
         case ACTION_PERSIST:
+          REQUIRE (action->body.persist.sequence
+                       == ++cluster->nodes[slot].disk.sequence,
+                   "state is handed to the disk out of order");
           list_push_back (&cluster->nodes[slot].disk.pending, &action->link);
           continue;
         case ACTION_APPLY:
@@ -342,13 +352,15 @@
           cluster_restore (cluster, slot, action);
           break;
         case ACTION_TAKE_SNAPSHOT:
-          cluster_save (cluster, slot, action->body.take_snapshot);
+          wanted = action->body.take_snapshot;
           break;
         case ACTION_REFUSE:
           break;
         }
       action_free (action);
     }
+  if (wanted > 0)
+    cluster_save (cluster, slot, wanted);
 }
 
 static inline bool
@@ -383,6 +395,7 @@
                                 .seed = ++cluster->seed };
   node->replica = replica_new (&options, &copy.image, cluster->now);
   node->registry = sheet_registry_new ();
+  node->disk.sequence = 0;
   node->applied = image.snapshot.data ? 0 : image.snapshot.index;
   node->shown = 0;
   node->is_frozen = false;
