--- a/src/control/submission.c
+++ b/src/control/submission.c
@@ -58,7 +58,7 @@
 static control_verdict_t
 wire_verdict (submission_end_t end, const sheet_outcome_t *outcome)
 {
-  if (end != SUBMISSION_SETTLED)
+  if (end != SUBMISSION_SETTLED || !outcome)
     return CONTROL_REFUSED;
   switch (outcome->verdict)
     {
--- a/src/entry/version_feed.c
+++ b/src/entry/version_feed.c
@@ -85,7 +85,7 @@
           put_in_force (feed, action->body.apply);
           break;
         }
-      free (action);
+      spread_action_free (action);
     }
 }
 
--- a/src/membership/spread.c
+++ b/src/membership/spread.c
@@ -110,6 +110,12 @@
   return action;
 }
 
+void
+spread_action_free (spread_action_t *action)
+{
+  free (action);
+}
+
 static void
 report_self (spread_t *spread, usec_t now)
 {
--- a/src/membership/spread.h
+++ b/src/membership/spread.h
@@ -60,14 +60,17 @@
     spread_pull_t pull;
     uint64_t apply; /* the version; the text is spread_text's */
   } body;
-} spread_action_t; /* on the heap: free it */
+} spread_action_t;
 
 typedef struct spread spread_t;
 
 spread_t *spread_new (const spread_options_t *options, usec_t now);
 void spread_free (spread_t *spread);
 
-/* At least every interval / 4.  */
+void spread_action_free (spread_action_t *action);
+
+/* At least every interval / 4.  Actions are the caller's, for
+   spread_action_free.  */
 void spread_tick (spread_t *spread, usec_t now, list_t *actions);
 
 /* VM's answer to a pull that was sent at SENT_AT.  */
--- a/test/agreement_cluster.h
+++ b/test/agreement_cluster.h
@@ -41,7 +41,6 @@
 
 typedef struct packet
 {
-  list_t link;
   slot_t from;
   slot_t to;
   bool is_held; /* late: only a release delivers it */
@@ -77,7 +76,7 @@
   usec_t now;
   uint64_t seed;
   node_t nodes[NODES];
-  list_t packets;
+  packet_t *packets[PACKETS_MAX]; /* oldest first */
   size_t n_packets;
   bool cut[NODES][NODES];
   submission_t proposals[PROPOSALS];
@@ -248,8 +247,7 @@
   packet->bytes = message_encode (message);
   REQUIRE (packet->bytes->length <= MESSAGE_BYTES + LARGE_CONTENT_BYTES + 256,
            "a message of %u bytes", packet->bytes->length);
-  list_push_back (&cluster->packets, &packet->link);
-  cluster->n_packets++;
+  cluster->packets[cluster->n_packets++] = packet;
 }
 
 static inline void
@@ -468,18 +466,18 @@
 {
   if (cluster->n_packets == 0)
     return NULL;
-  i %= cluster->n_packets;
-  LIST_FOREACH (link, &cluster->packets)
-  if (i-- == 0)
-    return LIST_ENTRY (link, packet_t, link);
-  return NULL;
+  return cluster->packets[i % cluster->n_packets];
 }
 
 static inline void
 cluster_drop (cluster_t *cluster, packet_t *packet)
 {
-  list_remove (&packet->link);
+  size_t i = 0;
+  while (cluster->packets[i] != packet)
+    i++;
   cluster->n_packets--;
+  memmove (&cluster->packets[i], &cluster->packets[i + 1],
+           (cluster->n_packets - i) * sizeof cluster->packets[0]);
   blob_unref (packet->bytes);
   free (packet);
 }
@@ -509,6 +507,20 @@
     cluster_drop (cluster, packet);
 }
 
+/* The N oldest, in order, as far as they can be delivered.  */
+static inline void
+cluster_deliver_first (cluster_t *cluster, size_t n)
+{
+  size_t i = 0;
+  while (n-- > 0)
+    {
+      packet_t *packet = cluster->packets[i];
+      cluster_deliver (cluster, packet, false);
+      if (cluster->packets[i] == packet && i < cluster->n_packets)
+        i++;
+    }
+}
+
 /* Deliver the first late message from I on.  */
 static inline void
 cluster_release (cluster_t *cluster, size_t i)
@@ -529,7 +541,7 @@
 {
   cluster->now += TICK;
   event_t event = { .kind = EVENT_TICK };
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     if (node_runs (&cluster->nodes[slot]))
       cluster_step (cluster, slot, &event);
   oracle_lease (cluster);
@@ -542,17 +554,11 @@
   cluster_tick (cluster);
   for (int pass = 0; pass < 3; pass++)
     {
-      for (slot_t slot = 0; slot < NODES; slot++)
+      for (int slot = 0; slot < NODES; slot++)
         while (node_runs (&cluster->nodes[slot])
                && !list_empty (&cluster->nodes[slot].disk.pending))
           cluster_sync (cluster, slot);
-      size_t n = cluster->n_packets;
-      LIST_FOREACH (link, &cluster->packets)
-      {
-        if (n-- == 0)
-          break;
-        cluster_deliver (cluster, LIST_ENTRY (link, packet_t, link), false);
-      }
+      cluster_deliver_first (cluster, cluster->n_packets);
     }
 }
 
@@ -601,7 +607,7 @@
 static inline slot_t
 cluster_leader (const cluster_t *cluster)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     if (node_runs (&cluster->nodes[slot])
         && replica_holds_lease (cluster->nodes[slot].replica, cluster->now))
       return slot;
@@ -614,8 +620,7 @@
   memset (cluster, 0, sizeof *cluster);
   cluster->seed = seed * 1000;
   cluster->now = USEC_PER_SEC;
-  list_init (&cluster->packets);
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     {
       disk_t *disk = &cluster->nodes[slot].disk;
       list_init (&disk->pending);
@@ -629,9 +634,9 @@
 cluster_heal (cluster_t *cluster)
 {
   memset (cluster->cut, 0, sizeof cluster->cut);
-  LIST_FOREACH (link, &cluster->packets)
-  LIST_ENTRY (link, packet_t, link)->is_held = false;
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (size_t i = 0; i < cluster->n_packets; i++)
+    cluster->packets[i]->is_held = false;
+  for (int slot = 0; slot < NODES; slot++)
     {
       cluster->nodes[slot].is_frozen = false;
       cluster_start (cluster, slot);
@@ -645,7 +650,7 @@
   if (leader == SLOT_NONE || cluster_losses (cluster) > 0)
     return false;
   replica_status_t status = replica_status (cluster->nodes[leader].replica);
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     if (!node_runs (&cluster->nodes[slot])
         || cluster->nodes[slot].applied != status.last)
       return false;
@@ -655,7 +660,7 @@
 static inline void
 cluster_print (const cluster_t *cluster)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     {
       const node_t *node = &cluster->nodes[slot];
       replica_status_t s = replica_status (node->replica);
@@ -701,7 +706,7 @@
   cluster_settle (cluster);
   REQUIRE (cluster->is_accepted[number], "sheet %llu is not accepted",
            (unsigned long long)number);
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     for (uint64_t i = 1; i <= number; i++)
       {
         if (!cluster->is_accepted[i])
@@ -721,7 +726,7 @@
 static inline void
 cluster_free (cluster_t *cluster)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     {
       cluster_crash (cluster, slot, 0);
       disk_clear (&cluster->nodes[slot].disk);
--- a/test/fuzz/fuzz_agreement.c
+++ b/test/fuzz/fuzz_agreement.c
@@ -208,6 +208,8 @@
     }
 }
 
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/test/unit/test_agreement_matrix.c
+++ b/test/unit/test_agreement_matrix.c
@@ -70,15 +70,13 @@
 static void
 deliver_all (cluster_t *cluster)
 {
-  size_t n = cluster->n_packets;
-  while (n-- > 0)
-    cluster_deliver (cluster, cluster_packet (cluster, 0), false);
+  cluster_deliver_first (cluster, cluster->n_packets);
 }
 
 static void
 sync_all (cluster_t *cluster)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     while (!list_empty (&cluster->nodes[slot].disk.pending))
       cluster_sync (cluster, slot);
 }
@@ -114,7 +112,7 @@
 static void
 cut (cluster_t *cluster, slot_t slot, bool out, bool in)
 {
-  for (slot_t other = 0; other < NODES; other++)
+  for (int other = 0; other < NODES; other++)
     {
       cluster->cut[slot][other] = out;
       cluster->cut[other][slot] = in;
@@ -131,7 +129,7 @@
 static void
 race (cluster_t *cluster, uint64_t number)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     cluster_submit (cluster, slot, number, 1 + slot % 2);
 }
 
@@ -202,7 +200,7 @@
       cluster_crash (cluster, next, 0);
       break;
     case ALL_KILLED:
-      for (slot_t slot = 0; slot < NODES; slot++)
+      for (int slot = 0; slot < NODES; slot++)
         cluster_crash (cluster, slot, 0);
       break;
     case FAULTS:
@@ -214,7 +212,7 @@
 static void
 resend (cluster_t *cluster, uint64_t number)
 {
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     {
       cluster_submit (cluster, slot, number, 0);
       cluster_submit (cluster, slot, number, 1);
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -51,7 +51,7 @@
   cluster_crash (cluster, 4, 0);
   for (int i = 0; i < 400; i++)
     cluster_round (cluster);
-  for (slot_t slot = 0; slot < 4; slot++)
+  for (int slot = 0; slot < 4; slot++)
     g_assert_cmpint (replica_status (cluster->nodes[slot].replica).role, ==,
                      ROLE_BLANK);
   cluster_start (cluster, 4);
@@ -70,15 +70,14 @@
   while (cluster_leader (cluster) == SLOT_NONE)
     {
       cluster_tick (cluster);
-      for (slot_t slot = 0; slot < NODES; slot++)
+      for (int slot = 0; slot < NODES; slot++)
         while (!list_empty (&cluster->nodes[slot].disk.pending))
           cluster_sync (cluster, slot);
       bool is_started
           = replica_status (cluster->nodes[0].replica).role != ROLE_BLANK;
-      for (slot_t slot = 0; slot < NODES; slot++)
+      for (int slot = 0; slot < NODES; slot++)
         cluster->cut[slot][deaf] = is_started;
-      for (size_t n = cluster->n_packets; n > 0; n--)
-        cluster_deliver (cluster, cluster_packet (cluster, 0), false);
+      cluster_deliver_first (cluster, cluster->n_packets);
     }
   for (int i = 0; i < 12; i++)
     accept_next (cluster, 0);
@@ -96,7 +95,7 @@
 {
   cluster_t *cluster = settled_new (1);
   accept_next (cluster, 0);
-  for (slot_t slot = 0; slot < 4; slot++)
+  for (int slot = 0; slot < 4; slot++)
     {
       cluster_crash (cluster, slot, 0);
       disk_clear (&cluster->nodes[slot].disk);
@@ -160,7 +159,7 @@
   g_assert_true (cluster_lose_disk (cluster, newcomer));
   for (int i = 0; i < 20; i++)
     cluster_round (cluster);
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     cluster->cut[leader][slot] = slot != newcomer;
   cluster_start (cluster, newcomer);
   for (int i = 0; i < 12; i++)
@@ -183,7 +182,7 @@
   slot_t leader = cluster_leader (cluster);
   term_t term = replica_status (cluster->nodes[leader].replica).term;
   slot_t away = (slot_t)((leader + 1) % NODES);
-  for (slot_t slot = 0; slot < NODES; slot++)
+  for (int slot = 0; slot < NODES; slot++)
     cluster->cut[away][slot] = cluster->cut[slot][away] = true;
   for (int i = 0; i < 400; i++)
     cluster_round (cluster);
--- a/test/unit/test_membership_spread.c
+++ b/test/unit/test_membership_spread.c
@@ -133,7 +133,7 @@
           g_assert_cmpuint (action->body.apply, >=, world->in_force[vm]);
           world->in_force[vm] = action->body.apply;
         }
-      g_free (action);
+      spread_action_free (action);
     }
 }
 
