feat(entry): a metrics page on every entry VM

Latency by organisation, service and class, outcomes, refusals by kind, look-ups, and the sheet in force with its time, which shift status and check read; the RPC layer's counters stand there too. The page is stopped before the RPC layer whose counters it shows.

functional/test_admin now also starts the nine entry VMs: in force on 8 of 9 is never told as everywhere, and the one that does not run is named.

--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -84,6 +84,7 @@
       return http_reply_error (connection, &err);
     }
   char text[LOOKUP_BYTES];
+  entry_metrics_lookup (port->options.metrics);
   int used = lookup_write (port, block, text, sizeof text);
   return http_reply_text (connection, MHD_HTTP_OK, "application/json", text,
                           (size_t)used);
@@ -129,8 +130,10 @@
 }
 
 static enum MHD_Result
-reply_outcome (exchange_t *exchange)
+reply_outcome (const caller_port_t *port, exchange_t *exchange)
 {
+  entry_metrics_outcome (port->options.metrics, exchange,
+                         clock_monotonic () - exchange->begun_at);
   struct MHD_Response *response = outcome_response (exchange);
   if (!response)
     return MHD_NO;
@@ -149,13 +152,13 @@
 
 /* Refuse before anything was sent.  */
 static enum MHD_Result
-refuse (exchange_t *exchange, err_kind_t kind, const char *remedy,
-        const char *why)
+refuse (const caller_port_t *port, exchange_t *exchange, err_kind_t kind,
+        const char *remedy, const char *why)
 {
   exchange->outcome = EXCHANGE_NOT_RUN;
   err_set (&exchange->reason, kind, remedy, "%s", why);
   exchange->done = true;
-  return reply_outcome (exchange);
+  return reply_outcome (port, exchange);
 }
 
 static void
@@ -207,23 +210,23 @@
 {
   const settings_t *settings = port->options.settings;
   if (!parse_target (&settings->topology, exchange))
-    return refuse (exchange, ERR_USAGE,
+    return refuse (port, exchange, ERR_USAGE,
                    "use /s/SERVICE/... with a service that the settings list",
                    "no such service");
   copy_header (exchange, "X-Request-Id", exchange->caller_id);
   copy_header (exchange, "Idempotency-Key", exchange->ticket);
   copy_header (exchange, "Content-Type", exchange->content_type);
   if (!parse_deadline (settings, exchange))
-    return refuse (exchange, ERR_USAGE,
+    return refuse (port, exchange, ERR_USAGE,
                    "give whole milliseconds, at most the settings' "
                    "deadline_max_ms",
                    "X-Deadline-Ms is not a legal deadline");
   if (exchange->body_too_long)
-    return refuse (exchange, ERR_USAGE, "send less than body_bytes",
+    return refuse (port, exchange, ERR_USAGE, "send less than body_bytes",
                    "the body is too long");
   if (!route_table_pick (port->options.routes, exchange->service,
                          &exchange->backend))
-    return refuse (exchange, ERR_UNAVAILABLE, "try again later",
+    return refuse (port, exchange, ERR_UNAVAILABLE, "try again later",
                    "no backend server takes work for the service");
   snprintf (exchange->id, sizeof exchange->id, "%016llx-%llx",
             (unsigned long long)port->options.incarnation,
@@ -234,7 +237,7 @@
     return MHD_YES;
   port->under_way--;
   MHD_resume_connection (exchange->connection);
-  return refuse (exchange, ERR_LIMIT, "try again later",
+  return refuse (port, exchange, ERR_LIMIT, "try again later",
                  "too many requests are under way");
 }
 
@@ -256,6 +259,7 @@
   (void)closure;
   exchange_t *exchange = exchange_new ();
   exchange->connection = connection;
+  exchange->begun_at = clock_monotonic ();
   if (strlen (uri) < sizeof exchange->target)
     memcpy (exchange->target, uri, strlen (uri) + 1);
   return exchange;
@@ -270,7 +274,7 @@
   caller_port_t *port = closure;
   exchange_t *exchange = *state;
   if (exchange->done)
-    return reply_outcome (exchange);
+    return reply_outcome (port, exchange);
   if (!exchange->begun)
     {
       exchange->begun = true;
@@ -290,7 +294,7 @@
   if (strncmp (exchange->target, "/s/", strlen ("/s/")) == 0
       && exchange->method[0])
     return begin_request (port, exchange);
-  return refuse (exchange, ERR_USAGE, "docs/API.md lists the requests",
+  return refuse (port, exchange, ERR_USAGE, "docs/API.md lists the requests",
                  "no such request");
 }
 
--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -21,6 +21,7 @@
   vm_id_t self;
   uint64_t incarnation;
   route_table_t *routes;
+  entry_metrics_t *metrics;
 } caller_port_options_t;
 
 caller_port_t *caller_port_open (const caller_port_options_t *options,
--- /dev/null
+++ b/src/entry/entry_metrics.c
@@ -0,0 +1,163 @@
+#include "entry/entry_metrics.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+
+enum
+{
+  OUTCOMES = EXCHANGE_UNKNOWN + 1,
+};
+
+/* Of one service.  */
+typedef struct service_metrics
+{
+  histogram_t *latency;
+  counter_t *outcomes[OUTCOMES];
+} service_metrics_t;
+
+struct entry_metrics
+{
+  metrics_t *registry;
+  service_metrics_t *services;
+  size_t n_services;
+  counter_t *not_run[ERR_INTERNAL + 1];
+  counter_t *lookups;
+  counter_t *bad_requests;
+  gauge_t *sheet_number;
+  gauge_t *sheet_since;
+};
+
+static bool
+register_service (metrics_t *registry, service_metrics_t *own,
+                  const name_t *organisation, const service_t *service,
+                  err_t *err)
+{
+  metric_options_t options = { .name = "mulberry_request_usec",
+                               .help = "Time to the outcome",
+                               .organisation = organisation->text,
+                               .service = service->name.text,
+                               .request_class = service->request_class.text };
+  own->latency = metrics_histogram (registry, &options, err);
+  if (!own->latency)
+    return false;
+  options.name = "mulberry_requests_total";
+  options.help = "Requests by outcome";
+  for (size_t i = 0; i < OUTCOMES; i++)
+    {
+      options.reason = exchange_outcome_name ((exchange_outcome_t)i);
+      own->outcomes[i] = metrics_counter (registry, &options, err);
+      if (!own->outcomes[i])
+        return false;
+    }
+  return true;
+}
+
+static bool
+register_not_run (entry_metrics_t *metrics, err_t *err)
+{
+  for (size_t i = 0; i <= ERR_INTERNAL; i++)
+    {
+      const metric_options_t options
+          = { .name = "mulberry_not_run_total",
+              .help = "Requests that were not run, by the kind of error",
+              .reason = err_kind_name ((err_kind_t)i) };
+      metrics->not_run[i] = metrics_counter (metrics->registry, &options, err);
+      if (!metrics->not_run[i])
+        return false;
+    }
+  return true;
+}
+
+static bool
+register_vm (entry_metrics_t *metrics, err_t *err)
+{
+  const metric_options_t lookups
+      = { .name = "mulberry_lookups_total", .help = "Look-ups answered" };
+  const metric_options_t bad = { .name = "mulberry_bad_requests_total",
+                                 .help = "Requests that name no service" };
+  const metric_options_t number = { .name = "mulberry_sheet_number",
+                                    .help = "Number of the sheet in force" };
+  const metric_options_t since
+      = { .name = "mulberry_sheet_since_seconds",
+          .help = "Since when it is in force, seconds since 1970" };
+  metrics->lookups = metrics_counter (metrics->registry, &lookups, err);
+  metrics->bad_requests = metrics_counter (metrics->registry, &bad, err);
+  metrics->sheet_number = metrics_gauge (metrics->registry, &number, err);
+  metrics->sheet_since = metrics_gauge (metrics->registry, &since, err);
+  return metrics->lookups && metrics->bad_requests && metrics->sheet_number
+         && metrics->sheet_since;
+}
+
+static bool
+register_services (entry_metrics_t *metrics, const topology_t *topology,
+                   err_t *err)
+{
+  metrics->n_services = topology->n_services;
+  metrics->services = calloc (topology->n_services, sizeof *metrics->services);
+  for (size_t i = 0; metrics->services && i < topology->n_services; i++)
+    if (!register_service (metrics->registry, &metrics->services[i],
+                           &topology->organisation, &topology->services[i],
+                           err))
+      return false;
+  return metrics->services != NULL;
+}
+
+entry_metrics_t *
+entry_metrics_new (const topology_t *topology, err_t *err)
+{
+  entry_metrics_t *metrics = calloc (1, sizeof *metrics);
+  if (!metrics)
+    abort ();
+  metrics->registry = metrics_new ();
+  if (metrics->registry && register_services (metrics, topology, err)
+      && register_not_run (metrics, err) && register_vm (metrics, err))
+    return metrics;
+  entry_metrics_free (metrics);
+  return NULL;
+}
+
+void
+entry_metrics_free (entry_metrics_t *metrics)
+{
+  if (!metrics)
+    return;
+  metrics_free (metrics->registry);
+  free (metrics->services);
+  free (metrics);
+}
+
+metrics_t *
+entry_metrics_registry (entry_metrics_t *metrics)
+{
+  return metrics->registry;
+}
+
+void
+entry_metrics_lookup (entry_metrics_t *metrics)
+{
+  counter_add (metrics->lookups, 1);
+}
+
+void
+entry_metrics_outcome (entry_metrics_t *metrics, const exchange_t *exchange,
+                       usec_t took)
+{
+  if (exchange->outcome == EXCHANGE_NOT_RUN)
+    counter_add (metrics->not_run[exchange->reason.kind], 1);
+  if (exchange->service >= metrics->n_services)
+    {
+      counter_add (metrics->bad_requests, 1);
+      return;
+    }
+  service_metrics_t *service = &metrics->services[exchange->service];
+  counter_add (service->outcomes[exchange->outcome], 1);
+  histogram_record (service->latency, took);
+}
+
+void
+entry_metrics_sheet (entry_metrics_t *metrics, uint64_t number)
+{
+  gauge_set (metrics->sheet_number, (int64_t)number);
+  gauge_set (metrics->sheet_since, clock_wall () / USEC_PER_SEC);
+}
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -37,6 +37,7 @@
 {
   list_t link;
   struct MHD_Connection *connection;
+  usec_t begun_at;            /* monotonic */
   char id[EXCHANGE_ID_BYTES]; /* our own, also to the backend server */
   char method[EXCHANGE_METHOD_BYTES];
   char target[EXCHANGE_TARGET_BYTES]; /* path and query as they came */
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -10,7 +10,9 @@
 #include "entry/route_table.h"
 #include "entry/version_feed.h"
 #include "settings/program.h"
+#include "wire/metrics_page.h"
 #include "wire/rpc.h"
+#include "wire/rpc_metrics.h"
 
 const char *argp_program_version = "mulberry-entry " MULBERRY_VERSION;
 
@@ -25,8 +27,29 @@
   rpc_t *rpc;
   version_feed_t *feed;
   caller_port_t *port;
+  entry_metrics_t *metrics;
+  metrics_page_t *page;
 } entry_t;
 
+static bool
+open_metrics (entry_t *entry, const program_t *program, err_t *err)
+{
+  const settings_t *settings = program->settings;
+  entry->metrics = entry_metrics_new (&settings->topology, err);
+  if (!entry->metrics)
+    return false;
+  metrics_t *registry = entry_metrics_registry (entry->metrics);
+  if (!rpc_metrics_register (entry->rpc, registry, err))
+    return false;
+  route_table_watch (entry->routes, entry->metrics);
+  const metrics_page_options_t options
+      = { .address = program->vm->address,
+          .port = settings->ports.entry_metrics,
+          .metrics = registry };
+  entry->page = metrics_page_start (&options, err);
+  return entry->page != NULL;
+}
+
 static bool
 entry_open (entry_t *entry, const program_t *program, err_t *err)
 {
@@ -38,7 +61,8 @@
                                       .incarnation = program->incarnation,
                                       .key = program->key };
   entry->rpc = rpc_open (&rpc_options, err);
-  if (!entry->rpc || !rpc_start (entry->rpc, err))
+  if (!entry->rpc || !open_metrics (entry, program, err)
+      || !rpc_start (entry->rpc, err))
     return false;
   const version_feed_options_t feed_options
       = { .settings = settings, .rpc = entry->rpc, .routes = entry->routes };
@@ -49,7 +73,8 @@
       = { .settings = settings,
           .self = program->vm_id,
           .incarnation = program->incarnation,
-          .routes = entry->routes };
+          .routes = entry->routes,
+          .metrics = entry->metrics };
   entry->port = caller_port_open (&port_options, err);
   return entry->port != NULL;
 }
@@ -61,12 +86,16 @@
     caller_port_close (entry->port);
   if (entry->feed)
     version_feed_stop (entry->feed);
+  /* The page reads the RPC layer's counters.  */
+  if (entry->page)
+    metrics_page_stop (entry->page);
   if (entry->rpc)
     rpc_close (entry->rpc);
   if (entry->feed)
     version_feed_free (entry->feed);
   if (entry->routes)
     route_table_free (entry->routes);
+  entry_metrics_free (entry->metrics);
 }
 
 int
--- a/src/entry/route_table.c
+++ b/src/entry/route_table.c
@@ -13,6 +13,7 @@
   pthread_rwlock_t lock; /* guards the sheet */
   sheet_t *sheet;
   _Atomic size_t turn;
+  entry_metrics_t *metrics; /* NULL: none */
 };
 
 route_table_t *
@@ -27,6 +28,12 @@
   return table;
 }
 
+void
+route_table_watch (route_table_t *table, entry_metrics_t *metrics)
+{
+  table->metrics = metrics;
+}
+
 void
 route_table_free (route_table_t *table)
 {
@@ -43,6 +50,8 @@
   sheet_t *old = newer ? table->sheet : sheet;
   if (newer)
     table->sheet = sheet;
+  if (newer && table->metrics)
+    entry_metrics_sheet (table->metrics, sheet->number);
   pthread_rwlock_unlock (&table->lock);
   sheet_free (old);
   return newer;
--- a/src/entry/route_table.h
+++ b/src/entry/route_table.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 
+#include "entry/entry_metrics.h"
 #include "placement/topology_defs.h"
 #include "shift/sheet_defs.h"
 
@@ -14,6 +15,9 @@
 /* For the VM with the index SELF.  */
 route_table_t *route_table_new (const topology_t *topology, vm_id_t self);
 
+/* Tell METRICS which sheet is in force, from the next one on.  */
+void route_table_watch (route_table_t *table, entry_metrics_t *metrics);
+
 void route_table_free (route_table_t *table);
 
 /* Put SHEET in force; it becomes the table's.  False (and released) where
--- a/test/functional/test_admin.sh
+++ b/test/functional/test_admin.sh
@@ -106,6 +106,24 @@
 expect 0 ctl -v "$FIRST_VM" sheet show
 [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$FIRST:9091/secret")" = 404 ] || fail 'no 404'
 
+# With entry VMs: in force on those that run, and never told of the others.
+for vm in $VMS; do [ "$vm" = "$FIRST_VM" ] || start_entry "$vm"; done
+in_force_on() { ctl shift status >"$FOLDER/status" || true; grep -q "in force on $1 of 9 VMs" "$FOLDER/status"; }
+wait_for 20 in_force_on 8 || { cat "$FOLDER/status"; fail "in force"; }
+expect 1 ctl -o json shift status
+output_has '"in_force_everywhere": false'
+expect 1 ctl check
+output_has "mulberry-entry on $FIRST_VM: can't be reached"
+start_entry "$FIRST_VM"
+wait_for 20 in_force_on 9
+expect 0 ctl shift status
+output_has 'everywhere'
+curl -s "http://$FIRST:8080/v1/lookup?service=songfind&block=1" >/dev/null
+expect 0 ctl metrics
+output_has 'mulberry_lookups_total 1'
+output_has 'mulberry_request_usec organisation=consortium service=songfind class=search'
+stop_one "entry-$FIRST_VM" || fail 'the entry VM did not stop cleanly'
+
 # Merged metrics tell of the entry VMs that don't run.
 expect 1 ctl metrics
 output_has 'mulberry_sheets_total reason=accepted 3'
