--- a/src/control/admin_service.c
+++ b/src/control/admin_service.c
@@ -1,22 +1,9 @@
 #include "control/admin_service.h"
 
-#include <openssl/sha.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
 #include "base/name.h"
+#include "control/sheet_submit.h"
 #include "shift/cost.h"
 
-static void
-digest_text (const char *text, size_t length, char digest[ADMIN_DIGEST_BYTES])
-{
-  unsigned char bytes[SHA256_DIGEST_LENGTH];
-  SHA256 ((const unsigned char *)text, length, bytes);
-  for (size_t i = 0; i < sizeof bytes; i++)
-    snprintf (digest + 2 * i, 3, "%02x", bytes[i]);
-}
-
 /* Whether SHEET may be submitted by OPERATOR_NAME at all.  */
 static bool
 check_sheet (const admin_service_t *service, const sheet_t *sheet,
@@ -29,6 +16,16 @@
   return cost_check (sheet, &service->settings->topology, NULL, err);
 }
 
+/* Wait until this VM shows the accepted sheet NUMBER as well, a bounded time:
+   who was told "accepted" and asks here again should find it.  */
+static void
+await_applied (accepted_t *accepted, uint64_t number)
+{
+  const struct timespec step = { .tv_nsec = APPLY_STEP_NSEC };
+  for (int i = 0; i < APPLY_STEPS && accepted_number (accepted) < number; i++)
+    nanosleep (&step, NULL);
+}
+
 bool
 admin_submit (admin_service_t *service, const char *text, size_t length,
               const name_t *operator_name, sheet_faults_t *faults,
@@ -38,13 +35,15 @@
       = sheet_parse (text, length, &service->settings->topology, faults, err);
   if (!sheet)
     return false;
+  sheet_record_t winner;
   bool ok = check_sheet (service, sheet, operator_name, err)
-            && accepted_submit (service->accepted, text, length,
-                                &answer->number, err);
+            && sheet_submit (service->core, sheet, text, length, &winner, err);
   if (ok)
     {
-      answer->operator_name = sheet->operator_name;
-      digest_text (text, length, answer->digest);
+      await_applied (service->accepted, winner.number);
+      answer->number = winner.number;
+      answer->operator_name = winner.operator_name;
+      sheet_digest_text (&winner, answer->digest);
     }
   sheet_free (sheet);
   return ok;
@@ -53,18 +52,31 @@
 char *
 admin_sheet (admin_service_t *service, size_t *length)
 {
-  uint64_t number = 0;
-  return accepted_newer (service->accepted, 0, length, &number);
+  return accepted_text (service->accepted, length);
+}
+
+static const char *
+slot_state (const replica_status_t *status, slot_t slot)
+{
+  if (slot == status->pending_slot)
+    return "joining";
+  return slot == status->leader ? "leading" : "voting";
 }
 
 void
 admin_get_status (admin_service_t *service, admin_status_t *status)
 {
-  size_t length = 0;
-  *status = (admin_status_t){ .role = "single", .leader = service->self };
-  char *text = accepted_newer (service->accepted, 0, &length, &status->number);
-  free (text);
-  status->n_replicas = 1;
-  status->replicas[0]
-      = (admin_replica_t){ .vm = service->self, .state = "current" };
+  replica_status_t replica = core_thread_status (service->core);
+  *status = (admin_status_t){
+    .role = replica_role_name (replica.role),
+    .leader = core_thread_slot_vm (service->core, replica.leader),
+    .term = replica.term,
+    .number = accepted_number (service->accepted),
+    .n_replicas = replica.config.n_slots,
+  };
+  for (slot_t slot = 0; slot < replica.config.n_slots; slot++)
+    status->replicas[slot] = (admin_replica_t){
+      .vm = core_thread_slot_vm (service->core, slot),
+      .state = slot_state (&replica, slot),
+    };
 }
