fix(control): who was told 'accepted' finds the sheet at the same VM

Cause: a follower passes a submission to the leader and answered before it had applied the entry itself, so the next GET /v1/sheet there gave the older sheet, and a drain after a submit began from it. It now waits for its own replica to apply the sheet, a second at most. Ruled out: reading through the leader (a read would fail without one).

--- a/src/control/admin_service.c
+++ b/src/control/admin_service.c
@@ -1,9 +1,17 @@
 #include "control/admin_service.h"
 
+#include <time.h>
+
 #include "base/name.h"
 #include "control/sheet_submit.h"
 #include "shift/cost.h"
 
+enum
+{
+  APPLY_STEP_NSEC = 2 * 1000 * 1000,
+  APPLY_STEPS = 500, /* a second in all */
+};
+
 /* Whether SHEET may be submitted by OPERATOR_NAME at all.  */
 static bool
 check_sheet (const admin_service_t *service, const sheet_t *sheet,
