--- a/src/control/admin_service.c
+++ b/src/control/admin_service.c
@@ -1,9 +1,17 @@
 #include "control/admin_service.h"
 
+#include <time.h>
+
 #include "base/name.h"
 #include "control/sheet_submit.h"
 #include "shift/cost.h"
 
+enum
+{
+  APPLY_STEP_NSEC = 2 * 1000 * 1000,
+  APPLY_STEPS = 500, /* a second in all */
+};
+
 /* Whether SHEET may be submitted by OPERATOR_NAME at all.  */
 static bool
 check_sheet (const admin_service_t *service, const sheet_t *sheet,
@@ -16,6 +24,16 @@
   return cost_check (sheet, &service->settings->topology, NULL, err);
 }
 
+/* Wait until this VM shows the accepted sheet NUMBER as well, a bounded time:
+   who was told "accepted" and asks here again should find it.  */
+static void
+await_applied (accepted_t *accepted, uint64_t number)
+{
+  const struct timespec step = { .tv_nsec = APPLY_STEP_NSEC };
+  for (int i = 0; i < APPLY_STEPS && accepted_number (accepted) < number; i++)
+    nanosleep (&step, NULL);
+}
+
 bool
 admin_submit (admin_service_t *service, const char *text, size_t length,
               const name_t *operator_name, sheet_faults_t *faults,
@@ -30,6 +48,7 @@
             && sheet_submit (service->core, sheet, text, length, &winner, err);
   if (ok)
     {
+      await_applied (service->accepted, winner.number);
       answer->number = winner.number;
       answer->operator_name = winner.operator_name;
       sheet_digest_text (&winner, answer->digest);
