test(delivery): a refusal counts for the generation that was sent

A mutation that told "not run" without asking the ledger passed 40000 runs: the oracle believed the generation 0 that it named. Now the sent generation counts.

--- a/test/support/delivery_world.h
+++ b/test/support/delivery_world.h
@@ -260,13 +260,16 @@
       world->idempotent_refused[flight->root] = true;
       return;
     }
-  require (content->n_runs == 0
-               || content->ran_generation > outcome->generation,
+  /* Whatever the refusal names, the generation that was sent is dead.  */
+  uint32_t generation = flight->request.options.generation;
+  if (outcome->generation > generation)
+    generation = outcome->generation;
+  require (content->n_runs == 0 || content->ran_generation > generation,
            "\"not run\" after a run");
-  if (outcome->generation > content->refused)
-    content->refused = outcome->generation;
-  if (content->ticket.generation <= outcome->generation)
-    content->ticket.generation = outcome->generation + 1;
+  if (generation > content->refused)
+    content->refused = generation;
+  if (content->ticket.generation <= generation)
+    content->ticket.generation = generation + 1;
 }
 
 static int
