test(delivery): the matrix of a forwarded request

25 cells: the connection between the entry VMs is lost, either VM dies, the second is frozen or cut, at five steps. Where the second VM had claimed and only the connection was lost, the origin finds the recorded answer.

--- a/test/unit/test_delivery_matrix.c
+++ b/test/unit/test_delivery_matrix.c
@@ -6,7 +6,7 @@
    oracle of delivery_world.h holds throughout; the table says, for each cell,
    what the first send and the last one were told (a: answer, n: not run, u:
    unknown, -: nothing, for its VM or its caller is gone) and how often the
-   request ran.  */
+   request ran.  A second table has a request that VM 0 forwards to VM 2.  */
 
 #include <glib.h>
 
@@ -70,6 +70,42 @@
   [FAULT_SHORT] = { "aa1", "na1", "aa1", "uu1", "uu1", "aa1", "aa1" },
 };
 
+/* Where a forwarded request stands.  */
+typedef enum
+{
+  HOP_COMING,
+  HOP_PLACING,
+  HOP_CLAIMED,
+  HOP_SENT,
+  HOP_ANSWERED, /* the answer is on its way to VM 0 */
+  N_HOP_STEPS,
+} hop_step_t;
+
+typedef enum
+{
+  HOP_FAULT_LOST, /* the connection between the VMs; VM 2 goes on */
+  HOP_FAULT_KILL, /* VM 2 */
+  HOP_FAULT_FREEZE,
+  HOP_FAULT_CUT,    /* VM 2 from the others, after the connection broke */
+  HOP_FAULT_ORIGIN, /* VM 0 dies, VM 2 goes on */
+  N_HOP_FAULTS,
+} hop_fault_t;
+
+static const char *const hop_step_names[]
+    = { "coming", "placing", "claimed", "sent", "answered" };
+
+static const char *const hop_fault_names[]
+    = { "lost", "kill", "freeze", "cut", "origin" };
+
+/* Columns as in hop_step_t.  */
+static const char *const hop_expected[N_HOP_FAULTS][N_HOP_STEPS] = {
+  [HOP_FAULT_LOST] = { "na1", "na1", "aa1", "aa1", "aa1" },
+  [HOP_FAULT_KILL] = { "na1", "na1", "uu0", "uu1", "aa1" },
+  [HOP_FAULT_FREEZE] = { "ua1", "ua1", "ua1", "uu1", "ua1" },
+  [HOP_FAULT_CUT] = { "na1", "na1", "uu1", "uu1", "aa1" },
+  [HOP_FAULT_ORIGIN] = { "-a1", "-a1", "-a1", "-a1", "-a1" },
+};
+
 /* Bring a new request at VM 0 to STEP.  */
 static int
 reach (world_t *world, step_t step)
@@ -166,6 +202,8 @@
           world_run (world, i);
           world_finish (world, i, false);
         }
+      for (int i = 0; i < N_FLIGHTS; i++)
+        world_return (world, i, false);
       world_pass (world, request_deadline / 6);
     }
 }
@@ -187,28 +225,25 @@
   return 'u';
 }
 
+/* Let all go on, and the caller resend; fill in CELL.  */
 static void
-run_cell (fault_t fault, step_t step, char cell[CELL_BYTES])
+finish_cell (world_t *world, int first, char cell[CELL_BYTES])
 {
-  static world_t world;
-  world_open (&world);
-  int first = reach (&world, step);
-  inject (&world, fault, first);
-  go_on (&world);
-  cell[0] = told (&world.flights[first]);
-  world.flights[first].alive = true;
-  world.lose_votes = false;
+  go_on (world);
+  cell[0] = told (&world->flights[first]);
+  world->flights[first].alive = true;
+  world->lose_votes = false;
   for (int i = 0; i < N_RESENDS; i++)
     {
-      int again = world_send (&world, 1, CONTENT);
-      go_on (&world);
-      cell[1] = told (&world.flights[again]);
+      int again = world_send (world, 1, CONTENT);
+      go_on (world);
+      cell[1] = told (&world->flights[again]);
       if (cell[1] != 'n')
         break;
     }
-  cell[2] = (char)('0' + world.contents[CONTENT].n_runs);
+  cell[2] = (char)('0' + world->contents[CONTENT].n_runs);
   cell[3] = '\0';
-  world_close (&world);
+  world_close (world);
 }
 
 static void
@@ -218,10 +253,84 @@
   fault_t fault = (fault_t)(index / N_STEPS);
   step_t step = (step_t)(index % N_STEPS);
   char cell[CELL_BYTES];
-  run_cell (fault, step, cell);
+  static world_t world;
+  world_open (&world);
+  int first = reach (&world, step);
+  inject (&world, fault, first);
+  finish_cell (&world, first, cell);
   g_assert_cmpstr (cell, ==, expected[fault][step]);
 }
 
+/* Bring a new request, forwarded by VM 0, to STEP; returns the hop.  */
+static int
+reach_hop (world_t *world, hop_step_t step)
+{
+  int origin = world_send (world, 0, CONTENT);
+  world_place (world, origin, EVENT_FORWARD);
+  int index = world->flights[origin].hop;
+  flight_t *hop = &world->flights[index];
+  if (step >= HOP_PLACING)
+    world_arrive (world, index);
+  if (step >= HOP_CLAIMED)
+    world_place (world, index, EVENT_ADMITTED);
+  if (step >= HOP_SENT)
+    {
+      world_leave (world, hop->work);
+      world_run (world, hop->work);
+    }
+  if (step >= HOP_ANSWERED)
+    world_finish (world, hop->work, false);
+  return index;
+}
+
+static void
+inject_hop (world_t *world, hop_fault_t fault, int index)
+{
+  switch (fault)
+    {
+    case HOP_FAULT_LOST:
+      world_return (world, index, true);
+      break;
+    case HOP_FAULT_KILL:
+      world_return (world, index, true);
+      world_kill_vm (world, 2);
+      break;
+    case HOP_FAULT_FREEZE:
+      world->frozen[2] = true;
+      world_pass (world, 3 * request_deadline);
+      world->frozen[2] = false;
+      break;
+    case HOP_FAULT_CUT:
+      world->cut[2] = true;
+      world_return (world, index, true);
+      break;
+    case HOP_FAULT_ORIGIN:
+      world_kill_vm (world, 0);
+      break;
+    case N_HOP_FAULTS:
+      break;
+    }
+}
+
+static void
+test_hop_cell (const void *data)
+{
+  static world_t world;
+  size_t index = GPOINTER_TO_SIZE (data);
+  size_t fault = index / N_HOP_STEPS;
+  size_t step = index % N_HOP_STEPS;
+  char cell[CELL_BYTES];
+  world_open (&world);
+  int hop = reach_hop (&world, (hop_step_t)step);
+  int first = world.flights[hop].parent;
+  inject_hop (&world, (hop_fault_t)fault, hop);
+  /* A message that was late arrives all the same.  */
+  if (world.flights[hop].alive)
+    world_arrive (&world, hop);
+  finish_cell (&world, first, cell);
+  g_assert_cmpstr (cell, ==, hop_expected[fault][step]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -233,5 +342,13 @@
                 step_names[i % N_STEPS]);
       g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_cell);
     }
+  for (size_t i = 0; i < (size_t)N_HOP_FAULTS * N_HOP_STEPS; i++)
+    {
+      char path[64];
+      snprintf (path, sizeof path, "/matrix/hop-%s/%s",
+                hop_fault_names[i / N_HOP_STEPS],
+                hop_step_names[i % N_HOP_STEPS]);
+      g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_hop_cell);
+    }
   return g_test_run ();
 }
