--- a/src/admission/escrow_holder.c
+++ b/src/admission/escrow_holder.c
@@ -5,6 +5,7 @@
 enum
 {
   GROWTH_DIVISOR = 4, /* a share is kept a quarter over the peak use */
+  SPEND_PERIODS = 3,  /* between asks, for which spend is held */
 };
 
 static int64_t
@@ -29,7 +30,10 @@
   holder->expiry = 0;
   holder->lease_tokens = 0;
   if (!is_lease (holder))
-    holder->in_use = 0;
+    {
+      holder->in_use = 0;
+      holder->peak = 0;
+    }
 }
 
 /* Stop using a lease that has lapsed by the own clock.  */
@@ -165,7 +169,7 @@
       return true;
     }
   holder->in_use += amount;
-  if (holder->in_use > holder->peak)
+  if (is_lease (holder) && holder->in_use > holder->peak)
     holder->peak = holder->in_use;
   return true;
 }
@@ -216,6 +220,15 @@
   return holder->denied && grown > desired ? grown : desired;
 }
 
+/* The spend to hold until the next answers: a step, or more where it goes
+   fast.  PEAK is what had been spent at the last ask.  */
+static int64_t
+desired_spend (const escrow_holder_t *holder)
+{
+  int64_t need = (holder->in_use - holder->peak) * SPEND_PERIODS;
+  return need > holder->options.step ? need : holder->options.step;
+}
+
 /* Leased amount that may be given back without cutting what is charged.  */
 static int64_t
 unused_amount (const escrow_holder_t *holder)
@@ -259,8 +272,8 @@
     wanted = wanted_total (
         holder, leased, desired_share (holder, now) - holder->options.floor);
   else
-    wanted
-        = wanted_total (holder, leased - holder->in_use, holder->options.step);
+    wanted = wanted_total (holder, leased - holder->in_use,
+                           desired_spend (holder));
   holder->recall = 0;
   holder->denied = false;
   holder->peak = holder->options.kind == BUDGET_RATE ? 0 : holder->in_use;
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -489,6 +489,17 @@
   return n_ejected;
 }
 
+uint32_t
+steer_slots (steer_t *steer, backend_slot_t slot, usec_t now)
+{
+  entry_t *entry = &steer->entries[slot];
+  if (!entry->listed || !observe_usable (&entry->observe, now))
+    return 0;
+  const service_t *service
+      = &steer->options.topology->services[entry->backend.service];
+  return (uint32_t)observe_limit (&entry->observe, service->slots, now);
+}
+
 const backend_t *
 steer_backend (const steer_t *steer, backend_slot_t slot)
 {
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -97,6 +97,10 @@
    were ejected.  */
 size_t steer_tick (steer_t *steer, usec_t now);
 
+/* Requests that the server in SLOT should run at once now: 0 while it is
+   ejected or leaving, less than all while it ramps.  */
+uint32_t steer_slots (steer_t *steer, backend_slot_t slot, usec_t now);
+
 /* The backend server in SLOT; valid until the next steer_update.  */
 const backend_t *steer_backend (const steer_t *steer, backend_slot_t slot);
 
