perf(admission): keep a standing queue short, judge on failures, floors by slots

Cause of the late refusals: the queue grew to what the deadline allows and the wait was guessed from the queue of the moment, so that other tenants' later items overtook.

--- a/src/admission/admit.c
+++ b/src/admission/admit.c
@@ -10,6 +10,11 @@
 static const double run_deviations = 1.0;
 static const double wait_deviations = 1.0;
 
+/* A queue that was not empty for this long is standing, and is then kept to
+   a wait of this many runs.  */
+static const usec_t standing_time = 500 * USEC_PER_MSEC;
+static const double standing_wait_runs = 1.0;
+
 void
 admit_init (admit_t *admit, const admit_options_t *options)
 {
@@ -53,12 +58,23 @@
                                 fair_share_ahead (&admit->fair, tenant));
 }
 
-/* Time from now in which ITEM must get its slot.  */
+/* Time from now in which ITEM must get its slot, for a run of mean length.  */
 static double
 slack (const admit_t *admit, const admit_item_t *item, usec_t now)
 {
-  double left = (double)(item->deadline - item->return_time - now);
-  return left - admit->service_time - run_deviations * admit->deviation;
+  return (double)(item->deadline - item->return_time - now)
+         - admit->service_time;
+}
+
+/* The longest wait with which a new ITEM may be queued.  */
+static double
+wait_bound (const admit_t *admit, const admit_item_t *item, usec_t now)
+{
+  double bound = slack (admit, item, now) - run_deviations * admit->deviation;
+  double standing = standing_wait_runs * admit->service_time;
+  if (now - admit->drained_at > standing_time && standing < bound)
+    return standing;
+  return bound;
 }
 
 static bool
@@ -108,7 +124,9 @@
       return ADMIT_REFUSE;
     }
   size_t n_ahead = fair_share_ahead (&admit->fair, tenant);
-  double wait_max = slack (admit, item, now);
+  double wait_max = wait_bound (admit, item, now);
+  if (admit->fair.n_queued == 0)
+    admit->drained_at = now;
   if (expected_wait (admit, n_ahead) > wait_max)
     {
       *refusal = REFUSAL_DEADLINE;
--- a/src/admission/admit.h
+++ b/src/admission/admit.h
@@ -3,7 +3,9 @@
    One gate for each service at the VM that admits to its slots.  A request
    runs at once while a slot and every budget allow it; it waits only while
    its deadline can still be met by the measured pace of the slots; else it
-   is refused at once, before anything is sent.  Budgets are reserved in one
+   is refused at once, before anything is sent.  A queue that has not been
+   empty for a while is standing: waiting then wins nothing, and it is kept
+   as short as keeps the slots busy.  Budgets are reserved in one
    order: slot, region capacity, spend, link; a later one that fails gives
    the earlier ones back.  Lighter classes leave a part of each budget to
    weightier ones.  Pure; not thread-safe.  */
@@ -89,6 +91,7 @@
   list_t refused; /* off the queue, for admit_expired */
   uint32_t slots; /* now, ramps included */
   uint32_t n_running;
+  usec_t drained_at;   /* when the queue was last empty */
   double service_time; /* moving average, usec */
   double deviation;    /* moving mean deviation, usec */
 } admit_t;
--- a/src/admission/escrow.c
+++ b/src/admission/escrow.c
@@ -55,11 +55,12 @@
 }
 
 int64_t
-escrow_floor (int64_t cap, uint32_t percent, size_t n)
+escrow_floor (int64_t cap, uint32_t percent, int64_t part, int64_t whole)
 {
-  if (n == 0)
+  if (whole <= 0)
     return 0;
-  return cap / PERCENT * percent / (int64_t)n;
+  __int128 floor = (__int128)cap * percent * part;
+  return (int64_t)(floor / PERCENT / whole);
 }
 
 usec_t
--- a/src/admission/escrow.h
+++ b/src/admission/escrow.h
@@ -81,8 +81,10 @@
 
 int64_t escrow_available (const escrow_t *escrow);
 
-/* The floor of each of N holders where PERCENT of CAP is reserved.  */
-int64_t escrow_floor (int64_t cap, uint32_t percent, size_t n);
+/* A holder's floor where PERCENT of CAP is reserved and it has PART of WHOLE
+   (of the slots that the holders admit to, say).  */
+int64_t escrow_floor (int64_t cap, uint32_t percent, int64_t part,
+                      int64_t whole);
 
 /* How long the granter waits before it hands on a lapsed share.  */
 usec_t escrow_granter_wait (const lease_terms_t *terms);
--- a/src/admission/fair_share.c
+++ b/src/admission/fair_share.c
@@ -129,7 +129,11 @@
   for (int i = 0; i < FAIR_SHARE_TENANTS_MAX; i++)
     if (&fair->tenants[i] != self)
       n_ahead += items_before (fair, &fair->tenants[i], tag);
-  return n_ahead;
+  double turns = tag - fair->virtual_time;
+  double most = turns * (double)fair_share_active (fair, tenant);
+  size_t in_turn
+      = most < (double)fair->n_queued ? (size_t)most : fair->n_queued;
+  return n_ahead > in_turn ? n_ahead : in_turn;
 }
 
 fair_item_t *
--- a/src/admission/fair_share.h
+++ b/src/admission/fair_share.h
@@ -68,7 +68,9 @@
 /* Tenants that run or wait now, counting TENANT.  */
 size_t fair_share_active (const fair_share_t *fair, tenant_id_t tenant);
 
-/* How many queued items would be served before a new one of TENANT.  */
+/* How many items are expected to be served before a new one of TENANT: what
+   is queued with an earlier tag, and what the other tenants that are active
+   now may still send with one, up to the whole queue.  */
 size_t fair_share_ahead (const fair_share_t *fair, tenant_id_t tenant);
 
 /* The last item of the tenant with the longest queue where that tenant holds
--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -16,7 +16,8 @@
 static const double failure_gain = 0.1;
 static const double warm_rise = 0.002;
 static const double failure_eject = 0.5;
-static const double latency_eject = 5; /* times the peers' median */
+static const double failure_probation = 0.45; /* one more failure ejects */
+static const double latency_eject = 5;        /* times the peers' median */
 static const double endpoint_trust = 0.5;
 
 void
@@ -35,6 +36,13 @@
   observe->in_flight++;
 }
 
+void
+observe_leave (observe_t *observe)
+{
+  if (observe->in_flight > 0)
+    observe->in_flight--;
+}
+
 /* WARM follows a low level of latency: down at once, up slowly.  */
 static void
 observe_warm (observe_t *observe, double latency)
@@ -58,8 +66,6 @@
 void
 observe_end (observe_t *observe, outcome_t outcome, usec_t latency, usec_t now)
 {
-  if (observe->in_flight > 0)
-    observe->in_flight--;
   switch (outcome)
     {
     case OUTCOME_CANCELLED:
@@ -99,7 +105,8 @@
 bool
 observe_judge (observe_t *observe, double peer_latency, usec_t now)
 {
-  if (now < observe->ejected_until || observe->n_ended < EJECTION_SAMPLES)
+  uint64_t samples = observe->n_ejections > 0 ? 1 : EJECTION_SAMPLES;
+  if (now < observe->ejected_until || observe->n_ended < samples)
     return false;
   bool slow
       = peer_latency > 0 && observe->latency > latency_eject * peer_latency;
@@ -115,7 +122,7 @@
   observe->ejected_until = now + span;
   /* Judged afresh on its return, through a ramp that starts there.  */
   observe->n_ended = 0;
-  observe->failure = 0;
+  observe->failure = failure_probation;
   observe->latency = 0;
   ramp_options_t options = ramp_defaults ();
   ramp_begin (&observe->ramp, &options, observe->ejected_until);
--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -60,7 +60,10 @@
 
 void observe_start (observe_t *observe);
 
-/* One request ended at NOW; its run at the server took LATENCY.  */
+/* One of the requests in flight ended.  */
+void observe_leave (observe_t *observe);
+
+/* One request had OUTCOME at NOW; its run at the server took LATENCY.  */
 void observe_end (observe_t *observe, outcome_t outcome, usec_t latency,
                   usec_t now);
 
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -418,39 +418,6 @@
   observe_start (&steer->entries[slot].observe);
 }
 
-void
-steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
-                usec_t latency, usec_t now)
-{
-  static const double step_part = 0.02;
-  entry_t *entry = &steer->entries[slot];
-  observe_end (&entry->observe, outcome, latency, now);
-  entry->known = entry->in_sheet || entry->observe.in_flight > 0;
-  if (outcome != OUTCOME_ANSWERED)
-    return;
-  double *median = &steer->latency[entry->backend.service];
-  if (*median <= 0)
-    *median = (double)latency;
-  else
-    *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
-}
-
-void
-steer_report_slot (steer_t *steer, backend_slot_t slot, hint_source_t source,
-                   const hint_t *hint)
-{
-  observe_hint (&steer->entries[slot].observe, source, hint);
-}
-
-void
-steer_report (steer_t *steer, const char *name, hint_source_t source,
-              const hint_t *hint)
-{
-  backend_slot_t slot;
-  if (steer_find (steer, name, &slot))
-    steer_report_slot (steer, slot, source, hint);
-}
-
 /* Servers of SERVICE that may be chosen; ejecting stops below half.  */
 static size_t
 count_usable (const steer_t *steer, service_id_t service, usec_t now,
@@ -469,24 +436,76 @@
   return n_usable;
 }
 
+static bool
+judge (steer_t *steer, entry_t *entry, usec_t now)
+{
+  service_id_t service = entry->backend.service;
+  size_t n_listed = 0;
+  size_t n_usable = count_usable (steer, service, now, &n_listed);
+  if (n_usable * 2 <= n_listed + 1 || n_usable < JUDGE_PEERS_MIN)
+    return false;
+  return observe_judge (&entry->observe, steer->latency[service], now);
+}
+
 size_t
 steer_tick (steer_t *steer, usec_t now)
 {
   size_t n_ejected = 0;
   for (size_t i = 0; i < steer->n_entries; i++)
+    if (steer->entries[i].listed)
+      n_ejected += judge (steer, &steer->entries[i], now);
+  return n_ejected;
+}
+
+static void
+service_latency (steer_t *steer, service_id_t service, usec_t latency)
+{
+  static const double step_part = 0.02;
+  double *median = &steer->latency[service];
+  if (*median <= 0)
+    *median = (double)latency;
+  else
+    *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
+}
+
+bool
+steer_finished (steer_t *steer, backend_slot_t slot, backend_slot_t ran_on,
+                outcome_t outcome, usec_t latency, usec_t now)
+{
+  entry_t *entry = &steer->entries[slot];
+  entry_t *ran = &steer->entries[ran_on];
+  observe_leave (&entry->observe);
+  observe_end (&ran->observe, outcome, latency, now);
+  entry->known = entry->in_sheet || entry->observe.in_flight > 0;
+  switch (outcome)
     {
-      entry_t *entry = &steer->entries[i];
-      size_t n_listed = 0;
-      if (!entry->listed)
-        continue;
-      size_t n_usable
-          = count_usable (steer, entry->backend.service, now, &n_listed);
-      if (n_usable * 2 <= n_listed + 1 || n_usable < JUDGE_PEERS_MIN)
-        continue;
-      n_ejected += observe_judge (&entry->observe,
-                                  steer->latency[entry->backend.service], now);
+    case OUTCOME_ANSWERED:
+      service_latency (steer, ran->backend.service, latency);
+      return false;
+    case OUTCOME_FAILED:
+    case OUTCOME_TIMED_OUT:
+      return ran->listed && judge (steer, ran, now);
+    case OUTCOME_REFUSED:
+    case OUTCOME_CANCELLED:
+      return false;
     }
-  return n_ejected;
+  return false;
+}
+
+void
+steer_report_slot (steer_t *steer, backend_slot_t slot, hint_source_t source,
+                   const hint_t *hint)
+{
+  observe_hint (&steer->entries[slot].observe, source, hint);
+}
+
+void
+steer_report (steer_t *steer, const char *name, hint_source_t source,
+              const hint_t *hint)
+{
+  backend_slot_t slot;
+  if (steer_find (steer, name, &slot))
+    steer_report_slot (steer, slot, source, hint);
 }
 
 uint32_t
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -80,10 +80,14 @@
 
 void steer_started (steer_t *steer, backend_slot_t slot);
 
-/* LATENCY is the run at the backend server, as the VM that admits there
-   measured it: without the wait for a slot and the way there.  */
-void steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
-                     usec_t latency, usec_t now);
+/* A request that was sent towards SLOT ended; it ran on RAN_ON, which the
+   admitting VM may have chosen anew (the same where it did not run).  LATENCY
+   is the run at that server, as the admitting VM measured it: without the
+   wait for a slot and the way there.  Returns true when the server was
+   ejected for it.  */
+bool steer_finished (steer_t *steer, backend_slot_t slot,
+                     backend_slot_t ran_on, outcome_t outcome, usec_t latency,
+                     usec_t now);
 
 /* A report of the backend server NAME; unknown names are dropped.  */
 void steer_report (steer_t *steer, const char *name, hint_source_t source,
