perf(placement): back off from a gate that refused, try another gate

A gate's refusal speaks for all its servers; other regions' gates are left alone for 10 ms, doubled with each refusal in a row. A request that was refused may try another gate. The plan's shares now follow demand (38/33/29), so that the nearest-region baseline obeys them too.

--- a/bench/policy_ours.c
+++ b/bench/policy_ours.c
@@ -428,7 +428,8 @@
   steer_request_t wanted = { .service = request->service,
                              .deadline = request->deadline,
                              .regions_open = ~(uint64_t)0,
-                             .n_tried = request->n_attempts };
+                             .n_tried = request->n_attempts,
+                             .domains_refused = request->domains_refused };
   for (size_t i = 0; i < request->n_attempts; i++)
     wanted.tried[i] = request->tried[i];
   for (int i = 0; i < WORLD_REGIONS; i++)
@@ -437,8 +438,7 @@
       refusal_t refusal;
       if (!steer_choose (ours->front[request->front], &wanted, sim->now,
                          &sim->chooser, &choice)
-          || sim->now + choice.expected > request->deadline
-          || (request->n_attempts > 0 && !choice.free))
+          || sim->now + choice.expected > request->deadline)
         return false;
       if (send (sim, request, &choice, &refusal))
         return true;
@@ -614,6 +614,8 @@
         sim_finish (sim, request, false);
       break;
     case REPLY_REFUSED:
+      request->domains_refused |= (uint64_t)1
+                                  << sim->backends[attempt->slot].domain;
       if (request->n_attempts >= SIM_ATTEMPTS_MAX || !try_send (sim, request))
         sim_refuse (sim, request);
       break;
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -55,6 +55,7 @@
   usec_t deadline;
   lookup_answer_t fronts;
   backend_slot_t tried[SIM_ATTEMPTS_MAX];
+  uint64_t domains_refused;
 } request_t;
 
 typedef struct attempt
--- a/bench/policy_world.c
+++ b/bench/policy_world.c
@@ -173,7 +173,7 @@
 void
 world_open (world_t *world, organisation_t organisation)
 {
-  static const uint32_t percent[] = { 36, 33, 31 };
+  static const uint32_t percent[] = { 38, 33, 29 };
   const plan_t *plan = &plans[organisation];
   *world = (world_t){ .demand = { 0.38, 0.33, 0.29 } };
   topology_open (&world->topology, plan);
--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -5,12 +5,13 @@
 enum
 {
   EJECTION_SAMPLES = 8,  /* ended requests before it is judged */
+  REFUSALS_COUNTED = 8,  /* as the ejections */
   EJECTIONS_COUNTED = 6, /* the time doubles up to here */
 };
 
 static const usec_t hint_half_life = 500 * USEC_PER_MSEC;
 static const usec_t latency_half_life = 10 * USEC_PER_SEC;
-static const usec_t refusal_memory = 50 * USEC_PER_MSEC;
+static const usec_t refusal_time = 10 * USEC_PER_MSEC;
 static const usec_t ejection_time = 2 * USEC_PER_SEC;
 static const double latency_gain = 0.1;
 static const double failure_gain = 0.1;
@@ -43,6 +44,22 @@
     observe->in_flight--;
 }
 
+void
+observe_refused (observe_t *observe, usec_t now)
+{
+  if (now < observe->refused_until)
+    return;
+  observe->refused_until = now + (refusal_time << observe->n_refusals);
+  if (observe->n_refusals < REFUSALS_COUNTED)
+    observe->n_refusals++;
+}
+
+bool
+observe_backing_off (const observe_t *observe, usec_t now)
+{
+  return now < observe->refused_until;
+}
+
 /* WARM follows a low level of latency: down at once, up slowly.  */
 static void
 observe_warm (observe_t *observe, double latency)
@@ -69,11 +86,10 @@
   switch (outcome)
     {
     case OUTCOME_CANCELLED:
-      return;
     case OUTCOME_REFUSED:
-      observe->refused_at = now;
       return;
     case OUTCOME_ANSWERED:
+      observe->n_refusals /= 2;
       observe_answer (observe, (double)latency);
       observe->failure -= failure_gain * observe->failure;
       break;
@@ -157,8 +173,6 @@
       if (more > 0)
         load = fmax (load, (double)observe->in_flight + weight * more);
     }
-  if (observe->refused_at > 0 && now - observe->refused_at < refusal_memory)
-    load += 1;
   return load;
 }
 
--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -47,9 +47,10 @@
   double warm;        /* slowly moving low level of latency; 0: none yet */
   double failure;     /* moving average of failed or timed out, 0 to 1 */
   uint64_t n_ended;
-  usec_t ended_at;   /* the last answer or failure */
-  usec_t refused_at; /* last OUTCOME_REFUSED; 0: none */
-  hint_t hints[2];   /* by hint_source_t */
+  usec_t ended_at;      /* the last answer or failure */
+  usec_t refused_until; /* backing off after refusals */
+  uint32_t n_refusals;  /* in a row */
+  hint_t hints[2];      /* by hint_source_t */
   usec_t ejected_until;
   uint32_t n_ejections; /* in a row */
   ramp_t ramp;
@@ -77,6 +78,13 @@
 /* Whether it may be chosen now.  */
 bool observe_usable (const observe_t *observe, usec_t now);
 
+/* Its admitting VM refused a request: leave it alone for a time that doubles
+   with each refusal in a row and halves with each answer.  */
+void observe_refused (observe_t *observe, usec_t now);
+
+/* Whether it is left alone after refusals.  */
+bool observe_backing_off (const observe_t *observe, usec_t now);
+
 /* Estimated requests running or queued there; never less than IN_FLIGHT.  */
 double observe_load (const observe_t *observe, usec_t now);
 
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -54,6 +54,12 @@
   return topology_delay (steer->options.topology, steer->options.home, domain);
 }
 
+static region_id_t
+home_region (const steer_t *steer)
+{
+  return steer->options.topology->domains[steer->options.home].region;
+}
+
 static void
 sort_domains (steer_t *steer)
 {
@@ -78,9 +84,11 @@
 {
   const topology_t *topology = options->topology;
   if (topology->n_regions > STEER_REGIONS_MAX
+      || topology->n_domains > STEER_DOMAINS_MAX
       || options->home >= topology->n_domains)
     {
-      err_set (err, ERR_USAGE, "name at most 64 regions and a known home",
+      err_set (err, ERR_USAGE,
+               "name at most 64 regions, 64 failure domains and a known home",
                "%zu regions, home domain %u of %zu", topology->n_regions,
                options->home, topology->n_domains);
       return NULL;
@@ -300,7 +308,7 @@
   double unit = default_latency (steer, service);
   double cost = price_cost * unit
                 * steer->price[service * topology->n_regions + region];
-  if (region != topology->domains[steer->options.home].region)
+  if (region != home_region (steer))
     cost += headroom_cost * topology->objective.headroom * unit;
   return cost;
 }
@@ -318,6 +326,9 @@
   service_id_t service = search->request->service;
   domain_id_t domain = entry->backend.domain;
   region_id_t region = topology->domains[domain].region;
+  if (region != home_region (steer)
+      && observe_backing_off (&entry->observe, search->now))
+    return;
   double limit = observe_limit (
       &entry->observe, topology->services[service].slots, search->now);
   double load = observe_load (&entry->observe, search->now);
@@ -383,8 +394,9 @@
       if (delay != ring && search->found && search->best.free)
         return;
       ring = delay;
-      if (region_allowed (steer, search->request,
-                          topology->domains[domain].region))
+      if (!(search->request->domains_refused >> domain & 1)
+          && region_allowed (steer, search->request,
+                             topology->domains[domain].region))
         sample_domain (search, domain);
     }
 }
@@ -468,6 +480,15 @@
     *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
 }
 
+/* A refusal speaks for all servers that the same gate admits to.  */
+static void
+gate_refused (steer_t *steer, const entry_t *entry, usec_t now)
+{
+  size_t bin = entry_bin (steer, entry);
+  for (uint32_t i = steer->first[bin]; i < steer->first[bin + 1]; i++)
+    observe_refused (&steer->entries[steer->order[i]].observe, now);
+}
+
 bool
 steer_finished (steer_t *steer, backend_slot_t slot, backend_slot_t ran_on,
                 outcome_t outcome, usec_t latency, usec_t now)
@@ -486,6 +507,8 @@
     case OUTCOME_TIMED_OUT:
       return ran->listed && judge (steer, ran, now);
     case OUTCOME_REFUSED:
+      gate_refused (steer, entry, now);
+      return false;
     case OUTCOME_CANCELLED:
       return false;
     }
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -26,6 +26,7 @@
 {
   STEER_TRIED_MAX = 4,
   STEER_REGIONS_MAX = 64,
+  STEER_DOMAINS_MAX = 64,
   STEER_BACKENDS_MAX = 65534,
 };
 
@@ -47,6 +48,7 @@
   uint64_t regions_open; /* bit a region: link, spend and capacity allow it */
   backend_slot_t tried[STEER_TRIED_MAX]; /* refused it before */
   size_t n_tried;
+  uint64_t domains_refused; /* bit a domain: its gate refused this request */
 } steer_request_t;
 
 typedef struct steer_choice
