--- a/bench/policy_ours.c
+++ b/bench/policy_ours.c
@@ -11,7 +11,7 @@
   ASK_TICKS = 5,
   JUDGE_TICKS = 10,
   CAPACITY_FLOOR_PERCENT = 80,
-  FLOOR_PERCENT = 80, /* of a link */
+  FLOOR_PERCENT = 30, /* of a link */
   KEEP_PERCENT = 20,
   QUEUE_MAX = 64,
   GRANT_PART = 12,
@@ -133,7 +133,7 @@
       bool touches = link->from == region || link->to == region;
       options.floor
           = touches ? escrow_floor (link_cap (link), FLOOR_PERCENT, 1, 6) : 0;
-      options.step = link_cap (link) / 50;
+      options.step = link_cap (link) / 10;
       escrow_holder_init (&ours->link_holder[v][l], &options, sim->now);
     }
   steer_free (ours->front[v]);
--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -400,8 +400,6 @@
       sim_backend_t *backend = &sim->backends[i];
       if (backend->domain != domain)
         continue;
-      if (sim->scenario.fault == FAULT_DRAIN)
-        sim->result.n_cut += backend->running;
       backend->running = 0;
       backend->queued = 0;
       list_init (&backend->queue);
@@ -409,6 +407,16 @@
     }
 }
 
+static uint32_t
+domain_running (const sim_t *sim, domain_id_t domain)
+{
+  uint32_t running = 0;
+  for (size_t i = 0; i < WORLD_BACKENDS; i++)
+    if (sim->backends[i].domain == domain)
+      running += sim->backends[i].running + sim->backends[i].queued;
+  return running;
+}
+
 static void
 set_states (sim_t *sim, domain_id_t domain, backend_state_t state)
 {
@@ -518,7 +526,7 @@
   if (sim->scenario.fault == FAULT_DRAIN)
     {
       sim->result.drain_time = sim->last_run_end - SIM_FAULT_AT;
-      lose (sim, DRAINED_DOMAIN, DRAINED_DOMAIN, true);
+      sim->result.n_cut = domain_running (sim, DRAINED_DOMAIN);
     }
   spoil_backends (sim, false);
 }
