--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -72,13 +72,23 @@
     observe->warm += warm_rise * (latency - observe->warm);
 }
 
+static double
+fade (usec_t age, usec_t half_life)
+{
+  return age <= 0 ? 1 : exp2 (-(double)age / (double)half_life);
+}
+
+/* What was known long ago counts little against a new answer, so that a
+   server that was slow and is little used is found back.  */
 static void
-observe_answer (observe_t *observe, double latency)
+observe_answer (observe_t *observe, double latency, usec_t now)
 {
+  double known = fade (now - observe->ended_at, latency_half_life);
+  double gain = fmax (latency_gain, 1 - known);
   if (observe->latency <= 0)
     observe->latency = latency;
   else
-    observe->latency += latency_gain * (latency - observe->latency);
+    observe->latency += gain * (latency - observe->latency);
   observe_warm (observe, observe->latency);
 }
 
@@ -92,11 +102,11 @@
       return;
     case OUTCOME_ANSWERED:
       observe->refusal -= refusal_gain * observe->refusal;
-      observe_answer (observe, (double)latency);
+      observe_answer (observe, (double)latency, now);
       observe->failure -= failure_gain * observe->failure;
       break;
     case OUTCOME_TIMED_OUT:
-      observe_answer (observe, (double)latency);
+      observe_answer (observe, (double)latency, now);
       observe->failure += failure_gain * (1 - observe->failure);
       break;
     case OUTCOME_FAILED:
@@ -114,12 +124,6 @@
     observe->hints[source] = *hint;
 }
 
-static double
-fade (usec_t age, usec_t half_life)
-{
-  return age <= 0 ? 1 : exp2 (-(double)age / (double)half_life);
-}
-
 bool
 observe_judge (observe_t *observe, double peer_latency, usec_t now)
 {
