--- a/test/unit/test_placement_steer.c
+++ b/test/unit/test_placement_steer.c
@@ -9,6 +9,7 @@
 enum
 {
   N_CHOICES = 400,
+  IN_FLIGHT = 4,
 };
 
 static const usec_t run = 20000;
@@ -49,19 +50,26 @@
   steer_finished (fixture->steer, slot, slot, outcome, latency, fixture->now);
 }
 
-/* Choose N times with each run ending before the next; count by slot.  */
+/* Choose N times with IN_FLIGHT requests running; count by slot.  */
 static void
 serve (fixture_t *fixture, int n, const outcome_t *outcomes,
        const usec_t *latencies, uint32_t *count)
 {
-  for (int i = 0; i < n; i++)
+  backend_slot_t running[IN_FLIGHT];
+  for (int i = 0; i < n + IN_FLIGHT; i++)
     {
+      backend_slot_t *oldest = &running[i % IN_FLIGHT];
+      if (i >= IN_FLIGHT)
+        {
+          fixture->now += latencies[*oldest] / IN_FLIGHT;
+          finish (fixture, *oldest, outcomes[*oldest], latencies[*oldest]);
+        }
+      if (i >= n)
+        continue;
       steer_choice_t choice;
       g_assert_true (choose (fixture, ~(uint64_t)0, &choice));
       steer_started (fixture->steer, choice.slot);
-      fixture->now += latencies[choice.slot];
-      finish (fixture, choice.slot, outcomes[choice.slot],
-              latencies[choice.slot]);
+      *oldest = choice.slot;
       count[choice.slot]++;
     }
 }
