--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -10,13 +10,17 @@
 
 static const usec_t hint_half_life = 500 * USEC_PER_MSEC;
 static const usec_t latency_half_life = 10 * USEC_PER_SEC;
-static const usec_t refusal_memory = 50 * USEC_PER_MSEC;
+static const usec_t refusal_time = 10 * USEC_PER_MSEC;
+static const usec_t overload_time = 4 * USEC_PER_SEC;
+static const double overload_refusal = 0.6; /* of the requests */
+static const double refusal_gain = 0.1;
 static const usec_t ejection_time = 2 * USEC_PER_SEC;
 static const double latency_gain = 0.1;
 static const double failure_gain = 0.1;
 static const double warm_rise = 0.002;
 static const double failure_eject = 0.5;
-static const double latency_eject = 5; /* times the peers' median */
+static const double failure_probation = 0.45; /* one more failure ejects */
+static const double latency_eject = 5;        /* times the peers' median */
 static const double endpoint_trust = 0.5;
 
 void
@@ -35,6 +39,29 @@
   observe->in_flight++;
 }
 
+void
+observe_leave (observe_t *observe)
+{
+  if (observe->in_flight > 0)
+    observe->in_flight--;
+}
+
+void
+observe_refused (observe_t *observe, usec_t now)
+{
+  observe->refusal += refusal_gain * (1 - observe->refusal);
+  bool overload = observe->refusal > overload_refusal;
+  usec_t until = now + (overload ? overload_time : refusal_time);
+  if (until > observe->refused_until)
+    observe->refused_until = until;
+}
+
+bool
+observe_backing_off (const observe_t *observe, usec_t now)
+{
+  return now < observe->refused_until;
+}
+
 /* WARM follows a low level of latency: down at once, up slowly.  */
 static void
 observe_warm (observe_t *observe, double latency)
@@ -45,34 +72,41 @@
     observe->warm += warm_rise * (latency - observe->warm);
 }
 
+static double
+fade (usec_t age, usec_t half_life)
+{
+  return age <= 0 ? 1 : exp2 (-(double)age / (double)half_life);
+}
+
+/* What was known long ago counts little against a new answer, so that a
+   server that was slow and is little used is found back.  */
 static void
-observe_answer (observe_t *observe, double latency)
+observe_answer (observe_t *observe, double latency, usec_t now)
 {
+  double known = fade (now - observe->ended_at, latency_half_life);
+  double gain = fmax (latency_gain, 1 - known);
   if (observe->latency <= 0)
     observe->latency = latency;
   else
-    observe->latency += latency_gain * (latency - observe->latency);
+    observe->latency += gain * (latency - observe->latency);
   observe_warm (observe, observe->latency);
 }
 
 void
 observe_end (observe_t *observe, outcome_t outcome, usec_t latency, usec_t now)
 {
-  if (observe->in_flight > 0)
-    observe->in_flight--;
   switch (outcome)
     {
     case OUTCOME_CANCELLED:
-      return;
     case OUTCOME_REFUSED:
-      observe->refused_at = now;
       return;
     case OUTCOME_ANSWERED:
-      observe_answer (observe, (double)latency);
+      observe->refusal -= refusal_gain * observe->refusal;
+      observe_answer (observe, (double)latency, now);
       observe->failure -= failure_gain * observe->failure;
       break;
     case OUTCOME_TIMED_OUT:
-      observe_answer (observe, (double)latency);
+      observe_answer (observe, (double)latency, now);
       observe->failure += failure_gain * (1 - observe->failure);
       break;
     case OUTCOME_FAILED:
@@ -90,16 +124,11 @@
     observe->hints[source] = *hint;
 }
 
-static double
-fade (usec_t age, usec_t half_life)
-{
-  return age <= 0 ? 1 : exp2 (-(double)age / (double)half_life);
-}
-
 bool
 observe_judge (observe_t *observe, double peer_latency, usec_t now)
 {
-  if (now < observe->ejected_until || observe->n_ended < EJECTION_SAMPLES)
+  uint64_t samples = observe->n_ejections > 0 ? 1 : EJECTION_SAMPLES;
+  if (now < observe->ejected_until || observe->n_ended < samples)
     return false;
   bool slow
       = peer_latency > 0 && observe->latency > latency_eject * peer_latency;
@@ -115,7 +144,7 @@
   observe->ejected_until = now + span;
   /* Judged afresh on its return, through a ramp that starts there.  */
   observe->n_ended = 0;
-  observe->failure = 0;
+  observe->failure = failure_probation;
   observe->latency = 0;
   ramp_options_t options = ramp_defaults ();
   ramp_begin (&observe->ramp, &options, observe->ejected_until);
@@ -150,8 +179,6 @@
       if (more > 0)
         load = fmax (load, (double)observe->in_flight + weight * more);
     }
-  if (observe->refused_at > 0 && now - observe->refused_at < refusal_memory)
-    load += 1;
   return load;
 }
 
