feat(control): the cost cap as shares in the replicated log

Cause: the sum of what entry VMs spend must stay under the cap, whatever is cut, killed, restarted or late. Amounts are thousandths of the smallest unit, so that one request's price is whole.

A sheet may name the budget it goes on spending from; without it a sheet sent in the middle of a shift (a drain, say) would have opened the whole cap again.

Weighed: a fixed part of the cap for each VM, which needs no messages, but a VM without a disk forgets at a restart what it has spent.

--- a/src/control/core_actions.c
+++ b/src/control/core_actions.c
@@ -1,9 +1,30 @@
 #include "control/core_internal.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "shift/sheet.h"
+
+/* Let the spend book follow the newest sheet.  */
+static void
+open_budget (core_thread_t *core, const blob_t *content)
+{
+  sheet_faults_t faults;
+  err_t err = { 0 };
+  sheet_t *sheet
+      = sheet_parse ((const char *)content->bytes, content->length,
+                     &core->options.settings->topology, &faults, &err);
+  if (!sheet)
+    {
+      log_error (LOG_LEVEL_ERROR, "sheet_not_understood", &err);
+      return;
+    }
+  spend_book_open (core->book, sheet->budget, sheet->cost_cap);
+  sheet_free (sheet);
+}
 
 static void
 publish (core_thread_t *core)
@@ -14,6 +35,7 @@
   const blob_t *content = sheet_registry_content (core->registry);
   accepted_put (core->options.accepted, newest, (const char *)content->bytes,
                 content->length);
+  open_budget (core, content);
 }
 
 static void
@@ -23,6 +45,8 @@
     LOG_EVENT (LOG_LEVEL_INFO, "replica_swapped",
                LOG_U ("slot", entry->body.swap.slot),
                LOG_U ("index", entry->index));
+  if (entry->kind == ENTRY_GRANT)
+    core_spend_applied (core, entry);
   if (entry->kind != ENTRY_SHEET)
     return;
   sheet_outcome_t outcome = sheet_registry_apply (core->registry, entry->index,
@@ -39,12 +63,50 @@
     core_submission_finish (core, submission, SUBMISSION_SETTLED, &outcome);
 }
 
+/* The applied state in a snapshot: the length of the registry's part, that
+   part, the spend book.  */
+static blob_t *
+state_save (const core_thread_t *core)
+{
+  blob_t *registry = sheet_registry_save (core->registry);
+  blob_t *book = spend_book_save (core->book);
+  uint32_t length = htonl (registry->length);
+  blob_t *state
+      = blob_new (NULL, sizeof length + registry->length + book->length);
+  memcpy (state->bytes, &length, sizeof length);
+  memcpy (state->bytes + sizeof length, registry->bytes, registry->length);
+  memcpy (state->bytes + sizeof length + registry->length, book->bytes,
+          book->length);
+  blob_unref (registry);
+  blob_unref (book);
+  return state;
+}
+
+static bool
+state_restore (core_thread_t *core, const blob_t *state, err_t *err)
+{
+  uint32_t length = 0;
+  if (state->length >= sizeof length)
+    memcpy (&length, state->bytes, sizeof length);
+  length = ntohl (length);
+  if (state->length < sizeof length || length > state->length - sizeof length)
+    return err_set (err, ERR_PROTOCOL,
+                    "wipe this data folder; the replica joins again",
+                    "a snapshot of %u bytes is cut", state->length);
+  const uint8_t *at = state->bytes + sizeof length;
+  blob_t *registry = blob_new (at, length);
+  bool ok = spend_book_restore (core->book, at + length,
+                                state->length - sizeof length - length, err)
+            && sheet_registry_restore (core->registry, registry, err);
+  blob_unref (registry);
+  return ok;
+}
+
 static void
 restore (core_thread_t *core, const action_t *action)
 {
   err_t err = { 0 };
-  if (!sheet_registry_restore (core->registry, action->body.restore.data,
-                               &err))
+  if (!state_restore (core, action->body.restore.data, &err))
     {
       log_error (LOG_LEVEL_ERROR, "snapshot_not_understood", &err);
       event_t failed = { .kind = EVENT_DISK_FAILED };
@@ -59,6 +121,7 @@
 static void
 refuse (core_thread_t *core, const action_t *action)
 {
+  core_spend_refused (core, action->body.refuse.id);
   submission_t *submission = core_submission (core, action->body.refuse.id);
   if (!submission)
     return;
@@ -118,7 +181,7 @@
 {
   log_index_t index = core->snapshot_wanted;
   core->snapshot_wanted = 0;
-  blob_t *data = sheet_registry_save (core->registry);
+  blob_t *data = state_save (core);
   event_t event = { .kind = EVENT_SNAPSHOT };
   event.body.snapshot.index = index;
   event.body.snapshot.data = data;
--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -9,6 +9,7 @@
 #include "base/ring.h"
 #include "control/core_thread.h"
 #include "control/peer_link.h"
+#include "control/spend_book.h"
 #include "control/storage_thread.h"
 
 typedef enum
@@ -17,8 +18,19 @@
   CORE_ITEM_MESSAGE,
   CORE_ITEM_SUBMISSION,
   CORE_ITEM_FORWARDED,
+  CORE_ITEM_SPEND,
 } core_item_kind_t;
 
+/* An entry VM's ask for spend, from its call to its answer.  */
+typedef struct spend_call
+{
+  list_t link;
+  proposal_id_t id;
+  usec_t deadline;
+  rpc_call_t *call;
+  control_spend_ask_t ask;
+} spend_call_t;
+
 typedef struct core_item
 {
   core_item_kind_t kind;
@@ -32,6 +44,7 @@
       bool is_settled;
       sheet_outcome_t outcome;
     } forwarded;
+    spend_call_t *spend;
   } body;
 } core_item_t;
 
@@ -52,6 +65,9 @@
   sheet_registry_t *registry;
   list_t submissions;
   size_t n_submissions;
+  spend_book_t *book;
+  list_t spend_calls; /* proposed */
+  size_t n_spend_calls;
   list_t records; /* persist actions that the storage thread had no room for */
   proposal_id_t next_id;
   uint64_t synced;
@@ -82,4 +98,14 @@
 /* Try again those that wait, and end those whose time is over.  */
 void core_submissions_tick (core_thread_t *core, usec_t now);
 
+/* core_spend.c */
+void core_spend_register (core_thread_t *core);
+void core_spend_take (core_thread_t *core, spend_call_t *spend);
+void core_spend_applied (core_thread_t *core, const entry_t *entry);
+/* Answer as refused: the proposal ID, where it is one of a spend call.  */
+void core_spend_refused (core_thread_t *core, proposal_id_t id);
+void core_spend_tick (core_thread_t *core, usec_t now);
+/* Answer CALL as refused and release it.  */
+void core_spend_drop (spend_call_t *spend);
+
 #endif
--- /dev/null
+++ b/src/control/core_spend.c
@@ -0,0 +1,134 @@
+#include "control/core_internal.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "wire/generated/control.h"
+
+enum
+{
+  SPEND_CALLS_MAX = 48, /* proposed at once; a sheet must always find room */
+};
+
+#define SPEND_DEADLINE (2 * USEC_PER_SEC)
+
+static void
+spend_answer (spend_call_t *spend, control_spend_answer_t *answer)
+{
+  rpc_reply (spend->call, (xdrproc_t)xdr_control_spend_answer_t, answer);
+  free (spend);
+}
+
+void
+core_spend_drop (spend_call_t *spend)
+{
+  control_spend_answer_t refused = { .verdict = CONTROL_SPEND_REFUSED };
+  spend_answer (spend, &refused);
+}
+
+static void
+spend_remove (core_thread_t *core, spend_call_t *spend)
+{
+  list_remove (&spend->link);
+  core->n_spend_calls--;
+}
+
+static spend_call_t *
+spend_find (core_thread_t *core, proposal_id_t id)
+{
+  LIST_FOREACH (link, &core->spend_calls)
+  {
+    spend_call_t *spend = LIST_ENTRY (link, spend_call_t, link);
+    if (spend->id == id)
+      return spend;
+  }
+  return NULL;
+}
+
+/* Only the leader takes an ask; asking again is safe, as amounts are
+   totals.  */
+void
+core_spend_take (core_thread_t *core, spend_call_t *spend)
+{
+  if (replica_status (core->replica).role != ROLE_LEADER
+      || core->n_spend_calls >= SPEND_CALLS_MAX)
+    {
+      core_spend_drop (spend);
+      return;
+    }
+  spend->id = ++core->next_id;
+  list_push_back (&core->spend_calls, &spend->link);
+  core->n_spend_calls++;
+  entry_t *entry = entry_new (ENTRY_GRANT);
+  entry->body.grant = spend_book_encode (&spend->ask);
+  event_t event = { .kind = EVENT_PROPOSE };
+  event.body.propose.id = spend->id;
+  event.body.propose.entry = entry;
+  core_step (core, &event);
+  entry_unref (entry);
+}
+
+void
+core_spend_applied (core_thread_t *core, const entry_t *entry)
+{
+  control_spend_answer_t answer
+      = spend_book_apply (core->book, entry->body.grant);
+  spend_call_t *spend
+      = entry->proposal ? spend_find (core, entry->proposal) : NULL;
+  if (!spend)
+    return;
+  spend_remove (core, spend);
+  spend_answer (spend, &answer);
+}
+
+void
+core_spend_refused (core_thread_t *core, proposal_id_t id)
+{
+  spend_call_t *spend = spend_find (core, id);
+  if (!spend)
+    return;
+  spend_remove (core, spend);
+  core_spend_drop (spend);
+}
+
+void
+core_spend_tick (core_thread_t *core, usec_t now)
+{
+  LIST_FOREACH (link, &core->spend_calls)
+  {
+    spend_call_t *spend = LIST_ENTRY (link, spend_call_t, link);
+    if (now < spend->deadline)
+      continue;
+    spend_remove (core, spend);
+    core_spend_drop (spend);
+  }
+}
+
+/* Runs on the RPC thread.  A caller may ask for itself alone.  */
+static void
+on_spend (void *closure, rpc_call_t *call)
+{
+  core_thread_t *core = closure;
+  spend_call_t *spend = calloc (1, sizeof *spend);
+  if (!spend)
+    abort ();
+  if (!rpc_call_args (call, (xdrproc_t)xdr_control_spend_ask_t, &spend->ask))
+    {
+      free (spend);
+      return;
+    }
+  list_init (&spend->link);
+  spend->call = call;
+  spend->deadline = clock_monotonic () + SPEND_DEADLINE;
+  core_item_t item = { .kind = CORE_ITEM_SPEND, .body.spend = spend };
+  if (spend->ask.holder != rpc_call_sender (call).vm
+      || !core_push (core, &item))
+    core_spend_drop (spend);
+}
+
+void
+core_spend_register (core_thread_t *core)
+{
+  rpc_register (core->options.rpc, MULBERRY_CONTROL, MULBERRY_CONTROL_V1,
+                CONTROL_SPEND, on_spend, core);
+}
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -70,6 +70,7 @@
   if (replica_is_current (core->replica, now))
     accepted_confirm (core->options.accepted, now);
   core_submissions_tick (core, now);
+  core_spend_tick (core, now);
 }
 
 static void
@@ -105,6 +106,9 @@
     case CORE_ITEM_FORWARDED:
       core_submission_forwarded (core, item);
       break;
+    case CORE_ITEM_SPEND:
+      core_spend_take (core, item->body.spend);
+      break;
     }
   free (item);
 }
@@ -140,6 +144,7 @@
   LIST_FOREACH (link, &core->submissions)
   core_submission_finish (core, LIST_ENTRY (link, submission_t, link),
                           SUBMISSION_UNKNOWN, NULL);
+  core_spend_tick (core, INT64_MAX);
   return NULL;
 }
 
@@ -218,6 +223,7 @@
   core->ring = ring_new (RING_ITEMS);
   core->wake.kind = CORE_ITEM_WAKE;
   list_init (&core->submissions);
+  list_init (&core->spend_calls);
   list_init (&core->records);
   pthread_mutex_init (&core->lock, NULL);
   const peer_link_options_t link_options = { .settings = options->settings,
@@ -228,6 +234,8 @@
   core->links = peer_link_new (&link_options);
   core->replica = replica_open (options, core->links);
   core->registry = sheet_registry_new ();
+  core->book = spend_book_new ();
+  core_spend_register (core);
   const storage_thread_options_t disk_options
       = { .storage = options->storage, .wake = core_wake, .closure = core };
   core->disk = storage_thread_start (&disk_options, err);
@@ -248,6 +256,8 @@
     blob_unref (item->body.message);
   if (item->kind == CORE_ITEM_SUBMISSION)
     submission_complete (item->body.submission, SUBMISSION_UNKNOWN, NULL);
+  if (item->kind == CORE_ITEM_SPEND)
+    core_spend_drop (item->body.spend);
   free (item);
 }
 
@@ -274,6 +284,7 @@
     action_free (LIST_ENTRY (link, action_t, link));
   replica_free (core->replica);
   sheet_registry_free (core->registry);
+  spend_book_free (core->book);
   peer_link_free (core->links);
   ring_free (core->ring);
   pthread_mutex_destroy (&core->lock);
--- /dev/null
+++ b/src/entry/spend_share.c
@@ -0,0 +1,273 @@
+#include "entry/spend_share.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "admission/escrow.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "wire/generated/control.h"
+
+enum
+{
+  UNIT_PARTS = 1000,
+  STEP_DIVISOR = 20, /* steps that a VM's even part of the cap has */
+  NSEC_PER_USEC = 1000,
+  NSEC_PER_SEC = 1000000000,
+};
+
+#define ASK_INTERVAL (50 * USEC_PER_MSEC)
+#define ASK_TIMEOUT (1 * USEC_PER_SEC)
+#define CLOSE_TIMEOUT (1 * USEC_PER_SEC)
+
+struct spend_share
+{
+  spend_share_options_t options;
+  pthread_t thread;
+  pthread_cond_t changed;
+  pthread_mutex_t lock; /* guards what follows */
+  bool stop;
+  uint64_t budget; /* 0: no sheet yet */
+  escrow_holder_t holder;
+  bool asking;           /* a call is under way */
+  int64_t returned;      /* that the granter has heard of */
+  int64_t returned_sent; /* in the call under way */
+  size_t leader;         /* the control VM that is asked, by VM index */
+};
+
+static void
+holder_open (spend_share_t *share, uint64_t generation, int64_t step)
+{
+  const escrow_holder_options_t options = { .kind = BUDGET_SPEND,
+                                            .self = share->options.self,
+                                            .generation = generation,
+                                            .step = step };
+  escrow_holder_init (&share->holder, &options, clock_monotonic ());
+  share->returned = 0;
+}
+
+void
+spend_share_open (spend_share_t *share, uint64_t budget, money_t cap)
+{
+  size_t n_vms = share->options.settings->topology.n_vms;
+  int64_t step = cap * UNIT_PARTS / (int64_t)n_vms / STEP_DIVISOR;
+  pthread_mutex_lock (&share->lock);
+  share->holder.options.step = step + 1;
+  if (budget > share->budget)
+    {
+      uint64_t generation = share->budget > 0
+                                ? share->holder.account.generation
+                                : share->options.generation;
+      share->budget = budget;
+      holder_open (share, generation, step + 1);
+      pthread_cond_signal (&share->changed);
+    }
+  pthread_mutex_unlock (&share->lock);
+}
+
+bool
+spend_share_charge (spend_share_t *share, int64_t amount,
+                    spend_charge_t *charge)
+{
+  usec_t now = clock_monotonic ();
+  pthread_mutex_lock (&share->lock);
+  bool ok = share->budget > 0
+            && escrow_holder_charge (&share->holder, amount, now, now);
+  if (ok)
+    *charge = (spend_charge_t){ .budget = share->budget,
+                                .generation = share->holder.account.generation,
+                                .amount = amount };
+  pthread_mutex_unlock (&share->lock);
+  return ok;
+}
+
+void
+spend_share_refund (spend_share_t *share, spend_charge_t *charge)
+{
+  pthread_mutex_lock (&share->lock);
+  if (charge->budget > 0 && charge->budget == share->budget)
+    escrow_holder_release (&share->holder, charge->amount, charge->generation);
+  pthread_mutex_unlock (&share->lock);
+  *charge = (spend_charge_t){ 0 };
+}
+
+int64_t
+spend_share_available (spend_share_t *share)
+{
+  pthread_mutex_lock (&share->lock);
+  int64_t available
+      = escrow_holder_available (&share->holder, clock_monotonic ());
+  pthread_mutex_unlock (&share->lock);
+  return available;
+}
+
+int64_t
+spend_share_spent (spend_share_t *share)
+{
+  pthread_mutex_lock (&share->lock);
+  int64_t spent = share->holder.in_use;
+  pthread_mutex_unlock (&share->lock);
+  return spent;
+}
+
+/* The next control VM after the one that did not answer as leader.  */
+static void
+leader_next (spend_share_t *share)
+{
+  const topology_t *topology = &share->options.settings->topology;
+  do
+    share->leader = (share->leader + 1) % topology->n_vms;
+  while (!topology->vms[share->leader].has_control);
+}
+
+static void
+take_answer (spend_share_t *share, const control_spend_answer_t *answer)
+{
+  usec_t now = clock_monotonic ();
+  if (answer->verdict == CONTROL_SPEND_STALE
+      && answer->budget == share->budget)
+    {
+      holder_open (share, answer->generation + 1, share->holder.options.step);
+      return;
+    }
+  if (answer->verdict != CONTROL_SPEND_GRANTED)
+    return;
+  const escrow_answer_t given
+      = { .account = { share->options.self, answer->generation },
+          .granted = answer->granted,
+          .recall = answer->recall };
+  if (answer->generation == share->holder.account.generation)
+    share->returned = share->returned_sent;
+  escrow_holder_answer (&share->holder, &given, now);
+}
+
+/* Runs on the RPC thread.  */
+static void
+on_answer (void *closure, const rpc_result_t *result)
+{
+  spend_share_t *share = closure;
+  control_spend_answer_t answer = { .verdict = CONTROL_SPEND_REFUSED };
+  rpc_result_decode (result, (xdrproc_t)xdr_control_spend_answer_t, &answer);
+  pthread_mutex_lock (&share->lock);
+  share->asking = false;
+  if (answer.verdict == CONTROL_SPEND_REFUSED)
+    leader_next (share);
+  else if (answer.budget == share->budget)
+    take_answer (share, &answer);
+  pthread_cond_signal (&share->changed);
+  pthread_mutex_unlock (&share->lock);
+}
+
+/* Send ASK where it would change anything.  With the lock held.  */
+static void
+ask_send (spend_share_t *share, const escrow_ask_t *ask)
+{
+  if (ask->wanted <= share->holder.granted && ask->returned <= share->returned)
+    return;
+  const settings_t *settings = share->options.settings;
+  control_spend_ask_t args = { .budget = share->budget,
+                               .holder = share->options.self,
+                               .generation = ask->account.generation,
+                               .wanted = ask->wanted,
+                               .returned = ask->returned };
+  const rpc_request_t request
+      = { .address = settings->topology.vms[share->leader].address,
+          .port = settings->ports.control_peer,
+          .program = MULBERRY_CONTROL,
+          .version = MULBERRY_CONTROL_V1,
+          .procedure = CONTROL_SPEND,
+          .encode = (xdrproc_t)xdr_control_spend_ask_t,
+          .args = &args,
+          .timeout = ASK_TIMEOUT,
+          .done = on_answer,
+          .closure = share };
+  share->returned_sent = ask->returned;
+  share->asking = true;
+  rpc_send (share->options.rpc, &request);
+}
+
+static void
+wait_change (spend_share_t *share, usec_t span)
+{
+  struct timespec until;
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_nsec += (span % USEC_PER_SEC) * NSEC_PER_USEC;
+  until.tv_sec += span / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
+  until.tv_nsec %= NSEC_PER_SEC;
+  pthread_cond_timedwait (&share->changed, &share->lock, &until);
+}
+
+/* Return what is left, and wait a little for the answer.  */
+static void
+close_share (spend_share_t *share)
+{
+  usec_t until = clock_monotonic () + CLOSE_TIMEOUT;
+  while (share->budget > 0 && clock_monotonic () < until)
+    {
+      escrow_ask_t ask
+          = escrow_holder_close (&share->holder, clock_monotonic ());
+      if (!share->asking && ask.returned <= share->returned)
+        return;
+      if (!share->asking)
+        ask_send (share, &ask);
+      wait_change (share, ASK_INTERVAL);
+    }
+}
+
+static void *
+share_run (void *closure)
+{
+  spend_share_t *share = closure;
+  pthread_mutex_lock (&share->lock);
+  while (!share->stop)
+    {
+      if (share->budget > 0 && !share->asking)
+        {
+          escrow_ask_t ask
+              = escrow_holder_ask (&share->holder, clock_monotonic ());
+          ask_send (share, &ask);
+        }
+      wait_change (share, ASK_INTERVAL);
+    }
+  close_share (share);
+  pthread_mutex_unlock (&share->lock);
+  return NULL;
+}
+
+spend_share_t *
+spend_share_start (const spend_share_options_t *options, err_t *err)
+{
+  spend_share_t *share = calloc (1, sizeof *share);
+  if (!share)
+    abort ();
+  share->options = *options;
+  share->leader = options->settings->topology.n_vms - 1;
+  leader_next (share);
+  pthread_mutex_init (&share->lock, NULL);
+  pthread_cond_init (&share->changed, NULL);
+  if (pthread_create (&share->thread, NULL, share_run, share) == 0)
+    return share;
+  err_set (err, ERR_IO, "raise the limit of threads",
+           "no thread for the spend share");
+  free (share);
+  return NULL;
+}
+
+void
+spend_share_stop (spend_share_t *share)
+{
+  pthread_mutex_lock (&share->lock);
+  share->stop = true;
+  pthread_cond_signal (&share->changed);
+  pthread_mutex_unlock (&share->lock);
+  pthread_join (share->thread, NULL);
+}
+
+void
+spend_share_free (spend_share_t *share)
+{
+  pthread_mutex_destroy (&share->lock);
+  pthread_cond_destroy (&share->changed);
+  free (share);
+}
--- a/src/shift/sheet.c
+++ b/src/shift/sheet.c
@@ -229,7 +229,12 @@
   else if (strcmp (name, "cost_cap") == 0)
     {
       seen = &parser->has_cap;
-      ok = parse_whole (parser, COLUMN_VALUE, INT64_MAX / 2, &sheet->cost_cap);
+      ok = parse_whole (parser, COLUMN_VALUE, MONEY_CAP_MAX, &sheet->cost_cap);
+    }
+  else if (strcmp (name, "budget") == 0)
+    {
+      ok = parse_whole (parser, COLUMN_VALUE, INT64_MAX, &number);
+      sheet->budget = (uint64_t)number;
     }
   else if (strcmp (name, "expected_requests") == 0)
     {
@@ -238,7 +243,8 @@
     }
   else
     fault (parser, COLUMN_NAME,
-           "use number, operator, currency, cost_cap or expected_requests",
+           "use number, operator, currency, cost_cap, budget or "
+           "expected_requests",
            "unknown shift value '%.40s'", name);
   if (seen && *seen)
     fault (parser, COLUMN_NAME, "keep one of the rows", "'%s' stands twice",
@@ -503,6 +509,13 @@
   if (!parser->has_cap)
     fault (parser, COLUMN_NAME, "add: shift,,,cost_cap,,AMOUNT",
            "the shift's cost cap is missing");
+  sheet_t *sheet = parser->sheet;
+  if (sheet->budget == 0)
+    sheet->budget = sheet->number;
+  if (sheet->budget > sheet->number)
+    fault (parser, COLUMN_VALUE,
+           "give the number of the sheet that opened the budget",
+           "the budget is above the sheet's number");
   check_backends (parser);
   check_shares (parser);
 }
--- a/src/shift/sheet_defs.h
+++ b/src/shift/sheet_defs.h
@@ -11,6 +11,9 @@
 /* Money in the currency's smallest unit (haler, yen).  */
 typedef int64_t money_t;
 
+/* Caps are counted in thousandths too.  */
+#define MONEY_CAP_MAX (INT64_MAX / 4000)
+
 typedef enum
 {
   BACKEND_SERVING,
@@ -50,9 +53,11 @@
 typedef struct sheet
 {
   uint64_t number; /* rises with every sheet */
+  uint64_t budget; /* sheets with the same one spend from one cap; the
+                      number where not given */
   name_t operator_name;
   name_t currency;
-  money_t cost_cap;
+  money_t cost_cap;           /* at most MONEY_CAP_MAX */
   uint64_t expected_requests; /* in the whole shift; 0 where not given */
   backend_t *backends;
   size_t n_backends;
--- a/src/shift/sheet_text.c
+++ b/src/shift/sheet_text.c
@@ -13,6 +13,8 @@
   fprintf (stream, "shift,,,operator,,%s\n", sheet->operator_name.text);
   fprintf (stream, "shift,,,currency,,%s\n", sheet->currency.text);
   fprintf (stream, "shift,,,cost_cap,,%" PRId64 "\n", sheet->cost_cap);
+  if (sheet->budget != sheet->number)
+    fprintf (stream, "shift,,,budget,,%" PRIu64 "\n", sheet->budget);
   if (sheet->expected_requests > 0)
     fprintf (stream, "shift,,,expected_requests,,%" PRIu64 "\n",
              sheet->expected_requests);
