--- a/test/agreement_cluster.h
+++ b/test/agreement_cluster.h
@@ -83,6 +83,8 @@
   proposal_id_t next_proposal;
   uint64_t highest; /* number submitted */
   uint64_t steps;
+  uint64_t n_bytes; /* of all messages */
+  uint64_t n_messages;
   size_t n_accepted;
   size_t n_conflicts;
 
@@ -248,6 +250,8 @@
   REQUIRE (packet->bytes->length <= MESSAGE_BYTES + LARGE_CONTENT_BYTES + 256,
            "a message of %u bytes", packet->bytes->length);
   cluster->packets[cluster->n_packets++] = packet;
+  cluster->n_bytes += packet->bytes->length;
+  cluster->n_messages++;
 }
 
 static inline void
--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -6,7 +6,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=41
+NET=${NET:-41}
 FOLDER=$(mktemp -d)
 source "$SOURCE/test/functional/cluster.sh"
 LOOP=
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -174,6 +174,65 @@
   settled_free (cluster);
 }
 
+/* Acknowledgements that were sent to this leader in an earlier term say
+   nothing of the log that it leads now.  */
+static void
+test_acknowledgement_of_an_earlier_term_is_dropped (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t leader = cluster_leader (cluster);
+  for (int slot = 0; slot < NODES; slot++)
+    cluster->cut[leader][slot] = true;
+  uint64_t number = cluster->highest + 1;
+  cluster_submit (cluster, leader, number, 0);
+  while (!list_empty (&cluster->nodes[leader].disk.pending))
+    cluster_sync (cluster, leader);
+  replica_status_t status = replica_status (cluster->nodes[leader].replica);
+  for (int slot = 0; slot < NODES; slot++)
+    {
+      message_t message
+          = { .kind = MESSAGE_APPEND_RESPONSE,
+              .from = (slot_t)slot,
+              .to = leader,
+              .from_incarnation = status.config.incarnation[slot],
+              .to_incarnation = status.incarnation,
+              .cluster = status.config.cluster,
+              .term = status.term - 1 };
+      message.body.append_response.success = true;
+      message.body.append_response.index = status.last;
+      event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+      if (slot != leader)
+        cluster_step (cluster, leader, &event);
+    }
+  g_assert_false (cluster->is_accepted[number]);
+  settled_free (cluster);
+}
+
+/* Entries of a deposed leader that come late.  */
+static void
+test_entries_of_an_earlier_term_are_dropped (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t old = cluster_leader (cluster);
+  slot_t other = (slot_t)((old + 1) % NODES);
+  cluster_submit (cluster, old, 1, 1);
+  for (size_t i = 0; i < cluster->n_packets; i++)
+    cluster->packets[i]->is_held = true;
+  cluster_crash (cluster, old, 0);
+  while (cluster_leader (cluster) == SLOT_NONE)
+    cluster_round (cluster);
+  accept_next (cluster, 0);
+  for (int i = 0; i < 10; i++)
+    cluster_round (cluster);
+  log_index_t last = replica_status (cluster->nodes[other].replica).last;
+  while (cluster->n_packets > 0 && cluster->packets[0]->is_held)
+    cluster_release (cluster, 0);
+  g_assert_cmpuint (replica_status (cluster->nodes[other].replica).last, ==,
+                    last);
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
 /* A replica that was away can't depose a leader that the others hear.  */
 static void
 test_returning_replica_does_not_disturb (void)
@@ -280,6 +339,10 @@
                    test_thawed_leader_steps_down_first);
   g_test_add_func ("/agreement/replica/overwritten-swap",
                    test_overwritten_swap_is_asked_for_again);
+  g_test_add_func ("/agreement/replica/late-acknowledgement",
+                   test_acknowledgement_of_an_earlier_term_is_dropped);
+  g_test_add_func ("/agreement/replica/late-entries",
+                   test_entries_of_an_earlier_term_are_dropped);
   g_test_add_func ("/agreement/replica/return",
                    test_returning_replica_does_not_disturb);
   g_test_add_func ("/agreement/replica/far-behind",
