--- a/test/agreement_cluster.h
+++ b/test/agreement_cluster.h
@@ -480,8 +480,8 @@
   while (cluster->packets[i] != packet)
     i++;
   cluster->n_packets--;
-  memmove (&cluster->packets[i], &cluster->packets[i + 1],
-           (cluster->n_packets - i) * sizeof cluster->packets[0]);
+  for (; i < cluster->n_packets; i++)
+    cluster->packets[i] = cluster->packets[i + 1];
   blob_unref (packet->bytes);
   free (packet);
 }
