fix(delivery): an event of a former send no longer counts for the present one

EVENT_BYTES_LEFT, EVENT_BROKEN and EVENT_TARGET_STOPPED carried no id. A late one of a forwarded send could end the next, local send.

--- a/src/delivery/request.c
+++ b/src/delivery/request.c
@@ -182,6 +182,11 @@
     case EVENT_TARGET_REFUSED:
     case EVENT_TARGET_UNKNOWN:
       return step->event->request_id == step->request->send_id;
+    case EVENT_BYTES_LEFT:
+    case EVENT_BROKEN:
+    case EVENT_TARGET_STOPPED:
+      return step->event->request_id == 0
+             || step->event->request_id == step->request->send_id;
     default:
       return true;
     }
@@ -426,7 +431,7 @@
                   .actions = actions };
   if (!is_own (&step))
     {
-      counters->foreign_answers++;
+      counters->foreign_answers += event->kind == EVENT_HEAD;
       return;
     }
   switch (request->phase)
--- a/src/delivery/request_defs.h
+++ b/src/delivery/request_defs.h
@@ -82,8 +82,9 @@
 typedef struct request_event
 {
   request_event_kind_t kind;
-  uint64_t request_id; /* that the target gave back: EVENT_HEAD to
-                          EVENT_TARGET_UNKNOWN, but for EVENT_BROKEN */
+  uint64_t request_id; /* EVENT_BYTES_LEFT to EVENT_TARGET_STOPPED: of the
+                          send that it belongs to.  0 stands for the present
+                          one, but where the target says it.  */
   union
   {
     struct
--- a/test/support/delivery_world.h
+++ b/test/support/delivery_world.h
@@ -43,9 +43,10 @@
   bool placing;
   bool idempotent;
   vm_id_t vm;
-  int parent; /* of a hop */
-  int hop;    /* that it forwarded to */
-  int work;   /* at the backend server */
+  int parent;       /* of a hop */
+  uint64_t send_id; /* of the parent, that a hop answers */
+  int hop;          /* that it forwarded to */
+  int work;         /* at the backend server */
   size_t content;
   uint64_t root; /* number of the caller's send */
   uint64_t number;
@@ -336,6 +337,7 @@
   if (hop == NO_FLIGHT)
     return;
   world->flights[hop].parent = index;
+  world->flights[hop].send_id = flight->request.send_id;
   world->flights[hop].root = flight->root;
   world->flights[hop].request.options = flight->request.options;
 }
@@ -502,9 +504,11 @@
   flight_t *flight = flight_of (world, work);
   if (work->stage != WORK_CLAIMED || !flight)
     return;
-  request_event_t event = { .kind = EVENT_BYTES_LEFT };
+  request_event_t event
+      = { .kind = EVENT_BYTES_LEFT, .request_id = work->send_id };
   work->stage = WORK_COMING;
   if (flight->request.phase != REQUEST_CLAIMED
+      || flight->request.send_id != work->send_id
       || !slots_may_send (world->slots[flight->vm], &work->token, world->now))
     {
       work->stage = WORK_NONE;
@@ -591,7 +595,8 @@
 {
   work_t *work = &world->works[index];
   flight_t *flight = flight_of (world, work);
-  const request_event_t event = { .kind = EVENT_BROKEN };
+  const request_event_t event
+      = { .kind = EVENT_BROKEN, .request_id = work->send_id };
   if (work->stage == WORK_CLAIMED)
     work->stage = WORK_NONE;
   if (flight && flight->work == index)
@@ -649,10 +654,9 @@
       || !is_steppable (world, hop->parent)
       || world->flights[hop->parent].hop != index)
     return;
-  const flight_t *parent = &world->flights[hop->parent];
-  request_event_t event
-      = { .kind = EVENT_BROKEN, .request_id = parent->request.send_id };
-  const request_event_t left = { .kind = EVENT_BYTES_LEFT };
+  request_event_t event = { .kind = EVENT_BROKEN, .request_id = hop->send_id };
+  const request_event_t left
+      = { .kind = EVENT_BYTES_LEFT, .request_id = hop->send_id };
   world_event (world, hop->parent, &left);
   if (lost)
     {
@@ -661,8 +665,7 @@
     }
   if (!hop->told)
     return;
-  const work_t answer
-      = { .send_id = parent->request.send_id, .content = hop->content };
+  const work_t answer = { .send_id = hop->send_id, .content = hop->content };
   switch (hop->outcome.kind)
     {
     case OUTCOME_ANSWER:
