--- a/test/unit/test_delivery.c
+++ b/test/unit/test_delivery.c
@@ -307,6 +307,32 @@
   g_assert_cmpint (actions.items[0].as.outcome.kind, ==, OUTCOME_UNKNOWN);
 }
 
+/* The connection of the first send is heard to break after the second one
+   began.  */
+static void
+test_late_failure_leaves_the_next_send_alone (void)
+{
+  request_t request;
+  request_actions_t actions;
+  request_counters_t counters = { 0 };
+  retry_budget_t budget;
+  retry_budget_init (&budget, 1000, 1);
+  const request_options_t options = {
+    .idempotent = true, .id = 256, .deadline = USEC_PER_SEC, .max_sends = 3
+  };
+  request_start (&request, &options, 0, &actions);
+  const request_event_t events[]
+      = { { .kind = EVENT_FORWARD },
+          { .kind = EVENT_TARGET_REFUSED, .request_id = 257 },
+          { .kind = EVENT_ADMITTED },
+          { .kind = EVENT_BYTES_LEFT, .request_id = 258 },
+          { .kind = EVENT_BROKEN, .request_id = 257 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+    request_on_event (&request, &events[i], &budget, &counters, 1, &actions);
+  g_assert_cmpuint (actions.n, ==, 0);
+  g_assert_cmpint (request.phase, ==, REQUEST_SENT);
+}
+
 static size_t
 count_frees (const request_actions_t *actions)
 {
@@ -366,6 +392,8 @@
   g_test_add_func ("/quarantine/wide", test_wide_crash_quarantines_nobody);
   g_test_add_func ("/quarantine/bounded", test_quarantine_is_bounded);
   g_test_add_func ("/request/idempotent", test_idempotent_request_retries);
+  g_test_add_func ("/request/late-failure",
+                   test_late_failure_leaves_the_next_send_alone);
   g_test_add_func ("/request/abandoned",
                    test_abandoned_request_frees_its_slot_once);
   return g_test_run ();
