--- a/test/support/delivery_world.h
+++ b/test/support/delivery_world.h
@@ -24,7 +24,7 @@
   N_CONTENTS = 4, /* distinct requests; the last one is idempotent */
   N_FLIGHTS = 16, /* requests under way, hops among them */
   N_WORKS = 32,
-  N_SLOTS = 2,
+  N_SLOTS = 1,
   ANSWER_BYTES = 8,
   NO_FLIGHT = -1,
   N_ROOTS = 8192, /* sends and hops in one schedule */
@@ -575,7 +575,13 @@
   world_event (world, to, &event);
   event.kind = EVENT_END;
   event.as.answer.framed_end = true;
+  bool was_told = world->flights[to].told;
   world_event (world, to, &event);
+  const flight_t *flight = &world->flights[to];
+  bool passed_on = flight->told && !was_told
+                   && flight->outcome.kind == OUTCOME_ANSWER
+                   && !flight->outcome.from_record;
+  require (!(cut_short && passed_on), "a short answer was passed on");
 }
 
 static inline void
