--- a/test/unit/test_delivery.c
+++ b/test/unit/test_delivery.c
@@ -237,6 +237,64 @@
   quarantine_free (vms[1]);
 }
 
+/* Crashes, whole answers and messages in a random order, some lost; once all
+   heard from all, all judge alike.  */
+static void
+test_quarantine_converges (void)
+{
+  enum
+  {
+    N_VMS = 3,
+    N_PRINTS = 4,
+    N_CRASHES = 6,
+  };
+  for (uint64_t seed = 1; seed <= 300; seed++)
+    {
+      random_state_t random;
+      random_seed (&random, seed);
+      quarantine_t *vms[N_VMS];
+      for (vm_id_t i = 0; i < N_VMS; i++)
+        vms[i] = open_quarantine (i);
+      usec_t now = 0;
+      for (int i = 0; i < N_CRASHES * N_VMS; i++)
+        {
+          now += 3 * USEC_PER_SEC;
+          size_t vm = random_below (&random, N_VMS);
+          fingerprint_t print = { .low = random_below (&random, N_PRINTS) };
+          quarantine_message_t message;
+          switch (random_below (&random, 4))
+            {
+            case 0:
+              if (i < N_CRASHES)
+                quarantine_on_crash (vms[vm], 1, &print, 1, now);
+              break;
+            case 1:
+              quarantine_on_end (vms[vm], print, 1, true, now);
+              break;
+            default:
+              quarantine_write (vms[vm], &message, now);
+              quarantine_merge (vms[random_below (&random, N_VMS)], &message,
+                                now);
+              break;
+            }
+        }
+      for (int i = 0; i < 2 * N_VMS * N_VMS; i++)
+        {
+          quarantine_message_t message;
+          quarantine_write (vms[i % N_VMS], &message, now);
+          quarantine_merge (vms[i / N_VMS % N_VMS], &message, now);
+        }
+      for (uint64_t i = 0; i < N_PRINTS; i++)
+        for (size_t vm = 1; vm < N_VMS; vm++)
+          g_assert_cmpint (
+              quarantine_check (vms[vm], (fingerprint_t){ .low = i }, 1, now),
+              ==,
+              quarantine_check (vms[0], (fingerprint_t){ .low = i }, 1, now));
+      for (size_t i = 0; i < N_VMS; i++)
+        quarantine_free (vms[i]);
+    }
+}
+
 /* A rack goes: many requests were in flight on two backend servers each.  */
 static void
 test_wide_crash_quarantines_nobody (void)
@@ -389,6 +447,7 @@
   g_test_add_func ("/quarantine/culprit",
                    test_two_crashes_quarantine_the_culprit_alone);
   g_test_add_func ("/quarantine/spreads", test_quarantine_spreads);
+  g_test_add_func ("/quarantine/converges", test_quarantine_converges);
   g_test_add_func ("/quarantine/wide", test_wide_crash_quarantines_nobody);
   g_test_add_func ("/quarantine/bounded", test_quarantine_is_bounded);
   g_test_add_func ("/request/idempotent", test_idempotent_request_retries);
