--- a/test/unit/test_delivery.c
+++ b/test/unit/test_delivery.c
@@ -253,8 +253,8 @@
       random_state_t random;
       random_seed (&random, seed);
       quarantine_t *vms[N_VMS];
-      for (vm_id_t i = 0; i < N_VMS; i++)
-        vms[i] = open_quarantine (i);
+      for (size_t i = 0; i < N_VMS; i++)
+        vms[i] = open_quarantine ((vm_id_t)i);
       usec_t now = 0;
       for (int i = 0; i < N_CRASHES * N_VMS; i++)
         {
