--- a/src/control/admin_service.h
+++ b/src/control/admin_service.h
@@ -7,6 +7,7 @@
 #define CONTROL_ADMIN_SERVICE_H
 
 #include "control/accepted.h"
+#include "control/core_thread.h"
 #include "settings/settings_defs.h"
 #include "shift/sheet.h"
 
@@ -21,6 +22,7 @@
   const settings_t *settings;
   vm_id_t self;
   accepted_t *accepted;
+  core_thread_t *core;
 } admin_service_t;
 
 /* The answer to a sheet that is accepted, the same at every resend.  */
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -54,6 +54,12 @@
   return topology_delay (steer->options.topology, steer->options.home, domain);
 }
 
+static region_id_t
+home_region (const steer_t *steer)
+{
+  return steer->options.topology->domains[steer->options.home].region;
+}
+
 static void
 sort_domains (steer_t *steer)
 {
@@ -78,9 +84,11 @@
 {
   const topology_t *topology = options->topology;
   if (topology->n_regions > STEER_REGIONS_MAX
+      || topology->n_domains > STEER_DOMAINS_MAX
       || options->home >= topology->n_domains)
     {
-      err_set (err, ERR_USAGE, "name at most 64 regions and a known home",
+      err_set (err, ERR_USAGE,
+               "name at most 64 regions, 64 failure domains and a known home",
                "%zu regions, home domain %u of %zu", topology->n_regions,
                options->home, topology->n_domains);
       return NULL;
@@ -300,7 +308,7 @@
   double unit = default_latency (steer, service);
   double cost = price_cost * unit
                 * steer->price[service * topology->n_regions + region];
-  if (region != topology->domains[steer->options.home].region)
+  if (region != home_region (steer))
     cost += headroom_cost * topology->objective.headroom * unit;
   return cost;
 }
@@ -318,6 +326,9 @@
   service_id_t service = search->request->service;
   domain_id_t domain = entry->backend.domain;
   region_id_t region = topology->domains[domain].region;
+  if (region != home_region (steer)
+      && observe_backing_off (&entry->observe, search->now))
+    return;
   double limit = observe_limit (
       &entry->observe, topology->services[service].slots, search->now);
   double load = observe_load (&entry->observe, search->now);
@@ -383,8 +394,9 @@
       if (delay != ring && search->found && search->best.free)
         return;
       ring = delay;
-      if (region_allowed (steer, search->request,
-                          topology->domains[domain].region))
+      if (!(search->request->domains_refused >> domain & 1)
+          && region_allowed (steer, search->request,
+                             topology->domains[domain].region))
         sample_domain (search, domain);
     }
 }
@@ -418,39 +430,6 @@
   observe_start (&steer->entries[slot].observe);
 }
 
-void
-steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
-                usec_t latency, usec_t now)
-{
-  static const double step_part = 0.02;
-  entry_t *entry = &steer->entries[slot];
-  observe_end (&entry->observe, outcome, latency, now);
-  entry->known = entry->in_sheet || entry->observe.in_flight > 0;
-  if (outcome != OUTCOME_ANSWERED)
-    return;
-  double *median = &steer->latency[entry->backend.service];
-  if (*median <= 0)
-    *median = (double)latency;
-  else
-    *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
-}
-
-void
-steer_report_slot (steer_t *steer, backend_slot_t slot, hint_source_t source,
-                   const hint_t *hint)
-{
-  observe_hint (&steer->entries[slot].observe, source, hint);
-}
-
-void
-steer_report (steer_t *steer, const char *name, hint_source_t source,
-              const hint_t *hint)
-{
-  backend_slot_t slot;
-  if (steer_find (steer, name, &slot))
-    steer_report_slot (steer, slot, source, hint);
-}
-
 /* Servers of SERVICE that may be chosen; ejecting stops below half.  */
 static size_t
 count_usable (const steer_t *steer, service_id_t service, usec_t now,
@@ -469,24 +448,98 @@
   return n_usable;
 }
 
+static bool
+judge (steer_t *steer, entry_t *entry, usec_t now)
+{
+  service_id_t service = entry->backend.service;
+  size_t n_listed = 0;
+  size_t n_usable = count_usable (steer, service, now, &n_listed);
+  if (n_usable * 2 <= n_listed + 1 || n_usable < JUDGE_PEERS_MIN)
+    return false;
+  return observe_judge (&entry->observe, steer->latency[service], now);
+}
+
 size_t
 steer_tick (steer_t *steer, usec_t now)
 {
   size_t n_ejected = 0;
   for (size_t i = 0; i < steer->n_entries; i++)
+    if (steer->entries[i].listed)
+      n_ejected += judge (steer, &steer->entries[i], now);
+  return n_ejected;
+}
+
+static void
+service_latency (steer_t *steer, service_id_t service, usec_t latency)
+{
+  static const double step_part = 0.02;
+  double *median = &steer->latency[service];
+  if (*median <= 0)
+    *median = (double)latency;
+  else
+    *median *= (double)latency > *median ? 1 + step_part : 1 - step_part;
+}
+
+/* A refusal speaks for all servers that the same gate admits to.  */
+static void
+gate_refused (steer_t *steer, const entry_t *entry, usec_t now)
+{
+  size_t bin = entry_bin (steer, entry);
+  for (uint32_t i = steer->first[bin]; i < steer->first[bin + 1]; i++)
+    observe_refused (&steer->entries[steer->order[i]].observe, now);
+}
+
+bool
+steer_finished (steer_t *steer, backend_slot_t slot, backend_slot_t ran_on,
+                outcome_t outcome, usec_t latency, usec_t now)
+{
+  entry_t *entry = &steer->entries[slot];
+  entry_t *ran = &steer->entries[ran_on];
+  observe_leave (&entry->observe);
+  observe_end (&ran->observe, outcome, latency, now);
+  entry->known = entry->in_sheet || entry->observe.in_flight > 0;
+  switch (outcome)
     {
-      entry_t *entry = &steer->entries[i];
-      size_t n_listed = 0;
-      if (!entry->listed)
-        continue;
-      size_t n_usable
-          = count_usable (steer, entry->backend.service, now, &n_listed);
-      if (n_usable * 2 <= n_listed + 1 || n_usable < JUDGE_PEERS_MIN)
-        continue;
-      n_ejected += observe_judge (&entry->observe,
-                                  steer->latency[entry->backend.service], now);
+    case OUTCOME_ANSWERED:
+      service_latency (steer, ran->backend.service, latency);
+      return false;
+    case OUTCOME_FAILED:
+    case OUTCOME_TIMED_OUT:
+      return ran->listed && judge (steer, ran, now);
+    case OUTCOME_REFUSED:
+      gate_refused (steer, entry, now);
+      return false;
+    case OUTCOME_CANCELLED:
+      return false;
     }
-  return n_ejected;
+  return false;
+}
+
+void
+steer_report_slot (steer_t *steer, backend_slot_t slot, hint_source_t source,
+                   const hint_t *hint)
+{
+  observe_hint (&steer->entries[slot].observe, source, hint);
+}
+
+void
+steer_report (steer_t *steer, const char *name, hint_source_t source,
+              const hint_t *hint)
+{
+  backend_slot_t slot;
+  if (steer_find (steer, name, &slot))
+    steer_report_slot (steer, slot, source, hint);
+}
+
+uint32_t
+steer_slots (steer_t *steer, backend_slot_t slot, usec_t now)
+{
+  entry_t *entry = &steer->entries[slot];
+  if (!entry->listed || !observe_usable (&entry->observe, now))
+    return 0;
+  const service_t *service
+      = &steer->options.topology->services[entry->backend.service];
+  return (uint32_t)observe_limit (&entry->observe, service->slots, now);
 }
 
 const backend_t *
