--- a/test/unit/test_delivery_matrix.c
+++ b/test/unit/test_delivery_matrix.c
@@ -331,6 +331,30 @@
   g_assert_cmpstr (cell, ==, hop_expected[fault][step]);
 }
 
+/* The owner of a backend server restarts while a request runs there: it
+   admits nothing until that one must have stopped.  */
+static void
+test_restarted_owner (void)
+{
+  static world_t world;
+  world_open (&world);
+  reach (&world, STEP_SENT);
+  world_kill_vm (&world, 0);
+  for (usec_t waited = 0; waited < longest_deadline + stop_margin;
+       waited += request_deadline / 2)
+    {
+      int index = world_send (&world, 0, N_CONTENTS - 1);
+      world_place (&world, index, EVENT_ADMITTED);
+      g_assert_cmpint (world.flights[index].work, ==, NO_FLIGHT);
+      g_assert_cmpint (told (&world.flights[index]), ==, 'n');
+      world_pass (&world, request_deadline / 2);
+    }
+  int index = world_send (&world, 0, N_CONTENTS - 1);
+  go_on (&world);
+  g_assert_cmpint (told (&world.flights[index]), ==, 'a');
+  world_close (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -350,5 +374,6 @@
                 hop_step_names[i % N_HOP_STEPS]);
       g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_hop_cell);
     }
+  g_test_add_func ("/matrix/restarted-owner", test_restarted_owner);
   return g_test_run ();
 }
