--- a/test/fuzz/fuzz_admission.c
+++ b/test/fuzz/fuzz_admission.c
@@ -1,4 +1,4 @@
-/* fuzz-runs: 60000 */
+/* fuzz-runs: 300000 */
 /* Escrow against three plain sums.  The input is a schedule of events: asks
    that are lost, late, repeated or crossed, charges, ends, restarts of a
    holder, a change of the granter's leader, and clocks that drift within the
@@ -15,13 +15,16 @@
 {
   N_HOLDERS = 3,
   N_MESSAGES = 12,
-  N_CHARGES = 24,
+  N_CHARGES = 120,
   CAP = 100,
   FLOOR = 5,
-  PRICE_MAX = 7,
+  PRICE_MAX = 20,
   DRIFT_PPM = 100000, /* a tenth: large, so that a miss shows soon */
-  CHARGE_USEC = 40000,
+  CHARGE_USEC = 150000,
   LEASE_USEC = 200000,
+  PASS_USEC = 20000,
+  PASS_STEPS = 10,
+  CHARGES_AT_ONCE = 12,
 };
 
 typedef struct charge
@@ -51,6 +54,7 @@
   uint64_t generations[N_HOLDERS];
   usec_t holder_now[N_HOLDERS];
   usec_t granter_now;
+  uint8_t skew;  /* which clock runs how fast, to base 3 */
   int64_t spent; /* by all holders that ever were */
   message_t messages[N_MESSAGES];
   charge_t charges[N_CHARGES];
@@ -80,7 +84,7 @@
           .self = h,
           .generation = world->generations[h],
           .floor = world->kind == BUDGET_SPEND ? 0 : FLOOR,
-          .step = 1 + h * 7,
+          .step = 10 + h * 15,
           .burst = USEC_PER_SEC,
           .terms = { .duration = LEASE_USEC, .drift_ppm = DRIFT_PPM } };
   escrow_holder_init (&world->holders[h], &options, world->holder_now[h]);
@@ -91,6 +95,7 @@
 {
   memset (world, 0, sizeof *world);
   world->kind = (budget_kind_t)(take (input) % 3);
+  world->skew = take (input);
   world->granter_now = USEC_PER_SEC;
   escrow_options_t options
       = { .kind = world->kind,
@@ -148,6 +153,17 @@
       = escrow_apply (world->granter, &message.ask, world->granter_now);
 }
 
+/* An ask and its answer, with nothing lost.  */
+static void
+exchange (world_t *world, uint8_t h)
+{
+  escrow_holder_t *holder = &world->holders[h];
+  escrow_ask_t ask = escrow_holder_ask (holder, world->holder_now[h]);
+  escrow_answer_t answer
+      = escrow_apply (world->granter, &ask, world->granter_now);
+  escrow_holder_answer (holder, &answer, world->holder_now[h]);
+}
+
 static admit_budgets_t
 budgets_of (world_t *world, uint8_t h)
 {
@@ -188,6 +204,17 @@
     world->spent += amount;
 }
 
+/* One charge by its amount, or several of one each.  */
+static void
+charge_many (world_t *world, uint8_t h, uint8_t amount)
+{
+  if (world->kind != BUDGET_CAPACITY)
+    charge (world, h, 1 + amount % PRICE_MAX);
+  else
+    for (int i = 0; i <= amount % CHARGES_AT_ONCE; i++)
+      charge (world, h, 1);
+}
+
 static void
 end_charge (world_t *world, charge_t *charge, bool ran)
 {
@@ -210,12 +237,13 @@
   holder_start (world, h);
 }
 
-/* True time passes; each clock runs off by up to the bound.  */
+/* True time passes; each clock runs off by up to the bound, always the same
+   way, which is the worst.  */
 static void
 pass_time (world_t *world, input_t *input)
 {
-  usec_t span = (usec_t)take (input) * 500;
-  uint8_t skew = take (input);
+  usec_t span = (1 + take (input) % PASS_STEPS) * PASS_USEC;
+  uint8_t skew = world->skew;
   static const int64_t rates[] = { 90, 100, 110 };
   world->granter_now += span * rates[skew % 3] / 100;
   for (int h = 0; h < N_HOLDERS; h++)
@@ -279,7 +307,7 @@
 {
   uint8_t event = take (input);
   uint8_t h = (event >> 4) % N_HOLDERS;
-  switch (event % 12)
+  switch (event % 14)
     {
     case 0:
     case 1:
@@ -297,7 +325,7 @@
       break;
     case 6:
     case 7:
-      charge (world, h, 1 + take (input) % PRICE_MAX);
+      charge_many (world, h, take (input));
       break;
     case 8:
       end_charge (world, &world->charges[take (input) % N_CHARGES],
@@ -312,6 +340,10 @@
       else
         send_ask (world, h, true);
       break;
+    case 12:
+    case 13:
+      exchange (world, h);
+      break;
     case 11:
       /* Another leader: its clock says something else altogether.  */
       world->granter_now
--- a/test/unit/test_admission_escrow.c
+++ b/test/unit/test_admission_escrow.c
@@ -184,6 +184,23 @@
   escrow_free (escrow);
 }
 
+/* A closed account counts as spent in whole, so what comes back late must
+   not be spent again.  */
+static void
+test_late_refund_of_a_closed_account_is_void (void)
+{
+  escrow_t *escrow = granter_new (BUDGET_SPEND, 0);
+  escrow_holder_t holder = holder_new (BUDGET_SPEND, 1, 0, 100);
+  exchange (escrow, &holder, 1);
+  uint64_t generation = holder.account.generation;
+  g_assert_true (escrow_holder_charge (&holder, 60, 10, 2));
+  escrow_answer_t stale = { .account = holder.account, .stale = true };
+  escrow_holder_answer (&holder, &stale, 3);
+  escrow_holder_release (&holder, 60, generation);
+  g_assert_cmpint (escrow_holder_available (&holder, 4), ==, 0);
+  escrow_free (escrow);
+}
+
 static void
 test_rate_is_bounded_over_a_window (void)
 {
@@ -249,6 +266,8 @@
   g_test_add_func ("/escrow/until",
                    test_charge_beyond_the_floor_ends_before_the_lease);
   g_test_add_func ("/escrow/stale", test_closed_generation_is_stale);
+  g_test_add_func ("/escrow/late_refund",
+                   test_late_refund_of_a_closed_account_is_void);
   g_test_add_func ("/escrow/rate", test_rate_is_bounded_over_a_window);
   g_test_add_func ("/escrow/reservation", test_reservation_gives_back_once);
   return g_test_run ();
