--- a/bench/bench_escrow.c
+++ b/bench/bench_escrow.c
@@ -41,7 +41,7 @@
                                .part = N_HOLDERS,
                                .n_accounts = N_HOLDERS };
   *run = (run_t){ .escrow = escrow_new (&options, NULL), .cut_lasted = -1 };
-  for (vm_id_t v = 0; v < N_HOLDERS; v++)
+  for (uint32_t v = 0; v < N_HOLDERS; v++)
     {
       escrow_holder_options_t holder
           = { .kind = BUDGET_SPEND, .self = v, .generation = 1, .step = step };
@@ -77,7 +77,7 @@
 run_shift (run_t *run)
 {
   for (int64_t second = 0; second < SHIFT_SECONDS; second++)
-    for (vm_id_t v = 0; v < N_HOLDERS; v++)
+    for (uint32_t v = 0; v < N_HOLDERS; v++)
       {
         escrow_holder_t *holder = &run->holders[v];
         bool away = second >= EVENT_SECOND && (v == LOST || v == CUT);
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -59,7 +59,7 @@
   world_t world;
   world_open (&world, organisation);
   double slots = 0;
-  for (service_id_t s = 0; s < WORLD_SERVICES; s++)
+  for (uint32_t s = 0; s < WORLD_SERVICES; s++)
     slots += (double)world.topology.services[s].slots * WORLD_DOMAINS
              * WORLD_PER_BIN;
   world_close (&world);
--- a/bench/policy_baseline.c
+++ b/bench/policy_baseline.c
@@ -75,9 +75,10 @@
   baseline_t *state = sim->baseline;
   region_id_t home = sim_region (sim, sim_front_domain (sim, request));
   uint16_t first = request->service * WORLD_DOMAINS * WORLD_PER_BIN;
+  const uint32_t per_service = WORLD_DOMAINS * WORLD_PER_BIN;
   uint16_t allowed[WORLD_DOMAINS * WORLD_PER_BIN];
   uint32_t n = 0;
-  for (uint16_t b = first; b < first + WORLD_DOMAINS * WORLD_PER_BIN; b++)
+  for (uint32_t b = first; b < first + per_service; b++)
     if (may_choose (sim, b, near_only, home))
       allowed[n++] = b;
   if (n == 0)
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -23,6 +23,7 @@
   SIM_CONNECT_TIMEOUT = 100000,
   SIM_REQUEST_BYTES = 1000,
   SIM_CONTROL_DOMAIN = 2,
+  SIM_DRAINED_DOMAIN = 1,
 };
 
 typedef enum
@@ -196,6 +197,12 @@
 region_id_t sim_region (const sim_t *sim, domain_id_t domain);
 link_t *sim_link (sim_t *sim, region_id_t from, region_id_t to);
 
+/* The scenario's fault, at its times; and the cap that a sheet for its load
+   would carry: for an hour, of which the bench is a part, or for just the
+   bench where the cap is tight.  */
+void faults_tick (sim_t *sim);
+money_t faults_cost_cap (sim_t *sim);
+
 /* The entry VMs' own decisions.  */
 void ours_open (sim_t *sim);
 void ours_close (sim_t *sim);
--- a/bench/policy_world.c
+++ b/bench/policy_world.c
@@ -109,8 +109,8 @@
   /* Three VMs a region: two in its first domain, one in its second.  */
   for (size_t v = 0; v < WORLD_VMS; v++)
     topology->vms[v].domain = (domain_id_t)(v / 3 * 2 + v % 3 / 2);
-  for (region_id_t from = 0; from < WORLD_REGIONS; from++)
-    for (region_id_t to = 0; to < WORLD_REGIONS; to++)
+  for (uint32_t from = 0; from < WORLD_REGIONS; from++)
+    for (uint32_t to = 0; to < WORLD_REGIONS; to++)
       if (from != to)
         topology->links[topology->n_links++]
             = (link_t){ .from = from,
@@ -214,7 +214,7 @@
 first_block (const world_t *world, region_id_t region)
 {
   double before = 0;
-  for (region_id_t r = 0; r < region; r++)
+  for (uint32_t r = 0; r < region; r++)
     before += world->demand[r];
   return region < WORLD_REGIONS ? (uint32_t)(before * WORLD_BLOCKS + 0.5)
                                 : WORLD_BLOCKS;
--- a/src/admission/escrow.c
+++ b/src/admission/escrow.c
@@ -200,6 +200,8 @@
   int64_t n_open = 0;
   for (size_t i = 0; i < escrow->n_accounts; i++)
     n_open += escrow->accounts[i].open;
+  if (n_open == 0)
+    return 0;
   int64_t mean
       = (escrow->options.cap - escrow->options.reserved - escrow->spent)
         / n_open;
--- a/test/fuzz/fuzz_admission.c
+++ b/test/fuzz/fuzz_admission.c
@@ -353,8 +353,6 @@
     }
 }
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
