--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -1,75 +1,75 @@
 #include "entry/backend_client.h"
 
 #include <curl/curl.h>
-#include <pthread.h>
-#include <stdatomic.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
-#include "base/clock.h"
-#include "base/log.h"
-#include "base/ring.h"
+#include "base/list.h"
 
 enum
 {
-  POLL_MSEC = 100,
-  URL_BYTES = EXCHANGE_TARGET_BYTES + 64,
-  HEADER_LINE_BYTES = EXCHANGE_HEADER_BYTES + 64,
+  URL_BYTES = 2048 + 64,
+  HEADER_LINE_BYTES = 512,
+  ID_BYTES = 64,
   CONNECTIONS_CACHED = 1024,
   STATUS_SHED = 503,
+  UNACKNOWLEDGED_MSEC = 2000, /* then the connection is dead */
+  KEEPALIVE_SECONDS = 1,
+  KEEPALIVE_PROBES = 3,
 };
 
-/* One attempt of an exchange at a backend server.  */
-typedef struct attempt
+struct backend_call
 {
   list_t link;
   backend_client_t *client;
-  exchange_t *exchange;
+  void *owner;
   CURL *easy;
   struct curl_slist *headers;
+  char id[ID_BYTES];
+  bool once;
+  bool is_head;
   unsigned int transmissions; /* connections that it was put on */
-  size_t answer_size;
-  bool id_matches;
-  bool not_started; /* the backend server refused before starting */
-  bool framed;      /* the answer's length is told */
-  bool answer_too_long;
-} attempt_t;
+  bool framed;                /* the answer's length is told */
+  bool too_long;
+  size_t body_size;
+  backend_reply_t reply;
+};
 
 struct backend_client
 {
   backend_client_options_t options;
   CURLM *multi;
-  ring_t *ring;
-  list_t idle; /* attempts with an easy handle to use again */
+  list_t idle; /* calls with an easy handle to use again */
   list_t busy;
-  pthread_t thread;
-  atomic_bool stop;
 };
 
 static size_t
 on_body (char *data, size_t size, size_t n, void *closure)
 {
-  attempt_t *attempt = closure;
-  exchange_t *exchange = attempt->exchange;
+  backend_call_t *call = closure;
+  backend_reply_t *reply = &call->reply;
   size_t length = size * n;
-  size_t needed = exchange->answer_bytes + length;
-  if (needed > attempt->client->options.answer_bytes_max)
+  size_t needed = reply->body_bytes + length;
+  if (needed > call->client->options.answer_bytes_max)
     {
-      attempt->answer_too_long = true;
+      call->too_long = true;
       return 0;
     }
-  if (needed > attempt->answer_size)
+  if (needed > call->body_size)
     {
       size_t room = needed < 4096 ? 4096 : 2 * needed;
-      char *grown = realloc (exchange->answer, room);
+      char *grown = realloc (reply->body, room);
       if (!grown)
         abort ();
-      exchange->answer = grown;
-      attempt->answer_size = room;
+      reply->body = grown;
+      call->body_size = room;
     }
-  memcpy (exchange->answer + exchange->answer_bytes, data, length);
-  exchange->answer_bytes = needed;
+  memcpy (reply->body + reply->body_bytes, data, length);
+  reply->body_bytes = needed;
   return length;
 }
 
@@ -84,10 +84,17 @@
   return line + strspn (line, " \t");
 }
 
+static void
+copy_text (char into[BACKEND_TEXT_BYTES], const char *value)
+{
+  snprintf (into, BACKEND_TEXT_BYTES, "%.*s", BACKEND_TEXT_BYTES - 1, value);
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *closure)
 {
-  attempt_t *attempt = closure;
+  backend_call_t *call = closure;
+  backend_reply_t *reply = &call->reply;
   char line[HEADER_LINE_BYTES];
   size_t length = size * n;
   if (length >= sizeof line)
@@ -97,16 +104,20 @@
   line[strcspn (line, "\r\n")] = '\0';
   const char *value;
   if ((value = header_value (line, "X-Request-Id")))
-    attempt->id_matches = strcmp (value, attempt->exchange->id) == 0;
+    reply->id_matches = strcmp (value, call->id) == 0;
   else if ((value = header_value (line, "X-Not-Started")))
-    attempt->not_started = strcmp (value, "1") == 0;
+    reply->not_started = strcmp (value, "1") == 0;
   else if (header_value (line, "Content-Length")
            || header_value (line, "Transfer-Encoding"))
-    attempt->framed = true;
+    call->framed = true;
   else if ((value = header_value (line, "Content-Type")))
-    snprintf (attempt->exchange->answer_type,
-              sizeof attempt->exchange->answer_type, "%.*s",
-              EXCHANGE_HEADER_BYTES - 1, value);
+    copy_text (reply->type, value);
+  else if ((value = header_value (line, "X-Mulberry-Outcome")))
+    copy_text (reply->outcome, value);
+  else if ((value = header_value (line, "X-Mulberry-Reason")))
+    copy_text (reply->reason, value);
+  else if ((value = header_value (line, "X-Mulberry-Generation")))
+    reply->generation = (uint32_t)strtoul (value, NULL, 10);
   return length;
 }
 
@@ -120,67 +131,84 @@
   (void)local;
   (void)remote_port;
   (void)local_port;
-  attempt_t *attempt = closure;
-  attempt->transmissions++;
-  if (attempt->transmissions > 1
-      && !exchange_is_idempotent (attempt->exchange))
+  backend_call_t *call = closure;
+  const backend_client_options_t *options = &call->client->options;
+  if (call->transmissions > 0 && call->once)
     return CURL_PREREQFUNC_ABORT;
+  if (call->owner && !options->leaving (options->closure, call->owner))
+    return CURL_PREREQFUNC_ABORT;
+  call->transmissions++;
   return CURL_PREREQFUNC_OK;
 }
 
+/* A connection that something between the ends has forgotten is found while
+   bytes on it stay without acknowledgement.  */
+static int
+on_socket (void *closure, curl_socket_t fd, curlsocktype purpose)
+{
+  (void)closure;
+  (void)purpose;
+  int unacknowledged = UNACKNOWLEDGED_MSEC;
+  int on = 1;
+  int seconds = KEEPALIVE_SECONDS;
+  int probes = KEEPALIVE_PROBES;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+              sizeof unacknowledged);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
-add_header (attempt_t *attempt, const char *name, const char *value)
+add_header (backend_call_t *call, const char *name, const char *value)
 {
-  if (!*value)
-    return;
   char line[HEADER_LINE_BYTES];
   snprintf (line, sizeof line, "%s: %s", name, value);
-  attempt->headers = curl_slist_append (attempt->headers, line);
+  call->headers = curl_slist_append (call->headers, line);
 }
 
 static void
-attempt_headers (attempt_t *attempt, usec_t left)
+call_headers (backend_call_t *call, const backend_request_t *request)
 {
-  const exchange_t *exchange = attempt->exchange;
-  char number[32];
-  snprintf (number, sizeof number, "%lld", (long long)(left / USEC_PER_MSEC));
-  add_header (attempt, "X-Request-Id", exchange->id);
-  add_header (attempt, "X-Deadline-Ms", number);
-  add_header (attempt, "X-Caller-Request-Id", exchange->caller_id);
-  add_header (attempt, "Idempotency-Key", exchange->ticket);
-  add_header (attempt, "Content-Type", exchange->content_type);
-  attempt->headers = curl_slist_append (attempt->headers, "Expect:");
+  add_header (call, "X-Request-Id", request->id);
+  for (size_t i = 0; i < BACKEND_HEADERS_MAX; i++)
+    {
+      const backend_header_t *header = &request->headers[i];
+      if (header->name && header->value[0])
+        add_header (call, header->name, header->value);
+    }
+  call->headers = curl_slist_append (call->headers, "Expect:");
 }
 
 static void
-attempt_method (attempt_t *attempt)
+call_method (backend_call_t *call, const backend_request_t *request)
 {
-  const exchange_t *exchange = attempt->exchange;
-  CURL *easy = attempt->easy;
-  if (strcmp (exchange->method, "HEAD") == 0)
+  CURL *easy = call->easy;
+  if (call->is_head)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else if (strcmp (exchange->method, "GET") == 0)
+  else if (strcmp (request->method, "GET") == 0)
     curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
   else
     {
       curl_easy_setopt (easy, CURLOPT_POST, 1L);
-      curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, exchange->method);
+      curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)exchange->body_bytes);
+                        (curl_off_t)request->body_bytes);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
-                        exchange->body ? exchange->body : "");
+                        request->body ? request->body : "");
     }
 }
 
 static void
-attempt_options (attempt_t *attempt, usec_t left)
+call_options (backend_call_t *call, const backend_request_t *request)
 {
-  const backend_client_options_t *options = &attempt->client->options;
-  const backend_t *backend = &attempt->exchange->backend;
-  CURL *easy = attempt->easy;
+  const backend_client_options_t *options = &call->client->options;
+  CURL *easy = call->easy;
   char url[URL_BYTES];
-  snprintf (url, sizeof url, "http://%s:%u%s", backend->address, backend->port,
-            attempt->exchange->service_path);
+  snprintf (url, sizeof url, "http://%s:%u%s", request->address, request->port,
+            request->path);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -189,116 +217,95 @@
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_INTERFACE, options->address);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long)(left / USEC_PER_MSEC + 1));
+                    (long)(request->timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
                     (long)(options->connection_idle / USEC_PER_SEC + 1));
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
-  curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, attempt);
-  attempt_method (attempt);
-  attempt_headers (attempt, left);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->headers);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  call_method (call, request);
+  call_headers (call, request);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-static attempt_t *
-attempt_new (backend_client_t *client, exchange_t *exchange)
+static backend_call_t *
+call_new (backend_client_t *client)
 {
   list_t *link = list_pop_front (&client->idle);
+  backend_call_t *call = NULL;
   CURL *easy = NULL;
-  attempt_t *attempt = NULL;
   if (link)
     {
-      attempt = LIST_ENTRY (link, attempt_t, link);
-      easy = attempt->easy;
+      call = LIST_ENTRY (link, backend_call_t, link);
+      easy = call->easy;
       curl_easy_reset (easy);
     }
   else
     {
-      attempt = malloc (sizeof *attempt);
+      call = malloc (sizeof *call);
       easy = curl_easy_init ();
-      if (!attempt || !easy)
+      if (!call || !easy)
         abort ();
     }
-  *attempt
-      = (attempt_t){ .client = client, .exchange = exchange, .easy = easy };
-  list_push_back (&client->busy, &attempt->link);
-  return attempt;
+  *call = (backend_call_t){ .client = client, .easy = easy };
+  list_push_back (&client->busy, &call->link);
+  return call;
 }
 
-/* Tell the exchange's owner; the easy handle is kept for another attempt.  */
+/* The easy handle is kept for another call.  */
 static void
-attempt_finish (attempt_t *attempt)
+call_release (backend_call_t *call)
 {
-  backend_client_t *client = attempt->client;
-  exchange_t *exchange = attempt->exchange;
-  curl_slist_free_all (attempt->headers);
-  attempt->headers = NULL;
-  attempt->exchange = NULL;
-  list_remove (&attempt->link);
-  list_push_front (&client->idle, &attempt->link);
-  client->options.done (client->options.closure, exchange);
+  curl_slist_free_all (call->headers);
+  call->headers = NULL;
+  free (call->reply.body);
+  call->reply.body = NULL;
+  list_remove (&call->link);
+  list_push_front (&call->client->idle, &call->link);
 }
 
-static void
-exchange_fail (exchange_t *exchange, bool sent, err_kind_t kind,
-               const char *why)
+backend_call_t *
+backend_client_call (backend_client_t *client,
+                     const backend_request_t *request)
 {
-  free (exchange->answer);
-  exchange->answer = NULL;
-  exchange->answer_bytes = 0;
-  exchange->outcome = sent ? EXCHANGE_UNKNOWN : EXCHANGE_NOT_RUN;
-  err_set (&exchange->reason, kind,
-           sent ? "ask again with the same ticket" : "send it again",
-           "backend server %s: %s", exchange->backend.name.text, why);
+  backend_call_t *call = call_new (client);
+  call->owner = request->owner;
+  call->once = request->once;
+  call->is_head = strcmp (request->method, "HEAD") == 0;
+  snprintf (call->id, sizeof call->id, "%s", request->id);
+  call_options (call, request);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
 }
 
-/* What the end of a transfer means for the caller.  */
-static void
-attempt_judge (attempt_t *attempt, CURLcode code)
+void
+backend_client_abort (backend_client_t *client, backend_call_t *call)
 {
-  exchange_t *exchange = attempt->exchange;
-  long status = 0;
-  curl_easy_getinfo (attempt->easy, CURLINFO_RESPONSE_CODE, &status);
-  exchange->status = (unsigned int)status;
-  bool sent = attempt->transmissions > 0;
-  bool whole = code == CURLE_OK && status > 0
-               && (attempt->framed || strcmp (exchange->method, "HEAD") == 0);
-  if (whole && !attempt->id_matches)
-    exchange_fail (exchange, true, ERR_PROTOCOL,
-                   "its answer belongs to another request");
-  else if (whole && status == STATUS_SHED && attempt->not_started)
-    exchange_fail (exchange, false, ERR_LIMIT, "it refused before starting");
-  else if (whole)
-    exchange->outcome = EXCHANGE_ANSWER;
-  else if (attempt->answer_too_long)
-    exchange_fail (exchange, true, ERR_LIMIT, "its answer is too long");
-  else if (code == CURLE_OK)
-    exchange_fail (exchange, true, ERR_PROTOCOL,
-                   "its answer does not tell its length");
-  else
-    exchange_fail (exchange, sent,
-                   code == CURLE_OPERATION_TIMEDOUT ? ERR_TIMEOUT
-                                                    : ERR_UNAVAILABLE,
-                   curl_easy_strerror (code));
+  curl_multi_remove_handle (client->multi, call->easy);
+  call_release (call);
 }
 
+/* What the end of a transfer says.  */
 static void
-client_begin (backend_client_t *client, exchange_t *exchange)
+call_judge (backend_call_t *call, CURLcode code)
 {
-  usec_t left = exchange->deadline - clock_monotonic ();
-  attempt_t *attempt = attempt_new (client, exchange);
-  if (left < USEC_PER_MSEC)
-    {
-      exchange_fail (exchange, false, ERR_TIMEOUT, "the deadline has passed");
-      attempt_finish (attempt);
-      return;
-    }
-  attempt_options (attempt, left);
-  curl_multi_add_handle (client->multi, attempt->easy);
+  backend_reply_t *reply = &call->reply;
+  long status = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  reply->status = (unsigned int)status;
+  reply->sent = call->transmissions > 0;
+  reply->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  reply->whole
+      = code == CURLE_OK && status > 0 && (call->framed || call->is_head);
+  reply->cut = !reply->whole && status > 0;
+  reply->error = call->too_long     ? "its answer is too long"
+                 : code == CURLE_OK ? "its answer does not tell its length"
+                                    : curl_easy_strerror (code);
 }
 
 static void
@@ -312,33 +319,36 @@
         continue;
       CURL *easy = message->easy_handle;
       CURLcode code = message->data.result;
-      attempt_t *attempt = NULL;
-      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&attempt);
-      attempt_judge (attempt, code);
+      backend_call_t *call = NULL;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+      call_judge (call, code);
       curl_multi_remove_handle (client->multi, easy);
-      attempt_finish (attempt);
+      if (call->owner)
+        client->options.done (client->options.closure, call->owner,
+                              &call->reply);
+      call_release (call);
     }
 }
 
-static void *
-client_run (void *closure)
+void
+backend_client_run (backend_client_t *client, usec_t wait, int fd)
 {
-  backend_client_t *client = closure;
-  while (!atomic_load (&client->stop))
-    {
-      exchange_t *exchange;
-      while ((exchange = ring_pop (client->ring)))
-        client_begin (client, exchange);
-      int running = 0;
-      curl_multi_perform (client->multi, &running);
-      client_collect (client);
-      curl_multi_poll (client->multi, NULL, 0, POLL_MSEC, NULL);
-    }
-  return NULL;
+  int running = 0;
+  curl_multi_perform (client->multi, &running);
+  client_collect (client);
+  struct curl_waitfd extra = { .fd = fd, .events = CURL_WAIT_POLLIN };
+  int msec = (int)((wait + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
+  curl_multi_poll (client->multi, &extra, 1, msec, NULL);
+}
+
+void
+backend_client_wake (backend_client_t *client)
+{
+  curl_multi_wakeup (client->multi);
 }
 
 backend_client_t *
-backend_client_start (const backend_client_options_t *options, err_t *err)
+backend_client_new (const backend_client_options_t *options)
 {
   backend_client_t *client = calloc (1, sizeof *client);
   if (!client)
@@ -347,47 +357,22 @@
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
                      (long)CONNECTIONS_CACHED);
-  client->ring = ring_new (options->in_flight_max);
   list_init (&client->idle);
   list_init (&client->busy);
-  if (pthread_create (&client->thread, NULL, client_run, client) == 0)
-    return client;
-  err_set (err, ERR_IO, "raise the limit of threads",
-           "no thread for the backend servers");
-  free (client);
-  return NULL;
+  return client;
 }
 
 void
-backend_client_stop (backend_client_t *client)
+backend_client_free (backend_client_t *client)
 {
-  atomic_store (&client->stop, true);
-  curl_multi_wakeup (client->multi);
-  pthread_join (client->thread, NULL);
   LIST_FOREACH (link, &client->busy)
-  {
-    attempt_t *attempt = LIST_ENTRY (link, attempt_t, link);
-    curl_multi_remove_handle (client->multi, attempt->easy);
-    exchange_fail (attempt->exchange, true, ERR_UNAVAILABLE,
-                   "this entry VM is stopping");
-    attempt_finish (attempt);
-  }
+  backend_client_abort (client, LIST_ENTRY (link, backend_call_t, link));
   LIST_FOREACH (link, &client->idle)
   {
-    attempt_t *attempt = LIST_ENTRY (link, attempt_t, link);
-    curl_easy_cleanup (attempt->easy);
-    free (attempt);
+    backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
+    curl_easy_cleanup (call->easy);
+    free (call);
   }
   curl_multi_cleanup (client->multi);
-  ring_free (client->ring);
   free (client);
 }
-
-bool
-backend_client_send (backend_client_t *client, exchange_t *exchange)
-{
-  if (!ring_push (client->ring, exchange))
-    return false;
-  curl_multi_wakeup (client->multi);
-  return true;
-}
--- a/src/entry/backend_client.h
+++ b/src/entry/backend_client.h
@@ -1,38 +1,98 @@
-/* backend_client: the thread that sends requests to backend servers, over
-   libcurl's multi interface.
+/* backend_client: HTTP calls to backend servers and to other entry VMs, by
+   libcurl's multi interface.  All functions but backend_client_wake belong to
+   one thread.
 
-   libcurl sends a request again by itself when a reused connection dies
-   before the answer; a non-idempotent request would then run twice.  Each
-   exchange may therefore reach a connection once only.  */
+   libcurl by itself sends a request again when a connection that it used
+   before turns out to be dead; a call that says `once` is never put on a
+   second connection.  */
 
 #ifndef ENTRY_BACKEND_CLIENT_H
 #define ENTRY_BACKEND_CLIENT_H
 
-#include "entry/exchange.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "base/time_defs.h"
+
+enum
+{
+  BACKEND_TEXT_BYTES = 256,
+  BACKEND_HEADERS_MAX = 8,
+};
 
 typedef struct backend_client backend_client_t;
+typedef struct backend_call backend_call_t;
 
-/* Called on the client's thread once the exchange has its outcome.  */
-typedef void (*backend_done_t) (void *closure, exchange_t *exchange);
+typedef struct backend_reply
+{
+  bool whole;       /* all of an answer came, and its framing told its end */
+  bool sent;        /* bytes of the request may have left */
+  bool cut;         /* an answer began and ended short */
+  bool id_matches;  /* it carries the id that was sent */
+  bool not_started; /* the server refused before starting */
+  bool timed_out;
+  unsigned int status;
+  char type[BACKEND_TEXT_BYTES]; /* Content-Type */
+  char outcome[BACKEND_TEXT_BYTES];
+  char reason[BACKEND_TEXT_BYTES];
+  uint32_t generation;
+  char *body; /* malloc'd; who takes it sets it to NULL */
+  size_t body_bytes;
+  const char *error;
+} backend_reply_t;
 
 typedef struct backend_client_options
 {
-  const char *address; /* the source of our connections */
-  size_t in_flight_max;
+  const char *address; /* source of the connections */
   size_t answer_bytes_max;
   usec_t connection_idle;
-  backend_done_t done;
   void *closure;
+  /* The request is about to leave on a connection; false stops it.  */
+  bool (*leaving) (void *closure, void *owner);
+  /* The call has ended and is gone.  Never called from inside
+     backend_client_call.  */
+  void (*done) (void *closure, void *owner, backend_reply_t *reply);
 } backend_client_options_t;
 
-backend_client_t *
-backend_client_start (const backend_client_options_t *options, err_t *err);
+typedef struct backend_header
+{
+  const char *name;
+  const char *value; /* "": left out */
+} backend_header_t;
+
+typedef struct backend_request
+{
+  const char *address;
+  uint16_t port;
+  const char *method;
+  const char *path;
+  const char *id; /* X-Request-Id, to be given back */
+  backend_header_t headers[BACKEND_HEADERS_MAX];
+  const char *body; /* stays until the call has ended */
+  size_t body_bytes;
+  usec_t timeout;
+  bool once;
+  void *owner;
+} backend_request_t;
+
+backend_client_t *backend_client_new (const backend_client_options_t *options);
+
+/* Calls under way end without a word.  */
+void backend_client_free (backend_client_t *client);
+
+backend_call_t *backend_client_call (backend_client_t *client,
+                                     const backend_request_t *request);
+
+/* End it and close its connection; `done` is not called.  */
+void backend_client_abort (backend_client_t *client, backend_call_t *call);
 
-/* Finishes nothing: exchanges still under way end as unknown.  */
-void backend_client_stop (backend_client_t *client);
+/* Do what is due, then wait at most WAIT, until a wake or until FD can be
+   read.  */
+void backend_client_run (backend_client_t *client, usec_t wait, int fd);
 
-/* Send EXCHANGE to its backend server; false where too many are under
-   way.  From any thread.  */
-bool backend_client_send (backend_client_t *client, exchange_t *exchange);
+/* End the wait; from any thread.  */
+void backend_client_wake (backend_client_t *client);
 
 #endif
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -11,7 +11,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "entry/backend_client.h"
+#include "delivery/outcome.h"
+#include "entry/dispatcher.h"
+#include "entry/hop_credential.h"
 #include "placement/topology.h"
 #include "wire/http_reply.h"
 
@@ -22,14 +24,15 @@
   LOOKUP_BYTES = 1024,
   LOOKUP_ENTRIES = 3,
   DRAIN_STEP_USEC = 10 * 1000,
+  DRAIN_REFUSE_USEC = 500 * 1000,
 };
 
 struct caller_port
 {
   caller_port_options_t options;
   struct MHD_Daemon *daemon;
-  backend_client_t *client;
-  _Atomic uint64_t serial;
+  dispatcher_t *dispatcher;
+  atomic_bool draining;
   _Atomic size_t under_way;
 };
 
@@ -44,9 +47,18 @@
   return hash;
 }
 
+/* Whether a caller may be sent to VM.  */
+static bool
+may_name (const caller_port_t *port, vm_id_t vm)
+{
+  if (vm == port->options.self)
+    return !port->draining;
+  return peer_ledger_reachable (port->options.peers, vm);
+}
+
 static int
-lookup_write (const caller_port_t *port, const char *block, char *text,
-              size_t size)
+lookup_write (const caller_port_t *port, const char *block, const char *ticket,
+              char *text, size_t size)
 {
   const settings_t *settings = port->options.settings;
   const topology_t *topology = &settings->topology;
@@ -55,13 +67,21 @@
       text, size, "{\"version\":%llu,\"max_age_ms\":%lld,\"entries\":[",
       (unsigned long long)route_table_version (port->options.routes),
       (long long)(settings->limits.lookup_age / USEC_PER_MSEC));
-  for (size_t i = 0; i < LOOKUP_ENTRIES && i < topology->n_vms; i++)
+  size_t n_named = 0;
+  for (size_t i = 0; i < topology->n_vms && n_named < LOOKUP_ENTRIES; i++)
     {
-      const vm_t *vm = &topology->vms[(start + i) % topology->n_vms];
+      vm_id_t at = (vm_id_t)((start + i) % topology->n_vms);
+      if (!may_name (port, at))
+        continue;
       used += snprintf (text + used, size - (size_t)used, "%s\"%s:%u\"",
-                        i ? "," : "", vm->address, settings->ports.caller);
+                        n_named++ ? "," : "", topology->vms[at].address,
+                        settings->ports.caller);
     }
-  used += snprintf (text + used, size - (size_t)used, "]}");
+  used += snprintf (text + used, size - (size_t)used, "]");
+  if (ticket[0])
+    used += snprintf (text + used, size - (size_t)used, ",\"ticket\":\"%s\"",
+                      ticket);
+  used += snprintf (text + used, size - (size_t)used, "}");
   return used;
 }
 
@@ -83,8 +103,14 @@
                "the service or the block is missing or unknown");
       return http_reply_error (connection, &err);
     }
+  const char *wants_ticket = MHD_lookup_connection_value (
+      connection, MHD_GET_ARGUMENT_KIND, "ticket");
+  char ticket[TICKET_TEXT_BYTES] = "";
+  if (wants_ticket && strcmp (wants_ticket, "1") == 0
+      && !peer_ledger_issue (port->options.peers, ticket, &err))
+    return http_reply_error (connection, &err);
   char text[LOOKUP_BYTES];
-  int used = lookup_write (port, block, text, sizeof text);
+  int used = lookup_write (port, block, ticket, text, sizeof text);
   return http_reply_text (connection, MHD_HTTP_OK, "application/json", text,
                           (size_t)used);
 }
@@ -128,8 +154,27 @@
                                           MHD_RESPMEM_MUST_COPY);
 }
 
+/* The reason, and after "not run" the ticket to send it again with.  */
+static void
+add_reason (const caller_port_t *port, const exchange_t *exchange,
+            struct MHD_Response *response)
+{
+  MHD_add_response_header (response, "X-Mulberry-Reason",
+                           request_reason_name (exchange->why));
+  if (exchange->generation == 0)
+    return;
+  char generation[16];
+  snprintf (generation, sizeof generation, "%u", exchange->generation);
+  MHD_add_response_header (response, "X-Mulberry-Generation", generation);
+  ticket_t next = exchange->parsed_ticket;
+  next.generation = exchange->generation + 1;
+  char text[TICKET_TEXT_BYTES];
+  ticket_format (text, &next, peer_ledger_key (port->options.peers));
+  MHD_add_response_header (response, "Idempotency-Key", text);
+}
+
 static enum MHD_Result
-reply_outcome (exchange_t *exchange)
+reply_outcome (const caller_port_t *port, exchange_t *exchange)
 {
   struct MHD_Response *response = outcome_response (exchange);
   if (!response)
@@ -138,6 +183,8 @@
                            exchange_outcome_name (exchange->outcome));
   if (exchange->caller_id[0])
     MHD_add_response_header (response, "X-Request-Id", exchange->caller_id);
+  if (exchange->outcome != EXCHANGE_ANSWER)
+    add_reason (port, exchange, response);
   if (exchange->outcome == EXCHANGE_ANSWER && exchange->answer_type[0])
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                              exchange->answer_type);
@@ -149,13 +196,13 @@
 
 /* Refuse before anything was sent.  */
 static enum MHD_Result
-refuse (exchange_t *exchange, err_kind_t kind, const char *remedy,
-        const char *why)
+refuse (const caller_port_t *port, exchange_t *exchange, err_kind_t kind,
+        const char *remedy, const char *why)
 {
   exchange->outcome = EXCHANGE_NOT_RUN;
   err_set (&exchange->reason, kind, remedy, "%s", why);
   exchange->done = true;
-  return reply_outcome (exchange);
+  return reply_outcome (port, exchange);
 }
 
 static void
@@ -202,43 +249,92 @@
   return true;
 }
 
+/* A request that another entry VM forwarded says so, with proof.  */
+static bool
+parse_hop (const caller_port_t *port, exchange_t *exchange, err_t *err)
+{
+  const char *text = MHD_lookup_connection_value (
+      exchange->connection, MHD_HEADER_KIND, "X-Mulberry-Hop");
+  if (!text)
+    return true;
+  hop_t hop = { .id = exchange->caller_id,
+                .method = exchange->method,
+                .target = exchange->target,
+                .ticket = exchange->ticket };
+  exchange->is_hop = true;
+  if (hop_credential_check (text, &hop, peer_ledger_key (port->options.peers)))
+    return true;
+  return err_set (err, ERR_AUTH, "give all VMs the same key file",
+                  "X-Mulberry-Hop is not an entry VM's");
+}
+
+static bool
+parse_ticket (const caller_port_t *port, exchange_t *exchange, err_t *err)
+{
+  if (exchange_is_idempotent (exchange))
+    return true;
+  exchange->why = REASON_BAD_REQUEST;
+  if (!exchange->ticket[0])
+    return err_set (err, ERR_USAGE,
+                    "get one with GET /v1/lookup?...&ticket=1 and send it as "
+                    "Idempotency-Key",
+                    "%s needs a ticket", exchange->method);
+  return ticket_parse (&exchange->parsed_ticket, exchange->ticket,
+                       peer_ledger_key (port->options.peers), err);
+}
+
+static enum MHD_Result
+refuse_draining (const caller_port_t *port, exchange_t *exchange)
+{
+  exchange->why = REASON_DRAINING;
+  return refuse (port, exchange, ERR_UNAVAILABLE,
+                 "ask GET /v1/lookup for another entry VM",
+                 "this entry VM is stopping");
+}
+
 static enum MHD_Result
 begin_request (caller_port_t *port, exchange_t *exchange)
 {
   const settings_t *settings = port->options.settings;
   if (!parse_target (&settings->topology, exchange))
-    return refuse (exchange, ERR_USAGE,
+    return refuse (port, exchange, ERR_USAGE,
                    "use /s/SERVICE/... with a service that the settings list",
                    "no such service");
   copy_header (exchange, "X-Request-Id", exchange->caller_id);
   copy_header (exchange, "Idempotency-Key", exchange->ticket);
   copy_header (exchange, "Content-Type", exchange->content_type);
   if (!parse_deadline (settings, exchange))
-    return refuse (exchange, ERR_USAGE,
+    return refuse (port, exchange, ERR_USAGE,
                    "give whole milliseconds, at most the settings' "
                    "deadline_max_ms",
                    "X-Deadline-Ms is not a legal deadline");
   if (exchange->body_too_long)
-    return refuse (exchange, ERR_USAGE, "send less than body_bytes",
+    return refuse (port, exchange, ERR_USAGE, "send less than body_bytes",
                    "the body is too long");
-  if (!route_table_pick (port->options.routes, exchange->service,
-                         &exchange->backend))
-    return refuse (exchange, ERR_UNAVAILABLE, "try again later",
-                   "no backend server takes work for the service");
-  snprintf (exchange->id, sizeof exchange->id, "%016llx-%llx",
-            (unsigned long long)port->options.incarnation,
-            (unsigned long long)++port->serial);
+  err_t err = { 0 };
+  if (!parse_hop (port, exchange, &err)
+      || !parse_ticket (port, exchange, &err))
+    return refuse (port, exchange, err.kind, err.remedy, err.message);
+  if (port->draining)
+    return refuse_draining (port, exchange);
+  exchange->caller_fd
+      = MHD_get_connection_info (exchange->connection,
+                                 MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
   port->under_way++;
+  exchange_ref (exchange);
   MHD_suspend_connection (exchange->connection);
-  if (backend_client_send (port->client, exchange))
+  if (dispatcher_submit (port->dispatcher, exchange))
     return MHD_YES;
   port->under_way--;
+  exchange_free (exchange);
   MHD_resume_connection (exchange->connection);
-  return refuse (exchange, ERR_LIMIT, "try again later",
+  exchange->why = REASON_NO_CAPACITY;
+  return refuse (port, exchange, ERR_LIMIT, "try again later",
                  "too many requests are under way");
 }
 
-/* Runs on the backend client's thread.  */
+/* Runs on the dispatcher's thread.  */
 static void
 on_outcome (void *closure, exchange_t *exchange)
 {
@@ -270,7 +366,7 @@
   caller_port_t *port = closure;
   exchange_t *exchange = *state;
   if (exchange->done)
-    return reply_outcome (exchange);
+    return reply_outcome (port, exchange);
   if (!exchange->begun)
     {
       exchange->begun = true;
@@ -290,7 +386,7 @@
   if (strncmp (exchange->target, "/s/", strlen ("/s/")) == 0
       && exchange->method[0])
     return begin_request (port, exchange);
-  return refuse (exchange, ERR_USAGE, "docs/API.md lists the requests",
+  return refuse (port, exchange, ERR_USAGE, "docs/API.md lists the requests",
                  "no such request");
 }
 
@@ -306,6 +402,19 @@
   *state = NULL;
 }
 
+static void
+on_connection (void *closure, struct MHD_Connection *connection,
+               void **context, enum MHD_ConnectionNotificationCode code)
+{
+  (void)context;
+  caller_port_t *port = closure;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    dispatcher_watch (
+        port->dispatcher,
+        MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd);
+}
+
 static struct MHD_Daemon *
 daemon_start (caller_port_t *port, const vm_t *vm)
 {
@@ -321,6 +430,7 @@
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_SECONDS,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, port,
       MHD_OPTION_URI_LOG_CALLBACK, on_uri, NULL, MHD_OPTION_END);
 }
 
@@ -333,15 +443,16 @@
   port->options = *options;
   const settings_t *settings = options->settings;
   const vm_t *vm = &settings->topology.vms[options->self];
-  const backend_client_options_t client_options
-      = { .address = vm->address,
-          .in_flight_max = settings->limits.requests_in_flight,
-          .answer_bytes_max = settings->limits.body_bytes,
-          .connection_idle = settings->limits.connection_idle,
-          .done = on_outcome,
-          .closure = port };
-  port->client = backend_client_start (&client_options, err);
-  if (!port->client)
+  const dispatcher_options_t dispatcher_options
+      = { .settings = settings,
+          .self = options->self,
+          .incarnation = options->incarnation,
+          .routes = options->routes,
+          .peers = options->peers,
+          .closure = port,
+          .told = on_outcome };
+  port->dispatcher = dispatcher_start (&dispatcher_options, err);
+  if (!port->dispatcher)
     {
       free (port);
       return NULL;
@@ -353,7 +464,8 @@
            "check that this VM has the address and that no other process "
            "holds the port",
            "can't listen on %s:%u", vm->address, settings->ports.caller);
-  backend_client_stop (port->client);
+  dispatcher_stop (port->dispatcher);
+  dispatcher_free (port->dispatcher);
   free (port);
   return NULL;
 }
@@ -361,14 +473,28 @@
 void
 caller_port_close (caller_port_t *port)
 {
+  /* Callers with a cached look-up are refused for a while before the port
+     closes, so that none finds its connection reset.  */
+  port->draining = true;
+  usec_t now = clock_monotonic ();
+  usec_t refuse_until = now + DRAIN_REFUSE_USEC;
+  usec_t until = now + port->options.settings->limits.deadline_max;
+  while (now < refuse_until || (port->under_way > 0 && now < until))
+    {
+      usleep (DRAIN_STEP_USEC);
+      now = clock_monotonic ();
+    }
   MHD_socket listener = MHD_quiesce_daemon (port->daemon);
   if (listener != MHD_INVALID_SOCKET)
     close (listener);
-  usec_t until
-      = clock_monotonic () + port->options.settings->limits.deadline_max;
-  while (port->under_way > 0 && clock_monotonic () < until)
-    usleep (DRAIN_STEP_USEC);
-  backend_client_stop (port->client);
+  usleep (DRAIN_STEP_USEC);
+  dispatcher_stop (port->dispatcher);
   MHD_stop_daemon (port->daemon);
+}
+
+void
+caller_port_free (caller_port_t *port)
+{
+  dispatcher_free (port->dispatcher);
   free (port);
 }
--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -1,6 +1,7 @@
 /* caller_port: what callers see of an entry VM, over HTTP.
 
-   GET /v1/lookup?service=S&block=B   which entry VMs to use
+   GET /v1/lookup?service=S&block=B   which entry VMs to use; with &ticket=1
+                                      also a ticket
    any /s/SERVICE/...                 a request to a backend server
 
    Every answer to a request carries X-Mulberry-Outcome: answer, not-run or
@@ -10,6 +11,7 @@
 #define ENTRY_CALLER_PORT_H
 
 #include "entry/exchange.h"
+#include "entry/peer_ledger.h"
 #include "entry/route_table.h"
 #include "settings/settings_defs.h"
 
@@ -21,13 +23,17 @@
   vm_id_t self;
   uint64_t incarnation;
   route_table_t *routes;
+  peer_ledger_t *peers;
 } caller_port_options_t;
 
 caller_port_t *caller_port_open (const caller_port_options_t *options,
                                  err_t *err);
 
-/* Take no new connections, finish what is under way, then end; waits at most
-   the longest deadline.  */
+/* Refuse new requests as "not run" and name other entry VMs to look-ups,
+   finish what is under way, then end; waits at most the longest deadline.  */
 void caller_port_close (caller_port_t *port);
 
+/* After rpc_close.  */
+void caller_port_free (caller_port_t *port);
+
 #endif
--- a/src/entry/exchange.c
+++ b/src/entry/exchange.c
@@ -9,14 +9,23 @@
   exchange_t *exchange = calloc (1, sizeof *exchange);
   if (!exchange)
     abort ();
-  list_init (&exchange->link);
+  atomic_init (&exchange->references, 1);
   exchange->service = TOPOLOGY_NONE;
+  exchange->caller_fd = -1;
   return exchange;
 }
 
+void
+exchange_ref (exchange_t *exchange)
+{
+  atomic_fetch_add (&exchange->references, 1);
+}
+
 void
 exchange_free (exchange_t *exchange)
 {
+  if (atomic_fetch_sub (&exchange->references, 1) > 1)
+    return;
   free (exchange->body);
   free (exchange->answer);
   free (exchange);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,25 +1,24 @@
 /* exchange: one caller's request on its way through an entry VM.
 
-   It is owned by one thread at a time: the caller port's until it is pushed
-   to the backend client, then the backend client's until the caller port is
-   told that it is done.  */
+   The caller port fills it in and hands it to the dispatcher, which sets its
+   outcome and hands it back once.  What the request says stays unchanged, as
+   the dispatcher may still need it; each holds a reference.  */
 
 #ifndef ENTRY_EXCHANGE_H
 #define ENTRY_EXCHANGE_H
 
 #include <microhttpd.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 
 #include "base/error.h"
-#include "base/list.h"
 #include "base/time_defs.h"
+#include "delivery/request_defs.h"
 #include "placement/topology_defs.h"
-#include "shift/sheet_defs.h"
 
 enum
 {
-  EXCHANGE_ID_BYTES = 40,
   EXCHANGE_METHOD_BYTES = 8,
   EXCHANGE_TARGET_BYTES = 2048,
   EXCHANGE_HEADER_BYTES = 256,
@@ -35,13 +34,15 @@
 
 typedef struct exchange
 {
-  list_t link;
+  atomic_int references;
   struct MHD_Connection *connection;
-  char id[EXCHANGE_ID_BYTES]; /* our own, also to the backend server */
+  int caller_fd;
   char method[EXCHANGE_METHOD_BYTES];
   char target[EXCHANGE_TARGET_BYTES]; /* path and query as they came */
   char caller_id[EXCHANGE_HEADER_BYTES];
   char ticket[EXCHANGE_HEADER_BYTES];
+  ticket_t parsed_ticket; /* generation 0: none */
+  bool is_hop;            /* another entry VM forwarded it */
   char content_type[EXCHANGE_HEADER_BYTES];
   service_id_t service;
   const char *service_path; /* inside TARGET, after the service's name */
@@ -51,7 +52,6 @@
   bool body_too_long;
   bool begun;
   bool done;
-  backend_t backend; /* that it was sent to */
 
   exchange_outcome_t outcome;
   unsigned int status;
@@ -59,10 +59,16 @@
   char *answer;
   size_t answer_bytes;
   err_t reason; /* where there is no answer */
+  request_reason_t why;
+  uint32_t generation; /* of the ticket that is dead; 0 for none */
 } exchange_t;
 
+/* With one reference.  */
 exchange_t *exchange_new (void);
 
+void exchange_ref (exchange_t *exchange);
+
+/* Give one reference back; the last one releases it.  */
 void exchange_free (exchange_t *exchange);
 
 /* GET and HEAD alone may run twice.  */
--- /dev/null
+++ b/src/entry/hop_credential.h
@@ -0,0 +1,34 @@
+/* hop_credential: the proof that a forwarded request comes from another
+   entry VM: a keyed hash over what it asks for.  */
+
+#ifndef ENTRY_HOP_CREDENTIAL_H
+#define ENTRY_HOP_CREDENTIAL_H
+
+#include <stdbool.h>
+
+#include "ledger/ticket.h"
+#include "placement/topology_defs.h"
+
+enum
+{
+  HOP_CREDENTIAL_BYTES = 64,
+};
+
+typedef struct hop
+{
+  vm_id_t vm; /* that forwards */
+  const char *id;
+  const char *method;
+  const char *target;
+  const char *ticket; /* "" for none */
+} hop_t;
+
+/* Write the value of the header X-Mulberry-Hop.  */
+void hop_credential_write (char text[HOP_CREDENTIAL_BYTES], const hop_t *hop,
+                           const ticket_key_t *key);
+
+/* Whether TEXT was written with KEY for HOP; sets HOP->vm from it.  */
+bool hop_credential_check (const char *text, hop_t *hop,
+                           const ticket_key_t *key);
+
+#endif
--- /dev/null
+++ b/src/entry/job.c
@@ -0,0 +1,564 @@
+#include "entry/job.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "delivery/outcome.h"
+#include "delivery/quarantine.h"
+#include "entry/hop_credential.h"
+
+enum
+{
+  LINGER_MSEC = 1000,
+  REFUSE_MSEC = 300,
+  VOTE_TIMEOUT_MSEC = 100,
+  CONTEND_PAUSE_MSEC = 30,
+  POLL_INTERVAL_MSEC = 40,
+  ASK_TIMEOUT_MSEC = 1000,
+  PLACE_INTERVAL_MSEC = 2,
+  HOP_WAIT_MSEC = 20, /* for a slot, before another entry VM is told no */
+  SENDS_MAX = 16,
+  CANCEL_TIMEOUT_MSEC = 1000,
+  RECORDED_BODY_BYTES = 16 * 1024,
+};
+
+static void job_event (job_t *job, const request_event_t *event, usec_t now);
+
+static void
+job_simple_event (job_t *job, request_event_kind_t kind, usec_t now)
+{
+  const request_event_t event
+      = { .kind = kind, .request_id = job->request.send_id };
+  job_event (job, &event, now);
+}
+
+/* --- Claims ----------------------------------------------------------- */
+
+static void
+send_asks (job_t *job, const claim_asks_t *asks)
+{
+  const ticket_t *ticket = &job->claim.options.ticket;
+  for (size_t i = 0; i < asks->n; i++)
+    {
+      ledger_ask_t message = claim_message (&job->claim, asks->items[i].op);
+      if (message.op == LEDGER_RECORD)
+        message.outcome = job->record;
+      const peer_ask_t ask
+          = { .vm = ticket->replicas[asks->items[i].replica].vm,
+              .claimant = job->number,
+              .replica = asks->items[i].replica,
+              .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
+              .message = &message,
+              .receiver = job->world->receive_vote,
+              .closure = job->world->closure };
+      peer_ledger_ask (job->world->peers, &ask);
+    }
+}
+
+/* Tell the request where its claim stands, once that is settled.  */
+static void
+report_claim (job_t *job, usec_t now)
+{
+  if (!job->request.claim_pending || !claim_is_settled (&job->claim))
+    return;
+  request_event_t event = { .kind = EVENT_CLAIM_SETTLED };
+  event.as.claim.phase = job->claim.phase;
+  event.as.claim.cause = job->claim.cause;
+  event.as.claim.generation = job->claim.generation;
+  event.as.claim.status = job->claim.outcome.status;
+  event.as.claim.body_kept = job->claim.outcome.body_kept;
+  job_event (job, &event, now);
+}
+
+static fingerprint_t
+job_fingerprint (const job_t *job)
+{
+  const exchange_t *exchange = job->exchange;
+  const topology_t *topology = &job->world->settings->topology;
+  return quarantine_fingerprint (
+      topology->services[exchange->service].name.text, exchange->method,
+      exchange->service_path, exchange->body, exchange->body_bytes);
+}
+
+static void
+start_claim (job_t *job, claim_intent_t intent, usec_t now)
+{
+  job_world_t *world = job->world;
+  if (job->claim_live)
+    claim_destroy (&job->claim);
+  const claim_options_t options
+      = { .order = CLAIM_ORDER_FIXED,
+          .intent = intent,
+          .ticket = job->exchange->parsed_ticket,
+          .attempt = { .vm = world->self,
+                       .incarnation = world->incarnation,
+                       .number = ++world->last_attempt },
+          .fingerprint = job_fingerprint (job),
+          .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
+          .contend_pause = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
+          .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
+          .deadline = request_wakeup (&job->request) };
+  claim_asks_t asks = { 0 };
+  claim_start (&job->claim, &options, now, &asks);
+  job->claim_live = true;
+  send_asks (job, &asks);
+  report_claim (job, now);
+}
+
+void
+job_on_vote (job_t *job, const peer_vote_t *vote, usec_t now)
+{
+  if (!job->claim_live)
+    return;
+  if (job->request.phase == REQUEST_ANSWERED)
+    {
+      if (vote->ok && vote->vote.kind == VOTE_DONE
+          && ++job->n_recorded >= ticket_majority (&job->claim.options.ticket))
+        job_simple_event (job, EVENT_RECORDED, now);
+      return;
+    }
+  claim_asks_t asks = { 0 };
+  if (vote->ok)
+    claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
+  else
+    claim_on_failure (&job->claim, vote->replica, now, &asks);
+  send_asks (job, &asks);
+  report_claim (job, now);
+}
+
+/* --- Placing ---------------------------------------------------------- */
+
+static void
+place (job_t *job, usec_t now)
+{
+  bool is_hop = job->request.options.role == REQUEST_HOP;
+  place_t found = backend_table_place (
+      job->world->table, job->exchange->service, job->request.options.deadline,
+      job->tried, !is_hop, now);
+  request_event_t event = { .kind = EVENT_NOT_PLACED };
+  event.as.reason = REASON_NO_CAPACITY;
+  bool gives_up
+      = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
+  switch (found.kind)
+    {
+    case PLACE_HERE:
+      event.kind = EVENT_ADMITTED;
+      event.as.admitted.backend = job->backend = found.backend;
+      event.as.admitted.token = found.token;
+      break;
+    case PLACE_FORWARD:
+      event.kind = EVENT_FORWARD;
+      event.as.forward = job->forward = found.vm;
+      break;
+    case PLACE_WAIT:
+      if (gives_up)
+        break;
+      job->waiting = true;
+      job->place_again = now + PLACE_INTERVAL_MSEC * USEC_PER_MSEC;
+      job->tried = 0;
+      return;
+    case PLACE_NOWHERE:
+      break;
+    }
+  job->waiting = false;
+  job_event (job, &event, now);
+}
+
+/* --- Sending ---------------------------------------------------------- */
+
+static void
+send_here (job_t *job, backend_request_t *request)
+{
+  const backend_t *backend
+      = backend_table_get (job->world->table, job->backend);
+  request->address = backend->address;
+  request->port = backend->port;
+  request->path = job->exchange->service_path;
+  job->call = backend_client_call (job->world->client, request);
+}
+
+static void
+send_forward (job_t *job, backend_request_t *request)
+{
+  const settings_t *settings = job->world->settings;
+  const exchange_t *exchange = job->exchange;
+  char credential[HOP_CREDENTIAL_BYTES];
+  const hop_t hop = { .vm = job->world->self,
+                      .id = job->send_id,
+                      .method = exchange->method,
+                      .target = exchange->target,
+                      .ticket = exchange->ticket };
+  hop_credential_write (credential, &hop, peer_ledger_key (job->world->peers));
+  request->address = settings->topology.vms[job->forward].address;
+  request->port = settings->ports.caller;
+  request->path = exchange->target;
+  request->headers[4] = (backend_header_t){ "X-Mulberry-Hop", credential };
+  job->call = backend_client_call (job->world->client, request);
+}
+
+static void
+send_request (job_t *job, uint64_t send_id, usec_t now)
+{
+  const exchange_t *exchange = job->exchange;
+  bool idempotent = job->request.options.idempotent;
+  usec_t left = job->request.options.deadline - now;
+  char deadline[32];
+  snprintf (deadline, sizeof deadline, "%lld",
+            (long long)(left / USEC_PER_MSEC));
+  snprintf (job->send_id, sizeof job->send_id, "%016" PRIx64 "-%" PRIx64,
+            job->world->incarnation, send_id);
+  backend_request_t request
+      = { .method = exchange->method,
+          .id = job->send_id,
+          .headers = { { "X-Deadline-Ms", deadline },
+                       { "X-Caller-Request-Id", exchange->caller_id },
+                       { "Idempotency-Key", exchange->ticket },
+                       { "Content-Type", exchange->content_type } },
+          .body = exchange->body,
+          .body_bytes = exchange->body_bytes,
+          /* A read leaves time for another try elsewhere.  */
+          .timeout = idempotent ? left / 2 : left + USEC_PER_SEC,
+          .once = !idempotent,
+          .owner = job };
+  if (job->request.forwarded)
+    send_forward (job, &request);
+  else
+    send_here (job, &request);
+}
+
+bool
+job_on_leaving (job_t *job, usec_t now)
+{
+  const request_t *request = &job->request;
+  if (now >= request->options.deadline
+      || (request->slot_held
+          && !slots_may_send (backend_table_slots (job->world->table),
+                              &request->token, now)))
+    return false;
+  job_simple_event (job, EVENT_BYTES_LEFT, now);
+  return true;
+}
+
+static void
+cancel_target (job_t *job)
+{
+  backend_client_t *client = job->world->client;
+  if (!job->call)
+    return;
+  if (job->request.forwarded)
+    {
+      /* The other entry VM sees its caller go.  */
+      backend_client_abort (client, job->call);
+      job->call = NULL;
+      return;
+    }
+  const backend_t *backend
+      = backend_table_get (job->world->table, job->backend);
+  char path[JOB_ID_BYTES + 16];
+  snprintf (path, sizeof path, "/cancel?id=%s", job->send_id);
+  const backend_request_t request
+      = { .address = backend->address,
+          .port = backend->port,
+          .method = "POST",
+          .path = path,
+          .id = job->send_id,
+          .timeout = CANCEL_TIMEOUT_MSEC * USEC_PER_MSEC,
+          .once = true };
+  backend_client_call (client, &request);
+}
+
+/* --- Replies ---------------------------------------------------------- */
+
+/* What a refusal that another entry VM names means here.  */
+static request_reason_t
+reason_parse (const char *name)
+{
+  for (int reason = REASON_BAD_REQUEST; reason <= REASON_ANSWER_NOT_KEPT;
+       reason++)
+    if (strcmp (request_reason_name ((request_reason_t)reason), name) == 0)
+      return (request_reason_t)reason;
+  return REASON_BACKEND_FAILED;
+}
+
+static void
+reply_refused (job_t *job, const backend_reply_t *reply, usec_t now)
+{
+  request_event_t event
+      = { .kind = EVENT_TARGET_REFUSED, .request_id = job->request.send_id };
+  event.as.refusal.reason = REASON_BACKEND_FAILED;
+  if (job->request.forwarded)
+    {
+      event.as.refusal.reason = reason_parse (reply->reason);
+      event.as.refusal.generation = reply->generation;
+      job->tried |= UINT64_C (1) << job->forward;
+      backend_table_peer_full (job->world->table, job->forward,
+                               job->exchange->service, now);
+    }
+  job_event (job, &event, now);
+}
+
+static void
+reply_answer (job_t *job, backend_reply_t *reply, usec_t now)
+{
+  exchange_t *exchange = job->exchange;
+  size_t n = reply->body_bytes;
+  free (job->record.body_kept ? (char *)job->record.body : NULL);
+  job->record = (outcome_t){ .status = (uint16_t)reply->status };
+  if (job->request.claim_won && n <= RECORDED_BODY_BYTES)
+    {
+      char *copy = malloc (n + 1);
+      if (!copy)
+        abort ();
+      if (n > 0)
+        memcpy (copy, reply->body, n);
+      job->record.body = copy;
+      job->record.n_body = (uint32_t)n;
+      job->record.body_kept = true;
+    }
+  if (!job->request.told)
+    {
+      exchange->answer = reply->body;
+      exchange->answer_bytes = n;
+      reply->body = NULL;
+      memcpy (exchange->answer_type, reply->type, sizeof reply->type);
+    }
+  request_event_t event
+      = { .kind = EVENT_HEAD, .request_id = job->request.send_id };
+  event.as.answer.status = (uint16_t)reply->status;
+  event.as.answer.framing = FRAMING_LENGTH;
+  event.as.answer.length = n;
+  job_event (job, &event, now);
+  event.kind = EVENT_BODY;
+  event.as.answer.n_bytes = n;
+  job_event (job, &event, now);
+  event.kind = EVENT_END;
+  event.as.answer.framed_end = true;
+  job_event (job, &event, now);
+}
+
+static void
+reply_cut (job_t *job, usec_t now)
+{
+  job_simple_event (job, EVENT_BYTES_LEFT, now);
+  request_event_t event
+      = { .kind = EVENT_HEAD, .request_id = job->request.send_id };
+  event.as.answer.framing = FRAMING_CLOSE;
+  job_event (job, &event, now);
+  event.kind = EVENT_END;
+  job_event (job, &event, now);
+}
+
+void
+job_on_reply (job_t *job, backend_reply_t *reply, usec_t now)
+{
+  job->call = NULL;
+  bool forwarded = job->request.forwarded;
+  bool own = reply->whole && reply->id_matches;
+  if (reply->whole && !reply->id_matches)
+    {
+      job->world->counters.foreign_answers++;
+      job_simple_event (job, EVENT_BROKEN, now);
+    }
+  else if (own && forwarded && strcmp (reply->outcome, "not-run") == 0)
+    reply_refused (job, reply, now);
+  else if (own && forwarded && strcmp (reply->outcome, "unknown") == 0)
+    {
+      request_event_t event = { .kind = EVENT_TARGET_UNKNOWN,
+                                .request_id = job->request.send_id };
+      event.as.reason = reason_parse (reply->reason);
+      job_event (job, &event, now);
+    }
+  else if (own && !forwarded && reply->not_started && reply->status == 503)
+    reply_refused (job, reply, now);
+  else if (own && (!forwarded || strcmp (reply->outcome, "answer") == 0))
+    reply_answer (job, reply, now);
+  else if (reply->cut)
+    reply_cut (job, now);
+  else
+    job_simple_event (job, EVENT_BROKEN, now);
+}
+
+/* --- Outcomes --------------------------------------------------------- */
+
+static const char *
+remedy_of (request_reason_t reason)
+{
+  switch (reason)
+    {
+    case REASON_BAD_REQUEST:
+    case REASON_TICKET_EXPIRED:
+      return "get a new ticket with GET /v1/lookup?...&ticket=1";
+    case REASON_TICKET_CONFLICT:
+      return "use one ticket for one request only";
+    case REASON_QUARANTINED:
+      return "don't send this request again: it stops backend servers";
+    case REASON_ANSWER_NOT_KEPT:
+      return "it ran: ask the service for the result";
+    default:
+      return "send it again, with the same ticket where it has one";
+    }
+}
+
+static void
+tell (job_t *job, const request_outcome_t *outcome)
+{
+  exchange_t *exchange = job->exchange;
+  exchange->why = outcome->reason;
+  exchange->generation = outcome->generation;
+  switch (outcome->kind)
+    {
+    case OUTCOME_ANSWER:
+      exchange->outcome = EXCHANGE_ANSWER;
+      exchange->status = outcome->status;
+      if (outcome->from_record)
+        {
+          size_t n = job->claim.outcome.n_body;
+          exchange->answer = malloc (n + 1);
+          if (!exchange->answer)
+            abort ();
+          if (n > 0)
+            memcpy (exchange->answer, job->claim.outcome.body, n);
+          exchange->answer_bytes = n;
+        }
+      break;
+    case OUTCOME_NOT_RUN:
+      exchange->outcome = EXCHANGE_NOT_RUN;
+      break;
+    case OUTCOME_UNKNOWN:
+      exchange->outcome = EXCHANGE_UNKNOWN;
+      break;
+    }
+  if (outcome->kind != OUTCOME_ANSWER)
+    err_set (&exchange->reason,
+             outcome->reason == REASON_DEADLINE ? ERR_TIMEOUT
+                                                : ERR_UNAVAILABLE,
+             remedy_of (outcome->reason), "%s",
+             request_reason_name (outcome->reason));
+  job->world->told (job->world->closure, exchange);
+}
+
+/* --- Actions ---------------------------------------------------------- */
+
+static void
+act (job_t *job, const request_action_t *action, usec_t now)
+{
+  slots_t *slots = backend_table_slots (job->world->table);
+  claim_asks_t asks = { 0 };
+  switch (action->kind)
+    {
+    case ACTION_PLACE:
+      job->waiting_since = now;
+      place (job, now);
+      break;
+    case ACTION_CLAIM:
+      start_claim (job, action->as.intent, now);
+      break;
+    case ACTION_SEND:
+      send_request (job, action->as.send_id, now);
+      break;
+    case ACTION_TELL:
+      tell (job, &action->as.outcome);
+      break;
+    case ACTION_RELEASE_CLAIM:
+      claim_release (&job->claim, &asks);
+      send_asks (job, &asks);
+      break;
+    case ACTION_RECORD:
+      claim_record (&job->claim, &asks);
+      send_asks (job, &asks);
+      break;
+    case ACTION_CANCEL_TARGET:
+      cancel_target (job);
+      break;
+    case ACTION_FREE_SLOT:
+      slots_free (slots, &action->as.token);
+      break;
+    case ACTION_CANCEL_SLOT:
+      slots_cancel (slots, &action->as.token);
+      break;
+    }
+}
+
+static void
+act_all (job_t *job, const request_actions_t *actions, usec_t now)
+{
+  for (size_t i = 0; i < actions->n; i++)
+    act (job, &actions->items[i], now);
+}
+
+static void
+job_event (job_t *job, const request_event_t *event, usec_t now)
+{
+  request_actions_t actions = { 0 };
+  request_on_event (&job->request, event,
+                    &job->world->budgets[job->exchange->service],
+                    &job->world->counters, now, &actions);
+  act_all (job, &actions, now);
+}
+
+void
+job_start (job_t *job, job_world_t *world, exchange_t *exchange, usec_t now)
+{
+  job->world = world;
+  job->exchange = exchange;
+  const request_options_t options
+      = { .role = exchange->is_hop ? REQUEST_HOP : REQUEST_ORIGIN,
+          .idempotent = exchange_is_idempotent (exchange),
+          .id = ++world->last_request << 8,
+          .deadline = exchange->deadline,
+          .linger = LINGER_MSEC * USEC_PER_MSEC,
+          .refuse_time = REFUSE_MSEC * USEC_PER_MSEC,
+          .generation = exchange->parsed_ticket.generation,
+          .max_sends = SENDS_MAX };
+  request_actions_t actions = { 0 };
+  request_start (&job->request, &options, now, &actions);
+  act_all (job, &actions, now);
+}
+
+void
+job_on_caller_gone (job_t *job, usec_t now)
+{
+  job_simple_event (job, EVENT_CANCEL, now);
+}
+
+void
+job_tick (job_t *job, usec_t now)
+{
+  if (job->claim_live && !claim_is_settled (&job->claim)
+      && now >= claim_wakeup (&job->claim))
+    {
+      claim_asks_t asks = { 0 };
+      claim_tick (&job->claim, now, &asks);
+      send_asks (job, &asks);
+      report_claim (job, now);
+    }
+  if (now >= request_wakeup (&job->request))
+    job_simple_event (job, EVENT_TICK, now);
+  else if (job->waiting && job->request.phase == REQUEST_PLACING
+           && now >= job->place_again)
+    place (job, now);
+}
+
+bool
+job_is_over (const job_t *job)
+{
+  return job->request.phase == REQUEST_SETTLED;
+}
+
+void
+job_end (job_t *job)
+{
+  if (job->call)
+    backend_client_abort (job->world->client, job->call);
+  if (!job->request.told)
+    tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
+                                     .reason = REASON_DRAINING });
+  if (job->claim_live)
+    claim_destroy (&job->claim);
+  if (job->record.body_kept)
+    free ((char *)job->record.body);
+  exchange_free (job->exchange);
+}
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -23,6 +23,8 @@
 {
   route_table_t *routes;
   rpc_t *rpc;
+  peer_ledger_t *peers;
+  bool beating;
   version_feed_t *feed;
   caller_port_t *port;
 } entry_t;
@@ -31,14 +33,26 @@
 entry_open (entry_t *entry, const program_t *program, err_t *err)
 {
   const settings_t *settings = program->settings;
-  entry->routes = route_table_new (&settings->topology, program->vm_id);
+  entry->routes = route_table_new ();
   const rpc_options_t rpc_options = { .address = program->vm->address,
                                       .port = settings->ports.entry_peer,
                                       .vm = program->vm_id,
                                       .incarnation = program->incarnation,
                                       .key = program->key };
   entry->rpc = rpc_open (&rpc_options, err);
-  if (!entry->rpc || !rpc_start (entry->rpc, err))
+  if (!entry->rpc)
+    return false;
+  const peer_ledger_options_t peer_options
+      = { .settings = settings,
+          .self = program->vm_id,
+          .incarnation = program->incarnation,
+          .key = program->key,
+          .rpc = entry->rpc };
+  entry->peers = peer_ledger_new (&peer_options, err);
+  if (!entry->peers || !rpc_start (entry->rpc, err))
+    return false;
+  entry->beating = peer_ledger_start (entry->peers, err);
+  if (!entry->beating)
     return false;
   const version_feed_options_t feed_options
       = { .settings = settings, .rpc = entry->rpc, .routes = entry->routes };
@@ -49,7 +63,8 @@
       = { .settings = settings,
           .self = program->vm_id,
           .incarnation = program->incarnation,
-          .routes = entry->routes };
+          .routes = entry->routes,
+          .peers = entry->peers };
   entry->port = caller_port_open (&port_options, err);
   return entry->port != NULL;
 }
@@ -61,8 +76,14 @@
     caller_port_close (entry->port);
   if (entry->feed)
     version_feed_stop (entry->feed);
+  if (entry->beating)
+    peer_ledger_stop (entry->peers);
   if (entry->rpc)
     rpc_close (entry->rpc);
+  if (entry->port)
+    caller_port_free (entry->port);
+  if (entry->peers)
+    peer_ledger_free (entry->peers);
   if (entry->feed)
     version_feed_free (entry->feed);
   if (entry->routes)
--- a/src/entry/route_table.c
+++ b/src/entry/route_table.c
@@ -2,27 +2,22 @@
 
 #include <pthread.h>
 #include <stdlib.h>
+#include <string.h>
 
-#include "placement/topology.h"
 #include "shift/sheet.h"
 
 struct route_table
 {
-  const topology_t *topology;
-  vm_id_t self;
   pthread_rwlock_t lock; /* guards the sheet */
   sheet_t *sheet;
-  _Atomic size_t turn;
 };
 
 route_table_t *
-route_table_new (const topology_t *topology, vm_id_t self)
+route_table_new (void)
 {
   route_table_t *table = calloc (1, sizeof *table);
   if (!table)
     abort ();
-  table->topology = topology;
-  table->self = self;
   pthread_rwlock_init (&table->lock, NULL);
   return table;
 }
@@ -57,42 +52,19 @@
   return version;
 }
 
-/* How far away BACKEND is: 0 in the own failure domain, 1 in the own region,
-   2 elsewhere; 3 where it takes no new work for SERVICE.  */
-static int
-distance (const route_table_t *table, const backend_t *backend,
-          service_id_t service)
+size_t
+route_table_copy (route_table_t *table, backend_t **backends,
+                  uint64_t *version)
 {
-  if (backend->service != service || backend->state == BACKEND_LEAVING
-      || backend->state == BACKEND_STOPPING)
-    return 3;
-  const topology_t *topology = table->topology;
-  domain_id_t home = topology->vms[table->self].domain;
-  if (backend->domain == home)
-    return 0;
-  return topology->domains[backend->domain].region
-                 == topology->domains[home].region
-             ? 1
-             : 2;
-}
-
-bool
-route_table_pick (route_table_t *table, service_id_t service,
-                  backend_t *backend)
-{
-  int best = 3;
-  size_t turn = table->turn++;
   pthread_rwlock_rdlock (&table->lock);
   const sheet_t *sheet = table->sheet;
-  for (size_t i = 0; sheet && i < sheet->n_backends; i++)
-    {
-      const backend_t *at = &sheet->backends[(turn + i) % sheet->n_backends];
-      int far = distance (table, at, service);
-      if (far >= best)
-        continue;
-      best = far;
-      *backend = *at;
-    }
+  size_t n = sheet ? sheet->n_backends : 0;
+  *version = sheet ? sheet->number : 0;
+  *backends = calloc (n + 1, sizeof **backends);
+  if (!*backends)
+    abort ();
+  if (n > 0)
+    memcpy (*backends, sheet->backends, n * sizeof **backends);
   pthread_rwlock_unlock (&table->lock);
-  return best < 3;
+  return n;
 }
--- a/src/entry/route_table.h
+++ b/src/entry/route_table.h
@@ -5,14 +5,14 @@
 #define ENTRY_ROUTE_TABLE_H
 
 #include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
 
-#include "placement/topology_defs.h"
 #include "shift/sheet_defs.h"
 
 typedef struct route_table route_table_t;
 
-/* For the VM with the index SELF.  */
-route_table_t *route_table_new (const topology_t *topology, vm_id_t self);
+route_table_t *route_table_new (void);
 
 void route_table_free (route_table_t *table);
 
@@ -23,8 +23,9 @@
 /* The number of the sheet in force; 0 for none.  */
 uint64_t route_table_version (route_table_t *table);
 
-/* A backend server of SERVICE that takes new work; false where none does.  */
-bool route_table_pick (route_table_t *table, service_id_t service,
-                       backend_t *backend);
+/* Copy the sheet's backend servers into *BACKENDS, which is the caller's to
+   free; returns how many, and the sheet's number in *VERSION.  */
+size_t route_table_copy (route_table_t *table, backend_t **backends,
+                         uint64_t *version);
 
 #endif
--- /dev/null
+++ b/src/wire/entry.x
@@ -0,0 +1,62 @@
+/* entry.x: calls between entry VMs.  Sizes bound what a peer may send. */
+
+const ENTRY_REPLICAS_MAX = 3;
+const ENTRY_BODY_BYTES_MAX = 65536;
+
+struct entry_replica_t
+{
+  unsigned int vm;
+  uint64_t incarnation;
+};
+
+struct entry_ticket_t
+{
+  unsigned int issuer;
+  uint64_t issuer_incarnation;
+  uint64_t sequence;
+  unsigned int generation;
+  int64_t issued_at;
+  entry_replica_t replicas<ENTRY_REPLICAS_MAX>;
+};
+
+struct entry_outcome_t
+{
+  unsigned int status;
+  bool body_kept;
+  opaque body<ENTRY_BODY_BYTES_MAX>;
+};
+
+struct entry_ask_t
+{
+  unsigned int op;
+  entry_ticket_t ticket;
+  unsigned int attempt_vm;
+  uint64_t attempt_incarnation;
+  uint64_t attempt_number;
+  uint64_t fingerprint_low;
+  uint64_t fingerprint_high;
+  entry_outcome_t outcome;
+};
+
+struct entry_vote_t
+{
+  unsigned int kind;
+  unsigned int generation;
+  entry_outcome_t outcome;
+};
+
+/* The sender's monotonic clock. */
+struct entry_heartbeat_t
+{
+  int64_t stamp;
+};
+
+program MULBERRY_ENTRY
+{
+  version MULBERRY_ENTRY_V1
+  {
+    void ENTRY_GREET (void) = 0;
+    entry_vote_t ENTRY_LEDGER (entry_ask_t) = 1;
+    entry_heartbeat_t ENTRY_HEARTBEAT (entry_heartbeat_t) = 2;
+  } = 1;
+} = 0x20004d02;
