--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -110,6 +110,7 @@
       && !peer_ledger_issue (port->options.peers, ticket, &err))
     return http_reply_error (connection, &err);
   char text[LOOKUP_BYTES];
+  entry_metrics_lookup (port->options.metrics);
   int used = lookup_write (port, block, ticket, text, sizeof text);
   return http_reply_text (connection, MHD_HTTP_OK, "application/json", text,
                           (size_t)used);
@@ -176,6 +177,9 @@
 static enum MHD_Result
 reply_outcome (const caller_port_t *port, exchange_t *exchange)
 {
+  if (!exchange->is_hop)
+    entry_metrics_outcome (port->options.metrics, exchange,
+                           clock_monotonic () - exchange->begun_at);
   struct MHD_Response *response = outcome_response (exchange);
   if (!response)
     return MHD_NO;
@@ -352,6 +356,7 @@
   (void)closure;
   exchange_t *exchange = exchange_new ();
   exchange->connection = connection;
+  exchange->begun_at = clock_monotonic ();
   if (strlen (uri) < sizeof exchange->target)
     memcpy (exchange->target, uri, strlen (uri) + 1);
   return exchange;
--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -24,6 +24,7 @@
   uint64_t incarnation;
   route_table_t *routes;
   peer_ledger_t *peers;
+  entry_metrics_t *metrics;
 } caller_port_options_t;
 
 caller_port_t *caller_port_open (const caller_port_options_t *options,
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -37,6 +37,7 @@
   atomic_int references;
   struct MHD_Connection *connection;
   int caller_fd;
+  usec_t begun_at; /* monotonic */
   char method[EXCHANGE_METHOD_BYTES];
   char target[EXCHANGE_TARGET_BYTES]; /* path and query as they came */
   char caller_id[EXCHANGE_HEADER_BYTES];
--- a/src/entry/route_table.c
+++ b/src/entry/route_table.c
@@ -10,6 +10,7 @@
 {
   pthread_rwlock_t lock; /* guards the sheet */
   sheet_t *sheet;
+  entry_metrics_t *metrics; /* NULL: none */
 };
 
 route_table_t *
@@ -22,6 +23,12 @@
   return table;
 }
 
+void
+route_table_watch (route_table_t *table, entry_metrics_t *metrics)
+{
+  table->metrics = metrics;
+}
+
 void
 route_table_free (route_table_t *table)
 {
@@ -38,6 +45,8 @@
   sheet_t *old = newer ? table->sheet : sheet;
   if (newer)
     table->sheet = sheet;
+  if (newer && table->metrics)
+    entry_metrics_sheet (table->metrics, sheet->number);
   pthread_rwlock_unlock (&table->lock);
   sheet_free (old);
   return newer;
--- a/src/entry/route_table.h
+++ b/src/entry/route_table.h
@@ -8,12 +8,16 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "entry/entry_metrics.h"
 #include "shift/sheet_defs.h"
 
 typedef struct route_table route_table_t;
 
 route_table_t *route_table_new (void);
 
+/* Tell METRICS which sheet is in force, from the next one on.  */
+void route_table_watch (route_table_t *table, entry_metrics_t *metrics);
+
 void route_table_free (route_table_t *table);
 
 /* Put SHEET in force; it becomes the table's.  False (and released) where
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -26,6 +26,7 @@
 {
   STEER_TRIED_MAX = 4,
   STEER_REGIONS_MAX = 64,
+  STEER_DOMAINS_MAX = 64,
   STEER_BACKENDS_MAX = 65534,
 };
 
@@ -47,6 +48,7 @@
   uint64_t regions_open; /* bit a region: link, spend and capacity allow it */
   backend_slot_t tried[STEER_TRIED_MAX]; /* refused it before */
   size_t n_tried;
+  uint64_t domains_refused; /* bit a domain: its gate refused this request */
 } steer_request_t;
 
 typedef struct steer_choice
@@ -80,10 +82,14 @@
 
 void steer_started (steer_t *steer, backend_slot_t slot);
 
-/* LATENCY is the run at the backend server, as the VM that admits there
-   measured it: without the wait for a slot and the way there.  */
-void steer_finished (steer_t *steer, backend_slot_t slot, outcome_t outcome,
-                     usec_t latency, usec_t now);
+/* A request that was sent towards SLOT ended; it ran on RAN_ON, which the
+   admitting VM may have chosen anew (the same where it did not run).  LATENCY
+   is the run at that server, as the admitting VM measured it: without the
+   wait for a slot and the way there.  Returns true when the server was
+   ejected for it.  */
+bool steer_finished (steer_t *steer, backend_slot_t slot,
+                     backend_slot_t ran_on, outcome_t outcome, usec_t latency,
+                     usec_t now);
 
 /* A report of the backend server NAME; unknown names are dropped.  */
 void steer_report (steer_t *steer, const char *name, hint_source_t source,
@@ -97,6 +103,10 @@
    were ejected.  */
 size_t steer_tick (steer_t *steer, usec_t now);
 
+/* Requests that the server in SLOT should run at once now: 0 while it is
+   ejected or leaving, less than all while it ramps.  */
+uint32_t steer_slots (steer_t *steer, backend_slot_t slot, usec_t now);
+
 /* The backend server in SLOT; valid until the next steer_update.  */
 const backend_t *steer_backend (const steer_t *steer, backend_slot_t slot);
 
