--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -12,6 +12,8 @@
   BACKENDS_MAX = 4096, /* that one process ever hears of */
   STOP_MARGIN_MSEC = 100,
   PEER_FULL_MSEC = 2, /* that a refusal for want of room is believed */
+  SHUN_FIRST_MSEC = 100,
+  SHUN_LAST_MSEC = 1600,
   VMS_IN_MASK = 64,
 };
 
@@ -20,6 +22,8 @@
   backend_t backend;
   vm_id_t owner;
   bool in_sheet;
+  usec_t shunned_until;
+  usec_t shun_time; /* after the next break */
 } known_backend_t;
 
 struct backend_table
@@ -106,11 +110,11 @@
   uint64_t key = XXH64 (backend->name.text, strlen (backend->name.text), 0);
   vm_id_t owners[SLOT_OWNERS_MAX];
   size_t n_owners = domain_vms (topology, backend->domain, owners);
-  table->known[index]
-      = (known_backend_t){ .backend = *backend,
-                           .owner = slots_owner (owners, n_owners, key),
-                           .in_sheet = true };
-  if (table->known[index].owner != table->options.self)
+  known_backend_t *known = &table->known[index];
+  known->backend = *backend;
+  known->owner = slots_owner (owners, n_owners, key);
+  known->in_sheet = true;
+  if (known->owner != table->options.self)
     return;
   const service_t *service = &topology->services[backend->service];
   const slot_backend_t caps = { .key = key,
@@ -166,8 +170,29 @@
   *full_until (table, vm, service) = now + PEER_FULL_MSEC * USEC_PER_MSEC;
 }
 
+void
+backend_table_broke (backend_table_t *table, uint32_t backend, usec_t now)
+{
+  known_backend_t *known = &table->known[backend];
+  const usec_t first = SHUN_FIRST_MSEC * USEC_PER_MSEC;
+  const usec_t last = SHUN_LAST_MSEC * USEC_PER_MSEC;
+  if (now < known->shunned_until)
+    return;
+  known->shun_time = known->shun_time ? 2 * known->shun_time : first;
+  if (known->shun_time > last)
+    known->shun_time = last;
+  known->shunned_until = now + known->shun_time;
+}
+
+void
+backend_table_worked (backend_table_t *table, uint32_t backend)
+{
+  table->known[backend].shun_time = 0;
+  table->known[backend].shunned_until = 0;
+}
+
 /* The backend server of ours with the most free slots; BACKENDS_MAX where
-   none has one.  *OWNED says whether any is ours at all.  */
+   none has one.  *OWNED says whether any is ours and works.  */
 static uint32_t
 pick_own (backend_table_t *table, service_id_t service, usec_t now,
           bool *owned)
@@ -181,7 +206,7 @@
       const known_backend_t *known = &table->known[index];
       if (!known->in_sheet || known->backend.service != service
           || !takes_work (&known->backend)
-          || known->owner != table->options.self)
+          || known->owner != table->options.self || known->shunned_until > now)
         continue;
       *owned = true;
       uint32_t n_free = slots_available (table->slots, index, now);
--- a/src/entry/backend_table.h
+++ b/src/entry/backend_table.h
@@ -54,6 +54,12 @@
 void backend_table_peer_full (backend_table_t *table, vm_id_t vm,
                               service_id_t service, usec_t now);
 
+/* An attempt at BACKEND broke, or was answered.  One that breaks again and
+   again is passed over for a while, where others are left.  */
+void backend_table_broke (backend_table_t *table, uint32_t backend,
+                          usec_t now);
+void backend_table_worked (backend_table_t *table, uint32_t backend);
+
 const backend_t *backend_table_get (const backend_table_t *table,
                                     uint32_t backend);
 
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -23,6 +23,7 @@
   CONNECTION_MEMORY_BYTES = 32 * 1024,
   LOOKUP_BYTES = 1024,
   LOOKUP_ENTRIES = 3,
+  LEAVE_HEARD_USEC = 200 * 1000, /* by the other entry VMs */
   DRAIN_STEP_USEC = 10 * 1000,
   DRAIN_REFUSE_USEC = 500 * 1000,
 };
@@ -32,7 +33,8 @@
   caller_port_options_t options;
   struct MHD_Daemon *daemon;
   dispatcher_t *dispatcher;
-  atomic_bool draining;
+  atomic_bool leaving;  /* look-ups name others */
+  atomic_bool draining; /* requests are refused too */
   _Atomic size_t under_way;
 };
 
@@ -52,8 +54,8 @@
 may_name (const caller_port_t *port, vm_id_t vm)
 {
   if (vm == port->options.self)
-    return !port->draining;
-  return peer_ledger_reachable (port->options.peers, vm);
+    return !port->leaving;
+  return peer_ledger_takes_callers (port->options.peers, vm);
 }
 
 static int
@@ -478,8 +480,13 @@
 void
 caller_port_close (caller_port_t *port)
 {
-  /* Callers with a cached look-up are refused for a while before the port
-     closes, so that none finds its connection reset.  */
+  /* Callers keep a look-up for its age, and are served until it has passed.
+     Then they are refused for a while before the port closes, so that none
+     finds its connection reset.  */
+  port->leaving = true;
+  peer_ledger_leave (port->options.peers);
+  usleep ((useconds_t)port->options.settings->limits.lookup_age
+          + LEAVE_HEARD_USEC);
   port->draining = true;
   usec_t now = clock_monotonic ();
   usec_t refuse_until = now + DRAIN_REFUSE_USEC;
--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -30,8 +30,9 @@
 caller_port_t *caller_port_open (const caller_port_options_t *options,
                                  err_t *err);
 
-/* Refuse new requests as "not run" and name other entry VMs to look-ups,
-   finish what is under way, then end; waits at most the longest deadline.  */
+/* Name other entry VMs to look-ups and serve until the last cached one is too
+   old; then refuse new requests as "not run", finish what is under way and
+   end.  Takes a look-up's age and at most the longest deadline.  */
 void caller_port_close (caller_port_t *port);
 
 /* After rpc_close.  */
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -339,6 +339,14 @@
   job_event (job, &event, now);
 }
 
+static void
+reply_broken (job_t *job, usec_t now)
+{
+  if (!job->request.forwarded)
+    backend_table_broke (job->world->table, job->backend, now);
+  job_simple_event (job, EVENT_BROKEN, now);
+}
+
 static void
 reply_cut (job_t *job, usec_t now)
 {
@@ -357,6 +365,8 @@
   job->call = NULL;
   bool forwarded = job->request.forwarded;
   bool own = reply->whole && reply->id_matches;
+  if (own && !forwarded)
+    backend_table_worked (job->world->table, job->backend);
   if (reply->whole && !reply->id_matches)
     {
       job->world->counters.foreign_answers++;
@@ -378,7 +388,7 @@
   else if (reply->cut)
     reply_cut (job, now);
   else
-    job_simple_event (job, EVENT_BROKEN, now);
+    reply_broken (job, now);
 }
 
 /* --- Outcomes --------------------------------------------------------- */
--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -24,6 +24,7 @@
 {
   uint64_t incarnation; /* 0: never heard */
   usec_t heard_at;
+  bool leaving;
 } peer_t;
 
 struct peer_ledger
@@ -33,6 +34,7 @@
   pthread_mutex_t lock; /* guards all below */
   pthread_cond_t stopped;
   bool stop;
+  bool leaving;
   pthread_t thread;
   ledger_t *ledger;
   peer_t *peers;
@@ -148,7 +150,8 @@
 }
 
 static void
-hear (peer_ledger_t *peers, const rpc_sender_t *sender, usec_t stamp)
+hear (peer_ledger_t *peers, const rpc_sender_t *sender,
+      const entry_heartbeat_t *heartbeat)
 {
   if (sender->vm >= peers->options.settings->topology.n_vms)
     return;
@@ -156,12 +159,24 @@
   pthread_mutex_lock (&peers->lock);
   peer_t *peer = &peers->peers[sender->vm];
   if (sender->incarnation >= peer->incarnation)
-    *peer = (peer_t){ .incarnation = sender->incarnation, .heard_at = now };
+    *peer = (peer_t){ .incarnation = sender->incarnation,
+                      .heard_at = now,
+                      .leaving = heartbeat->leaving };
   ledger_on_heartbeat (peers->ledger, (vm_id_t)sender->vm, sender->incarnation,
-                       stamp, now);
+                       heartbeat->stamp, now);
   pthread_mutex_unlock (&peers->lock);
 }
 
+static entry_heartbeat_t
+own_heartbeat (peer_ledger_t *peers)
+{
+  pthread_mutex_lock (&peers->lock);
+  bool leaving = peers->leaving;
+  pthread_mutex_unlock (&peers->lock);
+  return (entry_heartbeat_t){ .stamp = clock_monotonic (),
+                              .leaving = leaving };
+}
+
 static void
 serve_heartbeat (void *closure, rpc_call_t *call)
 {
@@ -169,8 +184,8 @@
   if (!rpc_call_args (call, (xdrproc_t)xdr_entry_heartbeat_t, &args))
     return;
   rpc_sender_t sender = rpc_call_sender (call);
-  hear (closure, &sender, args.stamp);
-  entry_heartbeat_t own = { .stamp = clock_monotonic () };
+  hear (closure, &sender, &args);
+  entry_heartbeat_t own = own_heartbeat (closure);
   rpc_reply (call, (xdrproc_t)xdr_entry_heartbeat_t, &own);
 }
 
@@ -272,17 +287,17 @@
   if (result->ok
       && rpc_result_decode (result, (xdrproc_t)xdr_entry_heartbeat_t,
                             &heartbeat))
-    hear (closure, &result->sender, heartbeat.stamp);
+    hear (closure, &result->sender, &heartbeat);
 }
 
 static void
 beat (peer_ledger_t *peers)
 {
+  entry_heartbeat_t args = own_heartbeat (peers);
   for (size_t i = 0; i < peers->options.settings->topology.n_vms; i++)
     {
       if (i == peers->options.self)
         continue;
-      entry_heartbeat_t args = { .stamp = clock_monotonic () };
       call_peer (peers, (vm_id_t)i,
                  &(rpc_request_t){ .procedure = ENTRY_HEARTBEAT,
                                    .encode = (xdrproc_t)xdr_entry_heartbeat_t,
@@ -304,7 +319,8 @@
     {
       ledger_sweep (peers->ledger, SWEEP_STEPS, clock_monotonic ());
       pthread_mutex_unlock (&peers->lock);
-      hear (peers, &self, clock_monotonic ());
+      entry_heartbeat_t own = own_heartbeat (peers);
+      hear (peers, &self, &own);
       beat (peers);
       pthread_mutex_lock (&peers->lock);
       struct timespec until;
@@ -403,6 +419,25 @@
   return reachable;
 }
 
+bool
+peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm)
+{
+  pthread_mutex_lock (&peers->lock);
+  bool takes = is_reachable (peers, vm, clock_monotonic ())
+               && !peers->peers[vm].leaving;
+  pthread_mutex_unlock (&peers->lock);
+  return takes;
+}
+
+void
+peer_ledger_leave (peer_ledger_t *peers)
+{
+  pthread_mutex_lock (&peers->lock);
+  peers->leaving = true;
+  pthread_mutex_unlock (&peers->lock);
+  beat (peers);
+}
+
 bool
 peer_ledger_issue (peer_ledger_t *peers, char text[TICKET_TEXT_BYTES],
                    err_t *err)
@@ -421,7 +456,9 @@
         = own ? peers->options.incarnation : peers->peers[i].incarnation,
         .domain = topology->vms[i].domain,
         .region = topology->domains[topology->vms[i].domain].region,
-        .reachable = own || is_reachable (peers, (vm_id_t)i, now)
+        .reachable = own
+                     || (is_reachable (peers, (vm_id_t)i, now)
+                         && !peers->peers[i].leaving)
       };
     }
   const ticket_issue_t issue = { .issuer = peers->options.self,
--- a/src/entry/peer_ledger.h
+++ b/src/entry/peer_ledger.h
@@ -69,6 +69,12 @@
 /* Whether VM answered a heartbeat lately.  */
 bool peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm);
 
+/* Whether new callers may be sent to VM: it is reachable and not leaving.  */
+bool peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm);
+
+/* Tell all others that this VM is about to stop.  */
+void peer_ledger_leave (peer_ledger_t *peers);
+
 const ticket_key_t *peer_ledger_key (const peer_ledger_t *peers);
 
 #endif
--- a/src/wire/entry.x
+++ b/src/wire/entry.x
@@ -45,10 +45,11 @@
   entry_outcome_t outcome;
 };
 
-/* The sender's monotonic clock. */
+/* The sender's monotonic clock, and whether it is about to stop. */
 struct entry_heartbeat_t
 {
   int64_t stamp;
+  bool leaving;
 };
 
 program MULBERRY_ENTRY
