--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -25,6 +25,8 @@
 {
   route_table_t *routes;
   rpc_t *rpc;
+  peer_ledger_t *peers;
+  bool beating;
   version_feed_t *feed;
   caller_port_t *port;
   entry_metrics_t *metrics;
@@ -54,7 +56,7 @@
 entry_open (entry_t *entry, const program_t *program, err_t *err)
 {
   const settings_t *settings = program->settings;
-  entry->routes = route_table_new (&settings->topology, program->vm_id);
+  entry->routes = route_table_new ();
   const rpc_options_t rpc_options = { .address = program->vm->address,
                                       .port = settings->ports.entry_peer,
                                       .vm = program->vm_id,
@@ -63,6 +65,15 @@
   entry->rpc = rpc_open (&rpc_options, err);
   if (!entry->rpc || !open_metrics (entry, program, err))
     return false;
+  const peer_ledger_options_t peer_options
+      = { .settings = settings,
+          .self = program->vm_id,
+          .incarnation = program->incarnation,
+          .key = program->key,
+          .rpc = entry->rpc };
+  entry->peers = peer_ledger_new (&peer_options, err);
+  if (!entry->peers)
+    return false;
   const version_feed_options_t feed_options = { .settings = settings,
                                                 .vm = program->vm_id,
                                                 .rpc = entry->rpc,
@@ -70,11 +81,15 @@
   entry->feed = version_feed_open (&feed_options);
   if (!rpc_start (entry->rpc, err) || !version_feed_start (entry->feed, err))
     return false;
+  entry->beating = peer_ledger_start (entry->peers, err);
+  if (!entry->beating)
+    return false;
   const caller_port_options_t port_options
       = { .settings = settings,
           .self = program->vm_id,
           .incarnation = program->incarnation,
           .routes = entry->routes,
+          .peers = entry->peers,
           .metrics = entry->metrics };
   entry->port = caller_port_open (&port_options, err);
   return entry->port != NULL;
@@ -87,11 +102,17 @@
     caller_port_close (entry->port);
   if (entry->feed)
     version_feed_stop (entry->feed);
+  if (entry->beating)
+    peer_ledger_stop (entry->peers);
   /* The page reads the RPC layer's counters.  */
   if (entry->page)
     metrics_page_stop (entry->page);
   if (entry->rpc)
     rpc_close (entry->rpc);
+  if (entry->port)
+    caller_port_free (entry->port);
+  if (entry->peers)
+    peer_ledger_free (entry->peers);
   if (entry->feed)
     version_feed_free (entry->feed);
   if (entry->routes)
