fix(settings): a later start of a VM has a greater incarnation

Cause: incarnations were drawn at random, while ledgers take a lower one for an earlier start: a restarted VM looked dead to about half of its peers. Conclusion: wall-clock microseconds with 12 bits of chance; a clock that was set back costs availability, never safety, since incarnations still differ.

--- a/src/settings/program.c
+++ b/src/settings/program.c
@@ -8,9 +8,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "placement/topology.h"
 
+enum
+{
+  INCARNATION_CHANCE_BITS = 12,
+};
+
 typedef struct arguments
 {
   const char *settings;
@@ -117,6 +123,17 @@
   return true;
 }
 
+/* Greater than all former ones of this VM as long as its wall clock was not
+   set back over a restart, and different even then.  */
+static uint64_t
+incarnation_draw (void)
+{
+  uint64_t chance = 0;
+  RAND_bytes ((unsigned char *)&chance, sizeof chance);
+  return ((uint64_t)clock_wall () << INCARNATION_CHANCE_BITS)
+         | (chance >> (64 - INCARNATION_CHANCE_BITS)) | 1;
+}
+
 bool
 program_start (program_t *program, const char *name, const char *doc, int argc,
                char **argv, int *exit_code)
@@ -148,9 +165,7 @@
       *exit_code = 0;
       return false;
     }
-  RAND_bytes ((unsigned char *)&program->incarnation,
-              sizeof program->incarnation);
-  program->incarnation |= 1;
+  program->incarnation = incarnation_draw ();
   log_open (name, program->vm->name.text, arguments.level);
   return true;
 }
--- a/src/settings/program.h
+++ b/src/settings/program.h
@@ -16,7 +16,7 @@
   settings_t *settings;
   const vm_t *vm; /* this VM, inside the settings */
   vm_id_t vm_id;
-  uint64_t incarnation; /* of this start of the process; never 0 */
+  uint64_t incarnation; /* of this start; greater than former ones; not 0 */
   unsigned char key[SETTINGS_KEY_BYTES];
   char data_folder[SETTINGS_PATH_BYTES];
 } program_t;
