--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -1,11 +1,15 @@
 /* mulberry-control: keeps the accepted sheets on a VM with a disk.  */
 
 #include <argp.h>
+#include <errno.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
 
 #include "base/log.h"
 #include "control/accepted.h"
 #include "control/admin_port.h"
+#include "control/core_thread.h"
 #include "control/peer_port.h"
 #include "settings/program.h"
 #include "wire/metrics_page.h"
@@ -21,7 +25,9 @@
 typedef struct control
 {
   accepted_t *accepted;
+  storage_t *storage;
   rpc_t *rpc;
+  core_thread_t *core;
   admin_port_t *admin;
   credentials_t credentials;
   metrics_t *metrics;
@@ -68,21 +74,49 @@
           .port = settings->ports.admin,
           .service = { .settings = settings,
                        .self = program->vm_id,
-                       .accepted = control->accepted },
+                       .accepted = control->accepted,
+                       .core = control->core },
           .credentials = &control->credentials,
           .metrics = control->metrics };
   control->admin = admin_port_open (&options, err);
   return control->admin != NULL;
 }
 
+static bool
+make_folder (const char *folder, err_t *err)
+{
+  if (mkdir (folder, 0700) == 0 || errno == EEXIST)
+    return true;
+  return err_set (err, ERR_STORAGE,
+                  "check the data folder's disk, its space and its owner",
+                  "can't make %s: %s", folder, strerror (errno));
+}
+
+static bool
+open_core (control_t *control, const program_t *program, err_t *err)
+{
+  replica_image_t image;
+  if (!make_folder (program->data_folder, err))
+    return false;
+  control->storage = storage_open (program->data_folder, &image, err);
+  if (!control->storage)
+    return false;
+  const core_thread_options_t options = { .settings = program->settings,
+                                          .vm = program->vm_id,
+                                          .rpc = control->rpc,
+                                          .accepted = control->accepted,
+                                          .storage = control->storage,
+                                          .image = &image,
+                                          .seed = program->incarnation };
+  control->core = core_thread_start (&options, err);
+  return control->core != NULL;
+}
+
 static bool
 control_open (control_t *control, const program_t *program, err_t *err)
 {
   const settings_t *settings = program->settings;
-  control->accepted
-      = accepted_open (program->data_folder, &settings->topology, err);
-  if (!control->accepted)
-    return false;
+  control->accepted = accepted_new (settings->topology.n_vms);
   const rpc_options_t rpc_options = { .address = program->vm->address,
                                       .port = settings->ports.control_peer,
                                       .vm = program->vm_id,
@@ -92,23 +126,29 @@
   if (!control->rpc)
     return false;
   peer_port_register (control->rpc, control->accepted);
-  if (!rpc_start (control->rpc, err))
+  if (!open_core (control, program, err) || !rpc_start (control->rpc, err))
     return false;
   return open_metrics (control, program, err)
          && open_admin (control, program, err);
 }
 
+/* The core thread goes first: it ends the requests that wait for it.  */
 static void
 control_close (control_t *control)
 {
+  if (control->core)
+    core_thread_stop (control->core);
   if (control->admin)
     admin_port_close (control->admin);
   if (control->page)
     metrics_page_stop (control->page);
   if (control->rpc)
     rpc_close (control->rpc);
-  if (control->accepted)
-    accepted_close (control->accepted);
+  if (control->core)
+    core_thread_free (control->core);
+  if (control->storage)
+    storage_close (control->storage);
+  accepted_free (control->accepted);
   metrics_free (control->metrics);
   credentials_free (&control->credentials);
 }
