--- a/bench/bench_lookup_table.c
+++ b/bench/bench_lookup_table.c
@@ -1,5 +1,5 @@
-/* bench-lookup-table: look-ups a second on one core, the time to build a table and
-   its size, at the size to design for.  */
+/* bench-lookup-table: look-ups a second on one core, the time to build a
+   table and its size, at the size to design for.  */
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/unit/test_placement_lookup.c
+++ b/test/unit/test_placement_lookup.c
@@ -23,9 +23,9 @@
 {
   for (uint32_t i = 0; i < N_BLOCKS; i++)
     fixture->blocks[i] = (region_id_t)(i % N_REGIONS);
-  for (vm_id_t v = 0; v < N_SITES; v++)
+  for (uint32_t v = 0; v < N_SITES; v++)
     fixture->sites[v]
-        = (lookup_site_t){ .vm = v,
+        = (lookup_site_t){ .vm = (vm_id_t)v,
                            .region = (region_id_t)(v / 3),
                            .domain = (domain_id_t)(v / 3 * 2 + v % 3 / 2),
                            .weight = v % 3 == 2 ? 2 : 1 };
