--- a/bench/policy_ours.c
+++ b/bench/policy_ours.c
@@ -349,7 +349,7 @@
 ours_run_end (sim_t *sim, attempt_t *attempt)
 {
   gate_t *gate = gate_of (sim, attempt);
-  outcome_t outcome
+  run_outcome_t outcome
       = attempt->reply == REPLY_ANSWERED ? OUTCOME_ANSWERED : OUTCOME_FAILED;
   admit_end (&gate->admit, &attempt->item, attempt->ran);
   steer_finished (sim->ours->inner[gate->domain], attempt->backend,
@@ -359,7 +359,7 @@
 }
 
 static void
-close_attempt (sim_t *sim, attempt_t *attempt, outcome_t outcome,
+close_attempt (sim_t *sim, attempt_t *attempt, run_outcome_t outcome,
                usec_t latency)
 {
   steer_t *steer = sim->ours->front[attempt->request->front];
@@ -384,7 +384,7 @@
 ours_reply (sim_t *sim, attempt_t *attempt)
 {
   request_t *request = attempt->request;
-  static const outcome_t outcomes[]
+  static const run_outcome_t outcomes[]
       = { OUTCOME_ANSWERED, OUTCOME_FAILED, OUTCOME_REFUSED };
   if (!attempt->closed)
     {
--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -93,7 +93,8 @@
 }
 
 void
-observe_end (observe_t *observe, outcome_t outcome, usec_t latency, usec_t now)
+observe_end (observe_t *observe, run_outcome_t outcome, usec_t latency,
+             usec_t now)
 {
   switch (outcome)
     {
--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -25,7 +25,7 @@
   OUTCOME_TIMED_OUT, /* no answer by the deadline */
   OUTCOME_REFUSED,   /* not run: it or its admitting VM is full */
   OUTCOME_CANCELLED, /* the caller went away; says nothing of the server */
-} outcome_t;
+} run_outcome_t;
 
 typedef enum
 {
@@ -65,7 +65,7 @@
 void observe_leave (observe_t *observe);
 
 /* One request had OUTCOME at NOW; its run at the server took LATENCY.  */
-void observe_end (observe_t *observe, outcome_t outcome, usec_t latency,
+void observe_end (observe_t *observe, run_outcome_t outcome, usec_t latency,
                   usec_t now);
 
 void observe_hint (observe_t *observe, hint_source_t source,
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -491,7 +491,7 @@
 
 bool
 steer_finished (steer_t *steer, backend_slot_t slot, backend_slot_t ran_on,
-                outcome_t outcome, usec_t latency, usec_t now)
+                run_outcome_t outcome, usec_t latency, usec_t now)
 {
   entry_t *entry = &steer->entries[slot];
   entry_t *ran = &steer->entries[ran_on];
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -88,8 +88,8 @@
    wait for a slot and the way there.  Returns true when the server was
    ejected for it.  */
 bool steer_finished (steer_t *steer, backend_slot_t slot,
-                     backend_slot_t ran_on, outcome_t outcome, usec_t latency,
-                     usec_t now);
+                     backend_slot_t ran_on, run_outcome_t outcome,
+                     usec_t latency, usec_t now);
 
 /* A report of the backend server NAME; unknown names are dropped.  */
 void steer_report (steer_t *steer, const char *name, hint_source_t source,
--- a/test/unit/test_placement_steer.c
+++ b/test/unit/test_placement_steer.c
@@ -44,7 +44,7 @@
 }
 
 static void
-finish (fixture_t *fixture, backend_slot_t slot, outcome_t outcome,
+finish (fixture_t *fixture, backend_slot_t slot, run_outcome_t outcome,
         usec_t latency)
 {
   steer_finished (fixture->steer, slot, slot, outcome, latency, fixture->now);
@@ -52,7 +52,7 @@
 
 /* Choose N times with IN_FLIGHT requests running; count by slot.  */
 static void
-serve (fixture_t *fixture, int n, const outcome_t *outcomes,
+serve (fixture_t *fixture, int n, const run_outcome_t *outcomes,
        const usec_t *latencies, uint32_t *count)
 {
   backend_slot_t running[IN_FLIGHT];
@@ -125,7 +125,7 @@
 {
   fixture_t fixture;
   fixture_open (&fixture);
-  outcome_t outcomes[TEST_BACKENDS] = { OUTCOME_FAILED };
+  run_outcome_t outcomes[TEST_BACKENDS] = { OUTCOME_FAILED };
   usec_t latencies[TEST_BACKENDS];
   uint32_t count[TEST_BACKENDS] = { 0 };
   for (int i = 0; i < TEST_BACKENDS; i++)
@@ -145,7 +145,7 @@
 {
   fixture_t fixture;
   fixture_open (&fixture);
-  outcome_t outcomes[TEST_BACKENDS] = { OUTCOME_ANSWERED };
+  run_outcome_t outcomes[TEST_BACKENDS] = { OUTCOME_ANSWERED };
   usec_t latencies[TEST_BACKENDS];
   uint32_t slow[TEST_BACKENDS] = { 0 };
   for (int i = 0; i < TEST_BACKENDS; i++)
