--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -88,6 +88,8 @@
   size_t bytes;
   double rate;
   double duration;
+  double warm_up;
+  usec_t begun;
   unsigned resend;
   long deadline_ms;
   bool direct;
@@ -164,7 +166,8 @@
   if (strcmp (outcome, "answer") == 0)
     {
       service->answered++;
-      histogram_record (&service->latency, took);
+      if ((double)(caller->started - load.begun) >= load.warm_up * 1e6)
+        histogram_record (&service->latency, took);
     }
   else if (unknown)
     service->unknown++;
@@ -480,13 +483,13 @@
 static void
 run (void)
 {
-  usec_t begun = clock_monotonic ();
-  usec_t next = begun;
-  usec_t sweep = begun;
+  usec_t next = load.begun;
+  usec_t sweep = next;
   for (;;)
     {
       usec_t now = clock_monotonic ();
-      if (load.duration > 0 && (double)(now - begun) > load.duration * 1e6)
+      if (load.duration > 0
+          && (double)(now - load.begun) > load.duration * 1e6)
         for (size_t i = 0; i < load.n_services; i++)
           load.services[i].left = 0;
       usec_t wait = start_arrivals (now, &next);
@@ -548,6 +551,8 @@
   { "connections", 'c', "N", 0, "Callers, each with one request at a time" },
   { "rate", 'r', "N", 0, "Requests a second; without it a closed loop" },
   { "duration", 'D', "SECONDS", 0, "Start nothing after this time" },
+  { "warm-up", 'w', "SECONDS", 0,
+    "Leave answers of this time out of the latencies" },
   { "bytes", 'b', "N", 0, "Payload of an answer" },
   { "deadline-ms", 'm', "N", 0, "Each request's deadline" },
   { "resend", 'R', "N", 0, "Send an unknown ticket again, up to N times" },
@@ -595,6 +600,9 @@
     case 'D':
       load.duration = number;
       return 0;
+    case 'w':
+      load.warm_up = number;
+      return 0;
     case 'b':
       load.bytes = (size_t)number;
       return 0;
@@ -644,9 +652,9 @@
       load.callers[i].home = i % load.n_given;
       list_push_back (&load.idle, &load.callers[i].link);
     }
-  usec_t begun = clock_monotonic ();
+  load.begun = clock_monotonic ();
   run ();
-  double seconds = (double)(clock_monotonic () - begun) / (double)USEC_PER_SEC;
+  double seconds = (double)(clock_monotonic () - load.begun) / (double)USEC_PER_SEC;
   uint64_t wrong = report (seconds);
   if (load.journal)
     fclose (load.journal);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -38,24 +38,36 @@
 /* --- Claims ----------------------------------------------------------- */
 
 static void
-send_asks (job_t *job, const claim_asks_t *asks)
+send_ask (job_t *job, uint8_t replica, ledger_op_t op, usec_t now)
 {
-  const ticket_t *ticket = &job->claim.options.ticket;
-  for (size_t i = 0; i < asks->n; i++)
+  job_world_t *world = job->world;
+  ledger_ask_t message = claim_message (&job->claim, op);
+  if (op == LEDGER_RECORD)
+    message.outcome = job->record;
+  vm_id_t vm = job->claim.options.ticket.replicas[replica].vm;
+  if (vm == world->self)
     {
-      ledger_ask_t message = claim_message (&job->claim, asks->items[i].op);
-      if (message.op == LEDGER_RECORD)
-        message.outcome = job->record;
-      const peer_ask_t ask
-          = { .vm = ticket->replicas[asks->items[i].replica].vm,
-              .claimant = job->number,
-              .replica = asks->items[i].replica,
-              .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
-              .message = &message,
-              .receiver = job->world->receive_vote,
-              .closure = job->world->closure };
-      peer_ledger_ask (job->world->peers, &ask);
+      peer_vote_t *vote
+          = peer_ledger_ask_own (world->peers, job->number, replica, &message);
+      job_on_vote (job, vote, now);
+      free (vote);
+      return;
     }
+  const peer_ask_t ask = { .vm = vm,
+                           .claimant = job->number,
+                           .replica = replica,
+                           .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
+                           .message = &message,
+                           .receiver = world->receive_vote,
+                           .closure = world->closure };
+  peer_ledger_ask (world->peers, &ask);
+}
+
+static void
+send_asks (job_t *job, const claim_asks_t *asks, usec_t now)
+{
+  for (size_t i = 0; i < asks->n; i++)
+    send_ask (job, asks->items[i].replica, asks->items[i].op, now);
 }
 
 /* Tell the request where its claim stands, once that is settled.  */
@@ -104,7 +116,7 @@
   claim_asks_t asks = { 0 };
   claim_start (&job->claim, &options, now, &asks);
   job->claim_live = true;
-  send_asks (job, &asks);
+  send_asks (job, &asks, now);
   report_claim (job, now);
 }
 
@@ -125,7 +137,7 @@
     claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
   else
     claim_on_failure (&job->claim, vote->replica, now, &asks);
-  send_asks (job, &asks);
+  send_asks (job, &asks, now);
   report_claim (job, now);
 }
 
@@ -474,11 +486,11 @@
       break;
     case ACTION_RELEASE_CLAIM:
       claim_release (&job->claim, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       break;
     case ACTION_RECORD:
       claim_record (&job->claim, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       break;
     case ACTION_CANCEL_TARGET:
       cancel_target (job);
@@ -542,7 +554,7 @@
     {
       claim_asks_t asks = { 0 };
       claim_tick (&job->claim, now, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       report_claim (job, now);
     }
   if (now >= request_wakeup (&job->request))
--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -217,15 +217,16 @@
   free (pending);
 }
 
-static void
-ask_self (peer_ledger_t *peers, const peer_ask_t *ask)
+peer_vote_t *
+peer_ledger_ask_own (peer_ledger_t *peers, uint64_t claimant, uint8_t replica,
+                     const ledger_ask_t *message)
 {
   pthread_mutex_lock (&peers->lock);
   ledger_vote_t vote
-      = ledger_on_ask (peers->ledger, ask->message, clock_monotonic ());
-  peer_vote_t *copy = vote_new (ask->claimant, ask->replica, &vote);
+      = ledger_on_ask (peers->ledger, message, clock_monotonic ());
+  peer_vote_t *copy = vote_new (claimant, replica, &vote);
   pthread_mutex_unlock (&peers->lock);
-  ask->receiver (ask->closure, copy);
+  return copy;
 }
 
 static void
@@ -242,11 +243,6 @@
 void
 peer_ledger_ask (peer_ledger_t *peers, const peer_ask_t *ask)
 {
-  if (ask->vm == peers->options.self)
-    {
-      ask_self (peers, ask);
-      return;
-    }
   if (ask->vm >= peers->options.settings->topology.n_vms)
     {
       ask->receiver (ask->closure,
--- a/src/entry/peer_ledger.h
+++ b/src/entry/peer_ledger.h
@@ -32,7 +32,8 @@
   char body[]; /* what vote.outcome.body points to */
 } peer_vote_t;
 
-/* Called once for each ask, on any thread; VOTE is the receiver's to free.  */
+/* Called once for each ask, on the RPC thread or in peer_ledger_ask; VOTE is
+ * the receiver's to free.  */
 typedef void (*peer_vote_receiver_t) (void *closure, peer_vote_t *vote);
 
 typedef struct peer_ask
@@ -64,8 +65,14 @@
 bool peer_ledger_issue (peer_ledger_t *peers, char text[TICKET_TEXT_BYTES],
                         err_t *err);
 
+/* Ask another VM's replica.  */
 void peer_ledger_ask (peer_ledger_t *peers, const peer_ask_t *ask);
 
+/* Ask the own replica; the vote is the caller's to free.  */
+peer_vote_t *peer_ledger_ask_own (peer_ledger_t *peers, uint64_t claimant,
+                                  uint8_t replica,
+                                  const ledger_ask_t *message);
+
 /* Whether VM answered a heartbeat lately.  */
 bool peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm);
 
