--- a/src/admission/escrow.c
+++ b/src/admission/escrow.c
@@ -55,11 +55,12 @@
 }
 
 int64_t
-escrow_floor (int64_t cap, uint32_t percent, size_t n)
+escrow_floor (int64_t cap, uint32_t percent, int64_t part, int64_t whole)
 {
-  if (n == 0)
+  if (whole <= 0)
     return 0;
-  return cap / PERCENT * percent / (int64_t)n;
+  __int128 floor = (__int128)cap * percent * part;
+  return (int64_t)(floor / PERCENT / whole);
 }
 
 usec_t
@@ -199,6 +200,8 @@
   int64_t n_open = 0;
   for (size_t i = 0; i < escrow->n_accounts; i++)
     n_open += escrow->accounts[i].open;
+  if (n_open == 0)
+    return 0;
   int64_t mean
       = (escrow->options.cap - escrow->options.reserved - escrow->spent)
         / n_open;
