test(agreement): a heard leader is not deposed; a full disk stops one replica

A full disk by real processes: storage_failed, role halted, the other four accept on, and it votes again after a restart with room.

--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -133,6 +133,30 @@
 never_back
 echo 'good: a frozen leader'
 
+# A full disk (a limit of file sizes stands for it) stops that replica alone.
+set -- $CONTROL_VMS
+kill_one KILL "control-$1"
+(
+  trap '' XFSZ
+  ulimit -f 64
+  exec "$BUILD/mulberry-control" -s "$SETTINGS" -v "$1"
+) >/dev/null 2>"$FOLDER/full.log" &
+PIDS[control-$1]=$!
+filled() {
+  N=$((N + 1))
+  submit $N
+  grep -q 'event=storage_failed kind=storage' "$FOLDER/full.log"
+}
+wait_for 20 filled
+halted() { status_of "$1" | tr -d ' \n' | grep -q "\"vm\":\"$1\",\"role\":\"halted\""; }
+wait_for 5 halted "$1"
+N=$((N + 1))
+submit $N
+kill_one KILL "control-$1"
+start_control "$1"
+wait_for 15 votes "$1"
+echo 'good: a full disk'
+
 # Wiped data folders, one after the other; the last two in quick succession.
 for vm in $CONTROL_VMS; do
   wipe "$vm"
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -174,6 +174,25 @@
   settled_free (cluster);
 }
 
+/* One way is cut: who can't hear the leader asks for votes all the time, but
+   nobody who hears it gives one.  */
+static void
+test_heard_leader_is_not_deposed (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t leader = cluster_leader (cluster);
+  term_t term = replica_status (cluster->nodes[leader].replica).term;
+  cluster->cut[leader][(leader + 1) % NODES] = true;
+  for (int i = 0; i < 400; i++)
+    {
+      cluster_round (cluster);
+      g_assert_cmpint (cluster_leader (cluster), ==, leader);
+    }
+  g_assert_cmpuint (replica_status (cluster->nodes[leader].replica).term, ==,
+                    term);
+  settled_free (cluster);
+}
+
 /* Acknowledgements that were sent to this leader in an earlier term say
    nothing of the log that it leads now.  */
 static void
@@ -343,6 +362,8 @@
                    test_acknowledgement_of_an_earlier_term_is_dropped);
   g_test_add_func ("/agreement/replica/late-entries",
                    test_entries_of_an_earlier_term_are_dropped);
+  g_test_add_func ("/agreement/replica/heard-leader",
+                   test_heard_leader_is_not_deposed);
   g_test_add_func ("/agreement/replica/return",
                    test_returning_replica_does_not_disturb);
   g_test_add_func ("/agreement/replica/far-behind",
