feat(entry): a request that crashes backend servers is quarantined on every entry VM

Cause: a poison request was retried and resent until every backend server of its service had crashed.

A connection that ends with a request on it is taken for a crash; its fingerprint and those in flight beside it become suspects, which run alone; other entry VMs are told at once, and the broken attempt's retry or outcome waits 50 ms for that.

--- a/src/entry/backend_table.h
+++ b/src/entry/backend_table.h
@@ -25,6 +25,7 @@
   PLACE_FORWARD, /* another entry VM admits */
   PLACE_WAIT,    /* every slot that is ours is taken */
   PLACE_NOWHERE,
+  PLACE_QUARANTINED, /* the caller's word: it may not run */
 } place_kind_t;
 
 typedef struct place
--- a/src/entry/dispatcher.c
+++ b/src/entry/dispatcher.c
@@ -22,6 +22,8 @@
   TICK_USEC = 1000,
   WAIT_BUSY_USEC = 2000,
   WAIT_IDLE_USEC = 100 * 1000,
+  REPEAT_USEC = 1000 * 1000, /* between messages of the quarantine */
+  IN_FLIGHT_MAX = SLOTS_PER_BACKEND_MAX,
   STOP_WAIT_USEC = 1000 * 1000, /* for outcomes to be recorded */
 };
 
@@ -57,6 +59,7 @@
   uint64_t serial;
   job_t *by_fd[FDS_MAX]; /* not yet told */
   usec_t ticked_at;
+  usec_t repeated_at;
 };
 
 /* --- Mail ------------------------------------------------------------- */
@@ -218,6 +221,27 @@
   drop_if_over (closure, job);
 }
 
+/* All that was on the crashed backend server may have been the cause.  */
+static void
+crashed (void *closure, job_t *job)
+{
+  dispatcher_t *dispatcher = closure;
+  if (job->crash_noted)
+    return;
+  fingerprint_t in_flight[IN_FLIGHT_MAX] = { job->fingerprint };
+  size_t n = 1;
+  LIST_FOREACH (link, &dispatcher->jobs)
+  {
+    job_t *other = LIST_ENTRY (link, job_t, link);
+    if (!job_is_on (other, job->backend) || n == IN_FLIGHT_MAX)
+      continue;
+    other->crash_noted = true;
+    in_flight[n++] = other->fingerprint;
+  }
+  shared_quarantine_on_crash (dispatcher->options.quarantine, job->backend,
+                              in_flight, n);
+}
+
 /* A descriptor may have been closed and used again since the event, so the
    end of the stream is looked for once more.  */
 static bool
@@ -251,6 +275,11 @@
     return;
   dispatcher->ticked_at = now;
   backend_table_tick (dispatcher->world.table, now);
+  if (now - dispatcher->repeated_at >= REPEAT_USEC)
+    {
+      dispatcher->repeated_at = now;
+      shared_quarantine_repeat (dispatcher->options.quarantine);
+    }
   LIST_FOREACH (link, &dispatcher->jobs)
   {
     job_t *job = LIST_ENTRY (link, job_t, link);
@@ -306,7 +335,9 @@
                           .self = options->self,
                           .incarnation = options->incarnation,
                           .peers = options->peers,
+                          .quarantine = options->quarantine,
                           .closure = dispatcher,
+                          .crashed = crashed,
                           .told = told,
                           .receive_vote = receive_vote };
   world->table = backend_table_new (&table_options, err);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -19,7 +19,8 @@
   POLL_INTERVAL_MSEC = 40,
   ASK_TIMEOUT_MSEC = 1000,
   PLACE_INTERVAL_MSEC = 2,
-  HOP_WAIT_MSEC = 20, /* for a slot, before another entry VM is told no */
+  HOP_WAIT_MSEC = 20,   /* for a slot, before another entry VM is told no */
+  CRASH_HOLD_MSEC = 50, /* for the others to hear of a crash */
   SENDS_MAX = 16,
   CANCEL_TIMEOUT_MSEC = 1000,
   RECORDED_BODY_BYTES = 16 * 1024,
@@ -85,16 +86,6 @@
   job_event (job, &event, now);
 }
 
-static fingerprint_t
-job_fingerprint (const job_t *job)
-{
-  const exchange_t *exchange = job->exchange;
-  const topology_t *topology = &job->world->settings->topology;
-  return quarantine_fingerprint (
-      topology->services[exchange->service].name.text, exchange->method,
-      exchange->service_path, exchange->body, exchange->body_bytes);
-}
-
 static void
 start_claim (job_t *job, claim_intent_t intent, usec_t now)
 {
@@ -108,7 +99,7 @@
           .attempt = { .vm = world->self,
                        .incarnation = world->incarnation,
                        .number = ++world->last_attempt },
-          .fingerprint = job_fingerprint (job),
+          .fingerprint = job->fingerprint,
           .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
           .contend_pause = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
           .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
@@ -143,6 +134,22 @@
 
 /* --- Placing ---------------------------------------------------------- */
 
+/* A request that may have crashed a backend server runs alone, or not at
+   all.  */
+static place_t
+heed_quarantine (job_t *job, place_t found)
+{
+  quarantine_verdict_t verdict = shared_quarantine_check (
+      job->world->quarantine, job->fingerprint, found.backend);
+  bool waits = verdict == QUARANTINE_LATER && found.kind == PLACE_HERE;
+  if (verdict != QUARANTINE_REFUSE && !waits)
+    return found;
+  if (found.kind == PLACE_HERE)
+    slots_free (backend_table_slots (job->world->table), &found.token);
+  found.kind = waits ? PLACE_WAIT : PLACE_QUARANTINED;
+  return found;
+}
+
 static void
 place (job_t *job, usec_t now)
 {
@@ -150,8 +157,10 @@
   place_t found = backend_table_place (
       job->world->table, job->exchange->service, job->request.options.deadline,
       job->tried, !is_hop, now);
+  found = heed_quarantine (job, found);
   request_event_t event = { .kind = EVENT_NOT_PLACED };
-  event.as.reason = REASON_NO_CAPACITY;
+  event.as.reason = found.kind == PLACE_QUARANTINED ? REASON_QUARANTINED
+                                                    : REASON_NO_CAPACITY;
   bool gives_up
       = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
   switch (found.kind)
@@ -173,6 +182,7 @@
       job->tried = 0;
       return;
     case PLACE_NOWHERE:
+    case PLACE_QUARANTINED:
       break;
     }
   job->waiting = false;
@@ -189,6 +199,9 @@
   request->address = backend->address;
   request->port = backend->port;
   request->path = job->exchange->service_path;
+  job->crash_noted = false;
+  shared_quarantine_on_send (job->world->quarantine, job->fingerprint,
+                             job->backend);
   job->call = backend_client_call (job->world->client, request);
 }
 
@@ -351,11 +364,19 @@
   job_event (job, &event, now);
 }
 
+/* CLOSED_ON_IT: the connection ended with the request on it, which is taken
+   for a crash.  What follows waits until the other entry VMs have heard.  */
 static void
-reply_broken (job_t *job, usec_t now)
+reply_broken (job_t *job, bool closed_on_it, usec_t now)
 {
   if (!job->request.forwarded)
     backend_table_broke (job->world->table, job->backend, now);
+  if (!job->request.forwarded && closed_on_it)
+    {
+      job->world->crashed (job->world->closure, job);
+      job->broken_due = now + CRASH_HOLD_MSEC * USEC_PER_MSEC;
+      return;
+    }
   job_simple_event (job, EVENT_BROKEN, now);
 }
 
@@ -379,6 +400,9 @@
   bool own = reply->whole && reply->id_matches;
   if (own && !forwarded)
     backend_table_worked (job->world->table, job->backend);
+  if (!forwarded)
+    shared_quarantine_on_end (job->world->quarantine, job->fingerprint,
+                              job->backend, own && !reply->not_started);
   if (reply->whole && !reply->id_matches)
     {
       job->world->counters.foreign_answers++;
@@ -400,7 +424,13 @@
   else if (reply->cut)
     reply_cut (job, now);
   else
-    reply_broken (job, now);
+    reply_broken (job, reply->sent && !reply->timed_out, now);
+}
+
+bool
+job_is_on (const job_t *job, uint32_t backend)
+{
+  return job->call && !job->request.forwarded && job->backend == backend;
 }
 
 /* --- Outcomes --------------------------------------------------------- */
@@ -521,11 +551,22 @@
   act_all (job, &actions, now);
 }
 
+static fingerprint_t
+fingerprint_of (const job_t *job)
+{
+  const exchange_t *exchange = job->exchange;
+  const topology_t *topology = &job->world->settings->topology;
+  return quarantine_fingerprint (
+      topology->services[exchange->service].name.text, exchange->method,
+      exchange->service_path, exchange->body, exchange->body_bytes);
+}
+
 void
 job_start (job_t *job, job_world_t *world, exchange_t *exchange, usec_t now)
 {
   job->world = world;
   job->exchange = exchange;
+  job->fingerprint = fingerprint_of (job);
   const request_options_t options
       = { .role = exchange->is_hop ? REQUEST_HOP : REQUEST_ORIGIN,
           .idempotent = exchange_is_idempotent (exchange),
@@ -557,6 +598,11 @@
       send_asks (job, &asks, now);
       report_claim (job, now);
     }
+  if (job->broken_due && now >= job->broken_due)
+    {
+      job->broken_due = 0;
+      job_simple_event (job, EVENT_BROKEN, now);
+    }
   if (now >= request_wakeup (&job->request))
     job_simple_event (job, EVENT_TICK, now);
   else if (job->waiting && job->request.phase == REQUEST_PLACING
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -8,12 +8,15 @@
 #include "entry/backend_client.h"
 #include "entry/backend_table.h"
 #include "entry/exchange.h"
+#include "entry/shared_quarantine.h"
 
 enum
 {
   JOB_ID_BYTES = 48,
 };
 
+struct job;
+
 /* What all jobs share.  */
 typedef struct job_world
 {
@@ -21,6 +24,7 @@
   vm_id_t self;
   uint64_t incarnation;
   peer_ledger_t *peers;
+  shared_quarantine_t *quarantine;
   backend_table_t *table;
   backend_client_t *client;
   retry_budget_t *budgets; /* by service */
@@ -29,6 +33,8 @@
   uint64_t last_attempt;
   void *closure;
   void (*told) (void *closure, exchange_t *exchange);
+  /* JOB's backend server closed the connection with the request on it.  */
+  void (*crashed) (void *closure, struct job *job);
   void (*receive_vote) (void *closure, peer_vote_t *vote);
 } job_world_t;
 
@@ -49,7 +55,10 @@
   uint64_t tried; /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
   char send_id[JOB_ID_BYTES];
-  bool waiting; /* for a slot */
+  fingerprint_t fingerprint;
+  bool crash_noted;  /* in flight at a crash that was counted */
+  usec_t broken_due; /* when its break is acted on; 0: none */
+  bool waiting;      /* for a slot */
   usec_t waiting_since;
   usec_t place_again;
   int depth; /* of nested events */
@@ -66,6 +75,9 @@
 /* The request is about to leave; false stops it.  */
 bool job_on_leaving (job_t *job, usec_t now);
 
+/* Whether its request is on BACKEND now.  */
+bool job_is_on (const job_t *job, uint32_t backend);
+
 /* Time passed, or a slot came free.  */
 void job_tick (job_t *job, usec_t now);
 
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -26,6 +26,7 @@
   route_table_t *routes;
   rpc_t *rpc;
   peer_ledger_t *peers;
+  shared_quarantine_t *quarantine;
   bool beating;
   version_feed_t *feed;
   caller_port_t *port;
@@ -72,7 +73,13 @@
           .key = program->key,
           .rpc = entry->rpc };
   entry->peers = peer_ledger_new (&peer_options, err);
-  if (!entry->peers)
+  const shared_quarantine_options_t quarantine_options
+      = { .settings = settings,
+          .self = program->vm_id,
+          .incarnation = program->incarnation,
+          .rpc = entry->rpc };
+  entry->quarantine = shared_quarantine_new (&quarantine_options, err);
+  if (!entry->peers || !entry->quarantine)
     return false;
   const version_feed_options_t feed_options = { .settings = settings,
                                                 .vm = program->vm_id,
@@ -90,6 +97,7 @@
           .incarnation = program->incarnation,
           .routes = entry->routes,
           .peers = entry->peers,
+          .quarantine = entry->quarantine,
           .metrics = entry->metrics };
   entry->port = caller_port_open (&port_options, err);
   return entry->port != NULL;
@@ -113,6 +121,8 @@
     caller_port_free (entry->port);
   if (entry->peers)
     peer_ledger_free (entry->peers);
+  if (entry->quarantine)
+    shared_quarantine_free (entry->quarantine);
   if (entry->feed)
     version_feed_free (entry->feed);
   if (entry->routes)
--- a/src/wire/entry.x
+++ b/src/wire/entry.x
@@ -52,6 +52,25 @@
   bool leaving;
 };
 
+const ENTRY_MARKS_MAX = 64;
+
+struct entry_mark_t
+{
+  uint64_t fingerprint_low;
+  uint64_t fingerprint_high;
+  unsigned int seen_by;
+  uint64_t incarnation;
+  uint64_t number;
+  int64_t age;
+  bool cleared;
+  bool wide;
+};
+
+struct entry_marks_t
+{
+  entry_mark_t marks<ENTRY_MARKS_MAX>;
+};
+
 program MULBERRY_ENTRY
 {
   version MULBERRY_ENTRY_V1
@@ -59,5 +78,6 @@
     void ENTRY_GREET (void) = 0;
     entry_vote_t ENTRY_LEDGER (entry_ask_t) = 1;
     entry_heartbeat_t ENTRY_HEARTBEAT (entry_heartbeat_t) = 2;
+    void ENTRY_QUARANTINE (entry_marks_t) = 3;
   } = 1;
 } = 0x20004d02;
