--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -1,4 +1,4 @@
-#include "entry/job.h"
+#include "entry/job_claim.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,21 +14,16 @@
 {
   LINGER_MSEC = 1000,
   REFUSE_MSEC = 300,
-  VOTE_TIMEOUT_MSEC = 100,
-  CONTEND_PAUSE_MSEC = 30,
-  POLL_INTERVAL_MSEC = 40,
-  ASK_TIMEOUT_MSEC = 1000,
   PLACE_INTERVAL_MSEC = 2,
   HOP_WAIT_MSEC = 20,   /* for a slot, before another entry VM is told no */
   CRASH_HOLD_MSEC = 50, /* for the others to hear of a crash */
   SENDS_MAX = 16,
+  STATUS_SHED = 503,
   CANCEL_TIMEOUT_MSEC = 1000,
   RECORDED_BODY_BYTES = 16 * 1024,
 };
 
-static void job_event (job_t *job, const request_event_t *event, usec_t now);
-
-static void
+void
 job_simple_event (job_t *job, request_event_kind_t kind, usec_t now)
 {
   const request_event_t event
@@ -36,102 +31,6 @@
   job_event (job, &event, now);
 }
 
-/* --- Claims ----------------------------------------------------------- */
-
-static void
-send_ask (job_t *job, uint8_t replica, ledger_op_t op, usec_t now)
-{
-  job_world_t *world = job->world;
-  ledger_ask_t message = claim_message (&job->claim, op);
-  if (op == LEDGER_RECORD)
-    message.outcome = job->record;
-  vm_id_t vm = job->claim.options.ticket.replicas[replica].vm;
-  if (vm == world->self)
-    {
-      peer_vote_t *vote
-          = peer_ledger_ask_own (world->peers, job->number, replica, &message);
-      job_on_vote (job, vote, now);
-      free (vote);
-      return;
-    }
-  const peer_ask_t ask = { .vm = vm,
-                           .claimant = job->number,
-                           .replica = replica,
-                           .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
-                           .message = &message,
-                           .receiver = world->receive_vote,
-                           .closure = world->closure };
-  peer_ledger_ask (world->peers, &ask);
-}
-
-static void
-send_asks (job_t *job, const claim_asks_t *asks, usec_t now)
-{
-  for (size_t i = 0; i < asks->n; i++)
-    send_ask (job, asks->items[i].replica, asks->items[i].op, now);
-}
-
-/* Tell the request where its claim stands, once that is settled.  */
-static void
-report_claim (job_t *job, usec_t now)
-{
-  if (!job->request.claim_pending || !claim_is_settled (&job->claim))
-    return;
-  request_event_t event = { .kind = EVENT_CLAIM_SETTLED };
-  event.as.claim.phase = job->claim.phase;
-  event.as.claim.cause = job->claim.cause;
-  event.as.claim.generation = job->claim.generation;
-  event.as.claim.status = job->claim.outcome.status;
-  event.as.claim.body_kept = job->claim.outcome.body_kept;
-  job_event (job, &event, now);
-}
-
-static void
-start_claim (job_t *job, claim_intent_t intent, usec_t now)
-{
-  job_world_t *world = job->world;
-  if (job->claim_live)
-    claim_destroy (&job->claim);
-  const claim_options_t options
-      = { .order = CLAIM_ORDER_FIXED,
-          .intent = intent,
-          .ticket = job->exchange->parsed_ticket,
-          .attempt = { .vm = world->self,
-                       .incarnation = world->incarnation,
-                       .number = ++world->last_attempt },
-          .fingerprint = job->fingerprint,
-          .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
-          .contend_pause = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
-          .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
-          .deadline = request_wakeup (&job->request) };
-  claim_asks_t asks = { 0 };
-  claim_start (&job->claim, &options, now, &asks);
-  job->claim_live = true;
-  send_asks (job, &asks, now);
-  report_claim (job, now);
-}
-
-void
-job_on_vote (job_t *job, const peer_vote_t *vote, usec_t now)
-{
-  if (!job->claim_live)
-    return;
-  if (job->request.phase == REQUEST_ANSWERED)
-    {
-      if (vote->ok && vote->vote.kind == VOTE_DONE
-          && ++job->n_recorded >= ticket_majority (&job->claim.options.ticket))
-        job_simple_event (job, EVENT_RECORDED, now);
-      return;
-    }
-  claim_asks_t asks = { 0 };
-  if (vote->ok)
-    claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
-  else
-    claim_on_failure (&job->claim, vote->replica, now, &asks);
-  send_asks (job, &asks, now);
-  report_claim (job, now);
-}
-
 /* --- Placing ---------------------------------------------------------- */
 
 /* A request that may have crashed a backend server runs alone, or not at
@@ -206,11 +105,11 @@
 }
 
 static void
-send_forward (job_t *job, backend_request_t *request)
+send_forward (job_t *job, backend_request_t *request,
+              char credential[HOP_CREDENTIAL_BYTES])
 {
   const settings_t *settings = job->world->settings;
   const exchange_t *exchange = job->exchange;
-  char credential[HOP_CREDENTIAL_BYTES];
   const hop_t hop = { .vm = job->world->self,
                       .id = job->send_id,
                       .method = exchange->method,
@@ -231,6 +130,7 @@
   bool idempotent = job->request.options.idempotent;
   usec_t left = job->request.options.deadline - now;
   char deadline[32];
+  char credential[HOP_CREDENTIAL_BYTES];
   snprintf (deadline, sizeof deadline, "%lld",
             (long long)(left / USEC_PER_MSEC));
   snprintf (job->send_id, sizeof job->send_id, "%016" PRIx64 "-%" PRIx64,
@@ -249,7 +149,7 @@
           .once = !idempotent,
           .owner = job };
   if (job->request.forwarded)
-    send_forward (job, &request);
+    send_forward (job, &request, credential);
   else
     send_here (job, &request);
 }
@@ -398,6 +298,10 @@
   job->call = NULL;
   bool forwarded = job->request.forwarded;
   bool own = reply->whole && reply->id_matches;
+  bool refused
+      = own
+        && (forwarded ? strcmp (reply->outcome, "not-run") == 0
+                      : reply->not_started && reply->status == STATUS_SHED);
   if (own && !forwarded)
     backend_table_worked (job->world->table, job->backend);
   if (!forwarded)
@@ -408,7 +312,7 @@
       job->world->counters.foreign_answers++;
       job_simple_event (job, EVENT_BROKEN, now);
     }
-  else if (own && forwarded && strcmp (reply->outcome, "not-run") == 0)
+  else if (refused)
     reply_refused (job, reply, now);
   else if (own && forwarded && strcmp (reply->outcome, "unknown") == 0)
     {
@@ -417,8 +321,6 @@
       event.as.reason = reason_parse (reply->reason);
       job_event (job, &event, now);
     }
-  else if (own && !forwarded && reply->not_started && reply->status == 503)
-    reply_refused (job, reply, now);
   else if (own && (!forwarded || strcmp (reply->outcome, "answer") == 0))
     reply_answer (job, reply, now);
   else if (reply->cut)
@@ -498,7 +400,6 @@
 act (job_t *job, const request_action_t *action, usec_t now)
 {
   slots_t *slots = backend_table_slots (job->world->table);
-  claim_asks_t asks = { 0 };
   switch (action->kind)
     {
     case ACTION_PLACE:
@@ -506,7 +407,7 @@
       place (job, now);
       break;
     case ACTION_CLAIM:
-      start_claim (job, action->as.intent, now);
+      job_claim_start (job, action->as.intent, now);
       break;
     case ACTION_SEND:
       send_request (job, action->as.send_id, now);
@@ -515,12 +416,10 @@
       tell (job, &action->as.outcome);
       break;
     case ACTION_RELEASE_CLAIM:
-      claim_release (&job->claim, &asks);
-      send_asks (job, &asks, now);
+      job_claim_release (job, now);
       break;
     case ACTION_RECORD:
-      claim_record (&job->claim, &asks);
-      send_asks (job, &asks, now);
+      job_claim_record (job, now);
       break;
     case ACTION_CANCEL_TARGET:
       cancel_target (job);
@@ -541,7 +440,7 @@
     act (job, &actions->items[i], now);
 }
 
-static void
+void
 job_event (job_t *job, const request_event_t *event, usec_t now)
 {
   request_actions_t actions = { 0 };
@@ -590,14 +489,7 @@
 void
 job_tick (job_t *job, usec_t now)
 {
-  if (job->claim_live && !claim_is_settled (&job->claim)
-      && now >= claim_wakeup (&job->claim))
-    {
-      claim_asks_t asks = { 0 };
-      claim_tick (&job->claim, now, &asks);
-      send_asks (job, &asks, now);
-      report_claim (job, now);
-    }
+  job_claim_tick (job, now);
   if (job->broken_due && now >= job->broken_due)
     {
       job->broken_due = 0;
--- /dev/null
+++ b/src/entry/job_claim.c
@@ -0,0 +1,133 @@
+#include "entry/job_claim.h"
+
+#include <stdlib.h>
+
+enum
+{
+  VOTE_TIMEOUT_MSEC = 100,
+  CONTEND_PAUSE_MSEC = 30,
+  POLL_INTERVAL_MSEC = 40,
+  ASK_TIMEOUT_MSEC = 1000,
+};
+
+static void
+send_ask (job_t *job, uint8_t replica, ledger_op_t op, usec_t now)
+{
+  job_world_t *world = job->world;
+  ledger_ask_t message = claim_message (&job->claim, op);
+  if (op == LEDGER_RECORD)
+    message.outcome = job->record;
+  vm_id_t vm = job->claim.options.ticket.replicas[replica].vm;
+  if (vm == world->self)
+    {
+      peer_vote_t *vote
+          = peer_ledger_ask_own (world->peers, job->number, replica, &message);
+      job_on_vote (job, vote, now);
+      free (vote);
+      return;
+    }
+  const peer_ask_t ask = { .vm = vm,
+                           .claimant = job->number,
+                           .replica = replica,
+                           .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
+                           .message = &message,
+                           .receiver = world->receive_vote,
+                           .closure = world->closure };
+  peer_ledger_ask (world->peers, &ask);
+}
+
+static void
+send_asks (job_t *job, const claim_asks_t *asks, usec_t now)
+{
+  for (size_t i = 0; i < asks->n; i++)
+    send_ask (job, asks->items[i].replica, asks->items[i].op, now);
+}
+
+/* Tell the request where its claim stands, once that is settled.  */
+static void
+report_claim (job_t *job, usec_t now)
+{
+  if (!job->request.claim_pending || !claim_is_settled (&job->claim))
+    return;
+  request_event_t event = { .kind = EVENT_CLAIM_SETTLED };
+  event.as.claim.phase = job->claim.phase;
+  event.as.claim.cause = job->claim.cause;
+  event.as.claim.generation = job->claim.generation;
+  event.as.claim.status = job->claim.outcome.status;
+  event.as.claim.body_kept = job->claim.outcome.body_kept;
+  job_event (job, &event, now);
+}
+
+void
+job_claim_start (job_t *job, claim_intent_t intent, usec_t now)
+{
+  job_world_t *world = job->world;
+  if (job->claim_live)
+    claim_destroy (&job->claim);
+  const claim_options_t options
+      = { .order = CLAIM_ORDER_FIXED,
+          .intent = intent,
+          .ticket = job->exchange->parsed_ticket,
+          .attempt = { .vm = world->self,
+                       .incarnation = world->incarnation,
+                       .number = ++world->last_attempt },
+          .fingerprint = job->fingerprint,
+          .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
+          .contend_pause = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
+          .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
+          .deadline = request_wakeup (&job->request) };
+  claim_asks_t asks = { 0 };
+  claim_start (&job->claim, &options, now, &asks);
+  job->claim_live = true;
+  send_asks (job, &asks, now);
+  report_claim (job, now);
+}
+
+void
+job_on_vote (job_t *job, const peer_vote_t *vote, usec_t now)
+{
+  if (!job->claim_live)
+    return;
+  if (job->request.phase == REQUEST_ANSWERED)
+    {
+      if (vote->ok && vote->vote.kind == VOTE_DONE
+          && ++job->n_recorded >= ticket_majority (&job->claim.options.ticket))
+        job_simple_event (job, EVENT_RECORDED, now);
+      return;
+    }
+  claim_asks_t asks = { 0 };
+  if (vote->ok)
+    claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
+  else
+    claim_on_failure (&job->claim, vote->replica, now, &asks);
+  send_asks (job, &asks, now);
+  report_claim (job, now);
+}
+
+void
+job_claim_tick (job_t *job, usec_t now)
+{
+  if (!job->claim_live || claim_is_settled (&job->claim)
+      || now < claim_wakeup (&job->claim))
+    return;
+  claim_asks_t asks = { 0 };
+  claim_tick (&job->claim, now, &asks);
+  send_asks (job, &asks, now);
+  report_claim (job, now);
+}
+
+void
+job_claim_release (job_t *job, usec_t now)
+{
+  claim_asks_t asks = { 0 };
+  claim_release (&job->claim, &asks);
+  send_asks (job, &asks, now);
+}
+
+void
+job_claim_record (job_t *job, usec_t now)
+{
+  claim_asks_t asks = { 0 };
+  claim_record (&job->claim, &asks);
+  send_asks (job, &asks, now);
+}
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -7,7 +7,6 @@
    POST /fake?KEY=VALUE changes one backend server's behaviour while it runs:
    service_time_us, shed_permille, draining, load_busy, silent_after.  */
 
-#include <argp.h>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -20,6 +19,7 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include "backend.h"
 #include "base/clock.h"
 #include "base/list.h"
 #include "base/random.h"
@@ -27,39 +27,14 @@
 
 enum
 {
-  BACKENDS_MAX = 128,
-  NAME_MAX_BYTES = 48,
   TEXT_MAX_BYTES = 128,
   BODY_MAX_BYTES = 1024 * 1024,
   EVENTS_MAX = 256,
   SPARE_CONNECTIONS = 64, /* taken beyond the limit, to count violations */
   COLD_FACTOR = 10,
   EXIT_POISONED = 70,
-  EXIT_USAGE_ERROR = 2,
 };
 
-typedef struct behaviour
-{
-  usec_t service_time;
-  int shed_permille;
-  int draining;
-  int load_busy; /* what /load claims; -1: the truth */
-  int silent_after;
-} behaviour_t;
-
-typedef struct backend
-{
-  char name[NAME_MAX_BYTES];
-  char service[NAME_MAX_BYTES];
-  struct sockaddr_in address;
-  unsigned slots;
-  unsigned connections_max;
-  unsigned busy;
-  unsigned connections;
-  struct MHD_Daemon *daemon;
-  behaviour_t behaviour;
-} backend_t;
-
 struct run;
 
 typedef struct client
@@ -87,21 +62,6 @@
   bool cancelled;
 } run_t;
 
-static struct
-{
-  backend_t backends[BACKENDS_MAX];
-  size_t n_backends;
-  behaviour_t behaviour;
-  usec_t cold;
-  usec_t started;
-  const char *journal_path;
-  int journal;
-  uint64_t seed;
-  random_state_t random;
-  list_t running;
-  int epoll;
-} fake = { .behaviour = { .load_busy = -1 }, .journal = -1, .seed = 1 };
-
 static void __attribute__ ((format (printf, 1, 2)))
 journal (const char *format, ...)
 {
@@ -567,81 +527,6 @@
     }
 }
 
-static void
-parse_backend (char *text, struct argp_state *state)
-{
-  if (fake.n_backends == BACKENDS_MAX)
-    argp_error (state, "more than %d backend servers", BACKENDS_MAX);
-  backend_t *backend = &fake.backends[fake.n_backends++];
-  char ip[32];
-  unsigned port;
-  backend->connections_max = 330;
-  int n = sscanf (text, "%47[^,],%47[^,],%31[^,],%u,%u,%u", backend->name,
-                  backend->service, ip, &port, &backend->slots,
-                  &backend->connections_max);
-  backend->address.sin_family = AF_INET;
-  if (n < 5 || port > UINT16_MAX
-      || inet_pton (AF_INET, ip, &backend->address.sin_addr) != 1)
-    argp_error (state,
-                "--backend is NAME,SERVICE,IP,PORT,SLOTS"
-                "[,CONNECTIONS], not '%s'",
-                text);
-  backend->address.sin_port = htons ((uint16_t)port);
-}
-
-static const struct argp_option options[] = {
-  { "backend", 'b', "NAME,SERVICE,IP,PORT,SLOTS[,CONNECTIONS]", 0,
-    "Play this backend server (repeated)" },
-  { "service-time-us", 't', "MEAN", 0, "Mean service time; 0 is at once" },
-  { "cold-ms", 'c', "MS", 0, "Start ten times as slow, for MS" },
-  { "shed-permille", 's', "N", 0, "Refuse N of 1000 before the start" },
-  { "load-busy", 'l', "N", 0, "What /load claims, true or not" },
-  { "silent-after", 'q', "N", 0,
-    "A connection goes silent for good after N requests" },
-  { "journal", 'j', "FILE", 0, "Append a line for each start and end" },
-  { "seed", 'S', "N", 0, "Seed of service times and refusals" },
-  { 0 },
-};
-
-static error_t
-parse_option (int key, char *text, struct argp_state *state)
-{
-  int number = text ? (int)strtol (text, NULL, 10) : 0;
-  switch (key)
-    {
-    case 'b':
-      parse_backend (text, state);
-      return 0;
-    case 't':
-      fake.behaviour.service_time = number;
-      return 0;
-    case 'c':
-      fake.cold = number * USEC_PER_MSEC;
-      return 0;
-    case 's':
-      fake.behaviour.shed_permille = number;
-      return 0;
-    case 'l':
-      fake.behaviour.load_busy = number;
-      return 0;
-    case 'q':
-      fake.behaviour.silent_after = number;
-      return 0;
-    case 'j':
-      fake.journal_path = text;
-      return 0;
-    case 'S':
-      fake.seed = strtoull (text, NULL, 10);
-      return 0;
-    case ARGP_KEY_END:
-      if (fake.n_backends == 0)
-        argp_error (state, "give at least one --backend");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
-}
-
 static int
 open_signals (void)
 {
@@ -660,14 +545,7 @@
 int
 main (int argc, char **argv)
 {
-  static const struct argp argp
-      = { options, parse_option, NULL,
-          "Plays backend servers for tests.\v"
-          "Query arguments of a request: caller, bytes, us, poison, silent, "
-          "short, chunked, crossed.  POST /fake?KEY=VALUE changes "
-          "service_time_us, shed_permille, draining, load_busy, "
-          "silent_after.  SIGTERM ends it." };
-  argp_parse (&argp, argc, argv, 0, NULL, NULL);
+  fake_parse (argc, argv);
   list_init (&fake.running);
   random_seed (&fake.random, fake.seed);
   fake.started = clock_monotonic ();
--- a/test/fakes/fake_relay.c
+++ b/test/fakes/fake_relay.c
@@ -219,29 +219,37 @@
     }
 }
 
+/* Write one chunk: 1 done, 0 not yet, -1 the other side is gone.  */
+static int
+chunk_write (const pipe_end_t *end, chunk_t *chunk)
+{
+  if (chunk->bytes == 0)
+    shutdown (end->peer->fd, SHUT_WR);
+  while (chunk->sent < chunk->bytes)
+    {
+      ssize_t n = send (end->peer->fd, chunk->data + chunk->sent,
+                        chunk->bytes - chunk->sent, MSG_NOSIGNAL);
+      if (n < 0)
+        return errno == EAGAIN || errno == ENOTCONN ? 0 : -1;
+      chunk->sent += (size_t)n;
+    }
+  return 1;
+}
+
 /* Write what is due; false where the other side is gone.  */
 static bool
 end_write (pipe_end_t *end, usec_t now)
 {
-  while (!list_empty (&end->queue))
-    {
-      chunk_t *chunk = LIST_ENTRY (end->queue.next, chunk_t, link);
-      if (chunk->due > now)
-        return true;
-      if (chunk->bytes == 0)
-        shutdown (end->peer->fd, SHUT_WR);
-      while (chunk->sent < chunk->bytes)
-        {
-          ssize_t n = send (end->peer->fd, chunk->data + chunk->sent,
-                            chunk->bytes - chunk->sent, MSG_NOSIGNAL);
-          if (n < 0)
-            return errno == EAGAIN || errno == ENOTCONN;
-          chunk->sent += (size_t)n;
-        }
-      list_remove (&chunk->link);
-      free (chunk);
-      end->n_queued--;
-    }
+  LIST_FOREACH (link, &end->queue)
+  {
+    chunk_t *chunk = LIST_ENTRY (link, chunk_t, link);
+    int written = chunk->due > now ? 0 : chunk_write (end, chunk);
+    if (written <= 0)
+      return written == 0;
+    list_remove (link);
+    end->n_queued--;
+    free (chunk);
+  }
   return true;
 }
 
@@ -318,8 +326,11 @@
 {
   char *comma = strchr (text, ',');
   if (relay.n_routes == ROUTES_MAX || !comma)
-    argp_error (state, "--route is IP:PORT,IP:PORT, at most %d of them",
-                ROUTES_MAX);
+    {
+      argp_error (state, "--route is IP:PORT,IP:PORT, at most %d of them",
+                  ROUTES_MAX);
+      return;
+    }
   *comma = '\0';
   route_t *route = &relay.routes[relay.n_routes++];
   if (!parse_address (text, &route->from)
