--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -13,6 +13,7 @@
 #include "entry/exchange.h"
 #include "entry/peer_ledger.h"
 #include "entry/route_table.h"
+#include "entry/shared_quarantine.h"
 #include "entry/spend_share.h"
 #include "settings/settings_defs.h"
 
@@ -26,6 +27,7 @@
   route_table_t *routes;
   peer_ledger_t *peers;
   spend_share_t *spend;
+  shared_quarantine_t *quarantine;
   entry_metrics_t *metrics;
 } caller_port_options_t;
 
