fix(wire): a greeting's address outlives the call that asked for it

Cause: the greeting copied the address pointer of the first waiting call; when that call ended first, the greeting's failure read freed memory. Found by test_faults.sh under AddressSanitizer (five of nine entry VMs stopped with heap-use-after-free in call_fail).

Ruled out: the entry VM's own closures, which live until rpc_close.

The functional tests take NET from the environment: a second run of the same test on the same addresses made 159 answers look as if they had never run, since the other run's fake backend servers gave them.

--- a/src/wire/rpc_client.c
+++ b/src/wire/rpc_client.c
@@ -155,6 +155,7 @@
     abort ();
   *greeting = (greeting_t){ .rpc = rpc, .peer = peer };
   call->request = *like;
+  call->request.address = peer->address; /* LIKE may end first */
   call->request.procedure = RPC_GREETING_PROCEDURE;
   call->request.done = greeting_done;
   call->request.closure = greeting;
--- a/test/functional/test_faults.sh
+++ b/test/functional/test_faults.sh
@@ -7,12 +7,12 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=43
+NET=${NET:-43}
 SEED=${SEED:-1}
 LOAD_SECONDS=${SECONDS_OF_LOAD:-12}
 FOLDER=$(mktemp -d)
 source "$SOURCE/test/functional/cluster.sh"
-trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
+trap 'cluster_kill; [ -n "${KEEP_LOGS:-}" ] && cp -r "$FOLDER" "$KEEP_LOGS"; rm -rf "$FOLDER"' EXIT
 
 cluster_prepare
 # A short longest deadline, so that a restarted owner of slots is quiet for
