--- a/test/functional/test_faults.sh
+++ b/test/functional/test_faults.sh
@@ -7,7 +7,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=43
+NET=${NET:-43}
 SEED=${SEED:-1}
 LOAD_SECONDS=${SECONDS_OF_LOAD:-12}
 FOLDER=$(mktemp -d)
--- a/test/functional/test_poison.sh
+++ b/test/functional/test_poison.sh
@@ -5,7 +5,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=43
+NET=${NET:-43}
 FOLDER=$(mktemp -d)
 source "$SOURCE/test/functional/cluster.sh"
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
