fix(entry): a request waits for spend that is on its way

Cause: a VM that has just started holds no spend until its first ask is answered, some tens of milliseconds after the sheet came into force; requests in between were refused as not run for cost_cap, though the cap was hardly used. Seen by test/functional/test_stop.sh: 14 of 7,280 requests refused during planned stops. An empty share now lets a request wait as for a slot, unless the last ask was not met in full or no control VM answers.

Ruled out: a larger step, which only moves the moment.

--- a/src/entry/costs.c
+++ b/src/entry/costs.c
@@ -49,26 +49,24 @@
   spend_share_open (costs->options.spend, budget, cap);
 }
 
-bool
+costs_result_t
 costs_take (costs_t *costs, const costs_use_t *use, spend_charge_t *charge,
-            request_reason_t *reason, usec_t now)
+            usec_t now)
 {
   const topology_t *topology = &costs->options.settings->topology;
   money_t price
       = route_table_price (costs->options.routes, use->service, use->region);
-  if (!spend_share_charge (costs->options.spend, price, charge))
-    {
-      *reason = REASON_COST_CAP;
-      return false;
-    }
+  spend_result_t spend
+      = spend_share_charge (costs->options.spend, price, charge);
+  if (spend != SPEND_CHARGED)
+    return spend == SPEND_LATER ? COSTS_LATER : COSTS_CAP;
   size_t answer_bytes = topology->services[use->service].answer_bytes;
   if (link_shares_charge (costs->links, use->region,
                           use->request_bytes + HEADER_BYTES,
                           answer_bytes + HEADER_BYTES, now))
-    return true;
+    return COSTS_TAKEN;
   costs_refund (costs, charge);
-  *reason = REASON_LINK_FULL;
-  return false;
+  return COSTS_LINK_FULL;
 }
 
 void
--- a/src/entry/costs.h
+++ b/src/entry/costs.h
@@ -35,10 +35,18 @@
 /* Follow the sheet in force.  */
 void costs_tick (costs_t *costs);
 
-/* Charge USE; false with *REASON, and nothing charged, where a share does
-   not hold it.  CHARGE is the price, for costs_refund.  */
-bool costs_take (costs_t *costs, const costs_use_t *use,
-                 spend_charge_t *charge, request_reason_t *reason, usec_t now);
+typedef enum
+{
+  COSTS_TAKEN,
+  COSTS_LATER,     /* try again in a moment */
+  COSTS_LINK_FULL, /* try another region */
+  COSTS_CAP,       /* the shift's cost cap is used up */
+} costs_result_t;
+
+/* Charge USE, whole or not at all.  CHARGE is the price, for
+   costs_refund.  */
+costs_result_t costs_take (costs_t *costs, const costs_use_t *use,
+                           spend_charge_t *charge, usec_t now);
 
 /* The request was not run: its price is given back.  Its bytes are not: the
    links' shares fill up again by themselves.  */
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -52,18 +52,18 @@
 
 /* Charge what going to PLACE costs.  The VM that the caller chose pays; one
    that it was forwarded to does not.  */
-static bool
-charge (job_t *job, const place_t *place, request_reason_t *reason, usec_t now)
+static costs_result_t
+charge (job_t *job, const place_t *place, usec_t now)
 {
   if (job->request.options.role == REQUEST_HOP)
-    return true;
+    return COSTS_TAKEN;
   const topology_t *topology = &job->world->settings->topology;
   vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
   const costs_use_t use = { .service = job->exchange->service,
                             .region = topology_region_of_vm (topology, vm),
                             .request_bytes = job->exchange->body_bytes };
   job->charge_sent = false;
-  return costs_take (job->world->costs, &use, &job->charge, reason, now);
+  return costs_take (job->world->costs, &use, &job->charge, now);
 }
 
 /* The first place that is free and paid for; another region is tried where
@@ -78,12 +78,17 @@
           job->world->table, job->exchange->service,
           job->request.options.deadline, job->tried, !is_hop, now);
       found = heed_quarantine (job, found);
-      if ((found.kind != PLACE_HERE && found.kind != PLACE_FORWARD)
-          || charge (job, &found, reason, now))
+      if (found.kind != PLACE_HERE && found.kind != PLACE_FORWARD)
+        return found;
+      costs_result_t costs = charge (job, &found, now);
+      if (costs == COSTS_TAKEN)
         return found;
       if (found.kind == PLACE_HERE)
         slots_free (backend_table_slots (job->world->table), &found.token);
-      if (found.kind == PLACE_HERE || *reason == REASON_COST_CAP)
+      if (costs == COSTS_LATER)
+        return (place_t){ .kind = PLACE_WAIT };
+      *reason = costs == COSTS_CAP ? REASON_COST_CAP : REASON_LINK_FULL;
+      if (costs == COSTS_CAP)
         return (place_t){ .kind = PLACE_NOWHERE };
       job->tried |= UINT64_C (1) << found.vm;
     }
--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -33,7 +33,10 @@
   bool asking;           /* a call is under way */
   int64_t returned;      /* that the granter has heard of */
   int64_t returned_sent; /* in the call under way */
-  size_t leader;         /* the control VM that is asked, by VM index */
+  int64_t wanted_sent;
+  bool is_short;     /* the last answer granted less than was asked for */
+  size_t n_unserved; /* asks in a row that no leader answered */
+  size_t leader;     /* the control VM that is asked, by VM index */
 };
 
 static void
@@ -60,26 +63,40 @@
                                 ? share->holder.account.generation
                                 : share->options.generation;
       share->budget = budget;
+      share->is_short = false;
       holder_open (share, generation, step + 1);
       pthread_cond_signal (&share->changed);
     }
   pthread_mutex_unlock (&share->lock);
 }
 
-bool
+/* Nothing may be hoped for soon.  */
+static bool
+is_used_up (const spend_share_t *share)
+{
+  return share->is_short
+         || share->n_unserved >= share->options.settings->topology.n_vms;
+}
+
+spend_result_t
 spend_share_charge (spend_share_t *share, int64_t amount,
                     spend_charge_t *charge)
 {
   usec_t now = clock_monotonic ();
+  spend_result_t result = SPEND_CHARGED;
   pthread_mutex_lock (&share->lock);
-  bool ok = share->budget > 0
-            && escrow_holder_charge (&share->holder, amount, now, now);
-  if (ok)
+  if (share->budget > 0
+      && escrow_holder_charge (&share->holder, amount, now, now))
     *charge = (spend_charge_t){ .budget = share->budget,
                                 .generation = share->holder.account.generation,
                                 .amount = amount };
+  else
+    {
+      result = is_used_up (share) ? SPEND_REFUSED : SPEND_LATER;
+      pthread_cond_signal (&share->changed);
+    }
   pthread_mutex_unlock (&share->lock);
-  return ok;
+  return result;
 }
 
 void
@@ -138,7 +155,10 @@
           .granted = answer->granted,
           .recall = answer->recall };
   if (answer->generation == share->holder.account.generation)
-    share->returned = share->returned_sent;
+    {
+      share->returned = share->returned_sent;
+      share->is_short = answer->granted < share->wanted_sent;
+    }
   escrow_holder_answer (&share->holder, &given, now);
 }
 
@@ -152,8 +172,14 @@
   pthread_mutex_lock (&share->lock);
   share->asking = false;
   if (answer.verdict == CONTROL_SPEND_REFUSED)
-    leader_next (share);
-  else if (answer.budget == share->budget)
+    {
+      share->n_unserved++;
+      leader_next (share);
+    }
+  else
+    share->n_unserved = 0;
+  if (answer.verdict != CONTROL_SPEND_REFUSED
+      && answer.budget == share->budget)
     take_answer (share, &answer);
   pthread_cond_signal (&share->changed);
   pthread_mutex_unlock (&share->lock);
@@ -183,6 +209,7 @@
           .done = on_answer,
           .closure = share };
   share->returned_sent = ask->returned;
+  share->wanted_sent = ask->wanted;
   share->asking = true;
   rpc_send (share->options.rpc, &request);
 }
--- a/src/entry/spend_share.h
+++ b/src/entry/spend_share.h
@@ -47,9 +47,16 @@
 /* A sheet with this BUDGET and CAP came into force.  */
 void spend_share_open (spend_share_t *share, uint64_t budget, money_t cap);
 
-/* Charge AMOUNT; false where the share does not hold it.  */
-bool spend_share_charge (spend_share_t *share, int64_t amount,
-                         spend_charge_t *charge);
+typedef enum
+{
+  SPEND_CHARGED,
+  SPEND_LATER,   /* the share is empty, and more is on its way */
+  SPEND_REFUSED, /* the cap is used up, or no control VM answers */
+} spend_result_t;
+
+/* Charge AMOUNT to the share.  */
+spend_result_t spend_share_charge (spend_share_t *share, int64_t amount,
+                                   spend_charge_t *charge);
 
 /* The request was not run.  A second call for the same charge does
    nothing.  */
