--- a/src/control/core_submissions.c
+++ b/src/control/core_submissions.c
@@ -7,7 +7,7 @@
   SUBMISSIONS_MAX = 128,
 };
 
-#define FORWARD_TIMEOUT (3 * USEC_PER_SEC)
+#define FORWARD_TIMEOUT USEC_PER_SEC
 
 submission_t *
 core_submission (core_thread_t *core, proposal_id_t id)
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -12,7 +12,7 @@
   TICK_NSEC = 20 * 1000 * 1000,
 };
 
-#define PEER_DEADLINE (2 * USEC_PER_SEC)
+#define PEER_DEADLINE USEC_PER_SEC
 
 static void
 core_wake (void *closure)
--- a/src/control/sheet_submit.c
+++ b/src/control/sheet_submit.c
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 /* Shorter than a client waits for an answer.  */
-#define SUBMIT_DEADLINE (6 * USEC_PER_SEC)
+#define SUBMIT_DEADLINE (3 * USEC_PER_SEC)
 
 static bool
 settled (const sheet_outcome_t *outcome, uint64_t number, err_t *err)
