--- a/src/admission/admit.c
+++ b/src/admission/admit.c
@@ -12,8 +12,8 @@
 
 /* A queue that was not empty for this long is standing, and is then kept to
    a wait of this many runs.  */
-static const usec_t standing_time = 200 * USEC_PER_MSEC;
-static const double standing_wait_runs = 2.0;
+static const usec_t standing_time = 400 * USEC_PER_MSEC;
+static const double standing_wait_runs = 3.0;
 
 void
 admit_init (admit_t *admit, const admit_options_t *options)
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -1,4 +1,4 @@
-#include "entry/job.h"
+#include "entry/job_claim.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -9,25 +9,22 @@
 #include "delivery/outcome.h"
 #include "delivery/quarantine.h"
 #include "entry/hop_credential.h"
+#include "placement/topology.h"
 
 enum
 {
   LINGER_MSEC = 1000,
   REFUSE_MSEC = 300,
-  VOTE_TIMEOUT_MSEC = 100,
-  CONTEND_PAUSE_MSEC = 30,
-  POLL_INTERVAL_MSEC = 40,
-  ASK_TIMEOUT_MSEC = 1000,
   PLACE_INTERVAL_MSEC = 2,
-  HOP_WAIT_MSEC = 20, /* for a slot, before another entry VM is told no */
+  HOP_WAIT_MSEC = 20,   /* for a slot, before another entry VM is told no */
+  CRASH_HOLD_MSEC = 50, /* for the others to hear of a crash */
   SENDS_MAX = 16,
+  STATUS_SHED = 503,
   CANCEL_TIMEOUT_MSEC = 1000,
   RECORDED_BODY_BYTES = 16 * 1024,
 };
 
-static void job_event (job_t *job, const request_event_t *event, usec_t now);
-
-static void
+void
 job_simple_event (job_t *job, request_event_kind_t kind, usec_t now)
 {
   const request_event_t event
@@ -35,111 +32,72 @@
   job_event (job, &event, now);
 }
 
-/* --- Claims ----------------------------------------------------------- */
-
-static void
-send_asks (job_t *job, const claim_asks_t *asks)
-{
-  const ticket_t *ticket = &job->claim.options.ticket;
-  for (size_t i = 0; i < asks->n; i++)
-    {
-      ledger_ask_t message = claim_message (&job->claim, asks->items[i].op);
-      if (message.op == LEDGER_RECORD)
-        message.outcome = job->record;
-      const peer_ask_t ask
-          = { .vm = ticket->replicas[asks->items[i].replica].vm,
-              .claimant = job->number,
-              .replica = asks->items[i].replica,
-              .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
-              .message = &message,
-              .receiver = job->world->receive_vote,
-              .closure = job->world->closure };
-      peer_ledger_ask (job->world->peers, &ask);
-    }
-}
+/* --- Placing ---------------------------------------------------------- */
 
-/* Tell the request where its claim stands, once that is settled.  */
-static void
-report_claim (job_t *job, usec_t now)
+/* A request that may have crashed a backend server runs alone, or not at
+   all.  */
+static place_t
+heed_quarantine (job_t *job, place_t found)
 {
-  if (!job->request.claim_pending || !claim_is_settled (&job->claim))
-    return;
-  request_event_t event = { .kind = EVENT_CLAIM_SETTLED };
-  event.as.claim.phase = job->claim.phase;
-  event.as.claim.cause = job->claim.cause;
-  event.as.claim.generation = job->claim.generation;
-  event.as.claim.status = job->claim.outcome.status;
-  event.as.claim.body_kept = job->claim.outcome.body_kept;
-  job_event (job, &event, now);
+  quarantine_verdict_t verdict = shared_quarantine_check (
+      job->world->quarantine, job->fingerprint, found.backend);
+  bool waits = verdict == QUARANTINE_LATER && found.kind == PLACE_HERE;
+  if (verdict != QUARANTINE_REFUSE && !waits)
+    return found;
+  if (found.kind == PLACE_HERE)
+    slots_free (backend_table_slots (job->world->table), &found.token);
+  found.kind = waits ? PLACE_WAIT : PLACE_QUARANTINED;
+  return found;
 }
 
-static fingerprint_t
-job_fingerprint (const job_t *job)
+/* Charge what going to PLACE costs.  The VM that the caller chose pays; one
+   that it was forwarded to does not.  */
+static bool
+charge (job_t *job, const place_t *place, request_reason_t *reason, usec_t now)
 {
-  const exchange_t *exchange = job->exchange;
+  if (job->request.options.role == REQUEST_HOP)
+    return true;
   const topology_t *topology = &job->world->settings->topology;
-  return quarantine_fingerprint (
-      topology->services[exchange->service].name.text, exchange->method,
-      exchange->service_path, exchange->body, exchange->body_bytes);
+  vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
+  const costs_use_t use = { .service = job->exchange->service,
+                            .region = topology_region_of_vm (topology, vm),
+                            .request_bytes = job->exchange->body_bytes };
+  job->charge_sent = false;
+  return costs_take (job->world->costs, &use, &job->charge, reason, now);
 }
 
-static void
-start_claim (job_t *job, claim_intent_t intent, usec_t now)
+/* The first place that is free and paid for; another region is tried where
+   the link to one is full.  */
+static place_t
+find_place (job_t *job, request_reason_t *reason, usec_t now)
 {
-  job_world_t *world = job->world;
-  if (job->claim_live)
-    claim_destroy (&job->claim);
-  const claim_options_t options
-      = { .order = CLAIM_ORDER_FIXED,
-          .intent = intent,
-          .ticket = job->exchange->parsed_ticket,
-          .attempt = { .vm = world->self,
-                       .incarnation = world->incarnation,
-                       .number = ++world->last_attempt },
-          .fingerprint = job_fingerprint (job),
-          .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
-          .contend_pause = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
-          .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
-          .deadline = request_wakeup (&job->request) };
-  claim_asks_t asks = { 0 };
-  claim_start (&job->claim, &options, now, &asks);
-  job->claim_live = true;
-  send_asks (job, &asks);
-  report_claim (job, now);
-}
-
-void
-job_on_vote (job_t *job, const peer_vote_t *vote, usec_t now)
-{
-  if (!job->claim_live)
-    return;
-  if (job->request.phase == REQUEST_ANSWERED)
+  bool is_hop = job->request.options.role == REQUEST_HOP;
+  for (;;)
     {
-      if (vote->ok && vote->vote.kind == VOTE_DONE
-          && ++job->n_recorded >= ticket_majority (&job->claim.options.ticket))
-        job_simple_event (job, EVENT_RECORDED, now);
-      return;
+      place_t found = backend_table_place (
+          job->world->table, job->exchange->service,
+          job->request.options.deadline, job->tried, !is_hop, now);
+      found = heed_quarantine (job, found);
+      if ((found.kind != PLACE_HERE && found.kind != PLACE_FORWARD)
+          || charge (job, &found, reason, now))
+        return found;
+      if (found.kind == PLACE_HERE)
+        slots_free (backend_table_slots (job->world->table), &found.token);
+      if (found.kind == PLACE_HERE || *reason == REASON_COST_CAP)
+        return (place_t){ .kind = PLACE_NOWHERE };
+      job->tried |= UINT64_C (1) << found.vm;
     }
-  claim_asks_t asks = { 0 };
-  if (vote->ok)
-    claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
-  else
-    claim_on_failure (&job->claim, vote->replica, now, &asks);
-  send_asks (job, &asks);
-  report_claim (job, now);
 }
 
-/* --- Placing ---------------------------------------------------------- */
-
 static void
 place (job_t *job, usec_t now)
 {
   bool is_hop = job->request.options.role == REQUEST_HOP;
-  place_t found = backend_table_place (
-      job->world->table, job->exchange->service, job->request.options.deadline,
-      job->tried, !is_hop, now);
   request_event_t event = { .kind = EVENT_NOT_PLACED };
   event.as.reason = REASON_NO_CAPACITY;
+  place_t found = find_place (job, &event.as.reason, now);
+  if (found.kind == PLACE_QUARANTINED)
+    event.as.reason = REASON_QUARANTINED;
   bool gives_up
       = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
   switch (found.kind)
@@ -161,6 +119,7 @@
       job->tried = 0;
       return;
     case PLACE_NOWHERE:
+    case PLACE_QUARANTINED:
       break;
     }
   job->waiting = false;
@@ -177,15 +136,18 @@
   request->address = backend->address;
   request->port = backend->port;
   request->path = job->exchange->service_path;
+  job->crash_noted = false;
+  shared_quarantine_on_send (job->world->quarantine, job->fingerprint,
+                             job->backend);
   job->call = backend_client_call (job->world->client, request);
 }
 
 static void
-send_forward (job_t *job, backend_request_t *request)
+send_forward (job_t *job, backend_request_t *request,
+              char credential[HOP_CREDENTIAL_BYTES])
 {
   const settings_t *settings = job->world->settings;
   const exchange_t *exchange = job->exchange;
-  char credential[HOP_CREDENTIAL_BYTES];
   const hop_t hop = { .vm = job->world->self,
                       .id = job->send_id,
                       .method = exchange->method,
@@ -206,6 +168,7 @@
   bool idempotent = job->request.options.idempotent;
   usec_t left = job->request.options.deadline - now;
   char deadline[32];
+  char credential[HOP_CREDENTIAL_BYTES];
   snprintf (deadline, sizeof deadline, "%lld",
             (long long)(left / USEC_PER_MSEC));
   snprintf (job->send_id, sizeof job->send_id, "%016" PRIx64 "-%" PRIx64,
@@ -223,8 +186,9 @@
           .timeout = idempotent ? left / 2 : left + USEC_PER_SEC,
           .once = !idempotent,
           .owner = job };
+  job->charge_sent = true;
   if (job->request.forwarded)
-    send_forward (job, &request);
+    send_forward (job, &request, credential);
   else
     send_here (job, &request);
 }
@@ -289,6 +253,7 @@
   request_event_t event
       = { .kind = EVENT_TARGET_REFUSED, .request_id = job->request.send_id };
   event.as.refusal.reason = REASON_BACKEND_FAILED;
+  costs_refund (job->world->costs, &job->charge);
   if (job->request.forwarded)
     {
       event.as.refusal.reason = reason_parse (reply->reason);
@@ -339,11 +304,19 @@
   job_event (job, &event, now);
 }
 
+/* CLOSED_ON_IT: the connection ended with the request on it, which is taken
+   for a crash.  What follows waits until the other entry VMs have heard.  */
 static void
-reply_broken (job_t *job, usec_t now)
+reply_broken (job_t *job, bool closed_on_it, usec_t now)
 {
   if (!job->request.forwarded)
     backend_table_broke (job->world->table, job->backend, now);
+  if (!job->request.forwarded && closed_on_it)
+    {
+      job->world->crashed (job->world->closure, job);
+      job->broken_due = now + CRASH_HOLD_MSEC * USEC_PER_MSEC;
+      return;
+    }
   job_simple_event (job, EVENT_BROKEN, now);
 }
 
@@ -365,14 +338,21 @@
   job->call = NULL;
   bool forwarded = job->request.forwarded;
   bool own = reply->whole && reply->id_matches;
+  bool refused
+      = own
+        && (forwarded ? strcmp (reply->outcome, "not-run") == 0
+                      : reply->not_started && reply->status == STATUS_SHED);
   if (own && !forwarded)
     backend_table_worked (job->world->table, job->backend);
+  if (!forwarded)
+    shared_quarantine_on_end (job->world->quarantine, job->fingerprint,
+                              job->backend, own && !reply->not_started);
   if (reply->whole && !reply->id_matches)
     {
       job->world->counters.foreign_answers++;
       job_simple_event (job, EVENT_BROKEN, now);
     }
-  else if (own && forwarded && strcmp (reply->outcome, "not-run") == 0)
+  else if (refused)
     reply_refused (job, reply, now);
   else if (own && forwarded && strcmp (reply->outcome, "unknown") == 0)
     {
@@ -381,14 +361,18 @@
       event.as.reason = reason_parse (reply->reason);
       job_event (job, &event, now);
     }
-  else if (own && !forwarded && reply->not_started && reply->status == 503)
-    reply_refused (job, reply, now);
   else if (own && (!forwarded || strcmp (reply->outcome, "answer") == 0))
     reply_answer (job, reply, now);
   else if (reply->cut)
     reply_cut (job, now);
   else
-    reply_broken (job, now);
+    reply_broken (job, reply->sent && !reply->timed_out, now);
+}
+
+bool
+job_is_on (const job_t *job, uint32_t backend)
+{
+  return job->call && !job->request.forwarded && job->backend == backend;
 }
 
 /* --- Outcomes --------------------------------------------------------- */
@@ -403,6 +387,8 @@
       return "get a new ticket with GET /v1/lookup?...&ticket=1";
     case REASON_TICKET_CONFLICT:
       return "use one ticket for one request only";
+    case REASON_COST_CAP:
+      return "wait for the next shift, or submit a sheet with a higher cap";
     case REASON_QUARANTINED:
       return "don't send this request again: it stops backend servers";
     case REASON_ANSWER_NOT_KEPT:
@@ -436,6 +422,7 @@
       break;
     case OUTCOME_NOT_RUN:
       exchange->outcome = EXCHANGE_NOT_RUN;
+      costs_refund (job->world->costs, &job->charge);
       break;
     case OUTCOME_UNKNOWN:
       exchange->outcome = EXCHANGE_UNKNOWN;
@@ -456,7 +443,6 @@
 act (job_t *job, const request_action_t *action, usec_t now)
 {
   slots_t *slots = backend_table_slots (job->world->table);
-  claim_asks_t asks = { 0 };
   switch (action->kind)
     {
     case ACTION_PLACE:
@@ -464,7 +450,7 @@
       place (job, now);
       break;
     case ACTION_CLAIM:
-      start_claim (job, action->as.intent, now);
+      job_claim_start (job, action->as.intent, now);
       break;
     case ACTION_SEND:
       send_request (job, action->as.send_id, now);
@@ -473,12 +459,10 @@
       tell (job, &action->as.outcome);
       break;
     case ACTION_RELEASE_CLAIM:
-      claim_release (&job->claim, &asks);
-      send_asks (job, &asks);
+      job_claim_release (job, now);
       break;
     case ACTION_RECORD:
-      claim_record (&job->claim, &asks);
-      send_asks (job, &asks);
+      job_claim_record (job, now);
       break;
     case ACTION_CANCEL_TARGET:
       cancel_target (job);
@@ -499,7 +483,7 @@
     act (job, &actions->items[i], now);
 }
 
-static void
+void
 job_event (job_t *job, const request_event_t *event, usec_t now)
 {
   request_actions_t actions = { 0 };
@@ -509,11 +493,22 @@
   act_all (job, &actions, now);
 }
 
+static fingerprint_t
+fingerprint_of (const job_t *job)
+{
+  const exchange_t *exchange = job->exchange;
+  const topology_t *topology = &job->world->settings->topology;
+  return quarantine_fingerprint (
+      topology->services[exchange->service].name.text, exchange->method,
+      exchange->service_path, exchange->body, exchange->body_bytes);
+}
+
 void
 job_start (job_t *job, job_world_t *world, exchange_t *exchange, usec_t now)
 {
   job->world = world;
   job->exchange = exchange;
+  job->fingerprint = fingerprint_of (job);
   const request_options_t options
       = { .role = exchange->is_hop ? REQUEST_HOP : REQUEST_ORIGIN,
           .idempotent = exchange_is_idempotent (exchange),
@@ -537,13 +532,11 @@
 void
 job_tick (job_t *job, usec_t now)
 {
-  if (job->claim_live && !claim_is_settled (&job->claim)
-      && now >= claim_wakeup (&job->claim))
+  job_claim_tick (job, now);
+  if (job->broken_due && now >= job->broken_due)
     {
-      claim_asks_t asks = { 0 };
-      claim_tick (&job->claim, now, &asks);
-      send_asks (job, &asks);
-      report_claim (job, now);
+      job->broken_due = 0;
+      job_simple_event (job, EVENT_BROKEN, now);
     }
   if (now >= request_wakeup (&job->request))
     job_simple_event (job, EVENT_TICK, now);
@@ -566,6 +559,8 @@
   if (!job->request.told)
     tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
                                      .reason = REASON_DRAINING });
+  if (!job->charge_sent)
+    costs_refund (job->world->costs, &job->charge);
   if (job->claim_live)
     claim_destroy (&job->claim);
   if (job->record.body_kept)
