--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -157,7 +157,8 @@
 wait_for 15 votes "$1"
 echo 'good: a full disk'
 
-# Wiped data folders, one after the other; the last two in quick succession.
+# Wiped data folders, one after the other; then a second one right after the
+# repair of the first, and one during it.
 for vm in $CONTROL_VMS; do
   wipe "$vm"
   wait_for 15 votes "$vm"
@@ -171,6 +172,12 @@
 N=$((N + 1))
 submit $N
 wait_for 15 votes "$2"
+wipe "$3"
+wipe "$4"
+N=$((N + 1))
+submit $N
+wait_for 15 votes "$3"
+wait_for 15 votes "$4"
 cp "$FOLDER/answer-1001" "$FOLDER/first"
 submit 1001
 cmp -s "$FOLDER/first" "$FOLDER/answer-1001" || fail 'a wiped cluster forgot sheet 1001'
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -193,6 +193,60 @@
   settled_free (cluster);
 }
 
+/* As if all others acknowledged INDEX to LEADER in TERM.  */
+static void
+acknowledge (cluster_t *cluster, slot_t leader, log_index_t index, term_t term)
+{
+  replica_status_t status = replica_status (cluster->nodes[leader].replica);
+  for (int slot = 0; slot < NODES; slot++)
+    {
+      message_t message
+          = { .kind = MESSAGE_APPEND_RESPONSE,
+              .from = (slot_t)slot,
+              .to = leader,
+              .from_incarnation = status.config.incarnation[slot],
+              .to_incarnation = status.incarnation,
+              .cluster = status.config.cluster,
+              .term = term };
+      message.body.append_response.success = true;
+      message.body.append_response.index = index;
+      event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+      if (slot != leader)
+        cluster_step (cluster, leader, &event);
+    }
+}
+
+/* An entry of an earlier term that is on a majority may yet be overwritten, so
+   only an entry of the leader's own term commits it.  */
+static void
+test_earlier_term_is_not_committed_by_count (void)
+{
+  cluster_t *cluster = settled_new (1);
+  slot_t old = cluster_leader (cluster);
+  slot_t next = (slot_t)((old + 1) % NODES);
+  for (int slot = 0; slot < NODES; slot++)
+    cluster->cut[old][slot] = slot != next;
+  cluster_submit (cluster, old, 1, 0);
+  cluster_deliver_first (cluster, cluster->n_packets);
+  cluster_sync (cluster, next);
+  cluster_crash (cluster, old, 0);
+  memset (cluster->cut, 0, sizeof cluster->cut);
+  event_t tick = { .kind = EVENT_TICK };
+  while (replica_status (cluster->nodes[next].replica).role != ROLE_LEADER)
+    {
+      cluster->now += TICK;
+      cluster_step (cluster, next, &tick);
+      for (int slot = 0; slot < NODES; slot++)
+        cluster_sync (cluster, (slot_t)slot);
+      cluster_deliver_first (cluster, cluster->n_packets);
+    }
+  replica_status_t status = replica_status (cluster->nodes[next].replica);
+  acknowledge (cluster, next, status.last - 1, status.term);
+  g_assert_cmpuint (replica_status (cluster->nodes[next].replica).commit, ==,
+                    status.commit);
+  settled_free (cluster);
+}
+
 /* Acknowledgements that were sent to this leader in an earlier term say
    nothing of the log that it leads now.  */
 static void
@@ -364,6 +418,8 @@
                    test_entries_of_an_earlier_term_are_dropped);
   g_test_add_func ("/agreement/replica/heard-leader",
                    test_heard_leader_is_not_deposed);
+  g_test_add_func ("/agreement/replica/earlier-term",
+                   test_earlier_term_is_not_committed_by_count);
   g_test_add_func ("/agreement/replica/return",
                    test_returning_replica_does_not_disturb);
   g_test_add_func ("/agreement/replica/far-behind",
