--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -306,6 +306,108 @@
   settled_free (cluster);
 }
 
+/* "I am blank" that was said to an earlier life of slot 0 counts for nothing:
+   the speaker may have joined a cluster since.  */
+static void
+test_old_words_start_no_cluster (void)
+{
+  cluster_t *cluster = g_new0 (cluster_t, 1);
+  cluster_init (cluster, 1);
+  for (int slot = 1; slot < NODES; slot++)
+    {
+      message_t message = { .kind = MESSAGE_JOIN,
+                            .from = (slot_t)slot,
+                            .from_incarnation = 100 + (incarnation_t)slot,
+                            .to_incarnation = 99 };
+      message.body.join.is_blank = true;
+      event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+      cluster_step (cluster, 0, &event);
+    }
+  g_assert_cmpint (replica_status (cluster->nodes[0].replica).role, ==,
+                   ROLE_BLANK);
+  settled_free (cluster);
+}
+
+static void
+test_entries_need_the_one_before (void)
+{
+  cluster_t *cluster = settled_new (1);
+  accept_next (cluster, 0);
+  slot_t leader = cluster_leader (cluster);
+  slot_t follower = (slot_t)((leader + 1) % NODES);
+  replica_status_t status = replica_status (cluster->nodes[follower].replica);
+  message_t message = { .kind = MESSAGE_APPEND,
+                        .from = leader,
+                        .to = follower,
+                        .from_incarnation = status.config.incarnation[leader],
+                        .to_incarnation = status.incarnation,
+                        .cluster = status.config.cluster,
+                        .term = status.term };
+  append_t *append = &message.body.append;
+  append->prev_index = status.last;
+  append->prev_term = status.term + 1;
+  append->n_entries = 1;
+  append->entries[0] = entry_new (ENTRY_NOOP);
+  append->entries[0]->index = status.last + 1;
+  append->entries[0]->term = status.term;
+  event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+  cluster_step (cluster, follower, &event);
+  message_clear (&message);
+  g_assert_cmpuint (replica_status (cluster->nodes[follower].replica).last, ==,
+                    status.last);
+  settled_free (cluster);
+}
+
+static bool
+packet_is_snapshot (const packet_t *packet)
+{
+  message_t message;
+  g_assert_true (message_decode (&message, packet->bytes->bytes,
+                                 packet->bytes->length, NULL));
+  bool is_snapshot = message.kind == MESSAGE_SNAPSHOT;
+  message_clear (&message);
+  return is_snapshot;
+}
+
+/* A snapshot that comes again when the replica is long past it.  */
+static void
+test_late_snapshot_does_not_go_back (void)
+{
+  cluster_t *cluster = settled_new (1);
+  for (int i = 0; i < 10; i++)
+    accept_next (cluster, 0);
+  slot_t victim = (slot_t)((cluster_leader (cluster) + 1) % NODES);
+  g_assert_true (cluster_lose_disk (cluster, victim));
+  for (int i = 0; i < 20; i++)
+    cluster_round (cluster);
+  cluster_start (cluster, victim);
+  packet_t *late = NULL;
+  while (!late)
+    {
+      cluster_tick (cluster);
+      for (int slot = 0; slot < NODES; slot++)
+        cluster_sync (cluster, (slot_t)slot);
+      for (size_t i = 0; i < cluster->n_packets && !late; i++)
+        if (packet_is_snapshot (cluster->packets[i]))
+          late = cluster->packets[i];
+      if (late)
+        cluster_deliver (cluster, late, true);
+      if (late)
+        late->is_held = true;
+      cluster_deliver_first (cluster, cluster->n_packets);
+    }
+  cluster_settle (cluster);
+  accept_next (cluster, 0);
+  cluster_settle (cluster);
+  log_index_t applied = cluster->nodes[victim].applied;
+  cluster_release (cluster, 0);
+  g_assert_cmpuint (cluster->nodes[victim].applied, ==, applied);
+  g_assert_cmpuint (replica_status (cluster->nodes[victim].replica).applied,
+                    ==, applied);
+  cluster_judge (cluster);
+  settled_free (cluster);
+}
+
 /* A replica that was away can't depose a leader that the others hear.  */
 static void
 test_returning_replica_does_not_disturb (void)
@@ -420,6 +522,12 @@
                    test_heard_leader_is_not_deposed);
   g_test_add_func ("/agreement/replica/earlier-term",
                    test_earlier_term_is_not_committed_by_count);
+  g_test_add_func ("/agreement/replica/old-words",
+                   test_old_words_start_no_cluster);
+  g_test_add_func ("/agreement/replica/entry-before",
+                   test_entries_need_the_one_before);
+  g_test_add_func ("/agreement/replica/late-snapshot",
+                   test_late_snapshot_does_not_go_back);
   g_test_add_func ("/agreement/replica/return",
                    test_returning_replica_does_not_disturb);
   g_test_add_func ("/agreement/replica/far-behind",
