--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -133,6 +133,12 @@
   return metrics->registry;
 }
 
+const gauge_t *
+entry_metrics_sheet_number (const entry_metrics_t *metrics)
+{
+  return metrics->sheet_number;
+}
+
 void
 entry_metrics_lookup (entry_metrics_t *metrics)
 {
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -26,6 +26,9 @@
 
 metrics_t *entry_metrics_registry (entry_metrics_t *metrics);
 
+/* 0 until a sheet is in force.  */
+const gauge_t *entry_metrics_sheet_number (const entry_metrics_t *metrics);
+
 void entry_metrics_lookup (entry_metrics_t *metrics);
 
 /* EXCHANGE got its outcome TOOK after it began.  */
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -47,7 +47,10 @@
   const metrics_page_options_t options
       = { .address = program->vm->address,
           .port = settings->ports.entry_metrics,
-          .metrics = registry };
+          .metrics = registry,
+          .ready = entry_metrics_sheet_number (entry->metrics),
+          .not_ready = "no sheet is in force yet: submit one, or check the "
+                       "path to the control VMs" };
   entry->page = metrics_page_start (&options, err);
   return entry->page != NULL;
 }
--- a/src/wire/metrics_page.c
+++ b/src/wire/metrics_page.c
@@ -21,6 +21,8 @@
   struct MHD_Daemon *daemon;
   metrics_t *metrics;
   counter_t *refused;
+  const gauge_t *ready; /* NULL: always */
+  const char *not_ready;
   pthread_mutex_t lock; /* guards problem */
   char problem[PROBLEM_BYTES];
 };
@@ -64,8 +66,11 @@
 {
   char text[PROBLEM_BYTES + 2];
   pthread_mutex_lock (&page->lock);
-  bool healthy = page->problem[0] == '\0';
-  snprintf (text, sizeof text, "%s\n", healthy ? "ok" : page->problem);
+  const char *problem = page->problem;
+  if (!*problem && page->ready && gauge_read (page->ready) == 0)
+    problem = page->not_ready;
+  bool healthy = *problem == '\0';
+  snprintf (text, sizeof text, "%s\n", healthy ? "ok" : problem);
   pthread_mutex_unlock (&page->lock);
   return answer (connection,
                  healthy ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE, text,
@@ -126,6 +131,8 @@
       return NULL;
     }
   page->metrics = options->metrics;
+  page->ready = options->ready;
+  page->not_ready = options->not_ready;
   pthread_mutex_init (&page->lock, NULL);
   const metric_options_t refused
       = { .name = "mulberry_metrics_refused_total",
--- a/src/wire/metrics_page.h
+++ b/src/wire/metrics_page.h
@@ -25,10 +25,14 @@
   const char *address; /* dotted IPv4 */
   uint16_t port;       /* 0: any free one */
   metrics_t *metrics;  /* outlives the page */
+  /* Where not NULL: while it is 0, /health tells NOT_READY.  */
+  const gauge_t *ready;
+  const char *not_ready;
 } metrics_page_options_t;
 
 /* Start the page.  NULL with ERR_SETTINGS or ERR_IO where the address can't be
-   used.  Healthy until metrics_page_set_health says otherwise.  */
+   used.  Healthy until metrics_page_set_health says otherwise, but for READY.
+ */
 metrics_page_t *metrics_page_start (const metrics_page_options_t *options,
                                     err_t *err);
 
--- a/test/unit/test_wire_metrics_page.c
+++ b/test/unit/test_wire_metrics_page.c
@@ -57,13 +57,20 @@
   metrics_t *metrics = metrics_new ();
   const metric_options_t sheets = { .name = "mulberry_sheets_total" };
   counter_add (metrics_counter (metrics, &sheets, &err), 41);
+  const metric_options_t number = { .name = "mulberry_sheet_number" };
+  gauge_t *ready = metrics_gauge (metrics, &number, &err);
   metrics_page_t *page = metrics_page_start (
-      &(metrics_page_options_t){ .address = address_text, .metrics = metrics },
+      &(metrics_page_options_t){ .address = address_text,
+                                 .metrics = metrics,
+                                 .ready = ready,
+                                 .not_ready = "no sheet" },
       &err);
   g_assert_nonnull (page);
   uint16_t port = metrics_page_port (page);
   assert_reply (port, REQUEST ("GET", "/metrics"), " 200 ",
                 "\nmulberry_sheets_total 41\n");
+  assert_reply (port, REQUEST ("GET", "/health"), " 503 ", "no sheet\n");
+  gauge_set (ready, 7);
   assert_reply (port, REQUEST ("GET", "/health"), " 200 ", "\r\nok\n");
   metrics_page_set_health (page, "no quorum");
   assert_reply (port, REQUEST ("GET", "/health"), " 503 ", "no quorum\n");
