feat(entry): a request is charged to the cost cap and the links before it is sent

Cause: 'every shift stays under its cost cap' held in the pure escrow only; the process spent without asking. The VM that the caller chose now charges the price of the region that it goes to, and gives it back where it was told as not run; one that it was forwarded to charges nothing. Links between regions are split evenly over the entry VMs of both ends.

Weighed for links: leases from control, which lend unused parts, but need control in a cut; not built in the process.

--- a/src/delivery/outcome.c
+++ b/src/delivery/outcome.c
@@ -22,6 +22,8 @@
     [REASON_NONE] = "none",
     [REASON_BAD_REQUEST] = "bad_request",
     [REASON_NO_CAPACITY] = "no_capacity",
+    [REASON_COST_CAP] = "cost_cap",
+    [REASON_LINK_FULL] = "link_full",
     [REASON_DEADLINE] = "deadline",
     [REASON_QUARANTINED] = "quarantined",
     [REASON_DRAINING] = "draining",
--- a/src/delivery/request_defs.h
+++ b/src/delivery/request_defs.h
@@ -26,7 +26,9 @@
 {
   REASON_NONE,
   REASON_BAD_REQUEST,    /* no ticket, or one that isn't ours */
-  REASON_NO_CAPACITY,    /* no slot, spend, link or headroom in time */
+  REASON_NO_CAPACITY,    /* no slot or headroom in time */
+  REASON_COST_CAP,       /* this VM's share of the cost cap is spent */
+  REASON_LINK_FULL,      /* the link to the backend server's region is */
   REASON_DEADLINE,       /* it can't be met, or it passed */
   REASON_QUARANTINED,    /* its fingerprint crashed backend servers */
   REASON_DRAINING,       /* this entry VM takes no new requests */
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -456,6 +456,7 @@
           .incarnation = options->incarnation,
           .routes = options->routes,
           .peers = options->peers,
+          .spend = options->spend,
           .closure = port,
           .told = on_outcome };
   port->dispatcher = dispatcher_start (&dispatcher_options, err);
--- a/src/entry/caller_port.h
+++ b/src/entry/caller_port.h
@@ -13,6 +13,7 @@
 #include "entry/exchange.h"
 #include "entry/peer_ledger.h"
 #include "entry/route_table.h"
+#include "entry/spend_share.h"
 #include "settings/settings_defs.h"
 
 typedef struct caller_port caller_port_t;
@@ -24,6 +25,7 @@
   uint64_t incarnation;
   route_table_t *routes;
   peer_ledger_t *peers;
+  spend_share_t *spend;
   entry_metrics_t *metrics;
 } caller_port_options_t;
 
--- /dev/null
+++ b/src/entry/costs.c
@@ -0,0 +1,79 @@
+#include "entry/costs.h"
+
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "entry/link_shares.h"
+
+enum
+{
+  HEADER_BYTES = 512, /* about what a request's or answer's headers take */
+};
+
+struct costs
+{
+  costs_options_t options;
+  link_shares_t *links;
+  uint64_t version; /* of the sheet whose budget is open */
+};
+
+costs_t *
+costs_new (const costs_options_t *options)
+{
+  costs_t *costs = calloc (1, sizeof *costs);
+  if (!costs)
+    abort ();
+  costs->options = *options;
+  costs->links = link_shares_new (&options->settings->topology, options->self,
+                                  clock_monotonic ());
+  return costs;
+}
+
+void
+costs_free (costs_t *costs)
+{
+  link_shares_free (costs->links);
+  free (costs);
+}
+
+void
+costs_tick (costs_t *costs)
+{
+  uint64_t version = route_table_version (costs->options.routes);
+  uint64_t budget = 0;
+  money_t cap = 0;
+  if (version == costs->version
+      || !route_table_budget (costs->options.routes, &budget, &cap))
+    return;
+  costs->version = version;
+  spend_share_open (costs->options.spend, budget, cap);
+}
+
+bool
+costs_take (costs_t *costs, const costs_use_t *use, spend_charge_t *charge,
+            request_reason_t *reason, usec_t now)
+{
+  const topology_t *topology = &costs->options.settings->topology;
+  money_t price
+      = route_table_price (costs->options.routes, use->service, use->region);
+  if (!spend_share_charge (costs->options.spend, price, charge))
+    {
+      *reason = REASON_COST_CAP;
+      return false;
+    }
+  size_t answer_bytes = topology->services[use->service].answer_bytes;
+  if (link_shares_charge (costs->links, use->region,
+                          use->request_bytes + HEADER_BYTES,
+                          answer_bytes + HEADER_BYTES, now))
+    return true;
+  costs_refund (costs, charge);
+  *reason = REASON_LINK_FULL;
+  return false;
+}
+
+void
+costs_refund (costs_t *costs, spend_charge_t *charge)
+{
+  if (charge->budget > 0)
+    spend_share_refund (costs->options.spend, charge);
+}
--- /dev/null
+++ b/src/entry/costs.h
@@ -0,0 +1,47 @@
+/* costs: what a request is charged before it is sent: its price from the
+   shift's cost cap, its bytes from the links between regions.
+
+   For the dispatcher's thread alone, but for costs_new and costs_free.  */
+
+#ifndef ENTRY_COSTS_H
+#define ENTRY_COSTS_H
+
+#include "delivery/request_defs.h"
+#include "entry/route_table.h"
+#include "entry/spend_share.h"
+
+typedef struct costs costs_t;
+
+typedef struct costs_options
+{
+  const settings_t *settings;
+  vm_id_t self;
+  route_table_t *routes;
+  spend_share_t *spend;
+} costs_options_t;
+
+/* A request that is to go to a backend server in REGION.  */
+typedef struct costs_use
+{
+  service_id_t service;
+  region_id_t region;
+  size_t request_bytes; /* of the body */
+} costs_use_t;
+
+costs_t *costs_new (const costs_options_t *options);
+
+void costs_free (costs_t *costs);
+
+/* Follow the sheet in force.  */
+void costs_tick (costs_t *costs);
+
+/* Charge USE; false with *REASON, and nothing charged, where a share does
+   not hold it.  CHARGE is the price, for costs_refund.  */
+bool costs_take (costs_t *costs, const costs_use_t *use,
+                 spend_charge_t *charge, request_reason_t *reason, usec_t now);
+
+/* The request was not run: its price is given back.  Its bytes are not: the
+   links' shares fill up again by themselves.  */
+void costs_refund (costs_t *costs, spend_charge_t *charge);
+
+#endif
--- a/src/entry/dispatcher.c
+++ b/src/entry/dispatcher.c
@@ -251,6 +251,7 @@
     return;
   dispatcher->ticked_at = now;
   backend_table_tick (dispatcher->world.table, now);
+  costs_tick (dispatcher->world.costs);
   LIST_FOREACH (link, &dispatcher->jobs)
   {
     job_t *job = LIST_ENTRY (link, job_t, link);
@@ -319,6 +320,11 @@
   for (size_t i = 0; i < n; i++)
     retry_budget_init (&world->budgets[i], RETRY_SHARE_PERMILLE, RETRY_BURST);
   world->client = backend_client_new (&client_options);
+  const costs_options_t costs_options = { .settings = settings,
+                                          .self = options->self,
+                                          .routes = options->routes,
+                                          .spend = options->spend };
+  world->costs = costs_new (&costs_options);
   return true;
 }
 
@@ -378,6 +384,7 @@
   close (dispatcher->gone);
   backend_client_free (dispatcher->world.client);
   backend_table_free (dispatcher->world.table);
+  costs_free (dispatcher->world.costs);
   free (dispatcher->world.budgets);
   free (dispatcher);
 }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -8,6 +8,7 @@
 #include "entry/exchange.h"
 #include "entry/peer_ledger.h"
 #include "entry/route_table.h"
+#include "entry/spend_share.h"
 #include "settings/settings_defs.h"
 
 typedef struct dispatcher dispatcher_t;
@@ -19,6 +20,7 @@
   uint64_t incarnation;
   route_table_t *routes;
   peer_ledger_t *peers;
+  spend_share_t *spend;
   void *closure;
   /* The exchange has its outcome; on the dispatcher's thread.  */
   void (*told) (void *closure, exchange_t *exchange);
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -9,6 +9,7 @@
 #include "delivery/outcome.h"
 #include "delivery/quarantine.h"
 #include "entry/hop_credential.h"
+#include "placement/topology.h"
 
 enum
 {
@@ -143,15 +144,51 @@
 
 /* --- Placing ---------------------------------------------------------- */
 
+/* Charge what going to PLACE costs.  The VM that the caller chose pays; one
+   that it was forwarded to does not.  */
+static bool
+charge (job_t *job, const place_t *place, request_reason_t *reason, usec_t now)
+{
+  if (job->request.options.role == REQUEST_HOP)
+    return true;
+  const topology_t *topology = &job->world->settings->topology;
+  vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
+  const costs_use_t use = { .service = job->exchange->service,
+                            .region = topology_region_of_vm (topology, vm),
+                            .request_bytes = job->exchange->body_bytes };
+  job->charge_sent = false;
+  return costs_take (job->world->costs, &use, &job->charge, reason, now);
+}
+
+/* The first place that is free and paid for; another region is tried where
+   the link to one is full.  */
+static place_t
+find_place (job_t *job, request_reason_t *reason, usec_t now)
+{
+  bool is_hop = job->request.options.role == REQUEST_HOP;
+  for (;;)
+    {
+      place_t found = backend_table_place (
+          job->world->table, job->exchange->service,
+          job->request.options.deadline, job->tried, !is_hop, now);
+      if (found.kind == PLACE_WAIT || found.kind == PLACE_NOWHERE
+          || charge (job, &found, reason, now))
+        return found;
+      if (found.kind == PLACE_HERE)
+        slots_free (backend_table_slots (job->world->table), &found.token);
+      if (found.kind == PLACE_HERE || *reason == REASON_COST_CAP)
+        return (place_t){ .kind = PLACE_NOWHERE };
+      job->tried |= UINT64_C (1) << found.vm;
+    }
+}
+
 static void
 place (job_t *job, usec_t now)
 {
   bool is_hop = job->request.options.role == REQUEST_HOP;
-  place_t found = backend_table_place (
-      job->world->table, job->exchange->service, job->request.options.deadline,
-      job->tried, !is_hop, now);
   request_event_t event = { .kind = EVENT_NOT_PLACED };
   event.as.reason = REASON_NO_CAPACITY;
+  place_t found = find_place (job, &event.as.reason, now);
   bool gives_up
       = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
   switch (found.kind)
@@ -235,6 +272,7 @@
           .timeout = idempotent ? left / 2 : left + USEC_PER_SEC,
           .once = !idempotent,
           .owner = job };
+  job->charge_sent = true;
   if (job->request.forwarded)
     send_forward (job, &request);
   else
@@ -301,6 +339,7 @@
   request_event_t event
       = { .kind = EVENT_TARGET_REFUSED, .request_id = job->request.send_id };
   event.as.refusal.reason = REASON_BACKEND_FAILED;
+  costs_refund (job->world->costs, &job->charge);
   if (job->request.forwarded)
     {
       event.as.refusal.reason = reason_parse (reply->reason);
@@ -415,6 +454,8 @@
       return "get a new ticket with GET /v1/lookup?...&ticket=1";
     case REASON_TICKET_CONFLICT:
       return "use one ticket for one request only";
+    case REASON_COST_CAP:
+      return "wait for the next shift, or submit a sheet with a higher cap";
     case REASON_QUARANTINED:
       return "don't send this request again: it stops backend servers";
     case REASON_ANSWER_NOT_KEPT:
@@ -448,6 +489,7 @@
       break;
     case OUTCOME_NOT_RUN:
       exchange->outcome = EXCHANGE_NOT_RUN;
+      costs_refund (job->world->costs, &job->charge);
       break;
     case OUTCOME_UNKNOWN:
       exchange->outcome = EXCHANGE_UNKNOWN;
@@ -578,6 +620,8 @@
   if (!job->request.told)
     tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
                                      .reason = REASON_DRAINING });
+  if (!job->charge_sent)
+    costs_refund (job->world->costs, &job->charge);
   if (job->claim_live)
     claim_destroy (&job->claim);
   if (job->record.body_kept)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -7,6 +7,7 @@
 #include "delivery/request.h"
 #include "entry/backend_client.h"
 #include "entry/backend_table.h"
+#include "entry/costs.h"
 #include "entry/exchange.h"
 
 enum
@@ -22,6 +23,7 @@
   uint64_t incarnation;
   peer_ledger_t *peers;
   backend_table_t *table;
+  costs_t *costs;
   backend_client_t *client;
   retry_budget_t *budgets; /* by service */
   request_counters_t counters;
@@ -49,7 +51,9 @@
   uint64_t tried; /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
   char send_id[JOB_ID_BYTES];
-  bool waiting; /* for a slot */
+  spend_charge_t charge; /* of the present send */
+  bool charge_sent;      /* it may have been run */
+  bool waiting;          /* for a slot */
   usec_t waiting_since;
   usec_t place_again;
   int depth; /* of nested events */
--- /dev/null
+++ b/src/entry/link_shares.c
@@ -0,0 +1,103 @@
+#include "entry/link_shares.h"
+
+#include <stdlib.h>
+
+#include "admission/escrow.h"
+#include "placement/topology.h"
+
+enum
+{
+  BURST_MSEC = 200, /* that may go at once */
+};
+
+typedef struct link_share
+{
+  escrow_holder_t requests;
+  escrow_holder_t answers;
+  bool limited; /* the settings give the links both ways */
+} link_share_t;
+
+struct link_shares
+{
+  region_id_t home;
+  size_t n_regions;
+  link_share_t *regions;
+};
+
+static int64_t
+vms_in (const topology_t *topology, region_id_t region)
+{
+  int64_t n = 0;
+  for (size_t i = 0; i < topology->n_vms; i++)
+    n += topology_region_of_vm (topology, (vm_id_t)i) == region;
+  return n;
+}
+
+static void
+open_share (escrow_holder_t *holder, const link_t *link, int64_t n_vms,
+            vm_id_t self, usec_t now)
+{
+  const escrow_holder_options_t options
+      = { .kind = BUDGET_RATE,
+          .self = self,
+          .generation = 1,
+          .floor = (int64_t)link->bytes_per_second / n_vms,
+          .burst = BURST_MSEC * USEC_PER_MSEC };
+  escrow_holder_init (holder, &options, now);
+}
+
+link_shares_t *
+link_shares_new (const topology_t *topology, vm_id_t self, usec_t now)
+{
+  link_shares_t *shares = calloc (1, sizeof *shares);
+  if (!shares)
+    abort ();
+  shares->home = topology_region_of_vm (topology, self);
+  shares->n_regions = topology->n_regions;
+  shares->regions = calloc (topology->n_regions, sizeof *shares->regions);
+  if (!shares->regions)
+    abort ();
+  for (size_t i = 0; i < topology->n_regions; i++)
+    {
+      region_id_t region = (region_id_t)i;
+      const link_t *there = topology_link (topology, shares->home, region);
+      const link_t *back = topology_link (topology, region, shares->home);
+      if (!there || !back)
+        continue;
+      int64_t n_vms
+          = vms_in (topology, shares->home) + vms_in (topology, region);
+      link_share_t *share = &shares->regions[i];
+      share->limited = true;
+      open_share (&share->requests, there, n_vms, self, now);
+      open_share (&share->answers, back, n_vms, self, now);
+    }
+  return shares;
+}
+
+void
+link_shares_free (link_shares_t *shares)
+{
+  free (shares->regions);
+  free (shares);
+}
+
+bool
+link_shares_charge (link_shares_t *shares, region_id_t region,
+                    size_t request_bytes, size_t answer_bytes, usec_t now)
+{
+  link_share_t *share = &shares->regions[region];
+  if (region == shares->home || !share->limited)
+    return true;
+  int64_t request = (int64_t)request_bytes;
+  int64_t answer = (int64_t)answer_bytes;
+  return escrow_holder_can_charge (&share->answers, answer, 0, now, now)
+         && escrow_holder_charge (&share->requests, request, now, now)
+         && escrow_holder_charge (&share->answers, answer, now, now);
+}
+
+void
+link_shares_overrun (link_shares_t *shares, region_id_t region, size_t bytes)
+{
+  if (region != shares->home && shares->regions[region].limited)
+    escrow_holder_overrun (&shares->regions[region].answers, (int64_t)bytes);
+}
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "entry/caller_port.h"
 #include "entry/route_table.h"
+#include "entry/spend_share.h"
 #include "entry/version_feed.h"
 #include "settings/program.h"
 #include "wire/metrics_page.h"
@@ -27,6 +28,7 @@
   rpc_t *rpc;
   peer_ledger_t *peers;
   bool beating;
+  spend_share_t *spend;
   version_feed_t *feed;
   caller_port_t *port;
   entry_metrics_t *metrics;
@@ -84,12 +86,21 @@
   entry->beating = peer_ledger_start (entry->peers, err);
   if (!entry->beating)
     return false;
+  const spend_share_options_t spend_options
+      = { .settings = settings,
+          .rpc = entry->rpc,
+          .self = program->vm_id,
+          .generation = program->incarnation };
+  entry->spend = spend_share_start (&spend_options, err);
+  if (!entry->spend)
+    return false;
   const caller_port_options_t port_options
       = { .settings = settings,
           .self = program->vm_id,
           .incarnation = program->incarnation,
           .routes = entry->routes,
           .peers = entry->peers,
+          .spend = entry->spend,
           .metrics = entry->metrics };
   entry->port = caller_port_open (&port_options, err);
   return entry->port != NULL;
@@ -100,6 +111,8 @@
 {
   if (entry->port)
     caller_port_close (entry->port);
+  if (entry->spend)
+    spend_share_stop (entry->spend);
   if (entry->feed)
     version_feed_stop (entry->feed);
   if (entry->beating)
@@ -111,6 +124,8 @@
     rpc_close (entry->rpc);
   if (entry->port)
     caller_port_free (entry->port);
+  if (entry->spend)
+    spend_share_free (entry->spend);
   if (entry->peers)
     peer_ledger_free (entry->peers);
   if (entry->feed)
--- a/src/entry/route_table.c
+++ b/src/entry/route_table.c
@@ -77,3 +77,32 @@
   pthread_rwlock_unlock (&table->lock);
   return n;
 }
+
+bool
+route_table_budget (route_table_t *table, uint64_t *budget, money_t *cost_cap)
+{
+  pthread_rwlock_rdlock (&table->lock);
+  const sheet_t *sheet = table->sheet;
+  if (sheet)
+    {
+      *budget = sheet->budget;
+      *cost_cap = sheet->cost_cap;
+    }
+  pthread_rwlock_unlock (&table->lock);
+  return sheet != NULL;
+}
+
+money_t
+route_table_price (route_table_t *table, service_id_t service,
+                   region_id_t region)
+{
+  money_t price = 0;
+  pthread_rwlock_rdlock (&table->lock);
+  const sheet_t *sheet = table->sheet;
+  for (size_t i = 0; sheet && i < sheet->n_prices; i++)
+    if (sheet->prices[i].service == service
+        && sheet->prices[i].region == region)
+      price = sheet->prices[i].per_thousand;
+  pthread_rwlock_unlock (&table->lock);
+  return price;
+}
--- a/src/entry/route_table.h
+++ b/src/entry/route_table.h
@@ -32,4 +32,13 @@
 size_t route_table_copy (route_table_t *table, backend_t **backends,
                          uint64_t *version);
 
+/* The budget and cost cap of the sheet in force; false before the first.  */
+bool route_table_budget (route_table_t *table, uint64_t *budget,
+                         money_t *cost_cap);
+
+/* What 1,000 requests of SERVICE cost in REGION; 0 where the sheet has no
+   price.  */
+money_t route_table_price (route_table_t *table, service_id_t service,
+                           region_id_t region);
+
 #endif
