--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -9,6 +9,7 @@
 #include "delivery/outcome.h"
 #include "delivery/quarantine.h"
 #include "entry/hop_credential.h"
+#include "placement/topology.h"
 
 enum
 {
@@ -38,24 +39,36 @@
 /* --- Claims ----------------------------------------------------------- */
 
 static void
-send_asks (job_t *job, const claim_asks_t *asks)
+send_ask (job_t *job, uint8_t replica, ledger_op_t op, usec_t now)
 {
-  const ticket_t *ticket = &job->claim.options.ticket;
-  for (size_t i = 0; i < asks->n; i++)
+  job_world_t *world = job->world;
+  ledger_ask_t message = claim_message (&job->claim, op);
+  if (op == LEDGER_RECORD)
+    message.outcome = job->record;
+  vm_id_t vm = job->claim.options.ticket.replicas[replica].vm;
+  if (vm == world->self)
     {
-      ledger_ask_t message = claim_message (&job->claim, asks->items[i].op);
-      if (message.op == LEDGER_RECORD)
-        message.outcome = job->record;
-      const peer_ask_t ask
-          = { .vm = ticket->replicas[asks->items[i].replica].vm,
-              .claimant = job->number,
-              .replica = asks->items[i].replica,
-              .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
-              .message = &message,
-              .receiver = job->world->receive_vote,
-              .closure = job->world->closure };
-      peer_ledger_ask (job->world->peers, &ask);
+      peer_vote_t *vote
+          = peer_ledger_ask_own (world->peers, job->number, replica, &message);
+      job_on_vote (job, vote, now);
+      free (vote);
+      return;
     }
+  const peer_ask_t ask = { .vm = vm,
+                           .claimant = job->number,
+                           .replica = replica,
+                           .timeout = ASK_TIMEOUT_MSEC * USEC_PER_MSEC,
+                           .message = &message,
+                           .receiver = world->receive_vote,
+                           .closure = world->closure };
+  peer_ledger_ask (world->peers, &ask);
+}
+
+static void
+send_asks (job_t *job, const claim_asks_t *asks, usec_t now)
+{
+  for (size_t i = 0; i < asks->n; i++)
+    send_ask (job, asks->items[i].replica, asks->items[i].op, now);
 }
 
 /* Tell the request where its claim stands, once that is settled.  */
@@ -104,7 +117,7 @@
   claim_asks_t asks = { 0 };
   claim_start (&job->claim, &options, now, &asks);
   job->claim_live = true;
-  send_asks (job, &asks);
+  send_asks (job, &asks, now);
   report_claim (job, now);
 }
 
@@ -125,21 +138,57 @@
     claim_on_vote (&job->claim, vote->replica, &vote->vote, now, &asks);
   else
     claim_on_failure (&job->claim, vote->replica, now, &asks);
-  send_asks (job, &asks);
+  send_asks (job, &asks, now);
   report_claim (job, now);
 }
 
 /* --- Placing ---------------------------------------------------------- */
 
+/* Charge what going to PLACE costs.  The VM that the caller chose pays; one
+   that it was forwarded to does not.  */
+static bool
+charge (job_t *job, const place_t *place, request_reason_t *reason, usec_t now)
+{
+  if (job->request.options.role == REQUEST_HOP)
+    return true;
+  const topology_t *topology = &job->world->settings->topology;
+  vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
+  const costs_use_t use = { .service = job->exchange->service,
+                            .region = topology_region_of_vm (topology, vm),
+                            .request_bytes = job->exchange->body_bytes };
+  job->charge_sent = false;
+  return costs_take (job->world->costs, &use, &job->charge, reason, now);
+}
+
+/* The first place that is free and paid for; another region is tried where
+   the link to one is full.  */
+static place_t
+find_place (job_t *job, request_reason_t *reason, usec_t now)
+{
+  bool is_hop = job->request.options.role == REQUEST_HOP;
+  for (;;)
+    {
+      place_t found = backend_table_place (
+          job->world->table, job->exchange->service,
+          job->request.options.deadline, job->tried, !is_hop, now);
+      if (found.kind == PLACE_WAIT || found.kind == PLACE_NOWHERE
+          || charge (job, &found, reason, now))
+        return found;
+      if (found.kind == PLACE_HERE)
+        slots_free (backend_table_slots (job->world->table), &found.token);
+      if (found.kind == PLACE_HERE || *reason == REASON_COST_CAP)
+        return (place_t){ .kind = PLACE_NOWHERE };
+      job->tried |= UINT64_C (1) << found.vm;
+    }
+}
+
 static void
 place (job_t *job, usec_t now)
 {
   bool is_hop = job->request.options.role == REQUEST_HOP;
-  place_t found = backend_table_place (
-      job->world->table, job->exchange->service, job->request.options.deadline,
-      job->tried, !is_hop, now);
   request_event_t event = { .kind = EVENT_NOT_PLACED };
   event.as.reason = REASON_NO_CAPACITY;
+  place_t found = find_place (job, &event.as.reason, now);
   bool gives_up
       = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
   switch (found.kind)
@@ -223,6 +272,7 @@
           .timeout = idempotent ? left / 2 : left + USEC_PER_SEC,
           .once = !idempotent,
           .owner = job };
+  job->charge_sent = true;
   if (job->request.forwarded)
     send_forward (job, &request);
   else
@@ -289,6 +339,7 @@
   request_event_t event
       = { .kind = EVENT_TARGET_REFUSED, .request_id = job->request.send_id };
   event.as.refusal.reason = REASON_BACKEND_FAILED;
+  costs_refund (job->world->costs, &job->charge);
   if (job->request.forwarded)
     {
       event.as.refusal.reason = reason_parse (reply->reason);
@@ -403,6 +454,8 @@
       return "get a new ticket with GET /v1/lookup?...&ticket=1";
     case REASON_TICKET_CONFLICT:
       return "use one ticket for one request only";
+    case REASON_COST_CAP:
+      return "wait for the next shift, or submit a sheet with a higher cap";
     case REASON_QUARANTINED:
       return "don't send this request again: it stops backend servers";
     case REASON_ANSWER_NOT_KEPT:
@@ -436,6 +489,7 @@
       break;
     case OUTCOME_NOT_RUN:
       exchange->outcome = EXCHANGE_NOT_RUN;
+      costs_refund (job->world->costs, &job->charge);
       break;
     case OUTCOME_UNKNOWN:
       exchange->outcome = EXCHANGE_UNKNOWN;
@@ -474,11 +528,11 @@
       break;
     case ACTION_RELEASE_CLAIM:
       claim_release (&job->claim, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       break;
     case ACTION_RECORD:
       claim_record (&job->claim, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       break;
     case ACTION_CANCEL_TARGET:
       cancel_target (job);
@@ -542,7 +596,7 @@
     {
       claim_asks_t asks = { 0 };
       claim_tick (&job->claim, now, &asks);
-      send_asks (job, &asks);
+      send_asks (job, &asks, now);
       report_claim (job, now);
     }
   if (now >= request_wakeup (&job->request))
@@ -566,6 +620,8 @@
   if (!job->request.told)
     tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
                                      .reason = REASON_DRAINING });
+  if (!job->charge_sent)
+    costs_refund (job->world->costs, &job->charge);
   if (job->claim_live)
     claim_destroy (&job->claim);
   if (job->record.body_kept)
--- a/test/fuzz/fuzz_admission.c
+++ b/test/fuzz/fuzz_admission.c
@@ -105,10 +105,10 @@
           .n_accounts = (size_t)N_HOLDERS * 3,
           .terms = { .duration = LEASE_USEC, .drift_ppm = DRIFT_PPM } };
   world->granter = escrow_new (&options, NULL);
-  for (uint8_t h = 0; h < N_HOLDERS; h++)
+  for (int h = 0; h < N_HOLDERS; h++)
     {
       world->holder_now[h] = (h + 1) * 7 * USEC_PER_SEC;
-      holder_start (world, h);
+      holder_start (world, (uint8_t)h);
     }
 }
 
@@ -234,7 +234,7 @@
 {
   for (int i = 0; i < N_CHARGES; i++)
     world->charges[i].lost |= world->charges[i].holder == h;
-  holder_start (world, h);
+  holder_start (world, (uint8_t)h);
 }
 
 /* True time passes; each clock runs off by up to the bound, always the same
