fix(ctl): sheet check tells that the links' load is not known

Cause: without a measured load shift/cost leaves the links' bytes at 0, and the report printed that as if nothing were planned. Where requests come from does not stand in a sheet, so text says 'no load known' and JSON null.

--- a/src/ctl/sheet_report.c
+++ b/src/ctl/sheet_report.c
@@ -22,11 +22,13 @@
     {
       const link_t *link = &topology->links[i];
       json_array_append_new (
-          links, json_pack ("{s:s,s:s,s:f,s:I}", "from",
-                            topology->regions[link->from].name.text, "to",
-                            topology->regions[link->to].name.text,
-                            "bytes_per_second", cost->link_bytes[i],
-                            "capacity", (json_int_t)link->bytes_per_second));
+          links,
+          json_pack ("{s:s,s:s,s:o,s:I}", "from",
+                     topology->regions[link->from].name.text, "to",
+                     topology->regions[link->to].name.text, "bytes_per_second",
+                     cost->link_bytes[i] > 0 ? json_real (cost->link_bytes[i])
+                                             : json_null (),
+                     "capacity", (json_int_t)link->bytes_per_second));
     }
   return json_pack (
       "{s:s,s:I,s:I,s:I,s:I,s:o,s:o}", "currency", sheet->currency.text, "cap",
@@ -35,6 +37,25 @@
       (json_int_t)cost->worst_request, "regions", regions, "links", links);
 }
 
+/* Bytes on links follow from where requests come from, which a sheet does not
+   say: without a measured load only the capacities are known.  */
+static void
+print_links (const topology_t *topology, const cost_t *cost)
+{
+  printf ("%-28s %14s %14s\n", "LINK", "PLANNED B/s", "CAPACITY B/s");
+  for (size_t i = 0; i < topology->n_links; i++)
+    {
+      const link_t *link = &topology->links[i];
+      char planned[32] = "no load known";
+      if (cost->link_bytes[i] > 0)
+        snprintf (planned, sizeof planned, "%.0f", cost->link_bytes[i]);
+      printf ("%-13s %-14s %14s %14" PRIu64 "\n",
+              topology->regions[link->from].name.text,
+              topology->regions[link->to].name.text, planned,
+              link->bytes_per_second);
+    }
+}
+
 static void
 print_cost (const topology_t *topology, const sheet_t *sheet,
             const cost_t *cost)
@@ -54,15 +75,7 @@
           cost->worst > sheet->cost_cap
               ? "  (the worst case is cut off at the cap)"
               : "");
-  printf ("%-28s %14s %14s\n", "LINK", "PLANNED B/s", "CAPACITY B/s");
-  for (size_t i = 0; i < topology->n_links; i++)
-    {
-      const link_t *link = &topology->links[i];
-      printf ("%-13s %-14s %14.0f %14" PRIu64 "\n",
-              topology->regions[link->from].name.text,
-              topology->regions[link->to].name.text, cost->link_bytes[i],
-              link->bytes_per_second);
-    }
+  print_links (topology, cost);
 }
 
 exit_code_t
