--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -457,6 +457,7 @@
           .routes = options->routes,
           .peers = options->peers,
           .spend = options->spend,
+          .quarantine = options->quarantine,
           .closure = port,
           .told = on_outcome };
   port->dispatcher = dispatcher_start (&dispatcher_options, err);
--- a/test/functional/test_cost_cap.sh
+++ b/test/functional/test_cost_cap.sh
@@ -33,20 +33,25 @@
   echo "$total"
 }
 
-for round in 1 2 3; do
-  for vm in sapporo-1b asahikawa-2a; do
-    kill_one KILL "entry-$vm"
-    start_entry "$vm"
-    wait_for 10 curl -sf "http://$(vm_address "$vm"):9090/health"
-  done
+# Load until the cap lets nothing through; entry VMs are killed on the way.
+KILL_ROUNDS=3 ROUNDS_MAX=20
+for round in $(seq $ROUNDS_MAX); do
+  if [ "$round" -le $KILL_ROUNDS ]; then
+    for vm in sapporo-1b asahikawa-2a; do
+      kill_one KILL "entry-$vm"
+      start_entry "$vm"
+      wait_for 10 curl -sf "http://$(vm_address "$vm"):9090/health"
+    done
+  fi
+  before=$(spent)
   load "$round" || { cat "$FOLDER/load"; exit 1; }
+  [ "$round" -le $KILL_ROUNDS ] || [ "$(spent)" -gt "$before" ] || break
 done
 cat "$FOLDER/load"
 total=$(spent)
 echo "spent $total of $((CAP * 1000)) thousandths"
 [ "$total" -le $((CAP * 1000)) ] || { echo "over the cap" >&2; exit 1; }
-# The load would cost three times the cap, so the cap must have bitten, and
-# most of it must have been usable.
+# Little may be stranded: what six killed entry VMs and the last steps held.
 [ "$total" -ge $((CAP * 500)) ] || { echo "less than half was usable" >&2; exit 1; }
 refused=$(curl -s "http://$(vm_address sapporo-1a):8080/s/songfind/item" -H 'X-Request-Id: last')
 case $refused in
