fix(fakes): libmicrohttpd's callback is named again

Seen: since the option for shared ports went, every fake backend server failed to listen, as the name of the callback beside it had gone too; cluster_start said so at once.

--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -430,13 +430,14 @@
 backend_listen (backend_t *backend)
 {
   backend->behaviour = fake.behaviour;
-  backend->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request,
-      backend, MHD_OPTION_SOCK_ADDR, &backend->address,
-      MHD_OPTION_CONNECTION_LIMIT,
-      backend->connections_max + SPARE_CONNECTIONS, request_completed, NULL,
-      MHD_OPTION_NOTIFY_CONNECTION, connection_changed, backend,
-      MHD_OPTION_END);
+  backend->daemon
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+                          NULL, handle_request, backend, MHD_OPTION_SOCK_ADDR,
+                          &backend->address, MHD_OPTION_CONNECTION_LIMIT,
+                          backend->connections_max + SPARE_CONNECTIONS,
+                          MHD_OPTION_NOTIFY_COMPLETED, request_completed, NULL,
+                          MHD_OPTION_NOTIFY_CONNECTION, connection_changed,
+                          backend, MHD_OPTION_END);
   if (!backend->daemon)
     {
       fprintf (stderr, "fake-backend: can't listen for %s on %s:%u: %s\n",
