--- a/test/fakes/backend_options.c
+++ b/test/fakes/backend_options.c
@@ -85,12 +85,13 @@
 void
 fake_parse (int argc, char **argv)
 {
-  static const struct argp argp
-      = { options, parse_option, NULL,
-          "Plays backend servers for tests.\v"
-          "Query arguments of a request: caller, bytes, us, poison, silent, "
-          "short, chunked, crossed.  POST /fake?KEY=VALUE changes "
-          "service_time_us, shed_permille, draining, load_busy, "
-          "silent_after.  SIGTERM ends it." };
+  static const struct argp argp = {
+    options, parse_option, NULL,
+    "Plays backend servers for tests.\v"
+    "Query arguments of a request: caller, bytes, us, poison, hangup, silent, "
+    "short, chunked, crossed.  POST /fake?KEY=VALUE changes "
+    "service_time_us, shed_permille, draining, load_busy, "
+    "silent_after.  SIGTERM ends it."
+  };
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
 }
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -3,9 +3,9 @@
 
    A request may direct its own answer by query arguments: caller=ID and
    bytes=N make the body (fake_answer.h); us=N sets the service time; and
-   poison=1, silent=1, short=1, chunked=1, crossed=1 bring about a fault.
-   POST /fake?KEY=VALUE changes one backend server's behaviour while it runs:
-   service_time_us, shed_permille, draining, load_busy, silent_after.  */
+   poison=1, hangup=1, silent=1, short=1, chunked=1, crossed=1 bring about a
+   fault. POST /fake?KEY=VALUE changes one backend server's behaviour while it
+   runs: service_time_us, shed_permille, draining, load_busy, silent_after.  */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -220,6 +220,11 @@
       journal ("crash backend=%s id=%s", backend->name, run->id);
       _exit (EXIT_POISONED);
     }
+  if (argument (run, "hangup")[0])
+    {
+      journal ("end backend=%s id=%s how=hangup", backend->name, run->id);
+      return MHD_NO;
+    }
   run->holds_slot = true;
   backend->busy++;
   list_push_back (&fake.running, &run->link);
--- a/test/functional/test_outcomes.sh
+++ b/test/functional/test_outcomes.sh
@@ -81,6 +81,15 @@
   [ "$OUTCOME" != answer ] || fail "$fault read: $OUTCOME $STATUS"
 done
 
+# A backend server that closes a kept connection after it read the request:
+# the request isn't sent a second time.
+timeout 30 "$BUILD/bench/bench-load" --entry "$HERE" --service dedicate:POST:dedication:200 -c 24 >"$FOLDER/load.out"
+for i in 1 2 3 4 5 6; do
+  ask "$HERE" "/s/dedicate/q?caller=hangup$i&hangup=1" -d "x$i" -H "Idempotency-Key: $(ticket dedicate)"
+  [ "$OUTCOME" = unknown ] || fail "hangup: $OUTCOME $STATUS $REASON"
+  [ "$(runs hangup$i)" = 1 ] || fail "a request ran $(runs hangup$i) times after a hang-up"
+done
+
 # A caller that goes takes its work along.
 ask "$HERE" "/s/songfind/q?caller=gone&us=1900000" -m 0.3
 wait_for 2 ended cancelled
