--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -44,28 +44,27 @@
 {
   list_t link;     /* in the dispatcher's list */
   uint64_t number; /* names it in votes; never used twice */
-  uint32_t slot;   /* its place in the dispatcher's table */
   job_world_t *world;
   exchange_t *exchange;
   request_t request;
   claim_t claim;
-  bool claim_live;
   size_t n_recorded;
   outcome_t record; /* its body is the job's */
-  uint32_t backend;
-  vm_id_t forward;
-  uint64_t tried; /* entry VMs that refused it, a bit for each */
+  uint64_t tried;   /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
   char send_id[JOB_ID_BYTES];
   spend_charge_t charge; /* of the present send */
-  bool charge_sent;      /* it may have been run */
   fingerprint_t fingerprint;
-  bool crash_noted;  /* in flight at a crash that was counted */
   usec_t broken_due; /* when its break is acted on; 0: none */
-  bool waiting;      /* for a slot */
   usec_t waiting_since;
   usec_t place_again;
-  int depth; /* of nested events */
+  uint32_t slot; /* its place in the dispatcher's table */
+  uint32_t backend;
+  vm_id_t forward;
+  bool claim_live;
+  bool charge_sent; /* it may have been run */
+  bool crash_noted; /* in flight at a crash that was counted */
+  bool waiting;     /* for a slot */
 } job_t;
 
 /* Begin with EXCHANGE; the job keeps one reference to it.  */
