--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -55,7 +55,8 @@
   pthread_t thread;
   pthread_t timer;
   _Atomic bool stops;
-  _Atomic bool is_awake; /* a wake is in the ring */
+  _Atomic (metrics_page_t *) page; /* NULL until it is set */
+  _Atomic bool is_awake;           /* a wake is in the ring */
   core_item_t wake;
   storage_thread_t *disk;
   peer_link_t *links;
@@ -72,6 +73,7 @@
   proposal_id_t next_id;
   uint64_t synced;
   bool is_halted;
+  bool has_told;               /* the page that it has halted */
   log_index_t snapshot_wanted; /* 0: none */
 
   pthread_mutex_t lock; /* guards the status, and pushes against the stop */
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -129,6 +129,24 @@
                LOG_U ("incarnation", status.incarnation));
 }
 
+void
+core_thread_set_page (core_thread_t *core, metrics_page_t *page)
+{
+  atomic_store (&core->page, page);
+}
+
+static void
+tell_page (core_thread_t *core)
+{
+  metrics_page_t *page = atomic_load (&core->page);
+  if (!page || core->has_told
+      || replica_status (core->replica).role != ROLE_HALTED)
+    return;
+  metrics_page_set_health (page, "the data folder failed: mend the disk and "
+                                 "restart the process");
+  core->has_told = true;
+}
+
 static void *
 core_run (void *closure)
 {
@@ -140,6 +158,7 @@
         break;
       take_item (core, item);
       status_update (core);
+      tell_page (core);
     }
   LIST_FOREACH (link, &core->submissions)
   core_submission_finish (core, LIST_ENTRY (link, submission_t, link),
--- a/src/control/core_thread.h
+++ b/src/control/core_thread.h
@@ -13,6 +13,7 @@
 #include "control/accepted.h"
 #include "control/submission.h"
 #include "settings/settings_defs.h"
+#include "wire/metrics_page.h"
 #include "wire/rpc.h"
 
 typedef struct core_thread core_thread_t;
@@ -32,6 +33,9 @@
 core_thread_t *core_thread_start (const core_thread_options_t *options,
                                   err_t *err);
 
+/* PAGE tells when the replica has halted; stop it after the core thread.  */
+void core_thread_set_page (core_thread_t *core, metrics_page_t *page);
+
 /* Before rpc_close, with no local submission under way after it.  */
 void core_thread_stop (core_thread_t *core);
 
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -60,7 +60,10 @@
           .port = program->settings->ports.control_metrics,
           .metrics = control->metrics };
   control->page = metrics_page_start (&options, err);
-  return control->page != NULL;
+  if (!control->page)
+    return false;
+  core_thread_set_page (control->core, control->page);
+  return true;
 }
 
 static bool
--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -150,6 +150,7 @@
 wait_for 20 filled
 halted() { status_of "$1" | tr -d ' \n' | grep -q "\"vm\":\"$1\",\"role\":\"halted\""; }
 wait_for 5 halted "$1"
+curl -s "http://$(vm_address "$1"):9091/health" | grep -q "mend the disk" || fail "its health page says nothing"
 N=$((N + 1))
 submit $N
 kill_one KILL "control-$1"
