--- a/bench/agreement.sh
+++ b/bench/agreement.sh
@@ -13,6 +13,7 @@
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
 
 IDLE_SECONDS=10
+SEQUENTIAL=200
 
 mkdir "$FOLDER/disk"
 "$BUILD/bench/bench-agreement" "$FOLDER/disk"
@@ -55,13 +56,21 @@
 echo "changing changes=$CHANGES seconds=$TOOK control_out_bytes_s_vm=$((($(bytes) - FROM) / TOOK / ${#CONTROLS[@]}))" \
   "entry_out_bytes_s_vm=$((($(entry_bytes) - FROM_ENTRY) / TOOK / ${#ENTRIES[@]}))"
 
+# One mulberryctl after the other; each is a process, a signature and a sync.
+FIRST=$(date +%s%N)
+for i in $(seq $((CHANGES + 1)) $((CHANGES + SEQUENTIAL))); do
+  sed -E "s/number,,[0-9]+/number,,$((NUMBER + i))/" "$SHEET" >"$FOLDER/next.csv"
+  submitted
+done
+echo "sequential submissions=$SEQUENTIAL each_us=$((($(date +%s%N) - FIRST) / SEQUENTIAL / 1000))"
+
 # The first replica that applied a number, and each entry VM's time after it.
 grep -h 'event=sheet_applied' "$FOLDER"/control-*.log |
   sed -nE 's/^time=[^T]*T([0-9:.]*)Z.*event=sheet_applied number=([0-9]+).*/\2 \1/p' |
   sort -k1,1 -k2,2 | sort -u -k1,1 >"$FOLDER/applied"
 grep -h 'event=sheet_in_force' "$FOLDER"/entry-*.log |
   sed -nE 's/^time=[^T]*T([0-9:.]*)Z.*event=sheet_in_force number=([0-9]+).*/\2 \1/p' |
-  sort -k1,1 >"$FOLDER/in-force"
+  awk -v last=$((NUMBER + CHANGES)) '$1 <= last' | sort -k1,1 >"$FOLDER/in-force"
 join "$FOLDER/applied" "$FOLDER/in-force" |
   awk 'function s(t, p) { split(t, p, ":"); return p[1] * 3600 + p[2] * 60 + p[3] } { print int((s($3) - s($2)) * 1000) }' |
   sort -n | awk '{ a[NR] = $1 } END { print "in_force n=" NR " p50_ms=" a[int(NR * .5)] " p99_ms=" a[int(NR * .99)] " max_ms=" a[NR] }'
