fix(entry): asks for spend no longer storm the replicated log

Cause: an entry VM that asked for a share of a budget that was not (or no longer) the open one, or that got less than it wanted, asked again as soon as the answer came, and each ask was an entry of the log. Every new sheet opens a budget, and the VMs hear of it within a second of each other, so they asked at full speed meanwhile: index 14,327 after 12 sheets, 20,000 calls a second for half a minute, 344 KB/s out of each control VM under a sheet every 0.6 s (16 KB/s without the asks). Ruled out: the replicas' own messages (idle 2.3 KB/s as before).

An ask for another budget than the open one is answered without an entry, and an entry VM waits 50 ms to 1 s between asks, longer while it gets less than it wants. test_agreement.sh counts entries: 3,544 for 60 sheets before, within 30 a sheet after; calls of a control VM after 12 sheets 20,335 before, 358 after. test_cost_cap.sh and test_outcomes.sh pass.

--- a/src/control/core_spend.c
+++ b/src/control/core_spend.c
@@ -56,6 +56,14 @@
       core_spend_drop (spend);
       return;
     }
+  if (spend->ask.budget != spend_book_budget (core->book))
+    {
+      control_spend_answer_t stale
+          = { .verdict = CONTROL_SPEND_STALE,
+              .budget = spend_book_budget (core->book) };
+      spend_answer (spend, &stale);
+      return;
+    }
   spend->id = ++core->next_id;
   list_push_back (&core->spend_calls, &spend->link);
   core->n_spend_calls++;
--- a/src/control/spend_book.c
+++ b/src/control/spend_book.c
@@ -63,6 +63,12 @@
   book->budget = budget;
 }
 
+uint64_t
+spend_book_budget (const spend_book_t *book)
+{
+  return book->budget;
+}
+
 blob_t *
 spend_book_encode (const control_spend_ask_t *ask)
 {
--- a/src/control/spend_book.h
+++ b/src/control/spend_book.h
@@ -25,6 +25,10 @@
    newest one.  */
 void spend_book_open (spend_book_t *book, uint64_t budget, money_t cap);
 
+/* The budget that is open; 0 before the first.  An ask for another one is
+   stale, which needs no entry.  */
+uint64_t spend_book_budget (const spend_book_t *book);
+
 /* The block that an ENTRY_GRANT holds for ASK; the caller's.  */
 blob_t *spend_book_encode (const control_spend_ask_t *ask);
 
--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -18,6 +18,9 @@
 };
 
 #define ASK_INTERVAL (50 * USEC_PER_MSEC)
+/* Every ask that is answered is an entry of the log, so one that got less than
+   it wanted is not repeated at once.  */
+#define ASK_INTERVAL_MAX (1 * USEC_PER_SEC)
 #define ASK_TIMEOUT (1 * USEC_PER_SEC)
 #define CLOSE_TIMEOUT (1 * USEC_PER_SEC)
 
@@ -31,6 +34,8 @@
   uint64_t budget; /* 0: no sheet yet */
   escrow_holder_t holder;
   bool asking;           /* a call is under way */
+  usec_t ask_at;         /* not before */
+  usec_t ask_pause;      /* after the next ask */
   int64_t returned;      /* that the granter has heard of */
   int64_t returned_sent; /* in the call under way */
   int64_t wanted_sent;
@@ -65,6 +70,8 @@
       share->budget = budget;
       share->is_short = false;
       holder_open (share, generation, step + 1);
+      share->ask_at = 0;
+      share->ask_pause = ASK_INTERVAL;
       pthread_cond_signal (&share->changed);
     }
   pthread_mutex_unlock (&share->lock);
@@ -162,6 +169,18 @@
   escrow_holder_answer (&share->holder, &given, now);
 }
 
+/* The next control VM may be asked soon: a refusal is no entry.  */
+static void
+pause_update (spend_share_t *share, const control_spend_answer_t *answer)
+{
+  bool is_served = answer->verdict == CONTROL_SPEND_GRANTED
+                   && answer->granted >= share->wanted_sent;
+  if (is_served || answer->verdict == CONTROL_SPEND_REFUSED)
+    share->ask_pause = ASK_INTERVAL;
+  else if (share->ask_pause < ASK_INTERVAL_MAX)
+    share->ask_pause *= 2;
+}
+
 /* Runs on the RPC thread.  */
 static void
 on_answer (void *closure, const rpc_result_t *result)
@@ -181,6 +200,7 @@
   if (answer.verdict != CONTROL_SPEND_REFUSED
       && answer.budget == share->budget)
     take_answer (share, &answer);
+  pause_update (share, &answer);
   pthread_cond_signal (&share->changed);
   pthread_mutex_unlock (&share->lock);
 }
@@ -249,8 +269,10 @@
   pthread_mutex_lock (&share->lock);
   while (!share->stop)
     {
-      if (share->budget > 0 && !share->asking)
+      usec_t now = clock_monotonic ();
+      if (share->budget > 0 && !share->asking && now >= share->ask_at)
         {
+          share->ask_at = now + share->ask_pause;
           escrow_ask_t ask
               = escrow_holder_ask (&share->holder, clock_monotonic ());
           ask_send (share, &ask);
