--- a/src/entry/entry_metrics.c
+++ b/src/entry/entry_metrics.c
@@ -3,10 +3,12 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
+#include "delivery/outcome.h"
 
 enum
 {
   OUTCOMES = EXCHANGE_UNKNOWN + 1,
+  REASONS = REASON_ANSWER_NOT_KEPT + 1,
 };
 
 /* Of one service.  */
@@ -21,7 +23,7 @@
   metrics_t *registry;
   service_metrics_t *services;
   size_t n_services;
-  counter_t *not_run[ERR_INTERNAL + 1];
+  counter_t *refused[REASONS]; /* not run or unknown */
   counter_t *lookups;
   counter_t *bad_requests;
   gauge_t *sheet_number;
@@ -54,16 +56,16 @@
 }
 
 static bool
-register_not_run (entry_metrics_t *metrics, err_t *err)
+register_refused (entry_metrics_t *metrics, err_t *err)
 {
-  for (size_t i = 0; i <= ERR_INTERNAL; i++)
+  for (size_t i = 0; i < REASONS; i++)
     {
       const metric_options_t options
-          = { .name = "mulberry_not_run_total",
-              .help = "Requests that were not run, by the kind of error",
-              .reason = err_kind_name ((err_kind_t)i) };
-      metrics->not_run[i] = metrics_counter (metrics->registry, &options, err);
-      if (!metrics->not_run[i])
+          = { .name = "mulberry_refused_total",
+              .help = "Requests without an answer, by reason",
+              .reason = request_reason_name ((request_reason_t)i) };
+      metrics->refused[i] = metrics_counter (metrics->registry, &options, err);
+      if (!metrics->refused[i])
         return false;
     }
   return true;
@@ -111,7 +113,7 @@
     abort ();
   metrics->registry = metrics_new ();
   if (metrics->registry && register_services (metrics, topology, err)
-      && register_not_run (metrics, err) && register_vm (metrics, err))
+      && register_refused (metrics, err) && register_vm (metrics, err))
     return metrics;
   entry_metrics_free (metrics);
   return NULL;
@@ -149,8 +151,8 @@
 entry_metrics_outcome (entry_metrics_t *metrics, const exchange_t *exchange,
                        usec_t took)
 {
-  if (exchange->outcome == EXCHANGE_NOT_RUN)
-    counter_add (metrics->not_run[exchange->reason.kind], 1);
+  if (exchange->outcome != EXCHANGE_ANSWER)
+    counter_add (metrics->refused[exchange->why], 1);
   if (exchange->service >= metrics->n_services)
     {
       counter_add (metrics->bad_requests, 1);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -3,7 +3,7 @@
    mulberry_request_usec          time to the outcome, for each organisation,
                                   service and class
    mulberry_requests_total        the same by outcome: answer, not-run, unknown
-   mulberry_not_run_total         by the error's kind
+   mulberry_refused_total         requests without an answer, by reason
    mulberry_lookups_total         look-ups answered
    mulberry_bad_requests_total    requests that name no service
    mulberry_sheet_number,         of the sheet in force; since when, in
--- a/test/functional/test_docs.sh
+++ b/test/functional/test_docs.sh
@@ -28,6 +28,9 @@
 kinds=$(sed -nE 's/^      return "([a-z]+)";$/\1/p' src/base/error.c | grep -v none)
 missing 'error kind' docs/OPERATIONS.md $kinds
 
+reasons=$(sed -nE 's/^ *\[REASON_[A-Z_]+\] = "([a-z_]+)",$/\1/p' src/delivery/outcome.c | grep -v none)
+missing 'reason' docs/API.md $reasons
+
 # Each command has a page, and each page's options are those of its help.
 "$BUILD/mulberryctl" --help | sed -nE 's/^  ([a-z]+( [a-z]+)?)( [A-Z]+)? {2,}.*/\1/p' | while read -r command; do
   page=docs/help/mulberryctl-${command// /-}.md
