--- a/test/unit/test_delivery_matrix.c
+++ b/test/unit/test_delivery_matrix.c
@@ -252,7 +252,7 @@
   size_t index = GPOINTER_TO_SIZE (data);
   fault_t fault = (fault_t)(index / N_STEPS);
   step_t step = (step_t)(index % N_STEPS);
-  char cell[CELL_BYTES];
+  char cell[CELL_BYTES] = "";
   static world_t world;
   world_open (&world);
   int first = reach (&world, step);
@@ -319,7 +319,8 @@
   size_t index = GPOINTER_TO_SIZE (data);
   size_t fault = index / N_HOP_STEPS;
   size_t step = index % N_HOP_STEPS;
-  char cell[CELL_BYTES];
+  g_assert_cmpuint (fault, <, N_HOP_FAULTS);
+  char cell[CELL_BYTES] = "";
   world_open (&world);
   int hop = reach_hop (&world, (hop_step_t)step);
   int first = world.flights[hop].parent;
