--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -95,6 +95,9 @@
 N=$((N + SUBMISSIONS))
 wait_for 10 in_force_everywhere $N
 never_back
+# A sheet's new budget is shared out by a few entries, not by a storm of them.
+INDEX=$(sed -nE "s/.*event=sheet_applied number=$N .*index=([0-9]+).*/\1/p" "$FOLDER"/control-*.log | sort -n | tail -1)
+[ "$INDEX" -le $((SUBMISSIONS * 30)) ] || fail "$INDEX entries for $SUBMISSIONS sheets"
 for i in 1001 $((N / 2 + 500)) $N; do
   cp "$FOLDER/answer-$i" "$FOLDER/first"
   submit $i
@@ -150,6 +153,7 @@
 wait_for 20 filled
 halted() { status_of "$1" | tr -d ' \n' | grep -q "\"vm\":\"$1\",\"role\":\"halted\""; }
 wait_for 5 halted "$1"
+curl -s "http://$(vm_address "$1"):9091/health" | grep -q "mend the disk" || fail "its health page says nothing"
 N=$((N + 1))
 submit $N
 kill_one KILL "control-$1"
