--- a/bench/policy_ours.c
+++ b/bench/policy_ours.c
@@ -12,6 +12,7 @@
   JUDGE_TICKS = 10,
   KEEP_PERCENT = 20,
   RETRIES_SAVED = 10,
+  SLOWDOWN_UNIT = 1000,
   ATTEMPT_TIMEOUT_MIN = 60000,
 };
 
@@ -119,6 +120,18 @@
 
 static void gate_pump (sim_t *sim, gate_t *gate);
 
+/* Of the region that is slowest against its warm self.  */
+static double
+slowdown (sim_t *sim)
+{
+  double worst = 1;
+  for (uint32_t d = 0; d < WORLD_DOMAINS; d++)
+    worst = fmax (worst,
+                  steer_slowdown (sim->ours->inner[d],
+                                  sim_region (sim, (domain_id_t)d), sim->now));
+  return worst;
+}
+
 void
 ours_tick (sim_t *sim)
 {
@@ -151,7 +164,8 @@
       for (uint32_t d = 0; d < WORLD_DOMAINS; d++)
         steer_tick (ours->inner[d], sim->now);
     }
-  ramp_step (&ours->move, 0, 0, sim->now);
+  ramp_step (&ours->move, (usec_t)(SLOWDOWN_UNIT * slowdown (sim)),
+             SLOWDOWN_UNIT, sim->now);
 }
 
 static admit_budgets_t
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -18,6 +18,9 @@
 /* Cost of the dearest region against a free one, in service times.  */
 static const double price_cost = 0.25;
 
+/* Older measurements say nothing of a cache that warms up now.  */
+static const usec_t slowdown_memory = USEC_PER_SEC;
+
 /* One backend server, known by name over sheets.  */
 typedef struct entry
 {
@@ -469,6 +472,26 @@
   return n_ejected;
 }
 
+double
+steer_slowdown (const steer_t *steer, region_id_t region, usec_t now)
+{
+  double sum = 0;
+  size_t n_measured = 0;
+  for (size_t i = 0; i < steer->n_entries; i++)
+    {
+      const entry_t *entry = &steer->entries[i];
+      const observe_t *observe = &entry->observe;
+      domain_id_t domain = entry->backend.domain;
+      if (!entry->listed || observe->warm <= 0 || observe->latency <= 0
+          || now - observe->ended_at > slowdown_memory
+          || steer->options.topology->domains[domain].region != region)
+        continue;
+      sum += observe->latency / observe->warm;
+      n_measured++;
+    }
+  return n_measured > 0 ? sum / (double)n_measured : 1;
+}
+
 static void
 service_latency (steer_t *steer, service_id_t service, usec_t latency)
 {
--- a/src/placement/steer.h
+++ b/src/placement/steer.h
@@ -99,6 +99,11 @@
 void steer_report_slot (steer_t *steer, backend_slot_t slot,
                         hint_source_t source, const hint_t *hint);
 
+/* How the servers answer now against how they do when warm: the mean of the
+   ratios over those of REGION that were measured, 1 where none was.  For the
+   ramp of a share that moves to REGION.  */
+double steer_slowdown (const steer_t *steer, region_id_t region, usec_t now);
+
 /* Once a second or so: judge outliers against their peers.  Returns how many
    were ejected.  */
 size_t steer_tick (steer_t *steer, usec_t now);
--- a/test/unit/test_placement_steer.c
+++ b/test/unit/test_placement_steer.c
@@ -217,6 +217,21 @@
   g_assert_cmpfloat (ramp_step (&cold, 400, 100, options.bound), ==, 1);
 }
 
+static void
+test_slowdown_is_of_the_region_and_of_now (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  g_assert_cmpfloat (steer_slowdown (fixture.steer, 0, fixture.now), ==, 1);
+  for (int i = 0; i < 200; i++)
+    finish (&fixture, 0, OUTCOME_ANSWERED, i < 100 ? run : 3 * run);
+  g_assert_cmpfloat (steer_slowdown (fixture.steer, 0, fixture.now), >, 2);
+  g_assert_cmpfloat (steer_slowdown (fixture.steer, 1, fixture.now), ==, 1);
+  usec_t later = fixture.now + 5 * USEC_PER_SEC;
+  g_assert_cmpfloat (steer_slowdown (fixture.steer, 0, later), ==, 1);
+  steer_free (fixture.steer);
+}
+
 static void
 test_leaving_server_gets_nothing_new (void)
 {
@@ -273,6 +288,8 @@
   g_test_add_func ("/steer/hint", test_hint_fades_with_age);
   g_test_add_func ("/steer/return", test_return_is_no_stampede);
   g_test_add_func ("/steer/ramp", test_ramp_follows_latency);
+  g_test_add_func ("/steer/slowdown",
+                   test_slowdown_is_of_the_region_and_of_now);
   g_test_add_func ("/steer/leaving", test_leaving_server_gets_nothing_new);
   g_test_add_func ("/steer/slot", test_slot_outlives_the_sheet);
   return g_test_run ();
