style: clang-tidy clean over all sources

Three reports were left: padding in a settings table's struct, a division that can't be by zero but looks so to the analyzer, a narrowing in a fuzz target.

--- a/src/entry/link_shares.c
+++ b/src/entry/link_shares.c
@@ -41,7 +41,7 @@
       = { .kind = BUDGET_RATE,
           .self = self,
           .generation = 1,
-          .floor = (int64_t)link->bytes_per_second / n_vms,
+          .floor = (int64_t)link->bytes_per_second / (n_vms > 0 ? n_vms : 1),
           .burst = BURST_MSEC * USEC_PER_MSEC };
   escrow_holder_init (holder, &options, now);
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -41,65 +41,65 @@
 } root_t;
 
 static const yaml_field_t root_fields[] = {
-  { "organisation", YAML_FIELD_NAME, offsetof (root_t, organisation), true },
-  { "domain_delay_us", YAML_FIELD_USEC, offsetof (root_t, domain_delay), true,
+  { "organisation", YAML_FIELD_NAME, true, offsetof (root_t, organisation) },
+  { "domain_delay_us", YAML_FIELD_USEC, true, offsetof (root_t, domain_delay),
     0, 1e6 },
-  { "client_delay_us", YAML_FIELD_USEC, offsetof (root_t, client_delay), true,
+  { "client_delay_us", YAML_FIELD_USEC, true, offsetof (root_t, client_delay),
     0, 1e6 },
-  { "key_file", YAML_FIELD_PATH, offsetof (root_t, key_file), true },
-  { "data_folder", YAML_FIELD_PATH, offsetof (root_t, data_folder), true },
-  { "operators_file", YAML_FIELD_PATH, offsetof (root_t, operators_file),
-    false },
-  { "objective", YAML_FIELD_NODE, offsetof (root_t, objective), true },
-  { "ports", YAML_FIELD_NODE, offsetof (root_t, ports), true },
-  { "limits", YAML_FIELD_NODE, offsetof (root_t, limits), false },
-  { "regions", YAML_FIELD_NODE, offsetof (root_t, regions), true },
-  { "failure_domains", YAML_FIELD_NODE, offsetof (root_t, domains), true },
-  { "vms", YAML_FIELD_NODE, offsetof (root_t, vms), true },
-  { "services", YAML_FIELD_NODE, offsetof (root_t, services), true },
-  { "links", YAML_FIELD_NODE, offsetof (root_t, links), true },
+  { "key_file", YAML_FIELD_PATH, true, offsetof (root_t, key_file) },
+  { "data_folder", YAML_FIELD_PATH, true, offsetof (root_t, data_folder) },
+  { "operators_file", YAML_FIELD_PATH, false,
+    offsetof (root_t, operators_file) },
+  { "objective", YAML_FIELD_NODE, true, offsetof (root_t, objective) },
+  { "ports", YAML_FIELD_NODE, true, offsetof (root_t, ports) },
+  { "limits", YAML_FIELD_NODE, false, offsetof (root_t, limits) },
+  { "regions", YAML_FIELD_NODE, true, offsetof (root_t, regions) },
+  { "failure_domains", YAML_FIELD_NODE, true, offsetof (root_t, domains) },
+  { "vms", YAML_FIELD_NODE, true, offsetof (root_t, vms) },
+  { "services", YAML_FIELD_NODE, true, offsetof (root_t, services) },
+  { "links", YAML_FIELD_NODE, true, offsetof (root_t, links) },
 };
 
 static const yaml_field_t objective_fields[] = {
-  { "latency", YAML_FIELD_REAL, offsetof (objective_t, latency), true, 0, 1 },
-  { "headroom", YAML_FIELD_REAL, offsetof (objective_t, headroom), true, 0,
+  { "latency", YAML_FIELD_REAL, true, offsetof (objective_t, latency), 0, 1 },
+  { "headroom", YAML_FIELD_REAL, true, offsetof (objective_t, headroom), 0,
     1 },
 };
 
 static const yaml_field_t port_fields[] = {
-  { "caller", YAML_FIELD_U16, offsetof (settings_ports_t, caller), true, 1,
+  { "caller", YAML_FIELD_U16, true, offsetof (settings_ports_t, caller), 1,
     PORT_MAX },
-  { "entry_peer", YAML_FIELD_U16, offsetof (settings_ports_t, entry_peer),
-    true, 1, PORT_MAX },
-  { "entry_metrics", YAML_FIELD_U16,
-    offsetof (settings_ports_t, entry_metrics), true, 1, PORT_MAX },
-  { "admin", YAML_FIELD_U16, offsetof (settings_ports_t, admin), true, 1,
+  { "entry_peer", YAML_FIELD_U16, true,
+    offsetof (settings_ports_t, entry_peer), 1, PORT_MAX },
+  { "entry_metrics", YAML_FIELD_U16, true,
+    offsetof (settings_ports_t, entry_metrics), 1, PORT_MAX },
+  { "admin", YAML_FIELD_U16, true, offsetof (settings_ports_t, admin), 1,
     PORT_MAX },
-  { "control_peer", YAML_FIELD_U16, offsetof (settings_ports_t, control_peer),
-    true, 1, PORT_MAX },
-  { "control_metrics", YAML_FIELD_U16,
-    offsetof (settings_ports_t, control_metrics), true, 1, PORT_MAX },
+  { "control_peer", YAML_FIELD_U16, true,
+    offsetof (settings_ports_t, control_peer), 1, PORT_MAX },
+  { "control_metrics", YAML_FIELD_U16, true,
+    offsetof (settings_ports_t, control_metrics), 1, PORT_MAX },
 };
 
 static const yaml_field_t limit_fields[] = {
-  { "body_bytes", YAML_FIELD_U32, offsetof (settings_limits_t, body_bytes),
-    false, 1024, 64e6 },
-  { "caller_connections", YAML_FIELD_U32,
-    offsetof (settings_limits_t, caller_connections), false, 1, 60000 },
-  { "requests_in_flight", YAML_FIELD_U32,
-    offsetof (settings_limits_t, requests_in_flight), false, 1, 60000 },
-  { "tickets", YAML_FIELD_U32, offsetof (settings_limits_t, tickets), false,
+  { "body_bytes", YAML_FIELD_U32, false,
+    offsetof (settings_limits_t, body_bytes), 1024, 64e6 },
+  { "caller_connections", YAML_FIELD_U32, false,
+    offsetof (settings_limits_t, caller_connections), 1, 60000 },
+  { "requests_in_flight", YAML_FIELD_U32, false,
+    offsetof (settings_limits_t, requests_in_flight), 1, 60000 },
+  { "tickets", YAML_FIELD_U32, false, offsetof (settings_limits_t, tickets),
     16, 1e7 },
-  { "ticket_lifetime_s", YAML_FIELD_USEC,
-    offsetof (settings_limits_t, ticket_lifetime), false, 1, 86400, 1000000 },
-  { "deadline_max_ms", YAML_FIELD_USEC,
-    offsetof (settings_limits_t, deadline_max), false, 1, 600e3, 1000 },
-  { "lookup_age_ms", YAML_FIELD_USEC, offsetof (settings_limits_t, lookup_age),
-    false, 0, 600e3, 1000 },
-  { "pull_interval_ms", YAML_FIELD_USEC,
-    offsetof (settings_limits_t, pull_interval), false, 10, 60e3, 1000 },
-  { "connection_idle_ms", YAML_FIELD_USEC,
-    offsetof (settings_limits_t, connection_idle), false, 100, 600e3, 1000 },
+  { "ticket_lifetime_s", YAML_FIELD_USEC, false,
+    offsetof (settings_limits_t, ticket_lifetime), 1, 86400, 1000000 },
+  { "deadline_max_ms", YAML_FIELD_USEC, false,
+    offsetof (settings_limits_t, deadline_max), 1, 600e3, 1000 },
+  { "lookup_age_ms", YAML_FIELD_USEC, false,
+    offsetof (settings_limits_t, lookup_age), 0, 600e3, 1000 },
+  { "pull_interval_ms", YAML_FIELD_USEC, false,
+    offsetof (settings_limits_t, pull_interval), 10, 60e3, 1000 },
+  { "connection_idle_ms", YAML_FIELD_USEC, false,
+    offsetof (settings_limits_t, connection_idle), 100, 600e3, 1000 },
 };
 
 /* One list item as read, with names not yet looked up.  */
@@ -122,40 +122,40 @@
 #define VM_AT(member) (offsetof (named_item_t, vm) + offsetof (vm_t, member))
 
 static const yaml_field_t region_fields[] = {
-  { "name", YAML_FIELD_NAME, offsetof (named_item_t, name), true },
-  { "capacity", YAML_FIELD_U32, offsetof (named_item_t, capacity), true, 1,
+  { "name", YAML_FIELD_NAME, true, offsetof (named_item_t, name) },
+  { "capacity", YAML_FIELD_U32, true, offsetof (named_item_t, capacity), 1,
     1e9 },
 };
 
 static const yaml_field_t domain_fields[] = {
-  { "name", YAML_FIELD_NAME, offsetof (named_item_t, name), true },
-  { "region", YAML_FIELD_NAME, offsetof (named_item_t, region), true },
+  { "name", YAML_FIELD_NAME, true, offsetof (named_item_t, name) },
+  { "region", YAML_FIELD_NAME, true, offsetof (named_item_t, region) },
 };
 
 static const yaml_field_t vm_fields[] = {
-  { "name", YAML_FIELD_NAME, offsetof (named_item_t, name), true },
-  { "failure_domain", YAML_FIELD_NAME, offsetof (named_item_t, domain), true },
-  { "address", YAML_FIELD_ADDRESS, VM_AT (address), true },
-  { "control", YAML_FIELD_BOOL, VM_AT (has_control), false },
+  { "name", YAML_FIELD_NAME, true, offsetof (named_item_t, name) },
+  { "failure_domain", YAML_FIELD_NAME, true, offsetof (named_item_t, domain) },
+  { "address", YAML_FIELD_ADDRESS, true, VM_AT (address) },
+  { "control", YAML_FIELD_BOOL, false, VM_AT (has_control) },
 };
 
 static const yaml_field_t service_fields[] = {
-  { "name", YAML_FIELD_NAME, offsetof (named_item_t, name), true },
-  { "class", YAML_FIELD_NAME, SERVICE_AT (request_class), true },
-  { "weight", YAML_FIELD_U16, SERVICE_AT (weight), true, 1, 1000 },
-  { "slots", YAML_FIELD_U16, SERVICE_AT (slots), true, 1, 1000 },
-  { "connections", YAML_FIELD_U16, SERVICE_AT (connections), true, 1, 60000 },
-  { "deadline_ms", YAML_FIELD_USEC, SERVICE_AT (deadline), true, 1, 600e3,
+  { "name", YAML_FIELD_NAME, true, offsetof (named_item_t, name) },
+  { "class", YAML_FIELD_NAME, true, SERVICE_AT (request_class) },
+  { "weight", YAML_FIELD_U16, true, SERVICE_AT (weight), 1, 1000 },
+  { "slots", YAML_FIELD_U16, true, SERVICE_AT (slots), 1, 1000 },
+  { "connections", YAML_FIELD_U16, true, SERVICE_AT (connections), 1, 60000 },
+  { "deadline_ms", YAML_FIELD_USEC, true, SERVICE_AT (deadline), 1, 600e3,
     1000 },
-  { "answer_bytes", YAML_FIELD_U32, SERVICE_AT (answer_bytes), true, 1, 64e6 },
+  { "answer_bytes", YAML_FIELD_U32, true, SERVICE_AT (answer_bytes), 1, 64e6 },
 };
 
 static const yaml_field_t link_fields[] = {
-  { "from", YAML_FIELD_NAME, offsetof (named_item_t, from), true },
-  { "to", YAML_FIELD_NAME, offsetof (named_item_t, to), true },
-  { "mbit_s", YAML_FIELD_U64, offsetof (named_item_t, bytes_per_second), true,
+  { "from", YAML_FIELD_NAME, true, offsetof (named_item_t, from) },
+  { "to", YAML_FIELD_NAME, true, offsetof (named_item_t, to) },
+  { "mbit_s", YAML_FIELD_U64, true, offsetof (named_item_t, bytes_per_second),
     1, 1e6, BYTES_PER_MBIT },
-  { "delay_us", YAML_FIELD_USEC, offsetof (named_item_t, delay), true, 0,
+  { "delay_us", YAML_FIELD_USEC, true, offsetof (named_item_t, delay), 0,
     1e6 },
 };
 
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -37,8 +37,8 @@
 {
   const char *key;
   yaml_field_kind_t kind;
-  size_t offset;
   bool required;
+  size_t offset;
   double min;
   double max;
   uint64_t scale; /* multiplies whole numbers; 0 stands for 1 */
--- a/test/fuzz/fuzz_wire_message.c
+++ b/test/fuzz/fuzz_wire_message.c
@@ -36,7 +36,8 @@
   check (rpc_message_read_call (record, length, &found, &at, &authentic, mac,
                                 key));
   check (authentic && found.sequence == header.sequence);
-  record[data[1] % length] ^= (char)(1 << (data[2] % 8));
+  unsigned char *bytes = (unsigned char *)record;
+  bytes[data[1] % length] ^= (unsigned char)(1U << (data[2] % 8));
   if (rpc_message_read_call (record, length, &found, &at, &authentic, mac,
                              key))
     check (!authentic);
