feat(entry): requests are placed by placement/steer

A forwarded answer carries the run time that the admitting VM measured (X-Mulberry-Run-Us), as a wait for a slot there must not look like a slow backend server; the header counts from entry VMs only. A time-out after less than a quarter of the service's deadline says nothing of the server, or callers in a hurry would have it ejected.

Ruled out: one table for both choices (a sample of two from the domain often holds none that is ours); forwarding where no free slot is expected (the other VM would refuse it after 20 ms). The file's own shunning stays: ejection needs eight ended requests and never takes the last half of a service's servers, which is too slow for a stopped server under an entry VM that owns one or two.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -118,6 +118,8 @@
     copy_text (reply->reason, value);
   else if ((value = header_value (line, "X-Mulberry-Generation")))
     reply->generation = (uint32_t)strtoul (value, NULL, 10);
+  else if ((value = header_value (line, "X-Mulberry-Run-Us")))
+    reply->ran = (usec_t)strtoul (value, NULL, 10);
   return length;
 }
 
--- a/src/entry/backend_client.h
+++ b/src/entry/backend_client.h
@@ -38,6 +38,8 @@
   char outcome[BACKEND_TEXT_BYTES];
   char reason[BACKEND_TEXT_BYTES];
   uint32_t generation;
+  usec_t
+      ran; /* that the entry VM asked says the backend server ran; 0: none */
   char *body; /* malloc'd; who takes it sets it to NULL */
   size_t body_bytes;
   const char *error;
--- /dev/null
+++ b/src/entry/backend_run.c
@@ -0,0 +1,67 @@
+#include "entry/backend_run.h"
+
+#include <string.h>
+
+enum
+{
+  STATUS_FAULT = 500, /* this and above: the server's own fault */
+  STATUS_UNAVAILABLE = 503,
+};
+
+void
+backend_run_begin (backend_run_t *run, backend_table_t *table,
+                   const place_t *place, usec_t deadline, usec_t now)
+{
+  *run = (backend_run_t){ .live = true,
+                          .backend = place->backend,
+                          .forwarded = place->kind == PLACE_FORWARD,
+                          .deadline = deadline,
+                          .began_at = now };
+  backend_table_started (table, place->backend);
+}
+
+static void
+end (backend_run_t *run, backend_table_t *table, run_outcome_t outcome,
+     usec_t latency, usec_t now)
+{
+  if (!run->live)
+    return;
+  run->live = false;
+  backend_table_ended (table, run->backend, outcome, latency, now);
+}
+
+static run_outcome_t
+outcome_of (const backend_run_t *run, const backend_reply_t *reply, usec_t now)
+{
+  if (reply->whole && reply->id_matches)
+    {
+      bool refused
+          = run->forwarded
+                ? strcmp (reply->outcome, "not-run") == 0
+                : reply->not_started && reply->status == STATUS_UNAVAILABLE;
+      if (refused)
+        return OUTCOME_REFUSED;
+      return reply->status >= STATUS_FAULT ? OUTCOME_FAILED : OUTCOME_ANSWERED;
+    }
+  if (!reply->sent && now >= run->deadline)
+    return OUTCOME_CANCELLED;
+  return reply->timed_out ? OUTCOME_TIMED_OUT : OUTCOME_FAILED;
+}
+
+usec_t
+backend_run_reply (backend_run_t *run, backend_table_t *table,
+                   const backend_reply_t *reply, usec_t now)
+{
+  bool told = run->forwarded && reply->ran > 0;
+  usec_t ran = told ? reply->ran : now - run->began_at;
+  end (run, table, outcome_of (run, reply, now), ran, now);
+  return ran;
+}
+
+void
+backend_run_stop (backend_run_t *run, backend_table_t *table, usec_t now)
+{
+  bool late = now >= run->deadline;
+  end (run, table, late ? OUTCOME_TIMED_OUT : OUTCOME_CANCELLED,
+       now - run->began_at, now);
+}
--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -6,6 +6,8 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "placement/steer.h"
+#include "shift/sheet.h"
 
 enum
 {
@@ -15,8 +17,21 @@
   SHUN_FIRST_MSEC = 100,
   SHUN_LAST_MSEC = 1600,
   VMS_IN_MASK = 64,
+  SLOT_NONE = UINT16_MAX,
+  PATIENCE_DIVISOR = 4, /* of the service's deadline */
 };
 
+static const usec_t judge_interval = USEC_PER_SEC;
+
+/* The backend servers that one choice is made among, and where each stands in
+   it.  */
+typedef struct choice_set
+{
+  steer_t *steer;
+  backend_slot_t slot[BACKENDS_MAX]; /* by index; SLOT_NONE: not in it */
+  uint32_t index[BACKENDS_MAX];      /* by slot */
+} choice_set_t;
+
 typedef struct known_backend
 {
   backend_t backend;
@@ -33,6 +48,9 @@
   uint64_t version;
   known_backend_t known[BACKENDS_MAX];
   uint32_t n_known;
+  choice_set_t all;
+  choice_set_t own; /* those that this entry VM admits to */
+  usec_t judged_at;
   usec_t *full_until; /* by VM and service */
   random_state_t random;
 };
@@ -57,8 +75,10 @@
   if (!table)
     abort ();
   table->options = *options;
+  memset (table->all.slot, UINT8_MAX, sizeof table->all.slot);
+  memset (table->own.slot, UINT8_MAX, sizeof table->own.slot);
   usec_t now = clock_monotonic ();
-  random_seed (&table->random, (uint64_t)now);
+  random_seed (&table->random, options->seed ? options->seed : (uint64_t)now);
   slots_options_t slots_options
       = { .self = options->self,
           .max_backends = BACKENDS_MAX,
@@ -68,9 +88,14 @@
   slots_options.n_owners = domain_vms (
       topology, topology->vms[options->self].domain, slots_options.owners);
   table->slots = slots_new (&slots_options, err);
+  const steer_options_t steer_options
+      = { .topology = topology, .home = topology->vms[options->self].domain };
+  table->all.steer = steer_new (&steer_options, err);
+  table->own.steer = steer_new (&steer_options, err);
   table->full_until = calloc (topology->n_vms * topology->n_services,
                               sizeof *table->full_until);
-  if (table->slots && table->full_until)
+  if (table->slots && table->all.steer && table->own.steer
+      && table->full_until)
     return table;
   backend_table_free (table);
   return NULL;
@@ -80,6 +105,8 @@
 backend_table_free (backend_table_t *table)
 {
   slots_free_all (table->slots);
+  steer_free (table->all.steer);
+  steer_free (table->own.steer);
   free (table->full_until);
   free (table);
 }
@@ -100,13 +127,14 @@
          || backend->state == BACKEND_JOINING;
 }
 
-static void
+/* The index of BACKEND; BACKENDS_MAX where there are too many.  */
+static uint32_t
 learn (backend_table_t *table, const backend_t *backend)
 {
   const topology_t *topology = &table->options.settings->topology;
   uint32_t index = find_known (table, backend);
   if (index == BACKENDS_MAX)
-    return;
+    return index;
   uint64_t key = XXH64 (backend->name.text, strlen (backend->name.text), 0);
   vm_id_t owners[SLOT_OWNERS_MAX];
   size_t n_owners = domain_vms (topology, backend->domain, owners);
@@ -115,45 +143,82 @@
   known->owner = slots_owner (owners, n_owners, key);
   known->in_sheet = true;
   if (known->owner != table->options.self)
-    return;
+    return index;
   const service_t *service = &topology->services[backend->service];
   const slot_backend_t caps = { .key = key,
                                 .slots = service->slots,
                                 .connections = service->connections };
   slots_set_backend (table->slots, index, &caps, NULL);
   slots_set_leaving (table->slots, index, !takes_work (backend));
+  return index;
 }
 
-void
-backend_table_tick (backend_table_t *table, usec_t now)
+static void
+update_set (const backend_table_t *table, choice_set_t *set,
+            const sheet_t *sheet, usec_t now)
 {
-  slots_tick (table->slots, now);
-  if (route_table_version (table->options.routes) == table->version)
+  if (!steer_update (set->steer, sheet, now, NULL))
     return;
-  backend_t *backends = NULL;
-  size_t n
-      = route_table_copy (table->options.routes, &backends, &table->version);
+  for (uint32_t i = 0; i < table->n_known; i++)
+    {
+      const char *name = table->known[i].backend.name.text;
+      set->slot[i] = SLOT_NONE;
+      if (steer_find (set->steer, name, &set->slot[i]))
+        set->index[set->slot[i]] = i;
+    }
+}
+
+/* Put SHEET's backend servers in place of those known; SHEET's are sorted
+   out on the way.  */
+static void
+take_sheet (backend_table_t *table, sheet_t *sheet, usec_t now)
+{
   for (uint32_t i = 0; i < table->n_known; i++)
     {
       table->known[i].in_sheet = false;
       slots_set_leaving (table->slots, i, true);
     }
-  for (size_t i = 0; i < n; i++)
-    learn (table, &backends[i]);
-  free (backends);
+  size_t n_own = 0;
+  size_t n_learnt = 0;
+  backend_t *own = calloc (sheet->n_backends + 1, sizeof *own);
+  if (!own)
+    abort ();
+  for (size_t i = 0; i < sheet->n_backends; i++)
+    {
+      uint32_t index = learn (table, &sheet->backends[i]);
+      if (index == BACKENDS_MAX)
+        continue;
+      sheet->backends[n_learnt++] = sheet->backends[i];
+      if (table->known[index].owner == table->options.self)
+        own[n_own++] = table->known[index].backend;
+    }
+  sheet->n_backends = n_learnt;
+  update_set (table, &table->all, sheet, now);
+  sheet_t own_sheet = *sheet;
+  own_sheet.backends = own;
+  own_sheet.n_backends = n_own;
+  update_set (table, &table->own, &own_sheet, now);
+  free (own);
 }
 
-/* 0 in the own failure domain, 1 in the own region, 2 elsewhere.  */
-static int
-distance (const backend_table_t *table, domain_id_t domain)
+void
+backend_table_tick (backend_table_t *table, usec_t now)
 {
-  const topology_t *topology = &table->options.settings->topology;
-  domain_id_t home = topology->vms[table->options.self].domain;
-  if (domain == home)
-    return 0;
-  return topology->domains[domain].region == topology->domains[home].region
-             ? 1
-             : 2;
+  slots_tick (table->slots, now);
+  if (now - table->judged_at >= judge_interval)
+    {
+      table->judged_at = now;
+      steer_tick (table->all.steer, now);
+      steer_tick (table->own.steer, now);
+    }
+  if (route_table_version (table->options.routes) == table->version)
+    return;
+  sheet_t *sheet = route_table_copy (table->options.routes);
+  if (!sheet)
+    return;
+  table->version = sheet->number;
+  take_sheet (table, sheet, now);
+  sheet_free (sheet);
 }
 
 static usec_t *
@@ -191,31 +256,95 @@
   table->known[backend].shunned_until = 0;
 }
 
-/* The backend server of ours with the most free slots; BACKENDS_MAX where
-   none has one.  *OWNED says whether any is ours and works.  */
+void
+backend_table_started (backend_table_t *table, uint32_t backend)
+{
+  if (table->all.slot[backend] != SLOT_NONE)
+    steer_started (table->all.steer, table->all.slot[backend]);
+  if (table->own.slot[backend] != SLOT_NONE)
+    steer_started (table->own.steer, table->own.slot[backend]);
+}
+
+static void
+finish (choice_set_t *set, uint32_t backend, run_outcome_t outcome,
+        usec_t latency, usec_t now)
+{
+  backend_slot_t slot = set->slot[backend];
+  if (slot != SLOT_NONE)
+    steer_finished (set->steer, slot, slot, outcome, latency, now);
+}
+
+void
+backend_table_ended (backend_table_t *table, uint32_t backend,
+                     run_outcome_t outcome, usec_t latency, usec_t now)
+{
+  const topology_t *topology = &table->options.settings->topology;
+  service_id_t service = table->known[backend].backend.service;
+  usec_t patience = topology->services[service].deadline / PATIENCE_DIVISOR;
+  /* A caller that gives little time says nothing of the server.  */
+  if (outcome == OUTCOME_TIMED_OUT && latency < patience)
+    outcome = OUTCOME_CANCELLED;
+  finish (&table->all, backend, outcome, latency, now);
+  finish (&table->own, backend, outcome, latency, now);
+}
+
+void
+backend_table_report (backend_table_t *table, uint32_t backend,
+                      const hint_t *hint)
+{
+  const char *name = table->known[backend].backend.name.text;
+  steer_report (table->all.steer, name, HINT_ENDPOINT, hint);
+  steer_report (table->own.steer, name, HINT_ENDPOINT, hint);
+}
+
+/* Whether BACKEND, which is admitted here, may run one more: fewer than its
+   slots while it ramps, none while it is ejected.  */
+static bool
+has_room (backend_table_t *table, uint32_t backend, usec_t now)
+{
+  uint32_t limit
+      = steer_slots (table->all.steer, table->all.slot[backend], now);
+  return table->known[backend].shunned_until <= now
+         && slots_used (table->slots, backend) < limit
+         && slots_available (table->slots, backend, now) > 0;
+}
+
+/* A backend server of ours with room; BACKENDS_MAX where there is none.  */
 static uint32_t
-pick_own (backend_table_t *table, service_id_t service, usec_t now,
-          bool *owned)
+pick_own (backend_table_t *table, service_id_t service, usec_t now)
+{
+  const topology_t *topology = &table->options.settings->topology;
+  domain_id_t home = topology->vms[table->options.self].domain;
+  const steer_request_t wanted
+      = { .service = service, .regions_open = ~(uint64_t)0 };
+  steer_choice_t choice;
+  if (!steer_choose_in_domain (table->own.steer, &wanted, home, now,
+                               &table->random, &choice))
+    return BACKENDS_MAX;
+  uint32_t chosen = table->own.index[choice.slot];
+  if (has_room (table, chosen, now))
+    return chosen;
+  for (uint32_t i = 0; i < table->n_known; i++)
+    if (table->own.slot[i] != SLOT_NONE && table->known[i].in_sheet
+        && table->known[i].backend.service == service
+        && has_room (table, i, now))
+      return i;
+  return BACKENDS_MAX;
+}
+
+/* Whether a backend server for SERVICE is ours and works.  */
+static bool
+owns_any (backend_table_t *table, service_id_t service, usec_t now)
 {
-  uint32_t best = BACKENDS_MAX;
-  uint32_t best_free = 0;
-  uint32_t start = (uint32_t)random_below (&table->random, table->n_known);
   for (uint32_t i = 0; i < table->n_known; i++)
     {
-      uint32_t index = (start + i) % table->n_known;
-      const known_backend_t *known = &table->known[index];
-      if (!known->in_sheet || known->backend.service != service
-          || !takes_work (&known->backend)
-          || known->owner != table->options.self || known->shunned_until > now)
-        continue;
-      *owned = true;
-      uint32_t n_free = slots_available (table->slots, index, now);
-      if (n_free <= best_free)
-        continue;
-      best = index;
-      best_free = n_free;
+      const known_backend_t *known = &table->known[i];
+      if (known->in_sheet && known->backend.service == service
+          && known->owner == table->options.self && known->shunned_until <= now
+          && steer_slots (table->all.steer, table->all.slot[i], now) > 0)
+        return true;
     }
-  return best;
+  return false;
 }
 
 static bool
@@ -225,32 +354,65 @@
   return vm != table->options.self && vm < VMS_IN_MASK
          && !(tried & (UINT64_C (1) << vm))
          && *full_until (table, vm, service) <= now
-         && peer_ledger_reachable (table->options.peers, vm);
+         && (!table->options.peers
+             || peer_ledger_reachable (table->options.peers, vm));
 }
 
-/* The nearest entry VM that admits for SERVICE.  */
-static vm_id_t
-pick_peer (backend_table_t *table, service_id_t service, uint64_t tried,
-           usec_t now)
+static bool
+admit_own (backend_table_t *table, service_id_t service, usec_t deadline,
+           usec_t now, place_t *place)
 {
-  vm_id_t best = TOPOLOGY_NONE;
-  int best_distance = 3;
-  uint32_t start = (uint32_t)random_below (&table->random, table->n_known);
-  for (uint32_t i = 0; i < table->n_known; i++)
+  place->backend = pick_own (table, service, now);
+  if (place->backend == BACKENDS_MAX
+      || slots_admit (table->slots, place->backend, deadline, now,
+                      &place->token)
+             != SLOT_GRANTED)
+    return false;
+  place->kind = PLACE_HERE;
+  return true;
+}
+
+/* Leave CHOICE out of the next choice; its failure domain too where it is
+   busy, or where no more single ones can be left out.  */
+static void
+pass_over (steer_request_t *wanted, const steer_choice_t *choice)
+{
+  if (choice->free && wanted->n_tried < STEER_TRIED_MAX)
+    wanted->tried[wanted->n_tried++] = choice->slot;
+  else
+    wanted->domains_refused |= UINT64_C (1) << choice->domain;
+}
+
+/* The best backend server, here or by way of the entry VM that admits to it.
+   Each turn leaves out a backend server or a failure domain.  */
+static bool
+place_anywhere (backend_table_t *table, service_id_t service, usec_t deadline,
+                uint64_t tried, usec_t now, place_t *place)
+{
+  steer_request_t wanted = { .service = service,
+                             .deadline = deadline,
+                             .regions_open = ~(uint64_t)0 };
+  steer_choice_t choice;
+  while (
+      steer_choose (table->all.steer, &wanted, now, &table->random, &choice))
     {
-      const known_backend_t *known
-          = &table->known[(start + i) % table->n_known];
-      if (!known->in_sheet || known->backend.service != service
-          || !takes_work (&known->backend))
-        continue;
-      int far = distance (table, known->backend.domain);
-      if (far >= best_distance
-          || !may_ask (table, known->owner, service, tried, now))
-        continue;
-      best = known->owner;
-      best_distance = far;
+      uint32_t index = table->all.index[choice.slot];
+      vm_id_t owner = table->known[index].owner;
+      if (owner == table->options.self)
+        {
+          if (admit_own (table, service, deadline, now, place))
+            return true;
+        }
+      else if (choice.free && may_ask (table, owner, service, tried, now))
+        {
+          place->kind = PLACE_FORWARD;
+          place->backend = index;
+          place->vm = owner;
+          return true;
+        }
+      pass_over (&wanted, &choice);
     }
-  return best;
+  return false;
 }
 
 place_t
@@ -258,21 +420,14 @@
                      usec_t deadline, uint64_t tried, bool may_forward,
                      usec_t now)
 {
-  bool owned = false;
-  place_t place = { .kind = PLACE_NOWHERE };
-  place.backend = pick_own (table, service, now, &owned);
-  if (place.backend < BACKENDS_MAX
-      && slots_admit (table->slots, place.backend, deadline, now, &place.token)
-             == SLOT_GRANTED)
+  place_t place = { .kind = PLACE_NOWHERE, .vm = TOPOLOGY_NONE };
+  if (may_forward)
     {
-      place.kind = PLACE_HERE;
-      return place;
+      if (!place_anywhere (table, service, deadline, tried, now, &place))
+        place.kind = PLACE_WAIT;
     }
-  place.vm
-      = may_forward ? pick_peer (table, service, tried, now) : TOPOLOGY_NONE;
-  if (place.vm != TOPOLOGY_NONE)
-    place.kind = PLACE_FORWARD;
-  else if (owned || may_forward)
+  else if (!admit_own (table, service, deadline, now, &place)
+           && owns_any (table, service, now))
     place.kind = PLACE_WAIT;
   return place;
 }
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -176,6 +176,15 @@
   MHD_add_response_header (response, "Idempotency-Key", text);
 }
 
+/* For the entry VM that forwarded it: a measure without the wait here.  */
+static void
+add_run_time (const exchange_t *exchange, struct MHD_Response *response)
+{
+  char ran[24];
+  snprintf (ran, sizeof ran, "%lld", (long long)exchange->ran);
+  MHD_add_response_header (response, "X-Mulberry-Run-Us", ran);
+}
+
 static enum MHD_Result
 reply_outcome (const caller_port_t *port, exchange_t *exchange)
 {
@@ -194,6 +203,8 @@
   if (exchange->outcome == EXCHANGE_ANSWER && exchange->answer_type[0])
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                              exchange->answer_type);
+  if (exchange->is_hop && exchange->outcome == EXCHANGE_ANSWER)
+    add_run_time (exchange, response);
   enum MHD_Result result = MHD_queue_response (
       exchange->connection, outcome_status (exchange), response);
   MHD_destroy_response (response);
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -59,6 +59,7 @@
   char answer_type[EXCHANGE_HEADER_BYTES];
   char *answer;
   size_t answer_bytes;
+  usec_t ran;   /* of the backend server, for the answer */
   err_t reason; /* where there is no answer */
   request_reason_t why;
   uint32_t generation; /* of the ticket that is dead; 0 for none */
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -164,6 +164,7 @@
     case PLACE_FORWARD:
       event.kind = EVENT_FORWARD;
       event.as.forward = job->forward = found.vm;
+      job->backend = found.backend;
       break;
     case PLACE_WAIT:
       if (gives_up)
@@ -235,6 +236,11 @@
           .timeout = idempotent ? left / 2 : left + USEC_PER_SEC,
           .once = !idempotent,
           .owner = job };
+  const place_t towards
+      = { .kind = job->request.forwarded ? PLACE_FORWARD : PLACE_HERE,
+          .backend = job->backend };
+  backend_run_begin (&job->run, job->world->table, &towards,
+                     job->request.options.deadline, now);
   if (job->request.forwarded)
     send_forward (job, &request);
   else
@@ -255,9 +261,10 @@
 }
 
 static void
-cancel_target (job_t *job)
+cancel_target (job_t *job, usec_t now)
 {
   backend_client_t *client = job->world->client;
+  backend_run_stop (&job->run, job->world->table, now);
   if (!job->call)
     return;
   if (job->request.forwarded)
@@ -377,6 +384,9 @@
   job->call = NULL;
   bool forwarded = job->request.forwarded;
   bool own = reply->whole && reply->id_matches;
+  usec_t ran = backend_run_reply (&job->run, job->world->table, reply, now);
+  if (!job->request.told)
+    job->exchange->ran = ran;
   if (own && !forwarded)
     backend_table_worked (job->world->table, job->backend);
   if (reply->whole && !reply->id_matches)
@@ -493,7 +503,7 @@
       send_asks (job, &asks, now);
       break;
     case ACTION_CANCEL_TARGET:
-      cancel_target (job);
+      cancel_target (job, now);
       break;
     case ACTION_FREE_SLOT:
       slots_free (slots, &action->as.token);
@@ -575,6 +585,7 @@
 {
   if (job->call)
     backend_client_abort (job->world->client, job->call);
+  backend_run_stop (&job->run, job->world->table, clock_monotonic ());
   if (!job->request.told)
     tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
                                      .reason = REASON_DRAINING });
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "delivery/request.h"
 #include "entry/backend_client.h"
+#include "entry/backend_run.h"
 #include "entry/backend_table.h"
 #include "entry/exchange.h"
 
@@ -48,6 +49,7 @@
   vm_id_t forward;
   uint64_t tried; /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
+  backend_run_t run; /* the call as the table knows it */
   char send_id[JOB_ID_BYTES];
   bool waiting; /* for a slot */
   usec_t waiting_since;
--- a/src/entry/route_table.c
+++ b/src/entry/route_table.c
@@ -61,19 +61,33 @@
   return version;
 }
 
-size_t
-route_table_copy (route_table_t *table, backend_t **backends,
-                  uint64_t *version)
+static void *
+copy_array (const void *from, size_t n, size_t item_bytes)
 {
-  pthread_rwlock_rdlock (&table->lock);
-  const sheet_t *sheet = table->sheet;
-  size_t n = sheet ? sheet->n_backends : 0;
-  *version = sheet ? sheet->number : 0;
-  *backends = calloc (n + 1, sizeof **backends);
-  if (!*backends)
+  void *to = calloc (n + 1, item_bytes);
+  if (!to)
     abort ();
   if (n > 0)
-    memcpy (*backends, sheet->backends, n * sizeof **backends);
+    memcpy (to, from, n * item_bytes);
+  return to;
+}
+
+sheet_t *
+route_table_copy (route_table_t *table)
+{
+  pthread_rwlock_rdlock (&table->lock);
+  const sheet_t *sheet = table->sheet;
+  sheet_t *copy = NULL;
+  if (sheet)
+    {
+      copy = copy_array (sheet, 1, sizeof *sheet);
+      copy->backends = copy_array (sheet->backends, sheet->n_backends,
+                                   sizeof *sheet->backends);
+      copy->shares
+          = copy_array (sheet->shares, sheet->n_shares, sizeof *sheet->shares);
+      copy->prices
+          = copy_array (sheet->prices, sheet->n_prices, sizeof *sheet->prices);
+    }
   pthread_rwlock_unlock (&table->lock);
-  return n;
+  return copy;
 }
--- a/src/entry/route_table.h
+++ b/src/entry/route_table.h
@@ -27,9 +27,7 @@
 /* The number of the sheet in force; 0 for none.  */
 uint64_t route_table_version (route_table_t *table);
 
-/* Copy the sheet's backend servers into *BACKENDS, which is the caller's to
-   free; returns how many, and the sheet's number in *VERSION.  */
-size_t route_table_copy (route_table_t *table, backend_t **backends,
-                         uint64_t *version);
+/* A copy of the sheet in force, for sheet_free; NULL where there is none.  */
+sheet_t *route_table_copy (route_table_t *table);
 
 #endif
