--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -420,7 +420,9 @@
                      usec_t deadline, uint64_t tried, bool may_forward,
                      usec_t now)
 {
-  place_t place = { .kind = PLACE_NOWHERE, .vm = TOPOLOGY_NONE };
+  place_t place = { .kind = PLACE_NOWHERE,
+                    .backend = BACKENDS_MAX,
+                    .vm = TOPOLOGY_NONE };
   if (may_forward)
     {
       if (!place_anywhere (table, service, deadline, tried, now, &place))
