feat(entry): who waits for a slot waits in turn by tenant

Cause: every waiting request tried for a slot by its own timer, older ones first, and new ones before them all; a burst of one tenant made another's requests late or refused.

Now X-Tenant names the tenant, a forwarded request carries it on, and who finds no slot waits in wait_line: a line for each service, in turn by admission/fair_share, served when a reply frees a slot and at each tick. New requests go behind those who wait. 63 tenants have accounts of their own at once, the others share one. A wait for spend or by the quarantine stays outside the line, as it would hold up the others.

Ruled out: admission/admit, whose early refusal needs the pace of all slots that a line may use, here and at other entry VMs; that is still to be done.

Conclusion: a tenant's burst waits behind itself.

--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -320,6 +320,7 @@
   copy_header (exchange, "X-Request-Id", exchange->caller_id);
   copy_header (exchange, "Idempotency-Key", exchange->ticket);
   copy_header (exchange, "Content-Type", exchange->content_type);
+  copy_header (exchange, "X-Tenant", exchange->tenant);
   if (!parse_deadline (settings, exchange))
     return refuse (port, exchange, ERR_USAGE,
                    "give whole milliseconds, at most the settings' "
--- a/src/entry/dispatcher.c
+++ b/src/entry/dispatcher.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/ring.h"
 #include "entry/job.h"
+#include "entry/job_place.h"
 
 enum
 {
@@ -206,6 +207,22 @@
     }
 }
 
+/* Place those who wait for SERVICE, in turn, as far as slots are free.  */
+static void
+serve_line (dispatcher_t *dispatcher, service_id_t service)
+{
+  wait_item_t *first;
+  while ((first = wait_line_first (dispatcher->world.line, service)))
+    {
+      job_t *job = LIST_ENTRY (first, job_t, wait);
+      job_place (job, clock_monotonic ());
+      bool waits = first->place == WAIT_FIRST;
+      drop_if_over (dispatcher, job);
+      if (waits)
+        break;
+    }
+}
+
 static bool
 on_leaving (void *closure, void *owner)
 {
@@ -217,8 +234,10 @@
 on_reply (void *closure, void *owner, backend_reply_t *reply)
 {
   job_t *job = owner;
+  service_id_t service = job->exchange->service;
   job_on_reply (job, reply, clock_monotonic ());
   drop_if_over (closure, job);
+  serve_line (closure, service);
 }
 
 /* All that was on the crashed backend server may have been the cause.  */
@@ -281,6 +300,9 @@
       dispatcher->repeated_at = now;
       shared_quarantine_repeat (dispatcher->options.quarantine);
     }
+  size_t n_services = dispatcher->options.settings->topology.n_services;
+  for (size_t i = 0; i < n_services; i++)
+    serve_line (dispatcher, (service_id_t)i);
   LIST_FOREACH (link, &dispatcher->jobs)
   {
     job_t *job = LIST_ENTRY (link, job_t, link);
@@ -351,6 +373,7 @@
   for (size_t i = 0; i < n; i++)
     retry_budget_init (&world->budgets[i], RETRY_SHARE_PERMILLE, RETRY_BURST);
   world->client = backend_client_new (&client_options);
+  world->line = wait_line_new (n);
   const costs_options_t costs_options = { .settings = settings,
                                           .self = options->self,
                                           .routes = options->routes,
@@ -416,6 +439,7 @@
   backend_client_free (dispatcher->world.client);
   backend_table_free (dispatcher->world.table);
   costs_free (dispatcher->world.costs);
+  wait_line_free (dispatcher->world.line);
   free (dispatcher->world.budgets);
   free (dispatcher);
 }
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -45,6 +45,7 @@
   ticket_t parsed_ticket; /* generation 0: none */
   bool is_hop;            /* another entry VM forwarded it */
   char content_type[EXCHANGE_HEADER_BYTES];
+  char tenant[EXCHANGE_HEADER_BYTES]; /* "": none named */
   service_id_t service;
   const char *service_path; /* inside TARGET, after the service's name */
   usec_t deadline;          /* monotonic */
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -1,4 +1,5 @@
 #include "entry/job_claim.h"
+#include "entry/job_place.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -15,8 +16,6 @@
 {
   LINGER_MSEC = 1000,
   REFUSE_MSEC = 300,
-  PLACE_INTERVAL_MSEC = 2,
-  HOP_WAIT_MSEC = 20,   /* for a slot, before another entry VM is told no */
   CRASH_HOLD_MSEC = 50, /* for the others to hear of a crash */
   SENDS_MAX = 16,
   STATUS_SHED = 503,
@@ -32,106 +31,6 @@
   job_event (job, &event, now);
 }
 
-/* --- Placing ---------------------------------------------------------- */
-
-/* A request that may have crashed a backend server runs alone, or not at
-   all.  */
-static place_t
-heed_quarantine (job_t *job, place_t found)
-{
-  quarantine_verdict_t verdict = shared_quarantine_check (
-      job->world->quarantine, job->fingerprint, found.backend);
-  bool waits = verdict == QUARANTINE_LATER && found.kind == PLACE_HERE;
-  if (verdict != QUARANTINE_REFUSE && !waits)
-    return found;
-  if (found.kind == PLACE_HERE)
-    slots_free (backend_table_slots (job->world->table), &found.token);
-  found.kind = waits ? PLACE_WAIT : PLACE_QUARANTINED;
-  return found;
-}
-
-/* Charge what going to PLACE costs.  The VM that the caller chose pays; one
-   that it was forwarded to does not.  */
-static costs_result_t
-charge (job_t *job, const place_t *place, usec_t now)
-{
-  if (job->request.options.role == REQUEST_HOP)
-    return COSTS_TAKEN;
-  const topology_t *topology = &job->world->settings->topology;
-  vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
-  const costs_use_t use = { .service = job->exchange->service,
-                            .region = topology_region_of_vm (topology, vm),
-                            .request_bytes = job->exchange->body_bytes };
-  job->charge_sent = false;
-  return costs_take (job->world->costs, &use, &job->charge, now);
-}
-
-/* The first place that is free and paid for; another region is tried where
-   the link to one is full.  */
-static place_t
-find_place (job_t *job, request_reason_t *reason, usec_t now)
-{
-  bool is_hop = job->request.options.role == REQUEST_HOP;
-  for (;;)
-    {
-      place_t found = backend_table_place (
-          job->world->table, job->exchange->service,
-          job->request.options.deadline, job->tried, !is_hop, now);
-      found = heed_quarantine (job, found);
-      if (found.kind != PLACE_HERE && found.kind != PLACE_FORWARD)
-        return found;
-      costs_result_t costs = charge (job, &found, now);
-      if (costs == COSTS_TAKEN)
-        return found;
-      if (found.kind == PLACE_HERE)
-        slots_free (backend_table_slots (job->world->table), &found.token);
-      if (costs == COSTS_LATER)
-        return (place_t){ .kind = PLACE_WAIT };
-      *reason = costs == COSTS_CAP ? REASON_COST_CAP : REASON_LINK_FULL;
-      if (costs == COSTS_CAP)
-        return (place_t){ .kind = PLACE_NOWHERE };
-      job->tried |= UINT64_C (1) << found.vm;
-    }
-}
-
-static void
-place (job_t *job, usec_t now)
-{
-  bool is_hop = job->request.options.role == REQUEST_HOP;
-  request_event_t event = { .kind = EVENT_NOT_PLACED };
-  event.as.reason = REASON_NO_CAPACITY;
-  place_t found = find_place (job, &event.as.reason, now);
-  if (found.kind == PLACE_QUARANTINED)
-    event.as.reason = REASON_QUARANTINED;
-  bool gives_up
-      = is_hop && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
-  switch (found.kind)
-    {
-    case PLACE_HERE:
-      event.kind = EVENT_ADMITTED;
-      event.as.admitted.backend = job->backend = found.backend;
-      event.as.admitted.token = found.token;
-      break;
-    case PLACE_FORWARD:
-      event.kind = EVENT_FORWARD;
-      event.as.forward = job->forward = found.vm;
-      job->backend = found.backend;
-      break;
-    case PLACE_WAIT:
-      if (gives_up)
-        break;
-      job->waiting = true;
-      job->place_again = now + PLACE_INTERVAL_MSEC * USEC_PER_MSEC;
-      job->tried = 0;
-      return;
-    case PLACE_NOWHERE:
-    case PLACE_QUARANTINED:
-      break;
-    }
-  job->waiting = false;
-  job_event (job, &event, now);
-}
-
 /* --- Sending ---------------------------------------------------------- */
 
 static void
@@ -164,6 +63,7 @@
   request->port = settings->ports.caller;
   request->path = exchange->target;
   request->headers[4] = (backend_header_t){ "X-Mulberry-Hop", credential };
+  request->headers[5] = (backend_header_t){ "X-Tenant", exchange->tenant };
   job->call = backend_client_call (job->world->client, request);
 }
 
@@ -461,8 +361,7 @@
   switch (action->kind)
     {
     case ACTION_PLACE:
-      job->waiting_since = now;
-      place (job, now);
+      job_place_begin (job, now);
       break;
     case ACTION_CLAIM:
       job_claim_start (job, action->as.intent, now);
@@ -506,6 +405,8 @@
                     &job->world->budgets[job->exchange->service],
                     &job->world->counters, now, &actions);
   act_all (job, &actions, now);
+  if (job->request.phase != REQUEST_PLACING)
+    wait_line_remove (job->world->line, &job->wait);
 }
 
 static fingerprint_t
@@ -524,6 +425,8 @@
   job->world = world;
   job->exchange = exchange;
   job->fingerprint = fingerprint_of (job);
+  wait_line_enter (world->line, &job->wait, exchange->service,
+                   exchange->tenant);
   const request_options_t options
       = { .role = exchange->is_hop ? REQUEST_HOP : REQUEST_ORIGIN,
           .idempotent = exchange_is_idempotent (exchange),
@@ -555,9 +458,8 @@
     }
   if (now >= request_wakeup (&job->request))
     job_simple_event (job, EVENT_TICK, now);
-  else if (job->waiting && job->request.phase == REQUEST_PLACING
-           && now >= job->place_again)
-    place (job, now);
+  else
+    job_place_tick (job, now);
 }
 
 bool
@@ -572,6 +474,7 @@
   if (job->call)
     backend_client_abort (job->world->client, job->call);
   backend_run_stop (&job->run, job->world->table, clock_monotonic ());
+  wait_line_leave (job->world->line, &job->wait);
   if (!job->request.told)
     tell (job, &(request_outcome_t){ .kind = OUTCOME_UNKNOWN,
                                      .reason = REASON_DRAINING });
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -11,6 +11,7 @@
 #include "entry/costs.h"
 #include "entry/exchange.h"
 #include "entry/shared_quarantine.h"
+#include "entry/wait_line.h"
 
 enum
 {
@@ -29,6 +30,7 @@
   shared_quarantine_t *quarantine;
   backend_table_t *table;
   costs_t *costs;
+  wait_line_t *line;
   backend_client_t *client;
   retry_budget_t *budgets; /* by service */
   request_counters_t counters;
@@ -46,28 +48,29 @@
   list_t link;     /* in the dispatcher's list */
   uint64_t number; /* names it in votes; never used twice */
   uint32_t slot;   /* its place in the dispatcher's table */
+  int depth;       /* of nested events */
   job_world_t *world;
   exchange_t *exchange;
   request_t request;
   claim_t claim;
-  bool claim_live;
   size_t n_recorded;
   outcome_t record; /* its body is the job's */
   uint32_t backend;
   vm_id_t forward;
-  uint64_t tried; /* entry VMs that refused it, a bit for each */
+  bool claim_live;
+  bool charge_sent; /* the charge may have been run */
+  bool crash_noted; /* in flight at a crash that was counted */
+  bool waiting;     /* to be placed */
+  uint64_t tried;   /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
   backend_run_t run; /* the call as the table knows it */
   char send_id[JOB_ID_BYTES];
   spend_charge_t charge; /* of the present send */
-  bool charge_sent;      /* it may have been run */
   fingerprint_t fingerprint;
-  bool crash_noted;  /* in flight at a crash that was counted */
   usec_t broken_due; /* when its break is acted on; 0: none */
-  bool waiting;      /* for a slot */
+  wait_item_t wait;  /* for a slot, among other tenants */
   usec_t waiting_since;
   usec_t place_again;
-  int depth; /* of nested events */
 } job_t;
 
 /* Begin with EXCHANGE; the job keeps one reference to it.  */
@@ -84,7 +87,7 @@
 /* Whether its request is on BACKEND now.  */
 bool job_is_on (const job_t *job, uint32_t backend);
 
-/* Time passed, or a slot came free.  */
+/* Time passed.  */
 void job_tick (job_t *job, usec_t now);
 
 bool job_is_over (const job_t *job);
--- /dev/null
+++ b/src/entry/job_place.c
@@ -0,0 +1,150 @@
+#include "entry/job_place.h"
+
+#include "entry/job_claim.h"
+#include "placement/topology.h"
+
+enum
+{
+  PLACE_INTERVAL_MSEC = 2,
+  HOP_WAIT_MSEC = 20, /* for a slot, before another entry VM is told no */
+};
+
+/* A request that may have crashed a backend server runs alone, or not at
+   all.  */
+static place_t
+heed_quarantine (job_t *job, place_t found)
+{
+  quarantine_verdict_t verdict = shared_quarantine_check (
+      job->world->quarantine, job->fingerprint, found.backend);
+  bool waits = verdict == QUARANTINE_LATER && found.kind == PLACE_HERE;
+  if (verdict != QUARANTINE_REFUSE && !waits)
+    return found;
+  if (found.kind == PLACE_HERE)
+    slots_free (backend_table_slots (job->world->table), &found.token);
+  found.kind = waits ? PLACE_WAIT : PLACE_QUARANTINED;
+  return found;
+}
+
+/* Charge what going to PLACE costs.  The VM that the caller chose pays; one
+   that it was forwarded to does not.  */
+static costs_result_t
+charge (job_t *job, const place_t *place, usec_t now)
+{
+  if (job->request.options.role == REQUEST_HOP)
+    return COSTS_TAKEN;
+  const topology_t *topology = &job->world->settings->topology;
+  vm_id_t vm = place->kind == PLACE_FORWARD ? place->vm : job->world->self;
+  const costs_use_t use = { .service = job->exchange->service,
+                            .region = topology_region_of_vm (topology, vm),
+                            .request_bytes = job->exchange->body_bytes };
+  job->charge_sent = false;
+  return costs_take (job->world->costs, &use, &job->charge, now);
+}
+
+static bool
+is_hop (const job_t *job)
+{
+  return job->request.options.role == REQUEST_HOP;
+}
+
+/* The first place that is free and paid for; another region is tried where
+   the link to one is full.  Who finds no slot is in the line then.  */
+static place_t
+find_place (job_t *job, request_reason_t *reason, usec_t now)
+{
+  for (;;)
+    {
+      place_t found = backend_table_place (
+          job->world->table, job->exchange->service,
+          job->request.options.deadline, job->tried, !is_hop (job), now);
+      if (found.kind == PLACE_WAIT)
+        wait_line_push (job->world->line, &job->wait);
+      else
+        wait_line_remove (job->world->line, &job->wait);
+      found = heed_quarantine (job, found);
+      if (found.kind != PLACE_HERE && found.kind != PLACE_FORWARD)
+        return found;
+      costs_result_t costs = charge (job, &found, now);
+      if (costs == COSTS_TAKEN)
+        return found;
+      if (found.kind == PLACE_HERE)
+        slots_free (backend_table_slots (job->world->table), &found.token);
+      if (costs == COSTS_LATER)
+        return (place_t){ .kind = PLACE_WAIT };
+      *reason = costs == COSTS_CAP ? REASON_COST_CAP : REASON_LINK_FULL;
+      if (costs == COSTS_CAP)
+        return (place_t){ .kind = PLACE_NOWHERE };
+      job->tried |= UINT64_C (1) << found.vm;
+    }
+}
+
+static bool
+gives_up (const job_t *job, usec_t now)
+{
+  return is_hop (job)
+         && now - job->waiting_since > HOP_WAIT_MSEC * USEC_PER_MSEC;
+}
+
+void
+job_place (job_t *job, usec_t now)
+{
+  request_event_t event = { .kind = EVENT_NOT_PLACED };
+  event.as.reason = REASON_NO_CAPACITY;
+  place_t found = find_place (job, &event.as.reason, now);
+  if (found.kind == PLACE_QUARANTINED)
+    event.as.reason = REASON_QUARANTINED;
+  switch (found.kind)
+    {
+    case PLACE_HERE:
+      event.kind = EVENT_ADMITTED;
+      event.as.admitted.backend = job->backend = found.backend;
+      event.as.admitted.token = found.token;
+      break;
+    case PLACE_FORWARD:
+      event.kind = EVENT_FORWARD;
+      event.as.forward = job->forward = found.vm;
+      job->backend = found.backend;
+      break;
+    case PLACE_WAIT:
+      if (gives_up (job, now))
+        break;
+      job->waiting = true;
+      job->place_again = now + PLACE_INTERVAL_MSEC * USEC_PER_MSEC;
+      job->tried = 0;
+      return;
+    case PLACE_NOWHERE:
+    case PLACE_QUARANTINED:
+      break;
+    }
+  job->waiting = false;
+  if (event.kind == EVENT_NOT_PLACED)
+    wait_line_remove (job->world->line, &job->wait);
+  else
+    wait_line_run (job->world->line, &job->wait);
+  job_event (job, &event, now);
+}
+
+/* Place it now, or behind those of its service who wait already.  */
+void
+job_place_begin (job_t *job, usec_t now)
+{
+  job->waiting_since = now;
+  if (wait_line_is_empty (job->world->line, job->exchange->service))
+    {
+      job_place (job, now);
+      return;
+    }
+  job->waiting = true;
+  wait_line_push (job->world->line, &job->wait);
+}
+
+void
+job_place_tick (job_t *job, usec_t now)
+{
+  if (!job->waiting || job->request.phase != REQUEST_PLACING)
+    return;
+  bool is_due = job->wait.place == WAIT_OUT ? now >= job->place_again
+                                            : gives_up (job, now);
+  if (is_due)
+    job_place (job, now);
+}
--- /dev/null
+++ b/test/unit/test_entry_wait_line.c
@@ -0,0 +1,101 @@
+/* Tests of entry/wait_line.  */
+
+#include <glib.h>
+
+#include "entry/wait_line.h"
+
+enum
+{
+  BURST = 100,
+};
+
+static wait_item_t
+enter (wait_line_t *line, const char *tenant)
+{
+  wait_item_t item = { 0 };
+  wait_line_enter (line, &item, 0, tenant);
+  return item;
+}
+
+static void
+test_burst_waits_behind_itself (void)
+{
+  wait_line_t *line = wait_line_new (1);
+  wait_item_t burst[BURST];
+  for (size_t i = 0; i < BURST; i++)
+    {
+      burst[i] = enter (line, "burst");
+      wait_line_push (line, &burst[i]);
+    }
+  wait_line_run (line, wait_line_first (line, 0));
+  wait_line_run (line, wait_line_first (line, 0));
+  wait_item_t other = enter (line, "other");
+  wait_line_push (line, &other);
+  g_assert_true (wait_line_first (line, 0) == &other);
+  /* Its turn stays its own until it runs.  */
+  g_assert_true (wait_line_first (line, 0) == &other);
+  wait_line_run (line, &other);
+  g_assert_true (wait_line_first (line, 0) == &burst[2]);
+  wait_line_leave (line, &other);
+  for (size_t i = 0; i < BURST; i++)
+    wait_line_leave (line, &burst[i]);
+  g_assert_true (wait_line_is_empty (line, 0));
+  g_assert_null (wait_line_first (line, 0));
+  wait_line_free (line);
+}
+
+static void
+test_accounts_are_bounded_and_given_anew (void)
+{
+  wait_line_t *line = wait_line_new (1);
+  wait_item_t items[TENANTS_NAMED];
+  char name[16];
+  for (int i = 0; i < TENANTS_NAMED; i++)
+    {
+      g_snprintf (name, sizeof name, "t%d", i);
+      items[i] = enter (line, name);
+      g_assert_cmpuint (items[i].tenant, ==, i);
+    }
+  wait_item_t again = enter (line, "t5");
+  g_assert_cmpuint (again.tenant, ==, 5);
+  wait_item_t above = enter (line, "above");
+  wait_item_t more = enter (line, "more");
+  g_assert_cmpuint (above.tenant, ==, TENANTS_NAMED);
+  g_assert_cmpuint (more.tenant, ==, TENANTS_NAMED);
+  wait_line_leave (line, &above);
+  wait_line_leave (line, &items[7]);
+  wait_item_t later = enter (line, "later");
+  g_assert_cmpuint (later.tenant, ==, 7);
+  wait_line_free (line);
+}
+
+static void
+test_taken_out_while_first (void)
+{
+  wait_line_t *line = wait_line_new (2);
+  wait_item_t a = enter (line, "a");
+  wait_item_t b = enter (line, "b");
+  wait_line_push (line, &a);
+  wait_line_push (line, &a);
+  wait_line_push (line, &b);
+  wait_item_t *first = wait_line_first (line, 0);
+  wait_line_remove (line, first);
+  wait_line_remove (line, first);
+  g_assert_true (wait_line_first (line, 0) == (first == &a ? &b : &a));
+  g_assert_true (wait_line_is_empty (line, 1));
+  wait_line_leave (line, &a);
+  wait_line_leave (line, &b);
+  g_assert_true (wait_line_is_empty (line, 0));
+  wait_line_free (line);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wait_line/burst", test_burst_waits_behind_itself);
+  g_test_add_func ("/wait_line/accounts",
+                   test_accounts_are_bounded_and_given_anew);
+  g_test_add_func ("/wait_line/taken_out", test_taken_out_while_first);
+  return g_test_run ();
+}
