--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -47,20 +47,12 @@
 {
   list_t link;     /* in the dispatcher's list */
   uint64_t number; /* names it in votes; never used twice */
-  uint32_t slot;   /* its place in the dispatcher's table */
-  int depth;       /* of nested events */
   job_world_t *world;
   exchange_t *exchange;
   request_t request;
   claim_t claim;
   size_t n_recorded;
   outcome_t record; /* its body is the job's */
-  uint32_t backend;
-  vm_id_t forward;
-  bool claim_live;
-  bool charge_sent; /* the charge may have been run */
-  bool crash_noted; /* in flight at a crash that was counted */
-  bool waiting;     /* to be placed */
   uint64_t tried;   /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
   backend_run_t run; /* the call as the table knows it */
@@ -71,6 +63,13 @@
   wait_item_t wait;  /* for a slot, among other tenants */
   usec_t waiting_since;
   usec_t place_again;
+  uint32_t slot; /* its place in the dispatcher's table */
+  uint32_t backend;
+  vm_id_t forward;
+  bool claim_live;
+  bool charge_sent; /* it may have been run */
+  bool crash_noted; /* in flight at a crash that was counted */
+  bool waiting;     /* to be placed */
 } job_t;
 
 /* Begin with EXCHANGE; the job keeps one reference to it.  */
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -3,9 +3,9 @@
 
    A request may direct its own answer by query arguments: caller=ID and
    bytes=N make the body (fake_answer.h); us=N sets the service time; and
-   poison=1, silent=1, short=1, chunked=1, crossed=1 bring about a fault.
-   POST /fake?KEY=VALUE changes one backend server's behaviour while it runs:
-   service_time_us, shed_permille, draining, load_busy, silent_after.  */
+   poison=1, hangup=1, silent=1, short=1, chunked=1, crossed=1 bring about a
+   fault. POST /fake?KEY=VALUE changes one backend server's behaviour while it
+   runs: service_time_us, shed_permille, draining, load_busy, silent_after.  */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -220,6 +220,11 @@
       journal ("crash backend=%s id=%s", backend->name, run->id);
       _exit (EXIT_POISONED);
     }
+  if (argument (run, "hangup")[0])
+    {
+      journal ("end backend=%s id=%s how=hangup", backend->name, run->id);
+      return MHD_NO;
+    }
   run->holds_slot = true;
   backend->busy++;
   list_push_back (&fake.running, &run->link);
@@ -430,14 +435,14 @@
 backend_listen (backend_t *backend)
 {
   backend->behaviour = fake.behaviour;
-  backend->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle_request,
-      backend, MHD_OPTION_SOCK_ADDR, &backend->address,
-      MHD_OPTION_CONNECTION_LIMIT,
-      backend->connections_max + SPARE_CONNECTIONS,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-      request_completed, NULL, MHD_OPTION_NOTIFY_CONNECTION,
-      connection_changed, backend, MHD_OPTION_END);
+  backend->daemon
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+                          NULL, handle_request, backend, MHD_OPTION_SOCK_ADDR,
+                          &backend->address, MHD_OPTION_CONNECTION_LIMIT,
+                          backend->connections_max + SPARE_CONNECTIONS,
+                          MHD_OPTION_NOTIFY_COMPLETED, request_completed, NULL,
+                          MHD_OPTION_NOTIFY_CONNECTION, connection_changed,
+                          backend, MHD_OPTION_END);
   if (!backend->daemon)
     {
       fprintf (stderr, "fake-backend: can't listen for %s on %s:%u: %s\n",
