--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -14,8 +14,8 @@
   BACKENDS_MAX = 4096, /* that one process ever hears of */
   STOP_MARGIN_MSEC = 100,
   PEER_FULL_MSEC = 2, /* that a refusal for want of room is believed */
-  SHUN_FIRST_MSEC = 0,
-  SHUN_LAST_MSEC = 0,
+  SHUN_FIRST_MSEC = 100,
+  SHUN_LAST_MSEC = 1600,
   VMS_IN_MASK = 64,
   SLOT_NONE = UINT16_MAX,
   PATIENCE_DIVISOR = 4, /* of the service's deadline */
