--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -6,10 +6,12 @@
 #include "base/list.h"
 #include "delivery/request.h"
 #include "entry/backend_client.h"
+#include "entry/backend_run.h"
 #include "entry/backend_table.h"
 #include "entry/costs.h"
 #include "entry/exchange.h"
 #include "entry/shared_quarantine.h"
+#include "entry/wait_line.h"
 
 enum
 {
@@ -28,6 +30,7 @@
   shared_quarantine_t *quarantine;
   backend_table_t *table;
   costs_t *costs;
+  wait_line_t *line;
   backend_client_t *client;
   retry_budget_t *budgets; /* by service */
   request_counters_t counters;
@@ -52,10 +55,12 @@
   outcome_t record; /* its body is the job's */
   uint64_t tried;   /* entry VMs that refused it, a bit for each */
   backend_call_t *call;
+  backend_run_t run; /* the call as the table knows it */
   char send_id[JOB_ID_BYTES];
   spend_charge_t charge; /* of the present send */
   fingerprint_t fingerprint;
   usec_t broken_due; /* when its break is acted on; 0: none */
+  wait_item_t wait;  /* for a slot, among other tenants */
   usec_t waiting_since;
   usec_t place_again;
   uint32_t slot; /* its place in the dispatcher's table */
@@ -64,7 +69,7 @@
   bool claim_live;
   bool charge_sent; /* it may have been run */
   bool crash_noted; /* in flight at a crash that was counted */
-  bool waiting;     /* for a slot */
+  bool waiting;     /* to be placed */
 } job_t;
 
 /* Begin with EXCHANGE; the job keeps one reference to it.  */
@@ -81,7 +86,7 @@
 /* Whether its request is on BACKEND now.  */
 bool job_is_on (const job_t *job, uint32_t backend);
 
-/* Time passed, or a slot came free.  */
+/* Time passed.  */
 void job_tick (job_t *job, usec_t now);
 
 bool job_is_over (const job_t *job);
