feat(shift): a sheet with more slots in a region than it carries is refused

As nothing runs without a slot, a region is not overloaded where all slots of its backend servers, leaving ones included, fit its capacity; that is now checked when a sheet is submitted, also by 'sheet check'.

Weighed: leases of capacity from control, which lend a region's room between its VMs, but stop with control in a cut and cost messages; they are kept in the pure escrow for when slots are over capacity on purpose.

Not covered: a backend server that a sheet drops without having it leave first may still run what it had.

--- a/src/shift/cost.c
+++ b/src/shift/cost.c
@@ -354,6 +354,35 @@
   return true;
 }
 
+/* A region can't be overloaded where it carries all slots of its backend
+   servers, as nothing runs without a slot.  Leaving ones count: what they
+   began still runs.  */
+static bool
+check_capacity (const sheet_t *sheet, const topology_t *topology, err_t *err)
+{
+  for (size_t r = 0; r < topology->n_regions; r++)
+    {
+      uint64_t slots = 0;
+      for (size_t i = 0; i < sheet->n_backends; i++)
+        {
+          const backend_t *backend = &sheet->backends[i];
+          if (topology->domains[backend->domain].region == r)
+            slots += topology->services[backend->service].slots;
+        }
+      if (slots > topology->regions[r].capacity)
+        return err_set (
+            err, ERR_LIMIT,
+            "list fewer backend servers there, or raise the "
+            "region's capacity in the settings if it has grown",
+            "the backend servers in %s have %llu slots, %llu over "
+            "the region's capacity of %u",
+            topology->regions[r].name.text, (unsigned long long)slots,
+            (unsigned long long)slots - topology->regions[r].capacity,
+            topology->regions[r].capacity);
+    }
+  return true;
+}
+
 bool
 cost_check (const sheet_t *sheet, const topology_t *topology,
             const shift_load_t *load, err_t *err)
@@ -361,6 +390,7 @@
   cost_t cost;
   bool legal = cost_of_sheet (&cost, sheet, topology, load, err)
                && check_cap (&cost, sheet, err)
+               && check_capacity (sheet, topology, err)
                && (!load || check_load (&cost, sheet, topology, load, err));
   cost_free (&cost);
   return legal;
--- a/src/shift/cost.h
+++ b/src/shift/cost.h
@@ -2,7 +2,8 @@
 
    A plan is refused at submission where a service's shares do not sum to
    100, a planned region has no price or no backend server that takes work,
-   its expected cost passes the cap, or a drain would leave more load than
+   its expected cost passes the cap, a region's backend servers have more
+   slots than it carries, or a drain would leave more load than
    the remaining slots, region or links carry.  The message names what is
    lacking and how much.  Pure.  */
 
--- a/test/unit/test_shift_cost.c
+++ b/test/unit/test_shift_cost.c
@@ -96,6 +96,26 @@
   assert_refused (&test, &load, ERR_LIMIT, "songfind in sapporo");
 }
 
+/* More slots than the region carries, leaving ones included.  */
+static void
+test_slots_over_capacity_are_refused (void)
+{
+  test_sheet_t test;
+  test_sheet_open (&test);
+  region_t regions[2] = { test_topology.regions[0], test_topology.regions[1] };
+  topology_t tight = test_topology;
+  tight.regions = regions;
+  regions[1].capacity
+      = (uint32_t)(TEST_BACKENDS / 2 * test_topology.services[0].slots);
+  err_t err = { 0 };
+  g_assert_true (cost_check (&test.sheet, &tight, NULL, &err));
+  regions[1].capacity--;
+  test.backends[TEST_BACKENDS - 1].state = BACKEND_LEAVING;
+  g_assert_false (cost_check (&test.sheet, &tight, NULL, &err));
+  g_assert_cmpint (err.kind, ==, ERR_LIMIT);
+  g_assert_nonnull (strstr (err.message, "hakodate have 12 slots, 1 over"));
+}
+
 static void
 test_share_defaults_to_equal (void)
 {
@@ -115,6 +135,7 @@
   g_test_add_func ("/cost/refused", test_bad_plans_are_refused);
   g_test_add_func ("/cost/drain", test_overloading_drain_is_refused);
   g_test_add_func ("/cost/link", test_region_and_link_overload_is_refused);
+  g_test_add_func ("/cost/capacity", test_slots_over_capacity_are_refused);
   g_test_add_func ("/cost/share", test_share_defaults_to_equal);
   return g_test_run ();
 }
