fix(ctl): a refused signature is made anew before it is final

Cause: control refuses what was signed before its own start, so that a request from before a restart can't be played again. mulberryctl took that refusal as final: a control VM that was restarted between the signing and the arrival failed an operator's command with 'credential refused'.

Ruled out: a later check of the start time; it would let a recorded request in. A wrong key is now refused after three tries at one VM in place of one.

--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -21,6 +21,7 @@
   STATUS_UNAVAILABLE = 503,
   STATUS_NO_ANSWER = 504,
   STATUS_UNSIGNED = 401,
+  SIGN_TRIES = 3, /* at one VM */
 };
 
 /* One try at one VM.  */
@@ -185,28 +186,46 @@
       "none of %zu control VMs can be reached", options->n_addresses);
 }
 
-/* One try at ADDRESS; true where REPLY is the final answer.  */
+/* Try ADDRESS.  A refused signature is made anew a few times: a VM refuses
+   what was signed before its own start, and it may just have started.  */
+static attempt_end_t
+attempt_signed (attempt_t *attempt, usec_t end)
+{
+  attempt_end_t result = ATTEMPT_NOT_SENT;
+  for (int i = 0; i < SIGN_TRIES; i++)
+    {
+      usec_t left = end - clock_monotonic ();
+      if (i > 0 && left <= 0)
+        break;
+      free (attempt->body.text);
+      attempt->body = (download_t){ .limit = REPLY_BYTES_MAX };
+      result = attempt_run (attempt, left);
+      if (result != ATTEMPT_FINAL || attempt->status != STATUS_UNSIGNED)
+        break;
+    }
+  return result;
+}
+
+/* True where ADDRESS gave the final answer, in REPLY.  */
 static bool
 ask_one (const client_options_t *options, const client_request_t *request,
-         const char *address, usec_t left, client_reply_t *reply,
+         const char *address, usec_t end, client_reply_t *reply,
          outcome_t *outcome)
 {
-  attempt_t attempt = { .options = options,
-                        .request = request,
-                        .body.limit = REPLY_BYTES_MAX };
+  attempt_t attempt = { .options = options, .request = request };
   snprintf (attempt.vm, sizeof attempt.vm, "%s:%u", address, options->port);
-  attempt_end_t end = attempt_run (&attempt, left);
-  if (end == ATTEMPT_FINAL)
+  attempt_end_t result = attempt_signed (&attempt, end);
+  if (result == ATTEMPT_FINAL)
     {
       *reply = (client_reply_t){ .status = attempt.status,
-                                 .body = download_take (&attempt.body),
                                  .length = attempt.body.length,
                                  .address = address };
+      reply->body = download_take (&attempt.body);
       return true;
     }
   free (attempt.body.text);
-  outcome->sent = outcome->sent || end == ATTEMPT_NO_ANSWER;
-  outcome->forged = outcome->forged || end == ATTEMPT_FORGED;
+  outcome->sent = outcome->sent || result == ATTEMPT_NO_ANSWER;
+  outcome->forged = outcome->forged || result == ATTEMPT_FORGED;
   return false;
 }
 
@@ -220,10 +239,9 @@
     {
       for (size_t i = 0; i < options->n_addresses; i++)
         {
-          usec_t left = end - clock_monotonic ();
-          if (left <= 0)
+          if (clock_monotonic () >= end)
             return outcome_error (&outcome, options, err);
-          if (ask_one (options, request, options->addresses[i], left, reply,
+          if (ask_one (options, request, options->addresses[i], end, reply,
                        &outcome))
             return true;
         }
--- a/test/unit/test_ctl_client.c
+++ b/test/unit/test_ctl_client.c
@@ -23,7 +23,8 @@
   ANSWER_UNAVAILABLE,
   ANSWER_FORGED,
   ANSWER_UNSIGNED,
-  ANSWER_CUT, /* the request is read, the connection then closed */
+  ANSWER_STARTED, /* it started after the first request was signed */
+  ANSWER_CUT,     /* the request is read, the connection then closed */
 } answer_t;
 
 typedef struct fake_vm
@@ -44,8 +45,10 @@
 reply (fake_vm_t *vm, struct MHD_Connection *connection)
 {
   const char *text = "{\"outcome\":\"accepted\"}";
+  bool refuses = vm->answer == ANSWER_UNSIGNED
+                 || (vm->answer == ANSWER_STARTED && vm->n_requests == 1);
   unsigned status = vm->answer == ANSWER_UNAVAILABLE ? 503
-                    : vm->answer == ANSWER_UNSIGNED  ? 401
+                    : refuses                        ? 401
                                                      : 200;
   const char *header = MHD_lookup_connection_value (
       connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
@@ -56,7 +59,7 @@
     signature[0] = signature[0] == '0' ? '1' : '0';
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), (void *)text, MHD_RESPMEM_PERSISTENT);
-  if (vm->answer != ANSWER_UNSIGNED)
+  if (!refuses)
     MHD_add_response_header (response, CREDENTIAL_ANSWER_HEADER, signature);
   enum MHD_Result queued = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
@@ -187,6 +190,18 @@
   g_assert_cmpint (fixture->vm[1].n_requests, ==, 0);
 }
 
+/* A control VM that was restarted refuses what was signed before; the next
+   signature is good.  */
+static void
+test_a_refusal_is_signed_anew (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  fixture->vm[0].answer = ANSWER_STARTED;
+  g_assert_true (ask (fixture));
+  g_assert_cmpuint (fixture->reply.status, ==, 200);
+  g_assert_cmpint (fixture->vm[0].n_requests, ==, 2);
+}
+
 static void
 test_a_forged_answer_is_none (fixture_t *fixture, gconstpointer data)
 {
@@ -257,6 +272,7 @@
   g_test_init (&argc, &argv, NULL);
   add ("/ctl/client/next", test_the_next_vm_is_asked);
   add ("/ctl/client/final", test_a_final_answer_ends_it);
+  add ("/ctl/client/signed-anew", test_a_refusal_is_signed_anew);
   add ("/ctl/client/forged", test_a_forged_answer_is_none);
   add ("/ctl/client/unknown", test_no_answer_is_unknown);
   add ("/ctl/client/unavailable", test_no_vm_is_unavailable);
