feat(wire): a connection without calls is closed after a while

Cause: what a start or a rare call opened stayed for good; docs/CAPACITY.md found it to be most of a control VM's memory at 1,600 VMs. The caller closes after 60 s, the other end after twice that, so that calls seldom meet a closing connection.

The memory at 24 to 96 VMs was not measured again.

--- a/src/wire/rpc.c
+++ b/src/wire/rpc.c
@@ -13,6 +13,7 @@
   LISTEN_BACKLOG = 256,
   POLL_IDLE_USEC = 200 * 1000,
   POLL_BUSY_USEC = 5 * 1000, /* the grain of time-outs */
+  IDLE_CHECKS = 4,           /* in the time that a connection may be unused */
 };
 
 rpc_connection_t *
@@ -28,6 +29,7 @@
       if (*slot)
         {
           (*slot)->id = id;
+          atomic_fetch_add (&rpc->counters.connections, 1);
           (*slot)->read_at = clock_monotonic ();
         }
       return *slot;
@@ -47,6 +49,7 @@
 {
   rpc_peer_t *peer = connection->peer;
   rpc->connections[connection->id % RPC_CONNECTIONS_MAX] = NULL;
+  atomic_fetch_sub (&rpc->counters.connections, 1);
   rpc_connection_free (connection);
   if (!peer)
     return;
@@ -190,6 +193,29 @@
     }
 }
 
+/* End late calls, and connections that nothing used for long.  */
+static void
+loop_expire (rpc_t *rpc, usec_t now)
+{
+  rpc_client_expire (rpc, now);
+  if (now < rpc->idle_check)
+    return;
+  usec_t idle = rpc->options.idle;
+  rpc->idle_check = now + idle / IDLE_CHECKS;
+  for (size_t i = 0; i < RPC_CONNECTIONS_MAX; i++)
+    {
+      rpc_connection_t *connection = rpc->connections[i];
+      if (!connection || !list_empty (&connection->out))
+        continue;
+      const rpc_peer_t *peer = connection->peer;
+      bool unused
+          = !peer
+            || (list_empty (&peer->pending) && list_empty (&peer->waiting));
+      if (unused && now - connection->read_at >= (peer ? idle : 2 * idle))
+        rpc_connection_end (rpc, connection, "the connection was not used");
+    }
+}
+
 static void *
 loop_run (void *closure)
 {
@@ -208,7 +234,7 @@
           loop_event (rpc, &events[i]);
         else
           loop_accept (rpc);
-      rpc_client_expire (rpc, clock_monotonic ());
+      loop_expire (rpc, clock_monotonic ());
     }
   return NULL;
 }
@@ -252,6 +278,8 @@
   rpc->options = *options;
   memcpy (rpc->key, options->key, sizeof rpc->key);
   rpc->options.key = rpc->key;
+  if (rpc->options.idle == 0)
+    rpc->options.idle = RPC_IDLE;
   list_init (&rpc->peers);
   list_init (&rpc->new_calls);
   list_init (&rpc->new_replies);
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -7,8 +7,10 @@
    when it is sent again.  A record that is too long, garbled or truncated
    ends its connection and is counted.
 
-   A silent connection is dropped when a call on it times out and nothing at
-   all came back since the call was sent.  */
+   A connection without calls is closed after a while, so that what a start or
+   a rare call opened does not stay for good.  A silent connection is dropped
+   when a call on it times out and nothing at all came back since the call was
+   sent.  */
 
 #ifndef WIRE_RPC_H
 #define WIRE_RPC_H
@@ -40,8 +42,12 @@
   uint32_t vm;          /* our index in the settings; RPC_VM_TOOL for tools */
   uint64_t incarnation; /* not 0; differs at every start */
   const unsigned char *key; /* RPC_KEY_BYTES bytes */
+  usec_t idle; /* before an unused connection is closed; 0: RPC_IDLE */
 } rpc_options_t;
 
+/* The caller closes first: the other end waits twice as long.  */
+#define RPC_IDLE (60 * USEC_PER_SEC)
+
 #define RPC_VM_TOOL ((uint32_t)0xffffffff)
 
 /* Who sent a message, as authenticated.  */
@@ -74,6 +80,7 @@
   _Atomic uint64_t bad_records; /* garbled, too long or truncated */
   _Atomic uint64_t bad_auth;    /* wrong key or incarnation */
   _Atomic uint64_t replays;
+  _Atomic uint64_t connections; /* open now */
   _Atomic uint64_t bytes_in;
   _Atomic uint64_t bytes_out;
 } rpc_counters_t;
--- a/src/wire/rpc_state.h
+++ b/src/wire/rpc_state.h
@@ -54,7 +54,8 @@
   rpc_connection_t *connections[RPC_CONNECTIONS_MAX];
   uint64_t connection_serial;
   uint32_t xid;
-  size_t n_calls; /* waiting or pending */
+  size_t n_calls;    /* waiting or pending */
+  usec_t idle_check; /* when unused connections are looked for */
   pthread_t thread;
   bool running;
   atomic_bool stop;
--- a/test/unit/test_wire_rpc.c
+++ b/test/unit/test_wire_rpc.c
@@ -184,6 +184,33 @@
   rpc_close (server);
 }
 
+/* An unused connection is closed at both ends; the next call opens another. */
+static void
+test_unused_connection_is_closed (void)
+{
+  uint16_t port = free_port ();
+  err_t err = { 0 };
+  rpc_t *server = open_rpc (port, 1, key_a);
+  const rpc_options_t options = { .address = "127.0.0.1",
+                                  .vm = 2,
+                                  .incarnation = 1002,
+                                  .key = key_a,
+                                  .idle = 20 * USEC_PER_MSEC };
+  rpc_t *client = rpc_open (&options, &err);
+  g_assert_true (rpc_start (client, &err));
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      waiter_t waiter
+          = call (client, port, PROCEDURE_DOUBLE, i, CALL_TIMEOUT_USEC);
+      g_assert_true (waiter.ok);
+      while (rpc_counters (client)->connections > 0
+             || rpc_counters (server)->connections > 0)
+        g_usleep (1000);
+    }
+  rpc_close (client);
+  rpc_close (server);
+}
+
 static int
 connect_raw (uint16_t port)
 {
@@ -266,6 +293,7 @@
   g_test_add_func ("/wire/rpc/answer", test_call_and_answer);
   g_test_add_func ("/wire/rpc/key", test_wrong_key_is_refused);
   g_test_add_func ("/wire/rpc/silent", test_silent_peer_times_out);
+  g_test_add_func ("/wire/rpc/unused", test_unused_connection_is_closed);
   g_test_add_func ("/wire/rpc/garbage", test_garbage_ends_its_connection_only);
   g_test_add_func ("/wire/rpc/replay", test_replay_is_refused);
   int failed = g_test_run ();
