feat(entry): a request whose turn would come too late is refused at once

Cause: at overload requests waited in line until their deadline and were then refused; the users want refusals early. The line's own pace since it was last empty, times those that are expected to be served first, tells the wait.

--- a/src/entry/job_place.c
+++ b/src/entry/job_place.c
@@ -120,11 +120,12 @@
   if (event.kind == EVENT_NOT_PLACED)
     wait_line_remove (job->world->line, &job->wait);
   else
-    wait_line_run (job->world->line, &job->wait);
+    wait_line_run (job->world->line, &job->wait, now);
   job_event (job, &event, now);
 }
 
-/* Place it now, or behind those of its service who wait already.  */
+/* Place it now, or behind those of its service who wait already; refuse it at
+   once where its turn would come too late.  */
 void
 job_place_begin (job_t *job, usec_t now)
 {
@@ -134,6 +135,14 @@
       job_place (job, now);
       return;
     }
+  usec_t turn = now + wait_line_expected (job->world->line, &job->wait);
+  if (!is_hop (job) && turn >= job->request.options.deadline)
+    {
+      request_event_t event = { .kind = EVENT_NOT_PLACED };
+      event.as.reason = REASON_NO_CAPACITY;
+      job_event (job, &event, now);
+      return;
+    }
   job->waiting = true;
   wait_line_push (job->world->line, &job->wait);
 }
--- a/src/entry/wait_line.c
+++ b/src/entry/wait_line.c
@@ -4,10 +4,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  PACE_SAMPLES = 16, /* before the pace is believed, and its memory */
+};
+
 typedef struct service_line
 {
   fair_share_t fair;
   wait_item_t *first;
+  usec_t moved_at; /* when the last one that waited got its slot; 0: none */
+  double pace;     /* moving average between two of them, usec */
+  size_t n_paced;
 } service_line_t;
 
 /* One tenant's name; anyone's where no request of it is under way.  */
@@ -108,6 +116,10 @@
   if (item->place == WAIT_FIRST)
     of->first = NULL;
   item->place = WAIT_OUT;
+  if (!wait_line_is_empty (line, item->service))
+    return;
+  of->moved_at = 0;
+  of->n_paced = 0;
 }
 
 wait_item_t *
@@ -124,11 +136,38 @@
   return of->first;
 }
 
+/* One that waited got its slot.  */
+static void
+measure_pace (service_line_t *of, usec_t now)
+{
+  if (of->moved_at > 0)
+    {
+      double span = (double)(now - of->moved_at);
+      of->n_paced++;
+      size_t n = of->n_paced < PACE_SAMPLES ? of->n_paced : PACE_SAMPLES;
+      of->pace += (span - of->pace) / (double)n;
+    }
+  of->moved_at = now;
+}
+
+usec_t
+wait_line_expected (const wait_line_t *line, const wait_item_t *item)
+{
+  const service_line_t *of = &line->services[item->service];
+  if (of->n_paced < PACE_SAMPLES)
+    return 0;
+  size_t ahead = fair_share_ahead (&of->fair, item->tenant) + 1;
+  return (usec_t)((double)ahead * of->pace);
+}
+
 void
-wait_line_run (wait_line_t *line, wait_item_t *item)
+wait_line_run (wait_line_t *line, wait_item_t *item, usec_t now)
 {
+  service_line_t *of = &line->services[item->service];
+  if (item->place != WAIT_OUT)
+    measure_pace (of, now);
   wait_line_remove (line, item);
   if (!item->runs)
-    fair_share_run (&line->services[item->service].fair, item->tenant, 1);
+    fair_share_run (&of->fair, item->tenant, 1);
   item->runs = true;
 }
--- a/src/entry/wait_line.h
+++ b/src/entry/wait_line.h
@@ -7,6 +7,7 @@
 #define ENTRY_WAIT_LINE_H
 
 #include "admission/fair_share.h"
+#include "base/time_defs.h"
 #include "placement/topology_defs.h"
 
 enum
@@ -54,7 +55,12 @@
    runs or is taken out.  */
 wait_item_t *wait_line_first (wait_line_t *line, service_id_t service);
 
-/* ITEM has its slot, with or without having waited.  */
-void wait_line_run (wait_line_t *line, wait_item_t *item);
+/* ITEM has its slot at NOW, with or without having waited.  */
+void wait_line_run (wait_line_t *line, wait_item_t *item, usec_t now);
+
+/* How long ITEM, not in the line yet, would wait for its turn, by the pace at
+   which the line has moved since it was last empty; 0 while that is not
+   known.  */
+usec_t wait_line_expected (const wait_line_t *line, const wait_item_t *item);
 
 #endif
