refactor: logic that stood twice or thrice

One clock_wait in place of three waits for a condition, on the monotonic clock so that a step of the wall clock doesn't stretch them; one program_serve for both programs; one accepted_sheet_show for 'backend list' and 'shift list'.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -5,6 +5,7 @@
 enum
 {
   NSEC_PER_USEC = 1000,
+  NSEC_PER_SEC = 1000000000,
 };
 
 static usec_t
@@ -26,3 +27,14 @@
 {
   return clock_read (CLOCK_REALTIME);
 }
+
+void
+clock_wait (pthread_cond_t *changed, pthread_mutex_t *lock, usec_t span)
+{
+  struct timespec until;
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_nsec += (span % USEC_PER_SEC) * NSEC_PER_USEC;
+  until.tv_sec += span / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
+  until.tv_nsec %= NSEC_PER_SEC;
+  pthread_cond_clockwait (changed, lock, CLOCK_MONOTONIC, &until);
+}
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -166,18 +166,8 @@
     return exit_code;
   control_t control = { 0 };
   err_t err = { 0 };
-  if (control_open (&control, &program, &err))
-    {
-      LOG_EVENT (LOG_LEVEL_INFO, "started",
-                 LOG_S ("address", program.vm->address));
-      program_wait_stop ();
-      LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_S ("reason", "signal"));
-    }
-  else
-    {
-      log_error (LOG_LEVEL_ERROR, "start_failed", &err);
-      exit_code = EXIT_FAILURE;
-    }
+  bool opened = control_open (&control, &program, &err);
+  exit_code = program_serve (&program, opened, &err);
   control_close (&control);
   program_finish (&program);
   return exit_code;
--- a/src/ctl/accepted_sheet.c
+++ b/src/ctl/accepted_sheet.c
@@ -19,3 +19,23 @@
   client_reply_free (&reply);
   return sheet;
 }
+
+exit_code_t
+accepted_sheet_show (session_t *session, const sheet_view_t *view)
+{
+  err_t err = { 0 };
+  sheet_t *sheet = accepted_sheet (session, &err);
+  if (!sheet)
+    return session_fail (session, &err);
+  const topology_t *topology = &session->settings->topology;
+  if (session->options->output == OUTPUT_JSON)
+    {
+      json_t *json = view->to_json (topology, sheet);
+      session_print_json (json);
+      json_decref (json);
+    }
+  else
+    view->print (topology, sheet);
+  sheet_free (sheet);
+  return EXIT_GOOD;
+}
--- a/src/ctl/backend_command.c
+++ b/src/ctl/backend_command.c
@@ -39,27 +39,21 @@
     }
 }
 
+static json_t *
+backends_json (const topology_t *topology, const sheet_t *sheet)
+{
+  json_t *json = json_array ();
+  for (size_t i = 0; i < sheet->n_backends; i++)
+    json_array_append_new (json, backend_json (topology, &sheet->backends[i]));
+  return json;
+}
+
 exit_code_t
 command_backend_list (session_t *session)
 {
-  err_t err = { 0 };
-  sheet_t *sheet = accepted_sheet (session, &err);
-  if (!sheet)
-    return session_fail (session, &err);
-  const topology_t *topology = &session->settings->topology;
-  if (session->options->output == OUTPUT_JSON)
-    {
-      json_t *json = json_array ();
-      for (size_t i = 0; i < sheet->n_backends; i++)
-        json_array_append_new (json,
-                               backend_json (topology, &sheet->backends[i]));
-      session_print_json (json);
-      json_decref (json);
-    }
-  else
-    print_backends (topology, sheet);
-  sheet_free (sheet);
-  return EXIT_GOOD;
+  const sheet_view_t view
+      = { .to_json = backends_json, .print = print_backends };
+  return accepted_sheet_show (session, &view);
 }
 
 /* Change SHEET so that it drains the backend server NAME.  */
--- a/src/ctl/shift_command.c
+++ b/src/ctl/shift_command.c
@@ -68,21 +68,8 @@
 exit_code_t
 command_shift_list (session_t *session)
 {
-  err_t err = { 0 };
-  sheet_t *sheet = accepted_sheet (session, &err);
-  if (!sheet)
-    return session_fail (session, &err);
-  const topology_t *topology = &session->settings->topology;
-  if (session->options->output == OUTPUT_JSON)
-    {
-      json_t *json = plan_json (topology, sheet);
-      session_print_json (json);
-      json_decref (json);
-    }
-  else
-    print_plan (topology, sheet);
-  sheet_free (sheet);
-  return EXIT_GOOD;
+  const sheet_view_t view = { .to_json = plan_json, .print = print_plan };
+  return accepted_sheet_show (session, &view);
 }
 
 static json_t *
--- a/src/entry/main_entry.c
+++ b/src/entry/main_entry.c
@@ -158,18 +158,8 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   entry_t entry = { 0 };
   err_t err = { 0 };
-  if (entry_open (&entry, &program, &err))
-    {
-      LOG_EVENT (LOG_LEVEL_INFO, "started",
-                 LOG_S ("address", program.vm->address));
-      program_wait_stop ();
-      LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_S ("reason", "signal"));
-    }
-  else
-    {
-      log_error (LOG_LEVEL_ERROR, "start_failed", &err);
-      exit_code = EXIT_FAILURE;
-    }
+  bool opened = entry_open (&entry, &program, &err);
+  exit_code = program_serve (&program, opened, &err);
   entry_close (&entry);
   program_finish (&program);
   curl_global_cleanup ();
--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -16,8 +16,6 @@
   KEPT_BODY_BYTES = 16 * 1024,
   KEPT_BYTES = 32 * 1024 * 1024,
   SWEEP_STEPS = 20000,
-  NSEC_PER_MSEC = 1000000,
-  NSEC_PER_SEC = 1000000000,
 };
 
 typedef struct peer
@@ -319,13 +317,9 @@
       hear (peers, &self, &own);
       beat (peers);
       pthread_mutex_lock (&peers->lock);
-      struct timespec until;
-      clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += (long)HEARTBEAT_MSEC * NSEC_PER_MSEC;
-      until.tv_sec += until.tv_nsec / NSEC_PER_SEC;
-      until.tv_nsec %= NSEC_PER_SEC;
       if (!peers->stop)
-        pthread_cond_timedwait (&peers->stopped, &peers->lock, &until);
+        clock_wait (&peers->stopped, &peers->lock,
+                    HEARTBEAT_MSEC * USEC_PER_MSEC);
     }
   pthread_mutex_unlock (&peers->lock);
   return NULL;
--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -13,8 +13,6 @@
 {
   UNIT_PARTS = 1000,
   STEP_DIVISOR = 20, /* steps that a VM's even part of the cap has */
-  NSEC_PER_USEC = 1000,
-  NSEC_PER_SEC = 1000000000,
 };
 
 #define ASK_INTERVAL (50 * USEC_PER_MSEC)
@@ -234,17 +232,6 @@
   rpc_send (share->options.rpc, &request);
 }
 
-static void
-wait_change (spend_share_t *share, usec_t span)
-{
-  struct timespec until;
-  clock_gettime (CLOCK_REALTIME, &until);
-  until.tv_nsec += (span % USEC_PER_SEC) * NSEC_PER_USEC;
-  until.tv_sec += span / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
-  until.tv_nsec %= NSEC_PER_SEC;
-  pthread_cond_timedwait (&share->changed, &share->lock, &until);
-}
-
 /* Return what is left, and wait a little for the answer.  */
 static void
 close_share (spend_share_t *share)
@@ -258,7 +245,7 @@
         return;
       if (!share->asking)
         ask_send (share, &ask);
-      wait_change (share, ASK_INTERVAL);
+      clock_wait (&share->changed, &share->lock, ASK_INTERVAL);
     }
 }
 
@@ -277,7 +264,7 @@
               = escrow_holder_ask (&share->holder, clock_monotonic ());
           ask_send (share, &ask);
         }
-      wait_change (share, ASK_INTERVAL);
+      clock_wait (&share->changed, &share->lock, ASK_INTERVAL);
     }
   close_share (share);
   pthread_mutex_unlock (&share->lock);
--- a/src/entry/version_feed.c
+++ b/src/entry/version_feed.c
@@ -12,8 +12,6 @@
 enum
 {
   TICKS_PER_INTERVAL = 5,
-  NSEC_PER_USEC = 1000,
-  NSEC_PER_SEC = 1000000000,
 };
 
 struct version_feed
@@ -141,12 +139,7 @@
       list_init (&actions);
       spread_tick (feed->spread, clock_monotonic (), &actions);
       perform (feed, &actions);
-      struct timespec until;
-      clock_gettime (CLOCK_REALTIME, &until);
-      until.tv_nsec += (step % USEC_PER_SEC) * NSEC_PER_USEC;
-      until.tv_sec += step / USEC_PER_SEC + until.tv_nsec / NSEC_PER_SEC;
-      until.tv_nsec %= NSEC_PER_SEC;
-      pthread_cond_timedwait (&feed->stopped, &feed->lock, &until);
+      clock_wait (&feed->stopped, &feed->lock, step);
     }
   pthread_mutex_unlock (&feed->lock);
   return NULL;
--- a/src/settings/program.c
+++ b/src/settings/program.c
@@ -170,13 +170,22 @@
   return true;
 }
 
-void
-program_wait_stop (void)
+int
+program_serve (const program_t *program, bool opened, const err_t *err)
 {
+  if (!opened)
+    {
+      log_error (LOG_LEVEL_ERROR, "start_failed", err);
+      return EXIT_FAILURE;
+    }
+  LOG_EVENT (LOG_LEVEL_INFO, "started",
+             LOG_S ("address", program->vm->address));
   sigset_t stop;
   mask_stop_signals (&stop);
   int signal_number = 0;
   sigwait (&stop, &signal_number);
+  LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_S ("reason", "signal"));
+  return EXIT_SUCCESS;
 }
 
 void
--- a/src/settings/program.h
+++ b/src/settings/program.h
@@ -28,8 +28,9 @@
 bool program_start (program_t *program, const char *name, const char *doc,
                     int argc, char **argv, int *exit_code);
 
-/* Block until SIGTERM or SIGINT; program_start has masked both.  */
-void program_wait_stop (void);
+/* Where the program's parts were OPENED, block until SIGTERM or SIGINT, which
+   program_start has masked; else log ERR.  Returns the exit code.  */
+int program_serve (const program_t *program, bool opened, const err_t *err);
 
 void program_finish (program_t *program);
 
