perf(entry): at overload the line goes by answers, and who comes back is next

And a request that another entry VM had no slot for after all went to the end of the line, again and again.

The forecast first measured how fast the line moves; forwards that bounce moved it too, so it was far too hopeful (tried, and changed in this commit). Now it goes by answers: a request whose turn and run would end after its deadline is refused before it starts, and one that had its turn goes before the others.

--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -277,7 +277,12 @@
       job_event (job, &event, now);
     }
   else if (own && (!forwarded || strcmp (reply->outcome, "answer") == 0))
-    reply_answer (job, reply, now);
+    {
+      if (job->request.options.role == REQUEST_ORIGIN)
+        wait_line_answered (job->world->line, job->exchange->service, ran,
+                            now);
+      reply_answer (job, reply, now);
+    }
   else if (reply->cut)
     reply_cut (job, now);
   else
--- a/src/entry/job_place.c
+++ b/src/entry/job_place.c
@@ -120,7 +120,27 @@
   if (event.kind == EVENT_NOT_PLACED)
     wait_line_remove (job->world->line, &job->wait);
   else
-    wait_line_run (job->world->line, &job->wait, now);
+    wait_line_run (job->world->line, &job->wait);
+  job_event (job, &event, now);
+}
+
+/* Whether its answer would come after the deadline.  Only while others wait:
+   else it is tried, which also shows when a service is quick again.  */
+static bool
+comes_too_late (const job_t *job, usec_t now)
+{
+  wait_forecast_t forecast = wait_line_forecast (job->world->line, &job->wait);
+  usec_t wait = job->wait.place == WAIT_OUT ? forecast.wait : 0;
+  return now + wait + forecast.run >= job->request.options.deadline;
+}
+
+static void
+refuse_late (job_t *job, usec_t now)
+{
+  request_event_t event = { .kind = EVENT_NOT_PLACED };
+  event.as.reason = REASON_NO_CAPACITY;
+  job->waiting = false;
+  wait_line_remove (job->world->line, &job->wait);
   job_event (job, &event, now);
 }
 
@@ -135,12 +155,9 @@
       job_place (job, now);
       return;
     }
-  usec_t turn = now + wait_line_expected (job->world->line, &job->wait);
-  if (!is_hop (job) && turn >= job->request.options.deadline)
+  if (comes_too_late (job, now))
     {
-      request_event_t event = { .kind = EVENT_NOT_PLACED };
-      event.as.reason = REASON_NO_CAPACITY;
-      job_event (job, &event, now);
+      refuse_late (job, now);
       return;
     }
   job->waiting = true;
@@ -154,6 +171,8 @@
     return;
   bool is_due = job->wait.place == WAIT_OUT ? now >= job->place_again
                                             : gives_up (job, now);
-  if (is_due)
+  if (is_due && !is_hop (job) && comes_too_late (job, now))
+    refuse_late (job, now);
+  else if (is_due)
     job_place (job, now);
 }
--- a/src/entry/wait_line.c
+++ b/src/entry/wait_line.c
@@ -6,16 +6,21 @@
 
 enum
 {
-  PACE_SAMPLES = 16, /* before the pace is believed, and its memory */
+  PACE_SAMPLES = 16, /* answers before they are believed */
+  PACE_MEMORY = 64,  /* answers that an average remembers */
 };
 
 typedef struct service_line
 {
   fair_share_t fair;
   wait_item_t *first;
-  usec_t moved_at; /* when the last one that waited got its slot; 0: none */
-  double pace;     /* moving average between two of them, usec */
-  size_t n_paced;
+  list_t returned; /* of wait_item_t, by fair.link */
+  size_t n_returned;
+  /* Since the line was last empty: */
+  usec_t answered_at; /* the last answer; 0: none */
+  double pace;        /* moving average between two answers, usec */
+  double run;         /* moving average of a run, usec */
+  size_t n_answered;
 } service_line_t;
 
 /* One tenant's name; anyone's where no request of it is under way.  */
@@ -41,7 +46,10 @@
     abort ();
   line->n_services = n_services;
   for (size_t i = 0; i < n_services; i++)
-    fair_share_init (&line->services[i].fair);
+    {
+      fair_share_init (&line->services[i].fair);
+      list_init (&line->services[i].returned);
+    }
   return line;
 }
 
@@ -94,7 +102,7 @@
 wait_line_is_empty (const wait_line_t *line, service_id_t service)
 {
   const service_line_t *of = &line->services[service];
-  return !of->first && of->fair.n_queued == 0;
+  return !of->first && of->n_returned == 0 && of->fair.n_queued == 0;
 }
 
 void
@@ -102,9 +110,16 @@
 {
   if (item->place != WAIT_OUT)
     return;
+  service_line_t *of = &line->services[item->service];
+  if (item->runs)
+    {
+      item->place = WAIT_RETURNED;
+      list_push_back (&of->returned, &item->fair.link);
+      of->n_returned++;
+      return;
+    }
   item->place = WAIT_QUEUED;
-  fair_share_push (&line->services[item->service].fair, &item->fair,
-                   item->tenant);
+  fair_share_push (&of->fair, &item->fair, item->tenant);
 }
 
 void
@@ -113,13 +128,18 @@
   service_line_t *of = &line->services[item->service];
   if (item->place == WAIT_QUEUED)
     fair_share_remove (&of->fair, &item->fair);
+  if (item->place == WAIT_RETURNED)
+    {
+      list_remove (&item->fair.link);
+      of->n_returned--;
+    }
   if (item->place == WAIT_FIRST)
     of->first = NULL;
   item->place = WAIT_OUT;
   if (!wait_line_is_empty (line, item->service))
     return;
-  of->moved_at = 0;
-  of->n_paced = 0;
+  of->answered_at = 0;
+  of->n_answered = 0;
 }
 
 wait_item_t *
@@ -128,44 +148,56 @@
   service_line_t *of = &line->services[service];
   if (of->first)
     return of->first;
-  fair_item_t *fair = fair_share_pop (&of->fair);
+  list_t *returned = list_pop_front (&of->returned);
+  fair_item_t *fair = returned ? LIST_ENTRY (returned, fair_item_t, link)
+                               : fair_share_pop (&of->fair);
   if (!fair)
     return NULL;
+  if (returned)
+    of->n_returned--;
   of->first = LIST_ENTRY (fair, wait_item_t, fair);
   of->first->place = WAIT_FIRST;
   return of->first;
 }
 
-/* One that waited got its slot.  */
 static void
-measure_pace (service_line_t *of, usec_t now)
+average (double *mean, double value, size_t n)
 {
-  if (of->moved_at > 0)
+  *mean += (value - *mean) / (double)(n < PACE_MEMORY ? n : PACE_MEMORY);
+}
+
+void
+wait_line_answered (wait_line_t *line, service_id_t service, usec_t ran,
+                    usec_t now)
+{
+  service_line_t *of = &line->services[service];
+  if (wait_line_is_empty (line, service))
+    return;
+  if (of->answered_at > 0)
     {
-      double span = (double)(now - of->moved_at);
-      of->n_paced++;
-      size_t n = of->n_paced < PACE_SAMPLES ? of->n_paced : PACE_SAMPLES;
-      of->pace += (span - of->pace) / (double)n;
+      of->n_answered++;
+      average (&of->pace, (double)(now - of->answered_at), of->n_answered);
+      average (&of->run, (double)ran, of->n_answered);
     }
-  of->moved_at = now;
+  of->answered_at = now;
 }
 
-usec_t
-wait_line_expected (const wait_line_t *line, const wait_item_t *item)
+wait_forecast_t
+wait_line_forecast (const wait_line_t *line, const wait_item_t *item)
 {
   const service_line_t *of = &line->services[item->service];
-  if (of->n_paced < PACE_SAMPLES)
-    return 0;
-  size_t ahead = fair_share_ahead (&of->fair, item->tenant) + 1;
-  return (usec_t)((double)ahead * of->pace);
+  if (of->n_answered < PACE_SAMPLES)
+    return (wait_forecast_t){ 0 };
+  size_t ahead
+      = fair_share_ahead (&of->fair, item->tenant) + of->n_returned + 1;
+  return (wait_forecast_t){ .wait = (usec_t)((double)ahead * of->pace),
+                            .run = (usec_t)of->run };
 }
 
 void
-wait_line_run (wait_line_t *line, wait_item_t *item, usec_t now)
+wait_line_run (wait_line_t *line, wait_item_t *item)
 {
   service_line_t *of = &line->services[item->service];
-  if (item->place != WAIT_OUT)
-    measure_pace (of, now);
   wait_line_remove (line, item);
   if (!item->runs)
     fair_share_run (&of->fair, item->tenant, 1);
--- a/src/entry/wait_line.h
+++ b/src/entry/wait_line.h
@@ -22,7 +22,8 @@
 {
   WAIT_OUT, /* not in the line */
   WAIT_QUEUED,
-  WAIT_FIRST, /* its turn has come */
+  WAIT_RETURNED, /* had its turn and found no slot: before the others */
+  WAIT_FIRST,    /* its turn has come */
 } wait_place_t;
 
 /* In the request's own struct; zeroed before wait_line_enter.  */
@@ -47,7 +48,9 @@
 
 bool wait_line_is_empty (const wait_line_t *line, service_id_t service);
 
-/* Put ITEM into the line where it isn't in it; take it out.  */
+/* Put ITEM into the line where it isn't in it; take it out.  One that had its
+   turn and comes back (another entry VM had no slot for it after all) goes
+   before all others, else it would wait anew and again.  */
 void wait_line_push (wait_line_t *line, wait_item_t *item);
 void wait_line_remove (wait_line_t *line, wait_item_t *item);
 
@@ -55,12 +58,23 @@
    runs or is taken out.  */
 wait_item_t *wait_line_first (wait_line_t *line, service_id_t service);
 
-/* ITEM has its slot at NOW, with or without having waited.  */
-void wait_line_run (wait_line_t *line, wait_item_t *item, usec_t now);
+/* ITEM has its slot, with or without having waited.  */
+void wait_line_run (wait_line_t *line, wait_item_t *item);
 
-/* How long ITEM, not in the line yet, would wait for its turn, by the pace at
-   which the line has moved since it was last empty; 0 while that is not
-   known.  */
-usec_t wait_line_expected (const wait_line_t *line, const wait_item_t *item);
+/* A request for SERVICE was answered at NOW; its run took RAN.  */
+void wait_line_answered (wait_line_t *line, service_id_t service, usec_t ran,
+                         usec_t now);
+
+/* What the answers since the line was last empty tell; zeros while they are
+   too few.  */
+typedef struct wait_forecast
+{
+  usec_t wait; /* of an item that comes now, until its turn */
+  usec_t run;  /* of one request */
+} wait_forecast_t;
+
+/* For ITEM, whether it is in the line yet or not.  */
+wait_forecast_t wait_line_forecast (const wait_line_t *line,
+                                    const wait_item_t *item);
 
 #endif
--- a/test/unit/test_entry_wait_line.c
+++ b/test/unit/test_entry_wait_line.c
@@ -27,14 +27,14 @@
       burst[i] = enter (line, "burst");
       wait_line_push (line, &burst[i]);
     }
-  wait_line_run (line, wait_line_first (line, 0), 0);
-  wait_line_run (line, wait_line_first (line, 0), 0);
+  wait_line_run (line, wait_line_first (line, 0));
+  wait_line_run (line, wait_line_first (line, 0));
   wait_item_t other = enter (line, "other");
   wait_line_push (line, &other);
   g_assert_true (wait_line_first (line, 0) == &other);
   /* Its turn stays its own until it runs.  */
   g_assert_true (wait_line_first (line, 0) == &other);
-  wait_line_run (line, &other, 0);
+  wait_line_run (line, &other);
   g_assert_true (wait_line_first (line, 0) == &burst[2]);
   wait_line_leave (line, &other);
   for (size_t i = 0; i < BURST; i++)
@@ -89,12 +89,13 @@
   wait_line_free (line);
 }
 
-/* The line moves once in 10 ms: who comes is told how long its turn takes,
-   one of a quiet tenant less than one of the burst.  */
+/* An answer comes each 10 ms and ran 30: who comes is told how long its turn
+   takes, one of a quiet tenant less than one of the burst.  */
 static void
-test_expected_wait_follows_the_pace (void)
+test_forecast_follows_the_answers (void)
 {
   const usec_t step = 10 * USEC_PER_MSEC;
+  const usec_t ran = 30 * USEC_PER_MSEC;
   wait_line_t *line = wait_line_new (1);
   wait_item_t burst[BURST];
   for (size_t i = 0; i < BURST; i++)
@@ -104,16 +105,48 @@
     }
   wait_item_t more = enter (line, "burst");
   wait_item_t other = enter (line, "other");
-  g_assert_cmpint (wait_line_expected (line, &more), ==, 0);
+  g_assert_cmpint (wait_line_forecast (line, &more).wait, ==, 0);
   for (size_t i = 0; i < BURST / 2; i++)
-    wait_line_run (line, wait_line_first (line, 0), (usec_t)(i + 1) * step);
-  usec_t wait = wait_line_expected (line, &more);
-  g_assert_cmpint (wait, >=, (BURST / 2) * step);
-  g_assert_cmpint (wait, <=, (BURST / 2 + 5) * step);
-  g_assert_cmpint (wait_line_expected (line, &other), <, 10 * step);
+    {
+      wait_line_run (line, wait_line_first (line, 0));
+      wait_line_answered (line, 0, ran, (usec_t)(i + 1) * step);
+    }
+  wait_forecast_t forecast = wait_line_forecast (line, &more);
+  g_assert_cmpint (forecast.run, ==, ran);
+  g_assert_cmpint (forecast.wait, >=, (BURST / 2) * step);
+  g_assert_cmpint (forecast.wait, <=, (BURST / 2 + 5) * step);
+  g_assert_cmpint (wait_line_forecast (line, &other).wait, <, 10 * step);
   for (size_t i = BURST / 2; i < BURST; i++)
     wait_line_leave (line, &burst[i]);
-  g_assert_cmpint (wait_line_expected (line, &more), ==, 0);
+  g_assert_cmpint (wait_line_forecast (line, &more).wait, ==, 0);
+  g_assert_cmpint (wait_line_forecast (line, &more).run, ==, 0);
+  wait_line_free (line);
+}
+
+/* One that had its turn and comes back is next, in the order of return.  */
+static void
+test_returned_comes_first (void)
+{
+  wait_line_t *line = wait_line_new (1);
+  wait_item_t items[4];
+  for (size_t i = 0; i < G_N_ELEMENTS (items); i++)
+    {
+      items[i] = enter (line, "a");
+      wait_line_push (line, &items[i]);
+    }
+  wait_line_run (line, wait_line_first (line, 0));
+  wait_line_run (line, wait_line_first (line, 0));
+  wait_line_push (line, &items[1]);
+  wait_line_push (line, &items[0]);
+  g_assert_true (wait_line_first (line, 0) == &items[1]);
+  wait_line_run (line, &items[1]);
+  wait_line_leave (line, &items[0]);
+  g_assert_true (wait_line_first (line, 0) == &items[2]);
+  wait_line_run (line, &items[2]);
+  g_assert_true (wait_line_first (line, 0) == &items[3]);
+  for (size_t i = 1; i < G_N_ELEMENTS (items); i++)
+    wait_line_leave (line, &items[i]);
+  g_assert_true (wait_line_is_empty (line, 0));
   wait_line_free (line);
 }
 
@@ -124,7 +157,8 @@
   g_test_add_func ("/wait_line/burst", test_burst_waits_behind_itself);
   g_test_add_func ("/wait_line/accounts",
                    test_accounts_are_bounded_and_given_anew);
-  g_test_add_func ("/wait_line/expected", test_expected_wait_follows_the_pace);
+  g_test_add_func ("/wait_line/forecast", test_forecast_follows_the_answers);
+  g_test_add_func ("/wait_line/returned", test_returned_comes_first);
   g_test_add_func ("/wait_line/taken_out", test_taken_out_while_first);
   return g_test_run ();
 }
