--- a/bench/bench_agreement.c
+++ b/bench/bench_agreement.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <sys/stat.h>
 
-#include "../test/agreement_cluster.h"
+#include "../test/support/agreement_cluster.h"
 #include "agreement/storage.h"
 #include "base/clock.h"
 
--- a/test/unit/test_agreement_matrix.c
+++ b/test/unit/test_agreement_matrix.c
@@ -4,7 +4,7 @@
 
 #include <glib.h>
 
-#include "../agreement_cluster.h"
+#include "../support/agreement_cluster.h"
 
 typedef enum
 {
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "../agreement_cluster.h"
+#include "../support/agreement_cluster.h"
 
 static cluster_t *
 settled_new (uint64_t seed)
