feat(settings): a service's deadline over the longest allowed is a fault

Cause: such a service's requests would be refused for ever, as no slot is given for longer than limits.deadline_max_ms; nothing said so.

Conclusion: unit/test_settings bad, a case that loaded before.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -358,6 +358,23 @@
                             "no VM in vms has a control process");
 }
 
+/* A request that may run longer than the longest deadline would never get a
+   slot.  */
+static bool
+check_deadlines (yaml_reader_t *reader, const root_t *root,
+                 const settings_t *settings, err_t *err)
+{
+  const topology_t *topology = &settings->topology;
+  for (size_t i = 0; i < topology->n_services; i++)
+    if (topology->services[i].deadline > settings->limits.deadline_max)
+      return yaml_reader_fault (
+          reader, yaml_reader_item (reader, root->services, i), err,
+          "lower the service's deadline_ms or raise limits.deadline_max_ms",
+          "the deadline_ms of service '%s' is over limits.deadline_max_ms",
+          topology->services[i].name.text);
+  return true;
+}
+
 static void
 limits_default (settings_limits_t *limits)
 {
@@ -420,7 +437,8 @@
   return path_resolve (settings->key_file, reader->path, err)
          && path_resolve (settings->data_folder, reader->path, err)
          && path_resolve (settings->operators_file, reader->path, err)
-         && read_lists (reader, &root, topology, err);
+         && read_lists (reader, &root, topology, err)
+         && check_deadlines (reader, &root, settings, err);
 }
 
 settings_t *
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -79,6 +79,8 @@
       "'sapporo-9' does not stand in the list failure_domains" },
     { ", failure_domain: sapporo-1,", ",", "lacks the key 'failure_domain'" },
     { "name: sapporo-1b", "name: sapporo-1a", "stands twice" },
+    { "deadline_max_ms: 4000", "deadline_max_ms: 2999",
+      "the deadline_ms of service 'dedicate' is over" },
     { "organisation: consortium", "organisation: [a", "bad.yaml:" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
