refactor: functions that nothing calls go

Cause: seven exported functions had no caller in the programs, the benches or the tests: four names of enum values (one a twin of exchange_outcome_name), two readings of the spend share, and link_shares_overrun. No behaviour changes.

--- a/src/admission/admit.h
+++ b/src/admission/admit.h
@@ -142,6 +142,4 @@
 /* Give back what RAN does not justify; a second call does nothing.  */
 void reservation_end (reservation_t *reservation, bool ran);
 
-const char *refusal_name (refusal_t refusal);
-
 #endif
--- a/src/admission/reservation.c
+++ b/src/admission/reservation.c
@@ -111,26 +111,3 @@
   budget_give (budgets->request_link, needs->request_bytes, 0);
   budget_give (budgets->answer_link, needs->answer_bytes, 0);
 }
-
-const char *
-refusal_name (refusal_t refusal)
-{
-  switch (refusal)
-    {
-    case REFUSAL_NONE:
-      return "none";
-    case REFUSAL_DEADLINE:
-      return "deadline";
-    case REFUSAL_TENANT:
-      return "tenant";
-    case REFUSAL_CAPACITY:
-      return "capacity";
-    case REFUSAL_SPEND:
-      return "spend";
-    case REFUSAL_LINK:
-      return "link";
-    case REFUSAL_DRAINING:
-      return "draining";
-    }
-  return "unknown";
-}
--- a/src/delivery/outcome.c
+++ b/src/delivery/outcome.c
@@ -1,20 +1,5 @@
 #include "delivery/outcome.h"
 
-const char *
-outcome_kind_name (outcome_kind_t kind)
-{
-  switch (kind)
-    {
-    case OUTCOME_ANSWER:
-      return "answer";
-    case OUTCOME_NOT_RUN:
-      return "not_run";
-    case OUTCOME_UNKNOWN:
-      return "unknown";
-    }
-  return "unknown";
-}
-
 const char *
 request_reason_name (request_reason_t reason)
 {
--- a/src/delivery/slots.c
+++ b/src/delivery/slots.c
@@ -259,26 +259,3 @@
   if (state && state->n_connections > 0)
     state->n_connections--;
 }
-
-const char *
-slot_result_name (slot_result_t result)
-{
-  switch (result)
-    {
-    case SLOT_GRANTED:
-      return "granted";
-    case SLOT_FULL:
-      return "full";
-    case SLOT_NOT_OWNER:
-      return "not_owner";
-    case SLOT_QUIET:
-      return "quiet";
-    case SLOT_LEAVING:
-      return "leaving";
-    case SLOT_DEADLINE:
-      return "deadline";
-    case SLOT_NO_BACKEND:
-      return "no_backend";
-    }
-  return "unknown";
-}
--- a/src/delivery/slots.h
+++ b/src/delivery/slots.h
@@ -107,6 +107,4 @@
 bool slots_open_connection (slots_t *slots, uint32_t backend, usec_t now);
 void slots_close_connection (slots_t *slots, uint32_t backend);
 
-const char *slot_result_name (slot_result_t result);
-
 #endif
--- a/src/entry/link_shares.c
+++ b/src/entry/link_shares.c
@@ -94,10 +94,3 @@
          && escrow_holder_charge (&share->requests, request, now, now)
          && escrow_holder_charge (&share->answers, answer, now, now);
 }
-
-void
-link_shares_overrun (link_shares_t *shares, region_id_t region, size_t bytes)
-{
-  if (region != shares->home && shares->regions[region].limited)
-    escrow_holder_overrun (&shares->regions[region].answers, (int64_t)bytes);
-}
--- a/src/entry/link_shares.h
+++ b/src/entry/link_shares.h
@@ -28,8 +28,4 @@
                          size_t request_bytes, size_t answer_bytes,
                          usec_t now);
 
-/* The answer from REGION had so many bytes more than was charged.  */
-void link_shares_overrun (link_shares_t *shares, region_id_t region,
-                          size_t bytes);
-
 #endif
--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -114,25 +114,6 @@
   *charge = (spend_charge_t){ 0 };
 }
 
-int64_t
-spend_share_available (spend_share_t *share)
-{
-  pthread_mutex_lock (&share->lock);
-  int64_t available
-      = escrow_holder_available (&share->holder, clock_monotonic ());
-  pthread_mutex_unlock (&share->lock);
-  return available;
-}
-
-int64_t
-spend_share_spent (spend_share_t *share)
-{
-  pthread_mutex_lock (&share->lock);
-  int64_t spent = share->holder.in_use;
-  pthread_mutex_unlock (&share->lock);
-  return spent;
-}
-
 /* The next control VM after the one that did not answer as leader.  */
 static void
 leader_next (spend_share_t *share)
--- a/src/entry/spend_share.h
+++ b/src/entry/spend_share.h
@@ -62,10 +62,4 @@
    nothing.  */
 void spend_share_refund (spend_share_t *share, spend_charge_t *charge);
 
-/* Held and not spent; for metrics.  */
-int64_t spend_share_available (spend_share_t *share);
-
-/* Spent in the present budget by this start of the process.  */
-int64_t spend_share_spent (spend_share_t *share);
-
 #endif
--- a/src/ledger/claim.c
+++ b/src/ledger/claim.c
@@ -413,31 +413,6 @@
                          .fingerprint = claim->options.fingerprint };
 }
 
-const char *
-claim_cause_name (claim_cause_t cause)
-{
-  switch (cause)
-    {
-    case CLAIM_CAUSE_NONE:
-      return "none";
-    case CLAIM_CAUSE_UNREACHABLE:
-      return "unreachable";
-    case CLAIM_CAUSE_OTHER:
-      return "other_attempt";
-    case CLAIM_CAUSE_SPLIT:
-      return "split_votes";
-    case CLAIM_CAUSE_EXPIRED:
-      return "expired";
-    case CLAIM_CAUSE_RESTARTED:
-      return "replicas_restarted";
-    case CLAIM_CAUSE_CONFLICT:
-      return "conflict";
-    case CLAIM_CAUSE_FULL:
-      return "full";
-    }
-  return "unknown";
-}
-
 void
 claim_destroy (claim_t *claim)
 {
--- a/src/ledger/claim.h
+++ b/src/ledger/claim.h
@@ -133,8 +133,6 @@
 /* Whether the phase is one of the last four.  */
 bool claim_is_settled (const claim_t *claim);
 
-const char *claim_cause_name (claim_cause_t cause);
-
 /* Release the kept body; the struct itself is the caller's.  */
 void claim_destroy (claim_t *claim);
 
