--- a/src/agreement/codec.c
+++ b/src/agreement/codec.c
@@ -58,6 +58,8 @@
              && xdr_uint64_t (xdrs, &entry->body.swap.new_incarnation);
     case ENTRY_GRANT:
       return blob_filter (xdrs, &entry->body.grant, ENTRY_CONTENT_BYTES_MAX);
+    case ENTRY_COMMAND:
+      return blob_filter (xdrs, &entry->body.command, ENTRY_CONTENT_BYTES_MAX);
     case ENTRY_KINDS:
       break;
     }
--- a/src/agreement/entry.c
+++ b/src/agreement/entry.c
@@ -59,6 +59,14 @@
   return entry;
 }
 
+entry_t *
+entry_new_command (blob_t *command)
+{
+  entry_t *entry = entry_new (ENTRY_COMMAND);
+  entry->body.command = blob_ref (command);
+  return entry;
+}
+
 entry_t *
 entry_ref (entry_t *entry)
 {
@@ -75,6 +83,8 @@
       return entry->body.sheet.content;
     case ENTRY_GRANT:
       return entry->body.grant;
+    case ENTRY_COMMAND:
+      return entry->body.command;
     case ENTRY_NOOP:
     case ENTRY_SWAP:
     case ENTRY_KINDS:
--- a/src/agreement/entry.h
+++ b/src/agreement/entry.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  REPLICAS_MAX = 7,
+  REPLICAS_MAX = 15,
   SLOT_NONE = 0xff,
 };
 
@@ -38,9 +38,10 @@
 typedef enum
 {
   ENTRY_NOOP,
-  ENTRY_SHEET, /* an operator's sheet */
-  ENTRY_SWAP,  /* one replica's incarnation takes the place of another */
-  ENTRY_GRANT, /* a share of a cap; opaque here */
+  ENTRY_SHEET,   /* an operator's sheet */
+  ENTRY_SWAP,    /* one replica's incarnation takes the place of another */
+  ENTRY_GRANT,   /* a share of a cap; opaque here */
+  ENTRY_COMMAND, /* of the driver's own state machine; opaque here */
   ENTRY_KINDS,
 } entry_kind_t;
 
@@ -71,6 +72,7 @@
     sheet_submission_t sheet;
     replica_swap_t swap;
     blob_t *grant;
+    blob_t *command;
   } body;
 } entry_t;
 
@@ -86,6 +88,8 @@
 /* Takes its own reference to CONTENT.  */
 entry_t *entry_new_sheet (uint64_t number, const name_t *operator_name,
                           blob_t *content);
+/* Takes its own reference to COMMAND.  */
+entry_t *entry_new_command (blob_t *command);
 entry_t *entry_ref (entry_t *entry);
 void entry_unref (entry_t *entry);
 /* About how many bytes ENTRY takes in a message.  */
--- a/src/control/storage_thread.c
+++ b/src/agreement/storage_thread.c
@@ -1,4 +1,4 @@
-#include "control/storage_thread.h"
+#include "agreement/storage_thread.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
--- a/src/control/storage_thread.h
+++ b/src/agreement/storage_thread.h
@@ -1,8 +1,8 @@
 /* storage_thread: writes and syncs the replica's records, in order, several
    at once where they have piled up.  */
 
-#ifndef CONTROL_STORAGE_THREAD_H
-#define CONTROL_STORAGE_THREAD_H
+#ifndef AGREEMENT_STORAGE_THREAD_H
+#define AGREEMENT_STORAGE_THREAD_H
 
 #include "agreement/storage.h"
 
--- /dev/null
+++ b/src/balance/backend_pool.c
@@ -0,0 +1,231 @@
+#include "balance/pool_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "fleet/backend_list.h"
+
+enum
+{
+  FAILURES_DOWN = 2, /* in a row, until a probe has to decide */
+};
+
+#define PROBE_FIRST (300 * USEC_PER_MSEC)
+#define PROBE_NEXT (700 * USEC_PER_MSEC)
+
+backend_pool_t *
+backend_pool_new (const backend_pool_options_t *options)
+{
+  backend_pool_t *pool = calloc (1, sizeof *pool);
+  if (!pool)
+    abort ();
+  pool->options = *options;
+  inet_parse_address (&pool->self, options->settings->address);
+  random_seed (&pool->random, options->seed);
+  list_init (&pool->backends);
+  return pool;
+}
+
+void
+backend_pool_free (backend_pool_t *pool)
+{
+  list_t *link;
+  while ((link = list_pop_front (&pool->backends)))
+    free (LIST_ENTRY (link, backend_t, link));
+  free (pool);
+}
+
+/* Gone from the list, and nothing of it is under way.  */
+static void
+forget_unused (backend_t *backend)
+{
+  if (backend->is_listed || backend->in_flight > 0 || backend->is_probing)
+    return;
+  list_remove (&backend->link);
+  free (backend);
+}
+
+static backend_t *
+find (const backend_pool_t *pool, const char *id)
+{
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    if (strcmp (backend->record.id, id) == 0)
+      return backend;
+  }
+  return NULL;
+}
+
+/* A new start: it knows nothing and holds nothing of before.  */
+static void
+backend_restart (backend_t *backend)
+{
+  backend->health = BACKEND_UP;
+  backend->failures = 0;
+  backend->others = 0;
+  backend->latency = 0;
+}
+
+static void
+follow_record (backend_pool_t *pool, const backend_record_t *record,
+               usec_t read_at)
+{
+  const name_t *region
+      = fleet_settings_region (pool->options.settings, record->domain.text);
+  if (!region)
+    return;
+  backend_t *backend = find (pool, record->id);
+  if (!backend)
+    {
+      backend = calloc (1, sizeof *backend);
+      if (!backend)
+        abort ();
+      backend->hash = XXH3_64bits (record->id, strlen (record->id));
+      list_push_back (&pool->backends, &backend->link);
+    }
+  else if (backend->record.started_at != record->started_at)
+    backend_restart (backend);
+  /* Once it drains, it does so until it ends.  */
+  bool is_draining = record->is_draining
+                     || (backend->record.is_draining
+                         && backend->record.started_at == record->started_at);
+  usec_t cold_until = read_at + record->cold_left;
+  if (record->cold_left > 0 && cold_until > backend->cold_until)
+    backend->cold_until = cold_until;
+  backend->record = *record;
+  backend->record.is_draining = is_draining;
+  backend->region = *region;
+  backend->is_listed = true;
+}
+
+static bool
+is_evacuated (const pool_update_t *update, const char *domain)
+{
+  for (size_t i = 0; i < update->n_evacuated; i++)
+    if (strcmp (update->evacuated[i].text, domain) == 0)
+      return true;
+  return false;
+}
+
+void
+backend_pool_update (backend_pool_t *pool, const pool_update_t *update,
+                     usec_t now)
+{
+  LIST_FOREACH (link, &pool->backends)
+  LIST_ENTRY (link, backend_t, link)->is_listed = false;
+  for (size_t i = 0; i < update->list->n_records; i++)
+    follow_record (pool, &update->list->records[i], update->list->read_at);
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    backend->is_evacuated = is_evacuated (update, backend->record.domain.text);
+    pool_cold_share (pool, backend, update, now);
+    forget_unused (backend);
+  }
+}
+
+void
+backend_pool_sent (backend_pool_t *pool, backend_t *backend, usec_t now)
+{
+  (void)pool;
+  backend->in_flight++;
+  pool_cold_spend (backend, now);
+}
+
+static void
+note_load (backend_t *backend, const backend_load_t *load, usec_t now)
+{
+  if (!load->is_known)
+    return;
+  uint32_t all = load->running + load->waiting;
+  backend->others = all > backend->in_flight ? all - backend->in_flight : 0;
+  backend->others_at = now;
+  if (load->slots > 0)
+    backend->record.slots = load->slots;
+}
+
+static void
+note_latency (backend_t *backend, usec_t latency)
+{
+  backend->latency
+      = backend->latency == 0 ? latency : (7 * backend->latency + latency) / 8;
+}
+
+static void
+note_failure (backend_t *backend, uint32_t limit, usec_t now)
+{
+  backend->failures++;
+  if (backend->failures < limit || backend->health == BACKEND_DOWN)
+    return;
+  backend->health = BACKEND_DOWN;
+  backend->probe_at = now + PROBE_FIRST;
+}
+
+void
+backend_pool_ended (backend_pool_t *pool, backend_t *backend,
+                    backend_end_t end, const backend_load_t *load,
+                    usec_t latency, usec_t now)
+{
+  (void)pool;
+  backend->in_flight--;
+  note_load (backend, load, now);
+  switch (end)
+    {
+    case BACKEND_ANSWERED:
+      backend->failures = 0;
+      note_latency (backend, latency);
+      break;
+    case BACKEND_FULL:
+      /* Others filled it since its last report.  */
+      if (!load->is_known)
+        {
+          backend->others = backend->record.slots + 1;
+          backend->others_at = now;
+        }
+      break;
+    case BACKEND_MISTAKEN:
+      note_failure (backend, 1, now);
+      break;
+    case BACKEND_BROKE_OFF:
+      note_failure (backend, FAILURES_DOWN, now);
+      break;
+    case BACKEND_FAILED:
+    case BACKEND_LEFT:
+      break;
+    }
+  forget_unused (backend);
+}
+
+backend_t *
+backend_pool_due_probe (backend_pool_t *pool, usec_t now)
+{
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    if (backend->health != BACKEND_DOWN || backend->is_probing
+        || !backend->is_listed || backend->record.is_draining
+        || now < backend->probe_at)
+      continue;
+    backend->is_probing = true;
+    return backend;
+  }
+  return NULL;
+}
+
+void
+backend_pool_probed (backend_pool_t *pool, backend_t *backend, bool is_healthy,
+                     usec_t cold_left, usec_t now)
+{
+  (void)pool;
+  backend->is_probing = false;
+  backend->probe_at = now + PROBE_NEXT;
+  if (is_healthy)
+    {
+      backend_restart (backend);
+      if (cold_left > 0 && now + cold_left > backend->cold_until)
+        backend->cold_until = now + cold_left;
+    }
+  forget_unused (backend);
+}
--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -6,11 +6,11 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "agreement/storage_thread.h"
 #include "base/ring.h"
 #include "control/core_thread.h"
 #include "control/peer_link.h"
 #include "control/spend_book.h"
-#include "control/storage_thread.h"
 
 typedef enum
 {
--- /dev/null
+++ b/src/director/core_peers.c
@@ -0,0 +1,436 @@
+#include "director/core_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "director/roster_file.h"
+#include "fleet/backend_list.h"
+#include "fleet/fleet_wire.h"
+
+enum
+{
+  PEER_CALLS_MAX = 32, /* messages under way to one director */
+};
+
+static bool_t
+xdr_nothing (XDR *xdrs, void *nothing)
+{
+  (void)xdrs;
+  (void)nothing;
+  return TRUE;
+}
+
+/* --- Calls to other directors ------------------------------------------- */
+
+static void
+call_director (director_core_t *core, uint32_t to, rpc_request_t *request)
+{
+  char address[INET_TEXT_BYTES];
+  inet_format_address (to, address);
+  request->address = address;
+  request->port = core->options.settings->peer_port;
+  request->program = MULBERRY_FLEET;
+  request->version = MULBERRY_FLEET_V1;
+  request->timeout = PEER_TIMEOUT;
+  rpc_send (core->options.rpc, request);
+}
+
+static void
+on_sent (void *closure, const rpc_result_t *result)
+{
+  director_peer_t *peer = closure;
+  (void)result;
+  atomic_fetch_sub (&peer->n_calls, 1);
+}
+
+void
+core_peers_send (director_core_t *core, const message_t *message)
+{
+  if (message->to >= core->roster.n_slots)
+    return;
+  director_peer_t *peer = &core->peers[message->to];
+  if (atomic_load (&peer->n_calls) >= PEER_CALLS_MAX)
+    return;
+  atomic_fetch_add (&peer->n_calls, 1);
+  blob_t *bytes = message_encode (message);
+  fleet_agree_args_t args = { 0 };
+  args.message.message_val = (char *)bytes->bytes;
+  args.message.message_len = bytes->length;
+  rpc_request_t request = { .procedure = FLEET_AGREE,
+                            .encode = (xdrproc_t)xdr_fleet_agree_args_t,
+                            .args = &args,
+                            .done = on_sent,
+                            .closure = peer };
+  call_director (core, core->roster.addresses[message->to], &request);
+  blob_unref (bytes);
+}
+
+/* --- The roster --------------------------------------------------------- */
+
+void
+core_peers_adopt (director_core_t *core, const roster_t *roster)
+{
+  err_t err = { 0 };
+  core->roster = *roster;
+  if (!roster_file_save (core->options.settings->data_folder, roster, &err))
+    log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
+  LOG_EVENT (LOG_LEVEL_INFO, "roster_adopted",
+             LOG_U ("slots", roster->n_slots),
+             LOG_U ("slot", roster_slot (roster, core->self)));
+  core_replica_open (core);
+}
+
+static roster_t
+roster_read (const fleet_roster_t *wire)
+{
+  roster_t roster = { .n_slots = wire->addresses.addresses_len };
+  memcpy (roster.addresses, wire->addresses.addresses_val,
+          roster.n_slots * sizeof roster.addresses[0]);
+  return roster;
+}
+
+static fleet_roster_t
+roster_wire (roster_t *roster)
+{
+  fleet_roster_t wire = { 0 };
+  wire.addresses.addresses_val = roster->addresses;
+  wire.addresses.addresses_len = (u_int)roster->n_slots;
+  return wire;
+}
+
+/* The answer to our announcement, on the RPC thread.  */
+static void
+on_announced (void *closure, const rpc_result_t *result)
+{
+  director_core_t *core = closure;
+  item_t *item = core_item (ITEM_ROSTER);
+  if (result->ok
+      && rpc_result_decode (result, (xdrproc_t)xdr_fleet_announce_result_t,
+                            &item->body.roster)
+      && core_post (core, item))
+    return;
+  xdr_free ((xdrproc_t)xdr_fleet_announce_result_t,
+            (char *)&item->body.roster);
+  free (item);
+}
+
+static void
+announce_to (director_core_t *core, uint32_t address)
+{
+  fleet_announce_args_t args
+      = { .address = core->self,
+          .is_first = core->options.settings->first_start,
+          .roster = roster_wire (&core->roster) };
+  rpc_request_t request = { .procedure = FLEET_ANNOUNCE,
+                            .encode = (xdrproc_t)xdr_fleet_announce_args_t,
+                            .args = &args,
+                            .done = on_announced,
+                            .closure = core };
+  if (address != core->self)
+    call_director (core, address, &request);
+}
+
+/* A director without a slot asks for one; one with a slot that is new in it
+   tells the others.  */
+static void
+announce (director_core_t *core, usec_t now)
+{
+  bool has_slot = roster_slot (&core->roster, core->self) != SLOT_NONE;
+  bool is_settled
+      = has_slot && core->role != ROLE_BLANK && core->role != ROLE_LEARNER;
+  if (is_settled || now < core->announce_at)
+    return;
+  core->announce_at = now + ANNOUNCE_INTERVAL;
+  const fleet_settings_t *settings = core->options.settings;
+  for (size_t i = 0; i < settings->n_seeds; i++)
+    if (roster_slot (&core->roster, settings->seeds[i].address) == SLOT_NONE)
+      announce_to (core, settings->seeds[i].address);
+  for (size_t i = 0; i < core->roster.n_slots; i++)
+    announce_to (core, core->roster.addresses[i]);
+}
+
+/* Whether the director at ADDRESS may have SLOT, which another one held.  */
+static bool
+may_take_slot (const director_core_t *core, slot_t slot, usec_t now)
+{
+  usec_t heard_at = core->peers[slot].heard_at;
+  return slot != roster_slot (&core->roster, core->self)
+         && now >= heard_at + ROSTER_CLAIM_SILENCE;
+}
+
+static void
+hear_claim (director_core_t *core, uint32_t address, const roster_t *roster,
+            usec_t now)
+{
+  slot_t slot = roster_slot (roster, address);
+  if (slot == SLOT_NONE || roster->n_slots != core->roster.n_slots
+      || core->roster.addresses[slot] == address
+      || !may_take_slot (core, slot, now))
+    return;
+  roster_t changed = core->roster;
+  changed.addresses[slot] = address;
+  core->peers[slot].heard_at = now;
+  LOG_EVENT (LOG_LEVEL_WARNING, "slot_taken_over", LOG_U ("slot", slot));
+  core_peers_adopt (core, &changed);
+}
+
+void
+core_peers_announce (director_core_t *core, item_t *item, usec_t now)
+{
+  const fleet_announce_args_t *args = &item->body.announce;
+  roster_t roster = roster_read (&args->roster);
+  if (core->roster.n_slots == 0)
+    {
+      if (args->is_first)
+        roster_former_hear (&core->former, args->address, now);
+      if (roster.n_slots > 0)
+        core_peers_adopt (core, &roster);
+    }
+  else if (roster.n_slots > 0)
+    hear_claim (core, args->address, &roster, now);
+  int64_t silence[ROSTER_MAX];
+  for (size_t i = 0; i < core->roster.n_slots; i++)
+    silence[i] = core->role == ROLE_LEADER && core->peers[i].heard_at > 0
+                         && core->roster.addresses[i] != core->self
+                     ? now - core->peers[i].heard_at
+                     : -1;
+  fleet_announce_result_t result = { .roster = roster_wire (&core->roster) };
+  result.silence.silence_val = silence;
+  result.silence.silence_len = (u_int)core->roster.n_slots;
+  rpc_reply (item->call, (xdrproc_t)xdr_fleet_announce_result_t, &result);
+}
+
+/* What another director answered to our announcement.  */
+void
+core_peers_roster (director_core_t *core, item_t *item, usec_t now)
+{
+  const fleet_announce_result_t *result = &item->body.roster;
+  roster_t roster = roster_read (&result->roster);
+  (void)now;
+  if (roster.n_slots == 0 || core->replica)
+    return;
+  slot_t claim = SLOT_NONE;
+  if (roster_slot (&roster, core->self) == SLOT_NONE)
+    claim = roster_claimable (&roster, result->silence.silence_val,
+                              result->silence.silence_len);
+  if (claim != SLOT_NONE)
+    roster.addresses[claim] = core->self;
+  bool is_same = roster.n_slots == core->roster.n_slots
+                 && memcmp (roster.addresses, core->roster.addresses,
+                            sizeof roster.addresses)
+                        == 0;
+  if (!is_same)
+    core_peers_adopt (core, &roster);
+}
+
+/* --- What directors tell each other ------------------------------------- */
+
+/* The answer to a share, on the RPC thread.  */
+typedef struct share_call
+{
+  director_core_t *core;
+  uint32_t address;
+} share_call_t;
+
+static void
+on_shared (void *closure, const rpc_result_t *result)
+{
+  share_call_t *call = closure;
+  fleet_share_result_t answer = { 0 };
+  if (result->ok
+      && rpc_result_decode (result, (xdrproc_t)xdr_fleet_share_result_t,
+                            &answer))
+    {
+      item_t *item = core_item (ITEM_SHARED);
+      item->body.shared.address = call->address;
+      item->body.shared.list_digest = answer.list_digest;
+      if (!core_post (call->core, item))
+        free (item);
+    }
+  free (call);
+}
+
+/* The leader tells all that it knows; another one what it heard itself.  */
+static size_t
+routers_to_share (const director_core_t *core, usec_t now,
+                  fleet_router_t *routers)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < core->routers.n_records; i++)
+    routers[n++] = fleet_wire_router (&core->routers.records[i], now);
+  return n;
+}
+
+static void
+share_to (director_core_t *core, slot_t to, fleet_share_args_t *args)
+{
+  bool has_list = core->list.digest == 0
+                  || core->peers[to].list_digest == core->list.digest;
+  fleet_list_t list = { 0 };
+  if (!has_list)
+    list = fleet_wire_list (&core->list, clock_monotonic ());
+  args->list = has_list ? NULL : &list;
+  share_call_t *call = calloc (1, sizeof *call);
+  if (!call)
+    abort ();
+  *call
+      = (share_call_t){ .core = core, .address = core->roster.addresses[to] };
+  rpc_request_t request = { .procedure = FLEET_SHARE,
+                            .encode = (xdrproc_t)xdr_fleet_share_args_t,
+                            .args = args,
+                            .done = on_shared,
+                            .closure = call };
+  call_director (core, call->address, &request);
+  free (list.backends.backends_val);
+}
+
+/* Through the leader, so that the messages grow with the number of
+   directors; from each to each where no leader is known.  */
+static void
+share (director_core_t *core, usec_t now)
+{
+  slot_t self = roster_slot (&core->roster, core->self);
+  if (self == SLOT_NONE || !core->replica || now < core->share_at)
+    return;
+  core->share_at = now + SHARE_INTERVAL;
+  static fleet_router_t routers[FLEET_ROUTERS_MAX];
+  bool leads = core->role == ROLE_LEADER;
+  fleet_share_args_t args
+      = { .address = core->self,
+          .slot = self,
+          .list_digest = core->list.digest,
+          .list_age = core->list.read_at > 0 ? now - core->list.read_at : -1 };
+  args.routers.routers_val = routers;
+  args.routers.routers_len = (u_int)routers_to_share (core, now, routers);
+  if (leads && replica_is_current (core->replica, now))
+    args.confirmed_index = core->applied;
+  for (slot_t slot = 0; slot < core->roster.n_slots; slot++)
+    if (slot != self
+        && (leads || core->leader == SLOT_NONE || core->leader == slot))
+      share_to (core, slot, &args);
+}
+
+void
+core_peers_share (director_core_t *core, item_t *item, usec_t now)
+{
+  const fleet_share_args_t *args = &item->body.share;
+  if (args->slot < ROSTER_MAX)
+    core->peers[args->slot].heard_at = now;
+  for (u_int i = 0; i < args->routers.routers_len; i++)
+    {
+      router_record_t record;
+      if (fleet_wire_read_router (&args->routers.routers_val[i], now, &record))
+        router_table_merge (&core->routers, &record);
+    }
+  if (args->confirmed_index > 0)
+    {
+      core->confirm_index = args->confirmed_index;
+      core->confirm_time = now;
+    }
+  if (args->list)
+    {
+      backend_list_t list;
+      fleet_wire_read_list (args->list, now, &list);
+      core_pulls_list (core, &list);
+    }
+  else if (args->list_digest == core->list.digest && args->list_age >= 0
+           && now - args->list_age > core->list.read_at)
+    {
+      core->list.read_at = now - args->list_age;
+      atomic_store (&core->list_read_at, core->list.read_at);
+    }
+  fleet_share_result_t result = { .list_digest = core->list.digest };
+  rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
+}
+
+void
+core_peers_tick (director_core_t *core, usec_t now)
+{
+  roster_t formed;
+  if (core->roster.n_slots == 0
+      && roster_former_tick (&core->former, now, &formed))
+    core_peers_adopt (core, &formed);
+  announce (core, now);
+  share (core, now);
+}
+
+/* --- What is called here, on the RPC thread ----------------------------- */
+
+static void
+serve_agree (void *closure, rpc_call_t *call)
+{
+  director_core_t *core = closure;
+  fleet_agree_args_t args = { 0 };
+  if (!rpc_call_args (call, (xdrproc_t)xdr_fleet_agree_args_t, &args))
+    return;
+  item_t *item = core_item (ITEM_AGREE);
+  item->body.message
+      = blob_new (args.message.message_val, args.message.message_len);
+  xdr_free ((xdrproc_t)xdr_fleet_agree_args_t, (char *)&args);
+  if (!core_post (core, item))
+    {
+      blob_unref (item->body.message);
+      free (item);
+    }
+  rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
+}
+
+/* Post CALL with its arguments, read by FILTER into ARGS of ITEM.  */
+static void
+serve (director_core_t *core, rpc_call_t *call, item_t *item, xdrproc_t filter,
+       void *args)
+{
+  if (!rpc_call_args (call, filter, args))
+    {
+      free (item);
+      return;
+    }
+  item->call = call;
+  if (core_post (core, item))
+    return;
+  LOG_EVENT (LOG_LEVEL_WARNING, "call_dropped",
+             LOG_S ("reason", "the mailbox is full"));
+  xdr_free (filter, args);
+  free (item);
+  rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
+}
+
+static void
+serve_pull (void *closure, rpc_call_t *call)
+{
+  item_t *item = core_item (ITEM_PULL);
+  serve (closure, call, item, (xdrproc_t)xdr_fleet_pull_args_t,
+         &item->body.pull);
+}
+
+static void
+serve_share (void *closure, rpc_call_t *call)
+{
+  item_t *item = core_item (ITEM_SHARE);
+  serve (closure, call, item, (xdrproc_t)xdr_fleet_share_args_t,
+         &item->body.share);
+}
+
+static void
+serve_announce (void *closure, rpc_call_t *call)
+{
+  item_t *item = core_item (ITEM_ANNOUNCE);
+  serve (closure, call, item, (xdrproc_t)xdr_fleet_announce_args_t,
+         &item->body.announce);
+}
+
+void
+core_peers_register (director_core_t *core)
+{
+  rpc_t *rpc = core->options.rpc;
+  rpc_register (rpc, MULBERRY_FLEET, MULBERRY_FLEET_V1, FLEET_AGREE,
+                serve_agree, core);
+  rpc_register (rpc, MULBERRY_FLEET, MULBERRY_FLEET_V1, FLEET_PULL, serve_pull,
+                core);
+  rpc_register (rpc, MULBERRY_FLEET, MULBERRY_FLEET_V1, FLEET_SHARE,
+                serve_share, core);
+  rpc_register (rpc, MULBERRY_FLEET, MULBERRY_FLEET_V1, FLEET_ANNOUNCE,
+                serve_announce, core);
+}
--- /dev/null
+++ b/src/director/core_pulls.c
@@ -0,0 +1,145 @@
+#include "director/core_internal.h"
+
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "fleet/backend_list.h"
+#include "fleet/fleet_wire.h"
+
+/* How old the list may get before the leader reads it again, and how much
+   older before a director reads it that hears none from the leader.  */
+#define LIST_AGE_LEADER (400 * USEC_PER_MSEC)
+#define LIST_AGE_OTHER (1400 * USEC_PER_MSEC)
+#define LIST_AGE_STEP (150 * USEC_PER_MSEC) /* a slot */
+
+bool
+director_core_wants_list (director_core_t *core, usec_t now)
+{
+  usec_t read_at = atomic_load (&core->list_read_at);
+  slot_t slot = atomic_load (&core->slot);
+  usec_t age = atomic_load (&core->is_leader)
+                   ? LIST_AGE_LEADER
+                   : LIST_AGE_OTHER + (slot % ROSTER_MAX) * LIST_AGE_STEP;
+  return slot != SLOT_NONE && now >= read_at + age;
+}
+
+static void
+log_changes (const backend_list_t *from, const backend_list_t *to)
+{
+  for (size_t i = 0; i < to->n_records; i++)
+    {
+      const backend_record_t *record = &to->records[i];
+      const backend_record_t *before = backend_list_find (from, record->id);
+      if (before && before->is_draining == record->is_draining
+          && before->started_at == record->started_at)
+        continue;
+      LOG_EVENT (LOG_LEVEL_INFO, "backend_seen", LOG_S ("id", record->id),
+                 LOG_S ("service", record->service.text),
+                 LOG_S ("state", record->is_draining ? "draining" : "ready"),
+                 LOG_I ("cold_left_ms", record->cold_left / USEC_PER_MSEC));
+    }
+  for (size_t i = 0; i < from->n_records; i++)
+    if (!backend_list_find (to, from->records[i].id))
+      LOG_EVENT (LOG_LEVEL_INFO, "backend_gone",
+                 LOG_S ("id", from->records[i].id));
+}
+
+/* Takes over the records of LIST.  */
+void
+core_pulls_list (director_core_t *core, backend_list_t *list)
+{
+  if (list->read_at <= core->list.read_at)
+    {
+      backend_list_clear (list);
+      return;
+    }
+  bool changed = list->digest != core->list.digest;
+  if (changed)
+    log_changes (&core->list, list);
+  backend_list_clear (&core->list);
+  core->list = *list;
+  atomic_store (&core->list_read_at, list->read_at);
+  if (changed)
+    core->share_at = 0;
+}
+
+void
+core_pulls_routers (director_core_t *core, usec_t now)
+{
+  size_t gone = router_table_expire (&core->routers, now);
+  uint64_t digest = router_table_digest (&core->routers);
+  if (digest == core->routers_digest)
+    return;
+  core->routers_digest = digest;
+  lookup_view_put_routers (core->options.lookups, &core->routers);
+  LOG_EVENT (LOG_LEVEL_INFO, "routers_changed",
+             LOG_U ("known", core->routers.n_records), LOG_U ("gone", gone));
+}
+
+static size_t
+add_routers (const director_core_t *core, fleet_peer_t *peers)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < core->routers.n_records; i++)
+    {
+      const router_record_t *record = &core->routers.records[i];
+      if (record->takes_requests)
+        peers[n++] = (fleet_peer_t){
+          .address = record->requests.address,
+          .port = record->requests.port,
+          .domain = FLEET_WIRE_TEXT (record->domain.text),
+        };
+    }
+  return n;
+}
+
+static void
+add_state (const director_core_t *core, const fleet_pull_args_t *args,
+           fleet_pull_result_t *result, fleet_name_t *evacuated)
+{
+  const director_state_t *state = &core->state;
+  result->config_version = state->version;
+  if (state->config && state->version > args->config_version)
+    {
+      result->config.config_val = (char *)state->config->bytes;
+      result->config.config_len = state->config->length;
+    }
+  result->evacuations_index = state->evacuations_index;
+  for (size_t i = 0; i < state->n_evacuated; i++)
+    evacuated[i] = FLEET_WIRE_TEXT (state->evacuated[i].text);
+  result->evacuated.evacuated_val = evacuated;
+  result->evacuated.evacuated_len = (u_int)state->n_evacuated;
+}
+
+void
+core_pulls_answer (director_core_t *core, item_t *item, usec_t now)
+{
+  static fleet_peer_t peers[FLEET_ROUTERS_MAX];
+  const fleet_pull_args_t *args = &item->body.pull;
+  router_record_t record;
+  if (fleet_wire_read_router (&args->router, now, &record))
+    router_table_merge (&core->routers, &record);
+  core_pulls_routers (core, now);
+  fleet_name_t evacuated[EVACUATED_MAX];
+  fleet_list_t list = { 0 };
+  fleet_pull_result_t result
+      = { .confirmed_age
+          = core->confirmed_at > 0 ? now - core->confirmed_at : -1,
+          .routers_digest = core->routers_digest,
+          .list_age = core->list.read_at > 0 ? now - core->list.read_at : -1 };
+  add_state (core, args, &result, evacuated);
+  if (args->routers_digest != core->routers_digest)
+    {
+      result.routers.routers_val = peers;
+      result.routers.routers_len = (u_int)add_routers (core, peers);
+    }
+  if (core->list.digest != 0 && args->list_digest != core->list.digest)
+    {
+      list = fleet_wire_list (&core->list, now);
+      result.list = &list;
+    }
+  result.directors.directors_val = core->roster.addresses;
+  result.directors.directors_len = (u_int)core->roster.n_slots;
+  rpc_reply (item->call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
+  free (list.backends.backends_val);
+}
--- /dev/null
+++ b/src/director/lookup.c
@@ -0,0 +1,136 @@
+#include "director/lookup.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "routing/route_config.h"
+
+/* In which order routers are named.  */
+typedef enum
+{
+  RANK_OWN_DOMAIN,
+  RANK_OWN_REGION,
+  RANK_HOME, /* a region that may serve the host */
+  RANK_OTHER,
+  RANK_NEVER,
+} lookup_rank_t;
+
+/* Whether some route of HOST may be served in REGION.  */
+static bool
+host_allows_region (const route_config_t *config, const char *host,
+                    const char *region)
+{
+  if (!config)
+    return true;
+  bool is_known = false;
+  for (size_t i = 0; i < config->n_routes; i++)
+    {
+      const route_t *route = &config->routes[i];
+      if (strcasecmp (route->host, host) != 0)
+        continue;
+      is_known = true;
+      if (route_allows_region (route, region))
+        return true;
+    }
+  return !is_known;
+}
+
+static lookup_rank_t
+rank_of (const router_record_t *router, const route_config_t *config,
+         const lookup_query_t *query)
+{
+  if (!router->takes_requests)
+    return RANK_NEVER;
+  if (strcmp (router->domain.text, query->domain) == 0)
+    return RANK_OWN_DOMAIN;
+  if (strcmp (router->region.text, query->region) == 0)
+    return RANK_OWN_REGION;
+  if (host_allows_region (config, query->host, router->region.text))
+    return RANK_HOME;
+  return RANK_OTHER;
+}
+
+static size_t
+add_rank (const router_table_t *routers, const route_config_t *config,
+          const lookup_query_t *query, lookup_rank_t rank, inet_t *addresses,
+          size_t max)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < routers->n_records && n < max; i++)
+    if (rank_of (&routers->records[i], config, query) == rank)
+      addresses[n++] = routers->records[i].requests;
+  return n;
+}
+
+size_t
+lookup_choose (const router_table_t *routers, const route_config_t *config,
+               const lookup_query_t *query, inet_t *addresses, size_t max)
+{
+  size_t n
+      = add_rank (routers, config, query, RANK_OWN_DOMAIN, addresses, max);
+  n += add_rank (routers, config, query, RANK_OWN_REGION, addresses + n,
+                 max - n);
+  for (lookup_rank_t rank = RANK_HOME; n == 0 && rank < RANK_NEVER; rank++)
+    n = add_rank (routers, config, query, rank, addresses, max);
+  return n;
+}
+
+struct lookup_view
+{
+  pthread_mutex_t lock;
+  router_table_t routers;
+  route_config_t *config;
+};
+
+lookup_view_t *
+lookup_view_new (void)
+{
+  lookup_view_t *view = calloc (1, sizeof *view);
+  if (!view)
+    abort ();
+  pthread_mutex_init (&view->lock, NULL);
+  return view;
+}
+
+void
+lookup_view_free (lookup_view_t *view)
+{
+  if (!view)
+    return;
+  route_config_free (view->config);
+  pthread_mutex_destroy (&view->lock);
+  free (view);
+}
+
+void
+lookup_view_put_routers (lookup_view_t *view, const router_table_t *routers)
+{
+  pthread_mutex_lock (&view->lock);
+  view->routers.n_records = routers->n_records;
+  memcpy (view->routers.records, routers->records,
+          routers->n_records * sizeof routers->records[0]);
+  pthread_mutex_unlock (&view->lock);
+}
+
+void
+lookup_view_put_config (lookup_view_t *view, route_config_t *config)
+{
+  pthread_mutex_lock (&view->lock);
+  route_config_t *old = view->config;
+  view->config = config;
+  pthread_mutex_unlock (&view->lock);
+  route_config_free (old);
+}
+
+size_t
+lookup_view_choose (lookup_view_t *view, const lookup_query_t *query,
+                    inet_t *addresses, size_t max)
+{
+  pthread_mutex_lock (&view->lock);
+  size_t n
+      = lookup_choose (&view->routers, view->config, query, addresses, max);
+  pthread_mutex_unlock (&view->lock);
+  return n;
+}
--- /dev/null
+++ b/src/fleet/backend_list.c
@@ -0,0 +1,109 @@
+#include "fleet/backend_list.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+bool
+backend_list_add (backend_list_t *list, const backend_record_t *record)
+{
+  if (list->n_records >= FLEET_BACKENDS_MAX)
+    return false;
+  if ((list->n_records & (list->n_records - 1)) == 0)
+    {
+      size_t room = list->n_records ? 2 * list->n_records : 1;
+      backend_record_t *grown
+          = realloc (list->records, room * sizeof *list->records);
+      if (!grown)
+        abort ();
+      list->records = grown;
+    }
+  list->records[list->n_records++] = *record;
+  return true;
+}
+
+/* By id; the later start first.  */
+static int
+compare_records (const void *a, const void *b)
+{
+  const backend_record_t *x = a;
+  const backend_record_t *y = b;
+  int order = strcmp (x->id, y->id);
+  if (order != 0)
+    return order;
+  return (x->started_at < y->started_at) - (x->started_at > y->started_at);
+}
+
+static void
+digest_record (XXH3_state_t *state, const backend_record_t *record)
+{
+  const uint64_t numbers[]
+      = { record->address.address, record->address.port,
+          record->is_draining,     record->slots,
+          record->cold_left > 0,   (uint64_t)record->started_at };
+  XXH3_64bits_update (state, record->id, strlen (record->id) + 1);
+  XXH3_64bits_update (state, record->service.text,
+                      strlen (record->service.text) + 1);
+  XXH3_64bits_update (state, record->domain.text,
+                      strlen (record->domain.text) + 1);
+  XXH3_64bits_update (state, numbers, sizeof numbers);
+}
+
+void
+backend_list_seal (backend_list_t *list)
+{
+  if (list->n_records > 0)
+    qsort (list->records, list->n_records, sizeof *list->records,
+           compare_records);
+  size_t n = 0;
+  for (size_t i = 0; i < list->n_records; i++)
+    if (n == 0 || strcmp (list->records[n - 1].id, list->records[i].id) != 0)
+      list->records[n++] = list->records[i];
+  list->n_records = n;
+  XXH3_state_t *state = XXH3_createState ();
+  if (!state)
+    abort ();
+  XXH3_64bits_reset (state);
+  for (size_t i = 0; i < n; i++)
+    digest_record (state, &list->records[i]);
+  list->digest = XXH3_64bits_digest (state) | 1;
+  XXH3_freeState (state);
+}
+
+void
+backend_list_clear (backend_list_t *list)
+{
+  free (list->records);
+  *list = (backend_list_t){ 0 };
+}
+
+void
+backend_list_copy (backend_list_t *into, const backend_list_t *from)
+{
+  *into = *from;
+  into->records = malloc ((from->n_records + 1) * sizeof *into->records);
+  if (!into->records)
+    abort ();
+  if (from->n_records > 0)
+    memcpy (into->records, from->records,
+            from->n_records * sizeof *into->records);
+}
+
+const backend_record_t *
+backend_list_find (const backend_list_t *list, const char *id)
+{
+  size_t low = 0;
+  size_t high = list->n_records;
+  while (low < high)
+    {
+      size_t middle = (low + high) / 2;
+      int order = strcmp (list->records[middle].id, id);
+      if (order == 0)
+        return &list->records[middle];
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/fleet/router_table.c
@@ -0,0 +1,71 @@
+#include "fleet/router_table.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Where ADDRESS stands, or would stand.  */
+static size_t
+position (const router_table_t *table, uint32_t address)
+{
+  size_t low = 0;
+  size_t high = table->n_records;
+  while (low < high)
+    {
+      size_t middle = (low + high) / 2;
+      if (table->records[middle].requests.address < address)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+bool
+router_table_merge (router_table_t *table, const router_record_t *record)
+{
+  size_t at = position (table, record->requests.address);
+  router_record_t *known = &table->records[at];
+  if (at < table->n_records
+      && known->requests.address == record->requests.address)
+    {
+      bool is_newer = record->incarnation > known->incarnation
+                      || (record->incarnation == known->incarnation
+                          && record->heard_at > known->heard_at);
+      if (is_newer)
+        *known = *record;
+      return true;
+    }
+  if (table->n_records >= FLEET_ROUTERS_MAX)
+    return false;
+  memmove (known + 1, known, (table->n_records - at) * sizeof *known);
+  *known = *record;
+  table->n_records++;
+  return true;
+}
+
+size_t
+router_table_expire (router_table_t *table, usec_t now)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < table->n_records; i++)
+    if (now - table->records[i].heard_at < ROUTER_LIFETIME)
+      table->records[n++] = table->records[i];
+  size_t dropped = table->n_records - n;
+  table->n_records = n;
+  return dropped;
+}
+
+uint64_t
+router_table_digest (const router_table_t *table)
+{
+  uint64_t digest = 1;
+  for (size_t i = 0; i < table->n_records; i++)
+    {
+      const router_record_t *record = &table->records[i];
+      const uint64_t numbers[]
+          = { record->requests.address, record->requests.port,
+              record->incarnation, record->takes_requests };
+      digest = XXH3_64bits_withSeed (numbers, sizeof numbers, digest);
+    }
+  return digest | 1;
+}
--- /dev/null
+++ b/src/router/backend_http.c
@@ -0,0 +1,496 @@
+#include "router/backend_http.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "base/clock.h"
+#include "platform_words.h"
+
+enum
+{
+  CONNECTIONS_CACHED = 2000,
+  URL_BYTES = 64,
+  ID_BYTES = 128,
+  UNACKNOWLEDGED_MSEC = 1500, /* then the connection is dead */
+  KEEPALIVE_SECONDS = 1,
+  KEEPALIVE_PROBES = 2,
+  IDLE_SECONDS = 8, /* a connection that lay longer is not used again */
+};
+
+struct backend_call
+{
+  list_t link;
+  backend_http_t *client;
+  void *owner;
+  CURL *easy;
+  struct curl_slist *headers;
+  char id[ID_BYTES];
+  unsigned int n_connections; /* that it was put on */
+  size_t body_size;
+  backend_answer_t answer;
+};
+
+/* A connection that libcurl watches.  */
+typedef struct socket_watch
+{
+  list_t link;
+  watch_t watch;
+} socket_watch_t;
+
+struct backend_http
+{
+  backend_http_options_t options;
+  CURLM *multi;
+  list_t idle; /* calls with an easy handle to use again */
+  list_t busy;
+  list_t removed; /* watches to be freed */
+  usec_t due_at;
+};
+
+void
+backend_answer_clear (backend_answer_t *answer)
+{
+  for (size_t i = 0; i < answer->n_headers; i++)
+    free (answer->headers[i].name);
+  free (answer->body);
+  *answer = (backend_answer_t){ 0 };
+}
+
+/* --- Reading an answer -------------------------------------------------- */
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *closure)
+{
+  backend_call_t *call = closure;
+  backend_answer_t *answer = &call->answer;
+  size_t length = size * n;
+  size_t needed = answer->body_bytes + length;
+  if (needed > ANSWER_BYTES_MAX)
+    return 0;
+  if (needed > call->body_size)
+    {
+      size_t room = needed < 2048 ? 2048 : 2 * needed;
+      char *grown = realloc (answer->body, room);
+      if (!grown)
+        abort ();
+      answer->body = grown;
+      call->body_size = room;
+    }
+  memcpy (answer->body + answer->body_bytes, data, length);
+  answer->body_bytes = needed;
+  return length;
+}
+
+/* Headers that concern one connection only, or that are made anew.  */
+static bool
+is_passed_on (const char *name)
+{
+  static const char *const own[] = { "Connection",        "Keep-Alive",
+                                     "Transfer-Encoding", "Content-Length",
+                                     "Proxy-Connection",  "Trailer",
+                                     "Upgrade",           "TE" };
+  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return false;
+  return true;
+}
+
+static void
+read_load (const char *value, backend_load_t *load)
+{
+  load->is_known = sscanf (value, "%u,%u,%u", &load->running, &load->waiting,
+                           &load->slots)
+                   == 3;
+}
+
+static void
+note_header (backend_call_t *call, const char *name, const char *value)
+{
+  backend_answer_t *answer = &call->answer;
+  if (strcasecmp (name, HEADER_REQUEST_ID) == 0)
+    answer->id_matches = strcmp (value, call->id) == 0;
+  else if (strcasecmp (name, HEADER_NOT_STARTED) == 0)
+    answer->not_started = true;
+  else if (strcasecmp (name, HEADER_LOAD) == 0)
+    read_load (value, &answer->load);
+  else if (strcasecmp (name, HEADER_STAMP) == 0)
+    answer->is_stamped = true;
+  else if (strcasecmp (name, "Content-Encoding") == 0)
+    answer->is_encoded = strcasecmp (value, "identity") != 0;
+  else if (strcasecmp (name, HEADER_HEALTH_ID) == 0)
+    snprintf (answer->backend_id, sizeof answer->backend_id, "%s", value);
+  else if (strcasecmp (name, HEADER_COLD_LEFT) == 0)
+    answer->cold_left = strtol (value, NULL, 10) * USEC_PER_MSEC;
+}
+
+/* What an earlier, informational answer said does not count.  */
+static void
+forget_headers (backend_call_t *call)
+{
+  size_t transmissions = call->n_connections;
+  backend_answer_clear (&call->answer);
+  call->body_size = 0;
+  call->n_connections = (unsigned int)transmissions;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t n, void *closure)
+{
+  backend_call_t *call = closure;
+  backend_answer_t *answer = &call->answer;
+  size_t length = size * n;
+  if (length >= 5 && strncmp (data, "HTTP/", 5) == 0)
+    {
+      forget_headers (call);
+      return length;
+    }
+  const char *colon = memchr (data, ':', length);
+  if (!colon || answer->n_headers == ANSWER_HEADERS_MAX)
+    return length;
+  char *line = malloc (length + 1);
+  if (!line)
+    abort ();
+  memcpy (line, data, length);
+  line[length] = '\0';
+  line[colon - data] = '\0';
+  char *value = line + (colon - data) + 1;
+  value += strspn (value, " \t");
+  size_t end = strcspn (value, "\r\n");
+  while (end > 0 && (value[end - 1] == ' ' || value[end - 1] == '\t'))
+    end--;
+  value[end] = '\0';
+  note_header (call, line, value);
+  if (is_passed_on (line))
+    answer->headers[answer->n_headers++]
+        = (answer_header_t){ .name = line, .value = value };
+  else
+    free (line);
+  return length;
+}
+
+/* --- Connections -------------------------------------------------------- */
+
+/* libcurl asks this whenever it has put the request on a connection; a second
+   time would be a run of its own making.  */
+static int
+on_connection (void *closure, char *remote, char *local, int remote_port,
+               int local_port)
+{
+  (void)remote;
+  (void)local;
+  (void)remote_port;
+  (void)local_port;
+  backend_call_t *call = closure;
+  if (call->n_connections > 0)
+    return CURL_PREREQFUNC_ABORT;
+  call->n_connections++;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* A connection that something between the ends has forgotten is found while
+   bytes on it stay without acknowledgement.  */
+static int
+on_socket_made (void *closure, curl_socket_t fd, curlsocktype purpose)
+{
+  (void)closure;
+  (void)purpose;
+  int unacknowledged = UNACKNOWLEDGED_MSEC;
+  int on = 1;
+  int seconds = KEEPALIVE_SECONDS;
+  int probes = KEEPALIVE_PROBES;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+              sizeof unacknowledged);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  return CURL_SOCKOPT_OK;
+}
+
+static unsigned int
+wanted_of (int what)
+{
+  switch (what)
+    {
+    case CURL_POLL_IN:
+      return LOOP_READABLE;
+    case CURL_POLL_OUT:
+      return LOOP_WRITABLE;
+    case CURL_POLL_INOUT:
+      return LOOP_READABLE | LOOP_WRITABLE;
+    default:
+      return 0;
+    }
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *closure,
+           void *socket_closure)
+{
+  (void)easy;
+  backend_http_t *client = closure;
+  socket_watch_t *socket = socket_closure;
+  loop_t *loop = client->options.loop;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (!socket)
+        return 0;
+      loop_remove (loop, &socket->watch);
+      curl_multi_assign (client->multi, fd, NULL);
+      list_push_back (&client->removed, &socket->link);
+      return 0;
+    }
+  if (socket)
+    {
+      loop_change (loop, &socket->watch, wanted_of (what));
+      return 0;
+    }
+  socket = calloc (1, sizeof *socket);
+  if (!socket)
+    abort ();
+  list_init (&socket->link);
+  socket->watch = (watch_t){ .kind = WATCH_BACKEND, .fd = fd };
+  curl_multi_assign (client->multi, fd, socket);
+  loop_add (loop, &socket->watch, wanted_of (what));
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long msec, void *closure)
+{
+  (void)multi;
+  backend_http_t *client = closure;
+  client->due_at
+      = msec < 0 ? INT64_MAX : clock_monotonic () + msec * USEC_PER_MSEC;
+  return 0;
+}
+
+/* --- Calls -------------------------------------------------------------- */
+
+static void
+set_method (CURL *easy, const backend_request_t *request)
+{
+  bool has_body = request->body_bytes > 0;
+  if (strcmp (request->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else if (!has_body && strcmp (request->method, "GET") == 0)
+    curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
+  else
+    {
+      curl_easy_setopt (easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)request->body_bytes);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                        has_body ? request->body : "");
+      curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+    }
+}
+
+static void
+set_options (backend_call_t *call, const backend_request_t *request)
+{
+  CURL *easy = call->easy;
+  char address[INET_TEXT_BYTES];
+  char url[URL_BYTES];
+  inet_format (&request->address, address);
+  snprintf (url, sizeof url, "http://%s/", address);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_INTERFACE,
+                    call->client->options.own_address);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)(request->timeout / USEC_PER_MSEC + 1));
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)(request->connect_timeout / USEC_PER_MSEC + 1));
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)IDLE_SECONDS);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_connection);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  set_method (easy, request);
+}
+
+static backend_call_t *
+call_new (backend_http_t *client)
+{
+  list_t *link = list_pop_front (&client->idle);
+  backend_call_t *call = NULL;
+  CURL *easy = NULL;
+  if (link)
+    {
+      call = LIST_ENTRY (link, backend_call_t, link);
+      easy = call->easy;
+      curl_easy_reset (easy);
+    }
+  else
+    {
+      call = malloc (sizeof *call);
+      easy = curl_easy_init ();
+      if (!call || !easy)
+        abort ();
+    }
+  *call = (backend_call_t){ .client = client, .easy = easy };
+  list_push_back (&client->busy, &call->link);
+  return call;
+}
+
+/* The easy handle is kept for another call.  */
+static void
+call_release (backend_call_t *call)
+{
+  curl_slist_free_all (call->headers);
+  call->headers = NULL;
+  backend_answer_clear (&call->answer);
+  list_remove (&call->link);
+  list_push_front (&call->client->idle, &call->link);
+}
+
+backend_call_t *
+backend_http_call (backend_http_t *client, const backend_request_t *request)
+{
+  backend_call_t *call = call_new (client);
+  call->owner = request->owner;
+  call->headers = request->headers;
+  snprintf (call->id, sizeof call->id, "%s", request->id);
+  set_options (call, request);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
+}
+
+void
+backend_http_abort (backend_http_t *client, backend_call_t *call)
+{
+  curl_multi_remove_handle (client->multi, call->easy);
+  call_release (call);
+}
+
+/* What the end of a transfer says.  */
+static void
+call_judge (backend_call_t *call, CURLcode code)
+{
+  backend_answer_t *answer = &call->answer;
+  long status = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  answer->status = (unsigned int)status;
+  answer->sent = call->n_connections > 0;
+  answer->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  answer->whole = code == CURLE_OK && status > 0;
+  answer->error = curl_easy_strerror (code);
+}
+
+/* Watches that nothing points to any more.  */
+static void
+free_removed (backend_http_t *client)
+{
+  list_t *link;
+  while ((link = list_pop_front (&client->removed)))
+    free (LIST_ENTRY (link, socket_watch_t, link));
+}
+
+static void
+collect (backend_http_t *client)
+{
+  int left = 0;
+  CURLMsg *message;
+  while ((message = curl_multi_info_read (client->multi, &left)))
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURL *easy = message->easy_handle;
+      CURLcode code = message->data.result;
+      backend_call_t *call = NULL;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+      call_judge (call, code);
+      curl_multi_remove_handle (client->multi, easy);
+      backend_answer_t answer = call->answer;
+      void *owner = call->owner;
+      call->answer = (backend_answer_t){ 0 };
+      call_release (call);
+      client->options.done (client->options.closure, owner, &answer);
+      backend_answer_clear (&answer);
+    }
+  free_removed (client);
+}
+
+void
+backend_http_ready (backend_http_t *client, watch_t *watch, unsigned int ready)
+{
+  int events = 0;
+  int running = 0;
+  if (ready & LOOP_READABLE)
+    events |= CURL_CSELECT_IN;
+  if (ready & LOOP_WRITABLE)
+    events |= CURL_CSELECT_OUT;
+  if (ready & LOOP_HANGUP)
+    events |= CURL_CSELECT_IN | CURL_CSELECT_ERR;
+  curl_multi_socket_action (client->multi, watch->fd, events, &running);
+  collect (client);
+}
+
+usec_t
+backend_http_due (const backend_http_t *client)
+{
+  return client->due_at;
+}
+
+void
+backend_http_tick (backend_http_t *client, usec_t now)
+{
+  int running = 0;
+  if (now < client->due_at)
+    return;
+  client->due_at = INT64_MAX;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  collect (client);
+}
+
+backend_http_t *
+backend_http_new (const backend_http_options_t *options)
+{
+  backend_http_t *client = calloc (1, sizeof *client);
+  if (!client)
+    abort ();
+  client->options = *options;
+  client->due_at = INT64_MAX;
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
+                     (long)CONNECTIONS_CACHED);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  list_init (&client->idle);
+  list_init (&client->busy);
+  list_init (&client->removed);
+  return client;
+}
+
+void
+backend_http_free (backend_http_t *client)
+{
+  LIST_FOREACH (link, &client->busy)
+  backend_http_abort (client, LIST_ENTRY (link, backend_call_t, link));
+  LIST_FOREACH (link, &client->idle)
+  {
+    backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
+    curl_easy_cleanup (call->easy);
+    free (call);
+  }
+  curl_multi_cleanup (client->multi);
+  free_removed (client);
+  free (client);
+}
--- /dev/null
+++ b/src/router/caller_http.c
@@ -0,0 +1,395 @@
+#include "router/caller_http.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "platform_words.h"
+
+enum
+{
+  IDLE_SECONDS = 20, /* longer than callers keep a connection */
+  CONNECTIONS_MAX = 3000,
+  CONNECTION_MEMORY_BYTES = 40 * 1024, /* a request's head has to fit in */
+  BODY_BYTES_MAX = 16 * 1024 * 1024,
+  HELD_BYTES_MAX = 48 * 1024 * 1024, /* bodies of all requests */
+  RETRY_AFTER_BYTES = 32,
+};
+
+/* Nothing is due before.  */
+#define WAIT_MAX (200 * USEC_PER_MSEC)
+
+struct caller_http
+{
+  caller_http_options_t options;
+  struct MHD_Daemon *daemon;
+  watch_t watch;
+  bool leaves;
+  bool is_touched; /* connections were resumed */
+  size_t held;
+};
+
+const char *
+caller_http_header (const exchange_t *exchange, const char *name)
+{
+  return MHD_lookup_connection_value (exchange->connection, MHD_HEADER_KIND,
+                                      name);
+}
+
+typedef struct each_header
+{
+  void (*each) (void *closure, const char *name, const char *value);
+  void *closure;
+} each_header_t;
+
+static enum MHD_Result
+on_each (void *closure, enum MHD_ValueKind kind, const char *name,
+         const char *value)
+{
+  (void)kind;
+  each_header_t *each = closure;
+  each->each (each->closure, name, value ? value : "");
+  return MHD_YES;
+}
+
+void
+caller_http_headers (const exchange_t *exchange,
+                     void (*each) (void *closure, const char *name,
+                                   const char *value),
+                     void *closure)
+{
+  each_header_t context = { .each = each, .closure = closure };
+  MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND, on_each,
+                             &context);
+}
+
+/* --- Reading a request -------------------------------------------------- */
+
+/* Headers that say where the body ends, and who is asked.  */
+typedef struct framing
+{
+  unsigned int n_lengths;
+  unsigned int n_encodings;
+  unsigned int n_hosts;
+  bool is_bad;
+} framing_t;
+
+static void
+check_header (void *closure, const char *name, const char *value)
+{
+  framing_t *framing = closure;
+  if (strcasecmp (name, "Content-Length") == 0)
+    {
+      framing->n_lengths++;
+      framing->is_bad = framing->is_bad || !*value
+                        || value[strspn (value, "0123456789")] != '\0';
+    }
+  else if (strcasecmp (name, "Transfer-Encoding") == 0)
+    {
+      framing->n_encodings++;
+      framing->is_bad = framing->is_bad || strcasecmp (value, "chunked") != 0;
+    }
+  else if (strcasecmp (name, "Host") == 0)
+    framing->n_hosts++;
+  if (name[strcspn (name, " \t")] != '\0')
+    framing->is_bad = true;
+}
+
+/* Whether there is one way only to read the request's head.  */
+static bool
+is_framed_well (const exchange_t *exchange)
+{
+  framing_t framing = { 0 };
+  caller_http_headers (exchange, check_header, &framing);
+  return !framing.is_bad && framing.n_hosts == 1
+         && framing.n_lengths + framing.n_encodings <= 1;
+}
+
+static void *
+on_target (void *closure, const char *target,
+           struct MHD_Connection *connection)
+{
+  (void)closure;
+  exchange_t *exchange = calloc (1, sizeof *exchange);
+  if (!exchange)
+    abort ();
+  list_init (&exchange->link);
+  exchange->connection = connection;
+  exchange->target = strdup (target);
+  exchange->begun_at = clock_monotonic ();
+  exchange->caller_fd = -1;
+  return exchange;
+}
+
+static void
+refuse (exchange_t *exchange, exchange_reason_t reason)
+{
+  exchange->reason = reason;
+  exchange->ended = true;
+}
+
+static void
+take_body (caller_http_t *port, exchange_t *exchange, const char *data,
+           size_t length)
+{
+  size_t needed = exchange->body_bytes + length;
+  if (exchange->ended)
+    return;
+  if (needed > BODY_BYTES_MAX)
+    {
+      refuse (exchange, REASON_TOO_LARGE);
+      return;
+    }
+  if (port->held + length > HELD_BYTES_MAX)
+    {
+      refuse (exchange, REASON_MEMORY);
+      return;
+    }
+  char *grown = realloc (exchange->body, needed);
+  if (!grown)
+    abort ();
+  exchange->body = grown;
+  memcpy (exchange->body + exchange->body_bytes, data, length);
+  exchange->body_bytes = needed;
+  port->held += length;
+}
+
+/* --- Answering ---------------------------------------------------------- */
+
+static struct MHD_Response *
+response_of_reason (const exchange_t *exchange)
+{
+  const char *name = exchange_reason_name (exchange->reason);
+  char text[64];
+  int n = snprintf (text, sizeof text, "%s\n", name);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      (size_t)n, text, MHD_RESPMEM_MUST_COPY);
+  if (exchange->id[0])
+    MHD_add_response_header (response, HEADER_REQUEST_ID, exchange->id);
+  if (exchange->retry_after > 0)
+    {
+      char seconds[RETRY_AFTER_BYTES];
+      snprintf (seconds, sizeof seconds, "%.3f",
+                (double)exchange->retry_after / (double)USEC_PER_SEC);
+      MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
+    }
+  return response;
+}
+
+static struct MHD_Response *
+response_of_answer (exchange_t *exchange)
+{
+  backend_answer_t *answer = &exchange->answer;
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      answer->body_bytes, answer->body ? answer->body : "",
+      answer->body ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+  answer->body = NULL;
+  for (size_t i = 0; i < answer->n_headers; i++)
+    MHD_add_response_header (response, answer->headers[i].name,
+                             answer->headers[i].value);
+  return response;
+}
+
+static enum MHD_Result
+queue_answer (caller_http_t *port, exchange_t *exchange)
+{
+  bool is_answer = exchange->reason == REASON_NONE;
+  struct MHD_Response *response = is_answer ? response_of_answer (exchange)
+                                            : response_of_reason (exchange);
+  bool closes = port->leaves || exchange->reason == REASON_BAD_REQUEST
+                || exchange->reason == REASON_TOO_LARGE
+                || exchange->reason == REASON_GONE;
+  if (closes)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  unsigned int status = is_answer ? exchange->answer.status
+                                  : exchange_reason_status (exchange->reason);
+  enum MHD_Result result
+      = MHD_queue_response (exchange->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* --- Waiting ------------------------------------------------------------ */
+
+static void
+suspend (caller_http_t *port, exchange_t *exchange)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  exchange->caller_fd = info->connect_fd;
+  exchange->watch = (watch_t){ .kind = WATCH_CALLER,
+                               .fd = exchange->caller_fd,
+                               .owner = exchange };
+  MHD_suspend_connection (exchange->connection);
+  loop_add (port->options.loop, &exchange->watch, 0);
+}
+
+void
+caller_http_end (caller_http_t *port, exchange_t *exchange)
+{
+  exchange->ended = true;
+  if (exchange->caller_fd < 0)
+    return;
+  loop_remove (port->options.loop, &exchange->watch);
+  exchange->caller_fd = -1;
+  MHD_resume_connection (exchange->connection);
+  port->is_touched = true;
+}
+
+void
+caller_http_hangup (caller_http_t *port, watch_t *watch)
+{
+  exchange_t *exchange = watch->owner;
+  port->options.gone (port->options.closure, exchange);
+}
+
+static enum MHD_Result
+on_request (void *closure, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *data_bytes, void **context)
+{
+  (void)connection;
+  (void)url;
+  (void)version;
+  caller_http_t *port = closure;
+  exchange_t *exchange = *context;
+  if (!exchange->method[0])
+    {
+      snprintf (exchange->method, sizeof exchange->method, "%s", method);
+      exchange->host = caller_http_header (exchange, "Host");
+      if (!is_framed_well (exchange))
+        {
+          refuse (exchange, REASON_BAD_REQUEST);
+          return queue_answer (port, exchange);
+        }
+      return MHD_YES;
+    }
+  if (*data_bytes > 0)
+    {
+      take_body (port, exchange, data, *data_bytes);
+      *data_bytes = 0;
+      return MHD_YES;
+    }
+  if (!exchange->begun && !exchange->ended)
+    {
+      exchange->begun = true;
+      port->options.request (port->options.closure, exchange);
+      if (!exchange->ended)
+        {
+          suspend (port, exchange);
+          return MHD_YES;
+        }
+    }
+  return queue_answer (port, exchange);
+}
+
+static void
+on_completed (void *closure, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)connection;
+  (void)code;
+  caller_http_t *port = closure;
+  exchange_t *exchange = *context;
+  if (!exchange)
+    return;
+  *context = NULL;
+  if (exchange->begun && !exchange->ended)
+    port->options.gone (port->options.closure, exchange);
+  port->held -= exchange->body_bytes;
+  backend_answer_clear (&exchange->answer);
+  view_unref (exchange->view);
+  free (exchange->target);
+  free (exchange->body);
+  free (exchange);
+}
+
+/* --- Opening and running ------------------------------------------------ */
+
+static struct MHD_Daemon *
+open_daemon (caller_http_t *port)
+{
+  const inet_t *at = &port->options.address;
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (at->port),
+                                 .sin_addr.s_addr = htonl (at->address) };
+  return MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME
+          | MHD_USE_SUPPRESS_DATE_NO_CLOCK,
+      at->port, NULL, NULL, on_request, port, MHD_OPTION_SOCK_ADDR,
+      (struct sockaddr *)&address, MHD_OPTION_URI_LOG_CALLBACK, on_target,
+      port, MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_SECONDS,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, port, MHD_OPTION_END);
+}
+
+caller_http_t *
+caller_http_new (const caller_http_options_t *options, err_t *err)
+{
+  caller_http_t *port = calloc (1, sizeof *port);
+  if (!port)
+    abort ();
+  port->options = *options;
+  port->daemon = open_daemon (port);
+  if (port->daemon)
+    {
+      const union MHD_DaemonInfo *info
+          = MHD_get_daemon_info (port->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+      port->watch = (watch_t){ .kind = WATCH_CALLERS, .fd = info->epoll_fd };
+      if (loop_add (options->loop, &port->watch, LOOP_READABLE))
+        return port;
+      MHD_stop_daemon (port->daemon);
+    }
+  free (port);
+  err_set (err, ERR_IO,
+           "check that the settings' requests is a free address of this VM",
+           "the port for requests can't be opened");
+  return NULL;
+}
+
+void
+caller_http_free (caller_http_t *port)
+{
+  MHD_stop_daemon (port->daemon);
+  free (port);
+}
+
+void
+caller_http_leave (caller_http_t *port)
+{
+  port->leaves = true;
+}
+
+void
+caller_http_run (caller_http_t *port)
+{
+  do
+    {
+      port->is_touched = false;
+      MHD_run (port->daemon);
+    }
+  while (port->is_touched);
+}
+
+usec_t
+caller_http_wait (const caller_http_t *port)
+{
+  MHD_UNSIGNED_LONG_LONG msec = 0;
+  if (port->is_touched)
+    return 0;
+  if (MHD_get_timeout (port->daemon, &msec) != MHD_YES
+      || (usec_t)msec * USEC_PER_MSEC > WAIT_MAX)
+    return WAIT_MAX;
+  return (usec_t)msec * USEC_PER_MSEC;
+}
+
+size_t
+caller_http_held (const caller_http_t *port)
+{
+  return port->held;
+}
--- /dev/null
+++ b/src/router/dispatcher.h
@@ -0,0 +1,51 @@
+/* dispatcher: what becomes of each request: refused, waiting, sent, sent
+   again, answered.  It carries out the decisions of `balance` with the ports
+   of this folder; all calls come from the traffic thread.  */
+
+#ifndef ROUTER_DISPATCHER_H
+#define ROUTER_DISPATCHER_H
+
+#include "router/caller_http.h"
+#include "router/router_metrics.h"
+#include "router/sync.h"
+
+typedef struct dispatcher dispatcher_t;
+
+typedef struct dispatcher_options
+{
+  const fleet_settings_t *settings;
+  loop_t *loop;
+  sync_t *sync;
+  router_metrics_t *metrics;
+  uint64_t seed;
+} dispatcher_options_t;
+
+dispatcher_t *dispatcher_new (const dispatcher_options_t *options);
+void dispatcher_free (dispatcher_t *dispatcher);
+
+/* PORT hands over requests and takes the answers.  */
+void dispatcher_set_port (dispatcher_t *dispatcher, caller_http_t *port);
+
+/* A whole request of a caller.  */
+void dispatcher_request (dispatcher_t *dispatcher, exchange_t *exchange);
+
+/* The caller of EXCHANGE has left.  */
+void dispatcher_gone (dispatcher_t *dispatcher, exchange_t *exchange);
+
+/* The directors told something new.  */
+void dispatcher_update (dispatcher_t *dispatcher);
+
+/* A watched connection to a backend server is ready.  */
+void dispatcher_ready (dispatcher_t *dispatcher, watch_t *watch,
+                       unsigned int ready);
+
+/* Do what is due; afterwards nothing is due for the returned span.  */
+usec_t dispatcher_tick (dispatcher_t *dispatcher, usec_t now);
+
+/* Whether requests can be served.  */
+bool dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now);
+
+/* Requests that have not ended.  */
+size_t dispatcher_under_way (const dispatcher_t *dispatcher);
+
+#endif
--- /dev/null
+++ b/src/router/exchange.c
@@ -0,0 +1,65 @@
+#include "router/exchange.h"
+
+const char *
+exchange_reason_name (exchange_reason_t reason)
+{
+  switch (reason)
+    {
+    case REASON_NONE:
+      return "answered";
+    case REASON_BAD_REQUEST:
+      return "bad_request";
+    case REASON_TOO_LARGE:
+      return "too_large";
+    case REASON_NO_ROUTE:
+      return "no_route";
+    case REASON_NO_CONFIG:
+      return "no_config";
+    case REASON_NO_BACKEND:
+      return "no_backend";
+    case REASON_OVERLOAD:
+      return "overload";
+    case REASON_REFUSED:
+      return "refused";
+    case REASON_MEMORY:
+      return "memory";
+    case REASON_QUARANTINE:
+      return "quarantine";
+    case REASON_BROKE_OFF:
+      return "broke_off";
+    case REASON_TIMEOUT:
+      return "timeout";
+    case REASON_GONE:
+      return "gone";
+    }
+  return "unknown";
+}
+
+unsigned int
+exchange_reason_status (exchange_reason_t reason)
+{
+  switch (reason)
+    {
+    case REASON_NONE:
+      return MHD_HTTP_OK;
+    case REASON_BAD_REQUEST:
+      return MHD_HTTP_BAD_REQUEST;
+    case REASON_TOO_LARGE:
+      return MHD_HTTP_CONTENT_TOO_LARGE;
+    case REASON_NO_ROUTE:
+      return MHD_HTTP_NOT_FOUND;
+    case REASON_NO_CONFIG:
+    case REASON_NO_BACKEND:
+    case REASON_OVERLOAD:
+    case REASON_REFUSED:
+    case REASON_MEMORY:
+    case REASON_QUARANTINE:
+      return MHD_HTTP_SERVICE_UNAVAILABLE;
+    case REASON_BROKE_OFF:
+    case REASON_GONE:
+      return MHD_HTTP_BAD_GATEWAY;
+    case REASON_TIMEOUT:
+      return MHD_HTTP_GATEWAY_TIMEOUT;
+    }
+  return MHD_HTTP_INTERNAL_SERVER_ERROR;
+}
--- /dev/null
+++ b/src/router/main_router.c
@@ -0,0 +1,120 @@
+/* mulberry-router: takes callers' requests and sends them to backend servers
+   as the configuration says.  */
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "router/traffic.h"
+#include "settings/fleet_program.h"
+#include "wire/metrics_page.h"
+#include "wire/rpc_metrics.h"
+
+const char *argp_program_version = "mulberry-router " MULBERRY_VERSION;
+
+static const char doc[] = "Sends callers' requests to backend servers.  On "
+                          "SIGTERM it lets callers "
+                          "go elsewhere, ends what is under way, and stops.";
+
+typedef struct router
+{
+  rpc_t *rpc;
+  metrics_t *metrics;
+  metrics_page_t *page;
+  traffic_t *traffic;
+} router_t;
+
+static bool
+open_page (router_t *router, const fleet_settings_t *settings, err_t *err)
+{
+  if (!rpc_metrics_register (router->rpc, router->metrics, err))
+    return false;
+  const metrics_page_options_t options = { .address = settings->address,
+                                           .port = settings->metrics_port,
+                                           .metrics = router->metrics };
+  router->page = metrics_page_start (&options, err);
+  return router->page != NULL;
+}
+
+static bool
+router_open (router_t *router, const fleet_program_t *program, err_t *err)
+{
+  const fleet_settings_t *settings = program->settings;
+  router->metrics = metrics_new ();
+  const rpc_options_t rpc = { .address = settings->address,
+                              .port = 0,
+                              .vm = RPC_VM_TOOL,
+                              .incarnation = program->incarnation,
+                              .key = program->key };
+  router->rpc = rpc_open (&rpc, err);
+  if (!router->rpc || !rpc_start (router->rpc, err)
+      || !open_page (router, settings, err))
+    return false;
+  const traffic_options_t traffic = { .settings = settings,
+                                      .rpc = router->rpc,
+                                      .metrics = router->metrics,
+                                      .incarnation = program->incarnation };
+  router->traffic = traffic_start (&traffic, err);
+  return router->traffic != NULL;
+}
+
+static void
+router_close (router_t *router)
+{
+  if (router->page)
+    metrics_page_stop (router->page);
+  if (router->rpc)
+    rpc_close (router->rpc);
+  if (router->traffic)
+    traffic_free (router->traffic);
+  metrics_free (router->metrics);
+}
+
+/* Until SIGTERM or SIGINT, and then until callers have gone elsewhere.  */
+static void
+serve (router_t *router, const fleet_program_t *program)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  int number = 0;
+  while (sigwait (&set, &number) == 0 && number == SIGHUP)
+    fleet_program_reload (program);
+  LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
+  traffic_stop (router->traffic);
+}
+
+int
+main (int argc, char **argv)
+{
+  fleet_program_t program;
+  int exit_code = 0;
+  if (!fleet_program_start (&program, "mulberry-router", doc, argc, argv,
+                            &exit_code))
+    return exit_code;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  router_t router = { 0 };
+  err_t err = { 0 };
+  if (router_open (&router, &program, &err))
+    {
+      LOG_EVENT (LOG_LEVEL_INFO, "started",
+                 LOG_S ("version", MULBERRY_VERSION),
+                 LOG_S ("address", program.settings->address));
+      serve (&router, &program);
+    }
+  else
+    {
+      log_error (LOG_LEVEL_ERROR, "start_failed", &err);
+      exit_code = EXIT_FAILURE;
+    }
+  router_close (&router);
+  LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
+  fleet_program_finish (&program);
+  return exit_code;
+}
--- /dev/null
+++ b/src/router/router_metrics.c
@@ -0,0 +1,62 @@
+#include "router/router_metrics.h"
+
+#include <stdlib.h>
+
+struct router_metrics
+{
+  metrics_t *metrics;
+};
+
+router_metrics_t *
+router_metrics_new (metrics_t *metrics)
+{
+  router_metrics_t *router = calloc (1, sizeof *router);
+  if (!router)
+    abort ();
+  router->metrics = metrics;
+  return router;
+}
+
+void
+router_metrics_free (router_metrics_t *metrics)
+{
+  free (metrics);
+}
+
+/* Registering again gives the same metric; services come and go with the
+   configuration.  */
+static void
+count (router_metrics_t *metrics, const metric_options_t *options)
+{
+  counter_t *counter = metrics_counter (metrics->metrics, options, NULL);
+  if (counter)
+    counter_add (counter, 1);
+}
+
+void
+router_metrics_ended (router_metrics_t *metrics, const char *service,
+                      const char *reason, usec_t latency)
+{
+  const metric_options_t ended = { .name = "mulberry_router_requests_total",
+                                   .help = "Requests that ended, by reason",
+                                   .service = service,
+                                   .reason = reason };
+  count (metrics, &ended);
+  const metric_options_t span = { .name = "mulberry_router_request_usec",
+                                  .help = "From the request to its answer",
+                                  .service = service };
+  histogram_t *histogram = metrics_histogram (metrics->metrics, &span, NULL);
+  if (histogram)
+    histogram_record (histogram, latency);
+}
+
+void
+router_metrics_sent (router_metrics_t *metrics, const char *service,
+                     bool again)
+{
+  const metric_options_t sent = { .name = "mulberry_router_sent_total",
+                                  .help = "Requests sent to backend servers",
+                                  .service = service,
+                                  .reason = again ? "again" : "first" };
+  count (metrics, &sent);
+}
--- /dev/null
+++ b/src/router/sync.c
@@ -0,0 +1,427 @@
+#include "router/sync.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/name.h"
+#include "config_codec.h"
+#include "fleet/backend_list.h"
+#include "fleet/fleet_wire.h"
+#include "routing/route_config.h"
+
+enum
+{
+  DIRECTORS_MAX = FLEET_DIRECTORS_MAX + FLEET_SEEDS_MAX,
+};
+
+/* A director across regions answers within 50 ms; one that is busy with a
+   disk or an election takes longer.  */
+#define PULL_TIMEOUT (700 * USEC_PER_MSEC)
+/* A director that has not heard from the leader for so long is left.  */
+#define CONFIRMED_AGE_MAX (1500 * USEC_PER_MSEC)
+/* After the start: how long a statement that the state is the newest is
+   waited for.  */
+#define SETTLE_WAIT (4 * USEC_PER_SEC)
+
+/* A director that failed or was stale is not asked again for so long, where
+   there are others.  */
+#define AVOID_SPAN (3 * USEC_PER_SEC)
+
+/* What is known of one director.  */
+typedef struct director_view
+{
+  uint32_t address;
+  usec_t round_trip; /* the shortest; 0: never asked */
+  usec_t avoid_until;
+} director_view_t;
+
+struct sync
+{
+  sync_options_t options;
+  usec_t started_at;
+  pthread_mutex_t lock; /* guards all that follows */
+  size_t n_directors;
+  director_view_t directors[DIRECTORS_MAX];
+  size_t asked; /* index of the one that was asked last */
+  usec_t asked_at;
+  bool is_asking;
+  usec_t due_at;
+  bool takes_requests;
+  bool is_lost; /* no director answered the last question */
+  view_t *view;
+  uint64_t version;
+  uint64_t evacuations_index;
+  uint64_t list_digest;
+  uint64_t routers_digest;
+  bool is_confirmed;
+};
+
+sync_t *
+sync_new (const sync_options_t *options)
+{
+  sync_t *sync = calloc (1, sizeof *sync);
+  if (!sync)
+    abort ();
+  sync->options = *options;
+  sync->started_at = clock_monotonic ();
+  pthread_mutex_init (&sync->lock, NULL);
+  sync->view = view_new ();
+  const fleet_settings_t *settings = options->settings;
+  sync->n_directors = settings->n_seeds;
+  for (size_t i = 0; i < settings->n_seeds; i++)
+    sync->directors[i].address = settings->seeds[i].address;
+  return sync;
+}
+
+void
+sync_free (sync_t *sync)
+{
+  view_unref (sync->view);
+  pthread_mutex_destroy (&sync->lock);
+  free (sync);
+}
+
+/* --- Taking in an answer; with the lock held ---------------------------- */
+
+/* VIEW's copy, to be changed and put in its place.  */
+static view_t *
+view_copy (const view_t *view)
+{
+  view_t *copy = view_new ();
+  copy->shared = shared_config_ref (view->shared);
+  copy->config = view->config;
+  backend_list_copy (&copy->list, &view->list);
+  copy->n_evacuated = view->n_evacuated;
+  copy->evacuated = calloc (view->n_evacuated + 1, sizeof (name_t));
+  copy->n_routers = view->n_routers;
+  copy->routers = calloc (view->n_routers + 1, sizeof (pool_router_t));
+  if (!copy->evacuated || !copy->routers)
+    abort ();
+  if (view->n_evacuated > 0)
+    memcpy (copy->evacuated, view->evacuated,
+            view->n_evacuated * sizeof (name_t));
+  if (view->n_routers > 0)
+    memcpy (copy->routers, view->routers,
+            view->n_routers * sizeof (pool_router_t));
+  return copy;
+}
+
+static bool
+take_config (sync_t *sync, view_t *view, const fleet_pull_result_t *result)
+{
+  err_t err = { 0 };
+  if (result->config.config_len == 0
+      || result->config_version <= sync->version)
+    return false;
+  route_config_t *config = config_codec_read (result->config.config_val,
+                                              result->config.config_len, &err);
+  if (!config)
+    {
+      log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
+      return false;
+    }
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "config_in_force",
+      LOG_U ("version", result->config_version),
+      LOG_U ("version_before", sync->version),
+      LOG_U ("routes", config->n_routes),
+      LOG_I ("confirmed_age_ms", result->confirmed_age / USEC_PER_MSEC));
+  shared_config_unref (view->shared);
+  view->shared = shared_config_new (config);
+  view->config = config;
+  sync->version = result->config_version;
+  return true;
+}
+
+static bool
+take_evacuations (sync_t *sync, view_t *view,
+                  const fleet_pull_result_t *result)
+{
+  if (result->evacuations_index <= sync->evacuations_index)
+    return false;
+  size_t n = 0;
+  free (view->evacuated);
+  view->evacuated
+      = calloc (result->evacuated.evacuated_len + 1u, sizeof (name_t));
+  if (!view->evacuated)
+    abort ();
+  for (u_int i = 0; i < result->evacuated.evacuated_len; i++)
+    if (name_parse (&view->evacuated[n], result->evacuated.evacuated_val[i],
+                    NULL))
+      n++;
+  view->n_evacuated = n;
+  sync->evacuations_index = result->evacuations_index;
+  LOG_EVENT (LOG_LEVEL_INFO, "evacuations_in_force",
+             LOG_U ("index", sync->evacuations_index), LOG_U ("domains", n),
+             LOG_S ("first", n > 0 ? view->evacuated[0].text : ""));
+  return true;
+}
+
+static bool
+take_list (sync_t *sync, view_t *view, const fleet_pull_result_t *result,
+           usec_t now)
+{
+  if (result->list)
+    {
+      backend_list_t list;
+      fleet_wire_read_list (result->list, now, &list);
+      if (list.read_at < view->list.read_at)
+        {
+          backend_list_clear (&list);
+          return false;
+        }
+      backend_list_clear (&view->list);
+      view->list = list;
+      sync->list_digest = list.digest;
+      LOG_EVENT (LOG_LEVEL_INFO, "backends_in_force",
+                 LOG_U ("backends", list.n_records),
+                 LOG_I ("age_ms", (now - list.read_at) / USEC_PER_MSEC));
+      return true;
+    }
+  return false;
+}
+
+static bool
+take_routers (sync_t *sync, view_t *view, const fleet_pull_result_t *result)
+{
+  if (result->routers_digest == sync->routers_digest)
+    return false;
+  sync->routers_digest = result->routers_digest;
+  free (view->routers);
+  view->routers
+      = calloc (result->routers.routers_len + 1u, sizeof (pool_router_t));
+  if (!view->routers)
+    abort ();
+  size_t n = 0;
+  for (u_int i = 0; i < result->routers.routers_len; i++)
+    {
+      const fleet_peer_t *peer = &result->routers.routers_val[i];
+      const name_t *region
+          = fleet_settings_region (sync->options.settings, peer->domain);
+      if (region)
+        view->routers[n++]
+            = (pool_router_t){ .address = peer->address, .region = *region };
+    }
+  view->n_routers = n;
+  return true;
+}
+
+static bool
+knows_director (const sync_t *sync, uint32_t address)
+{
+  for (size_t i = 0; i < sync->n_directors; i++)
+    if (sync->directors[i].address == address)
+      return true;
+  return false;
+}
+
+static void
+take_directors (sync_t *sync, const fleet_pull_result_t *result)
+{
+  for (u_int i = 0; i < result->directors.directors_len; i++)
+    {
+      uint32_t address = result->directors.directors_val[i];
+      if (!knows_director (sync, address) && sync->n_directors < DIRECTORS_MAX)
+        sync->directors[sync->n_directors++].address = address;
+    }
+}
+
+/* One that was never asked, else the nearest that is not avoided, else the
+   one that was avoided first.  */
+static size_t
+choose_director (const sync_t *sync, usec_t now)
+{
+  size_t best = 0;
+  for (size_t i = 0; i < sync->n_directors; i++)
+    {
+      const director_view_t *director = &sync->directors[i];
+      const director_view_t *other = &sync->directors[best];
+      bool is_avoided = now < director->avoid_until;
+      bool other_avoided = now < other->avoid_until;
+      bool is_better = is_avoided != other_avoided ? other_avoided
+                       : is_avoided
+                           ? director->avoid_until < other->avoid_until
+                           : director->round_trip < other->round_trip;
+      if (is_better)
+        best = i;
+    }
+  return best;
+}
+
+static void
+avoid_director (sync_t *sync, usec_t now)
+{
+  sync->directors[sync->asked].avoid_until = now + AVOID_SPAN;
+}
+
+static void
+note_round_trip (sync_t *sync, usec_t now)
+{
+  director_view_t *director = &sync->directors[sync->asked];
+  usec_t round_trip = now - sync->asked_at;
+  if (director->round_trip == 0 || round_trip < director->round_trip)
+    director->round_trip = round_trip;
+}
+
+/* True where the view has changed.  */
+static bool
+take_answer (sync_t *sync, const fleet_pull_result_t *result, usec_t now)
+{
+  view_t *view = view_copy (sync->view);
+  bool changed = take_config (sync, view, result);
+  changed = take_evacuations (sync, view, result) || changed;
+  changed = take_list (sync, view, result, now) || changed;
+  changed = take_routers (sync, view, result) || changed;
+  take_directors (sync, result);
+  bool is_fresh = result->confirmed_age >= 0
+                  && result->confirmed_age < CONFIRMED_AGE_MAX;
+  /* It was the newest after this process started.  */
+  if (result->confirmed_age >= 0
+      && now - result->confirmed_age >= sync->started_at)
+    {
+      changed = changed || !sync->is_confirmed;
+      sync->is_confirmed = true;
+    }
+  note_round_trip (sync, now);
+  if (!is_fresh)
+    avoid_director (sync, now);
+  if (!changed)
+    {
+      view_unref (view);
+      return false;
+    }
+  view_unref (sync->view);
+  sync->view = view;
+  return true;
+}
+
+static void
+note_lost (sync_t *sync, bool is_lost, const err_t *why)
+{
+  if (is_lost == sync->is_lost)
+    return;
+  sync->is_lost = is_lost;
+  if (is_lost)
+    log_error (LOG_LEVEL_WARNING, "director_lost", why);
+  else
+    LOG_EVENT (LOG_LEVEL_INFO, "director_regained",
+               LOG_U ("version", sync->version));
+}
+
+static void
+on_answer (void *closure, const rpc_result_t *result)
+{
+  sync_t *sync = closure;
+  fleet_pull_result_t answer = { 0 };
+  bool changed = false;
+  bool ok = result->ok
+            && rpc_result_decode (result, (xdrproc_t)xdr_fleet_pull_result_t,
+                                  &answer);
+  usec_t now = clock_monotonic ();
+  pthread_mutex_lock (&sync->lock);
+  sync->is_asking = false;
+  note_lost (sync, !ok, &result->error);
+  if (ok)
+    changed = take_answer (sync, &answer, now);
+  else
+    {
+      avoid_director (sync, now);
+      sync->due_at = now + SYNC_INTERVAL / 4;
+    }
+  pthread_mutex_unlock (&sync->lock);
+  xdr_free ((xdrproc_t)xdr_fleet_pull_result_t, (char *)&answer);
+  if (changed)
+    sync->options.changed (sync->options.closure);
+}
+
+/* --- Asking ------------------------------------------------------------- */
+
+static void
+ask (sync_t *sync, uint32_t director, const fleet_pull_args_t *args)
+{
+  char address[INET_TEXT_BYTES];
+  inet_format_address (director, address);
+  const rpc_request_t request = { .address = address,
+                                  .port = sync->options.settings->peer_port,
+                                  .program = MULBERRY_FLEET,
+                                  .version = MULBERRY_FLEET_V1,
+                                  .procedure = FLEET_PULL,
+                                  .encode = (xdrproc_t)xdr_fleet_pull_args_t,
+                                  .args = (void *)(uintptr_t)args,
+                                  .timeout = PULL_TIMEOUT,
+                                  .done = on_answer,
+                                  .closure = sync };
+  rpc_send (sync->options.rpc, &request);
+}
+
+void
+sync_tick (sync_t *sync, usec_t now)
+{
+  const fleet_settings_t *settings = sync->options.settings;
+  pthread_mutex_lock (&sync->lock);
+  bool is_due
+      = !sync->is_asking && now >= sync->due_at && sync->n_directors > 0;
+  router_record_t self = { .vm = settings->vm,
+                           .domain = settings->domain,
+                           .region = settings->region,
+                           .requests = settings->requests,
+                           .incarnation = sync->options.incarnation,
+                           .takes_requests = sync->takes_requests,
+                           .heard_at = now };
+  fleet_pull_args_t args = { .router = fleet_wire_router (&self, now),
+                             .config_version = sync->version,
+                             .list_digest = sync->list_digest,
+                             .routers_digest = sync->routers_digest };
+  uint32_t director = 0;
+  if (is_due)
+    {
+      sync->is_asking = true;
+      sync->due_at = now + SYNC_INTERVAL;
+      sync->asked = choose_director (sync, now);
+      sync->asked_at = now;
+      director = sync->directors[sync->asked].address;
+    }
+  pthread_mutex_unlock (&sync->lock);
+  if (is_due)
+    ask (sync, director, &args);
+}
+
+usec_t
+sync_due (sync_t *sync)
+{
+  pthread_mutex_lock (&sync->lock);
+  usec_t due_at = sync->is_asking ? INT64_MAX : sync->due_at;
+  pthread_mutex_unlock (&sync->lock);
+  return due_at;
+}
+
+void
+sync_set_takes_requests (sync_t *sync, bool takes_requests)
+{
+  pthread_mutex_lock (&sync->lock);
+  if (sync->takes_requests != takes_requests)
+    sync->due_at = 0;
+  sync->takes_requests = takes_requests;
+  pthread_mutex_unlock (&sync->lock);
+}
+
+view_t *
+sync_view (sync_t *sync)
+{
+  pthread_mutex_lock (&sync->lock);
+  view_t *view = view_ref (sync->view);
+  pthread_mutex_unlock (&sync->lock);
+  return view;
+}
+
+bool
+sync_is_settled (sync_t *sync, usec_t now)
+{
+  pthread_mutex_lock (&sync->lock);
+  bool settled = sync->is_confirmed || now >= sync->started_at + SETTLE_WAIT;
+  pthread_mutex_unlock (&sync->lock);
+  return settled;
+}
--- /dev/null
+++ b/src/router/traffic.c
@@ -0,0 +1,242 @@
+#include "router/traffic.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "router/caller_http.h"
+#include "router/dispatcher.h"
+#include "router/readiness_port.h"
+#include "router/sync.h"
+
+/* A stop ends so long before the kill.  */
+#define STOP_MARGIN (500 * USEC_PER_MSEC)
+/* A process that stops serves callers that have not heard of it yet for this
+   part of the span until it is killed.  */
+static const double linger_part = 0.75;
+
+struct traffic
+{
+  traffic_options_t options;
+  loop_t *loop;
+  sync_t *sync;
+  router_metrics_t *metrics;
+  dispatcher_t *dispatcher;
+  caller_http_t *port;
+  readiness_port_t *readiness;
+  watch_t wake;
+  pthread_t thread;
+  _Atomic bool stops;
+  _Atomic bool has_news; /* from the directors */
+  bool is_ready;
+  usec_t stop_at; /* when the stop began; 0: not yet */
+};
+
+static void
+wake (traffic_t *traffic)
+{
+  uint64_t one = 1;
+  ssize_t written = write (traffic->wake.fd, &one, sizeof one);
+  (void)written; /* a full counter wakes as well */
+}
+
+/* Called on the RPC thread.  */
+static void
+on_changed (void *closure)
+{
+  traffic_t *traffic = closure;
+  atomic_store (&traffic->has_news, true);
+  wake (traffic);
+}
+
+static void
+on_request (void *closure, exchange_t *exchange)
+{
+  traffic_t *traffic = closure;
+  dispatcher_request (traffic->dispatcher, exchange);
+}
+
+static void
+on_gone (void *closure, exchange_t *exchange)
+{
+  traffic_t *traffic = closure;
+  dispatcher_gone (traffic->dispatcher, exchange);
+}
+
+static void
+take_event (traffic_t *traffic, const loop_event_t *event)
+{
+  switch (event->watch->kind)
+    {
+    case WATCH_CALLERS:
+      break; /* run below, whatever the event */
+    case WATCH_BACKEND:
+      dispatcher_ready (traffic->dispatcher, event->watch, event->ready);
+      break;
+    case WATCH_CALLER:
+      caller_http_hangup (traffic->port, event->watch);
+      break;
+    case WATCH_WAKE:
+      {
+        uint64_t count;
+        ssize_t got = read (traffic->wake.fd, &count, sizeof count);
+        (void)got;
+        break;
+      }
+    }
+}
+
+static void
+note_readiness (traffic_t *traffic, usec_t now)
+{
+  bool is_ready = traffic->stop_at == 0
+                  && dispatcher_is_ready (traffic->dispatcher, now);
+  if (is_ready == traffic->is_ready)
+    return;
+  traffic->is_ready = is_ready;
+  LOG_EVENT (LOG_LEVEL_INFO, "readiness", LOG_U ("ready", is_ready));
+  readiness_port_set (traffic->readiness, is_ready);
+  sync_set_takes_requests (traffic->sync, is_ready);
+}
+
+static void
+begin_stop (traffic_t *traffic, usec_t now)
+{
+  if (traffic->stop_at != 0 || !atomic_load (&traffic->stops))
+    return;
+  traffic->stop_at = now;
+  caller_http_leave (traffic->port);
+}
+
+/* Callers keep the answer of a look-up for a while, so requests are still
+   taken until most of the time to the kill is over.  */
+static bool
+may_end (const traffic_t *traffic, usec_t now)
+{
+  if (traffic->stop_at == 0)
+    return false;
+  usec_t grace = traffic->options.settings->bounds.grace;
+  usec_t span = now - traffic->stop_at;
+  if (span >= grace - STOP_MARGIN)
+    return true;
+  return span >= (usec_t)((double)grace * linger_part)
+         && dispatcher_under_way (traffic->dispatcher) == 0;
+}
+
+static usec_t
+shorter (usec_t a, usec_t b)
+{
+  return a < b ? a : b;
+}
+
+static void *
+traffic_run (void *closure)
+{
+  traffic_t *traffic = closure;
+  usec_t wait = 0;
+  for (;;)
+    {
+      loop_event_t event;
+      if (loop_wait (traffic->loop, wait, &event))
+        take_event (traffic, &event);
+      usec_t now = clock_monotonic ();
+      begin_stop (traffic, now);
+      sync_tick (traffic->sync, now);
+      if (atomic_exchange (&traffic->has_news, false))
+        dispatcher_update (traffic->dispatcher);
+      note_readiness (traffic, now);
+      wait = dispatcher_tick (traffic->dispatcher, now);
+      caller_http_run (traffic->port);
+      wait = shorter (wait, caller_http_wait (traffic->port));
+      wait = shorter (wait, sync_due (traffic->sync) - now);
+      if (may_end (traffic, now))
+        return NULL;
+    }
+}
+
+static bool
+open_ports (traffic_t *traffic, err_t *err)
+{
+  const fleet_settings_t *settings = traffic->options.settings;
+  const caller_http_options_t port = { .loop = traffic->loop,
+                                       .address = settings->requests,
+                                       .closure = traffic,
+                                       .request = on_request,
+                                       .gone = on_gone };
+  traffic->port = caller_http_new (&port, err);
+  if (!traffic->port)
+    return false;
+  dispatcher_set_port (traffic->dispatcher, traffic->port);
+  traffic->readiness = readiness_port_open (&settings->readiness, err);
+  return traffic->readiness != NULL;
+}
+
+static bool
+open_wake (traffic_t *traffic, err_t *err)
+{
+  traffic->wake = (watch_t){ .kind = WATCH_WAKE,
+                             .fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC) };
+  if (traffic->wake.fd >= 0
+      && loop_add (traffic->loop, &traffic->wake, LOOP_READABLE))
+    return true;
+  return err_set (err, ERR_IO, "raise the limit of descriptors",
+                  "no eventfd for the traffic thread");
+}
+
+traffic_t *
+traffic_start (const traffic_options_t *options, err_t *err)
+{
+  traffic_t *traffic = calloc (1, sizeof *traffic);
+  if (!traffic)
+    abort ();
+  traffic->options = *options;
+  traffic->loop = loop_new (err);
+  if (!traffic->loop || !open_wake (traffic, err))
+    return NULL;
+  const sync_options_t sync = { .settings = options->settings,
+                                .rpc = options->rpc,
+                                .incarnation = options->incarnation,
+                                .closure = traffic,
+                                .changed = on_changed };
+  traffic->sync = sync_new (&sync);
+  traffic->metrics = router_metrics_new (options->metrics);
+  const dispatcher_options_t dispatcher = { .settings = options->settings,
+                                            .loop = traffic->loop,
+                                            .sync = traffic->sync,
+                                            .metrics = traffic->metrics,
+                                            .seed = options->incarnation };
+  traffic->dispatcher = dispatcher_new (&dispatcher);
+  if (!open_ports (traffic, err))
+    return NULL;
+  if (pthread_create (&traffic->thread, NULL, traffic_run, traffic) == 0)
+    return traffic;
+  err_set (err, ERR_IO, "raise the limit of threads",
+           "no thread for the traffic");
+  return NULL;
+}
+
+void
+traffic_stop (traffic_t *traffic)
+{
+  atomic_store (&traffic->stops, true);
+  wake (traffic);
+  pthread_join (traffic->thread, NULL);
+}
+
+void
+traffic_free (traffic_t *traffic)
+{
+  readiness_port_close (traffic->readiness);
+  caller_http_free (traffic->port);
+  dispatcher_free (traffic->dispatcher);
+  sync_free (traffic->sync);
+  router_metrics_free (traffic->metrics);
+  close (traffic->wake.fd);
+  loop_free (traffic->loop);
+  free (traffic);
+}
--- /dev/null
+++ b/src/routing/route_config.c
@@ -0,0 +1,108 @@
+#include "routing/route_config.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+route_config_free (route_config_t *config)
+{
+  if (!config)
+    return;
+  for (size_t i = 0; i < config->n_routes; i++)
+    {
+      free (config->routes[i].shares);
+      free (config->routes[i].homes);
+    }
+  free (config->routes);
+  free (config->services);
+  free (config);
+}
+
+const service_config_t *
+route_config_service (const route_config_t *config, const char *name)
+{
+  for (size_t i = 0; i < config->n_services; i++)
+    if (strcmp (config->services[i].name.text, name) == 0)
+      return &config->services[i];
+  return NULL;
+}
+
+static bool
+check_shares (const route_config_t *config, const route_t *route, err_t *err)
+{
+  if (route->n_shares == 0)
+    return err_set (err, ERR_USAGE, "name a service, or several with weights",
+                    "route %s names no service", route->name.text);
+  for (size_t i = 0; i < route->n_shares; i++)
+    {
+      const route_share_t *share = &route->shares[i];
+      if (!route_config_service (config, share->service.text))
+        return err_set (err, ERR_USAGE,
+                        "add the service to the same configuration",
+                        "route %s names the unknown service %s",
+                        route->name.text, share->service.text);
+      if (!(share->weight >= 0) || isinf (share->weight))
+        return err_set (err, ERR_USAGE, "give a weight of 0 or more",
+                        "route %s has a bad weight for %s", route->name.text,
+                        share->service.text);
+    }
+  return true;
+}
+
+bool
+route_config_check (const route_config_t *config, err_t *err)
+{
+  for (size_t i = 0; i < config->n_routes; i++)
+    {
+      const route_t *route = &config->routes[i];
+      if (!route->host[0])
+        return err_set (err, ERR_USAGE, "give the host that callers ask for",
+                        "route %s has an empty host", route->name.text);
+      if (route->attempts == 0)
+        return err_set (err, ERR_USAGE, "allow 1 attempt or more",
+                        "route %s allows no attempt", route->name.text);
+      if (!check_shares (config, route, err))
+        return false;
+    }
+  return true;
+}
+
+static bool
+host_matches (const char *host, const char *wanted)
+{
+  size_t length = strlen (wanted);
+  return strncasecmp (host, wanted, length) == 0
+         && (host[length] == '\0' || host[length] == ':');
+}
+
+const route_t *
+route_config_match (const route_config_t *config, const char *host,
+                    const char *target)
+{
+  const route_t *best = NULL;
+  size_t best_length = 0;
+  size_t path_length = strcspn (target, "?");
+  for (size_t i = 0; i < config->n_routes; i++)
+    {
+      const route_t *route = &config->routes[i];
+      size_t length = strlen (route->prefix);
+      if ((best && length <= best_length) || length > path_length
+          || strncmp (route->prefix, target, length) != 0
+          || !host_matches (host, route->host))
+        continue;
+      best = route;
+      best_length = length;
+    }
+  return best;
+}
+
+bool
+route_allows_region (const route_t *route, const char *region)
+{
+  for (size_t i = 0; i < route->n_homes; i++)
+    if (strcmp (route->homes[i].text, region) == 0)
+      return true;
+  return route->n_homes == 0;
+}
--- /dev/null
+++ b/src/settings/fleet_program.c
@@ -0,0 +1,131 @@
+#include "settings/fleet_program.h"
+
+#include <apr_general.h>
+#include <argp.h>
+#include <openssl/sha.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+
+typedef struct arguments
+{
+  const char *settings;
+  bool check_settings;
+  log_level_t level;
+} arguments_t;
+
+static const struct argp_option options[] = {
+  { "settings", 's', "FILE", 0, "This VM's settings (YAML)", 0 },
+  { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
+  { "log-level", 'l', "LEVEL", 0, "debug, info (default), warning or error",
+    0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  arguments_t *arguments = state->input;
+  switch (key)
+    {
+    case 's':
+      arguments->settings = arg;
+      return 0;
+    case 'c':
+      arguments->check_settings = true;
+      return 0;
+    case 'l':
+      if (!program_parse_level (arg, &arguments->level))
+        argp_error (state,
+                    "unknown level '%s'; use debug, info, warning or error",
+                    arg);
+      return 0;
+    case ARGP_KEY_END:
+      if (!arguments->settings)
+        argp_error (state, "--settings FILE is missing");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+block_signals (void)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static bool
+exit_with (int code, int *exit_code)
+{
+  *exit_code = code;
+  apr_terminate ();
+  return false;
+}
+
+bool
+fleet_program_start (fleet_program_t *program, const char *name,
+                     const char *doc, int argc, char **argv, int *exit_code)
+{
+  *program = (fleet_program_t){ 0 };
+  arguments_t arguments = { .level = LOG_LEVEL_INFO };
+  const struct argp argp
+      = { .options = options, .parser = parse_option, .doc = doc };
+  argp_err_exit_status = PROGRAM_EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  apr_initialize ();
+  block_signals ();
+  err_t err = { 0 };
+  program->settings_file = arguments.settings;
+  program->settings = fleet_settings_load (arguments.settings, &err);
+  if (!program->settings)
+    {
+      fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err.message, name,
+               err.remedy);
+      return exit_with (PROGRAM_EXIT_USAGE, exit_code);
+    }
+  if (arguments.check_settings)
+    {
+      printf ("%s: the settings are good\n", arguments.settings);
+      return exit_with (0, exit_code);
+    }
+  const name_t *secret = &program->settings->peer_secret;
+  SHA256 ((const unsigned char *)secret->text, strlen (secret->text),
+          program->key);
+  program->incarnation = program_incarnation ();
+  log_open (name, program->settings->vm.text, arguments.level);
+  return true;
+}
+
+void
+fleet_program_reload (const fleet_program_t *program)
+{
+  err_t err = { 0 };
+  fleet_settings_t *settings
+      = fleet_settings_load (program->settings_file, &err);
+  if (!settings)
+    {
+      log_error (LOG_LEVEL_ERROR, "settings_refused", &err);
+      return;
+    }
+  LOG_EVENT (LOG_LEVEL_INFO, "settings_reloaded",
+             LOG_U ("seeds", settings->n_seeds),
+             LOG_S ("vm", settings->vm.text));
+  free (settings);
+}
+
+void
+fleet_program_finish (fleet_program_t *program)
+{
+  free (program->settings);
+  apr_terminate ();
+}
--- /dev/null
+++ b/src/settings/fleet_program.h
@@ -0,0 +1,32 @@
+/* fleet_program: what mulberry-router and mulberry-director share at their
+   start: the command line, the settings, the log.  */
+
+#ifndef SETTINGS_FLEET_PROGRAM_H
+#define SETTINGS_FLEET_PROGRAM_H
+
+#include "settings/fleet_settings.h"
+#include "settings/program.h"
+
+typedef struct fleet_program
+{
+  fleet_settings_t *settings;
+  const char *settings_file;
+  uint64_t incarnation; /* of this start; greater than former ones; not 0 */
+  unsigned char key[SETTINGS_KEY_BYTES];
+} fleet_program_t;
+
+/* Read the command line (--settings FILE ...) and the settings.  Returns true
+   where the program should go on; else *EXIT_CODE says how it ends: 0 after
+   --check-settings, PROGRAM_EXIT_USAGE after a fault, which has been
+   printed.  SIGTERM, SIGINT and SIGHUP are blocked from here on.  */
+bool fleet_program_start (fleet_program_t *program, const char *name,
+                          const char *doc, int argc, char **argv,
+                          int *exit_code);
+
+/* Read the settings anew.  What can't change while the process runs is only
+   logged; a fault is logged, and the settings stay.  */
+void fleet_program_reload (const fleet_program_t *program);
+
+void fleet_program_finish (fleet_program_t *program);
+
+#endif
--- a/src/settings/program.c
+++ b/src/settings/program.c
@@ -37,8 +37,8 @@
   { 0 },
 };
 
-static bool
-parse_level (const char *text, log_level_t *level)
+bool
+program_parse_level (const char *text, log_level_t *level)
 {
   static const char *const names[] = { "debug", "info", "warning", "error" };
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
@@ -69,7 +69,7 @@
       arguments->check_settings = true;
       return 0;
     case 'l':
-      if (!parse_level (arg, &arguments->level))
+      if (!program_parse_level (arg, &arguments->level))
         argp_error (state,
                     "unknown level '%s'; use debug, info, warning or "
                     "error",
@@ -123,10 +123,8 @@
   return true;
 }
 
-/* Greater than all former ones of this VM as long as its wall clock was not
-   set back over a restart, and different even then.  */
-static uint64_t
-incarnation_draw (void)
+uint64_t
+program_incarnation (void)
 {
   uint64_t chance = 0;
   RAND_bytes ((unsigned char *)&chance, sizeof chance);
@@ -165,7 +163,7 @@
       *exit_code = 0;
       return false;
     }
-  program->incarnation = incarnation_draw ();
+  program->incarnation = program_incarnation ();
   log_open (name, program->vm->name.text, arguments.level);
   return true;
 }
--- a/src/settings/program.h
+++ b/src/settings/program.h
@@ -4,6 +4,7 @@
 #ifndef SETTINGS_PROGRAM_H
 #define SETTINGS_PROGRAM_H
 
+#include "base/log.h"
 #include "settings/settings.h"
 
 enum
@@ -34,4 +35,12 @@
 
 void program_finish (program_t *program);
 
+/* False where TEXT names no level of the log.  */
+bool program_parse_level (const char *text, log_level_t *level);
+
+/* An incarnation for a new start.  Greater than all former ones of this VM as
+   long as its wall clock was not set back over a restart, and different even
+   then; not 0.  */
+uint64_t program_incarnation (void);
+
 #endif
--- a/src/settings/yaml_reader.c
+++ b/src/settings/yaml_reader.c
@@ -7,13 +7,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/duration.h"
+#include "base/inet.h"
 #include "base/name.h"
 #include "base/time_defs.h"
 #include "settings/settings_defs.h"
 
 enum
 {
-  FIELDS_MAX = 32,
+  FIELDS_MAX = 48,
 };
 
 bool
@@ -143,6 +145,18 @@
         return true;
       return yaml_reader_fault (reader, node, err, "write true or false",
                                 "key '%s': '%s'", field->key, text);
+    case YAML_FIELD_DURATION:
+      if (duration_parse ((usec_t *)at, text))
+        return true;
+      return yaml_reader_fault (
+          reader, node, err, "write a number and its unit, 1500ms or 2.5s",
+          "key '%s': '%s' is no span of time", field->key, text);
+    case YAML_FIELD_INET:
+      if (inet_parse ((inet_t *)at, text))
+        return true;
+      return yaml_reader_fault (
+          reader, node, err, "write ADDRESS:PORT, 127.10.1.1:8080 say",
+          "key '%s': bad address '%s'", field->key, text);
     default:
       return store_number (reader, node, text, field, at, err);
     }
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -28,9 +28,11 @@
   YAML_FIELD_U16,
   YAML_FIELD_U32,
   YAML_FIELD_U64,
-  YAML_FIELD_USEC, /* usec_t; SCALE microseconds a unit */
-  YAML_FIELD_REAL, /* double */
-  YAML_FIELD_NODE, /* yaml_node_t *, read by the caller */
+  YAML_FIELD_USEC,     /* usec_t; SCALE microseconds a unit */
+  YAML_FIELD_REAL,     /* double */
+  YAML_FIELD_DURATION, /* usec_t, written as in base/duration.h */
+  YAML_FIELD_INET,     /* inet_t, written ADDRESS:PORT */
+  YAML_FIELD_NODE,     /* yaml_node_t *, read by the caller */
 } yaml_field_kind_t;
 
 typedef struct yaml_field
--- /dev/null
+++ b/src/wire/fleet.x
@@ -0,0 +1,165 @@
+/* fleet.x: calls between directors, and from routers to a director.  Sizes
+   bound what a peer may send. */
+
+const FLEET_NAME_BYTES_MAX = 47;
+const FLEET_ID_BYTES_MAX = 63;
+const FLEET_CONFIG_BYTES_MAX = 900000;
+const FLEET_MESSAGE_BYTES_MAX = 1000000;
+const FLEET_WIRE_BACKENDS_MAX = 4096;
+const FLEET_WIRE_ROUTERS_MAX = 2048;
+const FLEET_WIRE_DOMAINS_MAX = 128;
+const FLEET_WIRE_DIRECTORS_MAX = 15;
+
+struct fleet_router_t
+{
+  string vm<FLEET_NAME_BYTES_MAX>;
+  string domain<FLEET_NAME_BYTES_MAX>;
+  string region<FLEET_NAME_BYTES_MAX>;
+  uint32_t address;
+  uint32_t port;
+  uint64_t incarnation;
+  bool takes_requests;
+  int64_t age; /* usec since the router said so */
+};
+
+struct fleet_backend_t
+{
+  string id<FLEET_ID_BYTES_MAX>;
+  string service<FLEET_NAME_BYTES_MAX>;
+  string domain<FLEET_NAME_BYTES_MAX>;
+  uint32_t address;
+  uint32_t port;
+  bool is_draining;
+  uint32_t slots;
+  int64_t cold_left;  /* usec, when the list was read */
+  int64_t started_at; /* msec since 1970 */
+};
+
+struct fleet_list_t
+{
+  int64_t age; /* usec since the list was read */
+  fleet_backend_t backends<FLEET_WIRE_BACKENDS_MAX>;
+};
+
+typedef string fleet_name_t<FLEET_NAME_BYTES_MAX>;
+
+/* A router tells of itself and says what it has. */
+struct fleet_pull_args_t
+{
+  fleet_router_t router;
+  uint64_t config_version;
+  uint64_t list_digest;
+  uint64_t routers_digest;
+};
+
+/* Where a router takes requests. */
+struct fleet_peer_t
+{
+  uint32_t address;
+  uint32_t port;
+  string domain<FLEET_NAME_BYTES_MAX>;
+};
+
+struct fleet_pull_result_t
+{
+  /* usec since this state was known to be the newest; -1: never */
+  int64_t confirmed_age;
+  uint64_t config_version;
+  opaque config<FLEET_CONFIG_BYTES_MAX>; /* empty: not newer than asked */
+  uint64_t evacuations_index;            /* of the log */
+  fleet_name_t evacuated<FLEET_WIRE_DOMAINS_MAX>;
+  uint64_t routers_digest;
+  fleet_peer_t routers<FLEET_WIRE_ROUTERS_MAX>; /* empty: the router has them */
+  int64_t list_age; /* usec since the list was read; -1: never */
+  fleet_list_t *list; /* absent: the router has it */
+  uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
+};
+
+/* A director tells the others what it has heard. */
+struct fleet_share_args_t
+{
+  uint32_t address; /* the sender */
+  uint8_t slot;     /* of the log */
+  fleet_router_t routers<FLEET_WIRE_ROUTERS_MAX>;
+  /* From the leader alone: its applied state is the newest; 0: not known. */
+  uint64_t confirmed_index;
+  uint64_t list_digest;
+  int64_t list_age; /* usec since the list was read; -1: never */
+  fleet_list_t *list; /* absent: the peer has it */
+};
+
+struct fleet_share_result_t
+{
+  uint64_t list_digest; /* that the peer has now */
+};
+
+/* One message between replicas, encoded by agreement/message. */
+struct fleet_agree_args_t
+{
+  opaque message<FLEET_MESSAGE_BYTES_MAX>;
+};
+
+/* Which director holds which slot of the log. */
+struct fleet_roster_t
+{
+  uint32_t addresses<FLEET_WIRE_DIRECTORS_MAX>; /* by slot; empty: none yet */
+};
+
+struct fleet_announce_args_t
+{
+  uint32_t address; /* the sender */
+  bool is_first;    /* the deployment's first start, as the sender was told */
+  fleet_roster_t roster; /* as the sender knows it */
+};
+
+struct fleet_announce_result_t
+{
+  fleet_roster_t roster;
+  /* usec since the leader heard each slot; -1: not known */
+  int64_t silence<FLEET_WIRE_DIRECTORS_MAX>;
+};
+
+/* Entries of the log. */
+enum fleet_command_kind_t
+{
+  FLEET_COMMAND_CONFIG = 0,
+  FLEET_COMMAND_EVACUATE = 1,
+  FLEET_COMMAND_TAKE_BACK = 2
+};
+
+struct fleet_config_t
+{
+  uint64_t config_version;
+  opaque text<FLEET_CONFIG_BYTES_MAX>;
+};
+
+union fleet_command_t switch (fleet_command_kind_t kind)
+{
+case FLEET_COMMAND_CONFIG:
+  fleet_config_t config;
+case FLEET_COMMAND_EVACUATE:
+  string evacuate<FLEET_NAME_BYTES_MAX>;
+case FLEET_COMMAND_TAKE_BACK:
+  string take_back<FLEET_NAME_BYTES_MAX>;
+};
+
+/* The state that the entries build up, in a snapshot. */
+struct fleet_state_t
+{
+  uint64_t config_version;
+  opaque text<FLEET_CONFIG_BYTES_MAX>;
+  uint64_t evacuations_index;
+  fleet_name_t evacuated<FLEET_WIRE_DOMAINS_MAX>;
+};
+
+program MULBERRY_FLEET
+{
+  version MULBERRY_FLEET_V1
+  {
+    void FLEET_GREET (void) = 0;
+    fleet_pull_result_t FLEET_PULL (fleet_pull_args_t) = 1;
+    fleet_share_result_t FLEET_SHARE (fleet_share_args_t) = 2;
+    void FLEET_AGREE (fleet_agree_args_t) = 3;
+    fleet_announce_result_t FLEET_ANNOUNCE (fleet_announce_args_t) = 4;
+  } = 1;
+} = 0x20004d05;
