perf(balance): place by expected time, with the objects that ran there lately

Change: each backend server has an expected time (way, wait, run; the run short where this router sent the object lately), the least wins.

Ruled out: the slots; the warm need of queueboard is 12 of 36.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -66,6 +66,7 @@
   backend->failures = 0;
   backend->others = 0;
   backend->latency = 0;
+  object_memory_clear (&backend->objects);
 }
 
 static void
@@ -126,12 +127,18 @@
   }
 }
 
-void
-backend_pool_sent (backend_pool_t *pool, backend_t *backend, usec_t now)
+bool
+backend_pool_sent (backend_pool_t *pool, backend_t *backend,
+                   const pool_query_t *query, usec_t now)
 {
   (void)pool;
   backend->in_flight++;
   pool_cold_spend (backend, now);
+  if (!query->has_object)
+    return false;
+  bool was_known = object_memory_has (&backend->objects, query->object);
+  object_memory_note (&backend->objects, query->object, now);
+  return was_known;
 }
 
 static void
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -4,13 +4,13 @@
    Pure.  A router sees its own requests exactly, and those of the other
    routers through the load that a backend server reports with each answer,
    which is trusted less as it ages.  Objects (by the hash of their key) are
-   kept with few backend servers, so that these remember them: each object
-   ranks the backend servers of its service by a hash, the caller's region
-   counting more, and takes the first that has room.  */
+   kept with few backend servers, so that these remember them.  */
 
 #ifndef BALANCE_BACKEND_POOL_H
 #define BALANCE_BACKEND_POOL_H
 
+#include "balance/object_memory.h"
+#include "balance/run_estimate.h"
 #include "base/list.h"
 #include "base/random.h"
 #include "fleet/fleet_defs.h"
@@ -61,6 +61,7 @@
   uint32_t others;    /* of others, when it last reported */
   usec_t others_at;
   usec_t latency; /* smoothed, of whole answers; 0: none yet */
+  object_memory_t objects; /* that it handled for this router */
 
   backend_health_t health;
   uint32_t failures; /* in a row */
@@ -112,6 +113,7 @@
   const route_t *route; /* for its homes; NULL: none */
   bool has_object;
   uint64_t object; /* hash of the object's key */
+  run_span_t run;  /* how long it is expected to run */
   size_t n_tried;
   uint64_t tried[POOL_TRIED_MAX]; /* hashes of ids to avoid */
 } pool_query_t;
@@ -126,8 +128,10 @@
 bool backend_pool_serves (const backend_pool_t *pool,
                           const pool_query_t *query);
 
-/* A request goes to BACKEND.  */
-void backend_pool_sent (backend_pool_t *pool, backend_t *backend, usec_t now);
+/* QUERY's request goes to BACKEND.  True where BACKEND handled its object for
+   this router before.  */
+bool backend_pool_sent (backend_pool_t *pool, backend_t *backend,
+                        const pool_query_t *query, usec_t now);
 
 /* It ended after LATENCY.  BACKEND may be gone afterwards.  */
 void backend_pool_ended (backend_pool_t *pool, backend_t *backend,
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -1,6 +1,11 @@
 /* Load pattern: more work than slots, objects that run several times faster
    where they ran lately, and backend servers that stand unevenly over the
-   regions.  */
+   regions.
+
+   Each backend server has an expected time: the way there, the wait for a
+   slot, and the run, which is short where the object ran lately.  The least
+   one wins.  Where nothing ran yet, a hash that all routers share says which
+   backend server an object belongs to.  */
 
 #include "balance/pool_internal.h"
 
@@ -12,21 +17,29 @@
 
 enum
 {
-  CHOICES = 3,     /* backend servers that an object is kept with */
   QUEUE_DEPTH = 2, /* requests that may wait at a backend server */
 };
 
-/* How much more a backend server of the caller's region counts.  */
-static const double home_weight = 3.0;
+/* The way to another region and back, and what the traffic between regions
+   is worth besides.  */
+#define REGION_PENALTY (100 * USEC_PER_MSEC)
+/* The way to another failure domain of the region.  */
+#define DOMAIN_PENALTY (6 * USEC_PER_MSEC)
 
 /* After this time a report of load says nothing any more.  */
 #define LOAD_FADE (600 * USEC_PER_MSEC)
 
+/* A backend server in the middle of an object's order costs this part of a
+   fresh run more than the first.  */
+static const double order_weight = 0.35;
+
 double
 backend_load_at (const backend_t *backend, usec_t now)
 {
   usec_t age = now - backend->others_at;
-  double trust = age < LOAD_FADE ? 1.0 - (double)age / (double)LOAD_FADE : 0.0;
+  double trust = age < LOAD_FADE
+                     ? 1.0 - (double)age / (double)LOAD_FADE
+                     : 0.0;
   return backend->in_flight + backend->others * trust;
 }
 
@@ -50,67 +63,43 @@
          && !was_tried (query, backend->hash);
 }
 
-/* Weighted rendezvous hashing: the higher, the better.  */
+/* Where BACKEND stands in OBJECT's order, from 0 (first) to 1.  */
 static double
-rank (const backend_pool_t *pool, const backend_t *backend, uint64_t object)
+order_of (const backend_t *backend, uint64_t object)
 {
   const uint64_t pair[] = { object, backend->hash };
   uint64_t hash = XXH3_64bits (pair, sizeof pair);
-  double unit = ((double)(hash >> 11) + 0.5) / (double)(1ull << 53);
-  bool is_near
-      = strcmp (pool->options.settings->region.text, backend->region.text)
-        == 0;
-  return (is_near ? home_weight : 1.0) / -log (unit);
-}
-
-typedef struct choice
-{
-  backend_t *backend;
-  double rank;
-} choice_t;
-
-/* Keep the best CHOICES, in order.  */
-static void
-choice_add (choice_t choices[CHOICES], backend_t *backend, double value)
-{
-  for (size_t i = 0; i < CHOICES; i++)
-    {
-      if (choices[i].backend && choices[i].rank >= value)
-        continue;
-      memmove (&choices[i + 1], &choices[i],
-               (CHOICES - 1 - i) * sizeof choices[0]);
-      choices[i] = (choice_t){ .backend = backend, .rank = value };
-      return;
-    }
+  return (double)(hash >> 11) / (double)(1ull << 53);
 }
 
-static bool
-may_take (const backend_t *backend, usec_t now)
+static double
+distance_of (const backend_pool_t *pool, const backend_t *backend)
 {
-  return backend->health == BACKEND_UP && pool_cold_allows (backend, now);
+  const fleet_settings_t *settings = pool->options.settings;
+  if (strcmp (settings->region.text, backend->region.text) != 0)
+    return REGION_PENALTY;
+  if (strcmp (settings->domain.text, backend->record.domain.text) != 0)
+    return DOMAIN_PENALTY;
+  return 0;
 }
 
-/* The first choice with a free slot, else the least loaded one whose queue is
-   short.  */
-static backend_t *
-take_choice (choice_t choices[CHOICES], usec_t now)
+/* The time that a request is expected to take at BACKEND, usec.  */
+static double
+cost_of (const backend_pool_t *pool, const backend_t *backend,
+         const pool_query_t *query, uint64_t object, double load)
 {
-  backend_t *best = NULL;
-  double best_load = 0;
-  for (size_t i = 0; i < CHOICES && choices[i].backend; i++)
-    {
-      backend_t *backend = choices[i].backend;
-      double load = backend_load_at (backend, now);
-      double room = (double)backend->record.slots;
-      if (load + 1 <= room)
-        return backend;
-      if (load + 1 <= room + QUEUE_DEPTH && (!best || load < best_load))
-        {
-          best = backend;
-          best_load = load;
-        }
-    }
-  return best;
+  double slots = backend->record.slots;
+  double run = (double)query->run.fresh;
+  double ahead = load + 1 - slots;
+  double wait = ahead > 0 ? ahead * (double)query->run.known / slots : 0;
+  if (!query->has_object)
+    wait += load / slots * (double)query->run.known;
+  else if (object_memory_has (&backend->objects, object))
+    run = (double)query->run.known;
+  else
+    run += order_of (backend, object) * order_weight
+           * (double)query->run.fresh;
+  return distance_of (pool, backend) + wait + run;
 }
 
 backend_t *
@@ -118,22 +107,24 @@
 {
   uint64_t object
       = query->has_object ? query->object : random_next (&pool->random);
-  choice_t known[CHOICES] = { 0 };
-  choice_t open[CHOICES] = { 0 };
+  backend_t *best = NULL;
+  double best_cost = 0;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (!pool_is_eligible (backend, query) || !may_take (backend, now))
+    if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP
+        || !pool_cold_allows (backend, now))
+      continue;
+    double load = backend_load_at (backend, now);
+    if (load + 1 > backend->record.slots + QUEUE_DEPTH)
       continue;
-    double value = rank (pool, backend, object);
-    choice_add (known, backend, value);
-    if (backend_load_at (backend, now) + 1 <= backend->record.slots)
-      choice_add (open, backend, value);
+    double cost = cost_of (pool, backend, query, object, load);
+    if (best && cost >= best_cost)
+      continue;
+    best = backend;
+    best_cost = cost;
   }
-  backend_t *backend = take_choice (known, now);
-  if (backend && backend_load_at (backend, now) + 1 <= backend->record.slots)
-    return backend;
-  return open[0].backend ? open[0].backend : backend;
+  return best;
 }
 
 bool
--- /dev/null
+++ b/src/balance/run_estimate.c
@@ -0,0 +1,78 @@
+#include "balance/run_estimate.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  SMOOTHING = 8, /* a new span counts one in so many */
+};
+
+/* Parts of the objective, before anything was measured.  */
+static const double known_guess = 0.5;
+static const double fresh_guess = 1.4;
+
+/* Without an objective.  */
+#define OBJECTIVE_GUESS (300 * USEC_PER_MSEC)
+
+static uint64_t
+route_hash (const route_t *route)
+{
+  return XXH3_64bits (route->name.text, strlen (route->name.text)) | 1;
+}
+
+/* Where ROUTE stands, or a free place for it; RUN_ESTIMATES_MAX where there is
+   neither.  */
+static size_t
+find (const run_estimate_t *estimate, uint64_t route)
+{
+  for (size_t i = 0; i < RUN_ESTIMATES_MAX; i++)
+    {
+      size_t at = (route + i) % RUN_ESTIMATES_MAX;
+      uint64_t there = estimate->routes[at].route;
+      if (there == route || there == 0)
+        return at;
+    }
+  return RUN_ESTIMATES_MAX;
+}
+
+static run_span_t
+guess (const route_t *route)
+{
+  usec_t objective
+      = route->objective > 0 ? route->objective : OBJECTIVE_GUESS;
+  return (run_span_t){ .known = (usec_t)((double)objective * known_guess),
+                       .fresh = (usec_t)((double)objective * fresh_guess) };
+}
+
+run_span_t
+run_estimate_of (const run_estimate_t *estimate, const route_t *route)
+{
+  size_t at = find (estimate, route_hash (route));
+  if (at == RUN_ESTIMATES_MAX || estimate->routes[at].route == 0)
+    return guess (route);
+  return estimate->routes[at].span;
+}
+
+static void
+smooth (usec_t *value, usec_t span)
+{
+  *value += (span - *value) / SMOOTHING;
+}
+
+void
+run_estimate_note (run_estimate_t *estimate, const route_t *route,
+                   bool was_known, usec_t span)
+{
+  uint64_t hash = route_hash (route);
+  size_t at = find (estimate, hash);
+  if (at == RUN_ESTIMATES_MAX)
+    return;
+  if (estimate->routes[at].route == 0)
+    {
+      estimate->routes[at].route = hash;
+      estimate->routes[at].span = guess (route);
+    }
+  run_span_t *known = &estimate->routes[at].span;
+  smooth (was_known ? &known->known : &known->fresh, span);
+}
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#include "balance/verdict.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "delivery/retry_budget.h"
@@ -57,6 +58,7 @@
   service_state_t services[SERVICES_MAX];
   size_t n_splits; /* routes of the configuration in force */
   split_state_t *splits;
+  run_estimate_t runs;
 };
 
 /* A probe of a backend server that is down; tells them from exchanges.  */
@@ -222,7 +224,8 @@
   exchange->n_tries++;
   exchange->n_sent++;
   exchange->sent_at = now;
-  backend_pool_sent (dispatcher->pool, backend, now);
+  exchange->was_known = backend_pool_sent (dispatcher->pool, backend,
+                                           &exchange->query, now);
   call_owner_t *owner = calloc (1, sizeof *owner);
   if (!owner)
     abort ();
@@ -245,6 +248,10 @@
       LOG_LEVEL_INFO, "request_sent", LOG_S ("id", exchange->id),
       LOG_S ("backend", backend->record.id),
       LOG_S ("domain", backend->record.domain.text),
+             LOG_U ("object", exchange->query.object),
+             LOG_U ("known", exchange->was_known),
+             LOG_I ("run_ms", exchange->query.run.known / USEC_PER_MSEC),
+             LOG_I ("fresh_run_ms", exchange->query.run.fresh / USEC_PER_MSEC),
       LOG_U ("in_flight", backend->in_flight),
       LOG_F ("load", backend_load_at (backend, now)),
       LOG_I ("report_age_ms", (now - backend->others_at) / USEC_PER_MSEC),
@@ -258,6 +265,7 @@
 {
   if (exchange->deadline - now < USEC_PER_MSEC)
     return false;
+  exchange->query.run = run_estimate_of (&dispatcher->runs, exchange->route);
   backend_t *backend
       = backend_pool_pick (dispatcher->pool, &exchange->query, now);
   if (!backend)
@@ -450,24 +458,16 @@
 
 /* --- Answers ------------------------------------------------------------ */
 
-static bool
-is_own_answer (const backend_answer_t *answer)
-{
-  bool is_success = answer->status >= 200 && answer->status < 300;
-  return answer->whole && answer->id_matches && !answer->is_encoded
-         && (answer->is_stamped || !is_success);
-}
-
-static backend_end_t
-judge (const backend_answer_t *answer)
+static answer_facts_t
+facts_of (const backend_answer_t *answer)
 {
-  if (answer->whole && answer->status == MHD_HTTP_MISDIRECTED_REQUEST)
-    return BACKEND_MISTAKEN;
-  if (answer->whole && answer->not_started)
-    return BACKEND_FULL;
-  if (!is_own_answer (answer))
-    return BACKEND_BROKE_OFF;
-  return answer->status >= 500 ? BACKEND_FAILED : BACKEND_ANSWERED;
+  return (answer_facts_t){ .reached = answer->sent,
+                           .whole = answer->whole,
+                           .id_matches = answer->id_matches,
+                           .is_stamped = answer->is_stamped,
+                           .is_encoded = answer->is_encoded,
+                           .not_started = answer->not_started,
+                           .status = answer->status };
 }
 
 /* Whether it may go to another backend server now.  */
@@ -529,8 +529,9 @@
 {
   usec_t now = clock_monotonic ();
   backend_t *backend = exchange->backend;
-  backend_end_t how = judge (answer);
-  bool reached = answer->sent;
+  answer_facts_t facts = facts_of (answer);
+  backend_end_t how = verdict_of (&facts);
+  bool reached = facts.reached;
   exchange->call = NULL;
   LOG_EVENT (LOG_LEVEL_INFO, "backend_answered", LOG_S ("id", exchange->id),
              LOG_S ("backend", backend->record.id),
@@ -542,11 +543,14 @@
              LOG_I ("usec", now - exchange->sent_at));
   if (!reached)
     exchange->n_sent--;
-  else if (how != BACKEND_FULL && how != BACKEND_MISTAKEN)
+  if (verdict_may_have_run (&facts))
     exchange->may_have_run = true;
   exchange->was_full = exchange->was_full || how == BACKEND_FULL;
   exchange->query.tried[exchange->query.n_tried++ % POOL_TRIED_MAX]
       = backend->hash;
+  if (how == BACKEND_ANSWERED)
+    run_estimate_note (&dispatcher->runs, exchange->route, exchange->was_known,
+                       now - exchange->sent_at);
   bool again = how != BACKEND_ANSWERED
                && may_try_again (dispatcher, exchange, how, reached, now);
   backend_pool_ended (dispatcher->pool, backend, how, &answer->load,
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -71,6 +71,7 @@
   backend_t *backend; /* where it is under way; NULL: nowhere */
   backend_call_t *call;
   usec_t sent_at;
+  bool was_known; /* the backend server handled its object before */
 
   exchange_reason_t reason;
   unsigned int status;
--- /dev/null
+++ b/test/unit/test_balance_verdict.c
@@ -0,0 +1,89 @@
+/* What is believed of an answer.  */
+
+#include <glib.h>
+
+#include "balance/verdict.h"
+
+static answer_facts_t
+good_answer (void)
+{
+  return (answer_facts_t){ .reached = true,
+                           .whole = true,
+                           .id_matches = true,
+                           .is_stamped = true,
+                           .status = 200 };
+}
+
+static void
+test_success (void)
+{
+  answer_facts_t facts = good_answer ();
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_ANSWERED);
+  g_assert_true (verdict_may_have_run (&facts));
+}
+
+static void
+test_refusal_is_not_run (void)
+{
+  answer_facts_t facts = good_answer ();
+  facts.status = 503;
+  facts.not_started = true;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_FULL);
+  g_assert_false (verdict_may_have_run (&facts));
+}
+
+/* A second answer to the request before, late on the same connection.  */
+static void
+test_refusal_of_another_request (void)
+{
+  answer_facts_t facts = good_answer ();
+  facts.status = 503;
+  facts.not_started = true;
+  facts.id_matches = false;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+  g_assert_true (verdict_may_have_run (&facts));
+  facts.status = 421;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+  g_assert_true (verdict_may_have_run (&facts));
+}
+
+static void
+test_success_without_signature (void)
+{
+  answer_facts_t facts = good_answer ();
+  facts.is_stamped = false;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+  facts = good_answer ();
+  facts.is_encoded = true;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+}
+
+static void
+test_cut_short (void)
+{
+  answer_facts_t facts = good_answer ();
+  facts.whole = false;
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+  g_assert_true (verdict_may_have_run (&facts));
+}
+
+static void
+test_never_sent (void)
+{
+  answer_facts_t facts = { 0 };
+  g_assert_cmpint (verdict_of (&facts), ==, BACKEND_BROKE_OFF);
+  g_assert_false (verdict_may_have_run (&facts));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/verdict/success", test_success);
+  g_test_add_func ("/verdict/refusal", test_refusal_is_not_run);
+  g_test_add_func ("/verdict/another", test_refusal_of_another_request);
+  g_test_add_func ("/verdict/signature", test_success_without_signature);
+  g_test_add_func ("/verdict/cut-short", test_cut_short);
+  g_test_add_func ("/verdict/never-sent", test_never_sent);
+  return g_test_run ();
+}
