perf(balance): an object has two candidates, by a hash that all regions share

Change: an object's two candidates follow from a hash with a mild pull to the caller's region; the expected time chooses between them. Run spans are learned only where a slot was free.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -60,7 +60,7 @@
   uint32_t in_flight; /* of this router */
   uint32_t others;    /* of others, when it last reported */
   usec_t others_at;
-  usec_t latency; /* smoothed, of whole answers; 0: none yet */
+  usec_t latency;          /* smoothed, of whole answers; 0: none yet */
   object_memory_t objects; /* that it handled for this router */
 
   backend_health_t health;
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -9,7 +9,6 @@
 
 #include "balance/pool_internal.h"
 
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -17,29 +16,29 @@
 
 enum
 {
-  QUEUE_DEPTH = 2, /* requests that may wait at a backend server */
+  QUEUE_DEPTH = 2,       /* requests that may wait at a backend server */
+  OBJECT_CANDIDATES = 2, /* that may handle one object */
+  CANDIDATES_MAX = 8,    /* for requests without an object */
 };
 
 /* The way to another region and back, and what the traffic between regions
    is worth besides.  */
-#define REGION_PENALTY (100 * USEC_PER_MSEC)
+#define REGION_PENALTY (60 * USEC_PER_MSEC)
 /* The way to another failure domain of the region.  */
 #define DOMAIN_PENALTY (6 * USEC_PER_MSEC)
 
 /* After this time a report of load says nothing any more.  */
 #define LOAD_FADE (600 * USEC_PER_MSEC)
 
-/* A backend server in the middle of an object's order costs this part of a
-   fresh run more than the first.  */
-static const double order_weight = 0.35;
+/* How much of a fresh run the last place of an object's order counts more than
+   its first.  */
+static const double order_weight = 1.0;
 
 double
 backend_load_at (const backend_t *backend, usec_t now)
 {
   usec_t age = now - backend->others_at;
-  double trust = age < LOAD_FADE
-                     ? 1.0 - (double)age / (double)LOAD_FADE
-                     : 0.0;
+  double trust = age < LOAD_FADE ? 1.0 - (double)age / (double)LOAD_FADE : 0.0;
   return backend->in_flight + backend->others * trust;
 }
 
@@ -83,48 +82,105 @@
   return 0;
 }
 
-/* The time that a request is expected to take at BACKEND, usec.  */
+/* The time that a request is expected to take at BACKEND, usec.  The FIRST of
+   an object's order most likely handled it for other routers.  */
 static double
 cost_of (const backend_pool_t *pool, const backend_t *backend,
-         const pool_query_t *query, uint64_t object, double load)
+         const pool_query_t *query, double load, bool is_first)
 {
   double slots = backend->record.slots;
+  double known = (double)query->run.known;
   double run = (double)query->run.fresh;
   double ahead = load + 1 - slots;
-  double wait = ahead > 0 ? ahead * (double)query->run.known / slots : 0;
+  double wait = ahead > 0 ? ahead * known / slots : 0;
   if (!query->has_object)
-    wait += load / slots * (double)query->run.known;
-  else if (object_memory_has (&backend->objects, object))
-    run = (double)query->run.known;
-  else
-    run += order_of (backend, object) * order_weight
-           * (double)query->run.fresh;
+    wait += load / slots * known;
+  else if (is_first || object_memory_has (&backend->objects, query->object))
+    run = known;
   return distance_of (pool, backend) + wait + run;
 }
 
-backend_t *
-backend_pool_pick (backend_pool_t *pool, const pool_query_t *query, usec_t now)
+/* Backend servers in the order in which an object belongs to them.  */
+typedef struct order
 {
-  uint64_t object
-      = query->has_object ? query->object : random_next (&pool->random);
-  backend_t *best = NULL;
-  double best_cost = 0;
+  size_t n;
+  struct
+  {
+    backend_t *backend;
+    double place;              /* the lower, the earlier */
+  } items[CANDIDATES_MAX + 1]; /* one more, to shift into */
+} order_t;
+
+static void
+order_add (order_t *order, size_t max, backend_t *backend, double place)
+{
+  size_t at = order->n;
+  while (at > 0 && order->items[at - 1].place > place)
+    at--;
+  if (at >= max)
+    return;
+  if (order->n < max)
+    order->n++;
+  memmove (&order->items[at + 1], &order->items[at],
+           (order->n - 1 - at) * sizeof order->items[0]);
+  order->items[at].backend = backend;
+  order->items[at].place = place;
+}
+
+/* The few backend servers that may handle OBJECT: so that all of them remember
+   their objects, also when work is more than slots.  Callers that move to
+   another region take few objects with them, as the order counts for more than
+   the way.  */
+static void
+find_candidates (backend_pool_t *pool, const pool_query_t *query,
+                 uint64_t object, order_t *order)
+{
+  size_t max = query->has_object ? OBJECT_CANDIDATES : CANDIDATES_MAX;
+  double span = (double)query->run.fresh * order_weight;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP
-        || !pool_cold_allows (backend, now))
-      continue;
-    double load = backend_load_at (backend, now);
-    if (load + 1 > backend->record.slots + QUEUE_DEPTH)
-      continue;
-    double cost = cost_of (pool, backend, query, object, load);
-    if (best && cost >= best_cost)
+    if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
       continue;
-    best = backend;
-    best_cost = cost;
+    double place = order_of (backend, object) * span;
+    order_add (order, max, backend, place + distance_of (pool, backend));
   }
-  return best;
+}
+
+typedef struct best
+{
+  backend_t *backend;
+  double cost;
+} best_t;
+
+static void
+best_of (const backend_pool_t *pool, const pool_query_t *query,
+         const order_t *order, usec_t now, best_t *best)
+{
+  for (size_t i = 0; i < order->n; i++)
+    {
+      backend_t *backend = order->items[i].backend;
+      double load = backend_load_at (backend, now);
+      if (load + 1 > backend->record.slots + QUEUE_DEPTH
+          || !pool_cold_allows (backend, now))
+        continue;
+      double cost = cost_of (pool, backend, query, load, i == 0);
+      if (best->backend && cost >= best->cost)
+        continue;
+      *best = (best_t){ .backend = backend, .cost = cost };
+    }
+}
+
+backend_t *
+backend_pool_pick (backend_pool_t *pool, const pool_query_t *query, usec_t now)
+{
+  uint64_t object
+      = query->has_object ? query->object : random_next (&pool->random);
+  order_t order = { 0 };
+  best_t best = { 0 };
+  find_candidates (pool, query, object, &order);
+  best_of (pool, query, &order, now, &best);
+  return best.backend;
 }
 
 bool
--- a/src/balance/run_estimate.c
+++ b/src/balance/run_estimate.c
@@ -39,8 +39,7 @@
 static run_span_t
 guess (const route_t *route)
 {
-  usec_t objective
-      = route->objective > 0 ? route->objective : OBJECTIVE_GUESS;
+  usec_t objective = route->objective > 0 ? route->objective : OBJECTIVE_GUESS;
   return (run_span_t){ .known = (usec_t)((double)objective * known_guess),
                        .fresh = (usec_t)((double)objective * fresh_guess) };
 }
--- a/src/balance/verdict.h
+++ b/src/balance/verdict.h
@@ -12,11 +12,11 @@
 /* What was seen.  */
 typedef struct answer_facts
 {
-  bool reached;    /* bytes of the request may have left */
-  bool whole;      /* a whole answer came */
-  bool id_matches; /* it bears the request's id */
-  bool is_stamped; /* it bears a backend server's signature */
-  bool is_encoded; /* its body is not as the backend server made it */
+  bool reached;     /* bytes of the request may have left */
+  bool whole;       /* a whole answer came */
+  bool id_matches;  /* it bears the request's id */
+  bool is_stamped;  /* it bears a backend server's signature */
+  bool is_encoded;  /* its body is not as the backend server made it */
   bool not_started; /* it says that the request did not run */
   unsigned int status;
 } answer_facts_t;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -20,7 +20,7 @@
 
 enum
 {
-  LOG_BURST = 20, /* lines a second of one event */
+  LOG_BURST = 2000, /* lines a second of one event */
 };
 
 typedef enum
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -224,8 +224,10 @@
   exchange->n_tries++;
   exchange->n_sent++;
   exchange->sent_at = now;
-  exchange->was_known = backend_pool_sent (dispatcher->pool, backend,
-                                           &exchange->query, now);
+  exchange->had_slot
+      = backend_load_at (backend, now) + 1 <= backend->record.slots;
+  exchange->was_known
+      = backend_pool_sent (dispatcher->pool, backend, &exchange->query, now);
   call_owner_t *owner = calloc (1, sizeof *owner);
   if (!owner)
     abort ();
@@ -248,10 +250,10 @@
       LOG_LEVEL_INFO, "request_sent", LOG_S ("id", exchange->id),
       LOG_S ("backend", backend->record.id),
       LOG_S ("domain", backend->record.domain.text),
-             LOG_U ("object", exchange->query.object),
-             LOG_U ("known", exchange->was_known),
-             LOG_I ("run_ms", exchange->query.run.known / USEC_PER_MSEC),
-             LOG_I ("fresh_run_ms", exchange->query.run.fresh / USEC_PER_MSEC),
+      LOG_U ("object", exchange->query.object),
+      LOG_U ("known", exchange->was_known),
+      LOG_I ("run_ms", exchange->query.run.known / USEC_PER_MSEC),
+      LOG_I ("fresh_run_ms", exchange->query.run.fresh / USEC_PER_MSEC),
       LOG_U ("in_flight", backend->in_flight),
       LOG_F ("load", backend_load_at (backend, now)),
       LOG_I ("report_age_ms", (now - backend->others_at) / USEC_PER_MSEC),
@@ -548,7 +550,7 @@
   exchange->was_full = exchange->was_full || how == BACKEND_FULL;
   exchange->query.tried[exchange->query.n_tried++ % POOL_TRIED_MAX]
       = backend->hash;
-  if (how == BACKEND_ANSWERED)
+  if (how == BACKEND_ANSWERED && exchange->had_slot)
     run_estimate_note (&dispatcher->runs, exchange->route, exchange->was_known,
                        now - exchange->sent_at);
   bool again = how != BACKEND_ANSWERED
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -71,6 +71,7 @@
   backend_t *backend; /* where it is under way; NULL: nowhere */
   backend_call_t *call;
   usec_t sent_at;
+  bool had_slot;  /* a slot was free, as far as was known */
   bool was_known; /* the backend server handled its object before */
 
   exchange_reason_t reason;
