feat(director,router): a disk that refused writes is used again; a stop refuses what it would cut

Cause: a replica whose disk failed once stayed halted until its process started again, so full disks on a few VMs, one after the other, would end all agreement.

Change: the director opens its data folder again every second; the replica then writes all it read anew before it tells anything of it. A stop has phases (stop_plan, pure): serve, refuse at once, end.

--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -74,6 +74,11 @@
   replica->is_dirty = false;
   replica->stored_last = replica->last;
   replica->synced_last = replica->last;
+  if (!replica->options.rewrites)
+    return;
+  replica->is_dirty = true;
+  replica->is_replacing = true;
+  replica->synced_last = 0;
 }
 
 replica_t *
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -67,6 +67,9 @@
   uint32_t snapshot_entries; /* applied between two snapshots */
   size_t snapshot_bytes;     /* or so many bytes of them */
   uint64_t seed;
+  /* The image was read after a failed write or sync, so that what it holds
+     may not be on disk: all of it is written anew before anything is told. */
+  bool rewrites;
 } replica_options_t;
 
 typedef enum
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "agreement/storage.h"
 #include "agreement/storage_thread.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
@@ -21,6 +22,8 @@
 #define CORE_TICK (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
+/* A disk that refused a write may be full for a while.  */
+#define REOPEN_INTERVAL USEC_PER_SEC
 /* A call to a peer that takes longer is lost; shorter than an election.  */
 #define PEER_TIMEOUT (400 * USEC_PER_MSEC)
 
@@ -82,9 +85,12 @@
   _Atomic usec_t list_read_at; /* for the list reader; 0: never */
   _Atomic slot_t slot;         /* for the list reader */
 
+  storage_t *storage; /* NULL while the disk is lost */
   storage_thread_t *disk;
+  replica_image_t image; /* as read, until the replica takes it over */
   uint64_t synced;
-  bool is_halted;
+  usec_t reopen_at;   /* when the disk is lost: the next try */
+  bool has_lost_disk; /* at some time since the start */
   replica_t *replica; /* NULL until the roster is known */
   replica_role_t role;
   slot_t leader;  /* as last logged */
@@ -113,12 +119,21 @@
 };
 
 /* director_core.c */
+/* Called on the storage thread: something was synced or has failed.  */
+void core_on_disk (void *closure);
 /* Post ITEM, malloc'd; false where the mailbox is full.  */
 bool core_post (director_core_t *core, item_t *item);
 item_t *core_item (item_kind_t kind);
 void core_step (director_core_t *core, const event_t *event);
 
 /* core_replica.c */
+/* Open the data folder; false with ERR_STORAGE or ERR_IO.  */
+bool core_replica_open_disk (director_core_t *core, err_t *err);
+/* The disk failed: nothing that was told of it holds any more.  */
+void core_replica_lose_disk (director_core_t *core, usec_t now);
+/* While the disk is lost: try to go on from what it holds.  */
+void core_replica_regain_disk (director_core_t *core, usec_t now);
+void core_replica_close_disk (director_core_t *core);
 void core_replica_open (director_core_t *core);
 void core_replica_perform (director_core_t *core, list_t *actions);
 void core_replica_write (director_core_t *core);
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -3,25 +3,107 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "config_codec.h"
+#include "director/roster_file.h"
 
 /* Heartbeats cross regions and are paid by the byte.  */
 #define DIRECTOR_HEARTBEAT (100 * USEC_PER_MSEC)
-#define DIRECTOR_ELECTION (600 * USEC_PER_MSEC)
+#define DIRECTOR_ELECTION (500 * USEC_PER_MSEC)
+
+bool
+core_replica_open_disk (director_core_t *core, err_t *err)
+{
+  const char *folder = core->options.settings->data_folder;
+  roster_t roster;
+  if (!roster_file_load (folder, &roster, err))
+    return false;
+  core->storage = storage_open (folder, &core->image, err);
+  if (!core->storage)
+    return false;
+  const storage_thread_options_t options
+      = { .storage = core->storage, .wake = core_on_disk, .closure = core };
+  core->disk = storage_thread_start (&options, err);
+  if (!core->disk)
+    return false;
+  if (roster.n_slots > 0)
+    core->roster = roster;
+  core->synced = 0;
+  return true;
+}
+
+void
+core_replica_close_disk (director_core_t *core)
+{
+  list_t *link;
+  while ((link = list_pop_front (&core->records)))
+    action_free (LIST_ENTRY (link, action_t, link));
+  if (core->replica)
+    replica_free (core->replica);
+  core->replica = NULL;
+  if (core->disk)
+    storage_thread_stop (core->disk);
+  core->disk = NULL;
+  if (core->storage)
+    storage_close (core->storage);
+  core->storage = NULL;
+}
+
+void
+core_replica_lose_disk (director_core_t *core, usec_t now)
+{
+  LOG_EVENT (LOG_LEVEL_ERROR, "disk_lost",
+             LOG_S ("folder", core->options.settings->data_folder),
+             LOG_S ("remedy", "give the data folder space, or another disk"));
+  if (core->replica)
+    {
+      event_t event = { .kind = EVENT_DISK_FAILED };
+      core_step (core, &event);
+    }
+  core_replica_close_disk (core);
+  core->leader = SLOT_NONE;
+  core->role = ROLE_HALTED;
+  core->confirmed_at = 0;
+  core->confirm_index = 0;
+  core->reopen_at = now + REOPEN_INTERVAL;
+  core->has_lost_disk = true;
+  atomic_store (&core->is_leader, false);
+}
+
+/* What the disk holds is what this replica has promised, so it goes on from
+   there as after a restart.  */
+void
+core_replica_regain_disk (director_core_t *core, usec_t now)
+{
+  err_t err = { 0 };
+  if (now < core->reopen_at)
+    return;
+  core->reopen_at = now + REOPEN_INTERVAL;
+  if (!core_replica_open_disk (core, &err))
+    {
+      log_error (LOG_LEVEL_WARNING, "disk_not_regained", &err);
+      core_replica_close_disk (core);
+      return;
+    }
+  LOG_EVENT (LOG_LEVEL_INFO, "disk_regained",
+             LOG_S ("folder", core->options.settings->data_folder));
+  core->applied = 0;
+  core_replica_open (core);
+}
 
 /* Once this director has a slot.  */
 void
 core_replica_open (director_core_t *core)
 {
   slot_t slot = roster_slot (&core->roster, core->self);
-  if (slot == SLOT_NONE || core->replica)
+  if (slot == SLOT_NONE || core->replica || !core->disk)
     return;
-  const replica_options_t options = { .slot = slot,
-                                      .n_slots = (uint8_t)core->roster.n_slots,
-                                      .heartbeat = DIRECTOR_HEARTBEAT,
-                                      .election = DIRECTOR_ELECTION,
-                                      .seed = core->options.seed };
-  core->replica
-      = replica_new (&options, core->options.image, clock_monotonic ());
+  const replica_options_t options
+      = { .slot = slot,
+          .n_slots = (uint8_t)core->roster.n_slots,
+          .heartbeat = DIRECTOR_HEARTBEAT,
+          .election = DIRECTOR_ELECTION,
+          .seed = core->options.seed + (uint64_t)clock_wall (),
+          .rewrites = core->has_lost_disk };
+  core->replica = replica_new (&options, &core->image, clock_monotonic ());
   atomic_store (&core->slot, slot);
   LOG_EVENT (LOG_LEVEL_INFO, "replica_opened", LOG_U ("slot", slot),
              LOG_U ("slots", core->roster.n_slots));
@@ -89,7 +171,7 @@
 core_replica_write (director_core_t *core)
 {
   list_t *link;
-  while ((link = list_pop_front (&core->records)))
+  while (core->disk && (link = list_pop_front (&core->records)))
     {
       action_t *action = LIST_ENTRY (link, action_t, link);
       if (!storage_thread_write (core->disk, &action->body.persist))
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -32,9 +32,8 @@
   return ok;
 }
 
-/* Called on the storage thread.  */
-static void
-on_disk (void *closure)
+void
+core_on_disk (void *closure)
 {
   item_t *item = core_item (ITEM_WAKE);
   if (!core_post (closure, item))
@@ -42,22 +41,21 @@
 }
 
 static void
-take_disk (director_core_t *core)
+take_disk (director_core_t *core, usec_t now)
 {
+  if (!core->disk)
+    {
+      core_replica_regain_disk (core, now);
+      return;
+    }
   core_replica_write (core);
-  if (!core->replica || core->is_halted)
-    return;
   if (storage_thread_failed (core->disk))
     {
-      core->is_halted = true;
-      LOG_EVENT (LOG_LEVEL_ERROR, "disk_lost",
-                 LOG_S ("remedy", "mend the data folder's disk"));
-      event_t event = { .kind = EVENT_DISK_FAILED };
-      core_step (core, &event);
+      core_replica_lose_disk (core, now);
       return;
     }
   uint64_t synced = storage_thread_synced (core->disk);
-  if (synced == core->synced)
+  if (!core->replica || synced == core->synced)
     return;
   core->synced = synced;
   event_t event = { .kind = EVENT_SYNCED, .body.synced = synced };
@@ -143,7 +141,7 @@
   switch (item->kind)
     {
     case ITEM_WAKE:
-      take_disk (core);
+      take_disk (core, now);
       break;
     case ITEM_AGREE:
       take_agree (core, item->body.message);
@@ -190,7 +188,7 @@
 static void
 tick (director_core_t *core, usec_t now)
 {
-  take_disk (core);
+  take_disk (core, now);
   if (core->replica)
     {
       event_t event = { .kind = EVENT_TICK };
@@ -290,7 +288,6 @@
     abort ();
   core->options = *options;
   inet_parse_address (&core->self, options->settings->address);
-  core->roster = options->roster;
   core->leader = SLOT_NONE;
   atomic_store (&core->slot, SLOT_NONE);
   list_init (&core->mailbox);
@@ -298,16 +295,15 @@
   list_init (&core->orders);
   pthread_mutex_init (&core->lock, NULL);
   pthread_cond_init (&core->changed, NULL);
+  if (!core_replica_open_disk (core, err))
+    return NULL;
   former_open (core);
   core_replica_open (core);
   core_peers_register (core);
-  const storage_thread_options_t disk
-      = { .storage = options->storage, .wake = on_disk, .closure = core };
-  core->disk = storage_thread_start (&disk, err);
-  if (core->disk && pthread_create (&core->thread, NULL, core_run, core) == 0)
+  if (pthread_create (&core->thread, NULL, core_run, core) == 0)
     return core;
   err_set (err, ERR_IO, "raise the limit of threads",
-           "no threads for the director's core");
+           "no thread for the director's core");
   return NULL;
 }
 
@@ -319,17 +315,12 @@
   pthread_cond_signal (&core->changed);
   pthread_mutex_unlock (&core->lock);
   pthread_join (core->thread, NULL);
-  storage_thread_stop (core->disk);
+  core_replica_close_disk (core);
 }
 
 void
 director_core_free (director_core_t *core)
 {
-  list_t *link;
-  while ((link = list_pop_front (&core->records)))
-    action_free (LIST_ENTRY (link, action_t, link));
-  if (core->replica)
-    replica_free (core->replica);
   director_state_clear (&core->state);
   backend_list_clear (&core->list);
   pthread_cond_destroy (&core->changed);
--- a/src/director/director_core.h
+++ b/src/director/director_core.h
@@ -8,7 +8,6 @@
 #ifndef DIRECTOR_DIRECTOR_CORE_H
 #define DIRECTOR_DIRECTOR_CORE_H
 
-#include "agreement/storage.h"
 #include "director/director_order.h"
 #include "director/lookup.h"
 #include "director/roster.h"
@@ -22,14 +21,12 @@
 {
   const fleet_settings_t *settings;
   rpc_t *rpc;             /* not started yet */
-  storage_t *storage;     /* stays the caller's, but untouched */
-  replica_image_t *image; /* its references pass to the thread */
-  roster_t roster;        /* as it was on disk */
   lookup_view_t *lookups; /* kept up to date */
   uint64_t seed;
 } director_core_options_t;
 
-/* Registers its RPC procedures; NULL with ERR_IO.  */
+/* Opens the data folder and registers the RPC procedures; NULL with
+   ERR_STORAGE or ERR_IO.  */
 director_core_t *director_core_start (const director_core_options_t *options,
                                       err_t *err);
 
--- a/src/director/main_director.c
+++ b/src/director/main_director.c
@@ -13,7 +13,6 @@
 #include "director/director_core.h"
 #include "director/director_port.h"
 #include "director/list_reader.h"
-#include "director/roster_file.h"
 #include "settings/fleet_program.h"
 #include "wire/metrics_page.h"
 #include "wire/rpc_metrics.h"
@@ -27,7 +26,6 @@
 typedef struct director
 {
   lookup_view_t *lookups;
-  storage_t *storage;
   rpc_t *rpc;
   director_core_t *core;
   list_reader_t *reader;
@@ -53,18 +51,10 @@
 open_core (director_t *director, const fleet_program_t *program, err_t *err)
 {
   const char *folder = program->settings->data_folder;
-  replica_image_t image;
-  roster_t roster;
-  if (!make_folder (folder, err) || !roster_file_load (folder, &roster, err))
-    return false;
-  director->storage = storage_open (folder, &image, err);
-  if (!director->storage)
+  if (!make_folder (folder, err))
     return false;
   const director_core_options_t options = { .settings = program->settings,
                                             .rpc = director->rpc,
-                                            .storage = director->storage,
-                                            .image = &image,
-                                            .roster = roster,
                                             .lookups = director->lookups,
                                             .seed = program->incarnation };
   director->core = director_core_start (&options, err);
@@ -127,8 +117,6 @@
     rpc_close (director->rpc);
   if (director->core)
     director_core_free (director->core);
-  if (director->storage)
-    storage_close (director->storage);
   lookup_view_free (director->lookups);
   metrics_free (director->metrics);
 }
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -59,6 +59,7 @@
   size_t n_splits; /* routes of the configuration in force */
   split_state_t *splits;
   run_estimate_t runs;
+  bool refuses; /* new requests */
 };
 
 /* A probe of a backend server that is down; tells them from exchanges.  */
@@ -419,6 +420,11 @@
   list_push_back (&dispatcher->under_way, &exchange->link);
   dispatcher->n_exchanges++;
   exchange->view = view_ref (dispatcher->view);
+  if (dispatcher->refuses)
+    {
+      end (dispatcher, exchange, REASON_STOPPING);
+      return;
+    }
   const route_config_t *config = exchange->view->config;
   if (!config || !sync_is_settled (dispatcher->options.sync, now))
     {
@@ -741,6 +747,12 @@
          && sync_is_settled (dispatcher->options.sync, now);
 }
 
+void
+dispatcher_refuse_new (dispatcher_t *dispatcher)
+{
+  dispatcher->refuses = true;
+}
+
 size_t
 dispatcher_under_way (const dispatcher_t *dispatcher)
 {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -45,6 +45,9 @@
 /* Whether requests can be served.  */
 bool dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now);
 
+/* From now on refuse every new request; the process is about to end.  */
+void dispatcher_refuse_new (dispatcher_t *dispatcher);
+
 /* Requests that have not ended.  */
 size_t dispatcher_under_way (const dispatcher_t *dispatcher);
 
--- a/src/router/traffic.c
+++ b/src/router/traffic.c
@@ -12,14 +12,9 @@
 #include "router/caller_http.h"
 #include "router/dispatcher.h"
 #include "router/readiness_port.h"
+#include "router/stop_plan.h"
 #include "router/sync.h"
 
-/* A stop ends so long before the kill.  */
-#define STOP_MARGIN (500 * USEC_PER_MSEC)
-/* A process that stops serves callers that have not heard of it yet for this
-   part of the span until it is killed.  */
-static const double linger_part = 0.75;
-
 struct traffic
 {
   traffic_options_t options;
@@ -104,28 +99,23 @@
   sync_set_takes_requests (traffic->sync, is_ready);
 }
 
-static void
-begin_stop (traffic_t *traffic, usec_t now)
-{
-  if (traffic->stop_at != 0 || !atomic_load (&traffic->stops))
-    return;
-  traffic->stop_at = now;
-  caller_http_leave (traffic->port);
-}
-
-/* Callers keep the answer of a look-up for a while, so requests are still
-   taken until most of the time to the kill is over.  */
+/* True where the process ends now.  */
 static bool
-may_end (const traffic_t *traffic, usec_t now)
+follow_stop (traffic_t *traffic, usec_t now)
 {
-  if (traffic->stop_at == 0)
+  if (!atomic_load (&traffic->stops))
     return false;
-  usec_t grace = traffic->options.settings->bounds.grace;
-  usec_t span = now - traffic->stop_at;
-  if (span >= grace - STOP_MARGIN)
-    return true;
-  return span >= (usec_t)((double)grace * linger_part)
-         && dispatcher_under_way (traffic->dispatcher) == 0;
+  if (traffic->stop_at == 0)
+    {
+      traffic->stop_at = now;
+      caller_http_leave (traffic->port);
+    }
+  stop_phase_t phase = stop_plan_phase (
+      now - traffic->stop_at, traffic->options.settings->bounds.grace,
+      dispatcher_under_way (traffic->dispatcher));
+  if (phase == STOP_REFUSES)
+    dispatcher_refuse_new (traffic->dispatcher);
+  return phase == STOP_ENDS;
 }
 
 static usec_t
@@ -145,7 +135,7 @@
       if (loop_wait (traffic->loop, wait, &event))
         take_event (traffic, &event);
       usec_t now = clock_monotonic ();
-      begin_stop (traffic, now);
+      bool ends = follow_stop (traffic, now);
       sync_tick (traffic->sync, now);
       if (atomic_exchange (&traffic->has_news, false))
         dispatcher_update (traffic->dispatcher);
@@ -154,7 +144,7 @@
       caller_http_run (traffic->port);
       wait = shorter (wait, caller_http_wait (traffic->port));
       wait = shorter (wait, sync_due (traffic->sync) - now);
-      if (may_end (traffic, now))
+      if (ends)
         return NULL;
     }
 }
