--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -143,7 +143,7 @@
   trap '' XFSZ
   ulimit -f 64
   exec "$BUILD/mulberry-control" -s "$SETTINGS" -v "$1"
-) >/dev/null 2>"$FOLDER/full.log" &
+) >"$FOLDER/full.log" 2>&1 &
 PIDS[control-$1]=$!
 filled() {
   N=$((N + 1))
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -496,6 +496,39 @@
   sheet_registry_free (registry);
 }
 
+/* What was read after a failed sync may not be on disk: nothing is told of it
+   before all of it was written anew.  */
+static void
+test_reopened_disk_is_written_anew (void)
+{
+  cluster_t *cluster = settled_new (1);
+  accept_next (cluster, 0);
+  replica_image_t image = { .incarnation = 5 };
+  list_init (&image.log);
+  image.snapshot.config = replica_status (cluster->nodes[0].replica).config;
+  image.snapshot.config.incarnation[0] = 5;
+  const replica_options_t options
+      = { .n_slots = NODES, .seed = 1, .rewrites = true };
+  replica_t *replica = replica_new (&options, &image, USEC_PER_SEC);
+  list_t actions;
+  list_init (&actions);
+  const event_t tick = { .kind = EVENT_TICK };
+  replica_step (replica, 2 * USEC_PER_SEC, &tick, &actions);
+  bool has_written = false;
+  LIST_FOREACH (link, &actions)
+  {
+    action_t *action = LIST_ENTRY (link, action_t, link);
+    g_assert_cmpint (action->kind, !=, ACTION_SEND);
+    has_written
+        = has_written
+          || (action->kind == ACTION_PERSIST && action->body.persist.replaces);
+    action_free (action);
+  }
+  g_assert_true (has_written);
+  replica_free (replica);
+  settled_free (cluster);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -510,6 +543,8 @@
                    test_lost_majority_never_starts_anew);
   g_test_add_func ("/agreement/replica/disk-failed",
                    test_failed_disk_halts_the_replica);
+  g_test_add_func ("/agreement/replica/reopened",
+                   test_reopened_disk_is_written_anew);
   g_test_add_func ("/agreement/replica/thaw",
                    test_thawed_leader_steps_down_first);
   g_test_add_func ("/agreement/replica/overwritten-swap",
--- /dev/null
+++ b/test/unit/test_balance_pool.c
@@ -0,0 +1,399 @@
+/* Which backend server a request goes to: each test replays one load pattern
+   against the pool alone.  */
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "balance/backend_pool.h"
+#include "fleet/backend_list.h"
+
+enum
+{
+  DOMAINS = 6,
+  SLOTS = 3,
+  MEMORY = 25, /* objects that a backend server remembers */
+};
+
+#define NOW (100 * USEC_PER_SEC)
+
+static const char *const domain_names[DOMAINS]
+    = { "north-a", "north-b", "east-a", "east-b", "south-a", "south-b" };
+static const char *const region_names[DOMAINS]
+    = { "north", "north", "east", "east", "south", "south" };
+static const size_t backends_of[DOMAINS] = { 1, 1, 2, 2, 3, 3 };
+
+typedef struct world
+{
+  fleet_settings_t settings;
+  backend_list_t list;
+  service_config_t service;
+  route_config_t config;
+  route_t route;
+  pool_router_t routers[9];
+  size_t n_routers;
+  name_t evacuated;
+  bool is_evacuated;
+} world_t;
+
+static void
+world_init (world_t *world)
+{
+  *world = (world_t){ 0 };
+  fleet_settings_t *settings = &world->settings;
+  strcpy (settings->address, "10.0.0.1");
+  strcpy (settings->region.text, "north");
+  strcpy (settings->domain.text, "north-a");
+  settings->n_domains = DOMAINS;
+  for (size_t i = 0; i < DOMAINS; i++)
+    {
+      strcpy (settings->domains[i].name.text, domain_names[i]);
+      strcpy (settings->domains[i].region.text, region_names[i]);
+    }
+  strcpy (world->service.name.text, "search");
+  world->service.cold_rate = 5;
+  world->config = (route_config_t){ .version = 1,
+                                    .n_services = 1,
+                                    .services = &world->service };
+  world->route = (route_t){ .attempts = 2, .has_affinity = true };
+}
+
+static void
+add_backend (world_t *world, size_t domain, unsigned number)
+{
+  backend_record_t record = { .slots = SLOTS, .started_at = 1 };
+  snprintf (record.id, sizeof record.id, "%s-%u", domain_names[domain],
+            number);
+  strcpy (record.service.text, "search");
+  strcpy (record.domain.text, domain_names[domain]);
+  record.address = (inet_t){ .address = number + 1, .port = 80 };
+  backend_list_add (&world->list, &record);
+}
+
+static void
+add_backends (world_t *world)
+{
+  for (size_t domain = 0; domain < DOMAINS; domain++)
+    for (unsigned i = 0; i < backends_of[domain]; i++)
+      add_backend (world, domain, i);
+  backend_list_seal (&world->list);
+  world->list.read_at = NOW;
+}
+
+static void
+update (world_t *world, backend_pool_t *pool, usec_t now)
+{
+  const pool_update_t change = { .list = &world->list,
+                                 .config = &world->config,
+                                 .evacuated = &world->evacuated,
+                                 .n_evacuated = world->is_evacuated,
+                                 .routers = world->routers,
+                                 .n_routers = world->n_routers };
+  backend_pool_update (pool, &change, now);
+}
+
+static backend_pool_t *
+pool_open (world_t *world)
+{
+  const backend_pool_options_t options
+      = { .settings = &world->settings, .seed = 7 };
+  backend_pool_t *pool = backend_pool_new (&options);
+  update (world, pool, NOW);
+  return pool;
+}
+
+static void
+world_clear (world_t *world)
+{
+  backend_list_clear (&world->list);
+}
+
+static pool_query_t
+query_of (world_t *world, uint64_t object)
+{
+  return (pool_query_t){ .service = "search",
+                         .route = &world->route,
+                         .has_object = true,
+                         .object = object * 0x9e3779b97f4a7c15u,
+                         .run = { .known = 100 * USEC_PER_MSEC,
+                                  .fresh = 300 * USEC_PER_MSEC } };
+}
+
+static void
+end_whole (backend_pool_t *pool, backend_t *backend, usec_t now)
+{
+  backend_load_t load = { 0 };
+  backend_pool_ended (pool, backend, BACKEND_ANSWERED, &load,
+                      100 * USEC_PER_MSEC, now);
+}
+
+/* Routers in all regions see the same objects, many of them at once.  However
+   full the slots are, no backend server gets more objects than it remembers.
+ */
+static void
+test_objects_stay_with_few (void)
+{
+  enum
+  {
+    OBJECTS = 72,
+    ROUNDS = 40,
+  };
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  GHashTable *pairs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  static const size_t homes[] = { 0, 2, 4 };
+  for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
+    {
+      strcpy (world.settings.region.text, region_names[homes[region]]);
+      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      backend_pool_t *pool = pool_open (&world);
+      usec_t now = NOW;
+      for (int i = 0; i < OBJECTS * ROUNDS; i++)
+        {
+          uint64_t number = (uint64_t)(i % OBJECTS) + 1;
+          pool_query_t query = query_of (&world, number);
+          now += 10 * USEC_PER_MSEC;
+          backend_t *backend = backend_pool_pick (pool, &query, now);
+          g_assert_nonnull (backend);
+          backend_pool_sent (pool, backend, &query, now);
+          g_hash_table_add (pairs,
+                            g_strdup_printf ("%s %" G_GUINT64_FORMAT,
+                                             backend->record.id, number));
+          end_whole (pool, backend, now);
+        }
+      backend_pool_free (pool);
+    }
+  /* Three regions choose between two candidates of one order.  */
+  g_assert_cmpuint (g_hash_table_size (pairs), <=, 12 * MEMORY);
+  g_hash_table_unref (pairs);
+  world_clear (&world);
+}
+
+/* A request of an object goes where the object ran, as long as there is a
+   slot.  */
+static void
+test_object_returns (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  backend_pool_t *pool = pool_open (&world);
+  for (uint64_t number = 1; number <= 20; number++)
+    {
+      pool_query_t query = query_of (&world, number);
+      backend_t *first = backend_pool_pick (pool, &query, NOW);
+      backend_pool_sent (pool, first, &query, NOW);
+      end_whole (pool, first, NOW);
+      for (int i = 0; i < 5; i++)
+        g_assert_true (backend_pool_pick (pool, &query, NOW) == first);
+    }
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* Work above all slots: what waits at a backend server is bounded, the rest
+   stays with the router.  */
+static void
+test_full_backends_take_no_more (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  backend_pool_t *pool = pool_open (&world);
+  pool_query_t query = query_of (&world, 1);
+  int n = 0;
+  backend_t *backend;
+  while ((backend = backend_pool_pick (pool, &query, NOW)) && n < 1000)
+    {
+      backend_pool_sent (pool, backend, &query, NOW);
+      n++;
+    }
+  g_assert_cmpint (n, >=, 2 * SLOTS);
+  g_assert_cmpint (n, <=, 2 * (SLOTS + 2));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+static backend_t *
+pick_any (world_t *world, backend_pool_t *pool, uint64_t object, usec_t now)
+{
+  pool_query_t query = query_of (world, object);
+  return backend_pool_pick (pool, &query, now);
+}
+
+static void
+test_evacuated_domain_gets_nothing (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  backend_pool_t *pool = pool_open (&world);
+  strcpy (world.evacuated.text, "south-a");
+  world.is_evacuated = true;
+  update (&world, pool, NOW);
+  for (uint64_t object = 1; object <= 200; object++)
+    g_assert_cmpstr (pick_any (&world, pool, object, NOW)->record.domain.text,
+                     !=, "south-a");
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* A draining backend server gets nothing new, also where an older list that
+   comes late shows it as ready.  */
+static void
+test_draining_never_goes_back (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_seal (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  g_assert_nonnull (pick_any (&world, pool, 1, NOW));
+  world.list.records[0].is_draining = true;
+  update (&world, pool, NOW);
+  g_assert_null (pick_any (&world, pool, 1, NOW));
+  world.list.records[0].is_draining = false;
+  update (&world, pool, NOW);
+  g_assert_null (pick_any (&world, pool, 1, NOW));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* It starts again under its id: what was known of it does not hold.  */
+static void
+test_restart_under_the_same_id (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_seal (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  world.list.records[0].is_draining = true;
+  update (&world, pool, NOW);
+  world.list.records[0].is_draining = false;
+  world.list.records[0].started_at = 2;
+  update (&world, pool, NOW);
+  g_assert_nonnull (pick_any (&world, pool, 1, NOW));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+static void
+test_homes_bind (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  name_t home = { "east" };
+  world.route.n_homes = 1;
+  world.route.homes = &home;
+  backend_pool_t *pool = pool_open (&world);
+  for (uint64_t object = 1; object <= 100; object++)
+    g_assert_cmpstr (pick_any (&world, pool, object, NOW)->region.text, ==,
+                     "east");
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* Two broken connections in a row; a probe brings it back.  */
+static void
+test_crash_and_return (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_seal (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  backend_load_t load = { 0 };
+  for (int i = 0; i < 2; i++)
+    {
+      pool_query_t query = query_of (&world, 1);
+      backend_t *backend = backend_pool_pick (pool, &query, NOW);
+      backend_pool_sent (pool, backend, &query, NOW);
+      backend_pool_ended (pool, backend, BACKEND_BROKE_OFF, &load, 0, NOW);
+    }
+  g_assert_null (pick_any (&world, pool, 1, NOW));
+  g_assert_null (backend_pool_due_probe (pool, NOW));
+  usec_t later = NOW + USEC_PER_SEC;
+  backend_t *probed = backend_pool_due_probe (pool, later);
+  g_assert_nonnull (probed);
+  g_assert_null (backend_pool_due_probe (pool, later));
+  backend_pool_probed (pool, probed, true, 0, later);
+  g_assert_nonnull (pick_any (&world, pool, 1, later));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* A failure domain comes back cold: all routers of its region together stay
+   below the rate that a cold backend server bears, in any second.  */
+static void
+test_cold_rate_over_all_routers (void)
+{
+  enum
+  {
+    ROUTERS = 5,
+    STEPS = 300,
+  };
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  world.list.records[0].cold_left = 10 * USEC_PER_SEC;
+  backend_list_seal (&world.list);
+  world.list.read_at = NOW;
+  world.n_routers = ROUTERS;
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      world.routers[i].address = 0x0a000001 + i;
+      strcpy (world.routers[i].region.text, "north");
+    }
+  int sent[STEPS] = { 0 };
+  for (unsigned i = 0; i < ROUTERS; i++)
+    {
+      snprintf (world.settings.address, sizeof world.settings.address,
+                "10.0.0.%u", i + 1);
+      backend_pool_t *pool = pool_open (&world);
+      for (int step = 0; step < STEPS; step++)
+        {
+          usec_t now = NOW + step * 10 * USEC_PER_MSEC;
+          pool_query_t query = query_of (&world, 1);
+          backend_t *backend = backend_pool_pick (pool, &query, now);
+          if (!backend)
+            continue;
+          backend_pool_sent (pool, backend, &query, now);
+          end_whole (pool, backend, now);
+          sent[step]++;
+        }
+      backend_pool_free (pool);
+    }
+  int total = 0;
+  for (int step = 0; step < STEPS; step++)
+    total += sent[step];
+  g_assert_cmpint (total, >, 0);
+  for (int from = 0; from + 100 <= STEPS; from++)
+    {
+      int n = 0;
+      for (int step = from; step < from + 100; step++)
+        n += sent[step];
+      /* 5 a second, with the overshoot and slack of the smallest site.  */
+      g_assert_cmpint (n, <=, 5 * 3 / 2 + 5);
+    }
+  world_clear (&world);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/pool/objects-few", test_objects_stay_with_few);
+  g_test_add_func ("/pool/object-returns", test_object_returns);
+  g_test_add_func ("/pool/full", test_full_backends_take_no_more);
+  g_test_add_func ("/pool/evacuated", test_evacuated_domain_gets_nothing);
+  g_test_add_func ("/pool/draining", test_draining_never_goes_back);
+  g_test_add_func ("/pool/restart", test_restart_under_the_same_id);
+  g_test_add_func ("/pool/homes", test_homes_bind);
+  g_test_add_func ("/pool/crash", test_crash_and_return);
+  g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/unit/test_platform_codec.c
@@ -0,0 +1,206 @@
+/* What the platform writes, good and bad.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "backend_list_codec.h"
+#include "config_codec.h"
+#include "fleet/backend_list.h"
+#include "lookup_codec.h"
+#include "routing/route_config.h"
+
+#define SERVICES                                                              \
+  "\"services\":{\"search\":{\"health_path\":\"/health\",\"max_conns\":330,"  \
+  "\"protocol\":\"h1\",\"tls\":false,\"cold_start\":\"3s\",\"cold_per_s\":"   \
+  "5.2},\"chart\":{\"health_path\":\"/h\",\"max_conns\":10}}"
+
+#define LIMITS                                                                \
+  "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1000,"           \
+  "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15s\"}"
+
+#define ROUTE(kind, target, attempts)                                         \
+  "\"routes\":{\"r-1\":{\"host\":\"a.example\",\"path_prefix\":\"/x/\","      \
+  "\"route_kind\":\"" kind "\",\"timeout\":\"800ms\",\"target_latency\":"     \
+  "\"0.25s\",\"priority\":2," target ",\"attempts\":" attempts                \
+  ",\"sticky\":true,\"home_regions\":[\"north\"]}}"
+
+#define CONFIG(route)                                                         \
+  "{\"version\":\"0000001f\"," route "," SERVICES "," LIMITS "}"
+
+static route_config_t *
+read_config (const char *text)
+{
+  return config_codec_read (text, strlen (text), NULL);
+}
+
+static void
+test_config_is_read (void)
+{
+  route_config_t *config = read_config (
+      CONFIG (ROUTE ("idempotent",
+                     "\"traffic_split\":[{\"service\":\"search\",\"weight\":"
+                     "90},{\"service\":\"chart\",\"weight\":10}]",
+                     "2")));
+  g_assert_nonnull (config);
+  g_assert_cmpuint (config->version, ==, 31);
+  g_assert_cmpuint (config->n_routes, ==, 1);
+  const route_t *route = &config->routes[0];
+  g_assert_cmpstr (route->host, ==, "a.example");
+  g_assert_cmpstr (route->prefix, ==, "/x/");
+  g_assert_true (route->is_idempotent);
+  g_assert_true (route->has_affinity);
+  g_assert_cmpint (route->timeout, ==, 800 * USEC_PER_MSEC);
+  g_assert_cmpint (route->objective, ==, 250 * USEC_PER_MSEC);
+  g_assert_cmpuint (route->priority, ==, 2);
+  g_assert_cmpuint (route->attempts, ==, 2);
+  g_assert_cmpuint (route->n_shares, ==, 2);
+  g_assert_cmpfloat (route->shares[1].weight, ==, 10);
+  g_assert_cmpuint (route->n_homes, ==, 1);
+  const service_config_t *service = route_config_service (config, "search");
+  g_assert_cmpint (service->cold_start, ==, 3 * USEC_PER_SEC);
+  g_assert_cmpint (config->limits.idle_timeout, ==, 15 * USEC_PER_SEC);
+  g_assert_true (route_config_check (config, NULL));
+  route_config_free (config);
+}
+
+static void
+test_config_cut_short (void)
+{
+  const char *whole
+      = CONFIG (ROUTE ("non_idempotent", "\"service\":\"search\"", "1"));
+  for (size_t n = 0; n < strlen (whole); n++)
+    g_assert_null (config_codec_read (whole, n, NULL));
+  route_config_t *config = read_config (whole);
+  g_assert_nonnull (config);
+  g_assert_false (config->routes[0].is_idempotent);
+  route_config_free (config);
+}
+
+/* Either it can't be read, or its check refuses it.  */
+static void
+assert_refused (const char *text)
+{
+  err_t err = { 0 };
+  route_config_t *config = config_codec_read (text, strlen (text), &err);
+  if (config)
+    g_assert_false (route_config_check (config, &err));
+  g_assert_cmpint (err.kind, !=, ERR_NONE);
+  g_assert_cmpuint (strlen (err.remedy), >, 0);
+  route_config_free (config);
+}
+
+static void
+test_config_refused (void)
+{
+  assert_refused (CONFIG (ROUTE ("often", "\"service\":\"search\"", "1")));
+  assert_refused (CONFIG (ROUTE ("idempotent", "\"service\":\"none\"", "1")));
+  assert_refused (
+      CONFIG (ROUTE ("idempotent", "\"service\":\"search\"", "0")));
+  assert_refused (CONFIG (ROUTE (
+      "idempotent",
+      "\"traffic_split\":[{\"service\":\"search\",\"weight\":-1}]", "1")));
+  assert_refused (CONFIG (
+      "\"routes\":{\"r\":{\"host\":\"\",\"path_prefix\":\"/\",\"route_kind\":"
+      "\"idempotent\",\"service\":\"search\",\"attempts\":1}}"));
+  assert_refused ("{\"version\":\"xyz\",\"routes\":{}," SERVICES "}");
+  assert_refused ("{\"version\":\"01\"," SERVICES "}");
+  assert_refused ("{\"version\":\"01\",\"routes\":{}}");
+  assert_refused ("[]");
+  assert_refused ("");
+}
+
+#define ENTRY(id, address, state, more)                                       \
+  "{\"service\":\"search\",\"address\":\"" address                            \
+  "\",\"version\":\"v1\",\"capacity\":3,\"state\":\"" state                   \
+  "\",\"cold_left\":\"1.5s\",\"id\":\"" id "\"" more "}"
+
+static bool
+read_list (const char *text, backend_list_t *list, list_page_t *page)
+{
+  return backend_list_codec_read (text, strlen (text), list, page, NULL);
+}
+
+static void
+test_list_is_read (void)
+{
+  backend_list_t list = { 0 };
+  list_page_t page;
+  g_assert_true (read_list (
+      "{\"instances\":{\"north-a\":[" ENTRY (
+          "i-1", "10.0.0.9:8080", "ready",
+          ",\"born\":1700") "," ENTRY ("i-2", "10.0.0.8:8080", "draining",
+                                       "") "]},\"next_token\":\"p-2\"}",
+      &list, &page));
+  g_assert_cmpstr (page.next, ==, "p-2");
+  g_assert_cmpuint (page.n_skipped, ==, 0);
+  g_assert_cmpuint (list.n_records, ==, 2);
+  g_assert_cmpstr (list.records[0].id, ==, "i-1");
+  g_assert_cmpstr (list.records[0].domain.text, ==, "north-a");
+  g_assert_cmpuint (list.records[0].address.port, ==, 8080);
+  g_assert_cmpint (list.records[0].cold_left, ==, 1500 * USEC_PER_MSEC);
+  g_assert_cmpint (list.records[0].started_at, ==, 1700);
+  g_assert_true (list.records[1].is_draining);
+  backend_list_clear (&list);
+}
+
+/* Entries of another writer name nobody; the others hold.  */
+static void
+test_list_with_foreign_entries (void)
+{
+  backend_list_t list = { 0 };
+  list_page_t page;
+  g_assert_true (read_list (
+      "{\"instances\":{\"north-a\":[7,null,{},\"x\"," ENTRY (
+          "i-1", "10.0.0.9", "ready",
+          "") "," ENTRY ("i-2", "10.0.0.8:80", "asleep",
+                         "") "," ENTRY ("", "10.0.0.8:80", "ready",
+                                        "") "," ENTRY ("i-3", "10.0.0.7:80",
+                                                       "ready", "") "],"
+                                                                    "\"b\":9},"
+                                                                    "\"next_"
+                                                                    "token\":"
+                                                                    "null}",
+      &list, &page));
+  g_assert_cmpuint (list.n_records, ==, 1);
+  g_assert_cmpstr (list.records[0].id, ==, "i-3");
+  g_assert_cmpuint (page.n_skipped, ==, 7);
+  g_assert_cmpstr (page.next, ==, "");
+  backend_list_clear (&list);
+}
+
+static void
+test_list_refused (void)
+{
+  backend_list_t list = { 0 };
+  list_page_t page;
+  g_assert_false (read_list ("", &list, &page));
+  g_assert_false (read_list ("{}", &list, &page));
+  g_assert_false (read_list ("{\"instances\":[", &list, &page));
+  g_assert_cmpuint (list.n_records, ==, 0);
+}
+
+static void
+test_lookup_is_written (void)
+{
+  const inet_t addresses[] = { { 0x0a000001, 80 }, { 0x0a000002, 81 } };
+  char text[LOOKUP_TEXT_BYTES];
+  int n = lookup_codec_write (addresses, 2, 2 * USEC_PER_SEC, text);
+  g_assert_cmpstr (text, ==,
+                   "{\"addresses\":[\"10.0.0.1:80\",\"10.0.0.2:81\"],"
+                   "\"ttl\":\"2000ms\"}");
+  g_assert_cmpint (n, ==, strlen (text));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/config", test_config_is_read);
+  g_test_add_func ("/platform/config-cut", test_config_cut_short);
+  g_test_add_func ("/platform/config-refused", test_config_refused);
+  g_test_add_func ("/platform/list", test_list_is_read);
+  g_test_add_func ("/platform/list-foreign", test_list_with_foreign_entries);
+  g_test_add_func ("/platform/list-refused", test_list_refused);
+  g_test_add_func ("/platform/lookup", test_lookup_is_written);
+  return g_test_run ();
+}
