perf(balance): an object's order follows the regions' room; cold spans count from their page

Change: weighted rendezvous; a region keeps what it has room for, the rest goes where there is room to spare (region_share, pure).

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  FAILURES_DOWN = 2, /* in a row, until a probe has to decide */
+  FAILURES_DOWN = 2,    /* in a row, until a probe has to decide */
+  REPORT_SMOOTHING = 8, /* a report counts one in so many of the mean */
 };
 
 #define PROBE_FIRST (300 * USEC_PER_MSEC)
@@ -65,6 +66,7 @@
   backend->health = BACKEND_UP;
   backend->failures = 0;
   backend->others = 0;
+  backend->others_mean = 0;
   backend->latency = 0;
   object_memory_clear (&backend->objects);
 }
@@ -125,6 +127,7 @@
     pool_cold_share (pool, backend, update, now);
     forget_unused (backend);
   }
+  pool_weigh (pool, update);
 }
 
 bool
@@ -149,6 +152,8 @@
   uint32_t all = load->running + load->waiting;
   backend->others = all > backend->in_flight ? all - backend->in_flight : 0;
   backend->others_at = now;
+  backend->others_mean
+      += (backend->others - backend->others_mean) / REPORT_SMOOTHING;
   if (load->slots > 0)
     backend->record.slots = load->slots;
 }
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -56,10 +56,12 @@
   uint64_t hash; /* of the id */
   bool is_listed;
   bool is_evacuated;
+  double weight; /* of its slots in the order of this region's objects */
 
-  uint32_t in_flight; /* of this router */
-  uint32_t others;    /* of others, when it last reported */
-  usec_t others_at;
+  uint32_t in_flight;      /* of this router */
+  uint32_t others;         /* of others, when it last reported */
+  usec_t others_at;        /* 0: never */
+  double others_mean;      /* of its reports, smoothed */
   usec_t latency;          /* smoothed, of whole answers; 0: none yet */
   object_memory_t objects; /* that it handled for this router */
 
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -16,6 +16,9 @@
 /* Whether BACKEND may take QUERY's request at all.  */
 bool pool_is_eligible (const backend_t *backend, const pool_query_t *query);
 
+/* Work out the weights of all backend servers.  */
+void pool_weigh (backend_pool_t *pool, const pool_update_t *update);
+
 /* Credit for one more request to a cold BACKEND; always true for others.  */
 bool pool_cold_allows (const backend_t *backend, usec_t now);
 void pool_cold_spend (backend_t *backend, usec_t now);
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -9,6 +9,7 @@
 
 #include "balance/pool_internal.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -21,25 +22,21 @@
   CANDIDATES_MAX = 8,    /* for requests without an object */
 };
 
-/* The way to another region and back, and what the traffic between regions
-   is worth besides.  */
-#define REGION_PENALTY (60 * USEC_PER_MSEC)
+/* The way to another region and back.  */
+#define REGION_PENALTY (45 * USEC_PER_MSEC)
 /* The way to another failure domain of the region.  */
-#define DOMAIN_PENALTY (6 * USEC_PER_MSEC)
+#define DOMAIN_PENALTY (2 * USEC_PER_MSEC)
 
-/* After this time a report of load says nothing any more.  */
+/* After this time a report of load says no more than the mean of all.  */
 #define LOAD_FADE (600 * USEC_PER_MSEC)
 
-/* How much of a fresh run the last place of an object's order counts more than
-   its first.  */
-static const double order_weight = 1.0;
-
 double
 backend_load_at (const backend_t *backend, usec_t now)
 {
   usec_t age = now - backend->others_at;
   double trust = age < LOAD_FADE ? 1.0 - (double)age / (double)LOAD_FADE : 0.0;
-  return backend->in_flight + backend->others * trust;
+  return backend->in_flight + backend->others * trust
+         + backend->others_mean * (1.0 - trust);
 }
 
 static bool
@@ -62,15 +59,21 @@
          && !was_tried (query, backend->hash);
 }
 
-/* Where BACKEND stands in OBJECT's order, from 0 (first) to 1.  */
+/* Where BACKEND stands in OBJECT's order: weighted rendezvous hashing, the
+   lower the earlier.  */
 static double
 order_of (const backend_t *backend, uint64_t object)
 {
   const uint64_t pair[] = { object, backend->hash };
   uint64_t hash = XXH3_64bits (pair, sizeof pair);
-  return (double)(hash >> 11) / (double)(1ull << 53);
+  double unit = ((double)(hash >> 11) + 0.5) / (double)(1ull << 53);
+  return backend->weight > 0 ? -log (unit) / backend->weight : INFINITY;
 }
 
+/* The wait for a slot where all are taken, as a part of a run.  It grows with
+   the square of the load, as the load is known only roughly.  */
+static const double wait_weight = 0.35;
+
 static double
 distance_of (const backend_pool_t *pool, const backend_t *backend)
 {
@@ -91,8 +94,7 @@
   double slots = backend->record.slots;
   double known = (double)query->run.known;
   double run = (double)query->run.fresh;
-  double ahead = load + 1 - slots;
-  double wait = ahead > 0 ? ahead * known / slots : 0;
+  double wait = wait_weight * known * (load / slots) * (load / slots);
   if (!query->has_object)
     wait += load / slots * known;
   else if (is_first || object_memory_has (&backend->objects, query->object))
@@ -128,22 +130,17 @@
 }
 
 /* The few backend servers that may handle OBJECT: so that all of them remember
-   their objects, also when work is more than slots.  Callers that move to
-   another region take few objects with them, as the order counts for more than
-   the way.  */
+   their objects, also when work is more than slots.  */
 static void
 find_candidates (backend_pool_t *pool, const pool_query_t *query,
                  uint64_t object, order_t *order)
 {
   size_t max = query->has_object ? OBJECT_CANDIDATES : CANDIDATES_MAX;
-  double span = (double)query->run.fresh * order_weight;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
-      continue;
-    double place = order_of (backend, object) * span;
-    order_add (order, max, backend, place + distance_of (pool, backend));
+    if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP)
+      order_add (order, max, backend, order_of (backend, object));
   }
 }
 
--- a/src/fleet/backend_list.c
+++ b/src/fleet/backend_list.c
@@ -22,6 +22,14 @@
   return true;
 }
 
+void
+backend_list_delay_cold (backend_list_t *list, size_t first, usec_t late)
+{
+  for (size_t i = first; i < list->n_records; i++)
+    if (list->records[i].cold_left > 0)
+      list->records[i].cold_left += late;
+}
+
 /* By id; the later start first.  */
 static int
 compare_records (const void *a, const void *b)
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -382,6 +382,69 @@
   world_clear (&world);
 }
 
+/* Callers stand evenly over the regions, slots do not (1 : 2 : 3).  With one
+   object for each request, no backend server gets more than a third over the
+   mean.  */
+static void
+test_uneven_regions_share_the_work (void)
+{
+  enum
+  {
+    OBJECTS = 6000,
+  };
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  static const size_t homes[] = { 0, 2, 4 };
+  for (size_t i = 0; i < G_N_ELEMENTS (world.routers); i++)
+    {
+      world.routers[i].address = (uint32_t)i + 1;
+      strcpy (world.routers[i].region.text,
+              region_names[homes[i % G_N_ELEMENTS (homes)]]);
+    }
+  world.n_routers = G_N_ELEMENTS (world.routers);
+  int n_of[DOMAINS] = { 0 };
+  for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
+    {
+      strcpy (world.settings.region.text, region_names[homes[region]]);
+      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      backend_pool_t *pool = pool_open (&world);
+      for (uint64_t i = 1; i <= OBJECTS; i++)
+        {
+          const backend_t *backend
+              = pick_any (&world, pool, i * 3 + region, NOW);
+          for (size_t at = 0; at < DOMAINS; at++)
+            if (strcmp (backend->record.domain.text, domain_names[at]) == 0)
+              n_of[at]++;
+        }
+      backend_pool_free (pool);
+    }
+  double mean = (double)(3 * OBJECTS) / 12;
+  for (size_t at = 0; at < DOMAINS; at++)
+    g_assert_cmpfloat ((double)n_of[at] / (double)backends_of[at], <,
+                       mean * 4 / 3);
+  world_clear (&world);
+}
+
+/* A page of the list that comes late tells a span that counts from then.  */
+static void
+test_cold_span_of_a_late_page (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  add_backend (&world, 0, 1);
+  world.list.records[1].cold_left = 2 * USEC_PER_SEC;
+  world.list.read_at = NOW;
+  backend_list_delay_cold (&world.list, 0, 240 * USEC_PER_MSEC);
+  backend_list_seal (&world.list);
+  g_assert_cmpint (backend_list_find (&world.list, "north-a-0")->cold_left, ==,
+                   0);
+  g_assert_cmpint (backend_list_find (&world.list, "north-a-1")->cold_left, ==,
+                   2240 * USEC_PER_MSEC);
+  world_clear (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -395,5 +458,7 @@
   g_test_add_func ("/pool/homes", test_homes_bind);
   g_test_add_func ("/pool/crash", test_crash_and_return);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
+  g_test_add_func ("/pool/uneven", test_uneven_regions_share_the_work);
+  g_test_add_func ("/pool/cold-page", test_cold_span_of_a_late_page);
   return g_test_run ();
 }
