--- /dev/null
+++ b/test/fakes/fake_platform.c
@@ -0,0 +1,234 @@
+/* fake-platform: stands in for the users' platform: the list of backend
+   servers, and the backend servers themselves, by its published protocol.
+
+     fake-platform LIST_ADDRESS:PORT FOLDER DOMAIN...
+
+   Each DOMAIN gets two backend servers of the service "search", on the ports
+   after the list's.  Each run of a request is appended to FOLDER/runs as
+   "ID BACKEND".  FOLDER/draining names the backend servers that drain, one a
+   line.  A path that ends in "slow" runs for half a second.  */
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  BACKENDS_MAX = 16,
+  BACKENDS_OF_DOMAIN = 2,
+  SLOTS = 4,
+  TEXT_BYTES = 8192,
+  SLOW_USEC = 500 * 1000,
+};
+
+typedef struct fake_backend
+{
+  char id[32];
+  const char *domain;
+  unsigned int port;
+  struct MHD_Daemon *daemon;
+} fake_backend_t;
+
+static struct
+{
+  char address[16];
+  const char *folder;
+  size_t n_backends;
+  fake_backend_t backends[BACKENDS_MAX];
+  pthread_mutex_t lock;
+} fake = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static bool
+is_draining (const char *id)
+{
+  char path[512];
+  char line[64];
+  bool found = false;
+  snprintf (path, sizeof path, "%s/draining", fake.folder);
+  FILE *file = fopen (path, "r");
+  if (!file)
+    return false;
+  while (fgets (line, sizeof line, file))
+    {
+      line[strcspn (line, "\n")] = '\0';
+      found = found || strcmp (line, id) == 0;
+    }
+  fclose (file);
+  return found;
+}
+
+static void
+note_run (const char *request, const char *backend)
+{
+  char path[512];
+  snprintf (path, sizeof path, "%s/runs", fake.folder);
+  pthread_mutex_lock (&fake.lock);
+  FILE *file = fopen (path, "a");
+  if (file)
+    {
+      fprintf (file, "%s %s\n", request, backend);
+      fclose (file);
+    }
+  pthread_mutex_unlock (&fake.lock);
+}
+
+static enum MHD_Result
+answer (struct MHD_Connection *connection, unsigned int status,
+        const char *text, const char *id, const char *backend)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+  if (id)
+    MHD_add_response_header (response, "Request-Id", id);
+  if (backend)
+    MHD_add_response_header (response, "Instance-Id", backend);
+  if (status == MHD_HTTP_OK && id)
+    MHD_add_response_header (response, "Server-Stamp", "fake");
+  if (status == MHD_HTTP_MISDIRECTED_REQUEST)
+    MHD_add_response_header (response, "Not-Executed", "1");
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static const char *
+header (struct MHD_Connection *connection, const char *name)
+{
+  return MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
+}
+
+static enum MHD_Result
+serve_backend (void *closure, struct MHD_Connection *connection,
+               const char *url, const char *method, const char *version,
+               const char *data, size_t *data_bytes, void **context)
+{
+  (void)method;
+  (void)version;
+  (void)data;
+  const fake_backend_t *backend = closure;
+  static int seen;
+  if (!*context)
+    {
+      *context = &seen;
+      return MHD_YES;
+    }
+  if (*data_bytes > 0)
+    {
+      *data_bytes = 0;
+      return MHD_YES;
+    }
+  const char *id = header (connection, "Request-Id");
+  const char *expected = header (connection, "Expect-Instance");
+  if (strcmp (url, "/health") == 0)
+    return answer (connection, MHD_HTTP_OK, "", NULL, backend->id);
+  if (!id || !header (connection, "Deadline-Ms"))
+    return answer (connection, MHD_HTTP_BAD_REQUEST, "no id or deadline", NULL,
+                   NULL);
+  if (expected && strcmp (expected, backend->id) != 0)
+    return answer (connection, MHD_HTTP_MISDIRECTED_REQUEST, "", id,
+                   backend->id);
+  note_run (id, backend->id);
+  size_t length = strlen (url);
+  if (length >= 4 && strcmp (url + length - 4, "slow") == 0)
+    usleep (SLOW_USEC);
+  return answer (connection, MHD_HTTP_OK, backend->id, id, NULL);
+}
+
+static enum MHD_Result
+serve_list (void *closure, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *data_bytes, void **context)
+{
+  (void)closure;
+  (void)url;
+  (void)method;
+  (void)version;
+  (void)data;
+  (void)data_bytes;
+  (void)context;
+  char text[TEXT_BYTES];
+  size_t used = (size_t)snprintf (text, sizeof text, "{\"instances\":{");
+  for (size_t i = 0; i < fake.n_backends; i++)
+    {
+      const fake_backend_t *backend = &fake.backends[i];
+      bool is_first = i % BACKENDS_OF_DOMAIN == 0;
+      used += (size_t)snprintf (
+          text + used, sizeof text - used,
+          "%s%s%s%s{\"service\":\"search\",\"address\":\"%s:%u\",\"capacity\":"
+          "%d,\"state\":\"%s\",\"cold_left\":\"0ms\",\"id\":\"%s\"}",
+          is_first && i > 0 ? "]," : "", is_first ? "\"" : ",",
+          is_first ? backend->domain : "", is_first ? "\":[" : "",
+          fake.address, backend->port, SLOTS,
+          is_draining (backend->id) ? "draining" : "ready", backend->id);
+    }
+  snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
+  return answer (connection, MHD_HTTP_OK, text, NULL, NULL);
+}
+
+static struct MHD_Daemon *
+open_port (unsigned int port, MHD_AccessHandlerCallback handler, void *closure)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  inet_pton (AF_INET, fake.address, &address.sin_addr);
+  return MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+      (uint16_t)port, NULL, NULL, handler, closure, MHD_OPTION_SOCK_ADDR,
+      (struct sockaddr *)&address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+      MHD_OPTION_END);
+}
+
+static bool
+open_domain (const char *domain, unsigned int first_port)
+{
+  for (int i = 0; i < BACKENDS_OF_DOMAIN; i++)
+    {
+      if (fake.n_backends == BACKENDS_MAX)
+        return false;
+      fake_backend_t *backend = &fake.backends[fake.n_backends];
+      backend->domain = domain;
+      backend->port = first_port + (unsigned int)fake.n_backends++;
+      snprintf (backend->id, sizeof backend->id, "%s-%d", domain, i);
+      backend->daemon = open_port (backend->port, serve_backend, backend);
+      if (!backend->daemon)
+        return false;
+    }
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  unsigned int port = 0;
+  if (argc < 4 || sscanf (argv[1], "%15[0-9.]:%u", fake.address, &port) != 2)
+    {
+      fprintf (stderr, "usage: fake-platform ADDRESS:PORT FOLDER DOMAIN...\n");
+      return 2;
+    }
+  fake.folder = argv[2];
+  sigset_t stop;
+  sigemptyset (&stop);
+  sigaddset (&stop, SIGTERM);
+  pthread_sigmask (SIG_BLOCK, &stop, NULL);
+  for (int i = 3; i < argc; i++)
+    if (!open_domain (argv[i], port + 1))
+      {
+        fprintf (stderr, "fake-platform: can't open %s\n", argv[i]);
+        return 1;
+      }
+  struct MHD_Daemon *list = open_port (port, serve_list, NULL);
+  if (!list)
+    return 1;
+  int number;
+  sigwait (&stop, &number);
+  MHD_stop_daemon (list);
+  for (size_t i = 0; i < fake.n_backends; i++)
+    MHD_stop_daemon (fake.backends[i].daemon);
+  return 0;
+}
--- /dev/null
+++ b/test/functional/fleet.sh
@@ -0,0 +1,111 @@
+# Routers and directors on loopback addresses, with the platform's stand-in.
+# Source it with BUILD set; it leaves FOLDER and ends what it started.
+
+FOLDER=$(mktemp -d)
+declare -A PIDS
+DOMAINS=(north-a north-b east-a)
+LIST=127.60.9.1:7900
+OPERATORS_PORT=7810
+LOOKUPS_PORT=7811
+REQUESTS_PORT=7812
+
+fail() {
+  echo "failed: $*" >&2
+  tail -n 5 "$FOLDER"/*.log >&2
+  exit 1
+}
+
+# The address of a director or router: its number is its domain's.
+director_address() { echo "127.60.1.$1"; }
+router_address() { echo "127.60.2.$1"; }
+
+settings_of() {
+  local kind=$1 number=$2 address domain region
+  address=$("${kind}_address" "$number")
+  domain=${DOMAINS[$((number - 1))]}
+  region=${domain%-*}
+  cat <<YAML
+vm: $kind-$number
+address: $address
+failure_domain: $domain
+region: $region
+requests: $address:$REQUESTS_PORT
+readiness: $address:7813
+operators: $address:$OPERATORS_PORT
+lookups: $address:$LOOKUPS_PORT
+peer_port: 7820
+metrics_port: 7830
+peer_secret: test
+first_start: ${FIRST_START:-true}
+data_folder: $FOLDER/data-$number
+backend_list: $LIST
+backend_list_rate: 50
+failure_domains:
+$(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
+seeds: [127.60.1.1:1, 127.60.1.2:1, 127.60.1.3:1]
+bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: 5s,
+  retry_ratio: 0.2, retry_base: 58, retry_window: 10s, cold_overshoot: 1.5,
+  cold_slack: 5, shift_ratio: 0.15}
+YAML
+}
+
+start() {
+  local name=$1
+  shift
+  "$@" >>"$FOLDER/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+start_vm() {
+  settings_of "$1" "$2" >"$FOLDER/$1-$2.yaml"
+  start "$1-$2" "$BUILD/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
+}
+
+kill_one() {
+  kill "-$1" "${PIDS[$2]}"
+  wait "${PIDS[$2]}" 2>/dev/null || true
+  unset "PIDS[$2]"
+}
+
+# wait_for SECONDS COMMAND...: until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $end ] || fail "never came true: $*"
+    sleep 0.1
+  done
+}
+
+fleet_end() {
+  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  rm -rf "$FOLDER"
+}
+trap fleet_end EXIT
+
+# order METHOD PATH [DATA]: ask director ${AT:-1}; the status on standard output,
+# the body in FOLDER/body.
+order() {
+  curl -s -m 5 -L -o "$FOLDER/body" -w '%{http_code}' -X "$1" ${3:+--data-binary "$3"} \
+    "http://$(director_address "${AT:-1}"):$OPERATORS_PORT$2"
+}
+
+# config VERSION KIND PREFIX
+config() {
+  cat <<JSON
+{"version":"$1","routes":{"r":{"host":"a.example","path_prefix":"$3","route_kind":"$2",
+"timeout":"2s","target_latency":"300ms","priority":1,"service":"search","attempts":2,
+"sticky":true,"home_regions":[]}},"services":{"search":{"health_path":"/health",
+"max_conns":300,"cold_start":"3s","cold_per_s":5}},"limits":{}}
+JSON
+}
+
+# request ROUTER PATH ID [curl options]: the status.
+request() {
+  local router=$1 path=$2 id=$3
+  shift 3
+  curl -s -m 5 -o "$FOLDER/answer" -w '%{http_code}' -H 'Host: a.example' \
+    -H "Request-Id: $id" -H 'Deadline-Ms: 3000' "$@" \
+    "http://$(router_address "$router"):$REQUESTS_PORT$path"
+}
