perf(director,router): directors stand for election one after the other; routers that start ask often

Change: each slot stands 110 ms after the one before it, from 400 ms on; a new leader tells the others at once that its state is the newest; a router that has not heard so asks every 100 ms; a refusal before that says 0.4 s.

--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -64,6 +64,10 @@
   uint8_t n_slots;
   usec_t heartbeat;
   usec_t election; /* shortest silence of a leader before another is chosen */
+  /* How much later each slot stands for election than the one before it, so
+     that two seldom do at once; 0: chance decides.  Longer than two round
+     trips.  */
+  usec_t stagger;
   uint32_t snapshot_entries; /* applied between two snapshots */
   size_t snapshot_bytes;     /* or so many bytes of them */
   uint64_t seed;
--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -6,8 +6,11 @@
 election_reset (replica_t *replica)
 {
   usec_t election = replica->options.election;
-  usec_t spread = (usec_t)random_below (&replica->random, (uint64_t)election);
-  replica->election_at = replica->now + election + spread;
+  usec_t stagger = replica->options.stagger;
+  uint64_t chance = (uint64_t)(stagger > 0 ? stagger / 4 : election);
+  replica->election_at = replica->now + election
+                         + stagger * replica->options.slot
+                         + (usec_t)random_below (&replica->random, chance);
 }
 
 static size_t
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -7,7 +7,9 @@
 
 /* Heartbeats cross regions and are paid by the byte.  */
 #define DIRECTOR_HEARTBEAT (100 * USEC_PER_MSEC)
-#define DIRECTOR_ELECTION (500 * USEC_PER_MSEC)
+#define DIRECTOR_ELECTION (400 * USEC_PER_MSEC)
+/* Two round trips between regions, and a tick.  */
+#define DIRECTOR_STAGGER (110 * USEC_PER_MSEC)
 
 bool
 core_replica_open_disk (director_core_t *core, err_t *err)
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -179,7 +179,12 @@
 confirm (director_core_t *core, usec_t now)
 {
   if (core->replica && replica_is_current (core->replica, now))
-    core->confirmed_at = now;
+    {
+      /* After a gap the others, and their routers, wait to hear it.  */
+      if (now - core->confirmed_at > SHARE_INTERVAL)
+        core->share_at = 0;
+      core->confirmed_at = now;
+    }
   else if (core->confirm_index > 0 && core->applied >= core->confirm_index
            && core->confirm_time > core->confirmed_at)
     core->confirmed_at = core->confirm_time;
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -28,6 +28,8 @@
 /* A backend server stops at the deadline that it was told; its own answer
    then needs the way back.  */
 #define DEADLINE_SLACK (60 * USEC_PER_MSEC)
+/* A process that has just started mostly follows the directors by then.  */
+#define START_RETRY_AFTER (400 * USEC_PER_MSEC)
 #define CONNECT_TIMEOUT (400 * USEC_PER_MSEC)
 #define PROBE_TIMEOUT (500 * USEC_PER_MSEC)
 
@@ -428,6 +430,7 @@
   const route_config_t *config = exchange->view->config;
   if (!config || !sync_is_settled (dispatcher->options.sync, now))
     {
+      exchange->retry_after = START_RETRY_AFTER;
       end (dispatcher, exchange, REASON_NO_CONFIG);
       return;
     }
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -22,6 +22,8 @@
 #define PULL_TIMEOUT (700 * USEC_PER_MSEC)
 /* A director that has not heard from the leader for so long is left.  */
 #define CONFIRMED_AGE_MAX (1500 * USEC_PER_MSEC)
+/* After the start, while callers wait.  */
+#define START_INTERVAL (100 * USEC_PER_MSEC)
 /* After the start: how long a statement that the state is the newest is
    waited for.  */
 #define SETTLE_WAIT (4 * USEC_PER_SEC)
@@ -379,7 +381,8 @@
   if (is_due)
     {
       sync->is_asking = true;
-      sync->due_at = now + SYNC_INTERVAL;
+      sync->due_at
+          = now + (sync->is_confirmed ? SYNC_INTERVAL : START_INTERVAL);
       sync->asked = choose_director (sync, now);
       sync->asked_at = now;
       director = sync->directors[sync->asked].address;
