--- a/src/ctl/main_ctl.c
+++ b/src/ctl/main_ctl.c
@@ -29,6 +29,8 @@
       return command_metrics (session);
     case COMMAND_CHECK:
       return command_check (session);
+    case COMMAND_EXPLAIN:
+      return command_explain (session);
     case COMMAND_NONE:
       break;
     }
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -93,6 +93,12 @@
       ARGUMENT_NONE,
       "Look at all VMs and say what is wrong and how to mend it.\vExit codes: "
       "0 all is well, 1 something is wrong." },
+  [COMMAND_EXPLAIN]
+  = { { "explain", NULL },
+      ARGUMENT_NAME,
+      "Tell what became of the request with the id NAME, over all VMs in "
+      "order, from the logs of routers: files, or standard input.\vExit "
+      "codes: 0 told, 1 no line tells of it, 2 a file can't be read." },
 };
 
 static const char global_doc[]
@@ -108,6 +114,7 @@
       "  vm list              VMs and their health\n"
       "  metrics              counters and latencies of all VMs, merged\n"
       "  check                what is wrong, and how to mend it\n"
+      "  explain NAME         what became of a request, from logs\n"
       "\n`mulberryctl COMMAND --help` tells more.\n"
       "\nExit codes: 0 good, 1 something found, 2 usage or settings, 3 "
       "refused, 4 conflict, 5 no final answer (ask again), 6 credential "
@@ -117,6 +124,7 @@
 {
   KEY_SERVICE = 0x100,
   KEY_STOP,
+  KEY_LOG,
 };
 
 static const struct argp_option global_options[] = {
@@ -145,6 +153,11 @@
   { 0 },
 };
 
+static const struct argp_option explain_options[] = {
+  { "log", KEY_LOG, "FILE", 0, "A log to read; may stand many times", 0 },
+  { 0 },
+};
+
 /* What the parsers carry.  */
 typedef struct parse
 {
@@ -243,6 +256,11 @@
     case KEY_STOP:
       options->stop = true;
       return 0;
+    case KEY_LOG:
+      if (options->n_logs == LOGS_MAX)
+        argp_error (state, "at most %d logs", LOGS_MAX);
+      options->logs[options->n_logs++] = text;
+      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -266,6 +284,8 @@
     return metrics_options;
   if (command == COMMAND_BACKEND_DRAIN)
     return drain_options;
+  if (command == COMMAND_EXPLAIN)
+    return explain_options;
   return NULL;
 }
 
@@ -333,7 +353,7 @@
   const char *wrong = NULL;
   if (options->command == COMMAND_NONE)
     wrong = "no such command; `mulberryctl --help` lists them";
-  else if (!options->settings)
+  else if (!options->settings && options->command != COMMAND_EXPLAIN)
     wrong = "name the settings: --settings FILE or MULBERRY_SETTINGS";
   if (!wrong)
     return;
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -4,6 +4,7 @@
 #define CTL_OPTIONS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "base/time_defs.h"
 
@@ -19,9 +20,15 @@
   COMMAND_VM_LIST,
   COMMAND_METRICS,
   COMMAND_CHECK,
+  COMMAND_EXPLAIN,
   COMMAND_NONE,
 } command_t;
 
+enum
+{
+  LOGS_MAX = 256,
+};
+
 typedef enum
 {
   OUTPUT_TEXT,
@@ -50,6 +57,8 @@
   const char *argument; /* the command's own: file or name */
   const char *service;  /* metrics: only this one */
   bool stop;            /* backend drain: a planned stop */
+  size_t n_logs;        /* explain: the files to read; none: standard input */
+  const char *logs[LOGS_MAX];
 } options_t;
 
 /* Read the command line; prints the help or a usage error and exits where it
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -19,7 +19,7 @@
   size_t n_addresses;
 } session_t;
 
-/* Load the settings.  */
+/* Load the settings, where the command needs them.  */
 bool session_open (session_t *session, const options_t *options, err_t *err);
 
 void session_close (session_t *session);
