--- a/src/ctl/main_ctl.c
+++ b/src/ctl/main_ctl.c
@@ -31,6 +31,8 @@
       return command_check (session);
     case COMMAND_EXPLAIN:
       return command_explain (session);
+    case COMMAND_FLEET_SHOW:
+      return command_fleet_show (session);
     case COMMAND_NONE:
       break;
     }
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -99,6 +99,12 @@
       "Tell what became of the request with the id NAME, over all VMs in "
       "order, from the logs of routers: files, or standard input.\vExit "
       "codes: 0 told, 1 no line tells of it, 2 a file can't be read." },
+  [COMMAND_FLEET_SHOW]
+  = { { "fleet", "show" },
+      ARGUMENT_NAME,
+      "Tell what the director at NAME, its ADDRESS:PORT for operators, knows: "
+      "configuration, evacuations, directors, routers, routes, backend "
+      "servers.\vExit codes: 0 told, 5 it did not answer." },
 };
 
 static const char global_doc[]
@@ -115,6 +121,7 @@
       "  metrics              counters and latencies of all VMs, merged\n"
       "  check                what is wrong, and how to mend it\n"
       "  explain NAME         what became of a request, from logs\n"
+      "  fleet show NAME      what the director at ADDRESS:PORT knows\n"
       "\n`mulberryctl COMMAND --help` tells more.\n"
       "\nExit codes: 0 good, 1 something found, 2 usage or settings, 3 "
       "refused, 4 conflict, 5 no final answer (ask again), 6 credential "
@@ -327,6 +334,12 @@
   argp_parse (&argp, argc, argv, 0, NULL, parse);
 }
 
+bool
+options_need_settings (command_t command)
+{
+  return command != COMMAND_EXPLAIN && command != COMMAND_FLEET_SHOW;
+}
+
 void
 options_parse (options_t *options, int argc, char **argv)
 {
@@ -353,7 +366,7 @@
   const char *wrong = NULL;
   if (options->command == COMMAND_NONE)
     wrong = "no such command; `mulberryctl --help` lists them";
-  else if (!options->settings && options->command != COMMAND_EXPLAIN)
+  else if (!options->settings && options_need_settings (options->command))
     wrong = "name the settings: --settings FILE or MULBERRY_SETTINGS";
   if (!wrong)
     return;
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -21,6 +21,7 @@
   COMMAND_METRICS,
   COMMAND_CHECK,
   COMMAND_EXPLAIN,
+  COMMAND_FLEET_SHOW,
   COMMAND_NONE,
 } command_t;
 
@@ -61,6 +62,9 @@
   const char *logs[LOGS_MAX];
 } options_t;
 
+/* Whether COMMAND needs an organisation's settings.  */
+bool options_need_settings (command_t command);
+
 /* Read the command line; prints the help or a usage error and exits where it
    has to.  */
 void options_parse (options_t *options, int argc, char **argv);
--- a/src/ctl/session.c
+++ b/src/ctl/session.c
@@ -51,8 +51,8 @@
 {
   memset (session, 0, sizeof *session);
   session->options = options;
-  if (options->command == COMMAND_EXPLAIN)
-    return true; /* it asks nobody */
+  if (!options_need_settings (options->command))
+    return true;
   session->settings = settings_load (options->settings, err);
   return session->settings && list_addresses (session, err);
 }
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -153,6 +153,10 @@
 void core_pulls_routers (director_core_t *core, usec_t now);
 void core_pulls_list (director_core_t *core, backend_list_t *list);
 
+/* core_view.c */
+/* malloc'd.  */
+char *core_view_text (const director_core_t *core);
+
 /* core_orders.c */
 void core_orders_take (director_core_t *core, director_order_t *order);
 void core_orders_applied (director_core_t *core, proposal_id_t id);
--- a/src/director/core_orders.c
+++ b/src/director/core_orders.c
@@ -40,6 +40,8 @@
       return "evacuate";
     case ORDER_TAKE_BACK:
       return "take_back";
+    case ORDER_SHOW:
+      return "show";
     }
   return "unknown";
 }
@@ -106,11 +108,24 @@
   finish (core, order, ORDER_DONE);
 }
 
+static void
+answer_view (director_core_t *core, director_order_t *order)
+{
+  order->text = core_view_text (core);
+  order->length = strlen (order->text);
+  finish (core, order, ORDER_DONE);
+}
+
 /* An order that the applied state answers already, or that others have to
    answer.  True where it has ended.  */
 static bool
 settle (director_core_t *core, director_order_t *order)
 {
+  if (order->kind == ORDER_SHOW)
+    {
+      answer_view (core, order);
+      return true;
+    }
   bool is_current = core->replica
                     && replica_is_current (core->replica, clock_monotonic ());
   if (is_current && order->kind == ORDER_GET_CONFIG)
--- /dev/null
+++ b/src/director/core_view.c
@@ -0,0 +1,149 @@
+/* What a director knows, as JSON for operators.  */
+
+#include "director/core_internal.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "config_codec.h"
+#include "routing/route_config.h"
+
+static json_t *
+address_json (const inet_t *address)
+{
+  char text[INET_TEXT_BYTES];
+  inet_format (address, text);
+  return json_string (text);
+}
+
+/* -1: never.  */
+static json_t *
+age_json (usec_t at, usec_t now)
+{
+  return json_integer (at > 0 ? (now - at) / USEC_PER_MSEC : -1);
+}
+
+static json_t *
+route_json (const route_t *route)
+{
+  json_t *shares = json_array ();
+  for (size_t i = 0; i < route->n_shares; i++)
+    json_array_append_new (shares,
+                           json_pack ("{s:s,s:f}", "service",
+                                      route->shares[i].service.text, "weight",
+                                      route->shares[i].weight));
+  json_t *homes = json_array ();
+  for (size_t i = 0; i < route->n_homes; i++)
+    json_array_append_new (homes, json_string (route->homes[i].text));
+  return json_pack ("{s:s,s:s,s:s,s:b,s:I,s:I,s:i,s:i,s:o,s:o}", "name",
+                    route->name.text, "host", route->host, "prefix",
+                    route->prefix, "idempotent", route->is_idempotent,
+                    "timeout_ms", (json_int_t)(route->timeout / USEC_PER_MSEC),
+                    "objective_ms",
+                    (json_int_t)(route->objective / USEC_PER_MSEC), "priority",
+                    (int)route->priority, "attempts", (int)route->attempts,
+                    "shares", shares, "homes", homes);
+}
+
+static json_t *
+routes_json (const director_core_t *core)
+{
+  json_t *routes = json_array ();
+  const blob_t *text = core->state.config;
+  route_config_t *config = text ? config_codec_read ((const char *)text->bytes,
+                                                     text->length, NULL)
+                                : NULL;
+  for (size_t i = 0; config && i < config->n_routes; i++)
+    json_array_append_new (routes, route_json (&config->routes[i]));
+  route_config_free (config);
+  return routes;
+}
+
+static json_t *
+evacuated_json (const director_core_t *core)
+{
+  json_t *domains = json_array ();
+  for (size_t i = 0; i < core->state.n_evacuated; i++)
+    json_array_append_new (domains,
+                           json_string (core->state.evacuated[i].text));
+  return domains;
+}
+
+static json_t *
+directors_json (const director_core_t *core, usec_t now)
+{
+  json_t *directors = json_array ();
+  for (size_t i = 0; i < core->roster.n_slots; i++)
+    {
+      char address[INET_TEXT_BYTES];
+      inet_format_address (core->roster.addresses[i], address);
+      bool is_self = core->roster.addresses[i] == core->self;
+      json_array_append_new (
+          directors,
+          json_pack ("{s:i,s:s,s:b,s:b,s:o}", "slot", (int)i, "address",
+                     address, "leads", core->leader == i, "self", is_self,
+                     "heard_ms_ago",
+                     is_self ? json_integer (0)
+                             : age_json (core->peers[i].heard_at, now)));
+    }
+  return directors;
+}
+
+static json_t *
+routers_json (const director_core_t *core, usec_t now)
+{
+  json_t *routers = json_array ();
+  for (size_t i = 0; i < core->routers.n_records; i++)
+    {
+      const router_record_t *record = &core->routers.records[i];
+      json_array_append_new (
+          routers,
+          json_pack ("{s:s,s:s,s:o,s:b,s:o}", "vm", record->vm.text,
+                     "failure_domain", record->domain.text, "requests",
+                     address_json (&record->requests), "takes_requests",
+                     record->takes_requests, "heard_ms_ago",
+                     age_json (record->heard_at, now)));
+    }
+  return routers;
+}
+
+static json_t *
+backends_json (const director_core_t *core)
+{
+  json_t *backends = json_array ();
+  for (size_t i = 0; i < core->list.n_records; i++)
+    {
+      const backend_record_t *record = &core->list.records[i];
+      json_array_append_new (
+          backends,
+          json_pack ("{s:s,s:s,s:s,s:o,s:s,s:i}", "id", record->id, "service",
+                     record->service.text, "failure_domain",
+                     record->domain.text, "address",
+                     address_json (&record->address), "state",
+                     record->is_draining ? "draining" : "ready", "slots",
+                     (int)record->slots));
+    }
+  return backends;
+}
+
+char *
+core_view_text (const director_core_t *core)
+{
+  usec_t now = clock_monotonic ();
+  const char *role = core->replica ? replica_role_name (core->role) : "none";
+  json_t *view = json_pack (
+      "{s:s,s:s,s:I,s:I,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "vm",
+      core->options.settings->vm.text, "role", role, "version",
+      (json_int_t)core->state.version, "applied", (json_int_t)core->applied,
+      "newest_ms_ago", age_json (core->confirmed_at, now), "list_ms_ago",
+      age_json (core->list.read_at, now), "evacuated", evacuated_json (core),
+      "directors", directors_json (core, now), "routers",
+      routers_json (core, now), "routes", routes_json (core), "backends",
+      backends_json (core));
+  char *text = json_dumps (view, JSON_INDENT (2));
+  json_decref (view);
+  if (!text)
+    abort ();
+  return text;
+}
--- a/src/director/director_order.h
+++ b/src/director/director_order.h
@@ -16,6 +16,7 @@
   ORDER_GET_CONFIG,
   ORDER_EVACUATE,
   ORDER_TAKE_BACK,
+  ORDER_SHOW, /* what this director knows, newest or not */
 } order_kind_t;
 
 typedef enum
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -27,6 +27,9 @@
 /* How long callers keep a look-up; the operators' bound is higher.  */
 #define LOOKUP_AGE (2 * USEC_PER_SEC)
 
+/* Our own call, for mulberryctl.  */
+static const char view_path[] = "/v1/fleet";
+
 struct director_port
 {
   director_port_options_t options;
@@ -105,7 +108,7 @@
   switch (order->end)
     {
     case ORDER_DONE:
-      if (order->kind == ORDER_GET_CONFIG)
+      if (order->kind == ORDER_GET_CONFIG || order->kind == ORDER_SHOW)
         return http_reply_text (call->connection, MHD_HTTP_OK,
                                 "application/json", order->text,
                                 order->length);
@@ -180,6 +183,11 @@
       call->order.kind = ORDER_GET_CONFIG;
       ok = true;
     }
+  else if (strcmp (method, "GET") == 0 && strcmp (url, view_path) == 0)
+    {
+      call->order.kind = ORDER_SHOW;
+      ok = true;
+    }
   else if (is_post && url_has_prefix (url, PATH_EVACUATE, &domain))
     ok = order_evacuation (call, ORDER_EVACUATE, domain, &err);
   else if (is_post && url_has_prefix (url, PATH_TAKE_BACK, &domain))
--- a/test/functional/test_fleet.sh
+++ b/test/functional/test_fleet.sh
@@ -50,6 +50,12 @@
 ! grep -q '^id-3 ' "$FOLDER/runs" || fail 'a request with two lengths ran'
 echo 'good: requests'
 
+# What a director knows.
+"$BUILD/mulberryctl" fleet show "127.60.1.3:$OPERATORS_PORT" >"$FOLDER/view" || fail 'fleet show'
+grep -q 'configuration 5,' "$FOLDER/view" || fail "fleet show: $(head -1 "$FOLDER/view")"
+for word in router-2 north-a-0 /x/ 127.60.1.2; do grep -q -- "$word" "$FOLDER/view" || fail "fleet show does not tell of $word"; done
+"$BUILD/mulberryctl" fleet show 127.60.1.9:1 >/dev/null 2>&1 && fail 'fleet show of nobody'
+
 # What became of a request, from the logs alone.
 told() {
   "$BUILD/mulberryctl" explain id-1 --log "$FOLDER/router-1.log" --log "$FOLDER/router-2.log" >"$FOLDER/story" || return 1
