--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -31,9 +31,8 @@
 void
 backend_pool_free (backend_pool_t *pool)
 {
-  list_t *link;
-  while ((link = list_pop_front (&pool->backends)))
-    free (LIST_ENTRY (link, backend_t, link));
+  LIST_FOREACH (link, &pool->backends)
+  free (LIST_ENTRY (link, backend_t, link));
   free (pool);
 }
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -306,7 +306,7 @@
   args.routers.routers_len = (u_int)routers_to_share (core, now, routers);
   if (leads && replica_is_current (core->replica, now))
     args.confirmed_index = core->applied;
-  for (slot_t slot = 0; slot < core->roster.n_slots; slot++)
+  for (slot_t slot = 0; slot < (slot_t)core->roster.n_slots; slot++)
     if (slot != self
         && (leads || core->leader == SLOT_NONE || core->leader == slot))
       share_to (core, slot, &args);
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -63,12 +63,10 @@
 {
   char text[ERR_MESSAGE_BYTES + 64];
   char plain[ERR_MESSAGE_BYTES];
-  size_t n = 0;
-  for (; why[n] && n + 1 < sizeof plain; n++)
-    plain[n] = why[n] == '"' || why[n] == '\\' || (unsigned char)why[n] < ' '
-                   ? '\''
-                   : why[n];
-  plain[n] = '\0';
+  snprintf (plain, sizeof plain, "%s", why);
+  for (char *c = plain; *c; c++)
+    if (*c == '"' || *c == '\\' || (unsigned char)*c < ' ')
+      *c = '\'';
   snprintf (text, sizeof text, "{\"error\":\"%s\"}", plain);
   return reply (connection, status, text);
 }
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -396,9 +396,9 @@
 static void
 free_removed (backend_http_t *client)
 {
-  list_t *link;
-  while ((link = list_pop_front (&client->removed)))
-    free (LIST_ENTRY (link, socket_watch_t, link));
+  LIST_FOREACH (link, &client->removed)
+  free (LIST_ENTRY (link, socket_watch_t, link));
+  list_init (&client->removed);
 }
 
 static void
--- a/src/router/traffic.c
+++ b/src/router/traffic.c
@@ -178,16 +178,10 @@
                   "no eventfd for the traffic thread");
 }
 
-traffic_t *
-traffic_start (const traffic_options_t *options, err_t *err)
+static void
+open_dispatcher (traffic_t *traffic)
 {
-  traffic_t *traffic = calloc (1, sizeof *traffic);
-  if (!traffic)
-    abort ();
-  traffic->options = *options;
-  traffic->loop = loop_new (err);
-  if (!traffic->loop || !open_wake (traffic, err))
-    return NULL;
+  const traffic_options_t *options = &traffic->options;
   const sync_options_t sync = { .settings = options->settings,
                                 .rpc = options->rpc,
                                 .incarnation = options->incarnation,
@@ -201,12 +195,34 @@
                                             .metrics = traffic->metrics,
                                             .seed = options->incarnation };
   traffic->dispatcher = dispatcher_new (&dispatcher);
+}
+
+static bool
+open_all (traffic_t *traffic, err_t *err)
+{
+  traffic->loop = loop_new (err);
+  if (!traffic->loop || !open_wake (traffic, err))
+    return false;
+  open_dispatcher (traffic);
   if (!open_ports (traffic, err))
-    return NULL;
+    return false;
   if (pthread_create (&traffic->thread, NULL, traffic_run, traffic) == 0)
+    return true;
+  return err_set (err, ERR_IO, "raise the limit of threads",
+                  "no thread for the traffic");
+}
+
+traffic_t *
+traffic_start (const traffic_options_t *options, err_t *err)
+{
+  traffic_t *traffic = calloc (1, sizeof *traffic);
+  if (!traffic)
+    abort ();
+  traffic->options = *options;
+  traffic->wake.fd = -1;
+  if (open_all (traffic, err))
     return traffic;
-  err_set (err, ERR_IO, "raise the limit of threads",
-           "no thread for the traffic");
+  traffic_free (traffic);
   return NULL;
 }
 
@@ -221,12 +237,18 @@
 void
 traffic_free (traffic_t *traffic)
 {
-  readiness_port_close (traffic->readiness);
-  caller_http_free (traffic->port);
-  dispatcher_free (traffic->dispatcher);
-  sync_free (traffic->sync);
+  if (traffic->readiness)
+    readiness_port_close (traffic->readiness);
+  if (traffic->port)
+    caller_http_free (traffic->port);
+  if (traffic->dispatcher)
+    dispatcher_free (traffic->dispatcher);
+  if (traffic->sync)
+    sync_free (traffic->sync);
   router_metrics_free (traffic->metrics);
-  close (traffic->wake.fd);
-  loop_free (traffic->loop);
+  if (traffic->wake.fd >= 0)
+    close (traffic->wake.fd);
+  if (traffic->loop)
+    loop_free (traffic->loop);
   free (traffic);
 }
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -41,16 +41,19 @@
 {
   *world = (world_t){ 0 };
   fleet_settings_t *settings = &world->settings;
-  strcpy (settings->address, "10.0.0.1");
-  strcpy (settings->region.text, "north");
-  strcpy (settings->domain.text, "north-a");
+  g_strlcpy (settings->address, "10.0.0.1", sizeof settings->address);
+  g_strlcpy (settings->region.text, "north", sizeof settings->region.text);
+  g_strlcpy (settings->domain.text, "north-a", sizeof settings->domain.text);
   settings->n_domains = DOMAINS;
   for (size_t i = 0; i < DOMAINS; i++)
     {
-      strcpy (settings->domains[i].name.text, domain_names[i]);
-      strcpy (settings->domains[i].region.text, region_names[i]);
+      g_strlcpy (settings->domains[i].name.text, domain_names[i],
+                 sizeof settings->domains[i].name.text);
+      g_strlcpy (settings->domains[i].region.text, region_names[i],
+                 sizeof settings->domains[i].region.text);
     }
-  strcpy (world->service.name.text, "search");
+  g_strlcpy (world->service.name.text, "search",
+             sizeof world->service.name.text);
   world->service.cold_rate = 5;
   world->config = (route_config_t){ .version = 1,
                                     .n_services = 1,
@@ -64,8 +67,9 @@
   backend_record_t record = { .slots = SLOTS, .started_at = 1 };
   snprintf (record.id, sizeof record.id, "%s-%u", domain_names[domain],
             number);
-  strcpy (record.service.text, "search");
-  strcpy (record.domain.text, domain_names[domain]);
+  g_strlcpy (record.service.text, "search", sizeof record.service.text);
+  g_strlcpy (record.domain.text, domain_names[domain],
+             sizeof record.domain.text);
   record.address = (inet_t){ .address = number + 1, .port = 80 };
   backend_list_add (&world->list, &record);
 }
@@ -146,8 +150,10 @@
   static const size_t homes[] = { 0, 2, 4 };
   for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
     {
-      strcpy (world.settings.region.text, region_names[homes[region]]);
-      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      g_strlcpy (world.settings.region.text, region_names[homes[region]],
+                 sizeof world.settings.region.text);
+      g_strlcpy (world.settings.domain.text, domain_names[homes[region]],
+                 sizeof world.settings.domain.text);
       backend_pool_t *pool = pool_open (&world);
       usec_t now = NOW;
       for (int i = 0; i < OBJECTS * ROUNDS; i++)
@@ -230,7 +236,7 @@
   world_init (&world);
   add_backends (&world);
   backend_pool_t *pool = pool_open (&world);
-  strcpy (world.evacuated.text, "south-a");
+  g_strlcpy (world.evacuated.text, "south-a", sizeof world.evacuated.text);
   world.is_evacuated = true;
   update (&world, pool, NOW);
   for (uint64_t object = 1; object <= 200; object++)
@@ -346,7 +352,8 @@
   for (uint32_t i = 0; i < ROUTERS; i++)
     {
       world.routers[i].address = 0x0a000001 + i;
-      strcpy (world.routers[i].region.text, "north");
+      g_strlcpy (world.routers[i].region.text, "north",
+                 sizeof world.routers[i].region.text);
     }
   int sent[STEPS] = { 0 };
   for (unsigned i = 0; i < ROUTERS; i++)
@@ -399,15 +406,18 @@
   for (size_t i = 0; i < G_N_ELEMENTS (world.routers); i++)
     {
       world.routers[i].address = (uint32_t)i + 1;
-      strcpy (world.routers[i].region.text,
-              region_names[homes[i % G_N_ELEMENTS (homes)]]);
+      g_strlcpy (world.routers[i].region.text,
+                 region_names[homes[i % G_N_ELEMENTS (homes)]],
+                 sizeof world.routers[i].region.text);
     }
   world.n_routers = G_N_ELEMENTS (world.routers);
   int n_of[DOMAINS] = { 0 };
   for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
     {
-      strcpy (world.settings.region.text, region_names[homes[region]]);
-      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      g_strlcpy (world.settings.region.text, region_names[homes[region]],
+                 sizeof world.settings.region.text);
+      g_strlcpy (world.settings.domain.text, domain_names[homes[region]],
+                 sizeof world.settings.domain.text);
       backend_pool_t *pool = pool_open (&world);
       for (uint64_t i = 1; i <= OBJECTS; i++)
         {
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -45,7 +45,7 @@
           bool is_evacuated)
 {
   name_t name = { 0 };
-  strcpy (name.text, domain);
+  g_strlcpy (name.text, domain, sizeof name.text);
   blob_t *command = director_command_evacuate (&name, is_evacuated);
   g_assert_true (director_state_apply (state, index, command, NULL));
   blob_unref (command);
@@ -144,8 +144,8 @@
                              .incarnation = 1,
                              .takes_requests = takes_requests,
                              .heard_at = START };
-  strcpy (record.domain.text, domain);
-  strcpy (record.region.text, region);
+  g_strlcpy (record.domain.text, domain, sizeof record.domain.text);
+  g_strlcpy (record.region.text, region, sizeof record.region.text);
   g_assert_true (router_table_merge (table, &record));
 }
 
@@ -169,7 +169,7 @@
   add_router (table, 5, "south-a", "south", true);
   name_t home = { "south" };
   route_t route = { .n_homes = 1, .homes = &home };
-  strcpy (route.host, "a.example");
+  g_strlcpy (route.host, "a.example", sizeof route.host);
   const route_config_t config = { .n_routes = 1, .routes = &route };
   inet_t addresses[8];
   g_assert_cmpuint (choose (table, NULL, "north", "north-b", addresses), ==,
--- a/test/unit/test_routing_config.c
+++ b/test/unit/test_routing_config.c
@@ -9,9 +9,9 @@
 route_of (const char *name, const char *host, const char *prefix)
 {
   route_t route = { .attempts = 1 };
-  strcpy (route.name.text, name);
-  strcpy (route.host, host);
-  strcpy (route.prefix, prefix);
+  g_strlcpy (route.name.text, name, sizeof route.name.text);
+  g_strlcpy (route.host, host, sizeof route.host);
+  g_strlcpy (route.prefix, prefix, sizeof route.prefix);
   return route;
 }
 
