perf(balance): slow and failing backend servers get less of the load

Change: what a request took over what was expected, and whether it failed, is smoothed per backend server, divides its weight and multiplies its expected time, and fades within 6 s (backend_quality, pure).

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -68,6 +68,7 @@
   backend->others_mean = 0;
   backend->latency = 0;
   object_memory_clear (&backend->objects);
+  backend->quality = (backend_quality_t){ 0 };
 }
 
 static void
@@ -174,23 +175,45 @@
   backend->probe_at = now + PROBE_FIRST;
 }
 
+/* One that refuses though it has room counts as failing.  */
+static bool
+has_failed (const backend_outcome_t *outcome)
+{
+  const backend_load_t *load = &outcome->load;
+  switch (outcome->end)
+    {
+    case BACKEND_FAILED:
+    case BACKEND_BROKE_OFF:
+      return true;
+    case BACKEND_FULL:
+      return load->is_known && load->running < load->slots;
+    case BACKEND_ANSWERED:
+    case BACKEND_MISTAKEN:
+    case BACKEND_LEFT:
+      break;
+    }
+  return false;
+}
+
 void
 backend_pool_ended (backend_pool_t *pool, backend_t *backend,
-                    backend_end_t end, const backend_load_t *load,
-                    usec_t latency, usec_t now)
+                    const backend_outcome_t *outcome, usec_t now)
 {
   (void)pool;
   backend->in_flight--;
-  note_load (backend, load, now);
-  switch (end)
+  note_load (backend, &outcome->load, now);
+  if (outcome->end != BACKEND_MISTAKEN && outcome->end != BACKEND_LEFT)
+    backend_quality_note (&backend->quality, has_failed (outcome),
+                          outcome->latency, outcome->expected, now);
+  switch (outcome->end)
     {
     case BACKEND_ANSWERED:
       backend->failures = 0;
-      note_latency (backend, latency);
+      note_latency (backend, outcome->latency);
       break;
     case BACKEND_FULL:
       /* Others filled it since its last report.  */
-      if (!load->is_known)
+      if (!outcome->load.is_known)
         {
           backend->others = backend->record.slots + 1;
           backend->others_at = now;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -9,6 +9,7 @@
 #ifndef BALANCE_BACKEND_POOL_H
 #define BALANCE_BACKEND_POOL_H
 
+#include "balance/backend_quality.h"
 #include "balance/object_memory.h"
 #include "balance/run_estimate.h"
 #include "base/list.h"
@@ -65,6 +66,7 @@
   usec_t latency;          /* smoothed, of whole answers; 0: none yet */
   object_memory_t objects; /* that it handled for this router */
 
+  backend_quality_t quality;
   backend_health_t health;
   uint32_t failures; /* in a row */
   usec_t probe_at;   /* when it is down: the next probe */
@@ -135,10 +137,18 @@
 bool backend_pool_sent (backend_pool_t *pool, backend_t *backend,
                         const pool_query_t *query, usec_t now);
 
-/* It ended after LATENCY.  BACKEND may be gone afterwards.  */
+/* What became of a request.  */
+typedef struct backend_outcome
+{
+  backend_end_t end;
+  backend_load_t load;
+  usec_t latency;
+  usec_t expected; /* 0: not known, or no slot was free */
+} backend_outcome_t;
+
+/* It ended.  BACKEND may be gone afterwards.  */
 void backend_pool_ended (backend_pool_t *pool, backend_t *backend,
-                         backend_end_t end, const backend_load_t *load,
-                         usec_t latency, usec_t now);
+                         const backend_outcome_t *outcome, usec_t now);
 
 /* A backend server that a probe should be sent to now, marked as probing;
    NULL where there is none.  */
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -62,12 +62,14 @@
 /* Where BACKEND stands in OBJECT's order: weighted rendezvous hashing, the
    lower the earlier.  */
 static double
-order_of (const backend_t *backend, uint64_t object)
+order_of (const backend_t *backend, uint64_t object, usec_t now)
 {
   const uint64_t pair[] = { object, backend->hash };
   uint64_t hash = XXH3_64bits (pair, sizeof pair);
   double unit = ((double)(hash >> 11) + 0.5) / (double)(1ull << 53);
-  return backend->weight > 0 ? -log (unit) / backend->weight : INFINITY;
+  double weight
+      = backend->weight * backend_quality_factor (&backend->quality, now);
+  return weight > 0 ? -log (unit) / weight : INFINITY;
 }
 
 /* The wait for a slot where all are taken, as a part of a run.  It grows with
@@ -89,8 +91,9 @@
    an object's order most likely handled it for other routers.  */
 static double
 cost_of (const backend_pool_t *pool, const backend_t *backend,
-         const pool_query_t *query, double load, bool is_first)
+         const pool_query_t *query, usec_t now, bool is_first)
 {
+  double load = backend_load_at (backend, now);
   double slots = backend->record.slots;
   double known = (double)query->run.known;
   double run = (double)query->run.fresh;
@@ -99,7 +102,8 @@
     wait += load / slots * known;
   else if (is_first || object_memory_has (&backend->objects, query->object))
     run = known;
-  return distance_of (pool, backend) + wait + run;
+  double slowness = backend_quality_slowness (&backend->quality, now);
+  return distance_of (pool, backend) + (wait + run) * slowness;
 }
 
 /* Backend servers in the order in which an object belongs to them.  */
@@ -133,14 +137,14 @@
    their objects, also when work is more than slots.  */
 static void
 find_candidates (backend_pool_t *pool, const pool_query_t *query,
-                 uint64_t object, order_t *order)
+                 uint64_t object, usec_t now, order_t *order)
 {
   size_t max = query->has_object ? OBJECT_CANDIDATES : CANDIDATES_MAX;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
     if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP)
-      order_add (order, max, backend, order_of (backend, object));
+      order_add (order, max, backend, order_of (backend, object, now));
   }
 }
 
@@ -161,7 +165,7 @@
       if (load + 1 > backend->record.slots + QUEUE_DEPTH
           || !pool_cold_allows (backend, now))
         continue;
-      double cost = cost_of (pool, backend, query, load, i == 0);
+      double cost = cost_of (pool, backend, query, now, i == 0);
       if (best->backend && cost >= best->cost)
         continue;
       *best = (best_t){ .backend = backend, .cost = cost };
@@ -175,7 +179,7 @@
       = query->has_object ? query->object : random_next (&pool->random);
   order_t order = { 0 };
   best_t best = { 0 };
-  find_candidates (pool, query, object, &order);
+  find_candidates (pool, query, object, now, &order);
   best_of (pool, query, &order, now, &best);
   return best.backend;
 }
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -457,11 +457,11 @@
 {
   if (exchange->call)
     {
-      backend_load_t load = { 0 };
+      const backend_outcome_t outcome = { .end = BACKEND_LEFT };
       backend_http_abort (dispatcher->backends, exchange->call);
       exchange->call = NULL;
-      backend_pool_ended (dispatcher->pool, exchange->backend, BACKEND_LEFT,
-                          &load, 0, clock_monotonic ());
+      backend_pool_ended (dispatcher->pool, exchange->backend, &outcome,
+                          clock_monotonic ());
       exchange->backend = NULL;
     }
   end (dispatcher, exchange, REASON_GONE);
@@ -534,6 +534,16 @@
 
 static void serve_waiting (dispatcher_t *dispatcher, usec_t now);
 
+/* How long it was expected to run where it is; 0 where it had to wait.  */
+static usec_t
+expected_run (const exchange_t *exchange)
+{
+  const run_span_t *run = &exchange->query.run;
+  if (!exchange->had_slot)
+    return 0;
+  return exchange->was_known ? run->known : run->fresh;
+}
+
 static void
 on_answer (dispatcher_t *dispatcher, exchange_t *exchange,
            backend_answer_t *answer)
@@ -564,8 +574,11 @@
                        now - exchange->sent_at);
   bool again = how != BACKEND_ANSWERED
                && may_try_again (dispatcher, exchange, how, reached, now);
-  backend_pool_ended (dispatcher->pool, backend, how, &answer->load,
-                      now - exchange->sent_at, now);
+  const backend_outcome_t outcome = { .end = how,
+                                      .load = answer->load,
+                                      .latency = now - exchange->sent_at,
+                                      .expected = expected_run (exchange) };
+  backend_pool_ended (dispatcher->pool, backend, &outcome, now);
   if (again)
     {
       exchange->backend = NULL;
@@ -662,11 +675,12 @@
     exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
     if (!exchange->call || now < exchange->deadline + DEADLINE_SLACK)
       continue;
-    backend_load_t load = { 0 };
+    const backend_outcome_t outcome = { .end = BACKEND_BROKE_OFF,
+                                        .latency = now - exchange->sent_at,
+                                        .expected = expected_run (exchange) };
     backend_http_abort (dispatcher->backends, exchange->call);
     exchange->call = NULL;
-    backend_pool_ended (dispatcher->pool, exchange->backend, BACKEND_BROKE_OFF,
-                        &load, 0, now);
+    backend_pool_ended (dispatcher->pool, exchange->backend, &outcome, now);
     exchange->backend = NULL;
     exchange->may_have_run = true;
     end (dispatcher, exchange, REASON_TIMEOUT);
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -126,9 +126,9 @@
 static void
 end_whole (backend_pool_t *pool, backend_t *backend, usec_t now)
 {
-  backend_load_t load = { 0 };
-  backend_pool_ended (pool, backend, BACKEND_ANSWERED, &load,
-                      100 * USEC_PER_MSEC, now);
+  const backend_outcome_t outcome
+      = { .end = BACKEND_ANSWERED, .latency = 100 * USEC_PER_MSEC };
+  backend_pool_ended (pool, backend, &outcome, now);
 }
 
 /* Routers in all regions see the same objects, many of them at once.  However
@@ -312,13 +312,13 @@
   add_backend (&world, 0, 0);
   backend_list_seal (&world.list);
   backend_pool_t *pool = pool_open (&world);
-  backend_load_t load = { 0 };
+  const backend_outcome_t broken = { .end = BACKEND_BROKE_OFF };
   for (int i = 0; i < 2; i++)
     {
       pool_query_t query = query_of (&world, 1);
       backend_t *backend = backend_pool_pick (pool, &query, NOW);
       backend_pool_sent (pool, backend, &query, NOW);
-      backend_pool_ended (pool, backend, BACKEND_BROKE_OFF, &load, 0, NOW);
+      backend_pool_ended (pool, backend, &broken, NOW);
     }
   g_assert_null (pick_any (&world, pool, 1, NOW));
   g_assert_null (backend_pool_due_probe (pool, NOW));
@@ -455,6 +455,84 @@
   world_clear (&world);
 }
 
+/* The part of the requests of 400 objects that goes to the backend server with
+   ID, where it takes five times as long, or fails half of them, and the others
+   do as expected.  */
+static double
+part_of_impaired (world_t *world, const char *id, bool is_slow, usec_t from,
+                  backend_pool_t *pool)
+{
+  enum
+  {
+    REQUESTS = 4000,
+    OBJECTS = 400,
+  };
+  int n = 0;
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      usec_t now = from + i * USEC_PER_MSEC;
+      pool_query_t query = query_of (world, (uint64_t)(i % OBJECTS) + 1);
+      backend_t *backend = backend_pool_pick (pool, &query, now);
+      bool is_impaired = strcmp (backend->record.id, id) == 0;
+      backend_pool_sent (pool, backend, &query, now);
+      backend_outcome_t outcome = { .end = BACKEND_ANSWERED,
+                                    .latency = 100 * USEC_PER_MSEC,
+                                    .expected = 100 * USEC_PER_MSEC };
+      if (is_impaired && is_slow)
+        outcome.latency *= 5;
+      else if (is_impaired && n % 2 == 0)
+        outcome.end = BACKEND_FAILED;
+      n += is_impaired;
+      backend_pool_ended (pool, backend, &outcome, now);
+    }
+  return (double)n / REQUESTS;
+}
+
+static void
+check_impaired (bool is_slow)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  backend_pool_t *pool = pool_open (&world);
+  double even = part_of_impaired (&world, "none", is_slow, NOW, pool);
+  g_assert_cmpfloat (even, ==, 0);
+  pool_query_t query = query_of (&world, 1);
+  char id[BACKEND_ID_BYTES];
+  g_strlcpy (id, backend_pool_pick (pool, &query, NOW)->record.id, sizeof id);
+  double before = 0;
+  for (uint64_t object = 1; object <= 400; object++)
+    before += strcmp (pick_any (&world, pool, object, NOW)->record.id, id) == 0
+                  ? 1.0 / 400
+                  : 0;
+  double during
+      = part_of_impaired (&world, id, is_slow, NOW + 10 * USEC_PER_SEC, pool);
+  g_assert_cmpfloat (during, <, before / 2);
+  g_assert_cmpfloat (during, >, 0);
+  double after = 0;
+  usec_t later = NOW + 30 * USEC_PER_SEC;
+  for (uint64_t object = 1; object <= 400; object++)
+    after
+        += strcmp (pick_any (&world, pool, object, later)->record.id, id) == 0
+               ? 1.0 / 400
+               : 0;
+  g_assert_cmpfloat (after, >, before / 2);
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+static void
+test_slow_backend_gets_less (void)
+{
+  check_impaired (true);
+}
+
+static void
+test_failing_backend_gets_less (void)
+{
+  check_impaired (false);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -470,5 +548,7 @@
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
   g_test_add_func ("/pool/uneven", test_uneven_regions_share_the_work);
   g_test_add_func ("/pool/cold-page", test_cold_span_of_a_late_page);
+  g_test_add_func ("/pool/slow", test_slow_backend_gets_less);
+  g_test_add_func ("/pool/failing", test_failing_backend_gets_less);
   return g_test_run ();
 }
