--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -86,8 +86,8 @@
 roster_read (const fleet_roster_t *wire)
 {
   roster_t roster = { .n_slots = wire->addresses.addresses_len };
-  memcpy (roster.addresses, wire->addresses.addresses_val,
-          roster.n_slots * sizeof roster.addresses[0]);
+  for (size_t i = 0; i < roster.n_slots; i++)
+    roster.addresses[i] = wire->addresses.addresses_val[i];
   return roster;
 }
 
