--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -86,8 +86,8 @@
 roster_read (const fleet_roster_t *wire)
 {
   roster_t roster = { .n_slots = wire->addresses.addresses_len };
-  memcpy (roster.addresses, wire->addresses.addresses_val,
-          roster.n_slots * sizeof roster.addresses[0]);
+  for (size_t i = 0; i < roster.n_slots; i++)
+    roster.addresses[i] = wire->addresses.addresses_val[i];
   return roster;
 }
 
@@ -306,7 +306,7 @@
   args.routers.routers_len = (u_int)routers_to_share (core, now, routers);
   if (leads && replica_is_current (core->replica, now))
     args.confirmed_index = core->applied;
-  for (slot_t slot = 0; slot < core->roster.n_slots; slot++)
+  for (slot_t slot = 0; slot < (slot_t)core->roster.n_slots; slot++)
     if (slot != self
         && (leads || core->leader == SLOT_NONE || core->leader == slot))
       share_to (core, slot, &args);
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -41,16 +41,19 @@
 {
   *world = (world_t){ 0 };
   fleet_settings_t *settings = &world->settings;
-  strcpy (settings->address, "10.0.0.1");
-  strcpy (settings->region.text, "north");
-  strcpy (settings->domain.text, "north-a");
+  g_strlcpy (settings->address, "10.0.0.1", sizeof settings->address);
+  g_strlcpy (settings->region.text, "north", sizeof settings->region.text);
+  g_strlcpy (settings->domain.text, "north-a", sizeof settings->domain.text);
   settings->n_domains = DOMAINS;
   for (size_t i = 0; i < DOMAINS; i++)
     {
-      strcpy (settings->domains[i].name.text, domain_names[i]);
-      strcpy (settings->domains[i].region.text, region_names[i]);
+      g_strlcpy (settings->domains[i].name.text, domain_names[i],
+                 sizeof settings->domains[i].name.text);
+      g_strlcpy (settings->domains[i].region.text, region_names[i],
+                 sizeof settings->domains[i].region.text);
     }
-  strcpy (world->service.name.text, "search");
+  g_strlcpy (world->service.name.text, "search",
+             sizeof world->service.name.text);
   world->service.cold_rate = 5;
   world->config = (route_config_t){ .version = 1,
                                     .n_services = 1,
@@ -64,8 +67,9 @@
   backend_record_t record = { .slots = SLOTS, .started_at = 1 };
   snprintf (record.id, sizeof record.id, "%s-%u", domain_names[domain],
             number);
-  strcpy (record.service.text, "search");
-  strcpy (record.domain.text, domain_names[domain]);
+  g_strlcpy (record.service.text, "search", sizeof record.service.text);
+  g_strlcpy (record.domain.text, domain_names[domain],
+             sizeof record.domain.text);
   record.address = (inet_t){ .address = number + 1, .port = 80 };
   backend_list_add (&world->list, &record);
 }
@@ -122,9 +126,9 @@
 static void
 end_whole (backend_pool_t *pool, backend_t *backend, usec_t now)
 {
-  backend_load_t load = { 0 };
-  backend_pool_ended (pool, backend, BACKEND_ANSWERED, &load,
-                      100 * USEC_PER_MSEC, now);
+  const backend_outcome_t outcome
+      = { .end = BACKEND_ANSWERED, .latency = 100 * USEC_PER_MSEC };
+  backend_pool_ended (pool, backend, &outcome, now);
 }
 
 /* Routers in all regions see the same objects, many of them at once.  However
@@ -146,8 +150,10 @@
   static const size_t homes[] = { 0, 2, 4 };
   for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
     {
-      strcpy (world.settings.region.text, region_names[homes[region]]);
-      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      g_strlcpy (world.settings.region.text, region_names[homes[region]],
+                 sizeof world.settings.region.text);
+      g_strlcpy (world.settings.domain.text, domain_names[homes[region]],
+                 sizeof world.settings.domain.text);
       backend_pool_t *pool = pool_open (&world);
       usec_t now = NOW;
       for (int i = 0; i < OBJECTS * ROUNDS; i++)
@@ -230,7 +236,7 @@
   world_init (&world);
   add_backends (&world);
   backend_pool_t *pool = pool_open (&world);
-  strcpy (world.evacuated.text, "south-a");
+  g_strlcpy (world.evacuated.text, "south-a", sizeof world.evacuated.text);
   world.is_evacuated = true;
   update (&world, pool, NOW);
   for (uint64_t object = 1; object <= 200; object++)
@@ -306,13 +312,13 @@
   add_backend (&world, 0, 0);
   backend_list_seal (&world.list);
   backend_pool_t *pool = pool_open (&world);
-  backend_load_t load = { 0 };
+  const backend_outcome_t broken = { .end = BACKEND_BROKE_OFF };
   for (int i = 0; i < 2; i++)
     {
       pool_query_t query = query_of (&world, 1);
       backend_t *backend = backend_pool_pick (pool, &query, NOW);
       backend_pool_sent (pool, backend, &query, NOW);
-      backend_pool_ended (pool, backend, BACKEND_BROKE_OFF, &load, 0, NOW);
+      backend_pool_ended (pool, backend, &broken, NOW);
     }
   g_assert_null (pick_any (&world, pool, 1, NOW));
   g_assert_null (backend_pool_due_probe (pool, NOW));
@@ -346,7 +352,8 @@
   for (uint32_t i = 0; i < ROUTERS; i++)
     {
       world.routers[i].address = 0x0a000001 + i;
-      strcpy (world.routers[i].region.text, "north");
+      g_strlcpy (world.routers[i].region.text, "north",
+                 sizeof world.routers[i].region.text);
     }
   int sent[STEPS] = { 0 };
   for (unsigned i = 0; i < ROUTERS; i++)
@@ -399,15 +406,18 @@
   for (size_t i = 0; i < G_N_ELEMENTS (world.routers); i++)
     {
       world.routers[i].address = (uint32_t)i + 1;
-      strcpy (world.routers[i].region.text,
-              region_names[homes[i % G_N_ELEMENTS (homes)]]);
+      g_strlcpy (world.routers[i].region.text,
+                 region_names[homes[i % G_N_ELEMENTS (homes)]],
+                 sizeof world.routers[i].region.text);
     }
   world.n_routers = G_N_ELEMENTS (world.routers);
   int n_of[DOMAINS] = { 0 };
   for (size_t region = 0; region < G_N_ELEMENTS (homes); region++)
     {
-      strcpy (world.settings.region.text, region_names[homes[region]]);
-      strcpy (world.settings.domain.text, domain_names[homes[region]]);
+      g_strlcpy (world.settings.region.text, region_names[homes[region]],
+                 sizeof world.settings.region.text);
+      g_strlcpy (world.settings.domain.text, domain_names[homes[region]],
+                 sizeof world.settings.domain.text);
       backend_pool_t *pool = pool_open (&world);
       for (uint64_t i = 1; i <= OBJECTS; i++)
         {
@@ -445,6 +455,84 @@
   world_clear (&world);
 }
 
+/* The part of the requests of 400 objects that goes to the backend server with
+   ID, where it takes five times as long, or fails half of them, and the others
+   do as expected.  */
+static double
+part_of_impaired (world_t *world, const char *id, bool is_slow, usec_t from,
+                  backend_pool_t *pool)
+{
+  enum
+  {
+    REQUESTS = 4000,
+    OBJECTS = 400,
+  };
+  int n = 0;
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      usec_t now = from + i * USEC_PER_MSEC;
+      pool_query_t query = query_of (world, (uint64_t)(i % OBJECTS) + 1);
+      backend_t *backend = backend_pool_pick (pool, &query, now);
+      bool is_impaired = strcmp (backend->record.id, id) == 0;
+      backend_pool_sent (pool, backend, &query, now);
+      backend_outcome_t outcome = { .end = BACKEND_ANSWERED,
+                                    .latency = 100 * USEC_PER_MSEC,
+                                    .expected = 100 * USEC_PER_MSEC };
+      if (is_impaired && is_slow)
+        outcome.latency *= 5;
+      else if (is_impaired && n % 2 == 0)
+        outcome.end = BACKEND_FAILED;
+      n += is_impaired;
+      backend_pool_ended (pool, backend, &outcome, now);
+    }
+  return (double)n / REQUESTS;
+}
+
+static void
+check_impaired (bool is_slow)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  backend_pool_t *pool = pool_open (&world);
+  double even = part_of_impaired (&world, "none", is_slow, NOW, pool);
+  g_assert_cmpfloat (even, ==, 0);
+  pool_query_t query = query_of (&world, 1);
+  char id[BACKEND_ID_BYTES];
+  g_strlcpy (id, backend_pool_pick (pool, &query, NOW)->record.id, sizeof id);
+  double before = 0;
+  for (uint64_t object = 1; object <= 400; object++)
+    before += strcmp (pick_any (&world, pool, object, NOW)->record.id, id) == 0
+                  ? 1.0 / 400
+                  : 0;
+  double during
+      = part_of_impaired (&world, id, is_slow, NOW + 10 * USEC_PER_SEC, pool);
+  g_assert_cmpfloat (during, <, before / 2);
+  g_assert_cmpfloat (during, >, 0);
+  double after = 0;
+  usec_t later = NOW + 30 * USEC_PER_SEC;
+  for (uint64_t object = 1; object <= 400; object++)
+    after
+        += strcmp (pick_any (&world, pool, object, later)->record.id, id) == 0
+               ? 1.0 / 400
+               : 0;
+  g_assert_cmpfloat (after, >, before / 2);
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+static void
+test_slow_backend_gets_less (void)
+{
+  check_impaired (true);
+}
+
+static void
+test_failing_backend_gets_less (void)
+{
+  check_impaired (false);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -460,5 +548,7 @@
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
   g_test_add_func ("/pool/uneven", test_uneven_regions_share_the_work);
   g_test_add_func ("/pool/cold-page", test_cold_span_of_a_late_page);
+  g_test_add_func ("/pool/slow", test_slow_backend_gets_less);
+  g_test_add_func ("/pool/failing", test_failing_backend_gets_less);
   return g_test_run ();
 }
