fix(router,director): lists and configurations travel packed; a caller who has left is not served

Routers on 2 Mbit/s links that had all restarted pulled 55 KB of backend servers and 100 KB of configuration with a timeout of 0.7 s, asked again before it could arrive, and kept their links full; requests lay unread for five seconds.

Change: both are packed with zlib (500 backend servers in under 25 KB); the first pull may take 2.5 s; a request whose caller has closed its connection by the time it is read ends there.

Ruled out: processor time (0.02 of 0.1 cores).

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -11,6 +11,7 @@
 #include "agreement/storage_thread.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
+#include "fleet/packed.h"
 #include "fleet/router_table.h"
 #include "wire/generated/fleet.h"
 
@@ -104,6 +105,7 @@
   director_peer_t peers[ROSTER_MAX];
 
   director_state_t state;
+  packed_t packed_config; /* of STATE, for routers */
   log_index_t applied;
   usec_t confirmed_at;       /* STATE was the newest then; 0: never */
   log_index_t confirm_index; /* STATE is, once this is applied */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -268,10 +268,11 @@
 {
   bool has_list = core->list.digest == 0
                   || core->peers[to].list_digest == core->list.digest;
-  fleet_list_t list = { 0 };
+  packed_t list = { 0 };
   if (!has_list)
-    list = fleet_wire_list (&core->list, clock_monotonic ());
-  args->list = has_list ? NULL : &list;
+    list = fleet_wire_pack_list (&core->list, clock_monotonic ());
+  args->list.list_val = list.bytes;
+  args->list.list_len = (u_int)list.length;
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
@@ -283,7 +284,7 @@
                             .done = on_shared,
                             .closure = call };
   call_director (core, call->address, &request);
-  free (list.backends.backends_val);
+  free (list.bytes);
 }
 
 /* Through the leader, so that the messages grow with the number of
@@ -329,12 +330,11 @@
       core->confirm_index = args->confirmed_index;
       core->confirm_time = now;
     }
-  if (args->list)
-    {
-      backend_list_t list;
-      fleet_wire_read_list (args->list, now, &list);
-      core_pulls_list (core, &list);
-    }
+  backend_list_t list;
+  if (args->list.list_len > 0
+      && fleet_wire_unpack_list (args->list.list_val, args->list.list_len, now,
+                                 &list))
+    core_pulls_list (core, &list);
   else if (args->list_digest == core->list.digest && args->list_age >= 0
            && now - args->list_age > core->list.read_at)
     {
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -101,8 +101,8 @@
   result->config_version = state->version;
   if (state->config && state->version > args->config_version)
     {
-      result->config.config_val = (char *)state->config->bytes;
-      result->config.config_len = state->config->length;
+      result->config.config_val = core->packed_config.bytes;
+      result->config.config_len = (u_int)core->packed_config.length;
     }
   result->evacuations_index = state->evacuations_index;
   for (size_t i = 0; i < state->n_evacuated; i++)
@@ -121,7 +121,7 @@
     router_table_merge (&core->routers, &record);
   core_pulls_routers (core, now);
   fleet_name_t evacuated[EVACUATED_MAX];
-  fleet_list_t list = { 0 };
+  packed_t list = { 0 };
   fleet_pull_result_t result
       = { .confirmed_age
           = core->confirmed_at > 0 ? now - core->confirmed_at : -1,
@@ -135,11 +135,12 @@
     }
   if (core->list.digest != 0 && args->list_digest != core->list.digest)
     {
-      list = fleet_wire_list (&core->list, now);
-      result.list = &list;
+      list = fleet_wire_pack_list (&core->list, now);
+      result.list.list_val = list.bytes;
+      result.list.list_len = (u_int)list.length;
     }
   result.directors.directors_val = core->roster.addresses;
   result.directors.directors_len = (u_int)core->roster.n_slots;
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
-  free (list.backends.backends_val);
+  free (list.bytes);
 }
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -1,5 +1,7 @@
 #include "director/core_internal.h"
 
+#include <stdlib.h>
+
 #include "base/clock.h"
 #include "base/log.h"
 #include "config_codec.h"
@@ -111,14 +113,17 @@
              LOG_U ("slots", core->roster.n_slots));
 }
 
-/* Tell the port that answers callers.  */
+/* Tell the port that answers callers, and pack it for routers.  */
 static void
 publish_config (director_core_t *core)
 {
   const blob_t *text = core->state.config;
   err_t err = { 0 };
+  free (core->packed_config.bytes);
+  core->packed_config = (packed_t){ 0 };
   if (!text)
     return;
+  core->packed_config = packed_write (text->bytes, text->length);
   route_config_t *config
       = config_codec_read ((const char *)text->bytes, text->length, &err);
   if (config)
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -327,6 +327,7 @@
 director_core_free (director_core_t *core)
 {
   director_state_clear (&core->state);
+  free (core->packed_config.bytes);
   backend_list_clear (&core->list);
   pthread_cond_destroy (&core->changed);
   pthread_mutex_destroy (&core->lock);
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -6,6 +6,11 @@
 #include "base/name.h"
 #include "fleet/backend_list.h"
 
+enum
+{
+  LIST_BYTES_MAX = 4 * 1024 * 1024, /* unpacked */
+};
+
 fleet_router_t
 fleet_wire_router (const router_record_t *record, usec_t now)
 {
@@ -34,8 +39,9 @@
          && name_parse (&record->region, from->region, NULL);
 }
 
-fleet_list_t
-fleet_wire_list (const backend_list_t *list, usec_t now)
+/* The backends array is malloc'd.  */
+static fleet_list_t
+list_to_wire (const backend_list_t *list, usec_t now)
 {
   fleet_list_t wire = { .age = now - list->read_at };
   wire.backends.backends_val
@@ -61,9 +67,8 @@
   return wire;
 }
 
-void
-fleet_wire_read_list (const fleet_list_t *from, usec_t now,
-                      backend_list_t *list)
+static void
+list_from_wire (const fleet_list_t *from, usec_t now, backend_list_t *list)
 {
   *list = (backend_list_t){ .read_at = now - (from->age > 0 ? from->age : 0) };
   for (u_int i = 0; i < from->backends.backends_len; i++)
@@ -84,3 +89,39 @@
     }
   backend_list_seal (list);
 }
+
+packed_t
+fleet_wire_pack_list (const backend_list_t *list, usec_t now)
+{
+  fleet_list_t wire = list_to_wire (list, now);
+  size_t size = xdr_sizeof ((xdrproc_t)xdr_fleet_list_t, &wire);
+  char *plain = malloc (size + 1);
+  if (!plain)
+    abort ();
+  XDR xdrs;
+  xdrmem_create (&xdrs, plain, (u_int)size, XDR_ENCODE);
+  if (!xdr_fleet_list_t (&xdrs, &wire))
+    abort ();
+  packed_t packed = packed_write (plain, size);
+  free (plain);
+  free (wire.backends.backends_val);
+  return packed;
+}
+
+bool
+fleet_wire_unpack_list (const char *bytes, size_t length, usec_t now,
+                        backend_list_t *list)
+{
+  packed_t plain;
+  if (!packed_read (bytes, length, LIST_BYTES_MAX, &plain))
+    return false;
+  fleet_list_t wire = { 0 };
+  XDR xdrs;
+  xdrmem_create (&xdrs, plain.bytes, (u_int)plain.length, XDR_DECODE);
+  bool ok = xdr_fleet_list_t (&xdrs, &wire);
+  if (ok)
+    list_from_wire (&wire, now, list);
+  xdr_free ((xdrproc_t)xdr_fleet_list_t, (char *)&wire);
+  free (plain.bytes);
+  return ok;
+}
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -1,6 +1,7 @@
 #include "router/caller_http.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -214,12 +215,18 @@
 
 /* --- Waiting ------------------------------------------------------------ */
 
-static void
-suspend (caller_http_t *port, exchange_t *exchange)
+static int
+caller_fd_of (const exchange_t *exchange)
 {
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  exchange->caller_fd = info->connect_fd;
+  return info->connect_fd;
+}
+
+static void
+suspend (caller_http_t *port, exchange_t *exchange)
+{
+  exchange->caller_fd = caller_fd_of (exchange);
   exchange->watch = (watch_t){ .kind = WATCH_CALLER,
                                .fd = exchange->caller_fd,
                                .owner = exchange };
@@ -246,6 +253,17 @@
   port->options.gone (port->options.closure, exchange);
 }
 
+/* Whether the caller has closed its connection already: a request that lay
+   unread for long may have nobody to answer to.  */
+static bool
+caller_has_left (const exchange_t *exchange)
+{
+  struct pollfd poll_fd
+      = { .fd = caller_fd_of (exchange), .events = POLLRDHUP };
+  return poll (&poll_fd, 1, 0) > 0
+         && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 static enum MHD_Result
 on_request (void *closure, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *data,
@@ -276,6 +294,11 @@
   if (!exchange->begun && !exchange->ended)
     {
       exchange->begun = true;
+      if (caller_has_left (exchange))
+        {
+          refuse (exchange, REASON_GONE);
+          return queue_answer (port, exchange);
+        }
       port->options.request (port->options.closure, exchange);
       if (!exchange->ended)
         {
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -20,6 +20,9 @@
 /* A director across regions answers within 50 ms; one that is busy with a
    disk or an election takes longer.  */
 #define PULL_TIMEOUT (700 * USEC_PER_MSEC)
+/* The first answer has all configuration and backend servers, which takes long
+   on a link of 2 Mbit/s; asked again too soon it would only take longer.  */
+#define FIRST_PULL_TIMEOUT (2500 * USEC_PER_MSEC)
 /* A director that has not heard from the leader for so long is left.  */
 #define CONFIRMED_AGE_MAX (1500 * USEC_PER_MSEC)
 /* After the start, while callers wait.  */
@@ -115,11 +118,13 @@
 take_config (sync_t *sync, view_t *view, const fleet_pull_result_t *result)
 {
   err_t err = { 0 };
-  if (result->config.config_len == 0
-      || result->config_version <= sync->version)
+  packed_t text;
+  if (result->config_version <= sync->version
+      || !packed_read (result->config.config_val, result->config.config_len,
+                       FLEET_CONFIG_BYTES_MAX, &text))
     return false;
-  route_config_t *config = config_codec_read (result->config.config_val,
-                                              result->config.config_len, &err);
+  route_config_t *config = config_codec_read (text.bytes, text.length, &err);
+  free (text.bytes);
   if (!config)
     {
       log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
@@ -166,24 +171,23 @@
 take_list (sync_t *sync, view_t *view, const fleet_pull_result_t *result,
            usec_t now)
 {
-  if (result->list)
+  backend_list_t list;
+  if (result->list.list_len == 0
+      || !fleet_wire_unpack_list (result->list.list_val, result->list.list_len,
+                                  now, &list))
+    return false;
+  if (list.read_at < view->list.read_at)
     {
-      backend_list_t list;
-      fleet_wire_read_list (result->list, now, &list);
-      if (list.read_at < view->list.read_at)
-        {
-          backend_list_clear (&list);
-          return false;
-        }
-      backend_list_clear (&view->list);
-      view->list = list;
-      sync->list_digest = list.digest;
-      LOG_EVENT (LOG_LEVEL_INFO, "backends_in_force",
-                 LOG_U ("backends", list.n_records),
-                 LOG_I ("age_ms", (now - list.read_at) / USEC_PER_MSEC));
-      return true;
+      backend_list_clear (&list);
+      return false;
     }
-  return false;
+  backend_list_clear (&view->list);
+  view->list = list;
+  sync->list_digest = list.digest;
+  LOG_EVENT (LOG_LEVEL_INFO, "backends_in_force",
+             LOG_U ("backends", list.n_records),
+             LOG_I ("age_ms", (now - list.read_at) / USEC_PER_MSEC));
+  return true;
 }
 
 static bool
@@ -346,16 +350,18 @@
 {
   char address[INET_TEXT_BYTES];
   inet_format_address (director, address);
-  const rpc_request_t request = { .address = address,
-                                  .port = sync->options.settings->peer_port,
-                                  .program = MULBERRY_FLEET,
-                                  .version = MULBERRY_FLEET_V1,
-                                  .procedure = FLEET_PULL,
-                                  .encode = (xdrproc_t)xdr_fleet_pull_args_t,
-                                  .args = (void *)(uintptr_t)args,
-                                  .timeout = PULL_TIMEOUT,
-                                  .done = on_answer,
-                                  .closure = sync };
+  const rpc_request_t request
+      = { .address = address,
+          .port = sync->options.settings->peer_port,
+          .program = MULBERRY_FLEET,
+          .version = MULBERRY_FLEET_V1,
+          .procedure = FLEET_PULL,
+          .encode = (xdrproc_t)xdr_fleet_pull_args_t,
+          .args = (void *)(uintptr_t)args,
+          .timeout
+          = args->config_version > 0 ? PULL_TIMEOUT : FIRST_PULL_TIMEOUT,
+          .done = on_answer,
+          .closure = sync };
   rpc_send (sync->options.rpc, &request);
 }
 
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -5,6 +5,7 @@
 const FLEET_ID_BYTES_MAX = 63;
 const FLEET_CONFIG_BYTES_MAX = 900000;
 const FLEET_MESSAGE_BYTES_MAX = 1000000;
+const FLEET_PACKED_BYTES_MAX = 950000;
 const FLEET_WIRE_BACKENDS_MAX = 4096;
 const FLEET_WIRE_ROUTERS_MAX = 2048;
 const FLEET_WIRE_DOMAINS_MAX = 128;
@@ -65,13 +66,15 @@
   /* usec since this state was known to be the newest; -1: never */
   int64_t confirmed_age;
   uint64_t config_version;
-  opaque config<FLEET_CONFIG_BYTES_MAX>; /* empty: not newer than asked */
+  /* Packed; empty: not newer than asked. */
+  opaque config<FLEET_PACKED_BYTES_MAX>;
   uint64_t evacuations_index;            /* of the log */
   fleet_name_t evacuated<FLEET_WIRE_DOMAINS_MAX>;
   uint64_t routers_digest;
   fleet_peer_t routers<FLEET_WIRE_ROUTERS_MAX>; /* empty: the router has them */
   int64_t list_age; /* usec since the list was read; -1: never */
-  fleet_list_t *list; /* absent: the router has it */
+  /* A packed fleet_list_t; empty: the router has it. */
+  opaque list<FLEET_PACKED_BYTES_MAX>;
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
 };
 
@@ -85,7 +88,7 @@
   uint64_t confirmed_index;
   uint64_t list_digest;
   int64_t list_age; /* usec since the list was read; -1: never */
-  fleet_list_t *list; /* absent: the peer has it */
+  opaque list<FLEET_PACKED_BYTES_MAX>; /* packed; empty: the peer has it */
 };
 
 struct fleet_share_result_t
--- /dev/null
+++ b/test/unit/test_fleet_packed.c
@@ -0,0 +1,70 @@
+/* Packed blocks, and the list of backend servers in one.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "fleet/backend_list.h"
+#include "fleet/fleet_wire.h"
+#include "fleet/packed.h"
+
+#define NOW (100 * USEC_PER_SEC)
+
+static void
+test_block (void)
+{
+  char *text = g_strnfill (100000, 'a');
+  packed_t packed = packed_write (text, 100000);
+  g_assert_cmpuint (packed.length, <, 1000);
+  packed_t plain;
+  g_assert_true (packed_read (packed.bytes, packed.length, 100000, &plain));
+  g_assert_cmpmem (plain.bytes, plain.length, text, 100000);
+  free (plain.bytes);
+  g_assert_false (packed_read (packed.bytes, packed.length, 99999, &plain));
+  for (size_t n = 0; n < packed.length; n++)
+    g_assert_false (packed_read (packed.bytes, n, 100000, &plain));
+  packed.bytes[packed.length / 2] ^= 0x55;
+  g_assert_false (packed_read (packed.bytes, packed.length, 100000, &plain));
+  free (packed.bytes);
+  g_free (text);
+}
+
+/* As many backend servers as the largest site has: what a router gets at its
+   start fits through 2 Mbit/s within a tenth of a second.  */
+static void
+test_list_of_500 (void)
+{
+  backend_list_t list = { .read_at = NOW - 300 * USEC_PER_MSEC };
+  for (uint32_t i = 0; i < 500; i++)
+    {
+      backend_record_t record
+          = { .address = { .address = 0x0a010000 + i * 7, .port = 8080 },
+              .slots = 5,
+              .started_at = 1700000000000 + i * 977 };
+      g_snprintf (record.id, sizeof record.id, "i-%08x", i * 2654435761u);
+      g_snprintf (record.service.text, NAME_BYTES, "service-%u", i % 4);
+      g_snprintf (record.domain.text, NAME_BYTES, "domain-%u", i % 9);
+      backend_list_add (&list, &record);
+    }
+  backend_list_seal (&list);
+  packed_t packed = fleet_wire_pack_list (&list, NOW);
+  g_assert_cmpuint (packed.length, <, 2 * 1000 * 1000 / 8 / 10);
+  backend_list_t read;
+  g_assert_true (
+      fleet_wire_unpack_list (packed.bytes, packed.length, NOW, &read));
+  g_assert_cmpuint (read.n_records, ==, 500);
+  g_assert_cmpuint (read.digest, ==, list.digest);
+  g_assert_cmpint (read.read_at, ==, list.read_at);
+  g_assert_false (
+      fleet_wire_unpack_list (packed.bytes, packed.length - 1, NOW, &read));
+  free (packed.bytes);
+  backend_list_clear (&list);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/packed/block", test_block);
+  g_test_add_func ("/packed/list", test_list_of_500);
+  return g_test_run ();
+}
