refactor(router): the dispatcher in parts; what stood twice stands once

One wait for signals for both programs, one set of socket options for both HTTP clients. A router that knows of no other takes one retry in hand, not half of the base. The first pull may take 1 s.

--- a/src/director/main_director.c
+++ b/src/director/main_director.c
@@ -4,7 +4,6 @@
 #include <argp.h>
 #include <curl/curl.h>
 #include <errno.h>
-#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -121,21 +120,6 @@
   metrics_free (director->metrics);
 }
 
-/* Until SIGTERM or SIGINT.  */
-static void
-serve (const fleet_program_t *program)
-{
-  sigset_t set;
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  sigaddset (&set, SIGHUP);
-  int number = 0;
-  while (sigwait (&set, &number) == 0 && number == SIGHUP)
-    fleet_program_reload (program);
-  LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
-}
-
 int
 main (int argc, char **argv)
 {
@@ -148,19 +132,13 @@
   director_t director = { 0 };
   err_t err = { 0 };
   if (director_open (&director, &program, &err))
-    {
-      LOG_EVENT (LOG_LEVEL_INFO, "started",
-                 LOG_S ("version", MULBERRY_VERSION),
-                 LOG_S ("address", program.settings->address));
-      serve (&program);
-    }
+    fleet_program_serve (&program);
   else
     {
       log_error (LOG_LEVEL_ERROR, "start_failed", &err);
       exit_code = EXIT_FAILURE;
     }
   director_close (&director);
-  LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
-  fleet_program_finish (&program);
+  fleet_program_finish (&program, exit_code);
   return exit_code;
 }
--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -1,14 +1,12 @@
 #include "entry/backend_client.h"
 
 #include <curl/curl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "base/list.h"
+#include "wire/http_socket.h"
 
 enum
 {
@@ -17,9 +15,6 @@
   ID_BYTES = 64,
   CONNECTIONS_CACHED = 1024,
   STATUS_SHED = 503,
-  UNACKNOWLEDGED_MSEC = 2000, /* then the connection is dead */
-  KEEPALIVE_SECONDS = 1,
-  KEEPALIVE_PROBES = 3,
 };
 
 struct backend_call
@@ -143,26 +138,6 @@
   return CURL_PREREQFUNC_OK;
 }
 
-/* A connection that something between the ends has forgotten is found while
-   bytes on it stay without acknowledgement.  */
-static int
-on_socket (void *closure, curl_socket_t fd, curlsocktype purpose)
-{
-  (void)closure;
-  (void)purpose;
-  int unacknowledged = UNACKNOWLEDGED_MSEC;
-  int on = 1;
-  int seconds = KEEPALIVE_SECONDS;
-  int probes = KEEPALIVE_PROBES;
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
-              sizeof unacknowledged);
-  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  return CURL_SOCKOPT_OK;
-}
-
 static void
 add_header (backend_call_t *call, const char *name, const char *value)
 {
@@ -222,7 +197,7 @@
                     (long)(request->timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
                     (long)(options->connection_idle / USEC_PER_SEC + 1));
-  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_made);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -1,24 +1,19 @@
 #include "router/backend_http.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 
 #include "base/clock.h"
 #include "platform_words.h"
+#include "wire/http_socket.h"
 
 enum
 {
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
   ID_BYTES = 128,
-  UNACKNOWLEDGED_MSEC = 1500, /* then the connection is dead */
-  KEEPALIVE_SECONDS = 1,
-  KEEPALIVE_PROBES = 2,
   IDLE_SECONDS = 8, /* a connection that lay longer is not used again */
 };
 
@@ -192,26 +187,6 @@
   return CURL_PREREQFUNC_OK;
 }
 
-/* A connection that something between the ends has forgotten is found while
-   bytes on it stay without acknowledgement.  */
-static int
-on_socket_made (void *closure, curl_socket_t fd, curlsocktype purpose)
-{
-  (void)closure;
-  (void)purpose;
-  int unacknowledged = UNACKNOWLEDGED_MSEC;
-  int on = 1;
-  int seconds = KEEPALIVE_SECONDS;
-  int probes = KEEPALIVE_PROBES;
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
-              sizeof unacknowledged);
-  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  return CURL_SOCKOPT_OK;
-}
-
 static unsigned int
 wanted_of (int what)
 {
@@ -312,7 +287,7 @@
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)(request->connect_timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)IDLE_SECONDS);
-  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_made);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
--- /dev/null
+++ b/src/router/dispatcher_end.c
@@ -0,0 +1,76 @@
+#include "router/dispatcher_internal.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+static void
+log_end (const exchange_t *exchange, usec_t now)
+{
+  unsigned int status = exchange->reason == REASON_NONE
+                            ? exchange->answer.status
+                            : exchange_reason_status (exchange->reason);
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "request_ended", LOG_S ("id", exchange->id),
+      LOG_S ("outcome", exchange_reason_name (exchange->reason)),
+      LOG_U ("status", status),
+      LOG_S ("route", exchange->route ? exchange->route->name.text : ""),
+      LOG_S ("service",
+             exchange->query.service ? exchange->query.service : ""),
+      LOG_S ("backend", exchange->backend ? exchange->backend->record.id : ""),
+      LOG_U ("version", exchange->view && exchange->view->config
+                            ? exchange->view->config->version
+                            : 0),
+      LOG_U ("sent", exchange->n_sent), LOG_U ("tries", exchange->n_tries),
+      LOG_I ("usec", now - exchange->begun_at),
+      LOG_I ("left_ms", (exchange->deadline - now) / USEC_PER_MSEC),
+      LOG_I ("retry_after_ms", exchange->retry_after / USEC_PER_MSEC));
+}
+
+void
+dispatcher_end (dispatcher_t *dispatcher, exchange_t *exchange,
+                exchange_reason_t reason)
+{
+  usec_t now = clock_monotonic ();
+  exchange->reason = reason;
+  log_end (exchange, now);
+  router_metrics_ended (dispatcher->options.metrics,
+                        exchange->query.service ? exchange->query.service : "",
+                        exchange_reason_name (reason),
+                        now - exchange->begun_at);
+  list_remove (&exchange->link);
+  dispatcher->n_exchanges--;
+  exchange->backend = NULL;
+  caller_http_end (dispatcher->port, exchange);
+}
+
+/* "Not run" only where nothing can have started it.  */
+static void
+give_up (dispatcher_t *dispatcher, exchange_t *exchange,
+         exchange_reason_t not_run, exchange_reason_t may_have_run)
+{
+  dispatcher_end (dispatcher, exchange,
+                  exchange->may_have_run ? may_have_run : not_run);
+}
+
+/* When a caller who was refused may come back.  */
+static usec_t
+retry_after (const dispatcher_t *dispatcher, const exchange_t *exchange,
+             usec_t now)
+{
+  usec_t wait = dispatcher_expected_wait (dispatcher, exchange);
+  usec_t third = (exchange->caller_deadline - now) / 4;
+  if (wait < 50 * USEC_PER_MSEC)
+    wait = 50 * USEC_PER_MSEC;
+  if (exchange->caller_deadline > 0 && wait > third)
+    wait = third;
+  return wait > 0 ? wait : 0;
+}
+
+void
+dispatcher_refuse (dispatcher_t *dispatcher, exchange_t *exchange,
+                   exchange_reason_t reason, usec_t now)
+{
+  if (!exchange->may_have_run && exchange->view->config && exchange->route)
+    exchange->retry_after = retry_after (dispatcher, exchange, now);
+  give_up (dispatcher, exchange, reason, REASON_BROKE_OFF);
+}
--- /dev/null
+++ b/src/router/dispatcher_place.c
@@ -0,0 +1,197 @@
+#include "router/dispatcher_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "router/request_headers.h"
+
+enum
+{
+  RETRY_PERMILLE = 120, /* of the traffic; the bound allows for all VMs */
+};
+
+static service_state_t *
+service_state (dispatcher_t *dispatcher, const char *name)
+{
+  for (size_t i = 0; i < dispatcher->n_services; i++)
+    if (strcmp (dispatcher->services[i].name.text, name) == 0)
+      return &dispatcher->services[i];
+  if (dispatcher->n_services == SERVICES_MAX)
+    return &dispatcher->services[0];
+  service_state_t *state = &dispatcher->services[dispatcher->n_services++];
+  snprintf (state->name.text, sizeof state->name.text, "%s", name);
+  size_t n_routers = dispatcher->view->n_routers;
+  double base = dispatcher->options.settings->bounds.retry_base;
+  double burst = n_routers > 0 ? base / (double)(2 * n_routers) : 1;
+  retry_budget_init (&state->retries, RETRY_PERMILLE,
+                     burst > 1 ? (uint32_t)burst : 1);
+  return state;
+}
+
+retry_budget_t *
+dispatcher_retries (dispatcher_t *dispatcher, const exchange_t *exchange)
+{
+  return &service_state (dispatcher, exchange->query.service)->retries;
+}
+
+static void
+send_to (dispatcher_t *dispatcher, exchange_t *exchange, backend_t *backend,
+         usec_t now)
+{
+  list_remove (&exchange->link);
+  list_push_back (&dispatcher->under_way, &exchange->link);
+  exchange->backend = backend;
+  exchange->n_tries++;
+  exchange->n_sent++;
+  exchange->sent_at = now;
+  exchange->had_slot
+      = backend_load_at (backend, now) + 1 <= backend->record.slots;
+  exchange->was_known
+      = backend_pool_sent (dispatcher->pool, backend, &exchange->query, now);
+  call_owner_t *owner = calloc (1, sizeof *owner);
+  if (!owner)
+    abort ();
+  owner->exchange = exchange;
+  const backend_request_t request
+      = { .address = backend->record.address,
+          .method = exchange->method,
+          .target = exchange->target,
+          .id = exchange->id,
+          .headers = request_headers (exchange, backend, now),
+          .body = exchange->body,
+          .body_bytes = exchange->body_bytes,
+          .timeout = exchange->deadline - now + DEADLINE_SLACK,
+          .connect_timeout = CONNECT_TIMEOUT,
+          .owner = owner };
+  exchange->call = backend_http_call (dispatcher->backends, &request);
+  router_metrics_sent (dispatcher->options.metrics, exchange->query.service,
+                       exchange->n_tries > 1);
+  LOG_EVENT (
+      LOG_LEVEL_INFO, "request_sent", LOG_S ("id", exchange->id),
+      LOG_S ("backend", backend->record.id),
+      LOG_S ("domain", backend->record.domain.text),
+      LOG_U ("object", exchange->query.object),
+      LOG_U ("known", exchange->was_known),
+      LOG_I ("run_ms", exchange->query.run.known / USEC_PER_MSEC),
+      LOG_I ("fresh_run_ms", exchange->query.run.fresh / USEC_PER_MSEC),
+      LOG_U ("in_flight", backend->in_flight),
+      LOG_F ("load", backend_load_at (backend, now)),
+      LOG_I ("report_age_ms", (now - backend->others_at) / USEC_PER_MSEC),
+      LOG_U ("try", exchange->n_tries),
+      LOG_I ("left_ms", (exchange->deadline - now) / USEC_PER_MSEC));
+}
+
+/* True where EXCHANGE went to some backend server.  */
+static bool
+try_to_send (dispatcher_t *dispatcher, exchange_t *exchange, usec_t now)
+{
+  if (exchange->deadline - now < USEC_PER_MSEC)
+    return false;
+  exchange->query.run = run_estimate_of (&dispatcher->runs, exchange->route);
+  backend_t *backend
+      = backend_pool_pick (dispatcher->pool, &exchange->query, now);
+  if (!backend)
+    return false;
+  send_to (dispatcher, exchange, backend, now);
+  return true;
+}
+
+/* Put EXCHANGE among the waiting: the more urgent first, then as they came. */
+static void
+wait_for_room (dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  list_t *before = &dispatcher->waiting;
+  for (list_t *link = dispatcher->waiting.prev; link != &dispatcher->waiting;
+       link = link->prev)
+    {
+      const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
+      if (other->route->priority <= exchange->route->priority)
+        break;
+      before = link;
+    }
+  list_remove (&exchange->link);
+  list_push_back (before, &exchange->link);
+}
+
+/* How long a request that comes now would wait for its turn.  */
+usec_t
+dispatcher_expected_wait (const dispatcher_t *dispatcher,
+                          const exchange_t *exchange)
+{
+  pool_capacity_t capacity
+      = backend_pool_capacity (dispatcher->pool, &exchange->query);
+  size_t ahead = 0;
+  LIST_FOREACH (link, &dispatcher->waiting)
+  {
+    const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
+    if (strcmp (other->query.service, exchange->query.service) == 0
+        && other->route->priority <= exchange->route->priority)
+      ahead++;
+  }
+  size_t n_routers = dispatcher->view->n_routers;
+  double slots
+      = (double)capacity.slots / (double)(n_routers > 0 ? n_routers : 1);
+  if (capacity.latency == 0 || slots <= 0)
+    return 0;
+  return (usec_t)((double)capacity.latency * (double)(ahead + 1) / slots);
+}
+
+/* Send it, let it wait, or refuse it.  */
+void
+dispatcher_place (dispatcher_t *dispatcher, exchange_t *exchange, usec_t now)
+{
+  if (try_to_send (dispatcher, exchange, now))
+    return;
+  if (!backend_pool_serves (dispatcher->pool, &exchange->query))
+    {
+      dispatcher_refuse (
+          dispatcher, exchange,
+          exchange->was_full ? REASON_REFUSED : REASON_NO_BACKEND, now);
+      return;
+    }
+  if (dispatcher_expected_wait (dispatcher, exchange)
+      > exchange->deadline - now)
+    {
+      dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
+      return;
+    }
+  wait_for_room (dispatcher, exchange);
+}
+
+void
+dispatcher_serve_waiting (dispatcher_t *dispatcher, usec_t now)
+{
+  LIST_FOREACH (link, &dispatcher->waiting)
+  {
+    exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
+    if (exchange->deadline - now < USEC_PER_MSEC)
+      dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
+    else
+      try_to_send (dispatcher, exchange, now);
+  }
+}
+
+/* What a request under way is told when its time is over.  */
+void
+dispatcher_expire (dispatcher_t *dispatcher, usec_t now)
+{
+  LIST_FOREACH (link, &dispatcher->under_way)
+  {
+    exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
+    if (!exchange->call || now < exchange->deadline + DEADLINE_SLACK)
+      continue;
+    const backend_outcome_t outcome
+        = { .end = BACKEND_BROKE_OFF,
+            .latency = now - exchange->sent_at,
+            .expected = dispatcher_expected_run (exchange) };
+    backend_http_abort (dispatcher->backends, exchange->call);
+    exchange->call = NULL;
+    backend_pool_ended (dispatcher->pool, exchange->backend, &outcome, now);
+    exchange->backend = NULL;
+    exchange->may_have_run = true;
+    dispatcher_end (dispatcher, exchange, REASON_TIMEOUT);
+  }
+}
--- /dev/null
+++ b/src/router/dispatcher_probe.c
@@ -0,0 +1,61 @@
+#include "router/dispatcher_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "router/request_headers.h"
+#include "routing/route_config.h"
+
+/* Longer than a run at a backend server with a queue that is worth a probe. */
+#define PROBE_TIMEOUT (500 * USEC_PER_MSEC)
+
+static void
+send_probe (dispatcher_t *dispatcher, backend_t *backend)
+{
+  const route_config_t *config = dispatcher->view->config;
+  const service_config_t *service
+      = config ? route_config_service (config, backend->record.service.text)
+               : NULL;
+  call_owner_t *owner = calloc (1, sizeof *owner);
+  if (!owner)
+    abort ();
+  owner->backend = backend;
+  const backend_request_t request
+      = { .address = backend->record.address,
+          .method = "GET",
+          .target = service ? service->health_path : "/",
+          .id = "",
+          .headers = request_headers_probe (backend),
+          .timeout = PROBE_TIMEOUT,
+          .connect_timeout = CONNECT_TIMEOUT,
+          .owner = owner };
+  backend_http_call (dispatcher->backends, &request);
+}
+
+void
+dispatcher_probed (dispatcher_t *dispatcher, backend_t *backend,
+                   const backend_answer_t *answer)
+{
+  usec_t now = clock_monotonic ();
+  bool is_healthy = answer->whole && answer->status == MHD_HTTP_OK
+                    && strcmp (answer->backend_id, backend->record.id) == 0;
+  LOG_EVENT (LOG_LEVEL_INFO, "backend_probed",
+             LOG_S ("backend", backend->record.id),
+             LOG_U ("healthy", is_healthy), LOG_U ("status", answer->status),
+             LOG_I ("cold_left_ms", answer->cold_left / USEC_PER_MSEC),
+             LOG_U ("failures", backend->failures));
+  backend_pool_probed (dispatcher->pool, backend, is_healthy,
+                       answer->cold_left, now);
+  if (is_healthy)
+    dispatcher_serve_waiting (dispatcher, now);
+}
+
+void
+dispatcher_probe (dispatcher_t *dispatcher, usec_t now)
+{
+  backend_t *backend;
+  while ((backend = backend_pool_due_probe (dispatcher->pool, now)))
+    send_probe (dispatcher, backend);
+}
--- a/src/router/main_router.c
+++ b/src/router/main_router.c
@@ -3,10 +3,7 @@
 
 #include <argp.h>
 #include <curl/curl.h>
-#include <errno.h>
-#include <signal.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/log.h"
 #include "router/traffic.h"
@@ -74,22 +71,6 @@
   metrics_free (router->metrics);
 }
 
-/* Until SIGTERM or SIGINT, and then until callers have gone elsewhere.  */
-static void
-serve (router_t *router, const fleet_program_t *program)
-{
-  sigset_t set;
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  sigaddset (&set, SIGHUP);
-  int number = 0;
-  while (sigwait (&set, &number) == 0 && number == SIGHUP)
-    fleet_program_reload (program);
-  LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
-  traffic_stop (router->traffic);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -103,10 +84,8 @@
   err_t err = { 0 };
   if (router_open (&router, &program, &err))
     {
-      LOG_EVENT (LOG_LEVEL_INFO, "started",
-                 LOG_S ("version", MULBERRY_VERSION),
-                 LOG_S ("address", program.settings->address));
-      serve (&router, &program);
+      fleet_program_serve (&program);
+      traffic_stop (router.traffic);
     }
   else
     {
@@ -114,7 +93,6 @@
       exit_code = EXIT_FAILURE;
     }
   router_close (&router);
-  LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
-  fleet_program_finish (&program);
+  fleet_program_finish (&program, exit_code);
   return exit_code;
 }
--- /dev/null
+++ b/src/router/request_headers.c
@@ -0,0 +1,93 @@
+#include "router/request_headers.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "platform_words.h"
+#include "router/caller_http.h"
+
+enum
+{
+  HEADER_LINE_BYTES = 1024, /* longer lines are allocated */
+};
+
+typedef struct header_copy
+{
+  struct curl_slist *list;
+  bool has_accept;
+} header_copy_t;
+
+/* Headers that concern one connection only, or that the router sets.  */
+static bool
+is_forwarded (const char *name)
+{
+  static const char *const own[] = {
+    "Connection",       "Keep-Alive",    "Transfer-Encoding", "Content-Length",
+    "Proxy-Connection", "Trailer",       "Upgrade",           "TE",
+    "Expect",           HEADER_DEADLINE, HEADER_BACKEND_ID
+  };
+  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return false;
+  return true;
+}
+
+static void
+add_header (header_copy_t *copy, const char *name, const char *value)
+{
+  size_t size = strlen (name) + strlen (value) + 3;
+  char small[HEADER_LINE_BYTES];
+  char *line = size <= sizeof small ? small : malloc (size);
+  if (!line)
+    abort ();
+  /* libcurl sends a header without a value only where a ';' ends its name. */
+  if (*value)
+    snprintf (line, size, "%s: %s", name, value);
+  else
+    snprintf (line, size, "%s;", name);
+  copy->list = curl_slist_append (copy->list, line);
+  if (line != small)
+    free (line);
+}
+
+static void
+copy_header (void *closure, const char *name, const char *value)
+{
+  header_copy_t *copy = closure;
+  if (!is_forwarded (name))
+    return;
+  copy->has_accept = copy->has_accept || strcasecmp (name, "Accept") == 0;
+  add_header (copy, name, value);
+}
+
+struct curl_slist *
+request_headers (const exchange_t *exchange, const backend_t *backend,
+                 usec_t now)
+{
+  header_copy_t copy = { 0 };
+  char left[32];
+  caller_http_headers (exchange, copy_header, &copy);
+  snprintf (left, sizeof left, "%lld",
+            (long long)((exchange->deadline - now) / USEC_PER_MSEC));
+  add_header (&copy, HEADER_DEADLINE, left);
+  add_header (&copy, HEADER_BACKEND_ID, backend->record.id);
+  copy.list = curl_slist_append (copy.list, "Expect:");
+  if (!copy.has_accept)
+    copy.list = curl_slist_append (copy.list, "Accept:");
+  if (exchange->body_bytes > 0
+      && !caller_http_header (exchange, "Content-Type"))
+    copy.list = curl_slist_append (copy.list, "Content-Type:");
+  return copy.list;
+}
+
+struct curl_slist *
+request_headers_probe (const backend_t *backend)
+{
+  header_copy_t copy = { 0 };
+  char host[INET_TEXT_BYTES];
+  inet_format (&backend->record.address, host);
+  add_header (&copy, "Host", host);
+  return curl_slist_append (copy.list, "Accept:");
+}
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -22,7 +22,7 @@
 #define PULL_TIMEOUT (700 * USEC_PER_MSEC)
 /* The first answer has all configuration and backend servers, which takes long
    on a link of 2 Mbit/s; asked again too soon it would only take longer.  */
-#define FIRST_PULL_TIMEOUT (2500 * USEC_PER_MSEC)
+#define FIRST_PULL_TIMEOUT (1000 * USEC_PER_MSEC)
 /* A director that has not heard from the leader for so long is left.  */
 #define CONFIRMED_AGE_MAX (1500 * USEC_PER_MSEC)
 /* After the start, while callers wait.  */
--- a/src/settings/fleet_program.c
+++ b/src/settings/fleet_program.c
@@ -52,14 +52,20 @@
     }
 }
 
+static void
+fleet_signals (sigset_t *set)
+{
+  sigemptyset (set);
+  sigaddset (set, SIGTERM);
+  sigaddset (set, SIGINT);
+  sigaddset (set, SIGHUP);
+}
+
 static void
 block_signals (void)
 {
   sigset_t set;
-  sigemptyset (&set);
-  sigaddset (&set, SIGTERM);
-  sigaddset (&set, SIGINT);
-  sigaddset (&set, SIGHUP);
+  fleet_signals (&set);
   pthread_sigmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
 }
@@ -108,8 +114,8 @@
   return true;
 }
 
-void
-fleet_program_reload (const fleet_program_t *program)
+static void
+reload (const fleet_program_t *program)
 {
   err_t err = { 0 };
   fleet_settings_t *settings
@@ -126,8 +132,22 @@
 }
 
 void
-fleet_program_finish (fleet_program_t *program)
+fleet_program_serve (const fleet_program_t *program)
+{
+  LOG_EVENT (LOG_LEVEL_INFO, "started", LOG_S ("version", MULBERRY_VERSION),
+             LOG_S ("address", program->settings->address));
+  sigset_t set;
+  fleet_signals (&set);
+  int number = 0;
+  while (sigwait (&set, &number) == 0 && number == SIGHUP)
+    reload (program);
+  LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
+}
+
+void
+fleet_program_finish (fleet_program_t *program, int exit_code)
 {
+  LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
   log_stop ();
   free (program->settings);
   apr_terminate ();
--- a/src/settings/fleet_program.h
+++ b/src/settings/fleet_program.h
@@ -23,10 +23,12 @@
                           const char *doc, int argc, char **argv,
                           int *exit_code);
 
-/* Read the settings anew.  What can't change while the process runs is only
-   logged; a fault is logged, and the settings stay.  */
-void fleet_program_reload (const fleet_program_t *program);
+/* Block until SIGTERM or SIGINT.  At SIGHUP the settings are read anew: what
+   can't change while the process runs is only logged; after a fault, which is
+   logged too, the settings stay.  */
+void fleet_program_serve (const fleet_program_t *program);
 
-void fleet_program_finish (fleet_program_t *program);
+/* Log the end with EXIT_CODE and release all.  */
+void fleet_program_finish (fleet_program_t *program, int exit_code);
 
 #endif
--- /dev/null
+++ b/src/wire/http_socket.c
@@ -0,0 +1,30 @@
+#include "wire/http_socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+enum
+{
+  UNACKNOWLEDGED_MSEC = 1500, /* then the connection is dead */
+  KEEPALIVE_SECONDS = 1,
+  KEEPALIVE_PROBES = 2,
+};
+
+int
+http_socket_made (void *closure, curl_socket_t fd, curlsocktype purpose)
+{
+  (void)closure;
+  (void)purpose;
+  int unacknowledged = UNACKNOWLEDGED_MSEC;
+  int on = 1;
+  int seconds = KEEPALIVE_SECONDS;
+  int probes = KEEPALIVE_PROBES;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged,
+              sizeof unacknowledged);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  return CURL_SOCKOPT_OK;
+}
--- a/test/unit/test_routing_config.c
+++ b/test/unit/test_routing_config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "routing/route_config.h"
+#include "routing/route_split.h"
 
 static route_t
 route_of (const char *name, const char *host, const char *prefix)
@@ -61,6 +62,29 @@
   g_assert_false (route_allows_region (&route, "south"));
 }
 
+/* Any run of requests is within one of the weights' parts.  */
+static void
+test_split_keeps_to_its_weights (void)
+{
+  route_share_t shares[] = { { { "a" }, 90 }, { { "b" }, 9 }, { { "c" }, 1 } };
+  route_t routes[] = { route_of ("other", "b.example", "/"),
+                       route_of ("r", "a.example", "/") };
+  routes[1].n_shares = G_N_ELEMENTS (shares);
+  routes[1].shares = shares;
+  const route_config_t config = { .n_routes = 2, .routes = routes };
+  route_split_t *split = route_split_new (&config);
+  int n[3] = { 0 };
+  for (int i = 1; i <= 1000; i++)
+    {
+      n[route_split_next (split, &routes[1])]++;
+      for (int share = 0; share < 3; share++)
+        g_assert_cmpfloat (ABS (n[share] - i * shares[share].weight / 100), <=,
+                           1);
+    }
+  route_split_free (split);
+  route_split_free (route_split_new (NULL));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -68,5 +92,6 @@
   g_test_add_func ("/routing/longest", test_longest_prefix);
   g_test_add_func ("/routing/host", test_host_and_query);
   g_test_add_func ("/routing/homes", test_homes);
+  g_test_add_func ("/routing/split", test_split_keeps_to_its_weights);
   return g_test_run ();
 }
