--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -82,7 +82,9 @@
       = exchange->route->shares[exchange->share].service.text;
   read_object (exchange);
   read_deadline (exchange);
-  retry_budget_earn (dispatcher_retries (dispatcher, exchange));
+  retry_share_earn (dispatcher_retries (dispatcher, exchange),
+                    &dispatcher->options.settings->bounds,
+                    dispatcher->view->n_routers, now);
   dispatcher_place (dispatcher, exchange, now);
 }
 
--- a/src/router/dispatcher_answer.c
+++ b/src/router/dispatcher_answer.c
@@ -34,7 +34,7 @@
   if (!not_run && !exchange->route->is_idempotent)
     return false;
   return !reached
-         || retry_budget_spend (dispatcher_retries (dispatcher, exchange));
+         || retry_share_spend (dispatcher_retries (dispatcher, exchange));
 }
 
 static void
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -3,7 +3,7 @@
 #ifndef ROUTER_DISPATCHER_INTERNAL_H
 #define ROUTER_DISPATCHER_INTERNAL_H
 
-#include "delivery/retry_budget.h"
+#include "balance/retry_share.h"
 #include "router/dispatcher.h"
 #include "routing/route_split.h"
 
@@ -23,7 +23,7 @@
 typedef struct service_state
 {
   name_t name;
-  retry_budget_t retries;
+  retry_share_t retries;
 } service_state_t;
 
 struct dispatcher
@@ -60,8 +60,8 @@
 
 /* dispatcher_place.c */
 /* The retries that may be sent for EXCHANGE's service.  */
-retry_budget_t *dispatcher_retries (dispatcher_t *dispatcher,
-                                    const exchange_t *exchange);
+retry_share_t *dispatcher_retries (dispatcher_t *dispatcher,
+                                   const exchange_t *exchange);
 /* Send EXCHANGE, let it wait, or refuse it.  */
 void dispatcher_place (dispatcher_t *dispatcher, exchange_t *exchange,
                        usec_t now);
--- a/src/router/dispatcher_place.c
+++ b/src/router/dispatcher_place.c
@@ -8,11 +8,6 @@
 #include "base/log.h"
 #include "router/request_headers.h"
 
-enum
-{
-  RETRY_PERMILLE = 120, /* of the traffic; the bound allows for all VMs */
-};
-
 static service_state_t *
 service_state (dispatcher_t *dispatcher, const char *name)
 {
@@ -23,15 +18,10 @@
     return &dispatcher->services[0];
   service_state_t *state = &dispatcher->services[dispatcher->n_services++];
   snprintf (state->name.text, sizeof state->name.text, "%s", name);
-  size_t n_routers = dispatcher->view->n_routers;
-  double base = dispatcher->options.settings->bounds.retry_base;
-  double burst = n_routers > 0 ? base / (double)(2 * n_routers) : 1;
-  retry_budget_init (&state->retries, RETRY_PERMILLE,
-                     burst > 1 ? (uint32_t)burst : 1);
   return state;
 }
 
-retry_budget_t *
+retry_share_t *
 dispatcher_retries (dispatcher_t *dispatcher, const exchange_t *exchange)
 {
   return &service_state (dispatcher, exchange->query.service)->retries;
