fix(router): a call that is ended keeps nothing; refusals before a route are logged

Found by reading: the owner of a call to a backend server was allocated and not released where the call was ended by us (a caller who left, a deadline). It is part of the exchange now. A head with two readings, a body too large and a caller who had left were answered without a log line.

--- a/src/ctl/log_story.c
+++ b/src/ctl/log_story.c
@@ -166,8 +166,9 @@
     {
       char outcome[VALUE_BYTES];
       const char *line = story->lines[i - 1].text;
-      if (!strstr (line, " event=request_ended ")
-          || !read_field (line, "outcome", outcome))
+      bool is_end = strstr (line, " event=request_ended ")
+                    || strstr (line, " event=request_refused ");
+      if (!is_end || !read_field (line, "outcome", outcome))
         continue;
       for (size_t j = 0; j < sizeof sentences / sizeof sentences[0]; j++)
         if (strcmp (sentences[j].outcome, outcome) == 0)
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "platform_words.h"
 
 enum
@@ -128,8 +129,13 @@
 static void
 refuse (exchange_t *exchange, exchange_reason_t reason)
 {
+  const char *id = caller_http_header (exchange, HEADER_REQUEST_ID);
   exchange->reason = reason;
   exchange->ended = true;
+  LOG_EVENT (LOG_LEVEL_INFO, "request_refused", LOG_S ("id", id ? id : ""),
+             LOG_S ("outcome", exchange_reason_name (reason)),
+             LOG_U ("status", exchange_reason_status (reason)),
+             LOG_U ("body_bytes", exchange->body_bytes));
 }
 
 static void
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -112,8 +112,10 @@
   if (owner->exchange)
     dispatcher_answer (dispatcher, owner->exchange, answer);
   else
-    dispatcher_probed (dispatcher, owner->backend, answer);
-  free (owner);
+    {
+      dispatcher_probed (dispatcher, owner->backend, answer);
+      free (owner);
+    }
 }
 
 usec_t
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -43,13 +43,6 @@
   bool refuses; /* new requests */
 };
 
-/* Whose call to a backend server it was.  */
-typedef struct call_owner
-{
-  exchange_t *exchange; /* NULL: a health check */
-  backend_t *backend;   /* of the health check */
-} call_owner_t;
-
 /* dispatcher_end.c */
 /* Tell the caller of EXCHANGE what became of it.  */
 void dispatcher_end (dispatcher_t *dispatcher, exchange_t *exchange,
--- a/src/router/dispatcher_place.c
+++ b/src/router/dispatcher_place.c
@@ -41,10 +41,7 @@
       = backend_load_at (backend, now) + 1 <= backend->record.slots;
   exchange->was_known
       = backend_pool_sent (dispatcher->pool, backend, &exchange->query, now);
-  call_owner_t *owner = calloc (1, sizeof *owner);
-  if (!owner)
-    abort ();
-  owner->exchange = exchange;
+  exchange->owner.exchange = exchange;
   const backend_request_t request
       = { .address = backend->record.address,
           .method = exchange->method,
@@ -55,7 +52,7 @@
           .body_bytes = exchange->body_bytes,
           .timeout = exchange->deadline - now + DEADLINE_SLACK,
           .connect_timeout = CONNECT_TIMEOUT,
-          .owner = owner };
+          .owner = &exchange->owner };
   exchange->call = backend_http_call (dispatcher->backends, &request);
   router_metrics_sent (dispatcher->options.metrics, exchange->query.service,
                        exchange->n_tries > 1);
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -23,6 +23,15 @@
   EXCHANGE_ID_BYTES = 128,
 };
 
+typedef struct exchange exchange_t;
+
+/* Whose call to a backend server it was; part of its owner.  */
+typedef struct call_owner
+{
+  exchange_t *exchange; /* NULL: a health check */
+  backend_t *backend;   /* of the health check */
+} call_owner_t;
+
 /* What the caller is told where no backend server's answer is passed on.  */
 typedef enum
 {
@@ -42,7 +51,7 @@
   REASON_GONE,        /* the caller left */
 } exchange_reason_t;
 
-typedef struct exchange
+struct exchange
 {
   list_t link; /* among the waiting or those under way */
   struct MHD_Connection *connection;
@@ -71,6 +80,7 @@
   bool was_full;      /* some backend server refused it */
   backend_t *backend; /* where it is under way; NULL: nowhere */
   backend_call_t *call;
+  call_owner_t owner; /* of CALL */
   usec_t sent_at;
   bool had_slot;  /* a slot was free, as far as was known */
   bool was_known; /* the backend server handled its object before */
@@ -79,7 +89,7 @@
   unsigned int status;
   usec_t retry_after; /* 0: not told */
   backend_answer_t answer;
-} exchange_t;
+};
 
 const char *exchange_reason_name (exchange_reason_t reason);
 
