--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -2,9 +2,11 @@
 # Source it with BUILD set; it leaves FOLDER and ends what it started.
 
 FOLDER=$(mktemp -d)
+# Addresses of this run alone, so that several may go on at once.
+NET=127.$((60 + $$ % 100))
 declare -A PIDS
 DOMAINS=(north-a north-b east-a)
-LIST=127.60.9.1:7900
+LIST=$NET.9.1:7900
 OPERATORS_PORT=7810
 LOOKUPS_PORT=7811
 REQUESTS_PORT=7812
@@ -16,8 +18,8 @@
 }
 
 # The address of a director or router: its number is its domain's.
-director_address() { echo "127.60.1.$1"; }
-router_address() { echo "127.60.2.$1"; }
+director_address() { echo "$NET.1.$1"; }
+router_address() { echo "$NET.2.$1"; }
 
 settings_of() {
   local kind=$1 number=$2 address domain region
@@ -42,7 +44,7 @@
 backend_list_rate: 50
 failure_domains:
 $(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
-seeds: [127.60.1.1:1, 127.60.1.2:1, 127.60.1.3:1]
+seeds: [$NET.1.1:1, $NET.1.2:1, $NET.1.3:1]
 bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: 5s,
   retry_ratio: 0.2, retry_base: 58, retry_window: 10s, cold_overshoot: 1.5,
   cold_slack: 5, shift_ratio: 0.15}
--- a/test/functional/test_fleet.sh
+++ b/test/functional/test_fleet.sh
@@ -34,8 +34,8 @@
 
 # Look-ups name the routers of the caller's region, its own failure domain first.
 named() {
-  curl -s "http://127.60.1.2:$LOOKUPS_PORT/resolve?name=a.example&region=north&zone=north-b" |
-    grep -q '"addresses":\["127.60.2.2:7812","127.60.2.1:7812"\]'
+  curl -s "http://$NET.1.2:$LOOKUPS_PORT/resolve?name=a.example&region=north&zone=north-b" |
+    grep -q "\"addresses\":\\[\"$NET.2.2:7812\",\"$NET.2.1:7812\"\\]"
 }
 wait_for 5 named # routers are ready before every director has heard of them
 echo 'good: look-ups'
@@ -51,10 +51,10 @@
 echo 'good: requests'
 
 # What a director knows.
-"$BUILD/mulberryctl" fleet show "127.60.1.3:$OPERATORS_PORT" >"$FOLDER/view" || fail 'fleet show'
+"$BUILD/mulberryctl" fleet show "$NET.1.3:$OPERATORS_PORT" >"$FOLDER/view" || fail 'fleet show'
 grep -q 'configuration 5,' "$FOLDER/view" || fail "fleet show: $(head -1 "$FOLDER/view")"
-for word in router-2 north-a-0 /x/ 127.60.1.2; do grep -q -- "$word" "$FOLDER/view" || fail "fleet show does not tell of $word"; done
-"$BUILD/mulberryctl" fleet show 127.60.1.9:1 >/dev/null 2>&1 && fail 'fleet show of nobody'
+for word in router-2 north-a-0 /x/ $NET.1.2; do grep -q -- "$word" "$FOLDER/view" || fail "fleet show does not tell of $word"; done
+"$BUILD/mulberryctl" fleet show $NET.1.9:1 >/dev/null 2>&1 && fail 'fleet show of nobody'
 
 # What became of a request, from the logs alone.
 told() {
@@ -96,7 +96,7 @@
 [ "$(cat "$FOLDER/slow")" = 200 ] || fail "a stop cut a request: $(cat "$FOLDER/slow")"
 wait "${PIDS[router-1]}" || fail 'the router did not stop cleanly'
 unset 'PIDS[router-1]'
-forgotten() { ! curl -s "http://127.60.1.2:$LOOKUPS_PORT/resolve?name=a.example&region=north&zone=north-a" | grep -q 127.60.2.1; }
+forgotten() { ! curl -s "http://$NET.1.2:$LOOKUPS_PORT/resolve?name=a.example&region=north&zone=north-a" | grep -q $NET.2.1; }
 wait_for 5 forgotten
 grep -q 'event=stopped' "$FOLDER/router-1.log" || fail 'the log ends early'
 echo 'good: a planned stop'
