--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -6,7 +6,8 @@
    Each DOMAIN gets two backend servers of the service "search", on the ports
    after the list's.  Each run of a request is appended to FOLDER/runs as
    "ID BACKEND".  FOLDER/draining names the backend servers that drain, one a
-   line.  A path that ends in "slow" runs for half a second.  */
+   line.  A path that ends in "slow" runs for half a second; one that ends in
+   "lost" runs, and its connection ends without an answer.  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -103,6 +104,14 @@
   return MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
 }
 
+static bool
+ends_with (const char *text, const char *end)
+{
+  size_t length = strlen (text);
+  size_t n = strlen (end);
+  return length >= n && strcmp (text + length - n, end) == 0;
+}
+
 static enum MHD_Result
 serve_backend (void *closure, struct MHD_Connection *connection,
                const char *url, const char *method, const char *version,
@@ -134,8 +143,9 @@
     return answer (connection, MHD_HTTP_MISDIRECTED_REQUEST, "", id,
                    backend->id);
   note_run (id, backend->id);
-  size_t length = strlen (url);
-  if (length >= 4 && strcmp (url + length - 4, "slow") == 0)
+  if (ends_with (url, "lost"))
+    return MHD_NO;
+  if (ends_with (url, "slow"))
     usleep (SLOW_USEC);
   return answer (connection, MHD_HTTP_OK, backend->id, id, NULL);
 }
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -42,7 +42,7 @@
       [ ${#args[@]} = 0 ] || args+=(--next)
       args+=(-s -m 4 -o /dev/null -w "s$number-$n %{http_code}\n" -X POST -d body -H 'Host: a.example'
         -H "Request-Id: s$number-$n" -H 'Deadline-Ms: 3000' -b "Affinity-Key=$((n % 7))"
-        "http://$(router_address "$router"):$REQUESTS_PORT/x/$n")
+        "http://$(router_address "$router"):$REQUESTS_PORT/x/$n$([ $((n % 8)) -gt 0 ] || echo lost)")
     done
     curl "${args[@]}" >>"$FOLDER/told-$number" 2>/dev/null || true
   done
