--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -2,9 +2,25 @@
 # Source it with BUILD set; it leaves FOLDER and ends what it started.
 
 FOLDER=$(mktemp -d)
+# Addresses of this run alone, so that several may go on at once: a link that
+# names the process holds them.
+hold_addresses() {
+  local n holder
+  for n in $(seq 60 159); do
+    NET_HOLD=${TMPDIR:-/tmp}/mulberry-fleet-$n
+    holder=$(readlink "$NET_HOLD" || true)
+    [ -z "$holder" ] || kill -0 "$holder" 2>/dev/null || rm -f "$NET_HOLD"
+    ln -s $$ "$NET_HOLD" 2>/dev/null || continue
+    NET=127.$n
+    return
+  done
+  echo 'no free addresses' >&2
+  exit 1
+}
+hold_addresses
 declare -A PIDS
 DOMAINS=(north-a north-b east-a)
-LIST=127.60.9.1:7900
+LIST=$NET.9.1:7900
 OPERATORS_PORT=7810
 LOOKUPS_PORT=7811
 REQUESTS_PORT=7812
@@ -16,8 +32,8 @@
 }
 
 # The address of a director or router: its number is its domain's.
-director_address() { echo "127.60.1.$1"; }
-router_address() { echo "127.60.2.$1"; }
+director_address() { echo "$NET.1.$1"; }
+router_address() { echo "$NET.2.$1"; }
 
 settings_of() {
   local kind=$1 number=$2 address domain region
@@ -42,7 +58,7 @@
 backend_list_rate: 50
 failure_domains:
 $(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
-seeds: [127.60.1.1:1, 127.60.1.2:1, 127.60.1.3:1]
+seeds: [$NET.1.1:1, $NET.1.2:1, $NET.1.3:1]
 bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: 5s,
   retry_ratio: 0.2, retry_base: 58, retry_window: 10s, cold_overshoot: 1.5,
   cold_slack: 5, shift_ratio: 0.15}
@@ -81,6 +97,7 @@
   for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
   rm -rf "$FOLDER"
+  rm -f "$NET_HOLD"
 }
 trap fleet_end EXIT
 
