feat(settings): routers and directors follow their settings' file

Cause: SIGHUP only re-read and checked the settings, and a file that changed without a signal was not seen at all.

fix(director): a director at a new address gets the slot of a lost one

Cause: a newcomer claimed the slot by itself and began to send as its holder; the others took that as a sign of life of the old holder and so refused the claim for ever. Ruled out: the silence of 10 s (the claim was made after 10.07 s). Now the leader alone gives slots away, by what it heard since it leads; the others follow what it shares, and a message counts only from the director that holds the slot. The silence is 3 s, as operators rely on a successor after 4 s.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -36,6 +36,13 @@
   free (pool);
 }
 
+void
+backend_pool_set_settings (backend_pool_t *pool,
+                           const fleet_settings_t *settings)
+{
+  pool->options.settings = settings;
+}
+
 /* Gone from the list, and nothing of it is under way.  */
 static void
 forget_unused (backend_t *backend)
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -82,13 +82,17 @@
 
 typedef struct backend_pool_options
 {
-  const fleet_settings_t *settings;
+  const fleet_settings_t *settings; /* until others are set */
   uint64_t seed;
 } backend_pool_options_t;
 
 backend_pool_t *backend_pool_new (const backend_pool_options_t *options);
 void backend_pool_free (backend_pool_t *pool);
 
+/* Follow other SETTINGS, from the next update on.  */
+void backend_pool_set_settings (backend_pool_t *pool,
+                                const fleet_settings_t *settings);
+
 /* Who else routes; a cold backend server's rate is shared with those of its
    region.  */
 typedef struct pool_router
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -48,7 +48,11 @@
   rpc_call_t *call; /* to be answered; NULL: none */
   union
   {
-    blob_t *message;
+    struct
+    {
+      uint32_t address; /* the sender */
+      blob_t *message;
+    } agree;
     fleet_pull_args_t pull;
     fleet_share_args_t share;
     fleet_announce_args_t announce;
@@ -66,7 +70,7 @@
 /* What is known of the director in a slot.  */
 typedef struct director_peer
 {
-  usec_t heard_at; /* 0: never */
+  usec_t heard_at; /* since this director leads; from the slot's holder */
   uint64_t list_digest;
   _Atomic int n_calls; /* messages on their way */
 } director_peer_t;
@@ -74,6 +78,7 @@
 struct director_core
 {
   director_core_options_t options;
+  const fleet_settings_t *settings; /* in force; held */
   uint32_t self; /* address */
   pthread_t thread;
 
@@ -101,7 +106,6 @@
   roster_t roster;
   roster_former_t former;
   usec_t announce_at;
-  int64_t silence[ROSTER_MAX]; /* as a director with a slot told */
   director_peer_t peers[ROSTER_MAX];
 
   director_state_t state;
@@ -146,7 +150,7 @@
 void core_peers_tick (director_core_t *core, usec_t now);
 void core_peers_share (director_core_t *core, item_t *item, usec_t now);
 void core_peers_announce (director_core_t *core, item_t *item, usec_t now);
-void core_peers_roster (director_core_t *core, item_t *item, usec_t now);
+void core_peers_roster (director_core_t *core, item_t *item);
 /* Take over the slots in ROSTER, and write them down.  */
 void core_peers_adopt (director_core_t *core, const roster_t *roster);
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -30,7 +30,7 @@
   char address[INET_TEXT_BYTES];
   inet_format_address (to, address);
   request->address = address;
-  request->port = core->options.settings->peer_port;
+  request->port = core->settings->peer_port;
   request->program = MULBERRY_FLEET;
   request->version = MULBERRY_FLEET_V1;
   request->timeout = PEER_TIMEOUT;
@@ -55,7 +55,7 @@
     return;
   atomic_fetch_add (&peer->n_calls, 1);
   blob_t *bytes = message_encode (message);
-  fleet_agree_args_t args = { 0 };
+  fleet_agree_args_t args = { .address = core->self };
   args.message.message_val = (char *)bytes->bytes;
   args.message.message_len = bytes->length;
   rpc_request_t request = { .procedure = FLEET_AGREE,
@@ -74,7 +74,7 @@
 {
   err_t err = { 0 };
   core->roster = *roster;
-  if (!roster_file_save (core->options.settings->data_folder, roster, &err))
+  if (!roster_file_save (core->settings->data_folder, roster, &err))
     log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
   LOG_EVENT (LOG_LEVEL_INFO, "roster_adopted",
              LOG_U ("slots", roster->n_slots),
@@ -121,7 +121,7 @@
 {
   fleet_announce_args_t args
       = { .address = core->self,
-          .is_first = core->options.settings->first_start,
+          .is_first = core->settings->first_start,
           .roster = roster_wire (&core->roster) };
   rpc_request_t request = { .procedure = FLEET_ANNOUNCE,
                             .encode = (xdrproc_t)xdr_fleet_announce_args_t,
@@ -132,8 +132,8 @@
     call_director (core, address, &request);
 }
 
-/* A director without a slot asks for one; one with a slot that is new in it
-   tells the others.  */
+/* A director without a slot asks for one; one that is new in its slot makes
+   sure that the leader knows.  */
 static void
 announce (director_core_t *core, usec_t now)
 {
@@ -143,7 +143,7 @@
   if (is_settled || now < core->announce_at)
     return;
   core->announce_at = now + ANNOUNCE_INTERVAL;
-  const fleet_settings_t *settings = core->options.settings;
+  const fleet_settings_t *settings = core->settings;
   for (size_t i = 0; i < settings->n_seeds; i++)
     if (roster_slot (&core->roster, settings->seeds[i].address) == SLOT_NONE)
       announce_to (core, settings->seeds[i].address);
@@ -151,28 +151,32 @@
     announce_to (core, core->roster.addresses[i]);
 }
 
-/* Whether the director at ADDRESS may have SLOT, which another one held.  */
-static bool
-may_take_slot (const director_core_t *core, slot_t slot, usec_t now)
-{
-  usec_t heard_at = core->peers[slot].heard_at;
-  return slot != roster_slot (&core->roster, core->self)
-         && now >= heard_at + ROSTER_CLAIM_SILENCE;
-}
-
+/* Only the leader gives slots away, so that no two directors get the same one;
+   the others learn of it with what the leader shares.  */
 static void
-hear_claim (director_core_t *core, uint32_t address, const roster_t *roster,
-            usec_t now)
+give_slot (director_core_t *core, uint32_t address, const roster_t *claimed,
+           usec_t now)
 {
-  slot_t slot = roster_slot (roster, address);
-  if (slot == SLOT_NONE || roster->n_slots != core->roster.n_slots
-      || core->roster.addresses[slot] == address
-      || !may_take_slot (core, slot, now))
+  if (core->role != ROLE_LEADER || !replica_is_current (core->replica, now)
+      || roster_slot (&core->roster, address) != SLOT_NONE)
     return;
+  usec_t silence[ROSTER_MAX] = { 0 };
+  for (size_t i = 0; i < core->roster.n_slots; i++)
+    if (core->roster.addresses[i] != core->self)
+      silence[i] = now - core->peers[i].heard_at;
+  slot_t slot = roster_free_slot (&core->roster, silence,
+                                  roster_slot (claimed, address));
+  if (slot == SLOT_NONE)
+    return;
+  char text[INET_TEXT_BYTES];
+  inet_format_address (address, text);
+  LOG_EVENT (LOG_LEVEL_WARNING, "slot_taken_over", LOG_U ("slot", slot),
+             LOG_S ("director", text),
+             LOG_I ("silent_ms", silence[slot] / USEC_PER_MSEC));
   roster_t changed = core->roster;
   changed.addresses[slot] = address;
   core->peers[slot].heard_at = now;
-  LOG_EVENT (LOG_LEVEL_WARNING, "slot_taken_over", LOG_U ("slot", slot));
+  core->share_at = 0;
   core_peers_adopt (core, &changed);
 }
 
@@ -189,39 +193,37 @@
         core_peers_adopt (core, &roster);
     }
   else if (roster.n_slots > 0)
-    hear_claim (core, args->address, &roster, now);
-  int64_t silence[ROSTER_MAX];
-  for (size_t i = 0; i < core->roster.n_slots; i++)
-    silence[i] = core->role == ROLE_LEADER && core->peers[i].heard_at > 0
-                         && core->roster.addresses[i] != core->self
-                     ? now - core->peers[i].heard_at
-                     : -1;
+    give_slot (core, args->address, &roster, now);
   fleet_announce_result_t result = { .roster = roster_wire (&core->roster) };
-  result.silence.silence_val = silence;
-  result.silence.silence_len = (u_int)core->roster.n_slots;
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_announce_result_t, &result);
 }
 
+static bool
+is_other_roster (const director_core_t *core, const roster_t *roster)
+{
+  return roster->n_slots != core->roster.n_slots
+         || memcmp (roster->addresses, core->roster.addresses,
+                    sizeof roster->addresses)
+                != 0;
+}
+
 /* What another director answered to our announcement.  */
 void
-core_peers_roster (director_core_t *core, item_t *item, usec_t now)
+core_peers_roster (director_core_t *core, item_t *item)
 {
-  const fleet_announce_result_t *result = &item->body.roster;
-  roster_t roster = roster_read (&result->roster);
-  (void)now;
-  if (roster.n_slots == 0 || core->replica)
-    return;
-  slot_t claim = SLOT_NONE;
-  if (roster_slot (&roster, core->self) == SLOT_NONE)
-    claim = roster_claimable (&roster, result->silence.silence_val,
-                              result->silence.silence_len);
-  if (claim != SLOT_NONE)
-    roster.addresses[claim] = core->self;
-  bool is_same = roster.n_slots == core->roster.n_slots
-                 && memcmp (roster.addresses, core->roster.addresses,
-                            sizeof roster.addresses)
-                        == 0;
-  if (!is_same)
+  roster_t roster = roster_read (&item->body.roster.roster);
+  if (roster.n_slots > 0 && !core->replica && is_other_roster (core, &roster))
+    core_peers_adopt (core, &roster);
+}
+
+/* The leader's roster.  One that another director has taken the slot of keeps
+   its own, and so stays out of the log.  */
+static void
+follow_roster (director_core_t *core, const fleet_roster_t *wire)
+{
+  roster_t roster = roster_read (wire);
+  if (roster.n_slots == core->roster.n_slots && is_other_roster (core, &roster)
+      && roster_slot (&roster, core->self) != SLOT_NONE)
     core_peers_adopt (core, &roster);
 }
 
@@ -306,7 +308,10 @@
   args.routers.routers_val = routers;
   args.routers.routers_len = (u_int)routers_to_share (core, now, routers);
   if (leads && replica_is_current (core->replica, now))
-    args.confirmed_index = core->applied;
+    {
+      args.confirmed_index = core->applied;
+      args.roster = roster_wire (&core->roster);
+    }
   for (slot_t slot = 0; slot < (slot_t)core->roster.n_slots; slot++)
     if (slot != self
         && (leads || core->leader == SLOT_NONE || core->leader == slot))
@@ -317,7 +322,10 @@
 core_peers_share (director_core_t *core, item_t *item, usec_t now)
 {
   const fleet_share_args_t *args = &item->body.share;
-  if (args->slot < ROSTER_MAX)
+  if (args->confirmed_index > 0)
+    follow_roster (core, &args->roster);
+  if (args->slot < ROSTER_MAX
+      && roster_slot (&core->roster, args->address) == args->slot)
     core->peers[args->slot].heard_at = now;
   for (u_int i = 0; i < args->routers.routers_len; i++)
     {
@@ -366,12 +374,13 @@
   if (!rpc_call_args (call, (xdrproc_t)xdr_fleet_agree_args_t, &args))
     return;
   item_t *item = core_item (ITEM_AGREE);
-  item->body.message
+  item->body.agree.address = args.address;
+  item->body.agree.message
       = blob_new (args.message.message_val, args.message.message_len);
   xdr_free ((xdrproc_t)xdr_fleet_agree_args_t, (char *)&args);
   if (!core_post (core, item))
     {
-      blob_unref (item->body.message);
+      blob_unref (item->body.agree.message);
       free (item);
     }
   rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -16,7 +16,7 @@
 bool
 core_replica_open_disk (director_core_t *core, err_t *err)
 {
-  const char *folder = core->options.settings->data_folder;
+  const char *folder = core->settings->data_folder;
   roster_t roster;
   if (!roster_file_load (folder, &roster, err))
     return false;
@@ -55,7 +55,7 @@
 core_replica_lose_disk (director_core_t *core, usec_t now)
 {
   LOG_EVENT (LOG_LEVEL_ERROR, "disk_lost",
-             LOG_S ("folder", core->options.settings->data_folder),
+             LOG_S ("folder", core->settings->data_folder),
              LOG_S ("remedy", "give the data folder space, or another disk"));
   if (core->replica)
     {
@@ -88,7 +88,7 @@
       return;
     }
   LOG_EVENT (LOG_LEVEL_INFO, "disk_regained",
-             LOG_S ("folder", core->options.settings->data_folder));
+             LOG_S ("folder", core->settings->data_folder));
   core->applied = 0;
   core_replica_open (core);
 }
--- a/src/director/core_view.c
+++ b/src/director/core_view.c
@@ -134,7 +134,7 @@
   const char *role = core->replica ? replica_role_name (core->role) : "none";
   json_t *view = json_pack (
       "{s:s,s:s,s:I,s:I,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "vm",
-      core->options.settings->vm.text, "role", role, "version",
+      core->settings->vm.text, "role", role, "version",
       (json_int_t)core->state.version, "applied", (json_int_t)core->applied,
       "newest_ms_ago", age_json (core->confirmed_at, now), "list_ms_ago",
       age_json (core->list.read_at, now), "evacuated", evacuated_json (core),
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -62,12 +62,23 @@
   core_step (core, &event);
 }
 
+/* From now on silence counts: only a leader hears from all.  */
 static void
-log_role (director_core_t *core)
+begin_to_listen (director_core_t *core)
+{
+  usec_t now = clock_monotonic ();
+  for (size_t i = 0; i < ROSTER_MAX; i++)
+    core->peers[i].heard_at = now;
+}
+
+static void
+note_role (director_core_t *core)
 {
   replica_status_t status = replica_status (core->replica);
   if (status.role == core->role && status.leader == core->leader)
     return;
+  if (status.role == ROLE_LEADER && core->role != ROLE_LEADER)
+    begin_to_listen (core);
   core->role = status.role;
   core->leader = status.leader;
   LOG_EVENT (LOG_LEVEL_INFO, "replica_role",
@@ -83,11 +94,14 @@
   list_init (&actions);
   replica_step (core->replica, clock_monotonic (), event, &actions);
   core_replica_perform (core, &actions);
-  log_role (core);
+  note_role (core);
 }
 
+/* A message counts only from the director that holds the slot it speaks for:
+   another one had the slot before, or does not have it yet.  */
 static void
-take_agree (director_core_t *core, const blob_t *bytes)
+take_agree (director_core_t *core, uint32_t sender, const blob_t *bytes,
+            usec_t now)
 {
   message_t message;
   err_t err = { 0 };
@@ -98,9 +112,12 @@
       log_error (LOG_LEVEL_WARNING, "message_refused", &err);
       return;
     }
-  core->peers[message.from].heard_at = clock_monotonic ();
-  event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
-  core_step (core, &event);
+  if (roster_slot (&core->roster, sender) == message.from)
+    {
+      core->peers[message.from].heard_at = now;
+      event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+      core_step (core, &event);
+    }
   message_clear (&message);
 }
 
@@ -110,7 +127,7 @@
   switch (item->kind)
     {
     case ITEM_AGREE:
-      blob_unref (item->body.message);
+      blob_unref (item->body.agree.message);
       break;
     case ITEM_PULL:
       xdr_free ((xdrproc_t)xdr_fleet_pull_args_t, (char *)&item->body.pull);
@@ -144,7 +161,8 @@
       take_disk (core, now);
       break;
     case ITEM_AGREE:
-      take_agree (core, item->body.message);
+      take_agree (core, item->body.agree.address, item->body.agree.message,
+                  now);
       break;
     case ITEM_PULL:
       core_pulls_answer (core, item, now);
@@ -156,7 +174,7 @@
       core_peers_announce (core, item, now);
       break;
     case ITEM_ROSTER:
-      core_peers_roster (core, item, now);
+      core_peers_roster (core, item);
       break;
     case ITEM_SHARED:
       {
@@ -190,9 +208,23 @@
     core->confirmed_at = core->confirm_time;
 }
 
+static void
+follow_settings (director_core_t *core)
+{
+  settings_feed_t *feed = core->options.feed;
+  const fleet_settings_t *newer
+      = settings_feed_take_newer (feed, core->settings);
+  if (!newer)
+    return;
+  settings_feed_give_back (feed, core->settings);
+  core->settings = newer;
+  core->announce_at = 0; /* other seeds may know more */
+}
+
 static void
 tick (director_core_t *core, usec_t now)
 {
+  follow_settings (core);
   take_disk (core, now);
   if (core->replica)
     {
@@ -276,7 +308,7 @@
 static void
 former_open (director_core_t *core)
 {
-  const fleet_settings_t *settings = core->options.settings;
+  const fleet_settings_t *settings = core->settings;
   uint32_t seeds[FLEET_SEEDS_MAX];
   for (size_t i = 0; i < settings->n_seeds; i++)
     seeds[i] = settings->seeds[i].address;
@@ -292,7 +324,8 @@
   if (!core)
     abort ();
   core->options = *options;
-  inet_parse_address (&core->self, options->settings->address);
+  core->settings = settings_feed_take (options->feed);
+  inet_parse_address (&core->self, core->settings->address);
   core->leader = SLOT_NONE;
   atomic_store (&core->slot, SLOT_NONE);
   list_init (&core->mailbox);
@@ -329,6 +362,7 @@
   director_state_clear (&core->state);
   free (core->packed_config.bytes);
   backend_list_clear (&core->list);
+  settings_feed_give_back (core->options.feed, core->settings);
   pthread_cond_destroy (&core->changed);
   pthread_mutex_destroy (&core->lock);
   free (core);
--- a/src/director/director_core.h
+++ b/src/director/director_core.h
@@ -12,14 +12,14 @@
 #include "director/lookup.h"
 #include "director/roster.h"
 #include "fleet/fleet_defs.h"
-#include "settings/fleet_settings.h"
+#include "settings/settings_feed.h"
 #include "wire/rpc.h"
 
 typedef struct director_core director_core_t;
 
 typedef struct director_core_options
 {
-  const fleet_settings_t *settings;
+  settings_feed_t *feed;
   rpc_t *rpc;             /* not started yet */
   lookup_view_t *lookups; /* kept up to date */
   uint64_t seed;
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -148,9 +148,12 @@
 order_evacuation (call_t *call, order_kind_t kind, const char *domain,
                   err_t *err)
 {
+  settings_feed_t *feed = call->port->options.feed;
+  const fleet_settings_t *settings = settings_feed_take (feed);
+  bool is_known = fleet_settings_region (settings, domain) != NULL;
+  settings_feed_give_back (feed, settings);
   call->order.kind = kind;
-  if (fleet_settings_region (call->port->options.settings, domain)
-      && name_parse (&call->order.domain, domain, NULL))
+  if (is_known && name_parse (&call->order.domain, domain, NULL))
     return true;
   return err_set (err, ERR_USAGE, "name one of the settings' failure domains",
                   "unknown failure domain '%s'", domain);
@@ -283,6 +286,15 @@
   return value ? value : "";
 }
 
+static usec_t
+lookup_age_max (const director_port_t *port)
+{
+  const fleet_settings_t *settings = settings_feed_take (port->options.feed);
+  usec_t age = settings->bounds.lookup_age;
+  settings_feed_give_back (port->options.feed, settings);
+  return age;
+}
+
 static enum MHD_Result
 serve_lookup (void *closure, struct MHD_Connection *connection,
               const char *url, const char *method, const char *version,
@@ -306,7 +318,7 @@
   if (n == 0)
     return reply_error (connection, MHD_HTTP_SERVICE_UNAVAILABLE,
                         "no router is known: ask another director");
-  usec_t bound = port->options.settings->bounds.lookup_age;
+  usec_t bound = lookup_age_max (port);
   char text[LOOKUP_TEXT_BYTES];
   lookup_codec_write (addresses, n, LOOKUP_AGE < bound ? LOOKUP_AGE : bound,
                       text);
--- a/src/director/director_port.h
+++ b/src/director/director_port.h
@@ -10,7 +10,8 @@
 
 typedef struct director_port_options
 {
-  const fleet_settings_t *settings;
+  settings_feed_t *feed;
+  const fleet_settings_t *settings; /* of the start: the addresses */
   director_core_t *core;
   lookup_view_t *lookups;
 } director_port_options_t;
--- a/src/director/list_reader.c
+++ b/src/director/list_reader.c
@@ -14,10 +14,17 @@
   LOOK_NSEC = 50 * 1000 * 1000, /* how often the core is asked */
 };
 
+/* The part of the platform's rate of calls that one reader uses; while the
+   leader changes there may be two.  */
+static const double rate_share = 0.5;
+
 struct list_reader
 {
+  settings_feed_t *feed;
+  const fleet_settings_t *settings; /* in force; held */
   backend_list_client_t *client;
   director_core_t *core;
+  usec_t next_at; /* the next reading, by the rate */
   pthread_t thread;
   _Atomic bool stops;
   bool is_lost; /* the last reading failed */
@@ -40,14 +47,49 @@
     reader->n_skipped = n_skipped;
 }
 
+static void
+open_client (list_reader_t *reader)
+{
+  const backend_list_client_options_t options
+      = { .address = reader->settings->backend_list,
+          .own_address = reader->settings->address };
+  reader->client = backend_list_client_new (&options);
+}
+
+static void
+follow_settings (list_reader_t *reader)
+{
+  const fleet_settings_t *newer
+      = settings_feed_take_newer (reader->feed, reader->settings);
+  if (!newer)
+    return;
+  settings_feed_give_back (reader->feed, reader->settings);
+  reader->settings = newer;
+  backend_list_client_free (reader->client);
+  open_client (reader);
+}
+
+usec_t
+list_reader_pause (size_t n_calls, double rate)
+{
+  if (rate <= 0)
+    return 0;
+  return (usec_t)((double)n_calls / (rate * rate_share)
+                  * (double)USEC_PER_SEC);
+}
+
 static void
 read_once (list_reader_t *reader)
 {
   backend_list_t list;
-  size_t n_skipped = 0;
+  list_reading_t reading = { 0 };
   err_t err = { 0 };
-  bool ok = backend_list_client_read (reader->client, &list, &n_skipped, &err);
-  note_outcome (reader, ok, n_skipped, &err);
+  usec_t begun_at = clock_monotonic ();
+  bool ok = backend_list_client_read (reader->client, &list, &reading, &err);
+  reader->next_at = begun_at
+                    + list_reader_pause (reading.n_calls,
+                                         reader->settings->backend_list_rate);
+  note_outcome (reader, ok, reading.n_skipped, &err);
   if (ok)
     director_core_put_list (reader->core, &list);
 }
@@ -60,28 +102,35 @@
   while (!atomic_load (&reader->stops))
     {
       nanosleep (&span, NULL);
-      if (director_core_wants_list (reader->core, clock_monotonic ()))
+      follow_settings (reader);
+      usec_t now = clock_monotonic ();
+      if (now >= reader->next_at && director_core_wants_list (reader->core, now))
         read_once (reader);
     }
   return NULL;
 }
 
+static void
+list_reader_free (list_reader_t *reader)
+{
+  backend_list_client_free (reader->client);
+  settings_feed_give_back (reader->feed, reader->settings);
+  free (reader);
+}
+
 list_reader_t *
-list_reader_start (const fleet_settings_t *settings, director_core_t *core,
-                   err_t *err)
+list_reader_start (settings_feed_t *feed, director_core_t *core, err_t *err)
 {
   list_reader_t *reader = calloc (1, sizeof *reader);
   if (!reader)
     abort ();
-  const backend_list_client_options_t options
-      = { .address = settings->backend_list,
-          .own_address = settings->address };
-  reader->client = backend_list_client_new (&options);
+  reader->feed = feed;
+  reader->settings = settings_feed_take (feed);
   reader->core = core;
+  open_client (reader);
   if (pthread_create (&reader->thread, NULL, reader_run, reader) == 0)
     return reader;
-  backend_list_client_free (reader->client);
-  free (reader);
+  list_reader_free (reader);
   err_set (err, ERR_IO, "raise the limit of threads",
            "no thread for the backend list");
   return NULL;
@@ -92,6 +141,5 @@
 {
   atomic_store (&reader->stops, true);
   pthread_join (reader->thread, NULL);
-  backend_list_client_free (reader->client);
-  free (reader);
+  list_reader_free (reader);
 }
--- a/src/director/main_director.c
+++ b/src/director/main_director.c
@@ -52,7 +52,7 @@
   const char *folder = program->settings->data_folder;
   if (!make_folder (folder, err))
     return false;
-  const director_core_options_t options = { .settings = program->settings,
+  const director_core_options_t options = { .feed = program->feed,
                                             .rpc = director->rpc,
                                             .lookups = director->lookups,
                                             .seed = program->incarnation };
@@ -93,8 +93,9 @@
       || !rpc_start (director->rpc, err)
       || !open_metrics (director, settings, err))
     return false;
-  director->reader = list_reader_start (settings, director->core, err);
-  const director_port_options_t port = { .settings = settings,
+  director->reader = list_reader_start (program->feed, director->core, err);
+  const director_port_options_t port = { .feed = program->feed,
+                                         .settings = settings,
                                          .core = director->core,
                                          .lookups = director->lookups };
   director->port = director->reader ? director_port_open (&port, err) : NULL;
--- a/src/director/roster.c
+++ b/src/director/roster.c
@@ -78,10 +78,12 @@
 }
 
 slot_t
-roster_claimable (const roster_t *roster, const int64_t *silence, size_t n)
+roster_free_slot (const roster_t *roster, const usec_t *silence, slot_t wanted)
 {
+  if (wanted < roster->n_slots && silence[wanted] >= ROSTER_CLAIM_SILENCE)
+    return wanted;
   slot_t best = SLOT_NONE;
-  for (size_t i = 0; i < roster->n_slots && i < n; i++)
+  for (size_t i = 0; i < roster->n_slots; i++)
     if (silence[i] >= ROSTER_CLAIM_SILENCE
         && (best == SLOT_NONE || silence[i] > silence[best]))
       best = (slot_t)i;
--- a/src/director/roster.h
+++ b/src/director/roster.h
@@ -3,8 +3,8 @@
    At the very first start the seed with the lowest address waits until all
    directors have announced themselves, and then gives each a slot, once and
    for all.  Everybody else learns the roster from it or from each other.  A
-   director that the roster does not name stands by; it takes the slot of one
-   that has been silent for ROSTER_CLAIM_SILENCE.  */
+   director that the roster does not name stands by; the leader gives it the
+   slot of one that has been silent for ROSTER_CLAIM_SILENCE.  */
 
 #ifndef DIRECTOR_ROSTER_H
 #define DIRECTOR_ROSTER_H
@@ -24,8 +24,9 @@
 /* All directors start within a fraction of a second.  */
 #define ROSTER_FORM_AFTER (1500 * USEC_PER_MSEC)
 #define ROSTER_FORM_QUIET (700 * USEC_PER_MSEC)
-/* Longer than a restart, a freeze or a cut that heals by itself.  */
-#define ROSTER_CLAIM_SILENCE (10 * USEC_PER_SEC)
+/* Longer than a restart; shorter than the time after which operators rely on
+   the successor of a lost VM.  */
+#define ROSTER_CLAIM_SILENCE (3 * USEC_PER_SEC)
 
 typedef struct roster
 {
@@ -61,9 +62,10 @@
 bool roster_former_tick (const roster_former_t *former, usec_t now,
                          roster_t *roster);
 
-/* A slot that a director which holds none may claim, given the time since the
-   leader heard each (-1: not known); SLOT_NONE where there is none.  */
-slot_t roster_claimable (const roster_t *roster, const int64_t *silence,
-                         size_t n);
+/* The slot for a director that holds none, given the time since the leader
+   heard each (0: itself): WANTED where that one is free, else the one that was
+   silent longest; SLOT_NONE where none is free.  */
+slot_t roster_free_slot (const roster_t *roster, const usec_t *silence,
+                         slot_t wanted);
 
 #endif
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -158,6 +158,15 @@
   dispatcher_serve_waiting (dispatcher, now);
 }
 
+void
+dispatcher_set_settings (dispatcher_t *dispatcher,
+                         const fleet_settings_t *settings)
+{
+  dispatcher->options.settings = settings;
+  backend_pool_set_settings (dispatcher->pool, settings);
+  dispatcher_update (dispatcher);
+}
+
 bool
 dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now)
 {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -13,7 +13,7 @@
 
 typedef struct dispatcher_options
 {
-  const fleet_settings_t *settings;
+  const fleet_settings_t *settings; /* until others are set */
   loop_t *loop;
   sync_t *sync;
   router_metrics_t *metrics;
@@ -32,6 +32,10 @@
 /* The caller of EXCHANGE has left.  */
 void dispatcher_gone (dispatcher_t *dispatcher, exchange_t *exchange);
 
+/* Follow other SETTINGS, which are used until the next ones.  */
+void dispatcher_set_settings (dispatcher_t *dispatcher,
+                              const fleet_settings_t *settings);
+
 /* The directors told something new.  */
 void dispatcher_update (dispatcher_t *dispatcher);
 
--- a/src/router/main_router.c
+++ b/src/router/main_router.c
@@ -51,7 +51,7 @@
   if (!router->rpc || !rpc_start (router->rpc, err)
       || !open_page (router, settings, err))
     return false;
-  const traffic_options_t traffic = { .settings = settings,
+  const traffic_options_t traffic = { .feed = program->feed,
                                       .rpc = router->rpc,
                                       .metrics = router->metrics,
                                       .incarnation = program->incarnation };
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -64,6 +64,52 @@
   bool is_confirmed;
 };
 
+/* --- Directors ---------------------------------------------------------- */
+
+static bool
+knows_director (const sync_t *sync, uint32_t address)
+{
+  for (size_t i = 0; i < sync->n_directors; i++)
+    if (sync->directors[i].address == address)
+      return true;
+  return false;
+}
+
+/* The place of a director that may be forgotten: not asked now, and without
+   an answer lately.  */
+static size_t
+find_stale_director (const sync_t *sync)
+{
+  size_t best = 0;
+  for (size_t i = 0; i < sync->n_directors; i++)
+    if (i != sync->asked
+        && (best == sync->asked
+            || sync->directors[i].avoid_until
+                   > sync->directors[best].avoid_until))
+      best = i;
+  return best;
+}
+
+static void
+add_director (sync_t *sync, uint32_t address)
+{
+  if (knows_director (sync, address))
+    return;
+  size_t at = sync->n_directors < DIRECTORS_MAX ? sync->n_directors++
+                                                : find_stale_director (sync);
+  sync->directors[at] = (director_view_t){ .address = address };
+}
+
+static void
+add_seeds (sync_t *sync)
+{
+  const fleet_settings_t *settings = sync->options.settings;
+  for (size_t i = 0; i < settings->n_seeds; i++)
+    add_director (sync, settings->seeds[i].address);
+}
+
+/* --- Opening and closing ------------------------------------------------ */
+
 sync_t *
 sync_new (const sync_options_t *options)
 {
@@ -74,13 +120,20 @@
   sync->started_at = clock_monotonic ();
   pthread_mutex_init (&sync->lock, NULL);
   sync->view = view_new ();
-  const fleet_settings_t *settings = options->settings;
-  sync->n_directors = settings->n_seeds;
-  for (size_t i = 0; i < settings->n_seeds; i++)
-    sync->directors[i].address = settings->seeds[i].address;
+  add_seeds (sync);
   return sync;
 }
 
+void
+sync_set_settings (sync_t *sync, const fleet_settings_t *settings)
+{
+  pthread_mutex_lock (&sync->lock);
+  sync->options.settings = settings;
+  sync->routers_digest = 0; /* their regions may be others now */
+  add_seeds (sync);
+  pthread_mutex_unlock (&sync->lock);
+}
+
 void
 sync_free (sync_t *sync)
 {
@@ -215,24 +268,11 @@
   return true;
 }
 
-static bool
-knows_director (const sync_t *sync, uint32_t address)
-{
-  for (size_t i = 0; i < sync->n_directors; i++)
-    if (sync->directors[i].address == address)
-      return true;
-  return false;
-}
-
 static void
 take_directors (sync_t *sync, const fleet_pull_result_t *result)
 {
   for (u_int i = 0; i < result->directors.directors_len; i++)
-    {
-      uint32_t address = result->directors.directors_val[i];
-      if (!knows_director (sync, address) && sync->n_directors < DIRECTORS_MAX)
-        sync->directors[sync->n_directors++].address = address;
-    }
+    add_director (sync, result->directors.directors_val[i]);
 }
 
 /* One that was never asked, else the nearest that is not avoided, else the
--- a/src/router/sync.h
+++ b/src/router/sync.h
@@ -18,7 +18,7 @@
 
 typedef struct sync_options
 {
-  const fleet_settings_t *settings;
+  const fleet_settings_t *settings; /* until others are set */
   rpc_t *rpc;
   uint64_t incarnation;
   void *closure;
@@ -31,6 +31,9 @@
 /* After rpc_close.  */
 void sync_free (sync_t *sync);
 
+/* Follow other SETTINGS, which are used until the next ones.  */
+void sync_set_settings (sync_t *sync, const fleet_settings_t *settings);
+
 /* Ask, where it is time to.  */
 void sync_tick (sync_t *sync, usec_t now);
 
--- a/src/router/traffic.c
+++ b/src/router/traffic.c
@@ -18,6 +18,7 @@
 struct traffic
 {
   traffic_options_t options;
+  const fleet_settings_t *settings; /* in force; held */
   loop_t *loop;
   sync_t *sync;
   router_metrics_t *metrics;
@@ -111,7 +112,7 @@
       caller_http_leave (traffic->port);
     }
   stop_phase_t phase = stop_plan_phase (
-      now - traffic->stop_at, traffic->options.settings->bounds.grace,
+      now - traffic->stop_at, traffic->settings->bounds.grace,
       dispatcher_under_way (traffic->dispatcher));
   if (phase == STOP_REFUSES)
     dispatcher_refuse_new (traffic->dispatcher);
@@ -124,6 +125,20 @@
   return a < b ? a : b;
 }
 
+static void
+follow_settings (traffic_t *traffic)
+{
+  settings_feed_t *feed = traffic->options.feed;
+  const fleet_settings_t *newer
+      = settings_feed_take_newer (feed, traffic->settings);
+  if (!newer)
+    return;
+  sync_set_settings (traffic->sync, newer);
+  dispatcher_set_settings (traffic->dispatcher, newer);
+  settings_feed_give_back (feed, traffic->settings);
+  traffic->settings = newer;
+}
+
 static void *
 traffic_run (void *closure)
 {
@@ -135,6 +150,7 @@
       if (loop_wait (traffic->loop, wait, &event))
         take_event (traffic, &event);
       usec_t now = clock_monotonic ();
+      follow_settings (traffic);
       bool ends = follow_stop (traffic, now);
       sync_tick (traffic->sync, now);
       if (atomic_exchange (&traffic->has_news, false))
@@ -152,7 +168,7 @@
 static bool
 open_ports (traffic_t *traffic, err_t *err)
 {
-  const fleet_settings_t *settings = traffic->options.settings;
+  const fleet_settings_t *settings = traffic->settings;
   const caller_http_options_t port = { .loop = traffic->loop,
                                        .address = settings->requests,
                                        .closure = traffic,
@@ -182,14 +198,14 @@
 open_dispatcher (traffic_t *traffic)
 {
   const traffic_options_t *options = &traffic->options;
-  const sync_options_t sync = { .settings = options->settings,
+  const sync_options_t sync = { .settings = traffic->settings,
                                 .rpc = options->rpc,
                                 .incarnation = options->incarnation,
                                 .closure = traffic,
                                 .changed = on_changed };
   traffic->sync = sync_new (&sync);
   traffic->metrics = router_metrics_new (options->metrics);
-  const dispatcher_options_t dispatcher = { .settings = options->settings,
+  const dispatcher_options_t dispatcher = { .settings = traffic->settings,
                                             .loop = traffic->loop,
                                             .sync = traffic->sync,
                                             .metrics = traffic->metrics,
@@ -219,6 +235,7 @@
   if (!traffic)
     abort ();
   traffic->options = *options;
+  traffic->settings = settings_feed_take (options->feed);
   traffic->wake.fd = -1;
   if (open_all (traffic, err))
     return traffic;
@@ -250,5 +267,6 @@
     close (traffic->wake.fd);
   if (traffic->loop)
     loop_free (traffic->loop);
+  settings_feed_give_back (traffic->options.feed, traffic->settings);
   free (traffic);
 }
--- a/src/router/traffic.h
+++ b/src/router/traffic.h
@@ -4,14 +4,14 @@
 #define ROUTER_TRAFFIC_H
 
 #include "base/metrics.h"
-#include "settings/fleet_settings.h"
+#include "settings/settings_feed.h"
 #include "wire/rpc.h"
 
 typedef struct traffic traffic_t;
 
 typedef struct traffic_options
 {
-  const fleet_settings_t *settings;
+  settings_feed_t *feed;
   rpc_t *rpc; /* started */
   metrics_t *metrics;
   uint64_t incarnation;
--- a/src/settings/fleet_program.c
+++ b/src/settings/fleet_program.c
@@ -5,11 +5,14 @@
 #include <openssl/sha.h>
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/log.h"
 
+/* How often the settings' file is looked at.  */
+static const struct timespec look_interval = { .tv_sec = 1 };
+
 typedef struct arguments
 {
   const char *settings;
@@ -91,9 +94,8 @@
   apr_initialize ();
   block_signals ();
   err_t err = { 0 };
-  program->settings_file = arguments.settings;
-  program->settings = fleet_settings_load (arguments.settings, &err);
-  if (!program->settings)
+  program->feed = settings_feed_open (arguments.settings, &err);
+  if (!program->feed)
     {
       fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err.message, name,
                err.remedy);
@@ -102,8 +104,10 @@
   if (arguments.check_settings)
     {
       printf ("%s: the settings are good\n", arguments.settings);
+      settings_feed_close (program->feed);
       return exit_with (0, exit_code);
     }
+  program->settings = settings_feed_take (program->feed);
   const name_t *secret = &program->settings->peer_secret;
   SHA256 ((const unsigned char *)secret->text, strlen (secret->text),
           program->key);
@@ -114,21 +118,22 @@
   return true;
 }
 
-static void
-reload (const fleet_program_t *program)
+/* Follow the settings' file; returns the signal that ends the program.  */
+static int
+wait_for_end (settings_feed_t *feed)
 {
-  err_t err = { 0 };
-  fleet_settings_t *settings
-      = fleet_settings_load (program->settings_file, &err);
-  if (!settings)
+  sigset_t set;
+  fleet_signals (&set);
+  for (;;)
     {
-      log_error (LOG_LEVEL_ERROR, "settings_refused", &err);
-      return;
+      int number = sigtimedwait (&set, NULL, &look_interval);
+      if (number == SIGHUP)
+        settings_feed_poll (feed, SETTINGS_REREAD);
+      else if (number > 0)
+        return number;
+      else
+        settings_feed_poll (feed, SETTINGS_LOOK);
     }
-  LOG_EVENT (LOG_LEVEL_INFO, "settings_reloaded",
-             LOG_U ("seeds", settings->n_seeds),
-             LOG_S ("vm", settings->vm.text));
-  free (settings);
 }
 
 void
@@ -136,11 +141,7 @@
 {
   LOG_EVENT (LOG_LEVEL_INFO, "started", LOG_S ("version", MULBERRY_VERSION),
              LOG_S ("address", program->settings->address));
-  sigset_t set;
-  fleet_signals (&set);
-  int number = 0;
-  while (sigwait (&set, &number) == 0 && number == SIGHUP)
-    reload (program);
+  int number = wait_for_end (program->feed);
   LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
 }
 
@@ -149,6 +150,7 @@
 {
   LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
   log_stop ();
-  free (program->settings);
+  settings_feed_give_back (program->feed, program->settings);
+  settings_feed_close (program->feed);
   apr_terminate ();
 }
--- a/src/settings/fleet_program.h
+++ b/src/settings/fleet_program.h
@@ -6,11 +6,12 @@
 
 #include "settings/fleet_settings.h"
 #include "settings/program.h"
+#include "settings/settings_feed.h"
 
 typedef struct fleet_program
 {
-  fleet_settings_t *settings;
-  const char *settings_file;
+  settings_feed_t *feed;
+  const fleet_settings_t *settings; /* those of the start */
   uint64_t incarnation; /* of this start; greater than former ones; not 0 */
   unsigned char key[SETTINGS_KEY_BYTES];
 } fleet_program_t;
@@ -23,9 +24,8 @@
                           const char *doc, int argc, char **argv,
                           int *exit_code);
 
-/* Block until SIGTERM or SIGINT.  At SIGHUP the settings are read anew: what
-   can't change while the process runs is only logged; after a fault, which is
-   logged too, the settings stay.  */
+/* Block until SIGTERM or SIGINT.  Meanwhile put the settings in force anew: at
+   SIGHUP, and whenever their file has changed.  */
 void fleet_program_serve (const fleet_program_t *program);
 
 /* Log the end with EXIT_CODE and release all.  */
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -142,7 +142,8 @@
   yaml_reader_t reader;
   if (!yaml_reader_open (&reader, file, err))
     return NULL;
-  document_t document = { 0 };
+  document_t document;
+  memset (&document, 0, sizeof document);
   bool ok = read_document (&reader, &document, err);
   yaml_reader_close (&reader);
   if (!ok)
@@ -150,7 +151,7 @@
   fleet_settings_t *settings = malloc (sizeof *settings);
   if (!settings)
     abort ();
-  *settings = document.settings;
+  memcpy (settings, &document.settings, sizeof *settings);
   return settings;
 }
 
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -70,7 +70,8 @@
   fleet_bounds_t bounds;
 } fleet_settings_t;
 
-/* Read FILE.  The result is malloc'd; NULL with ERR_SETTINGS.  */
+/* Read FILE.  The result is malloc'd; NULL with ERR_SETTINGS.  Bytes that no
+   value takes are 0, so that two of them may be compared with memcmp.  */
 fleet_settings_t *fleet_settings_load (const char *file, err_t *err);
 
 /* The region of a failure domain; NULL where the settings don't list it.  */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -78,6 +78,12 @@
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
 };
 
+/* Which director holds which slot of the log. */
+struct fleet_roster_t
+{
+  uint32_t addresses<FLEET_WIRE_DIRECTORS_MAX>; /* by slot; empty: none yet */
+};
+
 /* A director tells the others what it has heard. */
 struct fleet_share_args_t
 {
@@ -86,6 +92,7 @@
   fleet_router_t routers<FLEET_WIRE_ROUTERS_MAX>;
   /* From the leader alone: its applied state is the newest; 0: not known. */
   uint64_t confirmed_index;
+  fleet_roster_t roster;
   uint64_t list_digest;
   int64_t list_age; /* usec since the list was read; -1: never */
   opaque list<FLEET_PACKED_BYTES_MAX>; /* packed; empty: the peer has it */
@@ -99,15 +106,10 @@
 /* One message between replicas, encoded by agreement/message. */
 struct fleet_agree_args_t
 {
+  uint32_t address; /* the sender */
   opaque message<FLEET_MESSAGE_BYTES_MAX>;
 };
 
-/* Which director holds which slot of the log. */
-struct fleet_roster_t
-{
-  uint32_t addresses<FLEET_WIRE_DIRECTORS_MAX>; /* by slot; empty: none yet */
-};
-
 struct fleet_announce_args_t
 {
   uint32_t address; /* the sender */
@@ -118,8 +120,6 @@
 struct fleet_announce_result_t
 {
   fleet_roster_t roster;
-  /* usec since the leader heard each slot; -1: not known */
-  int64_t silence<FLEET_WIRE_DIRECTORS_MAX>;
 };
 
 /* Entries of the log. */
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -7,7 +7,8 @@
    after the list's.  Each run of a request is appended to FOLDER/runs as
    "ID BACKEND".  FOLDER/draining names the backend servers that drain, one a
    line.  A path that ends in "slow" runs for half a second; one that ends in
-   "lost" runs, and its connection ends without an answer.  */
+   "held" until FOLDER/release exists; one that ends in "lost" runs, and its
+   connection ends without an answer.  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -26,6 +27,8 @@
   SLOTS = 4,
   TEXT_BYTES = 8192,
   SLOW_USEC = 500 * 1000,
+  HELD_STEP_USEC = 10 * 1000,
+  HELD_STEPS_MAX = 2000,
 };
 
 typedef struct fake_backend
@@ -112,6 +115,15 @@
   return length >= n && strcmp (text + length - n, end) == 0;
 }
 
+static void
+wait_for_release (void)
+{
+  char path[512];
+  snprintf (path, sizeof path, "%s/release", fake.folder);
+  for (int i = 0; i < HELD_STEPS_MAX && access (path, F_OK) != 0; i++)
+    usleep (HELD_STEP_USEC);
+}
+
 static enum MHD_Result
 serve_backend (void *closure, struct MHD_Connection *connection,
                const char *url, const char *method, const char *version,
@@ -147,6 +159,8 @@
     return MHD_NO;
   if (ends_with (url, "slow"))
     usleep (SLOW_USEC);
+  if (ends_with (url, "held"))
+    wait_for_release ();
   return answer (connection, MHD_HTTP_OK, backend->id, id, NULL);
 }
 
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -31,14 +31,14 @@
   exit 1
 }
 
-# The address of a director or router: its number is its domain's.
+# The address of a director or router; numbers go round the failure domains.
 director_address() { echo "$NET.1.$1"; }
 router_address() { echo "$NET.2.$1"; }
 
 settings_of() {
   local kind=$1 number=$2 address domain region
   address=$("${kind}_address" "$number")
-  domain=${DOMAINS[$((number - 1))]}
+  domain=${DOMAINS[$(((number - 1) % 3))]}
   region=${domain%-*}
   cat <<YAML
 vm: $kind-$number
@@ -72,8 +72,14 @@
   PIDS[$name]=$!
 }
 
+# The settings' file, replaced whole as an operator's tool does.
+write_settings() {
+  settings_of "$1" "$2" >"$FOLDER/$1-$2.new"
+  mv "$FOLDER/$1-$2.new" "$FOLDER/$1-$2.yaml"
+}
+
 start_vm() {
-  settings_of "$1" "$2" >"$FOLDER/$1-$2.yaml"
+  write_settings "$1" "$2"
   start "$1-$2" "$BUILD/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
 }
 
@@ -112,7 +118,7 @@
 config() {
   cat <<JSON
 {"version":"$1","routes":{"r":{"host":"a.example","path_prefix":"$3","route_kind":"$2",
-"timeout":"2s","target_latency":"300ms","priority":1,"service":"search","attempts":2,
+"timeout":"${TIMEOUT:-2s}","target_latency":"300ms","priority":1,"service":"search","attempts":2,
 "sticky":true,"home_regions":[]}},"services":{"search":{"health_path":"/health",
 "max_conns":300,"cold_start":"3s","cold_per_s":5}},"limits":{}}
 JSON
--- /dev/null
+++ b/test/functional/test_fleet_changes.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# A fleet that changes while it runs: settings without a signal, callers who
+# leave while they wait, a director that is replaced at another address.
+set -euo pipefail
+BUILD=$1
+SOURCE=$2
+source "$SOURCE/test/functional/fleet.sh"
+TIMEOUT=20s
+
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" "${DOMAINS[@]}"
+for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
+put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
+served() { [ "$(request "$1" /x/1 "id-$RANDOM")" = 200 ]; }
+wait_for 15 put "$(config 00000005 idempotent /x/)"
+for i in 1 2 3; do wait_for 10 served $i; done
+
+# A failure domain that only the changed settings know; no signal is sent.
+[ "$(order POST /Evacuations.Start/west-a)" = 400 ] || fail 'an unknown failure domain was accepted'
+DOMAINS+=(west-a)
+for i in 1 2 3; do write_settings director $i; write_settings router $i; done
+accepted() { [ "$(order POST /Evacuations.End/west-a)" = 200 ]; }
+wait_for 10 accepted
+reloaded() { grep -q 'event=settings_reloaded changed=1' "$FOLDER/router-1.log"; }
+wait_for 10 reloaded
+echo 'vm: broken' >"$FOLDER/router-1.yaml"
+refused() { grep -q 'event=settings_refused' "$FOLDER/router-1.log"; }
+wait_for 10 refused
+served 1 || fail 'a router does not serve on beside a broken file'
+echo 'good: settings change without a signal'
+
+# Every slot is taken, and one caller leaves while it waits for its turn.
+held() { curl -s -m 30 -o /dev/null -w '%{http_code}\n' -H 'Host: a.example' -H "Request-Id: $1" -H 'Deadline-Ms: 20000' \
+  "http://$(router_address 2):$REQUESTS_PORT/x/held"; }
+for n in $(seq 60); do held "id-held-$n" >>"$FOLDER/held" & HELD+=($!); done
+full() { [ "$(grep -c '^id-held' "$FOLDER/runs")" -ge 30 ]; }
+wait_for 10 full
+curl -s -m 1 -o /dev/null -H 'Host: a.example' -H 'Request-Id: id-left' -H 'Deadline-Ms: 20000' \
+  "http://$(router_address 2):$REQUESTS_PORT/x/1" && fail 'a request was answered though no slot was free'
+left() { grep -q 'event=request_ended id=id-left outcome=gone' "$FOLDER/router-2.log"; }
+wait_for 5 left
+touch "$FOLDER/release"
+for pid in "${HELD[@]}"; do wait "$pid"; done
+[ "$(grep -c 200 "$FOLDER/held")" = 60 ] || fail "requests that waited: $(sort "$FOLDER/held" | uniq -c)"
+! grep -q '^id-left ' "$FOLDER/runs" || fail 'the request of a caller who had left ran'
+echo 'good: a caller who leaves'
+
+# A director is gone for good; an empty one at another address takes its place,
+# and then counts for the majority.
+kill_one KILL director-3
+FIRST_START=false
+mkdir "$FOLDER/data-4"
+start_vm director 4
+AT=1
+knows() { [ "$(AT=$1 order GET /Config.Get)" = 200 ] && grep -q "\"version\":\"$2\"" "$FOLDER/body"; }
+votes() { grep -q 'event=replica_role role=follower' "$FOLDER/director-4.log"; }
+wait_for 20 votes
+wait_for 10 knows 4 00000005
+kill_one KILL director-1
+AT=2
+wait_for 20 put "$(config 00000007 idempotent /y/)"
+wait_for 10 knows 4 00000007
+moved() { [ "$(request 3 /y/1 "id-y$RANDOM")" = 200 ]; }
+wait_for 10 moved
+echo 'good: a director at another address'
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -130,10 +130,14 @@
 test_roster_claim (void)
 {
   const roster_t roster = { .n_slots = 3, .addresses = { 1, 2, 3 } };
-  const int64_t calm[] = { -1, 0, 4 * USEC_PER_SEC };
-  g_assert_cmpint (roster_claimable (&roster, calm, 3), ==, SLOT_NONE);
-  const int64_t gone[] = { -1, 11 * USEC_PER_SEC, 30 * USEC_PER_SEC };
-  g_assert_cmpint (roster_claimable (&roster, gone, 3), ==, 2);
+  const usec_t calm[] = { 0, 10, 2 * USEC_PER_SEC };
+  g_assert_cmpint (roster_free_slot (&roster, calm, SLOT_NONE), ==, SLOT_NONE);
+  g_assert_cmpint (roster_free_slot (&roster, calm, 2), ==, SLOT_NONE);
+  const usec_t gone[] = { 0, 4 * USEC_PER_SEC, 30 * USEC_PER_SEC };
+  g_assert_cmpint (roster_free_slot (&roster, gone, SLOT_NONE), ==, 2);
+  /* One that was given a slot, by a leader that is gone, keeps it.  */
+  g_assert_cmpint (roster_free_slot (&roster, gone, 1), ==, 1);
+  g_assert_cmpint (roster_free_slot (&roster, gone, 0), ==, 2);
 }
 
 static void
