--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -31,6 +31,7 @@
 void
 backend_pool_free (backend_pool_t *pool)
 {
+  pool_index_clear (pool);
   LIST_FOREACH (link, &pool->backends)
   free (LIST_ENTRY (link, backend_t, link));
   free (pool);
@@ -43,33 +44,31 @@
   pool->options.settings = settings;
 }
 
+static void
+set_health (backend_pool_t *pool, backend_t *backend, backend_health_t health)
+{
+  pool->n_down -= backend->health == BACKEND_DOWN;
+  pool->n_down += health == BACKEND_DOWN;
+  backend->health = health;
+}
+
 /* Gone from the list, and nothing of it is under way.  */
 static void
-forget_unused (backend_t *backend)
+forget_unused (backend_pool_t *pool, backend_t *backend)
 {
   if (backend->is_listed || backend->in_flight > 0 || backend->is_probing)
     return;
+  set_health (pool, backend, BACKEND_UP);
+  pool_index_remove (pool, backend);
   list_remove (&backend->link);
   free (backend);
 }
 
-static backend_t *
-find (const backend_pool_t *pool, const char *id)
-{
-  LIST_FOREACH (link, &pool->backends)
-  {
-    backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (strcmp (backend->record.id, id) == 0)
-      return backend;
-  }
-  return NULL;
-}
-
 /* A new start: it knows nothing and holds nothing of before.  */
 static void
-backend_restart (backend_t *backend)
+backend_restart (backend_pool_t *pool, backend_t *backend)
 {
-  backend->health = BACKEND_UP;
+  set_health (pool, backend, BACKEND_UP);
   backend->failures = 0;
   backend->others = 0;
   backend->others_mean = 0;
@@ -78,25 +77,49 @@
   backend->quality = (backend_quality_t){ 0 };
 }
 
-static void
-follow_record (backend_pool_t *pool, const backend_record_t *record,
-               usec_t read_at)
+/* The one of RECORD, new where there is none.  Where POSITION points, and what
+   lies before it, have ids up to the record's.  */
+static backend_t *
+follow_id (backend_pool_t *pool, const backend_record_t *record,
+           list_t **position)
 {
-  const name_t *region
-      = fleet_settings_region (pool->options.settings, record->domain.text);
-  if (!region)
-    return;
-  backend_t *backend = find (pool, record->id);
-  if (!backend)
+  list_t *next = (*position)->next;
+  int order = -1;
+  while (next != &pool->backends)
+    {
+      const backend_t *known = LIST_ENTRY (next, backend_t, link);
+      order = strcmp (known->record.id, record->id);
+      if (order >= 0)
+        break;
+      next = next->next;
+    }
+  backend_t *backend = NULL;
+  if (next != &pool->backends && order == 0)
+    backend = LIST_ENTRY (next, backend_t, link);
+  else
     {
       backend = calloc (1, sizeof *backend);
       if (!backend)
         abort ();
       backend->hash = XXH3_64bits (record->id, strlen (record->id));
-      list_push_back (&pool->backends, &backend->link);
+      list_push_back (next, &backend->link);
     }
-  else if (backend->record.started_at != record->started_at)
-    backend_restart (backend);
+  *position = &backend->link;
+  return backend;
+}
+
+static void
+follow_record (backend_pool_t *pool, const backend_record_t *record,
+               usec_t read_at, list_t **position)
+{
+  const name_t *region
+      = fleet_settings_region (pool->options.settings, record->domain.text);
+  if (!region)
+    return;
+  backend_t *backend = follow_id (pool, record, position);
+  bool is_new = backend->record.id[0] == '\0';
+  if (!is_new && backend->record.started_at != record->started_at)
+    backend_restart (pool, backend);
   /* Once it drains, it does so until it ends.  */
   bool is_draining = record->is_draining
                      || (backend->record.is_draining
@@ -125,14 +148,17 @@
 {
   LIST_FOREACH (link, &pool->backends)
   LIST_ENTRY (link, backend_t, link)->is_listed = false;
+  list_t *position = &pool->backends;
   for (size_t i = 0; i < update->list->n_records; i++)
-    follow_record (pool, &update->list->records[i], update->list->read_at);
+    follow_record (pool, &update->list->records[i], update->list->read_at,
+                   &position);
+  pool_index_rebuild (pool);
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
     backend->is_evacuated = is_evacuated (update, backend->record.domain.text);
     pool_cold_share (pool, backend, update, now);
-    forget_unused (backend);
+    forget_unused (pool, backend);
   }
   pool_weigh (pool, update);
 }
@@ -173,12 +199,13 @@
 }
 
 static void
-note_failure (backend_t *backend, uint32_t limit, usec_t now)
+note_failure (backend_pool_t *pool, backend_t *backend, uint32_t limit,
+              usec_t now)
 {
   backend->failures++;
   if (backend->failures < limit || backend->health == BACKEND_DOWN)
     return;
-  backend->health = BACKEND_DOWN;
+  set_health (pool, backend, BACKEND_DOWN);
   backend->probe_at = now + PROBE_FIRST;
 }
 
@@ -206,7 +233,6 @@
 backend_pool_ended (backend_pool_t *pool, backend_t *backend,
                     const backend_outcome_t *outcome, usec_t now)
 {
-  (void)pool;
   backend->in_flight--;
   note_load (backend, &outcome->load, now);
   if (outcome->end != BACKEND_MISTAKEN && outcome->end != BACKEND_LEFT)
@@ -227,21 +253,23 @@
         }
       break;
     case BACKEND_MISTAKEN:
-      note_failure (backend, 1, now);
+      note_failure (pool, backend, 1, now);
       break;
     case BACKEND_BROKE_OFF:
-      note_failure (backend, FAILURES_DOWN, now);
+      note_failure (pool, backend, FAILURES_DOWN, now);
       break;
     case BACKEND_FAILED:
     case BACKEND_LEFT:
       break;
     }
-  forget_unused (backend);
+  forget_unused (pool, backend);
 }
 
 backend_t *
 backend_pool_due_probe (backend_pool_t *pool, usec_t now)
 {
+  if (pool->n_down == 0)
+    return NULL;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
@@ -259,14 +287,13 @@
 backend_pool_probed (backend_pool_t *pool, backend_t *backend, bool is_healthy,
                      usec_t cold_left, usec_t now)
 {
-  (void)pool;
   backend->is_probing = false;
   backend->probe_at = now + PROBE_NEXT;
   if (is_healthy)
     {
-      backend_restart (backend);
+      backend_restart (pool, backend);
       if (cold_left > 0 && now + cold_left > backend->cold_until)
         backend->cold_until = now + cold_left;
     }
-  forget_unused (backend);
+  forget_unused (pool, backend);
 }
--- /dev/null
+++ b/src/balance/pool_index.c
@@ -0,0 +1,85 @@
+/* Load pattern: hundreds of backend servers, on a tenth of a core.  A request
+   looks at those of its service alone.  */
+
+#include "balance/pool_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static pool_service_t *
+find_service (const backend_pool_t *pool, const char *name)
+{
+  for (size_t i = 0; i < pool->n_services; i++)
+    if (strcmp (pool->services[i].name.text, name) == 0)
+      return &pool->services[i];
+  return NULL;
+}
+
+const pool_service_t *
+pool_index_find (const backend_pool_t *pool, const char *service)
+{
+  static const pool_service_t none = { .n = 0 };
+  const pool_service_t *found = find_service (pool, service);
+  return found ? found : &none;
+}
+
+static pool_service_t *
+add_service (backend_pool_t *pool, const name_t *name)
+{
+  pool->services = realloc (pool->services, (pool->n_services + 1)
+                                                * sizeof *pool->services);
+  if (!pool->services)
+    abort ();
+  pool_service_t *service = &pool->services[pool->n_services++];
+  *service = (pool_service_t){ .name = *name };
+  return service;
+}
+
+static void
+add_backend (pool_service_t *service, backend_t *backend)
+{
+  if ((service->n & (service->n - 1)) == 0)
+    {
+      size_t room = service->n ? 2 * service->n : 1;
+      service->backends
+          = realloc (service->backends, room * sizeof *service->backends);
+      if (!service->backends)
+        abort ();
+    }
+  service->backends[service->n++] = backend;
+}
+
+void
+pool_index_clear (backend_pool_t *pool)
+{
+  for (size_t i = 0; i < pool->n_services; i++)
+    free (pool->services[i].backends);
+  free (pool->services);
+  pool->services = NULL;
+  pool->n_services = 0;
+}
+
+void
+pool_index_rebuild (backend_pool_t *pool)
+{
+  pool_index_clear (pool);
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    const name_t *name = &backend->record.service;
+    pool_service_t *service = find_service (pool, name->text);
+    add_backend (service ? service : add_service (pool, name), backend);
+  }
+}
+
+void
+pool_index_remove (backend_pool_t *pool, const backend_t *backend)
+{
+  pool_service_t *service = find_service (pool, backend->record.service.text);
+  for (size_t i = 0; service && i < service->n; i++)
+    if (service->backends[i] == backend)
+      {
+        service->backends[i] = service->backends[--service->n];
+        return;
+      }
+}
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -5,15 +5,34 @@
 
 #include "balance/backend_pool.h"
 
+/* The backend servers of one service.  */
+typedef struct pool_service
+{
+  name_t name;
+  size_t n;
+  backend_t **backends; /* malloc'd */
+} pool_service_t;
+
 struct backend_pool
 {
   backend_pool_options_t options;
   uint32_t self; /* address */
   random_state_t random;
-  list_t backends;
+  list_t backends; /* by id */
+  size_t n_services;
+  pool_service_t *services; /* malloc'd */
+  size_t n_down;            /* backend servers that a probe decides on */
 };
 
-/* Whether BACKEND may take QUERY's request at all.  */
+/* The backend servers of SERVICE; an empty one where none is known.  */
+const pool_service_t *pool_index_find (const backend_pool_t *pool,
+                                       const char *service);
+void pool_index_rebuild (backend_pool_t *pool);
+/* BACKEND is about to go.  */
+void pool_index_remove (backend_pool_t *pool, const backend_t *backend);
+void pool_index_clear (backend_pool_t *pool);
+
+/* Whether BACKEND, of QUERY's service, may take its request at all.  */
 bool pool_is_eligible (const backend_t *backend, const pool_query_t *query);
 
 /* Work out the weights of all backend servers.  */
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -53,7 +53,6 @@
 {
   return backend->is_listed && !backend->record.is_draining
          && !backend->is_evacuated
-         && strcmp (backend->record.service.text, query->service) == 0
          && (!query->route
              || route_allows_region (query->route, backend->region.text))
          && !was_tried (query, backend->hash);
@@ -140,12 +139,13 @@
                  uint64_t object, usec_t now, order_t *order)
 {
   size_t max = query->has_object ? OBJECT_CANDIDATES : CANDIDATES_MAX;
-  LIST_FOREACH (link, &pool->backends)
-  {
-    backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP)
-      order_add (order, max, backend, order_of (backend, object, now));
-  }
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  for (size_t i = 0; i < service->n; i++)
+    {
+      backend_t *backend = service->backends[i];
+      if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP)
+        order_add (order, max, backend, order_of (backend, object, now));
+    }
 }
 
 typedef struct best
@@ -187,9 +187,10 @@
 bool
 backend_pool_serves (const backend_pool_t *pool, const pool_query_t *query)
 {
-  LIST_FOREACH (link, &pool->backends)
-  if (pool_is_eligible (LIST_ENTRY (link, backend_t, link), query))
-    return true;
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  for (size_t i = 0; i < service->n; i++)
+    if (pool_is_eligible (service->backends[i], query))
+      return true;
   return false;
 }
 
@@ -199,18 +200,19 @@
   pool_capacity_t capacity = { 0 };
   usec_t sum = 0;
   uint32_t n = 0;
-  LIST_FOREACH (link, &pool->backends)
-  {
-    const backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
-      continue;
-    capacity.slots += backend->record.slots;
-    capacity.in_flight += backend->in_flight;
-    if (backend->latency == 0)
-      continue;
-    sum += backend->latency;
-    n++;
-  }
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  for (size_t i = 0; i < service->n; i++)
+    {
+      const backend_t *backend = service->backends[i];
+      if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
+        continue;
+      capacity.slots += backend->record.slots;
+      capacity.in_flight += backend->in_flight;
+      if (backend->latency == 0)
+        continue;
+      sum += backend->latency;
+      n++;
+    }
   capacity.latency = n > 0 ? sum / n : 0;
   return capacity;
 }
--- a/src/balance/pool_weigh.c
+++ b/src/balance/pool_weigh.c
@@ -61,32 +61,31 @@
 
 /* The weights of all backend servers of SERVICE.  */
 static void
-weigh_service (backend_pool_t *pool, regions_t *regions, const char *service)
+weigh_service (regions_t *regions, const pool_service_t *service)
 {
   double shares[REGION_SHARES_MAX];
   for (size_t i = 0; i < regions->n; i++)
     regions->rooms[i].slots = 0;
-  LIST_FOREACH (link, &pool->backends)
-  {
-    const backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    size_t at = region_index (regions, backend->region.text);
-    if (has_room (backend) && at < regions->n
-        && strcmp (backend->record.service.text, service) == 0)
-      regions->rooms[at].slots += backend->record.slots;
-  }
+  for (size_t i = 0; i < service->n; i++)
+    {
+      const backend_t *backend = service->backends[i];
+      size_t at = region_index (regions, backend->region.text);
+      if (has_room (backend) && at < regions->n)
+        regions->rooms[at].slots += backend->record.slots;
+    }
   region_share (regions->rooms, regions->n, regions->self, shares);
-  LIST_FOREACH (link, &pool->backends)
-  {
-    backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    size_t at = region_index (regions, backend->region.text);
-    if (at >= regions->n
-        || strcmp (backend->record.service.text, service) != 0)
-      continue;
-    double slots = regions->rooms[at].slots;
-    double share = shares[at] > share_floor ? shares[at] : share_floor;
-    backend->weight
-        = slots > 0 ? share * (double)backend->record.slots / slots : 0;
-  }
+  for (size_t i = 0; i < service->n; i++)
+    {
+      backend_t *backend = service->backends[i];
+      size_t at = region_index (regions, backend->region.text);
+      backend->weight = 0;
+      if (at >= regions->n)
+        continue;
+      double slots = regions->rooms[at].slots;
+      double share = shares[at] > share_floor ? shares[at] : share_floor;
+      if (slots > 0)
+        backend->weight = share * (double)backend->record.slots / slots;
+    }
 }
 
 void
@@ -96,12 +95,6 @@
   regions_open (pool, update, &regions);
   if (regions.self >= regions.n)
     return;
-  LIST_FOREACH (link, &pool->backends)
-  LIST_ENTRY (link, backend_t, link)->weight = 0;
-  LIST_FOREACH (link, &pool->backends)
-  {
-    const backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (backend->weight == 0 && has_room (backend))
-      weigh_service (pool, &regions, backend->record.service.text);
-  }
+  for (size_t i = 0; i < pool->n_services; i++)
+    weigh_service (&regions, &pool->services[i]);
 }
