fix(balance): a cold backend server does not hold an object's requests

Cause: the two backend servers of an object's order were chosen before it was asked whether a cold one may take another request, so a request waited while others were free. test_balance_pool /pool/cold-return, seen failing before (nothing picked).

--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -133,7 +133,8 @@
 }
 
 /* The few backend servers that may handle OBJECT: so that all of them remember
-   their objects, also when work is more than slots.  */
+   their objects, also when work is more than slots.  One that is too cold for
+   another request does not count among the few.  */
 static void
 find_candidates (backend_pool_t *pool, const pool_query_t *query,
                  uint64_t object, usec_t now, order_t *order)
@@ -143,7 +144,8 @@
   for (size_t i = 0; i < service->n; i++)
     {
       backend_t *backend = service->backends[i];
-      if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP)
+      if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP
+          && pool_cold_allows (backend, now))
         order_add (order, max, backend, order_of (backend, object, now));
     }
 }
@@ -162,8 +164,7 @@
     {
       backend_t *backend = order->items[i].backend;
       double load = backend_load_at (backend, now);
-      if (load + 1 > backend->record.slots + QUEUE_DEPTH
-          || !pool_cold_allows (backend, now))
+      if (load + 1 > backend->record.slots + QUEUE_DEPTH)
         continue;
       double cost = cost_of (pool, backend, query, now, i == 0);
       if (best->backend && cost >= best->cost)
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -389,6 +389,33 @@
   world_clear (&world);
 }
 
+/* A region comes back cold from an evacuation, with all objects of the callers
+   there: while others have room, no request waits for a cold backend server.
+ */
+static void
+test_cold_return_does_not_hold_objects (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backends (&world);
+  for (size_t i = 0; i < world.list.n_records; i++)
+    if (!g_str_has_prefix (world.list.records[i].domain.text, "north"))
+      world.list.records[i].cold_left = 10 * USEC_PER_SEC;
+  world.n_routers = 1;
+  world.routers[0].address = 0x0a000001;
+  g_strlcpy (world.routers[0].region.text, "north",
+             sizeof world.routers[0].region.text);
+  backend_pool_t *pool = pool_open (&world);
+  for (uint64_t object = 1; object <= 100; object++)
+    {
+      backend_t *backend = pick_any (&world, pool, object, NOW);
+      g_assert_nonnull (backend);
+      g_assert_cmpint (backend->cold_until, <=, NOW);
+    }
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 /* Callers stand evenly over the regions, slots do not (1 : 2 : 3).  With one
    object for each request, no backend server gets more than a third over the
    mean.  */
@@ -546,6 +573,7 @@
   g_test_add_func ("/pool/homes", test_homes_bind);
   g_test_add_func ("/pool/crash", test_crash_and_return);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
+  g_test_add_func ("/pool/cold-return", test_cold_return_does_not_hold_objects);
   g_test_add_func ("/pool/uneven", test_uneven_regions_share_the_work);
   g_test_add_func ("/pool/cold-page", test_cold_span_of_a_late_page);
   g_test_add_func ("/pool/slow", test_slow_backend_gets_less);
