perf(router): the list of routers is asked for once a second at most

Cause: at 300 machines each router that starts or stops changed the list for all others, and each took it anew with each question (every 400 ms).

--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -167,7 +167,7 @@
           .list = list_source_tell (&core->list_source, &core->list,
                                     args->list_digest, steps, now) };
   add_state (core, args, &result, evacuated);
-  if (args->routers_digest != core->routers_digest)
+  if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
       result.routers.fleet_packed_t_val = core->packed_routers.bytes;
       result.routers.fleet_packed_t_len = (u_int)core->packed_routers.length;
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -32,6 +32,9 @@
    waited for.  */
 #define SETTLE_WAIT (4 * USEC_PER_SEC)
 
+/* Each router that comes or goes changes the list of them for all others.  */
+#define ROUTERS_INTERVAL USEC_PER_SEC
+
 /* A director that failed or was stale is not asked again for so long, where
    there are others.  */
 #define AVOID_SPAN (3 * USEC_PER_SEC)
@@ -62,6 +65,7 @@
   uint64_t evacuations_index;
   uint64_t list_digest;
   uint64_t routers_digest;
+  usec_t routers_at; /* when they were taken in */
   bool is_confirmed;
 };
 
@@ -246,17 +250,18 @@
 }
 
 static bool
-take_routers (sync_t *sync, view_t *view, const fleet_pull_result_t *result)
+take_routers (sync_t *sync, view_t *view, const fleet_pull_result_t *result,
+              usec_t now)
 {
   fleet_peers_t wire = { 0 };
-  if (result->routers_digest == sync->routers_digest
-      || result->routers.fleet_packed_t_len == 0)
+  if (result->routers.fleet_packed_t_len == 0)
     return false;
   if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_peers_t, &wire,
                           &result->routers))
     LOG_EVENT (LOG_LEVEL_WARNING, "routers_not_understood",
                LOG_U ("bytes", result->routers.fleet_packed_t_len));
   sync->routers_digest = result->routers_digest;
+  sync->routers_at = now;
   free (view->routers);
   view->routers = calloc (wire.peers.peers_len + 1u, sizeof (pool_router_t));
   if (!view->routers)
@@ -324,7 +329,7 @@
 {
   return result->config_version > sync->version
          || result->evacuations_index > sync->evacuations_index
-         || result->routers_digest != sync->routers_digest
+         || result->routers.fleet_packed_t_len > 0
          || result->list.whole.fleet_packed_t_len > 0
          || result->list.steps.steps_len > 0;
 }
@@ -339,7 +344,7 @@
   bool changed = take_config (sync, view, result);
   changed = take_evacuations (sync, view, result) || changed;
   changed = take_list (sync, view, result, now) || changed;
-  changed = take_routers (sync, view, result) || changed;
+  changed = take_routers (sync, view, result, now) || changed;
   view_unref (changed ? sync->view : view);
   if (changed)
     sync->view = view;
@@ -444,7 +449,9 @@
   fleet_pull_args_t args = { .router = fleet_wire_router (&self, now),
                              .config_version = sync->version,
                              .list_digest = sync->list_digest,
-                             .routers_digest = sync->routers_digest };
+                             .routers_digest = sync->routers_digest,
+                             .wants_routers
+                             = now >= sync->routers_at + ROUTERS_INTERVAL };
   uint32_t director = 0;
   if (is_due)
     {
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -73,6 +73,7 @@
   uint64_t config_version;
   uint64_t list_digest;
   uint64_t routers_digest;
+  bool wants_routers; /* where they are others than it has */
 };
 
 /* Where a router takes requests. */
