--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -1,14 +1,16 @@
 /* fake-platform: stands in for the users' platform: the list of backend
    servers, and the backend servers themselves, by its published protocol.
 
-     fake-platform LIST_ADDRESS:PORT FOLDER DOMAIN...
+     fake-platform LIST_ADDRESS:PORT FOLDER OFFSET DOMAIN...
 
    Each DOMAIN gets two backend servers of the service "search", on the ports
-   after the list's.  Each run of a request is appended to FOLDER/runs as
-   "ID BACKEND".  FOLDER/draining names the backend servers that drain, one a
+   after the list's; the list tells their ports with OFFSET added, for a relay
+   that stands before them.  Each run of a request is appended to FOLDER/runs
+   as "ID BACKEND MSEC", by the time of day.  FOLDER/draining names the backend servers that drain, one a
    line.  A path that ends in "slow" runs for half a second; one that ends in
    "held" until FOLDER/release exists; one that ends in "lost" runs, and its
-   connection ends without an answer.  */
+   connection ends without an answer; one that ends in "other" is answered as
+   if it were another request.  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -18,6 +20,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 enum
@@ -26,6 +29,8 @@
   BACKENDS_OF_DOMAIN = 2,
   SLOTS = 4,
   TEXT_BYTES = 8192,
+  MSEC_PER_SEC = 1000,
+  NSEC_PER_MSEC = 1000 * 1000,
   SLOW_USEC = 500 * 1000,
   HELD_STEP_USEC = 10 * 1000,
   HELD_STEPS_MAX = 2000,
@@ -42,6 +47,7 @@
 static struct
 {
   char address[16];
+  unsigned int offset; /* of the ports that the list tells */
   const char *folder;
   size_t n_backends;
   fake_backend_t backends[BACKENDS_MAX];
@@ -76,7 +82,11 @@
   FILE *file = fopen (path, "a");
   if (file)
     {
-      fprintf (file, "%s %s\n", request, backend);
+      struct timespec now;
+      clock_gettime (CLOCK_REALTIME, &now);
+      fprintf (file, "%s %s %lld\n", request, backend,
+               (long long)now.tv_sec * MSEC_PER_SEC
+                   + now.tv_nsec / NSEC_PER_MSEC);
       fclose (file);
     }
   pthread_mutex_unlock (&fake.lock);
@@ -161,7 +171,8 @@
     usleep (SLOW_USEC);
   if (ends_with (url, "held"))
     wait_for_release ();
-  return answer (connection, MHD_HTTP_OK, backend->id, id, NULL);
+  return answer (connection, MHD_HTTP_OK, backend->id,
+                 ends_with (url, "other") ? "of-another" : id, NULL);
 }
 
 static enum MHD_Result
@@ -188,7 +199,7 @@
           "%d,\"state\":\"%s\",\"cold_left\":\"0ms\",\"id\":\"%s\"}",
           is_first && i > 0 ? "]," : "", is_first ? "\"" : ",",
           is_first ? backend->domain : "", is_first ? "\":[" : "",
-          fake.address, backend->port, SLOTS,
+          fake.address, backend->port + fake.offset, SLOTS,
           is_draining (backend->id) ? "draining" : "ready", backend->id);
     }
   snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
@@ -230,17 +241,18 @@
 main (int argc, char **argv)
 {
   unsigned int port = 0;
-  if (argc < 4 || sscanf (argv[1], "%15[0-9.]:%u", fake.address, &port) != 2)
+  if (argc < 5 || sscanf (argv[1], "%15[0-9.]:%u", fake.address, &port) != 2)
     {
-      fprintf (stderr, "usage: fake-platform ADDRESS:PORT FOLDER DOMAIN...\n");
+      fprintf (stderr, "usage: fake-platform ADDRESS:PORT FOLDER OFFSET DOMAIN...\n");
       return 2;
     }
   fake.folder = argv[2];
+  fake.offset = (unsigned int)strtoul (argv[3], NULL, 10);
   sigset_t stop;
   sigemptyset (&stop);
   sigaddset (&stop, SIGTERM);
   pthread_sigmask (SIG_BLOCK, &stop, NULL);
-  for (int i = 3; i < argc; i++)
+  for (int i = 4; i < argc; i++)
     if (!open_domain (argv[i], port + 1))
       {
         fprintf (stderr, "fake-platform: can't open %s\n", argv[i]);
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -59,7 +59,7 @@
 failure_domains:
 $(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
 seeds: [$NET.1.1:1, $NET.1.2:1, $NET.1.3:1]
-bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: 5s,
+bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: ${LOOKUP_AGE:-5s},
   retry_ratio: 0.2, retry_base: 58, retry_window: 10s, cold_overshoot: 1.5,
   cold_slack: 5, shift_ratio: 0.15}
 YAML
@@ -80,11 +80,12 @@
 
 start_vm() {
   write_settings "$1" "$2"
-  start "$1-$2" "$BUILD/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
+  start "$1-$2" ${SHIM:+env LD_PRELOAD="$SHIM" FAULT_CONTROL="$FOLDER/fault-$1-$2"} \
+    "$BUILD/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
 }
 
 kill_one() {
-  kill "-$1" "${PIDS[$2]}"
+  kill "-$1" "${PIDS[$2]}" 2>/dev/null || true
   wait "${PIDS[$2]}" 2>/dev/null || true
   unset "PIDS[$2]"
 }
--- a/test/functional/test_fleet_changes.sh
+++ b/test/functional/test_fleet_changes.sh
@@ -7,7 +7,7 @@
 source "$SOURCE/test/functional/fleet.sh"
 TIMEOUT=20s
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" "${DOMAINS[@]}"
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
 put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
 served() { [ "$(request "$1" /x/1 "id-$RANDOM")" = 200 ]; }
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -1,15 +1,25 @@
 #!/usr/bin/env bash
 # soak.sh BUILD SOURCE [SEED [SECONDS]]: routers and directors under faults from
-# outside, drawn from SEED, in series and overlapping; callers go on meanwhile.
+# outside, drawn from SEED, in series and overlapping; callers go on meanwhile, on
+# connections that they keep.
+#
+# Faults: processes are killed, paused, stopped and started, one or all; folders
+# are wiped; a relay before the backend servers and one before the routers resets,
+# delays, silences or swallows one way; disks are slow or full; times of day jump;
+# settings change, with a signal and without; backend servers drain; old
+# configurations are delivered again.
 #
 # Checked while it runs and after it, from what callers and backend servers see:
 #   - a request that may run once ran at most once, and once where it has an answer;
+#   - an answer is the answer to its own request;
 #   - a request that was told "not run" (503) did not run;
-#   - no director tells a configuration older than one that was acknowledged;
+#   - a draining backend server gets nothing new after 3 s;
+#   - no director tells a configuration older than one that was acknowledged, nor
+#     a router follows one;
 #   - when the faults end, every router serves the newest configuration.
 #
 # It ends only processes that it started.  On a failure it names the seed and
-# keeps the logs.
+# keeps the logs in SOAK_KEEP.
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
@@ -20,40 +30,29 @@
 VERSION=1
 ACKED=0
 CALLERS=()
+SHIM=$BUILD/test/libfault-shim.so
+[ -e "$SHIM" ] || SHIM=
+RELAY_OFFSET=50
+# A process may be late by this much beside a busy machine, ms.
+DRAIN_SLACK=1500
 
 # Keep what a failed run left.
 soak_fail() {
-  cp -r "$FOLDER" "${SOAK_KEEP:-/tmp}/soak-$SEED" 2>/dev/null || true
+  [ -z "${SOAK_KEEP:-}" ] || cp -r "$FOLDER" "$SOAK_KEEP/soak-$SEED"
   echo "seed $SEED: $*" >&2
   exit 1
 }
 
 between() { echo $(($1 + RANDOM % ($2 - $1 + 1))); }
 
-# One caller: 10 requests a connection, to a router of its choice, until the end.
-caller() {
-  local number=$1 n=0 router args
-  RANDOM=$((SEED * 100 + number))
-  while [ ! -e "$FOLDER/enough" ]; do
-    router=$(between 1 3)
-    args=()
-    for _ in 1 2 3 4 5 6 7 8 9 10; do
-      n=$((n + 1))
-      [ ${#args[@]} = 0 ] || args+=(--next)
-      args+=(-s -m 4 -o /dev/null -w "s$number-$n %{http_code}\n" -X POST -d body -H 'Host: a.example'
-        -H "Request-Id: s$number-$n" -H 'Deadline-Ms: 3000' -b "Affinity-Key=$((n % 7))"
-        "http://$(router_address "$router"):$REQUESTS_PORT/x/$n$([ $((n % 8)) -gt 0 ] || echo lost)")
-    done
-    curl "${args[@]}" >>"$FOLDER/told-$number" 2>/dev/null || true
-  done
+put() { # VERSION: true where it was acknowledged
+  AT=$(between 1 3)
+  [ "$(order POST /Config.Put "$(config "$(printf %08x "$1")" non_idempotent /x/)" || true)" = 200 ]
 }
 
 put_next() {
   VERSION=$((VERSION + 1))
-  AT=$(between 1 3)
-  local status
-  status=$(order POST /Config.Put "$(config "$(printf %08x $VERSION)" non_idempotent /x/)" || true)
-  [ "$status" != 200 ] || ACKED=$VERSION
+  if put $VERSION; then ACKED=$VERSION; fi
 }
 
 # No director tells an older version than the last one acknowledged before it was asked.
@@ -67,35 +66,99 @@
 
 thaw_later() { (sleep "$1"; kill -CONT "$2" 2>/dev/null || true) & }
 
-# A director at a time is down or wiped, as a majority is needed.
+# for_a_while SECONDS FILE WORDS...: the fault stands in FILE meanwhile.
+for_a_while() {
+  local span=$1 file=$2
+  shift 2
+  echo "$*" >"$file"
+  (sleep "$span"; echo pass >"$file") &
+}
+
+drain() {
+  local backend=${DOMAINS[$1]}-0
+  grep -q "^$backend " "$FOLDER/drained" || echo "$backend $(date +%s%3N)" >>"$FOLDER/drained"
+  cut -d' ' -f1 "$FOLDER/drained" >"$FOLDER/draining"
+}
+
+# All at once, right after a configuration was acknowledged.
+kill_all() {
+  local name
+  put_next
+  for name in director-{1,2,3} router-{1,2,3}; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
+  for i in 1 2 3; do
+    kill_one KILL "director-$i"
+    kill_one KILL "router-$i"
+    rm -f "$FOLDER/fault-director-$i"
+    start_vm director "$i"
+    start_vm router "$i"
+  done
+}
+
+# The folder of one director, while all others have theirs.
+wipe() {
+  local i
+  for i in 1 2 3; do
+    [ "$(AT=$i order GET /Config.Get || true)" = 200 ] || return 0
+    grep -q 'full' "$FOLDER/fault-director-$i" 2>/dev/null && return 0
+  done
+  kill_one KILL "director-$1"
+  rm -rf "$FOLDER/data-$1"
+  mkdir "$FOLDER/data-$1"
+  start_vm director "$1"
+  sleep 4
+}
+
 fault() {
   local victim
   victim=$(between 1 3)
   FIRST_START=false
-  case $(between 1 8) in
+  case $(between 1 18) in
     1) kill_one KILL "director-$victim"; start_vm director "$victim" ;;
     2) kill_one KILL "router-$victim"; start_vm router "$victim" ;;
     3) kill -STOP "${PIDS[director-$victim]}"; thaw_later 1.5 "${PIDS[director-$victim]}" ;;
     4) kill -STOP "${PIDS[router-$victim]}"; thaw_later 1 "${PIDS[router-$victim]}" ;;
-    5) kill -TERM "${PIDS[router-$victim]}"; wait "${PIDS[router-$victim]}" || soak_fail "router $victim did not stop cleanly"
+    5) kill -CONT "${PIDS[router-$victim]}"; kill -TERM "${PIDS[router-$victim]}"
+       wait "${PIDS[router-$victim]}" || soak_fail "router $victim did not stop cleanly"
        start_vm router "$victim" ;;
-    6) [ "$(AT=1 order GET /Config.Get || true)" = 200 ] || return 0
-       kill_one KILL "director-$victim"; rm -rf "$FOLDER/data-$victim"; mkdir "$FOLDER/data-$victim"
-       start_vm director "$victim"; sleep 4 ;;
-    7) kill -HUP "${PIDS[router-$victim]}" ;;
-    8) echo "${DOMAINS[$((victim - 1))]}-0" >"$FOLDER/draining" ;;
+    6) wipe "$victim" ;;
+    7) kill -HUP "${PIDS[router-$victim]}" "${PIDS[director-$victim]}" ;;
+    8) drain $((victim - 1)) ;;
+    9) for_a_while 0.5 "$FOLDER/relay-backends" cut ;;
+    10) for_a_while 1 "$FOLDER/relay-backends" drop-from ;;
+    11) for_a_while 2 "$FOLDER/relay-$([ "$victim" = 1 ] && echo callers || echo backends)" delay "$(between 5 200)" ;;
+    12) echo "silence $RANDOM" >"$FOLDER/relay-$([ "$victim" = 1 ] && echo callers || echo backends)" ;;
+    13) for_a_while 1 "$FOLDER/relay-callers" "$([ "$victim" = 1 ] && echo cut || echo drop-to)" ;;
+    14) for_a_while 2 "$FOLDER/fault-director-$victim" slow "$(between 50 400)" ;;
+    15) for_a_while 1.5 "$FOLDER/fault-director-$victim" full ;;
+    16) for_a_while 3 "$FOLDER/fault-$([ "$victim" = 1 ] && echo router || echo director)-$victim" step "$(($(between 0 1) * 10000 - 5000))" ;;
+    17) for i in 1 2 3; do for_a_while 2 "$FOLDER/fault-director-$i" slow 300; done
+        kill_all ;;
+    18) LOOKUP_AGE=$(between 2 5)s write_settings "$([ "$victim" = 1 ] && echo router || echo director)" "$victim"
+        put 1 || true ;; # older than all
   esac
 }
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" "${DOMAINS[@]}"
+touch "$FOLDER/drained"
+echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RELAY_OFFSET "${DOMAINS[@]}"
+ROUTES=()
+for port in 1 2 3 4 5 6; do
+  ROUTES+=(--route "${LIST%:*}:$((${LIST#*:} + port + RELAY_OFFSET)),${LIST%:*}:$((${LIST#*:} + port))")
+done
+start relay-backends "$BUILD/test/fake-relay" --control "$FOLDER/relay-backends" "${ROUTES[@]}"
+ROUTES=()
+for i in 1 2 3; do ROUTES+=(--route "$NET.3.$i:$REQUESTS_PORT,$(router_address $i):$REQUESTS_PORT"); done
+start relay-callers "$BUILD/test/fake-relay" --control "$FOLDER/relay-callers" "${ROUTES[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
 first_put() { put_next; [ $ACKED -gt 0 ]; }
 wait_for 20 first_put
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(router_address "$1"):7813/ready")" = 200 ]; }
 for i in 1 2 3; do wait_for 15 ready $i; done
-for i in 1 2 3 4; do
-  caller $i &
+for n in $(seq "${SOAK_CALLERS:-8}"); do
+  "$BUILD/test/fake-caller" $((SEED * 100 + n)) "$FOLDER/enough" \
+    "$NET.$((2 + n % 2))".{1,2,3}:$REQUESTS_PORT >"$FOLDER/told-$n" 2>>"$FOLDER/callers.log" &
   CALLERS+=($!)
+  PIDS[caller-$n]=$!
 done
 
 END=$((SECONDS + SPAN))
@@ -107,7 +170,9 @@
 done
 
 # All is calm: the newest configuration is served by every router.
-sleep 2
+sleep 3
+rm -f "$FOLDER"/fault-*
+echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
 accepted() { put_next; [ $ACKED = $VERSION ]; }
 wait_for 20 accepted
 newest() { [ "$(AT=$1 order GET /Config.Get)" = 200 ] && grep -q "\"version\":\"$(printf %08x $ACKED)\"" "$FOLDER/body"; }
@@ -116,10 +181,28 @@
 touch "$FOLDER/enough"
 wait "${CALLERS[@]}"
 
+# A router that goes back, without a start in between.
+for i in 1 2 3; do
+  awk '/event=started/ { version = 0 }
+    match($0, /event=config_in_force version=[0-9]+/) {
+      v = substr($0, RSTART + 30, RLENGTH - 30) + 0
+      if (v < version) { print "went back from version " version " to " v; exit 1 }
+      version = v
+    }' "$FOLDER/router-$i.log" || soak_fail "router $i went back"
+done
+
 cat "$FOLDER"/told-* >"$FOLDER/told"
-awk -v seed="$SEED" '
-  NR == FNR { runs[$1]++; next }
-  { told[$1] = $2; n[$2]++ }
+awk -v seed="$SEED" -v slack="$DRAIN_SLACK" '
+  FILENAME ~ /drained$/ { leaves[$1] = $2 + 3000 + slack; next }
+  FILENAME ~ /runs$/ {
+    runs[$1]++
+    if ($2 in leaves && $3 > leaves[$2]) { print "sent to " $2 " after it drained: " $1; bad = 1 }
+    next
+  }
+  {
+    told[$1] = $2; n[$2]++
+    if ($2 == 200 && $3 != $1) { print "answer of " $3 " for " $1; bad = 1 }
+  }
   END {
     for (id in runs) if (runs[id] > 1) { print "ran " runs[id] " times: " id; bad = 1 }
     for (id in told) {
@@ -129,4 +212,4 @@
     printf "seed %s: %d answered, %d not run, %d unknown, %d without an answer\n", seed, n[200], n[503], n[502] + n[504], n["000"]
     if (n[200] < 100) { print "too few were answered"; bad = 1 }
     exit bad
-  }' "$FOLDER/runs" "$FOLDER/told" || soak_fail "the runs and what callers were told do not agree"
+  }' "$FOLDER/drained" "$FOLDER/runs" "$FOLDER/told" || soak_fail "the runs and what callers were told do not agree"
