feat(membership): heartbeats to a few VMs, changes passed on

Cause: each entry VM called every other one twice a second: 1.5 MB/s, 19 % of a core and most of the memory at 1,600 VMs (docs/CAPACITY.md), growing with the square. membership/liveness: three calls a period beyond 9 VMs, in turn, with the changes of the last periods; a VM that is said to be out of reach denies it; each VM's incarnation and clock travel with its row. Up to 9 VMs everybody is called as before.

Ruled out: passing on when each VM was last heard (20 KB/s at 1,600). Tests: test_membership_liveness (9 to 300 VMs: calm, stop and start within 6 s, few cut links, two halves, leaving); two halves that met again went on as dead for each other until one that is heard is told what is said of it (seen failing).

--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -6,25 +6,18 @@
 #include <time.h>
 
 #include "base/clock.h"
+#include "membership/liveness.h"
 #include "wire/generated/entry.h"
 
 enum
 {
   HEARTBEAT_MSEC = 500,
-  REACHABLE_MSEC = 1500,
   CLOCK_DRIFT_PPM = 1000,
   KEPT_BODY_BYTES = 16 * 1024,
   KEPT_BYTES = 32 * 1024 * 1024,
   SWEEP_STEPS = 20000,
 };
 
-typedef struct peer
-{
-  uint64_t incarnation; /* 0: never heard */
-  usec_t heard_at;
-  bool leaving;
-} peer_t;
-
 struct peer_ledger
 {
   peer_ledger_options_t options;
@@ -32,10 +25,9 @@
   pthread_mutex_t lock; /* guards all below */
   pthread_cond_t stopped;
   bool stop;
-  bool leaving;
   pthread_t thread;
   ledger_t *ledger;
-  peer_t *peers;
+  liveness_t *liveness;
   uint64_t sequence;
   random_state_t random;
 };
@@ -147,32 +139,100 @@
   xdr_free ((xdrproc_t)xdr_entry_ask_t, (char *)&args);
 }
 
+static entry_row_t
+encode_row (const liveness_row_t *row)
+{
+  return (entry_row_t){ .vm = row->vm,
+                        .incarnation = row->incarnation,
+                        .episode = row->episode,
+                        .stamp = row->stamp,
+                        .reachable = row->is_reachable,
+                        .leaving = row->is_leaving };
+}
+
+static liveness_row_t
+decode_row (const entry_row_t *row)
+{
+  return (liveness_row_t){ .vm = (vm_id_t)row->vm,
+                           .incarnation = row->incarnation,
+                           .episode = row->episode,
+                           .stamp = row->stamp,
+                           .is_reachable = row->reachable,
+                           .is_leaving = row->leaving };
+}
+
+/* With the lock held.  A VM's clock has come at least as far as its row says,
+   whoever passed that on.  */
+static void
+note_clock (peer_ledger_t *peers, const liveness_row_t *row, usec_t now)
+{
+  if (row->vm < peers->options.settings->topology.n_vms
+      && row->incarnation > 0)
+    ledger_on_heartbeat (peers->ledger, row->vm, row->incarnation, row->stamp,
+                         now);
+}
+
 static void
 hear (peer_ledger_t *peers, const rpc_sender_t *sender,
       const entry_heartbeat_t *heartbeat)
 {
-  if (sender->vm >= peers->options.settings->topology.n_vms)
-    return;
   usec_t now = clock_monotonic ();
+  liveness_row_t own = decode_row (&heartbeat->own);
+  if (own.vm != sender->vm || own.incarnation != sender->incarnation)
+    return;
   pthread_mutex_lock (&peers->lock);
-  peer_t *peer = &peers->peers[sender->vm];
-  if (sender->incarnation >= peer->incarnation)
-    *peer = (peer_t){ .incarnation = sender->incarnation,
-                      .heard_at = now,
-                      .leaving = heartbeat->leaving };
-  ledger_on_heartbeat (peers->ledger, (vm_id_t)sender->vm, sender->incarnation,
-                       heartbeat->stamp, now);
+  liveness_hear (peers->liveness, &own, now);
+  note_clock (peers, &own, now);
+  for (u_int i = 0; i < heartbeat->changes.changes_len; i++)
+    {
+      liveness_row_t row = decode_row (&heartbeat->changes.changes_val[i]);
+      liveness_learn (peers->liveness, &row);
+      note_clock (peers, &row, now);
+    }
   pthread_mutex_unlock (&peers->lock);
 }
 
+/* With the lock held.  */
+static size_t
+add_changes (peer_ledger_t *peers, entry_row_t *rows)
+{
+  liveness_row_t changes[LIVENESS_ROWS_MAX];
+  size_t n = liveness_changes (peers->liveness, changes);
+  for (size_t i = 0; i < n; i++)
+    rows[i] = encode_row (&changes[i]);
+  return n;
+}
+
+static size_t
+add_all (peer_ledger_t *peers, entry_row_t *rows)
+{
+  size_t n = 0;
+  size_t n_vms = peers->options.settings->topology.n_vms;
+  for (size_t i = 0; i < n_vms && n < ENTRY_ROWS_MAX; i++)
+    {
+      const liveness_row_t *row = liveness_row (peers->liveness, (vm_id_t)i);
+      if (row->incarnation > 0)
+        rows[n++] = encode_row (row);
+    }
+  return n;
+}
+
+/* What to tell next; ROWS has room for ENTRY_ROWS_MAX.  */
 static entry_heartbeat_t
-own_heartbeat (peer_ledger_t *peers)
+own_heartbeat (peer_ledger_t *peers, bool all, entry_row_t *rows)
 {
+  usec_t now = clock_monotonic ();
+  entry_heartbeat_t heartbeat = { 0 };
   pthread_mutex_lock (&peers->lock);
-  bool leaving = peers->leaving;
+  liveness_row_t own = liveness_own (peers->liveness, now);
+  note_clock (peers, &own, now);
+  heartbeat.own = encode_row (&own);
+  heartbeat.changes.changes_val = rows;
+  heartbeat.changes.changes_len
+      = (u_int)(all ? add_all (peers, rows) : add_changes (peers, rows));
+  heartbeat.wants_all = liveness_knows_few (peers->liveness);
   pthread_mutex_unlock (&peers->lock);
-  return (entry_heartbeat_t){ .stamp = clock_monotonic (),
-                              .leaving = leaving };
+  return heartbeat;
 }
 
 static void
@@ -183,7 +243,9 @@
     return;
   rpc_sender_t sender = rpc_call_sender (call);
   hear (closure, &sender, &args);
-  entry_heartbeat_t own = own_heartbeat (closure);
+  entry_row_t rows[ENTRY_ROWS_MAX];
+  entry_heartbeat_t own = own_heartbeat (closure, args.wants_all, rows);
+  xdr_free ((xdrproc_t)xdr_entry_heartbeat_t, (char *)&args);
   rpc_reply (call, (xdrproc_t)xdr_entry_heartbeat_t, &own);
 }
 
@@ -274,47 +336,70 @@
                                .closure = pending });
 }
 
+/* One heartbeat under way.  */
+typedef struct beat
+{
+  peer_ledger_t *peers;
+  vm_id_t vm;
+} beat_t;
+
 static void
 on_heartbeat (void *closure, const rpc_result_t *result)
 {
+  beat_t *beat = closure;
   entry_heartbeat_t heartbeat = { 0 };
   if (result->ok
       && rpc_result_decode (result, (xdrproc_t)xdr_entry_heartbeat_t,
                             &heartbeat))
-    hear (closure, &result->sender, &heartbeat);
+    hear (beat->peers, &result->sender, &heartbeat);
+  else
+    {
+      pthread_mutex_lock (&beat->peers->lock);
+      liveness_fail (beat->peers->liveness, beat->vm, clock_monotonic ());
+      pthread_mutex_unlock (&beat->peers->lock);
+    }
+  xdr_free ((xdrproc_t)xdr_entry_heartbeat_t, (char *)&heartbeat);
+  free (beat);
+}
+
+static void
+beat_one (peer_ledger_t *peers, vm_id_t vm)
+{
+  entry_row_t rows[LIVENESS_ROWS_MAX];
+  entry_heartbeat_t args = own_heartbeat (peers, false, rows);
+  beat_t *beat = malloc (sizeof *beat);
+  if (!beat)
+    abort ();
+  *beat = (beat_t){ .peers = peers, .vm = vm };
+  call_peer (peers, vm,
+             &(rpc_request_t){ .procedure = ENTRY_HEARTBEAT,
+                               .encode = (xdrproc_t)xdr_entry_heartbeat_t,
+                               .args = &args,
+                               .timeout = HEARTBEAT_MSEC * USEC_PER_MSEC,
+                               .done = on_heartbeat,
+                               .closure = beat });
 }
 
 static void
 beat (peer_ledger_t *peers)
 {
-  entry_heartbeat_t args = own_heartbeat (peers);
-  for (size_t i = 0; i < peers->options.settings->topology.n_vms; i++)
-    {
-      if (i == peers->options.self)
-        continue;
-      call_peer (peers, (vm_id_t)i,
-                 &(rpc_request_t){ .procedure = ENTRY_HEARTBEAT,
-                                   .encode = (xdrproc_t)xdr_entry_heartbeat_t,
-                                   .args = &args,
-                                   .timeout = HEARTBEAT_MSEC * USEC_PER_MSEC,
-                                   .done = on_heartbeat,
-                                   .closure = peers });
-    }
+  vm_id_t partners[LIVENESS_PARTNERS_MAX];
+  pthread_mutex_lock (&peers->lock);
+  size_t n = liveness_partners (peers->liveness, partners);
+  pthread_mutex_unlock (&peers->lock);
+  for (size_t i = 0; i < n; i++)
+    beat_one (peers, partners[i]);
 }
 
 static void *
 peers_run (void *closure)
 {
   peer_ledger_t *peers = closure;
-  const rpc_sender_t self = { .vm = peers->options.self,
-                              .incarnation = peers->options.incarnation };
   pthread_mutex_lock (&peers->lock);
   while (!peers->stop)
     {
       ledger_sweep (peers->ledger, SWEEP_STEPS, clock_monotonic ());
       pthread_mutex_unlock (&peers->lock);
-      entry_heartbeat_t own = own_heartbeat (peers);
-      hear (peers, &self, &own);
       beat (peers);
       pthread_mutex_lock (&peers->lock);
       if (!peers->stop)
@@ -336,7 +421,6 @@
     abort ();
   peers->options = *options;
   memcpy (peers->key.bytes, options->key, TICKET_KEY_BYTES);
-  peers->peers = calloc (settings->topology.n_vms, sizeof *peers->peers);
   const ledger_options_t ledger_options
       = { .self = options->self,
           .incarnation = options->incarnation,
@@ -347,12 +431,16 @@
           .ticket_life = settings->limits.ticket_lifetime,
           .drift_ppm = CLOCK_DRIFT_PPM };
   peers->ledger = ledger_new (&ledger_options, clock_monotonic (), err);
-  if (!peers->ledger || !peers->peers)
+  if (!peers->ledger)
     {
-      free (peers->peers);
       free (peers);
       return NULL;
     }
+  const liveness_options_t liveness = { .n_vms = settings->topology.n_vms,
+                                        .self = options->self,
+                                        .incarnation = options->incarnation,
+                                        .seed = options->incarnation };
+  peers->liveness = liveness_new (&liveness);
   random_seed (&peers->random, options->incarnation);
   pthread_mutex_init (&peers->lock, NULL);
   pthread_cond_init (&peers->stopped, NULL);
@@ -388,33 +476,33 @@
   ledger_free (peers->ledger);
   pthread_mutex_destroy (&peers->lock);
   pthread_cond_destroy (&peers->stopped);
-  free (peers->peers);
+  liveness_free (peers->liveness);
   free (peers);
 }
 
-static bool
-is_reachable (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
-{
-  const peer_t *peer = &peers->peers[vm];
-  return peer->incarnation != 0
-         && now - peer->heard_at < REACHABLE_MSEC * USEC_PER_MSEC;
-}
-
 bool
 peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm)
 {
   pthread_mutex_lock (&peers->lock);
-  bool reachable = is_reachable (peers, vm, clock_monotonic ());
+  bool reachable
+      = liveness_reachable (peers->liveness, vm, clock_monotonic ());
   pthread_mutex_unlock (&peers->lock);
   return reachable;
 }
 
+/* With the lock held.  */
+static bool
+takes_callers (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
+{
+  return liveness_reachable (peers->liveness, vm, now)
+         && !liveness_row (peers->liveness, vm)->is_leaving;
+}
+
 bool
 peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm)
 {
   pthread_mutex_lock (&peers->lock);
-  bool takes = is_reachable (peers, vm, clock_monotonic ())
-               && !peers->peers[vm].leaving;
+  bool takes = takes_callers (peers, vm, clock_monotonic ());
   pthread_mutex_unlock (&peers->lock);
   return takes;
 }
@@ -423,7 +511,7 @@
 peer_ledger_leave (peer_ledger_t *peers)
 {
   pthread_mutex_lock (&peers->lock);
-  peers->leaving = true;
+  liveness_leave (peers->liveness);
   pthread_mutex_unlock (&peers->lock);
   beat (peers);
 }
@@ -442,13 +530,10 @@
       bool own = i == peers->options.self;
       candidates[n++] = (ticket_candidate_t){
         .vm = (vm_id_t)i,
-        .incarnation
-        = own ? peers->options.incarnation : peers->peers[i].incarnation,
+        .incarnation = liveness_row (peers->liveness, (vm_id_t)i)->incarnation,
         .domain = topology->vms[i].domain,
         .region = topology->domains[topology->vms[i].domain].region,
-        .reachable = own
-                     || (is_reachable (peers, (vm_id_t)i, now)
-                         && !peers->peers[i].leaving)
+        .reachable = own || takes_callers (peers, (vm_id_t)i, now)
       };
     }
   const ticket_issue_t issue = { .issuer = peers->options.self,
--- a/src/entry/peer_ledger.h
+++ b/src/entry/peer_ledger.h
@@ -2,7 +2,8 @@
    replicas of other entry VMs.
 
    Heartbeats between entry VMs carry each VM's incarnation and monotonic
-   clock, which tickets are made from and expire by.  Thread-safe.  */
+   clock, which tickets are made from and expire by; membership/liveness says
+   who is called and what is passed on.  Thread-safe.  */
 
 #ifndef ENTRY_PEER_LEDGER_H
 #define ENTRY_PEER_LEDGER_H
@@ -73,13 +74,13 @@
                                   uint8_t replica,
                                   const ledger_ask_t *message);
 
-/* Whether VM answered a heartbeat lately.  */
+/* Whether VM can be reached, as far as is known.  */
 bool peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm);
 
 /* Whether new callers may be sent to VM: it is reachable and not leaving.  */
 bool peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm);
 
-/* Tell all others that this VM is about to stop.  */
+/* Let the others know that this VM is about to stop.  */
 void peer_ledger_leave (peer_ledger_t *peers);
 
 const ticket_key_t *peer_ledger_key (const peer_ledger_t *peers);
--- a/src/wire/entry.x
+++ b/src/wire/entry.x
@@ -45,13 +45,26 @@
   entry_outcome_t outcome;
 };
 
-/* The sender's monotonic clock, and whether it is about to stop. */
-struct entry_heartbeat_t
+const ENTRY_ROWS_MAX = 2048;
+
+/* What is known of one VM; membership/liveness has the rules. */
+struct entry_row_t
 {
-  int64_t stamp;
+  uint16_t vm;
+  uint64_t incarnation;
+  uint32_t episode;
+  int64_t stamp; /* its monotonic clock, usec */
+  bool reachable;
   bool leaving;
 };
 
+struct entry_heartbeat_t
+{
+  entry_row_t own;
+  entry_row_t changes<ENTRY_ROWS_MAX>;
+  bool wants_all; /* the answer is to have a row for each VM */
+};
+
 const ENTRY_MARKS_MAX = 64;
 
 struct entry_mark_t
--- a/test/fakes/fake_caller.c
+++ b/test/fakes/fake_caller.c
@@ -95,8 +95,8 @@
           if (n >= whole)
             break;
         }
-      ssize_t got = n < ANSWER_BYTES ? read (fd, text + n, ANSWER_BYTES - n)
-                                     : 0;
+      ssize_t got
+          = n < ANSWER_BYTES ? read (fd, text + n, ANSWER_BYTES - n) : 0;
       if (got <= 0)
         return;
       n += (size_t)got;
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -6,11 +6,11 @@
    Each DOMAIN gets two backend servers of the service "search", on the ports
    after the list's; the list tells their ports with OFFSET added, for a relay
    that stands before them.  Each run of a request is appended to FOLDER/runs
-   as "ID BACKEND MSEC", by the time of day.  FOLDER/draining names the backend servers that drain, one a
-   line.  A path that ends in "slow" runs for half a second; one that ends in
-   "held" until FOLDER/release exists; one that ends in "lost" runs, and its
-   connection ends without an answer; one that ends in "other" is answered as
-   if it were another request.  */
+   as "ID BACKEND MSEC", by the time of day.  FOLDER/draining names the backend
+   servers that drain, one a line.  A path that ends in "slow" runs for half a
+   second; one that ends in "held" until FOLDER/release exists; one that ends
+   in "lost" runs, and its connection ends without an answer; one that ends in
+   "other" is answered as if it were another request.  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -243,7 +243,8 @@
   unsigned int port = 0;
   if (argc < 5 || sscanf (argv[1], "%15[0-9.]:%u", fake.address, &port) != 2)
     {
-      fprintf (stderr, "usage: fake-platform ADDRESS:PORT FOLDER OFFSET DOMAIN...\n");
+      fprintf (stderr,
+               "usage: fake-platform ADDRESS:PORT FOLDER OFFSET DOMAIN...\n");
       return 2;
     }
   fake.folder = argv[2];
--- a/test/fakes/fault_shim.c
+++ b/test/fakes/fault_shim.c
@@ -95,7 +95,7 @@
   static ssize_t (*next) (int, const void *, size_t, off_t);
   if (!next)
     next = (ssize_t (*) (int, const void *, size_t, off_t))dlsym (RTLD_NEXT,
-                                                                 "pwrite");
+                                                                  "pwrite");
   if (is_data (fd) && fault_read ().is_full)
     {
       errno = ENOSPC;
@@ -130,7 +130,7 @@
   static int (*next) (clockid_t, struct timespec *);
   if (!next)
     next = (int (*) (clockid_t, struct timespec *))dlsym (RTLD_NEXT,
-                                                           "clock_gettime");
+                                                          "clock_gettime");
   int result = next (clock, now);
   if (result != 0 || clock != CLOCK_REALTIME)
     return result;
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -80,10 +80,12 @@
   cut -d' ' -f1 "$FOLDER/drained" >"$FOLDER/draining"
 }
 
-# All at once, right after a configuration was acknowledged.
+# All at once, right after configurations were acknowledged: on a slow disk the
+# second one is not written while the first one is being synced.
 kill_all() {
   local name
   put_next
+  put_next
   for name in director-{1,2,3} router-{1,2,3}; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
   for i in 1 2 3; do
     kill_one KILL "director-$i"
