--- a/src/fleet/backend_list.c
+++ b/src/fleet/backend_list.c
@@ -101,7 +101,10 @@
 backend_list_copy (backend_list_t *into, const backend_list_t *from)
 {
   *into = *from;
-  into->records = malloc ((from->n_records + 1) * sizeof *into->records);
+  size_t room = 1; /* as backend_list_add counts on it */
+  while (room < from->n_records)
+    room *= 2;
+  into->records = malloc (room * sizeof *into->records);
   if (!into->records)
     abort ();
   if (from->n_records > 0)
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -1,135 +1,7 @@
 /* Which backend server a request goes to: each test replays one load pattern
    against the pool alone.  */
 
-#include <glib.h>
-#include <stdio.h>
-#include <string.h>
-
-#include "balance/backend_pool.h"
-#include "fleet/backend_list.h"
-
-enum
-{
-  DOMAINS = 6,
-  SLOTS = 3,
-  MEMORY = 25, /* objects that a backend server remembers */
-};
-
-#define NOW (100 * USEC_PER_SEC)
-
-static const char *const domain_names[DOMAINS]
-    = { "north-a", "north-b", "east-a", "east-b", "south-a", "south-b" };
-static const char *const region_names[DOMAINS]
-    = { "north", "north", "east", "east", "south", "south" };
-static const size_t backends_of[DOMAINS] = { 1, 1, 2, 2, 3, 3 };
-
-typedef struct world
-{
-  fleet_settings_t settings;
-  backend_list_t list;
-  service_config_t service;
-  route_config_t config;
-  route_t route;
-  pool_router_t routers[9];
-  size_t n_routers;
-  name_t evacuated;
-  bool is_evacuated;
-} world_t;
-
-static void
-world_init (world_t *world)
-{
-  *world = (world_t){ 0 };
-  fleet_settings_t *settings = &world->settings;
-  g_strlcpy (settings->address, "10.0.0.1", sizeof settings->address);
-  g_strlcpy (settings->region.text, "north", sizeof settings->region.text);
-  g_strlcpy (settings->domain.text, "north-a", sizeof settings->domain.text);
-  settings->n_domains = DOMAINS;
-  for (size_t i = 0; i < DOMAINS; i++)
-    {
-      g_strlcpy (settings->domains[i].name.text, domain_names[i],
-                 sizeof settings->domains[i].name.text);
-      g_strlcpy (settings->domains[i].region.text, region_names[i],
-                 sizeof settings->domains[i].region.text);
-    }
-  g_strlcpy (world->service.name.text, "search",
-             sizeof world->service.name.text);
-  world->service.cold_rate = 5;
-  world->config = (route_config_t){ .version = 1,
-                                    .n_services = 1,
-                                    .services = &world->service };
-  world->route = (route_t){ .attempts = 2, .has_affinity = true };
-}
-
-static void
-add_backend (world_t *world, size_t domain, unsigned number)
-{
-  backend_record_t record = { .slots = SLOTS, .started_at = 1 };
-  snprintf (record.id, sizeof record.id, "%s-%u", domain_names[domain],
-            number);
-  g_strlcpy (record.service.text, "search", sizeof record.service.text);
-  g_strlcpy (record.domain.text, domain_names[domain],
-             sizeof record.domain.text);
-  record.address = (inet_t){ .address = number + 1, .port = 80 };
-  backend_list_add (&world->list, &record);
-}
-
-static void
-add_backends (world_t *world)
-{
-  for (size_t domain = 0; domain < DOMAINS; domain++)
-    for (unsigned i = 0; i < backends_of[domain]; i++)
-      add_backend (world, domain, i);
-  backend_list_seal (&world->list);
-  world->list.read_at = NOW;
-}
-
-static void
-update (world_t *world, backend_pool_t *pool, usec_t now)
-{
-  const pool_update_t change = { .list = &world->list,
-                                 .config = &world->config,
-                                 .evacuated = &world->evacuated,
-                                 .n_evacuated = world->is_evacuated,
-                                 .routers = world->routers,
-                                 .n_routers = world->n_routers };
-  backend_pool_update (pool, &change, now);
-}
-
-static backend_pool_t *
-pool_open (world_t *world)
-{
-  const backend_pool_options_t options
-      = { .settings = &world->settings, .seed = 7 };
-  backend_pool_t *pool = backend_pool_new (&options);
-  update (world, pool, NOW);
-  return pool;
-}
-
-static void
-world_clear (world_t *world)
-{
-  backend_list_clear (&world->list);
-}
-
-static pool_query_t
-query_of (world_t *world, uint64_t object)
-{
-  return (pool_query_t){ .service = "search",
-                         .route = &world->route,
-                         .has_object = true,
-                         .object = object * 0x9e3779b97f4a7c15u,
-                         .run = { .known = 100 * USEC_PER_MSEC,
-                                  .fresh = 300 * USEC_PER_MSEC } };
-}
-
-static void
-end_whole (backend_pool_t *pool, backend_t *backend, usec_t now)
-{
-  const backend_outcome_t outcome
-      = { .end = BACKEND_ANSWERED, .latency = 100 * USEC_PER_MSEC };
-  backend_pool_ended (pool, backend, &outcome, now);
-}
+#include "../support/pool_world.h"
 
 /* Routers in all regions see the same objects, many of them at once.  However
    full the slots are, no backend server gets more objects than it remembers.
@@ -222,13 +94,6 @@
   world_clear (&world);
 }
 
-static backend_t *
-pick_any (world_t *world, backend_pool_t *pool, uint64_t object, usec_t now)
-{
-  pool_query_t query = query_of (world, object);
-  return backend_pool_pick (pool, &query, now);
-}
-
 static void
 test_evacuated_domain_gets_nothing (void)
 {
@@ -573,7 +438,8 @@
   g_test_add_func ("/pool/homes", test_homes_bind);
   g_test_add_func ("/pool/crash", test_crash_and_return);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
-  g_test_add_func ("/pool/cold-return", test_cold_return_does_not_hold_objects);
+  g_test_add_func ("/pool/cold-return",
+                   test_cold_return_does_not_hold_objects);
   g_test_add_func ("/pool/uneven", test_uneven_regions_share_the_work);
   g_test_add_func ("/pool/cold-page", test_cold_span_of_a_late_page);
   g_test_add_func ("/pool/slow", test_slow_backend_gets_less);
