fix(router): a request without a Content-Type stays without one

Cause: libcurl adds application/x-www-form-urlencoded to a POST without a body; the router switched that off only where there was a body. test_fleet (the stand-in notes the header), seen failing before. caller_http_held had no caller and is gone.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -416,9 +416,3 @@
     return WAIT_MAX;
   return (usec_t)msec * USEC_PER_MSEC;
 }
-
-size_t
-caller_http_held (const caller_http_t *port)
-{
-  return port->held;
-}
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -54,7 +54,4 @@
 /* When caller_http_run is due next: a span from now.  */
 usec_t caller_http_wait (const caller_http_t *port);
 
-/* Bytes of bodies that are held.  */
-size_t caller_http_held (const caller_http_t *port);
-
 #endif
--- a/src/router/request_headers.c
+++ b/src/router/request_headers.c
@@ -76,8 +76,8 @@
   copy.list = curl_slist_append (copy.list, "Expect:");
   if (!copy.has_accept)
     copy.list = curl_slist_append (copy.list, "Accept:");
-  if (exchange->body_bytes > 0
-      && !caller_http_header (exchange, "Content-Type"))
+  /* Else libcurl adds one of its own, also where there is no body.  */
+  if (!caller_http_header (exchange, "Content-Type"))
     copy.list = curl_slist_append (copy.list, "Content-Type:");
   return copy.list;
 }
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -6,7 +6,8 @@
    Each DOMAIN gets two backend servers of the service "search", on the ports
    after the list's; the list tells their ports with OFFSET added, for a relay
    that stands before them.  Each run of a request is appended to FOLDER/runs
-   as "ID BACKEND MSEC", by the time of day.  FOLDER/draining names the backend
+   as "ID BACKEND MSEC TYPE", by the time of day; TYPE is the request's
+   Content-Type, or "-".  FOLDER/draining names the backend
    servers that drain, one a line.  A path that ends in "slow" runs for half a
    second; one that ends in "held" until FOLDER/release exists; one that ends
    in "lost" runs, and its connection ends without an answer; one that ends in
@@ -74,7 +75,7 @@
 }
 
 static void
-note_run (const char *request, const char *backend)
+note_run (const char *request, const char *backend, const char *type)
 {
   char path[512];
   snprintf (path, sizeof path, "%s/runs", fake.folder);
@@ -84,9 +85,10 @@
     {
       struct timespec now;
       clock_gettime (CLOCK_REALTIME, &now);
-      fprintf (file, "%s %s %lld\n", request, backend,
+      fprintf (file, "%s %s %lld %s\n", request, backend,
                (long long)now.tv_sec * MSEC_PER_SEC
-                   + now.tv_nsec / NSEC_PER_MSEC);
+                   + now.tv_nsec / NSEC_PER_MSEC,
+               type ? type : "-");
       fclose (file);
     }
   pthread_mutex_unlock (&fake.lock);
@@ -164,7 +166,7 @@
   if (expected && strcmp (expected, backend->id) != 0)
     return answer (connection, MHD_HTTP_MISDIRECTED_REQUEST, "", id,
                    backend->id);
-  note_run (id, backend->id);
+  note_run (id, backend->id, header (connection, "Content-Type"));
   if (ends_with (url, "lost"))
     return MHD_NO;
   if (ends_with (url, "slow"))
--- a/test/functional/test_fleet.sh
+++ b/test/functional/test_fleet.sh
@@ -43,6 +43,8 @@
 # Requests: the query arrives, an unknown path is not found, two lengths are refused.
 [ "$(request 1 '/x/1?q=2' id-1)" = 200 ] || fail 'a request was not answered'
 grep -q '^id-1 ' "$FOLDER/runs" || fail 'the request did not run'
+[ "$(request 1 /x/3 id-3a -X POST -H 'Content-Type:' -d '')" = 200 ] || fail 'a request without a body was not answered'
+grep -q '^id-3a .* -$' "$FOLDER/runs" || fail 'a request without a Content-Type got one'
 [ "$(request 1 /y/1 id-2)" = 404 ] || fail 'an unknown path was not 404'
 printf 'POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-3\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' \
   | timeout 3 bash -c "exec 3<>/dev/tcp/$(router_address 1)/$REQUESTS_PORT; cat >&3; cat <&3" >"$FOLDER/raw" || true
