--- a/src/balance/pool_index.c
+++ b/src/balance/pool_index.c
@@ -26,8 +26,8 @@
 static pool_service_t *
 add_service (backend_pool_t *pool, const name_t *name)
 {
-  pool->services = realloc (pool->services, (pool->n_services + 1)
-                                                * sizeof *pool->services);
+  pool->services = realloc (pool->services,
+                            (pool->n_services + 1) * sizeof *pool->services);
   if (!pool->services)
     abort ();
   pool_service_t *service = &pool->services[pool->n_services++];
@@ -42,7 +42,7 @@
     {
       size_t room = service->n ? 2 * service->n : 1;
       service->backends
-          = realloc (service->backends, room * sizeof *service->backends);
+          = realloc (service->backends, room * sizeof (backend_t *));
       if (!service->backends)
         abort ();
     }
--- a/src/director/list_reader.c
+++ b/src/director/list_reader.c
@@ -104,7 +104,8 @@
       nanosleep (&span, NULL);
       follow_settings (reader);
       usec_t now = clock_monotonic ();
-      if (now >= reader->next_at && director_core_wants_list (reader->core, now))
+      if (now >= reader->next_at
+          && director_core_wants_list (reader->core, now))
         read_once (reader);
     }
   return NULL;
--- a/src/membership/liveness.h
+++ b/src/membership/liveness.h
@@ -36,10 +36,10 @@
    holds; then one with a later episode; then "can't be reached".  */
 typedef struct liveness_row
 {
-  vm_id_t vm;
   uint64_t incarnation; /* 0: never heard of */
-  uint32_t episode;     /* counts its denials */
   usec_t stamp;         /* its own monotonic clock had come so far */
+  uint32_t episode;     /* counts its denials */
+  vm_id_t vm;
   bool is_reachable;
   bool is_leaving; /* it is about to stop */
 } liveness_row_t;
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -446,12 +446,12 @@
                            .incarnation = sync->options.incarnation,
                            .takes_requests = sync->takes_requests,
                            .heard_at = now };
-  fleet_pull_args_t args = { .router = fleet_wire_router (&self, now),
-                             .config_version = sync->version,
-                             .list_digest = sync->list_digest,
-                             .routers_digest = sync->routers_digest,
-                             .wants_routers
-                             = now >= sync->routers_at + ROUTERS_INTERVAL };
+  fleet_pull_args_t args
+      = { .router = fleet_wire_router (&self, now),
+          .config_version = sync->version,
+          .list_digest = sync->list_digest,
+          .routers_digest = sync->routers_digest,
+          .wants_routers = now >= sync->routers_at + ROUTERS_INTERVAL };
   uint32_t director = 0;
   if (is_due)
     {
--- a/src/settings/settings_feed.c
+++ b/src/settings/settings_feed.c
@@ -177,6 +177,13 @@
   drop (feed, before);
 }
 
+/* fleet_settings_load leaves no byte unset.  */
+static bool
+is_same (const fleet_settings_t *a, const fleet_settings_t *b)
+{
+  return memcmp ((const char *)a, (const char *)b, sizeof *a) == 0;
+}
+
 bool
 settings_feed_poll (settings_feed_t *feed, settings_look_t look)
 {
@@ -192,7 +199,7 @@
     }
   const fleet_settings_t *running = settings_feed_take (feed);
   keep_fixed (next, running);
-  bool is_new = memcmp (next, running, sizeof *next) != 0;
+  bool is_new = !is_same (next, running);
   settings_feed_give_back (feed, running);
   if (is_new)
     put_in_force (feed, next);
--- a/test/unit/test_balance_patterns.c
+++ b/test/unit/test_balance_patterns.c
@@ -28,10 +28,10 @@
 static size_t
 region_number (const char *name)
 {
-  size_t i = 0;
-  while (strcmp (region_names[home_domains[i]], name) != 0)
-    i++;
-  return i;
+  for (size_t i = 0; i < REGIONS; i++)
+    if (strcmp (region_names[home_domains[i]], name) == 0)
+      return i;
+  g_assert_not_reached ();
 }
 
 static void
