test: addresses held by a locked file, old functional tests on free ones too

fix(settings): "started" is a process's first line; the soak took a router's first configuration after a start for one that went back.

--- a/src/settings/fleet_program.c
+++ b/src/settings/fleet_program.c
@@ -115,6 +115,9 @@
   log_open (name, program->settings->vm.text, arguments.level);
   if (!log_start (&err))
     log_error (LOG_LEVEL_WARNING, "log_waits", &err);
+  /* The first line of each start; those of its threads follow.  */
+  LOG_EVENT (LOG_LEVEL_INFO, "started", LOG_S ("version", MULBERRY_VERSION),
+             LOG_S ("address", program->settings->address));
   return true;
 }
 
@@ -139,8 +142,6 @@
 void
 fleet_program_serve (const fleet_program_t *program)
 {
-  LOG_EVENT (LOG_LEVEL_INFO, "started", LOG_S ("version", MULBERRY_VERSION),
-             LOG_S ("address", program->settings->address));
   int number = wait_for_end (program->feed);
   LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_U ("signal", (uint64_t)number));
 }
--- a/test/functional/cluster.sh
+++ b/test/functional/cluster.sh
@@ -2,14 +2,16 @@
 # by functional tests and the demo.  The caller sets:
 #   BUILD, SOURCE   build and source folders
 #   ORG             consortium or cooperative
-#   NET             second byte of all addresses (127.NET.x.y)
+#   NET             second byte of all addresses (127.NET.x.y); empty: any free one
 #   FOLDER          an empty folder for settings, keys, data and logs
 
 set -euo pipefail
+source "$SOURCE/test/functional/addresses.sh"
 declare -A PIDS=()
 
 # Settings, sheet and keys, with the example's addresses moved to 127.NET.
 cluster_prepare() {
+  [ -n "$NET" ] || addresses_hold
   mkdir -p "$FOLDER/keys" "$FOLDER/var"
   SETTINGS=$FOLDER/$ORG.yaml
   SHEET=$FOLDER/sheet.csv
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -1,23 +1,10 @@
 # Routers and directors on loopback addresses, with the platform's stand-in.
-# Source it with BUILD set; it leaves FOLDER and ends what it started.
+# Source it with BUILD and SOURCE set; it leaves FOLDER and ends what it started.
 
 FOLDER=$(mktemp -d)
-# Addresses of this run alone, so that several may go on at once: a link that
-# names the process holds them.
-hold_addresses() {
-  local n holder
-  for n in $(seq 60 159); do
-    NET_HOLD=${TMPDIR:-/tmp}/mulberry-fleet-$n
-    holder=$(readlink "$NET_HOLD" || true)
-    [ -z "$holder" ] || kill -0 "$holder" 2>/dev/null || rm -f "$NET_HOLD"
-    ln -s $$ "$NET_HOLD" 2>/dev/null || continue
-    NET=127.$n
-    return
-  done
-  echo 'no free addresses' >&2
-  exit 1
-}
-hold_addresses
+source "$SOURCE/test/functional/addresses.sh"
+addresses_hold
+NET=127.$NET
 declare -A PIDS
 DOMAINS=(north-a north-b east-a)
 LIST=$NET.9.1:7900
@@ -104,7 +91,6 @@
   for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
   rm -rf "$FOLDER"
-  rm -f "$NET_HOLD"
 }
 trap fleet_end EXIT
 
--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -6,7 +6,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=${NET:-41}
+NET=${NET:-}
 FOLDER=$(mktemp -d)
 source "$SOURCE/test/functional/cluster.sh"
 LOOP=
--- a/test/functional/test_cost_cap.sh
+++ b/test/functional/test_cost_cap.sh
@@ -2,7 +2,7 @@
 # A shift's spend stays under its cap, summed over what backend servers really
 # started, while entry VMs are killed and come back with empty memory.
 # test_cost_cap.sh BUILD SOURCE
-BUILD=$1 SOURCE=$2 ORG=consortium NET=${NET:-47}
+BUILD=$1 SOURCE=$2 ORG=consortium NET=${NET:-}
 FOLDER=$(mktemp -d)
 . "$SOURCE/test/functional/cluster.sh"
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
--- a/test/functional/test_domain_cut.sh
+++ b/test/functional/test_domain_cut.sh
@@ -4,7 +4,7 @@
 # requests alike; outside they are too; what callers are told stays true on
 # both sides, also for requests that were under way when it was cut.
 # test_domain_cut.sh BUILD SOURCE
-BUILD=$1 SOURCE=$2 ORG=consortium NET=${NET:-50}
+BUILD=$1 SOURCE=$2 ORG=consortium NET=${NET:-}
 FOLDER=$(mktemp -d)
 . "$SOURCE/test/functional/cluster.sh"
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
--- a/test/functional/test_drain.sh
+++ b/test/functional/test_drain.sh
@@ -2,7 +2,7 @@
 # A backend server that is drained gets nothing new after 3 s, though callers
 # go on with cached look-ups, and the drain cuts and refuses no request.
 # test_drain.sh BUILD SOURCE
-BUILD=$1 SOURCE=$2 ORG=cooperative NET=${NET:-49}
+BUILD=$1 SOURCE=$2 ORG=cooperative NET=${NET:-}
 FOLDER=$(mktemp -d)
 . "$SOURCE/test/functional/cluster.sh"
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
--- a/test/functional/test_faults.sh
+++ b/test/functional/test_faults.sh
@@ -7,7 +7,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=${NET:-43}
+NET=${NET:-}
 SEED=${SEED:-1}
 LOAD_SECONDS=${SECONDS_OF_LOAD:-12}
 FOLDER=$(mktemp -d)
--- a/test/functional/test_poison.sh
+++ b/test/functional/test_poison.sh
@@ -5,7 +5,7 @@
 BUILD=$1
 SOURCE=$2
 ORG=consortium
-NET=${NET:-43}
+NET=${NET:-}
 FOLDER=$(mktemp -d)
 source "$SOURCE/test/functional/cluster.sh"
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -34,7 +34,7 @@
 [ -e "$SHIM" ] || SHIM=
 RELAY_OFFSET=50
 # A process may be late by this much beside a busy machine, ms.
-DRAIN_SLACK=1500
+DRAIN_SLACK=${SOAK_DRAIN_SLACK:-1500}
 
 # Keep what a failed run left.
 soak_fail() {
@@ -43,6 +43,8 @@
   exit 1
 }
 
+fail() { soak_fail "$@"; }
+
 between() { echo $(($1 + RANDOM % ($2 - $1 + 1))); }
 
 put() { # VERSION: true where it was acknowledged
@@ -77,7 +79,8 @@
 drain() {
   local backend=${DOMAINS[$1]}-0
   grep -q "^$backend " "$FOLDER/drained" || echo "$backend $(date +%s%3N)" >>"$FOLDER/drained"
-  cut -d' ' -f1 "$FOLDER/drained" >"$FOLDER/draining"
+  cut -d' ' -f1 "$FOLDER/drained" >"$FOLDER/draining.new"
+  mv "$FOLDER/draining.new" "$FOLDER/draining"
 }
 
 # All at once, right after configurations were acknowledged: on a slow disk the
