--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -11,7 +11,7 @@
 #include "agreement/storage_thread.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
-#include "fleet/list_news.h"
+#include "fleet/list_update.h"
 #include "fleet/packed.h"
 #include "fleet/router_table.h"
 #include "wire/generated/fleet.h"
@@ -161,8 +161,8 @@
 void core_pulls_answer (director_core_t *core, item_t *item, usec_t now);
 void core_pulls_routers (director_core_t *core, usec_t now);
 void core_pulls_list (director_core_t *core, backend_list_t *list);
-void core_pulls_news (director_core_t *core, const fleet_list_news_t *news,
-                      usec_t now);
+void core_pulls_update (director_core_t *core,
+                        const fleet_list_update_t *update, usec_t now);
 
 /* core_view.c */
 /* malloc'd.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -274,9 +274,9 @@
 share_to (director_core_t *core, slot_t to, fleet_share_args_t *args,
           usec_t now)
 {
-  fleet_packed_t steps[LIST_STEPS_MAX];
+  fleet_packed_t deltas[LIST_DELTAS_MAX];
   args->list = list_source_tell (&core->list_source, &core->list,
-                                 core->peers[to].list_digest, steps, now);
+                                 core->peers[to].list_digest, deltas, now);
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
@@ -347,7 +347,7 @@
       core->confirm_index = args->confirmed_index;
       core->confirm_time = now;
     }
-  core_pulls_news (core, &args->list, now);
+  core_pulls_update (core, &args->list, now);
   fleet_share_result_t result = { .list_digest = core->list.digest };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
 }
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -68,21 +68,21 @@
 
 /* What another director told of the list.  */
 void
-core_pulls_news (director_core_t *core, const fleet_list_news_t *news,
-                 usec_t now)
+core_pulls_update (director_core_t *core, const fleet_list_update_t *update,
+                   usec_t now)
 {
-  usec_t read_at = now - news->age;
-  if (news->digest == 0 || news->age < 0 || read_at <= core->list.read_at)
+  usec_t read_at = now - update->age;
+  if (update->digest == 0 || update->age < 0 || read_at <= core->list.read_at)
     return;
-  if (news->digest == core->list.digest)
+  if (update->digest == core->list.digest)
     {
-      list_news_pass_time (&core->list, read_at);
+      list_update_pass_time (&core->list, read_at);
       atomic_store (&core->list_read_at, read_at);
       return;
     }
   backend_list_t next;
   backend_list_copy (&next, &core->list);
-  if (list_news_take (news, now, &next) == LIST_NEWS_TAKEN)
+  if (list_update_take (update, now, &next) == LIST_UPDATE_TAKEN)
     core_pulls_list (core, &next);
   else
     backend_list_clear (&next);
@@ -159,13 +159,13 @@
   const fleet_pull_args_t *args = &item->body.pull;
   hear_router (core, &args->router, now);
   fleet_name_t evacuated[EVACUATED_MAX];
-  fleet_packed_t steps[LIST_STEPS_MAX];
+  fleet_packed_t deltas[LIST_DELTAS_MAX];
   fleet_pull_result_t result
       = { .confirmed_age
           = core->confirmed_at > 0 ? now - core->confirmed_at : -1,
           .routers_digest = core->routers_digest,
           .list = list_source_tell (&core->list_source, &core->list,
-                                    args->list_digest, steps, now) };
+                                    args->list_digest, deltas, now) };
   add_state (core, args, &result, evacuated);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -213,10 +213,10 @@
 {
   settings_feed_t *feed = core->options.feed;
   const fleet_settings_t *newer
-      = settings_feed_take_newer (feed, core->settings);
+      = settings_feed_acquire_newer (feed, core->settings);
   if (!newer)
     return;
-  settings_feed_give_back (feed, core->settings);
+  settings_feed_release (feed, core->settings);
   core->settings = newer;
   core->announce_at = 0; /* other seeds may know more */
 }
@@ -324,7 +324,7 @@
   if (!core)
     abort ();
   core->options = *options;
-  core->settings = settings_feed_take (options->feed);
+  core->settings = settings_feed_acquire (options->feed);
   inet_parse_address (&core->self, core->settings->address);
   core->leader = SLOT_NONE;
   atomic_store (&core->slot, SLOT_NONE);
@@ -364,7 +364,7 @@
   free (core->packed_routers.bytes);
   list_source_clear (&core->list_source);
   backend_list_clear (&core->list);
-  settings_feed_give_back (core->options.feed, core->settings);
+  settings_feed_release (core->options.feed, core->settings);
   pthread_cond_destroy (&core->changed);
   pthread_mutex_destroy (&core->lock);
   free (core);
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -149,9 +149,9 @@
                   err_t *err)
 {
   settings_feed_t *feed = call->port->options.feed;
-  const fleet_settings_t *settings = settings_feed_take (feed);
+  const fleet_settings_t *settings = settings_feed_acquire (feed);
   bool is_known = fleet_settings_region (settings, domain) != NULL;
-  settings_feed_give_back (feed, settings);
+  settings_feed_release (feed, settings);
   call->order.kind = kind;
   if (is_known && name_parse (&call->order.domain, domain, NULL))
     return true;
@@ -289,9 +289,10 @@
 static usec_t
 lookup_age_max (const director_port_t *port)
 {
-  const fleet_settings_t *settings = settings_feed_take (port->options.feed);
+  const fleet_settings_t *settings
+      = settings_feed_acquire (port->options.feed);
   usec_t age = settings->bounds.lookup_age;
-  settings_feed_give_back (port->options.feed, settings);
+  settings_feed_release (port->options.feed, settings);
   return age;
 }
 
--- a/src/director/list_reader.c
+++ b/src/director/list_reader.c
@@ -60,10 +60,10 @@
 follow_settings (list_reader_t *reader)
 {
   const fleet_settings_t *newer
-      = settings_feed_take_newer (reader->feed, reader->settings);
+      = settings_feed_acquire_newer (reader->feed, reader->settings);
   if (!newer)
     return;
-  settings_feed_give_back (reader->feed, reader->settings);
+  settings_feed_release (reader->feed, reader->settings);
   reader->settings = newer;
   backend_list_client_free (reader->client);
   open_client (reader);
@@ -115,7 +115,7 @@
 list_reader_free (list_reader_t *reader)
 {
   backend_list_client_free (reader->client);
-  settings_feed_give_back (reader->feed, reader->settings);
+  settings_feed_release (reader->feed, reader->settings);
   free (reader);
 }
 
@@ -126,7 +126,7 @@
   if (!reader)
     abort ();
   reader->feed = feed;
-  reader->settings = settings_feed_take (feed);
+  reader->settings = settings_feed_acquire (feed);
   reader->core = core;
   open_client (reader);
   if (pthread_create (&reader->thread, NULL, reader_run, reader) == 0)
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -148,24 +148,24 @@
 }
 
 packed_t
-fleet_wire_pack_step (const backend_list_t *from, const backend_list_t *to)
+fleet_wire_pack_delta (const backend_list_t *from, const backend_list_t *to)
 {
   fleet_id_t *gone = wire_array (from->n_records, sizeof *gone);
   fleet_backend_t *changed = wire_array (to->n_records, sizeof *changed);
-  fleet_step_t step = { .digest = to->digest, .read_at = to->read_at };
-  step.gone.gone_val = gone;
-  step.changed.changed_val = changed;
+  fleet_delta_t delta = { .digest = to->digest, .read_at = to->read_at };
+  delta.gone.gone_val = gone;
+  delta.changed.changed_val = changed;
   for (size_t i = 0; i < from->n_records; i++)
     if (!backend_list_find (to, from->records[i].id))
-      gone[step.gone.gone_len++] = FLEET_WIRE_TEXT (from->records[i].id);
+      gone[delta.gone.gone_len++] = FLEET_WIRE_TEXT (from->records[i].id);
   for (size_t i = 0; i < to->n_records; i++)
     {
       const backend_record_t *record = &to->records[i];
       const backend_record_t *before = backend_list_find (from, record->id);
       if (!before || !backend_record_equal (before, record))
-        changed[step.changed.changed_len++] = backend_to_wire (record);
+        changed[delta.changed.changed_len++] = backend_to_wire (record);
     }
-  packed_t packed = fleet_wire_pack ((xdrproc_t)xdr_fleet_step_t, &step);
+  packed_t packed = fleet_wire_pack ((xdrproc_t)xdr_fleet_delta_t, &delta);
   free (gone);
   free (changed);
   return packed;
--- a/src/fleet/fleet_wire.h
+++ b/src/fleet/fleet_wire.h
@@ -34,10 +34,10 @@
 bool fleet_wire_unpack_list (const fleet_packed_t *packed, usec_t read_at,
                              backend_list_t *list);
 
-/* What changed between two sealed lists as a packed fleet_step_t; the caller
+/* What changed between two sealed lists as a packed fleet_delta_t; the caller
    frees its bytes.  */
-packed_t fleet_wire_pack_step (const backend_list_t *from,
-                               const backend_list_t *to);
+packed_t fleet_wire_pack_delta (const backend_list_t *from,
+                                const backend_list_t *to);
 
 /* Append N entries; those with names that are not legal are left out.  */
 void fleet_wire_add_backends (const fleet_backend_t *entries, size_t n,
--- /dev/null
+++ b/src/fleet/list_update.c
@@ -0,0 +1,224 @@
+#include "fleet/list_update.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/backend_list.h"
+#include "fleet/fleet_wire.h"
+
+/* Deltas that are longer than this part of the whole list are not kept.  */
+static const size_t whole_parts = 2;
+
+static void
+drop_deltas (list_source_t *source, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    free (source->deltas[i].packed.bytes);
+  source->n_deltas -= n;
+  memmove (source->deltas, source->deltas + n,
+           source->n_deltas * sizeof source->deltas[0]);
+}
+
+static bool
+has_cold (const backend_list_t *list)
+{
+  for (size_t i = 0; i < list->n_records; i++)
+    if (list->records[i].cold_left > 0)
+      return true;
+  return false;
+}
+
+/* How long they stay cold counts from the reading.  */
+static void
+pack_whole (list_source_t *source, const backend_list_t *list)
+{
+  if (source->whole_digest == list->digest
+      && (!source->whole_has_cold || source->whole_read_at == list->read_at))
+    return;
+  free (source->whole.bytes);
+  source->whole = fleet_wire_pack_list (list);
+  source->whole_digest = list->digest;
+  source->whole_read_at = list->read_at;
+  source->whole_has_cold = has_cold (list);
+}
+
+void
+list_source_note (list_source_t *source, const backend_list_t *from,
+                  const backend_list_t *to)
+{
+  if (from->digest == to->digest)
+    return;
+  pack_whole (source, to);
+  if (source->n_deltas == LIST_DELTAS_MAX)
+    drop_deltas (source, 1);
+  const list_delta_t delta = { .from = from->digest,
+                               .to = to->digest,
+                               .packed = fleet_wire_pack_delta (from, to) };
+  if (delta.packed.length * whole_parts > source->whole.length)
+    {
+      free (delta.packed.bytes);
+      drop_deltas (source, source->n_deltas);
+      return;
+    }
+  source->deltas[source->n_deltas++] = delta;
+}
+
+void
+list_source_clear (list_source_t *source)
+{
+  drop_deltas (source, source->n_deltas);
+  free (source->whole.bytes);
+  *source = (list_source_t){ 0 };
+}
+
+/* The first of the deltas that lead from KNOWN to the list; n_deltas where
+   none do.  */
+static size_t
+first_delta (const list_source_t *source, uint64_t known)
+{
+  for (size_t i = source->n_deltas; i > 0; i--)
+    if (source->deltas[i - 1].from == known)
+      return i - 1;
+  return source->n_deltas;
+}
+
+fleet_list_update_t
+list_source_tell (list_source_t *source, const backend_list_t *list,
+                  uint64_t known, fleet_packed_t *deltas, usec_t now)
+{
+  fleet_list_update_t update = { .digest = list->digest,
+                                 .read_at = list->read_at,
+                                 .age = now - list->read_at };
+  if (list->digest == 0 || known == list->digest)
+    return update;
+  size_t length = 0;
+  u_int n = 0;
+  for (size_t i = first_delta (source, known); i < source->n_deltas; i++)
+    {
+      const packed_t *packed = &source->deltas[i].packed;
+      deltas[n++]
+          = (fleet_packed_t){ .fleet_packed_t_val = packed->bytes,
+                              .fleet_packed_t_len = (u_int)packed->length };
+      length += packed->length;
+    }
+  pack_whole (source, list);
+  if (n > 0 && length < source->whole.length)
+    {
+      update.deltas.deltas_val = deltas;
+      update.deltas.deltas_len = n;
+      return update;
+    }
+  update.whole.fleet_packed_t_val = source->whole.bytes;
+  update.whole.fleet_packed_t_len = (u_int)source->whole.length;
+  return update;
+}
+
+/* --- Following ---------------------------------------------------------- */
+
+void
+list_update_pass_time (backend_list_t *list, usec_t at)
+{
+  for (size_t i = 0; i < list->n_records; i++)
+    {
+      backend_record_t *record = &list->records[i];
+      if (record->cold_left <= 0)
+        continue;
+      /* That it is warm is told by a delta of its own.  */
+      record->cold_left -= at - list->read_at;
+      if (record->cold_left <= 0)
+        record->cold_left = 1;
+    }
+  list->read_at = at;
+}
+
+static bool
+is_in_delta (const fleet_delta_t *delta, const char *id)
+{
+  for (u_int i = 0; i < delta->gone.gone_len; i++)
+    if (strcmp (delta->gone.gone_val[i], id) == 0)
+      return true;
+  for (u_int i = 0; i < delta->changed.changed_len; i++)
+    if (strcmp (delta->changed.changed_val[i].id, id) == 0)
+      return true;
+  return false;
+}
+
+static void
+apply_delta (backend_list_t *list, const fleet_delta_t *delta)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < list->n_records; i++)
+    if (!is_in_delta (delta, list->records[i].id))
+      list->records[n++] = list->records[i];
+  list->n_records = n;
+  backend_list_t next = { .read_at = list->read_at };
+  for (size_t i = 0; i < n; i++)
+    backend_list_add (&next, &list->records[i]);
+  fleet_wire_add_backends (delta->changed.changed_val,
+                           delta->changed.changed_len, &next);
+  backend_list_seal (&next);
+  backend_list_clear (list);
+  *list = next;
+}
+
+/* SHIFT is how far the own clock is ahead of the sender's.  */
+static bool
+take_delta (const fleet_packed_t *packed, usec_t shift, backend_list_t *list)
+{
+  fleet_delta_t delta = { 0 };
+  bool ok = fleet_wire_unpack ((xdrproc_t)xdr_fleet_delta_t, &delta, packed);
+  if (ok)
+    {
+      list_update_pass_time (list, delta.read_at + shift);
+      apply_delta (list, &delta);
+      ok = list->digest == delta.digest;
+    }
+  xdr_free ((xdrproc_t)xdr_fleet_delta_t, (char *)&delta);
+  return ok;
+}
+
+static list_update_end_t
+take_deltas (const fleet_list_update_t *update, usec_t shift,
+             backend_list_t *list)
+{
+  backend_list_t next;
+  backend_list_copy (&next, list);
+  bool ok = true;
+  for (u_int i = 0; ok && i < update->deltas.deltas_len; i++)
+    ok = take_delta (&update->deltas.deltas_val[i], shift, &next);
+  if (!ok || next.digest != update->digest)
+    {
+      backend_list_clear (&next);
+      return LIST_UPDATE_BROKEN;
+    }
+  backend_list_clear (list);
+  *list = next;
+  list_update_pass_time (list, update->read_at + shift);
+  return LIST_UPDATE_TAKEN;
+}
+
+static list_update_end_t
+take_whole (const fleet_list_update_t *update, usec_t read_at,
+            backend_list_t *list)
+{
+  backend_list_t next;
+  if (!fleet_wire_unpack_list (&update->whole, read_at, &next))
+    return LIST_UPDATE_BROKEN;
+  backend_list_clear (list);
+  *list = next;
+  return LIST_UPDATE_TAKEN;
+}
+
+list_update_end_t
+list_update_take (const fleet_list_update_t *update, usec_t now,
+                  backend_list_t *list)
+{
+  usec_t read_at = now - (update->age > 0 ? update->age : 0);
+  if (update->digest == 0 || read_at < list->read_at)
+    return LIST_UPDATE_NONE;
+  if (update->whole.fleet_packed_t_len > 0)
+    return take_whole (update, read_at, list);
+  if (update->deltas.deltas_len > 0)
+    return take_deltas (update, read_at - update->read_at, list);
+  return LIST_UPDATE_NONE;
+}
--- a/src/router/sync.c
+++ b/src/router/sync.c
@@ -10,7 +10,7 @@
 #include "config_codec.h"
 #include "fleet/backend_list.h"
 #include "fleet/fleet_wire.h"
-#include "fleet/list_news.h"
+#include "fleet/list_update.h"
 #include "routing/route_config.h"
 
 enum
@@ -229,22 +229,22 @@
 take_list (sync_t *sync, view_t *view, const fleet_pull_result_t *result,
            usec_t now)
 {
-  switch (list_news_take (&result->list, now, &view->list))
+  switch (list_update_take (&result->list, now, &view->list))
     {
-    case LIST_NEWS_NONE:
+    case LIST_UPDATE_NONE:
       return false;
-    case LIST_NEWS_BROKEN:
+    case LIST_UPDATE_BROKEN:
       LOG_EVENT (LOG_LEVEL_WARNING, "backends_not_understood",
-                 LOG_U ("steps", result->list.steps.steps_len));
+                 LOG_U ("deltas", result->list.deltas.deltas_len));
       sync->list_digest = 0; /* the next answer has the whole list */
       return false;
-    case LIST_NEWS_TAKEN:
+    case LIST_UPDATE_TAKEN:
       break;
     }
   sync->list_digest = view->list.digest;
   LOG_EVENT (LOG_LEVEL_INFO, "backends_in_force",
              LOG_U ("backends", view->list.n_records),
-             LOG_U ("steps", result->list.steps.steps_len),
+             LOG_U ("deltas", result->list.deltas.deltas_len),
              LOG_I ("age_ms", (now - view->list.read_at) / USEC_PER_MSEC));
   return true;
 }
@@ -325,20 +325,20 @@
 }
 
 static bool
-has_news (const sync_t *sync, const fleet_pull_result_t *result)
+has_changes (const sync_t *sync, const fleet_pull_result_t *result)
 {
   return result->config_version > sync->version
          || result->evacuations_index > sync->evacuations_index
          || result->routers.fleet_packed_t_len > 0
          || result->list.whole.fleet_packed_t_len > 0
-         || result->list.steps.steps_len > 0;
+         || result->list.deltas.deltas_len > 0;
 }
 
 /* True where the view has changed.  */
 static bool
-take_news (sync_t *sync, const fleet_pull_result_t *result, usec_t now)
+take_changes (sync_t *sync, const fleet_pull_result_t *result, usec_t now)
 {
-  if (!has_news (sync, result))
+  if (!has_changes (sync, result))
     return false;
   view_t *view = view_copy (sync->view);
   bool changed = take_config (sync, view, result);
@@ -355,7 +355,7 @@
 static bool
 take_answer (sync_t *sync, const fleet_pull_result_t *result, usec_t now)
 {
-  bool changed = take_news (sync, result, now);
+  bool changed = take_changes (sync, result, now);
   take_directors (sync, result);
   bool is_fresh = result->confirmed_age >= 0
                   && result->confirmed_age < CONFIRMED_AGE_MAX;
--- a/src/router/traffic.c
+++ b/src/router/traffic.c
@@ -130,12 +130,12 @@
 {
   settings_feed_t *feed = traffic->options.feed;
   const fleet_settings_t *newer
-      = settings_feed_take_newer (feed, traffic->settings);
+      = settings_feed_acquire_newer (feed, traffic->settings);
   if (!newer)
     return;
   sync_set_settings (traffic->sync, newer);
   dispatcher_set_settings (traffic->dispatcher, newer);
-  settings_feed_give_back (feed, traffic->settings);
+  settings_feed_release (feed, traffic->settings);
   traffic->settings = newer;
 }
 
@@ -235,7 +235,7 @@
   if (!traffic)
     abort ();
   traffic->options = *options;
-  traffic->settings = settings_feed_take (options->feed);
+  traffic->settings = settings_feed_acquire (options->feed);
   traffic->wake.fd = -1;
   if (open_all (traffic, err))
     return traffic;
@@ -267,6 +267,6 @@
     close (traffic->wake.fd);
   if (traffic->loop)
     loop_free (traffic->loop);
-  settings_feed_give_back (traffic->options.feed, traffic->settings);
+  settings_feed_release (traffic->options.feed, traffic->settings);
   free (traffic);
 }
--- a/src/settings/fleet_program.c
+++ b/src/settings/fleet_program.c
@@ -107,7 +107,7 @@
       settings_feed_close (program->feed);
       return exit_with (0, exit_code);
     }
-  program->settings = settings_feed_take (program->feed);
+  program->settings = settings_feed_acquire (program->feed);
   const name_t *secret = &program->settings->peer_secret;
   SHA256 ((const unsigned char *)secret->text, strlen (secret->text),
           program->key);
@@ -151,7 +151,7 @@
 {
   LOG_EVENT (LOG_LEVEL_INFO, "stopped", LOG_I ("exit_code", exit_code));
   log_stop ();
-  settings_feed_give_back (program->feed, program->settings);
+  settings_feed_release (program->feed, program->settings);
   settings_feed_close (program->feed);
   apr_terminate ();
 }
--- a/src/settings/settings_feed.c
+++ b/src/settings/settings_feed.c
@@ -86,7 +86,7 @@
 }
 
 const fleet_settings_t *
-settings_feed_take (settings_feed_t *feed)
+settings_feed_acquire (settings_feed_t *feed)
 {
   pthread_mutex_lock (&feed->lock);
   counted_t *counted = atomic_load (&feed->current);
@@ -96,18 +96,18 @@
 }
 
 void
-settings_feed_give_back (settings_feed_t *feed,
-                         const fleet_settings_t *settings)
+settings_feed_release (settings_feed_t *feed, const fleet_settings_t *settings)
 {
   drop (feed, counted_of (settings));
 }
 
 const fleet_settings_t *
-settings_feed_take_newer (settings_feed_t *feed, const fleet_settings_t *held)
+settings_feed_acquire_newer (settings_feed_t *feed,
+                             const fleet_settings_t *held)
 {
   if (counted_of (held) == atomic_load (&feed->current))
     return NULL;
-  return settings_feed_take (feed);
+  return settings_feed_acquire (feed);
 }
 
 /* --- Reading the file --------------------------------------------------- */
@@ -197,10 +197,10 @@
       log_error (LOG_LEVEL_ERROR, "settings_refused", &err);
       return false;
     }
-  const fleet_settings_t *running = settings_feed_take (feed);
+  const fleet_settings_t *running = settings_feed_acquire (feed);
   keep_fixed (next, running);
   bool is_new = !is_same (next, running);
-  settings_feed_give_back (feed, running);
+  settings_feed_release (feed, running);
   if (is_new)
     put_in_force (feed, next);
   LOG_EVENT (LOG_LEVEL_INFO, "settings_reloaded", LOG_U ("changed", is_new),
--- a/src/settings/settings_feed.h
+++ b/src/settings/settings_feed.h
@@ -14,7 +14,7 @@
 /* The settings of FILE; NULL with ERR_SETTINGS.  */
 settings_feed_t *settings_feed_open (const char *file, err_t *err);
 
-/* After the last settings were given back.  */
+/* After the last settings were released.  */
 void settings_feed_close (settings_feed_t *feed);
 
 typedef enum
@@ -29,14 +29,15 @@
    where new settings are in force.  */
 bool settings_feed_poll (settings_feed_t *feed, settings_look_t look);
 
-/* The settings in force, until they are given back.  */
-const fleet_settings_t *settings_feed_take (settings_feed_t *feed);
-void settings_feed_give_back (settings_feed_t *feed,
-                              const fleet_settings_t *settings);
+/* The settings in force, until they are released.  */
+const fleet_settings_t *settings_feed_acquire (settings_feed_t *feed);
+void settings_feed_release (settings_feed_t *feed,
+                            const fleet_settings_t *settings);
 
 /* The settings in force, where they are others than HELD; else NULL.  HELD
-   stay the caller's to give back.  */
+   stay the caller's to release.  */
 const fleet_settings_t *
-settings_feed_take_newer (settings_feed_t *feed, const fleet_settings_t *held);
+settings_feed_acquire_newer (settings_feed_t *feed,
+                             const fleet_settings_t *held);
 
 #endif
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -10,7 +10,7 @@
 const FLEET_WIRE_ROUTERS_MAX = 2048;
 const FLEET_WIRE_DOMAINS_MAX = 128;
 const FLEET_WIRE_DIRECTORS_MAX = 15;
-const FLEET_WIRE_STEPS_MAX = 32;
+const FLEET_WIRE_DELTAS_MAX = 32;
 
 struct fleet_router_t
 {
@@ -47,7 +47,7 @@
 typedef opaque fleet_packed_t<FLEET_PACKED_BYTES_MAX>;
 
 /* What changed from one reading of the list to the next. */
-struct fleet_step_t
+struct fleet_delta_t
 {
   uint64_t digest; /* of the list after it */
   int64_t read_at; /* of that list, by the sender's clock, usec */
@@ -56,14 +56,14 @@
 };
 
 /* The list of backend servers, for one that told which list it has. */
-struct fleet_list_news_t
+struct fleet_list_update_t
 {
   uint64_t digest; /* of the sender's list; 0: it has none */
   int64_t read_at; /* by the sender's clock, usec */
   int64_t age;     /* usec since the list was read */
   /* Both empty: the receiver has that list. */
   fleet_packed_t whole;                       /* a fleet_list_t */
-  fleet_packed_t steps<FLEET_WIRE_STEPS_MAX>; /* fleet_step_t, in order */
+  fleet_packed_t deltas<FLEET_WIRE_DELTAS_MAX>; /* fleet_delta_t, in order */
 };
 
 /* A router tells of itself and says what it has. */
@@ -105,7 +105,7 @@
   fleet_name_t evacuated<FLEET_WIRE_DOMAINS_MAX>;
   uint64_t routers_digest;
   fleet_packed_t routers; /* a fleet_peers_t; empty: the router has it */
-  fleet_list_news_t list;
+  fleet_list_update_t list;
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
 };
 
@@ -124,7 +124,7 @@
   /* From the leader alone: its applied state is the newest; 0: not known. */
   uint64_t confirmed_index;
   fleet_roster_t roster;
-  fleet_list_news_t list;
+  fleet_list_update_t list;
 };
 
 struct fleet_share_result_t
--- a/test/unit/test_fleet_news.c
+++ b/test/unit/test_fleet_update.c
@@ -7,7 +7,7 @@
 
 #include "base/random.h"
 #include "fleet/backend_list.h"
-#include "fleet/list_news.h"
+#include "fleet/list_update.h"
 
 #define NOW (100 * USEC_PER_SEC)
 /* The followers' clocks run apart from the sender's.  */
@@ -37,11 +37,11 @@
 }
 
 static size_t
-news_bytes (const fleet_list_news_t *news)
+update_bytes (const fleet_list_update_t *update)
 {
-  size_t n = news->whole.fleet_packed_t_len;
-  for (u_int i = 0; i < news->steps.steps_len; i++)
-    n += news->steps.steps_val[i].fleet_packed_t_len;
+  size_t n = update->whole.fleet_packed_t_len;
+  for (u_int i = 0; i < update->deltas.deltas_len; i++)
+    n += update->deltas.deltas_val[i].fleet_packed_t_len;
   return n;
 }
 
@@ -50,14 +50,15 @@
 follow (list_source_t *source, const backend_list_t *list,
         backend_list_t *follower, usec_t now)
 {
-  fleet_packed_t steps[LIST_STEPS_MAX];
-  fleet_list_news_t news
-      = list_source_tell (source, list, follower->digest, steps, now);
-  g_assert_cmpint (list_news_take (&news, now + SHIFT, follower), ==,
-                   news_bytes (&news) > 0 ? LIST_NEWS_TAKEN : LIST_NEWS_NONE);
+  fleet_packed_t deltas[LIST_DELTAS_MAX];
+  fleet_list_update_t update
+      = list_source_tell (source, list, follower->digest, deltas, now);
+  g_assert_cmpint (list_update_take (&update, now + SHIFT, follower), ==,
+                   update_bytes (&update) > 0 ? LIST_UPDATE_TAKEN
+                                              : LIST_UPDATE_NONE);
   g_assert_cmpuint (follower->digest, ==, list->digest);
   g_assert_cmpuint (follower->n_records, ==, list->n_records);
-  return news_bytes (&news);
+  return update_bytes (&update);
 }
 
 /* LIST read again at AT, with one record of it changed.  */
@@ -95,10 +96,10 @@
   backend_list_clear (&follower);
 }
 
-/* A follower that missed some steps gets them together; one that missed too
+/* A follower that missed some deltas gets them together; one that missed too
    many, or has another list, gets the whole.  */
 static void
-test_missed_steps (void)
+test_missed_deltas (void)
 {
   list_source_t source = { 0 };
   backend_list_t list = list_of (1000, NOW);
@@ -107,10 +108,10 @@
   backend_list_t other = list_of (7, NOW + SHIFT);
   follow (&source, &list, &near, NOW + 10);
   follow (&source, &list, &far, NOW + 10);
-  for (size_t i = 0; i < LIST_STEPS_MAX + 5; i++)
+  for (size_t i = 0; i < LIST_DELTAS_MAX + 5; i++)
     {
       change_one (&source, &list, i, NOW + (usec_t)(i + 1) * USEC_PER_SEC);
-      if (i == LIST_STEPS_MAX)
+      if (i == LIST_DELTAS_MAX)
         follow (&source, &list, &near, list.read_at + 10);
     }
   usec_t now = list.read_at + 10;
@@ -124,7 +125,7 @@
   backend_list_clear (&other);
 }
 
-/* A cold one that no step names stays cold for no longer than it did, and
+/* A cold one that no delta names stays cold for no longer than it did, and
    never for shorter.  */
 static void
 test_cold_span (void)
@@ -153,7 +154,7 @@
   backend_list_clear (&follower);
 }
 
-/* Any order of comings, goings, changes and missed steps.  */
+/* Any order of comings, goings, changes and missed deltas.  */
 static void
 test_random_changes (void)
 {
@@ -183,28 +184,28 @@
   backend_list_clear (&follower);
 }
 
-/* Steps that don't fit what the follower has are not followed.  */
+/* Deltas that don't fit what the follower has are not followed.  */
 static void
-test_broken_steps (void)
+test_broken_deltas (void)
 {
   list_source_t source = { 0 };
   backend_list_t list = list_of (100, NOW);
   backend_list_t follower = { 0 };
   follow (&source, &list, &follower, NOW + 10);
   change_one (&source, &list, 3, NOW + USEC_PER_SEC);
-  fleet_packed_t steps[LIST_STEPS_MAX];
-  fleet_list_news_t news = list_source_tell (&source, &list, follower.digest,
-                                             steps, NOW + USEC_PER_SEC);
-  g_assert_cmpuint (news.steps.steps_len, ==, 1);
+  fleet_packed_t deltas[LIST_DELTAS_MAX];
+  fleet_list_update_t update = list_source_tell (
+      &source, &list, follower.digest, deltas, NOW + USEC_PER_SEC);
+  g_assert_cmpuint (update.deltas.deltas_len, ==, 1);
   follower.records[7].slots = 99;
   g_assert_cmpint (
-      list_news_take (&news, NOW + USEC_PER_SEC + SHIFT, &follower), ==,
-      LIST_NEWS_BROKEN);
+      list_update_take (&update, NOW + USEC_PER_SEC + SHIFT, &follower), ==,
+      LIST_UPDATE_BROKEN);
   g_assert_cmpuint (follower.records[7].slots, ==, 99);
-  steps[0].fleet_packed_t_len /= 2;
+  deltas[0].fleet_packed_t_len /= 2;
   g_assert_cmpint (
-      list_news_take (&news, NOW + USEC_PER_SEC + SHIFT, &follower), ==,
-      LIST_NEWS_BROKEN);
+      list_update_take (&update, NOW + USEC_PER_SEC + SHIFT, &follower), ==,
+      LIST_UPDATE_BROKEN);
   list_source_clear (&source);
   backend_list_clear (&list);
   backend_list_clear (&follower);
@@ -214,10 +215,10 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_func ("/fleet/news/one-of-many", test_one_of_many);
-  g_test_add_func ("/fleet/news/missed", test_missed_steps);
-  g_test_add_func ("/fleet/news/cold", test_cold_span);
-  g_test_add_func ("/fleet/news/random", test_random_changes);
-  g_test_add_func ("/fleet/news/broken", test_broken_steps);
+  g_test_add_func ("/fleet/update/one-of-many", test_one_of_many);
+  g_test_add_func ("/fleet/update/missed", test_missed_deltas);
+  g_test_add_func ("/fleet/update/cold", test_cold_span);
+  g_test_add_func ("/fleet/update/random", test_random_changes);
+  g_test_add_func ("/fleet/update/broken", test_broken_deltas);
   return g_test_run ();
 }
--- a/test/unit/test_settings_feed.c
+++ b/test/unit/test_settings_feed.c
@@ -87,8 +87,8 @@
 test_changed_file (fixture_t *fixture, gconstpointer data)
 {
   (void)data;
-  const fleet_settings_t *held = settings_feed_take (fixture->feed);
-  g_assert_null (settings_feed_take_newer (fixture->feed, held));
+  const fleet_settings_t *held = settings_feed_acquire (fixture->feed);
+  g_assert_null (settings_feed_acquire_newer (fixture->feed, held));
   write_settings (fixture,
                   &(file_text_t){ .vm = "router-1",
                                   .seeds = "127.1.0.3:7000, 127.1.0.4:7000",
@@ -96,15 +96,15 @@
                                   .drain = "4s" });
   g_assert_true (settings_feed_poll (fixture->feed, SETTINGS_LOOK));
   const fleet_settings_t *newer
-      = settings_feed_take_newer (fixture->feed, held);
+      = settings_feed_acquire_newer (fixture->feed, held);
   g_assert_nonnull (newer);
   g_assert_cmpuint (newer->n_seeds, ==, 2);
   g_assert_nonnull (fleet_settings_region (newer, "d2"));
   g_assert_cmpint (newer->bounds.drain, ==, 4 * USEC_PER_SEC);
   g_assert_cmpuint (held->n_seeds, ==, 1);
   g_assert_cmpint (held->bounds.drain, ==, 3 * USEC_PER_SEC);
-  settings_feed_give_back (fixture->feed, held);
-  settings_feed_give_back (fixture->feed, newer);
+  settings_feed_release (fixture->feed, held);
+  settings_feed_release (fixture->feed, newer);
 }
 
 /* Nothing is put in force where nothing is new, signal or not.  */
@@ -130,10 +130,10 @@
   text.drain = "2s";
   write_settings (fixture, &text);
   g_assert_true (settings_feed_poll (fixture->feed, SETTINGS_LOOK));
-  const fleet_settings_t *settings = settings_feed_take (fixture->feed);
+  const fleet_settings_t *settings = settings_feed_acquire (fixture->feed);
   g_assert_cmpstr (settings->vm.text, ==, "router-1");
   g_assert_cmpint (settings->bounds.drain, ==, 2 * USEC_PER_SEC);
-  settings_feed_give_back (fixture->feed, settings);
+  settings_feed_release (fixture->feed, settings);
 }
 
 /* A file with a fault, or none for a moment, changes nothing; the next good
@@ -148,9 +148,9 @@
   g_assert_false (settings_feed_poll (fixture->feed, SETTINGS_LOOK));
   g_assert_cmpint (g_remove (fixture->file), ==, 0);
   g_assert_false (settings_feed_poll (fixture->feed, SETTINGS_LOOK));
-  const fleet_settings_t *settings = settings_feed_take (fixture->feed);
+  const fleet_settings_t *settings = settings_feed_acquire (fixture->feed);
   g_assert_cmpint (settings->bounds.drain, ==, 3 * USEC_PER_SEC);
-  settings_feed_give_back (fixture->feed, settings);
+  settings_feed_release (fixture->feed, settings);
   text.drain = "1s";
   write_settings (fixture, &text);
   g_assert_true (settings_feed_poll (fixture->feed, SETTINGS_LOOK));
