fix(router): a stop with requests under way ends them first

Cause: at the end of the grace the process stopped libmicrohttpd while requests waited for a backend server that did not answer, which aborts the process: the callers got no answer, the log lost its last lines.

--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -88,21 +88,42 @@
   dispatcher_place (dispatcher, exchange, now);
 }
 
+/* Give up EXCHANGE's call, if there is one.  */
+static void
+leave_backend (dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  if (!exchange->call)
+    return;
+  const backend_outcome_t outcome = { .end = BACKEND_LEFT };
+  backend_http_abort (dispatcher->backends, exchange->call);
+  exchange->call = NULL;
+  backend_pool_ended (dispatcher->pool, exchange->backend, &outcome,
+                      clock_monotonic ());
+  exchange->backend = NULL;
+}
+
 void
 dispatcher_gone (dispatcher_t *dispatcher, exchange_t *exchange)
 {
-  if (exchange->call)
-    {
-      const backend_outcome_t outcome = { .end = BACKEND_LEFT };
-      backend_http_abort (dispatcher->backends, exchange->call);
-      exchange->call = NULL;
-      backend_pool_ended (dispatcher->pool, exchange->backend, &outcome,
-                          clock_monotonic ());
-      exchange->backend = NULL;
-    }
+  leave_backend (dispatcher, exchange);
   dispatcher_end (dispatcher, exchange, REASON_GONE);
 }
 
+void
+dispatcher_end_all (dispatcher_t *dispatcher)
+{
+  usec_t now = clock_monotonic ();
+  LIST_FOREACH (link, &dispatcher->waiting)
+  dispatcher_refuse (dispatcher, LIST_ENTRY (link, exchange_t, link),
+                     REASON_STOPPING, now);
+  LIST_FOREACH (link, &dispatcher->under_way)
+  {
+    exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
+    leave_backend (dispatcher, exchange);
+    dispatcher_end (dispatcher, exchange, REASON_BROKE_OFF);
+  }
+}
+
 /* A call to a backend server has ended.  */
 static void
 on_done (void *closure, void *owner_closure, backend_answer_t *answer)
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -52,6 +52,10 @@
 /* From now on refuse every new request; the process is about to end.  */
 void dispatcher_refuse_new (dispatcher_t *dispatcher);
 
+/* End every request now, as the process does: one that is at a backend server
+   as unknown, one that waits as not run.  */
+void dispatcher_end_all (dispatcher_t *dispatcher);
+
 /* Requests that have not ended.  */
 size_t dispatcher_under_way (const dispatcher_t *dispatcher);
 
--- a/src/router/traffic.c
+++ b/src/router/traffic.c
@@ -157,6 +157,8 @@
         dispatcher_update (traffic->dispatcher);
       note_readiness (traffic, now);
       wait = dispatcher_tick (traffic->dispatcher, now);
+      if (ends)
+        dispatcher_end_all (traffic->dispatcher);
       caller_http_run (traffic->port);
       wait = shorter (wait, caller_http_wait (traffic->port));
       wait = shorter (wait, sync_due (traffic->sync) - now);
--- a/test/functional/test_fleet_changes.sh
+++ b/test/functional/test_fleet_changes.sh
@@ -44,6 +44,21 @@
 ! grep -q '^id-left ' "$FOLDER/runs" || fail 'the request of a caller who had left ran'
 echo 'good: a caller who leaves'
 
+# A stop while a backend server does not answer: the caller is told before the
+# grace is over, and the router ends as planned.
+rm "$FOLDER/release"
+LAST=$(curl -s -m 10 -o /dev/null -w '%{http_code}' -H 'Host: a.example' -H 'Request-Id: id-last' -H 'Deadline-Ms: 20000' \
+  "http://$(router_address 1):$REQUESTS_PORT/x/held" &
+  for _ in $(seq 100); do grep -q '^id-last ' "$FOLDER/runs" && break; sleep 0.1; done
+  kill -TERM "${PIDS[router-1]}"
+  wait)
+wait "${PIDS[router-1]}" || fail 'a router with a request under way did not stop cleanly'
+unset 'PIDS[router-1]'
+[ "$LAST" = 502 ] || fail "the request under way ended with $LAST"
+grep -q 'event=stopped' "$FOLDER/router-1.log" || fail 'the log ends early'
+touch "$FOLDER/release"
+echo 'good: a stop with a request under way'
+
 # A director is gone for good; an empty one at another address takes its place,
 # and then counts for the majority.
 kill_one KILL director-3
