refactor(wire): one pool of libcurl's handles

router/backend_http and entry/backend_client each kept easy handles for use again, set the same options and walked over ended transfers alike. wire/http_handles does it for both; what is theirs (framing, headers, the rule for a second connection) stays with them. No change of behaviour: test_entry_client, test_fleet, test_outcomes pass.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/list.h"
-#include "wire/http_socket.h"
+#include "wire/http_handles.h"
 
 enum
 {
@@ -37,8 +37,7 @@
 struct backend_client
 {
   backend_client_options_t options;
-  CURLM *multi;
-  list_t idle; /* calls with an easy handle to use again */
+  http_handles_t *handles;
   list_t busy;
 };
 
@@ -181,90 +180,67 @@
 static void
 call_options (backend_call_t *call, const backend_request_t *request)
 {
-  const backend_client_options_t *options = &call->client->options;
   CURL *easy = call->easy;
   char url[URL_BYTES];
   snprintf (url, sizeof url, "http://%s:%u%s", request->address, request->port,
             request->path);
   curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_INTERFACE, options->address);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long)(request->timeout / USEC_PER_MSEC + 1));
-  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
-                    (long)(options->connection_idle / USEC_PER_SEC + 1));
-  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_made);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_transmission);
-  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   call_method (call, request);
   call_headers (call, request);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
 static backend_call_t *
-call_new (backend_client_t *client)
+call_new (backend_client_t *client, const backend_request_t *request)
 {
-  list_t *link = list_pop_front (&client->idle);
-  backend_call_t *call = NULL;
-  CURL *easy = NULL;
-  if (link)
-    {
-      call = LIST_ENTRY (link, backend_call_t, link);
-      easy = call->easy;
-      curl_easy_reset (easy);
-    }
-  else
-    {
-      call = malloc (sizeof *call);
-      easy = curl_easy_init ();
-      if (!call || !easy)
-        abort ();
-    }
-  *call = (backend_call_t){ .client = client, .easy = easy };
+  const backend_client_options_t *options = &client->options;
+  backend_call_t *call = calloc (1, sizeof *call);
+  if (!call)
+    abort ();
+  const http_transfer_t transfer
+      = { .own_address = options->address,
+          .timeout = request->timeout,
+          .idle_seconds = (long)(options->connection_idle / USEC_PER_SEC + 1),
+          .owner = call,
+          .on_body = on_body,
+          .on_header = on_header,
+          .on_connection = on_transmission };
+  call->client = client;
+  call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->busy, &call->link);
   return call;
 }
 
-/* The easy handle is kept for another call.  */
 static void
-call_release (backend_call_t *call)
+call_free (backend_call_t *call)
 {
+  http_handles_give_back (call->client->handles, call->easy);
   curl_slist_free_all (call->headers);
-  call->headers = NULL;
   free (call->reply.body);
-  call->reply.body = NULL;
   list_remove (&call->link);
-  list_push_front (&call->client->idle, &call->link);
+  free (call);
 }
 
 backend_call_t *
 backend_client_call (backend_client_t *client,
                      const backend_request_t *request)
 {
-  backend_call_t *call = call_new (client);
+  backend_call_t *call = call_new (client, request);
   call->owner = request->owner;
   call->once = request->once;
   call->is_head = strcmp (request->method, "HEAD") == 0;
   snprintf (call->id, sizeof call->id, "%s", request->id);
   call_options (call, request);
-  curl_multi_add_handle (client->multi, call->easy);
+  curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
   return call;
 }
 
 void
 backend_client_abort (backend_client_t *client, backend_call_t *call)
 {
-  curl_multi_remove_handle (client->multi, call->easy);
-  call_release (call);
+  (void)client;
+  call_free (call);
 }
 
 /* What the end of a transfer says.  */
@@ -288,40 +264,34 @@
 static void
 client_collect (backend_client_t *client)
 {
-  int left = 0;
-  CURLMsg *message;
-  while ((message = curl_multi_info_read (client->multi, &left)))
+  CURLcode code;
+  backend_call_t *call;
+  while ((call = http_handles_ended (client->handles, &code)))
     {
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      CURL *easy = message->easy_handle;
-      CURLcode code = message->data.result;
-      backend_call_t *call = NULL;
-      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
       call_judge (call, code);
-      curl_multi_remove_handle (client->multi, easy);
       if (call->owner)
         client->options.done (client->options.closure, call->owner,
                               &call->reply);
-      call_release (call);
+      call_free (call);
     }
 }
 
 void
 backend_client_run (backend_client_t *client, usec_t wait, int fd)
 {
+  CURLM *multi = http_handles_multi (client->handles);
   int running = 0;
-  curl_multi_perform (client->multi, &running);
+  curl_multi_perform (multi, &running);
   client_collect (client);
   struct curl_waitfd extra = { .fd = fd, .events = CURL_WAIT_POLLIN };
   int msec = (int)((wait + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
-  curl_multi_poll (client->multi, &extra, 1, msec, NULL);
+  curl_multi_poll (multi, &extra, 1, msec, NULL);
 }
 
 void
 backend_client_wake (backend_client_t *client)
 {
-  curl_multi_wakeup (client->multi);
+  curl_multi_wakeup (http_handles_multi (client->handles));
 }
 
 backend_client_t *
@@ -331,10 +301,7 @@
   if (!client)
     abort ();
   client->options = *options;
-  client->multi = curl_multi_init ();
-  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
-                     (long)CONNECTIONS_CACHED);
-  list_init (&client->idle);
+  client->handles = http_handles_new (CONNECTIONS_CACHED);
   list_init (&client->busy);
   return client;
 }
@@ -344,12 +311,6 @@
 {
   LIST_FOREACH (link, &client->busy)
   backend_client_abort (client, LIST_ENTRY (link, backend_call_t, link));
-  LIST_FOREACH (link, &client->idle)
-  {
-    backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
-    curl_easy_cleanup (call->easy);
-    free (call);
-  }
-  curl_multi_cleanup (client->multi);
+  http_handles_free (client->handles);
   free (client);
 }
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "platform_words.h"
-#include "wire/http_socket.h"
+#include "wire/http_handles.h"
 
 enum
 {
@@ -40,8 +40,7 @@
 struct backend_http
 {
   backend_http_options_t options;
-  CURLM *multi;
-  list_t idle; /* calls with an easy handle to use again */
+  http_handles_t *handles;
   list_t busy;
   list_t removed; /* watches to be freed */
   usec_t due_at;
@@ -216,7 +215,7 @@
       if (!socket)
         return 0;
       loop_remove (loop, &socket->watch);
-      curl_multi_assign (client->multi, fd, NULL);
+      curl_multi_assign (http_handles_multi (client->handles), fd, NULL);
       list_push_back (&client->removed, &socket->link);
       return 0;
     }
@@ -230,7 +229,7 @@
     abort ();
   list_init (&socket->link);
   socket->watch = (watch_t){ .kind = WATCH_BACKEND, .fd = fd };
-  curl_multi_assign (client->multi, fd, socket);
+  curl_multi_assign (http_handles_multi (client->handles), fd, socket);
   loop_add (loop, &socket->watch, wanted_of (what));
   return 0;
 }
@@ -276,81 +275,59 @@
   snprintf (url, sizeof url, "http://%s/", address);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_INTERFACE,
-                    call->client->options.own_address);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long)(request->timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)(request->connect_timeout / USEC_PER_MSEC + 1));
-  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)IDLE_SECONDS);
-  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_made);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_connection);
-  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   set_method (easy, request);
 }
 
 static backend_call_t *
-call_new (backend_http_t *client)
+call_new (backend_http_t *client, const backend_request_t *request)
 {
-  list_t *link = list_pop_front (&client->idle);
-  backend_call_t *call = NULL;
-  CURL *easy = NULL;
-  if (link)
-    {
-      call = LIST_ENTRY (link, backend_call_t, link);
-      easy = call->easy;
-      curl_easy_reset (easy);
-    }
-  else
-    {
-      call = malloc (sizeof *call);
-      easy = curl_easy_init ();
-      if (!call || !easy)
-        abort ();
-    }
-  *call = (backend_call_t){ .client = client, .easy = easy };
+  backend_call_t *call = calloc (1, sizeof *call);
+  if (!call)
+    abort ();
+  const http_transfer_t transfer
+      = { .own_address = client->options.own_address,
+          .timeout = request->timeout,
+          .idle_seconds = IDLE_SECONDS,
+          .owner = call,
+          .on_body = on_body,
+          .on_header = on_header,
+          .on_connection = on_connection };
+  call->client = client;
+  call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->busy, &call->link);
   return call;
 }
 
-/* The easy handle is kept for another call.  */
 static void
-call_release (backend_call_t *call)
+call_free (backend_call_t *call)
 {
+  http_handles_give_back (call->client->handles, call->easy);
   curl_slist_free_all (call->headers);
-  call->headers = NULL;
   backend_answer_clear (&call->answer);
   list_remove (&call->link);
-  list_push_front (&call->client->idle, &call->link);
+  free (call);
 }
 
 backend_call_t *
 backend_http_call (backend_http_t *client, const backend_request_t *request)
 {
-  backend_call_t *call = call_new (client);
+  backend_call_t *call = call_new (client, request);
   call->owner = request->owner;
   call->headers = request->headers;
   snprintf (call->id, sizeof call->id, "%s", request->id);
   set_options (call, request);
-  curl_multi_add_handle (client->multi, call->easy);
+  curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
   return call;
 }
 
 void
 backend_http_abort (backend_http_t *client, backend_call_t *call)
 {
-  curl_multi_remove_handle (client->multi, call->easy);
-  call_release (call);
+  (void)client;
+  call_free (call);
 }
 
 /* What the end of a transfer says.  */
@@ -379,22 +356,15 @@
 static void
 collect (backend_http_t *client)
 {
-  int left = 0;
-  CURLMsg *message;
-  while ((message = curl_multi_info_read (client->multi, &left)))
+  CURLcode code;
+  backend_call_t *call;
+  while ((call = http_handles_ended (client->handles, &code)))
     {
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      CURL *easy = message->easy_handle;
-      CURLcode code = message->data.result;
-      backend_call_t *call = NULL;
-      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
       call_judge (call, code);
-      curl_multi_remove_handle (client->multi, easy);
       backend_answer_t answer = call->answer;
       void *owner = call->owner;
       call->answer = (backend_answer_t){ 0 };
-      call_release (call);
+      call_free (call);
       client->options.done (client->options.closure, owner, &answer);
       backend_answer_clear (&answer);
     }
@@ -412,7 +382,8 @@
     events |= CURL_CSELECT_OUT;
   if (ready & LOOP_HANGUP)
     events |= CURL_CSELECT_IN | CURL_CSELECT_ERR;
-  curl_multi_socket_action (client->multi, watch->fd, events, &running);
+  curl_multi_socket_action (http_handles_multi (client->handles), watch->fd,
+                            events, &running);
   collect (client);
 }
 
@@ -429,7 +400,8 @@
   if (now < client->due_at)
     return;
   client->due_at = INT64_MAX;
-  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  curl_multi_socket_action (http_handles_multi (client->handles),
+                            CURL_SOCKET_TIMEOUT, 0, &running);
   collect (client);
 }
 
@@ -441,14 +413,12 @@
     abort ();
   client->options = *options;
   client->due_at = INT64_MAX;
-  client->multi = curl_multi_init ();
-  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
-                     (long)CONNECTIONS_CACHED);
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
-  list_init (&client->idle);
+  client->handles = http_handles_new (CONNECTIONS_CACHED);
+  CURLM *multi = http_handles_multi (client->handles);
+  curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->busy);
   list_init (&client->removed);
   return client;
@@ -459,13 +429,7 @@
 {
   LIST_FOREACH (link, &client->busy)
   backend_http_abort (client, LIST_ENTRY (link, backend_call_t, link));
-  LIST_FOREACH (link, &client->idle)
-  {
-    backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
-    curl_easy_cleanup (call->easy);
-    free (call);
-  }
-  curl_multi_cleanup (client->multi);
+  http_handles_free (client->handles);
   free_removed (client);
   free (client);
 }
--- /dev/null
+++ b/src/wire/http_handles.c
@@ -0,0 +1,112 @@
+#include "wire/http_handles.h"
+
+#include <stdlib.h>
+
+#include "wire/http_socket.h"
+
+struct http_handles
+{
+  CURLM *multi;
+  CURL **idle; /* malloc'd; to be used again */
+  size_t n_idle;
+  size_t room;
+};
+
+http_handles_t *
+http_handles_new (long connections_cached)
+{
+  http_handles_t *handles = calloc (1, sizeof *handles);
+  if (!handles)
+    abort ();
+  handles->multi = curl_multi_init ();
+  if (!handles->multi)
+    abort ();
+  curl_multi_setopt (handles->multi, CURLMOPT_MAXCONNECTS, connections_cached);
+  return handles;
+}
+
+void
+http_handles_free (http_handles_t *handles)
+{
+  for (size_t i = 0; i < handles->n_idle; i++)
+    curl_easy_cleanup (handles->idle[i]);
+  free (handles->idle);
+  curl_multi_cleanup (handles->multi);
+  free (handles);
+}
+
+CURLM *
+http_handles_multi (const http_handles_t *handles)
+{
+  return handles->multi;
+}
+
+static CURL *
+take_idle (http_handles_t *handles)
+{
+  CURL *easy = NULL;
+  if (handles->n_idle > 0)
+    {
+      easy = handles->idle[--handles->n_idle];
+      curl_easy_reset (easy);
+    }
+  else
+    easy = curl_easy_init ();
+  if (!easy)
+    abort ();
+  return easy;
+}
+
+CURL *
+http_handles_take (http_handles_t *handles, const http_transfer_t *transfer)
+{
+  CURL *easy = take_idle (handles);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_INTERFACE, transfer->own_address);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)(transfer->timeout / USEC_PER_MSEC + 1));
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, transfer->idle_seconds);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_made);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, transfer->on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer->owner);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, transfer->on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer->owner);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, transfer->on_connection);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer->owner);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer->owner);
+  return easy;
+}
+
+void
+http_handles_give_back (http_handles_t *handles, CURL *easy)
+{
+  curl_multi_remove_handle (handles->multi, easy);
+  if (handles->n_idle == handles->room)
+    {
+      handles->room = handles->room ? 2 * handles->room : 16;
+      handles->idle = realloc (handles->idle, handles->room * sizeof (CURL *));
+      if (!handles->idle)
+        abort ();
+    }
+  handles->idle[handles->n_idle++] = easy;
+}
+
+void *
+http_handles_ended (http_handles_t *handles, CURLcode *code)
+{
+  int left = 0;
+  CURLMsg *message;
+  while ((message = curl_multi_info_read (handles->multi, &left)))
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      char *owner = NULL;
+      *code = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &owner);
+      return owner;
+    }
+  return NULL;
+}
