--- a/src/settings/fleet_program.c
+++ b/src/settings/fleet_program.c
@@ -13,13 +13,6 @@
 /* How often the settings' file is looked at.  */
 static const struct timespec look_interval = { .tv_sec = 1 };
 
-typedef struct arguments
-{
-  const char *settings;
-  bool check_settings;
-  log_level_t level;
-} arguments_t;
-
 static const struct argp_option options[] = {
   { "settings", 's', "FILE", 0, "This VM's settings (YAML)", 0 },
   { "check-settings", 'c', NULL, 0, "Check the settings and exit", 0 },
@@ -31,48 +24,16 @@
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
-  arguments_t *arguments = state->input;
-  switch (key)
-    {
-    case 's':
-      arguments->settings = arg;
-      return 0;
-    case 'c':
-      arguments->check_settings = true;
-      return 0;
-    case 'l':
-      if (!program_parse_level (arg, &arguments->level))
-        argp_error (state,
-                    "unknown level '%s'; use debug, info, warning or error",
-                    arg);
-      return 0;
-    case ARGP_KEY_END:
-      if (!arguments->settings)
-        argp_error (state, "--settings FILE is missing");
-      return 0;
-    default:
-      return ARGP_ERR_UNKNOWN;
-    }
+  return program_parse_common (key, arg, state, state->input);
 }
 
 static void
 fleet_signals (sigset_t *set)
 {
-  sigemptyset (set);
-  sigaddset (set, SIGTERM);
-  sigaddset (set, SIGINT);
+  program_stop_signals (set);
   sigaddset (set, SIGHUP);
 }
 
-static void
-block_signals (void)
-{
-  sigset_t set;
-  fleet_signals (&set);
-  pthread_sigmask (SIG_BLOCK, &set, NULL);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 static bool
 exit_with (int code, int *exit_code)
 {
@@ -86,19 +47,17 @@
                      const char *doc, int argc, char **argv, int *exit_code)
 {
   *program = (fleet_program_t){ 0 };
-  arguments_t arguments = { .level = LOG_LEVEL_INFO };
+  program_arguments_t arguments = { .level = LOG_LEVEL_INFO };
   const struct argp argp
       = { .options = options, .parser = parse_option, .doc = doc };
-  argp_err_exit_status = PROGRAM_EXIT_USAGE;
-  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  apr_initialize ();
-  block_signals ();
+  sigset_t signals;
+  fleet_signals (&signals);
+  program_prepare (&argp, argc, argv, &arguments, &signals);
   err_t err = { 0 };
   program->feed = settings_feed_open (arguments.settings, &err);
   if (!program->feed)
     {
-      fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err.message, name,
-               err.remedy);
+      program_print_fault (name, &err);
       return exit_with (PROGRAM_EXIT_USAGE, exit_code);
     }
   if (arguments.check_settings)
@@ -112,9 +71,7 @@
   SHA256 ((const unsigned char *)secret->text, strlen (secret->text),
           program->key);
   program->incarnation = program_incarnation ();
-  log_open (name, program->settings->vm.text, arguments.level);
-  if (!log_start (&err))
-    log_error (LOG_LEVEL_WARNING, "log_waits", &err);
+  program_open_log (name, program->settings->vm.text, arguments.level);
   /* The first line of each start; those of its threads follow.  */
   LOG_EVENT (LOG_LEVEL_INFO, "started", LOG_S ("version", MULBERRY_VERSION),
              LOG_S ("address", program->settings->address));
--- a/src/settings/program.c
+++ b/src/settings/program.c
@@ -19,11 +19,9 @@
 
 typedef struct arguments
 {
-  const char *settings;
+  program_arguments_t common;
   const char *vm;
   const char *data_folder;
-  bool check_settings;
-  log_level_t level;
 } arguments_t;
 
 static const struct argp_option options[] = {
@@ -37,8 +35,8 @@
   { 0 },
 };
 
-bool
-program_parse_level (const char *text, log_level_t *level)
+static bool
+parse_level (const char *text, log_level_t *level)
 {
   static const char *const names[] = { "debug", "info", "warning", "error" };
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
@@ -50,55 +48,95 @@
   return false;
 }
 
-static error_t
-parse_option (int key, char *arg, struct argp_state *state)
+error_t
+program_parse_common (int key, char *arg, struct argp_state *state,
+                      program_arguments_t *arguments)
 {
-  arguments_t *arguments = state->input;
   switch (key)
     {
     case 's':
       arguments->settings = arg;
       return 0;
-    case 'v':
-      arguments->vm = arg;
-      return 0;
-    case 'd':
-      arguments->data_folder = arg;
-      return 0;
     case 'c':
       arguments->check_settings = true;
       return 0;
     case 'l':
-      if (!program_parse_level (arg, &arguments->level))
+      if (!parse_level (arg, &arguments->level))
         argp_error (state,
-                    "unknown level '%s'; use debug, info, warning or "
-                    "error",
+                    "unknown level '%s'; use debug, info, warning or error",
                     arg);
       return 0;
     case ARGP_KEY_END:
       if (!arguments->settings)
         argp_error (state, "--settings FILE is missing");
-      if (!arguments->vm && !arguments->check_settings)
-        argp_error (state, "--vm NAME is missing");
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
 }
 
-static void
-mask_stop_signals (sigset_t *set)
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  arguments_t *arguments = state->input;
+  error_t result = program_parse_common (key, arg, state, &arguments->common);
+  switch (key)
+    {
+    case 'v':
+      arguments->vm = arg;
+      return 0;
+    case 'd':
+      arguments->data_folder = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (!arguments->vm && !arguments->common.check_settings)
+        argp_error (state, "--vm NAME is missing");
+      return 0;
+    default:
+      return result;
+    }
+}
+
+void
+program_stop_signals (sigset_t *set)
 {
   sigemptyset (set);
   sigaddset (set, SIGTERM);
   sigaddset (set, SIGINT);
 }
 
+void
+program_prepare (const struct argp *argp, int argc, char **argv, void *input,
+                 const sigset_t *signals)
+{
+  argp_err_exit_status = PROGRAM_EXIT_USAGE;
+  argp_parse (argp, argc, argv, 0, NULL, input);
+  apr_initialize ();
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+void
+program_print_fault (const char *name, const err_t *err)
+{
+  fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err->message, name,
+           err->remedy);
+}
+
+void
+program_open_log (const char *name, const char *vm, log_level_t level)
+{
+  err_t err = { 0 };
+  log_open (name, vm, level);
+  if (!log_start (&err))
+    log_error (LOG_LEVEL_WARNING, "log_waits", &err);
+}
+
 /* The parts of the start that can fail.  */
 static bool
 load (program_t *program, const arguments_t *arguments, err_t *err)
 {
-  program->settings = settings_load (arguments->settings, err);
+  program->settings = settings_load (arguments->common.settings, err);
   if (!program->settings)
     return false;
   const topology_t *topology = &program->settings->topology;
@@ -109,7 +147,8 @@
   program->vm_id = topology_vm (topology, arguments->vm);
   if (program->vm_id == TOPOLOGY_NONE)
     return err_set (err, ERR_USAGE, "name one of the VMs in the settings",
-                    "--vm %s: not in %s", arguments->vm, arguments->settings);
+                    "--vm %s: not in %s", arguments->vm,
+                    arguments->common.settings);
   program->vm = &topology->vms[program->vm_id];
   int n = arguments->data_folder
               ? snprintf (program->data_folder, sizeof program->data_folder,
@@ -137,36 +176,29 @@
                char **argv, int *exit_code)
 {
   memset (program, 0, sizeof *program);
-  arguments_t arguments = { .level = LOG_LEVEL_INFO };
+  arguments_t arguments = { .common.level = LOG_LEVEL_INFO };
   const struct argp argp
       = { .options = options, .parser = parse_option, .doc = doc };
-  argp_err_exit_status = PROGRAM_EXIT_USAGE;
-  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
-  apr_initialize ();
   sigset_t stop;
-  mask_stop_signals (&stop);
-  pthread_sigmask (SIG_BLOCK, &stop, NULL);
-  signal (SIGPIPE, SIG_IGN);
+  program_stop_signals (&stop);
+  program_prepare (&argp, argc, argv, &arguments, &stop);
   err_t err = { 0 };
   if (!load (program, &arguments, &err))
     {
-      fprintf (stderr, "%s: %s\n%s: remedy: %s\n", name, err.message, name,
-               err.remedy);
+      program_print_fault (name, &err);
       program_finish (program);
       *exit_code = PROGRAM_EXIT_USAGE;
       return false;
     }
-  if (arguments.check_settings)
+  if (arguments.common.check_settings)
     {
-      printf ("%s: the settings are good\n", arguments.settings);
+      printf ("%s: the settings are good\n", arguments.common.settings);
       program_finish (program);
       *exit_code = 0;
       return false;
     }
   program->incarnation = program_incarnation ();
-  log_open (name, program->vm->name.text, arguments.level);
-  if (!log_start (&err))
-    log_error (LOG_LEVEL_WARNING, "log_waits", &err);
+  program_open_log (name, program->vm->name.text, arguments.common.level);
   return true;
 }
 
@@ -181,7 +213,7 @@
   LOG_EVENT (LOG_LEVEL_INFO, "started",
              LOG_S ("address", program->vm->address));
   sigset_t stop;
-  mask_stop_signals (&stop);
+  program_stop_signals (&stop);
   int signal_number = 0;
   sigwait (&stop, &signal_number);
   LOG_EVENT (LOG_LEVEL_INFO, "stopping", LOG_S ("reason", "signal"));
