refactor: answers without a result, waiting records, the data folder, once

rpc_reply_void in place of three filters that do nothing; storage_thread_write_all and storage_make_folder in place of a copy each in control and director; roster_equal stands with the roster.

--- a/src/agreement/storage.c
+++ b/src/agreement/storage.c
@@ -110,6 +110,16 @@
   return true;
 }
 
+bool
+storage_make_folder (const char *folder, err_t *err)
+{
+  if (mkdir (folder, 0700) == 0 || errno == EEXIST)
+    return true;
+  return err_set (err, ERR_STORAGE,
+                  "check the data folder's disk, its space and its owner",
+                  "can't make %s: %s", folder, strerror (errno));
+}
+
 storage_t *
 storage_open (const char *folder, replica_image_t *image, err_t *err)
 {
--- a/src/agreement/storage.h
+++ b/src/agreement/storage.h
@@ -18,6 +18,9 @@
 
 typedef struct storage storage_t;
 
+/* Make FOLDER where there is none; false with ERR_STORAGE.  */
+bool storage_make_folder (const char *folder, err_t *err);
+
 /* Open FOLDER, which must exist, for this process alone, and fill in IMAGE
    (its incarnation is 0 where the folder is empty); the references are the
    caller's.  Returns NULL with ERR_STORAGE.  */
--- a/src/agreement/storage_thread.c
+++ b/src/agreement/storage_thread.c
@@ -156,6 +156,22 @@
   return false;
 }
 
+void
+storage_thread_write_all (storage_thread_t *thread, list_t *records)
+{
+  list_t *link;
+  while ((link = list_pop_front (records)))
+    {
+      action_t *action = LIST_ENTRY (link, action_t, link);
+      if (!storage_thread_write (thread, &action->body.persist))
+        {
+          list_push_front (records, link);
+          return;
+        }
+      action_free (action);
+    }
+}
+
 uint64_t
 storage_thread_synced (const storage_thread_t *thread)
 {
--- a/src/agreement/storage_thread.h
+++ b/src/agreement/storage_thread.h
@@ -28,6 +28,10 @@
    be handed over again.  */
 bool storage_thread_write (storage_thread_t *thread, const persist_t *persist);
 
+/* Hand over the records of RECORDS, persist actions, in order, and free those
+   that were taken.  The first one that has to wait holds back the rest.  */
+void storage_thread_write_all (storage_thread_t *thread, list_t *records);
+
 /* The last synced sequence number.  */
 uint64_t storage_thread_synced (const storage_thread_t *thread);
 
--- a/src/control/core_actions.c
+++ b/src/control/core_actions.c
@@ -130,23 +130,6 @@
     core_submission_finish (core, submission, SUBMISSION_REFUSED, NULL);
 }
 
-/* Persist actions go out in order, so a waiting one holds back the rest.  */
-void
-core_write_records (core_thread_t *core)
-{
-  list_t *link;
-  while ((link = list_pop_front (&core->records)))
-    {
-      action_t *action = LIST_ENTRY (link, action_t, link);
-      if (!storage_thread_write (core->disk, &action->body.persist))
-        {
-          list_push_front (&core->records, link);
-          return;
-        }
-      action_free (action);
-    }
-}
-
 /* True where ACTION was kept.  */
 static bool
 perform (core_thread_t *core, action_t *action)
@@ -158,7 +141,7 @@
       break;
     case ACTION_PERSIST:
       list_push_back (&core->records, &action->link);
-      core_write_records (core);
+      storage_thread_write_all (core->disk, &core->records);
       return true;
     case ACTION_APPLY:
       apply (core, action->body.apply);
--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -87,8 +87,6 @@
 /* core_actions.c */
 /* Give EVENT to the replica and carry out what it asks for.  */
 void core_step (core_thread_t *core, const event_t *event);
-/* Hand waiting records to the storage thread.  */
-void core_write_records (core_thread_t *core);
 
 /* core_submissions.c */
 submission_t *core_submission (core_thread_t *core, proposal_id_t id);
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -43,7 +43,7 @@
 static void
 take_disk (core_thread_t *core)
 {
-  core_write_records (core);
+  storage_thread_write_all (core->disk, &core->records);
   if (storage_thread_failed (core->disk) && !core->is_halted)
     {
       core->is_halted = true;
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -1,10 +1,7 @@
 /* mulberry-control: keeps the accepted sheets on a VM with a disk.  */
 
 #include <argp.h>
-#include <errno.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/stat.h>
 
 #include "base/log.h"
 #include "control/accepted.h"
@@ -85,21 +82,11 @@
   return control->admin != NULL;
 }
 
-static bool
-make_folder (const char *folder, err_t *err)
-{
-  if (mkdir (folder, 0700) == 0 || errno == EEXIST)
-    return true;
-  return err_set (err, ERR_STORAGE,
-                  "check the data folder's disk, its space and its owner",
-                  "can't make %s: %s", folder, strerror (errno));
-}
-
 static bool
 open_core (control_t *control, const program_t *program, err_t *err)
 {
   replica_image_t image;
-  if (!make_folder (program->data_folder, err))
+  if (!storage_make_folder (program->data_folder, err))
     return false;
   control->storage = storage_open (program->data_folder, &image, err);
   if (!control->storage)
--- a/src/control/peer_link.c
+++ b/src/control/peer_link.c
@@ -27,14 +27,6 @@
   link_peer_t peers[REPLICAS_MAX];
 };
 
-static bool_t
-xdr_nothing (XDR *xdrs, void *nothing)
-{
-  (void)xdrs;
-  (void)nothing;
-  return TRUE;
-}
-
 /* Runs on the RPC thread.  */
 static void
 serve_agree (void *closure, rpc_call_t *call)
@@ -47,7 +39,7 @@
       links->options.closure,
       blob_new (args.message.message_val, args.message.message_len));
   xdr_free ((xdrproc_t)xdr_control_agree_args_t, (char *)&args);
-  rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
+  rpc_reply_void (call);
 }
 
 peer_link_t *
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -14,14 +14,6 @@
   PEER_CALLS_MAX = 32, /* messages under way to one director */
 };
 
-static bool_t
-xdr_nothing (XDR *xdrs, void *nothing)
-{
-  (void)xdrs;
-  (void)nothing;
-  return TRUE;
-}
-
 /* --- Calls to other directors ------------------------------------------- */
 
 static void
@@ -197,21 +189,13 @@
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_announce_result_t, &result);
 }
 
-static bool
-is_other_roster (const director_core_t *core, const roster_t *roster)
-{
-  return roster->n_slots != core->roster.n_slots
-         || memcmp (roster->addresses, core->roster.addresses,
-                    sizeof roster->addresses)
-                != 0;
-}
-
 /* What another director answered to our announcement.  */
 void
 core_peers_roster (director_core_t *core, item_t *item)
 {
   roster_t roster = roster_read (&item->body.roster.roster);
-  if (roster.n_slots > 0 && !core->replica && is_other_roster (core, &roster))
+  if (roster.n_slots > 0 && !core->replica
+      && !roster_equal (&core->roster, &roster))
     core_peers_adopt (core, &roster);
 }
 
@@ -221,7 +205,8 @@
 follow_roster (director_core_t *core, const fleet_roster_t *wire)
 {
   roster_t roster = roster_read (wire);
-  if (roster.n_slots == core->roster.n_slots && is_other_roster (core, &roster)
+  if (roster.n_slots == core->roster.n_slots
+      && !roster_equal (&core->roster, &roster)
       && roster_slot (&roster, core->self) != SLOT_NONE)
     core_peers_adopt (core, &roster);
 }
@@ -382,7 +367,7 @@
       blob_unref (item->body.agree.message);
       free (item);
     }
-  rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
+  rpc_reply_void (call);
 }
 
 /* Post CALL with its arguments, read by FILTER into ARGS of ITEM.  */
@@ -402,7 +387,7 @@
              LOG_S ("reason", "the mailbox is full"));
   xdr_free (filter, args);
   free (item);
-  rpc_reply (call, (xdrproc_t)xdr_nothing, NULL);
+  rpc_reply_void (call);
 }
 
 static void
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -150,7 +150,6 @@
       record.is_direct = true;
       router_table_merge (&core->routers, &record);
     }
-  core_pulls_routers (core, now);
 }
 
 void
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -173,21 +173,11 @@
   publish_config (core);
 }
 
-/* Persist actions go out in order, so a waiting one holds back the rest.  */
 void
 core_replica_write (director_core_t *core)
 {
-  list_t *link;
-  while (core->disk && (link = list_pop_front (&core->records)))
-    {
-      action_t *action = LIST_ENTRY (link, action_t, link);
-      if (!storage_thread_write (core->disk, &action->body.persist))
-        {
-          list_push_front (&core->records, link);
-          return;
-        }
-      action_free (action);
-    }
+  if (core->disk)
+    storage_thread_write_all (core->disk, &core->records);
 }
 
 /* True where ACTION was kept.  */
--- a/src/director/main_director.c
+++ b/src/director/main_director.c
@@ -3,11 +3,9 @@
 
 #include <argp.h>
 #include <curl/curl.h>
-#include <errno.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/stat.h>
 
+#include "agreement/storage.h"
 #include "base/log.h"
 #include "director/director_core.h"
 #include "director/director_port.h"
@@ -34,23 +32,13 @@
 } director_t;
 
 static bool
-make_folder (const char *folder, err_t *err)
+open_core (director_t *director, const fleet_program_t *program, err_t *err)
 {
+  const char *folder = program->settings->data_folder;
   if (!folder[0])
     return err_set (err, ERR_SETTINGS, "set data_folder in the settings",
                     "a director needs a data folder");
-  if (mkdir (folder, 0700) == 0 || errno == EEXIST)
-    return true;
-  return err_set (err, ERR_STORAGE,
-                  "check the data folder's disk, its space and its owner",
-                  "can't make %s: %s", folder, strerror (errno));
-}
-
-static bool
-open_core (director_t *director, const fleet_program_t *program, err_t *err)
-{
-  const char *folder = program->settings->data_folder;
-  if (!make_folder (folder, err))
+  if (!storage_make_folder (folder, err))
     return false;
   const director_core_options_t options = { .feed = program->feed,
                                             .rpc = director->rpc,
--- a/src/director/roster.c
+++ b/src/director/roster.c
@@ -12,6 +12,13 @@
   return SLOT_NONE;
 }
 
+bool
+roster_equal (const roster_t *a, const roster_t *b)
+{
+  return a->n_slots == b->n_slots
+         && memcmp (a->addresses, b->addresses, sizeof a->addresses) == 0;
+}
+
 void
 roster_former_init (roster_former_t *former, uint32_t self,
                     const uint32_t *seeds, size_t n_seeds, bool is_first,
--- a/src/director/roster.h
+++ b/src/director/roster.h
@@ -37,6 +37,8 @@
 /* SLOT_NONE where ADDRESS holds none.  */
 slot_t roster_slot (const roster_t *roster, uint32_t address);
 
+bool roster_equal (const roster_t *a, const roster_t *b);
+
 /* How the roster is formed at the first start.  */
 typedef struct roster_former
 {
--- a/src/entry/shared_quarantine.c
+++ b/src/entry/shared_quarantine.c
@@ -73,7 +73,7 @@
   pthread_mutex_lock (&shared->lock);
   quarantine_merge (shared->quarantine, &message, clock_monotonic ());
   pthread_mutex_unlock (&shared->lock);
-  rpc_reply (call, (xdrproc_t)(void (*) (void))xdr_void, NULL);
+  rpc_reply_void (call);
   xdr_free ((xdrproc_t)xdr_entry_marks_t, (char *)&args);
 }
 
--- a/src/wire/rpc.c
+++ b/src/wire/rpc.c
@@ -391,6 +391,12 @@
   apr_pollset_wakeup (rpc->pollset);
 }
 
+void
+rpc_reply_void (rpc_call_t *call)
+{
+  rpc_reply (call, (xdrproc_t)rpc_xdr_nothing, NULL);
+}
+
 void
 rpc_count_garbage (rpc_t *rpc)
 {
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -108,6 +108,8 @@
 
 /* Answer CALL from any thread; CALL is gone after it.  */
 void rpc_reply (rpc_call_t *call, xdrproc_t proc, void *result);
+/* The same for a call that has no result.  */
+void rpc_reply_void (rpc_call_t *call);
 
 typedef struct rpc_request
 {
--- a/src/wire/rpc_message.c
+++ b/src/wire/rpc_message.c
@@ -44,9 +44,8 @@
          && xdr_opaque (xdr, (char *)id->mac, RPC_MAC_BYTES);
 }
 
-/* Results are handled apart from a reply's header.  */
-static bool_t
-xdr_nothing (XDR *xdr, void *result)
+bool_t
+rpc_xdr_nothing (XDR *xdr, void *result)
 {
   (void)xdr;
   (void)result;
@@ -226,7 +225,7 @@
     }
   message->rm_reply.rp_stat = MSG_ACCEPTED;
   struct accepted_reply *reply = &message->acpted_rply;
-  reply->ar_results.proc = (xdrproc_t)xdr_nothing;
+  reply->ar_results.proc = (xdrproc_t)rpc_xdr_nothing;
   switch (status)
     {
     case RPC_STATUS_OK:
@@ -311,7 +310,7 @@
   char verifier[MAX_AUTH_BYTES];
   struct rpc_msg message = { 0 };
   message.acpted_rply.ar_verf.oa_base = verifier;
-  message.acpted_rply.ar_results.proc = (xdrproc_t)xdr_nothing;
+  message.acpted_rply.ar_results.proc = (xdrproc_t)rpc_xdr_nothing;
   XDR xdr;
   xdrmem_create (&xdr, (char *)record, (u_int)length, XDR_DECODE);
   if (!xdr_replymsg (&xdr, &message) || message.rm_direction != REPLY)
--- a/src/wire/rpc_message.h
+++ b/src/wire/rpc_message.h
@@ -10,6 +10,9 @@
 
 #include "wire/rpc.h"
 
+/* The XDR filter of a call or an answer that carries nothing.  */
+bool_t rpc_xdr_nothing (XDR *xdr, void *result);
+
 enum
 {
   RPC_MAC_BYTES = 32,        /* HMAC-SHA256 */
