refactor(router,fleet): dead reasons, one way to give up a call

REASON_QUARANTINE was never given, pool_capacity_t.in_flight never read. dispatcher_abort serves the caller who leaves, the stop and the expiry. A delta of the list is applied by look-ups in sorted records in place of a walk over the delta for each record. The tests' ready() and the fault shim's numbers stand once.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -171,8 +171,7 @@
 typedef struct pool_capacity
 {
   uint32_t slots;
-  uint32_t in_flight; /* of this router */
-  usec_t latency;     /* 0: not known */
+  usec_t latency; /* 0: not known */
 } pool_capacity_t;
 
 pool_capacity_t backend_pool_capacity (const backend_pool_t *pool,
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -208,7 +208,6 @@
       if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
         continue;
       capacity.slots += backend->record.slots;
-      capacity.in_flight += backend->in_flight;
       if (backend->latency == 0)
         continue;
       sum += backend->latency;
--- a/src/fleet/list_update.c
+++ b/src/fleet/list_update.c
@@ -131,32 +131,40 @@
   list->read_at = at;
 }
 
+static int
+compare_ids (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The sender has the ids in order; where it has not, the digest tells.  */
 static bool
-is_in_delta (const fleet_delta_t *delta, const char *id)
+is_gone (const fleet_delta_t *delta, const char *id)
 {
-  for (u_int i = 0; i < delta->gone.gone_len; i++)
-    if (strcmp (delta->gone.gone_val[i], id) == 0)
-      return true;
-  for (u_int i = 0; i < delta->changed.changed_len; i++)
-    if (strcmp (delta->changed.changed_val[i].id, id) == 0)
-      return true;
-  return false;
+  return delta->gone.gone_len > 0
+         && bsearch (&id, delta->gone.gone_val, delta->gone.gone_len,
+                     sizeof delta->gone.gone_val[0], compare_ids);
 }
 
 static void
 apply_delta (backend_list_t *list, const fleet_delta_t *delta)
 {
-  size_t n = 0;
-  for (size_t i = 0; i < list->n_records; i++)
-    if (!is_in_delta (delta, list->records[i].id))
-      list->records[n++] = list->records[i];
-  list->n_records = n;
-  backend_list_t next = { .read_at = list->read_at };
-  for (size_t i = 0; i < n; i++)
-    backend_list_add (&next, &list->records[i]);
+  backend_list_t changed = { 0 };
   fleet_wire_add_backends (delta->changed.changed_val,
-                           delta->changed.changed_len, &next);
+                           delta->changed.changed_len, &changed);
+  backend_list_seal (&changed);
+  backend_list_t next = { .read_at = list->read_at };
+  for (size_t i = 0; i < list->n_records; i++)
+    {
+      const backend_record_t *record = &list->records[i];
+      if (!is_gone (delta, record->id)
+          && !backend_list_find (&changed, record->id))
+        backend_list_add (&next, record);
+    }
+  for (size_t i = 0; i < changed.n_records; i++)
+    backend_list_add (&next, &changed.records[i]);
   backend_list_seal (&next);
+  backend_list_clear (&changed);
   backend_list_clear (list);
   *list = next;
 }
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -88,18 +88,13 @@
   dispatcher_place (dispatcher, exchange, now);
 }
 
-/* Give up EXCHANGE's call, if there is one.  */
+/* End EXCHANGE's call, if there is one; its backend server is not to blame. */
 static void
 leave_backend (dispatcher_t *dispatcher, exchange_t *exchange)
 {
-  if (!exchange->call)
-    return;
   const backend_outcome_t outcome = { .end = BACKEND_LEFT };
-  backend_http_abort (dispatcher->backends, exchange->call);
-  exchange->call = NULL;
-  backend_pool_ended (dispatcher->pool, exchange->backend, &outcome,
-                      clock_monotonic ());
-  exchange->backend = NULL;
+  if (exchange->call)
+    dispatcher_abort (dispatcher, exchange, &outcome, clock_monotonic ());
 }
 
 void
--- a/src/router/dispatcher_end.c
+++ b/src/router/dispatcher_end.c
@@ -43,13 +43,14 @@
   caller_http_end (dispatcher->port, exchange);
 }
 
-/* "Not run" only where nothing can have started it.  */
-static void
-give_up (dispatcher_t *dispatcher, exchange_t *exchange,
-         exchange_reason_t not_run, exchange_reason_t may_have_run)
+void
+dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
+                  const backend_outcome_t *outcome, usec_t now)
 {
-  dispatcher_end (dispatcher, exchange,
-                  exchange->may_have_run ? may_have_run : not_run);
+  backend_http_abort (dispatcher->backends, exchange->call);
+  exchange->call = NULL;
+  backend_pool_ended (dispatcher->pool, exchange->backend, outcome, now);
+  exchange->backend = NULL;
 }
 
 /* When a caller who was refused may come back.  */
@@ -72,5 +73,6 @@
 {
   if (!exchange->may_have_run && exchange->view->config && exchange->route)
     exchange->retry_after = retry_after (dispatcher, exchange, now);
-  give_up (dispatcher, exchange, reason, REASON_BROKE_OFF);
+  dispatcher_end (dispatcher, exchange,
+                  exchange->may_have_run ? REASON_BROKE_OFF : reason);
 }
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -51,6 +51,10 @@
 void dispatcher_refuse (dispatcher_t *dispatcher, exchange_t *exchange,
                         exchange_reason_t reason, usec_t now);
 
+/* Give up EXCHANGE's call, which ended as OUTCOME for its backend server.  */
+void dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
+                       const backend_outcome_t *outcome, usec_t now);
+
 /* dispatcher_place.c */
 /* The retries that may be sent for EXCHANGE's service.  */
 retry_share_t *dispatcher_retries (dispatcher_t *dispatcher,
--- a/src/router/dispatcher_place.c
+++ b/src/router/dispatcher_place.c
@@ -174,10 +174,7 @@
         = { .end = BACKEND_BROKE_OFF,
             .latency = now - exchange->sent_at,
             .expected = dispatcher_expected_run (exchange) };
-    backend_http_abort (dispatcher->backends, exchange->call);
-    exchange->call = NULL;
-    backend_pool_ended (dispatcher->pool, exchange->backend, &outcome, now);
-    exchange->backend = NULL;
+    dispatcher_abort (dispatcher, exchange, &outcome, now);
     exchange->may_have_run = true;
     dispatcher_end (dispatcher, exchange, REASON_TIMEOUT);
   }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -25,8 +25,6 @@
       return "memory";
     case REASON_STOPPING:
       return "stopping";
-    case REASON_QUARANTINE:
-      return "quarantine";
     case REASON_BROKE_OFF:
       return "broke_off";
     case REASON_TIMEOUT:
@@ -56,7 +54,6 @@
     case REASON_REFUSED:
     case REASON_MEMORY:
     case REASON_STOPPING:
-    case REASON_QUARANTINE:
       return MHD_HTTP_SERVICE_UNAVAILABLE;
     case REASON_BROKE_OFF:
     case REASON_GONE:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -45,7 +45,6 @@
   REASON_REFUSED,     /* 503, not run: backend servers refused it */
   REASON_MEMORY,      /* 503, not run: too many bodies are held */
   REASON_STOPPING,    /* 503, not run: this process ends; ask another */
-  REASON_QUARANTINE,  /* 503, not run: it crashed backend servers */
   REASON_BROKE_OFF,   /* 502: it may have run */
   REASON_TIMEOUT,     /* 504: it may have run */
   REASON_GONE,        /* the caller left */
--- a/test/fakes/fault_shim.c
+++ b/test/fakes/fault_shim.c
@@ -30,6 +30,14 @@
   long step_msec;
 } fault_t;
 
+/* The number that follows a word; 0 where none does.  */
+static long
+read_number (FILE *file)
+{
+  long number = 0;
+  return fscanf (file, "%ld", &number) == 1 ? number : 0;
+}
+
 static fault_t
 fault_read (void)
 {
@@ -44,13 +52,9 @@
       if (strcmp (word, "full") == 0)
         fault.is_full = true;
       else if (strcmp (word, "slow") == 0)
-        fault.slow_msec = fscanf (file, "%ld", &fault.slow_msec) == 1
-                              ? fault.slow_msec
-                              : 0;
+        fault.slow_msec = read_number (file);
       else if (strcmp (word, "step") == 0)
-        fault.step_msec = fscanf (file, "%ld", &fault.step_msec) == 1
-                              ? fault.step_msec
-                              : 0;
+        fault.step_msec = read_number (file);
     }
   fclose (file);
   return fault;
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -111,6 +111,9 @@
 JSON
 }
 
+# Whether a router says that it takes requests.
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(router_address "$1"):7813/ready")" = 200 ]; }
+
 # request ROUTER PATH ID [curl options]: the status.
 request() {
   local router=$1 path=$2 id=$3
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -157,7 +157,6 @@
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
 first_put() { put_next; [ $ACKED -gt 0 ]; }
 wait_for 20 first_put
-ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(router_address "$1"):7813/ready")" = 200 ]; }
 for i in 1 2 3; do wait_for 15 ready $i; done
 for n in $(seq "${SOAK_CALLERS:-8}"); do
   "$BUILD/test/fake-caller" $((SEED * 100 + n)) "$FOLDER/enough" \
