fix(balance): a failure domain whose evacuation ends counts as cold until the list shows it

Cause: the backend servers of an evacuated failure domain come back cold, and the list that shows it lags by up to 0.8 s and a reading. Directors now tell routers which evacuations ended lately; until a reading of the list that began backend_list_lag after the end, such a backend server is limited as a cold one is. A router that has just started learns it with its first pull; a director that replays its log takes the present for the end. A router that the directors don't list took a share of the cold rate beside the listed ones; it has none now.

Ruled out: deciding in each router alone (one that starts after the end would not know), and taking every backend server for cold at a router's start (all routers restarted at once would refuse nearly everything).

What it costs: where the backend servers stayed warm, their failure domain gets the cold rate for about the lag and one reading after the end.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -147,6 +147,20 @@
   return false;
 }
 
+/* Returns whether the list was read too early to show that BACKEND became cold
+   before the evacuation of its failure domain ended.  */
+static bool
+may_be_cold (const backend_pool_t *pool, const backend_t *backend,
+             const pool_update_t *update)
+{
+  usec_t ended_at = update->reopened ? reopened_domains_ended_at (
+                        update->reopened, backend->record.domain.text)
+                                     : 0;
+  return ended_at > 0
+         && update->list->read_at
+                < ended_at + pool->options.settings->backend_list_lag;
+}
+
 void
 backend_pool_update (backend_pool_t *pool, const pool_update_t *update,
                      usec_t now)
@@ -162,6 +176,7 @@
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
     backend->is_evacuated = is_evacuated (update, backend->record.domain.text);
+    backend->may_be_cold = may_be_cold (pool, backend, update);
     pool_cold_start_set_rate (pool, backend, update, now);
     free_if_unused (pool, backend);
   }
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -19,6 +19,7 @@
 #include "base/list.h"
 #include "base/random.h"
 #include "fleet/fleet_defs.h"
+#include "fleet/reopened_domains.h"
 #include "routing/route_defs.h"
 #include "settings/fleet_settings.h"
 
@@ -82,6 +83,7 @@
   usec_t next_probe_at; /* valid while health is BACKEND_DOWN */
   bool is_probing;
 
+  bool may_be_cold;   /* the list is too old to tell; limited as if cold */
   usec_t cold_until;  /* end of the cold start */
   double cold_rate;   /* requests per second of this router while cold */
   double cold_tokens; /* token bucket of cold_rate: requests allowed now */
@@ -122,6 +124,7 @@
   const route_config_t *config; /* NULL: none received yet */
   const name_t *evacuated;      /* failure domains */
   size_t n_evacuated;
+  const reopened_domains_t *reopened; /* NULL: none */
   const pool_router_t *routers;
   size_t n_routers;
 } pool_update_t;
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -8,6 +8,7 @@
 
 #include "balance/pool_internal.h"
 
+#include <stdint.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -28,13 +29,16 @@
 }
 
 /* Returns how many routers of the backend server's region rank before the one
-   with ADDRESS; sets *N to the number of routers in that region.  */
+   with ADDRESS, or SIZE_MAX if that one is not listed in the region; sets *N
+   to the number of routers in that region.  A router that is not listed has no
+   share, because the others divide the whole rate among themselves.  */
 static size_t
 rank_in_region (const backend_t *backend, const pool_update_t *update,
                 uint32_t address, size_t *n)
 {
   uint64_t own_hash = rank_hash (backend, address);
   size_t rank = 0;
+  bool is_listed = false;
   *n = 0;
   for (size_t i = 0; i < update->n_routers; i++)
     {
@@ -42,22 +46,20 @@
       if (strcmp (router->region.text, backend->region.text) != 0)
         continue;
       ++*n;
-      if (router->address != address
-          && rank_hash (backend, router->address) < own_hash)
+      if (router->address == address)
+        is_listed = true;
+      else if (rank_hash (backend, router->address) < own_hash)
         rank++;
     }
-  return rank;
+  return is_listed ? rank : SIZE_MAX;
 }
 
 void
 pool_cold_start_set_rate (backend_pool_t *pool, backend_t *backend,
                           const pool_update_t *update, usec_t now)
 {
-  const fleet_settings_t *settings = pool->options.settings;
   size_t n = 0;
   size_t rank = rank_in_region (backend, update, pool->self, &n);
-  bool is_same_region
-      = strcmp (settings->region.text, backend->region.text) == 0;
   size_t n_sharers = n < SHARERS_MAX ? n : SHARERS_MAX;
   double rate = 0;
   for (size_t i = 0; update->config && i < update->config->n_services; i++)
@@ -65,7 +67,7 @@
                 backend->record.service.text)
         == 0)
       rate = update->config->services[i].cold_rate;
-  if (!is_same_region || rank >= SHARERS_MAX || n_sharers == 0)
+  if (rank >= SHARERS_MAX)
     rate = 0;
   else
     rate = rate * rate_fraction / (double)n_sharers;
@@ -85,16 +87,22 @@
   return tokens < 1 ? tokens : 1;
 }
 
+static bool
+is_limited (const backend_t *backend, usec_t now)
+{
+  return backend->may_be_cold || now < backend->cold_until;
+}
+
 bool
 pool_cold_start_allows (const backend_t *backend, usec_t now)
 {
-  return now >= backend->cold_until || tokens_at (backend, now) >= 1;
+  return !is_limited (backend, now) || tokens_at (backend, now) >= 1;
 }
 
 void
 pool_cold_start_take (backend_t *backend, usec_t now)
 {
-  if (now >= backend->cold_until)
+  if (!is_limited (backend, now))
     return;
   backend->cold_tokens = tokens_at (backend, now) - 1;
   backend->cold_refilled_at = now;
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -14,6 +14,7 @@
 #include "director/director_state.h"
 #include "fleet/list_update.h"
 #include "fleet/packed.h"
+#include "fleet/reopened_domains.h"
 #include "fleet/router_table.h"
 #include "wire/generated/fleet.h"
 
@@ -117,8 +118,9 @@
   director_peer_t peers[ROSTER_MAX]; /* by slot */
 
   director_state_t state;
-  packed_t packed_config;    /* STATE's configuration, as routers get it */
-  log_index_t applied_index; /* STATE includes all entries up to here */
+  reopened_domains_t reopened; /* evacuations of STATE that ended recently */
+  packed_t packed_config;      /* STATE's configuration, as routers get it */
+  log_index_t applied_index;   /* STATE includes all entries up to here */
   usec_t confirmed_at; /* when STATE was last known to be current; 0: never */
   /* At PENDING_CONFIRM_AT the leader had applied entries up to
      PENDING_CONFIRM_INDEX and was current, so STATE is confirmed for that time
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -13,6 +13,9 @@
 #define LIST_REFRESH_AGE_LEADER (400 * USEC_PER_MSEC)
 #define LIST_REFRESH_AGE_FOLLOWER (1400 * USEC_PER_MSEC)
 #define LIST_REFRESH_AGE_PER_SLOT (150 * USEC_PER_MSEC)
+/* How long routers are told that an evacuation has ended; longer than the list
+   of backend servers lags and takes to read.  */
+#define REOPENED_LIFETIME (10 * USEC_PER_SEC)
 
 bool
 director_core_wants_list (director_core_t *core, usec_t now)
@@ -128,6 +131,23 @@
              LOG_U ("gone", gone));
 }
 
+/* Fill in the failure domains whose evacuation ended recently; REOPENED has
+   room for them.  */
+static void
+fill_reopened (director_core_t *core, fleet_pull_result_t *result,
+               fleet_reopened_t *reopened, usec_t now)
+{
+  reopened_domains_expire (&core->reopened, now - REOPENED_LIFETIME);
+  for (size_t i = 0; i < core->reopened.n; i++)
+    {
+      reopened_domain_t *item = &core->reopened.items[i];
+      reopened[i] = (fleet_reopened_t){ .domain = item->name.text,
+                                        .age = now - item->at };
+    }
+  result->reopened.reopened_val = reopened;
+  result->reopened.reopened_len = (u_int)core->reopened.n;
+}
+
 /* Fill in the configuration, if it is newer than the router's, and the
    evacuated failure domains; EVACUATED has room for them.  */
 static void
@@ -174,6 +194,8 @@
                                       args->list_digest, deltas, now)
   };
   fill_state (core, args, &result, evacuated);
+  fleet_reopened_t reopened[REOPENED_DOMAINS_MAX];
+  fill_reopened (core, &result, reopened, now);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
       result.routers.fleet_packed_t_val = core->packed_routers.bytes;
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -137,6 +137,18 @@
     log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
 }
 
+/* Record which evacuations of BEFORE are no longer in force.  A director that
+   replays its log after a restart doesn't know when they ended; the present is
+   the latest time possible.  */
+static void
+note_reopened (director_core_t *core, const director_state_t *before)
+{
+  const director_state_t *state = &core->state;
+  reopened_domains_add_ended (&core->reopened, before->evacuated,
+                              before->n_evacuated, state->evacuated,
+                              state->n_evacuated, clock_monotonic ());
+}
+
 static void
 apply_entry (director_core_t *core, const entry_t *entry)
 {
@@ -147,16 +159,17 @@
                LOG_U ("index", entry->index));
   if (entry->kind != ENTRY_COMMAND)
     return;
-  uint64_t version = core->state.config_version;
+  const director_state_t before = core->state;
   err_t err = { 0 };
   if (!director_state_apply (&core->state, entry->index, entry->body.command,
                              &err))
     log_error (LOG_LEVEL_ERROR, "command_not_understood", &err);
+  note_reopened (core, &before);
   LOG_EVENT (LOG_LEVEL_INFO, "command_applied", LOG_U ("index", entry->index),
              LOG_U ("version", core->state.config_version),
-             LOG_U ("version_before", version),
+             LOG_U ("version_before", before.config_version),
              LOG_U ("evacuated", core->state.n_evacuated));
-  if (core->state.config_version != version)
+  if (core->state.config_version != before.config_version)
     publish_config (core);
   if (entry->proposal)
     core_operator_applied (core, entry->proposal);
@@ -165,12 +178,14 @@
 static void
 restore_snapshot (director_core_t *core, const action_t *action)
 {
+  const director_state_t before = core->state;
   err_t err = { 0 };
   if (!director_state_restore (&core->state, action->body.restore.data, &err))
     {
       log_error (LOG_LEVEL_ERROR, "snapshot_not_understood", &err);
       return;
     }
+  note_reopened (core, &before);
   core->applied_index = action->body.restore.index;
   LOG_EVENT (LOG_LEVEL_INFO, "snapshot_restored",
              LOG_U ("index", core->applied_index),
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -165,6 +165,7 @@
   backend_list_copy (&copy->list, &snapshot->list);
   copy->n_evacuated = snapshot->n_evacuated;
   copy->evacuated = calloc (snapshot->n_evacuated + 1, sizeof (name_t));
+  copy->reopened = snapshot->reopened;
   copy->n_routers = snapshot->n_routers;
   copy->routers = calloc (snapshot->n_routers + 1, sizeof (pool_router_t));
   if (!copy->evacuated || !copy->routers)
@@ -209,14 +210,33 @@
   return true;
 }
 
+/* Record which evacuations have ended: those that the director names, also if
+   this process has just started, and those that were in force here.  */
+static void
+note_reopened (fleet_snapshot_t *snapshot, const name_t *before,
+               size_t n_before, const fleet_pull_result_t *result, usec_t now)
+{
+  reopened_domains_add_ended (&snapshot->reopened, before, n_before,
+                              snapshot->evacuated, snapshot->n_evacuated, now);
+  for (u_int i = 0; i < result->reopened.reopened_len; i++)
+    {
+      const fleet_reopened_t *item = &result->reopened.reopened_val[i];
+      name_t name;
+      if (item->age >= 0 && item->age < now
+          && name_parse (&name, item->domain, NULL))
+        reopened_domains_add (&snapshot->reopened, &name, now - item->age);
+    }
+}
+
 static bool
 apply_evacuations (director_sync_t *sync, fleet_snapshot_t *snapshot,
-                   const fleet_pull_result_t *result)
+                   const fleet_pull_result_t *result, usec_t now)
 {
   if (result->evacuations_index <= sync->evacuations_index)
     return false;
   size_t n = 0;
-  free (snapshot->evacuated);
+  name_t *before = snapshot->evacuated;
+  size_t n_before = snapshot->n_evacuated;
   snapshot->evacuated
       = calloc (result->evacuated.evacuated_len + 1u, sizeof (name_t));
   if (!snapshot->evacuated)
@@ -226,6 +246,8 @@
                     result->evacuated.evacuated_val[i], NULL))
       n++;
   snapshot->n_evacuated = n;
+  note_reopened (snapshot, before, n_before, result, now);
+  free (before);
   sync->evacuations_index = result->evacuations_index;
   LOG_EVENT (LOG_LEVEL_INFO, "evacuations_in_force",
              LOG_U ("index", sync->evacuations_index), LOG_U ("domains", n),
@@ -334,10 +356,53 @@
     director->round_trip = round_trip;
 }
 
+/* Returns when the list that RESULT's sender has was read.  */
+static usec_t
+list_read_at (const fleet_pull_result_t *result, usec_t now)
+{
+  return now - (result->list.age > 0 ? result->list.age : 0);
+}
+
+/* Returns whether RESULT shows that this router's list is unchanged at a
+   reading late enough for a failure domain in REOPENED.  */
+static bool
+confirms_reopened (const director_sync_t *sync,
+                   const fleet_pull_result_t *result, usec_t now)
+{
+  const reopened_domains_t *reopened = &sync->snapshot->reopened;
+  usec_t shown_at
+      = list_read_at (result, now) - sync->options.settings->backend_list_lag;
+  if (sync->list_digest == 0 || result->list.digest != sync->list_digest)
+    return false;
+  for (size_t i = 0; i < reopened->n; i++)
+    if (reopened->items[i].at <= shown_at)
+      return true;
+  return false;
+}
+
+/* Move the time of reading forward if the list is unchanged, and forget the
+   reopened failure domains whose backend servers the list now shows.  Returns
+   true if SNAPSHOT changed.  */
+static bool
+apply_list_time (const director_sync_t *sync, fleet_snapshot_t *snapshot,
+                 const fleet_pull_result_t *result, usec_t now)
+{
+  usec_t read_at = list_read_at (result, now);
+  if (snapshot->list.digest != 0
+      && result->list.digest == snapshot->list.digest
+      && read_at > snapshot->list.read_at)
+    list_update_advance_time (&snapshot->list, read_at);
+  return reopened_domains_expire (
+      &snapshot->reopened,
+      snapshot->list.read_at - sync->options.settings->backend_list_lag + 1);
+}
+
 static bool
-has_changes (const director_sync_t *sync, const fleet_pull_result_t *result)
+has_changes (const director_sync_t *sync, const fleet_pull_result_t *result,
+             usec_t now)
 {
   return result->config_version > sync->config_version
+         || confirms_reopened (sync, result, now)
          || result->evacuations_index > sync->evacuations_index
          || result->routers.fleet_packed_t_len > 0
          || result->list.whole.fleet_packed_t_len > 0
@@ -349,12 +414,13 @@
 apply_changes (director_sync_t *sync, const fleet_pull_result_t *result,
                usec_t now)
 {
-  if (!has_changes (sync, result))
+  if (!has_changes (sync, result, now))
     return false;
   fleet_snapshot_t *snapshot = snapshot_copy (sync->snapshot);
   bool changed = apply_config (sync, snapshot, result);
-  changed = apply_evacuations (sync, snapshot, result) || changed;
+  changed = apply_evacuations (sync, snapshot, result, now) || changed;
   changed = apply_backend_list (sync, snapshot, result, now) || changed;
+  changed = apply_list_time (sync, snapshot, result, now) || changed;
   changed = apply_routers (sync, snapshot, result, now) || changed;
   fleet_snapshot_unref (changed ? sync->snapshot : snapshot);
   if (changed)
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -175,6 +175,7 @@
                                  .config = snapshot->config,
                                  .evacuated = snapshot->evacuated,
                                  .n_evacuated = snapshot->n_evacuated,
+                                 .reopened = &snapshot->reopened,
                                  .routers = snapshot->routers,
                                  .n_routers = snapshot->n_routers };
   backend_pool_update (dispatcher->pool, &update, now);
--- a/src/router/fleet_snapshot.h
+++ b/src/router/fleet_snapshot.h
@@ -27,6 +27,8 @@
   backend_list_t list;
   size_t n_evacuated;
   name_t *evacuated; /* failure domains */
+  /* Those whose evacuation ended later than LIST can show.  */
+  reopened_domains_t reopened;
   size_t n_routers;
   pool_router_t *routers;
 } fleet_snapshot_t;
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -38,6 +38,8 @@
   TOP_FIELD ("backend_list", YAML_FIELD_INET, true, settings.backend_list),
   TOP_FIELD ("backend_list_rate", YAML_FIELD_REAL, true,
              settings.backend_list_rate),
+  TOP_FIELD ("backend_list_lag", YAML_FIELD_DURATION, false,
+             settings.backend_list_lag),
   TOP_FIELD ("failure_domains", YAML_FIELD_NODE, true, domains),
   TOP_FIELD ("seeds", YAML_FIELD_NODE, true, seeds),
   TOP_FIELD ("bounds", YAML_FIELD_NODE, true, bounds),
@@ -147,6 +149,7 @@
     return NULL;
   document_t document;
   memset (&document, 0, sizeof document);
+  document.settings.backend_list_lag = FLEET_LIST_LAG_DEFAULT;
   bool ok = read_document (&reader, &document, err);
   yaml_reader_close (&reader);
   if (!ok)
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -23,6 +23,9 @@
   FLEET_SEEDS_MAX = 8,
 };
 
+/* backend_list_lag where the settings don't give it.  */
+#define FLEET_LIST_LAG_DEFAULT (1 * USEC_PER_SEC)
+
 typedef struct fleet_domain
 {
   name_t name;
@@ -63,6 +66,7 @@
   char data_folder[SETTINGS_PATH_BYTES]; /* "": nothing is stored on disk */
   inet_t backend_list;      /* the service that lists the backend servers */
   double backend_list_rate; /* calls per second to it, of all VMs together */
+  usec_t backend_list_lag;  /* longest delay until it shows a change */
   size_t n_domains;
   fleet_domain_t domains[FLEET_DOMAINS_MAX];
   size_t n_seeds;
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -94,6 +94,13 @@
   fleet_router_t routers<FLEET_WIRE_ROUTERS_MAX>;
 };
 
+/* A failure domain whose evacuation ended recently. */
+struct fleet_reopened_t
+{
+  string domain<FLEET_NAME_BYTES_MAX>;
+  int64_t age; /* usec since the sender learned of the end */
+};
+
 struct fleet_pull_result_t
 {
   /* usec since this state was known to be the newest; -1: never */
@@ -107,6 +114,7 @@
   fleet_packed_t routers; /* a fleet_peers_t; empty: the router has it */
   fleet_list_update_t list;
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
+  fleet_reopened_t reopened<FLEET_WIRE_DOMAINS_MAX>;
 };
 
 /* Which director holds which slot of the log. */
--- a/test/support/pool_world.h
+++ b/test/support/pool_world.h
@@ -17,6 +17,7 @@
   DOMAINS = 6,
   SLOTS = 3,
   MEMORY = 25, /* objects kept in the cache of a backend server */
+  ROUTERS_MAX = 72,
 };
 
 #define NOW (100 * USEC_PER_SEC)
@@ -34,10 +35,11 @@
   service_config_t service;
   route_config_t config;
   route_t route;
-  pool_router_t routers[9];
+  pool_router_t routers[ROUTERS_MAX];
   size_t n_routers;
   name_t evacuated;
   bool is_evacuated;
+  reopened_domains_t reopened;
 } world_t;
 
 static inline void
@@ -95,11 +97,33 @@
                                  .config = &world->config,
                                  .evacuated = &world->evacuated,
                                  .n_evacuated = world->is_evacuated,
+                                 .reopened = &world->reopened,
                                  .routers = world->routers,
                                  .n_routers = world->n_routers };
   backend_pool_update (pool, &change, now);
 }
 
+/* Lists N routers of the region "north", with the addresses from 10.0.0.1.  */
+static inline void
+add_routers (world_t *world, size_t n)
+{
+  world->n_routers = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      world->routers[i].address = 0x0a000001 + (uint32_t)i;
+      g_strlcpy (world->routers[i].region.text, "north",
+                 sizeof world->routers[i].region.text);
+    }
+}
+
+/* Sets the address of the router under test to the one of router INDEX.  */
+static inline void
+become_router (world_t *world, size_t index)
+{
+  snprintf (world->settings.address, sizeof world->settings.address,
+            "10.0.0.%zu", index + 1);
+}
+
 static inline backend_pool_t *
 pool_open (world_t *world)
 {
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -221,18 +221,11 @@
   world.list.records[0].cold_left = 10 * USEC_PER_SEC;
   backend_list_finalize (&world.list);
   world.list.read_at = NOW;
-  world.n_routers = ROUTERS;
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    {
-      world.routers[i].address = 0x0a000001 + i;
-      g_strlcpy (world.routers[i].region.text, "north",
-                 sizeof world.routers[i].region.text);
-    }
+  add_routers (&world, ROUTERS);
   int sent[STEPS] = { 0 };
   for (unsigned i = 0; i < ROUTERS; i++)
     {
-      snprintf (world.settings.address, sizeof world.settings.address,
-                "10.0.0.%u", i + 1);
+      become_router (&world, i);
       backend_pool_t *pool = pool_open (&world);
       for (int step = 0; step < STEPS; step++)
         {
@@ -275,10 +268,7 @@
   for (size_t i = 0; i < world.list.n_records; i++)
     if (!g_str_has_prefix (world.list.records[i].domain.text, "north"))
       world.list.records[i].cold_left = 10 * USEC_PER_SEC;
-  world.n_routers = 1;
-  world.routers[0].address = 0x0a000001;
-  g_strlcpy (world.routers[0].region.text, "north",
-             sizeof world.routers[0].region.text);
+  add_routers (&world, 1);
   backend_pool_t *pool = pool_open (&world);
   for (uint64_t object = 1; object <= 100; object++)
     {
