fix(director): up to 63 directors, and what doesn't fit is said and ends nothing

Cause: the log, the roster and the messages had 15 slots. With the limit raised alone, three places ended the process: a message and a stored record of a configuration over about 25 slots were larger than the 256 bytes set aside (abort), and a call whose arguments don't fit their .x limits aborted in the RPC layer.

Now 63 slots everywhere, checked against each other at compile time; sizes follow from REPLICAS_MAX; a call that doesn't fit fails by itself and logs rpc_call_too_long with the remedy, before it closes a connection under other calls; rpc_reply_too_long names the procedure, not the call's number; more directors than slots log roster_full once, and a seed that comes last takes the place of one that is no seed. A roster file with a damaged line is an error now, never a shorter roster. Files of today's programs are read as before.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,11 @@
 check-tidy: all
 	printf '%s\n' $(TIDY_SOURCES) | xargs -P $(JOBS) -n 1 clang-tidy --quiet -p $(BUILD)
 
+# The committed code is what the .x files make.
+check-generated:
+	folder=$$(mktemp -d) && src/wire/generate.sh $$folder \
+	  && diff -r $$folder src/wire/generated && rm -r $$folder
+
 check-build: all
 	cd $(BUILD) && ctest --output-on-failure -j $(JOBS) -E "$$KNOWN_RED"
 
@@ -58,5 +63,5 @@
 clean:
 	rm -rf $(BUILD) $(SANITIZE_BUILD)
 
-.PHONY: all help install-deps format check-format check-tidy check-build \
+.PHONY: all help install-deps format check-format check-tidy check-generated check-build \
 	check-sanitize check demo bench clean
--- a/src/agreement/codec.h
+++ b/src/agreement/codec.h
@@ -22,6 +22,9 @@
 /* After a failure to decode, *ENTRY is NULL.  */
 bool entry_filter (XDR *xdrs, entry_t **entry);
 
+/* The encoded size in bytes of the largest configuration.  */
+#define CONFIG_BYTES_MAX ((size_t)(16 + 8 * REPLICAS_MAX))
+
 bool config_filter (XDR *xdrs, replica_config_t *config);
 
 #endif
--- a/src/agreement/entry.h
+++ b/src/agreement/entry.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  REPLICAS_MAX = 15,
+  REPLICAS_MAX = 63,
   SLOT_NONE = 0xff,
 };
 
--- a/src/agreement/message.c
+++ b/src/agreement/message.c
@@ -5,6 +5,11 @@
 
 #include "agreement/codec.h"
 
+enum
+{
+  MESSAGE_FIXED_BYTES_MAX = 256, /* without a configuration and contents */
+};
+
 /* Each filter both encodes and decodes.  For decoding, x_public points to the
    input's length, so that a filter never allocates more than the input can
    hold.  */
@@ -158,7 +163,7 @@
 static size_t
 message_bytes (const message_t *message)
 {
-  size_t bytes = 256;
+  size_t bytes = MESSAGE_FIXED_BYTES_MAX + CONFIG_BYTES_MAX;
   if (message->kind == MESSAGE_APPEND)
     for (uint32_t i = 0; i < message->body.append.n_entries; i++)
       bytes += entry_bytes (message->body.append.entries[i]);
--- a/src/agreement/storage_record.c
+++ b/src/agreement/storage_record.c
@@ -71,7 +71,7 @@
 blob_t *
 storage_encode (const persist_t *persist)
 {
-  size_t bytes = PERSIST_FIXED_BYTES_MAX;
+  size_t bytes = PERSIST_FIXED_BYTES_MAX + CONFIG_BYTES_MAX;
   if (persist->replaces_log && persist->snapshot.data)
     bytes += persist->snapshot.data->length;
   for (size_t i = 0; i < persist->n_entries; i++)
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -23,6 +23,11 @@
   MAILBOX_ITEMS_MAX = 4096,
 };
 
+/* A roster of any size that a replica accepts fits into each message.  */
+_Static_assert((int)ROSTER_MAX == FLEET_WIRE_DIRECTORS_MAX
+                   && (int)FLEET_DIRECTORS_MAX == FLEET_WIRE_DIRECTORS_MAX,
+               "the limits of directors differ");
+
 #define CORE_TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
@@ -114,6 +119,7 @@
 
   roster_t roster;
   roster_bootstrap_t bootstrap;
+  bool has_warned_roster_full;
   usec_t next_announce_at;
   director_peer_t peers[ROSTER_MAX]; /* by slot */
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -175,6 +175,20 @@
   core_peers_adopt_roster (core, &new_roster);
 }
 
+/* Said once; the director stands by, as the announcements go on.  */
+static void
+warn_roster_full (director_core_t *core, uint32_t address)
+{
+  if (core->has_warned_roster_full)
+    return;
+  core->has_warned_roster_full = true;
+  char text[INET_TEXT_BYTES];
+  inet_format_address (address, text);
+  LOG_EVENT (LOG_LEVEL_ERROR, "roster_full", LOG_U ("slots", ROSTER_MAX),
+             LOG_S ("director", text),
+             LOG_S ("remedy", "run fewer directors; the others stand by"));
+}
+
 void
 core_peers_handle_announce (director_core_t *core, core_item_t *item,
                             usec_t now)
@@ -183,8 +197,9 @@
   roster_t roster = roster_from_wire (&args->roster);
   if (core->roster.n_slots == 0)
     {
-      if (args->is_first)
-        roster_bootstrap_add (&core->bootstrap, args->address, now);
+      if (args->is_first
+          && !roster_bootstrap_add (&core->bootstrap, args->address, now))
+        warn_roster_full (core, args->address);
       if (roster.n_slots > 0)
         core_peers_adopt_roster (core, &roster);
     }
--- a/src/director/roster.c
+++ b/src/director/roster.c
@@ -19,6 +19,15 @@
          && memcmp (a->addresses, b->addresses, sizeof a->addresses) == 0;
 }
 
+static bool
+is_seed (const roster_bootstrap_t *bootstrap, uint32_t address)
+{
+  for (size_t i = 0; i < bootstrap->n_seeds; i++)
+    if (bootstrap->seeds[i] == address)
+      return true;
+  return false;
+}
+
 void
 roster_bootstrap_init (roster_bootstrap_t *bootstrap, uint32_t own_address,
                        const uint32_t *seeds, size_t n_seeds,
@@ -37,10 +46,8 @@
       bootstrap->is_coordinator
           = bootstrap->is_coordinator && own_address <= seeds[i];
     }
-  bool is_seed = false;
-  for (size_t i = 0; i < bootstrap->n_seeds; i++)
-    is_seed = is_seed || bootstrap->seeds[i] == own_address;
-  bootstrap->is_coordinator = bootstrap->is_coordinator && is_seed;
+  bootstrap->is_coordinator
+      = bootstrap->is_coordinator && is_seed (bootstrap, own_address);
 }
 
 static bool
@@ -52,15 +59,34 @@
   return false;
 }
 
-void
+/* The roster is not created without all seeds.  */
+static void
+replace_by_seed (roster_bootstrap_t *bootstrap, uint32_t seed, usec_t now)
+{
+  for (size_t i = bootstrap->n_announced; i-- > 0;)
+    if (!is_seed (bootstrap, bootstrap->announced[i]))
+      {
+        bootstrap->announced[i] = seed;
+        bootstrap->last_announced_at = now;
+        return;
+      }
+}
+
+bool
 roster_bootstrap_add (roster_bootstrap_t *bootstrap, uint32_t address,
                       usec_t now)
 {
-  if (has_announced (bootstrap, address)
-      || bootstrap->n_announced == ROSTER_MAX)
-    return;
+  if (has_announced (bootstrap, address))
+    return true;
+  if (bootstrap->n_announced == ROSTER_MAX)
+    {
+      if (is_seed (bootstrap, address))
+        replace_by_seed (bootstrap, address, now);
+      return false;
+    }
   bootstrap->announced[bootstrap->n_announced++] = address;
   bootstrap->last_announced_at = now;
+  return true;
 }
 
 static int
--- a/src/director/roster.h
+++ b/src/director/roster.h
@@ -62,8 +62,9 @@
                             size_t n_seeds, bool is_first_start, usec_t now);
 
 /* Record that the director at ADDRESS, at its first start too, has announced
-   itself.  */
-void roster_bootstrap_add (roster_bootstrap_t *bootstrap, uint32_t address,
+   itself.  If there is no room, a seed replaces a director that is not one.
+   Returns false if a director remains without a slot.  */
+bool roster_bootstrap_add (roster_bootstrap_t *bootstrap, uint32_t address,
                            usec_t now);
 
 /* True where this director is to create the roster at NOW; fills in *ROSTER
--- a/src/director/roster_file.c
+++ b/src/director/roster_file.c
@@ -23,6 +23,18 @@
                   strerror (errno));
 }
 
+/* A shorter roster would have other majorities, so a damaged file is never
+   read in part.  */
+static bool
+set_damaged_error (err_t *err, const char *path, size_t line)
+{
+  return err_set (err, ERR_STORAGE,
+                  "remove this file; the director asks the others for the "
+                  "roster",
+                  "%s: line %zu is not one of at most %d addresses", path,
+                  line, ROSTER_MAX);
+}
+
 bool
 roster_file_load (const char *folder, roster_t *roster, err_t *err)
 {
@@ -37,11 +49,17 @@
     {
       line[strcspn (line, "\n")] = '\0';
       if (!inet_parse_address (&roster->addresses[roster->n_slots], line))
-        break;
+        {
+          fclose (file);
+          return set_damaged_error (err, path, roster->n_slots + 1);
+        }
       roster->n_slots++;
     }
   bool ok = !ferror (file);
+  bool is_longer = ok && fgetc (file) != EOF;
   fclose (file);
+  if (is_longer)
+    return set_damaged_error (err, path, roster->n_slots + 1);
   return ok || set_storage_error (err, folder);
 }
 
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -17,7 +17,7 @@
   BACKEND_ID_BYTES = 64, /* with the terminating null byte */
   FLEET_BACKENDS_MAX = 8192,
   FLEET_ROUTERS_MAX = 2048,
-  FLEET_DIRECTORS_MAX = 15,
+  FLEET_DIRECTORS_MAX = 63,
 };
 
 /* One backend server, as the platform's list describes it.  */
--- a/src/wire/rpc.c
+++ b/src/wire/rpc.c
@@ -379,11 +379,12 @@
   reply->connection_id = call->connection_id;
   bool encoded = rpc_message_reply (&reply->frame, &header, proc, result,
                                     call->mac, rpc->key);
+  uint32_t procedure = call->header.procedure;
   rpc_call_free (call);
   if (!encoded)
     {
       LOG_EVENT (LOG_LEVEL_ERROR, "rpc_reply_too_long",
-                 LOG_U ("procedure", header.xid));
+                 LOG_U ("procedure", procedure));
       free (reply);
       return;
     }
--- a/src/wire/rpc_call.c
+++ b/src/wire/rpc_call.c
@@ -64,7 +64,7 @@
 static bool
 args_encode (rpc_out_call_t *call)
 {
-  for (size_t size = 512; size <= 2 * RPC_RECORD_BYTES_MAX; size *= 2)
+  for (size_t size = 512; size <= RPC_RECORD_BYTES_MAX; size *= 2)
     {
       call->args = malloc (size);
       if (!call->args)
@@ -74,9 +74,11 @@
       if (call->request.encode (&xdr, call->request.args))
         {
           call->args_bytes = xdr_getpos (&xdr);
-          return true;
+          if (call->args_bytes <= RPC_ARGS_BYTES_MAX)
+            return true;
         }
       free (call->args);
+      call->args = NULL;
     }
   return false;
 }
@@ -93,7 +95,6 @@
   call->request.address = call->address;
   call->deadline = clock_monotonic () + request->timeout;
   list_init (&call->link);
-  if (request->encode && !args_encode (call))
-    abort ();
+  call->is_too_long = request->encode && !args_encode (call);
   return call;
 }
--- a/src/wire/rpc_call.h
+++ b/src/wire/rpc_call.h
@@ -8,6 +8,12 @@
 #include "wire/rpc.h"
 #include "wire/rpc_message.h"
 
+enum
+{
+  /* The rest of a record is for the mark and the header of the call.  */
+  RPC_ARGS_BYTES_MAX = RPC_RECORD_BYTES_MAX - 1024,
+};
+
 /* An incoming call.  */
 struct rpc_call
 {
@@ -27,6 +33,7 @@
   char address[16]; /* request.address points here */
   char *args;
   size_t args_bytes;
+  bool is_too_long; /* the arguments don't fit into a record; ARGS is NULL */
   usec_t deadline;
   usec_t sent_at;
   uint32_t xid;
@@ -48,8 +55,8 @@
                           size_t args_bytes);
 void rpc_call_free (rpc_call_t *call);
 
-/* A new call with REQUEST's arguments encoded.  Arguments that can't be
-   encoded are a programming error and abort the process.  */
+/* A new call with REQUEST's arguments encoded.  If they exceed the limits of
+   the procedure or RPC_ARGS_BYTES_MAX, the call is marked as too long.  */
 rpc_out_call_t *rpc_out_call_new (const rpc_request_t *request);
 
 /* Count an incoming call whose arguments are malformed.  */
--- a/src/wire/rpc_client.c
+++ b/src/wire/rpc_client.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 
 static void
 call_finish (rpc_t *rpc, rpc_out_call_t *call, const rpc_result_t *result)
@@ -291,9 +292,31 @@
   return true; /* its call has already timed out */
 }
 
+/* End CALL, whose arguments can't be sent, and log it: a peer that never gets
+   an update is hard to trace otherwise.  */
+static void
+call_refuse (rpc_t *rpc, rpc_out_call_t *call)
+{
+  rpc_result_t result = { 0 };
+  err_set (&result.error, ERR_USAGE,
+           "send fewer items in one call, or raise the limit in the .x file",
+           "call to %s:%u: the arguments of procedure %u of program 0x%x "
+           "exceed its limits or %d bytes",
+           call->request.address, call->request.port, call->request.procedure,
+           call->request.program, RPC_ARGS_BYTES_MAX);
+  log_error (LOG_LEVEL_ERROR, "rpc_call_too_long", &result.error);
+  call_finish (rpc, call, &result);
+}
+
 void
 rpc_client_call (rpc_t *rpc, rpc_out_call_t *call)
 {
+  if (call->is_too_long)
+    {
+      rpc->n_calls++;
+      call_refuse (rpc, call);
+      return;
+    }
   rpc_peer_t *peer
       = peer_find_or_add (rpc, call->request.address, call->request.port);
   if (!peer)
--- /dev/null
+++ b/test/functional/test_fleet_directors.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# 27 directors: they come to a roster, acknowledge a configuration, lose nine of
+# them, are all killed at once, and still know what they acknowledged.  Guards
+# against a deployment of many directors that never gets a roster, and against
+# messages that do not fit.
+set -euo pipefail
+BUILD=$1
+SOURCE=$2
+DIRECTORS=27
+source "$SOURCE/test/functional/fleet.sh"
+
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
+for i in $(seq $DIRECTORS); do mkdir "$FOLDER/data-$i"; start_vm director "$i"; done
+start_vm router 1
+put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
+served() { [ "$(request 1 /x/1 "id-$RANDOM")" = 200 ]; }
+in_force() { [ "$(order GET /Config.Get)" = 200 ] && grep -q "$1" "$FOLDER/body"; }
+wait_for 20 put "$(config 00000005 idempotent /x/)"
+wait_for 10 served
+for i in $(seq $DIRECTORS); do
+  grep -q "event=roster_adopted slots=$DIRECTORS" "$FOLDER/director-$i.log" \
+    || fail "director $i adopted no roster of $DIRECTORS slots"
+done
+echo "good: $DIRECTORS directors with one roster"
+
+# A third of them, one failure domain, is gone: the others elect a leader.
+for i in $(seq 3 3 $DIRECTORS); do kill_one KILL "director-$i"; done
+wait_for 10 put "$(config 00000006 idempotent /x/)"
+wait_for 10 served
+echo 'good: nine directors lost'
+
+for i in "${!PIDS[@]}"; do
+  case $i in director-*) kill -KILL "${PIDS[$i]}" ;; esac
+done
+for i in $(seq $DIRECTORS); do
+  wait "${PIDS[director-$i]:-1}" 2>/dev/null || true
+  unset "PIDS[director-$i]"
+done
+FIRST_START=false
+for i in $(seq $DIRECTORS); do start_vm director "$i"; done
+for at in 1 3 $DIRECTORS; do AT=$at wait_for 10 in_force 00000006; done
+wait_for 10 served
+! grep -hE 'rpc_(call|reply)_too_long|roster_full' "$FOLDER"/*.log || fail 'a message did not fit'
+echo 'good: all directors killed'
--- a/test/unit/test_agreement_storage.c
+++ b/test/unit/test_agreement_storage.c
@@ -300,6 +300,30 @@
     }
 }
 
+/* Guards against a process that ends when it writes the snapshot of a cluster
+   with the most replicas possible.  */
+static void
+test_snapshot_of_largest_cluster (void)
+{
+  char *folder = folder_new ();
+  replica_image_t image;
+  storage_t *storage = storage_open (folder, &image, NULL);
+  persist_t persist = { .incarnation = 7, .replaces_log = true };
+  persist.snapshot.index = 4;
+  persist.snapshot.config.n_slots = REPLICAS_MAX;
+  for (int slot = 0; slot < REPLICAS_MAX; slot++)
+    persist.snapshot.config.incarnation[slot] = 1000 + (uint64_t)slot;
+  g_assert_true (write_persist (storage, &persist, NULL));
+  storage_close (storage);
+  storage = storage_open (folder, &image, NULL);
+  g_assert_nonnull (storage);
+  g_assert_cmpmem (&image.snapshot.config, sizeof image.snapshot.config,
+                   &persist.snapshot.config, sizeof persist.snapshot.config);
+  storage_close (storage);
+  image_clear (&image);
+  folder_free (folder);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -314,5 +338,7 @@
                    test_partial_new_log_is_ignored);
   g_test_add_func ("/agreement/storage/full", test_full_disk_stops_all_writes);
   g_test_add_func ("/agreement/storage/folder", test_unusable_folder_fails);
+  g_test_add_func ("/agreement/storage/largest",
+                   test_snapshot_of_largest_cluster);
   return g_test_run ();
 }
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -3,11 +3,13 @@
    router table.  */
 
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <string.h>
 
 #include "director/director_state.h"
 #include "director/lookup.h"
 #include "director/roster.h"
+#include "director/roster_file.h"
 
 static void
 put_config (director_state_t *state, log_index_t index, uint64_t version,
@@ -137,6 +139,71 @@
   g_assert_false (bootstrap.is_coordinator);
 }
 
+/* More directors than slots start at once: guards against writing past the end
+   of the roster, and against a deployment that never gets one because a seed
+   announced itself last.  */
+static void
+test_roster_is_full (void)
+{
+  enum
+  {
+    FIRST = 100,
+    SEED = 300,
+  };
+  const uint32_t seeds[] = { FIRST, SEED };
+  roster_bootstrap_t bootstrap;
+  roster_t roster = { 0 };
+  roster_bootstrap_init (&bootstrap, FIRST, seeds, 2, true, START);
+  for (uint32_t i = 1; i < ROSTER_MAX; i++)
+    g_assert_true (roster_bootstrap_add (&bootstrap, FIRST + i, START));
+  g_assert_false (
+      roster_bootstrap_add (&bootstrap, FIRST + ROSTER_MAX, START));
+  g_assert_false (roster_bootstrap_add (&bootstrap, SEED, START));
+  g_assert_true (roster_bootstrap_add (&bootstrap, SEED, START));
+  g_assert_true (
+      roster_bootstrap_tick (&bootstrap, START + 10 * USEC_PER_SEC, &roster));
+  g_assert_cmpuint (roster.n_slots, ==, ROSTER_MAX);
+  g_assert_cmpint (roster_slot (&roster, FIRST), ==, 0);
+  g_assert_cmpint (roster_slot (&roster, SEED), ==, ROSTER_MAX - 1);
+}
+
+static void
+write_roster (const char *folder, const char *text)
+{
+  g_autofree char *path = g_build_filename (folder, "roster", NULL);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+}
+
+/* Guards against a damaged roster that is read as a shorter one: the director
+   would count other majorities than the rest.  */
+static void
+test_roster_file (void)
+{
+  err_t err = { 0 };
+  roster_t roster;
+  g_autofree char *folder = g_dir_make_tmp ("roster-XXXXXX", NULL);
+  g_autofree char *path = g_build_filename (folder, "roster", NULL);
+  g_assert_true (roster_file_load (folder, &roster, &err));
+  g_assert_cmpuint (roster.n_slots, ==, 0);
+  roster_t full = { .n_slots = ROSTER_MAX };
+  for (uint32_t i = 0; i < ROSTER_MAX; i++)
+    full.addresses[i] = 0xc0a8c801 + i;
+  g_assert_true (roster_file_save (folder, &full, &err));
+  g_assert_true (roster_file_load (folder, &roster, &err));
+  g_assert_true (roster_equal (&roster, &full));
+  write_roster (folder, "10.0.0.1\n10.0.0\n10.0.0.3\n");
+  g_assert_false (roster_file_load (folder, &roster, &err));
+  g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+  GString *long_text = g_string_new (NULL);
+  for (int i = 0; i <= ROSTER_MAX; i++)
+    g_string_append_printf (long_text, "10.0.0.%d\n", i + 1);
+  write_roster (folder, long_text->str);
+  g_assert_false (roster_file_load (folder, &roster, &err));
+  g_string_free (long_text, TRUE);
+  g_unlink (path);
+  g_rmdir (folder);
+}
+
 /* Guards against two directors in one slot: a slot whose holder was heard from
    within ROSTER_SLOT_TIMEOUT must not be assigned to another director.  */
 static void
@@ -248,6 +315,8 @@
   g_test_add_func ("/director/roster-coordinator",
                    test_roster_has_one_coordinator);
   g_test_add_func ("/director/roster-claim", test_roster_free_slot);
+  g_test_add_func ("/director/roster-full", test_roster_is_full);
+  g_test_add_func ("/director/roster-file", test_roster_file);
   g_test_add_func ("/director/lookup", test_lookup);
   g_test_add_func ("/director/router-reports",
                    test_router_reports_in_any_order);
--- a/test/unit/test_wire_rpc.c
+++ b/test/unit/test_wire_rpc.c
@@ -104,13 +104,29 @@
   return rpc;
 }
 
+static void
+waiter_init (waiter_t *waiter)
+{
+  *waiter = (waiter_t){ 0 };
+  g_mutex_init (&waiter->lock);
+  g_cond_init (&waiter->changed);
+}
+
+static void
+waiter_wait (waiter_t *waiter)
+{
+  g_mutex_lock (&waiter->lock);
+  while (!waiter->done)
+    g_cond_wait (&waiter->changed, &waiter->lock);
+  g_mutex_unlock (&waiter->lock);
+}
+
 static waiter_t
 call (rpc_t *rpc, uint16_t port, uint32_t procedure, uint32_t value,
       usec_t timeout)
 {
-  waiter_t waiter = { 0 };
-  g_mutex_init (&waiter.lock);
-  g_cond_init (&waiter.changed);
+  waiter_t waiter;
+  waiter_init (&waiter);
   const rpc_request_t request = { .address = "127.0.0.1",
                                   .port = port,
                                   .program = PROGRAM,
@@ -122,10 +138,7 @@
                                   .done = on_done,
                                   .closure = &waiter };
   rpc_send (rpc, &request);
-  g_mutex_lock (&waiter.lock);
-  while (!waiter.done)
-    g_cond_wait (&waiter.changed, &waiter.lock);
-  g_mutex_unlock (&waiter.lock);
+  waiter_wait (&waiter);
   return waiter;
 }
 
@@ -289,6 +302,57 @@
   rpc_close (server);
 }
 
+/* Fails to encode, as arguments do that exceed the limits of the .x file.  */
+static bool_t
+encode_nothing (XDR *xdr, void *args)
+{
+  (void)xdr;
+  (void)args;
+  return FALSE;
+}
+
+/* Arguments that are too long for a record, or for the limits of the
+   procedure, fail their call alone: guards against the end of the process, and
+   against a connection that is closed under other calls.  */
+static void
+test_too_long_call_fails (void)
+{
+  uint16_t port = free_port ();
+  rpc_t *server = open_rpc (port, 1, key_a);
+  rpc_t *client = open_rpc (0, 2, key_a);
+  char *text = g_strnfill (RPC_RECORD_BYTES_MAX, 'x');
+  const xdrproc_t encode[]
+      = { (xdrproc_t)encode_nothing, (xdrproc_t)xdr_wrapstring };
+  g_assert_true (
+      call (client, port, PROCEDURE_DOUBLE, 4, CALL_TIMEOUT_USEC).ok);
+  for (size_t i = 0; i < G_N_ELEMENTS (encode); i++)
+    {
+      waiter_t waiter;
+      waiter_init (&waiter);
+      const rpc_request_t request = { .address = "127.0.0.1",
+                                      .port = port,
+                                      .program = PROGRAM,
+                                      .version = 1,
+                                      .procedure = PROCEDURE_DOUBLE,
+                                      .encode = encode[i],
+                                      .args = &text,
+                                      .timeout = CALL_TIMEOUT_USEC,
+                                      .done = on_done,
+                                      .closure = &waiter };
+      rpc_send (client, &request);
+      waiter_wait (&waiter);
+      g_assert_false (waiter.ok);
+      g_assert_false (waiter.sent);
+      g_assert_cmpint (waiter.kind, ==, ERR_USAGE);
+    }
+  g_assert_true (
+      call (client, port, PROCEDURE_DOUBLE, 4, CALL_TIMEOUT_USEC).ok);
+  g_assert_cmpuint (rpc_counters (client)->connections, ==, 1);
+  g_free (text);
+  rpc_close (client);
+  rpc_close (server);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -300,6 +364,7 @@
   g_test_add_func ("/wire/rpc/unused", test_unused_connection_is_closed);
   g_test_add_func ("/wire/rpc/garbage", test_garbage_ends_its_connection_only);
   g_test_add_func ("/wire/rpc/replay", test_replay_is_refused);
+  g_test_add_func ("/wire/rpc/too-long", test_too_long_call_fails);
   int failed = g_test_run ();
   apr_terminate ();
   return failed;
