fix(agreement): replicas that stand for election at once yield to one of them

Cause: DIRECTOR_ELECTION_STAGGER was handed to no replica (finding), so that candidates differed by a random wait alone; as written it grew with the slot: the last of 27 would have waited 2.9 s, also for slots that are gone.

Now a replica that asks for pre-votes waits one round trip (less where all have granted theirs) before it becomes a candidate, and yields to one with a newer log or, with an equal log, a lower slot; a voter doesn't grant pre-votes while an election it voted in may still be won; a request that arrives while a lease may hold is answered when it ends. One that asks again and again and can't win (it is heard, but hears nobody) keeps the others for three round trips in ten.

--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -54,6 +54,8 @@
     options->heartbeat_interval = REPLICA_HEARTBEAT_INTERVAL;
   if (options->election_timeout == 0)
     options->election_timeout = REPLICA_ELECTION_TIMEOUT;
+  if (options->round_trip == 0)
+    options->round_trip = REPLICA_ROUND_TRIP;
   if (options->snapshot_interval_entries == 0)
     options->snapshot_interval_entries = SNAPSHOT_INTERVAL_ENTRIES;
   if (options->snapshot_interval_bytes == 0)
@@ -98,6 +100,7 @@
   replica->vote.slot = SLOT_NONE;
   replica->leader = SLOT_NONE;
   replica->pending_slot = SLOT_NONE;
+  replica->held_request.kind = MESSAGE_KINDS;
   replica->leader_heard_at = now;
   if (image->incarnation != 0)
     load_image (replica, image);
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -7,13 +7,15 @@
    sent only after the driver has reported by EVENT_SYNCED that this state is
    on disk.
 
-   The protocol is Raft with pre-votes, leader leases and snapshots.  Votes
-   and acknowledgements are counted per incarnation: an incarnation lasts as
-   long as the contents of one data folder.  A replica that lost its data
-   folder restarts under a new incarnation without a vote.  It catches up with
-   the log, and an ENTRY_VOTER_CHANGE then gives it the vote of its slot's
-   former incarnation.  While such a change is not known to be committed,
-   neither of the two incarnations counts towards a quorum.
+   The protocol is Raft with pre-votes, leader leases and snapshots.  Replicas
+   that ask for pre-votes at the same time yield to the one with the newest
+   log, and among these to the one with the lowest slot.  Votes and
+   acknowledgements are counted per incarnation: an incarnation lasts as long
+   as the contents of one data folder.  A replica that lost its data folder
+   restarts under a new incarnation without a vote.  It catches up with the
+   log, and an ENTRY_VOTER_CHANGE then gives it the vote of its slot's former
+   incarnation.  While such a change is not known to be committed, neither of
+   the two incarnations counts towards a quorum.
 
    A new cluster is bootstrapped by slot 0, and only after the replicas of all
    other slots have reported to its current incarnation that their data
@@ -37,6 +39,7 @@
 #define REPLICA_SNAPSHOT_INTERVAL_BYTES ((size_t)2 * 1024 * 1024)
 #define REPLICA_HEARTBEAT_INTERVAL (50 * USEC_PER_MSEC)
 #define REPLICA_ELECTION_TIMEOUT (400 * USEC_PER_MSEC)
+#define REPLICA_ROUND_TRIP (100 * USEC_PER_MSEC)
 /* Between two MESSAGE_JOIN of a replica without a vote.  */
 #define REPLICA_JOIN_INTERVAL (200 * USEC_PER_MSEC)
 
@@ -72,10 +75,10 @@
   uint8_t n_slots;
   usec_t heartbeat_interval;
   usec_t election_timeout; /* least silence of the leader before an election */
-  /* Added to the election timeout once per slot number, so that two replicas
-     seldom become candidates at the same time.  Must exceed two round trips.
-     0: the delay is random instead.  */
-  usec_t election_stagger;
+  /* The longest round trip between two replicas, with the time that each takes
+     to handle a message.  Of the replicas that ask for pre-votes within this
+     time, one becomes a candidate.  */
+  usec_t round_trip;
   uint32_t snapshot_interval_entries; /* applied since the last snapshot */
   size_t snapshot_interval_bytes;     /* or so many bytes of log */
   uint64_t seed;
--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -2,16 +2,37 @@
 
 #include <string.h>
 
+/* All in round trips.  A replica that yields gives the other one time to win;
+   it yields again only after YIELD_INTERVAL, so that one that can't win, but
+   is heard, does not keep the others from it.  */
+enum
+{
+  VOTE_DURATION = 3, /* from a pre-vote to the leader's first message */
+  YIELD_INTERVAL = 10,
+};
+
+static usec_t
+round_trips (const replica_t *replica, int n)
+{
+  return n * replica->options.round_trip;
+}
+
+/* Returns a random time below half a round trip, so that not all replicas ask
+   for pre-votes at the same moment.  */
+static usec_t
+random_delay (replica_t *replica)
+{
+  return (usec_t)random_below (&replica->random,
+                               (uint64_t)replica->options.round_trip / 2);
+}
+
 void
 election_reset (replica_t *replica)
 {
-  usec_t election = replica->options.election_timeout;
-  usec_t slot_stagger = replica->options.election_stagger;
-  uint64_t random_range
-      = (uint64_t)(slot_stagger > 0 ? slot_stagger / 4 : election);
-  replica->election_deadline
-      = replica->now + election + slot_stagger * replica->options.slot
-        + (usec_t)random_below (&replica->random, random_range);
+  replica->yielded_at = 0;
+  replica->held_request.kind = MESSAGE_KINDS;
+  replica->election_deadline = replica->now + replica->options.election_timeout
+                               + random_delay (replica);
 }
 
 static size_t
@@ -51,35 +72,44 @@
   replica->vote.term++;
   replica->vote.slot = replica->options.slot;
   replica->vote.incarnation = replica->incarnation;
+  replica->voted_at = replica->now;
   replica->is_dirty = true;
   election_reset (replica);
   request_votes (replica, false);
 }
 
+/* True once no other replica can win pre-votes at the same time: all have
+   granted theirs, or the requests of all have arrived.  */
+static bool
+pre_vote_is_settled (const replica_t *replica)
+{
+  return count_granted (replica) == replica->config.n_slots
+         || replica->now >= replica->pre_vote_at + round_trips (replica, 1);
+}
+
 static void
 election_check_votes (replica_t *replica)
 {
   if (count_granted (replica) < config_majority (replica))
     return;
-  if (replica->is_pre_candidate)
+  if (replica->is_pre_candidate && pre_vote_is_settled (replica))
     election_start (replica);
   else if (replica->role == ROLE_CANDIDATE)
     leader_start (replica);
 }
 
-void
-election_tick (replica_t *replica)
+static void
+pre_vote_start (replica_t *replica)
 {
-  if (replica->now < replica->election_deadline || replica->role == ROLE_BLANK)
-    return;
-  election_reset (replica);
-  replica->leader = SLOT_NONE;
-  if (!config_has_vote (replica, replica->options.slot, replica->incarnation))
-    return;
   replica->role = ROLE_FOLLOWER;
+  replica->leader = SLOT_NONE;
   replica->is_pre_candidate = true;
+  replica->pre_vote_at = replica->now;
+  /* A pre-vote changes no state of others, so it is soon repeated: leases of
+     some may have lasted a little longer.  */
+  replica->election_deadline
+      = replica->now + round_trips (replica, 1) + random_delay (replica);
   request_votes (replica, true);
-  election_check_votes (replica);
 }
 
 static bool
@@ -117,22 +147,80 @@
              && replica->vote.incarnation == message->from_incarnation);
 }
 
-void
-election_on_vote_request (replica_t *replica, const message_t *message)
+/* True while a candidate that this replica voted for may still win.  */
+static bool
+vote_is_in_progress (const replica_t *replica)
+{
+  return replica->voted_at > 0
+         && replica->now
+                < replica->voted_at + round_trips (replica, VOTE_DURATION);
+}
+
+/* Whether this replica, which asks for pre-votes too, goes before the sender
+   of MESSAGE, whose log is at least as new.  */
+static bool
+outranks_sender (const replica_t *replica, const message_t *message)
 {
   const vote_request_t *request = &message->body.vote_request;
-  if (replica->role == ROLE_BLANK || leader_may_hold_lease (replica))
-    return;
-  if (!request->is_pre_vote && message->term > replica->vote.term)
+  return request->last_term == replica->last_term
+         && request->last_index == replica->last_index
+         && replica->options.slot < message->from;
+}
+
+/* Make way for the sender of MESSAGE, which asks for a pre-vote.  Returns
+   false if this replica goes on with its own pre-vote instead.  */
+static bool
+election_yield (replica_t *replica, const message_t *message)
+{
+  usec_t since = replica->now - replica->yielded_at;
+  bool has_yielded = replica->yielded_at > 0
+                     && since < round_trips (replica, YIELD_INTERVAL);
+  bool may_yield
+      = !has_yielded || since < round_trips (replica, VOTE_DURATION);
+  if (replica->is_pre_candidate
+      && (!may_yield || outranks_sender (replica, message)))
+    return false;
+  replica->is_pre_candidate = false;
+  if (has_yielded)
+    return true;
+  replica->yielded_at = replica->now;
+  usec_t until = replica->now + round_trips (replica, VOTE_DURATION)
+                 + random_delay (replica);
+  if (replica->election_deadline < until)
+    replica->election_deadline = until;
+  return true;
+}
+
+static bool
+grant_pre_vote (replica_t *replica, const message_t *message)
+{
+  return replica->role != ROLE_CANDIDATE && may_grant_vote (replica, message)
+         && election_yield (replica, message);
+}
+
+static bool
+grant_vote (replica_t *replica, const message_t *message)
+{
+  if (message->term > replica->vote.term)
     replica_become_follower (replica, message->term, SLOT_NONE);
-  bool granted = may_grant_vote (replica, message);
-  if (granted && !request->is_pre_vote)
-    {
-      replica->vote.slot = message->from;
-      replica->vote.incarnation = message->from_incarnation;
-      replica->is_dirty = true;
-      election_reset (replica);
-    }
+  if (!may_grant_vote (replica, message))
+    return false;
+  replica->vote.slot = message->from;
+  replica->vote.incarnation = message->from_incarnation;
+  replica->voted_at = replica->now;
+  replica->is_dirty = true;
+  election_reset (replica);
+  return true;
+}
+
+static void
+answer_vote_request (replica_t *replica, const message_t *message)
+{
+  const vote_request_t *request = &message->body.vote_request;
+  if (request->is_pre_vote && vote_is_in_progress (replica))
+    return;
+  bool granted = request->is_pre_vote ? grant_pre_vote (replica, message)
+                                      : grant_vote (replica, message);
   message_t response = message_to (replica, MESSAGE_VOTE_RESPONSE,
                                    message->from, message->from_incarnation);
   if (granted)
@@ -142,6 +230,57 @@
   message_send_after_sync (replica, &response);
 }
 
+/* Whether the sender of A goes before the sender of B.  */
+static bool
+request_is_better (const message_t *a, const message_t *b)
+{
+  const vote_request_t *x = &a->body.vote_request;
+  const vote_request_t *y = &b->body.vote_request;
+  if (x->last_term != y->last_term)
+    return x->last_term > y->last_term;
+  if (x->last_index != y->last_index)
+    return x->last_index > y->last_index;
+  return a->from <= b->from;
+}
+
+/* Hold a request for a pre-vote until the lease is over, so that its sender
+   need not ask again; the better one of two.  */
+static void
+hold_request (replica_t *replica, const message_t *message)
+{
+  bool is_held = replica->held_request.kind != MESSAGE_KINDS
+                 && replica->now < replica->held_at
+                                       + round_trips (replica, VOTE_DURATION);
+  if (!message->body.vote_request.is_pre_vote
+      || (is_held && !request_is_better (message, &replica->held_request)))
+    return;
+  replica->held_request = *message;
+  replica->held_at = replica->now;
+}
+
+static void
+answer_held_request (replica_t *replica)
+{
+  if (replica->held_request.kind == MESSAGE_KINDS
+      || leader_may_hold_lease (replica))
+    return;
+  message_t request = replica->held_request;
+  replica->held_request.kind = MESSAGE_KINDS;
+  if (replica->now < replica->held_at + round_trips (replica, VOTE_DURATION))
+    answer_vote_request (replica, &request);
+}
+
+void
+election_on_vote_request (replica_t *replica, const message_t *message)
+{
+  if (replica->role == ROLE_BLANK)
+    return;
+  if (leader_may_hold_lease (replica))
+    hold_request (replica, message);
+  else
+    answer_vote_request (replica, message);
+}
+
 void
 election_on_vote_response (replica_t *replica, const message_t *message)
 {
@@ -156,3 +295,24 @@
   replica->has_granted[message->from] = true;
   election_check_votes (replica);
 }
+
+void
+election_tick (replica_t *replica)
+{
+  if (replica->role == ROLE_BLANK)
+    return;
+  answer_held_request (replica);
+  if (replica->is_pre_candidate)
+    election_check_votes (replica);
+  if (replica->now < replica->election_deadline)
+    return;
+  if (config_has_vote (replica, replica->options.slot, replica->incarnation))
+    pre_vote_start (replica);
+  else
+    {
+      replica->leader = SLOT_NONE;
+      election_reset (replica);
+    }
+  if (replica->is_pre_candidate)
+    election_check_votes (replica);
+}
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -10,8 +10,8 @@
 /* Heartbeats cross regions, where traffic is paid by the byte.  */
 #define DIRECTOR_HEARTBEAT_INTERVAL (100 * USEC_PER_MSEC)
 #define DIRECTOR_ELECTION_TIMEOUT (400 * USEC_PER_MSEC)
-/* Two round trips between regions, and one core tick.  */
-#define DIRECTOR_ELECTION_STAGGER (110 * USEC_PER_MSEC)
+/* Between regions, with one core tick.  */
+#define DIRECTOR_ROUND_TRIP (110 * USEC_PER_MSEC)
 
 bool
 core_replica_open_disk (director_core_t *core, err_t *err)
@@ -108,6 +108,7 @@
           .n_slots = (uint8_t)core->roster.n_slots,
           .heartbeat_interval = DIRECTOR_HEARTBEAT_INTERVAL,
           .election_timeout = DIRECTOR_ELECTION_TIMEOUT,
+          .round_trip = DIRECTOR_ROUND_TRIP,
           .seed = core->options.seed + (uint64_t)clock_wall (),
           .must_rewrite_image = core->has_lost_disk };
   core->replica
--- /dev/null
+++ b/test/unit/test_agreement_election.c
@@ -0,0 +1,392 @@
+/* Elections of 5 to 27 replicas in simulated time: messages, syncs and ticks
+   take as long as they do between regions.  */
+
+#include <glib.h>
+#include <stdlib.h>
+
+#include "agreement/replica.h"
+
+enum
+{
+  NODES_MAX = 27,
+  SEEDS = 1000,
+  MAJORITY_MAX = NODES_MAX / 2 + 1,
+  INCARNATION = 100, /* of slot 0; the next slots count up */
+  TERM = 5,          /* on all disks at the start */
+};
+
+#define TICK (20 * USEC_PER_MSEC)
+#define TIMEOUT REPLICA_ELECTION_TIMEOUT
+/* The sync of a disk takes 1 to 60 ms, a message 1 to 45 ms.  */
+#define SYNC_MAX (60 * USEC_PER_MSEC)
+#define WAY_MAX (45 * USEC_PER_MSEC)
+/* A leader is there no later than this after the earliest time possible.  */
+#define ELECTION_DELAY_MAX (150 * USEC_PER_MSEC)
+/* All are started again within this time.  */
+#define START_SPREAD (300 * USEC_PER_MSEC)
+/* How long the first leader has to remain the only one.  */
+#define WATCH_TIME (1 * USEC_PER_SEC)
+
+typedef enum
+{
+  AT_TICK,
+  AT_SYNCED,
+  AT_MESSAGE,
+} kind_t;
+
+typedef struct occurrence
+{
+  usec_t at;
+  uint64_t number; /* orders those at the same time */
+  kind_t kind;
+  slot_t slot;
+  uint64_t sequence; /* AT_SYNCED */
+  blob_t *message;   /* AT_MESSAGE */
+} occurrence_t;
+
+typedef struct timed_cluster
+{
+  GRand *random;
+  usec_t now;
+  uint64_t n_occurrences;
+  GSequence *agenda; /* of occurrence_t */
+  slot_t n;
+  replica_t *replicas[NODES_MAX]; /* NULL: lost */
+  usec_t sync_time[NODES_MAX];
+  usec_t way[NODES_MAX][NODES_MAX];
+  usec_t synced_at[NODES_MAX]; /* when the last sync ends */
+  usec_t heard_at[NODES_MAX];  /* the last message of a leader, or the start */
+} timed_cluster_t;
+
+static gint
+compare (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  const occurrence_t *x = a;
+  const occurrence_t *y = b;
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return x->number < y->number ? -1 : 1;
+}
+
+static void
+schedule (timed_cluster_t *cluster, const occurrence_t *occurrence)
+{
+  occurrence_t *copy = g_memdup2 (occurrence, sizeof *occurrence);
+  copy->number = cluster->n_occurrences++;
+  g_sequence_insert_sorted (cluster->agenda, copy, compare, NULL);
+}
+
+static usec_t
+random_between (timed_cluster_t *cluster, usec_t low, usec_t high)
+{
+  return (usec_t)g_rand_double_range (cluster->random, (double)low,
+                                      (double)high);
+}
+
+/* A sync waits for the one before it.  */
+static void
+persist (timed_cluster_t *cluster, slot_t slot, uint64_t sequence)
+{
+  usec_t start = MAX (cluster->now, cluster->synced_at[slot]);
+  cluster->synced_at[slot] = start + cluster->sync_time[slot];
+  schedule (cluster, &(occurrence_t){ .at = cluster->synced_at[slot],
+                                      .kind = AT_SYNCED,
+                                      .slot = slot,
+                                      .sequence = sequence });
+}
+
+static void
+step (timed_cluster_t *cluster, slot_t slot, const event_t *event)
+{
+  list_t actions;
+  list_t *link;
+  list_init (&actions);
+  replica_step (cluster->replicas[slot], cluster->now, event, &actions);
+  while ((link = list_pop_front (&actions)))
+    {
+      action_t *action = LIST_ENTRY (link, action_t, link);
+      if (action->kind == ACTION_PERSIST)
+        persist (cluster, slot, action->body.persist.sequence);
+      if (action->kind == ACTION_SEND)
+        schedule (
+            cluster,
+            &(occurrence_t){ .at = cluster->now
+                                   + cluster->way[slot][action->body.send.to],
+                             .kind = AT_MESSAGE,
+                             .slot = action->body.send.to,
+                             .message = message_encode (&action->body.send) });
+      action_free (action);
+    }
+}
+
+static void
+receive (timed_cluster_t *cluster, slot_t slot, blob_t *bytes)
+{
+  message_t message;
+  g_assert_true (message_decode (&message, bytes->bytes, bytes->length, NULL));
+  event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+  if (message.kind == MESSAGE_APPEND)
+    cluster->heard_at[slot] = cluster->now;
+  step (cluster, slot, &event);
+  message_clear (&message);
+}
+
+static void
+occur (timed_cluster_t *cluster, const occurrence_t *occurrence)
+{
+  slot_t slot = occurrence->slot;
+  if (!cluster->replicas[slot])
+    return;
+  event_t event = { .kind = EVENT_TICK };
+  switch (occurrence->kind)
+    {
+    case AT_TICK:
+      step (cluster, slot, &event);
+      schedule (cluster, &(occurrence_t){ .at = cluster->now + TICK,
+                                          .kind = AT_TICK,
+                                          .slot = slot });
+      break;
+    case AT_SYNCED:
+      event.kind = EVENT_SYNCED;
+      event.body.synced = occurrence->sequence;
+      step (cluster, slot, &event);
+      break;
+    case AT_MESSAGE:
+      receive (cluster, slot, occurrence->message);
+      break;
+    }
+}
+
+static void
+run_next (timed_cluster_t *cluster)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (cluster->agenda);
+  occurrence_t *occurrence = g_sequence_get (first);
+  g_sequence_remove (first);
+  cluster->now = occurrence->at;
+  occur (cluster, occurrence);
+  blob_unref (occurrence->message);
+  g_free (occurrence);
+}
+
+/* Starts the process of SLOT on a disk that is a member of the cluster.  */
+static void
+start (timed_cluster_t *cluster, slot_t slot, usec_t at)
+{
+  replica_image_t image = { .incarnation = INCARNATION + slot };
+  image.vote.term = TERM;
+  image.vote.slot = SLOT_NONE;
+  image.snapshot.index = 10;
+  image.snapshot.term = TERM;
+  image.snapshot.config.cluster = 7;
+  image.snapshot.config.n_slots = cluster->n;
+  for (slot_t i = 0; i < cluster->n; i++)
+    image.snapshot.config.incarnation[i] = INCARNATION + (uint64_t)i;
+  list_init (&image.log);
+  const replica_options_t options
+      = { .slot = slot,
+          .n_slots = cluster->n,
+          .heartbeat_interval = 100 * USEC_PER_MSEC,
+          .seed = g_rand_int (cluster->random) };
+  cluster->replicas[slot] = replica_new (&options, &image, at);
+  cluster->synced_at[slot] = at;
+  cluster->heard_at[slot] = at;
+  schedule (cluster,
+            &(occurrence_t){ .at = at, .kind = AT_TICK, .slot = slot });
+}
+
+static void
+cluster_open (timed_cluster_t *cluster, guint32 seed)
+{
+  *cluster = (timed_cluster_t){ .random = g_rand_new_with_seed (seed),
+                                .now = USEC_PER_SEC };
+  cluster->agenda = g_sequence_new (NULL);
+  cluster->n = (slot_t)g_rand_int_range (cluster->random, 5, NODES_MAX + 1);
+  for (slot_t i = 0; i < cluster->n; i++)
+    {
+      cluster->sync_time[i]
+          = random_between (cluster, USEC_PER_MSEC, SYNC_MAX);
+      for (slot_t j = 0; j < i; j++)
+        cluster->way[i][j] = cluster->way[j][i]
+            = random_between (cluster, USEC_PER_MSEC, WAY_MAX);
+    }
+}
+
+static void
+cluster_close (timed_cluster_t *cluster)
+{
+  while (!g_sequence_is_empty (cluster->agenda))
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (cluster->agenda);
+      occurrence_t *occurrence = g_sequence_get (first);
+      blob_unref (occurrence->message);
+      g_free (occurrence);
+      g_sequence_remove (first);
+    }
+  g_sequence_free (cluster->agenda);
+  g_rand_free (cluster->random);
+  for (slot_t i = 0; i < cluster->n; i++)
+    if (cluster->replicas[i])
+      replica_free (cluster->replicas[i]);
+}
+
+static slot_t
+leader_of (const timed_cluster_t *cluster)
+{
+  for (slot_t i = 0; i < cluster->n; i++)
+    if (cluster->replicas[i]
+        && replica_status (cluster->replicas[i]).role == ROLE_LEADER)
+      return i;
+  return SLOT_NONE;
+}
+
+static term_t
+highest_term (const timed_cluster_t *cluster)
+{
+  term_t highest = 0;
+  for (slot_t i = 0; i < cluster->n; i++)
+    if (cluster->replicas[i])
+      highest = MAX (highest, replica_status (cluster->replicas[i]).term);
+  return highest;
+}
+
+/* Runs until there is a leader; returns when that is.  */
+static usec_t
+run_to_leader (timed_cluster_t *cluster, usec_t until)
+{
+  while (leader_of (cluster) == SLOT_NONE && cluster->now < until)
+    run_next (cluster);
+  return cluster->now;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  usec_t x = *(const usec_t *)a;
+  usec_t y = *(const usec_t *)b;
+  return (x > y) - (x < y);
+}
+
+/* The Nth smallest of the COUNT times, counting from 1.  */
+static usec_t
+nth (usec_t *times, size_t count, size_t n)
+{
+  qsort (times, count, sizeof times[0], compare_times);
+  return times[n - 1];
+}
+
+/* Returns when the leases that a majority may have acknowledged are over.  */
+static usec_t
+lease_end (const timed_cluster_t *cluster)
+{
+  usec_t ends[NODES_MAX];
+  size_t n = 0;
+  for (slot_t i = 0; i < cluster->n; i++)
+    if (cluster->replicas[i])
+      ends[n++] = cluster->heard_at[i] + TIMEOUT;
+  return nth (ends, n, cluster->n / 2u + 1);
+}
+
+/* Returns the time that the election of CANDIDATE takes without a competitor:
+   a round of pre-votes, its own sync, and a round of votes with the syncs of
+   the voters.  */
+static usec_t
+shortest_election (const timed_cluster_t *cluster, slot_t candidate)
+{
+  usec_t pre_votes[NODES_MAX];
+  usec_t votes[NODES_MAX];
+  size_t n = 0;
+  size_t majority = cluster->n / 2u + 1;
+  for (slot_t to = 0; to < cluster->n; to++)
+    {
+      if (!cluster->replicas[to])
+        continue;
+      usec_t trip = 2 * cluster->way[candidate][to];
+      pre_votes[n] = trip;
+      votes[n++] = to == candidate ? 0 : trip + cluster->sync_time[to];
+    }
+  return nth (pre_votes, n, majority) + cluster->sync_time[candidate]
+         + nth (votes, n, majority);
+}
+
+/* Runs until there is a leader, which has to come in time, and remain the only
+   one, in TERM_EXPECTED.  LEASE_END_AT is when the last lease is over.  */
+static void
+check_election (timed_cluster_t *cluster, usec_t lease_end_at,
+                term_t term_expected, guint32 seed)
+{
+  usec_t leader_at = run_to_leader (cluster, cluster->now + 10 * USEC_PER_SEC);
+  slot_t leader = leader_of (cluster);
+  g_assert_cmpint (leader, !=, SLOT_NONE);
+  usec_t delay
+      = leader_at - lease_end_at - shortest_election (cluster, leader);
+  if (delay > ELECTION_DELAY_MAX)
+    g_error ("seed %u, %u replicas: a leader %d ms after the earliest time",
+             seed, cluster->n, (int)(delay / USEC_PER_MSEC));
+  while (cluster->now < leader_at + WATCH_TIME)
+    run_next (cluster);
+  if (leader_of (cluster) != leader || highest_term (cluster) != term_expected)
+    g_error ("seed %u, %u replicas: term %u", seed, cluster->n,
+             (unsigned)highest_term (cluster));
+}
+
+/* All replicas are killed and start again within 300 ms.  Guards against votes
+   that are split between several candidates, which costs another election
+   timeout, and against a wait that grows with the number of replicas.  */
+static void
+test_all_restart (void)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      timed_cluster_t cluster;
+      cluster_open (&cluster, seed);
+      for (slot_t i = 0; i < cluster.n; i++)
+        start (&cluster, i,
+               cluster.now + random_between (&cluster, 0, START_SPREAD));
+      check_election (&cluster, lease_end (&cluster), TERM + 1, seed);
+      cluster_close (&cluster);
+    }
+}
+
+static void
+lose (timed_cluster_t *cluster, slot_t slot)
+{
+  if (cluster->replicas[slot])
+    replica_free (cluster->replicas[slot]);
+  cluster->replicas[slot] = NULL;
+}
+
+/* The leader and a third of the others are lost at once, those with the lowest
+   slots.  Guards against waiting for the slots that are gone.  */
+static void
+test_leader_lost (void)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      timed_cluster_t cluster;
+      cluster_open (&cluster, seed);
+      for (slot_t i = 0; i < cluster.n; i++)
+        start (&cluster, i, cluster.now);
+      check_election (&cluster, lease_end (&cluster), TERM + 1, seed);
+      slot_t n_lost = (slot_t)((cluster.n - 1) / 3);
+      lose (&cluster, leader_of (&cluster));
+      for (slot_t i = 0; i + 1 < n_lost; i++)
+        lose (&cluster, i);
+      /* Messages of the leader are still on their way.  */
+      usec_t until = cluster.now + WAY_MAX;
+      while (cluster.now < until)
+        run_next (&cluster);
+      check_election (&cluster, lease_end (&cluster), TERM + 2, seed);
+      cluster_close (&cluster);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/agreement/election/all-restart", test_all_restart);
+  g_test_add_func ("/agreement/election/leader-lost", test_leader_lost);
+  return g_test_run ();
+}
