feat(director): a long list of backend servers is read less often

Cause: each reading is all pages. Now 30 ms a call lie between the begins of two readings, a quarter of bounds.drain at most: 750 ms there, and unchanged where the list has up to 13 pages. Ruled out: reading by failure domain (the same pages in all, more state), more than a quarter (reading, pulls and a change of the leader need the rest). Test: /director/list-interval (the old function gave 250 ms for 25 calls, where 500 are asked for).

--- a/src/director/list_reader.c
+++ b/src/director/list_reader.c
@@ -72,13 +72,30 @@
   open_client (reader);
 }
 
+/* Time from reading to reading for each call of one; a list of one page is
+   read whenever the core wants it.  */
+#define INTERVAL_PER_CALL (30 * USEC_PER_MSEC)
+
+/* Part of the time in which a draining backend server must be known that may
+   pass between two readings; the rest is for the reading itself, the pulls of
+   the routers, and a change of the leader.  */
+enum
+{
+  DRAIN_DIVISOR = 4,
+};
+
 usec_t
-list_reader_min_interval (size_t n_calls, double rate)
+list_reader_min_interval (size_t n_calls, const fleet_settings_t *settings)
 {
-  if (rate <= 0)
-    return 0;
-  return (usec_t)((double)n_calls / (rate * rate_fraction)
-                  * (double)USEC_PER_SEC);
+  usec_t interval = (usec_t)n_calls * INTERVAL_PER_CALL;
+  usec_t longest = settings->bounds.drain / DRAIN_DIVISOR;
+  if (interval > longest)
+    interval = longest;
+  if (settings->backend_list_rate <= 0)
+    return interval;
+  usec_t shortest = (usec_t)((double)n_calls * (double)USEC_PER_SEC
+                             / (settings->backend_list_rate * rate_fraction));
+  return interval > shortest ? interval : shortest;
 }
 
 static void
@@ -91,8 +108,7 @@
   bool ok = backend_list_client_read (reader->client, &list, &reading, &err);
   reader->next_read_at
       = started_at
-        + list_reader_min_interval (reading.n_calls,
-                                    reader->settings->backend_list_rate);
+        + list_reader_min_interval (reading.n_calls, reader->settings);
   log_read_result (reader, ok, reading.n_skipped, &err);
   if (ok)
     director_core_put_list (reader->core, &list);
--- a/src/director/list_reader.h
+++ b/src/director/list_reader.h
@@ -6,6 +6,7 @@
 #define DIRECTOR_LIST_READER_H
 
 #include "director/director_core.h"
+#include "settings/fleet_settings.h"
 
 typedef struct list_reader list_reader_t;
 
@@ -15,9 +16,12 @@
                                   err_t *err);
 
 /* The shortest time from the start of one reading, which took N_CALLS calls,
-   to the start of the next, where the platform accepts RATE calls a second
-   from all VMs together; 0 where RATE is 0 or less: no limit.  */
-usec_t list_reader_min_interval (size_t n_calls, double rate);
+   to the start of the next.  A long list is read less often, because each call
+   is a load on the platform, but often enough for the time in which a draining
+   backend server must be known (bounds.drain), and within the calls that the
+   platform accepts (backend_list_rate; 0: no limit).  */
+usec_t list_reader_min_interval (size_t n_calls,
+                                 const fleet_settings_t *settings);
 
 /* Wait for a reading in progress, stop the thread and free READER.  */
 void list_reader_stop (list_reader_t *reader);
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "director/director_state.h"
+#include "director/list_reader.h"
 #include "director/lookup.h"
 #include "director/roster.h"
 #include "director/roster_file.h"
@@ -204,6 +205,30 @@
   g_rmdir (folder);
 }
 
+/* Guards against a list of many pages that is read as often as one of a single
+   page, against readings so rare that a draining backend server is known too
+   late, and against more calls than the platform accepts.  */
+static void
+test_list_interval (void)
+{
+  fleet_settings_t settings
+      = { .backend_list_rate = 200, .bounds.drain = 3 * USEC_PER_SEC };
+  g_assert_cmpint (list_reader_min_interval (1, &settings), <=,
+                   400 * USEC_PER_MSEC);
+  g_assert_cmpint (list_reader_min_interval (25, &settings), >=,
+                   500 * USEC_PER_MSEC);
+  g_assert_cmpint (list_reader_min_interval (25, &settings), <=,
+                   settings.bounds.drain / 3);
+  g_assert_cmpint (list_reader_min_interval (50, &settings), <=,
+                   settings.bounds.drain / 3);
+  settings.backend_list_rate = 20;
+  g_assert_cmpint (list_reader_min_interval (25, &settings), >=,
+                   25 * USEC_PER_SEC / 20);
+  settings.backend_list_rate = 0;
+  settings.bounds.drain = 0;
+  g_assert_cmpint (list_reader_min_interval (25, &settings), ==, 0);
+}
+
 /* Guards against two directors in one slot: a slot whose holder was heard from
    within ROSTER_SLOT_TIMEOUT must not be assigned to another director.  */
 static void
@@ -317,6 +342,7 @@
   g_test_add_func ("/director/roster-claim", test_roster_free_slot);
   g_test_add_func ("/director/roster-full", test_roster_is_full);
   g_test_add_func ("/director/roster-file", test_roster_file);
+  g_test_add_func ("/director/list-interval", test_list_interval);
   g_test_add_func ("/director/lookup", test_lookup);
   g_test_add_func ("/director/router-reports",
                    test_router_reports_in_any_order);
