fix(router): answers without end are cut off, and all bodies share one bound

Cause, by reading: a router held each answer whole, up to 16 MiB and twice that while its buffer grew, with no bound over all; headers after the 48th were not looked at, also not the request's id. Five endless bodies passed the 160 MB of an entry VM of the large site. Now a head (with all informational ones) is at most 64 KiB and 128 fields, all of which are looked at; buffers over 64 KiB are at most 32 MiB together, so that small answers are never refused; a body over 64 KiB whose head is another request's is not read on. What goes beyond is an incomplete answer (its connection closes, the work may have run) and logs answer_cut_off. Memory that is short for an answer ends that answer, not the process. Left: bodies on their way to slow callers are not counted.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "platform_api.h"
 #include "wire/http_handles.h"
 
@@ -26,6 +27,7 @@
   struct curl_slist *headers;
   char id[ID_BYTES];
   unsigned int n_connections; /* that the request was transmitted on */
+  size_t head_bytes;          /* received, with informational responses */
   size_t body_capacity;
   backend_response_t response;
 };
@@ -42,6 +44,7 @@
   backend_http_options_t options;
   http_handles_t *handles;
   list_t calls;           /* in flight */
+  size_t large_bytes;     /* buffers above SMALL_BODY_BYTES */
   list_t removed_watches; /* of socket_watch_t, to be freed */
   usec_t due_at;          /* of libcurl's next timeout */
 };
@@ -57,6 +60,40 @@
 
 /* --- Reading a response ------------------------------------------------- */
 
+/* The part of a buffer of CAPACITY bytes that counts as large.  */
+static size_t
+large_part (size_t capacity)
+{
+  return capacity > SMALL_BODY_BYTES ? capacity : 0;
+}
+
+/* Give the body a buffer of CAPACITY bytes.  False if the buffers of all calls
+   would become too large, or memory is short.  */
+static bool
+resize_body (backend_call_t *call, size_t capacity)
+{
+  backend_http_t *client = call->client;
+  size_t large_bytes = client->large_bytes - large_part (call->body_capacity)
+                       + large_part (capacity);
+  if (large_part (capacity) > 0 && large_bytes > RESPONSES_BYTES_MAX)
+    return false;
+  char *grown = realloc (call->response.body, capacity);
+  if (!grown)
+    return false;
+  call->response.body = grown;
+  call->body_capacity = capacity;
+  client->large_bytes = large_bytes;
+  return true;
+}
+
+static void
+log_cut_off (const backend_call_t *call, const char *reason)
+{
+  LOG_EVENT (LOG_LEVEL_WARNING, "answer_cut_off", LOG_S ("id", call->id),
+             LOG_S ("reason", reason), LOG_U ("head_bytes", call->head_bytes),
+             LOG_U ("body_bytes", call->response.body_bytes));
+}
+
 static size_t
 on_body (char *data, size_t size, size_t n, void *closure)
 {
@@ -64,16 +101,21 @@
   backend_response_t *response = &call->response;
   size_t length = size * n;
   size_t needed = response->body_bytes + length;
+  if (needed > SMALL_BODY_BYTES && call->id[0] && !response->id_matches)
+    {
+      log_cut_off (call, "it is not the answer to this request");
+      return 0;
+    }
   if (needed > RESPONSE_BYTES_MAX)
-    return 0;
-  if (needed > call->body_capacity)
     {
-      size_t room = needed < 2048 ? 2048 : 2 * needed;
-      char *grown = realloc (response->body, room);
-      if (!grown)
-        abort ();
-      response->body = grown;
-      call->body_capacity = room;
+      log_cut_off (call, "the body is too long");
+      return 0;
+    }
+  size_t room = needed < 2048 ? 2048 : 2 * needed;
+  if (needed > call->body_capacity && !resize_body (call, room))
+    {
+      log_cut_off (call, "no memory is left for large bodies");
+      return 0;
     }
   memcpy (response->body + response->body_bytes, data, length);
   response->body_bytes = needed;
@@ -123,13 +165,20 @@
     response->cold_remaining = strtol (value, NULL, 10) * USEC_PER_MSEC;
 }
 
+static void
+release_body_buffer (backend_call_t *call)
+{
+  call->client->large_bytes -= large_part (call->body_capacity);
+  call->body_capacity = 0;
+}
+
 /* Discard the headers of an informational response, which comes before the
    final one.  */
 static void
 reset_response (backend_call_t *call)
 {
   backend_response_clear (&call->response);
-  call->body_capacity = 0;
+  release_body_buffer (call);
 }
 
 static size_t
@@ -138,17 +187,24 @@
   backend_call_t *call = closure;
   backend_response_t *response = &call->response;
   size_t length = size * n;
+  call->head_bytes += length;
+  if (call->head_bytes > RESPONSE_HEAD_BYTES_MAX
+      || response->n_headers == RESPONSE_HEADERS_MAX)
+    {
+      log_cut_off (call, "the head is too long");
+      return 0;
+    }
   if (length >= 5 && strncmp (data, "HTTP/", 5) == 0)
     {
       reset_response (call);
       return length;
     }
   const char *colon = memchr (data, ':', length);
-  if (!colon || response->n_headers == RESPONSE_HEADERS_MAX)
+  if (!colon)
     return length;
   char *line = malloc (length + 1);
   if (!line)
-    abort ();
+    return 0;
   memcpy (line, data, length);
   line[length] = '\0';
   line[colon - data] = '\0';
@@ -308,6 +364,7 @@
   http_handles_give_back (call->client->handles, call->easy);
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->response);
+  release_body_buffer (call);
   list_remove (&call->link);
   free (call);
 }
@@ -389,6 +446,12 @@
   finish_ended_calls (client);
 }
 
+size_t
+backend_http_large_bytes (const backend_http_t *client)
+{
+  return client->large_bytes;
+}
+
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -19,8 +19,14 @@
 
 enum
 {
-  RESPONSE_HEADERS_MAX = 48,             /* further ones are ignored */
-  RESPONSE_BYTES_MAX = 16 * 1024 * 1024, /* a longer body ends the call */
+  /* A response beyond one of these limits ends its call: a broken server may
+     send a head or a body without end.  */
+  RESPONSE_HEADERS_MAX = 128,
+  RESPONSE_HEAD_BYTES_MAX = 64 * 1024, /* with informational responses */
+  RESPONSE_BYTES_MAX = 16 * 1024 * 1024,
+  /* Buffers of all bodies together that are larger than SMALL_BODY_BYTES.  */
+  RESPONSES_BYTES_MAX = 32 * 1024 * 1024,
+  SMALL_BODY_BYTES = 64 * 1024,
 };
 
 typedef struct backend_http backend_http_t;
@@ -98,6 +104,9 @@
 void backend_http_socket_ready (backend_http_t *client, watch_t *watch,
                                 unsigned int ready);
 
+/* The buffers of bodies larger than SMALL_BODY_BYTES, in bytes.  */
+size_t backend_http_large_bytes (const backend_http_t *client);
+
 /* The monotonic time at which backend_http_tick has to be called next;
    INT64_MAX if there is none.  */
 usec_t backend_http_due_at (const backend_http_t *client);
