fix(settings,platform,router): limits that were met in silence are errors or logged

Tests: /settings/feed/beyond-limits, /platform/list-token (both pass a wrong value through on the old code, by reading); the pages and services have none.

--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -10,7 +10,7 @@
 
 enum
 {
-  SERVICES_MAX = 64, /* further ones share the state of the first */
+  SERVICES_MAX = 256, /* requests to further ones are not retried */
 };
 
 /* A backend server stops a request at the deadline that it was given; its
@@ -39,7 +39,8 @@
   size_t n_exchanges; /* in both lists */
   size_t n_services;
   service_state_t services[SERVICES_MAX];
-  route_split_t *split; /* for the configuration of SNAPSHOT */
+  service_state_t unlisted_service; /* its retries are never refilled */
+  route_split_t *split;             /* for the configuration of SNAPSHOT */
   run_estimate_t run_estimates;
   bool refuses_new; /* requests, since the process is shutting down */
 };
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -8,8 +8,8 @@
 #include "base/log.h"
 #include "router/request_headers.h"
 
-/* The state of the service NAME.  Services beyond SERVICES_MAX share the state
-   of the first one.  */
+/* The state of the service NAME.  Those beyond SERVICES_MAX share one without
+   retries, so that they take none from another service.  */
 static service_state_t *
 service_state (dispatcher_t *dispatcher, const char *name)
 {
@@ -17,7 +17,12 @@
     if (strcmp (dispatcher->services[i].name.text, name) == 0)
       return &dispatcher->services[i];
   if (dispatcher->n_services == SERVICES_MAX)
-    return &dispatcher->services[0];
+    {
+      LOG_EVENT (LOG_LEVEL_WARNING, "services_full", LOG_S ("service", name),
+                 LOG_U ("limit", SERVICES_MAX));
+      dispatcher->unlisted_service = (service_state_t){ 0 };
+      return &dispatcher->unlisted_service;
+    }
   service_state_t *state = &dispatcher->services[dispatcher->n_services++];
   snprintf (state->name.text, sizeof state->name.text, "%s", name);
   return state;
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -21,6 +21,12 @@
     .offset = offsetof (document_t, member), .min = 0, .max = 1e9             \
   }
 
+#define PORT_FIELD(k, member)                                                 \
+  {                                                                           \
+    .key = (k), .kind = YAML_FIELD_U16, .required = true,                     \
+    .offset = offsetof (document_t, member), .min = 1, .max = UINT16_MAX      \
+  }
+
 static const yaml_field_t top_fields[] = {
   TOP_FIELD ("vm", YAML_FIELD_NAME, true, settings.vm),
   TOP_FIELD ("address", YAML_FIELD_ADDRESS, true, settings.address),
@@ -30,8 +36,8 @@
   TOP_FIELD ("readiness", YAML_FIELD_INET, false, settings.readiness),
   TOP_FIELD ("operators", YAML_FIELD_INET, false, settings.operators),
   TOP_FIELD ("lookups", YAML_FIELD_INET, false, settings.lookups),
-  TOP_FIELD ("peer_port", YAML_FIELD_U16, true, settings.peer_port),
-  TOP_FIELD ("metrics_port", YAML_FIELD_U16, true, settings.metrics_port),
+  PORT_FIELD ("peer_port", settings.peer_port),
+  PORT_FIELD ("metrics_port", settings.metrics_port),
   TOP_FIELD ("peer_secret", YAML_FIELD_NAME, true, settings.peer_secret),
   TOP_FIELD ("first_start", YAML_FIELD_BOOL, false, settings.first_start),
   TOP_FIELD ("data_folder", YAML_FIELD_PATH, false, settings.data_folder),
@@ -112,7 +118,11 @@
   size_t n = 0;
   if (!yaml_reader_sequence (reader, document->seeds, "seeds", &n, err))
     return false;
-  for (size_t i = 0; i < n && i < FLEET_SEEDS_MAX; i++)
+  if (n > FLEET_SEEDS_MAX)
+    return yaml_reader_fault (reader, document->seeds, err,
+                              "list fewer directors; three are enough",
+                              "seeds has more than %d items", FLEET_SEEDS_MAX);
+  for (size_t i = 0; i < n; i++)
     {
       const yaml_node_t *node = yaml_reader_item (reader, document->seeds, i);
       const char *text = node->type == YAML_SCALAR_NODE
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -20,7 +20,7 @@
 enum
 {
   FLEET_DOMAINS_MAX = 128,
-  FLEET_SEEDS_MAX = 8,
+  FLEET_SEEDS_MAX = 63,
 };
 
 /* backend_list_lag where the settings don't give it.  */
@@ -76,8 +76,7 @@
 
 /* Read and check FILE.  Returns a structure that the caller releases with
    free, or NULL with ERR_SETTINGS in ERR.  Padding and unused array elements
-   are zero, so that two structures may be compared with memcmp.  Seeds after
-   the first FLEET_SEEDS_MAX are ignored.  */
+   are zero, so that two structures may be compared with memcmp.  */
 fleet_settings_t *fleet_settings_load (const char *file, err_t *err);
 
 /* The region of the failure domain DOMAIN, or NULL if SETTINGS doesn't list
--- a/test/unit/test_platform_codec.c
+++ b/test/unit/test_platform_codec.c
@@ -170,6 +170,20 @@
   backend_list_clear (&list);
 }
 
+/* Guards against a list that counts as whole although its next page can't be
+   asked for.  */
+static void
+test_list_token_too_long (void)
+{
+  backend_list_t list = { 0 };
+  list_page_t page;
+  g_autofree char *token = g_strnfill (LIST_TOKEN_BYTES, 'p');
+  g_autofree char *text
+      = g_strdup_printf ("{\"instances\":{},\"next_token\":\"%s\"}", token);
+  g_assert_false (read_list (text, &list, &page));
+  backend_list_clear (&list);
+}
+
 static void
 test_list_refused (void)
 {
@@ -202,6 +216,7 @@
   g_test_add_func ("/platform/config-refused", test_config_refused);
   g_test_add_func ("/platform/list", test_list_is_read);
   g_test_add_func ("/platform/list-foreign", test_list_with_foreign_entries);
+  g_test_add_func ("/platform/list-token", test_list_token_too_long);
   g_test_add_func ("/platform/list-refused", test_list_refused);
   g_test_add_func ("/platform/lookup", test_lookup_is_written);
   return g_test_run ();
--- a/test/unit/test_settings_feed.c
+++ b/test/unit/test_settings_feed.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "settings/settings_feed.h"
 
@@ -121,6 +122,37 @@
       settings_feed_poll (fixture->feed, SETTINGS_POLL_IF_CHANGED));
 }
 
+/* Guards against seeds that are ignored in silence, which may be the only ones
+   that run, and against a port cut to 16 bits.  */
+static void
+test_beyond_limits (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  err_t err = { 0 };
+  file_text_t text = first;
+  GString *seeds = g_string_new ("127.1.1.1:7000");
+  for (int i = 2; i <= FLEET_SEEDS_MAX; i++)
+    g_string_append_printf (seeds, ", 127.1.1.%d:7000", i);
+  text.seeds = seeds->str;
+  write_settings (fixture, &text);
+  fleet_settings_t *settings = fleet_settings_load (fixture->file, &err);
+  g_assert_cmpuint (settings->n_seeds, ==, FLEET_SEEDS_MAX);
+  free (settings);
+  g_string_append (seeds, ", 127.1.2.1:7000");
+  text.seeds = seeds->str;
+  write_settings (fixture, &text);
+  g_assert_null (fleet_settings_load (fixture->file, &err));
+  g_assert_nonnull (strstr (err.message, "seeds"));
+  g_string_free (seeds, TRUE);
+
+  g_autofree char *all = text_of (&first);
+  g_auto (GStrv) parts = g_strsplit (all, "7600", 2);
+  g_autofree char *changed = g_strjoinv ("75600", parts);
+  write_file (fixture, changed);
+  g_assert_null (fleet_settings_load (fixture->file, &err));
+  g_assert_nonnull (strstr (err.message, "peer_port"));
+}
+
 /* Keys that identify the process keep their values until a restart, while
    other keys of the same file are put in force.  */
 static void
@@ -173,6 +205,8 @@
               test_same_file, fixture_close);
   g_test_add ("/settings/feed/fixed-keys", fixture_t, NULL, fixture_open,
               test_fixed_keys, fixture_close);
+  g_test_add ("/settings/feed/beyond-limits", fixture_t, NULL, fixture_open,
+              test_beyond_limits, fixture_close);
   g_test_add ("/settings/feed/bad-file", fixture_t, NULL, fixture_open,
               test_bad_file, fixture_close);
   return g_test_run ();
