--- a/src/director/roster.c
+++ b/src/director/roster.c
@@ -20,14 +20,20 @@
 }
 
 static bool
-is_seed (const roster_bootstrap_t *bootstrap, uint32_t address)
+contains (const uint32_t *addresses, size_t n, uint32_t address)
 {
-  for (size_t i = 0; i < bootstrap->n_seeds; i++)
-    if (bootstrap->seeds[i] == address)
+  for (size_t i = 0; i < n; i++)
+    if (addresses[i] == address)
       return true;
   return false;
 }
 
+static bool
+is_seed (const roster_bootstrap_t *bootstrap, uint32_t address)
+{
+  return contains (bootstrap->seeds, bootstrap->n_seeds, address);
+}
+
 void
 roster_bootstrap_init (roster_bootstrap_t *bootstrap, uint32_t own_address,
                        const uint32_t *seeds, size_t n_seeds,
@@ -53,10 +59,7 @@
 static bool
 has_announced (const roster_bootstrap_t *bootstrap, uint32_t address)
 {
-  for (size_t i = 0; i < bootstrap->n_announced; i++)
-    if (bootstrap->announced[i] == address)
-      return true;
-  return false;
+  return contains (bootstrap->announced, bootstrap->n_announced, address);
 }
 
 /* The roster is not created without all seeds.  */
--- a/test/support/pool_world.h
+++ b/test/support/pool_world.h
@@ -166,4 +166,39 @@
   return backend_pool_pick (pool, &query, now);
 }
 
+/* Adds to SENT, by step, the requests that a new router sends if it has a
+   request for the same object in each of the N_STEPS steps, from NOW on.  */
+static inline void
+run_router (world_t *world, usec_t step_time, int n_steps, int *sent)
+{
+  backend_pool_t *pool = pool_open (world);
+  for (int step = 0; step < n_steps; step++)
+    {
+      usec_t now = NOW + step * step_time;
+      pool_query_t query = query_of (world, 1);
+      backend_t *backend = backend_pool_pick (pool, &query, now);
+      if (!backend)
+        continue;
+      backend_pool_request_sent (pool, backend, &query, now);
+      report_answered (pool, backend, now);
+      sent[step]++;
+    }
+  backend_pool_free (pool);
+}
+
+/* Returns the largest sum of WINDOW steps in a row.  */
+static inline int
+busiest_window (const int *sent, int n_steps, int window)
+{
+  int most = 0;
+  for (int from = 0; from + window <= n_steps; from++)
+    {
+      int n = 0;
+      for (int step = from; step < from + window; step++)
+        n += sent[step];
+      most = MAX (most, n);
+    }
+  return most;
+}
+
 #endif
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -226,33 +226,15 @@
   for (unsigned i = 0; i < ROUTERS; i++)
     {
       become_router (&world, i);
-      backend_pool_t *pool = pool_open (&world);
-      for (int step = 0; step < STEPS; step++)
-        {
-          usec_t now = NOW + step * 10 * USEC_PER_MSEC;
-          pool_query_t query = query_of (&world, 1);
-          backend_t *backend = backend_pool_pick (pool, &query, now);
-          if (!backend)
-            continue;
-          backend_pool_request_sent (pool, backend, &query, now);
-          report_answered (pool, backend, now);
-          sent[step]++;
-        }
-      backend_pool_free (pool);
+      run_router (&world, 10 * USEC_PER_MSEC, STEPS, sent);
     }
   int total = 0;
   for (int step = 0; step < STEPS; step++)
     total += sent[step];
   g_assert_cmpint (total, >, 0);
-  for (int from = 0; from + 100 <= STEPS; from++)
-    {
-      int n = 0;
-      for (int step = from; step < from + 100; step++)
-        n += sent[step];
-      /* cold_rate is 5 per second; the smallest deployment allows a
-         cold_overshoot of 1.5 and a cold_slack of 5.  */
-      g_assert_cmpint (n, <=, 5 * 3 / 2 + 5);
-    }
+  /* cold_rate is 5 per second; the smallest deployment allows a
+     cold_overshoot of 1.5 and a cold_slack of 5.  */
+  g_assert_cmpint (busiest_window (sent, STEPS, 100), <=, 5 * 3 / 2 + 5);
   world_clear (&world);
 }
 
--- a/test/unit/test_balance_reopened.c
+++ b/test/unit/test_balance_reopened.c
@@ -33,26 +33,6 @@
   reopened_domains_add (&world->reopened, &domain, NOW);
 }
 
-/* Adds to SENT, by step, the requests that one router sends if it has a
-   request in each step.  */
-static void
-run_router (world_t *world, int sent[STEPS])
-{
-  backend_pool_t *pool = pool_open (world);
-  for (int step = 0; step < STEPS; step++)
-    {
-      usec_t now = NOW + step * STEP_MSEC * USEC_PER_MSEC;
-      pool_query_t query = query_of (world, 1);
-      backend_t *backend = backend_pool_pick (pool, &query, now);
-      if (!backend)
-        continue;
-      backend_pool_request_sent (pool, backend, &query, now);
-      report_answered (pool, backend, now);
-      sent[step]++;
-    }
-  backend_pool_free (pool);
-}
-
 /* Returns how many requests the backend server gets from all routers in the
    busiest second.  */
 static int
@@ -62,17 +42,9 @@
   for (size_t i = 0; i < ROUTERS; i++)
     {
       become_router (world, i);
-      run_router (world, sent);
-    }
-  int most = 0;
-  for (int from = 0; from + STEPS_PER_SECOND <= STEPS; from++)
-    {
-      int n = 0;
-      for (int step = from; step < from + STEPS_PER_SECOND; step++)
-        n += sent[step];
-      most = MAX (most, n);
+      run_router (world, STEP_MSEC * USEC_PER_MSEC, STEPS, sent);
     }
-  return most;
+  return busiest_window (sent, STEPS, STEPS_PER_SECOND);
 }
 
 /* Guards against the full request rate from all routers at once: the list was
