--- a/src/balance/retry_share.h
+++ b/src/balance/retry_share.h
@@ -4,12 +4,7 @@
    Load pattern: in an outage, or while backend servers refuse or lose many
    requests, the retries of all routers together must not overload the service.
    In each window the deployment allows a fraction of the requests plus a base
-   number of retries; the routers divide the base evenly.
-
-   Refusals come in bursts, since a full backend server refuses several
-   requests in a row.  The bucket therefore grows with the requests of a
-   window: with hundreds of routers a part of the base is less than one retry.
- */
+   number of retries; the routers divide the base evenly.  */
 
 #ifndef BALANCE_RETRY_SHARE_H
 #define BALANCE_RETRY_SHARE_H
@@ -23,7 +18,6 @@
 typedef struct retry_share
 {
   double tokens;      /* retries that may be sent now */
-  double n_requests;  /* of about the last window */
   usec_t refilled_at; /* monotonic; 0: never */
 } retry_share_t;
 
