--- a/test/unit/test_balance_retry.c
+++ b/test/unit/test_balance_retry.c
@@ -8,17 +8,18 @@
 
 enum
 {
-  ROUTERS_MAX = 85,
+  ROUTERS_MAX = 273,
   STEPS = 4000,  /* of 10 ms */
   WINDOW = 1000, /* steps */
 };
 
-/* Every request fails, and each router sends a retry whenever it may.  In any
-   window the number of retries must not exceed the base plus the allowed
-   fraction of the requests.  STEP_REQUESTS is the number of requests in each
-   step.  */
+/* From the step CALM_STEPS on every request fails, and each router sends a
+   retry whenever it may.  In any window the number of retries must not exceed
+   the base plus the allowed fraction of the requests.  STEP_REQUESTS is the
+   number of requests in each step.  */
 static void
-check_retry_bound (size_t n_routers, double base, int step_requests)
+check_retry_bound_after (int calm_steps, size_t n_routers, double base,
+                         int step_requests)
 {
   const fleet_bounds_t bounds = { .retry_ratio = 0.2,
                                   .retry_base = base,
@@ -37,7 +38,7 @@
           retry_share_t *share = &shares[next_share++ % n_routers];
           usec_t now = (step + 1) * 10 * USEC_PER_MSEC;
           retry_share_refill (share, &bounds, n_routers, now);
-          while (retry_share_take (share))
+          while (step >= calm_steps && retry_share_take (share))
             retries[step]++;
         }
       n_total_retries += retries[step];
@@ -56,6 +57,13 @@
   g_assert_cmpint (n_total_retries, >, 0);
 }
 
+static void
+check_retry_bound (size_t n_routers, double base, int step_requests)
+{
+  check_retry_bound_after (0, n_routers, base, step_requests);
+  check_retry_bound_after (STEPS / 2, n_routers, base, step_requests);
+}
+
 /* The size of a small deployment.  */
 static void
 test_outage_with_9_routers (void)
@@ -70,6 +78,13 @@
   check_retry_bound (85, 210, 9);
 }
 
+/* Hundreds of routers.  */
+static void
+test_outage_with_273_routers (void)
+{
+  check_retry_bound (273, 586, 21);
+}
+
 /* A router that knows no routers cannot compute its part of the base: it must
    limit its retries to the allowed fraction of its requests.  */
 static void
@@ -95,6 +110,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/retry/9-routers", test_outage_with_9_routers);
   g_test_add_func ("/retry/85-routers", test_outage_with_85_routers);
+  g_test_add_func ("/retry/273-routers", test_outage_with_273_routers);
   g_test_add_func ("/retry/no-known-router", test_no_known_router);
   return g_test_run ();
 }
