fix(wire,router): a process that starts before its peer does not wait a second for it

Their opening packets were lost, and the kernel sends one again after a second: the pulls timed out at 31.9 to 32.1 s, while routers that reached a director late enough were ready at 31.76 s. Now a connection that is not established after 200 ms is opened anew while its calls wait, also between directors; and routers ask the seeds in an order that begins with another one for each address, so that not all pull the whole list from the first. Ruled out: the election (a leader 0.31 s after the directors' start), a shorter time-out of the first pull (the whole list takes long on 2 Mbit/s).

--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -110,12 +110,22 @@
   sync->directors[at] = (known_director_t){ .address = address };
 }
 
+size_t
+director_sync_first_seed (const char *own_address, size_t n_seeds)
+{
+  uint32_t address = 0;
+  inet_parse_address (&address, own_address);
+  return n_seeds > 0 ? address % n_seeds : 0;
+}
+
 static void
 add_seeds (director_sync_t *sync)
 {
   const fleet_settings_t *settings = sync->options.settings;
-  for (size_t i = 0; i < settings->n_seeds; i++)
-    add_director (sync, settings->seeds[i].address);
+  size_t n = settings->n_seeds;
+  size_t first = director_sync_first_seed (settings->address, n);
+  for (size_t i = 0; i < n; i++)
+    add_director (sync, settings->seeds[(first + i) % n].address);
 }
 
 /* --- Opening and closing ------------------------------------------------ */
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -77,6 +77,7 @@
   _Atomic uint64_t calls_sent;
   _Atomic uint64_t calls_served;
   _Atomic uint64_t timeouts;
+  _Atomic uint64_t reconnects;  /* no answer to the opening packet */
   _Atomic uint64_t bad_records; /* malformed, too long or truncated */
   _Atomic uint64_t bad_auth;    /* wrong key */
   _Atomic uint64_t replays;     /* wrong nonce, or sequence not increasing */
--- a/src/wire/rpc_client.c
+++ b/src/wire/rpc_client.c
@@ -6,6 +6,9 @@
 #include "base/clock.h"
 #include "base/log.h"
 
+/* Longer than two round trips between regions.  */
+#define CONNECT_RETRY_INTERVAL (200 * USEC_PER_MSEC)
+
 static void
 call_finish (rpc_t *rpc, rpc_out_call_t *call, const rpc_result_t *result)
 {
@@ -220,6 +223,23 @@
     }
 }
 
+/* Open a new connection to PEER if the present one is not established in time.
+   The opening packet is lost where the peer has no power yet, and the kernel
+   sends it again only after a second.  */
+static void
+retry_connect (rpc_t *rpc, rpc_peer_t *peer, usec_t now)
+{
+  rpc_connection_t *connection = peer->connection;
+  if (!connection || !connection->connecting || list_empty (&peer->waiting)
+      || now < connection->read_at + CONNECT_RETRY_INTERVAL)
+    return;
+  atomic_fetch_add (&rpc->counters.reconnects, 1);
+  peer->connection = NULL;
+  connection->peer = NULL; /* the waiting calls don't end with it */
+  rpc_connection_end (rpc, connection, "no answer to the opening packet");
+  rpc_client_flush (rpc, peer);
+}
+
 static void
 calls_expire (rpc_t *rpc, rpc_peer_t *peer, usec_t now)
 {
@@ -252,7 +272,11 @@
 rpc_client_expire (rpc_t *rpc, usec_t now)
 {
   LIST_FOREACH (link, &rpc->peers)
-  calls_expire (rpc, LIST_ENTRY (link, rpc_peer_t, link), now);
+  {
+    rpc_peer_t *peer = LIST_ENTRY (link, rpc_peer_t, link);
+    calls_expire (rpc, peer, now);
+    retry_connect (rpc, peer, now);
+  }
 }
 
 bool
--- a/test/unit/test_wire_rpc.c
+++ b/test/unit/test_wire_rpc.c
@@ -302,6 +302,47 @@
   rpc_close (server);
 }
 
+/* A port that answers no opening packet: its queue of new connections is full.
+   Returns the listener; FILLERS fill the queue.  */
+static int
+open_silent_port (uint16_t port, int fillers[2])
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in at = { .sin_family = AF_INET,
+                            .sin_port = htons (port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&at, sizeof at), ==, 0);
+  g_assert_cmpint (listen (fd, 0), ==, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[i], (struct sockaddr *)&at, sizeof at);
+    }
+  return fd;
+}
+
+/* A peer that has no power yet loses the opening packet, which the kernel
+   sends again only after a second.  Guards against a process that waits so
+   long for a peer that is there by then: the connection is opened anew several
+   times within one call.  */
+static void
+test_lost_opening_packet (void)
+{
+  int fillers[2];
+  uint16_t port = free_port ();
+  int listener = open_silent_port (port, fillers);
+  rpc_t *client = open_rpc (0, 2, key_a);
+  waiter_t waiter
+      = call (client, port, PROCEDURE_DOUBLE, 4, CALL_TIMEOUT_USEC);
+  g_assert_false (waiter.ok);
+  g_assert_cmpint (waiter.kind, ==, ERR_TIMEOUT);
+  g_assert_cmpuint (rpc_counters (client)->reconnects, >=, 2);
+  rpc_close (client);
+  close (listener);
+  close (fillers[0]);
+  close (fillers[1]);
+}
+
 /* Fails to encode, as arguments do that exceed the limits of the .x file.  */
 static bool_t
 encode_nothing (XDR *xdr, void *args)
@@ -364,6 +405,7 @@
   g_test_add_func ("/wire/rpc/unused", test_unused_connection_is_closed);
   g_test_add_func ("/wire/rpc/garbage", test_garbage_ends_its_connection_only);
   g_test_add_func ("/wire/rpc/replay", test_replay_is_refused);
+  g_test_add_func ("/wire/rpc/lost-opening", test_lost_opening_packet);
   g_test_add_func ("/wire/rpc/too-long", test_too_long_call_fails);
   int failed = g_test_run ();
   apr_terminate ();
