fix(director): a start hands out the newest configuration alone

Now the configuration in force is published once a step, at its end (config_published). Test: test_fleet_directors with 30 configurations in the log ('director 1 published 32 configurations' without the change, or the like; seen failing).

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -126,6 +126,7 @@
   director_state_t state;
   reopened_domains_t reopened; /* evacuations of STATE that ended recently */
   packed_t packed_config;      /* STATE's configuration, as routers get it */
+  bool must_publish_config;    /* STATE's configuration is newer than that */
   log_index_t applied_index;   /* STATE includes all entries up to here */
   usec_t confirmed_at; /* when STATE was last known to be current; 0: never */
   /* At PENDING_CONFIRM_AT the leader had applied entries up to
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -125,6 +125,7 @@
 {
   const blob_t *text = core->state.config;
   err_t err = { 0 };
+  core->must_publish_config = false;
   free (core->packed_config.bytes);
   core->packed_config = (packed_t){ 0 };
   if (!text)
@@ -132,6 +133,9 @@
   core->packed_config = packed_compress (text->bytes, text->length);
   route_config_t *config
       = config_codec_read ((const char *)text->bytes, text->length, &err);
+  LOG_EVENT (LOG_LEVEL_INFO, "config_published",
+             LOG_U ("version", core->state.config_version),
+             LOG_U ("bytes", text->length));
   if (config)
     lookup_view_put_config (core->options.lookups, config);
   else
@@ -171,7 +175,7 @@
              LOG_U ("version_before", before.config_version),
              LOG_U ("evacuated", core->state.n_evacuated));
   if (core->state.config_version != before.config_version)
-    publish_config (core);
+    core->must_publish_config = true;
   if (entry->proposal)
     core_operator_applied (core, entry->proposal);
 }
@@ -191,7 +195,7 @@
   LOG_EVENT (LOG_LEVEL_INFO, "snapshot_restored",
              LOG_U ("index", core->applied_index),
              LOG_U ("version", core->state.config_version));
-  publish_config (core);
+  core->must_publish_config = true;
 }
 
 void
@@ -254,6 +258,11 @@
       if (!perform_action (core, action))
         action_free (action);
     }
+  /* Once for all entries: after a restart the whole log is applied in one
+     step, and a director that takes long for it loses its lease or delays the
+     leader's.  */
+  if (core->must_publish_config)
+    publish_config (core);
   if (core->snapshot_due_index > 0)
     report_snapshot (core);
 }
--- a/test/functional/test_fleet_directors.sh
+++ b/test/functional/test_fleet_directors.sh
@@ -29,6 +29,12 @@
 wait_for 10 served
 echo 'good: nine directors lost'
 
+# Many configurations in the log.  Guards against a start that hands each of
+# them out in turn, which takes so long that the leader loses its lease.
+for version in $(seq 11 40); do
+  wait_for 10 put "$(config "000000$version" idempotent /x/)"
+done
+
 for i in "${!PIDS[@]}"; do
   case $i in director-*) kill -KILL "${PIDS[$i]}" ;; esac
 done
@@ -37,8 +43,12 @@
   unset "PIDS[director-$i]"
 done
 FIRST_START=false
-for i in $(seq $DIRECTORS); do start_vm director "$i"; done
-for at in 1 3 $DIRECTORS; do AT=$at wait_for 10 in_force 00000006; done
+for i in $(seq $DIRECTORS); do : >"$FOLDER/director-$i.log"; start_vm director "$i"; done
+for at in 1 3 $DIRECTORS; do AT=$at wait_for 10 in_force 00000040; done
+for i in 1 2 $DIRECTORS; do
+  n=$(grep -c 'event=config_published' "$FOLDER/director-$i.log")
+  [ "$n" -le 5 ] || fail "director $i published $n configurations"
+done
 wait_for 10 served
 ! grep -hE 'rpc_(call|reply)_too_long|roster_full' "$FOLDER"/*.log || fail 'a message did not fit'
 echo 'good: all directors killed'
