--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -7,11 +7,13 @@
 #include "fleet/fleet_wire.h"
 
 /* Age at which the list of backend servers is read again.  A follower reads it
-   only when it has received no recent list from the leader; its age is higher
-   by LIST_REFRESH_AGE_PER_SLOT for each slot before its own, so that not all
-   followers read the list at once.  */
+   only when it has received no recent list from the leader.  A long list gets
+   1.75 s old until the next one arrives: 750 ms between two readings, half a
+   second for a reading, and the time to the next share.  The age of a follower
+   is higher by LIST_REFRESH_AGE_PER_SLOT for each slot before its own, so that
+   not all followers read the list at once.  */
 #define LIST_REFRESH_AGE_LEADER (400 * USEC_PER_MSEC)
-#define LIST_REFRESH_AGE_FOLLOWER (1400 * USEC_PER_MSEC)
+#define LIST_REFRESH_AGE_FOLLOWER (2000 * USEC_PER_MSEC)
 #define LIST_REFRESH_AGE_PER_SLOT (150 * USEC_PER_MSEC)
 /* How long routers are told that an evacuation has ended; longer than the list
    of backend servers lags and takes to read.  */
