--- a/src/agreement/replica_internal.h
+++ b/src/agreement/replica_internal.h
@@ -88,14 +88,14 @@
   slot_t leader;
   usec_t leader_heard_at; /* or the replica's start time */
   usec_t election_deadline;
-  bool is_pre_candidate; /* its pre-vote is in progress */
-  usec_t pre_vote_at;    /* when its last pre-vote began */
-  usec_t yielded_at;     /* to another pre-candidate; 0: not yet */
+  usec_t pre_vote_at; /* when its last pre-vote began */
+  usec_t yielded_at;  /* to another pre-candidate; 0: not yet */
   /* The best request for a pre-vote that arrived while a leader may have held
      a lease; its kind is MESSAGE_KINDS if there is none.  */
   message_t held_request;
   usec_t held_at;
   usec_t voted_at;                /* its last vote, also for itself; 0: none */
+  bool is_pre_candidate;          /* its pre-vote is in progress */
   bool has_granted[REPLICAS_MAX]; /* by slot: the vote or pre-vote */
 
   /* Leadership.  */
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -110,6 +110,9 @@
   uint64_t synced_sequence;     /* last one reported to the replica */
   usec_t next_reopen_at;        /* after a disk failure */
   bool has_lost_disk;           /* at any time since the start */
+  bool has_warned_roster_full;  /* that a director has no slot */
+  bool must_publish_config;     /* STATE's configuration is newer than
+                                   PACKED_CONFIG */
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
   slot_t leader_slot;    /* as last logged */
@@ -119,14 +122,12 @@
 
   roster_t roster;
   roster_bootstrap_t bootstrap;
-  bool has_warned_roster_full;
   usec_t next_announce_at;
   director_peer_t peers[ROSTER_MAX]; /* by slot */
 
   director_state_t state;
   reopened_domains_t reopened; /* evacuations of STATE that ended recently */
   packed_t packed_config;      /* STATE's configuration, as routers get it */
-  bool must_publish_config;    /* STATE's configuration is newer than that */
   log_index_t applied_index;   /* STATE includes all entries up to here */
   usec_t confirmed_at; /* when STATE was last known to be current; 0: never */
   /* At PENDING_CONFIRM_AT the leader had applied entries up to
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -142,9 +142,10 @@
     log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
 }
 
-/* Record which evacuations of BEFORE are no longer in force.  A director that
-   replays its log after a restart doesn't know when they ended; the present is
-   the latest time possible.  */
+/* Record which evacuations of BEFORE are no longer in force; the configuration
+   of BEFORE may be freed already.  A director that replays its log after a
+   restart doesn't know when they ended; the present is the latest time
+   possible.  */
 static void
 note_reopened (director_core_t *core, const director_state_t *before)
 {
--- a/test/unit/test_wire_rpc.c
+++ b/test/unit/test_wire_rpc.c
@@ -316,7 +316,8 @@
   for (int i = 0; i < 2; i++)
     {
       fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[i], (struct sockaddr *)&at, sizeof at);
+      /* It may be in progress still.  */
+      (void)connect (fillers[i], (struct sockaddr *)&at, sizeof at);
     }
   return fd;
 }
