fix(director): an evacuation that ended before a restart counts as ended at the start

Cause: a director that replayed its log took the present for the end of every evacuation in it, so that after a restart of all the failure domain was limited as cold for half a second longer, when room is short anyway. What is on disk at the start ended before it.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -107,6 +107,8 @@
   storage_t *storage; /* NULL after a disk failure, until reopened */
   storage_thread_t *storage_thread;
   replica_image_t stored_image; /* as read, until the replica takes it over */
+  log_index_t stored_index;     /* last entry that the disk held then */
+  usec_t opened_at;             /* when the disk was last opened */
   uint64_t synced_sequence;     /* last one reported to the replica */
   usec_t next_reopen_at;        /* after a disk failure */
   bool has_lost_disk;           /* at any time since the start */
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -13,6 +13,15 @@
 /* Between regions, with one core tick.  */
 #define DIRECTOR_ROUND_TRIP (110 * USEC_PER_MSEC)
 
+/* The index of the last entry that IMAGE holds.  */
+static log_index_t
+last_stored_index (const replica_image_t *image)
+{
+  if (list_empty (&image->log))
+    return image->snapshot.index;
+  return LIST_ENTRY (image->log.prev, entry_t, link)->index;
+}
+
 bool
 core_replica_open_disk (director_core_t *core, err_t *err)
 {
@@ -31,6 +40,8 @@
     return false;
   if (roster.n_slots > 0)
     core->roster = roster;
+  core->opened_at = clock_monotonic ();
+  core->stored_index = last_stored_index (&core->stored_image);
   core->synced_sequence = 0;
   return true;
 }
@@ -142,17 +153,20 @@
     log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
 }
 
-/* Record which evacuations of BEFORE are no longer in force; the configuration
-   of BEFORE may be freed already.  A director that replays its log after a
-   restart doesn't know when they ended; the present is the latest time
+/* Record which evacuations of BEFORE are no longer in force since the entry at
+   INDEX; the configuration of BEFORE may be freed already.  Of an entry that
+   was on disk when this process started, the start is the latest time
    possible.  */
 static void
-note_reopened (director_core_t *core, const director_state_t *before)
+note_reopened (director_core_t *core, const director_state_t *before,
+               log_index_t index)
 {
   const director_state_t *state = &core->state;
+  usec_t at
+      = index <= core->stored_index ? core->opened_at : clock_monotonic ();
   reopened_domains_add_ended (&core->reopened, before->evacuated,
                               before->n_evacuated, state->evacuated,
-                              state->n_evacuated, clock_monotonic ());
+                              state->n_evacuated, at);
 }
 
 static void
@@ -170,7 +184,7 @@
   if (!director_state_apply (&core->state, entry->index, entry->body.command,
                              &err))
     log_error (LOG_LEVEL_ERROR, "command_not_understood", &err);
-  note_reopened (core, &before);
+  note_reopened (core, &before, entry->index);
   LOG_EVENT (LOG_LEVEL_INFO, "command_applied", LOG_U ("index", entry->index),
              LOG_U ("version", core->state.config_version),
              LOG_U ("version_before", before.config_version),
@@ -191,8 +205,8 @@
       log_error (LOG_LEVEL_ERROR, "snapshot_not_understood", &err);
       return;
     }
-  note_reopened (core, &before);
   core->applied_index = action->body.restore.index;
+  note_reopened (core, &before, core->applied_index);
   LOG_EVENT (LOG_LEVEL_INFO, "snapshot_restored",
              LOG_U ("index", core->applied_index),
              LOG_U ("version", core->state.config_version));
