--- a/test/unit/test_agreement_election.c
+++ b/test/unit/test_agreement_election.c
@@ -10,7 +10,6 @@
 {
   NODES_MAX = 27,
   SEEDS = 1000,
-  MAJORITY_MAX = NODES_MAX / 2 + 1,
   INCARNATION = 100, /* of slot 0; the next slots count up */
   TERM = 5,          /* on all disks at the start */
 };
@@ -19,7 +18,7 @@
 #define TIMEOUT REPLICA_ELECTION_TIMEOUT
 /* The sync of a disk takes 1 to 60 ms, a message 1 to 45 ms.  */
 #define SYNC_MAX (60 * USEC_PER_MSEC)
-#define WAY_MAX (45 * USEC_PER_MSEC)
+#define LATENCY_MAX (45 * USEC_PER_MSEC)
 /* A leader is there no later than this after the earliest time possible.  */
 #define ELECTION_DELAY_MAX (150 * USEC_PER_MSEC)
 /* All are started again within this time.  */
@@ -30,31 +29,31 @@
 
 typedef enum
 {
-  AT_TICK,
-  AT_SYNCED,
-  AT_MESSAGE,
-} kind_t;
+  SIM_TICK,
+  SIM_SYNCED,
+  SIM_MESSAGE,
+} sim_event_kind_t;
 
-typedef struct occurrence
+typedef struct sim_event
 {
   usec_t at;
   uint64_t number; /* orders those at the same time */
-  kind_t kind;
+  sim_event_kind_t kind;
   slot_t slot;
-  uint64_t sequence; /* AT_SYNCED */
-  blob_t *message;   /* AT_MESSAGE */
-} occurrence_t;
+  uint64_t sequence; /* SIM_SYNCED */
+  blob_t *message;   /* SIM_MESSAGE */
+} sim_event_t;
 
 typedef struct timed_cluster
 {
   GRand *random;
   usec_t now;
-  uint64_t n_occurrences;
-  GSequence *agenda; /* of occurrence_t */
+  uint64_t n_scheduled;
+  GSequence *event_queue; /* of sim_event_t */
   slot_t n;
   replica_t *replicas[NODES_MAX]; /* NULL: lost */
   usec_t sync_time[NODES_MAX];
-  usec_t way[NODES_MAX][NODES_MAX];
+  usec_t latency[NODES_MAX][NODES_MAX];
   usec_t synced_at[NODES_MAX]; /* when the last sync ends */
   usec_t heard_at[NODES_MAX];  /* the last message of a leader, or the start */
 } timed_cluster_t;
@@ -63,19 +62,19 @@
 compare (gconstpointer a, gconstpointer b, gpointer data)
 {
   (void)data;
-  const occurrence_t *x = a;
-  const occurrence_t *y = b;
+  const sim_event_t *x = a;
+  const sim_event_t *y = b;
   if (x->at != y->at)
     return x->at < y->at ? -1 : 1;
   return x->number < y->number ? -1 : 1;
 }
 
 static void
-schedule (timed_cluster_t *cluster, const occurrence_t *occurrence)
+schedule (timed_cluster_t *cluster, const sim_event_t *planned)
 {
-  occurrence_t *copy = g_memdup2 (occurrence, sizeof *occurrence);
-  copy->number = cluster->n_occurrences++;
-  g_sequence_insert_sorted (cluster->agenda, copy, compare, NULL);
+  sim_event_t *copy = g_memdup2 (planned, sizeof *planned);
+  copy->number = cluster->n_scheduled++;
+  g_sequence_insert_sorted (cluster->event_queue, copy, compare, NULL);
 }
 
 static usec_t
@@ -91,10 +90,10 @@
 {
   usec_t start = MAX (cluster->now, cluster->synced_at[slot]);
   cluster->synced_at[slot] = start + cluster->sync_time[slot];
-  schedule (cluster, &(occurrence_t){ .at = cluster->synced_at[slot],
-                                      .kind = AT_SYNCED,
-                                      .slot = slot,
-                                      .sequence = sequence });
+  schedule (cluster, &(sim_event_t){ .at = cluster->synced_at[slot],
+                                     .kind = SIM_SYNCED,
+                                     .slot = slot,
+                                     .sequence = sequence });
 }
 
 static void
@@ -110,13 +109,13 @@
       if (action->kind == ACTION_PERSIST)
         persist (cluster, slot, action->body.persist.sequence);
       if (action->kind == ACTION_SEND)
-        schedule (
-            cluster,
-            &(occurrence_t){ .at = cluster->now
-                                   + cluster->way[slot][action->body.send.to],
-                             .kind = AT_MESSAGE,
-                             .slot = action->body.send.to,
-                             .message = message_encode (&action->body.send) });
+        schedule (cluster,
+                  &(sim_event_t){
+                      .at = cluster->now
+                            + cluster->latency[slot][action->body.send.to],
+                      .kind = SIM_MESSAGE,
+                      .slot = action->body.send.to,
+                      .message = message_encode (&action->body.send) });
       action_free (action);
     }
 }
@@ -134,27 +133,27 @@
 }
 
 static void
-occur (timed_cluster_t *cluster, const occurrence_t *occurrence)
+handle (timed_cluster_t *cluster, const sim_event_t *next)
 {
-  slot_t slot = occurrence->slot;
+  slot_t slot = next->slot;
   if (!cluster->replicas[slot])
     return;
   event_t event = { .kind = EVENT_TICK };
-  switch (occurrence->kind)
+  switch (next->kind)
     {
-    case AT_TICK:
+    case SIM_TICK:
       step (cluster, slot, &event);
-      schedule (cluster, &(occurrence_t){ .at = cluster->now + TICK,
-                                          .kind = AT_TICK,
-                                          .slot = slot });
+      schedule (cluster, &(sim_event_t){ .at = cluster->now + TICK,
+                                         .kind = SIM_TICK,
+                                         .slot = slot });
       break;
-    case AT_SYNCED:
+    case SIM_SYNCED:
       event.kind = EVENT_SYNCED;
-      event.body.synced = occurrence->sequence;
+      event.body.synced = next->sequence;
       step (cluster, slot, &event);
       break;
-    case AT_MESSAGE:
-      receive (cluster, slot, occurrence->message);
+    case SIM_MESSAGE:
+      receive (cluster, slot, next->message);
       break;
     }
 }
@@ -163,14 +162,14 @@
 static slot_t
 run_next (timed_cluster_t *cluster)
 {
-  GSequenceIter *first = g_sequence_get_begin_iter (cluster->agenda);
-  occurrence_t *occurrence = g_sequence_get (first);
+  GSequenceIter *first = g_sequence_get_begin_iter (cluster->event_queue);
+  sim_event_t *next = g_sequence_get (first);
   g_sequence_remove (first);
-  cluster->now = occurrence->at;
-  occur (cluster, occurrence);
-  slot_t slot = occurrence->slot;
-  blob_unref (occurrence->message);
-  g_free (occurrence);
+  cluster->now = next->at;
+  handle (cluster, next);
+  slot_t slot = next->slot;
+  blob_unref (next->message);
+  g_free (next);
   return slot;
 }
 
@@ -197,7 +196,7 @@
   cluster->synced_at[slot] = at;
   cluster->heard_at[slot] = at;
   schedule (cluster,
-            &(occurrence_t){ .at = at, .kind = AT_TICK, .slot = slot });
+            &(sim_event_t){ .at = at, .kind = SIM_TICK, .slot = slot });
 }
 
 static void
@@ -205,30 +204,30 @@
 {
   *cluster = (timed_cluster_t){ .random = g_rand_new_with_seed (seed),
                                 .now = USEC_PER_SEC };
-  cluster->agenda = g_sequence_new (NULL);
+  cluster->event_queue = g_sequence_new (NULL);
   cluster->n = (slot_t)g_rand_int_range (cluster->random, 5, NODES_MAX + 1);
   for (slot_t i = 0; i < cluster->n; i++)
     {
       cluster->sync_time[i]
           = random_between (cluster, USEC_PER_MSEC, SYNC_MAX);
       for (slot_t j = 0; j < i; j++)
-        cluster->way[i][j] = cluster->way[j][i]
-            = random_between (cluster, USEC_PER_MSEC, WAY_MAX);
+        cluster->latency[i][j] = cluster->latency[j][i]
+            = random_between (cluster, USEC_PER_MSEC, LATENCY_MAX);
     }
 }
 
 static void
 cluster_close (timed_cluster_t *cluster)
 {
-  while (!g_sequence_is_empty (cluster->agenda))
+  while (!g_sequence_is_empty (cluster->event_queue))
     {
-      GSequenceIter *first = g_sequence_get_begin_iter (cluster->agenda);
-      occurrence_t *occurrence = g_sequence_get (first);
-      blob_unref (occurrence->message);
-      g_free (occurrence);
+      GSequenceIter *first = g_sequence_get_begin_iter (cluster->event_queue);
+      sim_event_t *next = g_sequence_get (first);
+      blob_unref (next->message);
+      g_free (next);
       g_sequence_remove (first);
     }
-  g_sequence_free (cluster->agenda);
+  g_sequence_free (cluster->event_queue);
   g_rand_free (cluster->random);
   for (slot_t i = 0; i < cluster->n; i++)
     if (cluster->replicas[i])
@@ -312,7 +311,7 @@
     {
       if (!cluster->replicas[to])
         continue;
-      usec_t trip = 2 * cluster->way[candidate][to];
+      usec_t trip = 2 * cluster->latency[candidate][to];
       pre_votes[n] = trip;
       votes[n++] = to == candidate ? 0 : trip + cluster->sync_time[to];
     }
@@ -383,8 +382,8 @@
       lose (&cluster, leader_of (&cluster));
       for (slot_t i = 0; i + 1 < n_lost; i++)
         lose (&cluster, i);
-      /* Messages of the leader are still on their way.  */
-      usec_t until = cluster.now + WAY_MAX;
+      /* Messages of the leader are still in transit.  */
+      usec_t until = cluster.now + LATENCY_MAX;
       while (cluster.now < until)
         run_next (&cluster);
       check_election (&cluster, lease_end (&cluster), TERM + 2, seed);
