--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -25,6 +25,7 @@
 {
   int listener;
   inet_t address;
+  GThread *server;
   gint n_sent; /* bytes that the server has written; atomic */
   poller_t *poller;
   backend_http_t *client;
@@ -121,17 +122,22 @@
   return NULL;
 }
 
+/* Ends when the listener is shut down and all connections are closed.  */
 static gpointer
 accept_all (gpointer data)
 {
   fixture_t *fixture = data;
+  g_autoptr (GPtrArray) threads = g_ptr_array_new ();
   int fd;
   while ((fd = accept (fixture->listener, NULL, NULL)) >= 0)
     {
       connection_t *connection = g_new (connection_t, 1);
       *connection = (connection_t){ .fixture = fixture, .fd = fd };
-      g_thread_unref (g_thread_new ("connection", serve, connection));
+      g_ptr_array_add (threads,
+                       g_thread_new ("connection", serve, connection));
     }
+  for (guint i = 0; i < threads->len; i++)
+    g_thread_join (threads->pdata[i]);
   return NULL;
 }
 
@@ -166,7 +172,7 @@
                                            .closure = fixture,
                                            .done = on_done };
   fixture->client = backend_http_new (&options);
-  g_thread_unref (g_thread_new ("accept", accept_all, fixture));
+  fixture->server = g_thread_new ("accept", accept_all, fixture);
 }
 
 static void
@@ -175,6 +181,8 @@
   backend_http_free (fixture->client);
   poller_free (fixture->poller);
   shutdown (fixture->listener, SHUT_RDWR);
+  g_thread_join (fixture->server);
+  close (fixture->listener);
 }
 
 static void
@@ -211,14 +219,14 @@
 static void
 test_head (gconstpointer data)
 {
-  fixture_t *fixture = g_new (fixture_t, 1); /* threads outlive the test */
-  fixture_open (fixture);
+  fixture_t fixture;
+  fixture_open (&fixture);
   usec_t start = clock_monotonic ();
-  start_call (fixture, data);
-  run_until_ended (fixture, 1);
-  g_assert_cmpuint (fixture->n_complete, ==, 0);
+  start_call (&fixture, data);
+  run_until_ended (&fixture, 1);
+  g_assert_cmpuint (fixture.n_complete, ==, 0);
   g_assert_cmpint (clock_monotonic () - start, <, CALL_TIMEOUT / 2);
-  fixture_close (fixture);
+  fixture_close (&fixture);
 }
 
 /* The head shows that the answer belongs to another request: its body is not
@@ -226,13 +234,13 @@
 static void
 test_other_request (void)
 {
-  fixture_t *fixture = g_new (fixture_t, 1);
-  fixture_open (fixture);
-  start_call (fixture, "/other");
-  run_until_ended (fixture, 1);
-  g_assert_cmpuint (fixture->n_complete, ==, 0);
-  g_assert_cmpint (g_atomic_int_get (&fixture->n_sent), <, RESPONSE_BYTES_MAX);
-  fixture_close (fixture);
+  fixture_t fixture;
+  fixture_open (&fixture);
+  start_call (&fixture, "/other");
+  run_until_ended (&fixture, 1);
+  g_assert_cmpuint (fixture.n_complete, ==, 0);
+  g_assert_cmpint (g_atomic_int_get (&fixture.n_sent), <, RESPONSE_BYTES_MAX);
+  fixture_close (&fixture);
 }
 
 /* Several endless bodies at once: their buffers stay within the limit, and the
@@ -240,17 +248,17 @@
 static void
 test_many_bodies (void)
 {
-  fixture_t *fixture = g_new (fixture_t, 1);
-  fixture_open (fixture);
+  fixture_t fixture;
+  fixture_open (&fixture);
   for (int i = 0; i < ENDLESS_BODIES; i++)
     {
-      start_call (fixture, "/body");
-      start_call (fixture, "/good");
+      start_call (&fixture, "/body");
+      start_call (&fixture, "/good");
     }
-  run_until_ended (fixture, 2 * ENDLESS_BODIES);
-  g_assert_cmpuint (fixture->n_complete, ==, ENDLESS_BODIES);
-  g_assert_cmpuint (backend_http_large_bytes (fixture->client), ==, 0);
-  fixture_close (fixture);
+  run_until_ended (&fixture, 2 * ENDLESS_BODIES);
+  g_assert_cmpuint (fixture.n_complete, ==, ENDLESS_BODIES);
+  g_assert_cmpuint (backend_http_large_bytes (fixture.client), ==, 0);
+  fixture_close (&fixture);
 }
 
 int
