--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -45,6 +45,15 @@
   return n;
 }
 
+/* The request for votes that REPLICA's log gives it.  */
+static vote_request_t
+vote_request_of (const replica_t *replica, bool is_pre_vote)
+{
+  return (vote_request_t){ .is_pre_vote = is_pre_vote,
+                           .last_index = replica->last_index,
+                           .last_term = replica->last_term };
+}
+
 static void
 request_votes (replica_t *replica, bool is_pre_vote_round)
 {
@@ -57,9 +66,7 @@
       message_t message = message_to (replica, MESSAGE_VOTE_REQUEST, slot,
                                       replica->config.incarnation[slot]);
       message.term = replica->vote.term + (is_pre_vote_round ? 1 : 0);
-      message.body.vote_request.is_pre_vote = is_pre_vote_round;
-      message.body.vote_request.last_index = replica->last_index;
-      message.body.vote_request.last_term = replica->last_term;
+      message.body.vote_request = vote_request_of (replica, is_pre_vote_round);
       message_send_after_sync (replica, &message);
     }
 }
@@ -110,15 +117,17 @@
   replica->election_deadline
       = replica->now + round_trips (replica, 1) + random_delay (replica);
   request_votes (replica, true);
+  election_check_votes (replica);
 }
 
-static bool
-candidate_log_is_up_to_date (const replica_t *replica,
-                             const vote_request_t *request)
+/* Compares the logs that two requests describe, as Raft does: above 0 if that
+   of A is newer, 0 if both are equally new.  */
+static int
+compare_logs (const vote_request_t *a, const vote_request_t *b)
 {
-  if (request->last_term != replica->last_term)
-    return request->last_term > replica->last_term;
-  return request->last_index >= replica->last_index;
+  if (a->last_term != b->last_term)
+    return a->last_term > b->last_term ? 1 : -1;
+  return (a->last_index > b->last_index) - (a->last_index < b->last_index);
 }
 
 /* True while a leader may hold a lease that this replica has acknowledged.
@@ -137,8 +146,8 @@
 may_grant_vote (const replica_t *replica, const message_t *message)
 {
   const vote_request_t *request = &message->body.vote_request;
-  if (message->term < replica->vote.term
-      || !candidate_log_is_up_to_date (replica, request))
+  const vote_request_t own = vote_request_of (replica, request->is_pre_vote);
+  if (message->term < replica->vote.term || compare_logs (request, &own) < 0)
     return false;
   if (request->is_pre_vote)
     return message->term > replica->vote.term;
@@ -161,9 +170,8 @@
 static bool
 outranks_sender (const replica_t *replica, const message_t *message)
 {
-  const vote_request_t *request = &message->body.vote_request;
-  return request->last_term == replica->last_term
-         && request->last_index == replica->last_index
+  const vote_request_t own = vote_request_of (replica, true);
+  return compare_logs (&message->body.vote_request, &own) == 0
          && replica->options.slot < message->from;
 }
 
@@ -234,13 +242,17 @@
 static bool
 request_is_better (const message_t *a, const message_t *b)
 {
-  const vote_request_t *x = &a->body.vote_request;
-  const vote_request_t *y = &b->body.vote_request;
-  if (x->last_term != y->last_term)
-    return x->last_term > y->last_term;
-  if (x->last_index != y->last_index)
-    return x->last_index > y->last_index;
-  return a->from <= b->from;
+  int order = compare_logs (&a->body.vote_request, &b->body.vote_request);
+  return order != 0 ? order > 0 : a->from <= b->from;
+}
+
+/* Whether a request is held whose sender may still wait for the answer.  */
+static bool
+holds_request (const replica_t *replica)
+{
+  return replica->held_request.kind != MESSAGE_KINDS
+         && replica->now
+                < replica->held_at + round_trips (replica, VOTE_DURATION);
 }
 
 /* Hold a request for a pre-vote until the lease is over, so that its sender
@@ -248,11 +260,9 @@
 static void
 hold_request (replica_t *replica, const message_t *message)
 {
-  bool is_held = replica->held_request.kind != MESSAGE_KINDS
-                 && replica->now < replica->held_at
-                                       + round_trips (replica, VOTE_DURATION);
   if (!message->body.vote_request.is_pre_vote
-      || (is_held && !request_is_better (message, &replica->held_request)))
+      || (holds_request (replica)
+          && !request_is_better (message, &replica->held_request)))
     return;
   replica->held_request = *message;
   replica->held_at = replica->now;
@@ -261,13 +271,11 @@
 static void
 answer_held_request (replica_t *replica)
 {
-  if (replica->held_request.kind == MESSAGE_KINDS
-      || leader_may_hold_lease (replica))
+  if (!holds_request (replica) || leader_may_hold_lease (replica))
     return;
   message_t request = replica->held_request;
   replica->held_request.kind = MESSAGE_KINDS;
-  if (replica->now < replica->held_at + round_trips (replica, VOTE_DURATION))
-    answer_vote_request (replica, &request);
+  answer_vote_request (replica, &request);
 }
 
 void
@@ -313,6 +321,4 @@
       replica->leader = SLOT_NONE;
       election_reset (replica);
     }
-  if (replica->is_pre_candidate)
-    election_check_votes (replica);
 }
--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/name.h"
 #include "fleet/backend_list.h"
 
 enum
@@ -141,10 +142,8 @@
 static bool
 is_evacuated (const pool_update_t *update, const char *domain)
 {
-  for (size_t i = 0; i < update->n_evacuated; i++)
-    if (strcmp (update->evacuated[i].text, domain) == 0)
-      return true;
-  return false;
+  return name_find (update->evacuated, update->n_evacuated, domain)
+         < update->n_evacuated;
 }
 
 /* Returns whether the list was read too early to show that BACKEND became cold
--- a/src/base/name.c
+++ b/src/base/name.c
@@ -1,6 +1,5 @@
 #include "base/name.h"
 
-#include <stddef.h>
 #include <string.h>
 
 static bool
@@ -34,6 +33,15 @@
   return strcmp (a->text, b->text) == 0;
 }
 
+size_t
+name_find (const name_t *names, size_t n, const char *text)
+{
+  size_t i = 0;
+  while (i < n && strcmp (names[i].text, text) != 0)
+    i++;
+  return i;
+}
+
 int
 name_compare (const name_t *a, const name_t *b)
 {
--- a/src/base/name.h
+++ b/src/base/name.h
@@ -4,6 +4,7 @@
 #define BASE_NAME_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "base/error.h"
 #include "base/name_defs.h"
@@ -16,6 +17,9 @@
 
 bool name_equal (const name_t *a, const name_t *b);
 
+/* Returns the index of the first of the N names NAMES that is TEXT, or N.  */
+size_t name_find (const name_t *names, size_t n, const char *text);
+
 /* Compares A and B as strcmp does, for sorted tables.  */
 int name_compare (const name_t *a, const name_t *b);
 
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -27,6 +27,8 @@
 _Static_assert((int)ROSTER_MAX == FLEET_WIRE_DIRECTORS_MAX
                    && (int)FLEET_DIRECTORS_MAX == FLEET_WIRE_DIRECTORS_MAX,
                "the limits of directors differ");
+_Static_assert((int)REOPENED_DOMAINS_MAX == FLEET_WIRE_DOMAINS_MAX,
+               "the limits of failure domains differ");
 
 #define CORE_TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -13,15 +13,6 @@
 /* Between regions, with one core tick.  */
 #define DIRECTOR_ROUND_TRIP (110 * USEC_PER_MSEC)
 
-/* The index of the last entry that IMAGE holds.  */
-static log_index_t
-last_stored_index (const replica_image_t *image)
-{
-  if (list_empty (&image->log))
-    return image->snapshot.index;
-  return LIST_ENTRY (image->log.prev, entry_t, link)->index;
-}
-
 bool
 core_replica_open_disk (director_core_t *core, err_t *err)
 {
@@ -41,7 +32,6 @@
   if (roster.n_slots > 0)
     core->roster = roster;
   core->opened_at = clock_monotonic ();
-  core->stored_index = last_stored_index (&core->stored_image);
   core->synced_sequence = 0;
   return true;
 }
@@ -124,6 +114,7 @@
           .must_rewrite_image = core->has_lost_disk };
   core->replica
       = replica_new (&options, &core->stored_image, clock_monotonic ());
+  core->stored_index = replica_status (core->replica).last_index;
   atomic_store (&core->own_slot, slot);
   LOG_EVENT (LOG_LEVEL_INFO, "replica_opened", LOG_U ("slot", slot),
              LOG_U ("slots", core->roster.n_slots));
--- a/src/director/director_state.c
+++ b/src/director/director_state.c
@@ -72,11 +72,7 @@
 static size_t
 evacuated_find (const director_state_t *state, const char *domain)
 {
-  size_t i = 0;
-  while (i < state->n_evacuated
-         && strcmp (state->evacuated[i].text, domain) != 0)
-    i++;
-  return i;
+  return name_find (state->evacuated, state->n_evacuated, domain);
 }
 
 bool
--- a/src/fleet/list_update.c
+++ b/src/fleet/list_update.c
@@ -117,6 +117,12 @@
 
 /* --- The follower's side ------------------------------------------------ */
 
+usec_t
+list_update_read_at (const fleet_list_update_t *update, usec_t now)
+{
+  return now - (update->age > 0 ? update->age : 0);
+}
+
 void
 list_update_advance_time (backend_list_t *list, usec_t at)
 {
@@ -227,7 +233,7 @@
 list_update_apply (const fleet_list_update_t *update, usec_t now,
                    backend_list_t *list)
 {
-  usec_t read_at = now - (update->age > 0 ? update->age : 0);
+  usec_t read_at = list_update_read_at (update, now);
   if (update->digest == 0 || read_at < list->read_at)
     return LIST_UPDATE_UNCHANGED;
   if (update->whole.fleet_packed_t_len > 0)
--- a/src/fleet/list_update.h
+++ b/src/fleet/list_update.h
@@ -58,6 +58,10 @@
                             fit the list: request the full list */
 } list_update_result_t;
 
+/* Returns when the list that UPDATE describes was read, by the local clock;
+   UPDATE arrived at NOW.  */
+usec_t list_update_read_at (const fleet_list_update_t *update, usec_t now);
+
 /* Set the time of reading of an unchanged LIST to AT, and shorten cold_left
    of its cold records accordingly.  */
 void list_update_advance_time (backend_list_t *list, usec_t at);
--- a/src/fleet/reopened_domains.c
+++ b/src/fleet/reopened_domains.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/name.h"
+
 /* The item of the domain NAME, or NULL.  */
 static const reopened_domain_t *
 find_item (const reopened_domains_t *set, const char *name)
@@ -33,22 +35,13 @@
   set->items[index] = (reopened_domain_t){ .name = *name, .at = at };
 }
 
-static bool
-contains (const name_t *names, size_t n, const name_t *name)
-{
-  for (size_t i = 0; i < n; i++)
-    if (strcmp (names[i].text, name->text) == 0)
-      return true;
-  return false;
-}
-
 void
 reopened_domains_add_ended (reopened_domains_t *set, const name_t *before,
                             size_t n_before, const name_t *after,
                             size_t n_after, usec_t at)
 {
   for (size_t i = 0; i < n_before; i++)
-    if (!contains (after, n_after, &before[i]))
+    if (name_find (after, n_after, before[i].text) == n_after)
       reopened_domains_add (set, &before[i], at);
 }
 
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -366,13 +366,6 @@
     director->round_trip = round_trip;
 }
 
-/* Returns when the list that RESULT's sender has was read.  */
-static usec_t
-list_read_at (const fleet_pull_result_t *result, usec_t now)
-{
-  return now - (result->list.age > 0 ? result->list.age : 0);
-}
-
 /* Returns whether RESULT shows that this router's list is unchanged at a
    reading late enough for a failure domain in REOPENED.  */
 static bool
@@ -380,8 +373,8 @@
                    const fleet_pull_result_t *result, usec_t now)
 {
   const reopened_domains_t *reopened = &sync->snapshot->reopened;
-  usec_t shown_at
-      = list_read_at (result, now) - sync->options.settings->backend_list_lag;
+  usec_t shown_at = list_update_read_at (&result->list, now)
+                    - sync->options.settings->backend_list_lag;
   if (sync->list_digest == 0 || result->list.digest != sync->list_digest)
     return false;
   for (size_t i = 0; i < reopened->n; i++)
@@ -397,7 +390,7 @@
 apply_list_time (const director_sync_t *sync, fleet_snapshot_t *snapshot,
                  const fleet_pull_result_t *result, usec_t now)
 {
-  usec_t read_at = list_read_at (result, now);
+  usec_t read_at = list_update_read_at (&result->list, now);
   if (snapshot->list.digest != 0
       && result->list.digest == snapshot->list.digest
       && read_at > snapshot->list.read_at)
--- a/test/unit/test_agreement_election.c
+++ b/test/unit/test_agreement_election.c
@@ -158,18 +158,31 @@
     }
 }
 
-/* Returns the slot that it concerned.  */
-static slot_t
-run_next (timed_cluster_t *cluster)
+static sim_event_t *
+pop_event (timed_cluster_t *cluster)
 {
   GSequenceIter *first = g_sequence_get_begin_iter (cluster->event_queue);
   sim_event_t *next = g_sequence_get (first);
   g_sequence_remove (first);
+  return next;
+}
+
+static void
+sim_event_free (sim_event_t *event)
+{
+  blob_unref (event->message);
+  g_free (event);
+}
+
+/* Returns the slot that it concerned.  */
+static slot_t
+run_next (timed_cluster_t *cluster)
+{
+  sim_event_t *next = pop_event (cluster);
   cluster->now = next->at;
   handle (cluster, next);
   slot_t slot = next->slot;
-  blob_unref (next->message);
-  g_free (next);
+  sim_event_free (next);
   return slot;
 }
 
@@ -220,13 +233,7 @@
 cluster_close (timed_cluster_t *cluster)
 {
   while (!g_sequence_is_empty (cluster->event_queue))
-    {
-      GSequenceIter *first = g_sequence_get_begin_iter (cluster->event_queue);
-      sim_event_t *next = g_sequence_get (first);
-      blob_unref (next->message);
-      g_free (next);
-      g_sequence_remove (first);
-    }
+    sim_event_free (pop_event (cluster));
   g_sequence_free (cluster->event_queue);
   g_rand_free (cluster->random);
   for (slot_t i = 0; i < cluster->n; i++)
@@ -320,7 +327,8 @@
 }
 
 /* Runs until there is a leader, which has to come in time, and remain the only
-   one, in TERM_EXPECTED.  LEASE_END_AT is when the last lease is over.  */
+   one, in TERM_EXPECTED.  LEASE_END_AT is when the leases of a majority are
+   over.  */
 static void
 check_election (timed_cluster_t *cluster, usec_t lease_end_at,
                 term_t term_expected, guint32 seed)
--- a/test/unit/test_wire_rpc.c
+++ b/test/unit/test_wire_rpc.c
@@ -121,9 +121,10 @@
   g_mutex_unlock (&waiter->lock);
 }
 
+/* Calls PROCEDURE with ARGS, encoded by ENCODE, and waits for the end.  */
 static waiter_t
-call (rpc_t *rpc, uint16_t port, uint32_t procedure, uint32_t value,
-      usec_t timeout)
+call_encoded (rpc_t *rpc, uint16_t port, uint32_t procedure, xdrproc_t encode,
+              void *args, usec_t timeout)
 {
   waiter_t waiter;
   waiter_init (&waiter);
@@ -132,8 +133,8 @@
                                   .program = PROGRAM,
                                   .version = 1,
                                   .procedure = procedure,
-                                  .encode = (xdrproc_t)xdr_uint32_t,
-                                  .args = &value,
+                                  .encode = encode,
+                                  .args = args,
                                   .timeout = timeout,
                                   .done = on_done,
                                   .closure = &waiter };
@@ -142,6 +143,14 @@
   return waiter;
 }
 
+static waiter_t
+call (rpc_t *rpc, uint16_t port, uint32_t procedure, uint32_t value,
+      usec_t timeout)
+{
+  return call_encoded (rpc, port, procedure, (xdrproc_t)xdr_uint32_t, &value,
+                       timeout);
+}
+
 static void
 test_call_and_answer (void)
 {
@@ -369,20 +378,8 @@
       call (client, port, PROCEDURE_DOUBLE, 4, CALL_TIMEOUT_USEC).ok);
   for (size_t i = 0; i < G_N_ELEMENTS (encode); i++)
     {
-      waiter_t waiter;
-      waiter_init (&waiter);
-      const rpc_request_t request = { .address = "127.0.0.1",
-                                      .port = port,
-                                      .program = PROGRAM,
-                                      .version = 1,
-                                      .procedure = PROCEDURE_DOUBLE,
-                                      .encode = encode[i],
-                                      .args = &text,
-                                      .timeout = CALL_TIMEOUT_USEC,
-                                      .done = on_done,
-                                      .closure = &waiter };
-      rpc_send (client, &request);
-      waiter_wait (&waiter);
+      waiter_t waiter = call_encoded (client, port, PROCEDURE_DOUBLE,
+                                      encode[i], &text, CALL_TIMEOUT_USEC);
       g_assert_false (waiter.ok);
       g_assert_false (waiter.sent);
       g_assert_cmpint (waiter.kind, ==, ERR_USAGE);
