--- a/test/unit/test_agreement_election.c
+++ b/test/unit/test_agreement_election.c
@@ -1,4 +1,4 @@
-/* Elections of 5 to 27 replicas in simulated time: messages, syncs and ticks
+/* Elections of 5 to 63 replicas in simulated time: messages, syncs and ticks
    take as long as they do between regions.  */
 
 #include <glib.h>
@@ -8,8 +8,11 @@
 
 enum
 {
-  NODES_MAX = 27,
+  NODES_MAX = 63,
+  NODES_DRAWN_MIN = 5,
+  NODES_DRAWN_MAX = 27,
   SEEDS = 1000,
+  CUT_SEEDS = 5,
   INCARNATION = 100, /* of slot 0; the next slots count up */
   TERM = 5,          /* on all disks at the start */
 };
@@ -28,6 +31,8 @@
 #define START_SPREAD (300 * USEC_PER_MSEC)
 /* Longer than a replica waits until it yields again.  */
 #define LONG_START_SPREAD (2 * USEC_PER_SEC)
+/* An election and a heartbeat, also after a failed election.  */
+#define SETTLE_TIME (2 * USEC_PER_SEC)
 /* How long the first leader has to remain the only one; longer than an
    election timeout.  */
 #define WATCH_TIME (600 * USEC_PER_MSEC)
@@ -62,7 +67,9 @@
   usec_t synced_at[NODES_MAX]; /* when the last sync ends */
   bool is_deaf[NODES_MAX];     /* no message reaches it */
   unsigned loss_percent;       /* of all messages */
-  usec_t heard_at[NODES_MAX];  /* the last message of a leader, or the start */
+  slot_t cut_at; /* no message passes between the slots below it and the
+                    others; 0: no cut */
+  usec_t heard_at[NODES_MAX]; /* the last message of a leader, or the start */
 } timed_cluster_t;
 
 static gint
@@ -132,6 +139,11 @@
 {
   message_t message;
   g_assert_true (message_decode (&message, bytes->bytes, bytes->length, NULL));
+  if ((message.from < cluster->cut_at) != (slot < cluster->cut_at))
+    {
+      message_clear (&message);
+      return;
+    }
   event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
   if (message.kind == MESSAGE_APPEND)
     cluster->heard_at[slot] = cluster->now;
@@ -248,12 +260,12 @@
 }
 
 static void
-cluster_open (timed_cluster_t *cluster, guint32 seed)
+cluster_open (timed_cluster_t *cluster, slot_t n, guint32 seed)
 {
   *cluster = (timed_cluster_t){ .random = g_rand_new_with_seed (seed),
-                                .now = USEC_PER_SEC };
+                                .now = USEC_PER_SEC,
+                                .n = n };
   cluster->event_queue = g_sequence_new (NULL);
-  cluster->n = (slot_t)g_rand_int_range (cluster->random, 5, NODES_MAX + 1);
   for (slot_t i = 0; i < cluster->n; i++)
     {
       cluster->sync_time[i]
@@ -264,6 +276,14 @@
     }
 }
 
+/* Returns a number of replicas for SEED; each of them for some seeds.  */
+static slot_t
+size_of (guint32 seed)
+{
+  return (slot_t)(NODES_DRAWN_MIN
+                  + seed % (NODES_DRAWN_MAX - NODES_DRAWN_MIN + 1));
+}
+
 static void
 cluster_close (timed_cluster_t *cluster)
 {
@@ -403,7 +423,7 @@
   for (guint32 seed = 1; seed <= SEEDS; seed++)
     {
       timed_cluster_t cluster;
-      cluster_open (&cluster, seed);
+      cluster_open (&cluster, size_of (seed), seed);
       for (slot_t i = 0; i < cluster.n; i++)
         start (&cluster, i,
                cluster.now + random_between (&cluster, 0, START_SPREAD));
@@ -428,7 +448,7 @@
   for (guint32 seed = 1; seed <= SEEDS; seed++)
     {
       timed_cluster_t cluster;
-      cluster_open (&cluster, seed);
+      cluster_open (&cluster, size_of (seed), seed);
       for (slot_t i = 0; i < cluster.n; i++)
         start (&cluster, i, cluster.now);
       check_election (&cluster, lease_end (&cluster), TERM + 1, seed);
@@ -455,8 +475,7 @@
   for (guint32 seed = 1; seed <= SEEDS; seed++)
     {
       timed_cluster_t cluster;
-      cluster_open (&cluster, seed);
-      cluster.n |= 1;
+      cluster_open (&cluster, size_of (seed) | 1, seed);
       for (slot_t i = cluster.n / 2; i < cluster.n; i++)
         start_with_log (&cluster, i,
                         cluster.now
@@ -475,7 +494,7 @@
   for (guint32 seed = 1; seed <= SEEDS; seed++)
     {
       timed_cluster_t cluster;
-      cluster_open (&cluster, seed);
+      cluster_open (&cluster, size_of (seed), seed);
       cluster.is_deaf[0] = true;
       for (slot_t i = 0; i < cluster.n; i++)
         start (&cluster, i,
@@ -493,7 +512,7 @@
   for (guint32 seed = 1; seed <= SEEDS; seed++)
     {
       timed_cluster_t cluster;
-      cluster_open (&cluster, seed);
+      cluster_open (&cluster, size_of (seed), seed);
       cluster.loss_percent = 10;
       for (slot_t i = 0; i < cluster.n; i++)
         start (&cluster, i,
@@ -504,6 +523,69 @@
     }
 }
 
+/* Runs on for DURATION, in which no two replicas may hold the lease.  */
+static void
+run_with_one_lease (timed_cluster_t *cluster, usec_t duration)
+{
+  usec_t end = cluster->now + duration;
+  while (cluster->now < end)
+    {
+      run_next (cluster);
+      int n = 0;
+      for (slot_t i = 0; i < cluster->n; i++)
+        n += replica_holds_lease (cluster->replicas[i], cluster->now);
+      g_assert_cmpint (n, <=, 1);
+    }
+}
+
+/* Requires the replicas from FIRST to below END to know the same leader and to
+   have the same commit index.  Returns the leader.  */
+static slot_t
+check_agreement (const timed_cluster_t *cluster, slot_t first, slot_t end)
+{
+  const replica_status_t status = replica_status (cluster->replicas[first]);
+  g_assert_cmpint (status.leader, !=, SLOT_NONE);
+  for (slot_t i = first; i < end; i++)
+    {
+      const replica_status_t other = replica_status (cluster->replicas[i]);
+      g_assert_cmpint (other.leader, ==, status.leader);
+      g_assert_cmpuint (other.commit_index, ==, status.commit_index);
+    }
+  return status.leader;
+}
+
+/* The larger side of a cut elects a leader, the smaller one has none that
+   holds the lease, and after the cut all follow the same one.  */
+static void
+check_cut (slot_t n, guint32 seed)
+{
+  timed_cluster_t cluster;
+  cluster_open (&cluster, n, seed);
+  for (slot_t i = 0; i < n; i++)
+    start (&cluster, i,
+           cluster.now + random_between (&cluster, 0, START_SPREAD));
+  run_with_one_lease (&cluster, SETTLE_TIME);
+  check_agreement (&cluster, 0, n);
+  cluster.cut_at = n / 2;
+  run_with_one_lease (&cluster, SETTLE_TIME);
+  slot_t leader = check_agreement (&cluster, cluster.cut_at, n);
+  g_assert_cmpint (leader, >=, cluster.cut_at);
+  cluster.cut_at = 0;
+  run_with_one_lease (&cluster, SETTLE_TIME);
+  g_assert_cmpint (check_agreement (&cluster, 0, n), ==, leader);
+  cluster_close (&cluster);
+}
+
+static void
+test_cut (void)
+{
+  for (guint32 seed = 1; seed <= CUT_SEEDS; seed++)
+    {
+      check_cut (27, seed);
+      check_cut (NODES_MAX, seed);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -513,5 +595,6 @@
   g_test_add_func ("/agreement/election/bare-majority", test_bare_majority);
   g_test_add_func ("/agreement/election/deaf", test_deaf_replica);
   g_test_add_func ("/agreement/election/lost-messages", test_lost_messages);
+  g_test_add_func ("/agreement/election/cut", test_cut);
   return g_test_run ();
 }
