feat(agreement,director): after a restart a majority confirms the state, without a leader

Cause: a director's state counts as current only once a leader has been elected and has shared its index, which takes a lease's time and an election after all were killed; routers wait for it.

A replica that has just started asks all for the end of their logs.

--- a/src/agreement/message.c
+++ b/src/agreement/message.c
@@ -34,6 +34,8 @@
     case MESSAGE_SNAPSHOT_RESPONSE:
     case MESSAGE_JOIN:
     case MESSAGE_BOOTSTRAP:
+    case MESSAGE_LOG_QUERY:
+    case MESSAGE_LOG_STATUS:
     case MESSAGE_KINDS:
       return;
     }
@@ -117,6 +119,14 @@
          && filter_usec (xdrs, &response->sent_at);
 }
 
+static bool
+filter_log_status (XDR *xdrs, log_status_t *status)
+{
+  return xdr_uint64_t (xdrs, &status->last_index)
+         && xdr_uint64_t (xdrs, &status->last_term)
+         && filter_usec (xdrs, &status->sent_at);
+}
+
 static bool
 filter_body (XDR *xdrs, message_t *message)
 {
@@ -139,6 +149,10 @@
       return filter_bool (xdrs, &message->body.join.is_blank);
     case MESSAGE_BOOTSTRAP:
       return config_filter (xdrs, &message->body.bootstrap);
+    case MESSAGE_LOG_QUERY:
+      return filter_usec (xdrs, &message->body.log_query.sent_at);
+    case MESSAGE_LOG_STATUS:
+      return filter_log_status (xdrs, &message->body.log_status);
     case MESSAGE_KINDS:
       break;
     }
--- a/src/agreement/message.h
+++ b/src/agreement/message.h
@@ -41,6 +41,8 @@
   MESSAGE_SNAPSHOT_RESPONSE,
   MESSAGE_JOIN,
   MESSAGE_BOOTSTRAP,
+  MESSAGE_LOG_QUERY,
+  MESSAGE_LOG_STATUS,
   MESSAGE_KINDS,
 } message_kind_t;
 
@@ -100,6 +102,20 @@
   bool is_blank; /* its data folder is empty */
 } join_t;
 
+/* Asks for the end of the receiver's log.  */
+typedef struct log_query
+{
+  usec_t sent_at; /* the sender's clock; returned in the answer */
+} log_query_t;
+
+/* The answer: the last entry of the sender's log on disk.  */
+typedef struct log_status
+{
+  log_index_t last_index;
+  term_t last_term;
+  usec_t sent_at;
+} log_status_t;
+
 typedef struct message
 {
   message_kind_t kind;
@@ -119,6 +135,8 @@
     snapshot_response_t snapshot_response;
     join_t join;
     replica_config_t bootstrap;
+    log_query_t log_query;
+    log_status_t log_status;
   } body;
 } message_t;
 
--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -324,6 +324,12 @@
     case MESSAGE_BOOTSTRAP:
       join_on_bootstrap (replica, message);
       return;
+    case MESSAGE_LOG_QUERY:
+      quorum_read_on_query (replica, message);
+      return;
+    case MESSAGE_LOG_STATUS:
+      quorum_read_on_status (replica, message);
+      return;
     case MESSAGE_KINDS:
       return;
     }
@@ -336,6 +342,7 @@
     leader_tick (replica);
   else
     election_tick (replica);
+  quorum_read_tick (replica);
   join_tick (replica);
 }
 
@@ -448,6 +455,12 @@
          && replica->applied_index >= replica->term_start_index;
 }
 
+usec_t
+replica_quorum_read_at (const replica_t *replica)
+{
+  return replica->quorum_read.confirmed_at;
+}
+
 const char *
 replica_role_name (replica_role_t role)
 {
--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -229,6 +229,11 @@
    term.  */
 bool replica_is_current (const replica_t *replica, usec_t now);
 
+/* The latest time for which a majority of replicas has shown, without a
+   leader, that this replica's applied state includes every entry that was
+   committed before it; 0: none.  */
+usec_t replica_quorum_read_at (const replica_t *replica);
+
 const char *replica_role_name (replica_role_t role);
 
 #endif
--- a/src/agreement/replica_internal.h
+++ b/src/agreement/replica_internal.h
@@ -46,6 +46,17 @@
   blob_t *data;
 } snapshot_transfer_t;
 
+/* A query for the ends of the logs of all replicas.  */
+typedef struct quorum_read
+{
+  usec_t query_sent_at; /* 0: none */
+  log_index_t index;    /* the end of this replica's log then */
+  term_t term;
+  usec_t confirmed_at; /* when the query that a majority confirmed was sent;
+                          0: none */
+  bool is_same[REPLICAS_MAX]; /* by slot: its log ends with the same entry */
+} quorum_read_t;
+
 struct replica
 {
   replica_options_t options;
@@ -105,6 +116,8 @@
   /* By slot: a request or an answer of it, since the last message of a
      leader.  */
   bool has_been_heard[REPLICAS_MAX];
+  quorum_read_t quorum_read;
+
   /* Leadership.  */
   peer_t peers[REPLICAS_MAX];
   usec_t next_heartbeat_at;
@@ -200,6 +213,11 @@
 void follower_on_append (replica_t *replica, message_t *message);
 void follower_on_snapshot (replica_t *replica, const message_t *message);
 
+/* replica_quorum_read.c */
+void quorum_read_tick (replica_t *replica);
+void quorum_read_on_query (replica_t *replica, const message_t *message);
+void quorum_read_on_status (replica_t *replica, const message_t *message);
+
 /* replica_join.c */
 void join_tick (replica_t *replica);
 void join_on_join (replica_t *replica, const message_t *message);
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -196,23 +196,39 @@
   core_item_free (item);
 }
 
+/* The state is current as of AT, as SOURCE has shown.  */
+static void
+confirm (director_core_t *core, usec_t at, const char *source)
+{
+  if (core->confirmed_at == 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "state_confirmed", LOG_S ("source", source),
+               LOG_I ("after_ms",
+                      (clock_monotonic () - core->opened_at) / USEC_PER_MSEC),
+               LOG_U ("version", core->state.config_version),
+               LOG_U ("index", core->applied_index));
+  core->confirmed_at = at;
+}
+
 /* Update confirmed_at from this replica's lease, or else from what the leader
-   has last shared.  */
+   has last shared or a majority has shown.  */
 static void
 update_confirmed (director_core_t *core, usec_t now)
 {
+  usec_t read_at = core->replica ? replica_quorum_read_at (core->replica) : 0;
   if (core->replica && replica_is_current (core->replica, now))
     {
       /* After a gap between confirmations the other directors and their
          routers are waiting for one: share at once.  */
       if (now - core->confirmed_at > SHARE_INTERVAL)
         core->next_share_at = 0;
-      core->confirmed_at = now;
+      confirm (core, now, "lease");
     }
   else if (core->pending_confirm_index > 0
            && core->applied_index >= core->pending_confirm_index
            && core->pending_confirm_at > core->confirmed_at)
-    core->confirmed_at = core->pending_confirm_at;
+    confirm (core, core->pending_confirm_at, "leader");
+  else if (read_at > core->confirmed_at)
+    confirm (core, read_at, "majority");
 }
 
 static void
--- a/test/support/agreement_cluster.h
+++ b/test/support/agreement_cluster.h
@@ -103,6 +103,24 @@
   REQUIRE (n <= 1, "%d replicas hold the lease", n);
 }
 
+/* Require that a quorum read of NODE includes every sheet that was accepted
+   before it.  */
+static inline void
+oracle_check_quorum_read (cluster_t *cluster, node_t *node)
+{
+  usec_t read_at = replica_quorum_read_at (node->replica);
+  if (read_at == node->read_at)
+    return;
+  node->read_at = read_at;
+  cluster->n_quorum_reads++;
+  const sheet_record_t *newest = sheet_registry_newest (node->registry);
+  for (uint64_t number = 1; number < NUMBERS_MAX; number++)
+    REQUIRE (!cluster->is_accepted[number]
+                 || cluster->accepted_at[number] >= read_at
+                 || (newest && newest->number >= number),
+             "a quorum read lacks sheet %llu", (unsigned long long)number);
+}
+
 static inline void
 cluster_step (cluster_t *cluster, slot_t slot, const event_t *event)
 {
@@ -141,6 +159,7 @@
     }
   if (wanted > 0)
     cluster_save (cluster, slot, wanted);
+  oracle_check_quorum_read (cluster, &cluster->nodes[slot]);
 }
 
 static inline bool
@@ -178,6 +197,7 @@
   node->disk.sequence = 0;
   node->applied = image.snapshot.data ? 0 : image.snapshot.index;
   node->newest_number = 0;
+  node->read_at = 0;
   node->is_frozen = false;
 }
 
--- a/test/support/agreement_node.h
+++ b/test/support/agreement_node.h
@@ -69,6 +69,7 @@
   bool is_frozen;
   bool is_lost;           /* the disk was lost and is not replaced yet */
   uint64_t newest_number; /* newest sheet number since the process started */
+  usec_t read_at;         /* of the last quorum read that was checked */
 } node_t;
 
 typedef struct cluster
@@ -86,11 +87,13 @@
   uint64_t n_bytes; /* of all messages */
   uint64_t n_messages;
   size_t n_accepted;
+  size_t n_quorum_reads;
   size_t n_conflicts;
 
   /* State of the oracle.  A content is stored as its id + 1; 0 is none.  */
   uint8_t winner[NUMBERS_MAX];
   bool is_accepted[NUMBERS_MAX];
+  usec_t accepted_at[NUMBERS_MAX];
   term_t applied_term[INDEXES_MAX];
   uint64_t receiver[RECEIVERS];
 } cluster_t;
@@ -174,6 +177,8 @@
   if (is_accepted)
     {
       oracle_check_durable (cluster, outcome->record.index);
+      if (!cluster->is_accepted[submission->number])
+        cluster->accepted_at[submission->number] = cluster->now;
       cluster->is_accepted[submission->number] = true;
       cluster->n_accepted++;
     }
--- a/test/unit/test_agreement_election.c
+++ b/test/unit/test_agreement_election.c
@@ -625,6 +625,29 @@
     }
 }
 
+/* All replicas start again at once, with equal logs.  Each knows that its
+   state is the newest as soon as a majority can have answered, long before
+   there can be a leader.  */
+static void
+test_quorum_read (void)
+{
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      timed_cluster_t cluster;
+      cluster_open (&cluster, size_of (seed), seed);
+      usec_t start_at = cluster.now;
+      for (slot_t i = 0; i < cluster.n; i++)
+        start (&cluster, i, start_at);
+      while (cluster.now < start_at + 2 * LATENCY_MAX + TICK)
+        run_next (&cluster);
+      for (slot_t i = 0; i < cluster.n; i++)
+        g_assert_cmpint (replica_quorum_read_at (cluster.replicas[i]), ==,
+                         start_at);
+      g_assert_cmpint (leader_of (&cluster), ==, SLOT_NONE);
+      cluster_close (&cluster);
+    }
+}
+
 /* Runs on for DURATION, in which no two replicas may hold the lease.  */
 static void
 run_with_one_lease (timed_cluster_t *cluster, usec_t duration)
@@ -712,6 +735,7 @@
   g_test_add_func ("/agreement/election/lost-link", test_lost_link);
   g_test_add_func ("/agreement/election/deaf", test_deaf_replica);
   g_test_add_func ("/agreement/election/lost-messages", test_lost_messages);
+  g_test_add_func ("/agreement/election/quorum-read", test_quorum_read);
   g_test_add_func ("/agreement/election/cut", test_cut);
   return g_test_run ();
 }
--- a/test/unit/test_agreement_replica.c
+++ b/test/unit/test_agreement_replica.c
@@ -339,6 +339,67 @@
   settled_free (cluster);
 }
 
+/* What differs between the end of the log of a replica that has started again
+   and what the others report.  */
+typedef enum
+{
+  SAME,
+  LATER_TERM, /* it may have voted for a leader that lacks the entry */
+  LONGER_LOG,
+  OTHER_LOG,
+  EARLIER_QUERY,
+  EARLIER_INCARNATION,
+  DIFFERENCES,
+} difference_t;
+
+static message_t
+log_status_message (const cluster_t *cluster, slot_t from, slot_t to,
+                    difference_t difference)
+{
+  const replica_t *sender = cluster->nodes[from].replica;
+  const replica_status_t status = replica_status (sender);
+  return (message_t){
+    .kind = MESSAGE_LOG_STATUS,
+    .from = from,
+    .to = to,
+    .from_incarnation
+    = status.incarnation - (difference == EARLIER_INCARNATION),
+    .to_incarnation = replica_status (cluster->nodes[to].replica).incarnation,
+    .cluster = status.config.cluster,
+    .term = status.term + (difference == LATER_TERM),
+    .body.log_status
+    = { .last_index = status.last_index + (difference == LONGER_LOG),
+        .last_term = status.term - (difference == OTHER_LOG),
+        .sent_at = cluster->now - (difference == EARLIER_QUERY) },
+  };
+}
+
+/* A replica that has started again takes its log for committed only if a
+   majority reports the same end of the log, in the same term.  */
+static void
+test_quorum_read_needs_equal_logs (void)
+{
+  for (difference_t difference = SAME; difference < DIFFERENCES; difference++)
+    {
+      cluster_t *cluster = settled_new (1);
+      slot_t slot = (slot_t)((cluster_leader (cluster) + 1) % NODES);
+      cluster_crash (cluster, slot, 0);
+      cluster_start (cluster, slot);
+      cluster_tick (cluster); /* sends the query */
+      for (int i = 1; i <= NODES / 2; i++)
+        {
+          message_t message = log_status_message (
+              cluster, (slot_t)((slot + i) % NODES), slot, difference);
+          event_t event = { .kind = EVENT_MESSAGE, .body.message = &message };
+          cluster_step (cluster, slot, &event);
+        }
+      g_assert_cmpint (replica_quorum_read_at (cluster->nodes[slot].replica)
+                           > 0,
+                       ==, difference == SAME);
+      settled_free (cluster);
+    }
+}
+
 /* A join that an earlier incarnation sent arrives while the voter of its slot
    is suspended.  The leader then replicates to an incarnation that no longer
    exists, until it hears the voter.  */
@@ -608,6 +669,8 @@
                    test_entry_of_earlier_term_is_not_committed_by_count);
   g_test_add_func ("/agreement/replica/stale-join",
                    test_join_to_earlier_incarnation_does_not_bootstrap);
+  g_test_add_func ("/agreement/replica/quorum-read",
+                   test_quorum_read_needs_equal_logs);
   g_test_add_func ("/agreement/replica/late-join",
                    test_late_join_does_not_replace_voter);
   g_test_add_func ("/agreement/replica/prev-term",
