fix(agreement): a majority confirms the state again until there is a leader

A router trusts a confirmation only if it is of a time after the router's own start. A director that had asked once could confirm nothing to routers that started later, so after a loss of all power only those that started before their director gained from it. Found by reading director_sync. The query is repeated every two round trips while no leader is known.

--- a/src/agreement/replica_quorum_read.c
+++ b/src/agreement/replica_quorum_read.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-/* A replica that has just started learns from a majority whether its log is
-   the newest, without waiting until a leader is elected.
+/* A replica that has started, or has lost its leader, learns from a majority
+   whether its log is the newest, without waiting until a leader is elected.
 
    An entry of term T that a majority holds while all of them are still in term
    T is committed: a leader of a later term needs the vote of one of them,
@@ -37,10 +37,10 @@
 {
   const quorum_read_t *read = &replica->quorum_read;
   usec_t interval = 2 * replica->options.round_trip;
-  bool is_answered = read->confirmed_at > 0;
-  /* A leader's messages tell what is committed.  */
+  /* A leader's messages tell what is committed.  Until there is one the query
+     is repeated: who started later needs a later confirmation.  */
   bool has_leader = replica->leader != SLOT_NONE && read->query_sent_at > 0;
-  if (is_answered || has_leader || replica->role != ROLE_FOLLOWER
+  if (has_leader || replica->role != ROLE_FOLLOWER
       || replica->last_term != replica->vote.term
       || !config_has_vote (replica, replica->options.slot,
                            replica->incarnation))
