fix(director): what was shared before a cut no longer passes for new after it

Cause: directors share lists, routers and confirmations with ages, which the receiver counted from the arrival. TCP delivers what was written before a cut after it, seconds late (the call's timeout at the sender doesn't take it back), so an old list passed for newer than the one in force. The same could bring back a server that had left, a router that had stopped, the roster, and confirm a configuration that had been replaced.

Now a share counts from when it was sent, which fleet/clock_offset estimates from the sender's clock; a roster that is late is not adopted.

Ruled out: the platform's list (the added servers answered all along, and the two lists in force were those of before and after the addition), and deltas applied wrongly (their digests fit).

Not shown by processes: a cut that TCP bridges needs a relay between directors.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -12,6 +12,7 @@
 #include "agreement/storage_thread.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
+#include "fleet/clock_offset.h"
 #include "fleet/list_update.h"
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
@@ -87,6 +88,7 @@
      present when this director becomes leader or assigns the slot.  */
   usec_t last_heard_at;
   uint64_t list_digest;          /* of its list; 0: none, or not known */
+  clock_offset_t clock;          /* of its shares */
   _Atomic int n_calls_in_flight; /* FLEET_AGREE calls without a reply yet */
 } director_peer_t;
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -66,6 +66,9 @@
 core_peers_adopt_roster (director_core_t *core, const roster_t *roster)
 {
   err_t err = { 0 };
+  for (size_t i = 0; i < ROSTER_MAX; i++)
+    if (core->roster.addresses[i] != roster->addresses[i])
+      core->peers[i].clock = (clock_offset_t){ 0 };
   core->roster = *roster;
   if (!roster_file_save (core->settings->data_folder, roster, &err))
     log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
@@ -345,22 +348,43 @@
   xdr_free ((xdrproc_t)xdr_fleet_routers_t, (char *)&wire);
 }
 
+/* When ARGS was sent, by the local clock.  */
+static usec_t
+share_sent_at (director_core_t *core, const fleet_share_args_t *args,
+               usec_t now)
+{
+  slot_t slot = roster_slot (&core->roster, args->address);
+  const fleet_list_update_t *list = &args->list;
+  if (slot == SLOT_NONE || list->read_at < 0 || list->age < 0
+      || list->age > INT64_MAX - list->read_at)
+    return now;
+  usec_t sender_now = list->read_at + list->age;
+  usec_t delay
+      = clock_offset_delay (&core->peers[slot].clock, sender_now, now);
+  if (delay >= SHARE_INTERVAL)
+    LOG_EVENT (LOG_LEVEL_INFO, "share_late", LOG_U ("slot", slot),
+               LOG_I ("delay_ms", delay / USEC_PER_MSEC));
+  return now - delay;
+}
+
 void
 core_peers_handle_share (director_core_t *core, core_item_t *item, usec_t now)
 {
   const fleet_share_args_t *args = &item->body.share;
-  if (args->confirmed_index > 0)
+  usec_t sent_at = share_sent_at (core, args, now);
+  if (args->confirmed_index > 0 && now - sent_at < SHARE_INTERVAL)
     adopt_leader_roster (core, &args->roster);
   if (args->slot < ROSTER_MAX
-      && roster_slot (&core->roster, args->address) == args->slot)
-    core->peers[args->slot].last_heard_at = now;
-  merge_routers (core, &args->routers, now);
-  if (args->confirmed_index > 0)
+      && roster_slot (&core->roster, args->address) == args->slot
+      && sent_at > core->peers[args->slot].last_heard_at)
+    core->peers[args->slot].last_heard_at = sent_at;
+  merge_routers (core, &args->routers, sent_at);
+  if (args->confirmed_index > 0 && sent_at > core->pending_confirm_at)
     {
       core->pending_confirm_index = args->confirmed_index;
-      core->pending_confirm_at = now;
+      core->pending_confirm_at = sent_at;
     }
-  core_pulls_apply_list_update (core, &args->list, now);
+  core_pulls_apply_list_update (core, &args->list, sent_at);
   fleet_share_result_t result = { .list_digest = core->backend_list.digest };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
 }
