--- a/src/fleet/clock_offset.h
+++ b/src/fleet/clock_offset.h
@@ -1,9 +1,9 @@
 /* clock_offset: how long a message was under way, from the sender's clock.
 
-   The difference between two monotonic clocks stays the same, so the message
-   with the smallest difference between arrival and sending took the least time
-   of all, and each other one took longer by what its difference is larger.
-   The least time itself counts as 0.
+   The difference between two monotonic clocks stays the same.  So the message
+   with the smallest difference between arrival and sending was the fastest,
+   and every other one took longer by the excess of its difference.  The time
+   that the fastest one took is not known and counts as 0.
 
    TCP delivers what was written before a cut after it, seconds late.  Ages in
    such a message count from its sending and not from its arrival.  */
