--- a/src/agreement/replica.h
+++ b/src/agreement/replica.h
@@ -86,6 +86,9 @@
      be on disk.  The whole image is written again before any message is
      sent.  */
   bool must_rewrite_image;
+  /* Ask a majority whether the log is the newest while no leader is known, for
+     replica_quorum_read_at.  */
+  bool reads_quorum;
 } replica_options_t;
 
 typedef enum
--- a/src/agreement/replica_quorum_read.c
+++ b/src/agreement/replica_quorum_read.c
@@ -40,7 +40,8 @@
   /* A leader's messages tell what is committed.  Until there is one the query
      is repeated: who started later needs a later confirmation.  */
   bool has_leader = replica->leader != SLOT_NONE && read->query_sent_at > 0;
-  if (has_leader || replica->role != ROLE_FOLLOWER
+  if (!replica->options.reads_quorum || has_leader
+      || replica->role != ROLE_FOLLOWER
       || replica->last_term != replica->vote.term
       || !config_has_vote (replica, replica->options.slot,
                            replica->incarnation))
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -111,7 +111,8 @@
           .election_timeout = DIRECTOR_ELECTION_TIMEOUT,
           .round_trip = DIRECTOR_ROUND_TRIP,
           .seed = core->options.seed + (uint64_t)clock_wall (),
-          .must_rewrite_image = core->has_lost_disk };
+          .must_rewrite_image = core->has_lost_disk,
+          .reads_quorum = true };
   core->replica
       = replica_new (&options, &core->stored_image, clock_monotonic ());
   core->stored_index = replica_status (core->replica).last_index;
--- a/test/support/agreement_cluster.h
+++ b/test/support/agreement_cluster.h
@@ -191,6 +191,7 @@
   replica_options_t options = { .slot = slot,
                                 .n_slots = NODES,
                                 .snapshot_interval_entries = 8,
+                                .reads_quorum = true,
                                 .seed = ++cluster->seed };
   node->replica = replica_new (&options, &copy.image, cluster->now);
   node->registry = sheet_registry_new ();
--- a/test/support/timed_cluster.h
+++ b/test/support/timed_cluster.h
@@ -269,6 +269,7 @@
       = { .slot = slot,
           .n_slots = cluster->n,
           .heartbeat_interval = 100 * USEC_PER_MSEC,
+          .reads_quorum = true,
           .seed = g_rand_int (cluster->random) };
   cluster->replicas[slot] = replica_new (&options, image, at);
   cluster->synced_at[slot] = at;
