refactor(test,director): what this change wrote twice stands once

Three tests opened a listening socket on a free port in the same eight lines (test_platform_list, test_router_backend_http, and test_entry_client before them): test/support/loopback.h. The two programs of the elections added their scenarios in the same loop: add_scenarios. The simulation's is_deaf said what is_cut can say, and is gone. A share's list is dated by list_update_read_at, like a pull's; by hand, the subtraction came before the check for a negative age and could overflow.

--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -79,7 +79,7 @@
 core_pulls_apply_list_update (director_core_t *core,
                               const fleet_list_update_t *update, usec_t now)
 {
-  usec_t read_at = now - update->age;
+  usec_t read_at = list_update_read_at (update, now);
   if (update->digest == 0 || update->age < 0
       || read_at <= core->backend_list.read_at)
     return;
--- a/test/support/timed_cluster.h
+++ b/test/support/timed_cluster.h
@@ -70,7 +70,6 @@
   usec_t sync_time[NODES_MAX];
   usec_t latency[NODES_MAX][NODES_MAX];
   usec_t synced_at[NODES_MAX];       /* when the last sync ends */
-  bool is_deaf[NODES_MAX];           /* no message reaches it */
   unsigned loss_percent;             /* of all messages */
   bool is_cut[NODES_MAX][NODES_MAX]; /* from, to: no message arrives */
   usec_t heard_at[NODES_MAX]; /* the last message of a leader, or the start */
@@ -184,7 +183,7 @@
       step (cluster, slot, &event);
       break;
     case SIM_MESSAGE:
-      if (!cluster->is_deaf[slot] && !is_lost (cluster))
+      if (!is_lost (cluster))
         receive (cluster, slot, next->message);
       break;
     }
@@ -500,4 +499,11 @@
     }
 }
 
+static inline void
+add_scenarios (const scenario_t *scenarios, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    g_test_add_data_func (scenarios[i].path, &scenarios[i], test_scenario);
+}
+
 #endif
--- a/test/unit/test_agreement_election.c
+++ b/test/unit/test_agreement_election.c
@@ -157,8 +157,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
-    g_test_add_data_func (scenarios[i].path, &scenarios[i], test_scenario);
+  add_scenarios (scenarios, G_N_ELEMENTS (scenarios));
   g_test_add_func ("/agreement/election/cut", test_cut);
   return g_test_run ();
 }
--- a/test/unit/test_agreement_election_faults.c
+++ b/test/unit/test_agreement_election_faults.c
@@ -53,7 +53,8 @@
 static void
 deaf_replica (timed_cluster_t *cluster)
 {
-  cluster->is_deaf[0] = true;
+  for (slot_t from = 1; from < cluster->n; from++)
+    cluster->is_cut[from][0] = true;
   start_from (cluster, 0, START_SPREAD);
   check_leader_comes (cluster, lease_end (cluster), RETRY_DELAY_MAX);
 }
@@ -80,7 +81,6 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
-    g_test_add_data_func (scenarios[i].path, &scenarios[i], test_scenario);
+  add_scenarios (scenarios, G_N_ELEMENTS (scenarios));
   return g_test_run ();
 }
--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -3,7 +3,6 @@
    connection, and against an answer that is passed on although it is truncated
    or belongs to another request.  */
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
@@ -13,6 +12,8 @@
 #include "base/clock.h"
 #include "entry/backend_client.h"
 
+#include "../support/loopback.h"
+
 enum
 {
   REPLIES_MAX = 4,
@@ -94,16 +95,9 @@
 static void
 script_start (script_t *script)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t size = sizeof address;
-  script->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  g_assert_cmpint (
-      bind (script->listener, (struct sockaddr *)&address, sizeof address), ==,
-      0);
-  listen (script->listener, 8);
-  getsockname (script->listener, (struct sockaddr *)&address, &size);
-  script->port = ntohs (address.sin_port);
+  inet_t address;
+  script->listener = loopback_listen (&address);
+  script->port = address.port;
   script->thread = g_thread_new ("server", serve, script);
 }
 
--- a/test/unit/test_platform_list.c
+++ b/test/unit/test_platform_list.c
@@ -1,7 +1,6 @@
 /* Reading the list of backend servers from a service that doesn't keep to its
    protocol.  The service is a thread that answers one connection at a time. */
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,6 +9,8 @@
 #include "backend_list_client.h"
 #include "fleet/backend_list.h"
 
+#include "../support/loopback.h"
+
 enum
 {
   PAGES_MAX = 256, /* of a list */
@@ -99,19 +100,9 @@
 static void
 fixture_open (fixture_t *fixture, behaviour_t behaviour)
 {
-  *fixture = (fixture_t){ .behaviour = behaviour,
-                          .listener = socket (AF_INET, SOCK_STREAM, 0) };
-  struct sockaddr_in at
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t length = sizeof at;
-  g_assert_cmpint (bind (fixture->listener, (struct sockaddr *)&at, sizeof at),
-                   ==, 0);
-  g_assert_cmpint (listen (fixture->listener, 4), ==, 0);
-  getsockname (fixture->listener, (struct sockaddr *)&at, &length);
-  const backend_list_client_options_t options
-      = { .address
-          = { .address = INADDR_LOOPBACK, .port = ntohs (at.sin_port) },
-          .own_address = "127.0.0.1" };
+  *fixture = (fixture_t){ .behaviour = behaviour };
+  backend_list_client_options_t options = { .own_address = "127.0.0.1" };
+  fixture->listener = loopback_listen (&options.address);
   fixture->client = backend_list_client_new (&options);
   fixture->server = g_thread_new ("list", serve, fixture);
 }
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -2,7 +2,6 @@
    memory fills, and against good answers that are lost beside bad ones.  The
    backend server is a thread for each connection.  */
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
@@ -12,6 +11,8 @@
 #include "base/clock.h"
 #include "router/backend_http.h"
 
+#include "../support/loopback.h"
+
 enum
 {
   CHUNK_BYTES = 16 * 1024,
@@ -156,16 +157,8 @@
 static void
 fixture_open (fixture_t *fixture)
 {
-  *fixture = (fixture_t){ .listener = socket (AF_INET, SOCK_STREAM, 0) };
-  struct sockaddr_in at
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t length = sizeof at;
-  g_assert_cmpint (bind (fixture->listener, (struct sockaddr *)&at, sizeof at),
-                   ==, 0);
-  g_assert_cmpint (listen (fixture->listener, 64), ==, 0);
-  getsockname (fixture->listener, (struct sockaddr *)&at, &length);
-  fixture->address
-      = (inet_t){ .address = INADDR_LOOPBACK, .port = ntohs (at.sin_port) };
+  *fixture = (fixture_t){ 0 };
+  fixture->listener = loopback_listen (&fixture->address);
   fixture->poller = poller_new (NULL);
   const backend_http_options_t options = { .poller = fixture->poller,
                                            .own_address = "127.0.0.1",
