--- a/test/unit/test_fleet_packed.c
+++ b/test/unit/test_fleet_packed.c
@@ -75,6 +75,7 @@
   backend_list_t truncated;
   g_assert_false (fleet_wire_unpack_list (&wire, list.read_at, &truncated));
   free (packed.bytes);
+  backend_list_clear (&read);
   backend_list_clear (&list);
 }
 
