fix(platform): a configuration's version is eight hexadecimal digits

Cause: strtoull reads "-0000001" as 2^64 - 1, which no valid version replaces.

Failed before, pass after: test_platform_codec /platform/config-version ("route_config_check should be FALSE"), test_director_state /director/version-range ( == 7).

--- a/src/director/director_state.c
+++ b/src/director/director_state.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "base/name.h"
+#include "routing/route_defs.h"
 #include "wire/generated/fleet.h"
 
 void
@@ -81,10 +83,24 @@
   return evacuated_find (state, domain) < state->n_evacuated;
 }
 
+/* Whether a configuration may be in force under VERSION.  An earlier release
+   stored versions beyond the range, which no later one would replace.  */
+static bool
+is_valid_version (uint64_t version)
+{
+  if (version <= ROUTE_CONFIG_VERSION_MAX)
+    return true;
+  LOG_EVENT (LOG_LEVEL_ERROR, "stored_config_invalid",
+             LOG_U ("version", version),
+             LOG_S ("remedy", "put a valid configuration"));
+  return false;
+}
+
 static void
 apply_config (director_state_t *state, const fleet_config_t *config)
 {
-  if (config->config_version <= state->config_version)
+  if (config->config_version <= state->config_version
+      || !is_valid_version (config->config_version))
     return;
   blob_unref (state->config);
   state->config = blob_new (config->text.text_val, config->text.text_len);
@@ -157,9 +173,11 @@
   if (!decode (snapshot, (xdrproc_t)xdr_fleet_state_t, &wire, err))
     return false;
   director_state_clear (state);
-  state->config_version = wire.config_version;
-  if (wire.config_version > 0)
-    state->config = blob_new (wire.text.text_val, wire.text.text_len);
+  if (wire.config_version > 0 && is_valid_version (wire.config_version))
+    {
+      state->config_version = wire.config_version;
+      state->config = blob_new (wire.text.text_val, wire.text.text_len);
+    }
   state->evacuations_index = wire.evacuations_index;
   for (u_int i = 0; i < wire.evacuated.evacuated_len; i++)
     if (state->n_evacuated < EVACUATED_MAX
--- a/src/routing/route_defs.h
+++ b/src/routing/route_defs.h
@@ -13,9 +13,13 @@
 
 enum
 {
-  ROUTE_TEXT_BYTES = 256, /* host or path, including the NUL */
+  ROUTE_TEXT_BYTES = 256,          /* host or path, including the NUL */
+  ROUTE_CONFIG_VERSION_DIGITS = 8, /* hexadecimal */
 };
 
+/* The highest version of a configuration.  */
+#define ROUTE_CONFIG_VERSION_MAX UINT32_MAX
+
 /* The part of a route's requests that one service gets.  */
 typedef struct route_share
 {
@@ -64,7 +68,8 @@
 /* A complete configuration; free it with route_config_free.  */
 typedef struct route_config
 {
-  uint64_t version; /* a newer configuration has a higher one */
+  uint64_t version; /* a newer configuration has a higher one; at most
+                       ROUTE_CONFIG_VERSION_MAX */
   size_t n_routes;
   route_t *routes;
   size_t n_services;
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -47,6 +47,30 @@
   director_state_clear (&state);
 }
 
+/* Guards against a configuration that an earlier release stored under a
+   version beyond the range: it would hide every later one for good.  */
+static void
+test_version_out_of_range (void)
+{
+  director_state_t state = { 0 };
+  put_config (&state, 1, 7, "seven");
+  put_config (&state, 2, UINT64_MAX, "hidden");
+  assert_config (&state, 7, "seven");
+  put_config (&state, 3, 8, "eight");
+  assert_config (&state, 8, "eight");
+  state.config_version = UINT64_MAX; /* as in a snapshot of that release */
+  blob_t *snapshot = director_state_save (&state);
+  director_state_t restored = { 0 };
+  g_assert_true (director_state_restore (&restored, snapshot, NULL));
+  g_assert_null (restored.config);
+  g_assert_cmpuint (restored.config_version, ==, 0);
+  put_config (&restored, 4, 9, "nine");
+  assert_config (&restored, 9, "nine");
+  blob_unref (snapshot);
+  director_state_clear (&state);
+  director_state_clear (&restored);
+}
+
 static void
 evacuate (director_state_t *state, log_index_t index, const char *domain,
           bool is_evacuated)
@@ -333,6 +357,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/director/highest-version", test_highest_version_holds);
+  g_test_add_func ("/director/version-range", test_version_out_of_range);
   g_test_add_func ("/director/evacuations", test_evacuations);
   g_test_add_func ("/director/snapshot", test_snapshot);
   g_test_add_func ("/director/roster-waits-for-all",
--- a/test/unit/test_platform_codec.c
+++ b/test/unit/test_platform_codec.c
@@ -110,6 +110,30 @@
   assert_rejected ("");
 }
 
+/* Guards against a version that another reading makes huge, such as
+   "-0000001": it would be in force for good and hide every later one.  */
+static void
+test_config_version (void)
+{
+  static const char *const invalid[]
+      = { "-0000001",  "+0000001",         " 0000001",  "0x000001",
+          "0000001",   "000000001",        "0000001 ",  "0000000g",
+          "",          "ffffffffffffffff", "1e000001.", "\\u0030001",
+          "0000001\\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"version\":\"%s\",\"routes\":{}," SERVICES "}", invalid[i]);
+      assert_rejected (text);
+    }
+  assert_rejected ("{\"version\":7,\"routes\":{}," SERVICES "}");
+  route_config_t *config
+      = read_config ("{\"version\":\"fFfffffe\",\"routes\":{}," SERVICES "}");
+  g_assert_nonnull (config);
+  g_assert_cmpuint (config->version, ==, 0xfffffffe);
+  route_config_free (config);
+}
+
 #define ENTRY(id, address, state, more)                                       \
   "{\"service\":\"search\",\"address\":\"" address                            \
   "\",\"version\":\"v1\",\"capacity\":3,\"state\":\"" state                   \
@@ -214,6 +238,7 @@
   g_test_add_func ("/platform/config", test_config_is_read);
   g_test_add_func ("/platform/config-cut", test_config_cut_short);
   g_test_add_func ("/platform/config-refused", test_config_refused);
+  g_test_add_func ("/platform/config-version", test_config_version);
   g_test_add_func ("/platform/list", test_list_is_read);
   g_test_add_func ("/platform/list-foreign", test_list_with_foreign_entries);
   g_test_add_func ("/platform/list-token", test_list_token_too_long);
