--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -305,13 +305,22 @@
   return NULL;
 }
 
+bool
+backend_pool_begin_probe (backend_t *backend)
+{
+  if (backend->is_probing)
+    return false;
+  backend->is_probing = true;
+  return true;
+}
+
 void
 backend_pool_probe_ended (backend_pool_t *pool, backend_t *backend,
                           bool is_healthy, usec_t cold_left, usec_t now)
 {
   backend->is_probing = false;
   backend->next_probe_at = now + PROBE_INTERVAL;
-  if (is_healthy)
+  if (is_healthy && backend->health == BACKEND_DOWN)
     {
       reset_backend (pool, backend);
       if (cold_left > 0 && now + cold_left > backend->cold_until)
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -82,6 +82,8 @@
   uint32_t consecutive_failures;
   usec_t next_probe_at; /* valid while health is BACKEND_DOWN */
   bool is_probing;
+  usec_t checked_at; /* when a health check last had another reason than
+                        BACKEND_DOWN; 0: never */
 
   bool may_be_cold;   /* the list is too old to tell; limited as if cold */
   usec_t cold_until;  /* end of the cold start */
@@ -183,6 +185,11 @@
    backend_pool_probe_ended.  */
 backend_t *backend_pool_due_probe (backend_pool_t *pool, usec_t now);
 
+/* Marks BACKEND as being probed, whatever its health is.  Returns false if it
+   is being probed already.  Report the result with
+   backend_pool_probe_ended.  */
+bool backend_pool_begin_probe (backend_t *backend);
+
 /* Records the result of a probe.  COLD_LEFT is the rest of the cold start that
    the backend server reported, in usec.  Frees BACKEND if it is no longer
    listed and has no requests in flight.  */
--- a/src/ctl/fleet_command.c
+++ b/src/ctl/fleet_command.c
@@ -100,6 +100,13 @@
   json_t *domain;
   json_array_foreach (json_object_get (view, "evacuated"), i, domain)
       printf ("evacuated: %s\n", json_string_value (domain));
+  json_t *request;
+  json_array_foreach (json_object_get (view, "quarantined"), i, request)
+      printf ("quarantined: requests %s, after %lld crashes, the last one "
+              "%lld ms ago\n",
+              string_field (request, "fingerprint"),
+              (long long)integer_field (request, "crashes"),
+              (long long)integer_field (request, "last_crash_ms_ago"));
   printf ("\n");
   print_members (view);
   print_routes (view);
--- /dev/null
+++ b/src/director/core_crashes.c
@@ -0,0 +1,78 @@
+#include "director/core_internal.h"
+
+#include "base/log.h"
+
+/* Recompute the quarantined requests; log them if they changed.  */
+static void
+update_quarantine (director_core_t *core)
+{
+  core->n_quarantined
+      = crash_table_quarantined (&core->crashes, core->quarantined);
+  uint64_t digest
+      = fingerprints_digest (core->quarantined, core->n_quarantined);
+  if (digest == core->quarantine_digest)
+    return;
+  core->quarantine_digest = digest;
+  core->next_share_at = 0;
+  LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_changed",
+             LOG_U ("requests", core->n_quarantined),
+             LOG_U ("suspects", core->crashes.n_suspects));
+}
+
+void
+core_crashes_merge (director_core_t *core, const fleet_suspect_t *suspects,
+                    size_t n, usec_t sent_at, usec_t now)
+{
+  if (n > 0 && crash_wire_merge (&core->crashes, suspects, n, sent_at, now))
+    update_quarantine (core);
+}
+
+void
+core_crashes_fill_result (const director_core_t *core, uint64_t known_digest,
+                          fleet_pull_result_t *result,
+                          fleet_fingerprint_t *fingerprints)
+{
+  result->quarantine_digest = core->quarantine_digest;
+  if (known_digest == core->quarantine_digest)
+    return;
+  for (size_t i = 0; i < core->n_quarantined; i++)
+    fingerprints[i]
+        = (fleet_fingerprint_t){ .low = core->quarantined[i].low,
+                                 .high = core->quarantined[i].high };
+  result->quarantined.quarantined_val = fingerprints;
+  result->quarantined.quarantined_len = (u_int)core->n_quarantined;
+}
+
+void
+core_crashes_fill_share (const director_core_t *core, slot_t to,
+                         fleet_share_args_t *args, crash_report_t *report,
+                         usec_t now)
+{
+  crash_wire_write (&core->crashes, core->peers[to].crashes_known, report,
+                    now);
+  args->suspects.suspects_val = report->suspects;
+  args->suspects.suspects_len = (u_int)report->n;
+}
+
+void
+core_crashes_shared (director_core_t *core, slot_t to, uint64_t incarnation,
+                     uint64_t sequence)
+{
+  director_peer_t *peer = &core->peers[to];
+  bool has_restarted = peer->incarnation != incarnation;
+  peer->incarnation = incarnation;
+  if (has_restarted)
+    peer->crashes_known = 0;
+  else if (sequence > peer->crashes_known)
+    peer->crashes_known = sequence;
+}
+
+void
+core_crashes_tick (director_core_t *core, usec_t now)
+{
+  if (core->crashes.n_suspects == 0 || now < core->next_crash_expiry_at)
+    return;
+  core->next_crash_expiry_at = now + CRASH_EXPIRY_INTERVAL;
+  crash_table_expire (&core->crashes, now);
+  update_quarantine (core);
+}
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -13,6 +13,8 @@
 #include "director/director_core.h"
 #include "director/director_state.h"
 #include "fleet/clock_offset.h"
+#include "fleet/crash_table.h"
+#include "fleet/crash_wire.h"
 #include "fleet/list_update.h"
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
@@ -34,6 +36,7 @@
 #define CORE_TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
+#define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
 /* A disk that refused a write may stay full for a while.  */
 #define DISK_REOPEN_INTERVAL USEC_PER_SEC
 /* Calls to other directors are given up after this; no longer than the
@@ -73,8 +76,10 @@
     fleet_announce_result_t announce_reply;
     struct
     {
-      uint32_t address;     /* IPv4, of the director that replied */
-      uint64_t list_digest; /* of its list of backend servers */
+      uint32_t address;          /* IPv4, of the director that replied */
+      uint64_t list_digest;      /* of its list of backend servers */
+      uint64_t incarnation;      /* of its process */
+      uint64_t crashes_sequence; /* of the crash reports sent to it */
     } share_reply;
     operator_request_t *operator_request;
     backend_list_t backend_list;
@@ -89,6 +94,8 @@
   usec_t last_heard_at;
   uint64_t list_digest;          /* of its list; 0: none, or not known */
   clock_offset_t clock;          /* of its shares */
+  uint64_t incarnation;          /* of its process, by its last reply */
+  uint64_t crashes_known;        /* the changes of `crashes` that it has */
   _Atomic int n_calls_in_flight; /* FLEET_AGREE calls without a reply yet */
 } director_peer_t;
 
@@ -149,6 +156,12 @@
   backend_list_t backend_list;
   list_source_t list_source; /* encodes BACKEND_LIST for peers */
 
+  crash_table_t crashes; /* reported by routers and directors */
+  usec_t next_crash_expiry_at;
+  size_t n_quarantined;
+  fingerprint_t quarantined[QUARANTINED_MAX]; /* sorted */
+  uint64_t quarantine_digest;
+
   list_t operator_requests; /* unfinished; some are proposed */
   proposal_id_t last_proposal_id;
 };
@@ -223,6 +236,30 @@
                                    const fleet_list_update_t *update,
                                    usec_t now);
 
+/* core_crashes.c */
+
+/* Merge N crash reports of a router or director, sent at SENT_AT.  */
+void core_crashes_merge (director_core_t *core,
+                         const fleet_suspect_t *suspects, size_t n,
+                         usec_t sent_at, usec_t now);
+/* Fill in the quarantined requests, unless the router has those with
+   KNOWN_DIGEST; FINGERPRINTS has room for QUARANTINED_MAX.  */
+void core_crashes_fill_result (const director_core_t *core,
+                               uint64_t known_digest,
+                               fleet_pull_result_t *result,
+                               fleet_fingerprint_t *fingerprints);
+/* Fill in the reports that the director in slot TO does not have yet.  ARGS
+   refers to REPORT.  */
+void core_crashes_fill_share (const director_core_t *core, slot_t to,
+                              fleet_share_args_t *args, crash_report_t *report,
+                              usec_t now);
+/* The director in slot TO, whose process has INCARNATION, has received the
+   reports up to SEQUENCE.  */
+void core_crashes_shared (director_core_t *core, slot_t to,
+                          uint64_t incarnation, uint64_t sequence);
+/* Drop old reports when due.  */
+void core_crashes_tick (director_core_t *core, usec_t now);
+
 /* core_view.c */
 
 /* This director's view of the deployment as JSON text, malloc'd.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -68,7 +68,10 @@
   err_t err = { 0 };
   for (size_t i = 0; i < ROSTER_MAX; i++)
     if (core->roster.addresses[i] != roster->addresses[i])
-      core->peers[i].clock = (clock_offset_t){ 0 };
+      {
+        core->peers[i].clock = (clock_offset_t){ 0 };
+        core->peers[i].crashes_known = 0;
+      }
   core->roster = *roster;
   if (!roster_file_save (core->settings->data_folder, roster, &err))
     log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
@@ -241,7 +244,8 @@
 typedef struct share_call
 {
   director_core_t *core;
-  uint32_t address; /* IPv4, of the callee */
+  uint32_t address;          /* IPv4, of the callee */
+  uint64_t crashes_sequence; /* of the crash reports that it carries */
 } share_call_t;
 
 /* The reply to FLEET_SHARE, or its failure, on the RPC thread.  */
@@ -257,6 +261,8 @@
       core_item_t *item = core_item_new (ITEM_SHARE_REPLY);
       item->body.share_reply.address = call->address;
       item->body.share_reply.list_digest = answer.list_digest;
+      item->body.share_reply.incarnation = answer.incarnation;
+      item->body.share_reply.crashes_sequence = call->crashes_sequence;
       if (!core_mailbox_post (call->core, item))
         free (item);
     }
@@ -289,11 +295,14 @@
   args->list
       = list_source_build_update (&core->list_source, &core->backend_list,
                                   core->peers[to].list_digest, deltas, now);
+  crash_report_t crashes;
+  core_crashes_fill_share (core, to, args, &crashes, now);
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
-  *call
-      = (share_call_t){ .core = core, .address = core->roster.addresses[to] };
+  *call = (share_call_t){ .core = core,
+                          .address = core->roster.addresses[to],
+                          .crashes_sequence = crashes.sequence };
   rpc_request_t request = { .procedure = FLEET_SHARE,
                             .encode = (xdrproc_t)xdr_fleet_share_args_t,
                             .args = args,
@@ -385,7 +394,10 @@
       core->pending_confirm_at = sent_at;
     }
   core_pulls_apply_list_update (core, &args->list, sent_at);
-  fleet_share_result_t result = { .list_digest = core->backend_list.digest };
+  core_crashes_merge (core, args->suspects.suspects_val,
+                      args->suspects.suspects_len, sent_at, now);
+  fleet_share_result_t result = { .list_digest = core->backend_list.digest,
+                                  .incarnation = core->options.seed };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
 }
 
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -187,6 +187,8 @@
 {
   const fleet_pull_args_t *args = &item->body.pull;
   merge_router (core, &args->router, now);
+  core_crashes_merge (core, args->suspects.suspects_val,
+                      args->suspects.suspects_len, now, now);
   fleet_name_t evacuated[EVACUATED_MAX];
   fleet_packed_t deltas[LIST_DELTAS_MAX];
   fleet_pull_result_t result = {
@@ -198,6 +200,9 @@
   fill_state (core, args, &result, evacuated);
   fleet_reopened_t reopened[REOPENED_DOMAINS_MAX];
   fill_reopened (core, &result, reopened, now);
+  fleet_fingerprint_t quarantined[QUARANTINED_MAX];
+  core_crashes_fill_result (core, args->quarantine_digest, &result,
+                            quarantined);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
       result.routers.fleet_packed_t_val = core->packed_routers.bytes;
--- a/src/director/core_view.c
+++ b/src/director/core_view.c
@@ -71,6 +71,29 @@
   return domains;
 }
 
+static json_t *
+quarantined_json (const director_core_t *core, usec_t now)
+{
+  json_t *requests = json_array ();
+  for (size_t i = 0; i < core->n_quarantined; i++)
+    {
+      const suspect_t *suspect
+          = crash_table_find (&core->crashes, core->quarantined[i]);
+      char text[FINGERPRINT_TEXT_BYTES];
+      if (!suspect)
+        continue;
+      fingerprint_format (core->quarantined[i], text);
+      json_array_append_new (
+          requests,
+          json_pack (
+              "{s:s,s:i,s:o}", "fingerprint", text, "crashes",
+              (int)suspect->n_crashes, "last_crash_ms_ago",
+              age_json (suspect->crashes[suspect->n_crashes - 1].ended_at,
+                        now)));
+    }
+  return requests;
+}
+
 static json_t *
 directors_json (const director_core_t *core, usec_t now)
 {
@@ -134,15 +157,16 @@
   usec_t now = clock_monotonic ();
   const char *role = core->replica ? replica_role_name (core->role) : "none";
   json_t *view = json_pack (
-      "{s:s,s:s,s:I,s:I,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "vm",
+      "{s:s,s:s,s:I,s:I,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "vm",
       core->settings->vm.text, "role", role, "version",
       (json_int_t)core->state.config_version, "applied",
       (json_int_t)core->applied_index, "newest_ms_ago",
       age_json (core->confirmed_at, now), "list_ms_ago",
       age_json (core->backend_list.read_at, now), "evacuated",
-      evacuated_json (core), "directors", directors_json (core, now),
-      "routers", routers_json (core, now), "routes", routes_json (core),
-      "backends", backends_json (core));
+      evacuated_json (core), "quarantined", quarantined_json (core, now),
+      "directors", directors_json (core, now), "routers",
+      routers_json (core, now), "routes", routes_json (core), "backends",
+      backends_json (core));
   char *text = json_dumps (view, JSON_INDENT (2));
   json_decref (view);
   if (!text)
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -182,8 +182,11 @@
       {
         slot_t slot
             = roster_slot (&core->roster, item->body.share_reply.address);
-        if (slot != SLOT_NONE)
-          core->peers[slot].list_digest = item->body.share_reply.list_digest;
+        if (slot == SLOT_NONE)
+          break;
+        core->peers[slot].list_digest = item->body.share_reply.list_digest;
+        core_crashes_shared (core, slot, item->body.share_reply.incarnation,
+                             item->body.share_reply.crashes_sequence);
         break;
       }
     case ITEM_OPERATOR_REQUEST:
@@ -259,6 +262,7 @@
   core_peers_tick (core, now);
   core_operator_tick (core, now);
   core_pulls_update_routers (core, now);
+  core_crashes_tick (core, now);
 }
 
 /* Wait for the next item; NULL when a tick is due or the core is stopping.  */
--- a/src/fleet/backend_list.c
+++ b/src/fleet/backend_list.c
@@ -132,3 +132,10 @@
     }
   return NULL;
 }
+
+uint64_t
+backend_record_boot (const backend_record_t *record)
+{
+  return XXH3_64bits_withSeed (record->id, strlen (record->id),
+                               (XXH64_hash_t)record->started_unix_ms);
+}
--- a/src/fleet/backend_list.h
+++ b/src/fleet/backend_list.h
@@ -35,6 +35,9 @@
 bool backend_record_equal (const backend_record_t *a,
                            const backend_record_t *b);
 
+/* A hash that identifies one start of RECORD's backend server.  */
+uint64_t backend_record_boot (const backend_record_t *record);
+
 /* Binary search by id in a finalized list.  Returns NULL if no record has
    ID; the result is owned by LIST.  */
 const backend_record_t *backend_list_find (const backend_list_t *list,
--- /dev/null
+++ b/src/fleet/crash_table.c
@@ -0,0 +1,264 @@
+#include "fleet/crash_table.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Other VMs report a complete answer with a time that is off by the delay of
+   the message.  Differences up to this are no news, so that a report does not
+   travel back and forth.  */
+#define COMPLETION_TOLERANCE (500 * USEC_PER_MSEC)
+
+static int
+compare_fingerprints (const void *a, const void *b)
+{
+  const fingerprint_t *left = a;
+  const fingerprint_t *right = b;
+  if (left->low != right->low)
+    return left->low < right->low ? -1 : 1;
+  if (left->high != right->high)
+    return left->high < right->high ? -1 : 1;
+  return 0;
+}
+
+static size_t
+find_position (const crash_table_t *table, fingerprint_t fingerprint)
+{
+  size_t i = 0;
+  while (
+      i < table->n_suspects
+      && compare_fingerprints (&table->suspects[i].fingerprint, &fingerprint)
+             != 0)
+    i++;
+  return i;
+}
+
+const suspect_t *
+crash_table_find (const crash_table_t *table, fingerprint_t fingerprint)
+{
+  size_t at = find_position (table, fingerprint);
+  return at < table->n_suspects ? &table->suspects[at] : NULL;
+}
+
+static void
+remove_suspect (crash_table_t *table, size_t at)
+{
+  table->n_suspects--;
+  memmove (&table->suspects[at], &table->suspects[at + 1],
+           (table->n_suspects - at) * sizeof table->suspects[0]);
+}
+
+/* Record a change of the suspect AT, which moves to the end.  */
+static suspect_t *
+mark_changed (crash_table_t *table, size_t at)
+{
+  suspect_t suspect = table->suspects[at];
+  remove_suspect (table, at);
+  suspect.changed = ++table->sequence;
+  table->suspects[table->n_suspects] = suspect;
+  return &table->suspects[table->n_suspects++];
+}
+
+static void
+make_room (crash_table_t *table)
+{
+  size_t at = 0;
+  while (at < table->n_suspects
+         && suspect_is_quarantined (&table->suspects[at]))
+    at++;
+  remove_suspect (table, at < table->n_suspects ? at : 0);
+}
+
+/* The position of the suspect with FINGERPRINT, which is added if needed.  */
+static size_t
+find_or_add (crash_table_t *table, fingerprint_t fingerprint)
+{
+  size_t at = find_position (table, fingerprint);
+  if (at < table->n_suspects)
+    return at;
+  if (table->n_suspects == SUSPECTS_MAX)
+    make_room (table);
+  table->suspects[table->n_suspects]
+      = (suspect_t){ .fingerprint = fingerprint };
+  return table->n_suspects++;
+}
+
+static crash_t *
+find_boot (suspect_t *suspect, uint64_t boot)
+{
+  for (size_t i = 0; i < suspect->n_crashes; i++)
+    if (suspect->crashes[i].boot == boot)
+      return &suspect->crashes[i];
+  return NULL;
+}
+
+static void
+remove_crash (suspect_t *suspect, size_t at)
+{
+  suspect->n_crashes--;
+  memmove (&suspect->crashes[at], &suspect->crashes[at + 1],
+           (suspect->n_crashes - at) * sizeof suspect->crashes[0]);
+}
+
+/* Insert CRASH by the time of its end; the oldest makes room.  */
+static void
+insert_crash (suspect_t *suspect, const crash_t *crash)
+{
+  if (suspect->n_crashes == CRASHES_PER_SUSPECT_MAX)
+    remove_crash (suspect, 0);
+  size_t at = suspect->n_crashes++;
+  for (; at > 0 && suspect->crashes[at - 1].ended_at > crash->ended_at; at--)
+    suspect->crashes[at] = suspect->crashes[at - 1];
+  suspect->crashes[at] = *crash;
+}
+
+bool
+crash_table_add (crash_table_t *table, fingerprint_t fingerprint,
+                 const crash_t *crash, usec_t now)
+{
+  if (now - crash->ended_at >= CRASH_LIFETIME)
+    return false;
+  size_t at = find_or_add (table, fingerprint);
+  suspect_t *suspect = &table->suspects[at];
+  crash_t *known = find_boot (suspect, crash->boot);
+  if (known && (known->is_confirmed || !crash->is_confirmed))
+    return false;
+  if (known)
+    known->is_confirmed = true;
+  else if (crash->ended_at > suspect->completed_at)
+    insert_crash (suspect, crash);
+  else
+    return false;
+  if (crash->is_confirmed)
+    mark_changed (table, at);
+  return true;
+}
+
+size_t
+crash_table_confirm (crash_table_t *table, uint64_t boot)
+{
+  size_t n = 0;
+  size_t n_unchanged = table->n_suspects;
+  for (size_t at = 0; at < n_unchanged;)
+    {
+      crash_t *crash = find_boot (&table->suspects[at], boot);
+      if (!crash || crash->is_confirmed)
+        {
+          at++;
+          continue;
+        }
+      crash->is_confirmed = true;
+      mark_changed (table, at);
+      n_unchanged--;
+      n++;
+    }
+  return n;
+}
+
+bool
+crash_table_complete (crash_table_t *table, fingerprint_t fingerprint,
+                      usec_t at, bool adds)
+{
+  size_t position = adds ? find_or_add (table, fingerprint)
+                         : find_position (table, fingerprint);
+  if (position == table->n_suspects
+      || at <= table->suspects[position].completed_at + COMPLETION_TOLERANCE)
+    return false;
+  suspect_t *suspect = mark_changed (table, position);
+  suspect->completed_at = at;
+  while (suspect->n_crashes > 0 && suspect->crashes[0].ended_at <= at)
+    remove_crash (suspect, 0);
+  return true;
+}
+
+static bool
+is_expired (const crash_t *crash, usec_t now)
+{
+  return now - crash->ended_at >= (crash->is_confirmed
+                                       ? CRASH_LIFETIME
+                                       : UNCONFIRMED_CRASH_LIFETIME);
+}
+
+/* Whether nothing is left to be remembered of SUSPECT.  */
+static bool
+is_forgotten (const suspect_t *suspect, usec_t now)
+{
+  bool was_completed
+      = suspect->completed_at > 0
+        && now - suspect->completed_at < UNCONFIRMED_CRASH_LIFETIME;
+  return suspect->n_crashes == 0 && !was_completed;
+}
+
+void
+crash_table_expire (crash_table_t *table, usec_t now)
+{
+  for (size_t i = table->n_suspects; i-- > 0;)
+    {
+      suspect_t *suspect = &table->suspects[i];
+      for (size_t j = suspect->n_crashes; j-- > 0;)
+        if (is_expired (&suspect->crashes[j], now))
+          remove_crash (suspect, j);
+      if (is_forgotten (suspect, now))
+        remove_suspect (table, i);
+    }
+}
+
+size_t
+suspect_count (const suspect_t *suspect, bool with_unconfirmed)
+{
+  size_t n = 0;
+  usec_t last_ended_at = INT64_MIN;
+  for (size_t i = 0; i < suspect->n_crashes; i++)
+    {
+      const crash_t *crash = &suspect->crashes[i];
+      if (crash->sent_at < last_ended_at
+          || !(crash->is_confirmed || with_unconfirmed))
+        continue;
+      last_ended_at = crash->ended_at;
+      n++;
+    }
+  return n;
+}
+
+bool
+suspect_is_quarantined (const suspect_t *suspect)
+{
+  return suspect_count (suspect, false) >= CRASHES_UNTIL_QUARANTINE;
+}
+
+size_t
+crash_table_quarantined (const crash_table_t *table,
+                         fingerprint_t out[QUARANTINED_MAX])
+{
+  size_t n = 0;
+  for (size_t i = 0; i < table->n_suspects && n < QUARANTINED_MAX; i++)
+    if (suspect_is_quarantined (&table->suspects[i]))
+      out[n++] = table->suspects[i].fingerprint;
+  qsort (out, n, sizeof out[0], compare_fingerprints);
+  return n;
+}
+
+bool
+fingerprints_contain (const fingerprint_t *sorted, size_t n,
+                      fingerprint_t fingerprint)
+{
+  return n > 0
+         && bsearch (&fingerprint, sorted, n, sizeof fingerprint,
+                     compare_fingerprints);
+}
+
+uint64_t
+fingerprints_digest (const fingerprint_t *sorted, size_t n)
+{
+  return n > 0 ? XXH3_64bits (sorted, n * sizeof sorted[0]) | 1 : 0;
+}
+
+void
+fingerprint_format (fingerprint_t fingerprint,
+                    char text[FINGERPRINT_TEXT_BYTES])
+{
+  snprintf (text, FINGERPRINT_TEXT_BYTES, "%016" PRIx64 "%016" PRIx64,
+            fingerprint.high, fingerprint.low);
+}
--- /dev/null
+++ b/src/fleet/crash_wire.c
@@ -0,0 +1,91 @@
+#include "fleet/crash_wire.h"
+
+_Static_assert((int)CRASHES_PER_SUSPECT_MAX == FLEET_WIRE_CRASHES_MAX
+                   && (int)QUARANTINED_MAX == FLEET_WIRE_QUARANTINED_MAX,
+               "the limits of crash reports differ");
+
+static void
+write_suspect (const suspect_t *suspect, fleet_suspect_t *wire,
+               fleet_crash_t *crashes, usec_t now)
+{
+  u_int n = 0;
+  for (size_t i = 0; i < suspect->n_crashes; i++)
+    {
+      const crash_t *crash = &suspect->crashes[i];
+      if (crash->is_confirmed)
+        crashes[n++] = (fleet_crash_t){ .boot = crash->boot,
+                                        .sent_age = now - crash->sent_at,
+                                        .ended_age = now - crash->ended_at };
+    }
+  *wire = (fleet_suspect_t){
+    .fingerprint
+    = { .low = suspect->fingerprint.low, .high = suspect->fingerprint.high },
+    .completed_age
+    = suspect->completed_at > 0 ? now - suspect->completed_at : -1
+  };
+  wire->crashes.crashes_len = n;
+  wire->crashes.crashes_val = crashes;
+}
+
+void
+crash_wire_write (const crash_table_t *table, uint64_t after,
+                  crash_report_t *report, usec_t now)
+{
+  report->n = 0;
+  report->sequence = after;
+  for (size_t i = 0; i < table->n_suspects; i++)
+    {
+      const suspect_t *suspect = &table->suspects[i];
+      if (suspect->changed <= after)
+        continue;
+      if (report->n == FLEET_WIRE_SUSPECTS_MAX)
+        return;
+      write_suspect (suspect, &report->suspects[report->n],
+                     report->crashes[report->n], now);
+      report->n++;
+      report->sequence = suspect->changed;
+    }
+}
+
+static bool
+is_possible_age (int64_t age)
+{
+  return age >= 0 && age < CRASH_LIFETIME;
+}
+
+static bool
+merge_suspect (crash_table_t *table, const fleet_suspect_t *wire,
+               usec_t sent_at, usec_t now)
+{
+  bool changed = false;
+  const fingerprint_t fingerprint
+      = { .low = wire->fingerprint.low, .high = wire->fingerprint.high };
+  for (u_int i = 0; i < wire->crashes.crashes_len; i++)
+    {
+      const fleet_crash_t *from = &wire->crashes.crashes_val[i];
+      if (!is_possible_age (from->ended_age)
+          || !is_possible_age (from->sent_age)
+          || from->sent_age < from->ended_age)
+        continue;
+      const crash_t crash = { .boot = from->boot,
+                              .sent_at = sent_at - from->sent_age,
+                              .ended_at = sent_at - from->ended_age,
+                              .is_confirmed = true };
+      changed = crash_table_add (table, fingerprint, &crash, now) || changed;
+    }
+  if (is_possible_age (wire->completed_age)
+      && crash_table_complete (table, fingerprint,
+                               sent_at - wire->completed_age, false))
+    changed = true;
+  return changed;
+}
+
+bool
+crash_wire_merge (crash_table_t *table, const fleet_suspect_t *suspects,
+                  size_t n, usec_t sent_at, usec_t now)
+{
+  bool changed = false;
+  for (size_t i = 0; i < n; i++)
+    changed = merge_suspect (table, &suspects[i], sent_at, now) || changed;
+  return changed;
+}
--- /dev/null
+++ b/src/fleet/crash_wire.h
@@ -0,0 +1,29 @@
+/* crash_wire: reports of crash_table in the messages between VMs.  Times
+   travel as ages, because the clocks of two VMs differ.  */
+
+#ifndef FLEET_CRASH_WIRE_H
+#define FLEET_CRASH_WIRE_H
+
+#include "fleet/crash_table.h"
+#include "wire/generated/fleet.h"
+
+/* Room for the reports of one message.  */
+typedef struct crash_report
+{
+  size_t n;
+  fleet_suspect_t suspects[FLEET_WIRE_SUSPECTS_MAX];
+  fleet_crash_t crashes[FLEET_WIRE_SUSPECTS_MAX][FLEET_WIRE_CRASHES_MAX];
+  uint64_t sequence; /* the receiver then knows TABLE's changes up to here */
+} crash_report_t;
+
+/* Fill REPORT with the changes of TABLE after the change AFTER, oldest first,
+   as many as it has room for.  Only confirmed crashes are told.  */
+void crash_wire_write (const crash_table_t *table, uint64_t after,
+                       crash_report_t *report, usec_t now);
+
+/* Merge the N SUSPECTS of a message that was sent at SENT_AT by the local
+   clock.  Impossible ages are skipped.  Returns true if TABLE changed.  */
+bool crash_wire_merge (crash_table_t *table, const fleet_suspect_t *suspects,
+                       size_t n, usec_t sent_at, usec_t now);
+
+#endif
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -388,6 +388,25 @@
   call_free (call);
 }
 
+/* Whether CODE tells that the connection has ended.  libcurl makes a new one
+   if a reused connection ended before any byte of the response.  */
+static bool
+is_cut_off (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+    case CURLE_PARTIAL_FILE:
+    case CURLE_ABORTED_BY_CALLBACK: /* by on_connection */
+    case CURLE_COULDNT_CONNECT:
+      return true;
+    default:
+      return false;
+    }
+}
+
 /* Store the result of CALL's transfer in its response.  */
 static void
 record_result (backend_call_t *call, CURLcode code)
@@ -398,6 +417,9 @@
   response->status = (unsigned int)status;
   response->may_have_reached = call->n_connections > 0;
   response->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  response->was_cut_off = response->may_have_reached && is_cut_off (code);
+  response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
+  response->is_unreachable = code == CURLE_COULDNT_CONNECT;
   response->is_complete = code == CURLE_OK && status > 0;
   response->error = curl_easy_strerror (code);
 }
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -48,7 +48,11 @@
   bool is_encoded;       /* its Content-Encoding is not "identity" */
   bool not_started;      /* the backend server did not run the request */
   bool timed_out;
-  unsigned int status;               /* HTTP status code */
+  bool was_cut_off;     /* the connection ended after the request was sent and
+                           before the response was complete */
+  bool was_reconnected; /* a new connection could be made after that */
+  bool is_unreachable;  /* no connection, or no new one, could be made */
+  unsigned int status;  /* HTTP status code */
   char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
   usec_t cold_remaining; /* from a health check: how long it stays cold */
   backend_load_t load;
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -9,6 +9,7 @@
 #include "base/name.h"
 #include "config_codec.h"
 #include "fleet/backend_list.h"
+#include "fleet/crash_wire.h"
 #include "fleet/fleet_wire.h"
 #include "fleet/list_update.h"
 #include "routing/route_config.h"
@@ -70,6 +71,11 @@
   uint64_t list_digest;
   uint64_t routers_digest;
   usec_t routers_pulled_at; /* when the list was last received */
+  uint64_t quarantine_digest;
+  const crash_table_t *crashes; /* set before the first tick */
+  uint32_t crashes_director;    /* the director that crashes_known is for */
+  uint64_t crashes_known;       /* changes of CRASHES that it has */
+  uint64_t crashes_sent;        /* the same, once it answers the pull */
   bool is_confirmed;
 };
 
@@ -176,10 +182,16 @@
   copy->n_evacuated = snapshot->n_evacuated;
   copy->evacuated = calloc (snapshot->n_evacuated + 1, sizeof (name_t));
   copy->reopened = snapshot->reopened;
+  copy->n_quarantined = snapshot->n_quarantined;
+  copy->quarantined
+      = calloc (snapshot->n_quarantined + 1, sizeof (fingerprint_t));
   copy->n_routers = snapshot->n_routers;
   copy->routers = calloc (snapshot->n_routers + 1, sizeof (pool_router_t));
-  if (!copy->evacuated || !copy->routers)
+  if (!copy->evacuated || !copy->routers || !copy->quarantined)
     abort ();
+  if (snapshot->n_quarantined > 0)
+    memcpy (copy->quarantined, snapshot->quarantined,
+            snapshot->n_quarantined * sizeof (fingerprint_t));
   if (snapshot->n_evacuated > 0)
     memcpy (copy->evacuated, snapshot->evacuated,
             snapshot->n_evacuated * sizeof (name_t));
@@ -321,6 +333,28 @@
   return true;
 }
 
+static bool
+apply_quarantine (director_sync_t *sync, fleet_snapshot_t *snapshot,
+                  const fleet_pull_result_t *result)
+{
+  if (result->quarantine_digest == sync->quarantine_digest)
+    return false;
+  size_t n = result->quarantined.quarantined_len;
+  free (snapshot->quarantined);
+  snapshot->quarantined = calloc (n + 1, sizeof (fingerprint_t));
+  if (!snapshot->quarantined)
+    abort ();
+  for (size_t i = 0; i < n; i++)
+    snapshot->quarantined[i] = (fingerprint_t){
+      .low = result->quarantined.quarantined_val[i].low,
+      .high = result->quarantined.quarantined_val[i].high,
+    };
+  snapshot->n_quarantined = n;
+  sync->quarantine_digest = result->quarantine_digest;
+  LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_in_force", LOG_U ("requests", n));
+  return true;
+}
+
 static void
 add_directors (director_sync_t *sync, const fleet_pull_result_t *result)
 {
@@ -408,6 +442,7 @@
          || confirms_reopened (sync, result, now)
          || result->evacuations_index > sync->evacuations_index
          || result->routers.fleet_packed_t_len > 0
+         || result->quarantine_digest != sync->quarantine_digest
          || result->list.whole.fleet_packed_t_len > 0
          || result->list.deltas.deltas_len > 0;
 }
@@ -425,6 +460,7 @@
   changed = apply_backend_list (sync, snapshot, result, now) || changed;
   changed = apply_list_time (sync, snapshot, result, now) || changed;
   changed = apply_routers (sync, snapshot, result, now) || changed;
+  changed = apply_quarantine (sync, snapshot, result) || changed;
   fleet_snapshot_unref (changed ? sync->snapshot : snapshot);
   if (changed)
     sync->snapshot = snapshot;
@@ -437,6 +473,7 @@
               usec_t now)
 {
   bool changed = apply_changes (sync, result, now);
+  sync->crashes_known = sync->crashes_sent;
   add_directors (sync, result);
   bool is_fresh = result->confirmed_age >= 0
                   && result->confirmed_age < CONFIRMED_AGE_MAX;
@@ -515,6 +552,35 @@
   rpc_send (sync->options.rpc, &request);
 }
 
+void
+director_sync_set_crashes (director_sync_t *sync, const crash_table_t *crashes)
+{
+  sync->crashes = crashes;
+}
+
+void
+director_sync_hurry (director_sync_t *sync)
+{
+  pthread_mutex_lock (&sync->lock);
+  sync->next_pull_at = 0;
+  pthread_mutex_unlock (&sync->lock);
+}
+
+/* Fill in the crashes that DIRECTOR does not know yet.  With the lock held.
+ */
+static void
+add_crashes (director_sync_t *sync, uint32_t director, fleet_pull_args_t *args,
+             crash_report_t *report, usec_t now)
+{
+  if (director != sync->crashes_director)
+    sync->crashes_known = 0;
+  sync->crashes_director = director;
+  crash_wire_write (sync->crashes, sync->crashes_known, report, now);
+  sync->crashes_sent = report->sequence;
+  args->suspects.suspects_val = report->suspects;
+  args->suspects.suspects_len = (u_int)report->n;
+}
+
 void
 director_sync_tick (director_sync_t *sync, usec_t now)
 {
@@ -534,7 +600,9 @@
           .config_version = sync->config_version,
           .list_digest = sync->list_digest,
           .routers_digest = sync->routers_digest,
-          .wants_routers = now >= sync->routers_pulled_at + ROUTERS_INTERVAL };
+          .wants_routers = now >= sync->routers_pulled_at + ROUTERS_INTERVAL,
+          .quarantine_digest = sync->quarantine_digest };
+  crash_report_t crashes;
   uint32_t director = 0;
   if (is_due)
     {
@@ -545,6 +613,7 @@
       sync->last_director = choose_director (sync, now);
       sync->pull_sent_at = now;
       director = sync->directors[sync->last_director].address;
+      add_crashes (sync, director, &args, &crashes, now);
     }
   pthread_mutex_unlock (&sync->lock);
   if (is_due)
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -46,6 +46,14 @@
 void director_sync_set_settings (director_sync_t *sync,
                                  const fleet_settings_t *settings);
 
+/* Report the crashes of CRASHES to the directors.  CRASHES is read by
+   director_sync_tick only and must stay valid.  */
+void director_sync_set_crashes (director_sync_t *sync,
+                                const crash_table_t *crashes);
+
+/* Make the next pull due at once.  */
+void director_sync_hurry (director_sync_t *sync);
+
 /* Send a pull if one is due at NOW.  */
 void director_sync_tick (director_sync_t *sync, usec_t now);
 
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -146,6 +146,7 @@
   dispatcher_expire_calls (dispatcher, now);
   dispatcher_serve_queue (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
+  dispatcher_expire_crashes (dispatcher, now);
   usec_t wait = list_empty (&dispatcher->queue) ? IDLE_TICK : QUEUE_TICK;
   usec_t due = backend_http_due_at (dispatcher->backends) - now;
   return due < wait ? (due > 0 ? due : 0) : wait;
@@ -179,6 +180,7 @@
                                  .routers = snapshot->routers,
                                  .n_routers = snapshot->n_routers };
   backend_pool_update (dispatcher->pool, &update, now);
+  dispatcher_note_list (dispatcher);
   dispatcher_serve_queue (dispatcher, now);
 }
 
@@ -236,6 +238,7 @@
   dispatcher->snapshot = fleet_snapshot_new ();
   list_init (&dispatcher->queue);
   list_init (&dispatcher->active);
+  director_sync_set_crashes (options->sync, &dispatcher->crashes);
   return dispatcher;
 }
 
--- /dev/null
+++ b/src/router/dispatcher_crashes.c
@@ -0,0 +1,232 @@
+#include "router/dispatcher_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "fleet/backend_list.h"
+
+/* A quarantine lasts much longer; a caller that is told less would come again
+   in vain.  */
+#define QUARANTINE_RETRY_AFTER (60 * USEC_PER_SEC)
+#define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
+/* The least time between two checks whether one backend server has ended.  */
+#define CRASH_CHECK_INTERVAL USEC_PER_SEC
+
+/* Requests of the same caller with the same content have the same fingerprint,
+   whatever their request ids and deadlines are.  */
+static fingerprint_t
+fingerprint_of (exchange_t *exchange)
+{
+  if (exchange->has_fingerprint)
+    return exchange->fingerprint;
+  const char *credential = caller_http_header (exchange, "Authorization");
+  const char *const parts[]
+      = { exchange->method, exchange->host, exchange->target, credential };
+  enum
+  {
+    N_PARTS = sizeof parts / sizeof parts[0],
+  };
+  XXH128_hash_t hashes[N_PARTS + 1];
+  for (size_t i = 0; i < N_PARTS; i++)
+    hashes[i] = XXH3_128bits (parts[i], parts[i] ? strlen (parts[i]) : 0);
+  hashes[N_PARTS] = XXH3_128bits (exchange->body, exchange->body_bytes);
+  XXH128_hash_t hash = XXH3_128bits (hashes, sizeof hashes);
+  exchange->fingerprint
+      = (fingerprint_t){ .low = hash.low64, .high = hash.high64 };
+  exchange->has_fingerprint = true;
+  return exchange->fingerprint;
+}
+
+/* Whether the directors have told that FINGERPRINT is quarantined.  */
+static bool
+is_listed (const dispatcher_t *dispatcher, fingerprint_t fingerprint)
+{
+  const fleet_snapshot_t *snapshot = dispatcher->snapshot;
+  return fingerprints_contain (snapshot->quarantined, snapshot->n_quarantined,
+                               fingerprint);
+}
+
+static bool
+knows_suspects (const dispatcher_t *dispatcher)
+{
+  return dispatcher->crashes.n_suspects > 0
+         || dispatcher->snapshot->n_quarantined > 0;
+}
+
+bool
+dispatcher_is_quarantined (const dispatcher_t *dispatcher,
+                           exchange_t *exchange)
+{
+  if (!knows_suspects (dispatcher))
+    return false;
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, fingerprint);
+  return is_listed (dispatcher, fingerprint)
+         || (suspect && suspect_is_quarantined (suspect));
+}
+
+bool
+dispatcher_may_be_poison (const dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  if (!knows_suspects (dispatcher))
+    return false;
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, fingerprint_of (exchange));
+  return (suspect && suspect_count (suspect, true) >= CRASHES_UNTIL_QUARANTINE)
+         || dispatcher_is_quarantined (dispatcher, exchange);
+}
+
+void
+dispatcher_refuse_quarantined (dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  char text[FINGERPRINT_TEXT_BYTES];
+  fingerprint_format (fingerprint_of (exchange), text);
+  LOG_EVENT (LOG_LEVEL_WARNING, "request_quarantined",
+             LOG_S ("id", exchange->id), LOG_S ("fingerprint", text));
+  if (!exchange->may_have_run)
+    exchange->retry_after = QUARANTINE_RETRY_AFTER;
+  dispatcher_finish (dispatcher, exchange,
+                     exchange->may_have_run ? REASON_BROKE_OFF
+                                            : REASON_QUARANTINED);
+}
+
+/* Whether requests like one that was running at BOOT have crashed another
+   backend server before.  */
+static bool
+was_repeated (const dispatcher_t *dispatcher, uint64_t boot)
+{
+  for (size_t i = 0; i < dispatcher->crashes.n_suspects; i++)
+    {
+      const suspect_t *suspect = &dispatcher->crashes.suspects[i];
+      if (suspect->n_crashes > 0
+          && suspect->crashes[suspect->n_crashes - 1].boot == boot
+          && suspect_count (suspect, false) > 1)
+        return true;
+    }
+  return false;
+}
+
+/* The backend server BOOT has ended, as EVIDENCE shows.  */
+static void
+confirm_end (dispatcher_t *dispatcher, uint64_t boot, const char *evidence)
+{
+  size_t n = crash_table_confirm (&dispatcher->crashes, boot);
+  if (n == 0)
+    return;
+  LOG_EVENT (LOG_LEVEL_WARNING, "backend_crash_confirmed",
+             LOG_U ("boot", boot), LOG_S ("evidence", evidence),
+             LOG_U ("requests", n));
+  if (was_repeated (dispatcher, boot))
+    director_sync_hurry (dispatcher->options.sync);
+}
+
+/* EXCHANGE was running at BACKEND when the connection ended.  */
+static void
+add_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
+             const backend_t *backend, usec_t now)
+{
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  char text[FINGERPRINT_TEXT_BYTES];
+  const crash_t crash = { .boot = backend_record_boot (&backend->record),
+                          .sent_at = exchange->sent_at,
+                          .ended_at = now };
+  crash_table_add (&dispatcher->crashes, fingerprint, &crash, now);
+  fingerprint_format (fingerprint, text);
+  LOG_EVENT (LOG_LEVEL_INFO, "request_suspected", LOG_S ("id", exchange->id),
+             LOG_S ("fingerprint", text),
+             LOG_S ("backend", backend->record.id),
+             LOG_U ("boot", crash.boot));
+}
+
+/* Ask BACKEND for its health, to learn whether it has ended.  */
+static void
+check_backend (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
+{
+  if (now < backend->checked_at + CRASH_CHECK_INTERVAL
+      || !backend_pool_begin_probe (backend))
+    return;
+  backend->checked_at = now;
+  dispatcher_send_probe (dispatcher, backend);
+}
+
+void
+dispatcher_note_response (dispatcher_t *dispatcher, exchange_t *exchange,
+                          backend_result_t result,
+                          const backend_response_t *response, usec_t now)
+{
+  backend_t *backend = exchange->backend;
+  if (response->was_cut_off && !backend->record.is_draining)
+    {
+      add_suspect (dispatcher, exchange, backend, now);
+      if (!response->was_reconnected)
+        check_backend (dispatcher, backend, now);
+    }
+  if (response->is_unreachable)
+    confirm_end (dispatcher, backend_record_boot (&backend->record),
+                 "unreachable");
+  bool has_run = result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR;
+  if (!has_run || !knows_suspects (dispatcher))
+    return;
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  crash_table_complete (&dispatcher->crashes, fingerprint, now,
+                        is_listed (dispatcher, fingerprint));
+}
+
+void
+dispatcher_note_probe (dispatcher_t *dispatcher, const backend_t *backend,
+                       const backend_response_t *response)
+{
+  uint64_t boot = backend_record_boot (&backend->record);
+  bool is_other = response->is_complete && response->backend_id[0]
+                  && strcmp (response->backend_id, backend->record.id) != 0;
+  if (response->is_unreachable)
+    confirm_end (dispatcher, boot, "unreachable");
+  else if (is_other)
+    confirm_end (dispatcher, boot, "another backend server at its address");
+}
+
+static bool
+list_has_boot (const backend_list_t *list, uint64_t boot)
+{
+  for (size_t i = 0; i < list->n_records; i++)
+    if (backend_record_boot (&list->records[i]) == boot)
+      return true;
+  return false;
+}
+
+/* The first crash that is not confirmed although its backend server is not
+   listed any more; NULL if there is none.  */
+static const crash_t *
+find_unlisted (const dispatcher_t *dispatcher)
+{
+  for (size_t i = 0; i < dispatcher->crashes.n_suspects; i++)
+    {
+      const suspect_t *suspect = &dispatcher->crashes.suspects[i];
+      for (size_t j = 0; j < suspect->n_crashes; j++)
+        if (!suspect->crashes[j].is_confirmed
+            && !list_has_boot (&dispatcher->snapshot->list,
+                               suspect->crashes[j].boot))
+          return &suspect->crashes[j];
+    }
+  return NULL;
+}
+
+void
+dispatcher_note_list (dispatcher_t *dispatcher)
+{
+  const crash_t *crash;
+  while ((crash = find_unlisted (dispatcher)))
+    confirm_end (dispatcher, crash->boot, "not listed any more");
+}
+
+void
+dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now)
+{
+  if (dispatcher->crashes.n_suspects == 0
+      || now < dispatcher->next_crash_expiry_at)
+    return;
+  dispatcher->next_crash_expiry_at = now + CRASH_EXPIRY_INTERVAL;
+  crash_table_expire (&dispatcher->crashes, now);
+}
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -5,6 +5,7 @@
 #define ROUTER_DISPATCHER_INTERNAL_H
 
 #include "balance/retry_share.h"
+#include "fleet/crash_table.h"
 #include "router/dispatcher.h"
 #include "routing/route_split.h"
 
@@ -42,7 +43,9 @@
   service_state_t unlisted_service; /* its retries are never refilled */
   route_split_t *split;             /* for the configuration of SNAPSHOT */
   run_estimate_t run_estimates;
-  bool refuses_new; /* requests, since the process is shutting down */
+  bool refuses_new;      /* requests, since the process is shutting down */
+  crash_table_t crashes; /* that this router has seen */
+  usec_t next_crash_expiry_at;
 };
 
 /* dispatcher_finish.c */
@@ -84,7 +87,33 @@
    was free there, so that it had to wait.  */
 usec_t dispatcher_expected_run_time (const exchange_t *exchange);
 
+/* dispatcher_crashes.c */
+/* Whether requests like EXCHANGE's have crashed so many backend servers that
+   it must not be sent to another.  */
+bool dispatcher_is_quarantined (const dispatcher_t *dispatcher,
+                                exchange_t *exchange);
+/* The same, with crashes counted that are not confirmed yet.  */
+bool dispatcher_may_be_poison (const dispatcher_t *dispatcher,
+                               exchange_t *exchange);
+/* Finish EXCHANGE, which is quarantined.  */
+void dispatcher_refuse_quarantined (dispatcher_t *dispatcher,
+                                    exchange_t *exchange);
+/* Record what RESPONSE, of class RESULT, shows of EXCHANGE's request and of
+   its backend server.  */
+void dispatcher_note_response (dispatcher_t *dispatcher, exchange_t *exchange,
+                               backend_result_t result,
+                               const backend_response_t *response, usec_t now);
+/* Record what RESPONSE to a health check shows of BACKEND.  */
+void dispatcher_note_probe (dispatcher_t *dispatcher, const backend_t *backend,
+                            const backend_response_t *response);
+/* Record which backend servers the new snapshot does not list any more.  */
+void dispatcher_note_list (dispatcher_t *dispatcher);
+/* Forget old crashes when due.  */
+void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_probe.c */
+/* Send a health check to BACKEND, which is marked as being probed.  */
+void dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend);
 /* Send health checks to the backend servers that are down and due for one.  */
 void dispatcher_send_probes (dispatcher_t *dispatcher, usec_t now);
 /* A health check of BACKEND has ended with RESPONSE.  */
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -12,8 +12,8 @@
    a probe to be useful.  */
 #define PROBE_TIMEOUT (500 * USEC_PER_MSEC)
 
-static void
-send_probe (dispatcher_t *dispatcher, backend_t *backend)
+void
+dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend)
 {
   const route_config_t *config = dispatcher->snapshot->config;
   const service_config_t *service
@@ -47,6 +47,7 @@
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
+  dispatcher_note_probe (dispatcher, backend, response);
   backend_pool_probe_ended (dispatcher->pool, backend, is_healthy,
                             response->cold_remaining, now);
   if (is_healthy)
@@ -58,5 +59,5 @@
 {
   backend_t *backend;
   while ((backend = backend_pool_due_probe (dispatcher->pool, now)))
-    send_probe (dispatcher, backend);
+    dispatcher_send_probe (dispatcher, backend);
 }
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -25,7 +25,7 @@
    that ended with RESULT.  Takes a retry from the budget if the request had
    reached a backend server.  */
 static bool
-may_retry (dispatcher_t *dispatcher, const exchange_t *exchange,
+may_retry (dispatcher_t *dispatcher, exchange_t *exchange,
            backend_result_t result, bool reached, usec_t now)
 {
   bool not_run
@@ -34,7 +34,9 @@
       || exchange->n_transmitted >= exchange->route->max_attempts
       || exchange->query.n_excluded >= POOL_EXCLUDED_MAX)
     return false;
-  if (!not_run && !exchange->route->is_idempotent)
+  if (!not_run
+      && (!exchange->route->is_idempotent
+          || dispatcher_may_be_poison (dispatcher, exchange)))
     return false;
   return !reached
          || retry_share_take (dispatcher_retry_budget (dispatcher, exchange));
@@ -112,6 +114,7 @@
   if (result == BACKEND_ANSWERED && exchange->slot_was_free)
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
+  dispatcher_note_response (dispatcher, exchange, result, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
   const backend_outcome_t outcome
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -139,6 +139,11 @@
 dispatcher_send_or_queue (dispatcher_t *dispatcher, exchange_t *exchange,
                           usec_t now)
 {
+  if (dispatcher_is_quarantined (dispatcher, exchange))
+    {
+      dispatcher_refuse_quarantined (dispatcher, exchange);
+      return;
+    }
   if (try_send (dispatcher, exchange, now))
     return;
   if (!backend_pool_has_eligible (dispatcher->pool, &exchange->query))
@@ -165,6 +170,8 @@
     exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
     if (exchange->deadline - now < USEC_PER_MSEC)
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
+    else if (dispatcher_is_quarantined (dispatcher, exchange))
+      dispatcher_refuse_quarantined (dispatcher, exchange);
     else
       try_send (dispatcher, exchange, now);
   }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -23,6 +23,8 @@
       return "refused";
     case REASON_MEMORY:
       return "memory";
+    case REASON_QUARANTINED:
+      return "quarantined";
     case REASON_STOPPING:
       return "stopping";
     case REASON_BROKE_OFF:
@@ -53,6 +55,7 @@
     case REASON_OVERLOAD:
     case REASON_REFUSED:
     case REASON_MEMORY:
+    case REASON_QUARANTINED:
     case REASON_STOPPING:
       return MHD_HTTP_SERVICE_UNAVAILABLE;
     case REASON_BROKE_OFF:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -13,6 +13,7 @@
 #include "balance/backend_pool.h"
 #include "base/list.h"
 #include "base/time_defs.h"
+#include "ledger/ledger_defs.h"
 #include "router/backend_http.h"
 #include "router/fleet_snapshot.h"
 #include "router/poller.h"
@@ -45,6 +46,8 @@
   REASON_OVERLOAD,    /* 503, not run: it would wait beyond its deadline */
   REASON_REFUSED,     /* 503, not run: backend servers refused it */
   REASON_MEMORY,      /* 503, not run: request bodies use too much memory */
+  REASON_QUARANTINED, /* 503, not run: requests like it crash backend
+                         servers */
   REASON_STOPPING,    /* 503, not run: this process is shutting down; the
                          caller should use another router */
   REASON_BROKE_OFF,   /* 502: it may have run */
@@ -78,7 +81,9 @@
   uint32_t n_transmitted; /* attempts that may have reached a backend server */
   uint32_t n_attempts;    /* all, failed connections included */
   bool may_have_run;
-  bool was_refused;   /* a backend server had no room for it */
+  bool has_fingerprint;
+  fingerprint_t fingerprint; /* valid if has_fingerprint */
+  bool was_refused;          /* a backend server had no room for it */
   backend_t *backend; /* of the current or just ended call; NULL: none */
   backend_call_t *call;
   call_owner_t owner; /* of CALL */
--- a/src/router/fleet_snapshot.c
+++ b/src/router/fleet_snapshot.c
@@ -59,5 +59,6 @@
   backend_list_clear (&snapshot->list);
   free (snapshot->evacuated);
   free (snapshot->routers);
+  free (snapshot->quarantined);
   free (snapshot);
 }
--- a/src/router/fleet_snapshot.h
+++ b/src/router/fleet_snapshot.h
@@ -9,6 +9,7 @@
 #include <stdatomic.h>
 
 #include "balance/backend_pool.h"
+#include "fleet/crash_table.h"
 #include "fleet/fleet_defs.h"
 #include "routing/route_defs.h"
 
@@ -31,6 +32,8 @@
   reopened_domains_t reopened;
   size_t n_routers;
   pool_router_t *routers;
+  size_t n_quarantined;
+  fingerprint_t *quarantined; /* requests not to be sent; sorted */
 } fleet_snapshot_t;
 
 /* Takes ownership of CONFIG.  The result has one reference.  */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -11,6 +11,9 @@
 const FLEET_WIRE_DOMAINS_MAX = 128;
 const FLEET_WIRE_DIRECTORS_MAX = 63;
 const FLEET_WIRE_DELTAS_MAX = 32;
+const FLEET_WIRE_SUSPECTS_MAX = 64;
+const FLEET_WIRE_CRASHES_MAX = 8;
+const FLEET_WIRE_QUARANTINED_MAX = 256;
 
 struct fleet_router_t
 {
@@ -66,6 +69,28 @@
   fleet_packed_t deltas<FLEET_WIRE_DELTAS_MAX>; /* fleet_delta_t, in order */
 };
 
+struct fleet_fingerprint_t
+{
+  uint64_t low;
+  uint64_t high;
+};
+
+/* A run of a request that ended with its backend server. */
+struct fleet_crash_t
+{
+  uint64_t boot;     /* a hash of the backend server and its start */
+  int64_t sent_age;  /* usec since the request was sent to it */
+  int64_t ended_age; /* usec since the run ended */
+};
+
+/* A request that was running when backend servers ended. */
+struct fleet_suspect_t
+{
+  fleet_fingerprint_t fingerprint;
+  int64_t completed_age; /* usec since a complete answer came; -1: never */
+  fleet_crash_t crashes<FLEET_WIRE_CRASHES_MAX>;
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
@@ -74,6 +99,8 @@
   uint64_t list_digest;
   uint64_t routers_digest;
   bool wants_routers; /* where they are others than it has */
+  fleet_suspect_t suspects<FLEET_WIRE_SUSPECTS_MAX>; /* that it saw itself */
+  uint64_t quarantine_digest; /* of the quarantined requests that it knows */
 };
 
 /* Where a router takes requests. */
@@ -115,6 +142,9 @@
   fleet_list_update_t list;
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
   fleet_reopened_t reopened<FLEET_WIRE_DOMAINS_MAX>;
+  uint64_t quarantine_digest; /* 0: no request is quarantined */
+  /* Empty where the router has the same digest. */
+  fleet_fingerprint_t quarantined<FLEET_WIRE_QUARANTINED_MAX>;
 };
 
 /* Which director holds which slot of the log. */
@@ -133,11 +163,13 @@
   uint64_t confirmed_index;
   fleet_roster_t roster;
   fleet_list_update_t list;
+  fleet_suspect_t suspects<FLEET_WIRE_SUSPECTS_MAX>;
 };
 
 struct fleet_share_result_t
 {
   uint64_t list_digest; /* that the peer has now */
+  uint64_t incarnation; /* of the peer's process */
 };
 
 /* One message between replicas, encoded by agreement/message. */
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -11,7 +11,9 @@
    servers that drain, one a line.  A path that ends in "slow" runs for half a
    second; one that ends in "held" until FOLDER/release exists; one that ends
    in "lost" runs, and its connection ends without an answer; one that ends in
-   "other" is answered as if it were another request.  */
+   "other" is answered as if it were another request; one that ends in "crash"
+   ends the backend server, with all that runs there, which starts again after
+   DOWN_USEC under another id.  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -35,14 +37,18 @@
   SLOW_USEC = 500 * 1000,
   HELD_STEP_USEC = 10 * 1000,
   HELD_STEPS_MAX = 2000,
+  DOWN_USEC = 1000 * 1000,
 };
 
 typedef struct fake_backend
 {
   char id[32];
   const char *domain;
+  unsigned int number; /* within its domain */
   unsigned int port;
   struct MHD_Daemon *daemon;
+  unsigned int boot; /* counts its starts; guarded by fake.lock */
+  bool is_down;      /* guarded by fake.lock */
 } fake_backend_t;
 
 static struct
@@ -136,6 +142,49 @@
     usleep (HELD_STEP_USEC);
 }
 
+static struct MHD_Daemon *open_port (unsigned int port,
+                                     MHD_AccessHandlerCallback handler,
+                                     void *closure);
+
+static void start_backend (fake_backend_t *backend);
+
+/* Waits until a backend server that crashed is due to start again.  */
+static void *
+restart_backend (void *closure)
+{
+  usleep (DOWN_USEC);
+  start_backend (closure);
+  return NULL;
+}
+
+/* The port refuses connections from now on; see is_boot for those that are
+   open.  */
+static void
+crash_backend (fake_backend_t *backend)
+{
+  pthread_t thread;
+  pthread_mutex_lock (&fake.lock);
+  bool was_down = backend->is_down;
+  backend->is_down = true;
+  pthread_mutex_unlock (&fake.lock);
+  if (was_down)
+    return;
+  close (MHD_quiesce_daemon (backend->daemon));
+  if (pthread_create (&thread, NULL, restart_backend, backend) != 0)
+    abort ();
+  pthread_detach (thread);
+}
+
+/* Whether BACKEND still runs, since its start number BOOT.  */
+static bool
+is_boot (const fake_backend_t *backend, unsigned int boot)
+{
+  pthread_mutex_lock (&fake.lock);
+  bool is_same = backend->boot == boot && !backend->is_down;
+  pthread_mutex_unlock (&fake.lock);
+  return is_same;
+}
+
 static enum MHD_Result
 serve_backend (void *closure, struct MHD_Connection *connection,
                const char *url, const char *method, const char *version,
@@ -144,7 +193,8 @@
   (void)method;
   (void)version;
   (void)data;
-  const fake_backend_t *backend = closure;
+  fake_backend_t *backend = closure;
+  unsigned int boot = backend->boot;
   static int seen;
   if (!*context)
     {
@@ -156,6 +206,8 @@
       *data_bytes = 0;
       return MHD_YES;
     }
+  if (!is_boot (backend, boot))
+    return MHD_NO;
   const char *id = header (connection, "Request-Id");
   const char *expected = header (connection, "Expect-Instance");
   if (strcmp (url, "/health") == 0)
@@ -169,10 +221,14 @@
   note_run (id, backend->id, header (connection, "Content-Type"));
   if (ends_with (url, "lost"))
     return MHD_NO;
+  if (ends_with (url, "crash"))
+    crash_backend (backend);
   if (ends_with (url, "slow"))
     usleep (SLOW_USEC);
   if (ends_with (url, "held"))
     wait_for_release ();
+  if (!is_boot (backend, boot))
+    return MHD_NO;
   return answer (connection, MHD_HTTP_OK, backend->id,
                  ends_with (url, "other") ? "of-another" : id, NULL);
 }
@@ -221,18 +277,36 @@
       MHD_OPTION_END);
 }
 
+/* Each start has an id of its own.  */
+static void
+start_backend (fake_backend_t *backend)
+{
+  struct MHD_Daemon *daemon
+      = open_port (backend->port, serve_backend, backend);
+  pthread_mutex_lock (&fake.lock);
+  backend->daemon = daemon;
+  int n = snprintf (backend->id, sizeof backend->id, "%s-%u", backend->domain,
+                    backend->number);
+  if (backend->boot > 0)
+    snprintf (backend->id + n, sizeof backend->id - (size_t)n, "-%u",
+              backend->boot);
+  backend->boot++;
+  backend->is_down = false;
+  pthread_mutex_unlock (&fake.lock);
+}
+
 static bool
 open_domain (const char *domain, unsigned int first_port)
 {
-  for (int i = 0; i < BACKENDS_OF_DOMAIN; i++)
+  for (unsigned int i = 0; i < BACKENDS_OF_DOMAIN; i++)
     {
       if (fake.n_backends == BACKENDS_MAX)
         return false;
       fake_backend_t *backend = &fake.backends[fake.n_backends];
       backend->domain = domain;
       backend->port = first_port + (unsigned int)fake.n_backends++;
-      snprintf (backend->id, sizeof backend->id, "%s-%d", domain, i);
-      backend->daemon = open_port (backend->port, serve_backend, backend);
+      backend->number = i;
+      start_backend (backend);
       if (!backend->daemon)
         return false;
     }
--- /dev/null
+++ b/test/functional/test_fleet_poison.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Guards against a request that ends one backend server after the other, with
+# the requests of others that run there: after three crashes every router
+# refuses it, and says so; other requests are served on.
+set -euo pipefail
+BUILD=$1
+SOURCE=$2
+source "$SOURCE/test/functional/fleet.sh"
+SETTLE_MSEC=3000
+RETRIES_MAX=3
+
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
+for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
+put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
+served() { [ "$(request "$1" /x/1 "id-$RANDOM$RANDOM")" = 200 ]; }
+wait_for 15 put "$(config 00000005 idempotent /x/)"
+for i in 1 2 3; do wait_for 10 served $i; done
+
+# The same request at one router after the other, as a caller that retries.
+for n in $(seq 1 18); do
+  request $((n % 3 + 1)) /x/crash "crash-$n" >"$FOLDER/status-$n" || true
+  sleep 0.5
+done
+read -r CRASHES LATE < <(awk -v settle=$SETTLE_MSEC '
+  $1 ~ /^crash-/ && ++n == 3 { third = $3 }
+  $1 ~ /^crash-/ && n > 3 && $3 > third + settle { late++ }
+  END { print n + 0, late + 0 }' "$FOLDER/runs")
+echo "crashes=$CRASHES late=$LATE"
+[ "$CRASHES" -ge 3 ] || fail 'three crashes were to be seen'
+[ "$LATE" -le $RETRIES_MAX ] || fail "$LATE more crashes, later than $SETTLE_MSEC ms after the third"
+
+for i in 1 2 3; do
+  [ "$(request $i /x/crash "refused-$i" -D "$FOLDER/head")" = 503 ] || fail "router $i does not refuse the request"
+  grep -qi '^retry-after: 60' "$FOLDER/head" || fail "router $i does not say when to come back: $(cat "$FOLDER/head")"
+  grep -qx quarantined "$FOLDER/answer" || fail "router $i does not say why"
+  [ "$(request $i /x/crash "other-$i" -H 'Authorization: Token another-caller' -X HEAD -m 1)" != 503 ] ||
+    fail "router $i refuses the request of another caller"
+  wait_for 10 served $i
+done
+! grep -q '^refused-' "$FOLDER/runs" || fail 'a request that was told as not run has run'
+listed() { "$BUILD/mulberryctl" fleet show "$(director_address "$1"):$OPERATORS_PORT" | grep -q '^quarantined: requests [0-9a-f]\{32\}'; }
+for i in 1 2 3; do wait_for 5 listed $i; done
+echo 'good: a request that crashes backend servers'
--- /dev/null
+++ b/test/unit/test_fleet_crash_table.c
@@ -0,0 +1,278 @@
+/* Unit tests of the requests that were running when backend servers ended:
+   guard against a request that crashes one after the other, and against
+   innocent requests that are refused with it.  */
+
+#include <glib.h>
+
+#include "fleet/backend_list.h"
+#include "fleet/crash_table.h"
+#include "fleet/crash_wire.h"
+
+#define SEC USEC_PER_SEC
+
+static const fingerprint_t poison = { .low = 1, .high = 7 };
+static const fingerprint_t innocent = { .low = 2, .high = 7 };
+
+/* FINGERPRINT was sent at SENT_AT to BOOT, which ended at ENDED_AT.  */
+static bool
+add (crash_table_t *table, fingerprint_t fingerprint, uint64_t boot,
+     usec_t sent_at, usec_t ended_at)
+{
+  const crash_t crash = { .boot = boot,
+                          .sent_at = sent_at,
+                          .ended_at = ended_at,
+                          .is_confirmed = true };
+  return crash_table_add (table, fingerprint, &crash, ended_at);
+}
+
+static size_t
+count (const crash_table_t *table, fingerprint_t fingerprint)
+{
+  const suspect_t *suspect = crash_table_find (table, fingerprint);
+  return suspect ? suspect_count (suspect, false) : 0;
+}
+
+static bool
+is_quarantined (const crash_table_t *table, fingerprint_t fingerprint)
+{
+  const suspect_t *suspect = crash_table_find (table, fingerprint);
+  return suspect && suspect_is_quarantined (suspect);
+}
+
+static void
+test_one_after_the_other (void)
+{
+  crash_table_t table = { 0 };
+  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+    {
+      g_assert_false (is_quarantined (&table, poison));
+      g_assert_true (
+          add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1));
+    }
+  g_assert_true (is_quarantined (&table, poison));
+  g_assert_false (is_quarantined (&table, innocent));
+}
+
+/* A rack fails: one request that runs everywhere sees many crashes at
+   once.  */
+static void
+test_at_the_same_time (void)
+{
+  crash_table_t table = { 0 };
+  for (uint64_t boot = 1; boot <= 2 * CRASHES_PER_SUSPECT_MAX; boot++)
+    add (&table, innocent, boot, 10 * SEC, 11 * SEC + (usec_t)boot);
+  g_assert_cmpuint (count (&table, innocent), ==, 1);
+  add (&table, innocent, 100, 12 * SEC, 13 * SEC);
+  g_assert_cmpuint (count (&table, innocent), ==, 2);
+}
+
+/* Several routers can report the same crash, in any order.  */
+static void
+test_one_boot_counts_once (void)
+{
+  crash_table_t table = { 0 };
+  g_assert_true (add (&table, poison, 1, 30 * SEC, 31 * SEC));
+  g_assert_false (add (&table, poison, 1, 40 * SEC, 41 * SEC));
+  g_assert_true (add (&table, poison, 2, 10 * SEC, 11 * SEC));
+  g_assert_cmpuint (count (&table, poison), ==, 2);
+}
+
+static void
+test_answer_clears (void)
+{
+  crash_table_t table = { 0 };
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    add (&table, innocent, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+  g_assert_true (is_quarantined (&table, innocent));
+  g_assert_true (crash_table_complete (&table, innocent, 4 * SEC, false));
+  g_assert_cmpuint (count (&table, innocent), ==, 0);
+  g_assert_false (add (&table, innocent, 4, 3 * SEC, 4 * SEC - 1));
+  g_assert_true (add (&table, innocent, 5, 5 * SEC, 6 * SEC));
+  g_assert_cmpuint (count (&table, innocent), ==, 1);
+  g_assert_false (crash_table_complete (&table, poison, 4 * SEC, false));
+  g_assert_null (crash_table_find (&table, poison));
+  g_assert_true (crash_table_complete (&table, poison, 4 * SEC, true));
+  g_assert_nonnull (crash_table_find (&table, poison));
+}
+
+/* A connection that ends need not mean that the backend server did.  */
+static void
+test_unconfirmed_do_not_count (void)
+{
+  crash_table_t table = { 0 };
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    {
+      const crash_t crash = { .boot = boot,
+                              .sent_at = (usec_t)boot * SEC,
+                              .ended_at = (usec_t)boot * SEC + 1 };
+      crash_table_add (&table, poison, &crash, 4 * SEC);
+    }
+  const suspect_t *suspect = crash_table_find (&table, poison);
+  g_assert_cmpuint (suspect_count (suspect, false), ==, 0);
+  g_assert_cmpuint (suspect_count (suspect, true), ==, 3);
+  g_assert_cmpuint (crash_table_confirm (&table, 2), ==, 1);
+  g_assert_cmpuint (crash_table_confirm (&table, 2), ==, 0);
+  g_assert_cmpuint (count (&table, poison), ==, 1);
+  crash_table_expire (&table, 3 * SEC + 1 + UNCONFIRMED_CRASH_LIFETIME);
+  g_assert_cmpuint (crash_table_find (&table, poison)->n_crashes, ==, 1);
+}
+
+static void
+test_quarantine_ends (void)
+{
+  crash_table_t table = { 0 };
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    add (&table, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+  crash_table_expire (&table, CRASH_LIFETIME);
+  g_assert_true (is_quarantined (&table, poison));
+  crash_table_expire (&table, CRASH_LIFETIME + SEC + 1);
+  g_assert_false (is_quarantined (&table, poison));
+  crash_table_expire (&table, CRASH_LIFETIME + 4 * SEC);
+  g_assert_cmpuint (table.n_suspects, ==, 0);
+}
+
+static void
+test_full_table_keeps_quarantined (void)
+{
+  crash_table_t table = { 0 };
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    add (&table, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+  for (uint64_t i = 0; i < 3 * SUSPECTS_MAX; i++)
+    add (&table, (fingerprint_t){ .low = 100 + i }, 50, 10 * SEC, 11 * SEC);
+  g_assert_cmpuint (table.n_suspects, ==, SUSPECTS_MAX);
+  g_assert_true (is_quarantined (&table, poison));
+  fingerprint_t found[QUARANTINED_MAX];
+  g_assert_cmpuint (crash_table_quarantined (&table, found), ==, 1);
+  g_assert_true (fingerprints_contain (found, 1, poison));
+  g_assert_false (fingerprints_contain (found, 1, innocent));
+  g_assert_false (fingerprints_contain (found, 0, poison));
+}
+
+/* Routers compare digests: the same requests in another order of arrival must
+   give the same one.  */
+static void
+test_digest (void)
+{
+  crash_table_t a = { 0 };
+  crash_table_t b = { 0 };
+  fingerprint_t found[QUARANTINED_MAX];
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    {
+      usec_t at = (usec_t)boot * SEC;
+      add (&a, poison, boot, at, at + 1);
+      add (&a, innocent, boot, at, at + 1);
+      add (&b, innocent, boot, at, at + 1);
+    }
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    add (&b, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+  size_t n = crash_table_quarantined (&a, found);
+  uint64_t digest = fingerprints_digest (found, n);
+  g_assert_cmpuint (n, ==, 2);
+  g_assert_true (digest != 0);
+  n = crash_table_quarantined (&b, found);
+  g_assert_true (fingerprints_digest (found, n) == digest);
+  g_assert_cmpuint (fingerprints_digest (found, 0), ==, 0);
+}
+
+/* Merge what FROM has changed since *KNOWN into TO, DELAY later.  */
+static bool
+tell (const crash_table_t *from, crash_table_t *to, uint64_t *known,
+      usec_t now, usec_t delay)
+{
+  crash_report_t report;
+  crash_wire_write (from, *known, &report, now);
+  *known = report.sequence;
+  return crash_wire_merge (to, report.suspects, report.n, now + delay,
+                           now + delay);
+}
+
+/* Guards against reports that travel between two directors for ever, as each
+   message adds its delay to the times.  */
+static void
+test_reports_come_to_rest (void)
+{
+  crash_table_t a = { 0 };
+  crash_table_t b = { 0 };
+  uint64_t a_knows = 0;
+  uint64_t b_knows = 0;
+  usec_t now = 20 * SEC;
+  for (uint64_t boot = 1; boot <= 3; boot++)
+    add (&a, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+  g_assert_true (tell (&a, &b, &b_knows, now, SEC / 20));
+  g_assert_true (is_quarantined (&b, poison));
+  g_assert_false (tell (&b, &a, &a_knows, now + SEC / 10, SEC / 20));
+  g_assert_false (tell (&a, &b, &b_knows, now + SEC / 5, SEC / 20));
+  crash_table_complete (&a, poison, now + SEC, false);
+  g_assert_true (tell (&a, &b, &b_knows, now + 2 * SEC, SEC / 20));
+  g_assert_false (is_quarantined (&b, poison));
+  g_assert_false (tell (&b, &a, &a_knows, now + 3 * SEC, SEC / 20));
+}
+
+static void
+test_long_report_in_parts (void)
+{
+  crash_table_t a = { 0 };
+  crash_table_t b = { 0 };
+  uint64_t known = 0;
+  for (uint64_t i = 0; i < FLEET_WIRE_SUSPECTS_MAX + 5; i++)
+    add (&a, (fingerprint_t){ .low = i }, 50, 10 * SEC, 11 * SEC);
+  g_assert_true (tell (&a, &b, &known, 12 * SEC, 1));
+  g_assert_cmpuint (b.n_suspects, ==, FLEET_WIRE_SUSPECTS_MAX);
+  g_assert_true (tell (&a, &b, &known, 12 * SEC, 1));
+  g_assert_cmpuint (b.n_suspects, ==, a.n_suspects);
+  g_assert_false (tell (&a, &b, &known, 12 * SEC, 1));
+}
+
+static void
+test_impossible_ages (void)
+{
+  static const int64_t ages[][2] = { { 5, 6 },
+                                     { -1, -2 },
+                                     { INT64_MAX, 1 },
+                                     { INT64_MIN, INT64_MIN },
+                                     { INT64_MAX, INT64_MAX } };
+  crash_table_t table = { 0 };
+  for (size_t i = 0; i < G_N_ELEMENTS (ages); i++)
+    {
+      fleet_crash_t crash
+          = { .boot = 1, .sent_age = ages[i][0], .ended_age = ages[i][1] };
+      fleet_suspect_t suspect = { .completed_age = INT64_MIN };
+      suspect.crashes.crashes_len = 1;
+      suspect.crashes.crashes_val = &crash;
+      g_assert_false (
+          crash_wire_merge (&table, &suspect, 1, 9 * SEC, 9 * SEC));
+    }
+  g_assert_cmpuint (table.n_suspects, ==, 0);
+}
+
+/* A backend server that starts again under its id is another boot.  */
+static void
+test_boot (void)
+{
+  backend_record_t record = { .id = "i-1", .started_unix_ms = 1 };
+  uint64_t first = backend_record_boot (&record);
+  record.slots = 9;
+  g_assert_true (backend_record_boot (&record) == first);
+  record.started_unix_ms = 2;
+  g_assert_true (backend_record_boot (&record) != first);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/crash-table/one-after-the-other",
+                   test_one_after_the_other);
+  g_test_add_func ("/crash-table/same-time", test_at_the_same_time);
+  g_test_add_func ("/crash-table/boot-once", test_one_boot_counts_once);
+  g_test_add_func ("/crash-table/answer-clears", test_answer_clears);
+  g_test_add_func ("/crash-table/unconfirmed", test_unconfirmed_do_not_count);
+  g_test_add_func ("/crash-table/ends", test_quarantine_ends);
+  g_test_add_func ("/crash-table/full", test_full_table_keeps_quarantined);
+  g_test_add_func ("/crash-table/digest", test_digest);
+  g_test_add_func ("/crash-table/rest", test_reports_come_to_rest);
+  g_test_add_func ("/crash-table/parts", test_long_report_in_parts);
+  g_test_add_func ("/crash-table/impossible", test_impossible_ages);
+  g_test_add_func ("/crash-table/boot", test_boot);
+  return g_test_run ();
+}
