--- a/src/base/inet.c
+++ b/src/base/inet.c
@@ -2,9 +2,10 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "base/number.h"
+
 bool
 inet_parse_address (uint32_t *address, const char *text)
 {
@@ -24,10 +25,9 @@
     return false;
   memcpy (address, text, (size_t)(colon - text));
   address[colon - text] = '\0';
-  char *end = NULL;
-  unsigned long port = strtoul (colon + 1, &end, 10);
-  if (end == colon + 1 || *end || port == 0 || port > UINT16_MAX
-      || !inet_parse_address (&inet->address, address))
+  uint64_t port = 0;
+  if (number_parse_unsigned (&port, colon + 1, UINT16_MAX) != NUMBER_OK
+      || port == 0 || !inet_parse_address (&inet->address, address))
     return false;
   inet->port = (uint16_t)port;
   return true;
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -14,7 +14,8 @@
 
 enum
 {
-  BACKEND_ID_BYTES = 64, /* with the terminating null byte */
+  BACKEND_ID_BYTES = 64,     /* with the terminating null byte */
+  BACKEND_SLOTS_MAX = 65536, /* of one backend server */
   FLEET_BACKENDS_MAX = 8192,
   FLEET_ROUTERS_MAX = 2048,
   FLEET_DIRECTORS_MAX = 63,
--- a/test/unit/test_platform_codec.c
+++ b/test/unit/test_platform_codec.c
@@ -194,6 +194,102 @@
   backend_list_clear (&list);
 }
 
+/* ODD stands between, before and after the entries i-1 to i-3 of a page; these
+   must be read.  */
+static void
+assert_others_hold (const char *odd, size_t odd_bytes)
+{
+  g_autoptr (GString) page = g_string_new ("{\"instances\":{\"north-a\":[");
+  backend_list_t list = { 0 };
+  list_page_t told;
+  g_string_append (page, ENTRY ("i-1", "10.0.0.1:80", "ready", "") ",");
+  g_string_append_len (page, odd, (gssize)odd_bytes);
+  g_string_append (page, "," ENTRY ("i-2", "10.0.0.2:80", "draining", ""));
+  g_string_append (page, "],\"north-b\":[");
+  g_string_append_len (page, odd, (gssize)odd_bytes);
+  g_string_append (page, "," ENTRY ("i-3", "10.0.0.3:80", "ready", "") ",");
+  g_string_append_len (page, odd, (gssize)odd_bytes);
+  g_string_append (page, "]},\"next_token\":\"p\"}");
+  g_assert_true (
+      backend_list_codec_read (page->str, page->len, &list, &told, NULL));
+  g_assert_cmpuint (list.n_records, ==, 3);
+  g_assert_cmpuint (told.n_skipped, ==, 3);
+  g_assert_cmpstr (list.records[2].id, ==, "i-3");
+  g_assert_true (list.records[1].is_draining);
+  g_assert_cmpstr (told.next_token, ==, "p");
+  backend_list_clear (&list);
+}
+
+#define ODD(text) assert_others_hold (text, sizeof text - 1)
+
+/* Guards against one entry of another writer that stops the whole list: the
+   others would be used although they drain, or not at all.  */
+static void
+test_list_with_unreadable_entries (void)
+{
+  ODD ("{\"service\":\"\377\376\",\"id\":\"x-1\"}");
+  ODD ("{\"service\":\"\\ud800\"}");
+  ODD ("{\"service\":\"\\u0000\"}");
+  ODD ("{\"service\":\"a\0b\"}");
+  ODD ("{\"service\":\"\\x\\\"}],\"}");
+  ODD ("{\"capacity\":1e999}");
+  ODD ("{\"capacity\":12345678901234567890123456}");
+  ODD ("{\"capacity\":}");
+  ODD ("{\"a\":1,\"a\" 2 , , }");
+  ODD ("nul");
+  ODD ("-");
+  ODD ("{\"service\":\"search\",\"address\":\"10.0.0.9:8080\",\"capacity\":"
+       "99999999,\"state\":\"ready\",\"id\":\"i-9\"}");
+  ODD (ENTRY ("i-9", "10.0.0.9:99999", "ready", ""));
+  ODD (ENTRY ("i-9", "10.0.0.9: 80", "ready", ""));
+  ODD (ENTRY ("i-9", "10.0.0.9:-1", "ready", ""));
+  ODD (ENTRY ("i-9\\r\\nEvil: 1", "10.0.0.9:80", "ready", ""));
+  ODD (ENTRY ("i-9", "10.0.0.9:80", "ready", ",\"born\":1e400"));
+  ODD (ENTRY ("i-9", "10.0.0.9:80", "ready", ",\"born\":17.5"));
+  for (size_t depth = 10; depth <= 200000; depth *= 20)
+    {
+      g_autoptr (GString) nested = g_string_new ("{\"id\":");
+      g_autofree char *opened = g_strnfill (depth, '[');
+      g_autofree char *closed = g_strnfill (depth, ']');
+      g_string_append_printf (nested, "%s%s}", opened, closed);
+      assert_others_hold (nested->str, nested->len);
+    }
+}
+
+/* Guards against a list cut short that counts as whole: backend servers would
+   seem to be gone.  */
+static void
+test_list_cut_short (void)
+{
+  const char *whole = "{\"instances\":{\"north-a\":[" ENTRY (
+      "i-1", "10.0.0.1:80", "ready",
+      "") "],\"north-b\":[]},\"next_token\":null}";
+  for (size_t n = 0; n < strlen (whole); n++)
+    {
+      backend_list_t list = { 0 };
+      list_page_t page;
+      g_assert_false (backend_list_codec_read (whole, n, &list, &page, NULL));
+      backend_list_clear (&list);
+    }
+}
+
+/* Guards against a second writer's table of the same failure domain that hides
+   the first one.  */
+static void
+test_list_with_domain_twice (void)
+{
+  backend_list_t list = { 0 };
+  list_page_t page;
+  g_assert_true (read_list (
+      "{\"instances\":{\"north-a\":[" ENTRY (
+          "i-1", "10.0.0.1:80", "ready",
+          "") "],\"north-a\":7,\"north-a\":[],\"\\ud800\":[7],\"\377\":{}}}",
+      &list, &page));
+  g_assert_cmpuint (list.n_records, ==, 1);
+  g_assert_cmpuint (page.n_skipped, ==, 1);
+  backend_list_clear (&list);
+}
+
 /* Guards against a list that counts as whole although its next page can't be
    asked for.  */
 static void
@@ -205,6 +301,8 @@
   g_autofree char *text
       = g_strdup_printf ("{\"instances\":{},\"next_token\":\"%s\"}", token);
   g_assert_false (read_list (text, &list, &page));
+  g_assert_false (
+      read_list ("{\"instances\":{},\"next_token\":7}", &list, &page));
   backend_list_clear (&list);
 }
 
@@ -241,6 +339,10 @@
   g_test_add_func ("/platform/config-version", test_config_version);
   g_test_add_func ("/platform/list", test_list_is_read);
   g_test_add_func ("/platform/list-foreign", test_list_with_foreign_entries);
+  g_test_add_func ("/platform/list-unreadable",
+                   test_list_with_unreadable_entries);
+  g_test_add_func ("/platform/list-cut", test_list_cut_short);
+  g_test_add_func ("/platform/list-domain-twice", test_list_with_domain_twice);
   g_test_add_func ("/platform/list-token", test_list_token_too_long);
   g_test_add_func ("/platform/list-refused", test_list_refused);
   g_test_add_func ("/platform/lookup", test_lookup_is_written);
