fix(router): a connection that gave another request's answer is closed

But the connection was used again, so that each later request on it read the answer of the one before and was not served: /refusal-twice-while-idle and /refusal-twice-before-answer failed at the third request (4 == 0). It is closed now. Two ids in one head that differ, and an empty id, belong to no request any more (before, the last id counted).

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -31,6 +31,7 @@
   unsigned int n_connections; /* that the request was transmitted on */
   size_t head_bytes;          /* received, with informational responses */
   answer_head_t head;
+  bool has_id; /* the response has a request id */
   size_t body_capacity;
   backend_response_t response;
 };
@@ -148,12 +149,22 @@
                    == 3;
 }
 
+/* A response with several request ids that differ belongs to no request.  */
+static void
+parse_id (backend_call_t *call, const char *value)
+{
+  bool is_equal = call->id[0] && strcmp (value, call->id) == 0;
+  call->response.id_matches
+      = is_equal && (!call->has_id || call->response.id_matches);
+  call->has_id = true;
+}
+
 static void
 parse_header (backend_call_t *call, const char *name, const char *value)
 {
   backend_response_t *response = &call->response;
   if (strcasecmp (name, HEADER_REQUEST_ID) == 0)
-    response->id_matches = strcmp (value, call->id) == 0;
+    parse_id (call, value);
   else if (strcasecmp (name, HEADER_NOT_STARTED) == 0)
     response->not_started = true;
   else if (strcasecmp (name, HEADER_LOAD) == 0)
@@ -182,6 +193,7 @@
 {
   backend_response_clear (&call->response);
   release_body_buffer (call);
+  call->has_id = false;
 }
 
 /* Parse the field LINE, LENGTH bytes, and keep it if it is to be forwarded.
@@ -214,6 +226,15 @@
   return true;
 }
 
+/* What follows a response to another request on its connection can't be told
+   apart either, so the connection is not used again.  */
+static void
+end_head (backend_call_t *call)
+{
+  if (call->id[0] && !call->response.id_matches)
+    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *closure)
 {
@@ -235,6 +256,8 @@
     case HEAD_LINE_FIELD:
       return add_field (call, data, length) ? length : 0;
     case HEAD_LINE_END:
+      end_head (call);
+      return length;
     case HEAD_LINE_TRAILER:
       return length;
     case HEAD_LINE_MALFORMED:
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -99,6 +99,13 @@
 }
 
 #define HEAD "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: s\r\n"
+#define REFUSAL(id)                                                           \
+  "HTTP/1.1 503 Full\r\nRequest-Id: " id "\r\nNot-Executed: full\r\n"         \
+  "Content-Length: 0\r\n\r\n"
+#define ANSWER(id)                                                            \
+  "HTTP/1.1 200 OK\r\nRequest-Id: " id "\r\nServer-Stamp: s\r\n"              \
+  "Content-Length: 2\r\n\r\nok"
+
 /* Paths and what the server writes before it closes the connection: no whole
    answer.  */
 static const struct
@@ -139,6 +146,47 @@
   write_text (connection, text);
 }
 
+static bool
+read_request (const connection_t *connection)
+{
+  char request[4096];
+  return recv (connection->fd, request, sizeof request, 0) > 0;
+}
+
+enum
+{
+  COPY_AT_ONCE,
+  COPY_WHILE_IDLE,
+  COPY_BEFORE_ANSWER,
+};
+
+#define PAUSE (60 * USEC_PER_MSEC)
+
+/* Refuse the first request, id-1, answer the second, id-2, and write the
+   refusal once more in between.  */
+static void
+refuse_twice (const connection_t *connection, int order)
+{
+  write_text (connection, order == COPY_AT_ONCE ? REFUSAL ("id-1")
+                                  REFUSAL ("id-1")
+                                                : REFUSAL ("id-1"));
+  if (order == COPY_WHILE_IDLE)
+    {
+      g_usleep (PAUSE / 2);
+      write_text (connection, REFUSAL ("id-1"));
+    }
+  if (!read_request (connection))
+    return;
+  if (order == COPY_BEFORE_ANSWER)
+    {
+      write_text (connection, REFUSAL ("id-1"));
+      g_usleep (PAUSE);
+    }
+  write_text (connection, ANSWER ("id-2"));
+  if (read_request (connection))
+    write_text (connection, ANSWER ("id-3"));
+}
+
 static gpointer
 serve (gpointer data)
 {
@@ -149,6 +197,19 @@
       const char *broken = broken_answer (request);
       if (broken)
         write_text (connection, broken);
+      else if (strstr (request, "/refused-at-once"))
+        refuse_twice (connection, COPY_AT_ONCE);
+      else if (strstr (request, "/refused-while-idle"))
+        refuse_twice (connection, COPY_WHILE_IDLE);
+      else if (strstr (request, "/refused-before-answer"))
+        refuse_twice (connection, COPY_BEFORE_ANSWER);
+      else if (strstr (request, "/second"))
+        write_text (connection, ANSWER ("id-2"));
+      else if (strstr (request, "/third"))
+        write_text (connection, ANSWER ("id-3"));
+      else if (strstr (request, "/two-ids"))
+        write_text (connection, HEAD "Not-Executed: 1\r\nRequest-Id: id-2\r\n"
+                                     "Content-Length: 0\r\n\r\n");
       else if (strstr (request, "/trailer"))
         answer_with_trailer (connection);
       else if (strstr (request, "/head"))
@@ -348,6 +409,42 @@
   fixture_close (&fixture);
 }
 
+static void
+test_two_ids (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  start_call (&fixture, "/two-ids");
+  run_until_ended (&fixture, 1);
+  g_assert_true (answer_may_have_run (&fixture.last));
+  fixture_close (&fixture);
+}
+
+/* Guards against a refusal that is written once more and taken for that of the
+   next request on the connection: the caller would be told that a request has
+   not run which runs.  The request after that must get its own answer.  */
+static void
+test_refusal_twice (gconstpointer data)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  start_call_with_id (&fixture, data, "id-1");
+  run_until_ended (&fixture, 1);
+  g_assert_cmpint (answer_classify (&fixture.last), ==, BACKEND_REFUSED);
+  g_usleep (PAUSE);
+  start_call_with_id (&fixture, "/second", "id-2");
+  run_until_ended (&fixture, 2);
+  backend_result_t second = answer_classify (&fixture.last);
+  g_assert_true (second == BACKEND_ANSWERED
+                 || second == BACKEND_NO_VALID_ANSWER);
+  g_assert_true (answer_may_have_run (&fixture.last));
+  g_usleep (2 * PAUSE);
+  start_call_with_id (&fixture, "/third", "id-3");
+  run_until_ended (&fixture, 3);
+  g_assert_cmpint (answer_classify (&fixture.last), ==, BACKEND_ANSWERED);
+  fixture_close (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -362,5 +459,12 @@
   g_test_add_func ("/backend-http/endless-bodies", test_many_bodies);
   g_test_add_func ("/backend-http/broken-answers", test_broken_answers);
   g_test_add_func ("/backend-http/trailer", test_trailer);
+  g_test_add_func ("/backend-http/two-ids", test_two_ids);
+  g_test_add_data_func ("/backend-http/refusal-twice-at-once",
+                        "/refused-at-once", test_refusal_twice);
+  g_test_add_data_func ("/backend-http/refusal-twice-while-idle",
+                        "/refused-while-idle", test_refusal_twice);
+  g_test_add_data_func ("/backend-http/refusal-twice-before-answer",
+                        "/refused-before-answer", test_refusal_twice);
   return g_test_run ();
 }
