fix(base): one strict reader for every number from outside

"0x10ms" was accepted as a timeout, a backend server's load of -1 was read as 4,294,967,295 (callers of its service were queued or refused), and its cold time was multiplied without a check.

All read through base/number now, with a maximum at each place.

Failed before, pass after: test_base_number /base/duration, and test_router_backend_http /numbers (load is_known should be FALSE).

--- a/src/base/duration.c
+++ b/src/base/duration.c
@@ -1,28 +1,30 @@
 #include "base/duration.h"
 
 #include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "base/number.h"
+
 /* Longer durations are rejected as a typing error.  */
 static const double duration_max_seconds = 1e9;
 
 bool
 duration_parse (usec_t *span, const char *text)
 {
-  char *end = NULL;
-  double number = strtod (text, &end);
-  if (end == text || !isfinite (number) || number < 0)
-    return false;
-  double unit;
-  if (strcmp (end, "ms") == 0)
-    unit = (double)USEC_PER_MSEC;
-  else if (strcmp (end, "s") == 0)
-    unit = (double)USEC_PER_SEC;
+  static const char number_bytes[] = "0123456789.";
+  size_t length = strspn (text, number_bytes);
+  const char *unit = text + length;
+  double number;
+  double factor;
+  if (strcmp (unit, "ms") == 0)
+    factor = (double)USEC_PER_MSEC;
+  else if (strcmp (unit, "s") == 0)
+    factor = (double)USEC_PER_SEC;
   else
     return false;
-  if (number * unit > duration_max_seconds * (double)USEC_PER_SEC)
+  double max = duration_max_seconds * (double)USEC_PER_SEC / factor;
+  if (number_parse_decimal (&number, text, length, max) != NUMBER_OK)
     return false;
-  *span = (usec_t)llround (number * unit);
+  *span = (usec_t)llround (number * factor);
   return true;
 }
--- a/src/base/duration.h
+++ b/src/base/duration.h
@@ -9,8 +9,7 @@
 #include "base/time_defs.h"
 
 /* Parse TEXT into *SPAN, in microseconds.  Returns false, and leaves *SPAN
-   unchanged, if TEXT has another form, is negative or is longer than 1e9
-   seconds.  */
+   unchanged, if TEXT has another form or is longer than 1e9 seconds.  */
 bool duration_parse (usec_t *span, const char *text);
 
 #endif
--- a/src/base/metrics_text.c
+++ b/src/base/metrics_text.c
@@ -5,13 +5,13 @@
 
 #include "base/metrics.h"
 
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/name.h"
+#include "base/number.h"
 
 enum
 {
@@ -220,10 +220,13 @@
   char *at = line + n + 1;
   if (line[n] == '{' && !parse_labels (&at, sample))
     return false;
-  char *end;
-  errno = 0;
-  sample->value = strtoll (at, &end, 10);
-  return errno == 0 && end != at && *end == '\0';
+  bool is_negative = *at == '-'; /* a gauge may be */
+  uint64_t magnitude;
+  if (number_parse_unsigned (&magnitude, at + is_negative, INT64_MAX)
+      != NUMBER_OK)
+    return false;
+  sample->value = is_negative ? -(int64_t)magnitude : (int64_t)magnitude;
+  return true;
 }
 
 static bool
@@ -269,11 +272,13 @@
       parser->histogram = NULL;
       return total == parser->cumulative;
     }
-  char *end;
-  int64_t high = strtoll (sample->le, &end, 10);
+  uint64_t le;
+  if (number_parse_unsigned (&le, sample->le, INT64_MAX) != NUMBER_OK)
+    return false;
+  int64_t high = (int64_t)le;
   size_t bucket = histogram_bucket_of (high);
-  if (!sample->le[0] || *end || histogram_bucket_high (bucket) != high
-      || bucket < parser->next_bucket || total < parser->cumulative)
+  if (histogram_bucket_high (bucket) != high || bucket < parser->next_bucket
+      || total < parser->cumulative)
     return false;
   histogram_add_bucket (histogram, bucket, total - parser->cumulative);
   parser->cumulative = total;
--- a/src/base/number.c
+++ b/src/base/number.c
@@ -1,5 +1,6 @@
 #include "base/number.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,22 +15,33 @@
 static const char hex_digits[] = "0123456789abcdefABCDEF";
 
 number_result_t
-number_parse_unsigned (uint64_t *number, const char *text, uint64_t max)
+number_parse_unsigned_span (uint64_t *number, const char *text, size_t length,
+                            uint64_t max)
 {
   uint64_t value = 0;
-  if (!*text || text[strspn (text, decimal_digits)])
-    return NUMBER_MALFORMED;
-  for (const char *at = text; *at; at++)
+  bool is_too_great = false;
+  for (size_t i = 0; i < length; i++)
     {
-      uint64_t digit = (uint64_t)(*at - '0');
-      if (digit > max || value > (max - digit) / 10)
-        return NUMBER_OUT_OF_RANGE;
+      if (text[i] < '0' || text[i] > '9')
+        return NUMBER_MALFORMED;
+      uint64_t digit = (uint64_t)(text[i] - '0');
+      is_too_great = is_too_great || digit > max || value > (max - digit) / 10;
       value = 10 * value + digit;
     }
+  if (length == 0)
+    return NUMBER_MALFORMED;
+  if (is_too_great)
+    return NUMBER_OUT_OF_RANGE;
   *number = value;
   return NUMBER_OK;
 }
 
+number_result_t
+number_parse_unsigned (uint64_t *number, const char *text, uint64_t max)
+{
+  return number_parse_unsigned_span (number, text, strlen (text), max);
+}
+
 number_result_t
 number_parse_hex (uint64_t *number, const char *text, size_t n_digits)
 {
--- a/src/base/number.h
+++ b/src/base/number.h
@@ -22,6 +22,10 @@
 number_result_t number_parse_unsigned (uint64_t *number, const char *text,
                                        uint64_t max);
 
+/* The same for the first LENGTH bytes of TEXT.  */
+number_result_t number_parse_unsigned_span (uint64_t *number, const char *text,
+                                            size_t length, uint64_t max);
+
 /* Parse TEXT, exactly N_DIGITS hexadecimal digits of either case, at most 16,
    into *NUMBER.  */
 number_result_t number_parse_hex (uint64_t *number, const char *text,
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/number.h"
+
 const char *argp_program_version = "mulberryctl " MULBERRY_VERSION;
 
 enum
@@ -181,13 +183,13 @@
 static usec_t
 parse_timeout (struct argp_state *state, const char *text)
 {
-  char *end;
-  long seconds = strtol (text, &end, 10);
-  if (end == text || *end || seconds < 1 || seconds > TIMEOUT_SECONDS_MAX)
+  uint64_t seconds = 0;
+  if (number_parse_unsigned (&seconds, text, TIMEOUT_SECONDS_MAX) != NUMBER_OK
+      || seconds < 1)
     argp_error (state,
                 "--timeout '%s' is not a number of seconds from 1 to %d", text,
                 TIMEOUT_SECONDS_MAX);
-  return seconds * USEC_PER_SEC;
+  return (usec_t)seconds * USEC_PER_SEC;
 }
 
 static output_t
--- a/src/ctl/request_trace.c
+++ b/src/ctl/request_trace.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/number.h"
+
 enum
 {
   LINES_MAX = 4096,
@@ -79,7 +81,12 @@
   const char *fraction = strptime (text, "%Y-%m-%dT%H:%M:%S", &utc);
   if (!fraction)
     return false;
-  *seconds = (double)timegm (&utc) + strtod (fraction, NULL);
+  double rest = 0;
+  size_t length = strcspn (fraction, "Z");
+  if (length > 0
+      && number_parse_decimal (&rest, fraction, length, 1) != NUMBER_OK)
+    return false;
+  *seconds = (double)timegm (&utc) + rest;
   return true;
 }
 
--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/list.h"
+#include "base/number.h"
 #include "wire/answer_head.h"
 #include "wire/http_handles.h"
 
@@ -87,6 +88,15 @@
             BACKEND_HEADER_VALUE_BYTES - 1, value);
 }
 
+/* The number VALUE, of at most MAX; 0 if it is none.  */
+static uint64_t
+unsigned_value (const char *value, uint64_t max)
+{
+  uint64_t number = 0;
+  number_parse_unsigned (&number, value, max);
+  return number;
+}
+
 static void
 parse_field (backend_call_t *call, const char *data, size_t length)
 {
@@ -112,9 +122,9 @@
   else if ((value = header_value (line, "X-Mulberry-Reason")))
     copy_text (reply->reason, value);
   else if ((value = header_value (line, "X-Mulberry-Generation")))
-    reply->generation = (uint32_t)strtoul (value, NULL, 10);
+    reply->generation = (uint32_t)unsigned_value (value, UINT32_MAX);
   else if ((value = header_value (line, "X-Mulberry-Run-Us")))
-    reply->run_time = (usec_t)strtoul (value, NULL, 10);
+    reply->run_time = (usec_t)unsigned_value (value, INT64_MAX);
 }
 
 static size_t
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/number.h"
 #include "delivery/outcome.h"
 #include "entry/dispatcher.h"
 #include "entry/hop_credential.h"
@@ -275,12 +276,11 @@
       exchange->connection, MHD_HEADER_KIND, "X-Deadline-Ms");
   if (value)
     {
-      char *end = NULL;
-      long long msec = strtoll (value, &end, 10);
-      if (end == value || *end || msec < 1
-          || msec > settings->limits.deadline_max / USEC_PER_MSEC)
+      uint64_t msec;
+      uint64_t max = (uint64_t)(settings->limits.deadline_max / USEC_PER_MSEC);
+      if (number_parse_unsigned (&msec, value, max) != NUMBER_OK || msec < 1)
         return false;
-      timeout = msec * USEC_PER_MSEC;
+      timeout = (usec_t)msec * USEC_PER_MSEC;
     }
   exchange->deadline = clock_monotonic () + timeout;
   return true;
--- a/src/entry/hop_credential.c
+++ b/src/entry/hop_credential.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/number.h"
+
 enum
 {
   MAC_BYTES = 16, /* of HMAC-SHA256's 32; the rest is cut off */
@@ -35,9 +37,11 @@
 bool
 hop_credential_check (const char *text, hop_t *hop, const ticket_key_t *key)
 {
-  char *end = NULL;
-  unsigned long vm = strtoul (text, &end, 10);
-  if (end == text || *end != ':' || vm >= TOPOLOGY_NONE)
+  uint64_t vm;
+  size_t length = strcspn (text, ":");
+  if (number_parse_unsigned_span (&vm, text, length, TOPOLOGY_NONE - 1)
+          != NUMBER_OK
+      || text[length] != ':')
     return false;
   hop->vm = (vm_id_t)vm;
   char expected[HOP_CREDENTIAL_BYTES];
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/number.h"
 #include "platform_api.h"
 #include "wire/answer_head.h"
 #include "wire/http_handles.h"
@@ -16,7 +17,9 @@
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
   ID_BYTES = 128,
-  IDLE_SECONDS = 8,       /* longer idle connections are not reused */
+  IDLE_SECONDS = 8,             /* longer idle connections are not reused */
+  LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
+  COLD_MSEC_MAX = 3600 * 1000,
   STATUS_FINAL_MIN = 200, /* lower ones are informational */
 };
 
@@ -144,9 +147,30 @@
 static void
 parse_load (const char *value, backend_load_t *load)
 {
-  load->is_known = sscanf (value, "%u,%u,%u", &load->running, &load->waiting,
-                           &load->slots)
-                   == 3;
+  uint64_t numbers[3];
+  load->is_known = false;
+  for (size_t i = 0; i < 3; i++)
+    {
+      size_t length = strcspn (value, ",");
+      if (number_parse_unsigned_span (&numbers[i], value, length, LOAD_MAX)
+              != NUMBER_OK
+          || value[length] != (i < 2 ? ',' : '\0'))
+        return;
+      value += length + 1;
+    }
+  *load = (backend_load_t){ .is_known = true,
+                            .running = (uint32_t)numbers[0],
+                            .waiting = (uint32_t)numbers[1],
+                            .slots = (uint32_t)numbers[2] };
+}
+
+/* "1500": milliseconds.  What can't be read says nothing.  */
+static void
+parse_cold_left (const char *value, usec_t *span)
+{
+  uint64_t msec;
+  if (number_parse_unsigned (&msec, value, COLD_MSEC_MAX) == NUMBER_OK)
+    *span = (usec_t)msec * USEC_PER_MSEC;
 }
 
 /* A response with several request ids that differ belongs to no request.  */
@@ -176,7 +200,7 @@
   else if (strcasecmp (name, HEADER_HEALTH_ID) == 0)
     snprintf (response->backend_id, sizeof response->backend_id, "%s", value);
   else if (strcasecmp (name, HEADER_COLD_LEFT) == 0)
-    response->cold_remaining = strtol (value, NULL, 10) * USEC_PER_MSEC;
+    parse_cold_left (value, &response->cold_remaining);
 }
 
 static void
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -7,12 +7,15 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/number.h"
 #include "platform_api.h"
 #include "routing/route_config.h"
 
 enum
 {
-  DEADLINE_DEFAULT_SECONDS = 30, /* if the caller sends none */
+  DEADLINE_DEFAULT_SECONDS = 30, /* if the caller sends none, or one that
+                                    can't be read */
+  DEADLINE_MSEC_MAX = 24 * 3600 * 1000,
 };
 
 /* Intervals of dispatcher_tick if no event comes earlier: while requests are
@@ -38,12 +41,17 @@
 read_deadline (exchange_t *exchange)
 {
   const char *text = caller_http_header (exchange, HEADER_DEADLINE);
-  usec_t time_left = text ? strtoll (text, NULL, 10) * USEC_PER_MSEC : 0;
+  double msec = 0;
+  bool is_given
+      = text
+        && number_parse_decimal (&msec, text, strlen (text), DEADLINE_MSEC_MAX)
+               == NUMBER_OK;
   usec_t timeout = exchange->route->timeout;
-  if (time_left > 0)
-    exchange->caller_deadline = exchange->received_at + time_left;
+  if (is_given)
+    exchange->caller_deadline
+        = exchange->received_at + (usec_t)(msec * (double)USEC_PER_MSEC);
   exchange->deadline
-      = time_left > 0
+      = is_given
             ? exchange->caller_deadline
             : exchange->received_at + DEADLINE_DEFAULT_SECONDS * USEC_PER_SEC;
   if (timeout > 0 && exchange->received_at + timeout < exchange->deadline)
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -9,6 +9,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "base/number.h"
 #include "placement/topology.h"
 #include "settings/yaml_reader.h"
 
@@ -479,10 +480,10 @@
   for (size_t i = 0; i < SETTINGS_KEY_BYTES; i++)
     {
       const char digits[3] = { text[2 * i], text[2 * i + 1], '\0' };
-      char *end = NULL;
-      key[i] = (unsigned char)strtoul (digits, &end, 16);
-      if (*end || digits[0] == '-' || digits[0] == '+' || digits[0] == ' ')
+      uint64_t byte;
+      if (number_parse_hex (&byte, digits, 2) != NUMBER_OK)
         return false;
+      key[i] = (unsigned char)byte;
     }
   return true;
 }
--- a/src/settings/yaml_reader.c
+++ b/src/settings/yaml_reader.c
@@ -10,6 +10,7 @@
 #include "base/duration.h"
 #include "base/inet.h"
 #include "base/name.h"
+#include "base/number.h"
 #include "base/time_defs.h"
 #include "settings/settings_defs.h"
 
@@ -62,11 +63,9 @@
 static bool
 read_number (const char *text, const yaml_field_t *field, double *number)
 {
-  char *end = NULL;
-  errno = 0;
-  *number = strtod (text, &end);
-  return end != text && *end == '\0' && errno == 0 && *number >= field->min
-         && *number <= field->max;
+  return number_parse_decimal (number, text, strlen (text), field->max)
+             == NUMBER_OK
+         && *number >= field->min;
 }
 
 static bool
--- a/src/shift/sheet.c
+++ b/src/shift/sheet.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <csv.h>
-#include <errno.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -10,6 +9,7 @@
 #include <string.h>
 
 #include "base/name.h"
+#include "base/number.h"
 #include "placement/topology.h"
 
 enum
@@ -91,12 +91,10 @@
 parse_whole (parser_t *parser, int column, int64_t max, int64_t *number)
 {
   const char *text = parser->row.field[column];
-  char *end = NULL;
-  errno = 0;
-  long long value = strtoll (text, &end, 10);
-  if (end != text && *end == '\0' && errno == 0 && value >= 0 && value <= max)
+  uint64_t value;
+  if (number_parse_unsigned (&value, text, (uint64_t)max) == NUMBER_OK)
     {
-      *number = value;
+      *number = (int64_t)value;
       return true;
     }
   fault_add (
@@ -160,13 +158,13 @@
   memcpy (text, parser->row.field[COLUMN_ADDRESS], sizeof text);
   char *colon = strchr (text, ':');
   struct in_addr parsed;
-  char *end = NULL;
+  uint64_t port;
   if (colon)
     {
       *colon = '\0';
-      long port = strtol (colon + 1, &end, 10);
-      if (inet_pton (AF_INET, text, &parsed) == 1 && end != colon + 1
-          && *end == '\0' && port > 0 && port <= PORT_MAX)
+      if (inet_pton (AF_INET, text, &parsed) == 1
+          && number_parse_unsigned (&port, colon + 1, PORT_MAX) == NUMBER_OK
+          && port > 0)
         {
           memcpy (backend->address, text, strlen (text) + 1);
           backend->port = (uint16_t)port;
--- a/src/wire/credential_verifier.c
+++ b/src/wire/credential_verifier.c
@@ -3,12 +3,12 @@
 
 #include "wire/credential.h"
 
-#include <errno.h>
 #include <openssl/crypto.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/name.h"
+#include "base/number.h"
 #include "wire/credential_header.h"
 
 enum
@@ -145,10 +145,11 @@
 static bool
 read_time (const char *text, int64_t *time)
 {
-  char *end;
-  errno = 0;
-  *time = strtoll (text, &end, 10);
-  return *text >= '0' && *text <= '9' && errno == 0 && *end == '\0';
+  uint64_t number;
+  if (number_parse_unsigned (&number, text, INT64_MAX) != NUMBER_OK)
+    return false;
+  *time = (int64_t)number;
+  return true;
 }
 
 static bool
--- a/test/unit/test_base_number.c
+++ b/test/unit/test_base_number.c
@@ -1,9 +1,10 @@
-/* Unit tests of the parser of numbers: guard against text that strtol or
-   strtod would read as a number, or as another one than it says.  */
+/* Unit tests of the parsers of numbers and durations: guard against text that
+   strtol or strtod would read as a number, or as another one than it says.  */
 
 #include <glib.h>
 #include <string.h>
 
+#include "base/duration.h"
 #include "base/number.h"
 
 static void
@@ -90,6 +91,27 @@
   g_assert_cmpfloat (number, ==, 15);
 }
 
+/* A duration of another reading would be in force as a timeout: "0x10ms" was
+   16 ms, "inf" and "1e400s" were refused by luck.  */
+static void
+test_duration (void)
+{
+  static const char *const malformed[]
+      = { "",     "ms",     "5",      "-5ms",       "+5ms",  " 5ms",
+          "5 ms", "0x10ms", "infs",   "nans",       "1e3ms", "5ms ",
+          "5m",   "1.2.3s", "1e400s", "9999999999s" };
+  usec_t span = 7;
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    g_assert_false (duration_parse (&span, malformed[i]));
+  g_assert_cmpint (span, ==, 7);
+  g_assert_true (duration_parse (&span, "1500ms"));
+  g_assert_cmpint (span, ==, 1500 * USEC_PER_MSEC);
+  g_assert_true (duration_parse (&span, "2.5s"));
+  g_assert_cmpint (span, ==, 2500 * USEC_PER_MSEC);
+  g_assert_true (duration_parse (&span, "0ms"));
+  g_assert_cmpint (span, ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -97,5 +119,6 @@
   g_test_add_func ("/base/number/unsigned", test_unsigned);
   g_test_add_func ("/base/number/hex", test_hex);
   g_test_add_func ("/base/number/decimal", test_decimal);
+  g_test_add_func ("/base/duration", test_duration);
   return g_test_run ();
 }
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -35,6 +35,8 @@
   size_t n_ended;
   size_t n_complete;
   answer_facts_t last; /* of the call that ended last */
+  backend_load_t last_load;
+  usec_t last_cold_remaining;
 } fixture_t;
 
 typedef struct connection
@@ -210,6 +212,16 @@
       else if (strstr (request, "/two-ids"))
         write_text (connection, HEAD "Not-Executed: 1\r\nRequest-Id: id-2\r\n"
                                      "Content-Length: 0\r\n\r\n");
+      else if (strstr (request, "/odd-numbers"))
+        write_text (connection, HEAD "Server-Load: -1,0,8\r\nCold-Ms: -5\r\n"
+                                     "Content-Length: 0\r\n\r\n");
+      else if (strstr (request, "/great-numbers"))
+        write_text (connection, HEAD "Server-Load: 3,0,4294967295\r\n"
+                                     "Cold-Ms: 9223372036854775807\r\n"
+                                     "Content-Length: 0\r\n\r\n");
+      else if (strstr (request, "/numbers"))
+        write_text (connection, HEAD "Server-Load: 3,0,8\r\nCold-Ms: 1500\r\n"
+                                     "Content-Length: 0\r\n\r\n");
       else if (strstr (request, "/trailer"))
         answer_with_trailer (connection);
       else if (strstr (request, "/head"))
@@ -266,6 +278,8 @@
                           .is_encoded = response->is_encoded,
                           .not_started = response->not_started,
                           .status = response->status };
+  fixture->last_load = response->load;
+  fixture->last_cold_remaining = response->cold_remaining;
   fixture->n_complete += response->is_complete;
   if (response->is_complete && response->body_bytes > 2)
     g_assert_cmpuint (response->body_bytes, ==, GOOD_BYTES);
@@ -397,6 +411,33 @@
     }
 }
 
+/* Guards against numbers of a backend server that another reading makes huge:
+   a load of 2^32 - 1, or a cold start that lasts for ever.  */
+static void
+test_numbers (void)
+{
+  static const char *const invalid[] = { "/odd-numbers", "/great-numbers" };
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      start_call (&fixture, invalid[i]);
+      run_until_ended (&fixture, 1);
+      g_assert_cmpuint (fixture.n_complete, ==, 1);
+      g_assert_false (fixture.last_load.is_known);
+      g_assert_cmpint (fixture.last_cold_remaining, ==, 0);
+      fixture_close (&fixture);
+    }
+  fixture_t fixture;
+  fixture_open (&fixture);
+  start_call (&fixture, "/numbers");
+  run_until_ended (&fixture, 1);
+  g_assert_true (fixture.last_load.is_known);
+  g_assert_cmpuint (fixture.last_load.slots, ==, 8);
+  g_assert_cmpint (fixture.last_cold_remaining, ==, 1500 * USEC_PER_MSEC);
+  fixture_close (&fixture);
+}
+
 /* Guards against fields after the body that change what the head said.  */
 static void
 test_trailer (void)
@@ -459,6 +500,7 @@
   g_test_add_func ("/backend-http/endless-bodies", test_many_bodies);
   g_test_add_func ("/backend-http/broken-answers", test_broken_answers);
   g_test_add_func ("/backend-http/trailer", test_trailer);
+  g_test_add_func ("/backend-http/numbers", test_numbers);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
                         "/refused-at-once", test_refusal_twice);
