feat(router): keep to what backend servers say of leaving and resting

balance/backend_notices keeps what each start of a backend server has said, apart from the list: no older list, evacuation taken back or configuration puts it back, a new start is fresh. After a rest one request at a time is sent until one is answered, so that rests that end together are not met by all that waits. Where all rest, a request is refused at once with the earliest end, or waits if that lies within its deadline. Only whole answers with the request's id count; what can't be read is ignored and counted.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -122,7 +122,9 @@
     return;
   backend_t *backend = find_or_add (pool, record, position);
   bool is_new = backend->record.id[0] == '\0';
-  if (!is_new && backend->record.started_unix_ms != record->started_unix_ms)
+  bool is_restarted
+      = !is_new && backend->record.started_unix_ms != record->started_unix_ms;
+  if (is_restarted)
     reset_backend (pool, backend);
   /* A backend server that drains never stops draining until it exits; an older
      list can arrive late.  */
@@ -135,6 +137,8 @@
     backend->cold_until = cold_until;
   backend->record = *record;
   backend->record.is_draining = is_draining;
+  if (is_new || is_restarted)
+    pool_notices_load (pool, backend);
   backend->region = *region;
   backend->is_listed = true;
 }
@@ -296,7 +300,8 @@
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
     if (backend->health != BACKEND_DOWN || backend->is_probing
-        || !backend->is_listed || backend->record.is_draining
+        || !backend->is_listed || backend_is_leaving (backend)
+        || backend_notice_is_resting (&backend->notice, now)
         || now < backend->next_probe_at)
       continue;
     backend->is_probing = true;
@@ -306,9 +311,10 @@
 }
 
 bool
-backend_pool_begin_probe (backend_t *backend)
+backend_pool_begin_probe (backend_t *backend, usec_t now)
 {
-  if (backend->is_probing)
+  if (backend->is_probing || backend_is_leaving (backend)
+      || backend_notice_is_resting (&backend->notice, now))
     return false;
   backend->is_probing = true;
   return true;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -13,6 +13,7 @@
 #ifndef BALANCE_BACKEND_POOL_H
 #define BALANCE_BACKEND_POOL_H
 
+#include "balance/backend_notices.h"
 #include "balance/backend_quality.h"
 #include "balance/recent_objects.h"
 #include "balance/run_estimate.h"
@@ -73,6 +74,7 @@
   usec_t latency;          /* weighted mean of BACKEND_ANSWERED; 0: none */
   recent_objects_t recent_objects; /* that this router sent to it */
 
+  backend_notice_t notice; /* what it said itself */
   backend_quality_t quality;
   backend_health_t health;
   /* Results BACKEND_NO_VALID_ANSWER and BACKEND_MISDIRECTED since the last
@@ -156,10 +158,32 @@
 backend_t *backend_pool_pick (backend_pool_t *pool, const pool_query_t *query,
                               usec_t now);
 
-/* Returns whether any backend server is eligible for QUERY, regardless of free
-   capacity, health and cold start.  */
+/* Returns whether any backend server is eligible for QUERY at NOW, regardless
+   of free capacity, health, rest and cold start.  */
 bool backend_pool_has_eligible (const backend_pool_t *pool,
-                                const pool_query_t *query);
+                                const pool_query_t *query, usec_t now);
+
+/* If all backend servers that are eligible for QUERY rest at NOW, returns when
+   the first of them wants requests again; otherwise 0.  */
+usec_t backend_pool_rest_end (const backend_pool_t *pool,
+                              const pool_query_t *query, usec_t now);
+
+/* BACKEND has said that it leaves.  From now on it gets no request as long as
+   another backend server is eligible.  Returns false if it was known.  */
+bool backend_pool_note_leaving (backend_pool_t *pool, backend_t *backend,
+                                usec_t now);
+
+/* BACKEND wants no requests for SPAN.  Returns false if it rested before.  */
+bool backend_pool_note_rest (backend_pool_t *pool, backend_t *backend,
+                             usec_t span, usec_t now);
+
+/* BACKEND has answered a request that was sent at SENT_AT.  Returns true if
+   that ended its trial after a rest.  */
+bool backend_pool_note_served (backend_pool_t *pool, backend_t *backend,
+                               usec_t sent_at, usec_t now);
+
+/* Whether BACKEND leaves, by the list or by its own answers.  */
+bool backend_is_leaving (const backend_t *backend);
 
 /* Records that QUERY's request was sent to BACKEND.  Returns true if this
    router sent a request of the same object to BACKEND recently.  Each call
@@ -186,9 +210,9 @@
 backend_t *backend_pool_due_probe (backend_pool_t *pool, usec_t now);
 
 /* Marks BACKEND as being probed, whatever its health is.  Returns false if it
-   is being probed already.  Report the result with
+   is being probed already, leaves or rests.  Report the result with
    backend_pool_probe_ended.  */
-bool backend_pool_begin_probe (backend_t *backend);
+bool backend_pool_begin_probe (backend_t *backend, usec_t now);
 
 /* Records the result of a probe.  COLD_LEFT is the rest of the cold start that
    the backend server reported, in usec.  Frees BACKEND if it is no longer
@@ -201,7 +225,7 @@
 double backend_load_at (const backend_t *backend, usec_t now);
 
 /* Slots and mean latency of the healthy backend servers that are eligible for
-   a query.  */
+   a query and do not rest.  */
 typedef struct pool_capacity
 {
   uint32_t slots;
@@ -209,6 +233,6 @@
 } pool_capacity_t;
 
 pool_capacity_t backend_pool_capacity (const backend_pool_t *pool,
-                                       const pool_query_t *query);
+                                       const pool_query_t *query, usec_t now);
 
 #endif
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -23,6 +23,14 @@
   size_t n_services;
   pool_service_t *services; /* malloc'd */
   size_t n_down;            /* backend servers that are BACKEND_DOWN */
+  backend_notices_t notices;
+};
+
+enum
+{
+  /* A leaving backend server serves for the time `drain`; what is sent to it
+     in the first part of that time can still end.  */
+  LAST_RESORT_DIVISOR = 2,
 };
 
 /* Returns the backend servers of SERVICE; an empty entry if there are none.
@@ -34,10 +42,22 @@
 void pool_index_remove (backend_pool_t *pool, const backend_t *backend);
 void pool_index_clear (backend_pool_t *pool);
 
+/* Returns whether BACKEND, of QUERY's service, may get the request, if it does
+   not leave.  */
+bool pool_may_serve (const backend_t *backend, const pool_query_t *query);
+
 /* Returns whether BACKEND, of QUERY's service, is eligible for the request,
-   regardless of free capacity, health and cold start.  */
+   regardless of free capacity, health, rest and cold start.  */
 bool pool_is_eligible (const backend_t *backend, const pool_query_t *query);
 
+/* Returns whether BACKEND has said that it leaves so recently that it may get
+   the request if no other is eligible.  */
+bool pool_is_last_resort (const backend_pool_t *pool, const backend_t *backend,
+                          const pool_query_t *query, usec_t now);
+
+/* Sets BACKEND's notice to what its present start has said before.  */
+void pool_notices_load (const backend_pool_t *pool, backend_t *backend);
+
 /* Sets the rendezvous weights of all backend servers.  */
 void pool_update_weights (backend_pool_t *pool, const pool_update_t *update);
 
--- /dev/null
+++ b/src/balance/pool_notices.c
@@ -0,0 +1,92 @@
+/* What backend servers have said of themselves, in the choice of one.  */
+
+#include "balance/pool_internal.h"
+
+#include "fleet/backend_list.h"
+
+void
+pool_notices_load (const backend_pool_t *pool, backend_t *backend)
+{
+  const backend_notice_t *notice = backend_notices_find (
+      &pool->notices, backend_record_boot (&backend->record));
+  backend->notice = notice ? *notice : (backend_notice_t){ 0 };
+}
+
+/* Keep BACKEND's notice, also for the time after it is freed.  */
+static void
+store (backend_pool_t *pool, backend_t *backend, usec_t now)
+{
+  uint64_t boot = backend_record_boot (&backend->record);
+  backend->notice.boot = boot;
+  backend->notice.noted_at = now;
+  *backend_notices_get (&pool->notices, boot, now) = backend->notice;
+}
+
+bool
+backend_pool_note_leaving (backend_pool_t *pool, backend_t *backend,
+                           usec_t now)
+{
+  if (backend->notice.leaving_since > 0)
+    return false;
+  backend->notice.leaving_since = now;
+  store (pool, backend, now);
+  return true;
+}
+
+bool
+backend_pool_note_rest (backend_pool_t *pool, backend_t *backend, usec_t span,
+                        usec_t now)
+{
+  bool was_resting = backend_notice_is_resting (&backend->notice, now);
+  if (now + span > backend->notice.rest_until)
+    backend->notice.rest_until = now + span;
+  backend->notice.is_trial = true;
+  store (pool, backend, now);
+  return !was_resting;
+}
+
+bool
+backend_pool_note_served (backend_pool_t *pool, backend_t *backend,
+                          usec_t sent_at, usec_t now)
+{
+  if (!backend->notice.is_trial || sent_at < backend->notice.rest_until)
+    return false;
+  backend->notice.is_trial = false;
+  store (pool, backend, now);
+  return true;
+}
+
+bool
+backend_is_leaving (const backend_t *backend)
+{
+  return backend->record.is_draining || backend->notice.leaving_since > 0;
+}
+
+bool
+pool_is_last_resort (const backend_pool_t *pool, const backend_t *backend,
+                     const pool_query_t *query, usec_t now)
+{
+  usec_t span = pool->options.settings->bounds.drain / LAST_RESORT_DIVISOR;
+  return backend->notice.leaving_since > 0
+         && now < backend->notice.leaving_since + span
+         && pool_may_serve (backend, query);
+}
+
+usec_t
+backend_pool_rest_end (const backend_pool_t *pool, const pool_query_t *query,
+                       usec_t now)
+{
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  usec_t end = INT64_MAX;
+  for (size_t i = 0; i < service->n; i++)
+    {
+      const backend_t *backend = service->backends[i];
+      if (!pool_is_eligible (backend, query))
+        continue;
+      if (!backend_notice_is_resting (&backend->notice, now))
+        return 0;
+      if (backend->notice.rest_until < end)
+        end = backend->notice.rest_until;
+    }
+  return end == INT64_MAX ? 0 : end;
+}
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -55,7 +55,7 @@
 }
 
 bool
-pool_is_eligible (const backend_t *backend, const pool_query_t *query)
+pool_may_serve (const backend_t *backend, const pool_query_t *query)
 {
   return backend->is_listed && !backend->record.is_draining
          && !backend->is_evacuated
@@ -64,6 +64,12 @@
          && !is_excluded (query, backend->id_hash);
 }
 
+bool
+pool_is_eligible (const backend_t *backend, const pool_query_t *query)
+{
+  return !backend_is_leaving (backend) && pool_may_serve (backend, query);
+}
+
 /* Returns BACKEND's score for an object in weighted rendezvous hashing; the
    backend servers with the lowest scores are preferred.  */
 static double
@@ -148,17 +154,23 @@
 /* Finds the candidates for a request.  An object has only a few candidates, so
    that each backend server keeps its objects cached even if there are more
    requests than slots.  A cold backend server that may not get another request
-   now is not a candidate.  */
+   now is not a candidate.  LAST_RESORT: only backend servers that leave are.
+ */
 static void
 find_candidates (backend_pool_t *pool, const pool_query_t *query,
-                 uint64_t object_hash, usec_t now, candidates_t *candidates)
+                 uint64_t object_hash, usec_t now, bool last_resort,
+                 candidates_t *candidates)
 {
   size_t max = query->has_object ? OBJECT_CANDIDATES : CANDIDATES_MAX;
   const pool_service_t *service = pool_index_find (pool, query->service);
   for (size_t i = 0; i < service->n; i++)
     {
       backend_t *backend = service->backends[i];
-      if (pool_is_eligible (backend, query) && backend->health == BACKEND_UP
+      bool is_eligible = last_resort
+                             ? pool_is_last_resort (pool, backend, query, now)
+                             : pool_is_eligible (backend, query);
+      if (is_eligible && backend->health == BACKEND_UP
+          && backend_notice_allows (&backend->notice, backend->in_flight, now)
           && pool_cold_start_allows (backend, now))
         add_candidate (candidates, max, backend,
                        rendezvous_score (backend, object_hash, now));
@@ -189,6 +201,17 @@
     }
 }
 
+/* Whether a backend server that does not leave is eligible.  */
+static bool
+has_staying (const backend_pool_t *pool, const pool_query_t *query)
+{
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  for (size_t i = 0; i < service->n; i++)
+    if (pool_is_eligible (service->backends[i], query))
+      return true;
+  return false;
+}
+
 backend_t *
 backend_pool_pick (backend_pool_t *pool, const pool_query_t *query, usec_t now)
 {
@@ -196,24 +219,26 @@
       = query->has_object ? query->object_hash : random_next (&pool->random);
   candidates_t candidates = { 0 };
   choice_t best = { 0 };
-  find_candidates (pool, query, object_hash, now, &candidates);
+  find_candidates (pool, query, object_hash, now, !has_staying (pool, query),
+                   &candidates);
   find_best (pool, query, &candidates, now, &best);
   return best.backend;
 }
 
 bool
 backend_pool_has_eligible (const backend_pool_t *pool,
-                           const pool_query_t *query)
+                           const pool_query_t *query, usec_t now)
 {
   const pool_service_t *service = pool_index_find (pool, query->service);
   for (size_t i = 0; i < service->n; i++)
-    if (pool_is_eligible (service->backends[i], query))
+    if (pool_is_last_resort (pool, service->backends[i], query, now))
       return true;
-  return false;
+  return has_staying (pool, query);
 }
 
 pool_capacity_t
-backend_pool_capacity (const backend_pool_t *pool, const pool_query_t *query)
+backend_pool_capacity (const backend_pool_t *pool, const pool_query_t *query,
+                       usec_t now)
 {
   pool_capacity_t capacity = { 0 };
   usec_t sum = 0;
@@ -222,7 +247,8 @@
   for (size_t i = 0; i < service->n; i++)
     {
       const backend_t *backend = service->backends[i];
-      if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP)
+      if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP
+          || backend_notice_is_resting (&backend->notice, now))
         continue;
       capacity.slots += backend->record.slots;
       if (backend->latency == 0)
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -20,9 +20,19 @@
   IDLE_SECONDS = 8,             /* longer idle connections are not reused */
   LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
   COLD_MSEC_MAX = 3600 * 1000,
+  REST_SECONDS_MAX = 24 * 3600,
   STATUS_FINAL_MIN = 200, /* lower ones are informational */
 };
 
+/* A field that counts only if it stands in the head once, or always with the
+   same value.  */
+typedef struct notice_field
+{
+  bool is_present;
+  bool is_invalid;
+  usec_t value;
+} notice_field_t;
+
 struct backend_call
 {
   list_t link;
@@ -35,6 +45,8 @@
   size_t head_bytes;          /* received, with informational responses */
   answer_head_t head;
   bool has_id; /* the response has a request id */
+  notice_field_t leaving;
+  notice_field_t retry_after;
   size_t body_capacity;
   backend_response_t response;
 };
@@ -183,6 +195,33 @@
   call->has_id = true;
 }
 
+static void
+set_notice (notice_field_t *field, bool is_valid, usec_t value)
+{
+  if (!is_valid || (field->is_present && field->value != value))
+    field->is_invalid = true;
+  field->is_present = true;
+  field->value = value;
+}
+
+/* "1".  */
+static void
+parse_leaving (notice_field_t *field, const char *value)
+{
+  set_notice (field, strcmp (value, "1") == 0, 1);
+}
+
+/* Seconds, with or without a fraction.  A date is not understood.  */
+static void
+parse_retry_after (notice_field_t *field, const char *value)
+{
+  double seconds = 0;
+  bool is_valid = number_parse_decimal (&seconds, value, strlen (value),
+                                        REST_SECONDS_MAX)
+                  == NUMBER_OK;
+  set_notice (field, is_valid, (usec_t)(seconds * (double)USEC_PER_SEC));
+}
+
 static void
 parse_header (backend_call_t *call, const char *name, const char *value)
 {
@@ -193,6 +232,10 @@
     response->not_started = true;
   else if (strcasecmp (name, HEADER_LOAD) == 0)
     parse_load (value, &response->load);
+  else if (strcasecmp (name, HEADER_LEAVING) == 0)
+    parse_leaving (&call->leaving, value);
+  else if (strcasecmp (name, "Retry-After") == 0)
+    parse_retry_after (&call->retry_after, value);
   else if (strcasecmp (name, HEADER_STAMP) == 0)
     response->is_signed = true;
   else if (strcasecmp (name, "Content-Encoding") == 0)
@@ -218,6 +261,8 @@
   backend_response_clear (&call->response);
   release_body_buffer (call);
   call->has_id = false;
+  call->leaving = (notice_field_t){ 0 };
+  call->retry_after = (notice_field_t){ 0 };
 }
 
 /* Parse the field LINE, LENGTH bytes, and keep it if it is to be forwarded.
@@ -250,11 +295,23 @@
   return true;
 }
 
+/* The value of FIELD; 0 if it is not there or not understood, which is
+   counted.  */
+static usec_t
+notice_value (backend_call_t *call, const notice_field_t *field)
+{
+  call->response.n_invalid_notices += field->is_invalid;
+  return field->is_invalid ? 0 : field->value;
+}
+
 /* What follows a response to another request on its connection can't be told
    apart either, so the connection is not used again.  */
 static void
 end_head (backend_call_t *call)
 {
+  backend_response_t *response = &call->response;
+  response->is_leaving = notice_value (call, &call->leaving) > 0;
+  response->rest = notice_value (call, &call->retry_after);
   if (call->id[0] && !call->response.id_matches)
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
 }
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -56,6 +56,9 @@
   char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
   usec_t cold_remaining; /* from a health check: how long it stays cold */
   backend_load_t load;
+  bool is_leaving; /* the backend server says that it leaves */
+  usec_t rest;     /* from Retry-After: how long it wants nothing; 0: none */
+  size_t n_invalid_notices; /* of these two, not understood and ignored */
   size_t n_headers;
   response_header_t headers[RESPONSE_HEADERS_MAX]; /* to be forwarded */
   char *body; /* allocated with malloc; NULL if it is empty */
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -145,7 +145,7 @@
 check_backend (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
 {
   if (now < backend->checked_at + CRASH_CHECK_INTERVAL
-      || !backend_pool_begin_probe (backend))
+      || !backend_pool_begin_probe (backend, now))
     return;
   backend->checked_at = now;
   dispatcher_send_probe (dispatcher, backend);
@@ -157,7 +157,7 @@
                           const backend_response_t *response, usec_t now)
 {
   backend_t *backend = exchange->backend;
-  if (response->was_cut_off && !backend->record.is_draining)
+  if (response->was_cut_off && !backend_is_leaving (backend))
     {
       add_suspect (dispatcher, exchange, backend, now);
       if (!response->was_reconnected)
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -55,13 +55,28 @@
   exchange->backend = NULL;
 }
 
-/* The Retry-After of a refused request: the expected time in the queue, within
-   a quarter of the time until the caller's deadline.  */
+/* When the first of EXCHANGE's backend servers wants requests again, those
+   that refused it included; 0 if one of them does not rest.  */
+static usec_t
+rest_end_of_all (const dispatcher_t *dispatcher, const exchange_t *exchange,
+                 usec_t now)
+{
+  pool_query_t query = exchange->query;
+  query.n_excluded = 0;
+  return backend_pool_rest_end (dispatcher->pool, &query, now);
+}
+
+/* The Retry-After of a refused request: the time until a backend server wants
+   requests again, if all rest; otherwise the expected time in the queue,
+   within a quarter of the time until the caller's deadline.  */
 static usec_t
 retry_after (const dispatcher_t *dispatcher, const exchange_t *exchange,
              usec_t now)
 {
-  usec_t wait = dispatcher_expected_queue_wait (dispatcher, exchange);
+  usec_t rest_end = rest_end_of_all (dispatcher, exchange, now);
+  if (rest_end > 0)
+    return rest_end - now;
+  usec_t wait = dispatcher_expected_queue_wait (dispatcher, exchange, now);
   usec_t wait_max = (exchange->caller_deadline - now) / 4;
   if (wait < 50 * USEC_PER_MSEC)
     wait = 50 * USEC_PER_MSEC;
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -71,7 +71,7 @@
 /* The time that EXCHANGE would spend in the queue if it were queued now; 0 if
    there is no estimate.  */
 usec_t dispatcher_expected_queue_wait (const dispatcher_t *dispatcher,
-                                       const exchange_t *exchange);
+                                       const exchange_t *exchange, usec_t now);
 /* Send the queued requests that a backend server has room for, and refuse
    those whose deadline has come.  */
 void dispatcher_serve_queue (dispatcher_t *dispatcher, usec_t now);
@@ -111,6 +111,19 @@
 /* Forget old crashes when due.  */
 void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
 
+/* dispatcher_notices.c */
+/* Record what the backend server says of itself in RESPONSE, of class RESULT,
+   to EXCHANGE.  */
+void dispatcher_note_notices (dispatcher_t *dispatcher,
+                              const exchange_t *exchange,
+                              backend_result_t result,
+                              const backend_response_t *response, usec_t now);
+/* The same for RESPONSE to a health check of BACKEND.  */
+void dispatcher_note_probe_notices (dispatcher_t *dispatcher,
+                                    backend_t *backend,
+                                    const backend_response_t *response,
+                                    usec_t now);
+
 /* dispatcher_probe.c */
 /* Send a health check to BACKEND, which is marked as being probed.  */
 void dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend);
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -115,6 +115,7 @@
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
   dispatcher_note_response (dispatcher, exchange, result, response, now);
+  dispatcher_note_notices (dispatcher, exchange, result, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
   const backend_outcome_t outcome
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -115,10 +115,10 @@
 
 usec_t
 dispatcher_expected_queue_wait (const dispatcher_t *dispatcher,
-                                const exchange_t *exchange)
+                                const exchange_t *exchange, usec_t now)
 {
   pool_capacity_t capacity
-      = backend_pool_capacity (dispatcher->pool, &exchange->query);
+      = backend_pool_capacity (dispatcher->pool, &exchange->query, now);
   size_t ahead = 0;
   LIST_FOREACH (link, &dispatcher->queue)
   {
@@ -146,14 +146,22 @@
     }
   if (try_send (dispatcher, exchange, now))
     return;
-  if (!backend_pool_has_eligible (dispatcher->pool, &exchange->query))
+  if (!backend_pool_has_eligible (dispatcher->pool, &exchange->query, now))
     {
       dispatcher_refuse (
           dispatcher, exchange,
           exchange->was_refused ? REASON_REFUSED : REASON_NO_BACKEND, now);
       return;
     }
-  if (dispatcher_expected_queue_wait (dispatcher, exchange)
+  usec_t rest_end
+      = backend_pool_rest_end (dispatcher->pool, &exchange->query, now);
+  if (rest_end > 0
+      && rest_end + exchange->query.run_time.uncached >= exchange->deadline)
+    {
+      dispatcher_refuse (dispatcher, exchange, REASON_RESTING, now);
+      return;
+    }
+  if (dispatcher_expected_queue_wait (dispatcher, exchange, now)
       > exchange->deadline - now)
     {
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -19,6 +19,8 @@
       return "no_backend";
     case REASON_OVERLOAD:
       return "overload";
+    case REASON_RESTING:
+      return "resting";
     case REASON_REFUSED:
       return "refused";
     case REASON_MEMORY:
@@ -53,6 +55,7 @@
     case REASON_NO_CONFIG:
     case REASON_NO_BACKEND:
     case REASON_OVERLOAD:
+    case REASON_RESTING:
     case REASON_REFUSED:
     case REASON_MEMORY:
     case REASON_QUARANTINED:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -44,6 +44,8 @@
   REASON_NO_CONFIG,   /* 503, not run */
   REASON_NO_BACKEND,  /* 503, not run: no backend server is available */
   REASON_OVERLOAD,    /* 503, not run: it would wait beyond its deadline */
+  REASON_RESTING,     /* 503, not run: all backend servers want a rest, beyond
+                         its deadline */
   REASON_REFUSED,     /* 503, not run: backend servers refused it */
   REASON_MEMORY,      /* 503, not run: request bodies use too much memory */
   REASON_QUARANTINED, /* 503, not run: requests like it crash backend
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -61,3 +61,15 @@
                                   .reason = is_retry ? "again" : "first" };
   count (metrics, &sent);
 }
+
+void
+router_metrics_invalid_notices (router_metrics_t *metrics, const char *service,
+                                size_t n)
+{
+  const metric_options_t invalid
+      = { .name = "mulberry_router_invalid_notices_total",
+          .help = "Fields of backend servers that could not be read",
+          .service = service };
+  for (size_t i = 0; i < n; i++)
+    count (metrics, &invalid);
+}
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -22,4 +22,8 @@
 void router_metrics_request_sent (router_metrics_t *metrics,
                                   const char *service, bool is_retry);
 
+/* N notices of backend servers of SERVICE were not understood.  */
+void router_metrics_invalid_notices (router_metrics_t *metrics,
+                                     const char *service, size_t n);
+
 #endif
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -13,7 +13,11 @@
    in "lost" runs, and its connection ends without an answer; one that ends in
    "other" is answered as if it were another request; one that ends in "crash"
    ends the backend server, with all that runs there, which starts again after
-   DOWN_USEC under another id.  */
+   DOWN_USEC under another id.  A backend server that FOLDER/leaving names says
+   in all its answers that it leaves; one that FOLDER/resting names refuses all
+   requests, and wants a rest of REST_SECONDS.  A request that reaches a
+   backend server is appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND
+   is "run" or "refused".  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -26,6 +30,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#define REST_SECONDS "4"
+
 enum
 {
   BACKENDS_MAX = 16,
@@ -61,13 +67,14 @@
   pthread_mutex_t lock;
 } fake = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+/* Whether FOLDER/NAME has the line ID.  */
 static bool
-is_draining (const char *id)
+is_named (const char *name, const char *id)
 {
   char path[512];
   char line[64];
   bool found = false;
-  snprintf (path, sizeof path, "%s/draining", fake.folder);
+  snprintf (path, sizeof path, "%s/%s", fake.folder, name);
   FILE *file = fopen (path, "r");
   if (!file)
     return false;
@@ -80,11 +87,13 @@
   return found;
 }
 
+/* Append a line to FOLDER/NAME.  */
 static void
-note_run (const char *request, const char *backend, const char *type)
+note (const char *name, const char *request, const char *backend,
+      const char *type)
 {
   char path[512];
-  snprintf (path, sizeof path, "%s/runs", fake.folder);
+  snprintf (path, sizeof path, "%s/%s", fake.folder, name);
   pthread_mutex_lock (&fake.lock);
   FILE *file = fopen (path, "a");
   if (file)
@@ -101,8 +110,8 @@
 }
 
 static enum MHD_Result
-answer (struct MHD_Connection *connection, unsigned int status,
-        const char *text, const char *id, const char *backend)
+answer_as (struct MHD_Connection *connection, unsigned int status,
+           const char *text, const char *id, const char *backend, bool leaves)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
@@ -112,13 +121,25 @@
     MHD_add_response_header (response, "Instance-Id", backend);
   if (status == MHD_HTTP_OK && id)
     MHD_add_response_header (response, "Server-Stamp", "fake");
-  if (status == MHD_HTTP_MISDIRECTED_REQUEST)
+  if (status == MHD_HTTP_MISDIRECTED_REQUEST
+      || status == MHD_HTTP_SERVICE_UNAVAILABLE)
     MHD_add_response_header (response, "Not-Executed", "1");
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    MHD_add_response_header (response, "Retry-After", REST_SECONDS);
+  if (leaves)
+    MHD_add_response_header (response, "Server-Leaving", "1");
   enum MHD_Result result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
 }
 
+static enum MHD_Result
+answer (struct MHD_Connection *connection, unsigned int status,
+        const char *text, const char *id, const char *backend)
+{
+  return answer_as (connection, status, text, id, backend, false);
+}
+
 static const char *
 header (struct MHD_Connection *connection, const char *name)
 {
@@ -218,7 +239,11 @@
   if (expected && strcmp (expected, backend->id) != 0)
     return answer (connection, MHD_HTTP_MISDIRECTED_REQUEST, "", id,
                    backend->id);
-  note_run (id, backend->id, header (connection, "Content-Type"));
+  bool is_resting = is_named ("resting", backend->id);
+  note ("reached", id, backend->id, is_resting ? "refused" : "run");
+  if (is_resting)
+    return answer (connection, MHD_HTTP_SERVICE_UNAVAILABLE, "", id, NULL);
+  note ("runs", id, backend->id, header (connection, "Content-Type"));
   if (ends_with (url, "lost"))
     return MHD_NO;
   if (ends_with (url, "crash"))
@@ -229,8 +254,9 @@
     wait_for_release ();
   if (!is_boot (backend, boot))
     return MHD_NO;
-  return answer (connection, MHD_HTTP_OK, backend->id,
-                 ends_with (url, "other") ? "of-another" : id, NULL);
+  return answer_as (connection, MHD_HTTP_OK, backend->id,
+                    ends_with (url, "other") ? "of-another" : id, NULL,
+                    is_named ("leaving", backend->id));
 }
 
 static enum MHD_Result
@@ -258,7 +284,8 @@
           is_first && i > 0 ? "]," : "", is_first ? "\"" : ",",
           is_first ? backend->domain : "", is_first ? "\":[" : "",
           fake.address, backend->port + fake.offset, SLOTS,
-          is_draining (backend->id) ? "draining" : "ready", backend->id);
+          is_named ("draining", backend->id) ? "draining" : "ready",
+          backend->id);
     }
   snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
   return answer (connection, MHD_HTTP_OK, text, NULL, NULL);
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -37,6 +37,9 @@
   answer_facts_t last; /* of the call that ended last */
   backend_load_t last_load;
   usec_t last_cold_remaining;
+  bool last_is_leaving;
+  usec_t last_rest;
+  size_t last_n_invalid;
 } fixture_t;
 
 typedef struct connection
@@ -128,6 +131,41 @@
     "Content-Length: 0\r\n\r\n" },
 };
 
+/* Paths, fields of a whole answer, and what they tell.  */
+static const struct
+{
+  const char *path;
+  const char *fields;
+  bool is_leaving;
+  usec_t rest;
+  size_t n_invalid;
+} notices[] = {
+  { "/notice-none", "", false, 0, 0 },
+  { "/notice-leaving", "Server-Leaving: 1\r\n", true, 0, 0 },
+  { "/notice-zero", "Server-Leaving: 0\r\n", false, 0, 1 },
+  { "/notice-empty", "Server-Leaving:\r\nRetry-After:\r\n", false, 0, 2 },
+  { "/notice-same", "Server-Leaving: 1\r\nServer-Leaving: 1\r\n", true, 0, 0 },
+  { "/notice-differs", "Retry-After: 1\r\nRetry-After: 2\r\n", false, 0, 1 },
+  { "/notice-rest", "Retry-After: 1.5\r\n", false, 3 * USEC_PER_SEC / 2, 0 },
+  { "/notice-negative", "Retry-After: -1\r\n", false, 0, 1 },
+  { "/notice-huge", "Retry-After: 99999999999999999999\r\n", false, 0, 1 },
+  { "/notice-date", "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT\r\n", false, 0,
+    1 },
+};
+
+static bool
+write_notice (const connection_t *connection, const char *request)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (notices); i++)
+    if (strstr (request, notices[i].path))
+      {
+        g_autofree char *text = g_strdup_printf (
+            HEAD "%sContent-Length: 0\r\n\r\n", notices[i].fields);
+        return write_text (connection, text);
+      }
+  return false;
+}
+
 static const char *
 broken_answer (const char *request)
 {
@@ -197,7 +235,9 @@
   if (recv (connection->fd, request, sizeof request - 1, 0) > 0)
     {
       const char *broken = broken_answer (request);
-      if (broken)
+      if (write_notice (connection, request))
+        ;
+      else if (broken)
         write_text (connection, broken);
       else if (strstr (request, "/refused-at-once"))
         refuse_twice (connection, COPY_AT_ONCE);
@@ -280,6 +320,9 @@
                           .status = response->status };
   fixture->last_load = response->load;
   fixture->last_cold_remaining = response->cold_remaining;
+  fixture->last_is_leaving = response->is_leaving;
+  fixture->last_rest = response->rest;
+  fixture->last_n_invalid = response->n_invalid_notices;
   fixture->n_complete += response->is_complete;
   if (response->is_complete && response->body_bytes > 2)
     g_assert_cmpuint (response->body_bytes, ==, GOOD_BYTES);
@@ -411,6 +454,26 @@
     }
 }
 
+/* Guards against a leaving or a rest that the backend server did not mean, or
+   that a router does not see.  */
+static void
+test_notices (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (notices); i++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      start_call (&fixture, notices[i].path);
+      run_until_ended (&fixture, 1);
+      g_assert_cmpuint (fixture.n_complete, ==, 1);
+      g_test_message ("%s", notices[i].path);
+      g_assert_cmpint (fixture.last_is_leaving, ==, notices[i].is_leaving);
+      g_assert_cmpint (fixture.last_rest, ==, notices[i].rest);
+      g_assert_cmpuint (fixture.last_n_invalid, ==, notices[i].n_invalid);
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against numbers of a backend server that another reading makes huge:
    a load of 2^32 - 1, or a cold start that lasts for ever.  */
 static void
@@ -501,6 +564,7 @@
   g_test_add_func ("/backend-http/broken-answers", test_broken_answers);
   g_test_add_func ("/backend-http/trailer", test_trailer);
   g_test_add_func ("/backend-http/numbers", test_numbers);
+  g_test_add_func ("/backend-http/notices", test_notices);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
                         "/refused-at-once", test_refusal_twice);
