fix(wire): a request that is given up is ended by a reset

Cause: an ordinary close leaves unacknowledged bytes to TCP, which goes on sending them. Ruled out: the user timeout as a remedy; the platform doesn't promise it. Connections that we open are reset on close now, also between our own processes and at the end of a process.

--- a/src/wire/http_socket.c
+++ b/src/wire/http_socket.c
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include "wire/socket_close.h"
+
 enum
 {
   UNACKNOWLEDGED_MSEC = 1500, /* TCP then ends the connection */
@@ -26,5 +28,6 @@
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  socket_close_by_reset (fd);
   return CURL_SOCKOPT_OK;
 }
--- a/src/wire/rpc_client.c
+++ b/src/wire/rpc_client.c
@@ -1,10 +1,12 @@
 #include "wire/rpc_state.h"
 
+#include <apr_portable.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "wire/socket_close.h"
 
 /* Longer than two round trips between regions.  */
 #define CONNECT_RETRY_INTERVAL (200 * USEC_PER_MSEC)
@@ -85,6 +87,9 @@
   apr_socket_opt_set (socket, APR_SO_NONBLOCK, 1);
   apr_socket_timeout_set (socket, 0);
   apr_socket_opt_set (socket, APR_TCP_NODELAY, 1);
+  apr_os_sock_t fd;
+  if (apr_os_sock_get (&fd, socket) == APR_SUCCESS)
+    socket_close_by_reset (fd);
   apr_status_t status = apr_socket_bind (socket, from);
   if (status == APR_SUCCESS)
     status = apr_socket_connect (socket, to);
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -4,6 +4,7 @@
    backend server is a thread for each connection.  */
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -29,7 +30,9 @@
   int listener;
   inet_t address;
   GThread *server;
-  gint n_sent; /* bytes that the server has written; atomic */
+  gint n_sent;  /* bytes that the server has written; atomic */
+  gint n_held;  /* requests that it does not answer; atomic */
+  gint n_reset; /* those whose connection the client has reset; atomic */
   poller_t *poller;
   backend_http_t *client;
   size_t n_ended;
@@ -227,6 +230,17 @@
     write_text (connection, ANSWER ("id-3"));
 }
 
+/* Answer nothing; note how the client ends the connection.  */
+static void
+wait_for_end (const connection_t *connection)
+{
+  char byte;
+  fixture_t *fixture = connection->fixture;
+  g_atomic_int_inc (&fixture->n_held);
+  if (recv (connection->fd, &byte, 1, 0) < 0 && errno == ECONNRESET)
+    g_atomic_int_inc (&fixture->n_reset);
+}
+
 static gpointer
 serve (gpointer data)
 {
@@ -235,7 +249,9 @@
   if (recv (connection->fd, request, sizeof request - 1, 0) > 0)
     {
       const char *broken = broken_answer (request);
-      if (write_notice (connection, request))
+      if (strstr (request, "/held"))
+        wait_for_end (connection);
+      else if (write_notice (connection, request))
         ;
       else if (broken)
         write_text (connection, broken);
@@ -352,6 +368,20 @@
   close (fixture->listener);
 }
 
+static backend_call_t *
+start_held_call (fixture_t *fixture, usec_t timeout)
+{
+  const backend_request_t request
+      = { .address = fixture->address,
+          .method = "GET",
+          .target = "/held",
+          .id = "id-1",
+          .headers = curl_slist_append (NULL, "Request-Id: id-1"),
+          .timeout = timeout,
+          .connect_timeout = CALL_TIMEOUT };
+  return backend_http_call (fixture->client, &request);
+}
+
 static void
 start_call_with_id (fixture_t *fixture, const char *target, const char *id)
 {
@@ -454,6 +484,37 @@
     }
 }
 
+static void
+run_until_held (fixture_t *fixture, gint n)
+{
+  while (g_atomic_int_get (&fixture->n_held) < n)
+    {
+      poller_event_t event;
+      if (poller_wait (fixture->poller, 10 * USEC_PER_MSEC, &event))
+        backend_http_socket_ready (fixture->client, event.watch, event.ready);
+      backend_http_tick (fixture->client, clock_monotonic ());
+    }
+}
+
+/* Guards against requests that were given up and whose bytes are still sent,
+   once a cut of the network has healed: a call that is aborted, one whose
+   timeout is over and one in flight at the client's end are all reset.  */
+static void
+test_given_up_is_reset (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  backend_call_t *aborted = start_held_call (&fixture, CALL_TIMEOUT);
+  run_until_held (&fixture, 1);
+  backend_http_abort (fixture.client, aborted);
+  start_held_call (&fixture, PAUSE);
+  run_until_ended (&fixture, 1);
+  start_held_call (&fixture, CALL_TIMEOUT);
+  run_until_held (&fixture, 3);
+  fixture_close (&fixture);
+  g_assert_cmpint (g_atomic_int_get (&fixture.n_reset), ==, 3);
+}
+
 /* Guards against a leaving or a rest that the backend server did not mean, or
    that a router does not see.  */
 static void
@@ -565,6 +626,7 @@
   g_test_add_func ("/backend-http/trailer", test_trailer);
   g_test_add_func ("/backend-http/numbers", test_numbers);
   g_test_add_func ("/backend-http/notices", test_notices);
+  g_test_add_func ("/backend-http/given-up", test_given_up_is_reset);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
                         "/refused-at-once", test_refusal_twice);
