--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -16,59 +16,11 @@
 #include "balance/backend_pool.h"
 #include "base/inet.h"
 #include "router/poller.h"
-
-enum
-{
-  /* A response beyond one of these limits ends its call: a broken server may
-     send a head or a body without end.  */
-  RESPONSE_HEADERS_MAX = 128,
-  RESPONSE_HEAD_BYTES_MAX = 64 * 1024, /* with informational responses */
-  RESPONSE_BYTES_MAX = 16 * 1024 * 1024,
-  /* Buffers of all bodies together that are larger than SMALL_BODY_BYTES.  */
-  RESPONSES_BYTES_MAX = 32 * 1024 * 1024,
-  SMALL_BODY_BYTES = 64 * 1024,
-};
+#include "router/response_reader.h"
 
 typedef struct backend_http backend_http_t;
 typedef struct backend_call backend_call_t;
 
-typedef struct response_header
-{
-  char *name; /* allocated with malloc; VALUE points into the same block */
-  char *value;
-} response_header_t;
-
-/* The result of a call: a response, or the reason why there is none.  */
-typedef struct backend_response
-{
-  bool may_have_reached; /* bytes of the request may have left this VM */
-  bool is_complete;      /* the whole response was received */
-  bool id_matches;       /* its request id is that of the request */
-  bool is_signed;        /* it has the backend server's signature */
-  bool is_encoded;       /* its Content-Encoding is not "identity" */
-  bool not_started;      /* the backend server did not run the request */
-  bool timed_out;
-  bool was_cut_off;     /* the connection ended after the request was sent and
-                           before the response was complete */
-  bool was_reconnected; /* a new connection could be made after that */
-  bool is_unreachable;  /* no connection, or no new one, could be made */
-  unsigned int status;  /* HTTP status code */
-  char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
-  usec_t cold_remaining; /* from a health check: how long it stays cold */
-  backend_load_t load;
-  bool is_leaving; /* the backend server says that it leaves */
-  usec_t rest;     /* from Retry-After: how long it wants nothing; 0: none */
-  size_t n_invalid_notices; /* of these two, not understood and ignored */
-  size_t n_headers;
-  response_header_t headers[RESPONSE_HEADERS_MAX]; /* to be forwarded */
-  char *body; /* allocated with malloc; NULL if it is empty */
-  size_t body_bytes;
-  const char *error; /* libcurl's text for the result */
-} backend_response_t;
-
-/* Free what RESPONSE holds and set it to zero.  */
-void backend_response_clear (backend_response_t *response);
-
 typedef struct backend_http_options
 {
   poller_t *poller;
--- /dev/null
+++ b/src/router/response_reader.c
@@ -0,0 +1,297 @@
+#include "router/response_reader.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/log.h"
+#include "base/number.h"
+#include "platform_api.h"
+
+enum
+{
+  LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
+  COLD_MSEC_MAX = 3600 * 1000,
+  REST_SECONDS_MAX = 24 * 3600,
+};
+
+void
+backend_response_clear (backend_response_t *response)
+{
+  for (size_t i = 0; i < response->n_headers; i++)
+    free (response->headers[i].name);
+  free (response->body);
+  *response = (backend_response_t){ 0 };
+}
+
+/* The part of a buffer of CAPACITY bytes that counts as large.  */
+static size_t
+large_part (size_t capacity)
+{
+  return capacity > SMALL_BODY_BYTES ? capacity : 0;
+}
+
+/* Give the body a buffer of CAPACITY bytes.  False if the buffers of all calls
+   would become too large, or memory is short.  */
+static bool
+resize_body (response_reader_t *reader, size_t capacity)
+{
+  size_t large_bytes = *reader->large_bytes
+                       - large_part (reader->body_capacity)
+                       + large_part (capacity);
+  if (large_part (capacity) > 0 && large_bytes > RESPONSES_BYTES_MAX)
+    return false;
+  char *grown = realloc (reader->response.body, capacity);
+  if (!grown)
+    return false;
+  reader->response.body = grown;
+  reader->body_capacity = capacity;
+  *reader->large_bytes = large_bytes;
+  return true;
+}
+
+static void
+log_cut_off (const response_reader_t *reader, const char *reason)
+{
+  LOG_EVENT (LOG_LEVEL_WARNING, "answer_cut_off", LOG_S ("id", reader->id),
+             LOG_S ("reason", reason),
+             LOG_U ("head_bytes", reader->head_bytes),
+             LOG_U ("body_bytes", reader->response.body_bytes));
+}
+
+bool
+response_reader_body (response_reader_t *reader, const char *data,
+                      size_t length)
+{
+  backend_response_t *response = &reader->response;
+  size_t needed = response->body_bytes + length;
+  if (needed > SMALL_BODY_BYTES && reader->id[0] && !response->id_matches)
+    {
+      log_cut_off (reader, "it is not the answer to this request");
+      return false;
+    }
+  if (needed > RESPONSE_BYTES_MAX)
+    {
+      log_cut_off (reader, "the body is too long");
+      return false;
+    }
+  size_t room = needed < 2048 ? 2048 : 2 * needed;
+  if (needed > reader->body_capacity && !resize_body (reader, room))
+    {
+      log_cut_off (reader, "no memory is left for large bodies");
+      return false;
+    }
+  memcpy (response->body + response->body_bytes, data, length);
+  response->body_bytes = needed;
+  return true;
+}
+
+/* Hop-by-hop headers are not forwarded, nor Content-Length, which is generated
+   again.  */
+static bool
+is_forwarded (const char *name)
+{
+  static const char *const excluded[] = {
+    "Connection",       "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "Proxy-Connection", "Trailer",    "Upgrade",           "TE"
+  };
+  for (size_t i = 0; i < sizeof excluded / sizeof excluded[0]; i++)
+    if (strcasecmp (name, excluded[i]) == 0)
+      return false;
+  return true;
+}
+
+static void
+parse_load (const char *value, backend_load_t *load)
+{
+  uint64_t numbers[3];
+  load->is_known = false;
+  for (size_t i = 0; i < 3; i++)
+    {
+      size_t length = strcspn (value, ",");
+      if (number_parse_unsigned_span (&numbers[i], value, length, LOAD_MAX)
+              != NUMBER_OK
+          || value[length] != (i < 2 ? ',' : '\0'))
+        return;
+      value += length + 1;
+    }
+  *load = (backend_load_t){ .is_known = true,
+                            .running = (uint32_t)numbers[0],
+                            .waiting = (uint32_t)numbers[1],
+                            .slots = (uint32_t)numbers[2] };
+}
+
+/* "1500": milliseconds.  What can't be read says nothing.  */
+static void
+parse_cold_left (const char *value, usec_t *span)
+{
+  uint64_t msec;
+  if (number_parse_unsigned (&msec, value, COLD_MSEC_MAX) == NUMBER_OK)
+    *span = (usec_t)msec * USEC_PER_MSEC;
+}
+
+/* A response with several request ids that differ belongs to no request.  */
+static void
+parse_id (response_reader_t *reader, const char *value)
+{
+  bool is_equal = reader->id[0] && strcmp (value, reader->id) == 0;
+  reader->response.id_matches
+      = is_equal && (!reader->has_id || reader->response.id_matches);
+  reader->has_id = true;
+}
+
+static void
+set_notice (notice_field_t *field, bool is_valid, usec_t value)
+{
+  if (!is_valid || (field->is_present && field->value != value))
+    field->is_invalid = true;
+  field->is_present = true;
+  field->value = value;
+}
+
+/* "1".  */
+static void
+parse_leaving (notice_field_t *field, const char *value)
+{
+  set_notice (field, strcmp (value, "1") == 0, 1);
+}
+
+/* Seconds, with or without a fraction.  A date is not understood.  */
+static void
+parse_retry_after (notice_field_t *field, const char *value)
+{
+  double seconds = 0;
+  bool is_valid = number_parse_decimal (&seconds, value, strlen (value),
+                                        REST_SECONDS_MAX)
+                  == NUMBER_OK;
+  set_notice (field, is_valid, (usec_t)(seconds * (double)USEC_PER_SEC));
+}
+
+static void
+parse_header (response_reader_t *reader, const char *name, const char *value)
+{
+  backend_response_t *response = &reader->response;
+  if (strcasecmp (name, HEADER_REQUEST_ID) == 0)
+    parse_id (reader, value);
+  else if (strcasecmp (name, HEADER_NOT_STARTED) == 0)
+    response->not_started = true;
+  else if (strcasecmp (name, HEADER_LOAD) == 0)
+    parse_load (value, &response->load);
+  else if (strcasecmp (name, HEADER_LEAVING) == 0)
+    parse_leaving (&reader->leaving, value);
+  else if (strcasecmp (name, "Retry-After") == 0)
+    parse_retry_after (&reader->retry_after, value);
+  else if (strcasecmp (name, HEADER_STAMP) == 0)
+    response->is_signed = true;
+  else if (strcasecmp (name, "Content-Encoding") == 0)
+    response->is_encoded = strcasecmp (value, "identity") != 0;
+  else if (strcasecmp (name, HEADER_HEALTH_ID) == 0)
+    snprintf (response->backend_id, sizeof response->backend_id, "%s", value);
+  else if (strcasecmp (name, HEADER_COLD_LEFT) == 0)
+    parse_cold_left (value, &response->cold_remaining);
+}
+
+void
+response_reader_release (response_reader_t *reader)
+{
+  *reader->large_bytes -= large_part (reader->body_capacity);
+  reader->body_capacity = 0;
+}
+
+/* Discard the headers of an informational response, which comes before the
+   final one.  */
+static void
+reset_response (response_reader_t *reader)
+{
+  backend_response_clear (&reader->response);
+  response_reader_release (reader);
+  reader->has_id = false;
+  reader->leaving = (notice_field_t){ 0 };
+  reader->retry_after = (notice_field_t){ 0 };
+}
+
+/* Parse the field LINE, LENGTH bytes, and keep it if it is to be forwarded.
+   False where memory is short.  */
+static bool
+add_field (response_reader_t *reader, const char *data, size_t length)
+{
+  backend_response_t *response = &reader->response;
+  const char *colon = memchr (data, ':', length);
+  if (!colon)
+    return true;
+  char *line = malloc (length + 1);
+  if (!line)
+    return false;
+  memcpy (line, data, length);
+  line[length] = '\0';
+  line[colon - data] = '\0';
+  char *value = line + (colon - data) + 1;
+  value += strspn (value, " \t");
+  size_t end = strcspn (value, "\r\n");
+  while (end > 0 && (value[end - 1] == ' ' || value[end - 1] == '\t'))
+    end--;
+  value[end] = '\0';
+  parse_header (reader, line, value);
+  if (is_forwarded (line))
+    response->headers[response->n_headers++]
+        = (response_header_t){ .name = line, .value = value };
+  else
+    free (line);
+  return true;
+}
+
+/* The value of FIELD; 0 if it is not there or not understood, which is
+   counted.  */
+static usec_t
+notice_value (response_reader_t *reader, const notice_field_t *field)
+{
+  reader->response.n_invalid_notices += field->is_invalid;
+  return field->is_invalid ? 0 : field->value;
+}
+
+static void
+end_head (response_reader_t *reader)
+{
+  backend_response_t *response = &reader->response;
+  response->is_leaving = notice_value (reader, &reader->leaving) > 0;
+  response->rest = notice_value (reader, &reader->retry_after);
+}
+
+bool
+response_reader_is_foreign (const response_reader_t *reader)
+{
+  return reader->head.has_ended && reader->id[0]
+         && !reader->response.id_matches;
+}
+
+bool
+response_reader_head (response_reader_t *reader, const char *data,
+                      size_t length)
+{
+  backend_response_t *response = &reader->response;
+  reader->head_bytes += length;
+  if (reader->head_bytes > RESPONSE_HEAD_BYTES_MAX
+      || response->n_headers == RESPONSE_HEADERS_MAX)
+    {
+      log_cut_off (reader, "the head is too long");
+      return false;
+    }
+  switch (answer_head_next (&reader->head, data, length))
+    {
+    case HEAD_LINE_STATUS:
+      reset_response (reader);
+      return true;
+    case HEAD_LINE_FIELD:
+      return add_field (reader, data, length);
+    case HEAD_LINE_END:
+      end_head (reader);
+      return true;
+    case HEAD_LINE_TRAILER:
+      return true;
+    case HEAD_LINE_MALFORMED:
+      break;
+    }
+  log_cut_off (reader, "the head is malformed");
+  return false;
+}
--- /dev/null
+++ b/src/router/response_reader.h
@@ -0,0 +1,103 @@
+/* response_reader: reads the response of a backend server to one call, as
+   libcurl passes it on.  No I/O.  */
+
+#ifndef ROUTER_RESPONSE_READER_H
+#define ROUTER_RESPONSE_READER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "balance/backend_pool.h"
+#include "wire/answer_head.h"
+
+enum
+{
+  /* A response beyond one of these limits ends its call: a broken server may
+     send a head or a body without end.  */
+  RESPONSE_HEADERS_MAX = 128,
+  RESPONSE_HEAD_BYTES_MAX = 64 * 1024, /* with informational responses */
+  RESPONSE_BYTES_MAX = 16 * 1024 * 1024,
+  /* Buffers of all bodies together that are larger than SMALL_BODY_BYTES.  */
+  RESPONSES_BYTES_MAX = 32 * 1024 * 1024,
+  SMALL_BODY_BYTES = 64 * 1024,
+  RESPONSE_ID_BYTES = 128, /* of a request id */
+};
+
+typedef struct response_header
+{
+  char *name; /* allocated with malloc; VALUE points into the same block */
+  char *value;
+} response_header_t;
+
+/* The result of a call: a response, or the reason why there is none.  */
+typedef struct backend_response
+{
+  bool may_have_reached; /* bytes of the request may have left this VM */
+  bool is_complete;      /* the whole response was received */
+  bool id_matches;       /* its request id is that of the request */
+  bool is_signed;        /* it has the backend server's signature */
+  bool is_encoded;       /* its Content-Encoding is not "identity" */
+  bool not_started;      /* the backend server did not run the request */
+  bool timed_out;
+  bool was_cut_off;     /* the connection ended after the request was sent and
+                           before the response was complete */
+  bool was_reconnected; /* a new connection could be made after that */
+  bool is_unreachable;  /* no connection, or no new one, could be made */
+  unsigned int status;  /* HTTP status code */
+  char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
+  usec_t cold_remaining; /* from a health check: how long it stays cold */
+  backend_load_t load;
+  bool is_leaving; /* the backend server says that it leaves */
+  usec_t rest;     /* from Retry-After: how long it wants nothing; 0: none */
+  size_t n_invalid_notices; /* of these two, not understood and ignored */
+  size_t n_headers;
+  response_header_t headers[RESPONSE_HEADERS_MAX]; /* to be forwarded */
+  char *body; /* allocated with malloc; NULL if it is empty */
+  size_t body_bytes;
+  const char *error; /* libcurl's text for the result */
+} backend_response_t;
+
+/* Free what RESPONSE holds and set it to zero.  */
+void backend_response_clear (backend_response_t *response);
+
+/* A field that counts only if it stands in the head once, or always with the
+   same value.  */
+typedef struct notice_field
+{
+  bool is_present;
+  bool is_invalid;
+  usec_t value;
+} notice_field_t;
+
+/* Zero at first, but for `id` and `large_bytes`.  */
+typedef struct response_reader
+{
+  char id[RESPONSE_ID_BYTES]; /* of the request; "" for a health check */
+  size_t *large_bytes; /* buffers above SMALL_BODY_BYTES, of all readers */
+  size_t head_bytes;   /* received, with informational responses */
+  answer_head_t head;
+  bool has_id; /* the response has a request id */
+  notice_field_t leaving;
+  notice_field_t retry_after;
+  size_t body_capacity;
+  backend_response_t response;
+} response_reader_t;
+
+/* Read the next line of the head, LENGTH bytes.  Returns false if the call has
+   to end.  */
+bool response_reader_head (response_reader_t *reader, const char *data,
+                           size_t length);
+
+/* Read the next LENGTH bytes of the body.  Returns false if the call has to
+   end.  */
+bool response_reader_body (response_reader_t *reader, const char *data,
+                           size_t length);
+
+/* Whether the response belongs to another request.  What follows it on its
+   connection can't be told apart either, so that is not to be used again.  */
+bool response_reader_is_foreign (const response_reader_t *reader);
+
+/* Give back the body's part of `large_bytes`.  The body itself stays.  */
+void response_reader_release (response_reader_t *reader);
+
+#endif
