fix(router): one budget bounds the bodies of requests and answers

Cause: a body was counted only until it had arrived, not while it waited for its caller; bodies of requests had a limit of their own. Where it is used up the backend's side is read no further, and new requests are refused as not run once the part for small bodies is used up too. New setting body_memory_mb.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "wire/http_handles.h"
 
 enum
@@ -23,6 +24,7 @@
   CURL *easy;
   struct curl_slist *headers;
   unsigned int n_connections; /* that the request was transmitted on */
+  bool is_paused;             /* until the budget has room for the body */
   response_reader_t reader;
 };
 
@@ -38,7 +40,7 @@
   backend_http_options_t options;
   http_handles_t *handles;
   list_t calls;           /* in flight */
-  size_t large_bytes;     /* buffers above SMALL_BODY_BYTES */
+  uint64_t n_releases;    /* of the budget, when calls were last resumed */
   list_t removed_watches; /* of socket_watch_t, to be freed */
   usec_t due_at;          /* of libcurl's next timeout */
 };
@@ -50,7 +52,21 @@
 {
   backend_call_t *call = closure;
   size_t length = size * n;
-  return response_reader_body (&call->reader, data, length) ? length : 0;
+  switch (response_reader_body (&call->reader, data, length))
+    {
+    case BODY_READ:
+      return length;
+    case BODY_MUST_WAIT:
+      if (!call->is_paused)
+        LOG_EVENT (LOG_LEVEL_INFO, "answer_waits",
+                   LOG_S ("id", call->reader.id),
+                   LOG_U ("length", call->reader.length));
+      call->is_paused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    case BODY_REJECTED:
+      break;
+    }
+  return 0;
 }
 
 static size_t
@@ -195,7 +211,7 @@
           .on_header = on_header,
           .on_connection = on_connection };
   call->client = client;
-  call->reader.large_bytes = &client->large_bytes;
+  call->reader.budget = client->options.budget;
   call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->calls, &call->link);
   return call;
@@ -207,7 +223,6 @@
   http_handles_give_back (call->client->handles, call->easy);
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
-  response_reader_release (&call->reader);
   list_remove (&call->link);
   free (call);
 }
@@ -285,6 +300,7 @@
   while ((call = http_handles_ended (client->handles, &code)))
     {
       record_result (call, code);
+      response_reader_finish (&call->reader);
       backend_response_t response = call->reader.response;
       void *owner = call->owner;
       call->reader.response = (backend_response_t){ 0 };
@@ -312,22 +328,35 @@
   finish_ended_calls (client);
 }
 
-size_t
-backend_http_large_bytes (const backend_http_t *client)
-{
-  return client->large_bytes;
-}
-
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
   return client->due_at;
 }
 
+/* Let the calls that wait for room in the budget try again.  */
+static void
+resume_paused_calls (backend_http_t *client)
+{
+  if (client->n_releases == client->options.budget->n_releases)
+    return;
+  client->n_releases = client->options.budget->n_releases;
+  LIST_FOREACH (link, &client->calls)
+  {
+    backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
+    if (call->is_paused)
+      {
+        call->is_paused = false;
+        curl_easy_pause (call->easy, CURLPAUSE_CONT);
+      }
+  }
+}
+
 void
 backend_http_tick (backend_http_t *client, usec_t now)
 {
   int running = 0;
+  resume_paused_calls (client);
   if (now < client->due_at)
     return;
   client->due_at = INT64_MAX;
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -25,6 +25,7 @@
 {
   poller_t *poller;
   const char *own_address; /* source address of the connections */
+  body_budget_t *budget;   /* for the bodies of responses */
   void *closure;
   /* The call that was started for OWNER has ended, and its backend_call_t is
      freed.  The callee may move RESPONSE's contents out, setting it to zero;
@@ -63,13 +64,11 @@
 void backend_http_socket_ready (backend_http_t *client, watch_t *watch,
                                 unsigned int ready);
 
-/* The buffers of bodies larger than SMALL_BODY_BYTES, in bytes.  */
-size_t backend_http_large_bytes (const backend_http_t *client);
-
 /* The monotonic time at which backend_http_tick has to be called next;
    INT64_MAX if there is none.  */
 usec_t backend_http_due_at (const backend_http_t *client);
-/* Handle libcurl's timeouts that are due at NOW.  */
+/* Handle libcurl's timeouts that are due at NOW, and read on responses that
+   waited for room in the budget.  To be called often.  */
 void backend_http_tick (backend_http_t *client, usec_t now);
 
 #endif
--- a/src/router/body_budget.h
+++ b/src/router/body_budget.h
@@ -20,22 +20,22 @@
 /* Of bodies above SMALL_BODY_BYTES: how long they keep their memory.  */
 typedef enum
 {
-  BODY_CERTAIN,  /* until it is sent: the whole body has its memory */
-  BODY_GROWING,  /* its length is unknown; it may need more to be complete */
+  BODY_CERTAIN, /* until it is sent: the whole body has its memory */
+  BODY_GROWING, /* its length is unknown; it may need more to be complete */
 } body_kind_t;
 
 typedef struct body_budget
 {
-  size_t max;           /* bytes of all bodies */
-  size_t used;          /* bytes of all bodies */
-  size_t large;         /* bytes of the large ones */
-  size_t growing;       /* bytes of the large ones of kind BODY_GROWING */
-  uint64_t n_releases;  /* changes when there may be more room */
+  size_t max;          /* bytes of all bodies */
+  size_t used;         /* bytes of all bodies */
+  size_t large;        /* bytes of the large ones */
+  size_t growing;      /* bytes of the large ones of kind BODY_GROWING */
+  uint64_t n_releases; /* changes when there may be more room */
 } body_budget_t;
 
-/* Change the size of a body from BEFORE to AFTER bytes; 0: none.  Returns false,
-   and changes nothing, if AFTER is greater and the budget does not allow
-   it.  */
+/* Change the size of a body from BEFORE to AFTER bytes; 0: none.  Returns
+   false, and changes nothing, if AFTER is greater and the budget does not
+   allow it.  */
 bool body_budget_resize (body_budget_t *budget, body_kind_t kind,
                          size_t before, size_t after);
 
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -17,7 +17,6 @@
   CONNECTIONS_MAX = 3000,
   CONNECTION_MEMORY_BYTES = 40 * 1024, /* must hold a request's headers */
   BODY_BYTES_MAX = 16 * 1024 * 1024,
-  HELD_BYTES_MAX = 48 * 1024 * 1024, /* sum over the bodies of all requests */
   RETRY_AFTER_BYTES = 32,
 };
 
@@ -31,7 +30,6 @@
   watch_t watch; /* of the daemon's epoll descriptor */
   bool keep_alive_disabled;
   bool has_resumed; /* connections, which MHD_run has to process */
-  size_t held_body_bytes;
 };
 
 const char *
@@ -151,7 +149,8 @@
       refuse (exchange, REASON_TOO_LARGE);
       return;
     }
-  if (port->held_body_bytes + length > HELD_BYTES_MAX)
+  if (!body_budget_resize (port->options.budget, BODY_CERTAIN,
+                           exchange->body_bytes, needed))
     {
       refuse (exchange, REASON_MEMORY);
       return;
@@ -162,7 +161,6 @@
   exchange->body = grown;
   memcpy (exchange->body + exchange->body_bytes, data, length);
   exchange->body_bytes = needed;
-  port->held_body_bytes += length;
 }
 
 /* --- Responding --------------------------------------------------------- */
@@ -332,7 +330,8 @@
   *context = NULL;
   if (exchange->is_dispatched && !exchange->is_finished)
     port->options.caller_gone (port->options.closure, exchange);
-  port->held_body_bytes -= exchange->body_bytes;
+  body_budget_resize (port->options.budget, BODY_CERTAIN, exchange->body_bytes,
+                      0);
   backend_response_clear (&exchange->response);
   fleet_snapshot_unref (exchange->snapshot);
   free (exchange->target);
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -18,6 +18,7 @@
 {
   poller_t *poller;
   inet_t address;
+  body_budget_t *budget; /* for the bodies of requests */
   void *closure;
   /* EXCHANGE's request was received completely.  The callee finishes EXCHANGE
      by caller_http_finish, during this call or later.  */
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -25,6 +25,8 @@
 /* Retry-After while there is no settled snapshot: a router that has just
    started usually has one by then.  */
 #define START_RETRY_AFTER (400 * USEC_PER_MSEC)
+/* Retry-After while no memory is left for bodies.  */
+#define MEMORY_RETRY_AFTER USEC_PER_SEC
 
 static void
 read_affinity_key (exchange_t *exchange)
@@ -72,6 +74,12 @@
       dispatcher_finish (dispatcher, exchange, REASON_STOPPING);
       return;
     }
+  if (body_budget_is_full (dispatcher->options.budget))
+    {
+      exchange->retry_after = MEMORY_RETRY_AFTER;
+      dispatcher_finish (dispatcher, exchange, REASON_MEMORY);
+      return;
+    }
   const route_config_t *config = exchange->snapshot->config;
   if (!config || !director_sync_is_settled (dispatcher->options.sync, now))
     {
@@ -237,6 +245,7 @@
   const backend_http_options_t backends
       = { .poller = options->poller,
           .own_address = options->settings->address,
+          .budget = options->budget,
           .closure = dispatcher,
           .done = on_call_ended };
   dispatcher->backends = backend_http_new (&backends);
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -18,6 +18,7 @@
   poller_t *poller;
   director_sync_t *sync;
   router_metrics_t *metrics;
+  body_budget_t *budget;
   uint64_t seed; /* of the random choices between backend servers */
 } dispatcher_options_t;
 
--- a/src/router/main_router.c
+++ b/src/router/main_router.c
@@ -3,6 +3,7 @@
 
 #include <argp.h>
 #include <curl/curl.h>
+#include <malloc.h>
 #include <stdlib.h>
 
 #include "base/log.h"
@@ -11,6 +12,13 @@
 #include "wire/metrics_page.h"
 #include "wire/rpc_metrics.h"
 
+enum
+{
+  /* Larger blocks go back to the system when they are freed.  Without a fixed
+     limit, malloc raises it with the size of the bodies.  */
+  MMAP_THRESHOLD_BYTES = 128 * 1024,
+};
+
 const char *argp_program_version = "mulberry-router " MULBERRY_VERSION;
 
 static const char doc[] = "Forwards callers' requests to backend servers.  On "
@@ -75,6 +83,7 @@
 int
 main (int argc, char **argv)
 {
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   fleet_program_t program;
   int exit_code = 0;
   if (!fleet_program_start (&program, "mulberry-router", doc, argc, argv,
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -14,6 +14,7 @@
   LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
   COLD_MSEC_MAX = 3600 * 1000,
   REST_SECONDS_MAX = 24 * 3600,
+  BODY_ROOM_MIN = 2048, /* bytes */
 };
 
 void
@@ -22,33 +23,45 @@
   for (size_t i = 0; i < response->n_headers; i++)
     free (response->headers[i].name);
   free (response->body);
+  if (response->held_bytes > 0)
+    body_budget_resize (response->budget, response->held_kind,
+                        response->held_bytes, 0);
   *response = (backend_response_t){ 0 };
 }
 
-/* The part of a buffer of CAPACITY bytes that counts as large.  */
-static size_t
-large_part (size_t capacity)
+/* Give the body a buffer of CAPACITY bytes.  False if the budget does not
+   allow that, or memory is short.  */
+static bool
+resize_body (response_reader_t *reader, body_kind_t kind, size_t capacity)
 {
-  return capacity > SMALL_BODY_BYTES ? capacity : 0;
+  backend_response_t *response = &reader->response;
+  size_t before = response->held_bytes;
+  if (!body_budget_resize (reader->budget, kind, before, capacity))
+    return false;
+  char *resized = realloc (response->body, capacity);
+  if (!resized)
+    {
+      body_budget_resize (reader->budget, kind, capacity, before);
+      return false;
+    }
+  response->body = resized;
+  response->held_bytes = capacity;
+  response->held_kind = kind;
+  response->budget = reader->budget;
+  return true;
 }
 
-/* Give the body a buffer of CAPACITY bytes.  False if the buffers of all calls
-   would become too large, or memory is short.  */
+/* Make room for a body of NEEDED bytes: at once for all of it if its length is
+   known.  */
 static bool
-resize_body (response_reader_t *reader, size_t capacity)
+grow_body (response_reader_t *reader, size_t needed)
 {
-  size_t large_bytes = *reader->large_bytes
-                       - large_part (reader->body_capacity)
-                       + large_part (capacity);
-  if (large_part (capacity) > 0 && large_bytes > RESPONSES_BYTES_MAX)
-    return false;
-  char *grown = realloc (reader->response.body, capacity);
-  if (!grown)
-    return false;
-  reader->response.body = grown;
-  reader->body_capacity = capacity;
-  *reader->large_bytes = large_bytes;
-  return true;
+  if (needed <= reader->response.held_bytes)
+    return true;
+  if (reader->length >= needed)
+    return resize_body (reader, BODY_CERTAIN, reader->length);
+  size_t room = needed < BODY_ROOM_MIN ? BODY_ROOM_MIN : 2 * needed;
+  return resize_body (reader, BODY_GROWING, room);
 }
 
 static void
@@ -60,7 +73,7 @@
              LOG_U ("body_bytes", reader->response.body_bytes));
 }
 
-bool
+body_result_t
 response_reader_body (response_reader_t *reader, const char *data,
                       size_t length)
 {
@@ -69,22 +82,35 @@
   if (needed > SMALL_BODY_BYTES && reader->id[0] && !response->id_matches)
     {
       log_cut_off (reader, "it is not the answer to this request");
-      return false;
+      return BODY_REJECTED;
     }
-  if (needed > RESPONSE_BYTES_MAX)
+  if (needed > RESPONSE_BYTES_MAX || reader->length > RESPONSE_BYTES_MAX)
     {
       log_cut_off (reader, "the body is too long");
-      return false;
+      return BODY_REJECTED;
     }
-  size_t room = needed < 2048 ? 2048 : 2 * needed;
-  if (needed > reader->body_capacity && !resize_body (reader, room))
+  if (!grow_body (reader, needed))
     {
+      if (body_budget_will_free (reader->budget))
+        return BODY_MUST_WAIT;
       log_cut_off (reader, "no memory is left for large bodies");
-      return false;
+      return BODY_REJECTED;
     }
   memcpy (response->body + response->body_bytes, data, length);
   response->body_bytes = needed;
-  return true;
+  return BODY_READ;
+}
+
+void
+response_reader_finish (response_reader_t *reader)
+{
+  backend_response_t *response = &reader->response;
+  if (response->held_bytes == 0 || response->held_kind == BODY_CERTAIN)
+    return;
+  if (response->body_bytes < response->held_bytes)
+    resize_body (reader, BODY_GROWING, response->body_bytes);
+  body_budget_complete (reader->budget, response->held_bytes);
+  response->held_kind = BODY_CERTAIN;
 }
 
 /* Hop-by-hop headers are not forwarded, nor Content-Length, which is generated
@@ -182,6 +208,8 @@
     parse_leaving (&reader->leaving, value);
   else if (strcasecmp (name, "Retry-After") == 0)
     parse_retry_after (&reader->retry_after, value);
+  else if (strcasecmp (name, "Content-Length") == 0)
+    number_parse_unsigned (&reader->length, value, SIZE_MAX);
   else if (strcasecmp (name, HEADER_STAMP) == 0)
     response->is_signed = true;
   else if (strcasecmp (name, "Content-Encoding") == 0)
@@ -192,21 +220,14 @@
     parse_cold_left (value, &response->cold_remaining);
 }
 
-void
-response_reader_release (response_reader_t *reader)
-{
-  *reader->large_bytes -= large_part (reader->body_capacity);
-  reader->body_capacity = 0;
-}
-
 /* Discard the headers of an informational response, which comes before the
    final one.  */
 static void
 reset_response (response_reader_t *reader)
 {
   backend_response_clear (&reader->response);
-  response_reader_release (reader);
   reader->has_id = false;
+  reader->length = 0;
   reader->leaving = (notice_field_t){ 0 };
   reader->retry_after = (notice_field_t){ 0 };
 }
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 
 #include "balance/backend_pool.h"
+#include "router/body_budget.h"
 #include "wire/answer_head.h"
 
 enum
@@ -17,9 +18,6 @@
   RESPONSE_HEADERS_MAX = 128,
   RESPONSE_HEAD_BYTES_MAX = 64 * 1024, /* with informational responses */
   RESPONSE_BYTES_MAX = 16 * 1024 * 1024,
-  /* Buffers of all bodies together that are larger than SMALL_BODY_BYTES.  */
-  RESPONSES_BYTES_MAX = 32 * 1024 * 1024,
-  SMALL_BODY_BYTES = 64 * 1024,
   RESPONSE_ID_BYTES = 128, /* of a request id */
 };
 
@@ -54,7 +52,10 @@
   response_header_t headers[RESPONSE_HEADERS_MAX]; /* to be forwarded */
   char *body; /* allocated with malloc; NULL if it is empty */
   size_t body_bytes;
-  const char *error; /* libcurl's text for the result */
+  size_t held_bytes;     /* of BUDGET; the size of the body's buffer */
+  body_kind_t held_kind; /* valid if held_bytes is not 0 */
+  body_budget_t *budget; /* borrowed; NULL: held_bytes is 0 */
+  const char *error;     /* libcurl's text for the result */
 } backend_response_t;
 
 /* Free what RESPONSE holds and set it to zero.  */
@@ -69,17 +70,17 @@
   usec_t value;
 } notice_field_t;
 
-/* Zero at first, but for `id` and `large_bytes`.  */
+/* Zero at first, but for `id` and `budget`.  */
 typedef struct response_reader
 {
   char id[RESPONSE_ID_BYTES]; /* of the request; "" for a health check */
-  size_t *large_bytes; /* buffers above SMALL_BODY_BYTES, of all readers */
-  size_t head_bytes;   /* received, with informational responses */
+  body_budget_t *budget;
+  size_t head_bytes; /* received, with informational responses */
   answer_head_t head;
   bool has_id; /* the response has a request id */
   notice_field_t leaving;
   notice_field_t retry_after;
-  size_t body_capacity;
+  uint64_t length; /* of the body; 0: not known */
   backend_response_t response;
 } response_reader_t;
 
@@ -88,16 +89,22 @@
 bool response_reader_head (response_reader_t *reader, const char *data,
                            size_t length);
 
-/* Read the next LENGTH bytes of the body.  Returns false if the call has to
-   end.  */
-bool response_reader_body (response_reader_t *reader, const char *data,
-                           size_t length);
+typedef enum
+{
+  BODY_READ,
+  BODY_MUST_WAIT, /* for room in the budget; nothing was read */
+  BODY_REJECTED,  /* the call has to end */
+} body_result_t;
+
+/* Read the next LENGTH bytes of the body.  */
+body_result_t response_reader_body (response_reader_t *reader,
+                                    const char *data, size_t length);
 
 /* Whether the response belongs to another request.  What follows it on its
    connection can't be told apart either, so that is not to be used again.  */
 bool response_reader_is_foreign (const response_reader_t *reader);
 
-/* Give back the body's part of `large_bytes`.  The body itself stays.  */
-void response_reader_release (response_reader_t *reader);
+/* The response has ended: keep no more memory than its body needs.  */
+void response_reader_finish (response_reader_t *reader);
 
 #endif
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -20,6 +20,7 @@
   traffic_thread_options_t options;
   const fleet_settings_t *settings; /* in force; acquired from the feed */
   poller_t *poller;
+  body_budget_t budget; /* of all bodies; its max follows SETTINGS */
   director_sync_t *sync;
   router_metrics_t *metrics;
   dispatcher_t *dispatcher;
@@ -138,6 +139,7 @@
   dispatcher_set_settings (thread->dispatcher, newer);
   settings_feed_release (feed, thread->settings);
   thread->settings = newer;
+  thread->budget.max = newer->body_memory;
 }
 
 static void *
@@ -174,6 +176,7 @@
   const fleet_settings_t *settings = thread->settings;
   const caller_http_options_t port = { .poller = thread->poller,
                                        .address = settings->requests,
+                                       .budget = &thread->budget,
                                        .closure = thread,
                                        .request_received = on_request,
                                        .caller_gone = on_gone };
@@ -213,6 +216,7 @@
                                             .poller = thread->poller,
                                             .sync = thread->sync,
                                             .metrics = thread->metrics,
+                                            .budget = &thread->budget,
                                             .seed = options->incarnation };
   thread->dispatcher = dispatcher_new (&dispatcher);
 }
@@ -240,6 +244,7 @@
     abort ();
   thread->options = *options;
   thread->settings = settings_feed_acquire (options->feed);
+  thread->budget.max = thread->settings->body_memory;
   thread->wakeup.fd = -1;
   if (open_components (thread, err))
     return thread;
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -46,6 +46,12 @@
              settings.backend_list_rate),
   TOP_FIELD ("backend_list_lag", YAML_FIELD_DURATION, false,
              settings.backend_list_lag),
+  { .key = "body_memory_mb",
+    .kind = YAML_FIELD_U64,
+    .offset = offsetof (document_t, settings.body_memory),
+    .min = 8,
+    .max = 1e6,
+    .scale = 1024 * 1024 },
   TOP_FIELD ("failure_domains", YAML_FIELD_NODE, true, domains),
   TOP_FIELD ("seeds", YAML_FIELD_NODE, true, seeds),
   TOP_FIELD ("bounds", YAML_FIELD_NODE, true, bounds),
@@ -160,6 +166,7 @@
   document_t document;
   memset (&document, 0, sizeof document);
   document.settings.backend_list_lag = FLEET_LIST_LAG_DEFAULT;
+  document.settings.body_memory = FLEET_BODY_MEMORY_DEFAULT;
   bool ok = read_document (&reader, &document, err);
   yaml_reader_close (&reader);
   if (!ok)
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -25,6 +25,9 @@
 
 /* backend_list_lag where the settings don't give it.  */
 #define FLEET_LIST_LAG_DEFAULT (1 * USEC_PER_SEC)
+/* body_memory where the settings don't give it, in bytes; it leaves room for
+   the rest of a router on a VM with 160 MB.  */
+#define FLEET_BODY_MEMORY_DEFAULT (64ul * 1024 * 1024)
 
 typedef struct fleet_domain
 {
@@ -67,6 +70,8 @@
   inet_t backend_list;      /* the service that lists the backend servers */
   double backend_list_rate; /* calls per second to it, of all VMs together */
   usec_t backend_list_lag;  /* longest delay until it shows a change */
+  uint64_t body_memory;     /* routers: bytes for the bodies of requests and
+                               responses, all together */
   size_t n_domains;
   fleet_domain_t domains[FLEET_DOMAINS_MAX];
   size_t n_seeds;
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -21,6 +21,10 @@
   CHUNK_BYTES = 16 * 1024,
   ENDLESS_BODIES = 8,
   GOOD_BYTES = 40 * 1024,
+  BUDGET_BYTES = 32 * 1024 * 1024,
+  SIZED_BYTES = 8 * 1024 * 1024,
+  SIZED_BODIES = 6,
+  SIZED_FITTING = 3, /* in the part of the budget for large bodies */
 };
 
 #define CALL_TIMEOUT (20 * USEC_PER_SEC)
@@ -35,8 +39,12 @@
   gint n_reset; /* those whose connection the client has reset; atomic */
   poller_t *poller;
   backend_http_t *client;
+  body_budget_t budget;
   size_t n_ended;
   size_t n_complete;
+  bool keeps; /* the responses, as callers who read slowly */
+  size_t n_kept;
+  backend_response_t kept[SIZED_BODIES];
   answer_facts_t last; /* of the call that ended last */
   backend_load_t last_load;
   usec_t last_cold_remaining;
@@ -98,6 +106,18 @@
     ;
 }
 
+static void
+answer_with_length (const connection_t *connection)
+{
+  g_autofree char *body = g_strnfill (SIZED_BYTES, 'x');
+  g_autofree char *head
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
+                         "Content-Length: %d\r\n\r\n",
+                         SIZED_BYTES);
+  write_text (connection, head);
+  write_text (connection, body);
+}
+
 static void
 repeat (const connection_t *connection, const char *first, const char *text)
 {
@@ -291,6 +311,8 @@
                 "0000000000");
       else if (strstr (request, "/other"))
         answer_endlessly (connection, "id-2");
+      else if (strstr (request, "/sized"))
+        answer_with_length (connection);
       else if (strstr (request, "/body"))
         answer_endlessly (connection, "id-1");
       else
@@ -340,6 +362,12 @@
   fixture->last_rest = response->rest;
   fixture->last_n_invalid = response->n_invalid_notices;
   fixture->n_complete += response->is_complete;
+  if (fixture->keeps)
+    {
+      fixture->kept[fixture->n_kept++] = *response;
+      *response = (backend_response_t){ 0 };
+      return;
+    }
   if (response->is_complete && response->body_bytes > 2)
     g_assert_cmpuint (response->body_bytes, ==, GOOD_BYTES);
 }
@@ -347,11 +375,12 @@
 static void
 fixture_open (fixture_t *fixture)
 {
-  *fixture = (fixture_t){ 0 };
+  *fixture = (fixture_t){ .budget = { .max = BUDGET_BYTES } };
   fixture->listener = loopback_listen (&fixture->address);
   fixture->poller = poller_new (NULL);
   const backend_http_options_t options = { .poller = fixture->poller,
                                            .own_address = "127.0.0.1",
+                                           .budget = &fixture->budget,
                                            .closure = fixture,
                                            .done = on_done };
   fixture->client = backend_http_new (&options);
@@ -413,8 +442,7 @@
       if (poller_wait (fixture->poller, 10 * USEC_PER_MSEC, &event))
         backend_http_socket_ready (fixture->client, event.watch, event.ready);
       backend_http_tick (fixture->client, clock_monotonic ());
-      g_assert_cmpuint (backend_http_large_bytes (fixture->client), <=,
-                        RESPONSES_BYTES_MAX);
+      g_assert_cmpuint (fixture->budget.used, <=, BUDGET_BYTES);
     }
 }
 
@@ -461,7 +489,8 @@
     }
   run_until_ended (&fixture, 2 * ENDLESS_BODIES);
   g_assert_cmpuint (fixture.n_complete, ==, ENDLESS_BODIES);
-  g_assert_cmpuint (backend_http_large_bytes (fixture.client), ==, 0);
+  g_assert_cmpuint (fixture.budget.used, ==, 0);
+  g_assert_cmpuint (fixture.budget.growing, ==, 0);
   fixture_close (&fixture);
 }
 
@@ -484,6 +513,53 @@
     }
 }
 
+/* Runs the client for SPAN.  */
+static void
+run_for (fixture_t *fixture, usec_t span)
+{
+  usec_t end = clock_monotonic () + span;
+  while (clock_monotonic () < end)
+    {
+      poller_event_t event;
+      if (poller_wait (fixture->poller, 10 * USEC_PER_MSEC, &event))
+        backend_http_socket_ready (fixture->client, event.watch, event.ready);
+      backend_http_tick (fixture->client, clock_monotonic ());
+      g_assert_cmpuint (fixture->budget.used, <=, BUDGET_BYTES);
+    }
+}
+
+/* Guards against a router whose memory fills with answers that slow callers
+   read: those that don't fit wait at their backend servers, small ones go on,
+   and each arrives whole as soon as others are gone.  */
+static void
+test_answers_wait_for_memory (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  fixture.keeps = true;
+  for (int i = 0; i < SIZED_BODIES; i++)
+    start_call (&fixture, "/sized");
+  run_until_ended (&fixture, SIZED_FITTING);
+  run_for (&fixture, 4 * PAUSE);
+  g_assert_cmpuint (fixture.n_ended, ==, SIZED_FITTING);
+  fixture.keeps = false;
+  start_call (&fixture, "/good");
+  run_until_ended (&fixture, SIZED_FITTING + 1);
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_FITTING + 1);
+  fixture.keeps = true;
+  for (size_t i = 0; i < SIZED_FITTING; i++)
+    backend_response_clear (&fixture.kept[i]);
+  run_until_ended (&fixture, SIZED_BODIES + 1);
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_BODIES + 1);
+  for (size_t i = SIZED_FITTING; i < SIZED_BODIES; i++)
+    {
+      g_assert_cmpuint (fixture.kept[i].body_bytes, ==, SIZED_BYTES);
+      backend_response_clear (&fixture.kept[i]);
+    }
+  g_assert_cmpuint (fixture.budget.used, ==, 0);
+  fixture_close (&fixture);
+}
+
 static void
 run_until_held (fixture_t *fixture, gint n)
 {
@@ -626,6 +702,7 @@
   g_test_add_func ("/backend-http/trailer", test_trailer);
   g_test_add_func ("/backend-http/numbers", test_numbers);
   g_test_add_func ("/backend-http/notices", test_notices);
+  g_test_add_func ("/backend-http/answers-wait", test_answers_wait_for_memory);
   g_test_add_func ("/backend-http/given-up", test_given_up_is_reset);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
--- /dev/null
+++ b/test/unit/test_router_body_budget.c
@@ -0,0 +1,72 @@
+/* The memory for bodies: guards against large bodies that take the room of all
+   others, and against waiting for room that never comes.  */
+
+#include <glib.h>
+
+#include "router/body_budget.h"
+
+enum
+{
+  MAX_BYTES = 1024 * 1024,
+  LARGE_MAX = MAX_BYTES / 4 * 3,
+};
+
+static void
+test_large_leave_room (void)
+{
+  body_budget_t budget = { .max = MAX_BYTES };
+  g_assert_true (body_budget_resize (&budget, BODY_CERTAIN, 0, LARGE_MAX));
+  g_assert_false (
+      body_budget_resize (&budget, BODY_CERTAIN, 0, SMALL_BODY_BYTES + 1));
+  g_assert_false (body_budget_is_full (&budget));
+  size_t n = 0;
+  while (body_budget_resize (&budget, BODY_CERTAIN, 0, SMALL_BODY_BYTES))
+    n++;
+  g_assert_cmpuint (n, ==, (MAX_BYTES - LARGE_MAX) / SMALL_BODY_BYTES);
+  g_assert_true (body_budget_is_full (&budget));
+  g_assert_cmpuint (budget.used, ==, MAX_BYTES);
+}
+
+/* A body that has grown from small to large counts as a whole.  */
+static void
+test_growing (void)
+{
+  body_budget_t budget = { .max = MAX_BYTES };
+  g_assert_true (
+      body_budget_resize (&budget, BODY_GROWING, 0, SMALL_BODY_BYTES));
+  g_assert_true (body_budget_resize (&budget, BODY_GROWING, SMALL_BODY_BYTES,
+                                     2 * SMALL_BODY_BYTES));
+  g_assert_cmpuint (budget.large, ==, 2 * SMALL_BODY_BYTES);
+  g_assert_false (body_budget_will_free (&budget));
+  g_assert_false (body_budget_resize (&budget, BODY_GROWING,
+                                      2 * SMALL_BODY_BYTES, LARGE_MAX + 1));
+  g_assert_cmpuint (budget.used, ==, 2 * SMALL_BODY_BYTES);
+  uint64_t n_releases = budget.n_releases;
+  body_budget_complete (&budget, 2 * SMALL_BODY_BYTES);
+  g_assert_true (body_budget_will_free (&budget));
+  g_assert_true (
+      body_budget_resize (&budget, BODY_CERTAIN, 2 * SMALL_BODY_BYTES, 0));
+  g_assert_cmpuint (budget.n_releases, ==, n_releases + 2);
+  g_assert_cmpuint (budget.used + budget.large + budget.growing, ==, 0);
+}
+
+/* Sizes that a backend server claims must not wrap around.  */
+static void
+test_huge (void)
+{
+  body_budget_t budget = { .max = MAX_BYTES };
+  g_assert_false (body_budget_resize (&budget, BODY_CERTAIN, 0, SIZE_MAX));
+  g_assert_true (body_budget_resize (&budget, BODY_CERTAIN, 0, 10));
+  g_assert_false (body_budget_resize (&budget, BODY_CERTAIN, 0, SIZE_MAX));
+  g_assert_cmpuint (budget.used, ==, 10);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/body-budget/large", test_large_leave_room);
+  g_test_add_func ("/body-budget/growing", test_growing);
+  g_test_add_func ("/body-budget/huge", test_huge);
+  return g_test_run ();
+}
