test(soak): backend servers leave and want rests; routers keep to it

The soak's faults hold both notices at random, and its checks the two new rules by each router's own log.

--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -7,8 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "backend_list_codec.h"
-#include "config_codec.h"
+#include "../../platform/backend_list_codec.h"
+#include "../../platform/config_codec.h"
 #include "fleet/backend_list.h"
 #include "routing/route_config.h"
 
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -6,14 +6,16 @@
 # Faults: processes are killed, paused, stopped and started, one or all; folders
 # are wiped; a relay before the backend servers and one before the routers resets,
 # delays, silences or swallows one way; disks are slow or full; times of day jump;
-# settings change, with a signal and without; backend servers drain; old
-# configurations are delivered again.
+# settings change, with a signal and without; backend servers drain, leave or want
+# a rest; old configurations are delivered again.
 #
 # Checked while it runs and after it, from what callers and backend servers see:
 #   - a request that may run once ran at most once, and once where it has an answer;
 #   - an answer is the answer to its own request;
 #   - a request that was told "not run" (503) did not run;
-#   - a draining backend server gets nothing new after 3 s;
+#   - a draining backend server gets nothing new after 3 s, nor one that told the
+#     router that it leaves; one that asked the router for a rest gets at most two
+#     requests until its end;
 #   - no director tells a configuration older than one that was acknowledged, nor
 #     a router follows one;
 #   - when the faults end, every router serves the newest configuration.
@@ -117,7 +119,7 @@
   local victim
   victim=$(between 1 3)
   FIRST_START=false
-  case $(between 1 18) in
+  case $(between 1 20) in
     1) kill_one KILL "director-$victim"; start_vm director "$victim" ;;
     2) kill_one KILL "router-$victim"; start_vm router "$victim" ;;
     3) kill -STOP "${PIDS[director-$victim]}"; thaw_later 1.5 "${PIDS[director-$victim]}" ;;
@@ -135,11 +137,15 @@
     13) for_a_while 1 "$FOLDER/relay-callers" "$([ "$victim" = 1 ] && echo cut || echo drop-to)" ;;
     14) for_a_while 2 "$FOLDER/fault-director-$victim" slow "$(between 50 400)" ;;
     15) for_a_while 1.5 "$FOLDER/fault-director-$victim" full ;;
-    16) for_a_while 3 "$FOLDER/fault-$([ "$victim" = 1 ] && echo router || echo director)-$victim" step "$(($(between 0 1) * 10000 - 5000))" ;;
+    16) [ "$victim" = 1 ] && echo stepped >"$FOLDER/stepped-router-$victim"
+        for_a_while 3 "$FOLDER/fault-$([ "$victim" = 1 ] && echo router || echo director)-$victim" step "$(($(between 0 1) * 10000 - 5000))" ;;
     17) for i in 1 2 3; do for_a_while 2 "$FOLDER/fault-director-$i" slow 300; done
         kill_all ;;
     18) LOOKUP_AGE=$(between 2 5)s write_settings "$([ "$victim" = 1 ] && echo router || echo director)" "$victim"
         put 1 || true ;; # older than all
+    19) echo "${DOMAINS[2]}-1" >"$FOLDER/leaving" ;;
+    20) echo "${DOMAINS[1]}-1" >"$FOLDER/resting"
+        (sleep 1.5; rm -f "$FOLDER/resting") & ;;
   esac
 }
 
@@ -195,6 +201,27 @@
     }' "$FOLDER/router-$i.log" || soak_fail "router $i went back"
 done
 
+# What backend servers say of themselves, and where a router sends after it; the
+# times of a router whose clock was stepped don't tell.
+for i in 1 2 3; do
+  grep -q '' "$FOLDER/stepped-router-$i" 2>/dev/null && continue
+  awk -v slack="$DRAIN_SLACK" '
+    function field(name, found) {
+      found = match($0, " " name "=[^ ]*") ? substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) : ""
+      return found
+    }
+    { split(substr($1, 17), t, /[:Z]/); now = 1000 * (3600 * t[1] + 60 * t[2] + t[3]) }
+    /event=started/ { delete leaving; delete rest; delete until }
+    /event=backend_leaving/ { leaving[field("backend")] = now }
+    /event=backend_resting/ { b = field("backend"); rest[b] = now; until[b] = now + field("rest_ms"); n[b] = 0 }
+    /event=request_sent/ {
+      b = field("backend")
+      if (b in leaving && now > leaving[b] + 3000 + slack) { print "sent to " b " after it said that it leaves: " field("id"); bad = 1 }
+      if (b in rest && now > rest[b] + 500 && now < until[b] && ++n[b] > 2) { print "sent to " b " during its rest: " field("id"); bad = 1 }
+    }
+    END { exit bad }' "$FOLDER/router-$i.log" || soak_fail "router $i did not keep to what a backend server said"
+done
+
 cat "$FOLDER"/told-* >"$FOLDER/told"
 awk -v seed="$SEED" -v slack="$DRAIN_SLACK" '
   FILENAME ~ /drained$/ { leaves[$1] = $2 + 3000 + slack; next }
