--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -12,13 +12,9 @@
 #include "fleet/crash_wire.h"
 #include "fleet/fleet_wire.h"
 #include "fleet/list_update.h"
+#include "router/director_choice.h"
 #include "routing/route_config.h"
 
-enum
-{
-  DIRECTORS_MAX = FLEET_DIRECTORS_MAX + FLEET_SEEDS_MAX,
-};
-
 /* Timeout of a pull.  A director in another region answers within 50 ms; one
    that waits for its disk or for an election takes longer.  */
 #define PULL_TIMEOUT (700 * USEC_PER_MSEC)
@@ -40,26 +36,12 @@
    joins or leaves changes it for all the others.  */
 #define ROUTERS_INTERVAL USEC_PER_SEC
 
-/* A director that failed or was stale is not asked again for this long, if
-   there are others.  */
-#define AVOID_TIME (3 * USEC_PER_SEC)
-
-/* A director that pulls can be sent to.  */
-typedef struct known_director
-{
-  uint32_t address;
-  usec_t round_trip; /* the shortest one; 0: none measured */
-  usec_t avoid_until;
-} known_director_t;
-
 struct director_sync
 {
   director_sync_options_t options;
   usec_t started_at;
   pthread_mutex_t lock; /* guards all members below */
-  size_t n_directors;
-  known_director_t directors[DIRECTORS_MAX];
-  size_t last_director; /* index of the last pull's director */
+  director_choice_t directors;
   usec_t pull_sent_at;
   bool is_pulling;
   usec_t next_pull_at;
@@ -79,61 +61,6 @@
   bool is_confirmed;
 };
 
-/* --- Directors ---------------------------------------------------------- */
-
-static bool
-knows_director (const director_sync_t *sync, uint32_t address)
-{
-  for (size_t i = 0; i < sync->n_directors; i++)
-    if (sync->directors[i].address == address)
-      return true;
-  return false;
-}
-
-/* The index of the director to be replaced if there is no room for another: of
-   those that the last pull was not sent to, the one that failed last.  */
-static size_t
-find_replaceable_director (const director_sync_t *sync)
-{
-  size_t best = 0;
-  for (size_t i = 0; i < sync->n_directors; i++)
-    if (i != sync->last_director
-        && (best == sync->last_director
-            || sync->directors[i].avoid_until
-                   > sync->directors[best].avoid_until))
-      best = i;
-  return best;
-}
-
-static void
-add_director (director_sync_t *sync, uint32_t address)
-{
-  if (knows_director (sync, address))
-    return;
-  size_t at = sync->n_directors < DIRECTORS_MAX
-                  ? sync->n_directors++
-                  : find_replaceable_director (sync);
-  sync->directors[at] = (known_director_t){ .address = address };
-}
-
-size_t
-director_sync_first_seed (const char *own_address, size_t n_seeds)
-{
-  uint32_t address = 0;
-  inet_parse_address (&address, own_address);
-  return n_seeds > 0 ? address % n_seeds : 0;
-}
-
-static void
-add_seeds (director_sync_t *sync)
-{
-  const fleet_settings_t *settings = sync->options.settings;
-  size_t n = settings->n_seeds;
-  size_t first = director_sync_first_seed (settings->address, n);
-  for (size_t i = 0; i < n; i++)
-    add_director (sync, settings->seeds[(first + i) % n].address);
-}
-
 /* --- Opening and closing ------------------------------------------------ */
 
 director_sync_t *
@@ -146,7 +73,7 @@
   sync->started_at = clock_monotonic ();
   pthread_mutex_init (&sync->lock, NULL);
   sync->snapshot = fleet_snapshot_new ();
-  add_seeds (sync);
+  director_choice_add_seeds (&sync->directors, sync->options.settings);
   return sync;
 }
 
@@ -157,7 +84,7 @@
   pthread_mutex_lock (&sync->lock);
   sync->options.settings = settings;
   sync->routers_digest = 0; /* pull the list again: regions may differ */
-  add_seeds (sync);
+  director_choice_add_seeds (&sync->directors, sync->options.settings);
   pthread_mutex_unlock (&sync->lock);
 }
 
@@ -359,45 +286,7 @@
 add_directors (director_sync_t *sync, const fleet_pull_result_t *result)
 {
   for (u_int i = 0; i < result->directors.directors_len; i++)
-    add_director (sync, result->directors.directors_val[i]);
-}
-
-/* The index of the director for the next pull: the one with the shortest round
-   trip that is not avoided, where one not measured yet counts as shortest; if
-   all are avoided, the one whose avoidance ends first.  */
-static size_t
-choose_director (const director_sync_t *sync, usec_t now)
-{
-  size_t best = 0;
-  for (size_t i = 0; i < sync->n_directors; i++)
-    {
-      const known_director_t *director = &sync->directors[i];
-      const known_director_t *other = &sync->directors[best];
-      bool is_avoided = now < director->avoid_until;
-      bool other_avoided = now < other->avoid_until;
-      bool is_better = is_avoided != other_avoided ? other_avoided
-                       : is_avoided
-                           ? director->avoid_until < other->avoid_until
-                           : director->round_trip < other->round_trip;
-      if (is_better)
-        best = i;
-    }
-  return best;
-}
-
-static void
-avoid_director (director_sync_t *sync, usec_t now)
-{
-  sync->directors[sync->last_director].avoid_until = now + AVOID_TIME;
-}
-
-static void
-record_round_trip (director_sync_t *sync, usec_t now)
-{
-  known_director_t *director = &sync->directors[sync->last_director];
-  usec_t round_trip = now - sync->pull_sent_at;
-  if (director->round_trip == 0 || round_trip < director->round_trip)
-    director->round_trip = round_trip;
+    director_choice_add (&sync->directors, result->directors.directors_val[i]);
 }
 
 /* Returns whether RESULT shows that this router's list is unchanged at a
@@ -477,9 +366,9 @@
   add_directors (sync, result);
   bool is_fresh = result->confirmed_age >= 0
                   && result->confirmed_age < CONFIRMED_AGE_MAX;
-  record_round_trip (sync, now);
+  director_choice_answered (&sync->directors, now - sync->pull_sent_at);
   if (!is_fresh)
-    avoid_director (sync, now);
+    director_choice_avoid (&sync->directors, now);
   /* The state was the newest at a time after this process started.  */
   bool was_newest = result->confirmed_age >= 0
                     && now - result->confirmed_age >= sync->started_at;
@@ -520,7 +409,7 @@
     changed = apply_result (sync, &answer, now);
   else
     {
-      avoid_director (sync, now);
+      director_choice_avoid (&sync->directors, now);
       sync->next_pull_at = now + DIRECTOR_SYNC_INTERVAL / 4;
     }
   pthread_mutex_unlock (&sync->lock);
@@ -587,7 +476,7 @@
   const fleet_settings_t *settings = sync->options.settings;
   pthread_mutex_lock (&sync->lock);
   bool is_due = !sync->is_pulling && now >= sync->next_pull_at
-                && sync->n_directors > 0;
+                && sync->directors.n_directors > 0;
   router_record_t self = { .vm = settings->vm,
                            .domain = settings->domain,
                            .region = settings->region,
@@ -610,9 +499,8 @@
       sync->next_pull_at = now
                            + (sync->is_confirmed ? DIRECTOR_SYNC_INTERVAL
                                                  : START_PULL_INTERVAL);
-      sync->last_director = choose_director (sync, now);
       sync->pull_sent_at = now;
-      director = sync->directors[sync->last_director].address;
+      director = director_choice_next (&sync->directors, now);
       add_crashes (sync, director, &args, &crashes, now);
     }
   pthread_mutex_unlock (&sync->lock);
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -33,11 +33,6 @@
 
 #define DIRECTOR_SYNC_INTERVAL (400 * USEC_PER_MSEC)
 
-/* The index of the seed that the router at OWN_ADDRESS asks first, of N_SEEDS.
-   Routers that start at once would otherwise all ask the same director for the
-   whole list.  */
-size_t director_sync_first_seed (const char *own_address, size_t n_seeds);
-
 director_sync_t *director_sync_new (const director_sync_options_t *options);
 /* To be called after rpc_close, so that no pull is in flight.  */
 void director_sync_free (director_sync_t *sync);
