fix(fleet): a complete answer clears crashes, however soon after the last one

Reading the diff: an answer within half a second of the last one was taken for no news, also where a crash lay in between, which then stayed counted against an innocent request until the next answer. test_fleet_crash_table /answer-clears failed before ("crash_table_complete should be TRUE"). The dispatcher's functions that collect evidence of crashes are named so.

--- a/src/fleet/crash_table.c
+++ b/src/fleet/crash_table.c
@@ -157,6 +157,14 @@
   return n;
 }
 
+/* Whether a complete answer at AT tells more of SUSPECT than is known.  */
+static bool
+is_news (const suspect_t *suspect, usec_t at)
+{
+  bool clears = suspect->n_crashes > 0 && suspect->crashes[0].ended_at <= at;
+  return clears || at > suspect->completed_at + COMPLETION_TOLERANCE;
+}
+
 bool
 crash_table_complete (crash_table_t *table, fingerprint_t fingerprint,
                       usec_t at, bool adds)
@@ -164,7 +172,7 @@
   size_t position = adds ? find_or_add (table, fingerprint)
                          : find_position (table, fingerprint);
   if (position == table->n_suspects
-      || at <= table->suspects[position].completed_at + COMPLETION_TOLERANCE)
+      || !is_news (&table->suspects[position], at))
     return false;
   suspect_t *suspect = mark_changed (table, position);
   suspect->completed_at = at;
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -196,7 +196,7 @@
                                  .routers = snapshot->routers,
                                  .n_routers = snapshot->n_routers };
   backend_pool_update (dispatcher->pool, &update, now);
-  dispatcher_note_list (dispatcher);
+  dispatcher_crash_evidence_of_list (dispatcher);
   dispatcher_serve_queue (dispatcher, now);
 }
 
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -152,9 +152,9 @@
 }
 
 void
-dispatcher_note_response (dispatcher_t *dispatcher, exchange_t *exchange,
-                          backend_result_t result,
-                          const backend_response_t *response, usec_t now)
+dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
+                           backend_result_t result,
+                           const backend_response_t *response, usec_t now)
 {
   backend_t *backend = exchange->backend;
   if (response->was_cut_off && !backend_is_leaving (backend))
@@ -175,8 +175,9 @@
 }
 
 void
-dispatcher_note_probe (dispatcher_t *dispatcher, const backend_t *backend,
-                       const backend_response_t *response)
+dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
+                                    const backend_t *backend,
+                                    const backend_response_t *response)
 {
   uint64_t boot = backend_record_boot (&backend->record);
   bool is_other = response->is_complete && response->backend_id[0]
@@ -214,7 +215,7 @@
 }
 
 void
-dispatcher_note_list (dispatcher_t *dispatcher)
+dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher)
 {
   const crash_t *crash;
   while ((crash = find_unlisted (dispatcher)))
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -100,26 +100,28 @@
                                     exchange_t *exchange);
 /* Record what RESPONSE, of class RESULT, shows of EXCHANGE's request and of
    its backend server.  */
-void dispatcher_note_response (dispatcher_t *dispatcher, exchange_t *exchange,
-                               backend_result_t result,
-                               const backend_response_t *response, usec_t now);
+void dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
+                                backend_result_t result,
+                                const backend_response_t *response,
+                                usec_t now);
 /* Record what RESPONSE to a health check shows of BACKEND.  */
-void dispatcher_note_probe (dispatcher_t *dispatcher, const backend_t *backend,
-                            const backend_response_t *response);
+void dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
+                                         const backend_t *backend,
+                                         const backend_response_t *response);
 /* Record which backend servers the new snapshot does not list any more.  */
-void dispatcher_note_list (dispatcher_t *dispatcher);
+void dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher);
 /* Forget old crashes when due.  */
 void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
 
 /* dispatcher_notices.c */
 /* Record what the backend server says of itself in RESPONSE, of class RESULT,
    to EXCHANGE.  */
-void dispatcher_note_notices (dispatcher_t *dispatcher,
+void dispatcher_read_notices (dispatcher_t *dispatcher,
                               const exchange_t *exchange,
                               backend_result_t result,
                               const backend_response_t *response, usec_t now);
 /* The same for RESPONSE to a health check of BACKEND.  */
-void dispatcher_note_probe_notices (dispatcher_t *dispatcher,
+void dispatcher_read_probe_notices (dispatcher_t *dispatcher,
                                     backend_t *backend,
                                     const backend_response_t *response,
                                     usec_t now);
--- a/src/router/dispatcher_notices.c
+++ b/src/router/dispatcher_notices.c
@@ -31,7 +31,7 @@
 }
 
 void
-dispatcher_note_notices (dispatcher_t *dispatcher, const exchange_t *exchange,
+dispatcher_read_notices (dispatcher_t *dispatcher, const exchange_t *exchange,
                          backend_result_t result,
                          const backend_response_t *response, usec_t now)
 {
@@ -59,7 +59,7 @@
 }
 
 void
-dispatcher_note_probe_notices (dispatcher_t *dispatcher, backend_t *backend,
+dispatcher_read_probe_notices (dispatcher_t *dispatcher, backend_t *backend,
                                const backend_response_t *response, usec_t now)
 {
   bool is_own = response->is_complete
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -114,8 +114,8 @@
   if (result == BACKEND_ANSWERED && exchange->slot_was_free)
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
-  dispatcher_note_response (dispatcher, exchange, result, response, now);
-  dispatcher_note_notices (dispatcher, exchange, result, response, now);
+  dispatcher_crash_evidence (dispatcher, exchange, result, response, now);
+  dispatcher_read_notices (dispatcher, exchange, result, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
   const backend_outcome_t outcome
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -89,6 +89,11 @@
   g_assert_false (add (&table, innocent, 4, 3 * SEC, 4 * SEC - 1));
   g_assert_true (add (&table, innocent, 5, 5 * SEC, 6 * SEC));
   g_assert_cmpuint (count (&table, innocent), ==, 1);
+  /* Answers that follow each other closely clear what lies between.  */
+  g_assert_true (crash_table_complete (&table, innocent, 7 * SEC, false));
+  g_assert_true (add (&table, innocent, 6, 7 * SEC, 7 * SEC + 1));
+  g_assert_true (crash_table_complete (&table, innocent, 7 * SEC + 2, false));
+  g_assert_cmpuint (count (&table, innocent), ==, 0);
   g_assert_false (crash_table_complete (&table, poison, 4 * SEC, false));
   g_assert_null (crash_table_find (&table, poison));
   g_assert_true (crash_table_complete (&table, poison, 4 * SEC, true));
