fix(router): a length that is exceeded keeps the body budget right

Found by reading the diff: a body with a Content-Length that goes on in chunks beyond it changed its kind, and the count of growing bodies fell below zero, so that answers waited which should have been cut off. A body keeps its first kind. test_router_body_budget /length-exceeded failed before (2^63 - 1 == 0).

--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -29,13 +29,15 @@
   *response = (backend_response_t){ 0 };
 }
 
-/* Give the body a buffer of CAPACITY bytes.  False if the budget does not
-   allow that, or memory is short.  */
+/* Give the body a buffer of CAPACITY bytes; its first one is of FIRST_KIND.
+   False if the budget does not allow that, or memory is short.  */
 static bool
-resize_body (response_reader_t *reader, body_kind_t kind, size_t capacity)
+resize_body (response_reader_t *reader, body_kind_t first_kind,
+             size_t capacity)
 {
   backend_response_t *response = &reader->response;
   size_t before = response->held_bytes;
+  body_kind_t kind = before > 0 ? response->held_kind : first_kind;
   if (!body_budget_resize (reader->budget, kind, before, capacity))
     return false;
   char *resized = realloc (response->body, capacity);
--- a/test/unit/test_router_body_budget.c
+++ b/test/unit/test_router_body_budget.c
@@ -2,8 +2,10 @@
    others, and against waiting for room that never comes.  */
 
 #include <glib.h>
+#include <string.h>
 
 #include "router/body_budget.h"
+#include "router/response_reader.h"
 
 enum
 {
@@ -61,6 +63,39 @@
   g_assert_cmpuint (budget.used, ==, 10);
 }
 
+/* Guards against a budget that goes wrong for good: a backend server gives a
+   length, and then sends more in chunks.  */
+static void
+test_length_exceeded (void)
+{
+  enum
+  {
+    LENGTH = 100000,
+    PART = 50000,
+    PARTS = 6,
+  };
+  static const char *const head[]
+      = { "HTTP/1.1 200 OK\r\n", "Request-Id: id-1\r\n",
+          "Content-Length: 100000\r\n", "Transfer-Encoding: chunked\r\n",
+          "\r\n" };
+  body_budget_t budget = { .max = 4 * MAX_BYTES };
+  response_reader_t *reader = g_new0 (response_reader_t, 1);
+  g_autofree char *part = g_strnfill (PART, 'x');
+  reader->budget = &budget;
+  g_strlcpy (reader->id, "id-1", sizeof reader->id);
+  for (size_t i = 0; i < G_N_ELEMENTS (head); i++)
+    g_assert_true (response_reader_head (reader, head[i], strlen (head[i])));
+  for (int i = 0; i < PARTS; i++)
+    g_assert_cmpint (response_reader_body (reader, part, PART), ==, BODY_READ);
+  response_reader_finish (reader);
+  g_assert_cmpuint (reader->response.body_bytes, ==, PARTS * PART);
+  g_assert_cmpuint (budget.used, ==, reader->response.held_bytes);
+  g_assert_cmpuint (budget.growing, ==, 0);
+  backend_response_clear (&reader->response);
+  g_assert_cmpuint (budget.used + budget.large + budget.growing, ==, 0);
+  g_free (reader);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -68,5 +103,6 @@
   g_test_add_func ("/body-budget/large", test_large_leave_room);
   g_test_add_func ("/body-budget/growing", test_growing);
   g_test_add_func ("/body-budget/huge", test_huge);
+  g_test_add_func ("/body-budget/length-exceeded", test_length_exceeded);
   return g_test_run ();
 }
