feat(router,wire): log how each response was framed and how its connection ended

What callers saw: a 200 that is complete by its length and shorter than the backend server's body. backend_answered said whole=1 for a response that ended in its head, one without a length that was closed early, and one whose length can't be read, so the hypotheses of docs/incidents/report-response-end could not be told apart.

What is taken for whole has not changed yet.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -12,8 +12,7 @@
 {
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
-  IDLE_SECONDS = 8,       /* longer idle connections are not reused */
-  STATUS_FINAL_MIN = 200, /* lower ones are informational */
+  IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
 
 struct backend_call
@@ -60,7 +59,7 @@
       if (!call->is_paused)
         LOG_EVENT (LOG_LEVEL_INFO, "answer_waits",
                    LOG_S ("id", call->reader.id),
-                   LOG_U ("length", call->reader.length));
+                   LOG_U ("length", call->reader.framing.length));
       call->is_paused = true;
       return CURL_WRITEFUNC_PAUSE;
     case BODY_REJECTED:
@@ -234,6 +233,7 @@
   call->owner = request->owner;
   call->headers = request->headers;
   snprintf (call->reader.id, sizeof call->reader.id, "%s", request->id);
+  call->reader.is_head_request = strcmp (request->method, "HEAD") == 0;
   set_options (call, request);
   curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
   return call;
@@ -265,21 +265,53 @@
     }
 }
 
+/* How the connection of CALL ended.  libcurl tells an ordinary close that ends
+   a response by no error.  */
+static connection_end_t
+connection_end (const backend_call_t *call, CURLcode code, unsigned int status)
+{
+  const response_reader_t *reader = &call->reader;
+  bool ends_by_close
+      = !reader->head.has_ended
+        || response_framing_kind (&reader->framing, reader->is_head_request,
+                                  status)
+               == FRAMING_UNTIL_CLOSE;
+  if (call->n_connections == 0)
+    return CONNECTION_NONE;
+  switch (code)
+    {
+    case CURLE_OK:
+      return ends_by_close ? CONNECTION_CLOSED : CONNECTION_KEPT;
+    case CURLE_PARTIAL_FILE:
+    case CURLE_GOT_NOTHING:
+      return CONNECTION_CLOSED;
+    case CURLE_OPERATION_TIMEDOUT:
+      return CONNECTION_TIMED_OUT;
+    case CURLE_WRITE_ERROR:
+      return CONNECTION_REJECTED;
+    default:
+      return CONNECTION_RESET;
+    }
+}
+
 /* Store the result of CALL's transfer in its response.  */
 static void
 record_result (backend_call_t *call, CURLcode code)
 {
   backend_response_t *response = &call->reader.response;
   long status = 0;
+  long n_new_connections = 0;
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  response->status = (unsigned int)status;
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &n_new_connections);
+  response_reader_finish (&call->reader, (unsigned int)status,
+                          connection_end (call, code, (unsigned int)status));
+  response->was_reused = call->n_connections > 0 && n_new_connections == 0;
   response->may_have_reached = call->n_connections > 0;
   response->timed_out = code == CURLE_OPERATION_TIMEDOUT;
   response->was_cut_off = response->may_have_reached && is_cut_off (code);
   response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
   response->is_unreachable = code == CURLE_COULDNT_CONNECT;
-  response->is_complete = code == CURLE_OK && call->reader.head.has_ended
-                          && status >= STATUS_FINAL_MIN;
+  response->is_complete = code == CURLE_OK && response->has_head;
   response->error = curl_easy_strerror (code);
 }
 
@@ -300,7 +332,6 @@
   while ((call = http_handles_ended (client->handles, &code)))
     {
       record_result (call, code);
-      response_reader_finish (&call->reader);
       backend_response_t response = call->reader.response;
       void *owner = call->owner;
       call->reader.response = (backend_response_t){ 0 };
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -199,6 +199,16 @@
   return response;
 }
 
+const char *
+caller_http_framing_name (const exchange_t *exchange)
+{
+  if (exchange->reason == REASON_GONE)
+    return "";
+  return framing_kind_name (strcmp (exchange->method, "HEAD") == 0
+                                ? FRAMING_NO_BODY
+                                : FRAMING_LENGTH);
+}
+
 static enum MHD_Result
 queue_response (caller_http_t *port, exchange_t *exchange)
 {
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -38,6 +38,9 @@
    set.  EXCHANGE is freed once libmicrohttpd has completed the request.  */
 void caller_http_finish (caller_http_t *port, exchange_t *exchange);
 
+/* How EXCHANGE's response to its caller is framed, for logs.  */
+const char *caller_http_framing_name (const exchange_t *exchange);
+
 /* From now on every response closes its connection.  */
 void caller_http_disable_keep_alive (caller_http_t *port);
 
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -85,6 +85,33 @@
   return exchange->object_was_known ? run->cached : run->uncached;
 }
 
+static const char *
+framing_name (const backend_response_t *response)
+{
+  return response->has_head ? framing_kind_name (response->framing)
+                            : "unknown";
+}
+
+static void
+log_answered (const exchange_t *exchange, const backend_response_t *response,
+              usec_t now)
+{
+  LOG_EVENT (LOG_LEVEL_INFO, "backend_answered", LOG_S ("id", exchange->id),
+             LOG_S ("backend", exchange->backend->record.id),
+             LOG_U ("status", response->status),
+             LOG_U ("whole", response->is_complete),
+             LOG_U ("sent", response->may_have_reached),
+             LOG_U ("not_started", response->not_started),
+             LOG_U ("id_matches", response->id_matches),
+             LOG_S ("framing", framing_name (response)),
+             LOG_U ("announced", response->announced_bytes),
+             LOG_U ("read", response->body_bytes),
+             LOG_S ("end", connection_end_name (response->connection_end)),
+             LOG_U ("reused", response->was_reused),
+             LOG_S ("error", response->is_complete ? "" : response->error),
+             LOG_I ("usec", now - exchange->sent_at));
+}
+
 void
 dispatcher_call_ended (dispatcher_t *dispatcher, exchange_t *exchange,
                        backend_response_t *response)
@@ -95,15 +122,10 @@
   backend_result_t result = answer_classify (&facts);
   bool reached = facts.may_have_been_sent;
   exchange->call = NULL;
-  LOG_EVENT (LOG_LEVEL_INFO, "backend_answered", LOG_S ("id", exchange->id),
-             LOG_S ("backend", backend->record.id),
-             LOG_U ("status", response->status),
-             LOG_U ("whole", response->is_complete),
-             LOG_U ("sent", response->may_have_reached),
-             LOG_U ("not_started", response->not_started),
-             LOG_U ("id_matches", response->id_matches),
-             LOG_S ("error", response->is_complete ? "" : response->error),
-             LOG_I ("usec", now - exchange->sent_at));
+  log_answered (exchange, response, now);
+  router_metrics_response_ended (
+      dispatcher->options.metrics, exchange->query.service,
+      framing_name (response), connection_end_name (response->connection_end));
   if (!reached)
     exchange->n_transmitted--;
   if (answer_may_have_run (&facts))
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -14,7 +14,8 @@
   LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
   COLD_MSEC_MAX = 3600 * 1000,
   REST_SECONDS_MAX = 24 * 3600,
-  BODY_ROOM_MIN = 2048, /* bytes */
+  BODY_ROOM_MIN = 2048,   /* bytes */
+  STATUS_FINAL_MIN = 200, /* lower ones are informational */
 };
 
 void
@@ -53,6 +54,14 @@
   return true;
 }
 
+/* The length that the head announces; 0: none that can be read.  */
+static uint64_t
+announced_length (const response_reader_t *reader)
+{
+  const response_framing_t *framing = &reader->framing;
+  return framing->is_invalid ? 0 : framing->length;
+}
+
 /* Make room for a body of NEEDED bytes: at once for all of it if its length is
    known.  */
 static bool
@@ -60,8 +69,9 @@
 {
   if (needed <= reader->response.held_bytes)
     return true;
-  if (reader->length >= needed)
-    return resize_body (reader, BODY_CERTAIN, reader->length);
+  uint64_t announced = announced_length (reader);
+  if (announced >= needed)
+    return resize_body (reader, BODY_CERTAIN, announced);
   size_t room = needed < BODY_ROOM_MIN ? BODY_ROOM_MIN : 2 * needed;
   return resize_body (reader, BODY_GROWING, room);
 }
@@ -86,7 +96,8 @@
       log_cut_off (reader, "it is not the answer to this request");
       return BODY_REJECTED;
     }
-  if (needed > RESPONSE_BYTES_MAX || reader->length > RESPONSE_BYTES_MAX)
+  if (needed > RESPONSE_BYTES_MAX
+      || announced_length (reader) > RESPONSE_BYTES_MAX)
     {
       log_cut_off (reader, "the body is too long");
       return BODY_REJECTED;
@@ -103,8 +114,26 @@
   return BODY_READ;
 }
 
-void
-response_reader_finish (response_reader_t *reader)
+static void
+judge_end (response_reader_t *reader, unsigned int status,
+           connection_end_t end)
+{
+  backend_response_t *response = &reader->response;
+  const response_framing_t *framing = &reader->framing;
+  response->status = status;
+  response->connection_end = end;
+  response->has_head = reader->head.has_ended && status >= STATUS_FINAL_MIN;
+  response->framing
+      = response_framing_kind (framing, reader->is_head_request, status);
+  response->announced_bytes = announced_length (reader);
+  response->completeness
+      = response->has_head ? response_framing_completeness (
+            framing, response->framing, response->body_bytes, end)
+                           : BODY_TRUNCATED;
+}
+
+static void
+release_spare_memory (response_reader_t *reader)
 {
   backend_response_t *response = &reader->response;
   if (response->held_bytes == 0 || response->held_kind == BODY_CERTAIN)
@@ -115,6 +144,14 @@
   response->held_kind = BODY_CERTAIN;
 }
 
+void
+response_reader_finish (response_reader_t *reader, unsigned int status,
+                        connection_end_t end)
+{
+  judge_end (reader, status, end);
+  release_spare_memory (reader);
+}
+
 /* Hop-by-hop headers are not forwarded, nor Content-Length, which is generated
    again.  */
 static bool
@@ -210,8 +247,6 @@
     parse_leaving (&reader->leaving, value);
   else if (strcasecmp (name, "Retry-After") == 0)
     parse_retry_after (&reader->retry_after, value);
-  else if (strcasecmp (name, "Content-Length") == 0)
-    number_parse_unsigned (&reader->length, value, SIZE_MAX);
   else if (strcasecmp (name, HEADER_STAMP) == 0)
     response->is_signed = true;
   else if (strcasecmp (name, "Content-Encoding") == 0)
@@ -229,7 +264,7 @@
 {
   backend_response_clear (&reader->response);
   reader->has_id = false;
-  reader->length = 0;
+  reader->framing = (response_framing_t){ 0 };
   reader->leaving = (notice_field_t){ 0 };
   reader->retry_after = (notice_field_t){ 0 };
 }
@@ -306,6 +341,7 @@
       reset_response (reader);
       return true;
     case HEAD_LINE_FIELD:
+      response_framing_read (&reader->framing, data, length);
       return add_field (reader, data, length);
     case HEAD_LINE_END:
       end_head (reader);
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -10,6 +10,7 @@
 #include "balance/backend_pool.h"
 #include "router/body_budget.h"
 #include "wire/answer_head.h"
+#include "wire/response_framing.h"
 
 enum
 {
@@ -32,6 +33,8 @@
 {
   bool may_have_reached; /* bytes of the request may have left this VM */
   bool is_complete;      /* the whole response was received */
+  bool has_head;         /* its head was received to the end */
+  bool was_reused;       /* its connection had served another request */
   bool id_matches;       /* its request id is that of the request */
   bool is_signed;        /* it has the backend server's signature */
   bool is_encoded;       /* its Content-Encoding is not "identity" */
@@ -42,6 +45,10 @@
   bool was_reconnected; /* a new connection could be made after that */
   bool is_unreachable;  /* no connection, or no new one, could be made */
   unsigned int status;  /* HTTP status code */
+  framing_kind_t framing;          /* valid if has_head */
+  uint64_t announced_bytes;        /* of the body; valid for FRAMING_LENGTH */
+  connection_end_t connection_end; /* at the end of the response */
+  body_completeness_t completeness;
   char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
   usec_t cold_remaining; /* from a health check: how long it stays cold */
   backend_load_t load;
@@ -74,13 +81,14 @@
 typedef struct response_reader
 {
   char id[RESPONSE_ID_BYTES]; /* of the request; "" for a health check */
+  bool is_head_request;
   body_budget_t *budget;
   size_t head_bytes; /* received, with informational responses */
   answer_head_t head;
   bool has_id; /* the response has a request id */
   notice_field_t leaving;
   notice_field_t retry_after;
-  uint64_t length; /* of the body; 0: not known */
+  response_framing_t framing;
   backend_response_t response;
 } response_reader_t;
 
@@ -104,7 +112,10 @@
    connection can't be told apart either, so that is not to be used again.  */
 bool response_reader_is_foreign (const response_reader_t *reader);
 
-/* The response has ended: keep no more memory than its body needs.  */
-void response_reader_finish (response_reader_t *reader);
+/* The response, of STATUS, has ended, as END tells of its connection.  Tells
+   how it was framed and whether it is whole, and keeps no more memory than its
+   body needs.  */
+void response_reader_finish (response_reader_t *reader, unsigned int status,
+                             connection_end_t end);
 
 #endif
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -62,6 +62,20 @@
   count (metrics, &sent);
 }
 
+void
+router_metrics_response_ended (router_metrics_t *metrics, const char *service,
+                               const char *framing, const char *connection_end)
+{
+  const metric_options_t ended
+      = { .name = "mulberry_router_responses_total",
+          .help
+          = "Responses of backend servers, by framing and connection end",
+          .service = service,
+          .request_class = framing,
+          .reason = connection_end };
+  count (metrics, &ended);
+}
+
 void
 router_metrics_invalid_notices (router_metrics_t *metrics, const char *service,
                                 size_t n)
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -22,6 +22,12 @@
 void router_metrics_request_sent (router_metrics_t *metrics,
                                   const char *service, bool is_retry);
 
+/* Count a response of a backend server of SERVICE by its FRAMING ("unknown" if
+   its head is not whole) and by how its connection ended.  */
+void router_metrics_response_ended (router_metrics_t *metrics,
+                                    const char *service, const char *framing,
+                                    const char *connection_end);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
