--- /dev/null
+++ b/test/fakes/fake_raw_backend.c
@@ -0,0 +1,315 @@
+/* fake-raw-backend: backend servers that frame and end their responses in
+   every way, also in wrong ones.
+
+     fake-raw-backend ADDRESS FIRST_PORT N FOLDER
+
+   Listens on N ports, for fake-platform's list with an offset.  The last part
+   of a request's path names the response (see `responses`).  A body is
+   BODY_BYTES long and made from the request's id.  A health check is answered
+   as by the backend server that the last request expected at that port.  Each
+   request that is run is appended to FOLDER/runs as "ID PORT".  */
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  REQUEST_BYTES = 8192,
+  HEAD_BYTES = 1024,
+  ID_BYTES = 128,
+  BODY_BYTES = 900,
+  PART_BYTES = 450,
+  LISTEN_BACKLOG = 128,
+};
+
+typedef enum
+{
+  ENDS_KEPT,
+  ENDS_CLOSED,
+  ENDS_RESET,
+} ending_t;
+
+/* FIELDS follow the usual ones; N_SENT bytes of the body follow the head, in
+   one chunk if IS_CHUNKED, with the last chunk if ENDING is ENDS_KEPT.  */
+typedef struct response
+{
+  const char *name;
+  const char *fields;
+  bool is_chunked;
+  size_t n_sent;
+  ending_t ending;
+} response_t;
+
+static const response_t responses[] = {
+  { "length", "Content-Length: 900\r\n", false, BODY_BYTES, ENDS_KEPT },
+  { "chunks", "Transfer-Encoding: chunked\r\n", true, BODY_BYTES, ENDS_KEPT },
+  { "close", "Connection: close\r\n", false, BODY_BYTES, ENDS_CLOSED },
+  { "same-length-twice", "Content-Length: 900\r\nContent-Length: 900\r\n",
+    false, BODY_BYTES, ENDS_KEPT },
+  { "close-early", "Connection: close\r\n", false, PART_BYTES, ENDS_CLOSED },
+  { "close-empty", "", false, 0, ENDS_CLOSED },
+  { "reset-early", "", false, PART_BYTES, ENDS_RESET },
+  { "length-early", "Content-Length: 900\r\n", false, PART_BYTES,
+    ENDS_CLOSED },
+  { "length-reset", "Content-Length: 900\r\n", false, PART_BYTES, ENDS_RESET },
+  { "chunks-early", "Transfer-Encoding: chunked\r\n", true, PART_BYTES,
+    ENDS_CLOSED },
+  { "length-list", "Content-Length: 450, 900\r\n", false, BODY_BYTES,
+    ENDS_KEPT },
+  { "length-letter", "Content-Length: 450x\r\n", false, BODY_BYTES,
+    ENDS_KEPT },
+  { "length-sign", "Content-Length: +450\r\n", false, BODY_BYTES, ENDS_KEPT },
+  { "length-huge", "Content-Length: 99999999999999999999\r\n", false,
+    PART_BYTES, ENDS_CLOSED },
+  { "length-blank", "Content-Length : 900\r\n", false, PART_BYTES,
+    ENDS_CLOSED },
+  { "length-folded", "Content-Length: 450\r\n 900\r\n", false, BODY_BYTES,
+    ENDS_KEPT },
+  { "lengths-differ", "Content-Length: 450\r\nContent-Length: 900\r\n", false,
+    BODY_BYTES, ENDS_KEPT },
+  { "length-and-chunks",
+    "Content-Length: 450\r\nTransfer-Encoding: chunked\r\n", true, PART_BYTES,
+    ENDS_KEPT },
+  { "other-encoding", "Transfer-Encoding: identity\r\n", false, PART_BYTES,
+    ENDS_CLOSED },
+};
+
+typedef struct port
+{
+  int listener;
+  unsigned int number;
+  char
+      instance[ID_BYTES]; /* that the last request expected; guarded by LOCK */
+} port_t;
+
+typedef struct client
+{
+  int fd;
+  port_t *port;
+} client_t;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+
+static const char *folder;
+
+static bool
+write_all (int fd, const char *bytes, size_t length)
+{
+  while (length > 0)
+    {
+      ssize_t n = send (fd, bytes, length, MSG_NOSIGNAL);
+      if (n <= 0)
+        return false;
+      bytes += n;
+      length -= (size_t)n;
+    }
+  return true;
+}
+
+/* The value of the field NAME in HEAD; "" if it has none.  */
+static void
+find_field (const char *head, const char *name, char value[ID_BYTES])
+{
+  size_t length = strlen (name);
+  value[0] = '\0';
+  for (const char *line = strstr (head, "\r\n"); line;
+       line = strstr (line, "\r\n"))
+    {
+      line += 2;
+      if (strncasecmp (line, name, length) == 0 && line[length] == ':')
+        sscanf (line + length + 1, " %127[^\r]", value);
+    }
+}
+
+/* Read a request's head and its body, by its length, into REQUEST.  */
+static bool
+read_request (int fd, char request[REQUEST_BYTES])
+{
+  size_t used = 0;
+  for (;;)
+    {
+      ssize_t n = recv (fd, request + used, REQUEST_BYTES - 1 - used, 0);
+      if (n <= 0)
+        return false;
+      used += (size_t)n;
+      request[used] = '\0';
+      const char *end = strstr (request, "\r\n\r\n");
+      if (!end)
+        continue;
+      char length[ID_BYTES];
+      find_field (request, "Content-Length", length);
+      size_t head_bytes = (size_t)(end - request) + 4;
+      if (used >= head_bytes + strtoul (length, NULL, 10))
+        return true;
+    }
+}
+
+static void
+make_body (char body[BODY_BYTES], const char *id)
+{
+  size_t length = strlen (id);
+  for (size_t i = 0; i < BODY_BYTES; i++)
+    body[i]
+        = length > 0 && i % 2 == 0 ? id[i / 2 % length] : (char)('a' + i % 26);
+}
+
+static void
+note_run (const char *id, unsigned int port)
+{
+  char path[512];
+  snprintf (path, sizeof path, "%s/runs", folder);
+  FILE *file = fopen (path, "a");
+  if (!file)
+    return;
+  fprintf (file, "%s %u\n", id, port);
+  fclose (file);
+}
+
+static const response_t *
+find_response (const char *request)
+{
+  char path[256] = "";
+  sscanf (request, "%*s %255s", path);
+  const char *name = strrchr (path, '/');
+  for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
+    if (name && strcmp (name + 1, responses[i].name) == 0)
+      return &responses[i];
+  return &responses[0];
+}
+
+/* Keep INSTANCE as the one expected at PORT; if it is "", set it to the last
+   one.  */
+static void
+expected_instance (port_t *port, char instance[ID_BYTES])
+{
+  pthread_mutex_lock (&lock);
+  if (instance[0])
+    memcpy (port->instance, instance, ID_BYTES);
+  else
+    memcpy (instance, port->instance, ID_BYTES);
+  pthread_mutex_unlock (&lock);
+}
+
+/* Returns false if the connection has to be closed.  */
+static bool
+answer (client_t *client, const char *request)
+{
+  char id[ID_BYTES];
+  char instance[ID_BYTES];
+  char head[HEAD_BYTES];
+  char body[BODY_BYTES];
+  char chunk[16];
+  find_field (request, "Request-Id", id);
+  find_field (request, "Expect-Instance", instance);
+  expected_instance (client->port, instance);
+  if (id[0])
+    note_run (id, client->port->number);
+  const response_t *response = find_response (request);
+  make_body (body, id);
+  int n = snprintf (head, sizeof head,
+                    "HTTP/1.1 200 OK\r\nServer-Stamp: fake\r\n"
+                    "Request-Id: %s\r\nInstance-Id: %s\r\n%s\r\n",
+                    id, instance, response->fields);
+  bool is_sent = write_all (client->fd, head, (size_t)n);
+  if (response->is_chunked)
+    {
+      n = snprintf (chunk, sizeof chunk, "%zx\r\n", response->n_sent);
+      is_sent = is_sent && write_all (client->fd, chunk, (size_t)n);
+    }
+  is_sent = is_sent && write_all (client->fd, body, response->n_sent);
+  if (response->is_chunked)
+    is_sent = is_sent && write_all (client->fd, "\r\n", 2);
+  if (response->is_chunked && response->ending == ENDS_KEPT)
+    is_sent = is_sent && write_all (client->fd, "0\r\n\r\n", 5);
+  if (response->ending == ENDS_RESET)
+    {
+      const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+      setsockopt (client->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+  return is_sent && response->ending == ENDS_KEPT;
+}
+
+static void *
+serve (void *closure)
+{
+  client_t *client = closure;
+  char request[REQUEST_BYTES];
+  while (read_request (client->fd, request) && answer (client, request))
+    ;
+  close (client->fd);
+  free (client);
+  return NULL;
+}
+
+static void *
+accept_all (void *closure)
+{
+  port_t *port = closure;
+  int fd;
+  while ((fd = accept (port->listener, NULL, NULL)) >= 0)
+    {
+      pthread_t thread;
+      client_t *client = malloc (sizeof *client);
+      if (!client)
+        abort ();
+      *client = (client_t){ .fd = fd, .port = port };
+      if (pthread_create (&thread, NULL, serve, client) != 0)
+        abort ();
+      pthread_detach (thread);
+    }
+  return NULL;
+}
+
+static bool
+open_port (const char *address, unsigned int number)
+{
+  pthread_t thread;
+  int on = 1;
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)number) };
+  port_t *port = calloc (1, sizeof *port);
+  if (!port || inet_pton (AF_INET, address, &at.sin_addr) != 1)
+    return false;
+  port->listener = socket (AF_INET, SOCK_STREAM, 0);
+  port->number = number;
+  setsockopt (port->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (port->listener, (struct sockaddr *)&at, sizeof at) != 0
+      || listen (port->listener, LISTEN_BACKLOG) != 0)
+    return false;
+  return pthread_create (&thread, NULL, accept_all, port) == 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc != 5)
+    {
+      fprintf (stderr,
+               "usage: fake-raw-backend ADDRESS FIRST_PORT N FOLDER\n");
+      return 2;
+    }
+  unsigned int first = (unsigned int)strtoul (argv[2], NULL, 10);
+  unsigned int n = (unsigned int)strtoul (argv[3], NULL, 10);
+  folder = argv[4];
+  sigset_t stop;
+  sigemptyset (&stop);
+  sigaddset (&stop, SIGTERM);
+  pthread_sigmask (SIG_BLOCK, &stop, NULL);
+  for (unsigned int i = 0; i < n; i++)
+    if (!open_port (argv[1], first + i))
+      {
+        perror ("fake-raw-backend: can't listen");
+        return 1;
+      }
+  int number;
+  sigwait (&stop, &number);
+  return 0;
+}
