refactor(wire,router): the head of a response holds its status and framing

Both clients of backend servers follow heads with wire/answer_head; it reads the framing now, so that entry VMs can judge responses in the same way. No behaviour changes but one: a status line without three digits is malformed. test_router_backend_http passes.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -59,7 +59,7 @@
       if (!call->is_paused)
         LOG_EVENT (LOG_LEVEL_INFO, "answer_waits",
                    LOG_S ("id", call->reader.id),
-                   LOG_U ("length", call->reader.framing.length));
+                   LOG_U ("length", call->reader.head.framing.length));
       call->is_paused = true;
       return CURL_WRITEFUNC_PAUSE;
     case BODY_REJECTED:
@@ -265,48 +265,21 @@
     }
 }
 
-/* How the connection of CALL ended.  libcurl tells an ordinary close that ends
-   a response by no error.  */
-static connection_end_t
-connection_end (const backend_call_t *call, CURLcode code, unsigned int status)
-{
-  const response_reader_t *reader = &call->reader;
-  bool ends_by_close
-      = !reader->head.has_ended
-        || response_framing_kind (&reader->framing, reader->is_head_request,
-                                  status)
-               == FRAMING_UNTIL_CLOSE;
-  if (call->n_connections == 0)
-    return CONNECTION_NONE;
-  switch (code)
-    {
-    case CURLE_OK:
-      return ends_by_close ? CONNECTION_CLOSED : CONNECTION_KEPT;
-    case CURLE_PARTIAL_FILE:
-    case CURLE_GOT_NOTHING:
-      return CONNECTION_CLOSED;
-    case CURLE_OPERATION_TIMEDOUT:
-      return CONNECTION_TIMED_OUT;
-    case CURLE_WRITE_ERROR:
-      return CONNECTION_REJECTED;
-    default:
-      return CONNECTION_RESET;
-    }
-}
-
 /* Store the result of CALL's transfer in its response.  */
 static void
 record_result (backend_call_t *call, CURLcode code)
 {
   backend_response_t *response = &call->reader.response;
-  long status = 0;
+  const answer_head_t *head = &call->reader.head;
+  bool is_head = call->reader.is_head_request;
+  bool was_sent = call->n_connections > 0;
   long n_new_connections = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &n_new_connections);
-  response_reader_finish (&call->reader, (unsigned int)status,
-                          connection_end (call, code, (unsigned int)status));
-  response->was_reused = call->n_connections > 0 && n_new_connections == 0;
-  response->may_have_reached = call->n_connections > 0;
+  response_reader_finish (&call->reader,
+                          was_sent ? http_connection_end (code, head, is_head)
+                                   : CONNECTION_NONE);
+  response->may_have_reached = was_sent;
+  response->was_reused = was_sent && n_new_connections == 0;
   response->timed_out = code == CURLE_OPERATION_TIMEDOUT;
   response->was_cut_off = response->may_have_reached && is_cut_off (code);
   response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -14,8 +14,7 @@
   LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
   COLD_MSEC_MAX = 3600 * 1000,
   REST_SECONDS_MAX = 24 * 3600,
-  BODY_ROOM_MIN = 2048,   /* bytes */
-  STATUS_FINAL_MIN = 200, /* lower ones are informational */
+  BODY_ROOM_MIN = 2048, /* bytes */
 };
 
 void
@@ -58,7 +57,7 @@
 static uint64_t
 announced_length (const response_reader_t *reader)
 {
-  const response_framing_t *framing = &reader->framing;
+  const response_framing_t *framing = &reader->head.framing;
   return framing->is_invalid ? 0 : framing->length;
 }
 
@@ -115,21 +114,19 @@
 }
 
 static void
-judge_end (response_reader_t *reader, unsigned int status,
-           connection_end_t end)
+judge_end (response_reader_t *reader, connection_end_t end)
 {
   backend_response_t *response = &reader->response;
-  const response_framing_t *framing = &reader->framing;
-  response->status = status;
+  const answer_head_t *head = &reader->head;
+  response->status = head->status;
   response->connection_end = end;
-  response->has_head = reader->head.has_ended && status >= STATUS_FINAL_MIN;
-  response->framing
-      = response_framing_kind (framing, reader->is_head_request, status);
+  response->has_head = answer_head_is_final (head);
+  response->framing = response_framing_kind (
+      &head->framing, reader->is_head_request, head->status);
   response->announced_bytes = announced_length (reader);
-  response->completeness
-      = response->has_head ? response_framing_completeness (
-            framing, response->framing, response->body_bytes, end)
-                           : BODY_TRUNCATED;
+  if (response->has_head)
+    response->completeness = response_framing_completeness (
+        &head->framing, response->framing, response->body_bytes, end);
 }
 
 static void
@@ -145,10 +142,9 @@
 }
 
 void
-response_reader_finish (response_reader_t *reader, unsigned int status,
-                        connection_end_t end)
+response_reader_finish (response_reader_t *reader, connection_end_t end)
 {
-  judge_end (reader, status, end);
+  judge_end (reader, end);
   release_spare_memory (reader);
 }
 
@@ -264,7 +260,6 @@
 {
   backend_response_clear (&reader->response);
   reader->has_id = false;
-  reader->framing = (response_framing_t){ 0 };
   reader->leaving = (notice_field_t){ 0 };
   reader->retry_after = (notice_field_t){ 0 };
 }
@@ -341,7 +336,6 @@
       reset_response (reader);
       return true;
     case HEAD_LINE_FIELD:
-      response_framing_read (&reader->framing, data, length);
       return add_field (reader, data, length);
     case HEAD_LINE_END:
       end_head (reader);
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -10,7 +10,6 @@
 #include "balance/backend_pool.h"
 #include "router/body_budget.h"
 #include "wire/answer_head.h"
-#include "wire/response_framing.h"
 
 enum
 {
@@ -88,7 +87,6 @@
   bool has_id; /* the response has a request id */
   notice_field_t leaving;
   notice_field_t retry_after;
-  response_framing_t framing;
   backend_response_t response;
 } response_reader_t;
 
@@ -112,10 +110,9 @@
    connection can't be told apart either, so that is not to be used again.  */
 bool response_reader_is_foreign (const response_reader_t *reader);
 
-/* The response, of STATUS, has ended, as END tells of its connection.  Tells
-   how it was framed and whether it is whole, and keeps no more memory than its
-   body needs.  */
-void response_reader_finish (response_reader_t *reader, unsigned int status,
-                             connection_end_t end);
+/* The response has ended, as END tells of its connection: set how it was
+   framed and whether it is whole, and keep no more memory than its body needs.
+ */
+void response_reader_finish (response_reader_t *reader, connection_end_t end);
 
 #endif
--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -2,6 +2,15 @@
 
 #include <string.h>
 
+#include "base/number.h"
+
+enum
+{
+  STATUS_DIGITS = 3,
+  STATUS_FINAL_MIN = 200, /* lower ones are informational */
+  STATUS_MAX = 999,
+};
+
 static bool
 is_status_line (const char *line, size_t length)
 {
@@ -16,6 +25,22 @@
   return length == 1 || (length == 2 && line[0] == '\r');
 }
 
+/* "HTTP/1.1 200 OK": 200.  */
+static bool
+parse_status (const char *line, size_t length, unsigned int *status)
+{
+  uint64_t number;
+  const char *blank = memchr (line, ' ', length);
+  size_t begin = blank ? (size_t)(blank - line) + 1 : length;
+  if (begin + STATUS_DIGITS > length
+      || number_parse_unsigned_span (&number, line + begin, STATUS_DIGITS,
+                                     STATUS_MAX)
+             != NUMBER_OK)
+    return false;
+  *status = (unsigned int)number;
+  return true;
+}
+
 head_line_t
 answer_head_next (answer_head_t *head, const char *line, size_t length)
 {
@@ -26,12 +51,23 @@
       if (head->is_open)
         return HEAD_LINE_MALFORMED;
       *head = (answer_head_t){ .is_open = true };
-      return HEAD_LINE_STATUS;
+      return parse_status (line, length, &head->status) ? HEAD_LINE_STATUS
+                                                        : HEAD_LINE_MALFORMED;
     }
   if (!head->is_open)
     return HEAD_LINE_TRAILER;
   if (!is_empty_line (line, length))
-    return HEAD_LINE_FIELD;
-  *head = (answer_head_t){ .has_ended = true };
+    {
+      response_framing_read (&head->framing, line, length);
+      return HEAD_LINE_FIELD;
+    }
+  head->is_open = false;
+  head->has_ended = true;
   return HEAD_LINE_END;
 }
+
+bool
+answer_head_is_final (const answer_head_t *head)
+{
+  return head->has_ended && head->status >= STATUS_FINAL_MIN;
+}
--- a/src/wire/answer_head.h
+++ b/src/wire/answer_head.h
@@ -1,5 +1,5 @@
 /* answer_head: follows the lines of a response's head, as libcurl passes them
-   to a header callback, and tells where the head ends.
+   to a header callback: where the head ends, and how it delimits the body.
 
    libcurl reports a response as whole if its connection ends within the head,
    and takes a second status line for a field.  */
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "wire/response_framing.h"
+
 typedef enum
 {
   HEAD_LINE_STATUS, /* the first line; of an informational response, too */
@@ -23,11 +25,16 @@
 typedef struct answer_head
 {
   bool is_open;
-  bool has_ended; /* the last one that was begun is whole */
+  bool has_ended;             /* the last one that was begun is whole */
+  unsigned int status;        /* of the last one */
+  response_framing_t framing; /* of the last one */
 } answer_head_t;
 
 /* Follow the next line, LENGTH bytes with its line end.  */
 head_line_t answer_head_next (answer_head_t *head, const char *line,
                               size_t length);
 
+/* Whether the head of a final response is whole.  */
+bool answer_head_is_final (const answer_head_t *head);
+
 #endif
--- a/src/wire/http_handles.c
+++ b/src/wire/http_handles.c
@@ -112,3 +112,33 @@
     }
   return NULL;
 }
+
+/* libcurl reports success if an ordinary close ends a response, also within
+   its head.  */
+static bool
+ends_by_close (const answer_head_t *head, bool is_head)
+{
+  return !head->has_ended
+         || response_framing_kind (&head->framing, is_head, head->status)
+                == FRAMING_UNTIL_CLOSE;
+}
+
+connection_end_t
+http_connection_end (CURLcode code, const answer_head_t *head, bool is_head)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+      return ends_by_close (head, is_head) ? CONNECTION_CLOSED
+                                           : CONNECTION_KEPT;
+    case CURLE_PARTIAL_FILE:
+    case CURLE_GOT_NOTHING:
+      return CONNECTION_CLOSED;
+    case CURLE_OPERATION_TIMEDOUT:
+      return CONNECTION_TIMED_OUT;
+    case CURLE_WRITE_ERROR:
+      return CONNECTION_REJECTED;
+    default:
+      return CONNECTION_RESET;
+    }
+}
--- a/src/wire/http_handles.h
+++ b/src/wire/http_handles.h
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include "base/time_defs.h"
+#include "wire/answer_head.h"
 
 typedef struct http_handles http_handles_t;
 
@@ -42,4 +43,9 @@
    NULL if there is none.  The owner must still give the handle back.  */
 void *http_handles_ended (http_handles_t *handles, CURLcode *code);
 
+/* How the connection of a transfer ended, whose request was sent, with result
+   CODE and the response's HEAD.  IS_HEAD: the method is HEAD.  */
+connection_end_t http_connection_end (CURLcode code, const answer_head_t *head,
+                                      bool is_head);
+
 #endif
--- a/test/fuzz/fuzz_router_response.c
+++ b/test/fuzz/fuzz_router_response.c
@@ -89,7 +89,7 @@
   size_t n = read_head (reader, text, size);
   if (n != SIZE_MAX)
     read_body (reader, text + n, size - n);
-  response_reader_finish (reader, 200, CONNECTION_KEPT);
+  response_reader_finish (reader, CONNECTION_KEPT);
   check_response (reader);
   check (budget.growing == 0);
   backend_response_clear (&reader->response);
--- a/test/unit/test_router_body_budget.c
+++ b/test/unit/test_router_body_budget.c
@@ -87,7 +87,7 @@
     g_assert_true (response_reader_head (reader, head[i], strlen (head[i])));
   for (int i = 0; i < PARTS; i++)
     g_assert_cmpint (response_reader_body (reader, part, PART), ==, BODY_READ);
-  response_reader_finish (reader, 200, CONNECTION_KEPT);
+  response_reader_finish (reader, CONNECTION_KEPT);
   g_assert_cmpuint (reader->response.body_bytes, ==, PARTS * PART);
   g_assert_cmpuint (budget.used, ==, reader->response.held_bytes);
   g_assert_cmpuint (budget.growing, ==, 0);
