fix(router): a response whose length can't be read is not whole

What callers saw: a 200 that is complete by its length and holds the first part of the backend server's body (Content-Length: 450, 900; 450x; +450), or a body that ended anywhere (a length that is too large, a blank before the colon, another transfer coding).

Cause: libcurl's lenient reading of the fields that delimit a body was believed; response_reader read the same field strictly and passed over the error. Now wire/response_framing decides: such a head ends the call at once, its connection is closed, and answer_cut_off names the request. The request may have run: 502, and no second run if it is not idempotent.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -284,7 +284,8 @@
   response->was_cut_off = response->may_have_reached && is_cut_off (code);
   response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
   response->is_unreachable = code == CURLE_COULDNT_CONNECT;
-  response->is_complete = code == CURLE_OK && response->has_head;
+  response->is_complete
+      = code == CURLE_OK && response->completeness != BODY_TRUNCATED;
   response->error = curl_easy_strerror (code);
 }
 
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -318,6 +318,20 @@
          && !reader->response.id_matches;
 }
 
+/* Where a body ends must be certain: what libcurl makes of a length that can't
+   be read is a part of it.  */
+static bool
+has_readable_framing (const response_reader_t *reader)
+{
+  const answer_head_t *head = &reader->head;
+  framing_kind_t kind = response_framing_kind (
+      &head->framing, reader->is_head_request, head->status);
+  if (!answer_head_is_final (head) || kind != FRAMING_INVALID)
+    return true;
+  log_cut_off (reader, "the length of the body can't be read");
+  return false;
+}
+
 bool
 response_reader_head (response_reader_t *reader, const char *data,
                       size_t length)
@@ -339,7 +353,7 @@
       return add_field (reader, data, length);
     case HEAD_LINE_END:
       end_head (reader);
-      return true;
+      return has_readable_framing (reader);
     case HEAD_LINE_TRAILER:
       return true;
     case HEAD_LINE_MALFORMED:
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -31,7 +31,8 @@
 typedef struct backend_response
 {
   bool may_have_reached; /* bytes of the request may have left this VM */
-  bool is_complete;      /* the whole response was received */
+  bool is_complete;      /* the whole response was received, as far as its
+                            framing tells */
   bool has_head;         /* its head was received to the end */
   bool was_reused;       /* its connection had served another request */
   bool id_matches;       /* its request id is that of the request */
