fix(router): a response that ended with its connection ends the caller's too

What callers saw: a 200 with a Content-Length and the first part of the backend server's body, or none of it.

Cause: a response without a length lasts until its connection ends, and an ordinary close proves nothing about the end. The router collected the body and sent it on with a length, which claimed what nobody had announced. Log lines before the fix: framing=close end=closed at backend_answered, framing=length at request_ended.

Now such a response is passed on in the same framing: without a length or chunks, and the connection closes after it, so that callers learn neither more nor less than the router knows. One that ends by a reset or a timeout stays a failure, as before. It costs a new connection of the caller for each such response.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -18,6 +18,7 @@
   CONNECTION_MEMORY_BYTES = 40 * 1024, /* must hold a request's headers */
   BODY_BYTES_MAX = 16 * 1024 * 1024,
   RETRY_AFTER_BYTES = 32,
+  BODY_BLOCK_BYTES = 16 * 1024, /* that libmicrohttpd copies at once */
 };
 
 /* Upper limit of caller_http_timeout.  */
@@ -185,14 +186,56 @@
   return response;
 }
 
+/* Whether the backend server's response ended with its connection, so that
+   only the backend server can know whether it is whole.  */
+static bool
+ends_by_close (const exchange_t *exchange)
+{
+  return exchange->reason == REASON_NONE
+         && exchange->response.framing == FRAMING_UNTIL_CLOSE;
+}
+
+static ssize_t
+read_body (void *closure, uint64_t position, char *data, size_t max)
+{
+  const backend_response_t *answer = closure;
+  if (position >= answer->body_bytes)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  size_t left = answer->body_bytes - (size_t)position;
+  size_t n = left < max ? left : max;
+  memcpy (data, answer->body + position, n);
+  return (ssize_t)n;
+}
+
+/* A response that ends with its connection, as the backend server's did: a
+   length would tell callers that it is whole.  */
 static struct MHD_Response *
-backend_response (exchange_t *exchange)
+response_until_close (backend_response_t *answer)
+{
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, BODY_BLOCK_BYTES, read_body, answer, NULL);
+  MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                            MHD_RO_END);
+  return response;
+}
+
+static struct MHD_Response *
+response_with_length (backend_response_t *answer)
 {
-  backend_response_t *answer = &exchange->response;
   struct MHD_Response *response = MHD_create_response_from_buffer (
       answer->body_bytes, answer->body ? answer->body : "",
       answer->body ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
   answer->body = NULL;
+  return response;
+}
+
+static struct MHD_Response *
+backend_response (exchange_t *exchange)
+{
+  backend_response_t *answer = &exchange->response;
+  struct MHD_Response *response = ends_by_close (exchange)
+                                      ? response_until_close (answer)
+                                      : response_with_length (answer);
   for (size_t i = 0; i < answer->n_headers; i++)
     MHD_add_response_header (response, answer->headers[i].name,
                              answer->headers[i].value);
@@ -204,9 +247,10 @@
 {
   if (exchange->reason == REASON_GONE)
     return "";
-  return framing_kind_name (strcmp (exchange->method, "HEAD") == 0
-                                ? FRAMING_NO_BODY
-                                : FRAMING_LENGTH);
+  if (strcmp (exchange->method, "HEAD") == 0)
+    return framing_kind_name (FRAMING_NO_BODY);
+  return framing_kind_name (ends_by_close (exchange) ? FRAMING_UNTIL_CLOSE
+                                                     : FRAMING_LENGTH);
 }
 
 static enum MHD_Result
@@ -216,7 +260,7 @@
   struct MHD_Response *response = is_backend_response
                                       ? backend_response (exchange)
                                       : error_response (exchange);
-  bool closes = port->keep_alive_disabled
+  bool closes = port->keep_alive_disabled || ends_by_close (exchange)
                 || exchange->reason == REASON_BAD_REQUEST
                 || exchange->reason == REASON_TOO_LARGE
                 || exchange->reason == REASON_GONE;
