fix(router): a backend server's record is not read after the pool frees it

What operators saw: nothing yet; found by reading. A router whose request was the last one at a backend server that is off the list read the freed record when it logged the end of the request: undefined, and the end of the router under the address sanitizer.

Cause: dispatcher_call_ended tells the pool that the call has ended, which may free the record; dispatcher_finish logged exchange->backend->record.id after that. dispatcher_release_backend now is the one place that tells the pool, and it drops the exchange's pointer first; the id is kept for the log.

Looked at for the same pattern: dispatcher_abort and dispatcher_expire_calls drop the pointer; probes report to the pool last; src/entry holds indices into a table whose places are not reused.

test/functional/fleet.sh: request() takes the deadline from DEADLINE_MSEC, 3000 as before where it is not set. The platform's stand-in takes the backend servers in FOLDER/gone off its list.

--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -18,7 +18,7 @@
       LOG_S ("route", exchange->route ? exchange->route->name.text : ""),
       LOG_S ("service",
              exchange->query.service ? exchange->query.service : ""),
-      LOG_S ("backend", exchange->backend ? exchange->backend->record.id : ""),
+      LOG_S ("backend", exchange->last_backend_id),
       LOG_U ("version", exchange->snapshot && exchange->snapshot->config
                             ? exchange->snapshot->config->version
                             : 0),
@@ -42,19 +42,25 @@
       exchange_reason_name (reason), now - exchange->received_at);
   list_remove (&exchange->link);
   dispatcher->n_exchanges--;
-  exchange->backend = NULL;
   caller_http_finish (dispatcher->port, exchange);
 }
 
+void
+dispatcher_release_backend (dispatcher_t *dispatcher, exchange_t *exchange,
+                            const backend_outcome_t *outcome, usec_t now)
+{
+  backend_t *backend = exchange->backend;
+  exchange->backend = NULL;
+  backend_pool_request_ended (dispatcher->pool, backend, outcome, now);
+}
+
 void
 dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
                   const backend_outcome_t *outcome, usec_t now)
 {
   backend_http_abort (dispatcher->backends, exchange->call);
   exchange->call = NULL;
-  backend_pool_request_ended (dispatcher->pool, exchange->backend, outcome,
-                              now);
-  exchange->backend = NULL;
+  dispatcher_release_backend (dispatcher, exchange, outcome, now);
 }
 
 /* When the first of EXCHANGE's backend servers wants requests again, those
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -57,6 +57,11 @@
 void dispatcher_refuse (dispatcher_t *dispatcher, exchange_t *exchange,
                         exchange_reason_t reason, usec_t now);
 
+/* Report OUTCOME of EXCHANGE's call for its backend server, which EXCHANGE
+   does not refer to any more, since the pool may free it.  */
+void dispatcher_release_backend (dispatcher_t *dispatcher,
+                                 exchange_t *exchange,
+                                 const backend_outcome_t *outcome, usec_t now);
 /* Abort EXCHANGE's call, and report OUTCOME for its backend server.  */
 void dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
                        const backend_outcome_t *outcome, usec_t now);
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -1,5 +1,7 @@
 #include "router/dispatcher_internal.h"
 
+#include <string.h>
+
 #include "balance/answer_class.h"
 #include "base/clock.h"
 #include "base/log.h"
@@ -145,12 +147,12 @@
           .load = response->load,
           .latency = now - exchange->sent_at,
           .expected_latency = dispatcher_expected_run_time (exchange) };
-  backend_pool_request_ended (dispatcher->pool, backend, &outcome, now);
+  if (!will_retry)
+    memcpy (exchange->last_backend_id, backend->record.id,
+            sizeof exchange->last_backend_id);
+  dispatcher_release_backend (dispatcher, exchange, &outcome, now);
   if (will_retry)
-    {
-      exchange->backend = NULL;
-      dispatcher_send_or_queue (dispatcher, exchange, now);
-    }
+    dispatcher_send_or_queue (dispatcher, exchange, now);
   else
     finish (dispatcher, exchange, result, response, now);
   dispatcher_serve_queue (dispatcher, now);
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -86,7 +86,10 @@
   bool has_fingerprint;
   fingerprint_t fingerprint; /* valid if has_fingerprint */
   bool was_refused;          /* a backend server had no room for it */
-  backend_t *backend; /* of the current or just ended call; NULL: none */
+  backend_t *backend; /* of the current call; NULL: none.  Valid until the
+                         pool is told that the call has ended */
+  char last_backend_id[BACKEND_ID_BYTES]; /* of the call whose result ended
+                                             the exchange; empty: none */
   backend_call_t *call;
   call_owner_t owner; /* of CALL */
   usec_t sent_at;
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -8,7 +8,8 @@
    that stands before them.  Each run of a request is appended to FOLDER/runs
    as "ID BACKEND MSEC TYPE", by the time of day; TYPE is the request's
    Content-Type, or "-".  FOLDER/draining names the backend
-   servers that drain, one a line.  A path that ends in "slow" runs for half a
+   servers that drain, one a line; FOLDER/gone those that run on but are not
+   listed.  A path that ends in "slow" runs for half a
    second; one that ends in "held" until FOLDER/release exists; one that ends
    in "lost" runs, and its connection ends without an answer; one that ends in
    "other" is answered as if it were another request; one that ends in "crash"
@@ -273,19 +274,27 @@
   (void)context;
   char text[TEXT_BYTES];
   size_t used = (size_t)snprintf (text, sizeof text, "{\"instances\":{");
+  bool is_first = true; /* of its domain */
   for (size_t i = 0; i < fake.n_backends; i++)
     {
       const fake_backend_t *backend = &fake.backends[i];
-      bool is_first = i % BACKENDS_OF_DOMAIN == 0;
+      if (i % BACKENDS_OF_DOMAIN == 0)
+        {
+          used += (size_t)snprintf (text + used, sizeof text - used,
+                                    "%s\"%s\":[", i > 0 ? "]," : "",
+                                    backend->domain);
+          is_first = true;
+        }
+      if (is_named ("gone", backend->id))
+        continue;
       used += (size_t)snprintf (
           text + used, sizeof text - used,
-          "%s%s%s%s{\"service\":\"search\",\"address\":\"%s:%u\",\"capacity\":"
+          "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"capacity\":"
           "%d,\"state\":\"%s\",\"cold_left\":\"0ms\",\"id\":\"%s\"}",
-          is_first && i > 0 ? "]," : "", is_first ? "\"" : ",",
-          is_first ? backend->domain : "", is_first ? "\":[" : "",
-          fake.address, backend->port + fake.offset, SLOTS,
-          is_named ("draining", backend->id) ? "draining" : "ready",
+          is_first ? "" : ",", fake.address, backend->port + fake.offset,
+          SLOTS, is_named ("draining", backend->id) ? "draining" : "ready",
           backend->id);
+      is_first = false;
     }
   snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
   return answer (connection, MHD_HTTP_OK, text, NULL, NULL);
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -119,6 +119,6 @@
   local router=$1 path=$2 id=$3
   shift 3
   curl -s -m 5 -o "$FOLDER/answer" -w '%{http_code}' -H 'Host: a.example' \
-    -H "Request-Id: $id" -H 'Deadline-Ms: 3000' "$@" \
+    -H "Request-Id: $id" -H "Deadline-Ms: ${DEADLINE_MSEC:-3000}" "$@" \
     "http://$(router_address "$router"):$REQUESTS_PORT$path"
 }
