feat(director,router,ctl): fleet show names backend servers that leave or rest

What operators saw: a backend server that got nothing, with nothing about it in `mulberryctl fleet show`; only the logs of routers told that it had said that it leaves, or wants a rest.

Routers tell the notices in force of listed backend servers with their pulls, once a second and 64 at most (balance/pool_notices, fleet/notice_wire); a director keeps what the routers that report to it told last (fleet/notice_table, bounded, forgotten after 4 s) and shows to how many routers, since when, until when. No decision uses it.

Impossible ages on the wire are skipped. The messages between routers and directors have new fields: one release on all VMs, as before.

Evidence: test_fleet_notices asks the directors now, seen failing before ("never came true: shown_as north-a-0"); test_fleet_notice_table.

Changed in an existing test: test_fleet_notices has four checks more; the load of its second part runs in the background meanwhile, and is waited for.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -20,6 +20,7 @@
 #include "base/list.h"
 #include "base/random.h"
 #include "fleet/fleet_defs.h"
+#include "fleet/notice_table.h"
 #include "fleet/reopened_domains.h"
 #include "routing/route_defs.h"
 #include "settings/fleet_settings.h"
@@ -182,6 +183,12 @@
 bool backend_pool_note_served (backend_pool_t *pool, backend_t *backend,
                                usec_t sent_at, usec_t now);
 
+/* Writes what listed backend servers have said that holds at NOW to NOTICES,
+   which has room for N_MAX.  Returns how many; those beyond N_MAX are left
+   out.  */
+size_t backend_pool_notices (const backend_pool_t *pool,
+                             told_notice_t *notices, size_t n_max, usec_t now);
+
 /* Whether BACKEND leaves, by the list or by its own answers.  */
 bool backend_is_leaving (const backend_t *backend);
 
--- a/src/balance/pool_notices.c
+++ b/src/balance/pool_notices.c
@@ -56,6 +56,31 @@
   return true;
 }
 
+size_t
+backend_pool_notices (const backend_pool_t *pool, told_notice_t *notices,
+                      size_t n_max, usec_t now)
+{
+  size_t n = 0;
+  LIST_FOREACH (link, &pool->backends)
+  {
+    const backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    const backend_notice_t *notice = &backend->notice;
+    bool is_leaving = notice->leaving_since > 0;
+    bool is_resting = backend_notice_is_resting (notice, now);
+    if (!backend->is_listed || (!is_leaving && !is_resting))
+      continue;
+    if (n == n_max)
+      break;
+    notices[n++]
+        = (told_notice_t){ .boot = notice->boot,
+                           .is_leaving = is_leaving,
+                           .said_at = is_leaving ? notice->leaving_since
+                                                 : notice->noted_at,
+                           .rest_until = is_resting ? notice->rest_until : 0 };
+  }
+  return n;
+}
+
 bool
 backend_is_leaving (const backend_t *backend)
 {
--- a/src/ctl/fleet_command.c
+++ b/src/ctl/fleet_command.c
@@ -73,18 +73,43 @@
   }
 }
 
+/* What the backend server of ROW has said of itself to routers.  */
+static void
+print_notices (const json_t *row)
+{
+  const json_t *leaving = json_object_get (row, "leaving");
+  const json_t *rest = json_object_get (row, "rest");
+  if (json_is_object (leaving))
+    printf (" leaves, told %lld router(s), %lld ms ago",
+            (long long)integer_field (leaving, "routers"),
+            (long long)integer_field (leaving, "said_ms_ago"));
+  if (json_is_object (rest))
+    printf (" rests %lld ms more, told %lld router(s), %lld ms ago",
+            (long long)integer_field (rest, "left_ms"),
+            (long long)integer_field (rest, "routers"),
+            (long long)integer_field (rest, "said_ms_ago"));
+  if (!json_is_object (leaving) && !json_is_object (rest))
+    printf (" -");
+}
+
 static void
 print_backends (const json_t *view)
 {
   size_t i;
   json_t *row;
-  printf ("\n%-24s %-16s %-16s %-24s %-9s %s\n", "BACKEND SERVER", "SERVICE",
-          "FAILURE DOMAIN", "ADDRESS", "STATE", "SLOTS");
-  json_array_foreach (json_object_get (view, "backends"), i, row) printf (
-      "%-24s %-16s %-16s %-24s %-9s %lld\n", string_field (row, "id"),
-      string_field (row, "service"), string_field (row, "failure_domain"),
-      string_field (row, "address"), string_field (row, "state"),
-      (long long)integer_field (row, "slots"));
+  printf ("\n%-24s %-16s %-16s %-24s %-9s %-6s %s\n", "BACKEND SERVER",
+          "SERVICE", "FAILURE DOMAIN", "ADDRESS", "STATE", "SLOTS",
+          "SAID TO ROUTERS");
+  json_array_foreach (json_object_get (view, "backends"), i, row)
+  {
+    printf ("%-24s %-16s %-16s %-24s %-9s %-6lld", string_field (row, "id"),
+            string_field (row, "service"),
+            string_field (row, "failure_domain"),
+            string_field (row, "address"), string_field (row, "state"),
+            (long long)integer_field (row, "slots"));
+    print_notices (row);
+    printf ("\n");
+  }
 }
 
 static void
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/crash_table.h"
 #include "fleet/crash_wire.h"
 #include "fleet/list_update.h"
+#include "fleet/notice_wire.h"
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
 #include "fleet/router_table.h"
@@ -156,7 +157,8 @@
   backend_list_t backend_list;
   list_source_t list_source; /* encodes BACKEND_LIST for peers */
 
-  crash_table_t crashes; /* reported by routers and directors */
+  notice_table_t notices; /* reported by the routers that pull from here */
+  crash_table_t crashes;  /* reported by routers and directors */
   usec_t next_crash_expiry_at;
   size_t n_quarantined;
   fingerprint_t quarantined[QUARANTINED_MAX]; /* sorted */
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -121,6 +121,7 @@
 void
 core_pulls_update_routers (director_core_t *core, usec_t now)
 {
+  notice_table_expire (&core->notices, now);
   size_t gone = router_table_expire (&core->router_table, now);
   uint64_t digest = router_table_digest (&core->router_table);
   if (digest == core->routers_digest)
@@ -182,11 +183,30 @@
     }
 }
 
+/* Record what backend servers have said of themselves to the router of
+   ARGS.  */
+static void
+merge_notices (director_core_t *core, const fleet_pull_args_t *args,
+               usec_t now)
+{
+  told_notice_t notices[NOTICES_MAX];
+  if (!args->tells_notices)
+    return;
+  size_t n = notice_wire_read (args->notices.notices_val,
+                               args->notices.notices_len, notices, now);
+  if (!notice_table_put (&core->notices, args->router.address, notices, n,
+                         now))
+    LOG_EVENT (LOG_LEVEL_WARNING, "notices_full",
+               LOG_S ("router", args->router.vm),
+               LOG_U ("limit", NOTICE_TABLE_MAX));
+}
+
 void
 core_pulls_answer (director_core_t *core, core_item_t *item, usec_t now)
 {
   const fleet_pull_args_t *args = &item->body.pull;
   merge_router (core, &args->router, now);
+  merge_notices (core, args, now);
   core_crashes_merge (core, args->suspects.suspects_val,
                       args->suspects.suspects_len, now, now);
   fleet_name_t evacuated[EVACUATED_MAX];
--- a/src/director/core_view.c
+++ b/src/director/core_view.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "config_codec.h"
+#include "fleet/backend_list.h"
 #include "routing/route_config.h"
 
 static json_t *
@@ -132,21 +133,47 @@
   return routers;
 }
 
+/* That a backend server leaves, as it said to routers that report here; null
+   if it did not.  */
 static json_t *
-backends_json (const director_core_t *core)
+leaving_json (const notice_summary_t *notices, usec_t now)
+{
+  if (notices->n_leaving == 0)
+    return json_null ();
+  return json_pack ("{s:i,s:o}", "routers", (int)notices->n_leaving,
+                    "said_ms_ago", age_json (notices->leaving_since, now));
+}
+
+/* The same for a rest.  */
+static json_t *
+rest_json (const notice_summary_t *notices, usec_t now)
+{
+  if (notices->n_resting == 0)
+    return json_null ();
+  return json_pack ("{s:i,s:o,s:I}", "routers", (int)notices->n_resting,
+                    "said_ms_ago", age_json (notices->resting_since, now),
+                    "left_ms",
+                    (json_int_t)((notices->rest_until - now) / USEC_PER_MSEC));
+}
+
+static json_t *
+backends_json (const director_core_t *core, usec_t now)
 {
   json_t *backends = json_array ();
   for (size_t i = 0; i < core->backend_list.n_records; i++)
     {
       const backend_record_t *record = &core->backend_list.records[i];
+      const notice_summary_t notices = notice_table_summary (
+          &core->notices, backend_record_boot (record), now);
       json_array_append_new (
           backends,
-          json_pack ("{s:s,s:s,s:s,s:o,s:s,s:i}", "id", record->id, "service",
-                     record->service.text, "failure_domain",
-                     record->domain.text, "address",
-                     address_json (&record->address), "state",
-                     record->is_draining ? "draining" : "ready", "slots",
-                     (int)record->slots));
+          json_pack (
+              "{s:s,s:s,s:s,s:o,s:s,s:i,s:o,s:o}", "id", record->id, "service",
+              record->service.text, "failure_domain", record->domain.text,
+              "address", address_json (&record->address), "state",
+              record->is_draining ? "draining" : "ready", "slots",
+              (int)record->slots, "leaving", leaving_json (&notices, now),
+              "rest", rest_json (&notices, now)));
     }
   return backends;
 }
@@ -166,7 +193,7 @@
       evacuated_json (core), "quarantined", quarantined_json (core, now),
       "directors", directors_json (core, now), "routers",
       routers_json (core, now), "routes", routes_json (core), "backends",
-      backends_json (core));
+      backends_json (core, now));
   char *text = json_dumps (view, JSON_INDENT (2));
   json_decref (view);
   if (!text)
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -12,6 +12,7 @@
 #include "fleet/crash_wire.h"
 #include "fleet/fleet_wire.h"
 #include "fleet/list_update.h"
+#include "fleet/notice_wire.h"
 #include "router/director_choice.h"
 #include "routing/route_config.h"
 
@@ -35,6 +36,8 @@
 /* The list of routers is pulled at most this often, because every router that
    joins or leaves changes it for all the others.  */
 #define ROUTERS_INTERVAL USEC_PER_SEC
+/* What backend servers say of themselves is told at most this often.  */
+#define NOTICES_INTERVAL USEC_PER_SEC
 
 struct director_sync
 {
@@ -54,6 +57,8 @@
   uint64_t routers_digest;
   usec_t routers_pulled_at; /* when the list was last received */
   uint64_t quarantine_digest;
+  const backend_pool_t *pool; /* set before the first tick */
+  usec_t notices_told_at;
   const crash_table_t *crashes; /* set before the first tick */
   uint32_t crashes_director;    /* the director that crashes_known is for */
   uint64_t crashes_known;       /* changes of CRASHES that it has */
@@ -447,6 +452,12 @@
   sync->crashes = crashes;
 }
 
+void
+director_sync_set_pool (director_sync_t *sync, const backend_pool_t *pool)
+{
+  sync->pool = pool;
+}
+
 void
 director_sync_hurry (director_sync_t *sync)
 {
@@ -470,6 +481,23 @@
   args->suspects.suspects_len = (u_int)report->n;
 }
 
+/* Fill in what backend servers have said of themselves, if that is due.
+   NOTICES has room for NOTICES_MAX.  With the lock held.  */
+static void
+add_notices (director_sync_t *sync, fleet_pull_args_t *args,
+             fleet_notice_t *notices, usec_t now)
+{
+  told_notice_t told[NOTICES_MAX];
+  if (now < sync->notices_told_at + NOTICES_INTERVAL)
+    return;
+  sync->notices_told_at = now;
+  size_t n = backend_pool_notices (sync->pool, told, NOTICES_MAX, now);
+  notice_wire_write (told, n, notices, now);
+  args->tells_notices = true;
+  args->notices.notices_val = notices;
+  args->notices.notices_len = (u_int)n;
+}
+
 void
 director_sync_tick (director_sync_t *sync, usec_t now)
 {
@@ -492,6 +520,7 @@
           .wants_routers = now >= sync->routers_pulled_at + ROUTERS_INTERVAL,
           .quarantine_digest = sync->quarantine_digest };
   crash_report_t crashes;
+  fleet_notice_t notices[NOTICES_MAX];
   uint32_t director = 0;
   if (is_due)
     {
@@ -502,6 +531,7 @@
       sync->pull_sent_at = now;
       director = director_choice_next (&sync->directors, now);
       add_crashes (sync, director, &args, &crashes, now);
+      add_notices (sync, &args, notices, now);
     }
   pthread_mutex_unlock (&sync->lock);
   if (is_due)
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -46,6 +46,11 @@
 void director_sync_set_crashes (director_sync_t *sync,
                                 const crash_table_t *crashes);
 
+/* Report what the backend servers of POOL say of themselves to the directors.
+   POOL is read by director_sync_tick only and must stay valid.  */
+void director_sync_set_pool (director_sync_t *sync,
+                             const backend_pool_t *pool);
+
 /* Make the next pull due at once.  */
 void director_sync_hurry (director_sync_t *sync);
 
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -256,6 +256,7 @@
   list_init (&dispatcher->queue);
   list_init (&dispatcher->active);
   director_sync_set_crashes (options->sync, &dispatcher->crashes);
+  director_sync_set_pool (options->sync, dispatcher->pool);
   return dispatcher;
 }
 
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -14,6 +14,7 @@
 const FLEET_WIRE_SUSPECTS_MAX = 64;
 const FLEET_WIRE_CRASHES_MAX = 8;
 const FLEET_WIRE_QUARANTINED_MAX = 256;
+const FLEET_WIRE_NOTICES_MAX = 64;
 
 struct fleet_router_t
 {
@@ -91,6 +92,15 @@
   fleet_crash_t crashes<FLEET_WIRE_CRASHES_MAX>;
 };
 
+/* What a backend server has said of itself to a router. */
+struct fleet_notice_t
+{
+  uint64_t boot; /* a hash of the backend server and its start */
+  bool is_leaving;
+  int64_t said_age;  /* usec since it said so */
+  int64_t rest_left; /* usec until it wants requests; 0: it does not rest */
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
@@ -101,6 +111,8 @@
   bool wants_routers; /* where they are others than it has */
   fleet_suspect_t suspects<FLEET_WIRE_SUSPECTS_MAX>; /* that it saw itself */
   uint64_t quarantine_digest; /* of the quarantined requests that it knows */
+  bool tells_notices; /* all that are in force; otherwise as told before */
+  fleet_notice_t notices<FLEET_WIRE_NOTICES_MAX>;
 };
 
 /* Where a router takes requests. */
--- a/test/functional/test_fleet_notices.sh
+++ b/test/functional/test_fleet_notices.sh
@@ -39,11 +39,21 @@
 [ "$LATE" = 0 ] || fail "$LATE requests reached the backend server later than $DRAIN_MSEC ms after it said that it leaves"
 told_leaving() { grep -q 'event=backend_leaving .*backend=north-a-0' "$FOLDER/router-1.log"; }
 wait_for 5 told_leaving
+# shown_as ID WORDS: a director says it of the backend server.
+shown_as() {
+  for i in 1 2 3; do "$BUILD/mulberryctl" fleet show "$(director_address "$i"):$OPERATORS_PORT"; done >"$FOLDER/shown"
+  grep -q "^$1 .* $2" "$FOLDER/shown"
+}
+wait_for 5 shown_as north-a-0 'leaves, told 1 router'
+! shown_as north-b-0 'told' || fail 'a backend server is shown with what it did not say'
 ! grep -vqx 200 "$FOLDER/status-leave" || fail "not all were served: $(sort "$FOLDER/status-leave" | uniq -c)"
 
-# Another wants a rest; the retries are served elsewhere.
+# Another wants a rest; fleet show names it, and the retries are served elsewhere.
 echo north-b-0 >"$FOLDER/resting"
-load rest 6
+load rest 6 &
+LOAD=$!
+wait_for 5 shown_as north-b-0 'rests [0-9]* ms more, told 1 router'
+wait "$LOAD"
 FIRST=$(awk '/^rest-/ && $2 == "north-b-0" && $4 == "refused" { print $3; exit }' "$FOLDER/reached")
 [ -n "$FIRST" ] || fail 'the backend server that rests got no request'
 N=$(awk -v from=$((FIRST + IN_FLIGHT_MSEC)) -v to=$((FIRST + REST_MSEC)) '
@@ -52,6 +62,7 @@
 [ "$N" -le $REACH_MAX ] || fail "$N requests reached the backend server during its rest"
 told_resting() { grep -q 'event=backend_resting .*backend=north-b-0.*rest_ms=4000' "$FOLDER/router-1.log"; }
 wait_for 5 told_resting
+! shown_as north-b-0 'rests' || fail 'a rest is shown after its end'
 ! grep -vqx 200 "$FOLDER/status-rest" || fail "not all were served: $(sort "$FOLDER/status-rest" | uniq -c)"
 
 # All of them rest: a request that can't wait is told when to come back.
