fix(director,router): a damaged list of routers from another VM ends no process

What operators would see: a director (in a share) or a router (in the reply to its pull) logs share_not_understood or routers_not_understood, and ends with a null pointer. Not seen in the field; found by reading for the fuzz targets.

Cause: after a failure, fleet_wire_unpack left the number of all entries with null pointers for those that it had not reached; two of its four callers went on over them. Now it releases what it decoded and says so, and both return; the router keeps its list and asks again a second later.

director_core.c: handle_item is core_item_handle now and declared in the internal header, so that tests can hand messages to a core without its thread.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -177,6 +177,8 @@
 bool core_mailbox_post (director_core_t *core, core_item_t *item);
 /* A zeroed item of KIND, malloc'd.  */
 core_item_t *core_item_new (core_item_kind_t kind);
+/* Do what ITEM asks for, and free it.  */
+void core_item_handle (director_core_t *core, core_item_t *item, usec_t now);
 /* Give EVENT to the replica, carry out its actions and follow its role.  */
 void core_step_replica (director_core_t *core, const event_t *event);
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -345,8 +345,11 @@
 {
   fleet_routers_t wire = { 0 };
   if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_routers_t, &wire, packed))
-    LOG_EVENT (LOG_LEVEL_WARNING, "share_not_understood",
-               LOG_U ("bytes", packed->fleet_packed_t_len));
+    {
+      LOG_EVENT (LOG_LEVEL_WARNING, "share_not_understood",
+                 LOG_U ("bytes", packed->fleet_packed_t_len));
+      return;
+    }
   for (u_int i = 0; i < wire.routers.routers_len; i++)
     {
       router_record_t record;
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -154,8 +154,8 @@
   free (item);
 }
 
-static void
-handle_item (director_core_t *core, core_item_t *item, usec_t now)
+void
+core_item_handle (director_core_t *core, core_item_t *item, usec_t now)
 {
   switch (item->kind)
     {
@@ -293,7 +293,7 @@
       core_item_t *item = next_item (core, next_tick_at);
       usec_t now = clock_monotonic ();
       if (item)
-        handle_item (core, item, now);
+        core_item_handle (core, item, now);
       if (now >= next_tick_at)
         {
           tick (core, now);
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -104,6 +104,8 @@
   XDR xdrs;
   xdrmem_create (&xdrs, plain.bytes, (u_int)plain.length, XDR_DECODE);
   bool ok = filter (&xdrs, value);
+  if (!ok)
+    xdr_free (filter, value);
   free (plain.bytes);
   return ok;
 }
@@ -137,16 +139,14 @@
                         backend_list_t *list)
 {
   fleet_list_t wire = { 0 };
-  bool ok = fleet_wire_unpack ((xdrproc_t)xdr_fleet_list_t, &wire, packed);
   *list = (backend_list_t){ .read_at = read_at };
-  if (ok)
-    {
-      fleet_wire_decode_backends (wire.backends.backends_val,
-                                  wire.backends.backends_len, list);
-      backend_list_finalize (list);
-    }
+  if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_list_t, &wire, packed))
+    return false;
+  fleet_wire_decode_backends (wire.backends.backends_val,
+                              wire.backends.backends_len, list);
+  backend_list_finalize (list);
   xdr_free ((xdrproc_t)xdr_fleet_list_t, (char *)&wire);
-  return ok;
+  return true;
 }
 
 packed_t
--- a/src/fleet/fleet_wire.h
+++ b/src/fleet/fleet_wire.h
@@ -26,9 +26,10 @@
    bytes.  */
 packed_t fleet_wire_pack (xdrproc_t filter, void *value);
 
-/* Decompress PACKED and decode it with FILTER into VALUE.  Returns false if
-   PACKED is not the output of fleet_wire_pack with FILTER.  The caller
-   releases VALUE with xdr_free, also after a failure.  */
+/* Decompress PACKED and decode it with FILTER into VALUE, which the caller
+   releases with xdr_free.  Returns false if PACKED is not the output of
+   fleet_wire_pack with FILTER; VALUE then holds nothing and must not be
+   read.  */
 bool fleet_wire_unpack (xdrproc_t filter, void *value,
                         const fleet_packed_t *packed);
 
--- a/src/fleet/list_update.c
+++ b/src/fleet/list_update.c
@@ -186,13 +186,11 @@
                  backend_list_t *list)
 {
   fleet_delta_t delta = { 0 };
-  bool ok = fleet_wire_unpack ((xdrproc_t)xdr_fleet_delta_t, &delta, packed);
-  if (ok)
-    {
-      list_update_advance_time (list, delta.read_at + clock_offset);
-      merge_delta (list, &delta);
-      ok = list->digest == delta.digest;
-    }
+  if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_delta_t, &delta, packed))
+    return false;
+  list_update_advance_time (list, delta.read_at + clock_offset);
+  merge_delta (list, &delta);
+  bool ok = list->digest == delta.digest;
   xdr_free ((xdrproc_t)xdr_fleet_delta_t, (char *)&delta);
   return ok;
 }
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -240,12 +240,15 @@
   fleet_peers_t wire = { 0 };
   if (result->routers.fleet_packed_t_len == 0)
     return false;
+  sync->routers_pulled_at = now;
   if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_peers_t, &wire,
                           &result->routers))
-    LOG_EVENT (LOG_LEVEL_WARNING, "routers_not_understood",
-               LOG_U ("bytes", result->routers.fleet_packed_t_len));
+    {
+      LOG_EVENT (LOG_LEVEL_WARNING, "routers_not_understood",
+                 LOG_U ("bytes", result->routers.fleet_packed_t_len));
+      return false;
+    }
   sync->routers_digest = result->routers_digest;
-  sync->routers_pulled_at = now;
   free (snapshot->routers);
   snapshot->routers
       = calloc (wire.peers.peers_len + 1u, sizeof (pool_router_t));
