fix(fleet): clocks, ages and numbers of a message are checked before they count

What operators would see: nothing in normal service, since only our own programs write these messages, under a shared key. A release or a fault that writes an impossible number made a director or router calculate with it: a delay below zero for all later messages of that director, a list that is applied with cold times that wrap, a router named to callers with the lower half of its port.

Cause: fleet_wire, list_update and clock_offset added and subtracted before anything had looked at the range. FLEET_TIME_MAX bounds clocks, ages and spans where they are read; ports and slots have the limits that the list's reader has.

--- a/src/fleet/clock_offset.c
+++ b/src/fleet/clock_offset.c
@@ -1,5 +1,7 @@
 #include "fleet/clock_offset.h"
 
+#include "fleet/fleet_defs.h"
+
 /* Long enough to see a message without delay, and short enough that the drift
    of the clocks does not count.  */
 #define WINDOW (10 * USEC_PER_SEC)
@@ -16,6 +18,8 @@
 usec_t
 clock_offset_delay (clock_offset_t *offset, usec_t sent_at, usec_t now)
 {
+  if (sent_at < 0 || sent_at > FLEET_TIME_MAX)
+    return 0;
   usec_t difference = now - sent_at;
   if (offset->window_at == 0 || difference - least_of (offset) > DELAY_MAX)
     {
--- a/src/fleet/clock_offset.h
+++ b/src/fleet/clock_offset.h
@@ -23,7 +23,8 @@
 
 /* Record a message that was sent at SENT_AT by its sender's clock and arrived
    at NOW by the local one.  Returns the time that it was under way, in usec.
-   A sender whose clock began anew after a reboot is recognized by a difference
+   A SENT_AT that no clock shows is ignored and counts as NOW.  A sender whose
+   clock began anew after a reboot is recognized by a difference
    that no delay explains.  */
 usec_t clock_offset_delay (clock_offset_t *offset, usec_t sent_at, usec_t now);
 
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -21,6 +21,10 @@
   FLEET_DIRECTORS_MAX = 63,
 };
 
+/* No clock, age or span in a message is longer, about 2,000 years; the sums of
+   a few of them don't overflow.  */
+#define FLEET_TIME_MAX ((usec_t)1 << 56)
+
 /* One backend server, as the platform's list describes it.  */
 typedef struct backend_record
 {
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "base/name.h"
 #include "fleet/backend_list.h"
 
@@ -28,6 +29,8 @@
 fleet_wire_decode_router (const fleet_router_t *from, usec_t now,
                           router_record_t *record)
 {
+  if (from->port > UINT16_MAX || from->age > FLEET_TIME_MAX)
+    return false;
   *record = (router_record_t){
     .request_address
     = { .address = from->address, .port = (uint16_t)from->port },
@@ -56,6 +59,13 @@
   };
 }
 
+static bool
+has_possible_numbers (const fleet_backend_t *wire)
+{
+  return wire->port <= UINT16_MAX && wire->slots <= BACKEND_SLOTS_MAX
+         && wire->cold_left >= 0 && wire->cold_left <= FLEET_TIME_MAX;
+}
+
 void
 fleet_wire_decode_backends (const fleet_backend_t *entries, size_t n,
                             backend_list_t *list)
@@ -63,6 +73,14 @@
   for (size_t i = 0; i < n; i++)
     {
       const fleet_backend_t *wire = &entries[i];
+      if (!has_possible_numbers (wire))
+        {
+          LOG_EVENT (LOG_LEVEL_WARNING, "backend_not_understood",
+                     LOG_S ("id", wire->id), LOG_U ("port", wire->port),
+                     LOG_U ("slots", wire->slots),
+                     LOG_I ("cold_left", wire->cold_left));
+          continue;
+        }
       backend_record_t record = {
         .address = { .address = wire->address, .port = (uint16_t)wire->port },
         .is_draining = wire->is_draining,
--- a/src/fleet/fleet_wire.h
+++ b/src/fleet/fleet_wire.h
@@ -18,7 +18,7 @@
                                          usec_t now);
 
 /* Decode FROM into *RECORD.  Returns false if the name of the VM, the failure
-   domain or the region is invalid.  */
+   domain or the region is invalid, or a number out of range.  */
 bool fleet_wire_decode_router (const fleet_router_t *from, usec_t now,
                                router_record_t *record);
 
@@ -37,8 +37,9 @@
 packed_t fleet_wire_pack_list (const backend_list_t *list);
 
 /* Decode the output of fleet_wire_pack_list into *LIST, which is finalized and
-   gets READ_AT as its time of reading.  Entries with invalid names are
-   skipped.  Returns false if PACKED can't be decoded; *LIST is empty then.  */
+   gets READ_AT as its time of reading.  Entries with invalid names or
+   numbers are skipped.  Returns false if PACKED can't be decoded; *LIST is
+   empty then.  */
 bool fleet_wire_unpack_list (const fleet_packed_t *packed, usec_t read_at,
                              backend_list_t *list);
 
@@ -47,8 +48,8 @@
 packed_t fleet_wire_pack_delta (const backend_list_t *from,
                                 const backend_list_t *to);
 
-/* Decode N entries and append them to LIST.  Entries with invalid names are
-   skipped.  */
+/* Decode N entries and append them to LIST.  Entries with invalid names or
+   numbers are skipped.  */
 void fleet_wire_decode_backends (const fleet_backend_t *entries, size_t n,
                                  backend_list_t *list);
 
--- a/src/fleet/list_update.c
+++ b/src/fleet/list_update.c
@@ -120,7 +120,8 @@
 usec_t
 list_update_read_at (const fleet_list_update_t *update, usec_t now)
 {
-  return now - (update->age > 0 ? update->age : 0);
+  usec_t age = update->age > 0 ? update->age : 0;
+  return now - (age < FLEET_TIME_MAX ? age : FLEET_TIME_MAX);
 }
 
 void
@@ -140,6 +141,12 @@
   list->read_at = at;
 }
 
+static bool
+is_possible_clock (usec_t at)
+{
+  return at >= 0 && at <= FLEET_TIME_MAX;
+}
+
 static int
 compare_ids (const void *a, const void *b)
 {
@@ -188,9 +195,13 @@
   fleet_delta_t delta = { 0 };
   if (!fleet_wire_unpack ((xdrproc_t)xdr_fleet_delta_t, &delta, packed))
     return false;
-  list_update_advance_time (list, delta.read_at + clock_offset);
-  merge_delta (list, &delta);
-  bool ok = list->digest == delta.digest;
+  bool ok = is_possible_clock (delta.read_at);
+  if (ok)
+    {
+      list_update_advance_time (list, delta.read_at + clock_offset);
+      merge_delta (list, &delta);
+      ok = list->digest == delta.digest;
+    }
   xdr_free ((xdrproc_t)xdr_fleet_delta_t, (char *)&delta);
   return ok;
 }
@@ -236,6 +247,8 @@
     return LIST_UPDATE_UNCHANGED;
   if (update->whole.fleet_packed_t_len > 0)
     return replace_list (update, read_at, list);
+  if (update->deltas.deltas_len > 0 && !is_possible_clock (update->read_at))
+    return LIST_UPDATE_MISMATCH;
   if (update->deltas.deltas_len > 0)
     return apply_deltas (update, read_at - update->read_at, list);
   return LIST_UPDATE_UNCHANGED;
