--- a/test/support/held_rpc.h
+++ b/test/support/held_rpc.h
@@ -29,13 +29,18 @@
   return rpc;
 }
 
-/* The oldest call that is kept; NULL if there is none.  Free it with
+/* The only call that is kept; NULL if there is none.  Free it with
    held_rpc_free_call.  */
 static inline rpc_out_call_t *
 held_rpc_take_call (rpc_t *rpc)
 {
-  list_t *link = list_pop_front (&rpc->new_calls);
-  return link ? LIST_ENTRY (link, rpc_out_call_t, link) : NULL;
+  list_t *link = rpc->new_calls.next;
+  if (link == &rpc->new_calls)
+    return NULL;
+  if (link->next != &rpc->new_calls)
+    abort ();
+  list_init (&rpc->new_calls);
+  return LIST_ENTRY (link, rpc_out_call_t, link);
 }
 
 static inline void
@@ -73,14 +78,14 @@
 held_rpc_drop_replies (rpc_t *rpc)
 {
   size_t n = 0;
-  list_t *link;
-  while ((link = list_pop_front (&rpc->new_replies)))
-    {
-      rpc_out_reply_t *reply = LIST_ENTRY (link, rpc_out_reply_t, link);
-      free (reply->frame.bytes);
-      free (reply);
-      n++;
-    }
+  LIST_FOREACH (link, &rpc->new_replies)
+  {
+    rpc_out_reply_t *reply = LIST_ENTRY (link, rpc_out_reply_t, link);
+    free (reply->frame.bytes);
+    free (reply);
+    n++;
+  }
+  list_init (&rpc->new_replies);
   return n;
 }
 
