--- a/test/unit/test_router_director_sync.c
+++ b/test/unit/test_router_director_sync.c
@@ -1,75 +1,22 @@
 /* What a router does with a director's reply.  */
 
 #include <glib.h>
-#include <string.h>
 
-#include "../support/held_rpc.h"
-#include "base/clock.h"
+#include "../support/sync_world.h"
 #include "fleet/fleet_wire.h"
-#include "router/director_sync.h"
 
 #define ROUTER_ADDRESS 0x7f000002u
 
-typedef struct world
-{
-  rpc_t *rpc;
-  fleet_settings_t settings;
-  crash_table_t crashes;
-  backend_pool_t *pool;
-  director_sync_t *sync;
-} world_t;
-
-static void
-on_changed (void *closure)
-{
-  (void)closure;
-}
-
-static world_t *
-world_new (void)
-{
-  world_t *world = g_new0 (world_t, 1);
-  fleet_settings_t *settings = &world->settings;
-  g_strlcpy (settings->address, "127.0.0.2", sizeof settings->address);
-  settings->n_domains = 1;
-  g_strlcpy (settings->domains[0].name.text, "north-a", sizeof (name_t));
-  g_strlcpy (settings->domains[0].region.text, "north", sizeof (name_t));
-  settings->n_seeds = 1;
-  settings->seeds[0].address = 0x7f000001u;
-  world->rpc = held_rpc_open ();
-  const director_sync_options_t options = { .settings = settings,
-                                            .rpc = world->rpc,
-                                            .incarnation = 1,
-                                            .snapshot_changed = on_changed };
-  world->sync = director_sync_new (&options);
-  const backend_pool_options_t pool = { .settings = settings, .seed = 1 };
-  world->pool = backend_pool_new (&pool);
-  director_sync_set_crashes (world->sync, &world->crashes);
-  director_sync_set_pool (world->sync, world->pool);
-  return world;
-}
-
-static void
-world_free (world_t *world)
-{
-  rpc_close (world->rpc);
-  director_sync_free (world->sync);
-  backend_pool_free (world->pool);
-  g_free (world);
-}
-
 static void
-answer_pull (world_t *world, fleet_pull_result_t *result)
+answer_pull (sync_world_t *world, fleet_pull_result_t *result)
 {
-  director_sync_hurry (world->sync);
-  director_sync_tick (world->sync, clock_monotonic ());
-  rpc_out_call_t *call = held_rpc_take_call (world->rpc);
+  rpc_out_call_t *call = sync_world_pull (world);
   g_assert_nonnull (call);
   held_rpc_answer (call, (xdrproc_t)xdr_fleet_pull_result_t, result);
 }
 
 static size_t
-n_routers (world_t *world)
+n_routers (sync_world_t *world)
 {
   fleet_snapshot_t *snapshot = director_sync_snapshot (world->sync);
   size_t n = snapshot->n_routers;
@@ -82,7 +29,7 @@
 static void
 test_damaged_routers (void)
 {
-  world_t *world = world_new ();
+  sync_world_t *world = sync_world_new ();
   static char domain[] = "north-a";
   fleet_peer_t peers[]
       = { { .address = ROUTER_ADDRESS, .port = 1, .domain = domain },
@@ -108,7 +55,7 @@
   free (damaged.bytes);
   free (plain.bytes);
   free (whole.bytes);
-  world_free (world);
+  sync_world_free (world);
 }
 
 int
