feat(director,router,ctl): an operator ends a quarantine early

What operators saw: a quarantine ended ten minutes after the crashes, or by a restart of all directors and of the routers that had seen them.

Directors tell each other in their crash reports, and routers in the replies to pulls; each keeps the release for as long as a crash before it may be reported again (crash_table_release), so a router that asks another director does not begin the quarantine anew.

Evidence: test_fleet_poison releases at one director and waits until all directors list nothing and the third router passes the request on; test_fleet_crash_table /released and /release-told.

Messages between routers and directors have new fields: one release on all VMs.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,5 +19,6 @@
 exit_code_t command_check (session_t *session);
 exit_code_t command_explain (session_t *session);
 exit_code_t command_fleet_show (session_t *session);
+exit_code_t command_fleet_release (session_t *session);
 
 #endif
--- a/src/ctl/download.c
+++ b/src/ctl/download.c
@@ -59,6 +59,8 @@
   curl_easy_setopt (curl, CURLOPT_PRIVATE, page);
   curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)PAGE_TIMEOUT_MS);
+  if (page->is_post)
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "");
   download_into (&page->body, curl);
   curl_multi_add_handle (multi, curl);
 }
--- a/src/ctl/download.h
+++ b/src/ctl/download.h
@@ -30,6 +30,7 @@
   const char *address; /* dotted IPv4 */
   uint16_t port;
   const char *path;
+  bool is_post;    /* POST without a body; otherwise GET */
   unsigned status; /* 0: no complete answer in time */
   download_t body;
 } page_t;
--- a/src/ctl/fleet_command.c
+++ b/src/ctl/fleet_command.c
@@ -1,5 +1,5 @@
-/* mulberryctl fleet show: print the replicated state that one director
-   holds.  */
+/* mulberryctl fleet show: print the replicated state that one director holds;
+   fleet release: end a quarantine.  */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,10 +7,13 @@
 #include "base/inet.h"
 #include "ctl/commands.h"
 #include "ctl/download.h"
+#include "fleet/crash_table.h"
 
 enum
 {
   HTTP_STATUS_OK = 200,
+  HTTP_STATUS_NOT_FOUND = 404,
+  PATH_BYTES = 64,
 };
 
 static const char *
@@ -138,20 +141,65 @@
   print_backends (view);
 }
 
+static bool
+parse_director (inet_t *at, const char *text, err_t *err)
+{
+  return (text && inet_parse (at, text))
+         || err_set (err, ERR_USAGE,
+                     "give the ADDRESS:PORT of a director for operators",
+                     "'%s' is not an IPv4 address with a port",
+                     text ? text : "");
+}
+
 exit_code_t
-command_fleet_show (session_t *session)
+command_fleet_release (session_t *session)
 {
   const options_t *options = session->options;
   err_t err = { 0 };
-  inet_t at;
-  if (!inet_parse (&at, options->argument))
+  inet_t at = { 0 };
+  fingerprint_t fingerprint;
+  if (!parse_director (&at, options->director, &err))
+    return session_report_error (session, &err);
+  if (!fingerprint_parse (&fingerprint, options->argument))
     {
-      err_set (&err, ERR_USAGE,
-               "give the ADDRESS:PORT of a director for operators",
-               "'%s' is not an IPv4 address with a port", options->argument);
+      err_set (&err, ERR_USAGE, "copy it from `mulberryctl fleet show`",
+               "'%s' is not a fingerprint of 32 hexadecimal digits",
+               options->argument);
       return session_report_error (session, &err);
     }
   char address[INET_TEXT_BYTES];
+  char path[PATH_BYTES];
+  inet_format_address (at.address, address);
+  snprintf (path, sizeof path, "/v1/fleet/release/%s", options->argument);
+  page_t page
+      = { .address = address, .port = at.port, .path = path, .is_post = true };
+  pages_fetch (&page, 1);
+  pages_free (&page, 1);
+  if (page.status == HTTP_STATUS_OK)
+    {
+      printf ("released: requests %s\n", options->argument);
+      return EXIT_OK;
+    }
+  bool is_unknown = page.status == HTTP_STATUS_NOT_FOUND;
+  err_set (&err, is_unknown ? ERR_STALE : ERR_UNAVAILABLE,
+           is_unknown ? "`mulberryctl fleet show` lists the quarantined ones"
+                      : "ask another director",
+           is_unknown ? "%s knows of no such quarantine (HTTP status %u)"
+                      : "%s did not answer (HTTP status %u)",
+           options->director, page.status);
+  exit_code_t code = session_report_error (session, &err);
+  return is_unknown ? EXIT_REFUSED : code;
+}
+
+exit_code_t
+command_fleet_show (session_t *session)
+{
+  const options_t *options = session->options;
+  err_t err = { 0 };
+  inet_t at = { 0 };
+  if (!parse_director (&at, options->argument, &err))
+    return session_report_error (session, &err);
+  char address[INET_TEXT_BYTES];
   inet_format_address (at.address, address);
   page_t page = { .address = address, .port = at.port, .path = "/v1/fleet" };
   pages_fetch (&page, 1);
--- a/src/ctl/main_ctl.c
+++ b/src/ctl/main_ctl.c
@@ -33,6 +33,8 @@
       return command_explain (session);
     case COMMAND_FLEET_SHOW:
       return command_fleet_show (session);
+    case COMMAND_FLEET_RELEASE:
+      return command_fleet_release (session);
     case COMMAND_NONE:
       break;
     }
--- a/src/ctl/options.c
+++ b/src/ctl/options.c
@@ -111,6 +111,15 @@
       "operators, holds: "
       "configuration, evacuations, directors, routers, routes, backend "
       "servers.\vExit codes: 0 shown, 5 the director did not answer." },
+  [COMMAND_FLEET_RELEASE]
+  = { { "fleet", "release" },
+      ARGUMENT_NAME,
+      "End the quarantine of the requests with the fingerprint NAME, as "
+      "`fleet "
+      "show` lists it, at all directors and routers.  Crashes so far do not "
+      "count any more; three more begin it again.\vExit codes: 0 ended, 2 "
+      "usage, 3 none with this fingerprint is quarantined there, 5 the "
+      "director did not answer." },
 };
 
 static const char global_doc[]
@@ -128,6 +137,7 @@
       "  check                what is wrong, and how to mend it\n"
       "  explain NAME         what became of a request, from logs\n"
       "  fleet show NAME      what the director at ADDRESS:PORT knows\n"
+      "  fleet release NAME   end the quarantine of a fingerprint\n"
       "\n`mulberryctl COMMAND --help` describes one command.\n"
       "\nExit codes: 0 good, 1 something found, 2 usage or settings, 3 "
       "refused, 4 conflict, 5 no final answer (ask again), 6 credential "
@@ -138,6 +148,7 @@
   OPTION_SERVICE = 0x100,
   OPTION_STOP,
   OPTION_LOG,
+  OPTION_DIRECTOR,
 };
 
 static const struct argp_option global_options[] = {
@@ -166,6 +177,12 @@
   { 0 },
 };
 
+static const struct argp_option release_options[] = {
+  { "director", OPTION_DIRECTOR, "ADDRESS:PORT", 0,
+    "The director to tell, at its address for operators", 0 },
+  { 0 },
+};
+
 static const struct argp_option explain_options[] = {
   { "log", OPTION_LOG, "FILE", 0, "A log to read; can be given many times",
     0 },
@@ -272,6 +289,9 @@
     case OPTION_STOP:
       options->stop = true;
       return 0;
+    case OPTION_DIRECTOR:
+      options->director = text;
+      return 0;
     case OPTION_LOG:
       if (options->n_logs == LOGS_MAX)
         argp_error (state, "--log can be given at most %d times", LOGS_MAX);
@@ -303,6 +323,8 @@
     return drain_options;
   if (command == COMMAND_EXPLAIN)
     return explain_options;
+  if (command == COMMAND_FLEET_RELEASE)
+    return release_options;
   return NULL;
 }
 
@@ -348,7 +370,8 @@
 bool
 options_need_settings (command_t command)
 {
-  return command != COMMAND_EXPLAIN && command != COMMAND_FLEET_SHOW;
+  return command != COMMAND_EXPLAIN && command != COMMAND_FLEET_SHOW
+         && command != COMMAND_FLEET_RELEASE;
 }
 
 void
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -22,6 +22,7 @@
   COMMAND_CHECK,
   COMMAND_EXPLAIN,
   COMMAND_FLEET_SHOW,
+  COMMAND_FLEET_RELEASE,
   COMMAND_NONE,
 } command_t;
 
@@ -57,6 +58,7 @@
   usec_t timeout;
   const char *argument; /* FILE or NAME after the command; NULL: none */
   const char *service;  /* metrics: only this service; NULL: all */
+  const char *director; /* fleet release: ADDRESS:PORT for operators */
   bool stop;            /* backend drain: a planned stop */
   size_t n_logs;        /* explain: the files to read; none: standard input */
   const char *logs[LOGS_MAX];
--- a/src/director/core_crashes.c
+++ b/src/director/core_crashes.c
@@ -43,6 +43,43 @@
   result->quarantined.quarantined_len = (u_int)core->n_quarantined;
 }
 
+void
+core_crashes_fill_releases (const director_core_t *core,
+                            fleet_pull_result_t *result,
+                            fleet_release_t *releases, usec_t now)
+{
+  u_int n = 0;
+  for (size_t i = core->crashes.n_suspects;
+       i-- > 0 && n < FLEET_WIRE_RELEASES_MAX;)
+    {
+      const suspect_t *suspect = &core->crashes.suspects[i];
+      if (suspect->released_at > 0)
+        releases[n++] = (fleet_release_t){
+          .fingerprint = { .low = suspect->fingerprint.low,
+                           .high = suspect->fingerprint.high },
+          .age = now - suspect->released_at,
+        };
+    }
+  result->releases.releases_val = releases;
+  result->releases.releases_len = n;
+}
+
+bool
+core_crashes_release (director_core_t *core, fingerprint_t fingerprint,
+                      usec_t now)
+{
+  if (!fingerprints_contain (core->quarantined, core->n_quarantined,
+                             fingerprint))
+    return false;
+  char text[FINGERPRINT_TEXT_BYTES];
+  fingerprint_format (fingerprint, text);
+  LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_released",
+             LOG_S ("fingerprint", text));
+  crash_table_release (&core->crashes, fingerprint, now);
+  update_quarantine (core);
+  return true;
+}
+
 void
 core_crashes_fill_share (const director_core_t *core, slot_t to,
                          fleet_share_args_t *args, crash_report_t *report,
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -252,6 +252,16 @@
                                uint64_t known_digest,
                                fleet_pull_result_t *result,
                                fleet_fingerprint_t *fingerprints);
+/* Fill in the last releases by operators; RELEASES has room for
+   FLEET_WIRE_RELEASES_MAX.  */
+void core_crashes_fill_releases (const director_core_t *core,
+                                 fleet_pull_result_t *result,
+                                 fleet_release_t *releases, usec_t now);
+/* End the quarantine of FINGERPRINT, here at once, and at the other directors
+   and at routers with what they are told next.  Returns false if it is not
+   quarantined.  */
+bool core_crashes_release (director_core_t *core, fingerprint_t fingerprint,
+                           usec_t now);
 /* Fill in the reports that the director in slot TO does not have yet.  ARGS
    refers to REPORT.  */
 void core_crashes_fill_share (const director_core_t *core, slot_t to,
--- a/src/director/core_operator.c
+++ b/src/director/core_operator.c
@@ -23,6 +23,8 @@
       return "elsewhere";
     case OUTCOME_UNAVAILABLE:
       return "unavailable";
+    case OUTCOME_NOT_FOUND:
+      return "not_found";
     case OUTCOME_UNKNOWN:
       return "unknown";
     }
@@ -42,6 +44,8 @@
       return "evacuate";
     case OPERATOR_TAKE_BACK:
       return "take_back";
+    case OPERATOR_RELEASE:
+      return "release";
     case OPERATOR_SHOW:
       return "show";
     }
@@ -132,6 +136,13 @@
       answer_view (core, request);
       return true;
     }
+  if (request->kind == OPERATOR_RELEASE)
+    {
+      bool ok = core_crashes_release (core, request->fingerprint,
+                                      clock_monotonic ());
+      finish (core, request, ok ? OUTCOME_DONE : OUTCOME_NOT_FOUND);
+      return true;
+    }
   bool is_current = core->replica
                     && replica_is_current (core->replica, clock_monotonic ());
   if (is_current && request->kind == OPERATOR_GET_CONFIG)
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -223,6 +223,8 @@
   fleet_fingerprint_t quarantined[QUARANTINED_MAX];
   core_crashes_fill_result (core, args->quarantine_digest, &result,
                             quarantined);
+  fleet_release_t releases[FLEET_WIRE_RELEASES_MAX];
+  core_crashes_fill_releases (core, &result, releases, now);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
       result.routers.fleet_packed_t_val = core->packed_routers.bytes;
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/name.h"
 #include "config_codec.h"
+#include "fleet/crash_table.h"
 #include "lookup_codec.h"
 #include "platform_api.h"
 #include "routing/route_config.h"
@@ -30,6 +31,8 @@
 
 /* This director's view, for mulberryctl; not one of the platform's paths.  */
 static const char fleet_view_path[] = "/v1/fleet";
+/* Ends a quarantine; the fingerprint follows.  */
+static const char release_path[] = "/v1/fleet/release/";
 
 struct director_port
 {
@@ -115,6 +118,10 @@
       return reply_json (exchange->connection, MHD_HTTP_OK, "{}");
     case OUTCOME_REDIRECT:
       return reply_redirect (exchange, url);
+    case OUTCOME_NOT_FOUND:
+      return reply_error (exchange->connection, MHD_HTTP_NOT_FOUND,
+                          "no request with this fingerprint is quarantined "
+                          "here; `mulberryctl fleet show` lists them");
     case OUTCOME_UNAVAILABLE:
       return reply_error (exchange->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
                           "not accepted: this director knows no leader or no "
@@ -167,6 +174,17 @@
                   "unknown failure domain '%s'", domain);
 }
 
+static bool
+prepare_release (exchange_t *exchange, const char *fingerprint, err_t *err)
+{
+  exchange->request.kind = OPERATOR_RELEASE;
+  if (fingerprint_parse (&exchange->request.fingerprint, fingerprint))
+    return true;
+  return err_set (err, ERR_USAGE,
+                  "give a fingerprint as `mulberryctl fleet show` lists it",
+                  "'%s' is not 32 hexadecimal digits", fingerprint);
+}
+
 /* True where URL begins with PREFIX; *REST is then the rest of URL.  */
 static bool
 url_has_prefix (const char *url, const char *prefix, const char **rest)
@@ -184,7 +202,7 @@
   err_t err = { 0 };
   bool ok = false;
   bool is_post = strcmp (method, "POST") == 0;
-  const char *domain = "";
+  const char *rest = "";
   if (is_post && strcmp (url, PATH_CONFIG_PUT) == 0)
     ok = prepare_config (exchange, &err);
   else if (strcmp (method, "GET") == 0 && strcmp (url, PATH_CONFIG_GET) == 0)
@@ -197,10 +215,12 @@
       exchange->request.kind = OPERATOR_SHOW;
       ok = true;
     }
-  else if (is_post && url_has_prefix (url, PATH_EVACUATION_START, &domain))
-    ok = prepare_evacuation (exchange, OPERATOR_EVACUATE, domain, &err);
-  else if (is_post && url_has_prefix (url, PATH_EVACUATION_END, &domain))
-    ok = prepare_evacuation (exchange, OPERATOR_TAKE_BACK, domain, &err);
+  else if (is_post && url_has_prefix (url, release_path, &rest))
+    ok = prepare_release (exchange, rest, &err);
+  else if (is_post && url_has_prefix (url, PATH_EVACUATION_START, &rest))
+    ok = prepare_evacuation (exchange, OPERATOR_EVACUATE, rest, &err);
+  else if (is_post && url_has_prefix (url, PATH_EVACUATION_END, &rest))
+    ok = prepare_evacuation (exchange, OPERATOR_TAKE_BACK, rest, &err);
   else
     return reply_error (exchange->connection, MHD_HTTP_NOT_FOUND,
                         "unknown method or path; docs/API.md lists the calls");
--- a/src/director/operator_request.h
+++ b/src/director/operator_request.h
@@ -13,6 +13,7 @@
 #include "base/list.h"
 #include "base/name_defs.h"
 #include "base/time_defs.h"
+#include "ledger/ledger_defs.h"
 
 typedef enum
 {
@@ -20,6 +21,7 @@
   OPERATOR_GET_CONFIG, /* linearizable read of the configuration */
   OPERATOR_EVACUATE,   /* DOMAIN is set */
   OPERATOR_TAKE_BACK,  /* ends the evacuation of DOMAIN */
+  OPERATOR_RELEASE,    /* ends the quarantine of FINGERPRINT */
   OPERATOR_SHOW,       /* this director's own view, which may be stale */
 } operator_request_kind_t;
 
@@ -30,7 +32,8 @@
   /* Not accepted: no leader or no configuration is known, or the disk or the
      mailbox can't take the request.  */
   OUTCOME_UNAVAILABLE,
-  OUTCOME_UNKNOWN, /* may still be committed; safe to repeat unchanged */
+  OUTCOME_NOT_FOUND, /* no request with FINGERPRINT is quarantined here */
+  OUTCOME_UNKNOWN,   /* may still be committed; safe to repeat unchanged */
 } operator_outcome_t;
 
 typedef struct operator_request operator_request_t;
@@ -44,10 +47,11 @@
   list_t link; /* in the core's list of unfinished requests */
   operator_request_kind_t kind;
   uint64_t config_version; /* of TEXT, where it is a configuration */
-  char *text;         /* malloc'd: the configuration to put, or the result */
-  size_t length;      /* bytes of TEXT */
-  name_t domain;      /* failure domain to evacuate or to take back */
-  usec_t received_at; /* monotonic */
+  char *text;    /* malloc'd: the configuration to put, or the result */
+  size_t length; /* bytes of TEXT */
+  name_t domain; /* failure domain to evacuate or to take back */
+  fingerprint_t fingerprint;
+  usec_t received_at;        /* monotonic */
   proposal_id_t proposal_id; /* 0: not proposed */
   operator_outcome_t outcome;
   uint32_t leader_address; /* IPv4, where OUTCOME is OUTCOME_REDIRECT */
--- a/src/fleet/crash_table.c
+++ b/src/fleet/crash_table.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/number.h"
+
 /* Other VMs report a complete answer with a time that is off by the delay of
    the message.  Differences up to this are no news, so that a report does not
    travel back and forth.  */
@@ -181,6 +183,24 @@
   return true;
 }
 
+bool
+crash_table_release (crash_table_t *table, fingerprint_t fingerprint,
+                     usec_t at)
+{
+  const suspect_t *known = crash_table_find (table, fingerprint);
+  if (at <= 0
+      || (known && known->released_at > 0
+          && at <= known->released_at + COMPLETION_TOLERANCE))
+    return false;
+  suspect_t *suspect = mark_changed (table, find_or_add (table, fingerprint));
+  suspect->released_at = at;
+  if (at > suspect->completed_at)
+    suspect->completed_at = at;
+  while (suspect->n_crashes > 0 && suspect->crashes[0].ended_at <= at)
+    remove_crash (suspect, 0);
+  return true;
+}
+
 static bool
 is_expired (const crash_t *crash, usec_t now)
 {
@@ -196,7 +216,10 @@
   bool was_completed
       = suspect->completed_at > 0
         && now - suspect->completed_at < UNCONFIRMED_CRASH_LIFETIME;
-  return suspect->n_crashes == 0 && !was_completed;
+  /* By then the crashes before it are too old to be reported again.  */
+  bool was_released = suspect->released_at > 0
+                      && now - suspect->released_at < CRASH_LIFETIME;
+  return suspect->n_crashes == 0 && !was_completed && !was_released;
 }
 
 void
@@ -270,3 +293,19 @@
   snprintf (text, FINGERPRINT_TEXT_BYTES, "%016" PRIx64 "%016" PRIx64,
             fingerprint.high, fingerprint.low);
 }
+
+bool
+fingerprint_parse (fingerprint_t *fingerprint, const char *text)
+{
+  enum
+  {
+    DIGITS = FINGERPRINT_TEXT_BYTES - 1,
+  };
+  if (strlen (text) != DIGITS)
+    return false;
+  char high[DIGITS / 2 + 1] = { 0 };
+  memcpy (high, text, DIGITS / 2);
+  return number_parse_hex (&fingerprint->high, high, DIGITS / 2) == NUMBER_OK
+         && number_parse_hex (&fingerprint->low, text + DIGITS / 2, DIGITS / 2)
+                == NUMBER_OK;
+}
--- a/src/fleet/crash_table.h
+++ b/src/fleet/crash_table.h
@@ -11,8 +11,9 @@
    CRASHES_UNTIL_QUARANTINE crashes one after the other: each run was sent
    after the crash before it.  Crashes at about the same time, such as those of
    a whole rack, count as one.  A complete answer discards all earlier crashes
-   of the request.  After CRASH_LIFETIME a crash no longer counts, so that the
-   request is tried again when the backend servers may have been mended.
+   of the request, as does an operator's release.  After CRASH_LIFETIME a crash
+   no longer counts, so that the request is tried again when the backend
+   servers may have been mended.
 
    No I/O and no clock.  Times are usec of the local monotonic clock.  */
 
@@ -52,7 +53,8 @@
 typedef struct suspect
 {
   fingerprint_t fingerprint;
-  usec_t completed_at; /* of the last complete answer; 0: none */
+  usec_t completed_at; /* of the last complete answer or release; 0: none */
+  usec_t released_at;  /* of an operator's last release; 0: none */
   size_t n_crashes;
   crash_t crashes[CRASHES_PER_SUSPECT_MAX]; /* by ended_at */
   uint64_t changed; /* value of the table's `sequence` at the last change of
@@ -83,6 +85,12 @@
 bool crash_table_complete (crash_table_t *table, fingerprint_t fingerprint,
                            usec_t at, bool adds);
 
+/* An operator has released the request with FINGERPRINT at AT: crashes before
+   that do not count any more, nor do later reports of them.  Returns true if
+   the table changed.  */
+bool crash_table_release (crash_table_t *table, fingerprint_t fingerprint,
+                          usec_t at);
+
 /* Drop the crashes that are too old to count, and suspects without any.  */
 void crash_table_expire (crash_table_t *table, usec_t now);
 
@@ -111,4 +119,8 @@
 void fingerprint_format (fingerprint_t fingerprint,
                          char text[FINGERPRINT_TEXT_BYTES]);
 
+/* The reverse of fingerprint_format.  Returns false if TEXT has another
+   form.  */
+bool fingerprint_parse (fingerprint_t *fingerprint, const char *text);
+
 #endif
--- a/src/fleet/crash_wire.c
+++ b/src/fleet/crash_wire.c
@@ -21,7 +21,9 @@
     .fingerprint
     = { .low = suspect->fingerprint.low, .high = suspect->fingerprint.high },
     .completed_age
-    = suspect->completed_at > 0 ? now - suspect->completed_at : -1
+    = suspect->completed_at > 0 ? now - suspect->completed_at : -1,
+    .is_released = suspect->released_at > 0,
+    .released_age = now - suspect->released_at
   };
   wire->crashes.crashes_len = n;
   wire->crashes.crashes_val = crashes;
@@ -53,11 +55,22 @@
   return age >= 0 && age < CRASH_LIFETIME;
 }
 
+static bool
+merge_release (crash_table_t *table, const fleet_suspect_t *wire,
+               usec_t sent_at)
+{
+  const fingerprint_t fingerprint
+      = { .low = wire->fingerprint.low, .high = wire->fingerprint.high };
+  return wire->is_released && is_possible_age (wire->released_age)
+         && crash_table_release (table, fingerprint,
+                                 sent_at - wire->released_age);
+}
+
 static bool
 merge_suspect (crash_table_t *table, const fleet_suspect_t *wire,
                usec_t sent_at, usec_t now)
 {
-  bool changed = false;
+  bool changed = merge_release (table, wire, sent_at);
   const fingerprint_t fingerprint
       = { .low = wire->fingerprint.low, .high = wire->fingerprint.high };
   for (u_int i = 0; i < wire->crashes.crashes_len; i++)
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -8,7 +8,6 @@
 #include "base/log.h"
 #include "base/name.h"
 #include "config_codec.h"
-#include "fleet/backend_list.h"
 #include "fleet/crash_wire.h"
 #include "fleet/fleet_wire.h"
 #include "fleet/list_update.h"
@@ -63,9 +62,14 @@
   uint32_t crashes_director;    /* the director that crashes_known is for */
   uint64_t crashes_known;       /* changes of CRASHES that it has */
   uint64_t crashes_sent;        /* the same, once it answers the pull */
+  size_t n_releases;            /* by the last pull */
+  director_release_t releases[DIRECTOR_RELEASES_MAX];
   bool is_confirmed;
 };
 
+_Static_assert((int)DIRECTOR_RELEASES_MAX == FLEET_WIRE_RELEASES_MAX,
+               "the limits of releases differ");
+
 /* --- Opening and closing ------------------------------------------------ */
 
 director_sync_t *
@@ -103,36 +107,6 @@
 
 /* --- Applying a pull's result; with the lock held ----------------------- */
 
-/* A copy of SNAPSHOT that may be changed until it is published.  */
-static fleet_snapshot_t *
-snapshot_copy (const fleet_snapshot_t *snapshot)
-{
-  fleet_snapshot_t *copy = fleet_snapshot_new ();
-  copy->shared = shared_config_ref (snapshot->shared);
-  copy->config = snapshot->config;
-  backend_list_copy (&copy->list, &snapshot->list);
-  copy->n_evacuated = snapshot->n_evacuated;
-  copy->evacuated = calloc (snapshot->n_evacuated + 1, sizeof (name_t));
-  copy->reopened = snapshot->reopened;
-  copy->n_quarantined = snapshot->n_quarantined;
-  copy->quarantined
-      = calloc (snapshot->n_quarantined + 1, sizeof (fingerprint_t));
-  copy->n_routers = snapshot->n_routers;
-  copy->routers = calloc (snapshot->n_routers + 1, sizeof (pool_router_t));
-  if (!copy->evacuated || !copy->routers || !copy->quarantined)
-    abort ();
-  if (snapshot->n_quarantined > 0)
-    memcpy (copy->quarantined, snapshot->quarantined,
-            snapshot->n_quarantined * sizeof (fingerprint_t));
-  if (snapshot->n_evacuated > 0)
-    memcpy (copy->evacuated, snapshot->evacuated,
-            snapshot->n_evacuated * sizeof (name_t));
-  if (snapshot->n_routers > 0)
-    memcpy (copy->routers, snapshot->routers,
-            snapshot->n_routers * sizeof (pool_router_t));
-  return copy;
-}
-
 static bool
 apply_config (director_sync_t *sync, fleet_snapshot_t *snapshot,
               const fleet_pull_result_t *result)
@@ -290,6 +264,23 @@
   return true;
 }
 
+static void
+apply_releases (director_sync_t *sync, const fleet_pull_result_t *result,
+                usec_t now)
+{
+  sync->n_releases = 0;
+  for (u_int i = 0; i < result->releases.releases_len; i++)
+    {
+      const fleet_release_t *wire = &result->releases.releases_val[i];
+      if (wire->age >= 0 && wire->age < CRASH_LIFETIME)
+        sync->releases[sync->n_releases++] = (director_release_t){
+          .fingerprint
+          = { .low = wire->fingerprint.low, .high = wire->fingerprint.high },
+          .at = now - wire->age,
+        };
+    }
+}
+
 static void
 add_directors (director_sync_t *sync, const fleet_pull_result_t *result)
 {
@@ -351,7 +342,7 @@
 {
   if (!has_changes (sync, result, now))
     return false;
-  fleet_snapshot_t *snapshot = snapshot_copy (sync->snapshot);
+  fleet_snapshot_t *snapshot = fleet_snapshot_copy (sync->snapshot);
   bool changed = apply_config (sync, snapshot, result);
   changed = apply_evacuations (sync, snapshot, result, now) || changed;
   changed = apply_backend_list (sync, snapshot, result, now) || changed;
@@ -371,6 +362,7 @@
 {
   bool changed = apply_changes (sync, result, now);
   sync->crashes_known = sync->crashes_sent;
+  apply_releases (sync, result, now);
   add_directors (sync, result);
   bool is_fresh = result->confirmed_age >= 0
                   && result->confirmed_age < CONFIRMED_AGE_MAX;
@@ -461,6 +453,16 @@
   sync->pool = pool;
 }
 
+size_t
+director_sync_releases (director_sync_t *sync, director_release_t *releases)
+{
+  pthread_mutex_lock (&sync->lock);
+  size_t n = sync->n_releases;
+  memcpy (releases, sync->releases, n * sizeof *releases);
+  pthread_mutex_unlock (&sync->lock);
+  return n;
+}
+
 void
 director_sync_hurry (director_sync_t *sync)
 {
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -51,6 +51,23 @@
 void director_sync_set_pool (director_sync_t *sync,
                              const backend_pool_t *pool);
 
+/* A request whose quarantine an operator ended at AT.  */
+typedef struct director_release
+{
+  fingerprint_t fingerprint;
+  usec_t at;
+} director_release_t;
+
+enum
+{
+  DIRECTOR_RELEASES_MAX = 32,
+};
+
+/* Write the releases that the last pull told to RELEASES, which has room for
+   DIRECTOR_RELEASES_MAX.  Returns how many.  */
+size_t director_sync_releases (director_sync_t *sync,
+                               director_release_t *releases);
+
 /* Make the next pull due at once.  */
 void director_sync_hurry (director_sync_t *sync);
 
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -160,6 +160,7 @@
 {
   backend_http_tick (dispatcher->backends, now);
   dispatcher_expire_calls (dispatcher, now);
+  dispatcher_apply_releases (dispatcher);
   dispatcher_serve_queue (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -222,6 +222,23 @@
     confirm_end (dispatcher, crash->boot, "not listed any more");
 }
 
+void
+dispatcher_apply_releases (dispatcher_t *dispatcher)
+{
+  director_release_t releases[DIRECTOR_RELEASES_MAX];
+  size_t n = director_sync_releases (dispatcher->options.sync, releases);
+  for (size_t i = 0; i < n; i++)
+    {
+      char text[FINGERPRINT_TEXT_BYTES];
+      if (!crash_table_release (&dispatcher->crashes, releases[i].fingerprint,
+                                releases[i].at))
+        continue;
+      fingerprint_format (releases[i].fingerprint, text);
+      LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_released",
+                 LOG_S ("fingerprint", text));
+    }
+}
+
 void
 dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now)
 {
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -115,6 +115,8 @@
                                          const backend_response_t *response);
 /* Record which backend servers the new snapshot does not list any more.  */
 void dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher);
+/* Forget the crashes of requests that an operator has released.  */
+void dispatcher_apply_releases (dispatcher_t *dispatcher);
 /* Forget old crashes when due.  */
 void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
 
--- a/src/router/fleet_snapshot.c
+++ b/src/router/fleet_snapshot.c
@@ -1,6 +1,7 @@
 #include "router/fleet_snapshot.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "fleet/backend_list.h"
 #include "routing/route_config.h"
@@ -43,6 +44,35 @@
   return snapshot;
 }
 
+fleet_snapshot_t *
+fleet_snapshot_copy (const fleet_snapshot_t *snapshot)
+{
+  fleet_snapshot_t *copy = fleet_snapshot_new ();
+  copy->shared = shared_config_ref (snapshot->shared);
+  copy->config = snapshot->config;
+  backend_list_copy (&copy->list, &snapshot->list);
+  copy->n_evacuated = snapshot->n_evacuated;
+  copy->evacuated = calloc (snapshot->n_evacuated + 1, sizeof (name_t));
+  copy->reopened = snapshot->reopened;
+  copy->n_quarantined = snapshot->n_quarantined;
+  copy->quarantined
+      = calloc (snapshot->n_quarantined + 1, sizeof (fingerprint_t));
+  copy->n_routers = snapshot->n_routers;
+  copy->routers = calloc (snapshot->n_routers + 1, sizeof (pool_router_t));
+  if (!copy->evacuated || !copy->routers || !copy->quarantined)
+    abort ();
+  if (snapshot->n_quarantined > 0)
+    memcpy (copy->quarantined, snapshot->quarantined,
+            snapshot->n_quarantined * sizeof (fingerprint_t));
+  if (snapshot->n_evacuated > 0)
+    memcpy (copy->evacuated, snapshot->evacuated,
+            snapshot->n_evacuated * sizeof (name_t));
+  if (snapshot->n_routers > 0)
+    memcpy (copy->routers, snapshot->routers,
+            snapshot->n_routers * sizeof (pool_router_t));
+  return copy;
+}
+
 fleet_snapshot_t *
 fleet_snapshot_ref (fleet_snapshot_t *snapshot)
 {
--- a/src/router/fleet_snapshot.h
+++ b/src/router/fleet_snapshot.h
@@ -44,6 +44,8 @@
 
 /* An empty snapshot with one reference.  */
 fleet_snapshot_t *fleet_snapshot_new (void);
+/* A copy with one reference, which may be changed until it is published.  */
+fleet_snapshot_t *fleet_snapshot_copy (const fleet_snapshot_t *snapshot);
 fleet_snapshot_t *fleet_snapshot_ref (fleet_snapshot_t *snapshot);
 void fleet_snapshot_unref (fleet_snapshot_t *snapshot); /* may be NULL */
 
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -15,6 +15,7 @@
 const FLEET_WIRE_CRASHES_MAX = 8;
 const FLEET_WIRE_QUARANTINED_MAX = 256;
 const FLEET_WIRE_NOTICES_MAX = 64;
+const FLEET_WIRE_RELEASES_MAX = 32;
 
 struct fleet_router_t
 {
@@ -89,6 +90,8 @@
 {
   fleet_fingerprint_t fingerprint;
   int64_t completed_age; /* usec since a complete answer came; -1: never */
+  bool is_released;      /* by an operator */
+  int64_t released_age;  /* usec since then; valid if is_released */
   fleet_crash_t crashes<FLEET_WIRE_CRASHES_MAX>;
 };
 
@@ -140,6 +143,13 @@
   int64_t age; /* usec since the sender learned of the end */
 };
 
+/* A request whose quarantine an operator ended. */
+struct fleet_release_t
+{
+  fleet_fingerprint_t fingerprint;
+  int64_t age; /* usec since then */
+};
+
 struct fleet_pull_result_t
 {
   /* usec since this state was known to be the newest; -1: never */
@@ -157,6 +167,7 @@
   uint64_t quarantine_digest; /* 0: no request is quarantined */
   /* Empty where the router has the same digest. */
   fleet_fingerprint_t quarantined<FLEET_WIRE_QUARANTINED_MAX>;
+  fleet_release_t releases<FLEET_WIRE_RELEASES_MAX>;
 };
 
 /* Which director holds which slot of the log. */
--- a/test/functional/test_fleet_poison.sh
+++ b/test/functional/test_fleet_poison.sh
@@ -40,4 +40,21 @@
 ! grep -q '^refused-' "$FOLDER/runs" || fail 'a request that was told as not run has run'
 listed() { "$BUILD/mulberryctl" fleet show "$(director_address "$1"):$OPERATORS_PORT" | grep -q '^quarantined: requests [0-9a-f]\{32\}'; }
 for i in 1 2 3; do wait_for 5 listed $i; done
+
+# An operator ends the quarantine, at one director: it ends at all of them and at the routers.
+release() { "$BUILD/mulberryctl" fleet release "$1" --director "$(director_address 2):$OPERATORS_PORT"; }
+rc=0
+release 0123456789abcdef0123456789abcdef 2>"$FOLDER/error" || rc=$?
+[ $rc = 3 ] || fail "a fingerprint that is not quarantined: exit code $rc"
+# The requests of the other caller may have crashed three backend servers too.
+all_released() {
+  local fingerprint i
+  for fingerprint in $("$BUILD/mulberryctl" fleet show "$(director_address 2):$OPERATORS_PORT" |
+    sed -nE 's/^quarantined: requests ([0-9a-f]{32}).*/\1/p'); do release "$fingerprint" || return 1; done
+  for i in 1 2 3; do ! listed $i || return 1; done
+}
+wait_for 10 all_released
+no_longer_refused() { ! { [ "$(request "$1" /x/crash "released-$1")" = 503 ] && grep -qx quarantined "$FOLDER/answer"; }; }
+wait_for 5 no_longer_refused 3
+grep -q '^released-3 ' "$FOLDER/runs" || fail 'the request did not run after its quarantine was ended'
 echo 'good: a request that crashes backend servers'
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -262,6 +262,68 @@
   g_assert_true (backend_record_boot (&record) != first);
 }
 
+/* Guards against a release that lasts only until a router reports the same
+   crashes again, as it does to a director that it has not asked before.  */
+static void
+test_released (void)
+{
+  crash_table_t table = { 0 };
+  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+    add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
+  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_release (&table, poison, 20 * SEC));
+  g_assert_false (crash_table_release (&table, poison, 20 * SEC));
+  g_assert_false (is_quarantined (&table, poison));
+  crash_table_expire (&table, 10 * SEC + CRASH_LIFETIME);
+  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+    g_assert_false (
+        add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1));
+  g_assert_false (is_quarantined (&table, poison));
+  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+    add (&table, poison, 20u + i, (30 + i) * SEC, (30 + i) * SEC + 1);
+  g_assert_true (is_quarantined (&table, poison));
+  crash_table_expire (&table, 40 * SEC + CRASH_LIFETIME);
+  g_assert_cmpuint (table.n_suspects, ==, 0);
+}
+
+/* Guards against a release that one VM knows and another does not, and against
+   one that travels back and forth for ever.  */
+static void
+test_release_told (void)
+{
+  crash_table_t from = { 0 };
+  crash_table_t to = { 0 };
+  static crash_report_t report;
+  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+    {
+      add (&from, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
+      add (&to, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
+    }
+  crash_table_release (&from, poison, 20 * SEC);
+  crash_wire_write (&from, 0, &report, 21 * SEC);
+  g_assert_true (
+      crash_wire_merge (&to, report.suspects, report.n, 21 * SEC, 21 * SEC));
+  g_assert_false (is_quarantined (&to, poison));
+  crash_wire_write (&to, 0, &report, 22 * SEC);
+  g_assert_false (
+      crash_wire_merge (&from, report.suspects, report.n, 22 * SEC, 22 * SEC));
+}
+
+static void
+test_fingerprint_text (void)
+{
+  char text[FINGERPRINT_TEXT_BYTES];
+  const fingerprint_t from = { .low = 1, .high = UINT64_MAX };
+  fingerprint_t to;
+  fingerprint_format (from, text);
+  g_assert_true (fingerprint_parse (&to, text));
+  g_assert_cmpuint (to.low, ==, from.low);
+  g_assert_cmpuint (to.high, ==, from.high);
+  text[5] = '-';
+  g_assert_false (fingerprint_parse (&to, text));
+  g_assert_false (fingerprint_parse (&to, "12"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -279,5 +341,8 @@
   g_test_add_func ("/crash-table/parts", test_long_report_in_parts);
   g_test_add_func ("/crash-table/impossible", test_impossible_ages);
   g_test_add_func ("/crash-table/boot", test_boot);
+  g_test_add_func ("/crash-table/released", test_released);
+  g_test_add_func ("/crash-table/release-told", test_release_told);
+  g_test_add_func ("/crash-table/fingerprint-text", test_fingerprint_text);
   return g_test_run ();
 }
