--- a/src/director/operator_request.h
+++ b/src/director/operator_request.h
@@ -50,7 +50,7 @@
   char *text;    /* malloc'd: the configuration to put, or the result */
   size_t length; /* bytes of TEXT */
   name_t domain; /* failure domain to evacuate or to take back */
-  fingerprint_t fingerprint;
+  fingerprint_t fingerprint; /* of the requests to release */
   usec_t received_at;        /* monotonic */
   proposal_id_t proposal_id; /* 0: not proposed */
   operator_outcome_t outcome;
