refactor(agreement,director): a replica's disk that fails and comes back has a module

One change: the roster is not read again when the folder is opened anew. The one in memory is the same or newer.

--- a/src/agreement/storage.c
+++ b/src/agreement/storage.c
@@ -35,8 +35,8 @@
                   strerror (error));
 }
 
-static void
-image_clear (replica_image_t *image)
+void
+replica_image_clear (replica_image_t *image)
 {
   blob_unref (image->snapshot.data);
   LIST_FOREACH (link, &image->log)
@@ -133,7 +133,7 @@
   image->vote.slot = SLOT_NONE;
   if (open_folder (storage, folder, err) && load_log (storage, image, err))
     return storage;
-  image_clear (image);
+  replica_image_clear (image);
   storage_close (storage);
   return NULL;
 }
--- a/src/agreement/storage.h
+++ b/src/agreement/storage.h
@@ -30,6 +30,9 @@
                          err_t *err);
 void storage_close (storage_t *storage);
 
+/* Drop IMAGE's references; it is then empty.  */
+void replica_image_clear (replica_image_t *image);
+
 /* The record of PERSIST as a new block, owned by the caller.  Does no I/O.  */
 blob_t *storage_encode (const persist_t *persist);
 
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -8,8 +8,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
-#include "agreement/storage.h"
-#include "agreement/storage_thread.h"
+#include "agreement/replica_disk.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
 #include "fleet/clock_offset.h"
@@ -37,8 +36,6 @@
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
-/* A disk that refused a write may stay full for a while.  */
-#define DISK_REOPEN_INTERVAL USEC_PER_SEC
 /* Calls to other directors are given up after this; no longer than the
    shortest election timeout.  */
 #define PEER_CALL_TIMEOUT (400 * USEC_PER_MSEC)
@@ -115,22 +112,16 @@
   _Atomic usec_t list_read_at; /* read by the list reader; 0: never */
   _Atomic slot_t own_slot;     /* read by the list reader */
 
-  storage_t *storage; /* NULL after a disk failure, until reopened */
-  storage_thread_t *storage_thread;
+  replica_disk_t disk; /* not open after a disk failure, until reopened */
   replica_image_t stored_image; /* as read, until the replica takes it over */
   log_index_t stored_index;     /* last entry that the disk held then */
   usec_t opened_at;             /* when the disk was last opened */
-  uint64_t synced_sequence;     /* last one reported to the replica */
-  usec_t next_reopen_at;        /* after a disk failure */
-  bool has_lost_disk;           /* at any time since the start */
   bool has_warned_roster_full;  /* that a director has no slot */
   bool must_publish_config;     /* STATE's configuration is newer than
                                    PACKED_CONFIG */
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
-  slot_t leader_slot;    /* as last logged */
-  list_t pending_writes; /* persist actions that found the queue of the
-                            storage thread full */
+  slot_t leader_slot;             /* as last logged */
   log_index_t snapshot_due_index; /* 0: no snapshot is due */
 
   roster_t roster;
@@ -186,8 +177,8 @@
 /* After a failed write: halt the replica and close the disk.  STATE is no
    longer confirmed.  */
 void core_replica_fail_disk (director_core_t *core, usec_t now);
-/* After a disk failure: try every DISK_REOPEN_INTERVAL to reopen the data
-   folder and to start a replica from it.  */
+/* After a disk failure: try to reopen the data folder when due, and to start a
+   replica from it.  */
 void core_replica_reopen_disk (director_core_t *core, usec_t now);
 /* Free the replica; stop the storage thread.  */
 void core_replica_close_disk (director_core_t *core);
@@ -196,8 +187,6 @@
 void core_replica_open (director_core_t *core);
 /* Carry out ACTIONS in order, and free them.  */
 void core_replica_perform (director_core_t *core, list_t *actions);
-/* Hand as many pending writes to the storage thread as it accepts.  */
-void core_replica_write_pending (director_core_t *core);
 
 /* core_peers.c */
 
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -18,82 +18,49 @@
 {
   const char *folder = core->settings->data_folder;
   roster_t roster;
-  if (!roster_file_load (folder, &roster, err))
-    return false;
-  core->storage = storage_open (folder, &core->stored_image, err);
-  if (!core->storage)
-    return false;
-  const storage_thread_options_t options = { .storage = core->storage,
-                                             .wake = core_on_storage_event,
-                                             .closure = core };
-  core->storage_thread = storage_thread_start (&options, err);
-  if (!core->storage_thread)
+  if (!roster_file_load (folder, &roster, err)
+      || !replica_disk_open (&core->disk, folder, &core->stored_image, err))
     return false;
   if (roster.n_slots > 0)
     core->roster = roster;
   core->opened_at = clock_monotonic ();
-  core->synced_sequence = 0;
   return true;
 }
 
 void
 core_replica_close_disk (director_core_t *core)
 {
-  list_t *link;
-  while ((link = list_pop_front (&core->pending_writes)))
-    action_free (LIST_ENTRY (link, action_t, link));
   if (core->replica)
     replica_free (core->replica);
   core->replica = NULL;
-  if (core->storage_thread)
-    storage_thread_stop (core->storage_thread);
-  core->storage_thread = NULL;
-  if (core->storage)
-    storage_close (core->storage);
-  core->storage = NULL;
+  replica_disk_close (&core->disk);
 }
 
 void
 core_replica_fail_disk (director_core_t *core, usec_t now)
 {
-  LOG_EVENT (
-      LOG_LEVEL_ERROR, "disk_lost",
-      LOG_S ("folder", core->settings->data_folder),
-      LOG_S ("remedy",
-             "free space in the data folder, or put it on another disk"));
   if (core->replica)
     {
       event_t event = { .kind = EVENT_DISK_FAILED };
       core_step_replica (core, &event);
+      replica_free (core->replica);
+      core->replica = NULL;
     }
-  core_replica_close_disk (core);
+  replica_disk_fail (&core->disk, core->settings->data_folder, now);
   core->leader_slot = SLOT_NONE;
   core->role = ROLE_HALTED;
   core->confirmed_at = 0;
   core->pending_confirm_index = 0;
-  core->next_reopen_at = now + DISK_REOPEN_INTERVAL;
-  core->has_lost_disk = true;
   atomic_store (&core->is_leader, false);
 }
 
-/* A replica sends its term, vote and acknowledgements only once they are on
-   disk.  The new replica can therefore continue from what the disk holds, as
-   after a restart.  */
 void
 core_replica_reopen_disk (director_core_t *core, usec_t now)
 {
-  err_t err = { 0 };
-  if (now < core->next_reopen_at)
+  if (!replica_disk_reopen (&core->disk, core->settings->data_folder,
+                            &core->stored_image, now))
     return;
-  core->next_reopen_at = now + DISK_REOPEN_INTERVAL;
-  if (!core_replica_open_disk (core, &err))
-    {
-      log_error (LOG_LEVEL_WARNING, "disk_not_regained", &err);
-      core_replica_close_disk (core);
-      return;
-    }
-  LOG_EVENT (LOG_LEVEL_INFO, "disk_regained",
-             LOG_S ("folder", core->settings->data_folder));
+  core->opened_at = now;
   core->applied_index = 0;
   core_replica_open (core);
 }
@@ -102,7 +69,8 @@
 core_replica_open (director_core_t *core)
 {
   slot_t slot = roster_slot (&core->roster, core->own_address);
-  if (slot == SLOT_NONE || core->replica || !core->storage_thread)
+  if (slot == SLOT_NONE || core->replica
+      || !replica_disk_is_open (&core->disk))
     return;
   const replica_options_t options
       = { .slot = slot,
@@ -111,7 +79,7 @@
           .election_timeout = DIRECTOR_ELECTION_TIMEOUT,
           .round_trip = DIRECTOR_ROUND_TRIP,
           .seed = core->options.seed + (uint64_t)clock_wall (),
-          .must_rewrite_image = core->has_lost_disk,
+          .must_rewrite_image = core->disk.has_failed,
           .reads_quorum = true };
   core->replica
       = replica_new (&options, &core->stored_image, clock_monotonic ());
@@ -205,13 +173,6 @@
   core->must_publish_config = true;
 }
 
-void
-core_replica_write_pending (director_core_t *core)
-{
-  if (core->storage_thread)
-    storage_thread_write_all (core->storage_thread, &core->pending_writes);
-}
-
 /* Carry out ACTION.  True where it was queued, so that it must not be freed
    yet.  */
 static bool
@@ -223,8 +184,7 @@
       core_peers_send (core, &action->body.send);
       break;
     case ACTION_PERSIST:
-      list_push_back (&core->pending_writes, &action->link);
-      core_replica_write_pending (core);
+      replica_disk_write (&core->disk, action);
       return true;
     case ACTION_APPLY:
       apply_entry (core, action->body.apply);
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -43,23 +43,20 @@
 static void
 check_storage (director_core_t *core, usec_t now)
 {
-  if (!core->storage_thread)
+  core_replica_reopen_disk (core, now);
+  switch (replica_disk_poll (&core->disk))
     {
-      core_replica_reopen_disk (core, now);
+    case REPLICA_DISK_UNCHANGED:
       return;
-    }
-  core_replica_write_pending (core);
-  if (storage_thread_failed (core->storage_thread))
-    {
+    case REPLICA_DISK_FAILED:
       core_replica_fail_disk (core, now);
       return;
+    case REPLICA_DISK_SYNCED:
+      break;
     }
-  uint64_t synced = storage_thread_synced (core->storage_thread);
-  if (!core->replica || synced == core->synced_sequence)
-    return;
-  core->synced_sequence = synced;
-  event_t event = { .kind = EVENT_SYNCED, .body.synced = synced };
-  core_step_replica (core, &event);
+  event_t event = { .kind = EVENT_SYNCED, .body.synced = core->disk.synced };
+  if (core->replica)
+    core_step_replica (core, &event);
 }
 
 /* Only the leader hears from all directors, so the silence of each is counted
@@ -356,7 +353,7 @@
   core->leader_slot = SLOT_NONE;
   atomic_store (&core->own_slot, SLOT_NONE);
   list_init (&core->mailbox);
-  list_init (&core->pending_writes);
+  replica_disk_init (&core->disk, core_on_storage_event, core);
   list_init (&core->operator_requests);
   pthread_mutex_init (&core->lock, NULL);
   pthread_cond_init (&core->mailbox_changed, NULL);
