fix(control): a control VM takes part again once its disk has room

What operators saw: the disks of control VMs were full for a moment, one after another. Long after the last had room again no sheet was accepted, though all processes ran.

Cause: after one write that failed a control process halted until somebody restarted it ("mend the disk and restart the process"). Three of five such moments, however far apart, left no majority. Directors have opened their folder anew every second since they exist; control did not.

Fix: control uses agreement/replica_disk as directors do. The registry and the spend book start from an empty log with the new replica, since grants must not be applied twice; what entry VMs are given does not go back. The health page says that the folder fails until a record has been written again.

Evidence: test_full_disks on the code before: "sheet 1006 was not accepted within 10 s", with the third disk that was full; passes now, with full disks, short writes and failed syncs, and with a minority lost afterwards.

--- a/src/control/core_actions.c
+++ b/src/control/core_actions.c
@@ -141,8 +141,7 @@
       peer_link_send (core->links, &action->body.send);
       break;
     case ACTION_PERSIST:
-      list_push_back (&core->records, &action->link);
-      storage_thread_write_all (core->storage_thread, &core->records);
+      replica_disk_write (&core->disk, action);
       return true;
     case ACTION_APPLY:
       apply (core, action->body.apply);
--- a/src/control/core_internal.h
+++ b/src/control/core_internal.h
@@ -7,7 +7,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
-#include "agreement/storage_thread.h"
+#include "agreement/replica_disk.h"
 #include "base/ring.h"
 #include "control/core_thread.h"
 #include "control/peer_link.h"
@@ -59,23 +59,19 @@
   _Atomic (metrics_page_t *) page; /* NULL until core_thread_set_page */
   _Atomic bool is_wake_queued;     /* WAKE is in the ring */
   core_item_t wake;
-  storage_thread_t *storage_thread;
   peer_link_t *links;
 
   /* Used by the core thread only.  */
-  replica_t *replica;
+  replica_t *replica; /* halted while DISK is not open */
+  replica_disk_t disk;
   sheet_registry_t *registry;
   list_t submissions;
   size_t n_submissions;
   spend_book_t *book;
   list_t spend_calls; /* whose entry has been proposed */
   size_t n_spend_calls;
-  list_t records; /* persist actions that the storage thread's queue had no
-                     room for */
   proposal_id_t next_id;
-  uint64_t synced;        /* last sequence number reported by EVENT_SYNCED */
-  bool is_halted;         /* storage has failed */
-  bool has_reported_halt; /* to the metrics page */
+  bool has_reported_halt;     /* to the metrics page */
   log_index_t snapshot_index; /* requested by the replica; 0: none */
 
   pthread_mutex_t lock; /* guards STATUS; orders core_push before the stop */
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -40,22 +40,59 @@
 
 /* --- The core thread ---------------------------------------------------- */
 
+static replica_t *
+replica_open (const core_thread_t *core, replica_image_t *image)
+{
+  const replica_options_t options
+      = { .slot = peer_link_slot (core->links, core->options.vm),
+          .n_slots = peer_link_count (core->links),
+          .seed = core->options.seed + (uint64_t)clock_wall (),
+          .must_rewrite_image = core->disk.has_failed };
+  return replica_new (&options, image, clock_monotonic ());
+}
+
+/* The new replica applies its log from the snapshot on, and the states are
+   those of an empty log: a grant must not be applied twice.  What entry VMs
+   are given (options.accepted) never goes back.  */
+static void
+reopen_disk (core_thread_t *core)
+{
+  replica_image_t image;
+  if (!replica_disk_reopen (&core->disk, core->options.data_folder, &image,
+                            clock_monotonic ()))
+    return;
+  replica_free (core->replica);
+  sheet_registry_free (core->registry);
+  spend_book_free (core->book);
+  core->registry = sheet_registry_new ();
+  core->book = spend_book_new ();
+  core->replica = replica_open (core, &image);
+}
+
+static void
+fail_disk (core_thread_t *core)
+{
+  event_t event = { .kind = EVENT_DISK_FAILED };
+  core_step (core, &event);
+  replica_disk_fail (&core->disk, core->options.data_folder,
+                     clock_monotonic ());
+}
+
 static void
 check_storage (core_thread_t *core)
 {
-  storage_thread_write_all (core->storage_thread, &core->records);
-  if (storage_thread_failed (core->storage_thread) && !core->is_halted)
+  reopen_disk (core);
+  switch (replica_disk_poll (&core->disk))
     {
-      core->is_halted = true;
-      event_t event = { .kind = EVENT_DISK_FAILED };
-      core_step (core, &event);
+    case REPLICA_DISK_UNCHANGED:
+      return;
+    case REPLICA_DISK_FAILED:
+      fail_disk (core);
       return;
+    case REPLICA_DISK_SYNCED:
+      break;
     }
-  uint64_t synced = storage_thread_synced (core->storage_thread);
-  if (synced == core->synced)
-    return;
-  core->synced = synced;
-  event_t event = { .kind = EVENT_SYNCED, .body.synced = synced };
+  event_t event = { .kind = EVENT_SYNCED, .body.synced = core->disk.synced };
   core_step (core, &event);
 }
 
@@ -135,16 +172,27 @@
   atomic_store (&core->page, page);
 }
 
+/* A disk that was opened anew is in order once it has taken a record.  */
+static bool
+is_halted (const core_thread_t *core)
+{
+  return replica_status (core->replica).role == ROLE_HALTED
+         || (core->disk.has_failed && core->disk.synced == 0);
+}
+
 static void
 report_halt (core_thread_t *core)
 {
   metrics_page_t *page = atomic_load (&core->page);
-  if (!page || core->has_reported_halt
-      || replica_status (core->replica).role != ROLE_HALTED)
+  bool has_halted = is_halted (core);
+  if (!page || core->has_reported_halt == has_halted)
     return;
-  metrics_page_set_health (page, "the data folder has failed: mend the disk "
-                                 "and restart the process");
-  core->has_reported_halt = true;
+  metrics_page_set_health (page, has_halted
+                                     ? "the data folder has failed: mend the "
+                                       "disk or free space; it is opened "
+                                       "anew every second"
+                                     : NULL);
+  core->has_reported_halt = has_halted;
 }
 
 static void *
@@ -223,16 +271,6 @@
   return peer_link_vm (core->links, slot);
 }
 
-static replica_t *
-replica_open (const core_thread_options_t *options, const peer_link_t *links)
-{
-  replica_options_t replica_options
-      = { .slot = peer_link_slot (links, options->vm),
-          .n_slots = peer_link_count (links),
-          .seed = options->seed };
-  return replica_new (&replica_options, options->image, clock_monotonic ());
-}
-
 core_thread_t *
 core_thread_start (const core_thread_options_t *options, err_t *err)
 {
@@ -244,23 +282,22 @@
   core->wake.kind = CORE_ITEM_WAKE;
   list_init (&core->submissions);
   list_init (&core->spend_calls);
-  list_init (&core->records);
+  replica_disk_init (&core->disk, core_wake, core);
   pthread_mutex_init (&core->lock, NULL);
+  replica_image_t image;
+  if (!replica_disk_open (&core->disk, options->data_folder, &image, err))
+    return NULL;
   const peer_link_options_t link_options = { .settings = options->settings,
                                              .rpc = options->rpc,
                                              .receive = on_message,
                                              .submit = on_submit,
                                              .closure = core };
   core->links = peer_link_new (&link_options);
-  core->replica = replica_open (options, core->links);
+  core->replica = replica_open (core, &image);
   core->registry = sheet_registry_new ();
   core->book = spend_book_new ();
   core_spend_register (core);
-  const storage_thread_options_t storage_options
-      = { .storage = options->storage, .wake = core_wake, .closure = core };
-  core->storage_thread = storage_thread_start (&storage_options, err);
-  if (core->storage_thread
-      && pthread_create (&core->thread, NULL, core_run, core) == 0
+  if (pthread_create (&core->thread, NULL, core_run, core) == 0
       && pthread_create (&core->timer, NULL, timer_run, core) == 0)
     return core;
   err_set (err, ERR_IO, "raise the limit on the number of threads",
@@ -291,7 +328,7 @@
   core_wake (core);
   pthread_join (core->thread, NULL);
   pthread_join (core->timer, NULL);
-  storage_thread_stop (core->storage_thread);
+  replica_disk_close (&core->disk);
   core_item_t *item;
   while ((item = ring_pop (core->ring)))
     item_free (item);
@@ -300,9 +337,6 @@
 void
 core_thread_free (core_thread_t *core)
 {
-  list_t *link;
-  while ((link = list_pop_front (&core->records)))
-    action_free (LIST_ENTRY (link, action_t, link));
   replica_free (core->replica);
   sheet_registry_free (core->registry);
   spend_book_free (core->book);
--- a/src/control/core_thread.h
+++ b/src/control/core_thread.h
@@ -9,7 +9,6 @@
 #define CONTROL_CORE_THREAD_H
 
 #include "agreement/replica.h"
-#include "agreement/storage.h"
 #include "control/accepted_sheet.h"
 #include "control/submission.h"
 #include "settings/settings_defs.h"
@@ -24,17 +23,17 @@
   vm_id_t vm; /* this VM; has_control is set */
   rpc_t *rpc; /* rpc_start not called yet */
   accepted_sheet_t *accepted;
-  storage_t *storage;     /* the caller's, but in use until core_thread_stop */
-  replica_image_t *image; /* the thread takes its references */
-  uint64_t seed;          /* of the replica's random numbers */
+  const char *data_folder; /* exists; valid until core_thread_stop */
+  uint64_t seed;           /* of the replica's random numbers */
 } core_thread_options_t;
 
-/* Register the RPC procedures and start the threads.  Returns NULL with the
-   error in ERR if a thread can't be started.  */
+/* Read the data folder, register the RPC procedures and start the threads.
+   Returns NULL with the error in ERR if the folder can't be read or a thread
+   can't be started.  */
 core_thread_t *core_thread_start (const core_thread_options_t *options,
                                   err_t *err);
 
-/* From now on, report on the health page of PAGE that the replica has halted.
+/* From now on, report on the health page of PAGE while the replica is halted.
    PAGE must be stopped after the core thread.  */
 void core_thread_set_page (core_thread_t *core, metrics_page_t *page);
 
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -4,6 +4,7 @@
 #include <argp.h>
 #include <stdlib.h>
 
+#include "agreement/storage.h"
 #include "base/log.h"
 #include "control/accepted_sheet.h"
 #include "control/admin_port.h"
@@ -23,7 +24,6 @@
 typedef struct control
 {
   accepted_sheet_t *accepted;
-  storage_t *storage;
   rpc_t *rpc;
   core_thread_t *core;
   admin_port_t *admin;
@@ -87,18 +87,13 @@
 static bool
 open_core (control_t *control, const program_t *program, err_t *err)
 {
-  replica_image_t image;
   if (!storage_make_folder (program->data_folder, err))
     return false;
-  control->storage = storage_open (program->data_folder, &image, err);
-  if (!control->storage)
-    return false;
   const core_thread_options_t options = { .settings = program->settings,
                                           .vm = program->vm_id,
                                           .rpc = control->rpc,
                                           .accepted = control->accepted,
-                                          .storage = control->storage,
-                                          .image = &image,
+                                          .data_folder = program->data_folder,
                                           .seed = program->incarnation };
   control->core = core_thread_start (&options, err);
   return control->core != NULL;
@@ -139,8 +134,6 @@
     rpc_close (control->rpc);
   if (control->core)
     core_thread_free (control->core);
-  if (control->storage)
-    storage_close (control->storage);
   accepted_sheet_free (control->accepted);
   metrics_free (control->metrics);
   credentials_free (&control->credentials);
