fix(director): a roster that couldn't be saved is saved once there is room

What operators would see: a director whose disk was full when the roster changed went on with the new one (roster_not_saved), and after its next restart, or already when it opened its folder anew, spoke by the old one: it accepted messages of the slot's former holder and refused those of the new one, until a leader that knew better shared its roster.

Fix: a roster that isn't saved is written again every second, and roster_saved says when it is.

Evidence: test_fleet_lost_slot, before: "never came true: same_roster 1 4"; passes now.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -36,6 +36,8 @@
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
+/* A disk that refused a write may stay full for a while.  */
+#define ROSTER_SAVE_INTERVAL USEC_PER_SEC
 /* Calls to other directors are given up after this; no longer than the
    shortest election timeout.  */
 #define PEER_CALL_TIMEOUT (400 * USEC_PER_MSEC)
@@ -125,6 +127,8 @@
   log_index_t snapshot_due_index; /* 0: no snapshot is due */
 
   roster_t roster;
+  bool is_roster_unsaved;
+  usec_t next_roster_save_at; /* while it is unsaved */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
   director_peer_t peers[ROSTER_MAX]; /* by slot */
@@ -205,10 +209,11 @@
                                  usec_t now);
 /* Handle an ITEM_ANNOUNCE_REPLY.  */
 void core_peers_handle_announce_reply (director_core_t *core,
-                                       core_item_t *item);
+                                       core_item_t *item, usec_t now);
 /* Use ROSTER from now on, save it, and open the replica if this director has a
    slot in it.  */
-void core_peers_adopt_roster (director_core_t *core, const roster_t *roster);
+void core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
+                              usec_t now);
 
 /* core_pulls.c */
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -62,10 +62,25 @@
 
 /* --- The roster --------------------------------------------------------- */
 
-void
-core_peers_adopt_roster (director_core_t *core, const roster_t *roster)
+static void
+save_roster (director_core_t *core, usec_t now)
 {
   err_t err = { 0 };
+  bool was_unsaved = core->is_roster_unsaved;
+  core->is_roster_unsaved
+      = !roster_file_save (core->settings->data_folder, &core->roster, &err);
+  core->next_roster_save_at = now + ROSTER_SAVE_INTERVAL;
+  if (core->is_roster_unsaved)
+    log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
+  else if (was_unsaved)
+    LOG_EVENT (LOG_LEVEL_INFO, "roster_saved",
+               LOG_U ("slots", core->roster.n_slots));
+}
+
+void
+core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
+                         usec_t now)
+{
   for (size_t i = 0; i < ROSTER_MAX; i++)
     if (core->roster.addresses[i] != roster->addresses[i])
       {
@@ -73,8 +88,7 @@
         core->peers[i].crashes_known = 0;
       }
   core->roster = *roster;
-  if (!roster_file_save (core->settings->data_folder, roster, &err))
-    log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
+  save_roster (core, now);
   LOG_EVENT (LOG_LEVEL_INFO, "roster_adopted",
              LOG_U ("slots", roster->n_slots),
              LOG_U ("slot", roster_slot (roster, core->own_address)));
@@ -178,7 +192,7 @@
   new_roster.addresses[slot] = address;
   core->peers[slot].last_heard_at = now;
   core->next_share_at = 0;
-  core_peers_adopt_roster (core, &new_roster);
+  core_peers_adopt_roster (core, &new_roster, now);
 }
 
 /* Said once; the director stands by, as the announcements go on.  */
@@ -207,7 +221,7 @@
           && !roster_bootstrap_add (&core->bootstrap, args->address, now))
         warn_roster_full (core, args->address);
       if (roster.n_slots > 0)
-        core_peers_adopt_roster (core, &roster);
+        core_peers_adopt_roster (core, &roster, now);
     }
   else if (roster.n_slots > 0)
     reassign_slot (core, args->address, &roster, now);
@@ -217,25 +231,27 @@
 }
 
 void
-core_peers_handle_announce_reply (director_core_t *core, core_item_t *item)
+core_peers_handle_announce_reply (director_core_t *core, core_item_t *item,
+                                  usec_t now)
 {
   roster_t roster = roster_from_wire (&item->body.announce_reply.roster);
   if (roster.n_slots > 0 && !core->replica
       && !roster_equal (&core->roster, &roster))
-    core_peers_adopt_roster (core, &roster);
+    core_peers_adopt_roster (core, &roster, now);
 }
 
 /* Adopt the roster that the leader shares.  A director whose slot was assigned
    to another director keeps its old roster instead: messages are accepted only
    from a slot's holder, so its replica no longer takes part in the log.  */
 static void
-adopt_leader_roster (director_core_t *core, const fleet_roster_t *wire)
+adopt_leader_roster (director_core_t *core, const fleet_roster_t *wire,
+                     usec_t now)
 {
   roster_t roster = roster_from_wire (wire);
   if (roster.n_slots == core->roster.n_slots
       && !roster_equal (&core->roster, &roster)
       && roster_slot (&roster, core->own_address) != SLOT_NONE)
-    core_peers_adopt_roster (core, &roster);
+    core_peers_adopt_roster (core, &roster, now);
 }
 
 /* --- Shared state ------------------------------------------------------- */
@@ -382,7 +398,7 @@
   const fleet_share_args_t *args = &item->body.share;
   usec_t sent_at = share_sent_at (core, args, now);
   if (args->confirmed_index > 0 && now - sent_at < SHARE_INTERVAL)
-    adopt_leader_roster (core, &args->roster);
+    adopt_leader_roster (core, &args->roster, now);
   if (args->slot < ROSTER_MAX
       && roster_slot (&core->roster, args->address) == args->slot
       && sent_at > core->peers[args->slot].last_heard_at)
@@ -407,7 +423,9 @@
   roster_t roster;
   if (core->roster.n_slots == 0
       && roster_bootstrap_tick (&core->bootstrap, now, &roster))
-    core_peers_adopt_roster (core, &roster);
+    core_peers_adopt_roster (core, &roster, now);
+  if (core->is_roster_unsaved && now >= core->next_roster_save_at)
+    save_roster (core, now);
   send_announcements (core, now);
   send_shares (core, now);
 }
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -173,7 +173,7 @@
       core_peers_handle_announce (core, item, now);
       break;
     case ITEM_ANNOUNCE_REPLY:
-      core_peers_handle_announce_reply (core, item);
+      core_peers_handle_announce_reply (core, item, now);
       break;
     case ITEM_SHARE_REPLY:
       {
