fix(director): a director whose slot was given away takes another that is free

What operators would see: the data folder of a director could not be opened for more than 3 s (or the director was frozen or cut off for so long) while a spare director ran. The spare got the slot, and the director stayed out of the log for good once it was back: it answered no change and counted for no majority, though its process ran. After one such turn for each spare, the loss of two more directors ended all changes, while as many stood idle.

Cause: a director that has a slot by its own roster never announced itself again. Nobody else's roster had it, so nobody sent to it, and it never learned the roster that the others used.

Fix: a director that has heard no leader for as long as a slot is kept announces itself.

Safe, by argument and not by a test of its own: votes and acknowledgements count by (slot, incarnation); the old pair is silent from then on, as that of a director that stopped, and the new one counts only after a committed voter change. The folder keeps term and vote, so nothing is forgotten.

Evidence: test_fleet_lost_slot before: "never came true: said 3 event=roster_adopted slots=3 slot=1"; passes now, and changes are acknowledged by the spare and that director alone.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -123,7 +123,8 @@
                                    PACKED_CONFIG */
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
-  slot_t leader_slot;             /* as last logged */
+  slot_t leader_slot;     /* as last logged */
+  usec_t leader_known_at; /* when a leader was last known, or the start */
   log_index_t snapshot_due_index; /* 0: no snapshot is due */
 
   roster_t roster;
@@ -184,6 +185,9 @@
 /* After a disk failure: try to reopen the data folder when due, and to start a
    replica from it.  */
 void core_replica_reopen_disk (director_core_t *core, usec_t now);
+/* Start the replica anew, from its folder, in the slot that the roster gives
+   this director now.  */
+void core_replica_change_slot (director_core_t *core, usec_t now);
 /* Free the replica; stop the storage thread.  */
 void core_replica_close_disk (director_core_t *core);
 /* Start the replica, if this director has a slot and a disk and no replica
@@ -211,7 +215,7 @@
 void core_peers_handle_announce_reply (director_core_t *core,
                                        core_item_t *item, usec_t now);
 /* Use ROSTER from now on, save it, and open the replica if this director has a
-   slot in it.  */
+   slot in it; in another slot than before, the replica starts anew.  */
 void core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
                               usec_t now);
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -81,6 +81,9 @@
 core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
                          usec_t now)
 {
+  slot_t slot = roster_slot (roster, core->own_address);
+  bool has_moved = core->replica
+                   && slot != roster_slot (&core->roster, core->own_address);
   for (size_t i = 0; i < ROSTER_MAX; i++)
     if (core->roster.addresses[i] != roster->addresses[i])
       {
@@ -90,9 +93,11 @@
   core->roster = *roster;
   save_roster (core, now);
   LOG_EVENT (LOG_LEVEL_INFO, "roster_adopted",
-             LOG_U ("slots", roster->n_slots),
-             LOG_U ("slot", roster_slot (roster, core->own_address)));
-  core_replica_open (core);
+             LOG_U ("slots", roster->n_slots), LOG_U ("slot", slot));
+  if (has_moved)
+    core_replica_change_slot (core, now);
+  else
+    core_replica_open (core);
 }
 
 static roster_t
@@ -144,16 +149,25 @@
     call_director (core, address, &request);
 }
 
+/* Whether this director has no slot, or may have lost the one that it had in
+   its roster: then it hears no leader, as nobody sends to it.  */
+static bool
+may_lack_slot (const director_core_t *core, usec_t now)
+{
+  if (roster_slot (&core->roster, core->own_address) == SLOT_NONE)
+    return true;
+  return core->replica && core->leader_slot == SLOT_NONE
+         && now >= core->leader_known_at + ROSTER_SLOT_TIMEOUT;
+}
+
 /* Announce this director to the seeds and to the roster's directors: while it
-   has no slot, to get one; while its replica is new in its slot, so that the
-   leader learns the new roster.  */
+   may lack a slot, to get one; while its replica is new in its slot, so that
+   the leader learns the new roster.  */
 static void
 send_announcements (director_core_t *core, usec_t now)
 {
-  bool has_slot = roster_slot (&core->roster, core->own_address) != SLOT_NONE;
-  bool is_established
-      = has_slot && core->role != ROLE_BLANK && core->role != ROLE_LEARNER;
-  if (is_established || now < core->next_announce_at)
+  bool is_new = core->role == ROLE_BLANK || core->role == ROLE_LEARNER;
+  if ((!is_new && !may_lack_slot (core, now)) || now < core->next_announce_at)
     return;
   core->next_announce_at = now + ANNOUNCE_INTERVAL;
   const fleet_settings_t *settings = core->settings;
@@ -241,8 +255,9 @@
 }
 
 /* Adopt the roster that the leader shares.  A director whose slot was assigned
-   to another director keeps its old roster instead: messages are accepted only
-   from a slot's holder, so its replica no longer takes part in the log.  */
+   to another director keeps its old roster instead, until it is given another
+   slot: messages are accepted only from a slot's holder, so its replica does
+   not take part in the log until then.  */
 static void
 adopt_leader_roster (director_core_t *core, const fleet_roster_t *wire,
                      usec_t now)
@@ -424,6 +439,8 @@
   if (core->roster.n_slots == 0
       && roster_bootstrap_tick (&core->bootstrap, now, &roster))
     core_peers_adopt_roster (core, &roster, now);
+  if (core->leader_slot != SLOT_NONE)
+    core->leader_known_at = now;
   if (core->is_roster_unsaved && now >= core->next_roster_save_at)
     save_roster (core, now);
   send_announcements (core, now);
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -36,6 +36,18 @@
   replica_disk_close (&core->disk);
 }
 
+/* What this director knew of the leader and of its state's age holds no
+   longer.  */
+static void
+forget_leader (director_core_t *core, replica_role_t role)
+{
+  core->leader_slot = SLOT_NONE;
+  core->role = role;
+  core->confirmed_at = 0;
+  core->pending_confirm_index = 0;
+  atomic_store (&core->is_leader, false);
+}
+
 void
 core_replica_fail_disk (director_core_t *core, usec_t now)
 {
@@ -47,11 +59,22 @@
       core->replica = NULL;
     }
   replica_disk_fail (&core->disk, core->settings->data_folder, now);
-  core->leader_slot = SLOT_NONE;
-  core->role = ROLE_HALTED;
-  core->confirmed_at = 0;
-  core->pending_confirm_index = 0;
-  atomic_store (&core->is_leader, false);
+  forget_leader (core, ROLE_HALTED);
+}
+
+void
+core_replica_change_slot (director_core_t *core, usec_t now)
+{
+  err_t err = { 0 };
+  core_replica_close_disk (core);
+  forget_leader (core, ROLE_BLANK);
+  core->opened_at = now;
+  core->applied_index = 0;
+  if (replica_disk_open (&core->disk, core->settings->data_folder,
+                         &core->stored_image, &err))
+    core_replica_open (core);
+  else
+    log_error (LOG_LEVEL_WARNING, "disk_not_regained", &err);
 }
 
 void
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -351,6 +351,7 @@
   core->settings = settings_feed_acquire (options->feed);
   inet_parse_address (&core->own_address, core->settings->address);
   core->leader_slot = SLOT_NONE;
+  core->leader_known_at = clock_monotonic ();
   atomic_store (&core->own_slot, SLOT_NONE);
   list_init (&core->mailbox);
   replica_disk_init (&core->disk, core_on_storage_event, core);
--- a/test/functional/test_fleet_lost_slot.sh
+++ b/test/functional/test_fleet_lost_slot.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A director's data folder can't be opened for some seconds, and a spare director
-# takes its slot.  Guards against a roster that is never saved.
+# takes its slot.  Guards against a director that stays out for good then, though
+# another one is lost later, and against a roster that is never saved.
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
@@ -36,3 +37,19 @@
 same_roster() { cmp "$FOLDER/data-$1/roster" "$FOLDER/data-$2/roster"; }
 wait_for 10 same_roster 1 4
 echo 'good: the roster is saved once there is room'
+wait_for 10 said 3 'event=disk_regained'
+wait_for 10 put 00000008
+
+# Director 2 is gone for good: director 3 takes its slot and its vote, so that
+# director 1 may be lost too.
+kill_one KILL director-2
+wait_for 20 said 3 'event=roster_adopted slots=3 slot=1'
+wait_for 10 put 00000009
+votes() { said "$1" "event=command_applied .* version=$2 "; }
+wait_for 10 votes 3 9
+swapped() { said 1 'event=replica_swapped slot=1'; }
+wait_for 10 swapped
+kill_one KILL director-1
+wait_for 15 put 0000000a
+for i in 3 4; do wait_for 10 votes $i 10; done
+echo 'good: a director that had lost its slot takes another'
