fix(director,control): a start on a full disk waits for room instead of ending

What operators would see: a process that was started while its disk was full ended with start_failed (the folder can't be created, or half a record can't be cut off), again and again under a supervisor, for good without one; the health page couldn't say why.

Cause: the folder is opened once more after a failed write, but had to open at once at the start.

Fix: ENOSPC and EDQUOT have an error kind of their own (no_space). Any other error in the folder (owner, damage, another process) still ends the start with its remedy. The remedies no longer ask for a restart.

--- a/src/agreement/replica_disk.c
+++ b/src/agreement/replica_disk.c
@@ -13,6 +13,9 @@
 replica_disk_open (replica_disk_t *disk, const char *folder,
                    replica_image_t *image, err_t *err)
 {
+  replica_image_init (image);
+  if (!storage_make_folder (folder, err))
+    return false;
   disk->storage = storage_open (folder, image, err);
   if (!disk->storage)
     return false;
--- a/src/agreement/replica_disk.h
+++ b/src/agreement/replica_disk.h
@@ -42,8 +42,9 @@
 void replica_disk_init (replica_disk_t *disk, storage_wake_t wake,
                         void *closure);
 
-/* Read FOLDER into IMAGE, whose references become the caller's, and start the
-   storage thread.  False with ERR_STORAGE or ERR_IO; DISK is then closed.  */
+/* Create FOLDER unless it exists, read it into IMAGE, whose references become
+   the caller's, and start the storage thread.  False with ERR_STORAGE,
+   ERR_NO_SPACE or ERR_IO; DISK is then closed and IMAGE empty.  */
 bool replica_disk_open (replica_disk_t *disk, const char *folder,
                         replica_image_t *image, err_t *err);
 
@@ -53,8 +54,8 @@
    while DISK is not open.  */
 void replica_disk_close (replica_disk_t *disk);
 
-/* Close DISK after a failed write; it is due again after the interval.  Logs
-   disk_lost with FOLDER.  */
+/* Close DISK after a failed write, or where it was full when it was to be
+   opened; it is due again after the interval.  Logs disk_lost with FOLDER.  */
 void replica_disk_fail (replica_disk_t *disk, const char *folder, usec_t now);
 
 /* While DISK is not open and an attempt is due, open it as replica_disk_open
--- a/src/agreement/storage.c
+++ b/src/agreement/storage.c
@@ -23,27 +23,37 @@
   bool has_failed;
 };
 
+static err_kind_t
+error_kind (int error)
+{
+  return error == ENOSPC || error == EDQUOT ? ERR_NO_SPACE : ERR_STORAGE;
+}
+
 static bool
 fail (storage_t *storage, const char *operation, err_t *err)
 {
   int error = errno;
   storage->has_failed = true;
-  return err_set (err, ERR_STORAGE,
-                  "free space on the data folder's disk or repair it, and "
-                  "restart the process",
+  return err_set (err, error_kind (error),
+                  "free space on the data folder's disk or repair it",
                   "can't %s in %s: %s", operation, storage->folder,
                   strerror (error));
 }
 
+void
+replica_image_init (replica_image_t *image)
+{
+  *image = (replica_image_t){ .vote.slot = SLOT_NONE };
+  list_init (&image->log);
+}
+
 void
 replica_image_clear (replica_image_t *image)
 {
   blob_unref (image->snapshot.data);
   LIST_FOREACH (link, &image->log)
   entry_unref (LIST_ENTRY (link, entry_t, link));
-  memset (image, 0, sizeof *image);
-  list_init (&image->log);
-  image->vote.slot = SLOT_NONE;
+  replica_image_init (image);
 }
 
 static bool
@@ -115,7 +125,7 @@
 {
   if (mkdir (folder, 0700) == 0 || errno == EEXIST)
     return true;
-  return err_set (err, ERR_STORAGE,
+  return err_set (err, error_kind (errno),
                   "check the data folder's disk, its space and its owner",
                   "can't create the data folder %s: %s", folder,
                   strerror (errno));
@@ -128,9 +138,7 @@
   if (!storage)
     abort ();
   storage->log_fd = -1;
-  memset (image, 0, sizeof *image);
-  list_init (&image->log);
-  image->vote.slot = SLOT_NONE;
+  replica_image_init (image);
   if (open_folder (storage, folder, err) && load_log (storage, image, err))
     return storage;
   replica_image_clear (image);
@@ -225,7 +233,7 @@
 {
   if (storage->has_failed)
     return err_set (err, ERR_STORAGE,
-                    "repair the data folder's disk and restart the process",
+                    "free space on the data folder's disk or repair it",
                     "not writing to %s: an earlier write or sync failed",
                     storage->folder);
   if (replaces)
--- a/src/agreement/storage.h
+++ b/src/agreement/storage.h
@@ -19,18 +19,21 @@
 
 typedef struct storage storage_t;
 
-/* Create FOLDER unless it exists.  False with ERR_STORAGE on failure.  */
+/* Create FOLDER unless it exists.  False with ERR_STORAGE or ERR_NO_SPACE.  */
 bool storage_make_folder (const char *folder, err_t *err);
 
 /* Open and lock FOLDER, which must exist, and read its state into IMAGE
    (incarnation 0 if the folder is empty).  The caller owns IMAGE's
    references.  Returns NULL with ERR_STORAGE on failure, also if another
-   process holds the lock.  */
+   process holds the lock, and with ERR_NO_SPACE on a full disk.  */
 storage_t *storage_open (const char *folder, replica_image_t *image,
                          err_t *err);
 void storage_close (storage_t *storage);
 
-/* Drop IMAGE's references; it is then empty.  */
+/* Make IMAGE that of an empty folder.  */
+void replica_image_init (replica_image_t *image);
+
+/* Drop IMAGE's references; it is then that of an empty folder.  */
 void replica_image_clear (replica_image_t *image);
 
 /* The record of PERSIST as a new block, owned by the caller.  Does no I/O.  */
@@ -38,7 +41,7 @@
 
 /* Write N encoded records in order, and sync once before returning.  REPLACES
    is the replaces_log of their persist actions; if it is true, N must be 1.
-   False with ERR_STORAGE on failure.  */
+   False with ERR_STORAGE or ERR_NO_SPACE on failure.  */
 bool storage_write (storage_t *storage, blob_t *const *records, size_t n,
                     bool replaces, err_t *err);
 
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -66,6 +66,8 @@
       return "timeout";
     case ERR_STORAGE:
       return "storage";
+    case ERR_NO_SPACE:
+      return "no_space";
     case ERR_IO:
       return "io";
     case ERR_INTERNAL:
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -30,6 +30,7 @@
   ERR_UNAVAILABLE, /* no peer or no quorum is reachable */
   ERR_TIMEOUT,     /* no answer before the deadline */
   ERR_STORAGE,     /* failure in the data folder */
+  ERR_NO_SPACE,    /* the data folder's disk is full, which may pass */
   ERR_IO,          /* failed socket or other system call */
   ERR_INTERNAL,    /* violated internal invariant */
 } err_kind_t;
--- a/src/control/core_thread.c
+++ b/src/control/core_thread.c
@@ -285,8 +285,16 @@
   replica_disk_init (&core->disk, core_wake, core);
   pthread_mutex_init (&core->lock, NULL);
   replica_image_t image;
-  if (!replica_disk_open (&core->disk, options->data_folder, &image, err))
-    return NULL;
+  err_t failure = { 0 };
+  bool is_open = replica_disk_open (&core->disk, options->data_folder, &image,
+                                    &failure);
+  if (!is_open && failure.kind != ERR_NO_SPACE)
+    {
+      *err = failure;
+      return NULL;
+    }
+  if (!is_open)
+    log_error (LOG_LEVEL_ERROR, "storage_failed", &failure);
   const peer_link_options_t link_options = { .settings = options->settings,
                                              .rpc = options->rpc,
                                              .receive = on_message,
@@ -297,6 +305,8 @@
   core->registry = sheet_registry_new ();
   core->book = spend_book_new ();
   core_spend_register (core);
+  if (!is_open)
+    fail_disk (core);
   if (pthread_create (&core->thread, NULL, core_run, core) == 0
       && pthread_create (&core->timer, NULL, timer_run, core) == 0)
     return core;
--- a/src/control/core_thread.h
+++ b/src/control/core_thread.h
@@ -23,13 +23,14 @@
   vm_id_t vm; /* this VM; has_control is set */
   rpc_t *rpc; /* rpc_start not called yet */
   accepted_sheet_t *accepted;
-  const char *data_folder; /* exists; valid until core_thread_stop */
+  const char *data_folder; /* valid until core_thread_stop */
   uint64_t seed;           /* of the replica's random numbers */
 } core_thread_options_t;
 
-/* Read the data folder, register the RPC procedures and start the threads.
-   Returns NULL with the error in ERR if the folder can't be read or a thread
-   can't be started.  */
+/* Read the data folder, which is created unless it exists, register the RPC
+   procedures and start the threads.  Returns NULL with the error in ERR if the
+   folder can't be read or a thread can't be started.  A full disk is no error:
+   the replica is halted until there is room.  */
 core_thread_t *core_thread_start (const core_thread_options_t *options,
                                   err_t *err);
 
--- a/src/control/main_control.c
+++ b/src/control/main_control.c
@@ -4,7 +4,6 @@
 #include <argp.h>
 #include <stdlib.h>
 
-#include "agreement/storage.h"
 #include "base/log.h"
 #include "control/accepted_sheet.h"
 #include "control/admin_port.h"
@@ -87,8 +86,6 @@
 static bool
 open_core (control_t *control, const program_t *program, err_t *err)
 {
-  if (!storage_make_folder (program->data_folder, err))
-    return false;
   const core_thread_options_t options = { .settings = program->settings,
                                           .vm = program->vm_id,
                                           .rpc = control->rpc,
--- a/src/ctl/session.c
+++ b/src/ctl/session.c
@@ -174,6 +174,7 @@
     case ERR_UNAVAILABLE:
     case ERR_TIMEOUT:
     case ERR_STORAGE:
+    case ERR_NO_SPACE:
     case ERR_INTERNAL:
     case ERR_PROTOCOL:
       return EXIT_NO_FINAL_ANSWER;
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -121,6 +121,7 @@
   bool has_warned_roster_full;  /* that a director has no slot */
   bool must_publish_config;     /* STATE's configuration is newer than
                                    PACKED_CONFIG */
+  bool is_roster_unsaved;
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
   slot_t leader_slot;     /* as last logged */
@@ -128,8 +129,7 @@
   log_index_t snapshot_due_index; /* 0: no snapshot is due */
 
   roster_t roster;
-  bool is_roster_unsaved;
-  usec_t next_roster_save_at; /* while it is unsaved */
+  usec_t next_roster_save_at; /* while the roster is unsaved */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
   director_peer_t peers[ROSTER_MAX]; /* by slot */
@@ -176,8 +176,8 @@
 
 /* core_replica.c */
 
-/* Read the data folder and start the storage thread.  False with ERR_STORAGE
-   or ERR_IO.  */
+/* Read the data folder and start the storage thread.  False with ERR_STORAGE,
+   ERR_NO_SPACE or ERR_IO.  */
 bool core_replica_open_disk (director_core_t *core, err_t *err);
 /* After a failed write: halt the replica and close the disk.  STATE is no
    longer confirmed.  */
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -18,13 +18,12 @@
 {
   const char *folder = core->settings->data_folder;
   roster_t roster;
-  if (!roster_file_load (folder, &roster, err)
-      || !replica_disk_open (&core->disk, folder, &core->stored_image, err))
+  core->opened_at = clock_monotonic ();
+  if (!roster_file_load (folder, &roster, err))
     return false;
   if (roster.n_slots > 0)
     core->roster = roster;
-  core->opened_at = clock_monotonic ();
-  return true;
+  return replica_disk_open (&core->disk, folder, &core->stored_image, err);
 }
 
 void
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -347,6 +347,7 @@
   director_core_t *core = calloc (1, sizeof *core);
   if (!core)
     abort ();
+  err_t failure = { 0 };
   core->options = *options;
   core->settings = settings_feed_acquire (options->feed);
   inet_parse_address (&core->own_address, core->settings->address);
@@ -358,8 +359,16 @@
   list_init (&core->operator_requests);
   pthread_mutex_init (&core->lock, NULL);
   pthread_cond_init (&core->mailbox_changed, NULL);
-  if (!core_replica_open_disk (core, err))
-    return NULL;
+  if (!core_replica_open_disk (core, &failure))
+    {
+      if (failure.kind != ERR_NO_SPACE)
+        {
+          *err = failure;
+          return NULL;
+        }
+      log_error (LOG_LEVEL_ERROR, "storage_failed", &failure);
+      core_replica_fail_disk (core, clock_monotonic ());
+    }
   init_bootstrap (core);
   core_replica_open (core);
   core_peers_register (core);
--- a/src/director/main_director.c
+++ b/src/director/main_director.c
@@ -6,7 +6,6 @@
 #include <curl/curl.h>
 #include <stdlib.h>
 
-#include "agreement/storage.h"
 #include "base/log.h"
 #include "director/director_core.h"
 #include "director/director_port.h"
@@ -35,12 +34,9 @@
 static bool
 open_core (director_t *director, const fleet_program_t *program, err_t *err)
 {
-  const char *folder = program->settings->data_folder;
-  if (!folder[0])
+  if (!program->settings->data_folder[0])
     return err_set (err, ERR_SETTINGS, "set data_folder in the settings",
                     "a director needs a data folder");
-  if (!storage_make_folder (folder, err))
-    return false;
   const director_core_options_t options = { .feed = program->feed,
                                             .rpc = director->rpc,
                                             .lookups = director->lookups,
--- a/src/wire/http_reply.c
+++ b/src/wire/http_reply.c
@@ -40,6 +40,7 @@
       return MHD_HTTP_CONFLICT;
     case ERR_UNAVAILABLE:
     case ERR_STORAGE:
+    case ERR_NO_SPACE:
     case ERR_IO:
       return MHD_HTTP_SERVICE_UNAVAILABLE;
     case ERR_TIMEOUT:
--- a/test/fakes/fault_shim.c
+++ b/test/fakes/fault_shim.c
@@ -6,7 +6,7 @@
      short       a write to a regular file takes half of its bytes, or none of
                  one
      sync        syncs of files and folders fail
-     create      no file is created
+     create      no file or folder is created
      rename      no file is renamed
      truncate    no file's length is set
      slow MS     each sync of a file takes MS longer
@@ -192,6 +192,15 @@
   return renameat (AT_FDCWD, from, AT_FDCWD, to);
 }
 
+int
+mkdir (const char *path, mode_t mode)
+{
+  static int (*next) (const char *, mode_t);
+  if (!next)
+    next = (int (*) (const char *, mode_t))dlsym (RTLD_NEXT, "mkdir");
+  return is_refused (fault_read ().refuses_create) ? -1 : next (path, mode);
+}
+
 /* Libc's open and openat, whose MODE counts only where a file is created.  */
 int open_with_mode (const char *path, int flags, mode_t mode) __asm__("open");
 int openat_with_mode (int folder, const char *path, int flags,
--- a/test/functional/test_full_disks.sh
+++ b/test/functional/test_full_disks.sh
@@ -62,6 +62,22 @@
   echo "good: $how, one after another"
 done
 
+# A process that starts without its folder, on a full disk.
+set -- $CONTROL_VMS
+kill_one KILL "control-$1"
+rm -rf "$FOLDER/var/$1"
+echo 'full create' >"$FOLDER/fault-$1"
+: >"$FOLDER/control-$1.log"
+start_control "$1"
+says_so() { curl -s "http://$(vm_address "$1"):9091/health" | grep -q 'data folder'; }
+wait_for 10 says_so "$1" || fail "the health page of $1 says nothing"
+submit 10
+kill -0 "${PIDS[control-$1]}" || fail "$1 ended"
+rm "$FOLDER/fault-$1"
+wait_for 15 votes "$1" || fail "$1 takes no part after a start on a full disk"
+wait_for 5 healthy "$1" || fail "$1 says that its disk still fails"
+echo 'good: a start on a full disk'
+
 # All that take part again count: the others may be lost.
 set -- $CONTROL_VMS
 for vm in "${@:1:$((($# - 1) / 2))}"; do kill_one KILL "control-$vm"; done
