fix(director): a director without a slot also finds a leader that its roster lacks

Cause: it announced itself to the directors of its own roster, and the spare is not among them; only a leader gives slots.

Fix: it also announces itself to the directors of the roster that the last reply told.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -132,6 +132,7 @@
   usec_t next_roster_save_at; /* while the roster is unsaved */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
+  roster_t heard_roster;             /* by the last reply to an announcement */
   director_peer_t peers[ROSTER_MAX]; /* by slot */
 
   director_state_t state;
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -162,7 +162,8 @@
 
 /* Announce this director to the seeds and to the roster's directors: while it
    may lack a slot, to get one; while its replica is new in its slot, so that
-   the leader learns the new roster.  */
+   the leader learns the new roster.  The leader may hold a slot that was
+   another director's in this one's roster; the replies tell of it.  */
 static void
 send_announcements (director_core_t *core, usec_t now)
 {
@@ -176,6 +177,10 @@
       send_announcement (core, settings->seeds[i].address);
   for (size_t i = 0; i < core->roster.n_slots; i++)
     send_announcement (core, core->roster.addresses[i]);
+  for (size_t i = 0; i < core->heard_roster.n_slots; i++)
+    if (roster_slot (&core->roster, core->heard_roster.addresses[i])
+        == SLOT_NONE)
+      send_announcement (core, core->heard_roster.addresses[i]);
 }
 
 /* Assign a free slot to the director at ADDRESS, if it holds none; preferably
@@ -249,6 +254,7 @@
                                   usec_t now)
 {
   roster_t roster = roster_from_wire (&item->body.announce_reply.roster);
+  core->heard_roster = roster;
   if (roster.n_slots > 0 && !core->replica
       && !roster_equal (&core->roster, &roster))
     core_peers_adopt_roster (core, &roster, now);
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -22,6 +22,12 @@
 director_address() { echo "$NET.1.$1"; }
 router_address() { echo "$NET.2.$1"; }
 
+# Routers and directors get a disk that can be made full (test/fakes/fault_shim.c).
+need_shim() {
+  SHIM=$BUILD/test/libfault-shim.so
+  [ -e "$SHIM" ] || { echo 'not run: the sanitizers take the place of the shim'; exit 0; }
+}
+
 settings_of() {
   local kind=$1 number=$2 address domain region
   address=$("${kind}_address" "$number")
--- a/test/functional/test_fleet_lost_slot.sh
+++ b/test/functional/test_fleet_lost_slot.sh
@@ -5,9 +5,8 @@
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
-SHIM=$BUILD/test/libfault-shim.so
-[ -e "$SHIM" ] || { echo 'not run: the sanitizers take the place of the shim'; exit 0; }
 source "$SOURCE/test/functional/fleet.sh"
+need_shim
 
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; done
@@ -40,6 +39,22 @@
 wait_for 10 said 3 'event=disk_regained'
 wait_for 10 put 00000008
 
+# Director 4 leads, of which director 3's roster knows nothing.
+leads() { grep 'event=replica_role' "$FOLDER/director-$1.log" | tail -n 1 | grep -q 'role=leader'; }
+one_leads() { leads 1 || leads 2 || leads 4; }
+END=$((SECONDS + 30))
+until leads 4; do
+  for i in 1 2; do
+    leads $i || continue
+    kill -STOP "${PIDS[director-$i]}"
+    sleep 1
+    kill -CONT "${PIDS[director-$i]}"
+    sleep 1
+  done
+  [ $SECONDS -lt $END ] || fail 'director 4 never leads'
+  wait_for 10 one_leads
+done
+
 # Director 2 is gone for good: director 3 takes its slot and its vote, so that
 # director 1 may be lost too.
 kill_one KILL director-2
