test(director,agreement): a start on a full disk has half a record; what was written twice

test_fleet_full_at_start looked for a line in a log that the first part of the test had left in it, so director 2 at times started without half a record and nothing failed: "never came true: said 2 event=disk_not_regained", one run of two. The log is emptied first. The tests with a shim share its look-up, the tests of the storage their folder.

--- a/test/functional/test_fleet_full_at_start.sh
+++ b/test/functional/test_fleet_full_at_start.sh
@@ -4,9 +4,8 @@
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
-SHIM=$BUILD/test/libfault-shim.so
-[ -e "$SHIM" ] || { echo 'not run: the sanitizers take the place of the shim'; exit 0; }
 source "$SOURCE/test/functional/fleet.sh"
+need_shim
 
 full() { echo "$2" >"$FOLDER/fault-director-$1"; }
 room() { rm -f "$FOLDER/fault-director-$1"; }
@@ -32,6 +31,7 @@
 
 # A later start, with half of a record that can't be cut off.
 for i in 1 2 3; do
+  : >"$FOLDER/director-$i.log"
   full $i 'short truncate'
   until said $i 'event=disk_not_regained'; do
     VERSION=$((${VERSION:-10} + 1))
--- a/test/functional/test_fleet_full_disks.sh
+++ b/test/functional/test_fleet_full_disks.sh
@@ -5,9 +5,8 @@
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
-SHIM=$BUILD/test/libfault-shim.so
-[ -e "$SHIM" ] || { echo 'not run: the sanitizers take the place of the shim'; exit 0; }
 source "$SOURCE/test/functional/fleet.sh"
+need_shim
 DIRECTORS=${DIRECTORS:-3}
 VERSION=10
 
--- a/test/unit/test_agreement_storage.c
+++ b/test/unit/test_agreement_storage.c
@@ -3,12 +3,12 @@
 
 #include <fcntl.h>
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include "../support/data_folder.h"
 #include "agreement/storage.h"
 
 enum
@@ -16,28 +16,6 @@
   CONTENT_BYTES = 700,
 };
 
-static char *
-folder_new (void)
-{
-  char *folder = g_dir_make_tmp ("agreement-XXXXXX", NULL);
-  g_assert_nonnull (folder);
-  return folder;
-}
-
-static void
-folder_free (char *folder)
-{
-  const char *names[] = { "log", "log.new" };
-  for (int i = 0; i < 2; i++)
-    {
-      char *path = g_build_filename (folder, names[i], NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_rmdir (folder);
-  g_free (folder);
-}
-
 static void
 image_clear (replica_image_t *image)
 {
--- a/test/unit/test_agreement_storage_full.c
+++ b/test/unit/test_agreement_storage_full.c
@@ -5,10 +5,10 @@
 #include <apr_general.h>
 #include <errno.h>
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <string.h>
 #include <sys/types.h>
 
+#include "../support/data_folder.h"
 #include "agreement/replica_disk.h"
 
 enum
@@ -105,20 +105,6 @@
   fault.n = 0;
 }
 
-static void
-folder_free (char *folder)
-{
-  const char *names[] = { "log", "log.new" };
-  for (int i = 0; i < 2; i++)
-    {
-      char *path = g_build_filename (folder, names[i], NULL);
-      g_unlink (path);
-      g_free (path);
-    }
-  g_rmdir (folder);
-  g_free (folder);
-}
-
 static bool
 write_record (storage_t *storage, const persist_t *persist)
 {
@@ -218,7 +204,7 @@
     for (int at = 1;; at++)
       {
         g_assert_cmpint (at, <, CALLS_MAX);
-        char *folder = g_dir_make_tmp ("full-XXXXXX", NULL);
+        char *folder = folder_new ();
         replica_image_t image;
         storage_t *storage = storage_open (folder, &image, NULL);
         g_assert_nonnull (storage);
@@ -243,7 +229,7 @@
 {
   for (int at = 1;; at++)
     {
-      char *folder = g_dir_make_tmp ("full-XXXXXX", NULL);
+      char *folder = folder_new ();
       replica_image_t image;
       storage_t *storage = storage_open (folder, &image, NULL);
       g_assert_true (write_snapshot (storage, 1));
@@ -299,7 +285,7 @@
 static void
 test_disk_is_regained (void)
 {
-  char *folder = g_dir_make_tmp ("full-XXXXXX", NULL);
+  char *folder = folder_new ();
   replica_disk_t disk;
   replica_image_t image;
   usec_t now = USEC_PER_SEC;
