--- a/test/support/agreement_cluster.h
+++ b/test/support/agreement_cluster.h
@@ -192,6 +192,7 @@
                                 .n_slots = NODES,
                                 .snapshot_interval_entries = 8,
                                 .reads_quorum = true,
+                                .must_rewrite_image = node->has_failed_disk,
                                 .seed = ++cluster->seed };
   node->replica = replica_new (&options, &copy.image, cluster->now);
   node->registry = sheet_registry_new ();
--- a/test/support/agreement_node.h
+++ b/test/support/agreement_node.h
@@ -67,6 +67,7 @@
   log_index_t applied;
   disk_t disk;
   bool is_frozen;
+  bool has_failed_disk;   /* a write was refused; set by the test */
   bool is_lost;           /* the disk was lost and is not replaced yet */
   uint64_t newest_number; /* newest sheet number since the process started */
   usec_t read_at;         /* of the last quorum read that was checked */
