--- a/src/agreement/storage.c
+++ b/src/agreement/storage.c
@@ -232,10 +232,9 @@
                bool replaces, err_t *err)
 {
   if (storage->has_failed)
-    return err_set (err, ERR_STORAGE,
-                    "free space on the data folder's disk or repair it",
-                    "not writing to %s: an earlier write or sync failed",
-                    storage->folder);
+    return err_set (
+        err, ERR_STORAGE, "free space on the data folder's disk or repair it",
+        "not writing to %s: an earlier write or sync failed", storage->folder);
   if (replaces)
     return replace_log (storage, records[0], err);
   return append_records (storage, records, n, err);
