--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -8,8 +8,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
-#include "agreement/storage.h"
-#include "agreement/storage_thread.h"
+#include "agreement/replica_disk.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
 #include "fleet/clock_offset.h"
@@ -39,7 +38,7 @@
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
 /* A disk that refused a write may stay full for a while.  */
-#define DISK_REOPEN_INTERVAL USEC_PER_SEC
+#define ROSTER_SAVE_INTERVAL USEC_PER_SEC
 /* Calls to other directors are given up after this; no longer than the
    shortest election timeout.  */
 #define PEER_CALL_TIMEOUT (400 * USEC_PER_MSEC)
@@ -116,27 +115,25 @@
   _Atomic usec_t list_read_at; /* read by the list reader; 0: never */
   _Atomic slot_t own_slot;     /* read by the list reader */
 
-  storage_t *storage; /* NULL after a disk failure, until reopened */
-  storage_thread_t *storage_thread;
+  replica_disk_t disk; /* not open after a disk failure, until reopened */
   replica_image_t stored_image; /* as read, until the replica takes it over */
   log_index_t stored_index;     /* last entry that the disk held then */
   usec_t opened_at;             /* when the disk was last opened */
-  uint64_t synced_sequence;     /* last one reported to the replica */
-  usec_t next_reopen_at;        /* after a disk failure */
-  bool has_lost_disk;           /* at any time since the start */
   bool has_warned_roster_full;  /* that a director has no slot */
   bool must_publish_config;     /* STATE's configuration is newer than
                                    PACKED_CONFIG */
+  bool is_roster_unsaved;
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
-  slot_t leader_slot;    /* as last logged */
-  list_t pending_writes; /* persist actions that found the queue of the
-                            storage thread full */
+  slot_t leader_slot;     /* as last logged */
+  usec_t leader_known_at; /* when a leader was last known, or the start */
   log_index_t snapshot_due_index; /* 0: no snapshot is due */
 
   roster_t roster;
+  usec_t next_roster_save_at; /* while the roster is unsaved */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
+  roster_t heard_roster;             /* by the last reply to an announcement */
   director_peer_t peers[ROSTER_MAX]; /* by slot */
 
   director_state_t state;
@@ -184,15 +181,18 @@
 
 /* core_replica.c */
 
-/* Read the data folder and start the storage thread.  False with ERR_STORAGE
-   or ERR_IO.  */
+/* Read the data folder and start the storage thread.  False with ERR_STORAGE,
+   ERR_NO_SPACE or ERR_IO.  */
 bool core_replica_open_disk (director_core_t *core, err_t *err);
 /* After a failed write: halt the replica and close the disk.  STATE is no
    longer confirmed.  */
 void core_replica_fail_disk (director_core_t *core, usec_t now);
-/* After a disk failure: try every DISK_REOPEN_INTERVAL to reopen the data
-   folder and to start a replica from it.  */
+/* After a disk failure: try to reopen the data folder when due, and to start a
+   replica from it.  */
 void core_replica_reopen_disk (director_core_t *core, usec_t now);
+/* Start the replica anew, from its folder, in the slot that the roster gives
+   this director now.  */
+void core_replica_change_slot (director_core_t *core, usec_t now);
 /* Free the replica; stop the storage thread.  */
 void core_replica_close_disk (director_core_t *core);
 /* Start the replica, if this director has a slot and a disk and no replica
@@ -200,8 +200,6 @@
 void core_replica_open (director_core_t *core);
 /* Carry out ACTIONS in order, and free them.  */
 void core_replica_perform (director_core_t *core, list_t *actions);
-/* Hand as many pending writes to the storage thread as it accepts.  */
-void core_replica_write_pending (director_core_t *core);
 
 /* core_peers.c */
 
@@ -220,10 +218,11 @@
                                  usec_t now);
 /* Handle an ITEM_ANNOUNCE_REPLY.  */
 void core_peers_handle_announce_reply (director_core_t *core,
-                                       core_item_t *item);
+                                       core_item_t *item, usec_t now);
 /* Use ROSTER from now on, save it, and open the replica if this director has a
-   slot in it.  */
-void core_peers_adopt_roster (director_core_t *core, const roster_t *roster);
+   slot in it; in another slot than before, the replica starts anew.  */
+void core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
+                              usec_t now);
 
 /* core_pulls.c */
 
