fix(router): a planned stop takes only what can end, and answers all it took

What callers saw: requests taken during a planned stop and broken off at its end, though their backend servers were at work; after a pause of the process, or with a grace under 0.9 s, the last turn of the loop took new requests and libmicrohttpd aborted the process with them suspended.

Cause: the phases looked at the clock and at a count of requests, not at what each request still needs. Until 45% of the grace everything was taken; queued and repeated requests were sent until the end; the refusing phase could be passed over; a response being written did not count as active.

Now shutdown_phase decides for each request whether it may be sent: its deadline comes in time, or it was received in the first 45% and its route's expected run time fits. Others get 503 with Retry-After at once. The deadline that a backend server is given ends before the process does. A phase of its own ends what is left and writes responses before the exit.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -31,6 +31,7 @@
   watch_t watch; /* of the daemon's epoll descriptor */
   bool keep_alive_disabled;
   bool has_resumed; /* connections, which MHD_run has to process */
+  size_t n_open;    /* requests that are not received or answered whole */
 };
 
 const char *
@@ -338,6 +339,7 @@
   exchange_t *exchange = *context;
   if (!exchange->method[0])
     {
+      port->n_open++;
       snprintf (exchange->method, sizeof exchange->method, "%s", method);
       exchange->host = caller_http_header (exchange, "Host");
       if (!has_unambiguous_framing (exchange))
@@ -382,6 +384,7 @@
   if (!exchange)
     return;
   *context = NULL;
+  port->n_open--;
   if (exchange->is_dispatched && !exchange->is_finished)
     port->options.caller_gone (port->options.closure, exchange);
   body_budget_resize (port->options.budget, BODY_CERTAIN, exchange->body_bytes,
@@ -454,6 +457,12 @@
   port->keep_alive_disabled = true;
 }
 
+size_t
+caller_http_n_open (const caller_http_t *port)
+{
+  return port->n_open;
+}
+
 void
 caller_http_run (caller_http_t *port)
 {
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -44,6 +44,10 @@
 /* From now on every response closes its connection.  */
 void caller_http_disable_keep_alive (caller_http_t *port);
 
+/* The number of requests of which the head was received and the response is
+   not written whole.  */
+size_t caller_http_n_open (const caller_http_t *port);
+
 /* The value of the header NAME of EXCHANGE's request; NULL if it has none.  */
 const char *caller_http_header (const exchange_t *exchange, const char *name);
 
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -25,6 +25,8 @@
 /* Retry-After while there is no settled snapshot: a router that has just
    started usually has one by then.  */
 #define START_RETRY_AFTER (400 * USEC_PER_MSEC)
+/* Retry-After of a process that stops: another router serves the request.  */
+#define STOPPING_RETRY_AFTER (50 * USEC_PER_MSEC)
 /* Retry-After while no memory is left for bodies.  */
 #define MEMORY_RETRY_AFTER USEC_PER_SEC
 
@@ -67,10 +69,10 @@
   const char *id = caller_http_header (exchange, HEADER_REQUEST_ID);
   snprintf (exchange->id, sizeof exchange->id, "%s", id ? id : "");
   list_push_back (&dispatcher->active, &exchange->link);
-  dispatcher->n_exchanges++;
   exchange->snapshot = fleet_snapshot_ref (dispatcher->snapshot);
-  if (dispatcher->refuses_new)
+  if (dispatcher->is_finishing)
     {
+      exchange->retry_after = STOPPING_RETRY_AFTER;
       dispatcher_finish (dispatcher, exchange, REASON_STOPPING);
       return;
     }
@@ -128,6 +130,7 @@
 dispatcher_finish_all (dispatcher_t *dispatcher)
 {
   usec_t now = clock_monotonic ();
+  dispatcher->is_finishing = true;
   LIST_FOREACH (link, &dispatcher->queue)
   dispatcher_refuse (dispatcher, LIST_ENTRY (link, exchange_t, link),
                      REASON_STOPPING, now);
@@ -218,15 +221,10 @@
 }
 
 void
-dispatcher_refuse_new (dispatcher_t *dispatcher)
+dispatcher_begin_shutdown (dispatcher_t *dispatcher, usec_t started_at)
 {
-  dispatcher->refuses_new = true;
-}
-
-size_t
-dispatcher_n_exchanges (const dispatcher_t *dispatcher)
-{
-  return dispatcher->n_exchanges;
+  dispatcher->is_shutting_down = true;
+  dispatcher->shutdown_started_at = started_at;
 }
 
 void
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -56,16 +56,15 @@
    servers, and its snapshot is settled (see director_sync.h).  */
 bool dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now);
 
-/* From now on refuse every new request, since the process is shutting
-   down.  */
-void dispatcher_refuse_new (dispatcher_t *dispatcher);
+/* The process is shutting down since STARTED_AT (monotonic): from now on
+   refuse each request that can't end before the process does, new, queued or
+   to be retried, and let no backend server work for longer.  */
+void dispatcher_begin_shutdown (dispatcher_t *dispatcher, usec_t started_at);
 
 /* Finish every request now, before the process exits: one that was sent to a
    backend server with REASON_BROKE_OFF, since its outcome is unknown; one that
-   is queued with REASON_STOPPING, unless an earlier attempt may have run.  */
+   is queued with REASON_STOPPING, unless an earlier attempt may have run.
+   Those that come later are refused.  */
 void dispatcher_finish_all (dispatcher_t *dispatcher);
 
-/* The number of requests that are not finished.  */
-size_t dispatcher_n_exchanges (const dispatcher_t *dispatcher);
-
 #endif
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -41,7 +41,6 @@
       exchange->query.service ? exchange->query.service : "",
       exchange_reason_name (reason), now - exchange->received_at);
   list_remove (&exchange->link);
-  dispatcher->n_exchanges--;
   exchange->backend = NULL;
   caller_http_finish (dispatcher->port, exchange);
 }
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -37,14 +37,15 @@
   fleet_snapshot_t *snapshot;
   list_t queue;  /* of exchanges that wait for room, in the order of sending */
   list_t active; /* of exchanges that are not queued */
-  size_t n_exchanges; /* in both lists */
   size_t n_services;
   service_state_t services[SERVICES_MAX];
   service_state_t unlisted_service; /* its retries are never refilled */
   route_split_t *split;             /* for the configuration of SNAPSHOT */
   run_estimate_t run_estimates;
-  bool refuses_new;      /* requests, since the process is shutting down */
-  crash_table_t crashes; /* that this router has seen */
+  bool is_shutting_down;
+  bool is_finishing;          /* all requests are refused */
+  usec_t shutdown_started_at; /* monotonic; valid if is_shutting_down */
+  crash_table_t crashes;      /* that this router has seen */
   usec_t next_crash_expiry_at;
 };
 
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "router/request_headers.h"
+#include "router/shutdown_phase.h"
 
 /* The state of the service NAME.  Those beyond SERVICES_MAX share one without
    retries, so that they take none from another service.  */
@@ -34,6 +35,34 @@
   return &service_state (dispatcher, exchange->query.service)->retries;
 }
 
+/* The latest deadline of a request, since the process ends.  */
+static usec_t
+last_deadline (const dispatcher_t *dispatcher)
+{
+  usec_t grace = dispatcher->options.settings->bounds.grace;
+  return dispatcher->is_shutting_down
+             ? dispatcher->shutdown_started_at + shutdown_last_deadline (grace)
+             : INT64_MAX;
+}
+
+/* Whether EXCHANGE would end before the process does if it were sent now.  */
+static bool
+ends_in_time (const dispatcher_t *dispatcher, const exchange_t *exchange,
+              usec_t now)
+{
+  if (!dispatcher->is_shutting_down)
+    return true;
+  usec_t started_at = dispatcher->shutdown_started_at;
+  const shutdown_request_t request = {
+    .received_at = exchange->received_at - started_at,
+    .deadline = exchange->deadline - started_at,
+    .expected_run
+    = run_estimate_get (&dispatcher->run_estimates, exchange->route).uncached
+  };
+  return shutdown_may_send (
+      now - started_at, dispatcher->options.settings->bounds.grace, &request);
+}
+
 static void
 send_to (dispatcher_t *dispatcher, exchange_t *exchange, backend_t *backend,
          usec_t now)
@@ -44,6 +73,8 @@
   exchange->n_attempts++;
   exchange->n_transmitted++;
   exchange->sent_at = now;
+  if (exchange->deadline > last_deadline (dispatcher))
+    exchange->deadline = last_deadline (dispatcher);
   exchange->slot_was_free
       = backend_load_at (backend, now) + 1 <= backend->record.slots;
   exchange->object_was_known = backend_pool_request_sent (
@@ -144,6 +175,11 @@
       dispatcher_refuse_quarantined (dispatcher, exchange);
       return;
     }
+  if (!ends_in_time (dispatcher, exchange, now))
+    {
+      dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
+      return;
+    }
   if (try_send (dispatcher, exchange, now))
     return;
   if (!backend_pool_has_eligible (dispatcher->pool, &exchange->query, now))
@@ -161,12 +197,17 @@
       dispatcher_refuse (dispatcher, exchange, REASON_RESTING, now);
       return;
     }
-  if (dispatcher_expected_queue_wait (dispatcher, exchange, now)
-      > exchange->deadline - now)
+  usec_t wait = dispatcher_expected_queue_wait (dispatcher, exchange, now);
+  if (wait > exchange->deadline - now)
     {
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
       return;
     }
+  if (wait > last_deadline (dispatcher) - now)
+    {
+      dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
+      return;
+    }
   enqueue (dispatcher, exchange);
 }
 
@@ -180,6 +221,8 @@
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
     else if (dispatcher_is_quarantined (dispatcher, exchange))
       dispatcher_refuse_quarantined (dispatcher, exchange);
+    else if (!ends_in_time (dispatcher, exchange, now))
+      dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
     else
       try_send (dispatcher, exchange, now);
   }
--- a/src/router/shutdown_phase.c
+++ b/src/router/shutdown_phase.c
@@ -7,17 +7,49 @@
 static const double serve_fraction = 0.45;
 static const double linger_fraction = 0.88;
 
-/* The process exits this long before it would be killed.  */
-#define EXIT_MARGIN (500 * USEC_PER_MSEC)
+/* Requests are ended, and the process exits, this long before it would be
+   killed.  */
+#define FINISH_MARGIN (500 * USEC_PER_MSEC)
+#define EXIT_MARGIN (350 * USEC_PER_MSEC)
+/* A response takes this long from a backend server to the router.  */
+#define RESPONSE_MARGIN (60 * USEC_PER_MSEC)
+
+static bool
+is_serving (usec_t elapsed, usec_t grace)
+{
+  return elapsed < (usec_t)((double)grace * serve_fraction)
+         && elapsed < grace - FINISH_MARGIN;
+}
 
 shutdown_phase_t
-shutdown_phase_at (usec_t elapsed, usec_t grace, size_t n_active)
+shutdown_phase_at (usec_t elapsed, usec_t grace, size_t n_open)
 {
-  if (elapsed < (usec_t)((double)grace * serve_fraction))
+  if (is_serving (elapsed, grace))
     return SHUTDOWN_SERVE;
   if (elapsed >= grace - EXIT_MARGIN)
     return SHUTDOWN_EXIT;
-  if (n_active == 0 && elapsed >= (usec_t)((double)grace * linger_fraction))
+  if (elapsed >= grace - FINISH_MARGIN)
+    return n_open == 0 ? SHUTDOWN_EXIT : SHUTDOWN_FINISH;
+  if (n_open == 0 && elapsed >= (usec_t)((double)grace * linger_fraction))
     return SHUTDOWN_EXIT;
   return SHUTDOWN_REFUSE;
 }
+
+usec_t
+shutdown_last_deadline (usec_t grace)
+{
+  return grace - FINISH_MARGIN - RESPONSE_MARGIN;
+}
+
+bool
+shutdown_may_send (usec_t elapsed, usec_t grace,
+                   const shutdown_request_t *request)
+{
+  usec_t last_deadline = shutdown_last_deadline (grace);
+  if (elapsed >= last_deadline)
+    return false;
+  if (request->deadline <= last_deadline)
+    return true;
+  return is_serving (request->received_at, grace)
+         && elapsed + request->expected_run <= last_deadline;
+}
--- a/src/router/shutdown_phase.h
+++ b/src/router/shutdown_phase.h
@@ -1,10 +1,12 @@
 /* shutdown_phase: the phases of a router's graceful shutdown, between SIGTERM
-   and the exit of the process.  Pure functions without state.
+   and the exit of the process, and which requests may still be sent to a
+   backend server meanwhile.  Pure functions without state.
 
    Callers cache the result of a look-up for a while, so some requests still
-   arrive after SIGTERM.  They are first served as usual, with every response
-   closing its connection.  Later they are refused at once, so that no request
-   is active when the process exits.  */
+   arrive after SIGTERM.  Every response closes its connection from then on.
+   New requests are first served as usual; later only if their deadline comes
+   before the process ends.  All others are refused at once, so that no
+   request is at a backend server when the process exits.  */
 
 #ifndef ROUTER_SHUTDOWN_PHASE_H
 #define ROUTER_SHUTDOWN_PHASE_H
@@ -17,13 +19,34 @@
 typedef enum
 {
   SHUTDOWN_SERVE,  /* new requests are accepted */
-  SHUTDOWN_REFUSE, /* new requests are refused, active ones continue */
+  SHUTDOWN_REFUSE, /* new requests are refused unless they end in time */
+  SHUTDOWN_FINISH, /* requests at backend servers are ended, and responses that
+                      are under way are written */
   SHUTDOWN_EXIT,   /* the process exits now */
 } shutdown_phase_t;
 
 /* The phase ELAPSED after SIGTERM, if the process is killed GRACE after
-   SIGTERM and N_ACTIVE requests are not finished.  */
+   SIGTERM and N_OPEN requests are not received or not answered whole.  */
 shutdown_phase_t shutdown_phase_at (usec_t elapsed, usec_t grace,
-                                    size_t n_active);
+                                    size_t n_open);
+
+/* The latest deadline, in time after SIGTERM, that a backend server may be
+   given, so that its response is passed on before SHUTDOWN_FINISH.  */
+usec_t shutdown_last_deadline (usec_t grace);
+
+/* A request to be sent to a backend server; times are relative to SIGTERM and
+   may be negative.  */
+typedef struct shutdown_request
+{
+  usec_t received_at;
+  usec_t deadline;
+  usec_t expected_run; /* how long it runs at a backend server */
+} shutdown_request_t;
+
+/* Whether REQUEST may be sent to a backend server ELAPSED after SIGTERM: it
+   ends in time by its deadline; or it was received during SHUTDOWN_SERVE and
+   is expected to.  */
+bool shutdown_may_send (usec_t elapsed, usec_t grace,
+                        const shutdown_request_t *request);
 
 #endif
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -15,6 +15,11 @@
 #include "router/readiness_port.h"
 #include "router/shutdown_phase.h"
 
+/* The longest wait for events during a graceful shutdown.  */
+#define SHUTDOWN_TICK (20 * USEC_PER_MSEC)
+/* What has arrived is read and answered for so long before the exit.  */
+#define FINISH_TIME_MIN (50 * USEC_PER_MSEC)
+
 struct traffic_thread
 {
   traffic_thread_options_t options;
@@ -32,6 +37,7 @@
   _Atomic bool snapshot_changed; /* set by the RPC thread */
   bool is_ready;
   usec_t shutdown_started_at; /* monotonic; 0: not started */
+  usec_t finish_started_at;   /* SHUTDOWN_FINISH; monotonic; 0: not started */
 };
 
 static void
@@ -101,24 +107,29 @@
   director_sync_set_takes_requests (thread->sync, is_ready);
 }
 
-/* Advance the graceful shutdown.  Returns true if the thread has to exit
-   now.  */
-static bool
+/* Begin or advance the graceful shutdown.  */
+static shutdown_phase_t
 update_shutdown (traffic_thread_t *thread, usec_t now)
 {
   if (!atomic_load (&thread->stop_requested))
-    return false;
+    return SHUTDOWN_SERVE;
   if (thread->shutdown_started_at == 0)
     {
       thread->shutdown_started_at = now;
       caller_http_disable_keep_alive (thread->port);
+      dispatcher_begin_shutdown (thread->dispatcher, now);
     }
   shutdown_phase_t phase = shutdown_phase_at (
       now - thread->shutdown_started_at, thread->settings->bounds.grace,
-      dispatcher_n_exchanges (thread->dispatcher));
-  if (phase == SHUTDOWN_REFUSE)
-    dispatcher_refuse_new (thread->dispatcher);
-  return phase == SHUTDOWN_EXIT;
+      caller_http_n_open (thread->port));
+  if (phase != SHUTDOWN_FINISH && phase != SHUTDOWN_EXIT)
+    return phase;
+  if (thread->finish_started_at == 0)
+    thread->finish_started_at = now;
+  /* Also after a pause of the process, requests that have arrived are answered
+     before it exits.  */
+  return now - thread->finish_started_at < FINISH_TIME_MIN ? SHUTDOWN_FINISH
+                                                           : phase;
 }
 
 static usec_t
@@ -154,18 +165,20 @@
         handle_event (thread, &event);
       usec_t now = clock_monotonic ();
       apply_settings (thread);
-      bool must_exit = update_shutdown (thread, now);
+      shutdown_phase_t phase = update_shutdown (thread, now);
       director_sync_tick (thread->sync, now);
       if (atomic_exchange (&thread->snapshot_changed, false))
         dispatcher_update_snapshot (thread->dispatcher);
       update_readiness (thread, now);
       wait = dispatcher_tick (thread->dispatcher, now);
-      if (must_exit)
+      if (thread->finish_started_at > 0)
         dispatcher_finish_all (thread->dispatcher);
       caller_http_run (thread->port);
       wait = min_usec (wait, caller_http_timeout (thread->port));
       wait = min_usec (wait, director_sync_next_pull (thread->sync) - now);
-      if (must_exit)
+      if (thread->shutdown_started_at > 0)
+        wait = min_usec (wait, SHUTDOWN_TICK);
+      if (phase == SHUTDOWN_EXIT)
         return NULL;
     }
 }
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -9,15 +9,16 @@
    as "ID BACKEND MSEC TYPE", by the time of day; TYPE is the request's
    Content-Type, or "-".  FOLDER/draining names the backend
    servers that drain, one a line.  A path that ends in "slow" runs for half a
-   second; one that ends in "held" until FOLDER/release exists; one that ends
-   in "lost" runs, and its connection ends without an answer; one that ends in
-   "other" is answered as if it were another request; one that ends in "crash"
-   ends the backend server, with all that runs there, which starts again after
-   DOWN_USEC under another id.  A backend server that FOLDER/leaving names says
-   in all its answers that it leaves; one that FOLDER/resting names refuses all
-   requests, and wants a rest of REST_SECONDS.  A request that reaches a
-   backend server is appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND
-   is "run" or "refused".  */
+   second; one that ends in "long" for LONG_USEC; one that ends in "large" is
+   answered with LARGE_BYTES; one that ends in "held" runs until FOLDER/release
+   exists; one that ends in "lost" runs, and its connection ends without an
+   answer; one that ends in "other" is answered as if it were another request;
+   one that ends in "crash" ends the backend server, with all that runs there,
+   which starts again after DOWN_USEC under another id.  A backend server that
+   FOLDER/leaving names says in all its answers that it leaves; one that
+   FOLDER/resting names refuses all requests, and wants a rest of REST_SECONDS.
+   A request that reaches a backend server is appended to FOLDER/reached as "ID
+   BACKEND MSEC KIND"; KIND is "run" or "refused".  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -41,6 +42,8 @@
   MSEC_PER_SEC = 1000,
   NSEC_PER_MSEC = 1000 * 1000,
   SLOW_USEC = 500 * 1000,
+  LONG_USEC = 1200 * 1000,
+  LARGE_BYTES = 3 * 1024 * 1024,
   HELD_STEP_USEC = 10 * 1000,
   HELD_STEPS_MAX = 2000,
   DOWN_USEC = 1000 * 1000,
@@ -67,6 +70,8 @@
   pthread_mutex_t lock;
 } fake = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+static char large_body[LARGE_BYTES + 1];
+
 /* Whether FOLDER/NAME has the line ID.  */
 static bool
 is_named (const char *name, const char *id)
@@ -250,11 +255,14 @@
     crash_backend (backend);
   if (ends_with (url, "slow"))
     usleep (SLOW_USEC);
+  if (ends_with (url, "long"))
+    usleep (LONG_USEC);
   if (ends_with (url, "held"))
     wait_for_release ();
   if (!is_boot (backend, boot))
     return MHD_NO;
-  return answer_as (connection, MHD_HTTP_OK, backend->id,
+  return answer_as (connection, MHD_HTTP_OK,
+                    ends_with (url, "large") ? large_body : backend->id,
                     ends_with (url, "other") ? "of-another" : id, NULL,
                     is_named ("leaving", backend->id));
 }
@@ -350,6 +358,7 @@
                "usage: fake-platform ADDRESS:PORT FOLDER OFFSET DOMAIN...\n");
       return 2;
     }
+  memset (large_body, 'l', LARGE_BYTES);
   fake.folder = argv[2];
   fake.offset = (unsigned int)strtoul (argv[3], NULL, 10);
   sigset_t stop;
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -46,7 +46,7 @@
 failure_domains:
 $(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
 seeds: [$NET.1.1:1, $NET.1.2:1, $NET.1.3:1]
-bounds: {drain: 3s, grace: 2s, config_apply: 2500ms, settle: 3s, lookup_age: ${LOOKUP_AGE:-5s},
+bounds: {drain: 3s, grace: ${GRACE:-2s}, config_apply: 2500ms, settle: 3s, lookup_age: ${LOOKUP_AGE:-5s},
   retry_ratio: 0.2, retry_base: 58, retry_window: 10s, cold_overshoot: 1.5,
   cold_slack: 5, shift_ratio: 0.15}
 YAML
