feat(entry): log calls that are refused or get no answer

Operators saw reason=backend_failed or draining in an answer, and no line on any VM told which target had failed, or how. test_stop's refusals could not be traced without it.

--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "delivery/outcome.h"
 #include "delivery/quarantine.h"
 #include "entry/hop_credential.h"
@@ -219,6 +220,27 @@
   job_handle_event (job, &event, now);
 }
 
+/* A call that ended without an answer, or with a refusal.  */
+static void
+log_call_failed (const job_t *job, const backend_reply_t *reply)
+{
+  const settings_t *settings = job->context->settings;
+  const exchange_t *exchange = job->exchange;
+  bool is_forwarded = job->request.forwarded;
+  const char *target
+      = is_forwarded ? settings->topology.vms[job->forward_vm].name.text
+                     : backend_table_get (job->context->backends, job->backend)
+                           ->name.text;
+  LOG_EVENT (
+      LOG_LEVEL_WARNING, "call_failed", LOG_S ("id", job->send_id),
+      LOG_S ("caller_id", exchange->caller_id),
+      LOG_S (is_forwarded ? "entry_vm" : "backend", target),
+      LOG_S ("method", exchange->method), LOG_U ("status", reply->status),
+      LOG_S ("outcome", reply->outcome), LOG_S ("reason", reply->reason),
+      LOG_U ("sent", reply->maybe_sent),
+      LOG_S ("error", reply->is_complete ? "" : reply->error));
+}
+
 /* CLOSED_IN_FLIGHT: the connection was closed while it carried the request,
    which counts as a crash of the backend server.  The request goes on after a
    delay, so that the other entry VMs have received the quarantine's marks.  */
@@ -268,6 +290,8 @@
     shared_quarantine_on_end (job->context->quarantine, job->fingerprint,
                               job->backend,
                               is_own_answer && !reply->not_started);
+  if (!is_own_answer || is_refused)
+    log_call_failed (job, reply);
   if (reply->is_complete && !reply->id_matches)
     {
       job->context->counters.mismatched_answers++;
