fix(entry): a planned stop waits until the others know, and is sent no more

What callers saw: functional/test_stop, sanitized: not run, with reason=backend_failed, without need; beside load also reason=draining, and now and then a request cut.

Cause: call_failed showed a POST that another entry VM had forwarded on a kept connection which the stopping one closed at that moment. Others forwarded to it until it was gone; the ledger then ruled the request out. They were given a fixed 200 ms to hear that it leaves, and the port closed 0.5 s after it began to refuse, however many requests still came.

Now the stopping VM tells all that can be reached and waits until each has acknowledged it, 3 s at most. The others forward to it for lookup_age since they heard of it, which ends before it begins to refuse (leave_watch). It refuses until nothing has come for 0.5 s.

--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -362,7 +362,7 @@
          && !(excluded_vms & (UINT64_C (1) << vm))
          && *peer_full_until (table, vm, service) <= now
          && (!table->options.peers
-             || peer_ledger_reachable (table->options.peers, vm));
+             || peer_ledger_takes_forwarded (table->options.peers, vm));
 }
 
 static bool
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -25,11 +25,11 @@
   CONNECTION_MEMORY_BYTES = 32 * 1024,
   LOOKUP_BYTES = 1024,
   LOOKUP_ENTRIES = 3,
-  LEAVE_PROPAGATION_USEC
-  = 200 * 1000, /* for heartbeats to reach the other entry VMs */
+  LOOKUP_TRAVEL_USEC = 150 * 1000, /* of the answer to a look-up, and of the
+                                      request that follows its end */
   DRAIN_STEP_USEC = 10 * 1000,
   DRAIN_REFUSE_USEC = 500 * 1000,
-  LIVE_RING_MAX_AGE_USEC = 50 * 1000, /* well below LEAVE_PROPAGATION_USEC */
+  LIVE_RING_MAX_AGE_USEC = 50 * 1000,
 };
 
 struct caller_port
@@ -40,6 +40,7 @@
   atomic_bool is_leaving;  /* look-ups return other entry VMs only */
   atomic_bool is_draining; /* requests are refused too */
   _Atomic size_t n_in_flight;
+  _Atomic usec_t refused_at; /* last, since the VM is draining */
   /* The HTTP thread alone uses the following.  */
   live_ring_t live_vms;
   bool *is_live;
@@ -323,8 +324,9 @@
 }
 
 static enum MHD_Result
-refuse_draining (const caller_port_t *port, exchange_t *exchange)
+refuse_draining (caller_port_t *port, exchange_t *exchange)
 {
+  port->refused_at = clock_monotonic ();
   exchange->reason = REASON_DRAINING;
   return refuse (port, exchange, ERR_UNAVAILABLE,
                  "ask GET /v1/lookup for another entry VM",
@@ -532,17 +534,18 @@
 caller_port_close (caller_port_t *port)
 {
   /* Callers cache a look-up up to its maximum age and are served until then.
-     After that they are refused for a while before the port closes, so that
+     After that they are refused until no more have come for a while, so that
      no caller gets a connection reset.  */
   port->is_leaving = true;
   peer_ledger_leave (port->options.peers);
   usleep ((useconds_t)port->options.settings->limits.lookup_age
-          + LEAVE_PROPAGATION_USEC);
-  port->is_draining = true;
+          + LIVE_RING_MAX_AGE_USEC + LOOKUP_TRAVEL_USEC);
   usec_t now = clock_monotonic ();
-  usec_t refuse_until = now + DRAIN_REFUSE_USEC;
+  port->refused_at = now;
+  port->is_draining = true;
   usec_t give_up_at = now + port->options.settings->limits.deadline_max;
-  while (now < refuse_until || (port->n_in_flight > 0 && now < give_up_at))
+  while ((now < port->refused_at + DRAIN_REFUSE_USEC || port->n_in_flight > 0)
+         && now < give_up_at)
     {
       usleep (DRAIN_STEP_USEC);
       now = clock_monotonic ();
--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -6,8 +6,10 @@
 #include <time.h>
 
 #include "base/clock.h"
+#include "base/log.h"
+#include "entry/leave_watch.h"
+#include "entry/peer_messages.h"
 #include "membership/liveness.h"
-#include "wire/generated/entry.h"
 
 enum
 {
@@ -16,6 +18,9 @@
   RECORDED_BODY_BYTES_MAX = 16 * 1024,   /* of one outcome */
   RECORDED_BYTES_MAX = 32 * 1024 * 1024, /* of all outcomes */
   SWEEP_STEPS = 20000, /* claims examined at each heartbeat */
+  LEAVE_STEP_MSEC = 100,
+  LEAVE_WAIT_MAX_MSEC = 3000, /* for entry VMs that don't answer */
+  LEAVE_CALLS_MAX = 64,       /* in one step */
 };
 
 struct peer_ledger
@@ -28,78 +33,14 @@
   pthread_t thread;
   ledger_t *ledger;
   liveness_t *liveness;
+  leave_watch_t *leave_watch;
+  size_t n_acknowledged;       /* of LEAVE_WATCH */
+  pthread_cond_t acknowledged; /* the leaving, by one more entry VM */
   uint64_t sequence;
   random_state_t random;
 };
 
-/* --- Messages --------------------------------------------------------- */
-
-static void
-encode_ticket (entry_ticket_t *to, const ticket_t *from,
-               entry_replica_t replicas[TICKET_REPLICAS_MAX])
-{
-  for (size_t i = 0; i < from->n_replicas; i++)
-    replicas[i]
-        = (entry_replica_t){ .vm = from->replicas[i].vm,
-                             .incarnation = from->replicas[i].incarnation };
-  *to = (entry_ticket_t){ .issuer = from->id.issuer,
-                          .issuer_incarnation = from->id.issuer_incarnation,
-                          .sequence = from->id.sequence,
-                          .generation = from->generation,
-                          .issued_at = from->issued_at,
-                          .replicas = { .replicas_len = from->n_replicas,
-                                        .replicas_val = replicas } };
-}
-
-static ticket_t
-decode_ticket (const entry_ticket_t *from)
-{
-  ticket_t to = { .id = { .issuer = (vm_id_t)from->issuer,
-                          .issuer_incarnation = from->issuer_incarnation,
-                          .sequence = from->sequence },
-                  .generation = from->generation,
-                  .issued_at = from->issued_at,
-                  .n_replicas = (uint8_t)from->replicas.replicas_len };
-  for (size_t i = 0; i < to.n_replicas; i++)
-    to.replicas[i]
-        = (ticket_replica_t){ .vm = (vm_id_t)from->replicas.replicas_val[i].vm,
-                              .incarnation
-                              = from->replicas.replicas_val[i].incarnation };
-  return to;
-}
-
-static entry_outcome_t
-encode_outcome (const outcome_t *from)
-{
-  bool kept = from->body_kept && from->n_body <= ENTRY_BODY_BYTES_MAX;
-  return (entry_outcome_t){ .status = from->status,
-                            .body_kept = kept,
-                            .body = { .body_len = kept ? from->n_body : 0,
-                                      .body_val = (char *)from->body } };
-}
-
-static outcome_t
-decode_outcome (const entry_outcome_t *from)
-{
-  return (outcome_t){ .status = (uint16_t)from->status,
-                      .body_kept = from->body_kept,
-                      .n_body = from->body.body_len,
-                      .body = from->body.body_val };
-}
-
-static ledger_request_t
-decode_request (const entry_ask_t *from)
-{
-  return (ledger_request_t){ .op = (ledger_op_t)from->op,
-                             .ticket = decode_ticket (&from->ticket),
-                             .attempt
-                             = { .vm = (vm_id_t)from->attempt_vm,
-                                 .incarnation = from->attempt_incarnation,
-                                 .number = from->attempt_number },
-                             .fingerprint = { .low = from->fingerprint_low,
-                                              .high = from->fingerprint_high },
-                             .outcome = decode_outcome (&from->outcome) };
-}
+/* --- Serving ---------------------------------------------------------- */
 
 static peer_vote_t *
 copy_vote (uint64_t job_id, uint8_t replica, const ledger_vote_t *vote)
@@ -120,8 +61,6 @@
   return copy;
 }
 
-/* --- Serving ---------------------------------------------------------- */
-
 static void
 serve_ledger_request (void *closure, rpc_call_t *call)
 {
@@ -129,40 +68,18 @@
   entry_ask_t args = { 0 };
   if (!rpc_call_args (call, (xdrproc_t)xdr_entry_ask_t, &args))
     return;
-  ledger_request_t request = decode_request (&args);
+  ledger_request_t request = peer_messages_get_request (&args);
   pthread_mutex_lock (&peers->lock);
   ledger_vote_t vote
       = ledger_on_request (peers->ledger, &request, clock_monotonic ());
   entry_vote_t result = { .kind = vote.kind, .generation = vote.generation };
   if (vote.kind == VOTE_DONE)
-    result.outcome = encode_outcome (&vote.outcome);
+    result.outcome = peer_messages_put_outcome (&vote.outcome);
   rpc_reply (call, (xdrproc_t)xdr_entry_vote_t, &result);
   pthread_mutex_unlock (&peers->lock);
   xdr_free ((xdrproc_t)xdr_entry_ask_t, (char *)&args);
 }
 
-static entry_row_t
-encode_row (const liveness_record_t *row)
-{
-  return (entry_row_t){ .vm = row->vm,
-                        .incarnation = row->incarnation,
-                        .episode = row->revision,
-                        .stamp = row->vm_clock,
-                        .reachable = row->is_reachable,
-                        .leaving = row->is_leaving };
-}
-
-static liveness_record_t
-decode_row (const entry_row_t *row)
-{
-  return (liveness_record_t){ .vm = (vm_id_t)row->vm,
-                              .incarnation = row->incarnation,
-                              .revision = row->episode,
-                              .vm_clock = row->stamp,
-                              .is_reachable = row->reachable,
-                              .is_leaving = row->leaving };
-}
-
 /* Record the clock of a row's VM, which is at least what the row says,
    whichever VM passed the row on.  With the lock held.  */
 static void
@@ -174,22 +91,34 @@
                          row->vm_clock, now);
 }
 
+/* With the lock held.  */
+static void
+watch_leaving (peer_ledger_t *peers, vm_id_t vm, usec_t now)
+{
+  if (vm < peers->options.settings->topology.n_vms)
+    leave_watch_record (peers->leave_watch,
+                        liveness_record (peers->liveness, vm), now);
+}
+
 static void
 merge_heartbeat (peer_ledger_t *peers, const rpc_sender_t *sender,
                  const entry_heartbeat_t *heartbeat)
 {
   usec_t now = clock_monotonic ();
-  liveness_record_t own = decode_row (&heartbeat->own);
+  liveness_record_t own = peer_messages_get_row (&heartbeat->own);
   if (own.vm != sender->vm || own.incarnation != sender->incarnation)
     return;
   pthread_mutex_lock (&peers->lock);
   liveness_heartbeat_received (peers->liveness, &own, now);
   record_clock (peers, &own, now);
+  watch_leaving (peers, own.vm, now);
   for (u_int i = 0; i < heartbeat->changes.changes_len; i++)
     {
-      liveness_record_t row = decode_row (&heartbeat->changes.changes_val[i]);
+      liveness_record_t row
+          = peer_messages_get_row (&heartbeat->changes.changes_val[i]);
       liveness_merge (peers->liveness, &row);
       record_clock (peers, &row, now);
+      watch_leaving (peers, row.vm, now);
     }
   pthread_mutex_unlock (&peers->lock);
 }
@@ -201,7 +130,7 @@
   liveness_record_t changes[LIVENESS_CHANGES_MAX];
   size_t n = liveness_changes (peers->liveness, changes);
   for (size_t i = 0; i < n; i++)
-    rows[i] = encode_row (&changes[i]);
+    rows[i] = peer_messages_put_row (&changes[i]);
   return n;
 }
 
@@ -215,7 +144,7 @@
       const liveness_record_t *row
           = liveness_record (peers->liveness, (vm_id_t)i);
       if (row->incarnation > 0)
-        rows[n++] = encode_row (row);
+        rows[n++] = peer_messages_put_row (row);
     }
   return n;
 }
@@ -230,7 +159,7 @@
   pthread_mutex_lock (&peers->lock);
   liveness_record_t own = liveness_own_record (peers->liveness, now);
   record_clock (peers, &own, now);
-  heartbeat.own = encode_row (&own);
+  heartbeat.own = peer_messages_put_row (&own);
   heartbeat.changes.changes_val = rows;
   heartbeat.changes.changes_len
       = (u_int)(all ? encode_all_rows (peers, rows)
@@ -271,9 +200,10 @@
   entry_vote_t from = { 0 };
   bool ok = result->ok
             && rpc_result_decode (result, (xdrproc_t)xdr_entry_vote_t, &from);
-  const ledger_vote_t vote = { .kind = (vote_kind_t)from.kind,
-                               .generation = from.generation,
-                               .outcome = decode_outcome (&from.outcome) };
+  const ledger_vote_t vote
+      = { .kind = (vote_kind_t)from.kind,
+          .generation = from.generation,
+          .outcome = peer_messages_get_outcome (&from.outcome) };
   pending->receiver (
       pending->closure,
       copy_vote (pending->job_id, pending->replica, ok ? &vote : NULL));
@@ -322,9 +252,9 @@
                        .attempt_number = request->attempt.number,
                        .fingerprint_low = request->fingerprint.low,
                        .fingerprint_high = request->fingerprint.high };
-  encode_ticket (&args.ticket, &request->ticket, replicas);
+  peer_messages_put_ticket (&args.ticket, &request->ticket, replicas);
   if (request->op == LEDGER_RECORD)
-    args.outcome = encode_outcome (&request->outcome);
+    args.outcome = peer_messages_put_outcome (&request->outcome);
   pending_call_t *pending = malloc (sizeof *pending);
   if (!pending)
     abort ();
@@ -346,8 +276,20 @@
 {
   peer_ledger_t *peers;
   vm_id_t vm;
+  bool says_leaving; /* that this VM is about to stop */
 } heartbeat_call_t;
 
+static void
+note_acknowledgement (peer_ledger_t *peers, vm_id_t vm)
+{
+  pthread_mutex_lock (&peers->lock);
+  if (!leave_watch_is_acknowledged (peers->leave_watch, vm))
+    peers->n_acknowledged++;
+  leave_watch_acknowledged (peers->leave_watch, vm);
+  pthread_cond_signal (&peers->acknowledged);
+  pthread_mutex_unlock (&peers->lock);
+}
+
 static void
 on_heartbeat (void *closure, const rpc_result_t *result)
 {
@@ -356,7 +298,11 @@
   if (result->ok
       && rpc_result_decode (result, (xdrproc_t)xdr_entry_heartbeat_t,
                             &heartbeat))
-    merge_heartbeat (call->peers, &result->sender, &heartbeat);
+    {
+      merge_heartbeat (call->peers, &result->sender, &heartbeat);
+      if (call->says_leaving)
+        note_acknowledgement (call->peers, call->vm);
+    }
   else
     {
       pthread_mutex_lock (&call->peers->lock);
@@ -376,7 +322,9 @@
   heartbeat_call_t *call = malloc (sizeof *call);
   if (!call)
     abort ();
-  *call = (heartbeat_call_t){ .peers = peers, .vm = vm };
+  *call = (heartbeat_call_t){ .peers = peers,
+                              .vm = vm,
+                              .says_leaving = args.own.leaving };
   call_peer (peers, vm,
              &(rpc_request_t){ .procedure = ENTRY_HEARTBEAT,
                                .encode = (xdrproc_t)xdr_entry_heartbeat_t,
@@ -449,7 +397,9 @@
   peers->liveness = liveness_new (&liveness);
   random_seed (&peers->random, options->incarnation);
   pthread_mutex_init (&peers->lock, NULL);
+  peers->leave_watch = leave_watch_new (settings->topology.n_vms);
   pthread_cond_init (&peers->stopped, NULL);
+  pthread_cond_init (&peers->acknowledged, NULL);
   rpc_register (options->rpc, MULBERRY_ENTRY, MULBERRY_ENTRY_V1, ENTRY_LEDGER,
                 serve_ledger_request, peers);
   rpc_register (options->rpc, MULBERRY_ENTRY, MULBERRY_ENTRY_V1,
@@ -482,20 +432,12 @@
   ledger_free (peers->ledger);
   pthread_mutex_destroy (&peers->lock);
   pthread_cond_destroy (&peers->stopped);
+  pthread_cond_destroy (&peers->acknowledged);
+  leave_watch_free (peers->leave_watch);
   liveness_free (peers->liveness);
   free (peers);
 }
 
-bool
-peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm)
-{
-  pthread_mutex_lock (&peers->lock);
-  bool reachable
-      = liveness_is_reachable (peers->liveness, vm, clock_monotonic ());
-  pthread_mutex_unlock (&peers->lock);
-  return reachable;
-}
-
 /* With the lock held.  */
 static bool
 takes_callers (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
@@ -513,13 +455,90 @@
   return accepted;
 }
 
+bool
+peer_ledger_takes_forwarded (peer_ledger_t *peers, vm_id_t vm)
+{
+  usec_t lookup_age = peers->options.settings->limits.lookup_age;
+  usec_t now = clock_monotonic ();
+  pthread_mutex_lock (&peers->lock);
+  bool takes
+      = liveness_is_reachable (peers->liveness, vm, now)
+        && !leave_watch_has_left (peers->leave_watch, vm, lookup_age, now);
+  pthread_mutex_unlock (&peers->lock);
+  return takes;
+}
+
+/* Whether VM may still send callers or requests to this VM.  With the lock
+   held.  */
+static bool
+must_acknowledge (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
+{
+  return vm != peers->options.self
+         && liveness_is_reachable (peers->liveness, vm, now)
+         && !leave_watch_is_acknowledged (peers->leave_watch, vm);
+}
+
+/* Tell up to LEAVE_CALLS_MAX entry VMs, from *NEXT on, that this VM leaves.
+   Returns the number of those that have not acknowledged it.  */
+static size_t
+tell_leaving (peer_ledger_t *peers, size_t *next)
+{
+  size_t n_vms = peers->options.settings->topology.n_vms;
+  vm_id_t unaware[LEAVE_CALLS_MAX];
+  size_t n_unaware = 0;
+  size_t last = 0;
+  usec_t now = clock_monotonic ();
+  pthread_mutex_lock (&peers->lock);
+  for (size_t i = 0; i < n_vms; i++)
+    {
+      vm_id_t vm = (vm_id_t)((*next + i) % n_vms);
+      if (!must_acknowledge (peers, vm, now))
+        continue;
+      if (n_unaware < LEAVE_CALLS_MAX)
+        {
+          unaware[n_unaware] = vm;
+          last = vm;
+        }
+      n_unaware++;
+    }
+  pthread_mutex_unlock (&peers->lock);
+  *next = last + 1;
+  for (size_t i = 0; i < n_unaware && i < LEAVE_CALLS_MAX; i++)
+    send_heartbeat (peers, unaware[i]);
+  return n_unaware;
+}
+
+/* Wait until N more acknowledgements have come, LEAVE_STEP_MSEC at most.  */
+static void
+wait_for_acknowledgements (peer_ledger_t *peers, size_t n)
+{
+  usec_t now = clock_monotonic ();
+  usec_t end = now + LEAVE_STEP_MSEC * USEC_PER_MSEC;
+  pthread_mutex_lock (&peers->lock);
+  size_t enough = peers->n_acknowledged + n;
+  while (peers->n_acknowledged < enough && now < end)
+    {
+      clock_wait (&peers->acknowledged, &peers->lock, end - now);
+      now = clock_monotonic ();
+    }
+  pthread_mutex_unlock (&peers->lock);
+}
+
 void
 peer_ledger_leave (peer_ledger_t *peers)
 {
+  usec_t started_at = clock_monotonic ();
+  usec_t end = started_at + LEAVE_WAIT_MAX_MSEC * USEC_PER_MSEC;
+  size_t n_unaware;
+  size_t next = 0;
   pthread_mutex_lock (&peers->lock);
   liveness_announce_leaving (peers->liveness);
   pthread_mutex_unlock (&peers->lock);
-  send_heartbeats (peers);
+  while ((n_unaware = tell_leaving (peers, &next)) > 0
+         && clock_monotonic () < end)
+    wait_for_acknowledgements (peers, n_unaware);
+  LOG_EVENT (LOG_LEVEL_INFO, "leaving", LOG_U ("unaware", n_unaware),
+             LOG_I ("usec", clock_monotonic () - started_at));
 }
 
 bool
--- a/src/entry/peer_ledger.h
+++ b/src/entry/peer_ledger.h
@@ -78,14 +78,16 @@
                                      uint8_t replica,
                                      const ledger_request_t *message);
 
-/* Whether VM can be reached, by the heartbeats received so far.  */
-bool peer_ledger_reachable (peer_ledger_t *peers, vm_id_t vm);
-
 /* Whether new callers may be sent to VM: it is reachable and not about to
    stop.  */
 bool peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm);
 
-/* Tell the other entry VMs that this VM is about to stop.  */
+/* Whether requests may be forwarded to VM: it is reachable, and has not been
+   known to leave for as long as callers keep a look-up.  */
+bool peer_ledger_takes_forwarded (peer_ledger_t *peers, vm_id_t vm);
+
+/* Tell the other entry VMs that this VM is about to stop, and wait until all
+   that can be reached have acknowledged it, for some seconds at most.  */
 void peer_ledger_leave (peer_ledger_t *peers);
 
 /* The key that signs tickets and hop credentials; the ledger's own.  */
