test(soak): planned stops while requests of all kinds go on

SOAK_STOPS=1 makes planned stops the only faults: graces of 0.8 to 5 s, half of them with a pause of the process, requests at every moment, long and large ones among them. Checked besides: none that was taken is cut without an answer, and the router has ended when the grace is over.

fake-stop-caller opens a new connection where an answer said that it closes the kept one: on a slow build it sent on closed ones, and test_fleet_stop, sanitized, failed three times for that (its own fault, not the router's; the sent request met a connection that the answer before had closed). The check is the same.

--- a/test/fakes/fake_stop_caller.c
+++ b/test/fakes/fake_stop_caller.c
@@ -104,15 +104,16 @@
   return -1;
 }
 
-static void
-report (const char *id, int sent_at, int status, bool is_whole)
+typedef struct answer
 {
-  printf ("%s %d %03d %d\n", id, sent_at, status, is_whole);
-}
+  int status; /* 0: none */
+  bool is_whole;
+  bool closes; /* the connection */
+} answer_t;
 
 /* Read one answer; what follows it is left in the socket or dropped.  */
 static void
-read_answer (int fd, const kind_t *kind, int *status, bool *is_whole)
+read_answer (int fd, const kind_t *kind, answer_t *answer)
 {
   static _Thread_local char text[HEAD_BYTES + 1];
   static _Thread_local char piece[PIECE_BYTES];
@@ -127,7 +128,8 @@
       text[used] = '\0';
       end = strstr (text, "\r\n\r\n");
     }
-  *status = atoi (text + strlen ("HTTP/1.1 "));
+  answer->status = atoi (text + strlen ("HTTP/1.1 "));
+  answer->closes = strcasestr (text, "\r\nConnection: close") != NULL;
   const char *length = strcasestr (text, "\r\nContent-Length:");
   size_t left = length ? strtoul (length + 17, NULL, 10) : 0;
   size_t have = used - (size_t)(end + 4 - text);
@@ -141,7 +143,7 @@
         return;
       left -= (size_t)n;
     }
-  *is_whole = true;
+  answer->is_whole = true;
 }
 
 static int
@@ -155,13 +157,13 @@
                    path ? path : "/x/1", id, kind->deadline_msec, BODY_BYTES);
 }
 
-static void
+/* Returns true if the connection can carry another request.  */
+static bool
 ask (int fd, const kind_t *kind, const char *id, const char *path)
 {
   char text[1024];
   char second[128] = "";
-  int status = 0;
-  bool is_whole = false;
+  answer_t answer = { .closes = true };
   int n = write_head (text, sizeof text, kind, id, path);
   if (kind->is_body_late)
     {
@@ -178,8 +180,9 @@
     }
   int sent_at = msec_since_start ();
   if (send (fd, text, (size_t)n, MSG_NOSIGNAL) == n)
-    read_answer (fd, kind, &status, &is_whole);
-  report (id, sent_at, status, is_whole);
+    read_answer (fd, kind, &answer);
+  printf ("%s %d %03d %d\n", id, sent_at, answer.status, answer.is_whole);
+  return !answer.closes;
 }
 
 static void *
@@ -192,7 +195,11 @@
   if (fd >= 0)
     {
       snprintf (id, sizeof id, "%s-first-%d", prefix, caller->at_msec);
-      ask (fd, kind, id, NULL);
+      if (!ask (fd, kind, id, NULL))
+        {
+          close (fd);
+          fd = -1;
+        }
     }
   int wait = caller->at_msec - msec_since_start ();
   if (wait > 0)
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -20,6 +20,11 @@
 #     a router follows one;
 #   - when the faults end, every router serves the newest configuration.
 #
+# With SOAK_STOPS=1 the faults are planned stops alone: of one router after the other,
+# with a grace of 0.8 to 5 s, half of them paused for most of it, while requests of all kinds go there
+# at every moment (fake-stop-caller). Checked besides: none that was taken is cut without
+# an answer, and the router has ended when the grace is over.
+#
 # It ends only processes that it started.  On a failure it names the seed and
 # keeps the logs in SOAK_KEEP.
 set -euo pipefail
@@ -28,10 +33,14 @@
 SEED=${3:-1}
 SPAN=${4:-15}
 source "$SOURCE/test/functional/fleet.sh"
+source "$SOURCE/test/functional/stop_check.sh"
 RANDOM=$SEED
 VERSION=1
 ACKED=0
 CALLERS=()
+GRACE_MSEC=(0 2000 2000 2000) # of the routers
+PREFIX=/x/
+[ -z "${SOAK_STOPS:-}" ] || PREFIX=/
 SHIM=$BUILD/test/libfault-shim.so
 [ -e "$SHIM" ] || SHIM=
 RELAY_OFFSET=50
@@ -51,7 +60,7 @@
 
 put() { # VERSION: true where it was acknowledged
   AT=$(between 1 3)
-  [ "$(order POST /Config.Put "$(config "$(printf %08x "$1")" non_idempotent /x/)" || true)" = 200 ]
+  [ "$(order POST /Config.Put "$(config "$(printf %08x "$1")" non_idempotent "$PREFIX")" || true)" = 200 ]
 }
 
 put_next() {
@@ -115,9 +124,44 @@
   sleep 4
 }
 
+now_msec() { date +%s%3N; }
+
+# A planned stop of a router; requests go to it at every moment.
+planned_stop() {
+  local victim=$1 grace=${GRACE_MSEC[$1]} callers began ended until pid=${PIDS[router-$1]}
+  local told=$FOLDER/stop-$SECONDS-$victim
+  "$BUILD/test/fake-stop-caller" "$(router_address "$victim"):$REQUESTS_PORT" $((grace + 700)) 100 \
+    "stop-$SECONDS" >"$told" &
+  callers=$!
+  sleep "0.$(between 2 6)"
+  began=$(now_msec)
+  kill -TERM "$pid"
+  until=$((grace * 85 / 100 < grace - 600 ? grace * 85 / 100 : grace - 600))
+  if [ "$(between 1 2)" = 1 ]; then
+    sleep 0.1
+    kill -STOP "$pid"
+    sleep "$(awk -v m="$(between $((grace - 650)) $((grace - 500)))" 'BEGIN { print m / 1000 }')"
+    kill -CONT "$pid"
+    until=0
+  fi
+  wait "$pid" || soak_fail "router $victim did not stop cleanly"
+  ended=$(now_msec)
+  [ $((ended - began)) -lt $grace ] || soak_fail "router $victim took $((ended - began)) of $grace ms to stop"
+  wait $callers
+  stop_check "$told" "$FOLDER/runs" 1000000 "$((until + 200))" ||
+    soak_fail "a planned stop of router $victim, grace $grace ms"
+  GRACE_MSEC[victim]=$(between 800 5000)
+  GRACE=${GRACE_MSEC[victim]}ms start_vm router "$victim"
+  wait_for 15 ready "$victim"
+}
+
 fault() {
   local victim
   victim=$(between 1 3)
+  if [ -n "${SOAK_STOPS:-}" ]; then
+    planned_stop "$victim"
+    return
+  fi
   FIRST_START=false
   case $(between 1 20) in
     1) kill_one KILL "director-$victim"; start_vm director "$victim" ;;
