test(entry): a planned stop's refusals are counted, not piped into grep -q

What was seen: functional/test_stop passed twice with 23 and 25 refusals.

Cause: `grep | grep -vq` under pipefail: the second ends at its first match, the first is then ended by SIGPIPE, so the condition is false, and the more refusals, the surer. Where it did see them, `grep | head` ended the script with 141. The check is what it says now, and stricter than before: no refusal passes.

--- a/test/functional/test_stop.sh
+++ b/test/functional/test_stop.sh
@@ -39,12 +39,13 @@
 awk -f "$SOURCE/test/functional/check_journals.awk" "$FOLDER"/journal-* "$FOLDER/told"
 if grep -q 'outcome=unknown' "$FOLDER/told"; then
   echo "a planned stop cut a request" >&2
-  grep 'outcome=unknown' "$FOLDER/told" | head >&2
+  awk '/outcome=unknown/ && n++ < 10' "$FOLDER/told" >&2
   exit 1
 fi
 # A look-up that no entry VM took was no request yet.
-if grep 'outcome=not-run' "$FOLDER/told" | grep -vq 'reason=no_lookup'; then
-  echo "a planned stop refused a request" >&2
-  grep 'outcome=not-run' "$FOLDER/told" | head >&2
+refused=$(awk '/outcome=not-run/ && !/reason=no_lookup/' "$FOLDER/told")
+if [ -n "$refused" ]; then
+  echo "a planned stop refused $(wc -l <<<"$refused") requests" >&2
+  sed -n '1,10p' <<<"$refused" >&2
   exit 1
 fi
