--- a/test/support/director_world.h
+++ b/test/support/director_world.h
@@ -35,7 +35,7 @@
   core->own_address = DIRECTOR_ADDRESS;
   core->leader_slot = SLOT_NONE;
   list_init (&core->mailbox);
-  list_init (&core->pending_writes);
+  replica_disk_init (&core->disk, core_on_storage_event, core);
   list_init (&core->operator_requests);
   pthread_mutex_init (&core->lock, NULL);
   pthread_cond_init (&core->mailbox_changed, NULL);
