--- /dev/null
+++ b/test/unit/test_wire_response_framing.c
@@ -0,0 +1,259 @@
+/* Guards against a response that is told as whole without knowing it: lengths
+   that can't be read or differ, other framings of a body, and connections that
+   end in another way than the response.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include "wire/answer_head.h"
+#include "wire/http_handles.h"
+
+#define LARGEST "9223372036854775807"
+#define TOO_LARGE "9223372036854775808"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+
+/* Field lines, the framing of a response with status 200, and its length.  */
+static const struct
+{
+  const char *fields;
+  framing_kind_t kind;
+  uint64_t length;
+} framings[] = {
+  { "", FRAMING_UNTIL_CLOSE, 0 },
+  { "Content-Length: 900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 0\r\n", FRAMING_LENGTH, 0 },
+  { "Content-Length:900\n", FRAMING_LENGTH, 900 },
+  { "content-LENGTH: \t 900 \t\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 000900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 0000000000000000000000000900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: " LARGEST "\r\n", FRAMING_LENGTH, INT64_MAX },
+  { "Content-Length: 900, 900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 900,0900\t,\t900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 900\r\nContent-Length: 900\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 0\r\nX: 1\r\nContent-Length: 0\r\n", FRAMING_LENGTH, 0 },
+  { "Content-Length: 450, 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900, 900, 450\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 0, 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900,\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: ,900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900,,900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: , ,\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length:\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: \t\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: +900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: -900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 450x\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 0x384\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 9 00\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900;q=1\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900.0\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: \"900\"\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900\r\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900\v\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: " TOO_LARGE "\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 18446744073709552516\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 10000000000000000000000000\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 450\r\nContent-Length: 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900\r\nContent-Length: 900x\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: x\r\nContent-Length: 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length : 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length\t: 900\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding : chunked\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 450\r\n 900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length:\r\n\t900\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900\r\n \r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding:\r\n chunked\r\n", FRAMING_INVALID, 0 },
+  { CHUNKED "\t, gzip\r\n", FRAMING_INVALID, 0 },
+  { "X: 1\r\n Content-Length: 900\r\n", FRAMING_UNTIL_CLOSE, 0 },
+  { "Content-Length: 900\r\nX: 1\r\n 450\r\n", FRAMING_LENGTH, 900 },
+  { "Content-Length: 900\r\nX\r\n 450\r\n", FRAMING_LENGTH, 900 },
+  { CHUNKED, FRAMING_CHUNKS, 0 },
+  { "TRANSFER-encoding:\tChunked \r\n", FRAMING_CHUNKS, 0 },
+  { CHUNKED CHUNKED, FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: chunked, chunked\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: gzip, chunked\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: gzip\r\n" CHUNKED, FRAMING_INVALID, 0 },
+  { CHUNKED "Transfer-Encoding: gzip\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: identity\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding:\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: chunked;x=1\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: chunkedx\r\n", FRAMING_INVALID, 0 },
+  { "Transfer-Encoding: chunk\r\n", FRAMING_INVALID, 0 },
+  { "Content-Length: 900\r\n" CHUNKED, FRAMING_INVALID, 0 },
+  { CHUNKED "Content-Length: 900\r\n", FRAMING_INVALID, 0 },
+  { CHUNKED "Content-Length: 0\r\n", FRAMING_INVALID, 0 },
+  { "X-Content-Length: 900\r\n", FRAMING_UNTIL_CLOSE, 0 },
+  { "Content-Lengths: 900\r\n", FRAMING_UNTIL_CLOSE, 0 },
+  { "Content-Length 900\r\n", FRAMING_UNTIL_CLOSE, 0 },
+  { ": 900\r\n", FRAMING_UNTIL_CLOSE, 0 },
+  { "TE: chunked\r\nTrailer: Content-Length\r\n", FRAMING_UNTIL_CLOSE, 0 },
+};
+
+/* Pass on TEXT line by line, as libcurl does.  */
+static void
+read_lines (answer_head_t *head, const char *text)
+{
+  while (*text)
+    {
+      size_t length = strcspn (text, "\n") + 1;
+      g_assert_cmpint (answer_head_next (head, text, length), !=,
+                       HEAD_LINE_MALFORMED);
+      text += length;
+    }
+}
+
+static answer_head_t
+read_head (const char *before, unsigned int status, const char *fields)
+{
+  answer_head_t head = { 0 };
+  g_autofree char *text
+      = g_strdup_printf ("%sHTTP/1.1 %u Reason\r\nRequest-Id: id-1\r\n%s\r\n",
+                         before, status, fields);
+  read_lines (&head, text);
+  g_assert_true (answer_head_is_final (&head));
+  g_assert_cmpuint (head.status, ==, status);
+  return head;
+}
+
+static void
+check_framing (size_t i, const char *before, unsigned int status)
+{
+  answer_head_t head = read_head (before, status, framings[i].fields);
+  framing_kind_t kind = response_framing_kind (&head.framing, false, status);
+  if (kind != framings[i].kind)
+    g_error ("'%s': %s", framings[i].fields, framing_kind_name (kind));
+  if (kind == FRAMING_LENGTH)
+    g_assert_cmpuint (head.framing.length, ==, framings[i].length);
+}
+
+static void
+test_kinds (void)
+{
+  static const unsigned int statuses[] = { 200, 201, 205, 206, 404, 500, 503 };
+  for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (statuses); j++)
+      check_framing (i, "", statuses[j]);
+}
+
+/* What an informational response says of a body concerns no other.  */
+static void
+test_informational (void)
+{
+  static const char *const before[] = {
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\nContent-Length: 450\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\nContent-Length: x\r\n\r\n"
+    "HTTP/1.1 102 Processing\r\n" CHUNKED "\r\n",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (before); j++)
+      check_framing (i, before[j], 200);
+}
+
+/* HEAD, 204 and 304 have no body, whatever their fields say.  */
+static void
+test_no_body (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
+    {
+      answer_head_t head = read_head ("", 200, framings[i].fields);
+      const response_framing_t *framing = &head.framing;
+      g_assert_cmpint (response_framing_kind (framing, true, 200), ==,
+                       FRAMING_NO_BODY);
+      g_assert_cmpint (response_framing_kind (framing, false, 204), ==,
+                       FRAMING_NO_BODY);
+      g_assert_cmpint (response_framing_kind (framing, false, 304), ==,
+                       FRAMING_NO_BODY);
+    }
+}
+
+/* Of a length of 900.  */
+static void
+test_completeness (void)
+{
+  answer_head_t head = read_head ("", 200, "Content-Length: 900\r\n");
+  const response_framing_t *framing = &head.framing;
+  static const uint64_t n_read[] = { 0, 1, 899, 900, 901, UINT64_MAX };
+  for (connection_end_t end = CONNECTION_KEPT; end <= CONNECTION_NONE; end++)
+    for (size_t i = 0; i < G_N_ELEMENTS (n_read); i++)
+      for (framing_kind_t kind = FRAMING_NO_BODY; kind <= FRAMING_INVALID;
+           kind++)
+        {
+          body_completeness_t expected = BODY_TRUNCATED;
+          if (kind == FRAMING_UNTIL_CLOSE && end == CONNECTION_CLOSED)
+            expected = BODY_END_UNSURE;
+          if (end == CONNECTION_KEPT
+              && (kind == FRAMING_NO_BODY || kind == FRAMING_CHUNKS
+                  || (kind == FRAMING_LENGTH && n_read[i] == 900)))
+            expected = BODY_WHOLE;
+          g_assert_cmpint (
+              response_framing_completeness (framing, kind, n_read[i], end),
+              ==, expected);
+        }
+}
+
+/* Guards against a reset, or any other error, taken for an ordinary close; and
+   a close within a head for the end of a response.  */
+static void
+test_connection_end (void)
+{
+  static const CURLcode errors[]
+      = { CURLE_RECV_ERROR,          CURLE_SEND_ERROR,
+          CURLE_ABORTED_BY_CALLBACK, CURLE_COULDNT_CONNECT,
+          CURLE_WEIRD_SERVER_REPLY,  CURLE_BAD_CONTENT_ENCODING };
+  static const char *const fields[] = { "", "Content-Length: 9\r\n", CHUNKED };
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      answer_head_t head = read_head ("", 200, fields[i]);
+      for (size_t j = 0; j < G_N_ELEMENTS (errors); j++)
+        g_assert_cmpint (http_connection_end (errors[j], &head, false), ==,
+                         CONNECTION_RESET);
+      g_assert_cmpint (
+          http_connection_end (CURLE_OPERATION_TIMEDOUT, &head, false), ==,
+          CONNECTION_TIMED_OUT);
+      g_assert_cmpint (http_connection_end (CURLE_WRITE_ERROR, &head, false),
+                       ==, CONNECTION_REJECTED);
+      g_assert_cmpint (http_connection_end (CURLE_PARTIAL_FILE, &head, false),
+                       ==, CONNECTION_CLOSED);
+      g_assert_cmpint (http_connection_end (CURLE_OK, &head, false), ==,
+                       i == 0 ? CONNECTION_CLOSED : CONNECTION_KEPT);
+      g_assert_cmpint (http_connection_end (CURLE_OK, &head, true), ==,
+                       CONNECTION_KEPT);
+    }
+  answer_head_t open = { 0 };
+  read_lines (&open, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n");
+  g_assert_false (answer_head_is_final (&open));
+  g_assert_cmpint (http_connection_end (CURLE_OK, &open, false), ==,
+                   CONNECTION_CLOSED);
+  g_assert_cmpint (http_connection_end (CURLE_OK, &open, true), ==,
+                   CONNECTION_CLOSED);
+}
+
+/* An empty line that is cut, and a head within a head.  */
+static void
+test_head (void)
+{
+  static const char *const last[]
+      = { "\r", "Content-Length: 9", "", "HTTP/1.1 200 OK\r\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (last); i++)
+    {
+      answer_head_t head = { 0 };
+      read_lines (&head, "HTTP/1.1 200 OK\r\n");
+      g_assert_cmpint (answer_head_next (&head, last[i], strlen (last[i])), ==,
+                       HEAD_LINE_MALFORMED);
+      g_assert_false (answer_head_is_final (&head));
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/response_framing/kinds", test_kinds);
+  g_test_add_func ("/response_framing/informational", test_informational);
+  g_test_add_func ("/response_framing/no-body", test_no_body);
+  g_test_add_func ("/response_framing/completeness", test_completeness);
+  g_test_add_func ("/response_framing/connection-end", test_connection_end);
+  g_test_add_func ("/response_framing/head", test_head);
+  return g_test_run ();
+}
