fix(wire): a status line within a line of a head is no part of that line

What callers could see: a whole response of their own with the status of another one, such as 503 for a request that was answered with 200; or "not run" for a request that ran, if the refusal stood before the id.

Cause: a backend server's second response may be cut anywhere, and the next request's response follows it on the same connection. Cut within a line of its head, the two make one line, "HTTP/1.1 503 FulHTTP/1.1 200 OK", and answer_head looked for status lines at the begin of a line only.

Now a line that holds a status line after its begin is malformed and ends the call and its connection. Ruled out: only looking at the first line, since a field before the id may tell a refusal. It costs servers that send a status line in the value of a field; those can't be told apart from the fault.

--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -25,6 +25,37 @@
   return length == 1 || (length == 2 && line[0] == '\r');
 }
 
+static bool
+is_digit (char c)
+{
+  return c >= '0' && c <= '9';
+}
+
+/* Whether TEXT begins as a status line does: "HTTP/1.1 200".  */
+static bool
+begins_status (const char *text, size_t length)
+{
+  static const char form[] = "HTTP/0.0 000";
+  size_t n = sizeof form - 1;
+  if (length < n)
+    return false;
+  for (size_t i = 0; i < n; i++)
+    if (form[i] == '0' ? !is_digit (text[i]) : text[i] != form[i])
+      return false;
+  return true;
+}
+
+/* Whether a status line goes on within LINE: another response was cut there,
+   and what came before belongs to no request.  */
+static bool
+holds_status_line (const char *line, size_t length)
+{
+  for (size_t i = 1; i < length; i++)
+    if (line[i] == 'H' && begins_status (line + i, length - i))
+      return true;
+  return false;
+}
+
 /* "HTTP/1.1 200 OK": 200.  */
 static bool
 parse_status (const char *line, size_t length, unsigned int *status)
@@ -46,6 +77,9 @@
 {
   if (length == 0 || line[length - 1] != '\n')
     return HEAD_LINE_MALFORMED;
+  bool is_in_head = head->is_open || is_status_line (line, length);
+  if (is_in_head && holds_status_line (line, length))
+    return HEAD_LINE_MALFORMED;
   if (is_status_line (line, length))
     {
       if (head->is_open)
--- a/test/unit/test_wire_response_framing.c
+++ b/test/unit/test_wire_response_framing.c
@@ -245,6 +245,39 @@
     }
 }
 
+/* Guards against the beginning of a second response, cut within a line, whose
+   status or refusal is taken for that of the response that follows it.  */
+static void
+test_two_heads (void)
+{
+  static const struct
+  {
+    const char *line;
+    bool is_first;
+  } merged[] = {
+    { "HTTP/1.1 503HTTP/1.1 200 OK\r\n", true },
+    { "HTTP/1.1 503 FulHTTP/1.1 200 OK\r\n", true },
+    { "HTTP/1.1 503 FulHTTP/1.0 200\n", true },
+    { "HHTTP/1.1 200 OK\r\n", false },
+    { "ReqHTTP/1.1 200 OK\r\n", false },
+    { "Not-Executed: fuHTTP/1.1 200 OK\r\n", false },
+  };
+  static const char *const good[]
+      = { "Via: HTTP/1.1 proxy\r\n", "X: HTTP/1.1 20\r\n", "X: HTTP/11 200\n",
+          "Upgrade: HTTP/2.0\r\n", "H: HHTTP\r\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (merged); i++)
+    {
+      answer_head_t head = { 0 };
+      if (!merged[i].is_first)
+        read_lines (&head, "HTTP/1.1 503 Full\r\nNot-Executed: full\r\n");
+      if (answer_head_next (&head, merged[i].line, strlen (merged[i].line))
+          != HEAD_LINE_MALFORMED)
+        g_error ("taken for one line: %s", merged[i].line);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (good); i++)
+    read_head ("", 200, good[i]);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -255,5 +288,6 @@
   g_test_add_func ("/response_framing/completeness", test_completeness);
   g_test_add_func ("/response_framing/connection-end", test_connection_end);
   g_test_add_func ("/response_framing/head", test_head);
+  g_test_add_func ("/response_framing/two-heads", test_two_heads);
   return g_test_run ();
 }
