fix(entry): what an informational response tells is not the final one's

What callers could see: 503 with the outcome "not run" for a request that may have run, since a 103 response before it said X-Not-Started: 1; likewise an id or an outcome.

Cause: backend_client kept the fields of all heads together; only the status was the last one's. The router discards them at each status line (response_reader), now entry VMs do.

Evidence: test_entry_client /informational fails before ("'reply.not_started' should be FALSE") and passes after.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -123,6 +123,19 @@
     reply->run_time = (usec_t)unsigned_value (value, INT64_MAX);
 }
 
+/* Forget what the fields of an informational response told.  */
+static void
+reset_fields (backend_reply_t *reply)
+{
+  reply->id_matches = false;
+  reply->not_started = false;
+  reply->content_type[0] = '\0';
+  reply->outcome[0] = '\0';
+  reply->reason[0] = '\0';
+  reply->generation = 0;
+  reply->run_time = 0;
+}
+
 /* Returns false if the call has to end, and its connection with it.  */
 static bool
 has_readable_framing (const backend_call_t *call)
@@ -146,6 +159,8 @@
     case HEAD_LINE_END:
       return has_readable_framing (call) ? length : 0;
     case HEAD_LINE_STATUS:
+      reset_fields (&call->reply);
+      return length;
     case HEAD_LINE_TRAILER:
       return length;
     case HEAD_LINE_MALFORMED:
--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -283,6 +283,33 @@
   script_stop (&script);
 }
 
+static backend_reply_t
+reply_to (const char *text)
+{
+  script_t script = { .replies = { text } };
+  script_start (&script);
+  backend_client_t *client = open_client ();
+  result_t result = call (client, &script, "POST", true);
+  g_assert_true (result.reply.is_complete);
+  backend_client_free (client);
+  script_stop (&script);
+  return result.reply;
+}
+
+/* Guards against a refusal, or an id, that only an informational response
+   told, and that is taken for the final one's.  */
+static void
+test_informational (void)
+{
+  backend_reply_t reply
+      = reply_to ("HTTP/1.1 103 Hints\r\nX-Not-Started: 1\r\n"
+                  "X-Request-Id: r\r\n\r\n"
+                  "HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno");
+  g_assert_cmpuint (reply.status, ==, 503);
+  g_assert_false (reply.not_started);
+  g_assert_false (reply.id_matches);
+}
+
 static void
 test_unreachable_sends_nothing (void)
 {
@@ -306,6 +333,7 @@
   g_test_add_func ("/entry_client/once_is_once", test_no_resend_sends_once);
   g_test_add_func ("/entry_client/foreign_answer",
                    test_answer_to_another_request);
+  g_test_add_func ("/entry_client/informational", test_informational);
   g_test_add_func ("/entry_client/unreachable_sends_nothing",
                    test_unreachable_sends_nothing);
   for (size_t i = 0; i < G_N_ELEMENTS (framing_cases); i++)
