fix(router): HEAD and 304 tell the backend server's length, not 0

What callers saw: Content-Length: 0 for each HEAD and 304, which says that a GET has an empty body.

Cause: the router writes the length of the body that it read, and these have none. Now it is the one that the backend server told, or none if it told none that can be read.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -229,13 +229,47 @@
   return response;
 }
 
+/* What is read of a body whose size was told and that is not sent: nothing. */
+static ssize_t
+read_no_body (void *closure, uint64_t position, char *data, size_t max)
+{
+  (void)closure;
+  (void)position;
+  (void)data;
+  (void)max;
+  return MHD_CONTENT_READER_END_OF_STREAM;
+}
+
+/* Callers are told the length that the backend server told, of a body that is
+   not sent, or none.  libmicrohttpd tells none for 204, and for other statuses
+   only if the connection closes.  */
+static struct MHD_Response *
+response_without_body (backend_response_t *answer)
+{
+  if (answer->status == MHD_HTTP_NO_CONTENT)
+    return response_with_length (answer);
+  if (!answer->has_announced)
+    return response_until_close (answer);
+  return MHD_create_response_from_callback (
+      answer->announced_bytes, BODY_BLOCK_BYTES, read_no_body, NULL, NULL);
+}
+
+static struct MHD_Response *
+body_response (exchange_t *exchange)
+{
+  backend_response_t *answer = &exchange->response;
+  if (ends_by_close (exchange))
+    return response_until_close (answer);
+  if (answer->framing == FRAMING_NO_BODY)
+    return response_without_body (answer);
+  return response_with_length (answer);
+}
+
 static struct MHD_Response *
 backend_response (exchange_t *exchange)
 {
   backend_response_t *answer = &exchange->response;
-  struct MHD_Response *response = ends_by_close (exchange)
-                                      ? response_until_close (answer)
-                                      : response_with_length (answer);
+  struct MHD_Response *response = body_response (exchange);
   for (size_t i = 0; i < answer->n_headers; i++)
     MHD_add_response_header (response, answer->headers[i].name,
                              answer->headers[i].value);
@@ -247,7 +281,9 @@
 {
   if (exchange->reason == REASON_GONE)
     return "";
-  if (strcmp (exchange->method, "HEAD") == 0)
+  bool has_no_body = exchange->reason == REASON_NONE
+                     && exchange->response.framing == FRAMING_NO_BODY;
+  if (has_no_body || strcmp (exchange->method, "HEAD") == 0)
     return framing_kind_name (FRAMING_NO_BODY);
   return framing_kind_name (ends_by_close (exchange) ? FRAMING_UNTIL_CLOSE
                                                      : FRAMING_LENGTH);
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -124,6 +124,9 @@
   response->framing = response_framing_kind (
       &head->framing, reader->is_head_request, head->status);
   response->announced_bytes = announced_length (reader);
+  response->has_announced = head->framing.has_length
+                            && !head->framing.is_invalid
+                            && !head->framing.is_chunked;
   if (response->has_head)
     response->completeness = response_framing_completeness (
         &head->framing, response->framing, response->body_bytes, end);
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -45,8 +45,9 @@
   bool was_reconnected; /* a new connection could be made after that */
   bool is_unreachable;  /* no connection, or no new one, could be made */
   unsigned int status;  /* HTTP status code */
-  framing_kind_t framing;          /* valid if has_head */
-  uint64_t announced_bytes;        /* of the body; valid for FRAMING_LENGTH */
+  framing_kind_t framing;   /* valid if has_head */
+  bool has_announced;       /* a length of the body, also where none is sent */
+  uint64_t announced_bytes; /* of the body; valid if has_announced */
   connection_end_t connection_end; /* at the end of the response */
   body_completeness_t completeness;
   char backend_id[BACKEND_ID_BYTES]; /* from a health check; "": none */
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -5,9 +5,10 @@
 
    Listens on N ports, for fake-platform's list with an offset.  The last part
    of a request's path names the response (see `responses`).  A body is
-   BODY_BYTES long and made from the request's id.  A health check is answered
-   as by the backend server that the last request expected at that port.  Each
-   request that is run is appended to FOLDER/runs as "ID PORT".  */
+   BODY_BYTES long and made from the request's id; a HEAD gets none.  A health
+   check is answered as by the backend server that the last request expected at
+   that port.  Each request that is run is appended to FOLDER/runs as "ID
+   PORT".  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -26,6 +27,7 @@
   HEAD_BYTES = 1024,
   ID_BYTES = 128,
   BODY_BYTES = 900,
+  LARGE_BYTES = 2 * 1024 * 1024,
   PART_BYTES = 450,
   LISTEN_BACKLOG = 128,
 };
@@ -37,7 +39,8 @@
   ENDS_RESET,
 } ending_t;
 
-/* FIELDS follow the usual ones; N_SENT bytes of the body follow the head, in
+/* STATUS is the status line's, NULL: "200 OK".  FIELDS follow the usual ones;
+   N_SENT bytes of the body follow the head, in
    one chunk if IS_CHUNKED, with the last chunk if ENDING is ENDS_KEPT.  */
 typedef struct response
 {
@@ -46,6 +49,7 @@
   bool is_chunked;
   size_t n_sent;
   ending_t ending;
+  const char *status;
 } response_t;
 
 static const response_t responses[] = {
@@ -80,6 +84,14 @@
     ENDS_KEPT },
   { "other-encoding", "Transfer-Encoding: identity\r\n", false, PART_BYTES,
     ENDS_CLOSED },
+  { "large-close", "", false, LARGE_BYTES, ENDS_CLOSED },
+  { "error-close", "", false, BODY_BYTES, ENDS_CLOSED, "500 Error" },
+  { "no-content", "", false, 0, ENDS_KEPT, "204 No Content" },
+  { "no-content-length", "Content-Length: 900\r\n", false, 0, ENDS_KEPT,
+    "204 No Content" },
+  { "not-modified", "", false, 0, ENDS_KEPT, "304 Not Modified" },
+  { "not-modified-length", "Content-Length: 900\r\n", false, 0, ENDS_KEPT,
+    "304 Not Modified" },
 };
 
 typedef struct port
@@ -153,10 +165,10 @@
 }
 
 static void
-make_body (char body[BODY_BYTES], const char *id)
+make_body (char *body, size_t body_bytes, const char *id)
 {
   size_t length = strlen (id);
-  for (size_t i = 0; i < BODY_BYTES; i++)
+  for (size_t i = 0; i < body_bytes; i++)
     body[i]
         = length > 0 && i % 2 == 0 ? id[i / 2 % length] : (char)('a' + i % 26);
 }
@@ -198,6 +210,27 @@
   pthread_mutex_unlock (&lock);
 }
 
+static bool
+send_body (int fd, const response_t *response, const char *id)
+{
+  char chunk[16];
+  int n = snprintf (chunk, sizeof chunk, "%zx\r\n", response->n_sent);
+  if (response->is_chunked && !write_all (fd, chunk, (size_t)n))
+    return false;
+  char *body = malloc (response->n_sent + 1);
+  if (!body)
+    abort ();
+  make_body (body, response->n_sent, id);
+  bool is_sent = write_all (fd, body, response->n_sent);
+  free (body);
+  if (!response->is_chunked)
+    return is_sent;
+  is_sent = is_sent && write_all (fd, "\r\n", 2);
+  if (response->ending == ENDS_KEPT)
+    is_sent = is_sent && write_all (fd, "0\r\n\r\n", 5);
+  return is_sent;
+}
+
 /* Returns false if the connection has to be closed.  */
 static bool
 answer (client_t *client, const char *request)
@@ -205,30 +238,20 @@
   char id[ID_BYTES];
   char instance[ID_BYTES];
   char head[HEAD_BYTES];
-  char body[BODY_BYTES];
-  char chunk[16];
   find_field (request, "Request-Id", id);
   find_field (request, "Expect-Instance", instance);
   expected_instance (client->port, instance);
   if (id[0])
     note_run (id, client->port->number);
   const response_t *response = find_response (request);
-  make_body (body, id);
   int n = snprintf (head, sizeof head,
-                    "HTTP/1.1 200 OK\r\nServer-Stamp: fake\r\n"
+                    "HTTP/1.1 %s\r\nServer-Stamp: fake\r\n"
                     "Request-Id: %s\r\nInstance-Id: %s\r\n%s\r\n",
-                    id, instance, response->fields);
+                    response->status ? response->status : "200 OK", id,
+                    instance, response->fields);
   bool is_sent = write_all (client->fd, head, (size_t)n);
-  if (response->is_chunked)
-    {
-      n = snprintf (chunk, sizeof chunk, "%zx\r\n", response->n_sent);
-      is_sent = is_sent && write_all (client->fd, chunk, (size_t)n);
-    }
-  is_sent = is_sent && write_all (client->fd, body, response->n_sent);
-  if (response->is_chunked)
-    is_sent = is_sent && write_all (client->fd, "\r\n", 2);
-  if (response->is_chunked && response->ending == ENDS_KEPT)
-    is_sent = is_sent && write_all (client->fd, "0\r\n\r\n", 5);
+  if (strncmp (request, "HEAD ", 5) != 0)
+    is_sent = is_sent && send_body (client->fd, response, id);
   if (response->ending == ENDS_RESET)
     {
       const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
--- a/test/functional/response_ends.sh
+++ b/test/functional/response_ends.sh
@@ -23,16 +23,18 @@
   }'
 }
 
-# ask NAME ID: ask for the response NAME; sets STATUS, ENDED (curl's exit code), FRAMING and IS_WHOLE.
+# ask NAME ID [curl options]: ask for the response NAME; sets STATUS, ENDED (curl's exit code), FRAMING and IS_WHOLE.
 ask() {
+  local name=$1 id=$2
+  shift 2
   ENDED=0
-  STATUS=$(request $((N % 3 + 1)) "/x/$1" "$2" -D "$FOLDER/head" -H "Cookie: Affinity-Key=$((N % 7))") || ENDED=$?
+  STATUS=$(request $((N % 3 + 1)) "/x/$name" "$id" "$@" -D "$FOLDER/head" -H "Cookie: Affinity-Key=$((N % 7))") || ENDED=$?
   FRAMING=close
   tr -d '\r' <"$FOLDER/head" >"$FOLDER/head.text"
   if grep -qi '^Content-Length:' "$FOLDER/head.text"; then FRAMING=length; fi
   if grep -qi '^Transfer-Encoding:' "$FOLDER/head.text"; then FRAMING=chunks; fi
   IS_WHOLE=0
-  if body_of "$2" | cmp -s - "$FOLDER/answer"; then IS_WHOLE=1; fi
+  if body_of "$id" | cmp -s - "$FOLDER/answer"; then IS_WHOLE=1; fi
 }
 
 N=0
