test(soak): a backend server that frames its responses in every way

One of the soak's six backend servers is fake-raw-backend: good responses by length, in chunks and until the close, cut and reset ones, and lengths that can't be read. Checked besides the rest: a 200 with a length has the whole body of its own request; at least one answer ended with its connection. The callers read such answers until the close. The raw server notes its runs as fake-platform does, so that all earlier checks hold for it, too.

--- a/test/fakes/fake_caller.c
+++ b/test/fakes/fake_caller.c
@@ -6,8 +6,9 @@
    Goes on until STOP_FILE exists.  Each connection goes to one of the
    addresses and carries up to ten requests; it is left when an answer closes
    it, fails or takes too long.  Standard output has a line a request:
-   "ID STATUS ANSWER_ID", status 000 where no whole answer came.  The paths are
-   those that fake-platform knows.  */
+   "ID STATUS ANSWER_ID BODY", status 000 where no whole answer came; BODY is
+   "whole", "part", or "unsure" where the answer ended with its connection. The
+   paths are those that fake-platform or fake-raw-backend knows.  */
 
 #include <arpa/inet.h>
 #include <stdbool.h>
@@ -27,6 +28,8 @@
   REQUESTS_OF_CONNECTION = 10,
   OBJECTS = 7,
   ANSWER_BYTES = 16 * 1024,
+  RAW_BODY_BYTES = 900,     /* of fake-raw-backend */
+  PLATFORM_BODY_BYTES = 32, /* of fake-platform, at most */
   TIMEOUT_SECONDS = 4,
   DEADLINE_MSEC = 3000,
   PAUSE_USEC = 50 * 1000, /* after a connection that could not be opened */
@@ -38,6 +41,7 @@
   int status; /* 0: no whole answer */
   char id[64];
   bool closes;
+  const char *body; /* "whole", "part" or "unsure" */
 } answer_t;
 
 static int
@@ -77,13 +81,29 @@
     }
 }
 
-static void
-read_answer (int fd, answer_t *answer)
+/* Whether BODY is the whole answer to ID, of either kind of backend server. */
+static bool
+is_whole_body (const char *body, size_t length, const char *id)
+{
+  if (length > 0 && length <= PLATFORM_BODY_BYTES)
+    return body[length - 1] >= '0' && body[length - 1] <= '9';
+  size_t id_bytes = strlen (id);
+  if (length != RAW_BODY_BYTES || id_bytes == 0)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if (body[i] != (i % 2 == 0 ? id[i / 2 % id_bytes] : (char)('a' + i % 26)))
+      return false;
+  return true;
+}
+
+/* Read an answer into TEXT until it is whole by its length, or its connection
+   ends.  Returns its bytes, or 0 if it is not whole.  */
+static size_t
+read_text (int fd, char text[ANSWER_BYTES + 1], bool *has_length)
 {
-  char text[ANSWER_BYTES + 1];
   char value[64];
   size_t n = 0;
-  *answer = (answer_t){ .closes = true };
+  *has_length = false;
   for (;;)
     {
       text[n] = '\0';
@@ -91,35 +111,52 @@
       if (end)
         {
           find_header (text, "Content-Length", value, sizeof value);
+          *has_length = value[0] != '\0';
           size_t whole = (size_t)(end + 4 - text) + strtoul (value, NULL, 10);
-          if (n >= whole)
-            break;
+          if (*has_length && n >= whole)
+            return n;
         }
       ssize_t got
-          = n < ANSWER_BYTES ? read (fd, text + n, ANSWER_BYTES - n) : 0;
+          = n < ANSWER_BYTES ? read (fd, text + n, ANSWER_BYTES - n) : -1;
+      if (got == 0 && end && !*has_length)
+        return n;
       if (got <= 0)
-        return;
+        return 0;
       n += (size_t)got;
     }
+}
+
+static void
+read_answer (int fd, answer_t *answer)
+{
+  char text[ANSWER_BYTES + 1];
+  char value[64];
+  bool has_length;
+  *answer = (answer_t){ .closes = true, .body = "part" };
+  size_t n = read_text (fd, text, &has_length);
+  if (n == 0)
+    return;
   find_header (text, "Request-Id", answer->id, sizeof answer->id);
   find_header (text, "Connection", value, sizeof value);
-  answer->closes = strcasecmp (value, "close") == 0;
+  answer->closes = !has_length || strcasecmp (value, "close") == 0;
   answer->status = atoi (text + strlen ("HTTP/1.1 "));
+  const char *body = strstr (text, "\r\n\r\n") + 4;
+  if (!has_length)
+    answer->body = "unsure";
+  else if (is_whole_body (body, n - (size_t)(body - text), answer->id))
+    answer->body = "whole";
 }
 
 /* What the backend server does with request N.  */
 static const char *
 path_end (unsigned int n)
 {
-  switch (n % 8)
-    {
-    case 0:
-      return "lost";
-    case 4:
-      return "other";
-    default:
-      return "";
-    }
+  static const char *const ends[]
+      = { "lost",  "close",       "close-early",   "length",
+          "other", "reset-early", "length-early",  "chunks",
+          "lost",  "length-list", "length-letter", "chunks-early",
+          "other", "close-empty", "length-reset",  "" };
+  return ends[n % (sizeof ends / sizeof ends[0])];
 }
 
 static void
@@ -128,11 +165,11 @@
   char text[1024];
   int length = snprintf (
       text, sizeof text,
-      "POST /x/%u%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
+      "POST /x/%u/%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
       "Deadline-Ms: %d\r\nCookie: Affinity-Key=%u\r\nContent-Length: 4\r\n"
       "\r\nbody",
       n, path_end (n), id, DEADLINE_MSEC, n % OBJECTS);
-  *answer = (answer_t){ .closes = true };
+  *answer = (answer_t){ .closes = true, .body = "part" };
   if (send (fd, text, (size_t)length, MSG_NOSIGNAL) == length)
     read_answer (fd, answer);
 }
@@ -162,7 +199,8 @@
           char id[64];
           snprintf (id, sizeof id, "s%s-%u", argv[1], ++n);
           ask (fd, id, n, &answer);
-          printf ("%s %03d %s\n", id, answer.status, answer.id);
+          printf ("%s %03d %s %s\n", id, answer.status,
+                  answer.id[0] ? answer.id : "-", answer.body);
           fflush (stdout);
         }
       if (fd >= 0)
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -19,6 +19,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 enum
@@ -30,6 +31,8 @@
   LARGE_BYTES = 2 * 1024 * 1024,
   PART_BYTES = 450,
   LISTEN_BACKLOG = 128,
+  MSEC_PER_SEC = 1000,
+  NSEC_PER_MSEC = 1000 * 1000,
 };
 
 typedef enum
@@ -174,14 +177,17 @@
 }
 
 static void
-note_run (const char *id, unsigned int port)
+note_run (const char *id, const char *instance)
 {
   char path[512];
+  struct timespec now;
   snprintf (path, sizeof path, "%s/runs", folder);
   FILE *file = fopen (path, "a");
   if (!file)
     return;
-  fprintf (file, "%s %u\n", id, port);
+  clock_gettime (CLOCK_REALTIME, &now);
+  fprintf (file, "%s %s %lld\n", id, instance,
+           (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC);
   fclose (file);
 }
 
@@ -242,7 +248,7 @@
   find_field (request, "Expect-Instance", instance);
   expected_instance (client->port, instance);
   if (id[0])
-    note_run (id, client->port->number);
+    note_run (id, instance);
   const response_t *response = find_response (request);
   int n = snprintf (head, sizeof head,
                     "HTTP/1.1 %s\r\nServer-Stamp: fake\r\n"
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -7,11 +7,12 @@
 # are wiped; a relay before the backend servers and one before the routers resets,
 # delays, silences or swallows one way; disks are slow or full; times of day jump;
 # settings change, with a signal and without; backend servers drain, leave or want
-# a rest; old configurations are delivered again.
+# a rest; old configurations are delivered again.  One backend server frames its
+# responses in every way, and cuts and resets them.
 #
 # Checked while it runs and after it, from what callers and backend servers see:
 #   - a request that may run once ran at most once, and once where it has an answer;
-#   - an answer is the answer to its own request;
+#   - an answer is the answer to its own request; one with a length has its whole body;
 #   - a request that was told "not run" (503) did not run;
 #   - a draining backend server gets nothing new after 3 s, nor one that told the
 #     router that it leaves; one that asked the router for a rest gets at most two
@@ -35,6 +36,8 @@
 SHIM=$BUILD/test/libfault-shim.so
 [ -e "$SHIM" ] || SHIM=
 RELAY_OFFSET=50
+RAW_OFFSET=20
+RAW_PORT=2 # of the backend servers; it is neither drained, nor leaves or rests
 # A process may be late by this much beside a busy machine, ms.
 DRAIN_SLACK=${SOAK_DRAIN_SLACK:-1500}
 
@@ -152,9 +155,11 @@
 touch "$FOLDER/drained"
 echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RELAY_OFFSET "${DOMAINS[@]}"
+start raw "$BUILD/test/fake-raw-backend" "${LIST%:*}" $((${LIST#*:} + RAW_PORT + RAW_OFFSET)) 1 "$FOLDER"
 ROUTES=()
 for port in 1 2 3 4 5 6; do
-  ROUTES+=(--route "${LIST%:*}:$((${LIST#*:} + port + RELAY_OFFSET)),${LIST%:*}:$((${LIST#*:} + port))")
+  to=$((port == RAW_PORT ? port + RAW_OFFSET : port))
+  ROUTES+=(--route "${LIST%:*}:$((${LIST#*:} + port + RELAY_OFFSET)),${LIST%:*}:$((${LIST#*:} + to))")
 done
 start relay-backends "$BUILD/test/fake-relay" --control "$FOLDER/relay-backends" "${ROUTES[@]}"
 ROUTES=()
@@ -233,6 +238,8 @@
   {
     told[$1] = $2; n[$2]++
     if ($2 == 200 && $3 != $1) { print "answer of " $3 " for " $1; bad = 1 }
+    if ($2 == 200 && $4 == "part") { print "a part told as whole: " $1; bad = 1 }
+    ended[$4] += $2 == 200
   }
   END {
     for (id in runs) if (runs[id] > 1) { print "ran " runs[id] " times: " id; bad = 1 }
@@ -240,7 +247,8 @@
       if (told[id] == 503 && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
       if (told[id] == 200 && runs[id] != 1) { print "answered, but did not run once: " id; bad = 1 }
     }
-    printf "seed %s: %d answered, %d not run, %d unknown, %d without an answer\n", seed, n[200], n[503], n[502] + n[504], n["000"]
+    printf "seed %s: %d answered (%d not certain), %d not run, %d unknown, %d without an answer\n", seed, n[200], ended["unsure"], n[503], n[502] + n[504], n["000"]
     if (n[200] < 100) { print "too few were answered"; bad = 1 }
+    if (!ended["unsure"]) { print "no answer ended with its connection"; bad = 1 }
     exit bad
   }' "$FOLDER/drained" "$FOLDER/runs" "$FOLDER/told" || soak_fail "the runs and what callers were told do not agree"
