test(router): a silent backend server holds up the response matrix no longer

In the matrix that timer is 1 s for silent backend servers now. The fault itself stays open (docs/FINDINGS.md): the cause in libcurl is suspected, not shown.

Added check: no other call may end by its timeout. Nothing is relaxed.

--- a/test/unit/test_router_response_matrix.c
+++ b/test/unit/test_router_response_matrix.c
@@ -31,6 +31,9 @@
 
 #define CALL_TIMEOUT (30 * USEC_PER_SEC)
 #define SILENCE_TIMEOUT (40 * USEC_PER_MSEC)
+/* libcurl may pass over a call's timeout (docs/FINDINGS.md); that of setting
+   up the connection ends it then.  */
+#define SILENCE_CONNECT_TIMEOUT (1 * USEC_PER_SEC)
 
 /* A lane's client.  */
 typedef struct player
@@ -268,6 +271,8 @@
   bool is_taken = response->is_complete && response->id_matches;
   bool is_unsure = response->completeness == BODY_END_UNSURE;
   check_run (player, response->is_complete, response);
+  if (response->timed_out && !(is_case && is_silent (this_case)))
+    fail (player, "a call waits although the backend server has ended it");
   if (is_taken && is_unsure)
     check_unsure (player, this_case, response);
   else if (is_taken)
@@ -304,6 +309,7 @@
       = &g_array_index (matrix->cases, lane_case_t, player->number);
   bool is_case = player->step == STEP_CASE;
   bool is_head = is_case && this_case->framing->is_head;
+  bool waits = is_case && is_silent (this_case);
   char id[LANE_ID_BYTES];
   lane_id (id, player->number, player->step);
   g_autofree char *field = g_strdup_printf ("Request-Id: %s", id);
@@ -317,9 +323,8 @@
           .headers = curl_slist_append (NULL, field),
           .body = matrix->request_body,
           .body_bytes = is_case && !is_head ? LANE_REQUEST_BODY : 1,
-          .timeout
-          = is_case && is_silent (this_case) ? SILENCE_TIMEOUT : CALL_TIMEOUT,
-          .connect_timeout = CALL_TIMEOUT,
+          .timeout = waits ? SILENCE_TIMEOUT : CALL_TIMEOUT,
+          .connect_timeout = waits ? SILENCE_CONNECT_TIMEOUT : CALL_TIMEOUT,
           .owner = player };
   player->is_waiting = true;
   backend_http_call (matrix->client, &request);
