fix(router): a response without a length that the router breaks off ends by a reset

What callers saw: a good response without a length, of which the router was killed, stopped or timed out while it was written, ended in the ordinary way, so that a part looked whole (4,038,656 of 12,582,912 bytes, curl's exit code 0).

Cause: the kernel closes a connection in the ordinary way, whatever was left to write. Now the caller's socket is set to reset on close when such a response is queued, and back once its whole body was written, so any other end of it, also of the process, is a reset.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform_api.h"
+#include "wire/socket_close.h"
 
 enum
 {
@@ -196,12 +197,25 @@
          && exchange->response.framing == FRAMING_UNTIL_CLOSE;
 }
 
+static int
+caller_fd_of (const exchange_t *exchange)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info->connect_fd;
+}
+
+/* The connection is set to end by a reset until the whole body was written. */
 static ssize_t
 read_body (void *closure, uint64_t position, char *data, size_t max)
 {
-  const backend_response_t *answer = closure;
+  const exchange_t *exchange = closure;
+  const backend_response_t *answer = &exchange->response;
   if (position >= answer->body_bytes)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      socket_close_in_order (caller_fd_of (exchange));
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
   size_t left = answer->body_bytes - (size_t)position;
   size_t n = left < max ? left : max;
   memcpy (data, answer->body + position, n);
@@ -211,10 +225,10 @@
 /* A response that ends with its connection, as the backend server's did: a
    length would tell callers that it is whole.  */
 static struct MHD_Response *
-response_until_close (backend_response_t *answer)
+response_until_close (exchange_t *exchange)
 {
   struct MHD_Response *response = MHD_create_response_from_callback (
-      MHD_SIZE_UNKNOWN, BODY_BLOCK_BYTES, read_body, answer, NULL);
+      MHD_SIZE_UNKNOWN, BODY_BLOCK_BYTES, read_body, exchange, NULL);
   MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
                             MHD_RO_END);
   return response;
@@ -245,12 +259,13 @@
    not sent, or none.  libmicrohttpd tells none for 204, and for other statuses
    only if the connection closes.  */
 static struct MHD_Response *
-response_without_body (backend_response_t *answer)
+response_without_body (exchange_t *exchange)
 {
+  backend_response_t *answer = &exchange->response;
   if (answer->status == MHD_HTTP_NO_CONTENT)
     return response_with_length (answer);
   if (!answer->has_announced)
-    return response_until_close (answer);
+    return response_until_close (exchange);
   return MHD_create_response_from_callback (
       answer->announced_bytes, BODY_BLOCK_BYTES, read_no_body, NULL, NULL);
 }
@@ -260,9 +275,12 @@
 {
   backend_response_t *answer = &exchange->response;
   if (ends_by_close (exchange))
-    return response_until_close (answer);
+    {
+      socket_close_by_reset (caller_fd_of (exchange));
+      return response_until_close (exchange);
+    }
   if (answer->framing == FRAMING_NO_BODY)
-    return response_without_body (answer);
+    return response_without_body (exchange);
   return response_with_length (answer);
 }
 
@@ -314,14 +332,6 @@
 
 /* --- Waiting ------------------------------------------------------------ */
 
-static int
-caller_fd_of (const exchange_t *exchange)
-{
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  return info->connect_fd;
-}
-
 static void
 suspend (caller_http_t *port, exchange_t *exchange)
 {
--- a/src/wire/socket_close.h
+++ b/src/wire/socket_close.h
@@ -9,4 +9,8 @@
    a request that was given up long before.  */
 void socket_close_by_reset (int fd);
 
+/* Let the next close of FD end the connection in the ordinary way, after the
+   bytes that are still to be sent.  */
+void socket_close_in_order (int fd);
+
 #endif
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -29,6 +29,7 @@
   ID_BYTES = 128,
   BODY_BYTES = 900,
   LARGE_BYTES = 2 * 1024 * 1024,
+  HUGE_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
   PART_BYTES = 450,
   LISTEN_BACKLOG = 128,
   MSEC_PER_SEC = 1000,
@@ -88,6 +89,7 @@
   { "other-encoding", "Transfer-Encoding: identity\r\n", false, PART_BYTES,
     ENDS_CLOSED },
   { "large-close", "", false, LARGE_BYTES, ENDS_CLOSED },
+  { "huge-close", "", false, HUGE_BYTES, ENDS_CLOSED },
   { "error-close", "", false, BODY_BYTES, ENDS_CLOSED, "500 Error" },
   { "no-content", "", false, 0, ENDS_KEPT, "204 No Content" },
   { "no-content-length", "Content-Length: 900\r\n", false, 0, ENDS_KEPT,
