fix(router): bytes of an earlier request don't take the place of a response

Callers got 502 for requests that had run well: a backend server had answered an earlier request on the connection twice, and the second response was read as theirs.

Cause: libcurl 7.88 looks at an idle connection before it uses it, but takes one on which bytes wait for usable; and what comes between a request and its response is the response to it.

Now idle connections stay watched, and each is looked at once more just before a request is sent on it. One with bytes is closed, and the request, of which nothing was sent, goes out on a new one. A whole response to an earlier request (it has ids that all differ, and a length) that comes between a request and its response is read and dropped before libcurl sees it, and the connection gets no further request. libcurl reads at once after sending; SO_RCVLOWAT hides what has come until it returns.

Evidence: test_router_backend_reuse. Built against the code before (without the calls that it lacks), copy-before-request, part-before-request and copy-while-idle failed; libcurl alone handles a close and a copy sent at once. All 10 pass now.

--- /dev/null
+++ b/src/router/backend_connections.c
@@ -0,0 +1,491 @@
+#include "router/backend_connections.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <limits.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/list.h"
+#include "router/foreign_response.h"
+
+/* For how long bytes are awaited on a connection that gets no other request:
+   they show that the backend server still sends such bytes.  */
+#define EXTRA_BYTES_WAIT (500 * USEC_PER_MSEC)
+
+enum
+{
+  BUCKETS = 256, /* by local port */
+  SOCKETS_MIN = 64,
+  READ_BYTES = 4096, /* at a time */
+  EXTRA_BYTES_READ_MAX = 64 * 1024,
+};
+
+struct backend_connection
+{
+  list_t link; /* in a bucket once a request was sent, or in `closed` */
+  watch_t watch;
+  bool is_watched;
+  bool has_ended;        /* it was shut down here */
+  bool had_head_request; /* the length of its responses does not tell */
+  bool may_be_foreign;   /* what comes next may answer an earlier request */
+  bool is_spoilt;        /* such a response has come */
+  uint64_t n_foreign;    /* bytes of it that are still to be read */
+  inet_t remote;
+  uint16_t local_port; /* 0: no request was sent yet */
+  connection_use_t last;
+  list_t hidden_link;  /* in `hidden` */
+  list_t retired_link; /* in `retired` */
+  usec_t retired_at;
+  backend_connection_t **user; /* NULL: idle */
+};
+
+struct backend_connections
+{
+  backend_connections_options_t options;
+  list_t buckets[BUCKETS];
+  list_t unused;  /* connections on which no request was sent yet */
+  list_t hidden;  /* whose bytes libcurl does not see */
+  list_t retired; /* idle ones that get no other request, by retired_at */
+  list_t closed;  /* to be freed */
+  size_t n_sockets;
+  backend_connection_t **by_socket; /* malloc'd; index: file descriptor */
+};
+
+static backend_connection_t *
+find_by_socket (const backend_connections_t *connections, int fd)
+{
+  return fd >= 0 && (size_t)fd < connections->n_sockets
+             ? connections->by_socket[fd]
+             : NULL;
+}
+
+static void
+grow (backend_connections_t *connections, size_t needed)
+{
+  size_t n = connections->n_sockets ? connections->n_sockets : SOCKETS_MIN;
+  while (n < needed)
+    n *= 2;
+  if (n == connections->n_sockets)
+    return;
+  connections->by_socket
+      = realloc (connections->by_socket, n * sizeof (backend_connection_t *));
+  if (!connections->by_socket)
+    abort ();
+  for (size_t i = connections->n_sockets; i < n; i++)
+    connections->by_socket[i] = NULL;
+  connections->n_sockets = n;
+}
+
+static backend_connection_t *
+add (backend_connections_t *connections, int fd)
+{
+  backend_connection_t *connection = calloc (1, sizeof *connection);
+  if (!connection)
+    abort ();
+  connection->watch = (watch_t){ .kind = WATCH_BACKEND_SOCKET,
+                                 .fd = fd,
+                                 .owner = connection };
+  list_init (&connection->hidden_link);
+  list_init (&connection->retired_link);
+  list_push_back (&connections->unused, &connection->link);
+  grow (connections, (size_t)fd + 1);
+  connections->by_socket[fd] = connection;
+  return connection;
+}
+
+static curl_socket_t
+open_socket (void *closure, curlsocktype purpose, struct curl_sockaddr *to)
+{
+  backend_connections_t *connections = closure;
+  (void)purpose;
+  int fd = socket (to->family, to->socktype | SOCK_CLOEXEC, to->protocol);
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  add (connections, fd);
+  return fd;
+}
+
+static void
+watch_for (backend_connections_t *connections,
+           backend_connection_t *connection, unsigned int events)
+{
+  poller_t *poller = connections->options.poller;
+  if (connection->is_watched)
+    poller_change (poller, &connection->watch, events);
+  else
+    poller_add (poller, &connection->watch, events);
+  connection->is_watched = true;
+}
+
+static void
+stop_watching (backend_connections_t *connections,
+               backend_connection_t *connection)
+{
+  if (connection->is_watched)
+    poller_remove (connections->options.poller, &connection->watch);
+  connection->is_watched = false;
+}
+
+static int
+close_socket (void *closure, curl_socket_t fd)
+{
+  backend_connections_t *connections = closure;
+  backend_connection_t *connection = find_by_socket (connections, fd);
+  if (connection)
+    {
+      stop_watching (connections, connection);
+      connections->by_socket[fd] = NULL;
+      if (connection->user)
+        *connection->user = NULL;
+      list_remove (&connection->hidden_link);
+      list_remove (&connection->retired_link);
+      list_remove (&connection->link);
+      list_push_back (&connections->closed, &connection->link);
+    }
+  return close (fd);
+}
+
+void
+backend_connections_attach (backend_connections_t *connections, CURL *easy)
+{
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, connections);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, connections);
+}
+
+static unsigned int
+poll_events (int what)
+{
+  switch (what)
+    {
+    case CURL_POLL_IN:
+      return POLLER_READABLE;
+    case CURL_POLL_OUT:
+      return POLLER_WRITABLE;
+    case CURL_POLL_INOUT:
+      return POLLER_READABLE | POLLER_WRITABLE;
+    default:
+      return 0;
+    }
+}
+
+void
+backend_connections_watch (backend_connections_t *connections,
+                           curl_socket_t fd, int what)
+{
+  backend_connection_t *connection = find_by_socket (connections, fd);
+  if (!connection)
+    connection = add (connections, fd);
+  if (what == CURL_POLL_REMOVE)
+    stop_watching (connections, connection);
+  else
+    watch_for (connections, connection, poll_events (what));
+}
+
+/* Let libcurl see that CONNECTION, which is idle, has ended.  */
+static void
+end_idle (backend_connections_t *connections, backend_connection_t *connection)
+{
+  stop_watching (connections, connection);
+  list_remove (&connection->retired_link);
+  connection->has_ended = true;
+  shutdown (connection->watch.fd, SHUT_RDWR);
+}
+
+/* Whether ERROR, of recv, says that nothing has come yet.  */
+static bool
+is_only_empty (int error)
+{
+  return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+/* Read what waits on FD.  Returns the number of bytes; *IS_OPEN: the peer has
+   not closed.  */
+static size_t
+read_waiting (int fd, bool *is_open)
+{
+  char buffer[READ_BYTES];
+  size_t n_bytes = 0;
+  ssize_t n = 0;
+  do
+    {
+      n_bytes += (size_t)n;
+      n = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+    }
+  while (n > 0 && n_bytes < EXTRA_BYTES_READ_MAX);
+  *is_open = n > 0 || (n < 0 && is_only_empty (errno));
+  return n_bytes + (n > 0 ? (size_t)n : 0);
+}
+
+/* Whether CONNECTION, which is idle, may be used; if not, it is shut down.
+   libcurl sees its end only once nothing waits on it.  */
+static bool
+check_idle (backend_connections_t *connections,
+            backend_connection_t *connection)
+{
+  const backend_connections_options_t *options = &connections->options;
+  if (connection->has_ended)
+    return false;
+  bool is_open = false;
+  size_t n_bytes = read_waiting (connection->watch.fd, &is_open);
+  if (n_bytes == 0 && is_open)
+    return true;
+  if (n_bytes > 0 && options->extra_bytes)
+    options->extra_bytes (options->closure, &connection->last,
+                          EXTRA_WHILE_IDLE, n_bytes);
+  end_idle (connections, connection);
+  return false;
+}
+
+static list_t *
+bucket (backend_connections_t *connections, uint16_t local_port)
+{
+  return &connections->buckets[local_port % BUCKETS];
+}
+
+static backend_connection_t *
+find_used (backend_connections_t *connections, const inet_t *remote,
+           uint16_t local_port)
+{
+  LIST_FOREACH (link, bucket (connections, local_port))
+  {
+    backend_connection_t *connection
+        = LIST_ENTRY (link, backend_connection_t, link);
+    if (connection->local_port == local_port
+        && inet_equal (&connection->remote, remote))
+      return connection;
+  }
+  return NULL;
+}
+
+static uint16_t
+socket_port (int fd)
+{
+  struct sockaddr_in local = { 0 };
+  socklen_t length = sizeof local;
+  if (getsockname (fd, (struct sockaddr *)&local, &length) != 0)
+    return 0;
+  return ntohs (local.sin_port);
+}
+
+static backend_connection_t *
+find_unused (backend_connections_t *connections, uint16_t local_port)
+{
+  LIST_FOREACH (link, &connections->unused)
+  {
+    backend_connection_t *connection
+        = LIST_ENTRY (link, backend_connection_t, link);
+    if (socket_port (connection->watch.fd) == local_port)
+      return connection;
+  }
+  return NULL;
+}
+
+/* The socket is readable from N_BYTES on, or at its end.  */
+static void
+set_readable_from (const backend_connection_t *connection, int n_bytes)
+{
+  setsockopt (connection->watch.fd, SOL_SOCKET, SO_RCVLOWAT, &n_bytes,
+              sizeof n_bytes);
+}
+
+static void
+hide (backend_connections_t *connections, backend_connection_t *connection)
+{
+  set_readable_from (connection, INT_MAX);
+  list_push_back (&connections->hidden, &connection->hidden_link);
+}
+
+void
+backend_connections_show (backend_connections_t *connections)
+{
+  LIST_FOREACH (link, &connections->hidden)
+  {
+    list_remove (link);
+    set_readable_from (LIST_ENTRY (link, backend_connection_t, hidden_link),
+                       1);
+  }
+}
+
+connection_state_t
+backend_connections_use (backend_connections_t *connections,
+                         const inet_t *remote, uint16_t local_port,
+                         const connection_use_t *use,
+                         backend_connection_t **user)
+{
+  connection_state_t state = CONNECTION_IS_KEPT;
+  backend_connection_t *connection
+      = find_used (connections, remote, local_port);
+  if (connection && !check_idle (connections, connection))
+    return CONNECTION_IS_UNUSABLE;
+  if (!connection)
+    {
+      state = CONNECTION_IS_NEW;
+      connection = find_unused (connections, local_port);
+    }
+  if (!connection)
+    return state;
+  if (state == CONNECTION_IS_NEW)
+    {
+      connection->remote = *remote;
+      connection->local_port = local_port;
+      list_remove (&connection->link);
+      list_push_back (bucket (connections, local_port), &connection->link);
+    }
+  connection->may_be_foreign = state == CONNECTION_IS_KEPT && use->id[0]
+                               && !connection->had_head_request;
+  if (connection->may_be_foreign)
+    hide (connections, connection);
+  connection->had_head_request |= use->is_head;
+  connection->last = *use;
+  connection->user = user;
+  *user = connection;
+  return state;
+}
+
+void
+backend_connections_release (backend_connections_t *connections,
+                             backend_connection_t **user, usec_t now)
+{
+  backend_connection_t *connection = *user;
+  if (!connection)
+    return;
+  *user = NULL;
+  connection->user = NULL;
+  watch_for (connections, connection, POLLER_READABLE);
+  if (!connection->last.is_only_use)
+    return;
+  connection->retired_at = now;
+  list_push_back (&connections->retired, &connection->retired_link);
+}
+
+void
+backend_connections_expire (backend_connections_t *connections, usec_t now)
+{
+  LIST_FOREACH (link, &connections->retired)
+  {
+    backend_connection_t *connection
+        = LIST_ENTRY (link, backend_connection_t, retired_link);
+    if (now < connection->retired_at + EXTRA_BYTES_WAIT)
+      return;
+    end_idle (connections, connection);
+  }
+}
+
+/* Read the rest of the response to an earlier request, as far as it has come.
+   Returns what recv does.  */
+static ssize_t
+read_foreign (backend_connection_t *connection)
+{
+  char buffer[READ_BYTES];
+  ssize_t n = 1;
+  while (connection->n_foreign > 0 && n > 0)
+    {
+      size_t wanted = connection->n_foreign < sizeof buffer
+                          ? (size_t)connection->n_foreign
+                          : sizeof buffer;
+      n = recv (connection->watch.fd, buffer, wanted, MSG_DONTWAIT);
+      if (n > 0)
+        connection->n_foreign -= (uint64_t)n;
+    }
+  return n;
+}
+
+/* Whether a response to an earlier request begins on CONNECTION.  */
+static bool
+find_foreign (backend_connections_t *connections,
+              backend_connection_t *connection)
+{
+  const backend_connections_options_t *options = &connections->options;
+  char buffer[READ_BYTES];
+  ssize_t n = recv (connection->watch.fd, buffer, sizeof buffer,
+                    MSG_PEEK | MSG_DONTWAIT);
+  if (n <= 0)
+    return false;
+  connection->n_foreign
+      = foreign_response_bytes (buffer, (size_t)n, connection->last.id);
+  connection->may_be_foreign = connection->n_foreign > 0;
+  if (!connection->may_be_foreign)
+    return false;
+  connection->is_spoilt = true;
+  if (options->extra_bytes)
+    options->extra_bytes (options->closure, &connection->last,
+                          EXTRA_BEFORE_RESPONSE,
+                          (size_t)connection->n_foreign);
+  return true;
+}
+
+/* Read responses to earlier requests on CONNECTION, which is in use.  Returns
+   false if there is something for libcurl to read.  */
+static bool
+skip_foreign (backend_connections_t *connections,
+              backend_connection_t *connection)
+{
+  ssize_t n = 1;
+  if (!connection->may_be_foreign)
+    return false;
+  do
+    n = read_foreign (connection);
+  while (n > 0 && find_foreign (connections, connection));
+  if (n > 0)
+    return connection->may_be_foreign && connection->is_spoilt;
+  return n < 0 && is_only_empty (errno);
+}
+
+unsigned int
+backend_connections_ready (backend_connections_t *connections, watch_t *watch,
+                           unsigned int ready)
+{
+  backend_connection_t *connection = watch->owner;
+  if (connection->local_port == 0)
+    return ready;
+  if (!connection->user)
+    {
+      check_idle (connections, connection);
+      return 0;
+    }
+  if ((ready & POLLER_READABLE) && skip_foreign (connections, connection))
+    return ready & ~(unsigned int)POLLER_READABLE;
+  return ready;
+}
+
+bool
+backend_connection_is_spoilt (const backend_connection_t *connection)
+{
+  return connection->is_spoilt;
+}
+
+void
+backend_connections_sweep (backend_connections_t *connections)
+{
+  LIST_FOREACH (link, &connections->closed)
+  free (LIST_ENTRY (link, backend_connection_t, link));
+  list_init (&connections->closed);
+}
+
+backend_connections_t *
+backend_connections_new (const backend_connections_options_t *options)
+{
+  backend_connections_t *connections = calloc (1, sizeof *connections);
+  if (!connections)
+    abort ();
+  connections->options = *options;
+  for (size_t i = 0; i < BUCKETS; i++)
+    list_init (&connections->buckets[i]);
+  list_init (&connections->unused);
+  list_init (&connections->hidden);
+  list_init (&connections->retired);
+  list_init (&connections->closed);
+  return connections;
+}
+
+void
+backend_connections_free (backend_connections_t *connections)
+{
+  backend_connections_sweep (connections);
+  free (connections->by_socket);
+  free (connections);
+}
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -22,26 +22,23 @@
   void *owner;
   CURL *easy;
   struct curl_slist *headers;
-  unsigned int n_connections; /* that the request was transmitted on */
-  bool is_paused;             /* until the budget has room for the body */
+  inet_t remote;
+  connection_use_t use;
+  backend_connection_t *connection; /* NULL: none, or closed */
+  unsigned int n_connections;       /* that the request was transmitted on */
+  bool needs_new_connection; /* it was not transmitted on the kept one */
+  bool is_paused;            /* until the budget has room for the body */
   response_reader_t reader;
 };
 
-/* A socket that libcurl wants to be watched.  */
-typedef struct socket_watch
-{
-  list_t link;
-  watch_t watch;
-} socket_watch_t;
-
 struct backend_http
 {
   backend_http_options_t options;
   http_handles_t *handles;
-  list_t calls;           /* in flight */
-  uint64_t n_releases;    /* of the budget, when calls were last resumed */
-  list_t removed_watches; /* of socket_watch_t, to be freed */
-  usec_t due_at;          /* of libcurl's next timeout */
+  backend_connections_t *connections;
+  list_t calls;        /* in flight */
+  uint64_t n_releases; /* of the budget, when calls were last resumed */
+  usec_t due_at;       /* of libcurl's next timeout */
 };
 
 /* --- Callbacks of libcurl ----------------------------------------------- */
@@ -75,7 +72,9 @@
   size_t length = size * n;
   if (!response_reader_head (&call->reader, data, length))
     return 0;
-  if (response_reader_is_foreign (&call->reader))
+  bool is_spoilt
+      = call->connection && backend_connection_is_spoilt (call->connection);
+  if (is_spoilt || response_reader_is_foreign (&call->reader))
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
   return length;
 }
@@ -84,7 +83,8 @@
 
 /* Called by libcurl whenever it is about to transmit the request on a
    connection.  A second transmission is libcurl's own retry and could execute
-   the request twice, so it is aborted.  */
+   the request twice, so it is aborted; so is one on a kept connection that has
+   ended or has bytes of another request.  */
 static int
 on_connection (void *closure, char *remote, char *local, int remote_port,
                int local_port)
@@ -92,28 +92,19 @@
   (void)remote;
   (void)local;
   (void)remote_port;
-  (void)local_port;
   backend_call_t *call = closure;
   if (call->n_connections > 0)
     return CURL_PREREQFUNC_ABORT;
-  call->n_connections++;
-  return CURL_PREREQFUNC_OK;
-}
-
-static unsigned int
-poll_events (int what)
-{
-  switch (what)
+  connection_state_t state = backend_connections_use (
+      call->client->connections, &call->remote, (uint16_t)local_port,
+      &call->use, &call->connection);
+  if (state == CONNECTION_IS_UNUSABLE)
     {
-    case CURL_POLL_IN:
-      return POLLER_READABLE;
-    case CURL_POLL_OUT:
-      return POLLER_WRITABLE;
-    case CURL_POLL_INOUT:
-      return POLLER_READABLE | POLLER_WRITABLE;
-    default:
-      return 0;
+      call->needs_new_connection = true;
+      return CURL_PREREQFUNC_ABORT;
     }
+  call->n_connections++;
+  return CURL_PREREQFUNC_OK;
 }
 
 static int
@@ -121,30 +112,9 @@
            void *socket_closure)
 {
   (void)easy;
+  (void)socket_closure;
   backend_http_t *client = closure;
-  socket_watch_t *socket = socket_closure;
-  poller_t *poller = client->options.poller;
-  if (what == CURL_POLL_REMOVE)
-    {
-      if (!socket)
-        return 0;
-      poller_remove (poller, &socket->watch);
-      curl_multi_assign (http_handles_multi (client->handles), fd, NULL);
-      list_push_back (&client->removed_watches, &socket->link);
-      return 0;
-    }
-  if (socket)
-    {
-      poller_change (poller, &socket->watch, poll_events (what));
-      return 0;
-    }
-  socket = calloc (1, sizeof *socket);
-  if (!socket)
-    abort ();
-  list_init (&socket->link);
-  socket->watch = (watch_t){ .kind = WATCH_BACKEND_SOCKET, .fd = fd };
-  curl_multi_assign (http_handles_multi (client->handles), fd, socket);
-  poller_add (poller, &socket->watch, poll_events (what));
+  backend_connections_watch (client->connections, fd, what);
   return 0;
 }
 
@@ -191,6 +161,9 @@
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)(request->connect_timeout / USEC_PER_MSEC + 1));
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
+                    (long)request->needs_new_connection);
+  backend_connections_attach (call->client->connections, easy);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   set_method (easy, request);
 }
@@ -220,6 +193,8 @@
 call_free (backend_call_t *call)
 {
   http_handles_give_back (call->client->handles, call->easy);
+  backend_connections_release (call->client->connections, &call->connection,
+                               clock_monotonic ());
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
   list_remove (&call->link);
@@ -232,6 +207,13 @@
   backend_call_t *call = call_new (client, request);
   call->owner = request->owner;
   call->headers = request->headers;
+  call->remote = request->address;
+  call->use.boot = request->boot;
+  call->use.is_head = strcmp (request->method, "HEAD") == 0;
+  call->use.is_only_use = request->needs_new_connection;
+  snprintf (call->use.backend_id, sizeof call->use.backend_id, "%s",
+            request->backend_id ? request->backend_id : "");
+  snprintf (call->use.id, sizeof call->use.id, "%s", request->id);
   snprintf (call->reader.id, sizeof call->reader.id, "%s", request->id);
   call->reader.is_head_request = strcmp (request->method, "HEAD") == 0;
   set_options (call, request);
@@ -289,13 +271,15 @@
   response->error = curl_easy_strerror (code);
 }
 
-/* Free the watches that no event refers to any more.  */
+/* Transmit CALL's request, of which nothing was sent, on a new connection.  */
 static void
-free_removed_watches (backend_http_t *client)
+restart_call (backend_call_t *call)
 {
-  LIST_FOREACH (link, &client->removed_watches)
-  free (LIST_ENTRY (link, socket_watch_t, link));
-  list_init (&client->removed_watches);
+  CURLM *multi = http_handles_multi (call->client->handles);
+  call->needs_new_connection = false;
+  curl_multi_remove_handle (multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (multi, call->easy);
 }
 
 static void
@@ -305,6 +289,11 @@
   backend_call_t *call;
   while ((call = http_handles_ended (client->handles, &code)))
     {
+      if (call->needs_new_connection)
+        {
+          restart_call (call);
+          continue;
+        }
       record_result (call, code);
       backend_response_t response = call->reader.response;
       void *owner = call->owner;
@@ -313,7 +302,7 @@
       client->options.done (client->options.closure, owner, &response);
       backend_response_clear (&response);
     }
-  free_removed_watches (client);
+  backend_connections_sweep (client->connections);
 }
 
 void
@@ -322,14 +311,19 @@
 {
   int events = 0;
   int running = 0;
+  int fd = watch->fd;
+  ready = backend_connections_ready (client->connections, watch, ready);
+  if (ready == 0)
+    return;
   if (ready & POLLER_READABLE)
     events |= CURL_CSELECT_IN;
   if (ready & POLLER_WRITABLE)
     events |= CURL_CSELECT_OUT;
   if (ready & POLLER_HANGUP)
     events |= CURL_CSELECT_IN | CURL_CSELECT_ERR;
-  curl_multi_socket_action (http_handles_multi (client->handles), watch->fd,
-                            events, &running);
+  curl_multi_socket_action (http_handles_multi (client->handles), fd, events,
+                            &running);
+  backend_connections_show (client->connections);
   finish_ended_calls (client);
 }
 
@@ -362,11 +356,13 @@
 {
   int running = 0;
   resume_paused_calls (client);
+  backend_connections_expire (client->connections, now);
   if (now < client->due_at)
     return;
   client->due_at = INT64_MAX;
   curl_multi_socket_action (http_handles_multi (client->handles),
                             CURL_SOCKET_TIMEOUT, 0, &running);
+  backend_connections_show (client->connections);
   finish_ended_calls (client);
 }
 
@@ -379,13 +375,17 @@
   client->options = *options;
   client->due_at = INT64_MAX;
   client->handles = http_handles_new (CONNECTIONS_CACHED);
+  const backend_connections_options_t connections
+      = { .poller = options->poller,
+          .closure = options->closure,
+          .extra_bytes = options->extra_bytes };
+  client->connections = backend_connections_new (&connections);
   CURLM *multi = http_handles_multi (client->handles);
   curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_socket);
   curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, client);
   curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_timer);
   curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->calls);
-  list_init (&client->removed_watches);
   return client;
 }
 
@@ -395,6 +395,6 @@
   LIST_FOREACH (link, &client->calls)
   backend_http_abort (client, LIST_ENTRY (link, backend_call_t, link));
   http_handles_free (client->handles);
-  free_removed_watches (client);
+  backend_connections_free (client->connections);
   free (client);
 }
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -4,7 +4,8 @@
 
    A request is transmitted on one connection only.  libcurl would retransmit
    a request if a reused connection turns out to be closed; this is prevented,
-   because the first transmission may already have been executed.  */
+   because the first transmission may already have been executed.  A kept
+   connection that has ended, or on which bytes wait, gets no request.  */
 
 #ifndef ROUTER_BACKEND_HTTP_H
 #define ROUTER_BACKEND_HTTP_H
@@ -15,6 +16,7 @@
 
 #include "balance/backend_pool.h"
 #include "base/inet.h"
+#include "router/backend_connections.h"
 #include "router/poller.h"
 #include "router/response_reader.h"
 
@@ -32,6 +34,10 @@
      what is left is freed afterwards.  Never called from inside
      backend_http_call.  */
   void (*done) (void *closure, void *owner, backend_response_t *response);
+  /* As in backend_connections_options_t.  The callee must not call this
+     module.  */
+  void (*extra_bytes) (void *closure, const connection_use_t *use,
+                       extra_place_t place, size_t n_bytes);
 } backend_http_options_t;
 
 backend_http_t *backend_http_new (const backend_http_options_t *options);
@@ -41,6 +47,9 @@
 typedef struct backend_request
 {
   inet_t address;
+  uint64_t boot;             /* backend_record_boot of the backend server */
+  const char *backend_id;    /* NULL: not known */
+  bool needs_new_connection; /* which gets no other request */
   const char *method;
   const char *target;         /* path and query */
   const char *id;             /* request id; "" for a health check */
--- /dev/null
+++ b/src/router/foreign_response.c
@@ -0,0 +1,95 @@
+#include "router/foreign_response.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include "platform_api.h"
+#include "router/response_reader.h"
+#include "wire/answer_head.h"
+
+typedef enum
+{
+  ID_NONE,
+  ID_OTHER,
+  ID_OWN,
+} id_kind_t;
+
+/* What LINE, a field line of LENGTH bytes, tells of the response's request. */
+static id_kind_t
+read_id (const char *line, size_t length, const char *id)
+{
+  static const char name[] = HEADER_REQUEST_ID ":";
+  size_t begin = sizeof name - 1;
+  if (length < begin || strncasecmp (line, name, begin) != 0)
+    return ID_NONE;
+  while (begin < length && (line[begin] == ' ' || line[begin] == '\t'))
+    begin++;
+  while (length > begin && strchr ("\r\n \t", line[length - 1]))
+    length--;
+  bool is_own = length - begin == strlen (id)
+                && memcmp (line + begin, id, length - begin) == 0;
+  return is_own ? ID_OWN : ID_OTHER;
+}
+
+/* The bytes of the response with HEAD, which took HEAD_BYTES; 0 if its end
+   can't be known.  */
+static uint64_t
+whole_bytes (const answer_head_t *head, size_t head_bytes)
+{
+  if (!answer_head_is_final (head))
+    return 0;
+  switch (response_framing_kind (&head->framing, false, head->status))
+    {
+    case FRAMING_NO_BODY:
+      return head_bytes;
+    case FRAMING_LENGTH:
+      return head->framing.length <= RESPONSE_BYTES_MAX
+                 ? head_bytes + head->framing.length
+                 : 0;
+    case FRAMING_CHUNKS:
+    case FRAMING_UNTIL_CLOSE:
+    case FRAMING_INVALID:
+      break;
+    }
+  return 0;
+}
+
+uint64_t
+foreign_response_bytes (const char *data, size_t length, const char *id)
+{
+  answer_head_t head = { 0 };
+  bool is_foreign = false;
+  size_t used = 0;
+  while (used < length)
+    {
+      const char *line = data + used;
+      const char *end = memchr (line, '\n', length - used);
+      if (!end)
+        return 0;
+      size_t n = (size_t)(end - line) + 1;
+      used += n;
+      switch (answer_head_next (&head, line, n))
+        {
+        case HEAD_LINE_STATUS:
+          break;
+        case HEAD_LINE_FIELD:
+          switch (read_id (line, n, id))
+            {
+            case ID_OWN:
+              return 0;
+            case ID_OTHER:
+              is_foreign = true;
+              break;
+            case ID_NONE:
+              break;
+            }
+          break;
+        case HEAD_LINE_END:
+          return is_foreign ? whole_bytes (&head, used) : 0;
+        case HEAD_LINE_TRAILER:
+        case HEAD_LINE_MALFORMED:
+          return 0;
+        }
+    }
+  return 0;
+}
--- /dev/null
+++ b/test/unit/test_router_backend_reuse.c
@@ -0,0 +1,448 @@
+/* Kept connections on which a backend server sends bytes that belong to no
+   request, or that it has closed.  Guards against a request whose response is
+   lost behind them.  The backend server is a thread for each connection.  */
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "balance/answer_class.h"
+#include "base/clock.h"
+#include "router/backend_http.h"
+#include "router/foreign_response.h"
+
+#include "../support/loopback.h"
+
+#define CALL_TIMEOUT (20 * USEC_PER_SEC)
+#define PAUSE (60 * USEC_PER_MSEC)
+
+/* What the server sends after its first response on each connection.  */
+typedef enum
+{
+  SENDS_NOTHING,
+  SENDS_COPY_AT_ONCE,
+  SENDS_COPY_LATE,
+  SENDS_PART_LATE,
+  SENDS_COPY_BEFORE_NEXT,
+  SENDS_COPY_IN_PARTS, /* before the next, with a pause in its body */
+  SENDS_COPIES_BEFORE_NEXT,
+  CLOSES_LATE,
+} behaviour_t;
+
+typedef struct fixture
+{
+  behaviour_t behaviour;
+  int listener;
+  inet_t address;
+  GThread *server;
+  gint n_accepted; /* atomic */
+  gint n_late;     /* late bytes or closes that are done; atomic */
+  poller_t *poller;
+  backend_http_t *client;
+  body_budget_t budget;
+  size_t n_ended;
+  answer_facts_t last; /* of the call that ended last */
+  bool was_reused;
+  size_t n_extra; /* reports of bytes on an idle connection */
+  connection_use_t extra_use;
+  extra_place_t extra_place;
+} fixture_t;
+
+typedef struct connection
+{
+  fixture_t *fixture;
+  int fd;
+} connection_t;
+
+static void
+write_text (int fd, const char *text)
+{
+  send (fd, text, strlen (text), MSG_NOSIGNAL);
+}
+
+/* The response to REQUEST, which has its id in the field Request-Id.  */
+static char *
+response_to (const char *request)
+{
+  char id[64] = "";
+  const char *field = strstr (request, "Request-Id: ");
+  if (field)
+    sscanf (field, "Request-Id: %63s", id);
+  return g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+                          "Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
+                          id);
+}
+
+/* Returns false if the connection is to be closed.  */
+static bool
+follow_first_response (connection_t *connection, const char *response)
+{
+  fixture_t *fixture = connection->fixture;
+  bool is_kept = fixture->behaviour != CLOSES_LATE;
+  if (fixture->behaviour != SENDS_COPY_LATE
+      && fixture->behaviour != SENDS_PART_LATE
+      && fixture->behaviour != CLOSES_LATE)
+    return true;
+  g_usleep (PAUSE / 2);
+  if (fixture->behaviour == SENDS_COPY_LATE)
+    write_text (connection->fd, response);
+  if (fixture->behaviour == SENDS_PART_LATE)
+    write_text (connection->fd, "H");
+  if (fixture->behaviour == CLOSES_LATE)
+    shutdown (connection->fd, SHUT_RDWR);
+  g_atomic_int_inc (&fixture->n_late);
+  return is_kept;
+}
+
+/* COPY is the response that was sent before.  */
+static void
+precede_second_response (const connection_t *connection, const char *copy)
+{
+  switch (connection->fixture->behaviour)
+    {
+    case SENDS_COPIES_BEFORE_NEXT:
+      write_text (connection->fd, copy);
+      write_text (connection->fd, copy);
+      return;
+    case SENDS_COPY_BEFORE_NEXT:
+      write_text (connection->fd, copy);
+      return;
+    case SENDS_COPY_IN_PARTS:
+      send (connection->fd, copy, strlen (copy) - 1, MSG_NOSIGNAL);
+      g_usleep (PAUSE);
+      write_text (connection->fd, copy + strlen (copy) - 1);
+      g_usleep (PAUSE);
+      return;
+    case SENDS_NOTHING:
+    case SENDS_COPY_AT_ONCE:
+    case SENDS_COPY_LATE:
+    case SENDS_PART_LATE:
+    case CLOSES_LATE:
+      break;
+    }
+}
+
+static gpointer
+serve (gpointer data)
+{
+  connection_t *connection = data;
+  char request[4096] = "";
+  g_autofree char *first = NULL;
+  bool is_first = true;
+  bool is_kept = true;
+  while (is_kept && recv (connection->fd, request, sizeof request - 1, 0) > 0)
+    {
+      g_autofree char *response = response_to (request);
+      g_autofree char *twice = g_strconcat (response, response, NULL);
+      bool is_copied
+          = is_first && connection->fixture->behaviour == SENDS_COPY_AT_ONCE;
+      if (!is_first)
+        precede_second_response (connection, first);
+      else
+        first = g_strdup (response);
+      write_text (connection->fd, is_copied ? twice : response);
+      if (is_first)
+        is_kept = follow_first_response (connection, response);
+      is_first = false;
+      memset (request, 0, sizeof request);
+    }
+  close (connection->fd);
+  g_free (connection);
+  return NULL;
+}
+
+/* Ends when the listener is shut down and all connections are closed.  */
+static gpointer
+accept_all (gpointer data)
+{
+  fixture_t *fixture = data;
+  g_autoptr (GPtrArray) threads = g_ptr_array_new ();
+  int fd;
+  while ((fd = accept (fixture->listener, NULL, NULL)) >= 0)
+    {
+      connection_t *connection = g_new (connection_t, 1);
+      *connection = (connection_t){ .fixture = fixture, .fd = fd };
+      g_atomic_int_inc (&fixture->n_accepted);
+      g_ptr_array_add (threads,
+                       g_thread_new ("connection", serve, connection));
+    }
+  for (guint i = 0; i < threads->len; i++)
+    g_thread_join (threads->pdata[i]);
+  return NULL;
+}
+
+static void
+on_done (void *closure, void *owner, backend_response_t *response)
+{
+  fixture_t *fixture = closure;
+  (void)owner;
+  fixture->n_ended++;
+  fixture->was_reused = response->was_reused;
+  fixture->last
+      = (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
+                          .is_complete = response->is_complete,
+                          .id_matches = response->id_matches,
+                          .is_signed = response->is_signed,
+                          .status = response->status };
+}
+
+static void
+on_extra_bytes (void *closure, const connection_use_t *use,
+                extra_place_t place, size_t n_bytes)
+{
+  fixture_t *fixture = closure;
+  g_assert_cmpuint (n_bytes, >, 0);
+  fixture->n_extra++;
+  fixture->extra_use = *use;
+  fixture->extra_place = place;
+}
+
+static void
+fixture_open (fixture_t *fixture, behaviour_t behaviour)
+{
+  *fixture = (fixture_t){ .behaviour = behaviour,
+                          .budget = { .max = 1024 * 1024 } };
+  fixture->listener = loopback_listen (&fixture->address);
+  fixture->poller = poller_new (NULL);
+  const backend_http_options_t options = { .poller = fixture->poller,
+                                           .own_address = "127.0.0.1",
+                                           .budget = &fixture->budget,
+                                           .closure = fixture,
+                                           .done = on_done,
+                                           .extra_bytes = on_extra_bytes };
+  fixture->client = backend_http_new (&options);
+  fixture->server = g_thread_new ("accept", accept_all, fixture);
+}
+
+static void
+fixture_close (fixture_t *fixture)
+{
+  backend_http_free (fixture->client);
+  poller_free (fixture->poller);
+  shutdown (fixture->listener, SHUT_RDWR);
+  g_thread_join (fixture->server);
+  close (fixture->listener);
+}
+
+static void
+run_once (fixture_t *fixture)
+{
+  poller_event_t event;
+  if (poller_wait (fixture->poller, 10 * USEC_PER_MSEC, &event))
+    backend_http_socket_ready (fixture->client, event.watch, event.ready);
+  backend_http_tick (fixture->client, clock_monotonic ());
+}
+
+/* A request with ID, to its end.  */
+static void
+call (fixture_t *fixture, const char *id, bool needs_new_connection)
+{
+  g_autofree char *header = g_strdup_printf ("Request-Id: %s", id);
+  size_t n = fixture->n_ended + 1;
+  const backend_request_t request
+      = { .address = fixture->address,
+          .boot = 7,
+          .backend_id = "b-1",
+          .needs_new_connection = needs_new_connection,
+          .method = "POST",
+          .target = "/",
+          .id = id,
+          .headers = curl_slist_append (NULL, header),
+          .timeout = CALL_TIMEOUT,
+          .connect_timeout = CALL_TIMEOUT };
+  backend_http_call (fixture->client, &request);
+  while (fixture->n_ended < n)
+    run_once (fixture);
+}
+
+static void
+assert_answered (const fixture_t *fixture)
+{
+  g_assert_cmpint (answer_classify (&fixture->last), ==, BACKEND_ANSWERED);
+}
+
+static void
+assert_extra_of_first (const fixture_t *fixture)
+{
+  g_assert_cmpuint (fixture->n_extra, ==, 1);
+  g_assert_cmpint (fixture->extra_use.boot, ==, 7);
+  g_assert_cmpstr (fixture->extra_use.backend_id, ==, "b-1");
+  g_assert_cmpstr (fixture->extra_use.id, ==, "id-1");
+}
+
+static void
+wait_for_late (fixture_t *fixture)
+{
+  while (g_atomic_int_get (&fixture->n_late) < 1)
+    g_usleep (USEC_PER_MSEC);
+  g_usleep (PAUSE / 10);
+}
+
+/* The bytes wait when the next request is sent; nothing has looked at the
+   connection meanwhile.  libcurl by itself reads them as its response.  */
+static void
+test_bytes_before_request (gconstpointer data)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, (behaviour_t)GPOINTER_TO_INT (data));
+  call (&fixture, "id-1", false);
+  wait_for_late (&fixture);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  assert_extra_of_first (&fixture);
+  fixture_close (&fixture);
+}
+
+/* They are seen as they come, without a next request.  */
+static void
+test_bytes_while_idle (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_COPY_LATE);
+  call (&fixture, "id-1", false);
+  while (fixture.n_extra == 0)
+    run_once (&fixture);
+  assert_extra_of_first (&fixture);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  fixture_close (&fixture);
+}
+
+/* libcurl by itself sends the request, and reports that there was no
+   response.  */
+static void
+test_closed_before_request (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, CLOSES_LATE);
+  call (&fixture, "id-1", false);
+  wait_for_late (&fixture);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_cmpuint (fixture.n_extra, ==, 0);
+  fixture_close (&fixture);
+}
+
+/* libcurl closes such a connection by itself.  */
+static void
+test_copy_at_once (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_COPY_AT_ONCE);
+  call (&fixture, "id-1", false);
+  assert_answered (&fixture);
+  g_usleep (PAUSE);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  fixture_close (&fixture);
+}
+
+/* A copy of the first response comes after the second request was sent, before
+   its response, which is read all the same; the connection is not used
+   again.  */
+static void
+test_copy_before_response (gconstpointer data)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, (behaviour_t)GPOINTER_TO_INT (data));
+  bool is_single = fixture.behaviour != SENDS_COPIES_BEFORE_NEXT;
+  call (&fixture, "id-1", false);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_true (fixture.was_reused);
+  g_assert_cmpuint (fixture.n_extra, ==, is_single ? 1 : 2);
+  g_assert_cmpint (fixture.extra_place, ==, EXTRA_BEFORE_RESPONSE);
+  g_assert_cmpstr (fixture.extra_use.id, ==, "id-2");
+  call (&fixture, "id-3", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  fixture_close (&fixture);
+}
+
+/* Guards against a response of one's own that is left out, and against an end
+   that is guessed.  */
+static void
+test_foreign_response_bytes (void)
+{
+  static const struct
+  {
+    const char *data;
+    uint64_t n;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok", 55 },
+    { "HTTP/1.1 204 No\r\nrequest-id:a \r\n\r\n", 34 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 2\r\n\r\nok", 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nRequest-Id: b\r\n"
+      "Content-Length: 2\r\n\r\nok",
+      0 },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r", 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2x\r\n\r\nok", 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 99999999\r\n\r\n",
+      0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nok", 0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+      0 },
+    { "HTTP/1.1 103 Hints\r\nRequest-Id: a\r\n\r\n", 0 },
+    { "Request-Id: a\r\n\r\n", 0 },
+    { "", 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const char *data = cases[i].data;
+      g_test_message ("%s", data);
+      g_assert_cmpuint (foreign_response_bytes (data, strlen (data), "b"), ==,
+                        cases[i].n);
+    }
+}
+
+static void
+test_new_connection (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_NOTHING);
+  call (&fixture, "id-1", false);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_true (fixture.was_reused);
+  call (&fixture, "id-3", true);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  g_assert_cmpint (g_atomic_int_get (&fixture.n_accepted), ==, 2);
+  g_assert_cmpuint (fixture.n_extra, ==, 0);
+  fixture_close (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  g_test_add_data_func ("/backend-reuse/copy-before-request",
+                        GINT_TO_POINTER (SENDS_COPY_LATE),
+                        test_bytes_before_request);
+  g_test_add_data_func ("/backend-reuse/part-before-request",
+                        GINT_TO_POINTER (SENDS_PART_LATE),
+                        test_bytes_before_request);
+  g_test_add_func ("/backend-reuse/copy-while-idle", test_bytes_while_idle);
+  g_test_add_func ("/backend-reuse/closed-before-request",
+                   test_closed_before_request);
+  g_test_add_func ("/backend-reuse/copy-at-once", test_copy_at_once);
+  g_test_add_data_func ("/backend-reuse/copy-before-response",
+                        GINT_TO_POINTER (SENDS_COPY_BEFORE_NEXT),
+                        test_copy_before_response);
+  g_test_add_data_func ("/backend-reuse/copy-in-parts",
+                        GINT_TO_POINTER (SENDS_COPY_IN_PARTS),
+                        test_copy_before_response);
+  g_test_add_data_func ("/backend-reuse/two-copies",
+                        GINT_TO_POINTER (SENDS_COPIES_BEFORE_NEXT),
+                        test_copy_before_response);
+  g_test_add_func ("/backend-reuse/foreign-response",
+                   test_foreign_response_bytes);
+  g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
+  return g_test_run ();
+}
