fix(balance): a backend server that answers twice is not left out

Two responses to earlier requests in a row put a backend server down until a health check succeeded, and lowered its weight, although it had answered all requests. Requests were then refused for lack of servers (503).

Cause: such a response was classed as no valid answer. On a connection that has carried another request it is BACKEND_OTHER_ANSWER now: the request may have run, an idempotent one is sent elsewhere, and neither health nor quality count it. On a new connection it still is a failure to answer.

Evidence: test_balance_answer_class earlier-request, test_balance_pool other-answers.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -14,6 +14,14 @@
   return facts->is_complete && facts->id_matches;
 }
 
+/* On a connection that has carried another request, an answer to that one may
+   come first: the backend server may well have answered this one.  */
+static bool
+is_for_earlier_request (const answer_facts_t *facts)
+{
+  return facts->has_head && !facts->id_matches && facts->was_reused;
+}
+
 /* A success must be signed; no answer may have an altered body.  */
 static bool
 is_trusted (const answer_facts_t *facts)
@@ -25,6 +33,8 @@
 backend_result_t
 answer_classify (const answer_facts_t *facts)
 {
+  if (is_for_earlier_request (facts))
+    return BACKEND_OTHER_ANSWER;
   if (!is_for_request (facts))
     return BACKEND_NO_VALID_ANSWER;
   if (facts->status == STATUS_MISDIRECTED)
--- a/src/balance/answer_class.h
+++ b/src/balance/answer_class.h
@@ -15,7 +15,9 @@
 {
   bool may_have_been_sent; /* bytes of the request may have left this VM */
   bool is_complete;        /* a complete answer was received */
-  bool id_matches;         /* the answer carries the id of this request */
+  bool has_head;           /* the head of an answer was received */
+  bool was_reused;  /* the connection had carried another request before */
+  bool id_matches;  /* the answer carries the id of this request */
   bool is_signed;   /* the answer carries a backend server's signature */
   bool is_encoded;  /* the body is not as the backend server sent it */
   bool not_started; /* the answer says that the request did not start to run */
--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -248,20 +248,28 @@
       return load->is_known && load->running < load->slots;
     case BACKEND_ANSWERED:
     case BACKEND_MISDIRECTED:
+    case BACKEND_OTHER_ANSWER:
     case BACKEND_CANCELLED:
       break;
     }
   return false;
 }
 
+/* Whether RESULT shows how well the backend server answers.  */
+static bool
+tells_quality (backend_result_t result)
+{
+  return result != BACKEND_MISDIRECTED && result != BACKEND_OTHER_ANSWER
+         && result != BACKEND_CANCELLED;
+}
+
 void
 backend_pool_request_ended (backend_pool_t *pool, backend_t *backend,
                             const backend_outcome_t *outcome, usec_t now)
 {
   backend->in_flight--;
   update_load (backend, &outcome->load, now);
-  if (outcome->result != BACKEND_MISDIRECTED
-      && outcome->result != BACKEND_CANCELLED)
+  if (tells_quality (outcome->result))
     backend_quality_update (&backend->quality, is_failure (outcome),
                             outcome->latency, outcome->expected_latency, now);
   switch (outcome->result)
@@ -285,6 +293,7 @@
       count_failure (pool, backend, FAILURES_UNTIL_DOWN, now);
       break;
     case BACKEND_SERVER_ERROR:
+    case BACKEND_OTHER_ANSWER:
     case BACKEND_CANCELLED:
       break;
     }
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -45,6 +45,8 @@
   BACKEND_MISDIRECTED,     /* another backend server has this address */
   BACKEND_NO_VALID_ANSWER, /* no connection, or an incomplete or untrusted
                               answer */
+  BACKEND_OTHER_ANSWER,    /* an answer to an earlier request on the
+                              connection */
   BACKEND_CANCELLED,       /* this router ended the call */
 } backend_result_t;
 
@@ -79,8 +81,8 @@
   backend_health_t health;
   /* Results BACKEND_NO_VALID_ANSWER and BACKEND_MISDIRECTED since the last
      BACKEND_ANSWERED, successful probe or restart of the backend server.
-     BACKEND_SERVER_ERROR, BACKEND_REFUSED and BACKEND_CANCELLED leave the
-     count unchanged.  */
+     BACKEND_SERVER_ERROR, BACKEND_REFUSED, BACKEND_OTHER_ANSWER and
+     BACKEND_CANCELLED leave the count unchanged.  */
   uint32_t consecutive_failures;
   usec_t next_probe_at; /* valid while health is BACKEND_DOWN */
   bool is_probing;
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -14,6 +14,8 @@
 {
   return (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
                            .is_complete = response->is_complete,
+                           .has_head = response->has_head,
+                           .was_reused = response->was_reused,
                            .id_matches = response->id_matches,
                            .is_signed = response->is_signed,
                            .is_encoded = response->is_encoded,
@@ -67,6 +69,7 @@
       dispatcher_refuse (dispatcher, exchange, REASON_REFUSED, now);
       return;
     case BACKEND_NO_VALID_ANSWER:
+    case BACKEND_OTHER_ANSWER:
     case BACKEND_CANCELLED:
       break;
     }
--- a/test/unit/test_balance_answer_class.c
+++ b/test/unit/test_balance_answer_class.c
@@ -50,6 +50,25 @@
   g_assert_true (answer_may_have_run (&facts));
 }
 
+/* Guards against a backend server that is left out because it answers twice:
+   on a kept connection, the first answer may be an earlier request's.  */
+static void
+test_answer_to_an_earlier_request (void)
+{
+  answer_facts_t facts = good_answer ();
+  facts.has_head = true;
+  facts.id_matches = false;
+  g_assert_cmpint (answer_classify (&facts), ==, BACKEND_NO_VALID_ANSWER);
+  facts.was_reused = true;
+  g_assert_cmpint (answer_classify (&facts), ==, BACKEND_OTHER_ANSWER);
+  g_assert_true (answer_may_have_run (&facts));
+  facts.is_complete = false;
+  g_assert_cmpint (answer_classify (&facts), ==, BACKEND_OTHER_ANSWER);
+  g_assert_true (answer_may_have_run (&facts));
+  facts.has_head = false;
+  g_assert_cmpint (answer_classify (&facts), ==, BACKEND_NO_VALID_ANSWER);
+}
+
 static void
 test_untrusted_success (void)
 {
@@ -86,6 +105,8 @@
   g_test_add_func ("/answer-class/refusal", test_refusal_did_not_run);
   g_test_add_func ("/answer-class/another-request",
                    test_answer_to_another_request);
+  g_test_add_func ("/answer-class/earlier-request",
+                   test_answer_to_an_earlier_request);
   g_test_add_func ("/answer-class/untrusted", test_untrusted_success);
   g_test_add_func ("/answer-class/incomplete", test_incomplete_answer);
   g_test_add_func ("/answer-class/not-sent", test_request_not_sent);
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -204,6 +204,31 @@
   world_clear (&world);
 }
 
+/* Guards against a backend server that is left out, or gets less, because it
+   answers requests twice.  */
+static void
+test_other_answers_are_no_failures (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_finalize (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  const backend_outcome_t other = { .result = BACKEND_OTHER_ANSWER };
+  for (int i = 0; i < 100; i++)
+    {
+      pool_query_t query = query_of (&world, 1);
+      backend_t *backend = backend_pool_pick (pool, &query, NOW);
+      g_assert_nonnull (backend);
+      backend_pool_request_sent (pool, backend, &query, NOW);
+      backend_pool_request_ended (pool, backend, &other, NOW);
+      g_assert_cmpfloat (
+          backend_quality_weight_factor (&backend->quality, NOW), ==, 1.0);
+    }
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 /* A backend server starts cold and crashes above a certain request rate.
    Guards against the routers of its region together exceeding that rate in any
    second.  */
@@ -429,6 +454,7 @@
   g_test_add_func ("/pool/restart", test_restart_under_the_same_id);
   g_test_add_func ("/pool/home-regions", test_home_regions);
   g_test_add_func ("/pool/crash", test_crash_and_recovery);
+  g_test_add_func ("/pool/other-answers", test_other_answers_are_no_failures);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
   g_test_add_func ("/pool/cold-return",
                    test_cold_region_does_not_delay_requests);
