feat(router,balance): a new connection for each request to a server that answers twice

A backend server that has sent bytes of no request lately gets each request on a connection of its own: idempotent or not, for 20 s after the last such bytes (longer than idle connections are kept, so that none from before is used again). The connection stays open for 0.5 s after its response, so that a further second response is seen, and then is closed: backend servers limit their connections.

Log lines: extra_bytes for each sighting, backend_stutters and backend_stutter_ended. Counters: mulberry_router_extra_bytes_total and mulberry_router_not_whole_total by backend server, for the first 256 of a router's life, the rest as "other".

--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -155,6 +155,14 @@
     }
 }
 
+static void
+on_extra_bytes (void *closure, const connection_use_t *use,
+                extra_place_t place, size_t n_bytes)
+{
+  dispatcher_t *dispatcher = closure;
+  dispatcher_extra_bytes (dispatcher, use, place, n_bytes);
+}
+
 usec_t
 dispatcher_tick (dispatcher_t *dispatcher, usec_t now)
 {
@@ -163,6 +171,7 @@
   dispatcher_serve_queue (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
+  dispatcher_expire_stutters (dispatcher, now);
   usec_t wait = list_empty (&dispatcher->queue) ? IDLE_TICK : QUEUE_TICK;
   usec_t due = backend_http_due_at (dispatcher->backends) - now;
   return due < wait ? (due > 0 ? due : 0) : wait;
@@ -247,7 +256,8 @@
           .own_address = options->settings->address,
           .budget = options->budget,
           .closure = dispatcher,
-          .done = on_call_ended };
+          .done = on_call_ended,
+          .extra_bytes = on_extra_bytes };
   dispatcher->backends = backend_http_new (&backends);
   const backend_pool_options_t pool
       = { .settings = options->settings, .seed = options->seed };
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -4,6 +4,7 @@
 #ifndef ROUTER_DISPATCHER_INTERNAL_H
 #define ROUTER_DISPATCHER_INTERNAL_H
 
+#include "balance/backend_stutter.h"
 #include "balance/retry_share.h"
 #include "fleet/crash_table.h"
 #include "router/dispatcher.h"
@@ -46,6 +47,7 @@
   bool refuses_new;      /* requests, since the process is shutting down */
   crash_table_t crashes; /* that this router has seen */
   usec_t next_crash_expiry_at;
+  backend_stutters_t stutters;
 };
 
 /* dispatcher_finish.c */
@@ -126,6 +128,23 @@
                                     const backend_response_t *response,
                                     usec_t now);
 
+/* dispatcher_stutter.c */
+/* Whether each request to BACKEND needs a new connection at NOW.  */
+bool dispatcher_stutters (const dispatcher_t *dispatcher,
+                          const backend_t *backend, usec_t now);
+/* Record that RESPONSE to EXCHANGE belongs to an earlier request.  */
+void dispatcher_stutter_seen_in_response (dispatcher_t *dispatcher,
+                                          const exchange_t *exchange,
+                                          const backend_response_t *response,
+                                          usec_t now);
+/* Record N_BYTES that belong to no request, seen in PLACE on a connection used
+   for USE.  */
+void dispatcher_extra_bytes (dispatcher_t *dispatcher,
+                             const connection_use_t *use, extra_place_t place,
+                             size_t n_bytes);
+/* Forget the backend servers that have stopped stuttering by NOW.  */
+void dispatcher_expire_stutters (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_probe.c */
 /* Send a health check to BACKEND, which is marked as being probed.  */
 void dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend);
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/backend_list.h"
 #include "router/request_headers.h"
 #include "routing/route_config.h"
 
@@ -25,6 +26,10 @@
   owner->backend = backend;
   const backend_request_t request
       = { .address = backend->record.address,
+          .boot = backend_record_boot (&backend->record),
+          .backend_id = backend->record.id,
+          .needs_new_connection
+          = dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
           .method = "GET",
           .target = service ? service->health_path : "/",
           .id = "",
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -129,6 +129,8 @@
   router_metrics_response_ended (
       dispatcher->options.metrics, exchange->query.service,
       framing_name (response), connection_end_name (response->connection_end));
+  if (response->has_head && !response->is_complete)
+    router_metrics_not_whole (dispatcher->options.metrics, backend->record.id);
   if (!reached)
     exchange->n_transmitted--;
   if (answer_may_have_run (&facts))
@@ -140,6 +142,8 @@
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
   dispatcher_crash_evidence (dispatcher, exchange, result, response, now);
+  if (result == BACKEND_OTHER_ANSWER)
+    dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/backend_list.h"
 #include "router/request_headers.h"
 
 /* The state of the service NAME.  Those beyond SERVICES_MAX share one without
@@ -51,6 +52,10 @@
   exchange->owner.exchange = exchange;
   const backend_request_t request
       = { .address = backend->record.address,
+          .boot = backend_record_boot (&backend->record),
+          .backend_id = backend->record.id,
+          .needs_new_connection
+          = dispatcher_stutters (dispatcher, backend, now),
           .method = exchange->method,
           .target = exchange->target,
           .id = exchange->id,
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -1,10 +1,15 @@
 #include "router/router_metrics.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+#include "base/name.h"
 
 struct router_metrics
 {
   metrics_t *metrics;
+  size_t n_backends;
+  name_t backends[BACKENDS_COUNTED_MAX]; /* that have counters of their own */
 };
 
 router_metrics_t *
@@ -33,6 +38,41 @@
     counter_add (counter, 1);
 }
 
+/* The label of the backend server ID.  */
+static const char *
+backend_label (router_metrics_t *metrics, const char *id)
+{
+  for (size_t i = 0; i < metrics->n_backends; i++)
+    if (strcmp (metrics->backends[i].text, id) == 0)
+      return metrics->backends[i].text;
+  if (metrics->n_backends == BACKENDS_COUNTED_MAX
+      || !name_parse (&metrics->backends[metrics->n_backends], id, NULL))
+    return "other";
+  return metrics->backends[metrics->n_backends++].text;
+}
+
+void
+router_metrics_extra_bytes (router_metrics_t *metrics, const char *backend_id,
+                            const char *where)
+{
+  const metric_options_t extra
+      = { .name = "mulberry_router_extra_bytes_total",
+          .help = "Bytes of no request, by backend server and where seen",
+          .request_class = backend_label (metrics, backend_id),
+          .reason = where };
+  count (metrics, &extra);
+}
+
+void
+router_metrics_not_whole (router_metrics_t *metrics, const char *backend_id)
+{
+  const metric_options_t part
+      = { .name = "mulberry_router_not_whole_total",
+          .help = "Responses that were not whole, by backend server",
+          .request_class = backend_label (metrics, backend_id) };
+  count (metrics, &part);
+}
+
 void
 router_metrics_request_ended (router_metrics_t *metrics, const char *service,
                               const char *reason, usec_t latency)
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -8,6 +8,11 @@
 
 typedef struct router_metrics router_metrics_t;
 
+enum
+{
+  BACKENDS_COUNTED_MAX = 256, /* ids come and go; METRICS_MAX is a bound */
+};
+
 /* Registers in METRICS, which must outlive the result.  */
 router_metrics_t *router_metrics_new (metrics_t *metrics);
 void router_metrics_free (router_metrics_t *metrics);
@@ -28,6 +33,17 @@
                                     const char *service, const char *framing,
                                     const char *connection_end);
 
+/* Bytes that belong to no request came from backend server BACKEND_ID, WHERE
+   they were seen.  Backend servers after the first BACKENDS_COUNTED_MAX share
+   one counter, "other".  */
+void router_metrics_extra_bytes (router_metrics_t *metrics,
+                                 const char *backend_id, const char *where);
+
+/* A response of backend server BACKEND_ID was not whole.  Counted as
+   above.  */
+void router_metrics_not_whole (router_metrics_t *metrics,
+                               const char *backend_id);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -4,10 +4,11 @@
      fake-raw-backend ADDRESS FIRST_PORT N FOLDER
 
    Listens on N ports, for fake-platform's list with an offset.  The last part
-   of a request's path names the response (see `responses`).  A body is
-   BODY_BYTES long and made from the request's id.  A health check is answered
-   as by the backend server that the last request expected at that port.  Each
-   request that is run is appended to FOLDER/runs as "ID PORT".  */
+   of a request's path names the response (see `responses`); some come twice,
+   one in TWICE_EVERY of those of a port (see `repeats`).  A body is BODY_BYTES
+   long and made from the request's id.  A health check is answered as by the
+   backend server that the last request expected at that port.  Each request
+   that is run is appended to FOLDER/runs as "ID PORT".  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -28,6 +29,10 @@
   BODY_BYTES = 900,
   PART_BYTES = 450,
   LISTEN_BACKLOG = 128,
+  TWICE_EVERY = 8,
+  TWICE_LATE_MSEC = 60, /* at most */
+  PACKET_BYTES = HEAD_BYTES + BODY_BYTES,
+  USEC_PER_MSEC = 1000,
 };
 
 typedef enum
@@ -82,10 +87,30 @@
     ENDS_CLOSED },
 };
 
+typedef enum
+{
+  REPEAT_NONE,
+  REPEAT_AT_ONCE,
+  REPEAT_LATE,   /* 1 to TWICE_LATE_MSEC later */
+  REPEAT_BEFORE, /* before the next response on the connection */
+} repeat_t;
+
+/* Responses as "length", whole, that come twice.  */
+static const struct
+{
+  const char *name;
+  repeat_t repeat;
+} repeats[] = {
+  { "twice-at-once", REPEAT_AT_ONCE },
+  { "twice-late", REPEAT_LATE },
+  { "twice-before", REPEAT_BEFORE },
+};
+
 typedef struct port
 {
   int listener;
   unsigned int number;
+  unsigned int n_requests; /* guarded by LOCK */
   char
       instance[ID_BYTES]; /* that the last request expected; guarded by LOCK */
 } port_t;
@@ -94,6 +119,8 @@
 {
   int fd;
   port_t *port;
+  size_t n_held; /* bytes of a response to be sent once more */
+  char held[PACKET_BYTES];
 } client_t;
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -185,6 +212,88 @@
   return &responses[0];
 }
 
+static repeat_t
+find_repeat (const char *request)
+{
+  char path[256] = "";
+  sscanf (request, "%*s %255s", path);
+  const char *name = strrchr (path, '/');
+  for (size_t i = 0; i < sizeof repeats / sizeof repeats[0]; i++)
+    if (name && strcmp (name + 1, repeats[i].name) == 0)
+      return repeats[i].repeat;
+  return REPEAT_NONE;
+}
+
+/* The number of PORT's next request.  */
+static unsigned int
+next_number (port_t *port)
+{
+  pthread_mutex_lock (&lock);
+  unsigned int number = port->n_requests++;
+  pthread_mutex_unlock (&lock);
+  return number;
+}
+
+typedef struct copy
+{
+  int fd;
+  unsigned int wait_msec;
+  size_t length;
+  char bytes[PACKET_BYTES];
+} copy_t;
+
+static void *
+send_copy (void *closure)
+{
+  copy_t *copy = closure;
+  usleep (copy->wait_msec * USEC_PER_MSEC);
+  write_all (copy->fd, copy->bytes, copy->length);
+  close (copy->fd);
+  free (copy);
+  return NULL;
+}
+
+static void
+send_copy_later (int fd, const char *bytes, size_t length,
+                 unsigned int wait_msec)
+{
+  pthread_t thread;
+  copy_t *copy = malloc (sizeof *copy);
+  if (!copy)
+    abort ();
+  *copy = (copy_t){ .fd = dup (fd), .wait_msec = wait_msec, .length = length };
+  memcpy (copy->bytes, bytes, length);
+  if (pthread_create (&thread, NULL, send_copy, copy) != 0)
+    abort ();
+  pthread_detach (thread);
+}
+
+/* Send the response BYTES, and once more as REPEAT has it.  */
+static bool
+send_repeated (client_t *client, repeat_t repeat, const char *bytes,
+               size_t length)
+{
+  unsigned int number = next_number (client->port);
+  if (!write_all (client->fd, client->held, client->n_held))
+    return false;
+  client->n_held = 0;
+  if (!write_all (client->fd, bytes, length))
+    return false;
+  if (number % TWICE_EVERY != TWICE_EVERY - 1)
+    return true;
+  if (repeat == REPEAT_AT_ONCE)
+    return write_all (client->fd, bytes, length);
+  if (repeat == REPEAT_LATE)
+    send_copy_later (client->fd, bytes, length,
+                     1 + number * 7 % TWICE_LATE_MSEC);
+  if (repeat == REPEAT_BEFORE)
+    {
+      client->n_held = length;
+      memcpy (client->held, bytes, length);
+    }
+  return true;
+}
+
 /* Keep INSTANCE as the one expected at PORT; if it is "", set it to the last
    one.  */
 static void
@@ -218,6 +327,14 @@
                     "HTTP/1.1 200 OK\r\nServer-Stamp: fake\r\n"
                     "Request-Id: %s\r\nInstance-Id: %s\r\n%s\r\n",
                     id, instance, response->fields);
+  repeat_t repeat = find_repeat (request);
+  if (repeat != REPEAT_NONE)
+    {
+      char packet[PACKET_BYTES];
+      memcpy (packet, head, (size_t)n);
+      memcpy (packet + n, body, BODY_BYTES);
+      return send_repeated (client, repeat, packet, (size_t)n + BODY_BYTES);
+    }
   bool is_sent = write_all (client->fd, head, (size_t)n);
   if (response->is_chunked)
     {
--- /dev/null
+++ b/test/functional/test_fleet_stutter.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Guards against requests that fail because their backend server has answered an earlier
+# request on the connection twice, and against such a server being left out.
+set -euo pipefail
+BUILD=$1
+SOURCE=$2
+source "$SOURCE/test/functional/stutter.sh"
+
+# none_failed NAME KIND
+none_failed() {
+  load "$1" "$2"
+  check_told "$1" "$2"
+  [ "$N_FAILED" = 0 ] || WRONG+="$1, $2: $N_FAILED of $N_TOLD were not served: $(grep -v '^200' "$FOLDER/told" | head -n 3)"$'\n'
+}
+
+none_failed twice-late non_idempotent
+EACH=50
+none_failed twice-before non_idempotent
+none_failed twice-at-once non_idempotent
+
+put "$(config 00000006 idempotent /x/)" || fail 'the configuration was refused'
+sleep 3 # until it is in force at all routers
+EACH=167
+none_failed twice-late idempotent
+
+[ -z "$WRONG" ] || fail "$WRONG"
+grep -q 'event=backend_stutters .*seen=' "$FOLDER"/router-*.log || fail 'no log line tells that a backend server answers twice'
+! grep -h 'event=backend_probed' "$FOLDER"/router-*.log || fail 'a backend server was left out for it'
+echo good
