feat(router): extra bytes that come with the end of a response are told

A second response in the same segment as the first is dropped by libcurl, which closes the connection; the router did not learn that the backend server answers twice, nor did its log.

When a connection closes, the bytes that the kernel received on it are compared with those of the responses read: what is left after a whole response with a length is told as extra_bytes, seen=after_response. One byte is allowed for the end of the stream, and nothing is told after a response in chunks.

Evidence: test_router_backend_reuse copy-at-once, which now expects the report and got none before.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <limits.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -38,7 +40,9 @@
   list_t hidden_link;  /* in `hidden` */
   list_t retired_link; /* in `retired` */
   usec_t retired_at;
-  backend_connection_t **user; /* NULL: idle */
+  bool is_counted;         /* all that was read on it is in n_read */
+  uint64_t n_read;         /* bytes of responses */
+  connection_user_t *user; /* NULL: idle */
 };
 
 struct backend_connections
@@ -87,6 +91,7 @@
   connection->watch = (watch_t){ .kind = WATCH_BACKEND_SOCKET,
                                  .fd = fd,
                                  .owner = connection };
+  connection->is_counted = true;
   list_init (&connection->hidden_link);
   list_init (&connection->retired_link);
   list_push_back (&connections->unused, &connection->link);
@@ -128,6 +133,22 @@
   connection->is_watched = false;
 }
 
+/* The bytes that have come on CONNECTION and were not read as part of a
+   response that has ended; 0 if that is not known.  */
+static uint64_t
+unread_bytes (const backend_connection_t *connection)
+{
+  struct tcp_info info = { 0 };
+  socklen_t length = sizeof info;
+  if (!connection->is_counted
+      || getsockopt (connection->watch.fd, IPPROTO_TCP, TCP_INFO, &info,
+                     &length)
+             != 0
+      || info.tcpi_bytes_received < connection->n_read)
+    return 0;
+  return info.tcpi_bytes_received - connection->n_read;
+}
+
 static int
 close_socket (void *closure, curl_socket_t fd)
 {
@@ -138,7 +159,8 @@
       stop_watching (connections, connection);
       connections->by_socket[fd] = NULL;
       if (connection->user)
-        *connection->user = NULL;
+        *connection->user
+            = (connection_user_t){ .n_unread = unread_bytes (connection) };
       list_remove (&connection->hidden_link);
       list_remove (&connection->retired_link);
       list_remove (&connection->link);
@@ -313,8 +335,7 @@
 connection_state_t
 backend_connections_use (backend_connections_t *connections,
                          const inet_t *remote, uint16_t local_port,
-                         const connection_use_t *use,
-                         backend_connection_t **user)
+                         const connection_use_t *use, connection_user_t *user)
 {
   connection_state_t state = CONNECTION_IS_KEPT;
   backend_connection_t *connection
@@ -342,19 +363,22 @@
   connection->had_head_request |= use->is_head;
   connection->last = *use;
   connection->user = user;
-  *user = connection;
+  user->connection = connection;
   return state;
 }
 
 void
 backend_connections_release (backend_connections_t *connections,
-                             backend_connection_t **user, usec_t now)
+                             connection_user_t *user, uint64_t n_read,
+                             usec_t now)
 {
-  backend_connection_t *connection = *user;
+  backend_connection_t *connection = user->connection;
   if (!connection)
     return;
-  *user = NULL;
+  user->connection = NULL;
   connection->user = NULL;
+  connection->n_read += n_read;
+  connection->is_counted = connection->is_counted && n_read > 0;
   watch_for (connections, connection, POLLER_READABLE);
   if (!connection->last.is_only_use)
     return;
@@ -389,7 +413,10 @@
                           : sizeof buffer;
       n = recv (connection->watch.fd, buffer, wanted, MSG_DONTWAIT);
       if (n > 0)
-        connection->n_foreign -= (uint64_t)n;
+        {
+          connection->n_foreign -= (uint64_t)n;
+          connection->n_read += (uint64_t)n;
+        }
     }
   return n;
 }
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -39,8 +39,17 @@
 {
   EXTRA_WHILE_IDLE,
   EXTRA_BEFORE_RESPONSE, /* a response to an earlier request */
+  EXTRA_AFTER_RESPONSE,  /* together with its end */
 } extra_place_t;
 
+/* A request's hold on its connection.  All zero at first.  */
+typedef struct connection_user
+{
+  backend_connection_t *connection; /* NULL: none, or closed */
+  uint64_t n_unread; /* of a closed one: bytes that came on it and are not
+                        part of what was released; 0: not known */
+} connection_user_t;
+
 typedef struct backend_connections_options
 {
   poller_t *poller;
@@ -73,23 +82,23 @@
 } connection_state_t;
 
 /* A request is about to be sent for USE on the connection from LOCAL_PORT to
-   REMOTE.  *USER is set to it until backend_connections_release, and to NULL
-   when it is closed.  */
+   REMOTE.  USER refers to it until it is released or closed.  */
 connection_state_t backend_connections_use (backend_connections_t *connections,
                                             const inet_t *remote,
                                             uint16_t local_port,
                                             const connection_use_t *use,
-                                            backend_connection_t **user);
+                                            connection_user_t *user);
 
 /* libcurl has returned: what comes from now on is handed to
    backend_connections_ready first.  Until then libcurl, which reads as soon as
    it has sent a request, sees nothing on the kept connections in use.  */
 void backend_connections_show (backend_connections_t *connections);
 
-/* *USER's request has ended at NOW: the connection is idle, if it is still
-   open.  */
+/* USER's request has ended at NOW, with a response of N_READ bytes, or 0 if
+   that is not known: the connection is idle, if it is still open.  */
 void backend_connections_release (backend_connections_t *connections,
-                                  backend_connection_t **user, usec_t now);
+                                  connection_user_t *user, uint64_t n_read,
+                                  usec_t now);
 
 /* Shut down the connections that get no other request and on which no more
    bytes are awaited at NOW.  To be called often.  */
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -12,6 +12,7 @@
 {
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
+  END_BYTES = 1,    /* the kernel counts the end of a stream as a byte */
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
 
@@ -24,10 +25,11 @@
   struct curl_slist *headers;
   inet_t remote;
   connection_use_t use;
-  backend_connection_t *connection; /* NULL: none, or closed */
-  unsigned int n_connections;       /* that the request was transmitted on */
-  bool needs_new_connection; /* it was not transmitted on the kept one */
-  bool is_paused;            /* until the budget has room for the body */
+  connection_user_t user;
+  uint64_t n_read;            /* bytes of the whole response; 0: not known */
+  unsigned int n_connections; /* that the request was transmitted on */
+  bool needs_new_connection;  /* it was not transmitted on the kept one */
+  bool is_paused;             /* until the budget has room for the body */
   response_reader_t reader;
 };
 
@@ -72,8 +74,8 @@
   size_t length = size * n;
   if (!response_reader_head (&call->reader, data, length))
     return 0;
-  bool is_spoilt
-      = call->connection && backend_connection_is_spoilt (call->connection);
+  const backend_connection_t *connection = call->user.connection;
+  bool is_spoilt = connection && backend_connection_is_spoilt (connection);
   if (is_spoilt || response_reader_is_foreign (&call->reader))
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
   return length;
@@ -97,7 +99,7 @@
     return CURL_PREREQFUNC_ABORT;
   connection_state_t state = backend_connections_use (
       call->client->connections, &call->remote, (uint16_t)local_port,
-      &call->use, &call->connection);
+      &call->use, &call->user);
   if (state == CONNECTION_IS_UNUSABLE)
     {
       call->needs_new_connection = true;
@@ -189,12 +191,24 @@
   return call;
 }
 
+/* The bytes of CALL's response; 0 if they are not known.  */
+static uint64_t
+response_bytes (const backend_call_t *call)
+{
+  const backend_response_t *response = &call->reader.response;
+  bool is_known = response->framing == FRAMING_LENGTH
+                  || response->framing == FRAMING_NO_BODY;
+  return response->is_complete && is_known
+             ? call->reader.head_bytes + response->body_bytes
+             : 0;
+}
+
 static void
 call_free (backend_call_t *call)
 {
   http_handles_give_back (call->client->handles, call->easy);
-  backend_connections_release (call->client->connections, &call->connection,
-                               clock_monotonic ());
+  backend_connections_release (call->client->connections, &call->user,
+                               call->n_read, clock_monotonic ());
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
   list_remove (&call->link);
@@ -282,6 +296,19 @@
   curl_multi_add_handle (multi, call->easy);
 }
 
+/* Tell of bytes that came after the end of CALL's response, together with it:
+   libcurl drops them and closes the connection.  */
+static void
+tell_bytes_after (const backend_call_t *call)
+{
+  const backend_http_options_t *options = &call->client->options;
+  uint64_t n_read = call->n_read;
+  uint64_t n_unread = call->user.n_unread;
+  if (n_read > 0 && n_unread > n_read + END_BYTES && options->extra_bytes)
+    options->extra_bytes (options->closure, &call->use, EXTRA_AFTER_RESPONSE,
+                          n_unread - n_read);
+}
+
 static void
 finish_ended_calls (backend_http_t *client)
 {
@@ -295,6 +322,8 @@
           continue;
         }
       record_result (call, code);
+      call->n_read = response_bytes (call);
+      tell_bytes_after (call);
       backend_response_t response = call->reader.response;
       void *owner = call->owner;
       call->reader.response = (backend_response_t){ 0 };
--- a/src/router/dispatcher_stutter.c
+++ b/src/router/dispatcher_stutter.c
@@ -11,6 +11,8 @@
     {
     case EXTRA_WHILE_IDLE:
       return "while_idle";
+    case EXTRA_AFTER_RESPONSE:
+      return "after_response";
     case EXTRA_BEFORE_RESPONSE:
       break;
     }
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -326,7 +326,7 @@
   fixture_close (&fixture);
 }
 
-/* libcurl closes such a connection by itself.  */
+/* libcurl drops the copy and closes the connection by itself.  */
 static void
 test_copy_at_once (void)
 {
@@ -334,6 +334,8 @@
   fixture_open (&fixture, SENDS_COPY_AT_ONCE);
   call (&fixture, "id-1", false);
   assert_answered (&fixture);
+  assert_extra_of_first (&fixture);
+  g_assert_cmpint (fixture.extra_place, ==, EXTRA_AFTER_RESPONSE);
   g_usleep (PAUSE);
   call (&fixture, "id-2", false);
   assert_answered (&fixture);
