fix(router): an id ends at a null byte, also where a response is left out

A response with the request's own id before a null byte or a carriage return was taken for another request's and dropped, while the reader of responses takes it for the request's own: the request would have waited for its deadline.

Cause: two readings of one field.

--- a/src/router/foreign_response.c
+++ b/src/router/foreign_response.c
@@ -14,7 +14,14 @@
   ID_OWN,
 } id_kind_t;
 
-/* What LINE, a field line of LENGTH bytes, tells of the response's request. */
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+/* What LINE, a field line of LENGTH bytes, tells of the response's request.
+   As for response_reader, an id ends at a null byte or a carriage return.  */
 static id_kind_t
 read_id (const char *line, size_t length, const char *id)
 {
@@ -22,12 +29,15 @@
   size_t begin = sizeof name - 1;
   if (length < begin || strncasecmp (line, name, begin) != 0)
     return ID_NONE;
-  while (begin < length && (line[begin] == ' ' || line[begin] == '\t'))
+  while (begin < length && is_blank (line[begin]))
     begin++;
-  while (length > begin && strchr ("\r\n \t", line[length - 1]))
-    length--;
-  bool is_own = length - begin == strlen (id)
-                && memcmp (line + begin, id, length - begin) == 0;
+  size_t end = begin;
+  while (end < length && line[end] && line[end] != '\r' && line[end] != '\n')
+    end++;
+  while (end > begin && is_blank (line[end - 1]))
+    end--;
+  bool is_own = end - begin == strlen (id)
+                && memcmp (line + begin, id, end - begin) == 0;
   return is_own ? ID_OWN : ID_OTHER;
 }
 
--- a/test/functional/test_fleet_stutter.sh
+++ b/test/functional/test_fleet_stutter.sh
@@ -13,6 +13,19 @@
   [ "$N_FAILED" = 0 ] || WRONG+="$1, $2: $N_FAILED of $N_TOLD were not served: $(grep -v '^200' "$FOLDER/told" | head -n 3)"$'\n'
 }
 
+# The ids of requests that were sent on a kept connection after their router had seen that
+# the backend server answers twice.
+on_kept_connections() {
+  awk '
+    FNR == 1 { delete stutters; delete sent }
+    { delete field; for (i = 1; i <= NF; i++) { at = index($i, "="); field[substr($i, 1, at - 1)] = substr($i, at + 1) } }
+    field["event"] == "backend_stutters" { stutters[field["backend"]] = 1 }
+    field["event"] == "backend_stutter_ended" { delete stutters[field["backend"]] }
+    field["event"] == "request_sent" && field["backend"] in stutters { sent[field["id"]] = 1 }
+    field["event"] == "backend_answered" && field["id"] in sent && field["reused"] == 1 { print field["id"] }
+  ' "$FOLDER"/router-*.log
+}
+
 none_failed twice-late non_idempotent
 EACH=50
 none_failed twice-before non_idempotent
@@ -29,5 +42,7 @@
 
 [ -z "$WRONG" ] || fail "$WRONG"
 grep -q 'event=backend_stutters .*seen=' "$FOLDER"/router-*.log || fail 'no log line tells that a backend server answers twice'
+kept=$(on_kept_connections)
+[ -z "$kept" ] || fail "sent on a kept connection to a backend server that answers twice:" $kept
 ! grep -h 'event=backend_probed' "$FOLDER"/router-*.log || fail 'a backend server was left out for it'
 echo good
--- a/test/fuzz/fuzz_router_response.c
+++ b/test/fuzz/fuzz_router_response.c
@@ -1,14 +1,15 @@
 /* fuzz-runs: 100000 */
 /* Fuzz target: the bytes of a backend server's response, line by line as
    libcurl passes on a head, and the rest as body.  A response may count as the
-   answer to the request only if a whole head bears its id and no other; memory
-   is given back.  */
+   answer to the request only if a whole head bears its id and no other, and be
+   left out only if it does not; memory is given back.  */
 
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
+#include "router/foreign_response.h"
 #include "router/response_reader.h"
 
 enum
@@ -73,6 +74,23 @@
     check (!response->is_leaving && response->rest == 0);
 }
 
+/* What is left out as another request's response counts as one for READER too,
+   which has read its head of N_HEAD bytes, SIZE_MAX if that was rejected.  */
+static void
+check_foreign (const response_reader_t *reader, const char *data, size_t size,
+               size_t n_head)
+{
+  char *copy = malloc (size > 0 ? size : 1);
+  check (copy != NULL);
+  memcpy (copy, data, size);
+  uint64_t n = foreign_response_bytes (copy, size, reader->id);
+  free (copy);
+  if (n == 0 || n_head == SIZE_MAX)
+    return;
+  check (response_reader_is_foreign (reader));
+  check (n == n_head + reader->response.announced_bytes);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -91,6 +109,7 @@
     read_body (reader, text + n, size - n);
   response_reader_finish (reader, CONNECTION_KEPT);
   check_response (reader);
+  check_foreign (reader, text, size, n);
   check (budget.growing == 0);
   backend_response_clear (&reader->response);
   check (budget.used == 0 && budget.large == 0);
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -389,6 +389,8 @@
     { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nok", 0 },
     { "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
       0 },
+    { "HTTP/1.1 200 OK\r\nRequest-Id: b\ra\r\nContent-Length: 2\r\n\r\nok",
+      0 },
     { "HTTP/1.1 103 Hints\r\nRequest-Id: a\r\n\r\n", 0 },
     { "Request-Id: a\r\n\r\n", 0 },
     { "", 0 },
