fix(router): a connection that is used again is in no list twice

Three faults of this branch's own backend_connections, found by a mutation trial and by reading what it showed: - A kept connection that was used twice before libcurl returned was put into the list of hidden ones twice; the list then had no end, and the traffic thread went round in it for ever. Test used-again failed before, passes now. - Once libcurl reads a response, nothing is left out any more on that connection: a part of a body could have been looked at as a head. SO_RCVLOWAT is 64 KB instead of INT_MAX, which made the kernel grow the connection's buffer.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <limits.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -20,7 +19,8 @@
 {
   BUCKETS = 256, /* by local port */
   SOCKETS_MIN = 64,
-  READ_BYTES = 4096, /* at a time */
+  READ_BYTES = 4096,        /* at a time */
+  HIDDEN_BYTES = 64 * 1024, /* within the kernel's usual buffer */
   EXTRA_BYTES_READ_MAX = 64 * 1024,
 };
 
@@ -330,7 +330,8 @@
 static void
 hide (backend_connections_t *connections, backend_connection_t *connection)
 {
-  set_readable_from (connection, INT_MAX);
+  set_readable_from (connection, HIDDEN_BYTES);
+  list_remove (&connection->hidden_link);
   list_push_back (&connections->hidden, &connection->hidden_link);
 }
 
@@ -375,6 +376,7 @@
     hide (connections, connection);
   connection->had_head_request |= use->is_head;
   connection->last = *use;
+  list_remove (&connection->retired_link);
   connection->user = user;
   user->connection = connection;
   return state;
@@ -492,6 +494,12 @@
   return ready;
 }
 
+void
+backend_connection_response_began (backend_connection_t *connection)
+{
+  connection->may_be_foreign = false;
+}
+
 bool
 backend_connection_is_spoilt (const backend_connection_t *connection)
 {
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -112,6 +112,9 @@
 unsigned int backend_connections_ready (backend_connections_t *connections,
                                         watch_t *watch, unsigned int ready);
 
+/* libcurl reads a response on CONNECTION: nothing more is left out there.  */
+void backend_connection_response_began (backend_connection_t *connection);
+
 /* Whether a response to an earlier request came on CONNECTION: it must not be
    used again.  */
 bool backend_connection_is_spoilt (const backend_connection_t *connection);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -72,6 +72,8 @@
 {
   backend_call_t *call = closure;
   size_t length = size * n;
+  if (call->user.connection)
+    backend_connection_response_began (call->user.connection);
   if (!response_reader_head (&call->reader, data, length))
     return 0;
   const backend_connection_t *connection = call->user.connection;
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -421,6 +421,25 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a connection that is shut down while it serves a request,
+   because it was to get no other once.  */
+static void
+test_used_again_after_all (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_NOTHING);
+  call (&fixture, "id-1", true);
+  call (&fixture, "id-2", false);
+  g_assert_true (fixture.was_reused);
+  usec_t end = clock_monotonic () + USEC_PER_SEC;
+  while (clock_monotonic () < end)
+    run_once (&fixture);
+  call (&fixture, "id-3", false);
+  assert_answered (&fixture);
+  g_assert_true (fixture.was_reused);
+  fixture_close (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -448,5 +467,6 @@
   g_test_add_func ("/backend-reuse/foreign-response",
                    test_foreign_response_bytes);
   g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
+  g_test_add_func ("/backend-reuse/used-again", test_used_again_after_all);
   return g_test_run ();
 }
