--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -16,6 +16,8 @@
 {
   return (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
                            .is_complete = response->is_complete,
+                           .is_foreign = response->is_foreign,
+                           .was_reused = response->was_reused,
                            .id_matches = response->id_matches,
                            .is_signed = response->is_signed,
                            .is_encoded = response->is_encoded,
@@ -69,6 +71,7 @@
       dispatcher_refuse (dispatcher, exchange, REASON_REFUSED, now);
       return;
     case BACKEND_NO_VALID_ANSWER:
+    case BACKEND_OTHER_ANSWER:
     case BACKEND_CANCELLED:
       break;
     }
@@ -128,6 +131,8 @@
   router_metrics_response_ended (
       dispatcher->options.metrics, exchange->query.service,
       framing_name (response), connection_end_name (response->connection_end));
+  if (response->has_head && !response->is_complete)
+    router_metrics_not_whole (dispatcher->options.metrics, backend->record.id);
   if (!reached)
     exchange->n_transmitted--;
   if (answer_may_have_run (&facts))
@@ -139,6 +144,8 @@
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
   dispatcher_crash_evidence (dispatcher, exchange, result, response, now);
+  if (result == BACKEND_OTHER_ANSWER)
+    dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
