fix(wire): a status line after a final head begins no other response

What could be seen: a line behind a final response that looks like a status line replaced that response's status and framing; a trailer could be such a line. No caller was seen to get a wrong status by it: the new head had no end, so the response was not whole.

Cause: answer_head began a new head at each status line while none was open, which is right after an informational response only. It is malformed now, and the call ends.

Evidence: test_wire_response_framing /head-after-final failed before (taken for a status line) and passes after; test_entry_client, test_router_backend_http and test_router_response_matrix pass.

--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -90,7 +90,7 @@
     return HEAD_LINE_MALFORMED;
   if (is_status_line (line, length))
     {
-      if (head->is_open)
+      if (head->is_open || answer_head_is_final (head))
         return HEAD_LINE_MALFORMED;
       *head = (answer_head_t){ .is_open = true };
       head->framing.is_before_1_1 = is_before_1_1 (line, length);
--- a/src/wire/answer_head.h
+++ b/src/wire/answer_head.h
@@ -2,7 +2,8 @@
    to a header callback: where the head ends, and how it delimits the body.
 
    libcurl reports a response as whole if its connection ends within the head,
-   and takes a second status line for a field.  */
+   and takes a second status line for a field.  A status line after the head of
+   a final response is malformed: it begins no other.  */
 
 #ifndef WIRE_ANSWER_HEAD_H
 #define WIRE_ANSWER_HEAD_H
--- a/test/unit/test_wire_response_framing.c
+++ b/test/unit/test_wire_response_framing.c
@@ -259,6 +259,21 @@
     }
 }
 
+/* Guards against a line after a final response that is taken for the head of
+   another one, with its status.  */
+static void
+test_head_after_final (void)
+{
+  answer_head_t head = read_head ("", 503, "Content-Length: 9\r\n");
+  static const char line[] = "HTTP/1.1 200 OK\r\n";
+  g_assert_cmpint (answer_head_next (&head, line, strlen (line)), ==,
+                   HEAD_LINE_MALFORMED);
+  g_assert_true (answer_head_is_final (&head));
+  g_assert_cmpuint (head.status, ==, 503);
+  g_assert_cmpint (answer_head_next (&head, "X: 1\r\n", 6), ==,
+                   HEAD_LINE_TRAILER);
+}
+
 /* Guards against the beginning of a second response, cut within a line, whose
    status or refusal is taken for that of the response that follows it.  */
 static void
@@ -304,5 +319,7 @@
   g_test_add_func ("/response_framing/connection-end", test_connection_end);
   g_test_add_func ("/response_framing/head", test_head);
   g_test_add_func ("/response_framing/two-heads", test_two_heads);
+  g_test_add_func ("/response_framing/head-after-final",
+                   test_head_after_final);
   return g_test_run ();
 }
