fix(wire): end=reset is logged only where a connection was reset

What operators saw: end=reset in backend_answered, and as the reason in mulberry_router_responses_total, where nobody reset a connection: a response that libcurl could not read, and a kept connection that had closed before a byte of the response came (libcurl's own retry, which the router stops).

Cause: every error of libcurl's that had no name of its own counted as a reset. Now only CURLE_RECV_ERROR and CURLE_SEND_ERROR do; the retry is "lost" (whether the connection was closed or reset is not known then), the rest "malformed". No decision depends on it: all of them leave a response that is not whole.

--- a/src/wire/http_handles.c
+++ b/src/wire/http_handles.c
@@ -139,7 +139,13 @@
       return CONNECTION_TIMED_OUT;
     case CURLE_WRITE_ERROR:
       return CONNECTION_REJECTED;
-    default:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
       return CONNECTION_RESET;
+    case CURLE_ABORTED_BY_CALLBACK: /* of a retry of libcurl's own */
+    case CURLE_COULDNT_CONNECT:     /* for such a retry */
+      return CONNECTION_LOST;
+    default:
+      return CONNECTION_MALFORMED;
     }
 }
--- a/src/wire/response_framing.c
+++ b/src/wire/response_framing.c
@@ -190,6 +190,10 @@
       return "closed";
     case CONNECTION_RESET:
       return "reset";
+    case CONNECTION_LOST:
+      return "lost";
+    case CONNECTION_MALFORMED:
+      return "malformed";
     case CONNECTION_TIMED_OUT:
       return "timeout";
     case CONNECTION_REJECTED:
--- a/src/wire/response_framing.h
+++ b/src/wire/response_framing.h
@@ -24,9 +24,13 @@
 /* How the connection of a response ended, as far as this process saw it.  */
 typedef enum
 {
-  CONNECTION_KEPT,   /* not yet: the response ended before */
-  CONNECTION_CLOSED, /* in the ordinary way */
-  CONNECTION_RESET,  /* or failed in another way */
+  CONNECTION_KEPT,      /* not yet: the response ended before */
+  CONNECTION_CLOSED,    /* in the ordinary way */
+  CONNECTION_RESET,     /* by the other end, or the network failed */
+  CONNECTION_LOST,      /* a kept one, closed or reset before a byte of the
+                           response came */
+  CONNECTION_MALFORMED, /* libcurl can't read what was received, or has
+                           another error */
   CONNECTION_TIMED_OUT,
   CONNECTION_REJECTED, /* by this process, for what was received */
   CONNECTION_NONE,     /* none was made */
