test(router): a body in chunks that waits for memory is decoded once

With the decoder moved on before there is room (trial) the call ends with an error; as committed, 8,000 chunks arrive whole after their pause.

--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -19,6 +19,8 @@
 enum
 {
   CHUNK_BYTES = 16 * 1024,
+  SHORT_CHUNK_BYTES = 1000,
+  SHORT_CHUNKS = 8000,
   ENDLESS_BODIES = 8,
   GOOD_BYTES = 40 * 1024,
   BUDGET_BYTES = 32 * 1024 * 1024,
@@ -106,6 +108,19 @@
     ;
 }
 
+static void
+answer_in_chunks (const connection_t *connection)
+{
+  g_autofree char *data = g_strnfill (SHORT_CHUNK_BYTES, 'x');
+  g_autofree char *chunk
+      = g_strdup_printf ("%x;a\r\n%s\r\n", SHORT_CHUNK_BYTES, data);
+  write_text (connection, "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < SHORT_CHUNKS; i++)
+    write_text (connection, chunk);
+  write_text (connection, "0\r\n\r\n");
+}
+
 static void
 answer_with_length (const connection_t *connection)
 {
@@ -309,6 +324,8 @@
                 "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n",
                 "0000000000");
+      else if (strstr (request, "/many-chunks"))
+        answer_in_chunks (connection);
       else if (strstr (request, "/other"))
         answer_endlessly (connection, "id-2");
       else if (strstr (request, "/sized"))
@@ -560,6 +577,33 @@
   fixture_close (&fixture);
 }
 
+/* Guards against bytes in chunks that are decoded twice, since libcurl passes
+   on again what had to wait for memory.  */
+static void
+test_chunks_wait_for_memory (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  fixture.keeps = true;
+  for (int i = 0; i < SIZED_FITTING; i++)
+    start_call (&fixture, "/sized");
+  run_until_ended (&fixture, SIZED_FITTING);
+  start_call (&fixture, "/many-chunks");
+  run_for (&fixture, 4 * PAUSE);
+  g_assert_cmpuint (fixture.n_ended, ==, SIZED_FITTING);
+  for (size_t i = 0; i < SIZED_FITTING; i++)
+    backend_response_clear (&fixture.kept[i]);
+  run_until_ended (&fixture, SIZED_FITTING + 1);
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_FITTING + 1);
+  backend_response_t *last = &fixture.kept[SIZED_FITTING];
+  g_assert_cmpuint (last->body_bytes, ==, SHORT_CHUNKS * SHORT_CHUNK_BYTES);
+  for (size_t i = 0; i < last->body_bytes; i++)
+    g_assert_true (last->body[i] == 'x');
+  backend_response_clear (last);
+  g_assert_cmpuint (fixture.budget.used, ==, 0);
+  fixture_close (&fixture);
+}
+
 static void
 run_until_held (fixture_t *fixture, gint n)
 {
@@ -703,6 +747,8 @@
   g_test_add_func ("/backend-http/numbers", test_numbers);
   g_test_add_func ("/backend-http/notices", test_notices);
   g_test_add_func ("/backend-http/answers-wait", test_answers_wait_for_memory);
+  g_test_add_func ("/backend-http/chunks-wait-for-memory",
+                   test_chunks_wait_for_memory);
   g_test_add_func ("/backend-http/given-up", test_given_up_is_reset);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
