--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -57,9 +57,9 @@
 {
   const char *name;
   const char *fields;
-  bool is_chunked;
   size_t n_sent;
   ending_t ending;
+  bool is_chunked;
   const char *status;
   const char *version;
   const char *size;
@@ -74,45 +74,45 @@
   .n_sent = BODY_BYTES, __VA_ARGS__
 
 static const response_t responses[] = {
-  { "length", "Content-Length: 900\r\n", false, BODY_BYTES, ENDS_KEPT },
-  { "chunks", "Transfer-Encoding: chunked\r\n", true, BODY_BYTES, ENDS_KEPT },
-  { "close", "Connection: close\r\n", false, BODY_BYTES, ENDS_CLOSED },
+  { "length", "Content-Length: 900\r\n", BODY_BYTES, ENDS_KEPT, false },
+  { "chunks", "Transfer-Encoding: chunked\r\n", BODY_BYTES, ENDS_KEPT, true },
+  { "close", "Connection: close\r\n", BODY_BYTES, ENDS_CLOSED, false },
   { "same-length-twice", "Content-Length: 900\r\nContent-Length: 900\r\n",
-    false, BODY_BYTES, ENDS_KEPT },
-  { "close-early", "Connection: close\r\n", false, PART_BYTES, ENDS_CLOSED },
-  { "close-empty", "", false, 0, ENDS_CLOSED },
-  { "reset-early", "", false, PART_BYTES, ENDS_RESET },
-  { "length-early", "Content-Length: 900\r\n", false, PART_BYTES,
-    ENDS_CLOSED },
-  { "length-reset", "Content-Length: 900\r\n", false, PART_BYTES, ENDS_RESET },
-  { "chunks-early", "Transfer-Encoding: chunked\r\n", true, PART_BYTES,
-    ENDS_CLOSED },
-  { "length-list", "Content-Length: 450, 900\r\n", false, BODY_BYTES,
-    ENDS_KEPT },
-  { "length-letter", "Content-Length: 450x\r\n", false, BODY_BYTES,
-    ENDS_KEPT },
-  { "length-sign", "Content-Length: +450\r\n", false, BODY_BYTES, ENDS_KEPT },
-  { "length-huge", "Content-Length: 99999999999999999999\r\n", false,
-    PART_BYTES, ENDS_CLOSED },
-  { "length-blank", "Content-Length : 900\r\n", false, PART_BYTES,
-    ENDS_CLOSED },
-  { "length-folded", "Content-Length: 450\r\n 900\r\n", false, BODY_BYTES,
-    ENDS_KEPT },
-  { "lengths-differ", "Content-Length: 450\r\nContent-Length: 900\r\n", false,
-    BODY_BYTES, ENDS_KEPT },
+    BODY_BYTES, ENDS_KEPT, false },
+  { "close-early", "Connection: close\r\n", PART_BYTES, ENDS_CLOSED, false },
+  { "close-empty", "", 0, ENDS_CLOSED, false },
+  { "reset-early", "", PART_BYTES, ENDS_RESET, false },
+  { "length-early", "Content-Length: 900\r\n", PART_BYTES, ENDS_CLOSED,
+    false },
+  { "length-reset", "Content-Length: 900\r\n", PART_BYTES, ENDS_RESET, false },
+  { "chunks-early", "Transfer-Encoding: chunked\r\n", PART_BYTES, ENDS_CLOSED,
+    true },
+  { "length-list", "Content-Length: 450, 900\r\n", BODY_BYTES, ENDS_KEPT,
+    false },
+  { "length-letter", "Content-Length: 450x\r\n", BODY_BYTES, ENDS_KEPT,
+    false },
+  { "length-sign", "Content-Length: +450\r\n", BODY_BYTES, ENDS_KEPT, false },
+  { "length-huge", "Content-Length: 99999999999999999999\r\n", PART_BYTES,
+    ENDS_CLOSED, false },
+  { "length-blank", "Content-Length : 900\r\n", PART_BYTES, ENDS_CLOSED,
+    false },
+  { "length-folded", "Content-Length: 450\r\n 900\r\n", BODY_BYTES, ENDS_KEPT,
+    false },
+  { "lengths-differ", "Content-Length: 450\r\nContent-Length: 900\r\n",
+    BODY_BYTES, ENDS_KEPT, false },
   { "length-and-chunks",
-    "Content-Length: 450\r\nTransfer-Encoding: chunked\r\n", true, PART_BYTES,
-    ENDS_KEPT },
-  { "other-encoding", "Transfer-Encoding: identity\r\n", false, PART_BYTES,
-    ENDS_CLOSED },
-  { "large-close", "", false, LARGE_BYTES, ENDS_CLOSED },
-  { "huge-close", "", false, HUGE_BYTES, ENDS_CLOSED },
-  { "error-close", "", false, BODY_BYTES, ENDS_CLOSED, "500 Error" },
-  { "no-content", "", false, 0, ENDS_KEPT, "204 No Content" },
-  { "no-content-length", "Content-Length: 900\r\n", false, 0, ENDS_KEPT,
+    "Content-Length: 450\r\nTransfer-Encoding: chunked\r\n", PART_BYTES,
+    ENDS_KEPT, true },
+  { "other-encoding", "Transfer-Encoding: identity\r\n", PART_BYTES,
+    ENDS_CLOSED, false },
+  { "large-close", "", LARGE_BYTES, ENDS_CLOSED, false },
+  { "huge-close", "", HUGE_BYTES, ENDS_CLOSED, false },
+  { "error-close", "", BODY_BYTES, ENDS_CLOSED, false, "500 Error" },
+  { "no-content", "", 0, ENDS_KEPT, false, "204 No Content" },
+  { "no-content-length", "Content-Length: 900\r\n", 0, ENDS_KEPT, false,
     "204 No Content" },
-  { "not-modified", "", false, 0, ENDS_KEPT, "304 Not Modified" },
-  { "not-modified-length", "Content-Length: 900\r\n", false, 0, ENDS_KEPT,
+  { "not-modified", "", 0, ENDS_KEPT, false, "304 Not Modified" },
+  { "not-modified-length", "Content-Length: 900\r\n", 0, ENDS_KEPT, false,
     "304 Not Modified" },
   { .name = "chunk-0x", CHUNKED (.size = "0x384") },
   { .name = "chunk-0x-text",
@@ -474,16 +474,22 @@
   int on = 1;
   struct sockaddr_in at
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)number) };
-  port_t *port = calloc (1, sizeof *port);
-  if (!port || inet_pton (AF_INET, address, &at.sin_addr) != 1)
+  if (inet_pton (AF_INET, address, &at.sin_addr) != 1)
     return false;
+  port_t *port = calloc (1, sizeof *port);
+  if (!port)
+    abort ();
   port->listener = socket (AF_INET, SOCK_STREAM, 0);
   port->number = number;
   setsockopt (port->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (port->listener, (struct sockaddr *)&at, sizeof at) != 0
-      || listen (port->listener, LISTEN_BACKLOG) != 0)
-    return false;
-  return pthread_create (&thread, NULL, accept_all, port) == 0;
+      || listen (port->listener, LISTEN_BACKLOG) != 0
+      || pthread_create (&thread, NULL, accept_all, port) != 0)
+    {
+      free (port);
+      return false;
+    }
+  return true;
 }
 
 int
--- a/test/fuzz/fuzz_wire_response_framing.c
+++ b/test/fuzz/fuzz_wire_response_framing.c
@@ -55,13 +55,14 @@
     }
   text += strspn (text, "0");
   n = strlen (text);
-  if (n > LENGTH_DIGITS_MAX
-      || (n == LENGTH_DIGITS_MAX && strcmp (text, length_max) > 0))
-    reading->is_invalid = true;
-  else if (reading->n_lengths > 0 && strcmp (text, reading->length) != 0)
+  bool is_too_large
+      = n > LENGTH_DIGITS_MAX
+        || (n == LENGTH_DIGITS_MAX && strcmp (text, length_max) > 0);
+  bool differs = reading->n_lengths > 0 && strcmp (text, reading->length) != 0;
+  if (is_too_large || differs)
     reading->is_invalid = true;
   else
-    strcpy (reading->length, text);
+    memcpy (reading->length, text, n + 1);
   reading->n_lengths++;
 }
 
