--- a/src/wire/response_framing.h
+++ b/src/wire/response_framing.h
@@ -66,9 +66,8 @@
                                       bool is_head, unsigned int status);
 
 /* Whether the body is whole if N_READ bytes were received, without the framing
-   of chunks, before the connection ended as END tells.  A body in chunks that
-   ended otherwise than by its last chunk has another END than
-   CONNECTION_KEPT.  */
+   of chunks, before the connection ended as END tells.  Of a body in
+   chunks this holds only if its end was read (see wire/chunk_decoder).  */
 body_completeness_t
 response_framing_completeness (const response_framing_t *framing,
                                framing_kind_t kind, uint64_t n_read,
