fix(router): a request behind a response that ends with its connection does not cut it

Since responses that end with their connection are passed on in that way, the connection closes with the unread request, so the kernel resets it and drops what is still to be sent.

What has come behind such a response is read and dropped when its body was written, at most 1 MiB; callers send it again, as for each response that closes its connection. test_fleet_response_callers failed before, passes now.

In the same commit: answer_head compares prefixes in one place.

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -20,6 +21,7 @@
   BODY_BYTES_MAX = 16 * 1024 * 1024,
   RETRY_AFTER_BYTES = 32,
   BODY_BLOCK_BYTES = 16 * 1024, /* that libmicrohttpd copies at once */
+  DROPPED_BLOCKS_MAX = 64,      /* of requests behind the last response */
 };
 
 /* Upper limit of caller_http_timeout.  */
@@ -205,6 +207,20 @@
   return info->connect_fd;
 }
 
+/* The connection of EXCHANGE closes after its response, which is written.
+   Requests behind it are dropped: unread ones would make the kernel reset the
+   connection, and drop what the caller has not got yet.  */
+static void
+end_connection (const exchange_t *exchange)
+{
+  char dropped[BODY_BLOCK_BYTES];
+  int fd = caller_fd_of (exchange);
+  for (int i = 0; i < DROPPED_BLOCKS_MAX; i++)
+    if (recv (fd, dropped, sizeof dropped, MSG_DONTWAIT) <= 0)
+      break;
+  socket_close_in_order (fd);
+}
+
 /* The connection is set to end by a reset until the whole body was written. */
 static ssize_t
 read_body (void *closure, uint64_t position, char *data, size_t max)
@@ -213,7 +229,7 @@
   const backend_response_t *answer = &exchange->response;
   if (position >= answer->body_bytes)
     {
-      socket_close_in_order (caller_fd_of (exchange));
+      end_connection (exchange);
       return MHD_CONTENT_READER_END_OF_STREAM;
     }
   size_t left = answer->body_bytes - (size_t)position;
--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -12,13 +12,18 @@
 };
 
 static bool
-is_status_line (const char *line, size_t length)
+begins_with (const char *line, size_t length, const char *prefix)
 {
-  static const char prefix[] = "HTTP/";
-  size_t n = sizeof prefix - 1;
+  size_t n = strlen (prefix);
   return length >= n && memcmp (line, prefix, n) == 0;
 }
 
+static bool
+is_status_line (const char *line, size_t length)
+{
+  return begins_with (line, length, "HTTP/");
+}
+
 static bool
 is_empty_line (const char *line, size_t length)
 {
@@ -56,14 +61,6 @@
   return false;
 }
 
-static bool
-is_before_1_1 (const char *line, size_t length)
-{
-  static const char prefix[] = "HTTP/1.0 ";
-  size_t n = sizeof prefix - 1;
-  return length >= n && memcmp (line, prefix, n) == 0;
-}
-
 /* "HTTP/1.1 200 OK": 200.  */
 static bool
 parse_status (const char *line, size_t length, unsigned int *status)
@@ -93,7 +90,7 @@
       if (head->is_open || answer_head_is_final (head))
         return HEAD_LINE_MALFORMED;
       *head = (answer_head_t){ .is_open = true };
-      head->framing.is_before_1_1 = is_before_1_1 (line, length);
+      head->framing.is_before_1_1 = begins_with (line, length, "HTTP/1.0 ");
       return parse_status (line, length, &head->status) ? HEAD_LINE_STATUS
                                                         : HEAD_LINE_MALFORMED;
     }
--- a/test/functional/test_fleet_response_callers.sh
+++ b/test/functional/test_fleet_response_callers.sh
@@ -82,6 +82,24 @@
     WRONG+="piped-$N: $(wc -c <"$FOLDER/piped") bytes are not just the first response"$'\n'
 done
 
+# A request that comes while a large response is read, which ends with its connection: the
+# response arrives whole.
+HUGE_BYTES=$((12 * 1024 * 1024))
+late_request() {
+  N=$((N + 1))
+  exec {caller}<>"/dev/tcp/$(router_address 1)/$REQUESTS_PORT"
+  printf 'GET /x/huge-close HTTP/1.1\r\nHost: a.example\r\nRequest-Id: late-%s\r\nDeadline-Ms: 3000\r\n\r\n' $N >&"$caller"
+  answered() { grep -q "event=request_ended id=late-$N " "$FOLDER/router-1.log"; }
+  wait_for 10 answered
+  printf 'GET /x/length HTTP/1.1\r\nHost: a.example\r\nRequest-Id: late-2-%s\r\nDeadline-Ms: 3000\r\n\r\n' $N >&"$caller"
+  timeout 20 cat <&"$caller" >"$FOLDER/piped" 2>/dev/null || WRONG+="late-$N: its connection ends by an error"$'\n'
+  exec {caller}>&-
+  sed '1,/^\r$/d' "$FOLDER/piped" >"$FOLDER/after-head"
+  [ "$(stat -c %s "$FOLDER/after-head")" = $HUGE_BYTES ] ||
+    WRONG+="late-$N: $(stat -c %s "$FOLDER/after-head") of $HUGE_BYTES bytes"$'\n'
+}
+for ((round = 0; round < ROUNDS; round++)); do late_request; done
+
 # The first response has no body: nothing comes between its head and the second one.
 for what in 'HEAD length' 'HEAD chunks' 'HEAD close' 'GET no-content' 'GET not-modified' 'GET not-modified-length'; do
   piped $what
