test(router): the chunks that wait for memory come on a new connection

Its server closes a connection after the response, and the call could take such a connection just before: the fault was the test's. The tests of this file print libcurl's result of each call.

--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -364,6 +364,8 @@
 {
   fixture_t *fixture = closure;
   (void)owner;
+  g_test_message ("ended: %s, connection %s", response->error,
+                  connection_end_name (response->connection_end));
   fixture->n_ended++;
   fixture->last
       = (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
@@ -449,6 +451,22 @@
   start_call_with_id (fixture, target, "id-1");
 }
 
+/* On a connection of its own: the server closes one after its response.  */
+static void
+start_call_anew (fixture_t *fixture, const char *target)
+{
+  const backend_request_t request
+      = { .address = fixture->address,
+          .needs_new_connection = true,
+          .method = "GET",
+          .target = target,
+          .id = "id-1",
+          .headers = curl_slist_append (NULL, "Request-Id: id-1"),
+          .timeout = CALL_TIMEOUT,
+          .connect_timeout = CALL_TIMEOUT };
+  backend_http_call (fixture->client, &request);
+}
+
 /* Runs the client until N calls have ended.  */
 static void
 run_until_ended (fixture_t *fixture, size_t n)
@@ -588,8 +606,10 @@
   for (int i = 0; i < SIZED_FITTING; i++)
     start_call (&fixture, "/sized");
   run_until_ended (&fixture, SIZED_FITTING);
-  start_call (&fixture, "/many-chunks");
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_FITTING);
+  start_call_anew (&fixture, "/many-chunks");
   run_for (&fixture, 4 * PAUSE);
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_FITTING);
   g_assert_cmpuint (fixture.n_ended, ==, SIZED_FITTING);
   for (size_t i = 0; i < SIZED_FITTING; i++)
     backend_response_clear (&fixture.kept[i]);
