fix(router): a connection that was handed on is not taken for an idle one

What callers saw: 502 for a request that had run well (test_fleet_stop beside load, about one in three runs, one request each: "taken, then broken off").

Cause: libcurl gives a connection to the next request as soon as the one before has ended, and tells of that end only afterwards. backend_connections then released the connection for the request before, and so forgot that the next one used it: its response was read as bytes on an idle connection (extra_bytes seen=while_idle), the connection was shut down, and the backend server was taken for one that answers twice.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -391,9 +391,12 @@
   if (!connection)
     return;
   user->connection = NULL;
-  connection->user = NULL;
   connection->n_read += n_read;
   connection->is_counted = connection->is_counted && n_read > 0;
+  /* libcurl may have given it to the next request already.  */
+  if (connection->user != user)
+    return;
+  connection->user = NULL;
   watch_for (connections, connection, POLLER_READABLE);
   if (!connection->last.is_only_use)
     return;
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -15,6 +15,14 @@
 
 #include "../support/loopback.h"
 
+enum
+{
+  BUDGET_BYTES = 32 * 1024 * 1024,
+  LARGE_BYTES = 3 * 1024 * 1024,
+  HAND_ON_ROUNDS = 100,
+  HAND_ON_TURNS_MAX = 8,
+};
+
 #define CALL_TIMEOUT (20 * USEC_PER_SEC)
 #define PAUSE (60 * USEC_PER_MSEC)
 
@@ -44,6 +52,7 @@
   backend_http_t *client;
   body_budget_t budget;
   size_t n_ended;
+  size_t n_answered;
   answer_facts_t last; /* of the call that ended last */
   bool was_reused;
   size_t n_extra; /* reports of bytes on an idle connection */
@@ -63,7 +72,8 @@
   send (fd, text, strlen (text), MSG_NOSIGNAL);
 }
 
-/* The response to REQUEST, which has its id in the field Request-Id.  */
+/* The response to REQUEST, which has its id in the field Request-Id; that to
+   the id "large" has LARGE_BYTES.  */
 static char *
 response_to (const char *request)
 {
@@ -71,6 +81,14 @@
   const char *field = strstr (request, "Request-Id: ");
   if (field)
     sscanf (field, "Request-Id: %63s", id);
+  if (strcmp (id, "large") == 0)
+    {
+      g_autofree char *body = g_strnfill (LARGE_BYTES, 'x');
+      return g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: large\r\n"
+                              "Server-Stamp: s\r\nContent-Length: %d\r\n"
+                              "\r\n%s",
+                              LARGE_BYTES, body);
+    }
   return g_strdup_printf ("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
                           "Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
                           id);
@@ -201,6 +219,7 @@
                           .id_matches = response->id_matches,
                           .is_signed = response->is_signed,
                           .status = response->status };
+  fixture->n_answered += answer_classify (&fixture->last) == BACKEND_ANSWERED;
 }
 
 static void
@@ -218,7 +237,7 @@
 fixture_open (fixture_t *fixture, behaviour_t behaviour)
 {
   *fixture = (fixture_t){ .behaviour = behaviour,
-                          .budget = { .max = 1024 * 1024 } };
+                          .budget = { .max = BUDGET_BYTES } };
   fixture->listener = loopback_listen (&fixture->address);
   fixture->poller = poller_new (NULL);
   const backend_http_options_t options = { .poller = fixture->poller,
@@ -242,20 +261,24 @@
 }
 
 static void
-run_once (fixture_t *fixture)
+handle_event (fixture_t *fixture)
 {
   poller_event_t event;
   if (poller_wait (fixture->poller, 10 * USEC_PER_MSEC, &event))
     backend_http_socket_ready (fixture->client, event.watch, event.ready);
+}
+
+static void
+run_once (fixture_t *fixture)
+{
+  handle_event (fixture);
   backend_http_tick (fixture->client, clock_monotonic ());
 }
 
-/* A request with ID, to its end.  */
 static void
-call (fixture_t *fixture, const char *id, bool needs_new_connection)
+start_call (fixture_t *fixture, const char *id, bool needs_new_connection)
 {
   g_autofree char *header = g_strdup_printf ("Request-Id: %s", id);
-  size_t n = fixture->n_ended + 1;
   const backend_request_t request
       = { .address = fixture->address,
           .boot = 7,
@@ -268,6 +291,14 @@
           .timeout = CALL_TIMEOUT,
           .connect_timeout = CALL_TIMEOUT };
   backend_http_call (fixture->client, &request);
+}
+
+/* A request with ID, to its end.  */
+static void
+call (fixture_t *fixture, const char *id, bool needs_new_connection)
+{
+  size_t n = fixture->n_ended + 1;
+  start_call (fixture, id, needs_new_connection);
   while (fixture->n_ended < n)
     run_once (fixture);
 }
@@ -456,6 +487,32 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a response that is taken for bytes on an idle connection:
+   libcurl may give a connection to the next request before it tells that the
+   one before has ended.  With a large response that needs several turns, this
+   depends on how far it has come when the next request begins.  */
+static void
+test_handed_on_at_once (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_NOTHING);
+  for (int i = 0; i < HAND_ON_ROUNDS; i++)
+    {
+      size_t n = fixture.n_ended + 2;
+      start_call (&fixture, "large", false);
+      backend_http_tick (fixture.client, clock_monotonic ());
+      g_usleep (USEC_PER_MSEC);
+      for (int turn = 0; turn < i % HAND_ON_TURNS_MAX; turn++)
+        handle_event (&fixture);
+      start_call (&fixture, "id-2", false);
+      while (fixture.n_ended < n)
+        run_once (&fixture);
+    }
+  g_assert_cmpuint (fixture.n_extra, ==, 0);
+  g_assert_cmpuint (fixture.n_answered, ==, 2 * HAND_ON_ROUNDS);
+  fixture_close (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -489,5 +546,6 @@
                    test_foreign_response_bytes);
   g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
   g_test_add_func ("/backend-reuse/used-again", test_used_again_after_all);
+  g_test_add_func ("/backend-reuse/handed-on-at-once", test_handed_on_at_once);
   return g_test_run ();
 }
