fix(router): records of connections that libcurl closes unreported are forgotten

Seen: unit/test_router_response_matrix, sanitized, beside load: LeakSanitizer, 14 records of connections (backend_connections.c, add).

Cause: libcurl closes some sockets without a call of close_socket. Their records stayed in the list of unused connections for the life of the process, at most one for each descriptor number, and could be found for a later connection with the same number.

They are forgotten when their descriptor is opened again, and at the end. The program passes sanitized in 3 of 3 runs, three at a time; test_router_backend_reuse passes plain and sanitized. When libcurl does that was not traced.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -82,6 +82,30 @@
   connections->n_sockets = n;
 }
 
+/* The socket of CONNECTION was closed.  */
+static void
+forget (backend_connections_t *connections, backend_connection_t *connection)
+{
+  connections->by_socket[connection->watch.fd] = NULL;
+  list_remove (&connection->hidden_link);
+  list_remove (&connection->retired_link);
+  list_remove (&connection->link);
+  list_push_back (&connections->closed, &connection->link);
+}
+
+/* If the socket FD was in use before, libcurl has closed it without a call of
+   close_socket.  */
+static void
+forget_unreported (backend_connections_t *connections, int fd)
+{
+  backend_connection_t *connection = find_by_socket (connections, fd);
+  if (!connection)
+    return;
+  if (connection->user)
+    *connection->user = (connection_user_t){ 0 };
+  forget (connections, connection);
+}
+
 static backend_connection_t *
 add (backend_connections_t *connections, int fd)
 {
@@ -94,6 +118,7 @@
   connection->is_counted = true;
   list_init (&connection->hidden_link);
   list_init (&connection->retired_link);
+  forget_unreported (connections, fd);
   list_push_back (&connections->unused, &connection->link);
   grow (connections, (size_t)fd + 1);
   connections->by_socket[fd] = connection;
@@ -157,14 +182,10 @@
   if (connection)
     {
       stop_watching (connections, connection);
-      connections->by_socket[fd] = NULL;
       if (connection->user)
         *connection->user
             = (connection_user_t){ .n_unread = unread_bytes (connection) };
-      list_remove (&connection->hidden_link);
-      list_remove (&connection->retired_link);
-      list_remove (&connection->link);
-      list_push_back (&connections->closed, &connection->link);
+      forget (connections, connection);
     }
   return close (fd);
 }
@@ -536,6 +557,9 @@
 void
 backend_connections_free (backend_connections_t *connections)
 {
+  for (size_t fd = 0; fd < connections->n_sockets; fd++)
+    if (connections->by_socket[fd])
+      forget (connections, connections->by_socket[fd]);
   backend_connections_sweep (connections);
   free (connections->by_socket);
   free (connections);
