feat(fleet,router,director): logs tell what the crashes of a request add up to

Needed to tell the hypotheses of docs/incidents/report-repeated-crash.md apart: request_suspected tells the crashes known, confirmed, counted and dropped; request_cleared, crash_unconfirmed and suspect_changed are new. No decision changes.

--- a/src/director/core_crashes.c
+++ b/src/director/core_crashes.c
@@ -19,12 +19,35 @@
              LOG_U ("suspects", core->crashes.n_suspects));
 }
 
+/* Log what is known of the requests that have changed after the change AFTER
+   and were running at more than one crash, or at none any more.  */
+static void
+log_changes (const director_core_t *core, uint64_t after)
+{
+  for (size_t i = 0; i < core->crashes.n_suspects; i++)
+    {
+      const suspect_t *suspect = &core->crashes.suspects[i];
+      if (suspect->changed <= after || suspect->n_crashes == 1)
+        continue;
+      char text[FINGERPRINT_TEXT_BYTES];
+      fingerprint_format (suspect->fingerprint, text);
+      LOG_EVENT (LOG_LEVEL_INFO, "suspect_changed",
+                 LOG_S ("fingerprint", text),
+                 LOG_U ("known", suspect->n_crashes),
+                 LOG_U ("counted", suspect_count (suspect, false)),
+                 LOG_U ("dropped", suspect->n_dropped));
+    }
+}
+
 void
 core_crashes_merge (director_core_t *core, const fleet_suspect_t *suspects,
                     size_t n, usec_t sent_at, usec_t now)
 {
-  if (n > 0 && crash_wire_merge (&core->crashes, suspects, n, sent_at, now))
-    update_quarantine (core);
+  uint64_t before = core->crashes.sequence;
+  if (n == 0 || !crash_wire_merge (&core->crashes, suspects, n, sent_at, now))
+    return;
+  log_changes (core, before);
+  update_quarantine (core);
 }
 
 void
--- a/src/fleet/crash_table.c
+++ b/src/fleet/crash_table.c
@@ -109,7 +109,10 @@
 insert_crash (suspect_t *suspect, const crash_t *crash)
 {
   if (suspect->n_crashes == CRASHES_PER_SUSPECT_MAX)
-    remove_crash (suspect, 0);
+    {
+      remove_crash (suspect, 0);
+      suspect->n_dropped++;
+    }
   size_t at = suspect->n_crashes++;
   for (; at > 0 && suspect->crashes[at - 1].ended_at > crash->ended_at; at--)
     suspect->crashes[at] = suspect->crashes[at - 1];
@@ -222,18 +225,23 @@
   return suspect->n_crashes == 0 && !was_completed && !was_released;
 }
 
-void
+size_t
 crash_table_expire (crash_table_t *table, usec_t now)
 {
+  size_t n_unconfirmed = 0;
   for (size_t i = table->n_suspects; i-- > 0;)
     {
       suspect_t *suspect = &table->suspects[i];
       for (size_t j = suspect->n_crashes; j-- > 0;)
         if (is_expired (&suspect->crashes[j], now))
-          remove_crash (suspect, j);
+          {
+            n_unconfirmed += !suspect->crashes[j].is_confirmed;
+            remove_crash (suspect, j);
+          }
       if (is_forgotten (suspect, now))
         remove_suspect (table, i);
     }
+  return n_unconfirmed;
 }
 
 size_t
@@ -253,6 +261,15 @@
   return n;
 }
 
+size_t
+suspect_n_confirmed (const suspect_t *suspect)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < suspect->n_crashes; i++)
+    n += suspect->crashes[i].is_confirmed;
+  return n;
+}
+
 bool
 suspect_is_quarantined (const suspect_t *suspect)
 {
--- a/src/fleet/crash_table.h
+++ b/src/fleet/crash_table.h
@@ -57,8 +57,9 @@
   usec_t released_at;  /* of an operator's last release; 0: none */
   size_t n_crashes;
   crash_t crashes[CRASHES_PER_SUSPECT_MAX]; /* by ended_at */
-  uint64_t changed; /* value of the table's `sequence` at the last change of
-                       what other VMs have to learn */
+  uint64_t n_dropped; /* crashes for which there was no room */
+  uint64_t changed;   /* value of the table's `sequence` at the last change of
+                         what other VMs have to learn */
 } suspect_t;
 
 /* All zero at first.  */
@@ -91,8 +92,9 @@
 bool crash_table_release (crash_table_t *table, fingerprint_t fingerprint,
                           usec_t at);
 
-/* Drop the crashes that are too old to count, and suspects without any.  */
-void crash_table_expire (crash_table_t *table, usec_t now);
+/* Drop the crashes that are too old to count, and suspects without any.
+   Returns how many of these crashes were never confirmed.  */
+size_t crash_table_expire (crash_table_t *table, usec_t now);
 
 /* NULL if there is none.  Valid until the table changes.  */
 const suspect_t *crash_table_find (const crash_table_t *table,
@@ -102,6 +104,9 @@
    answer, with the unconfirmed ones if WITH_UNCONFIRMED is true.  */
 size_t suspect_count (const suspect_t *suspect, bool with_unconfirmed);
 
+/* The number of SUSPECT's crashes that are confirmed.  */
+size_t suspect_n_confirmed (const suspect_t *suspect);
+
 bool suspect_is_quarantined (const suspect_t *suspect);
 
 /* Write the quarantined fingerprints, sorted, to OUT.  Returns how many.  */
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -133,11 +133,41 @@
                           .sent_at = exchange->sent_at,
                           .ended_at = now };
   crash_table_add (&dispatcher->crashes, fingerprint, &crash, now);
+  const suspect_t none = { 0 };
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, fingerprint);
+  if (!suspect)
+    suspect = &none;
   fingerprint_format (fingerprint, text);
   LOG_EVENT (LOG_LEVEL_INFO, "request_suspected", LOG_S ("id", exchange->id),
              LOG_S ("fingerprint", text),
-             LOG_S ("backend", backend->record.id),
-             LOG_U ("boot", crash.boot));
+             LOG_S ("backend", backend->record.id), LOG_U ("boot", crash.boot),
+             LOG_U ("known", suspect->n_crashes),
+             LOG_U ("confirmed", suspect_n_confirmed (suspect)),
+             LOG_U ("counted", suspect_count (suspect, false)),
+             LOG_U ("dropped", suspect->n_dropped));
+}
+
+/* RESPONSE to EXCHANGE shows that its request need not end a backend server:
+   discard its crashes.  */
+static void
+clear_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
+               const backend_response_t *response, usec_t now)
+{
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, fingerprint);
+  size_t n_known = suspect ? suspect->n_crashes : 0;
+  bool changed = crash_table_complete (&dispatcher->crashes, fingerprint, now,
+                                       is_listed (dispatcher, fingerprint));
+  if (!changed || n_known == 0)
+    return;
+  char text[FINGERPRINT_TEXT_BYTES];
+  fingerprint_format (fingerprint, text);
+  LOG_EVENT (LOG_LEVEL_INFO, "request_cleared", LOG_S ("id", exchange->id),
+             LOG_S ("fingerprint", text),
+             LOG_S ("backend", exchange->backend->record.id),
+             LOG_U ("status", response->status), LOG_U ("known", n_known));
 }
 
 /* Ask BACKEND for its health, to learn whether it has ended.  */
@@ -167,11 +197,8 @@
     confirm_end (dispatcher, backend_record_boot (&backend->record),
                  "unreachable");
   bool has_run = result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR;
-  if (!has_run || !knows_suspects (dispatcher))
-    return;
-  fingerprint_t fingerprint = fingerprint_of (exchange);
-  crash_table_complete (&dispatcher->crashes, fingerprint, now,
-                        is_listed (dispatcher, fingerprint));
+  if (has_run && knows_suspects (dispatcher))
+    clear_suspect (dispatcher, exchange, response, now);
 }
 
 void
@@ -246,5 +273,8 @@
       || now < dispatcher->next_crash_expiry_at)
     return;
   dispatcher->next_crash_expiry_at = now + CRASH_EXPIRY_INTERVAL;
-  crash_table_expire (&dispatcher->crashes, now);
+  size_t n_unconfirmed = crash_table_expire (&dispatcher->crashes, now);
+  if (n_unconfirmed > 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "crash_unconfirmed",
+               LOG_U ("crashes", n_unconfirmed));
 }
