fix(fleet): crashes of runs that overlap count towards the quarantine

Callers sent a request that ends its backend servers again and again, and it was passed on for as long as its runs overlapped; each time the requests of others that ran there were cut off.

Cause: a crash counted only if its run was sent after the crash before it, and of a request's crashes the last eight were kept. Where more than eight ends fall into two runs, three in a row are never in the table together: the logs showed known=8 counted=1 or 2 dropped=45 while servers went on ending, and a count of 3 fell back to 2. Ruled out in these runs: ends that were not confirmed (confirmed followed known), ends that were cleared (no request_cleared for this request), reports that did not arrive (the directors knew as many as the routers).

Now crashes also count as separate if half a second lies between them; the oldest four and the newest 28 are kept, which two VMs agree on in whatever order they learn of them; and many crashes at two times are enough. So that this refuses no request that was merely there, a request which was answered shortly before needs more, and a crash is held against one request only.

Its stand-in closes the connections of a server that ends, as a real one does; before, they stayed open, and a retry on one of them passed for a second crash.

--- a/src/director/core_crashes.c
+++ b/src/director/core_crashes.c
@@ -1,6 +1,7 @@
 #include "director/core_internal.h"
 
 #include "base/log.h"
+#include "fleet/crash_evidence.h"
 
 /* Recompute the quarantined requests; log them if they changed.  */
 static void
--- a/src/fleet/crash_table.c
+++ b/src/fleet/crash_table.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "base/number.h"
+#include "fleet/crash_evidence.h"
 
 /* Other VMs report a complete answer with a time that is off by the delay of
    the message.  Differences up to this are no news, so that a report does not
@@ -59,18 +60,34 @@
   suspect_t suspect = table->suspects[at];
   remove_suspect (table, at);
   suspect.changed = ++table->sequence;
+  table->is_judged = false;
   table->suspects[table->n_suspects] = suspect;
   return &table->suspects[table->n_suspects++];
 }
 
+/* Bring is_quarantined of all suspects up to date.  */
+static void
+judge (crash_table_t *table)
+{
+  if (table->is_judged)
+    return;
+  crash_evidence_judge (table->suspects, table->n_suspects);
+  table->is_judged = true;
+}
+
 static void
 make_room (crash_table_t *table)
 {
   size_t at = 0;
-  while (at < table->n_suspects
-         && suspect_is_quarantined (&table->suspects[at]))
+  judge (table);
+  while (at < table->n_suspects && table->suspects[at].is_quarantined)
     at++;
-  remove_suspect (table, at < table->n_suspects ? at : 0);
+  if (at == table->n_suspects)
+    {
+      at = 0;
+      table->is_judged = false;
+    }
+  remove_suspect (table, at);
 }
 
 /* The position of the suspect with FINGERPRINT, which is added if needed.  */
@@ -104,19 +121,28 @@
            (suspect->n_crashes - at) * sizeof suspect->crashes[0]);
 }
 
-/* Insert CRASH by the time of its end; the oldest makes room.  */
-static void
+/* Insert CRASH by the time of its end.  Returns false if there is no room for
+   it between the oldest and the newest.  */
+static bool
 insert_crash (suspect_t *suspect, const crash_t *crash)
 {
+  size_t at = suspect->n_crashes;
+  while (at > 0 && suspect->crashes[at - 1].ended_at > crash->ended_at)
+    at--;
   if (suspect->n_crashes == CRASHES_PER_SUSPECT_MAX)
     {
-      remove_crash (suspect, 0);
       suspect->n_dropped++;
+      if (at == OLDEST_CRASHES_KEPT)
+        return false;
+      remove_crash (suspect, at < OLDEST_CRASHES_KEPT ? OLDEST_CRASHES_KEPT - 1
+                                                      : OLDEST_CRASHES_KEPT);
+      at -= at > OLDEST_CRASHES_KEPT;
     }
-  size_t at = suspect->n_crashes++;
-  for (; at > 0 && suspect->crashes[at - 1].ended_at > crash->ended_at; at--)
-    suspect->crashes[at] = suspect->crashes[at - 1];
+  memmove (&suspect->crashes[at + 1], &suspect->crashes[at],
+           (suspect->n_crashes - at) * sizeof suspect->crashes[0]);
   suspect->crashes[at] = *crash;
+  suspect->n_crashes++;
+  return true;
 }
 
 bool
@@ -132,9 +158,8 @@
     return false;
   if (known)
     known->is_confirmed = true;
-  else if (crash->ended_at > suspect->completed_at)
-    insert_crash (suspect, crash);
-  else
+  else if (crash->ended_at <= suspect->completed_at
+           || !insert_crash (suspect, crash))
     return false;
   if (crash->is_confirmed)
     mark_changed (table, at);
@@ -236,6 +261,7 @@
         if (is_expired (&suspect->crashes[j], now))
           {
             n_unconfirmed += !suspect->crashes[j].is_confirmed;
+            table->is_judged = false;
             remove_crash (suspect, j);
           }
       if (is_forgotten (suspect, now))
@@ -244,45 +270,22 @@
   return n_unconfirmed;
 }
 
-size_t
-suspect_count (const suspect_t *suspect, bool with_unconfirmed)
-{
-  size_t n = 0;
-  usec_t last_ended_at = INT64_MIN;
-  for (size_t i = 0; i < suspect->n_crashes; i++)
-    {
-      const crash_t *crash = &suspect->crashes[i];
-      if (crash->sent_at < last_ended_at
-          || !(crash->is_confirmed || with_unconfirmed))
-        continue;
-      last_ended_at = crash->ended_at;
-      n++;
-    }
-  return n;
-}
-
-size_t
-suspect_n_confirmed (const suspect_t *suspect)
-{
-  size_t n = 0;
-  for (size_t i = 0; i < suspect->n_crashes; i++)
-    n += suspect->crashes[i].is_confirmed;
-  return n;
-}
-
 bool
-suspect_is_quarantined (const suspect_t *suspect)
+crash_table_is_quarantined (crash_table_t *table, fingerprint_t fingerprint)
 {
-  return suspect_count (suspect, false) >= CRASHES_UNTIL_QUARANTINE;
+  judge (table);
+  const suspect_t *suspect = crash_table_find (table, fingerprint);
+  return suspect && suspect->is_quarantined;
 }
 
 size_t
-crash_table_quarantined (const crash_table_t *table,
+crash_table_quarantined (crash_table_t *table,
                          fingerprint_t out[QUARANTINED_MAX])
 {
   size_t n = 0;
+  judge (table);
   for (size_t i = 0; i < table->n_suspects && n < QUARANTINED_MAX; i++)
-    if (suspect_is_quarantined (&table->suspects[i]))
+    if (table->suspects[i].is_quarantined)
       out[n++] = table->suspects[i].fingerprint;
   qsort (out, n, sizeof out[0], compare_fingerprints);
   return n;
--- a/src/fleet/crash_table.h
+++ b/src/fleet/crash_table.h
@@ -7,30 +7,24 @@
    are quarantined.
 
    Many requests are cut off when one backend server ends, and all but one of
-   them are innocent.  A request is quarantined only if it was running at
-   CRASHES_UNTIL_QUARANTINE crashes one after the other: each run was sent
-   after the crash before it.  Crashes at about the same time, such as those of
-   a whole rack, count as one.  A complete answer discards all earlier crashes
-   of the request, as does an operator's release.  After CRASH_LIFETIME a crash
-   no longer counts, so that the request is tried again when the backend
-   servers may have been mended.
+   them are innocent; crash_evidence tells them apart.  A complete answer
+   discards all earlier crashes of the request, as does an operator's release.
+   After CRASH_LIFETIME a crash no longer counts, so that the request is tried
+   again when the backend servers may have been mended.
+
+   What is dropped for want of room: of a request's crashes those between the
+   oldest and the newest (see crash_defs), counted in n_dropped; of the
+   requests the one that changed least recently, whose evidence begins anew.
 
    No I/O and no clock.  Times are usec of the local monotonic clock.  */
 
 #ifndef FLEET_CRASH_TABLE_H
 #define FLEET_CRASH_TABLE_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include "base/time_defs.h"
-#include "ledger/ledger_defs.h"
+#include "fleet/crash_defs.h"
 
 enum
 {
-  CRASHES_UNTIL_QUARANTINE = 3,
-  CRASHES_PER_SUSPECT_MAX = 8,
   SUSPECTS_MAX = 512,
   QUARANTINED_MAX = 256,
   FINGERPRINT_TEXT_BYTES = 33, /* with the NUL */
@@ -40,32 +34,11 @@
 /* The list of backend servers shows within this time that one has ended.  */
 #define UNCONFIRMED_CRASH_LIFETIME (10 * USEC_PER_SEC)
 
-/* One run of a request that ended without a complete answer.  */
-typedef struct crash
-{
-  uint64_t boot; /* backend_record_boot of the backend server */
-  usec_t sent_at;
-  usec_t ended_at;
-  bool is_confirmed; /* the backend server has ended, not only the
-                        connection */
-} crash_t;
-
-typedef struct suspect
-{
-  fingerprint_t fingerprint;
-  usec_t completed_at; /* of the last complete answer or release; 0: none */
-  usec_t released_at;  /* of an operator's last release; 0: none */
-  size_t n_crashes;
-  crash_t crashes[CRASHES_PER_SUSPECT_MAX]; /* by ended_at */
-  uint64_t n_dropped; /* crashes for which there was no room */
-  uint64_t changed;   /* value of the table's `sequence` at the last change of
-                         what other VMs have to learn */
-} suspect_t;
-
 /* All zero at first.  */
 typedef struct crash_table
 {
   uint64_t sequence; /* of changes */
+  bool is_judged;    /* is_quarantined of all suspects is up to date */
   size_t n_suspects;
   suspect_t suspects[SUSPECTS_MAX]; /* least recently changed first */
 } crash_table_t;
@@ -100,17 +73,13 @@
 const suspect_t *crash_table_find (const crash_table_t *table,
                                    fingerprint_t fingerprint);
 
-/* The number of SUSPECT's crashes one after the other since the last complete
-   answer, with the unconfirmed ones if WITH_UNCONFIRMED is true.  */
-size_t suspect_count (const suspect_t *suspect, bool with_unconfirmed);
-
-/* The number of SUSPECT's crashes that are confirmed.  */
-size_t suspect_n_confirmed (const suspect_t *suspect);
-
-bool suspect_is_quarantined (const suspect_t *suspect);
+/* Whether the crashes of the request with FINGERPRINT show that it ends
+   backend servers.  */
+bool crash_table_is_quarantined (crash_table_t *table,
+                                 fingerprint_t fingerprint);
 
 /* Write the quarantined fingerprints, sorted, to OUT.  Returns how many.  */
-size_t crash_table_quarantined (const crash_table_t *table,
+size_t crash_table_quarantined (crash_table_t *table,
                                 fingerprint_t out[QUARANTINED_MAX]);
 
 /* Whether the N fingerprints of SORTED contain FINGERPRINT.  */
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -5,11 +5,19 @@
 
 #include "base/log.h"
 #include "fleet/backend_list.h"
+#include "fleet/crash_evidence.h"
 
 /* A quarantine lasts much longer; a caller that is told less would come again
    in vain.  */
 #define QUARANTINE_RETRY_AFTER (60 * USEC_PER_SEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
+enum
+{
+  /* Separate ones, until a request that was cut off is not sent to a further
+     backend server.  */
+  CRASHES_UNTIL_NO_RETRY = 2,
+};
+
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
 
@@ -55,26 +63,23 @@
 }
 
 bool
-dispatcher_is_quarantined (const dispatcher_t *dispatcher,
-                           exchange_t *exchange)
+dispatcher_is_quarantined (dispatcher_t *dispatcher, exchange_t *exchange)
 {
   if (!knows_suspects (dispatcher))
     return false;
   fingerprint_t fingerprint = fingerprint_of (exchange);
-  const suspect_t *suspect
-      = crash_table_find (&dispatcher->crashes, fingerprint);
   return is_listed (dispatcher, fingerprint)
-         || (suspect && suspect_is_quarantined (suspect));
+         || crash_table_is_quarantined (&dispatcher->crashes, fingerprint);
 }
 
 bool
-dispatcher_may_be_poison (const dispatcher_t *dispatcher, exchange_t *exchange)
+dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange)
 {
   if (!knows_suspects (dispatcher))
     return false;
   const suspect_t *suspect
       = crash_table_find (&dispatcher->crashes, fingerprint_of (exchange));
-  return (suspect && suspect_count (suspect, true) >= CRASHES_UNTIL_QUARANTINE)
+  return (suspect && suspect_count (suspect, true) >= CRASHES_UNTIL_NO_RETRY)
          || dispatcher_is_quarantined (dispatcher, exchange);
 }
 
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -98,11 +98,11 @@
 /* dispatcher_crashes.c */
 /* Whether requests like EXCHANGE's have crashed so many backend servers that
    it must not be sent to another.  */
-bool dispatcher_is_quarantined (const dispatcher_t *dispatcher,
+bool dispatcher_is_quarantined (dispatcher_t *dispatcher,
                                 exchange_t *exchange);
-/* The same, with crashes counted that are not confirmed yet.  */
-bool dispatcher_may_be_poison (const dispatcher_t *dispatcher,
-                               exchange_t *exchange);
+/* Whether EXCHANGE, which was cut off by a crash, must not be sent to a
+   further backend server, because requests like it were cut off before.  */
+bool dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange);
 /* Finish EXCHANGE, which is quarantined.  */
 void dispatcher_refuse_quarantined (dispatcher_t *dispatcher,
                                     exchange_t *exchange);
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -15,11 +15,12 @@
    "lost" runs, and its connection ends without an answer; one that ends in
    "other" is answered as if it were another request; one that ends in "crash"
    ends the backend server, with all that runs there, which starts again after
-   DOWN_USEC under another id.  A backend server that FOLDER/leaving names says
-   in all its answers that it leaves; one that FOLDER/resting names refuses all
-   requests, and wants a rest of REST_SECONDS. A request that reaches a backend
-   server is appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is
-   "run" or "refused".  */
+   DOWN_USEC under another id, and one that ends in "crash-N" does so after N
+   msec; each such end is appended to FOLDER/ends as "ID BACKEND MSEC -".  A
+   backend server that FOLDER/leaving names says in all its answers that it
+   leaves; one that FOLDER/resting names refuses all requests, and wants a rest
+   of REST_SECONDS. A request that reaches a backend server is appended to
+   FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or "refused".  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -41,12 +42,14 @@
   SLOTS = 4,
   TEXT_BYTES = 8192,
   MSEC_PER_SEC = 1000,
+  USEC_PER_MSEC = 1000,
   NSEC_PER_MSEC = 1000 * 1000,
   SLOW_USEC = 500 * 1000,
   LONG_USEC = 1200 * 1000,
   LARGE_BYTES = 3 * 1024 * 1024,
   HELD_STEP_USEC = 10 * 1000,
   HELD_STEPS_MAX = 2000,
+  RUN_STEP_USEC = 5 * 1000,
   DOWN_USEC = 1000 * 1000,
 };
 
@@ -175,19 +178,21 @@
 
 static void start_backend (fake_backend_t *backend);
 
-/* Waits until a backend server that crashed is due to start again.  */
+/* Closes the connections of a backend server that crashed, and waits until it
+   is due to start again.  */
 static void *
 restart_backend (void *closure)
 {
+  fake_backend_t *backend = closure;
+  MHD_stop_daemon (backend->daemon);
   usleep (DOWN_USEC);
-  start_backend (closure);
+  start_backend (backend);
   return NULL;
 }
 
-/* The port refuses connections from now on; see is_boot for those that are
-   open.  */
+/* The port refuses connections from now on, and the open ones are closed.  */
 static void
-crash_backend (fake_backend_t *backend)
+crash_backend (fake_backend_t *backend, const char *request)
 {
   pthread_t thread;
   pthread_mutex_lock (&fake.lock);
@@ -196,6 +201,7 @@
   pthread_mutex_unlock (&fake.lock);
   if (was_down)
     return;
+  note ("ends", request, backend->id, NULL);
   close (MHD_quiesce_daemon (backend->daemon));
   if (pthread_create (&thread, NULL, restart_backend, backend) != 0)
     abort ();
@@ -212,6 +218,15 @@
   return is_same;
 }
 
+/* Run a request for USEC, or until BACKEND ends.  */
+static void
+run_for (const fake_backend_t *backend, unsigned int boot, unsigned long usec)
+{
+  for (unsigned long ran = 0; ran < usec && is_boot (backend, boot);
+       ran += RUN_STEP_USEC)
+    usleep (RUN_STEP_USEC);
+}
+
 static enum MHD_Result
 serve_backend (void *closure, struct MHD_Connection *connection,
                const char *url, const char *method, const char *version,
@@ -253,11 +268,19 @@
   if (ends_with (url, "lost"))
     return MHD_NO;
   if (ends_with (url, "crash"))
-    crash_backend (backend);
+    crash_backend (backend, id);
+  const char *delay = strstr (url, "crash-");
+  if (delay)
+    {
+      run_for (backend, boot,
+               strtoul (delay + strlen ("crash-"), NULL, 10) * USEC_PER_MSEC);
+      if (is_boot (backend, boot))
+        crash_backend (backend, id);
+    }
   if (ends_with (url, "slow"))
-    usleep (SLOW_USEC);
+    run_for (backend, boot, SLOW_USEC);
   if (ends_with (url, "long"))
-    usleep (LONG_USEC);
+    run_for (backend, boot, LONG_USEC);
   if (ends_with (url, "held"))
     wait_for_release ();
   if (!is_boot (backend, boot))
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -5,11 +5,17 @@
 #include <glib.h>
 
 #include "fleet/backend_list.h"
+#include "fleet/crash_evidence.h"
 #include "fleet/crash_table.h"
 #include "fleet/crash_wire.h"
 
 #define SEC USEC_PER_SEC
 
+enum
+{
+  SEPARATE_CRASHES = 3, /* of a request that was never answered */
+};
+
 static const fingerprint_t poison = { .low = 1, .high = 7 };
 static const fingerprint_t innocent = { .low = 2, .high = 7 };
 
@@ -33,17 +39,16 @@
 }
 
 static bool
-is_quarantined (const crash_table_t *table, fingerprint_t fingerprint)
+is_quarantined (crash_table_t *table, fingerprint_t fingerprint)
 {
-  const suspect_t *suspect = crash_table_find (table, fingerprint);
-  return suspect && suspect_is_quarantined (suspect);
+  return crash_table_is_quarantined (table, fingerprint);
 }
 
 static void
 test_one_after_the_other (void)
 {
   crash_table_t table = { 0 };
-  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
     {
       g_assert_false (is_quarantined (&table, poison));
       g_assert_true (
@@ -268,18 +273,18 @@
 test_released (void)
 {
   crash_table_t table = { 0 };
-  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
     add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
   g_assert_true (is_quarantined (&table, poison));
   g_assert_true (crash_table_release (&table, poison, 20 * SEC));
   g_assert_false (crash_table_release (&table, poison, 20 * SEC));
   g_assert_false (is_quarantined (&table, poison));
   crash_table_expire (&table, 10 * SEC + CRASH_LIFETIME);
-  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
     g_assert_false (
         add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1));
   g_assert_false (is_quarantined (&table, poison));
-  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
     add (&table, poison, 20u + i, (30 + i) * SEC, (30 + i) * SEC + 1);
   g_assert_true (is_quarantined (&table, poison));
   crash_table_expire (&table, 40 * SEC + CRASH_LIFETIME);
@@ -294,7 +299,7 @@
   crash_table_t from = { 0 };
   crash_table_t to = { 0 };
   static crash_report_t report;
-  for (int i = 0; i < CRASHES_UNTIL_QUARANTINE; i++)
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
     {
       add (&from, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
       add (&to, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
