fix(router): a backend server's timeout does not clear a request that ends servers

Callers saw backend servers end one after the other although the quarantine would have counted enough ends: whenever one of the servers reached the deadline first and answered 504, all that was known of the request was discarded, at the router and, by its report, at all directors.

Cause: any complete answer counted as a run to the end. A server that answers 504 or 408 has stopped the run before its end. The logs of a run on the code before show request_cleared for this request; ruled out by them: dropped crashes (dropped=0) and unconfirmed ones.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -2,7 +2,9 @@
 
 enum
 {
+  STATUS_REQUEST_TIMEOUT = 408,
   STATUS_MISDIRECTED = 421, /* Misdirected Request */
+  STATUS_GATEWAY_TIMEOUT = 504,
   STATUS_SERVER_ERROR_MIN = 500,
 };
 
@@ -55,3 +57,13 @@
   backend_result_t result = answer_classify (facts);
   return result != BACKEND_REFUSED && result != BACKEND_MISDIRECTED;
 }
+
+bool
+answer_shows_complete_run (const answer_facts_t *facts)
+{
+  backend_result_t result = answer_classify (facts);
+  bool is_timeout = facts->status == STATUS_REQUEST_TIMEOUT
+                    || facts->status == STATUS_GATEWAY_TIMEOUT;
+  return !is_timeout
+         && (result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR);
+}
--- a/src/balance/answer_class.h
+++ b/src/balance/answer_class.h
@@ -32,4 +32,8 @@
    idempotent.  */
 bool answer_may_have_run (const answer_facts_t *facts);
 
+/* Returns whether the answer shows that the request ran to its end.  A backend
+   server that answers with a timeout has stopped the run before that.  */
+bool answer_shows_complete_run (const answer_facts_t *facts);
+
 #endif
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -188,7 +188,7 @@
 
 void
 dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
-                           backend_result_t result,
+                           bool is_complete_run,
                            const backend_response_t *response, usec_t now)
 {
   backend_t *backend = exchange->backend;
@@ -201,8 +201,7 @@
   if (response->is_unreachable)
     confirm_end (dispatcher, backend_record_boot (&backend->record),
                  "unreachable");
-  bool has_run = result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR;
-  if (has_run && knows_suspects (dispatcher))
+  if (is_complete_run && knows_suspects (dispatcher))
     clear_suspect (dispatcher, exchange, response, now);
 }
 
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -106,10 +106,10 @@
 /* Finish EXCHANGE, which is quarantined.  */
 void dispatcher_refuse_quarantined (dispatcher_t *dispatcher,
                                     exchange_t *exchange);
-/* Record what RESPONSE, of class RESULT, shows of EXCHANGE's request and of
-   its backend server.  */
+/* Record what RESPONSE shows of EXCHANGE's request, which ran to its end if
+   IS_COMPLETE_RUN is true, and of its backend server.  */
 void dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
-                                backend_result_t result,
+                                bool is_complete_run,
                                 const backend_response_t *response,
                                 usec_t now);
 /* Record what RESPONSE to a health check shows of BACKEND.  */
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -143,7 +143,8 @@
   if (result == BACKEND_ANSWERED && exchange->slot_was_free)
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
-  dispatcher_crash_evidence (dispatcher, exchange, result, response, now);
+  dispatcher_crash_evidence (
+      dispatcher, exchange, answer_shows_complete_run (&facts), response, now);
   if (result == BACKEND_OTHER_ANSWER)
     dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -16,7 +16,8 @@
    "other" is answered as if it were another request; one that ends in "crash"
    ends the backend server, with all that runs there, which starts again after
    DOWN_USEC under another id, and one that ends in "crash-N" does so after N
-   msec; each such end is appended to FOLDER/ends as "ID BACKEND MSEC -".  A
+   msec; each such end is appended to FOLDER/ends as "ID BACKEND MSEC -". Where
+   "-504" follows, each second one is answered 504 instead, as at a deadline. A
    backend server that FOLDER/leaving names says in all its answers that it
    leaves; one that FOLDER/resting names refuses all requests, and wants a rest
    of REST_SECONDS. A request that reaches a backend server is appended to
@@ -26,6 +27,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -274,6 +276,10 @@
     {
       run_for (backend, boot,
                strtoul (delay + strlen ("crash-"), NULL, 10) * USEC_PER_MSEC);
+      static atomic_uint n_runs;
+      if (ends_with (url, "-504") && atomic_fetch_add (&n_runs, 1) % 2 == 1)
+        return answer (connection, MHD_HTTP_GATEWAY_TIMEOUT, "", id,
+                       backend->id);
       if (is_boot (backend, boot))
         crash_backend (backend, id);
     }
--- a/test/functional/test_fleet_crash_overlap.sh
+++ b/test/functional/test_fleet_crash_overlap.sh
@@ -33,7 +33,8 @@
   done
 }
 
-# case NAME CLIENTS GAP DELAY SECONDS: the request ends each of its servers after DELAY ms.
+# try NAME CLIENTS GAP DELAY SECONDS: the request ends each of its servers after DELAY ms; with
+# DELAY-504, each second one answers 504 then.
 try() {
   local name=$1 i clients=() crashes late
   for i in $(seq 1 "$2"); do client "$name-crash-$i" "/x/$name/crash-$4" "$3" "$5" & clients+=($!); done
@@ -57,5 +58,6 @@
 try few 3 1 1400 12
 try many 12 0.1 1400 10
 try late 12 0.1 3000 14
+try timed 3 0.3 300-504 10
 [ -z "$FAULTS" ] || fail "$FAULTS"
 echo 'good: a request that ends its backend servers, sent by many at once'
--- a/test/unit/test_balance_answer_class.c
+++ b/test/unit/test_balance_answer_class.c
@@ -97,6 +97,28 @@
   g_assert_false (answer_may_have_run (&facts));
 }
 
+/* Guards against a request that ends its backend servers and is taken for
+   harmless because one of them stopped it in time.  */
+static void
+test_complete_run (void)
+{
+  answer_facts_t facts = good_answer ();
+  g_assert_true (answer_shows_complete_run (&facts));
+  facts.status = 500;
+  g_assert_true (answer_shows_complete_run (&facts));
+  facts.status = 504;
+  g_assert_false (answer_shows_complete_run (&facts));
+  facts.status = 408;
+  g_assert_false (answer_shows_complete_run (&facts));
+  facts.status = 404;
+  g_assert_true (answer_shows_complete_run (&facts));
+  facts.not_started = true;
+  g_assert_false (answer_shows_complete_run (&facts));
+  facts = good_answer ();
+  facts.id_matches = false;
+  g_assert_false (answer_shows_complete_run (&facts));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -110,5 +132,6 @@
   g_test_add_func ("/answer-class/untrusted", test_untrusted_success);
   g_test_add_func ("/answer-class/incomplete", test_incomplete_answer);
   g_test_add_func ("/answer-class/not-sent", test_request_not_sent);
+  g_test_add_func ("/answer-class/complete-run", test_complete_run);
   return g_test_run ();
 }
