feat(router): a request that was answered shortly before its crashes needs more evidence

crash_evidence asks for six crashes at three times of a request that had a complete answer before; routers knew that only of requests that were suspects already. They now remember the last answers (fleet/recent_answers) and tell the directors with the first crash. test_fleet_recent_answers.

--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -137,6 +137,10 @@
   const crash_t crash = { .boot = backend_record_boot (&backend->record),
                           .sent_at = exchange->sent_at,
                           .ended_at = now };
+  usec_t answered_at = recent_answers_find (&dispatcher->answers, fingerprint);
+  if (answered_at > 0 && !crash_table_find (&dispatcher->crashes, fingerprint))
+    crash_table_complete (&dispatcher->crashes, fingerprint, answered_at,
+                          true);
   crash_table_add (&dispatcher->crashes, fingerprint, &crash, now);
   const suspect_t none = { 0 };
   const suspect_t *suspect
@@ -150,6 +154,7 @@
              LOG_U ("known", suspect->n_crashes),
              LOG_U ("confirmed", suspect_n_confirmed (suspect)),
              LOG_U ("counted", suspect_count (suspect, false)),
+             LOG_U ("answered_before", suspect_was_answered (suspect)),
              LOG_U ("dropped", suspect->n_dropped));
 }
 
@@ -201,7 +206,10 @@
   if (response->is_unreachable)
     confirm_end (dispatcher, backend_record_boot (&backend->record),
                  "unreachable");
-  if (is_complete_run && knows_suspects (dispatcher))
+  if (!is_complete_run)
+    return;
+  recent_answers_add (&dispatcher->answers, fingerprint_of (exchange), now);
+  if (knows_suspects (dispatcher))
     clear_suspect (dispatcher, exchange, response, now);
 }
 
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -7,6 +7,7 @@
 #include "balance/backend_stutter.h"
 #include "balance/retry_share.h"
 #include "fleet/crash_table.h"
+#include "fleet/recent_answers.h"
 #include "router/dispatcher.h"
 #include "routing/route_split.h"
 
@@ -47,6 +48,7 @@
   bool is_finishing;          /* all requests are refused */
   usec_t shutdown_started_at; /* monotonic; valid if is_shutting_down */
   crash_table_t crashes;      /* that this router has seen */
+  recent_answers_t answers;   /* that this router has seen */
   usec_t next_crash_expiry_at;
   backend_stutters_t stutters;
 };
