fix(fleet): a suspect that changes all the time is told before the others

A report holds 64 suspects, in the order of their last change, and a suspect moves to the end at each change. A request that ends one server after the other changes with each of them; while each end brings more than 64 requests that ran beside it, it was never in a report, so that no other VM learnt of it.

test_fleet_crash_table /busy fails before: after eight ends that its router knows, the director has none of them. Suspects with crashes at separate times now go first; the rest follows in the order of before, so that all are told in the end.

--- a/src/fleet/crash_wire.c
+++ b/src/fleet/crash_wire.c
@@ -1,5 +1,7 @@
 #include "fleet/crash_wire.h"
 
+#include "fleet/crash_evidence.h"
+
 _Static_assert((int)CRASHES_PER_SUSPECT_MAX == FLEET_WIRE_CRASHES_MAX
                    && (int)QUARANTINED_MAX == FLEET_WIRE_QUARANTINED_MAX,
                "the limits of crash reports differ");
@@ -29,22 +31,39 @@
   wire->crashes.crashes_val = crashes;
 }
 
+static void
+add_suspect (crash_report_t *report, const suspect_t *suspect, usec_t now)
+{
+  write_suspect (suspect, &report->suspects[report->n],
+                 report->crashes[report->n], now);
+  report->n++;
+}
+
 void
 crash_wire_write (const crash_table_t *table, uint64_t after,
                   crash_report_t *report, usec_t now)
 {
+  bool is_told[SUSPECTS_MAX] = { false };
   report->n = 0;
   report->sequence = after;
+  for (size_t i = table->n_suspects; i-- > 0;)
+    {
+      const suspect_t *suspect = &table->suspects[i];
+      if (suspect->changed <= after || report->n == URGENT_SUSPECTS_MAX)
+        break;
+      is_told[i] = suspect_count (suspect, false) > 1;
+      if (is_told[i])
+        add_suspect (report, suspect, now);
+    }
   for (size_t i = 0; i < table->n_suspects; i++)
     {
       const suspect_t *suspect = &table->suspects[i];
       if (suspect->changed <= after)
         continue;
-      if (report->n == FLEET_WIRE_SUSPECTS_MAX)
+      if (!is_told[i] && report->n == FLEET_WIRE_SUSPECTS_MAX)
         return;
-      write_suspect (suspect, &report->suspects[report->n],
-                     report->crashes[report->n], now);
-      report->n++;
+      if (!is_told[i])
+        add_suspect (report, suspect, now);
       report->sequence = suspect->changed;
     }
 }
--- a/src/fleet/crash_wire.h
+++ b/src/fleet/crash_wire.h
@@ -7,6 +7,11 @@
 #include "fleet/crash_table.h"
 #include "wire/generated/fleet.h"
 
+enum
+{
+  URGENT_SUSPECTS_MAX = FLEET_WIRE_SUSPECTS_MAX / 2,
+};
+
 /* Room for the reports of one message.  */
 typedef struct crash_report
 {
@@ -16,8 +21,11 @@
   uint64_t sequence; /* the receiver then knows TABLE's changes up to here */
 } crash_report_t;
 
-/* Fill REPORT with the changes of TABLE after the change AFTER, oldest first,
-   as many as it has room for.  Only confirmed crashes are told.  */
+/* Fill REPORT with the changes of TABLE after the change AFTER, as many as it
+   has room for: first suspects with crashes at separate times, newest first,
+   at most URGENT_SUSPECTS_MAX, because they change all the time; then all,
+   oldest first, so that under steady change each is told in the end.  Only
+   confirmed crashes are told.  */
 void crash_wire_write (const crash_table_t *table, uint64_t after,
                        crash_report_t *report, usec_t now);
 
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -233,6 +233,29 @@
   g_assert_false (tell (&a, &b, &known, 12 * SEC, 1));
 }
 
+/* Guards against a request that is told to nobody because it changes all the
+   time and each report is full of others.  */
+static void
+test_busy_suspect_is_told (void)
+{
+  static crash_table_t from;
+  static crash_table_t to;
+  uint64_t known = 0;
+  for (uint64_t boot = 1; boot <= 8; boot++)
+    {
+      usec_t at = (usec_t)boot * SEC;
+      for (uint64_t i = 0; i < 2 * FLEET_WIRE_SUSPECTS_MAX; i++)
+        add (&from, (fingerprint_t){ .low = 1000 * boot + i }, boot, at - 1,
+             at);
+      add (&from, poison, boot, at - 1, at);
+      tell (&from, &to, &known, at + 1, 0);
+    }
+  g_assert_true (is_quarantined (&to, poison));
+  for (int i = 0; i < 2 * SUSPECTS_MAX / FLEET_WIRE_SUSPECTS_MAX; i++)
+    tell (&from, &to, &known, 9 * SEC, 0);
+  g_assert_cmpuint (known, ==, from.sequence);
+}
+
 static void
 test_impossible_ages (void)
 {
@@ -344,6 +367,7 @@
   g_test_add_func ("/crash-table/digest", test_digest);
   g_test_add_func ("/crash-table/rest", test_reports_come_to_rest);
   g_test_add_func ("/crash-table/parts", test_long_report_in_parts);
+  g_test_add_func ("/crash-table/busy", test_busy_suspect_is_told);
   g_test_add_func ("/crash-table/impossible", test_impossible_ages);
   g_test_add_func ("/crash-table/boot", test_boot);
   g_test_add_func ("/crash-table/released", test_released);
