feat(router): a request cut off at separate times waits until all routers know

Where callers send a request that ends its servers all at once, each router sees one or two of the ends; what they add up to is known to all of them only after a pull, a share and a pull. Until then each passed the next attempts on.

mulberryctl explain has texts for the outcomes quarantined, under the name that routers log, held_back and resting.

--- a/src/ctl/request_trace.c
+++ b/src/ctl/request_trace.c
@@ -163,8 +163,13 @@
   { "memory",
     "the router's memory for request bodies was used up; it did not run" },
   { "stopping", "the router was stopping; it did not run" },
-  { "quarantine", "it is quarantined because it crashed backend servers "
-                  "before; it did not run" },
+  { "resting", "all backend servers wanted a rest until after its deadline; "
+               "it did not run" },
+  { "quarantined", "it is quarantined because it crashed backend servers "
+                   "before; it did not run" },
+  { "held_back",
+    "it was held back after crashes of backend servers, until all "
+    "routers knew of them; it did not run" },
   { "broke_off",
     "the backend server's answer was incomplete; it may have run" },
   { "timeout",
--- a/src/fleet/crash_evidence.c
+++ b/src/fleet/crash_evidence.c
@@ -108,6 +108,16 @@
                 < suspect->completed_at + ANSWERED_BEFORE_TIME;
 }
 
+usec_t
+suspect_held_back_until (const suspect_t *suspect)
+{
+  size_t n_needed = suspect_was_answered (suspect) ? SEPARATE_CRASHES_MIN
+                                                   : SEPARATE_OF_MANY_MIN;
+  if (suspect_count (suspect, true) < n_needed)
+    return 0;
+  return suspect->crashes[suspect->n_crashes - 1].ended_at + HOLD_BACK_TIME;
+}
+
 static bool
 is_enough (const evidence_t *evidence, bool was_answered)
 {
--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -32,6 +32,10 @@
    of the request as the backend servers run it now.  */
 #define ANSWERED_BEFORE_TIME (60 * USEC_PER_SEC)
 
+/* After a crash, all routers know within this time what each of them has seen:
+   a pull, a share between directors and a pull.  */
+#define HOLD_BACK_TIME (1500 * USEC_PER_MSEC)
+
 /* The number of SUSPECT's crashes that are separate, with the unconfirmed ones
    if WITH_UNCONFIRMED is true.  */
 size_t suspect_count (const suspect_t *suspect, bool with_unconfirmed);
@@ -39,6 +43,12 @@
 /* The number of SUSPECT's crashes that are confirmed.  */
 size_t suspect_n_confirmed (const suspect_t *suspect);
 
+/* Until when a request like SUSPECT, which was cut off at separate times, is
+   held back, so that routers and directors tell each other of its last crash
+   before it runs again; 0: it is not.  Also counts crashes that are not
+   confirmed yet.  */
+usec_t suspect_held_back_until (const suspect_t *suspect);
+
 /* Whether a complete answer came to SUSPECT shortly before its first crash. */
 bool suspect_was_answered (const suspect_t *suspect);
 
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -62,12 +62,9 @@
          || dispatcher->snapshot->n_quarantined > 0;
 }
 
-bool
-dispatcher_is_quarantined (dispatcher_t *dispatcher, exchange_t *exchange)
+static bool
+is_quarantined (dispatcher_t *dispatcher, fingerprint_t fingerprint)
 {
-  if (!knows_suspects (dispatcher))
-    return false;
-  fingerprint_t fingerprint = fingerprint_of (exchange);
   return is_listed (dispatcher, fingerprint)
          || crash_table_is_quarantined (&dispatcher->crashes, fingerprint);
 }
@@ -80,21 +77,48 @@
   const suspect_t *suspect
       = crash_table_find (&dispatcher->crashes, fingerprint_of (exchange));
   return (suspect && suspect_count (suspect, true) >= CRASHES_UNTIL_NO_RETRY)
-         || dispatcher_is_quarantined (dispatcher, exchange);
+         || is_quarantined (dispatcher, fingerprint_of (exchange));
 }
 
-void
-dispatcher_refuse_quarantined (dispatcher_t *dispatcher, exchange_t *exchange)
+/* Until when EXCHANGE is held back; 0: it is not.  */
+static usec_t
+held_back_until (const dispatcher_t *dispatcher, fingerprint_t fingerprint)
+{
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, fingerprint);
+  return suspect ? suspect_held_back_until (suspect) : 0;
+}
+
+static void
+refuse (dispatcher_t *dispatcher, exchange_t *exchange,
+        exchange_reason_t reason, usec_t retry_after)
 {
   char text[FINGERPRINT_TEXT_BYTES];
   fingerprint_format (fingerprint_of (exchange), text);
   LOG_EVENT (LOG_LEVEL_WARNING, "request_quarantined",
-             LOG_S ("id", exchange->id), LOG_S ("fingerprint", text));
+             LOG_S ("id", exchange->id), LOG_S ("fingerprint", text),
+             LOG_S ("reason", exchange_reason_name (reason)));
   if (!exchange->may_have_run)
-    exchange->retry_after = QUARANTINE_RETRY_AFTER;
+    exchange->retry_after = retry_after;
   dispatcher_finish (dispatcher, exchange,
-                     exchange->may_have_run ? REASON_BROKE_OFF
-                                            : REASON_QUARANTINED);
+                     exchange->may_have_run ? REASON_BROKE_OFF : reason);
+}
+
+bool
+dispatcher_refuse_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
+                           usec_t now)
+{
+  if (!knows_suspects (dispatcher))
+    return false;
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  usec_t until = held_back_until (dispatcher, fingerprint);
+  if (is_quarantined (dispatcher, fingerprint))
+    refuse (dispatcher, exchange, REASON_QUARANTINED, QUARANTINE_RETRY_AFTER);
+  else if (now < until)
+    refuse (dispatcher, exchange, REASON_HELD_BACK, until - now);
+  else
+    return false;
+  return true;
 }
 
 /* Whether requests like one that was running at BOOT have crashed another
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -98,16 +98,13 @@
 usec_t dispatcher_expected_run_time (const exchange_t *exchange);
 
 /* dispatcher_crashes.c */
-/* Whether requests like EXCHANGE's have crashed so many backend servers that
-   it must not be sent to another.  */
-bool dispatcher_is_quarantined (dispatcher_t *dispatcher,
-                                exchange_t *exchange);
 /* Whether EXCHANGE, which was cut off by a crash, must not be sent to a
    further backend server, because requests like it were cut off before.  */
 bool dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange);
-/* Finish EXCHANGE, which is quarantined.  */
-void dispatcher_refuse_quarantined (dispatcher_t *dispatcher,
-                                    exchange_t *exchange);
+/* Refuse EXCHANGE if requests like it are quarantined or held back because
+   they crashed backend servers.  Returns true if it was refused.  */
+bool dispatcher_refuse_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
+                                usec_t now);
 /* Record what RESPONSE shows of EXCHANGE's request, which ran to its end if
    IS_COMPLETE_RUN is true, and of its backend server.  */
 void dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -175,11 +175,8 @@
 dispatcher_send_or_queue (dispatcher_t *dispatcher, exchange_t *exchange,
                           usec_t now)
 {
-  if (dispatcher_is_quarantined (dispatcher, exchange))
-    {
-      dispatcher_refuse_quarantined (dispatcher, exchange);
-      return;
-    }
+  if (dispatcher_refuse_suspect (dispatcher, exchange, now))
+    return;
   if (!ends_in_time (dispatcher, exchange, now))
     {
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
@@ -224,8 +221,8 @@
     exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
     if (exchange->deadline - now < USEC_PER_MSEC)
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
-    else if (dispatcher_is_quarantined (dispatcher, exchange))
-      dispatcher_refuse_quarantined (dispatcher, exchange);
+    else if (dispatcher_refuse_suspect (dispatcher, exchange, now))
+      continue;
     else if (!ends_in_time (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
     else
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -27,6 +27,8 @@
       return "memory";
     case REASON_QUARANTINED:
       return "quarantined";
+    case REASON_HELD_BACK:
+      return "held_back";
     case REASON_STOPPING:
       return "stopping";
     case REASON_BROKE_OFF:
@@ -59,6 +61,7 @@
     case REASON_REFUSED:
     case REASON_MEMORY:
     case REASON_QUARANTINED:
+    case REASON_HELD_BACK:
     case REASON_STOPPING:
       return MHD_HTTP_SERVICE_UNAVAILABLE;
     case REASON_BROKE_OFF:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -50,6 +50,8 @@
   REASON_MEMORY,      /* 503, not run: request bodies use too much memory */
   REASON_QUARANTINED, /* 503, not run: requests like it crash backend
                          servers */
+  REASON_HELD_BACK,   /* 503, not run: until the other routers know of the
+                         crashes of requests like it */
   REASON_STOPPING,    /* 503, not run: this process is shutting down; the
                          caller should use another router */
   REASON_BROKE_OFF,   /* 502: it may have run */
--- a/test/unit/test_fleet_crash_bound.c
+++ b/test/unit/test_fleet_crash_bound.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "fleet/crash_evidence.h"
 #include "fleet/crash_table.h"
 #include "fleet/crash_wire.h"
 
@@ -16,11 +17,13 @@
 #define LAST_SEND_AT (60 * SEC)
 /* Routers and directors tell each other what they know this often.  */
 #define REPORT_INTERVAL (450 * MSEC)
+#define RESEND_TIME (100 * MSEC)
 
 enum
 {
   RUNS_MAX = 1024,
   ROUTERS_MAX = 9,
+  CALLERS_MAX = 18,
   N_COMMON = 24, /* requests that are asked for all the time */
 };
 
@@ -79,6 +82,16 @@
     fleet->n_listed[i] = is_quarantined (&fleet->director, poison);
 }
 
+/* Whether ROUTER refuses the request, as dispatcher_refuse_suspect does.  */
+static bool
+is_refused (fleet_t *fleet, size_t router, usec_t now)
+{
+  crash_table_t *table = &fleet->routers[router];
+  const suspect_t *suspect = crash_table_find (table, poison);
+  return fleet->n_listed[router] > 0 || is_quarantined (table, poison)
+         || (suspect && now < suspect_held_back_until (suspect));
+}
+
 /* Send the request each INTERVAL, each run to end its server RUN_TIME later.
    Returns how many sends come too late.  */
 static size_t
@@ -107,8 +120,7 @@
       if (now % interval != 0 || n_sent == RUNS_MAX)
         continue;
       size_t router = n_sent % fleet->n_routers;
-      if (fleet->n_listed[router] > 0
-          || is_quarantined (&fleet->routers[router], poison))
+      if (is_refused (fleet, router, now))
         continue;
       router_of[n_sent] = router;
       sent_at[n_sent++] = now;
@@ -142,6 +154,76 @@
         }
 }
 
+/* Callers send the request all at once, and each again RESEND_TIME after its
+   run has ended its server.  Returns how many sends come too late.  */
+static size_t
+late_sends_at_once (fleet_t *fleet, size_t n_callers, usec_t run_time)
+{
+  size_t n_ends = 0;
+  size_t n_late = 0;
+  usec_t third_end_at = INT64_MAX;
+  usec_t sent_at[CALLERS_MAX] = { 0 }; /* 0: no run */
+  usec_t next_at[CALLERS_MAX];
+  for (size_t i = 0; i < n_callers; i++)
+    next_at[i] = SEC;
+  for (usec_t now = SEC; now < LAST_SEND_AT; now += MSEC)
+    {
+      if (now >= fleet->next_report_at)
+        {
+          fleet->next_report_at = now + REPORT_INTERVAL;
+          exchange_reports (fleet, now);
+        }
+      for (size_t i = 0; i < n_callers; i++)
+        {
+          size_t router = i % fleet->n_routers;
+          if (sent_at[i] > 0 && now >= sent_at[i] + run_time)
+            {
+              add (&fleet->routers[router], poison, 1000 + n_ends, sent_at[i],
+                   now);
+              sent_at[i] = 0;
+              next_at[i] = now + RESEND_TIME;
+              if (++n_ends == 3)
+                third_end_at = now;
+            }
+          if (sent_at[i] > 0 || now < next_at[i])
+            continue;
+          next_at[i] = now + RESEND_TIME;
+          if (is_refused (fleet, router, now))
+            continue;
+          sent_at[i] = now;
+          n_late
+              += third_end_at < INT64_MAX && now > third_end_at + SETTLE_TIME;
+        }
+    }
+  return n_late;
+}
+
+static void
+test_at_once (void)
+{
+  static const size_t callers[] = { 1, 2, 3, 4, 5, 6, 12, CALLERS_MAX };
+  static const usec_t run_times[]
+      = { 100, 700, 1400, 2000, 2950, 3000, 3500, 4000 }; /* msec */
+  static const size_t routers[] = { 1, 3, ROUTERS_MAX };
+  static fleet_t fleet;
+  size_t n_failed = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (callers); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (run_times); j++)
+      for (size_t k = 0; k < G_N_ELEMENTS (routers); k++)
+        {
+          memset (&fleet, 0, sizeof fleet);
+          fleet.n_routers = routers[k];
+          size_t n_late
+              = late_sends_at_once (&fleet, callers[i], run_times[j] * MSEC);
+          if (n_late <= LATE_SENDS_MAX)
+            continue;
+          n_failed++;
+          g_test_message ("%zu callers, %d ms a run, %zu routers: %zu late",
+                          callers[i], (int)run_times[j], routers[k], n_late);
+        }
+  g_assert_cmpuint (n_failed, ==, 0);
+}
+
 /* All servers of a service end together, and again when they are back.  */
 static void
 test_few_servers (void)
@@ -256,6 +338,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/crash-bound/rate-and-overlap", test_bound);
+  g_test_add_func ("/crash-bound/at-once", test_at_once);
   g_test_add_func ("/crash-bound/few-servers", test_few_servers);
   g_test_add_func ("/crash-bound/racks", test_racks);
   g_test_add_func ("/crash-bound/beside-poison", test_beside_poison);
