--- a/src/fleet/crash_evidence.c
+++ b/src/fleet/crash_evidence.c
@@ -181,7 +181,7 @@
 void
 crash_evidence_judge (suspect_t *suspects, size_t n)
 {
-  suspect_t **order = calloc (n + 1, sizeof *order);
+  suspect_t **order = calloc (n + 1, sizeof (suspect_t *));
   boot_set_t *explained = calloc (1, sizeof *explained);
   size_t n_ordered = 0;
   if (!order || !explained)
@@ -192,7 +192,7 @@
       if (suspects[i].n_crashes >= SEPARATE_CRASHES_MIN)
         order[n_ordered++] = &suspects[i];
     }
-  qsort (order, n_ordered, sizeof *order, compare_suspects);
+  qsort (order, n_ordered, sizeof (suspect_t *), compare_suspects);
   for (size_t first = 0, next; first < n_ordered; first = next)
     {
       next = first;
--- a/test/unit/test_ctl_request_trace.c
+++ b/test/unit/test_ctl_request_trace.c
@@ -50,6 +50,23 @@
   request_trace_free (trace);
 }
 
+/* Guards against an outcome of a router that has no text.  */
+static void
+test_refusals_have_texts (void)
+{
+  static const char *const ends[]
+      = { LINE ("03.5", "r-1", "request_ended id=ab1 outcome=quarantined"),
+          LINE ("03.5", "r-1", "request_ended id=ab1 outcome=held_back"),
+          LINE ("03.5", "r-1", "request_ended id=ab1 outcome=resting") };
+  for (size_t i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      request_trace_t *trace = request_trace_new ("ab1");
+      g_assert_true (request_trace_add (trace, ends[i]));
+      g_assert_nonnull (strstr (request_trace_outcome (trace), "did not run"));
+      request_trace_free (trace);
+    }
+}
+
 static void
 test_end_is_missing (void)
 {
@@ -64,7 +81,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_func ("/story/order", test_order);
-  g_test_add_func ("/story/no-end", test_end_is_missing);
+  g_test_add_func ("/request-trace/refusals", test_refusals_have_texts);
+  g_test_add_func ("/request-trace/order", test_order);
+  g_test_add_func ("/request-trace/no-end", test_end_is_missing);
   return g_test_run ();
 }
