refactor(router): one rule for a request that must not be retried nor sent on

A request that was cut off was not sent to a further server after two crashes at separate times, one that came anew was held back after two, or three where it had been answered before. Both follow suspect_held_back_until now, so that a request that is asked for all the time is retried as long as it is sent on.

--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -11,13 +11,6 @@
    in vain.  */
 #define QUARANTINE_RETRY_AFTER (60 * USEC_PER_SEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
-enum
-{
-  /* Separate ones, until a request that was cut off is not sent to a further
-     backend server.  */
-  CRASHES_UNTIL_NO_RETRY = 2,
-};
-
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
 
@@ -69,18 +62,7 @@
          || crash_table_is_quarantined (&dispatcher->crashes, fingerprint);
 }
 
-bool
-dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange)
-{
-  if (!knows_suspects (dispatcher))
-    return false;
-  const suspect_t *suspect
-      = crash_table_find (&dispatcher->crashes, fingerprint_of (exchange));
-  return (suspect && suspect_count (suspect, true) >= CRASHES_UNTIL_NO_RETRY)
-         || is_quarantined (dispatcher, fingerprint_of (exchange));
-}
-
-/* Until when EXCHANGE is held back; 0: it is not.  */
+/* Until when requests with FINGERPRINT are held back; 0: they are not.  */
 static usec_t
 held_back_until (const dispatcher_t *dispatcher, fingerprint_t fingerprint)
 {
@@ -89,6 +71,17 @@
   return suspect ? suspect_held_back_until (suspect) : 0;
 }
 
+bool
+dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange,
+                          usec_t now)
+{
+  if (!knows_suspects (dispatcher))
+    return false;
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  return is_quarantined (dispatcher, fingerprint)
+         || now < held_back_until (dispatcher, fingerprint);
+}
+
 static void
 refuse (dispatcher_t *dispatcher, exchange_t *exchange,
         exchange_reason_t reason, usec_t retry_after)
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -100,7 +100,8 @@
 /* dispatcher_crashes.c */
 /* Whether EXCHANGE, which was cut off by a crash, must not be sent to a
    further backend server, because requests like it were cut off before.  */
-bool dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange);
+bool dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange,
+                               usec_t now);
 /* Refuse EXCHANGE if requests like it are quarantined or held back because
    they crashed backend servers.  Returns true if it was refused.  */
 bool dispatcher_refuse_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -40,7 +40,7 @@
     return false;
   if (!not_run
       && (!exchange->route->is_idempotent
-          || dispatcher_may_be_poison (dispatcher, exchange)))
+          || dispatcher_may_be_poison (dispatcher, exchange, now)))
     return false;
   return !reached
          || retry_share_take (dispatcher_retry_budget (dispatcher, exchange));
