--- a/src/fleet/crash_evidence.c
+++ b/src/fleet/crash_evidence.c
@@ -27,8 +27,7 @@
   size_t n_separate;
 } evidence_t;
 
-/* --- Explained ends -------------------------------------------------------
- */
+/* --- Explained ends ----------------------------------------------------- */
 
 /* The slot of BOOT, or the free one where it belongs.  */
 static size_t
@@ -59,8 +58,7 @@
   set->n++;
 }
 
-/* --- One request ----------------------------------------------------------
- */
+/* --- One request -------------------------------------------------------- */
 
 /* The crashes of SUSPECT at boots that are not in EXPLAINED, which may be
    NULL.  */
@@ -129,8 +127,7 @@
          || (is_many && evidence->n_separate >= SEPARATE_OF_MANY_MIN);
 }
 
-/* --- All requests ---------------------------------------------------------
- */
+/* --- All requests ------------------------------------------------------- */
 
 /* The strongest evidence comes first: that against requests which were never
    answered, then the most crashes.  0: no difference.  */
--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -31,7 +31,6 @@
 /* An answer that came longer than this before the first crash tells nothing
    of the request as the backend servers run it now.  */
 #define ANSWERED_BEFORE_TIME (60 * USEC_PER_SEC)
-
 /* After a crash, all routers know within this time what each of them has seen:
    a pull, a share between directors and a pull.  */
 #define HOLD_BACK_TIME (1500 * USEC_PER_MSEC)
--- a/test/unit/test_fleet_crash_bound.c
+++ b/test/unit/test_fleet_crash_bound.c
@@ -54,7 +54,7 @@
   return fingerprints_contain (found, n, fingerprint);
 }
 
-/* --- The request that ends its servers ----------------------------------- */
+/* --- The request that ends its servers ---------------------------------- */
 
 /* A number of routers and one director, each with a table of its own.  */
 typedef struct fleet
@@ -240,8 +240,7 @@
   g_assert_true (is_quarantined (&table, poison));
 }
 
-/* --- Requests that were merely there --------------------------------------
- */
+/* --- Requests that were merely there ------------------------------------ */
 
 static void
 assert_none_refused (crash_table_t *table)
