--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -128,3 +128,22 @@
     -H "Request-Id: $id" -H "Deadline-Ms: ${DEADLINE_MSEC:-3000}" "$@" \
     "http://$(router_address "$router"):$REQUESTS_PORT$path"
 }
+
+# put CONFIG: whether a director accepts it.
+put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
+
+# served ROUTER: whether it passes a request on and gets an answer.
+served() { [ "$(request "$1" /x/1 "id-$RANDOM$RANDOM")" = 200 ]; }
+
+# Three directors, three routers and the backend servers, which serve /x/.
+fleet_start() {
+  local i
+  start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
+  for i in 1 2 3; do
+    mkdir "$FOLDER/data-$i"
+    start_vm director $i
+    start_vm router $i
+  done
+  wait_for 15 put "$(config 00000005 idempotent /x/)"
+  for i in 1 2 3; do wait_for 10 served $i; done
+}
--- a/test/functional/response_ends.sh
+++ b/test/functional/response_ends.sh
@@ -10,7 +10,6 @@
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $OFFSET "${DOMAINS[@]}"
 start raw "$BUILD/test/fake-raw-backend" "${LIST%:*}" $((${LIST#*:} + 1 + OFFSET)) $BACKENDS "$FOLDER"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
 wait_for 15 put "$(config 00000005 non_idempotent /x/)"
 served() { [ "$(request "$1" /x/length "id-$RANDOM$RANDOM")" = 200 ]; }
 for i in 1 2 3; do wait_for 10 served $i; done
--- a/test/functional/test_fleet_changes.sh
+++ b/test/functional/test_fleet_changes.sh
@@ -7,12 +7,7 @@
 source "$SOURCE/test/functional/fleet.sh"
 TIMEOUT=20s
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
-for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
-served() { [ "$(request "$1" /x/1 "id-$RANDOM")" = 200 ]; }
-wait_for 15 put "$(config 00000005 idempotent /x/)"
-for i in 1 2 3; do wait_for 10 served $i; done
+fleet_start
 
 # A failure domain that only the changed settings know; no signal is sent.
 [ "$(order POST /Evacuations.Start/west-a)" = 400 ] || fail 'an unknown failure domain was accepted'
--- a/test/functional/test_fleet_directors.sh
+++ b/test/functional/test_fleet_directors.sh
@@ -12,7 +12,6 @@
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in $(seq $DIRECTORS); do mkdir "$FOLDER/data-$i"; start_vm director "$i"; done
 start_vm router 1
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
 served() { [ "$(request 1 /x/1 "id-$RANDOM")" = 200 ]; }
 published() { grep -q 'event=config_published' "$FOLDER/director-$1.log"; }
 in_force() { [ "$(order GET /Config.Get)" = 200 ] && grep -q "$1" "$FOLDER/body"; }
--- a/test/functional/test_fleet_full_disks.sh
+++ b/test/functional/test_fleet_full_disks.sh
@@ -12,7 +12,6 @@
 
 full() { echo "${2:-full}" >"$FOLDER/fault-director-$1"; }
 room() { rm -f "$FOLDER/fault-director-$1"; }
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
 count() { grep -c "event=$2" "$FOLDER/director-$1.log" || true; }
 
 # change SECONDS: one more configuration is acknowledged within that time, by
--- a/test/functional/test_fleet_gone.sh
+++ b/test/functional/test_fleet_gone.sh
@@ -9,7 +9,6 @@
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; done
 start_vm router 1
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
 TIMEOUT=10s
 wait_for 15 put "$(config 00000005 idempotent /x/)"
 served() { [ "$(request 1 /x/1 "id-$RANDOM$RANDOM")" = 200 ]; }
--- a/test/functional/test_fleet_notices.sh
+++ b/test/functional/test_fleet_notices.sh
@@ -10,12 +10,7 @@
 IN_FLIGHT_MSEC=500
 REACH_MAX=2 # requests of one router during a rest
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
-for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
-wait_for 15 put "$(config 00000005 idempotent /x/)"
-served() { [ "$(request "$1" /x/1 "id-$RANDOM$RANDOM")" = 200 ]; }
-for i in 1 2 3; do wait_for 10 served $i; done
+fleet_start
 now_msec() { date +%s%3N; }
 
 # load NAME SECONDS: requests of many objects through router 1, one after the other.
--- a/test/functional/test_fleet_poison.sh
+++ b/test/functional/test_fleet_poison.sh
@@ -9,12 +9,7 @@
 SETTLE_MSEC=3000
 RETRIES_MAX=3
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
-for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
-put() { [ "$(order POST /Config.Put "$1")" = 200 ]; }
-served() { [ "$(request "$1" /x/1 "id-$RANDOM$RANDOM")" = 200 ]; }
-wait_for 15 put "$(config 00000005 idempotent /x/)"
-for i in 1 2 3; do wait_for 10 served $i; done
+fleet_start
 
 # The same request at one router after the other, as a caller that retries.
 for n in $(seq 1 18); do
