--- a/test/unit/test_fleet_crash_bound.c
+++ b/test/unit/test_fleet_crash_bound.c
@@ -332,6 +332,43 @@
   g_assert_true (is_quarantined (&table, poison));
 }
 
+/* One caller sends a thousand different requests that end their servers: the
+   table stays bounded, those that come again and again are refused, and the
+   common requests beside them are not.  */
+static void
+test_flood (void)
+{
+  enum
+  {
+    N_FLOOD = 1000,
+    N_REPEATED = 20,
+    ROUNDS = 6,
+  };
+  static crash_table_t table;
+  uint64_t boot = 1;
+  for (uint64_t j = 0; j < N_COMMON; j++)
+    crash_table_complete (&table, common_request (j), SEC, true);
+  for (usec_t at = 10 * SEC; at < (10 + ROUNDS) * SEC; at += SEC)
+    {
+      for (uint64_t i = 0; i < N_FLOOD; i++, boot++)
+        {
+          uint64_t which = i % 10 == 0 ? i % (10 * N_REPEATED) : at + i;
+          const fingerprint_t request = { .low = which, .high = 5 };
+          add (&table, request, boot, at - MSEC, at + (usec_t)i);
+          add (&table, common_request (i % N_COMMON), boot, at - MSEC,
+               at + (usec_t)i);
+          if (i % 7 == 0)
+            crash_table_complete (&table, common_request (i % N_COMMON),
+                                  at + (usec_t)i + 1, true);
+        }
+      assert_none_refused (&table);
+    }
+  g_assert_cmpuint (table.n_suspects, <=, SUSPECTS_MAX);
+  for (uint64_t i = 0; i < N_REPEATED; i++)
+    g_assert_true (
+        is_quarantined (&table, (fingerprint_t){ .low = 10 * i, .high = 5 }));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -342,5 +379,6 @@
   g_test_add_func ("/crash-bound/racks", test_racks);
   g_test_add_func ("/crash-bound/beside-poison", test_beside_poison);
   g_test_add_func ("/crash-bound/answered-before", test_answered_before);
+  g_test_add_func ("/crash-bound/flood", test_flood);
   return g_test_run ();
 }
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -3,6 +3,7 @@
    innocent requests that are refused with it.  */
 
 #include <glib.h>
+#include <string.h>
 
 #include "fleet/backend_list.h"
 #include "fleet/crash_evidence.h"
@@ -233,6 +234,50 @@
   g_assert_false (tell (&a, &b, &known, 12 * SEC, 1));
 }
 
+/* Guards against two VMs that tell each other for ever of crashes which the
+   other has no room for: of many crashes, heard of in any order, both keep the
+   same ones.  */
+static void
+test_order_does_not_matter (void)
+{
+  enum
+  {
+    N_CRASHES = 3 * CRASHES_PER_SUSPECT_MAX,
+  };
+  static crash_table_t a;
+  static crash_table_t b;
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      uint64_t boots[N_CRASHES];
+      memset (&a, 0, sizeof a);
+      memset (&b, 0, sizeof b);
+      for (uint64_t i = 0; i < N_CRASHES; i++)
+        boots[i] = i + 1;
+      for (size_t i = N_CRASHES; i-- > 0;)
+        {
+          size_t other = (size_t)g_rand_int_range (random, 0, (gint32)i + 1);
+          uint64_t boot = boots[other];
+          boots[other] = boots[i];
+          boots[i] = boot;
+        }
+      for (uint64_t boot = 1; boot <= N_CRASHES; boot++)
+        add (&a, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
+      for (size_t i = 0; i < N_CRASHES; i++)
+        add (&b, poison, boots[i], (usec_t)boots[i] * SEC,
+             (usec_t)boots[i] * SEC + 1);
+      const suspect_t *in_a = crash_table_find (&a, poison);
+      const suspect_t *in_b = crash_table_find (&b, poison);
+      g_assert_cmpuint (in_a->n_crashes, ==, CRASHES_PER_SUSPECT_MAX);
+      g_assert_cmpuint (in_b->n_crashes, ==, CRASHES_PER_SUSPECT_MAX);
+      for (size_t i = 0; i < CRASHES_PER_SUSPECT_MAX; i++)
+        g_assert_cmpuint (in_a->crashes[i].boot, ==, in_b->crashes[i].boot);
+      uint64_t a_knows = 0;
+      g_assert_false (tell (&b, &a, &a_knows, (N_CRASHES + 1) * SEC, 0));
+      g_rand_free (random);
+    }
+}
+
 /* Guards against a request that is told to nobody because it changes all the
    time and each report is full of others.  */
 static void
@@ -367,6 +412,7 @@
   g_test_add_func ("/crash-table/digest", test_digest);
   g_test_add_func ("/crash-table/rest", test_reports_come_to_rest);
   g_test_add_func ("/crash-table/parts", test_long_report_in_parts);
+  g_test_add_func ("/crash-table/order", test_order_does_not_matter);
   g_test_add_func ("/crash-table/busy", test_busy_suspect_is_told);
   g_test_add_func ("/crash-table/impossible", test_impossible_ages);
   g_test_add_func ("/crash-table/boot", test_boot);
