--- a/test/unit/test_fleet_recent_answers.c
+++ b/test/unit/test_fleet_recent_answers.c
@@ -34,11 +34,13 @@
   crash_table_complete (&table, answered, SEC, true);
   for (uint64_t boot = 1; boot <= 3; boot++)
     {
-      const crash_t crash = { .boot = boot,
-                              .sent_at = (usec_t)boot * 2 * SEC,
-                              .ended_at = (usec_t)boot * 2 * SEC + 1,
-                              .is_confirmed = true };
+      /* At other backend servers: no crash explains another.  */
+      crash_t crash = { .boot = boot,
+                        .sent_at = (usec_t)boot * 2 * SEC,
+                        .ended_at = (usec_t)boot * 2 * SEC + 1,
+                        .is_confirmed = true };
       crash_table_add (&table, answered, &crash, crash.ended_at);
+      crash.boot += 100;
       crash_table_add (&table, unknown, &crash, crash.ended_at);
     }
   g_assert_false (crash_table_is_quarantined (&table, answered));
