fix(entry): an entry VM's suspect is not cleared by a timeout

A request that crashes the backend servers that run it stopped three of them where two are allowed, when another one had stopped the request in time and answered 504 in between: the answer counted as complete and cleared the crash.

--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -19,7 +19,9 @@
   REFUSE_MSEC = 300,
   CRASH_HOLD_MSEC = 50, /* until the other entry VMs know of a crash */
   SENDS_MAX = 16,
+  STATUS_REQUEST_TIMEOUT = 408,
   STATUS_SHED = 503,
+  STATUS_GATEWAY_TIMEOUT = 504,
   CANCEL_TIMEOUT_MSEC = 1000,
   RECORDED_BODY_BYTES = 16 * 1024,
 };
@@ -270,6 +272,17 @@
   job_handle_event (job, &event, now);
 }
 
+/* Whether the backend server ran the request to its end.  One that answers
+   with a timeout has stopped it before that.  */
+static bool
+is_complete_run (const backend_reply_t *reply)
+{
+  bool is_timeout = reply->status == STATUS_REQUEST_TIMEOUT
+                    || reply->status == STATUS_GATEWAY_TIMEOUT;
+  return reply->is_complete && reply->id_matches && !reply->not_started
+         && !is_timeout;
+}
+
 void
 job_on_reply (job_t *job, backend_reply_t *reply, usec_t now)
 {
@@ -288,8 +301,7 @@
     backend_table_attempt_succeeded (job->context->backends, job->backend);
   if (!is_forwarded)
     shared_quarantine_on_end (job->context->quarantine, job->fingerprint,
-                              job->backend,
-                              is_own_answer && !reply->not_started);
+                              job->backend, is_complete_run (reply));
   if (!is_own_answer || is_refused)
     log_call_failed (job, reply);
   if (reply->is_complete && !reply->id_matches)
--- a/test/fakes/backend.h
+++ b/test/fakes/backend.h
@@ -24,6 +24,7 @@
   int draining;
   int load_busy; /* what /load claims; -1: the truth */
   int silent_after;
+  int stops_poison; /* answers 504 in place of the crash */
 } behaviour_t;
 
 typedef struct backend
--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -5,7 +5,8 @@
    bytes=N make the body (fake_answer.h); us=N sets the service time; and
    poison=1, hangup=1, silent=1, short=1, chunked=1, crossed=1 bring about a
    fault. POST /fake?KEY=VALUE changes one backend server's behaviour while it
-   runs: service_time_us, shed_permille, draining, load_busy, silent_after.  */
+   runs: service_time_us, shed_permille, draining, load_busy, silent_after,
+   stops_poison.  */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -215,6 +216,11 @@
            "body=%016" PRIx64,
            backend->name, run->id, header (run, "Idempotency-Key"),
            argument (run, "caller"), run->method, run->path, run->body_hash);
+  if (argument (run, "poison")[0] && backend->behaviour.stops_poison)
+    {
+      journal ("end backend=%s id=%s how=timeout", backend->name, run->id);
+      return reply_text (run, MHD_HTTP_GATEWAY_TIMEOUT, "timed out\n");
+    }
   if (argument (run, "poison")[0])
     {
       journal ("crash backend=%s id=%s", backend->name, run->id);
@@ -324,6 +330,8 @@
     behaviour->load_busy = number;
   else if (strcmp (key, "silent_after") == 0)
     behaviour->silent_after = number;
+  else if (strcmp (key, "stops_poison") == 0)
+    behaviour->stops_poison = number;
   return MHD_YES;
 }
 
--- a/test/functional/test_poison.sh
+++ b/test/functional/test_poison.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A request that crashes each backend server that runs it stops at most two,
 # also when its caller sends it again through every entry VM; others go on.
+# With STOPS_POISON=1 each second backend server answers it 504 instead.
 set -euo pipefail
 BUILD=$1
 SOURCE=$2
@@ -21,6 +22,14 @@
   start "$name" "$BUILD/test/fake-backend" --service-time-us 1000 --journal "$FOLDER/journal-$name" \
     --backend "$name,songfind,${address%:*},${address#*:},3"
 done <"$SHEET"
+if [ "${STOPS_POISON:-0}" = 1 ]; then
+  n=0
+  while IFS=, read -r record service _ name address _; do
+    [ "$record" = backend ] && [ "$service" = songfind ] || continue
+    n=$((n + 1))
+    [ $((n % 2)) = 0 ] || wait_for 10 curl -sf -m 2 -o /dev/null -X POST "http://$address/fake?stops_poison=1"
+  done <"$SHEET"
+fi
 submitted() { ctl sheet submit -k "$FOLDER/operator.key" "$SHEET"; }
 wait_for 20 submitted
 for vm in $VMS; do wait_for 20 sheet_in_force_on "$vm" "$NUMBER"; done
@@ -46,8 +55,9 @@
 wait "$LOAD" || { cat "$FOLDER/load.out" "$FOLDER/load.log" >&2; exit 1; }
 cat "$FOLDER/load.out"
 CRASHES=$(cat "$FOLDER"/journal-* | grep -c '^crash')
-echo "crashes=$CRASHES refused=$REFUSED"
+STOPPED=$(cat "$FOLDER"/journal-* | grep -c 'how=timeout' || true)
+echo "crashes=$CRASHES stopped=$STOPPED refused=$REFUSED"
 [ "$CRASHES" -le 2 ] || { echo "more than two backend servers crashed" >&2; exit 1; }
-[ "$REFUSED" -ge 16 ] || { echo "it was not refused everywhere" >&2; exit 1; }
+[ $((REFUSED + STOPPED)) -ge 16 ] || { echo "it was not refused everywhere" >&2; exit 1; }
 ! grep -q 'reason=quarantined' "$FOLDER/told" || { echo "an innocent request was quarantined" >&2; exit 1; }
 awk -f "$SOURCE/test/functional/check_journals.awk" "$FOLDER"/journal-* "$FOLDER/told"
