refactor(router,test): one place decides why a suspect is refused

dispatcher_may_be_poison and dispatcher_refuse_suspect asked the same two questions, each in its own code, and the second looked for the time of holding back also where the request was quarantined. Both ask reason_to_refuse now. The tests call crash_table_is_quarantined in place of two copies of their own.

No behaviour has changed.

--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -71,21 +71,40 @@
   return suspect ? suspect_held_back_until (suspect) : 0;
 }
 
+/* Why EXCHANGE must not be sent at NOW, for what requests like it did to
+   backend servers, and in *RETRY_AFTER how long; REASON_NONE: it may be.  */
+static exchange_reason_t
+reason_to_refuse (dispatcher_t *dispatcher, exchange_t *exchange, usec_t now,
+                  usec_t *retry_after)
+{
+  if (!knows_suspects (dispatcher))
+    return REASON_NONE;
+  fingerprint_t fingerprint = fingerprint_of (exchange);
+  *retry_after = QUARANTINE_RETRY_AFTER;
+  if (is_quarantined (dispatcher, fingerprint))
+    return REASON_QUARANTINED;
+  *retry_after = held_back_until (dispatcher, fingerprint) - now;
+  return *retry_after > 0 ? REASON_HELD_BACK : REASON_NONE;
+}
+
 bool
 dispatcher_may_be_poison (dispatcher_t *dispatcher, exchange_t *exchange,
                           usec_t now)
 {
-  if (!knows_suspects (dispatcher))
-    return false;
-  fingerprint_t fingerprint = fingerprint_of (exchange);
-  return is_quarantined (dispatcher, fingerprint)
-         || now < held_back_until (dispatcher, fingerprint);
+  usec_t retry_after;
+  return reason_to_refuse (dispatcher, exchange, now, &retry_after)
+         != REASON_NONE;
 }
 
-static void
-refuse (dispatcher_t *dispatcher, exchange_t *exchange,
-        exchange_reason_t reason, usec_t retry_after)
+bool
+dispatcher_refuse_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
+                           usec_t now)
 {
+  usec_t retry_after;
+  exchange_reason_t reason
+      = reason_to_refuse (dispatcher, exchange, now, &retry_after);
+  if (reason == REASON_NONE)
+    return false;
   char text[FINGERPRINT_TEXT_BYTES];
   fingerprint_format (fingerprint_of (exchange), text);
   LOG_EVENT (LOG_LEVEL_WARNING, "request_quarantined",
@@ -95,22 +114,6 @@
     exchange->retry_after = retry_after;
   dispatcher_finish (dispatcher, exchange,
                      exchange->may_have_run ? REASON_BROKE_OFF : reason);
-}
-
-bool
-dispatcher_refuse_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
-                           usec_t now)
-{
-  if (!knows_suspects (dispatcher))
-    return false;
-  fingerprint_t fingerprint = fingerprint_of (exchange);
-  usec_t until = held_back_until (dispatcher, fingerprint);
-  if (is_quarantined (dispatcher, fingerprint))
-    refuse (dispatcher, exchange, REASON_QUARANTINED, QUARANTINE_RETRY_AFTER);
-  else if (now < until)
-    refuse (dispatcher, exchange, REASON_HELD_BACK, until - now);
-  else
-    return false;
   return true;
 }
 
--- a/test/functional/test_fleet.sh
+++ b/test/functional/test_fleet.sh
@@ -9,7 +9,6 @@
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
 
-
 # Without a configuration: refused as not run, never "not found".
 sleep 1
 [ "$(request 1 /x/1 id-0)" = 503 ] || fail 'a router without a configuration did not answer 503'
--- a/test/unit/test_fleet_crash_bound.c
+++ b/test/unit/test_fleet_crash_bound.c
@@ -46,14 +46,6 @@
   crash_table_add (table, fingerprint, &crash, ended_at);
 }
 
-static bool
-is_quarantined (crash_table_t *table, fingerprint_t fingerprint)
-{
-  fingerprint_t found[QUARANTINED_MAX];
-  size_t n = crash_table_quarantined (table, found);
-  return fingerprints_contain (found, n, fingerprint);
-}
-
 /* --- The request that ends its servers ---------------------------------- */
 
 /* A number of routers and one director, each with a table of its own.  */
@@ -79,7 +71,7 @@
     }
   /* Another director would be told one interval later.  */
   for (size_t i = 0; i < fleet->n_routers; i++)
-    fleet->n_listed[i] = is_quarantined (&fleet->director, poison);
+    fleet->n_listed[i] = crash_table_is_quarantined (&fleet->director, poison);
 }
 
 /* Whether ROUTER refuses the request, as dispatcher_refuse_suspect does.  */
@@ -88,7 +80,8 @@
 {
   crash_table_t *table = &fleet->routers[router];
   const suspect_t *suspect = crash_table_find (table, poison);
-  return fleet->n_listed[router] > 0 || is_quarantined (table, poison)
+  return fleet->n_listed[router] > 0
+         || crash_table_is_quarantined (table, poison)
          || (suspect && now < suspect_held_back_until (suspect));
 }
 
@@ -235,9 +228,9 @@
   crash_table_t table = { 0 };
   for (uint64_t i = 0; i < N_SERVERS; i++)
     add (&table, poison, i, SEC, 2 * SEC + (usec_t)i * MSEC);
-  g_assert_false (is_quarantined (&table, poison));
+  g_assert_false (crash_table_is_quarantined (&table, poison));
   add (&table, poison, 100, 4 * SEC, 5 * SEC);
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
 }
 
 /* --- Requests that were merely there ------------------------------------ */
@@ -246,7 +239,7 @@
 assert_none_refused (crash_table_t *table)
 {
   for (uint64_t i = 0; i < N_COMMON; i++)
-    g_assert_false (is_quarantined (table, common_request (i)));
+    g_assert_false (crash_table_is_quarantined (table, common_request (i)));
 }
 
 /* Racks end one after the other; a request that is asked for all the time ran
@@ -301,7 +294,7 @@
             }
           assert_none_refused (&table);
         }
-      g_assert_true (is_quarantined (&table, poison));
+      g_assert_true (crash_table_is_quarantined (&table, poison));
       g_rand_free (random);
     }
 }
@@ -329,7 +322,7 @@
       add (&table, poison, boot, at - SEC, at);
       assert_none_refused (&table);
     }
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
 }
 
 /* One caller sends a thousand different requests that end their servers: the
@@ -365,8 +358,8 @@
     }
   g_assert_cmpuint (table.n_suspects, <=, SUSPECTS_MAX);
   for (uint64_t i = 0; i < N_REPEATED; i++)
-    g_assert_true (
-        is_quarantined (&table, (fingerprint_t){ .low = 10 * i, .high = 5 }));
+    g_assert_true (crash_table_is_quarantined (
+        &table, (fingerprint_t){ .low = 10 * i, .high = 5 }));
 }
 
 int
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -39,24 +39,18 @@
   return suspect ? suspect_count (suspect, false) : 0;
 }
 
-static bool
-is_quarantined (crash_table_t *table, fingerprint_t fingerprint)
-{
-  return crash_table_is_quarantined (table, fingerprint);
-}
-
 static void
 test_one_after_the_other (void)
 {
   crash_table_t table = { 0 };
   for (int i = 0; i < SEPARATE_CRASHES; i++)
     {
-      g_assert_false (is_quarantined (&table, poison));
+      g_assert_false (crash_table_is_quarantined (&table, poison));
       g_assert_true (
           add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1));
     }
-  g_assert_true (is_quarantined (&table, poison));
-  g_assert_false (is_quarantined (&table, innocent));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
+  g_assert_false (crash_table_is_quarantined (&table, innocent));
 }
 
 /* A rack fails: one request that runs everywhere sees many crashes at
@@ -89,7 +83,7 @@
   crash_table_t table = { 0 };
   for (uint64_t boot = 1; boot <= 3; boot++)
     add (&table, innocent, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
-  g_assert_true (is_quarantined (&table, innocent));
+  g_assert_true (crash_table_is_quarantined (&table, innocent));
   g_assert_true (crash_table_complete (&table, innocent, 4 * SEC, false));
   g_assert_cmpuint (count (&table, innocent), ==, 0);
   g_assert_false (add (&table, innocent, 4, 3 * SEC, 4 * SEC - 1));
@@ -135,9 +129,9 @@
   for (uint64_t boot = 1; boot <= 3; boot++)
     add (&table, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
   crash_table_expire (&table, CRASH_LIFETIME);
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
   crash_table_expire (&table, CRASH_LIFETIME + SEC + 1);
-  g_assert_false (is_quarantined (&table, poison));
+  g_assert_false (crash_table_is_quarantined (&table, poison));
   crash_table_expire (&table, CRASH_LIFETIME + 4 * SEC);
   g_assert_cmpuint (table.n_suspects, ==, 0);
 }
@@ -151,7 +145,7 @@
   for (uint64_t i = 0; i < 3 * SUSPECTS_MAX; i++)
     add (&table, (fingerprint_t){ .low = 100 + i }, 50, 10 * SEC, 11 * SEC);
   g_assert_cmpuint (table.n_suspects, ==, SUSPECTS_MAX);
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
   fingerprint_t found[QUARANTINED_MAX];
   g_assert_cmpuint (crash_table_quarantined (&table, found), ==, 1);
   g_assert_true (fingerprints_contain (found, 1, poison));
@@ -210,12 +204,12 @@
   for (uint64_t boot = 1; boot <= 3; boot++)
     add (&a, poison, boot, (usec_t)boot * SEC, (usec_t)boot * SEC + 1);
   g_assert_true (tell (&a, &b, &b_knows, now, SEC / 20));
-  g_assert_true (is_quarantined (&b, poison));
+  g_assert_true (crash_table_is_quarantined (&b, poison));
   g_assert_false (tell (&b, &a, &a_knows, now + SEC / 10, SEC / 20));
   g_assert_false (tell (&a, &b, &b_knows, now + SEC / 5, SEC / 20));
   crash_table_complete (&a, poison, now + SEC, false);
   g_assert_true (tell (&a, &b, &b_knows, now + 2 * SEC, SEC / 20));
-  g_assert_false (is_quarantined (&b, poison));
+  g_assert_false (crash_table_is_quarantined (&b, poison));
   g_assert_false (tell (&b, &a, &a_knows, now + 3 * SEC, SEC / 20));
 }
 
@@ -295,7 +289,7 @@
       add (&from, poison, boot, at - 1, at);
       tell (&from, &to, &known, at + 1, 0);
     }
-  g_assert_true (is_quarantined (&to, poison));
+  g_assert_true (crash_table_is_quarantined (&to, poison));
   for (int i = 0; i < 2 * SUSPECTS_MAX / FLEET_WIRE_SUSPECTS_MAX; i++)
     tell (&from, &to, &known, 9 * SEC, 0);
   g_assert_cmpuint (known, ==, from.sequence);
@@ -343,18 +337,18 @@
   crash_table_t table = { 0 };
   for (int i = 0; i < SEPARATE_CRASHES; i++)
     add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
   g_assert_true (crash_table_release (&table, poison, 20 * SEC));
   g_assert_false (crash_table_release (&table, poison, 20 * SEC));
-  g_assert_false (is_quarantined (&table, poison));
+  g_assert_false (crash_table_is_quarantined (&table, poison));
   crash_table_expire (&table, 10 * SEC + CRASH_LIFETIME);
   for (int i = 0; i < SEPARATE_CRASHES; i++)
     g_assert_false (
         add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1));
-  g_assert_false (is_quarantined (&table, poison));
+  g_assert_false (crash_table_is_quarantined (&table, poison));
   for (int i = 0; i < SEPARATE_CRASHES; i++)
     add (&table, poison, 20u + i, (30 + i) * SEC, (30 + i) * SEC + 1);
-  g_assert_true (is_quarantined (&table, poison));
+  g_assert_true (crash_table_is_quarantined (&table, poison));
   crash_table_expire (&table, 40 * SEC + CRASH_LIFETIME);
   g_assert_cmpuint (table.n_suspects, ==, 0);
 }
@@ -376,7 +370,7 @@
   crash_wire_write (&from, 0, &report, 21 * SEC);
   g_assert_true (
       crash_wire_merge (&to, report.suspects, report.n, 21 * SEC, 21 * SEC));
-  g_assert_false (is_quarantined (&to, poison));
+  g_assert_false (crash_table_is_quarantined (&to, poison));
   crash_wire_write (&to, 0, &report, 22 * SEC);
   g_assert_false (
       crash_wire_merge (&from, report.suspects, report.n, 22 * SEC, 22 * SEC));
