feat(quota,router,director): client accounts with keys, homes and quotas over all routers

Cause: platform/config_codec read no accounts, so requests passed with their key and without the account's name, an account's homes were unknown and no quota was kept (docs/design/accounts.md).

Change: routing/account (keys by hash, constant-time comparison, homes, checks), platform/account_codec and json_fields (readers of fields, moved), quota/ (the routers' buckets and the directors' book, pure), reports in pulls and shares.

The key does not stand in parse errors any more: the parser's own text may quote it.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -146,6 +146,7 @@
 {
   const char *service;
   const route_t *route; /* restricts the regions; NULL: no restriction */
+  const client_account_t *account; /* likewise */
   bool has_object;
   uint64_t object_hash; /* hash of the affinity key; valid if has_object */
   run_time_t run_time;  /* estimate for this request */
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "routing/account.h"
 #include "routing/route_config.h"
 
 enum
@@ -61,6 +62,8 @@
          && !backend->is_evacuated
          && (!query->route
              || route_allows_region (query->route, backend->region.text))
+         && (!query->account
+             || account_allows_region (query->account, backend->region.text))
          && !is_excluded (query, backend->id_hash);
 }
 
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -19,6 +19,7 @@
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
 #include "fleet/router_table.h"
+#include "quota/book.h"
 #include "wire/generated/fleet.h"
 
 enum
@@ -36,6 +37,8 @@
 #define CORE_TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
+/* While requests of accounts with a quota are reported.  */
+#define SHARE_INTERVAL_QUOTAS (250 * USEC_PER_MSEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
 /* A disk that refused a write may stay full for a while.  */
 #define ROSTER_SAVE_INTERVAL USEC_PER_SEC
@@ -161,6 +164,9 @@
   fingerprint_t quarantined[QUARANTINED_MAX]; /* sorted */
   uint64_t quarantine_digest;
 
+  book_t quotas; /* of the client accounts in STATE's configuration */
+  usec_t next_quota_expiry_at;
+
   list_t operator_requests; /* unfinished; some are proposed */
   proposal_id_t last_proposal_id;
 };
@@ -273,6 +279,34 @@
 /* Drop old reports when due.  */
 void core_crashes_tick (director_core_t *core, usec_t now);
 
+/* core_quotas.c */
+
+/* Use the quotas of CONFIG from now on.  */
+void core_quotas_set_config (director_core_t *core,
+                             const route_config_t *config);
+/* Count what the router of ARGS reports, and fill in the buckets of these
+   accounts; QUOTAS has room for FLEET_WIRE_USAGES_MAX.  */
+void core_quotas_answer (director_core_t *core, const fleet_pull_args_t *args,
+                         fleet_pull_result_t *result, fleet_quota_t *quotas,
+                         usec_t now);
+/* What a share carries of quotas.  */
+typedef struct quota_share
+{
+  fleet_total_t totals[FLEET_WIRE_TOTALS_MAX];
+  fleet_bucket_t buckets[FLEET_WIRE_TOTALS_MAX];
+} quota_share_t;
+/* Fill in what the director in slot TO is to know.  ARGS refers to SHARE.  */
+void core_quotas_fill_share (director_core_t *core, slot_t to,
+                             fleet_share_args_t *args, quota_share_t *share,
+                             usec_t now);
+/* Apply what another director shares.  */
+void core_quotas_merge_share (director_core_t *core,
+                              const fleet_share_args_t *args, usec_t now);
+/* Whether requests of accounts with a quota were reported lately.  */
+bool core_quotas_are_used (const director_core_t *core, usec_t now);
+/* Forget unused accounts when due.  */
+void core_quotas_tick (director_core_t *core, usec_t now);
+
 /* core_view.c */
 
 /* This director's view of the deployment as JSON text, malloc'd.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -334,6 +334,8 @@
                                   core->peers[to].list_digest, deltas, now);
   crash_report_t crashes;
   core_crashes_fill_share (core, to, args, &crashes, now);
+  static quota_share_t quotas;
+  core_quotas_fill_share (core, to, args, &quotas, now);
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
@@ -358,7 +360,10 @@
   slot_t own_slot = roster_slot (&core->roster, core->own_address);
   if (own_slot == SLOT_NONE || !core->replica || now < core->next_share_at)
     return;
-  core->next_share_at = now + SHARE_INTERVAL;
+  core->next_share_at
+      = now
+        + (core_quotas_are_used (core, now) ? SHARE_INTERVAL_QUOTAS
+                                            : SHARE_INTERVAL);
   bool is_leader = core->role == ROLE_LEADER;
   packed_t routers = pack_routers (core, now);
   fleet_share_args_t args = { .address = core->own_address, .slot = own_slot };
@@ -436,6 +441,7 @@
   core_pulls_apply_list_update (core, &args->list, sent_at);
   core_crashes_merge (core, args->suspects.suspects_val,
                       args->suspects.suspects_len, sent_at, now);
+  core_quotas_merge_share (core, args, now);
   fleet_share_result_t result = { .list_digest = core->backend_list.digest,
                                   .incarnation = core->options.seed };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
@@ -454,6 +460,7 @@
     save_roster (core, now);
   send_announcements (core, now);
   send_shares (core, now);
+  core_quotas_tick (core, now);
 }
 
 /* --- RPC procedures, on the RPC thread ---------------------------------- */
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -230,6 +230,8 @@
       result.routers.fleet_packed_t_val = core->packed_routers.bytes;
       result.routers.fleet_packed_t_len = (u_int)core->packed_routers.length;
     }
+  fleet_quota_t quotas[FLEET_WIRE_USAGES_MAX];
+  core_quotas_answer (core, args, &result, quotas, now);
   result.directors.directors_val = core->roster.addresses;
   result.directors.directors_len = (u_int)core->roster.n_slots;
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
--- a/src/director/core_replica.c
+++ b/src/director/core_replica.c
@@ -129,10 +129,13 @@
   LOG_EVENT (LOG_LEVEL_INFO, "config_published",
              LOG_U ("version", core->state.config_version),
              LOG_U ("bytes", text->length));
-  if (config)
-    lookup_view_put_config (core->options.lookups, config);
-  else
-    log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
+  if (!config)
+    {
+      log_error (LOG_LEVEL_ERROR, "config_not_understood", &err);
+      return;
+    }
+  core_quotas_set_config (core, config);
+  lookup_view_put_config (core->options.lookups, config);
 }
 
 /* Record which evacuations of BEFORE are no longer in force since the entry at
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -398,6 +398,7 @@
   free (core->packed_routers.bytes);
   list_source_clear (&core->list_source);
   backend_list_clear (&core->backend_list);
+  book_clear (&core->quotas);
   settings_feed_release (core->options.feed, core->settings);
   pthread_cond_destroy (&core->mailbox_changed);
   pthread_mutex_destroy (&core->lock);
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -180,6 +180,9 @@
       (size_t)n, text, MHD_RESPMEM_MUST_COPY);
   if (exchange->id[0])
     MHD_add_response_header (response, HEADER_REQUEST_ID, exchange->id);
+  if (exchange->reason == REASON_NO_ACCOUNT)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_WWW_AUTHENTICATE,
+                             KEY_SCHEME);
   if (exchange->retry_after > 0)
     {
       char seconds[RETRY_AFTER_BYTES];
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -1,5 +1,6 @@
 #include "router/director_sync.h"
 
+#include <math.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,6 +66,11 @@
   size_t n_releases;            /* by the last pull */
   director_release_t releases[DIRECTOR_RELEASES_MAX];
   bool is_confirmed;
+  limiter_t *limiter;     /* NULL: no quotas */
+  bool has_quota_result;  /* a pull has ended; not applied yet */
+  bool is_quota_answered; /* valid if has_quota_result, as the next two */
+  size_t n_quotas;
+  quota_state_t quotas[QUOTA_USAGES_MAX];
 };
 
 _Static_assert((int)DIRECTOR_RELEASES_MAX == FLEET_WIRE_RELEASES_MAX,
@@ -281,6 +287,26 @@
     }
 }
 
+/* Keep what RESULT tells of the quotas, if its state is the newest.  */
+static void
+apply_quotas (director_sync_t *sync, const fleet_pull_result_t *result,
+              bool is_fresh)
+{
+  sync->has_quota_result = true;
+  sync->is_quota_answered = true;
+  sync->n_quotas = 0;
+  for (u_int i = 0; is_fresh && i < result->quotas.quotas_len; i++)
+    {
+      const fleet_quota_t *wire = &result->quotas.quotas_val[i];
+      if (isfinite (wire->level) && isfinite (wire->demand)
+          && wire->demand >= 0)
+        sync->quotas[sync->n_quotas++]
+            = (quota_state_t){ .account = wire->account,
+                               .level = wire->level,
+                               .demand = wire->demand };
+    }
+}
+
 static void
 add_directors (director_sync_t *sync, const fleet_pull_result_t *result)
 {
@@ -366,6 +392,7 @@
   add_directors (sync, result);
   bool is_fresh = result->confirmed_age >= 0
                   && result->confirmed_age < CONFIRMED_AGE_MAX;
+  apply_quotas (sync, result, is_fresh);
   director_choice_answered (&sync->directors, now - sync->pull_sent_at);
   if (!is_fresh)
     director_choice_avoid (&sync->directors, now);
@@ -410,6 +437,8 @@
   else
     {
       director_choice_avoid (&sync->directors, now);
+      sync->has_quota_result = true;
+      sync->is_quota_answered = false;
       sync->next_pull_at = now + DIRECTOR_SYNC_INTERVAL / 4;
     }
   pthread_mutex_unlock (&sync->lock);
@@ -453,6 +482,12 @@
   sync->pool = pool;
 }
 
+void
+director_sync_set_limiter (director_sync_t *sync, limiter_t *limiter)
+{
+  sync->limiter = limiter;
+}
+
 size_t
 director_sync_releases (director_sync_t *sync, director_release_t *releases)
 {
@@ -503,11 +538,42 @@
   args->notices.notices_len = (u_int)n;
 }
 
+/* Apply what the last pull told of the quotas, if it has ended.  With the lock
+   held.  */
+static void
+settle_quotas (director_sync_t *sync, usec_t now)
+{
+  if (!sync->has_quota_result || !sync->limiter)
+    return;
+  sync->has_quota_result = false;
+  limiter_report_ended (sync->limiter, sync->is_quota_answered, sync->quotas,
+                        sync->is_quota_answered ? sync->n_quotas : 0, now);
+}
+
+/* Fill in what was done for client accounts.  WIRE has room for
+   QUOTA_USAGES_MAX.  With the lock held.  */
+static void
+add_usages (director_sync_t *sync, fleet_pull_args_t *args,
+            fleet_usage_t *wire, usec_t now)
+{
+  quota_usage_t usages[QUOTA_USAGES_MAX];
+  if (!sync->limiter)
+    return;
+  size_t n = limiter_report (sync->limiter, usages, now);
+  for (size_t i = 0; i < n; i++)
+    wire[i] = (fleet_usage_t){ .account = usages[i].account,
+                               .admitted = usages[i].admitted,
+                               .asked = usages[i].asked };
+  args->usages.usages_val = wire;
+  args->usages.usages_len = (u_int)n;
+}
+
 void
 director_sync_tick (director_sync_t *sync, usec_t now)
 {
   const fleet_settings_t *settings = sync->options.settings;
   pthread_mutex_lock (&sync->lock);
+  settle_quotas (sync, now);
   bool is_due = !sync->is_pulling && now >= sync->next_pull_at
                 && sync->directors.n_directors > 0;
   router_record_t self = { .vm = settings->vm,
@@ -526,6 +592,7 @@
           .quarantine_digest = sync->quarantine_digest };
   crash_report_t crashes;
   fleet_notice_t notices[NOTICES_MAX];
+  fleet_usage_t usages[QUOTA_USAGES_MAX];
   uint32_t director = 0;
   if (is_due)
     {
@@ -537,6 +604,7 @@
       director = director_choice_next (&sync->directors, now);
       add_crashes (sync, director, &args, &crashes, now);
       add_notices (sync, &args, notices, now);
+      add_usages (sync, &args, usages, now);
     }
   pthread_mutex_unlock (&sync->lock);
   if (is_due)
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -14,6 +14,7 @@
 #ifndef ROUTER_DIRECTOR_SYNC_H
 #define ROUTER_DIRECTOR_SYNC_H
 
+#include "quota/limiter.h"
 #include "router/fleet_snapshot.h"
 #include "settings/fleet_settings.h"
 #include "wire/rpc.h"
@@ -51,6 +52,11 @@
 void director_sync_set_pool (director_sync_t *sync,
                              const backend_pool_t *pool);
 
+/* Report the requests that LIMITER counts to the directors, and apply to it
+   what they answer.  LIMITER is used by director_sync_tick only and must stay
+   valid.  */
+void director_sync_set_limiter (director_sync_t *sync, limiter_t *limiter);
+
 /* A request whose quarantine an operator ended at AT.  */
 typedef struct director_release
 {
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -96,6 +96,8 @@
       dispatcher_finish (dispatcher, exchange, REASON_NO_ROUTE);
       return;
     }
+  if (!dispatcher_check_account (dispatcher, exchange, now))
+    return;
   exchange->share_index
       = route_split_next (dispatcher->split, exchange->route);
   exchange->query.route = exchange->route;
@@ -172,6 +174,7 @@
   backend_http_tick (dispatcher->backends, now);
   dispatcher_expire_calls (dispatcher, now);
   dispatcher_apply_releases (dispatcher);
+  dispatcher_expire_quotas (dispatcher, now);
   dispatcher_serve_queue (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
@@ -266,6 +269,8 @@
   list_init (&dispatcher->active);
   director_sync_set_crashes (options->sync, &dispatcher->crashes);
   director_sync_set_pool (options->sync, dispatcher->pool);
+  random_seed (&dispatcher->limiter.random, options->seed);
+  director_sync_set_limiter (options->sync, &dispatcher->limiter);
   return dispatcher;
 }
 
@@ -275,6 +280,7 @@
   backend_http_free (dispatcher->backends);
   backend_pool_free (dispatcher->pool);
   route_split_free (dispatcher->split);
+  limiter_clear (&dispatcher->limiter);
   fleet_snapshot_unref (dispatcher->snapshot);
   free (dispatcher);
 }
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -18,6 +18,7 @@
       LOG_S ("route", exchange->route ? exchange->route->name.text : ""),
       LOG_S ("service",
              exchange->query.service ? exchange->query.service : ""),
+      LOG_S ("account", exchange->account ? exchange->account->name.text : ""),
       LOG_S ("backend", exchange->last_backend_id),
       LOG_U ("version", exchange->snapshot && exchange->snapshot->config
                             ? exchange->snapshot->config->version
@@ -35,6 +36,7 @@
 {
   usec_t now = clock_monotonic ();
   exchange->reason = reason;
+  dispatcher_settle_quota (dispatcher, exchange, reason);
   log_ended (exchange, now);
   router_metrics_request_ended (
       dispatcher->options.metrics,
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -8,6 +8,7 @@
 #include "balance/retry_share.h"
 #include "fleet/crash_table.h"
 #include "fleet/recent_answers.h"
+#include "quota/limiter.h"
 #include "router/dispatcher.h"
 #include "routing/route_split.h"
 
@@ -51,6 +52,8 @@
   recent_answers_t answers;   /* that this router has seen */
   usec_t next_crash_expiry_at;
   backend_stutters_t stutters;
+  limiter_t limiter; /* of the client accounts' quotas */
+  usec_t next_quota_expiry_at;
 };
 
 /* dispatcher_finish.c */
@@ -123,6 +126,20 @@
 /* Forget old crashes when due.  */
 void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
 
+/* dispatcher_accounts.c */
+/* Find the client account of EXCHANGE's caller, if the configuration names
+   accounts, and count the request against its quota.  Returns false if it was
+   refused.  */
+bool dispatcher_check_account (dispatcher_t *dispatcher, exchange_t *exchange,
+                               usec_t now);
+/* EXCHANGE ends for REASON: if it has not run, it does not count against its
+   account's quota.  */
+void dispatcher_settle_quota (dispatcher_t *dispatcher,
+                              const exchange_t *exchange,
+                              exchange_reason_t reason);
+/* Forget accounts that were not asked for, when due.  */
+void dispatcher_expire_quotas (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_notices.c */
 /* Record what the backend server says of itself in RESPONSE, of class RESULT,
    to EXCHANGE.  */
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -141,7 +141,7 @@
        link = link->prev)
     {
       const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
-      if (other->route->priority <= exchange->route->priority)
+      if (other->priority <= exchange->priority)
         break;
       before = link;
     }
@@ -160,7 +160,7 @@
   {
     const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
     if (strcmp (other->query.service, exchange->query.service) == 0
-        && other->route->priority <= exchange->route->priority)
+        && other->priority <= exchange->priority)
       ahead++;
   }
   size_t n_routers = dispatcher->snapshot->n_routers;
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -13,6 +13,10 @@
       return "too_large";
     case REASON_NO_ROUTE:
       return "no_route";
+    case REASON_NO_ACCOUNT:
+      return "no_account";
+    case REASON_QUOTA:
+      return "quota";
     case REASON_NO_CONFIG:
       return "no_config";
     case REASON_NO_BACKEND:
@@ -54,6 +58,10 @@
       return MHD_HTTP_CONTENT_TOO_LARGE;
     case REASON_NO_ROUTE:
       return MHD_HTTP_NOT_FOUND;
+    case REASON_NO_ACCOUNT:
+      return MHD_HTTP_UNAUTHORIZED;
+    case REASON_QUOTA:
+      return MHD_HTTP_TOO_MANY_REQUESTS;
     case REASON_NO_CONFIG:
     case REASON_NO_BACKEND:
     case REASON_OVERLOAD:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -41,6 +41,8 @@
   REASON_BAD_REQUEST, /* 400 */
   REASON_TOO_LARGE,   /* 413 */
   REASON_NO_ROUTE,    /* 404 */
+  REASON_NO_ACCOUNT,  /* 401: its key belongs to no client account */
+  REASON_QUOTA,       /* 429, not run: beyond the account's quota */
   REASON_NO_CONFIG,   /* 503, not run */
   REASON_NO_BACKEND,  /* 503, not run: no backend server is available */
   REASON_OVERLOAD,    /* 503, not run: it would wait beyond its deadline */
@@ -78,7 +80,11 @@
 
   fleet_snapshot_t *snapshot; /* the one it is routed by; holds a reference */
   const route_t *route;
-  size_t share_index; /* in the shares of ROUTE */
+  size_t share_index;              /* in the shares of ROUTE */
+  const client_account_t *account; /* of the caller; NULL: none.  In SNAPSHOT's
+                                      configuration */
+  bool is_in_quota;                /* it was counted against ACCOUNT's quota */
+  uint32_t priority; /* the account's or the route's; 0: highest */
   pool_query_t query;
   usec_t deadline; /* monotonic; the caller's or the route's, if earlier */
   usec_t caller_deadline; /* monotonic; 0: the caller sent none */
--- a/src/router/request_headers.c
+++ b/src/router/request_headers.c
@@ -17,6 +17,7 @@
 {
   struct curl_slist *list;
   bool has_accept;
+  bool hides_key; /* the configuration names client accounts */
 } header_copy_t;
 
 /* Hop-by-hop headers, and those that the router sets, are not forwarded.  */
@@ -34,6 +35,14 @@
   return true;
 }
 
+/* The backend server gets the account's name in place of the key.  */
+static bool
+tells_account (const char *name)
+{
+  return strcasecmp (name, HEADER_KEY) == 0
+         || strcasecmp (name, HEADER_ACCOUNT) == 0;
+}
+
 static void
 add_header (header_copy_t *copy, const char *name, const char *value)
 {
@@ -57,7 +66,7 @@
 forward_header (void *closure, const char *name, const char *value)
 {
   header_copy_t *copy = closure;
-  if (!is_forwarded (name))
+  if (!is_forwarded (name) || (copy->hides_key && tells_account (name)))
     return;
   copy->has_accept = copy->has_accept || strcasecmp (name, "Accept") == 0;
   add_header (copy, name, value);
@@ -67,13 +76,16 @@
 request_headers (const exchange_t *exchange, const backend_t *backend,
                  usec_t now)
 {
-  header_copy_t copy = { 0 };
+  header_copy_t copy
+      = { .hides_key = exchange->snapshot->config->has_accounts };
   char time_left[32];
   caller_http_each_header (exchange, forward_header, &copy);
   snprintf (time_left, sizeof time_left, "%lld",
             (long long)((exchange->deadline - now) / USEC_PER_MSEC));
   add_header (&copy, HEADER_DEADLINE, time_left);
   add_header (&copy, HEADER_BACKEND_ID, backend->record.id);
+  if (exchange->account)
+    add_header (&copy, HEADER_ACCOUNT, exchange->account->name.text);
   copy.list = curl_slist_append (copy.list, "Expect:");
   if (!copy.has_accept)
     copy.list = curl_slist_append (copy.list, "Accept:");
--- a/src/router/request_headers.h
+++ b/src/router/request_headers.h
@@ -10,7 +10,8 @@
 
 /* Headers for sending EXCHANGE's request to BACKEND: those that the caller
    sent, without the hop-by-hop ones, and the time left until the deadline at
-   NOW and the id of BACKEND.  */
+   NOW, the id of BACKEND and, in place of the caller's key, the name of its
+   client account if the configuration names accounts.  */
 struct curl_slist *request_headers (const exchange_t *exchange,
                                     const backend_t *backend, usec_t now);
 
--- a/src/routing/route_config.c
+++ b/src/routing/route_config.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/name.h"
+#include "routing/account.h"
+
 void
 route_config_free (route_config_t *config)
 {
@@ -17,6 +20,7 @@
     }
   free (config->routes);
   free (config->services);
+  accounts_clear (config);
   free (config);
 }
 
@@ -70,7 +74,7 @@
       if (!check_shares (config, route, err))
         return false;
     }
-  return true;
+  return accounts_check (config, err);
 }
 
 /* Compares without regard to case; a port after HOST is ignored.  */
@@ -106,8 +110,6 @@
 bool
 route_allows_region (const route_t *route, const char *region)
 {
-  for (size_t i = 0; i < route->n_home_regions; i++)
-    if (strcmp (route->home_region_names[i].text, region) == 0)
-      return true;
-  return route->n_home_regions == 0;
+  size_t n = route->n_home_regions;
+  return n == 0 || name_find (route->home_region_names, n, region) < n;
 }
--- a/src/routing/route_defs.h
+++ b/src/routing/route_defs.h
@@ -36,6 +36,7 @@
   /* Requests with the same affinity key run faster at a backend server that
      handled the key recently.  */
   bool has_affinity;
+  bool is_anonymous;        /* a request needs no client account */
   usec_t timeout;           /* maximum time until the answer; 0: none */
   usec_t latency_objective; /* target latency; 0: none */
   uint32_t priority;        /* 0: highest priority */
@@ -56,6 +57,30 @@
   double cold_rate; /* requests per second that a cold one can handle */
 } service_config_t;
 
+/* A client account.  Its requests carry one of its keys.  */
+typedef struct client_account
+{
+  name_t name;
+  uint64_t id; /* a hash of NAME, the same in every configuration */
+  bool has_priority;
+  uint32_t priority; /* replaces the route's; valid if has_priority */
+  double rate;       /* quota in requests per second, of all routers together;
+                        0: no limit */
+  double burst;      /* requests on top of that at once */
+  size_t n_keys;
+  char **keys; /* secrets: not for logs, errors or metrics */
+  size_t n_home_regions;
+  name_t *home_region_names; /* that may serve the account; none: all */
+} client_account_t;
+
+/* A key in the index of keys.  */
+typedef struct account_key
+{
+  uint64_t hash;
+  const char *text; /* owned by the account */
+  const client_account_t *account;
+} account_key_t;
+
 /* Limits for a caller's request; 0: no limit.  */
 typedef struct caller_limits
 {
@@ -75,6 +100,11 @@
   size_t n_services;
   service_config_t *services;
   caller_limits_t limits;
+  bool has_accounts; /* a request needs a key, but for anonymous routes */
+  size_t n_accounts;
+  client_account_t *accounts;
+  size_t n_keys;
+  account_key_t *key_index; /* of all accounts, by hash; account_index_keys */
 } route_config_t;
 
 #endif
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -16,6 +16,8 @@
 const FLEET_WIRE_QUARANTINED_MAX = 256;
 const FLEET_WIRE_NOTICES_MAX = 64;
 const FLEET_WIRE_RELEASES_MAX = 32;
+const FLEET_WIRE_USAGES_MAX = 256;
+const FLEET_WIRE_TOTALS_MAX = 1024;
 
 struct fleet_router_t
 {
@@ -104,6 +106,37 @@
   int64_t rest_left; /* usec until it wants requests; 0: it does not rest */
 };
 
+/* What a router admitted and was asked for an account since its last report. */
+struct fleet_usage_t
+{
+  uint64_t account;
+  int64_t admitted;
+  uint64_t asked;
+};
+
+/* The bucket of an account over all routers. */
+struct fleet_quota_t
+{
+  uint64_t account;
+  double level;  /* requests */
+  double demand; /* requests a second */
+};
+
+/* What the routers of a director reported of an account since it started. */
+struct fleet_total_t
+{
+  uint64_t account;
+  int64_t admitted;
+  uint64_t asked;
+};
+
+/* A bucket that the leader tells a follower. */
+struct fleet_bucket_t
+{
+  fleet_quota_t quota;
+  int64_t included; /* of the follower's total of admitted requests */
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
@@ -116,6 +149,7 @@
   uint64_t quarantine_digest; /* of the quarantined requests that it knows */
   bool tells_notices; /* all that are in force; otherwise as told before */
   fleet_notice_t notices<FLEET_WIRE_NOTICES_MAX>;
+  fleet_usage_t usages<FLEET_WIRE_USAGES_MAX>;
 };
 
 /* Where a router takes requests. */
@@ -168,6 +202,7 @@
   /* Empty where the router has the same digest. */
   fleet_fingerprint_t quarantined<FLEET_WIRE_QUARANTINED_MAX>;
   fleet_release_t releases<FLEET_WIRE_RELEASES_MAX>;
+  fleet_quota_t quotas<FLEET_WIRE_USAGES_MAX>; /* of the accounts of `usages` */
 };
 
 /* Which director holds which slot of the log. */
@@ -187,6 +222,10 @@
   fleet_roster_t roster;
   fleet_list_update_t list;
   fleet_suspect_t suspects<FLEET_WIRE_SUSPECTS_MAX>;
+  uint64_t incarnation; /* of the sender's process */
+  int64_t sent_at;      /* by the sender's clock, usec */
+  fleet_total_t totals<FLEET_WIRE_TOTALS_MAX>;   /* to the leader */
+  fleet_bucket_t buckets<FLEET_WIRE_TOTALS_MAX>; /* from the leader alone */
 };
 
 struct fleet_share_result_t
