feat(load,router,director): routers share what they hear of backend servers' load

Cause: a router of sixty learns of a server's load from its own responses alone: half of what it knew was older than 2.8 s. A load header with a fourth figure (how long work takes there now) was dropped whole.

Change: load/ (the newest report of each server, pure); reports travel in pulls and shares, no request more to a server; the fourth figure is read and used in the choice.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -10,7 +10,6 @@
 enum
 {
   FAILURES_UNTIL_DOWN = 2, /* consecutive failures */
-  LOAD_MEAN_DIVISOR = 8,   /* a new report has a weight of 1/8 in the mean */
 };
 
 /* Time from the failure to the first probe, and between probes.  */
@@ -75,6 +74,7 @@
   backend->consecutive_failures = 0;
   backend->other_load = 0;
   backend->other_load_mean = 0;
+  backend->pace = 0;
   backend->latency = 0;
   recent_objects_clear (&backend->recent_objects);
   backend->quality = (backend_quality_t){ 0 };
@@ -139,6 +139,7 @@
   backend->record.is_draining = is_draining;
   if (is_new || is_restarted)
     pool_notices_load (pool, backend);
+  backend->load_id = load_server_id (backend_record_boot (&backend->record));
   backend->region = *region;
   backend->is_listed = true;
 }
@@ -206,12 +207,7 @@
 {
   if (!load->is_known)
     return;
-  uint32_t total = load->running + load->waiting;
-  backend->other_load
-      = total > backend->in_flight ? total - backend->in_flight : 0;
-  backend->load_reported_at = now;
-  backend->other_load_mean
-      += (backend->other_load - backend->other_load_mean) / LOAD_MEAN_DIVISOR;
+  pool_load_update (backend, load->running + load->waiting, load->pace, now);
   if (load->slots > 0)
     backend->record.slots = load->slots;
 }
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -22,6 +22,7 @@
 #include "fleet/fleet_defs.h"
 #include "fleet/notice_table.h"
 #include "fleet/reopened_domains.h"
+#include "load/load_defs.h"
 #include "routing/route_defs.h"
 #include "settings/fleet_settings.h"
 
@@ -58,6 +59,8 @@
   uint32_t running;
   uint32_t waiting;
   uint32_t slots; /* requests that can run at the same time */
+  uint32_t pace; /* how long work takes there now, in percent of normal; 0: not
+                    told */
 } backend_load_t;
 
 typedef struct backend
@@ -66,13 +69,15 @@
   backend_record_t record;
   name_t region;
   uint64_t id_hash;
-  bool is_listed; /* in the directors' latest list */
+  uint32_t load_id; /* in load reports */
+  bool is_listed;   /* in the directors' latest list */
   bool is_evacuated;
   double weight; /* in weighted rendezvous hashing */
 
   uint32_t in_flight;      /* requests of this router */
   uint32_t other_load;     /* requests of other routers, by the last report */
   usec_t load_reported_at; /* 0: never */
+  uint32_t pace;           /* by the last report; 0: not told */
   double other_load_mean;  /* exponentially weighted mean of other_load */
   usec_t latency;          /* weighted mean of BACKEND_ANSWERED; 0: none */
   recent_objects_t recent_objects; /* that this router sent to it */
@@ -230,6 +235,11 @@
 void backend_pool_probe_ended (backend_pool_t *pool, backend_t *backend,
                                bool is_healthy, usec_t cold_left, usec_t now);
 
+/* Applies N load reports that other routers heard, ordered by server.  A
+   report that is older than the one known of its backend server is ignored. */
+void backend_pool_hear_loads (backend_pool_t *pool,
+                              const load_report_t *reports, size_t n);
+
 /* Returns the estimated number of requests that run or wait at BACKEND, those
    of other routers included.  */
 double backend_load_at (const backend_t *backend, usec_t now);
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -24,6 +24,8 @@
   pool_service_t *services; /* malloc'd */
   size_t n_down;            /* backend servers that are BACKEND_DOWN */
   backend_notices_t notices;
+  size_t n_by_load_id;
+  backend_t **by_load_id; /* malloc'd; all, by the id in load reports */
 };
 
 enum
@@ -55,6 +57,10 @@
 bool pool_is_last_resort (const backend_pool_t *pool, const backend_t *backend,
                           const pool_query_t *query, usec_t now);
 
+/* Records that TOTAL requests ran or waited at BACKEND at AT, and its PACE. */
+void pool_load_update (backend_t *backend, uint32_t total, uint32_t pace,
+                       usec_t at);
+
 /* Sets BACKEND's notice to what its present start has said before.  */
 void pool_notices_load (const backend_pool_t *pool, backend_t *backend);
 
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -86,6 +86,21 @@
   return weight > 0 ? -log (unit) / weight : INFINITY;
 }
 
+/* A pace that a backend server told loses its weight linearly within this
+   time.  */
+#define PACE_LIFETIME (600 * USEC_PER_MSEC)
+
+/* How long work takes at BACKEND now, as a factor; 1 if it tells no pace.  */
+static double
+pace_at (const backend_t *backend, usec_t now)
+{
+  usec_t age = now - backend->load_reported_at;
+  if (backend->pace == 0 || age >= PACE_LIFETIME)
+    return 1;
+  double told = (double)backend->pace / LOAD_PACE_NORMAL;
+  return told + (1 - told) * (double)age / (double)PACE_LIFETIME;
+}
+
 /* Expected wait when the load equals the slots, as a fraction of a cached run.
    The wait grows with the square of the load, because the load is known only
    approximately.  */
@@ -122,7 +137,8 @@
                                        query->object_hash))
     run = cached;
   double slowness = backend_quality_slowness (&backend->quality, now);
-  return network_time (pool, backend) + (wait + run) * slowness;
+  return network_time (pool, backend)
+         + (wait + run) * slowness * pace_at (backend, now);
 }
 
 /* Candidates for a request, by ascending rendezvous score.  */
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -19,6 +19,7 @@
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
 #include "fleet/router_table.h"
+#include "load/load_table.h"
 #include "quota/book.h"
 #include "wire/generated/fleet.h"
 
@@ -37,8 +38,8 @@
 #define CORE_TICK_INTERVAL (20 * USEC_PER_MSEC)
 #define ANNOUNCE_INTERVAL (400 * USEC_PER_MSEC)
 #define SHARE_INTERVAL (500 * USEC_PER_MSEC)
-/* While requests of accounts with a quota are reported.  */
-#define SHARE_INTERVAL_QUOTAS (250 * USEC_PER_MSEC)
+/* While routers report loads, or requests of accounts with a quota.  */
+#define SHARE_INTERVAL_REPORTS (250 * USEC_PER_MSEC)
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
 /* A disk that refused a write may stay full for a while.  */
 #define ROSTER_SAVE_INTERVAL USEC_PER_SEC
@@ -99,6 +100,7 @@
   clock_offset_t clock;          /* of its shares */
   uint64_t incarnation;          /* of its process, by its last reply */
   uint64_t crashes_known;        /* the changes of `crashes` that it has */
+  uint64_t loads_told;           /* the changes of `loads` sent to it */
   _Atomic int n_calls_in_flight; /* FLEET_AGREE calls without a reply yet */
 } director_peer_t;
 
@@ -166,6 +168,8 @@
 
   book_t quotas; /* of the client accounts in STATE's configuration */
   usec_t next_quota_expiry_at;
+  load_table_t loads; /* of backend servers, as routers told lately */
+  usec_t next_load_expiry_at;
 
   list_t operator_requests; /* unfinished; some are proposed */
   proposal_id_t last_proposal_id;
@@ -307,6 +311,26 @@
 /* Forget unused accounts when due.  */
 void core_quotas_tick (director_core_t *core, usec_t now);
 
+/* core_loads.c */
+
+/* Keep the load reports of the router of ARGS, and fill in those that it does
+   not have; LOADS has room for FLEET_WIRE_LOADS_MAX.  */
+void core_loads_answer (director_core_t *core, const fleet_pull_args_t *args,
+                        fleet_pull_result_t *result, fleet_load_t *loads,
+                        usec_t now);
+/* Fill in those that the director in slot TO was not sent yet; LOADS as
+   above.  */
+void core_loads_fill_share (director_core_t *core, slot_t to,
+                            fleet_share_args_t *args, fleet_load_t *loads,
+                            usec_t now);
+/* Keep the load reports that another director shares.  */
+void core_loads_merge_share (director_core_t *core,
+                             const fleet_share_args_t *args, usec_t sent_at);
+/* Whether routers told of loads lately.  */
+bool core_loads_are_told (const director_core_t *core);
+/* Forget old reports when due.  */
+void core_loads_tick (director_core_t *core, usec_t now);
+
 /* core_view.c */
 
 /* This director's view of the deployment as JSON text, malloc'd.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -336,6 +336,8 @@
   core_crashes_fill_share (core, to, args, &crashes, now);
   static quota_share_t quotas;
   core_quotas_fill_share (core, to, args, &quotas, now);
+  static fleet_load_t loads[FLEET_WIRE_LOADS_MAX];
+  core_loads_fill_share (core, to, args, loads, now);
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
@@ -360,10 +362,10 @@
   slot_t own_slot = roster_slot (&core->roster, core->own_address);
   if (own_slot == SLOT_NONE || !core->replica || now < core->next_share_at)
     return;
+  bool has_reports
+      = core_quotas_are_used (core, now) || core_loads_are_told (core);
   core->next_share_at
-      = now
-        + (core_quotas_are_used (core, now) ? SHARE_INTERVAL_QUOTAS
-                                            : SHARE_INTERVAL);
+      = now + (has_reports ? SHARE_INTERVAL_REPORTS : SHARE_INTERVAL);
   bool is_leader = core->role == ROLE_LEADER;
   packed_t routers = pack_routers (core, now);
   fleet_share_args_t args = { .address = core->own_address, .slot = own_slot };
@@ -442,6 +444,7 @@
   core_crashes_merge (core, args->suspects.suspects_val,
                       args->suspects.suspects_len, sent_at, now);
   core_quotas_merge_share (core, args, now);
+  core_loads_merge_share (core, args, sent_at);
   fleet_share_result_t result = { .list_digest = core->backend_list.digest,
                                   .incarnation = core->options.seed };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
@@ -461,6 +464,7 @@
   send_announcements (core, now);
   send_shares (core, now);
   core_quotas_tick (core, now);
+  core_loads_tick (core, now);
 }
 
 /* --- RPC procedures, on the RPC thread ---------------------------------- */
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -399,6 +399,7 @@
   list_source_clear (&core->list_source);
   backend_list_clear (&core->backend_list);
   book_clear (&core->quotas);
+  load_table_clear (&core->loads);
   settings_feed_release (core->options.feed, core->settings);
   pthread_cond_destroy (&core->mailbox_changed);
   pthread_mutex_destroy (&core->lock);
--- /dev/null
+++ b/src/load/load_defs.h
@@ -0,0 +1,36 @@
+/* load_defs: what a backend server says of its load.  */
+
+#ifndef LOAD_LOAD_DEFS_H
+#define LOAD_LOAD_DEFS_H
+
+#include <stdint.h>
+
+#include "base/time_defs.h"
+
+enum
+{
+  LOAD_COUNT_MAX = UINT16_MAX, /* requests */
+  LOAD_PACE_NORMAL = 100,      /* percent */
+  LOAD_SERVERS_MAX = 8192,     /* in a table */
+};
+
+/* The load of a backend server at one moment.  */
+typedef struct load_report
+{
+  uint32_t server;  /* of load_server_id */
+  uint16_t running; /* requests */
+  uint16_t waiting;
+  uint16_t pace; /* how long work takes, in percent of normal; 0: not told */
+  usec_t at;     /* when it was said */
+} load_report_t;
+
+/* A short id of one start of a backend server, of its BOOT
+   (backend_record_boot).  Two may have the same, once in some thousand
+   deployments of a thousand servers; one then counts with the other's load. */
+static inline uint32_t
+load_server_id (uint64_t boot)
+{
+  return (uint32_t)boot;
+}
+
+#endif
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -14,6 +14,7 @@
 #ifndef ROUTER_DIRECTOR_SYNC_H
 #define ROUTER_DIRECTOR_SYNC_H
 
+#include "load/load_table.h"
 #include "quota/limiter.h"
 #include "router/fleet_snapshot.h"
 #include "settings/fleet_settings.h"
@@ -47,10 +48,15 @@
 void director_sync_set_crashes (director_sync_t *sync,
                                 const crash_table_t *crashes);
 
-/* Report what the backend servers of POOL say of themselves to the directors.
-   POOL is read by director_sync_tick only and must stay valid.  */
-void director_sync_set_pool (director_sync_t *sync,
-                             const backend_pool_t *pool);
+/* Report what the backend servers of POOL say of themselves to the directors,
+   and apply to it what other routers heard of their load.  POOL is used by
+   director_sync_tick only and must stay valid.  */
+void director_sync_set_pool (director_sync_t *sync, backend_pool_t *pool);
+
+/* Report the LOADS that this router heard to the directors.  LOADS is read by
+   director_sync_tick only and must stay valid.  */
+void director_sync_set_heard_loads (director_sync_t *sync,
+                                    const load_table_t *loads);
 
 /* Report the requests that LIMITER counts to the directors, and apply to it
    what they answer.  LIMITER is used by director_sync_tick only and must stay
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -120,7 +120,7 @@
   const route_t *route
       = config ? route_config_match (config, exchange->host, exchange->target)
                : NULL;
-  return route && route->is_idempotent;
+  return !route || route->is_idempotent;
 }
 
 /* Abort EXCHANGE's call, if there is one, without counting it as a failure of
@@ -283,6 +283,7 @@
   director_sync_set_pool (options->sync, dispatcher->pool);
   random_seed (&dispatcher->limiter.random, options->seed);
   director_sync_set_limiter (options->sync, &dispatcher->limiter);
+  director_sync_set_heard_loads (options->sync, &dispatcher->heard_loads);
   return dispatcher;
 }
 
@@ -293,6 +294,7 @@
   backend_pool_free (dispatcher->pool);
   route_split_free (dispatcher->split);
   limiter_clear (&dispatcher->limiter);
+  load_table_clear (&dispatcher->heard_loads);
   fleet_snapshot_unref (dispatcher->snapshot);
   free (dispatcher);
 }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -32,7 +32,8 @@
 /* EXCHANGE's request was received completely.  */
 void dispatcher_request (dispatcher_t *dispatcher, exchange_t *exchange);
 
-/* Whether EXCHANGE's request may run more than once, by its route.  */
+/* Whether EXCHANGE's request may run more than once, by its route; true also
+   if it has none, since it is refused then.  */
 bool dispatcher_is_idempotent (const dispatcher_t *dispatcher,
                                const exchange_t *exchange);
 
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -54,6 +54,7 @@
   backend_stutters_t stutters;
   limiter_t limiter; /* of the client accounts' quotas */
   usec_t next_quota_expiry_at;
+  load_table_t heard_loads; /* of backend servers, to be told to directors */
 };
 
 /* dispatcher_finish.c */
@@ -153,6 +154,13 @@
                                     const backend_response_t *response,
                                     usec_t now);
 
+/* dispatcher_load.c */
+/* Keep what RESPONSE tells of the load of EXCHANGE's backend server for the
+   other routers, if the settings or the backend server ask for that.  */
+void dispatcher_hear_load (dispatcher_t *dispatcher,
+                           const exchange_t *exchange,
+                           const backend_response_t *response, usec_t now);
+
 /* dispatcher_stutter.c */
 /* Whether each request to BACKEND needs a new connection at NOW.  */
 bool dispatcher_stutters (const dispatcher_t *dispatcher,
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -148,6 +148,8 @@
   if (result == BACKEND_OTHER_ANSWER)
     dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
+  if (!response->is_foreign)
+    dispatcher_hear_load (dispatcher, exchange, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
   const backend_outcome_t outcome
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -213,24 +213,36 @@
   return true;
 }
 
+enum
+{
+  LOAD_NUMBERS_MIN = 3, /* running, waiting, slots */
+  LOAD_NUMBERS_MAX = 4, /* and how long work takes, in percent */
+};
+
+/* "3,0,8" or "3,0,8,100".  */
 static void
 parse_load (const char *value, backend_load_t *load)
 {
-  uint64_t numbers[3];
+  uint64_t numbers[LOAD_NUMBERS_MAX] = { 0 };
+  size_t n = 0;
   load->is_known = false;
-  for (size_t i = 0; i < 3; i++)
+  for (bool has_more = true; has_more; n++)
     {
       size_t length = strcspn (value, ",");
-      if (number_parse_unsigned_span (&numbers[i], value, length, LOAD_MAX)
-              != NUMBER_OK
-          || value[length] != (i < 2 ? ',' : '\0'))
+      if (n == LOAD_NUMBERS_MAX
+          || number_parse_unsigned_span (&numbers[n], value, length, LOAD_MAX)
+                 != NUMBER_OK)
         return;
+      has_more = value[length] == ',';
       value += length + 1;
     }
+  if (n < LOAD_NUMBERS_MIN)
+    return;
   *load = (backend_load_t){ .is_known = true,
                             .running = (uint32_t)numbers[0],
                             .waiting = (uint32_t)numbers[1],
-                            .slots = (uint32_t)numbers[2] };
+                            .slots = (uint32_t)numbers[2],
+                            .pace = (uint32_t)numbers[3] };
 }
 
 /* "1500": milliseconds.  What can't be read says nothing.  */
--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -46,6 +46,7 @@
              settings.backend_list_rate),
   TOP_FIELD ("backend_list_lag", YAML_FIELD_DURATION, false,
              settings.backend_list_lag),
+  TOP_FIELD ("share_load", YAML_FIELD_BOOL, false, settings.shares_load),
   { .key = "body_memory_mb",
     .kind = YAML_FIELD_U64,
     .offset = offsetof (document_t, settings.body_memory),
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -72,6 +72,8 @@
   usec_t backend_list_lag;  /* longest delay until it shows a change */
   uint64_t body_memory;     /* routers: bytes for the bodies of requests and
                                responses, all together */
+  bool shares_load;         /* routers tell each other what they hear of the
+                               load of backend servers */
   size_t n_domains;
   fleet_domain_t domains[FLEET_DOMAINS_MAX];
   size_t n_seeds;
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -18,6 +18,7 @@
 const FLEET_WIRE_RELEASES_MAX = 32;
 const FLEET_WIRE_USAGES_MAX = 256;
 const FLEET_WIRE_TOTALS_MAX = 1024;
+const FLEET_WIRE_LOADS_MAX = 1024;
 
 struct fleet_router_t
 {
@@ -137,6 +138,14 @@
   int64_t included; /* of the follower's total of admitted requests */
 };
 
+/* What a backend server said of its load. */
+struct fleet_load_t
+{
+  uint32_t server;       /* a short hash of the backend server and its start */
+  uint32_t counts;       /* high half: requests that run; low: that wait */
+  uint32_t pace_and_age; /* high half: percent; low: msec since it said so */
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
@@ -150,6 +159,9 @@
   bool tells_notices; /* all that are in force; otherwise as told before */
   fleet_notice_t notices<FLEET_WIRE_NOTICES_MAX>;
   fleet_usage_t usages<FLEET_WIRE_USAGES_MAX>;
+  fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* heard since the last pull */
+  uint64_t loads_source; /* the director's process that loads_known is of */
+  uint64_t loads_known;  /* its changes that the router has */
 };
 
 /* Where a router takes requests. */
@@ -203,6 +215,9 @@
   fleet_fingerprint_t quarantined<FLEET_WIRE_QUARANTINED_MAX>;
   fleet_release_t releases<FLEET_WIRE_RELEASES_MAX>;
   fleet_quota_t quotas<FLEET_WIRE_USAGES_MAX>; /* of the accounts of `usages` */
+  fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* changed since loads_known */
+  uint64_t loads_source;
+  uint64_t loads_known;
 };
 
 /* Which director holds which slot of the log. */
@@ -226,6 +241,7 @@
   int64_t sent_at;      /* by the sender's clock, usec */
   fleet_total_t totals<FLEET_WIRE_TOTALS_MAX>;   /* to the leader */
   fleet_bucket_t buckets<FLEET_WIRE_TOTALS_MAX>; /* from the leader alone */
+  fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* changed since the last share */
 };
 
 struct fleet_share_result_t
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -21,7 +21,10 @@
    backend server that FOLDER/leaving names says in all its answers that it
    leaves; one that FOLDER/resting names refuses all requests, and wants a rest
    of REST_SECONDS. A request that reaches a backend server is appended to
-   FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or "refused".  */
+   FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or "refused".  Each
+   run is also appended to FOLDER/accounts as "ID ACCOUNT MSEC KEY": the client
+   account that the request names, or "-", and "key" if it bears a key, else
+   "no-key".  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -267,6 +270,9 @@
   if (is_resting)
     return answer (connection, MHD_HTTP_SERVICE_UNAVAILABLE, "", id, NULL);
   note ("runs", id, backend->id, header (connection, "Content-Type"));
+  const char *account = header (connection, "Tenant");
+  note ("accounts", id, account ? account : "-",
+        header (connection, "Authorization") ? "key" : "no-key");
   if (ends_with (url, "lost"))
     return MHD_NO;
   if (ends_with (url, "crash"))
