feat(load,router): routers share how requests fared at backend servers

Cause: a router of sixty sends a server a request every few seconds, so that each learned by itself, and late, that a server is slow or fails requests while its health check succeeds.

Change: a load report also tells how long its request took against what was expected, and whether it failed by the server's fault; the pool's quality counts it. Metrics by client account, bounded. Exchanges are freed after all events.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -230,9 +230,8 @@
   backend->next_probe_at = now + FIRST_PROBE_DELAY;
 }
 
-/* A refusal counts as a failure if the backend server has a free slot.  */
-static bool
-is_failure (const backend_outcome_t *outcome)
+bool
+backend_outcome_is_failure (const backend_outcome_t *outcome)
 {
   const backend_load_t *load = &outcome->load;
   switch (outcome->result)
@@ -266,7 +265,8 @@
   backend->in_flight--;
   update_load (backend, &outcome->load, now);
   if (tells_quality (outcome->result))
-    backend_quality_update (&backend->quality, is_failure (outcome),
+    backend_quality_update (&backend->quality,
+                            backend_outcome_is_failure (outcome),
                             outcome->latency, outcome->expected_latency, now);
   switch (outcome->result)
     {
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -214,6 +214,10 @@
   usec_t expected_latency; /* 0: not known, or no slot was free at the start */
 } backend_outcome_t;
 
+/* Whether OUTCOME shows a fault of the backend server.  A refusal does if a
+   slot was free.  */
+bool backend_outcome_is_failure (const backend_outcome_t *outcome);
+
 /* Records the end of a request.  Frees BACKEND if it is no longer listed and
    this was its last request.  */
 void backend_pool_request_ended (backend_pool_t *pool, backend_t *backend,
@@ -238,7 +242,8 @@
 /* Applies N load reports that other routers heard, ordered by server.  A
    report that is older than the one known of its backend server is ignored. */
 void backend_pool_hear_loads (backend_pool_t *pool,
-                              const load_report_t *reports, size_t n);
+                              const load_report_t *reports, size_t n,
+                              usec_t now);
 
 /* Returns the estimated number of requests that run or wait at BACKEND, those
    of other routers included.  */
--- a/src/balance/pool_load.c
+++ b/src/balance/pool_load.c
@@ -19,17 +19,24 @@
       += (backend->other_load - backend->other_load_mean) / LOAD_MEAN_DIVISOR;
 }
 
+/* This router's own reports come back later by the time that they travelled.
+ */
+#define ECHO_TIME (50 * USEC_PER_MSEC)
+
 static void
-hear (backend_t *backend, const load_report_t *report)
+hear (backend_t *backend, const load_report_t *report, usec_t now)
 {
-  if (report->at > backend->load_reported_at)
-    pool_load_update (backend, (uint32_t)report->running + report->waiting,
-                      report->pace, report->at);
+  if (report->at <= backend->load_reported_at + ECHO_TIME)
+    return;
+  pool_load_update (backend, (uint32_t)report->running + report->waiting,
+                    report->pace, report->at);
+  backend_quality_update (&backend->quality, report->has_failed,
+                          report->duration, LOAD_PACE_NORMAL, now);
 }
 
 void
 backend_pool_hear_loads (backend_pool_t *pool, const load_report_t *reports,
-                         size_t n)
+                         size_t n, usec_t now)
 {
   size_t at = 0;
   for (size_t i = 0; i < pool->n_by_load_id; i++)
@@ -38,6 +45,6 @@
       while (at < n && reports[at].server < id)
         at++;
       if (at < n && reports[at].server == id)
-        hear (pool->by_load_id[i], &reports[at]);
+        hear (pool->by_load_id[i], &reports[at], now);
     }
 }
--- a/src/fleet/load_wire.c
+++ b/src/fleet/load_wire.c
@@ -19,6 +19,8 @@
         .counts = pack_halves (reports[i].running, reports[i].waiting),
         .pace_and_age = pack_halves (
             reports[i].pace, age > UINT16_MAX ? UINT16_MAX : (uint32_t)age),
+        .duration_and_failure
+        = pack_halves (reports[i].duration, reports[i].has_failed),
       };
     }
 }
@@ -35,6 +37,8 @@
         .running = (uint16_t)(wire[i].counts >> 16),
         .waiting = (uint16_t)(wire[i].counts & UINT16_MAX),
         .pace = (uint16_t)(wire[i].pace_and_age >> 16),
+        .duration = (uint16_t)(wire[i].duration_and_failure >> 16),
+        .has_failed = (wire[i].duration_and_failure & UINT16_MAX) != 0,
         .at = sent_at - age,
       };
     }
--- a/src/load/load_defs.h
+++ b/src/load/load_defs.h
@@ -3,6 +3,7 @@
 #ifndef LOAD_LOAD_DEFS_H
 #define LOAD_LOAD_DEFS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "base/time_defs.h"
@@ -14,14 +15,18 @@
   LOAD_SERVERS_MAX = 8192,     /* in a table */
 };
 
-/* The load of a backend server at one moment.  */
+/* The load of a backend server at one moment, and what became of the request
+   whose response told it.  */
 typedef struct load_report
 {
   uint32_t server;  /* of load_server_id */
   uint16_t running; /* requests */
   uint16_t waiting;
   uint16_t pace; /* how long work takes, in percent of normal; 0: not told */
-  usec_t at;     /* when it was said */
+  uint16_t duration; /* of the request, in percent of what the router expected;
+                        0: not known */
+  bool has_failed;   /* the request, by a fault of the backend server */
+  usec_t at;         /* when the response came */
 } load_report_t;
 
 /* A short id of one start of a backend server, of its BOOT
--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -53,14 +53,21 @@
   return exchange;
 }
 
+/* EXCHANGE is freed by the port later, as its caller may still use it.  */
 static void
 remove_exchange (caller_connection_t *connection, exchange_t *exchange)
 {
   list_remove (&exchange->connection_link);
+  list_push_back (&connection->port->ended, &exchange->connection_link);
   connection->n_exchanges--;
   connection->port->n_open--;
-  body_budget_resize (connection->port->options.budget, BODY_CERTAIN,
-                      exchange->body_bytes, 0);
+}
+
+void
+caller_exchange_free (caller_http_t *port, exchange_t *exchange)
+{
+  body_budget_resize (port->options.budget, BODY_CERTAIN, exchange->body_bytes,
+                      0);
   backend_response_clear (&exchange->response);
   fleet_snapshot_unref (exchange->snapshot);
   request_head_clear (&exchange->head);
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -139,6 +139,15 @@
     }
 }
 
+static void
+free_ended (caller_http_t *port)
+{
+  list_t *link;
+  while ((link = list_pop_front (&port->ended)))
+    caller_exchange_free (port,
+                          LIST_ENTRY (link, exchange_t, connection_link));
+}
+
 static void
 close_idle (caller_http_t *port, usec_t now)
 {
@@ -173,6 +182,7 @@
   advance_ready (port);
   usec_t now = clock_monotonic ();
   close_idle (port, now);
+  free_ended (port);
   resume_accepting (port, now);
 }
 
@@ -226,6 +236,7 @@
   list_init (&port->connections);
   list_init (&port->closing);
   list_init (&port->ready);
+  list_init (&port->ended);
   port->watch = (watch_t){ .kind = WATCH_CALLER_PORT,
                            .fd = open_socket (&options->address) };
   port->is_accepting = true;
@@ -249,6 +260,7 @@
   caller_connection_free (LIST_ENTRY (link, caller_connection_t, link));
   LIST_FOREACH (link, &port->closing)
   caller_connection_free (LIST_ENTRY (link, caller_connection_t, link));
+  free_ended (port);
   poller_remove (port->options.poller, &port->watch);
   close (port->watch.fd);
   free (port);
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -21,6 +21,7 @@
   list_t connections; /* by last activity, the oldest first */
   list_t closing;     /* the same, of those that are CALLER_CLOSING */
   list_t ready;       /* to be advanced */
+  list_t ended;       /* exchanges to be freed */
   size_t n_connections;
   size_t n_open; /* requests that are not received or answered whole */
   char buffer[READ_BUFFER_BYTES]; /* what was read last */
--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -141,5 +141,5 @@
     limiter_report_ended (sync->limiter, sync->is_answered, sync->quotas,
                           sync->n_quotas, now);
   if (sync->n_loads > 0)
-    backend_pool_hear_loads (sync->pool, sync->loads, sync->n_loads);
+    backend_pool_hear_loads (sync->pool, sync->loads, sync->n_loads, now);
 }
--- a/src/router/dispatcher_accounts.c
+++ b/src/router/dispatcher_accounts.c
@@ -45,6 +45,8 @@
   exchange->is_in_quota = limiter_admit (
       &dispatcher->limiter, exchange->account, dispatcher->snapshot->n_routers,
       now, &exchange->retry_after);
+  router_metrics_account (dispatcher->options.metrics,
+                          exchange->account->name.text, exchange->is_in_quota);
   if (!exchange->is_in_quota)
     dispatcher_finish (dispatcher, exchange, REASON_QUOTA);
   return exchange->is_in_quota;
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -55,6 +55,7 @@
   limiter_t limiter; /* of the client accounts' quotas */
   usec_t next_quota_expiry_at;
   load_table_t heard_loads; /* of backend servers, to be told to directors */
+  bool shares_machines;     /* some backend server tells its pace */
 };
 
 /* dispatcher_finish.c */
@@ -155,11 +156,10 @@
                                     usec_t now);
 
 /* dispatcher_load.c */
-/* Keep what RESPONSE tells of the load of EXCHANGE's backend server for the
-   other routers, if the settings or the backend server ask for that.  */
-void dispatcher_hear_load (dispatcher_t *dispatcher,
-                           const exchange_t *exchange,
-                           const backend_response_t *response, usec_t now);
+/* Keep what OUTCOME tells of BACKEND's load for the other routers, if the
+   settings or the backend servers ask for that.  */
+void dispatcher_hear_load (dispatcher_t *dispatcher, const backend_t *backend,
+                           const backend_outcome_t *outcome, usec_t now);
 
 /* dispatcher_stutter.c */
 /* Whether each request to BACKEND needs a new connection at NOW.  */
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -113,6 +113,10 @@
              LOG_U ("read", response->body_bytes),
              LOG_S ("end", connection_end_name (response->connection_end)),
              LOG_U ("reused", response->was_reused),
+             LOG_U ("load_known", response->load.is_known),
+             LOG_U ("running", response->load.running),
+             LOG_U ("waiting", response->load.waiting),
+             LOG_U ("pace", response->load.pace),
              LOG_S ("error", response->is_complete ? "" : response->error),
              LOG_I ("usec", now - exchange->sent_at));
 }
@@ -148,8 +152,6 @@
   if (result == BACKEND_OTHER_ANSWER)
     dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
-  if (!response->is_foreign)
-    dispatcher_hear_load (dispatcher, exchange, response, now);
   bool will_retry = result != BACKEND_ANSWERED
                     && may_retry (dispatcher, exchange, result, reached, now);
   const backend_outcome_t outcome
@@ -157,6 +159,8 @@
           .load = response->load,
           .latency = now - exchange->sent_at,
           .expected_latency = dispatcher_expected_run_time (exchange) };
+  if (!response->is_foreign)
+    dispatcher_hear_load (dispatcher, backend, &outcome, now);
   if (!will_retry)
     memcpy (exchange->last_backend_id, backend->record.id,
             sizeof exchange->last_backend_id);
--- a/src/router/response_head.c
+++ b/src/router/response_head.c
@@ -20,6 +20,8 @@
 append (buffer_t *buffer, const char *text)
 {
   size_t length = strlen (text);
+  if (length == 0)
+    return;
   size_t needed = buffer->length + length;
   if (needed > buffer->n_allocated)
     {
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -1,17 +1,27 @@
 #include "router/router_metrics.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/name.h"
 
+/* The names that have counters of their own.  */
+typedef struct label_set
+{
+  size_t n;
+  size_t max;
+  name_t names[BACKENDS_COUNTED_MAX];
+} label_set_t;
+
 struct router_metrics
 {
   metrics_t *metrics;
-  size_t n_backends;
-  name_t backends[BACKENDS_COUNTED_MAX]; /* that have counters of their own */
+  label_set_t backends;
+  label_set_t accounts;
 };
 
+_Static_assert((int)ACCOUNTS_COUNTED_MAX <= (int)BACKENDS_COUNTED_MAX,
+               "a set of labels is too small");
+
 router_metrics_t *
 router_metrics_new (metrics_t *metrics)
 {
@@ -19,6 +29,8 @@
   if (!router)
     abort ();
   router->metrics = metrics;
+  router->backends.max = BACKENDS_COUNTED_MAX;
+  router->accounts.max = ACCOUNTS_COUNTED_MAX;
   return router;
 }
 
@@ -38,17 +50,28 @@
     counter_add (counter, 1);
 }
 
-/* The label of the backend server ID.  */
+/* The label of NAME: itself, or "other" if SET is full.  */
 static const char *
-backend_label (router_metrics_t *metrics, const char *id)
+label_of (label_set_t *set, const char *name)
 {
-  for (size_t i = 0; i < metrics->n_backends; i++)
-    if (strcmp (metrics->backends[i].text, id) == 0)
-      return metrics->backends[i].text;
-  if (metrics->n_backends == BACKENDS_COUNTED_MAX
-      || !name_parse (&metrics->backends[metrics->n_backends], id, NULL))
+  size_t at = name_find (set->names, set->n, name);
+  if (at < set->n)
+    return set->names[at].text;
+  if (set->n == set->max || !name_parse (&set->names[set->n], name, NULL))
     return "other";
-  return metrics->backends[metrics->n_backends++].text;
+  return set->names[set->n++].text;
+}
+
+void
+router_metrics_account (router_metrics_t *metrics, const char *account,
+                        bool is_within_quota)
+{
+  const metric_options_t asked
+      = { .name = "mulberry_router_account_requests_total",
+          .help = "Requests of client accounts, by account and quota",
+          .request_class = label_of (&metrics->accounts, account),
+          .reason = is_within_quota ? "admitted" : "quota" };
+  count (metrics, &asked);
 }
 
 void
@@ -58,7 +81,7 @@
   const metric_options_t extra
       = { .name = "mulberry_router_extra_bytes_total",
           .help = "Bytes of no request, by backend server and where seen",
-          .request_class = backend_label (metrics, backend_id),
+          .request_class = label_of (&metrics->backends, backend_id),
           .reason = where };
   count (metrics, &extra);
 }
@@ -69,7 +92,7 @@
   const metric_options_t part
       = { .name = "mulberry_router_not_whole_total",
           .help = "Responses that were not whole, by backend server",
-          .request_class = backend_label (metrics, backend_id) };
+          .request_class = label_of (&metrics->backends, backend_id) };
   count (metrics, &part);
 }
 
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -3,6 +3,8 @@
 #ifndef ROUTER_ROUTER_METRICS_H
 #define ROUTER_ROUTER_METRICS_H
 
+#include <stdbool.h>
+
 #include "base/metrics.h"
 #include "base/time_defs.h"
 
@@ -11,6 +13,7 @@
 enum
 {
   BACKENDS_COUNTED_MAX = 256, /* ids come and go; METRICS_MAX is a bound */
+  ACCOUNTS_COUNTED_MAX = 100,
 };
 
 /* Registers in METRICS, which must outlive the result.  */
@@ -23,6 +26,11 @@
                                    const char *service, const char *reason,
                                    usec_t latency);
 
+/* Count a request of the client account ACCOUNT.  Accounts after the first
+   ACCOUNTS_COUNTED_MAX share one counter, "other".  */
+void router_metrics_account (router_metrics_t *metrics, const char *account,
+                             bool is_within_quota);
+
 /* Count a request that is sent to a backend server of SERVICE.  */
 void router_metrics_request_sent (router_metrics_t *metrics,
                                   const char *service, bool is_retry);
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -144,6 +144,9 @@
   uint32_t server;       /* a short hash of the backend server and its start */
   uint32_t counts;       /* high half: requests that run; low: that wait */
   uint32_t pace_and_age; /* high half: percent; low: msec since it said so */
+  /* High half: of the request that it answered, in percent of what the router
+     expected, 0: not known; low: 1 if it failed. */
+  uint32_t duration_and_failure;
 };
 
 /* A router tells of itself and says what it has. */
--- a/test/unit/test_quota_fleet.c
+++ b/test/unit/test_quota_fleet.c
@@ -141,9 +141,10 @@
 {
   for (usec_t end = fleet->now + span; fleet->now < end; fleet->now += STEP)
     {
-      double due = per_second * STEP_MSEC / 1000;
-      for (; due > 0; due -= 1)
-        if (random_unit (&fleet->random) < due)
+      size_t n = (size_t)ceil (per_second * STEP_MSEC / 1000);
+      double chance = per_second * STEP_MSEC / 1000 / (double)n;
+      for (size_t i = 0; i < n; i++)
+        if (random_unit (&fleet->random) < chance)
           ask (fleet, random_below (&fleet->random, n_used), started_at);
       for (size_t i = 0; i < fleet->n_routers; i++)
         if ((fleet->now / STEP + (usec_t)i * 7) % (PULL_INTERVAL / STEP) == 0)
