--- a/src/fleet/load_wire.c
+++ b/src/fleet/load_wire.c
@@ -15,7 +15,7 @@
       usec_t age = (now - reports[i].at) / USEC_PER_MSEC;
       age = age < 0 ? 0 : age;
       wire[i] = (fleet_load_t){
-        .server = reports[i].server,
+        .server = (uint32_t)reports[i].server,
         .counts = pack_halves (reports[i].running, reports[i].waiting),
         .pace_and_age = pack_halves (
             reports[i].pace, age > UINT16_MAX ? UINT16_MAX : (uint32_t)age),
--- a/src/load/load_defs.h
+++ b/src/load/load_defs.h
@@ -19,7 +19,7 @@
    whose response told it.  */
 typedef struct load_report
 {
-  uint32_t server;  /* of load_server_id */
+  uint64_t server;  /* of load_server_id */
   uint16_t running; /* requests */
   uint16_t waiting;
   uint16_t pace; /* how long work takes, in percent of normal; 0: not told */
--- a/src/load/load_table.c
+++ b/src/load/load_table.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/sorted_array.h"
+
 void
 load_table_clear (load_table_t *table)
 {
@@ -10,43 +12,11 @@
   *table = (load_table_t){ 0 };
 }
 
-/* The position of SERVER's entry, or the one where it belongs.  */
-static size_t
-position (const load_table_t *table, uint32_t server)
-{
-  size_t low = 0;
-  size_t high = table->n;
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-      if (table->entries[middle].report.server < server)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
-static void
-insert_at (load_table_t *table, size_t at)
-{
-  if (table->n == table->n_allocated)
-    {
-      table->n_allocated = 2 * table->n_allocated + 64;
-      table->entries = realloc (table->entries,
-                                table->n_allocated * sizeof *table->entries);
-      if (!table->entries)
-        abort ();
-    }
-  memmove (&table->entries[at + 1], &table->entries[at],
-           (table->n - at) * sizeof *table->entries);
-  table->n++;
-}
-
 bool
 load_table_put (load_table_t *table, const load_report_t *report)
 {
-  size_t at = position (table, report->server);
+  size_t at = sorted_array_position (table->entries, table->n,
+                                     sizeof *table->entries, report->server);
   bool is_known
       = at < table->n && table->entries[at].report.server == report->server;
   if (is_known && report->at <= table->entries[at].report.at)
@@ -54,7 +24,8 @@
   if (!is_known && table->n == LOAD_SERVERS_MAX)
     return false;
   if (!is_known)
-    insert_at (table, at);
+    sorted_array_insert ((void **)&table->entries, &table->n,
+                         &table->n_allocated, sizeof *table->entries, at);
   table->entries[at]
       = (load_entry_t){ .report = *report, .change = ++table->n_changes };
   return true;
@@ -68,14 +39,6 @@
   return left > right ? -1 : left < right;
 }
 
-static int
-compare_servers (const void *a, const void *b)
-{
-  uint32_t left = ((const load_report_t *)a)->server;
-  uint32_t right = ((const load_report_t *)b)->server;
-  return left < right ? -1 : left > right;
-}
-
 static bool
 is_wanted (const load_entry_t *entry, uint64_t after, usec_t since)
 {
@@ -97,7 +60,7 @@
   qsort (all, n_all, sizeof *all, compare_newest);
   memcpy (reports, all, max * sizeof *all);
   free (all);
-  qsort (reports, max, sizeof *reports, compare_servers);
+  qsort (reports, max, sizeof *reports, sorted_array_compare);
 }
 
 size_t
--- a/src/quota/book.c
+++ b/src/quota/book.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/sorted_array.h"
+
 /* Accounts used within this time are told to other directors; the bucket of
    one that was not is known to be full soon.  */
 #define RECENT_TIME (10 * USEC_PER_SEC)
@@ -26,48 +28,19 @@
   *book = (book_t){ 0 };
 }
 
-/* The position of ACCOUNT's entry, or the one where it belongs.  */
-static size_t
-position (const book_t *book, uint64_t account)
-{
-  size_t low = 0;
-  size_t high = book->n;
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-      if (book->entries[middle].account < account)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
 static book_entry_t *
 find (const book_t *book, uint64_t account)
 {
-  size_t at = position (book, account);
-  return at < book->n && book->entries[at].account == account
-             ? &book->entries[at]
-             : NULL;
-}
-
-static int
-compare_limits (const void *a, const void *b)
-{
-  uint64_t left = ((const book_limit_t *)a)->account;
-  uint64_t right = ((const book_limit_t *)b)->account;
-  return left < right ? -1 : left > right;
+  return sorted_array_find (book->entries, book->n, sizeof *book->entries,
+                            account);
 }
 
 /* ACCOUNT's quota; NULL if it has none.  */
 static const book_limit_t *
 find_limit (const book_t *book, uint64_t account)
 {
-  const book_limit_t key = { .account = account };
-  return book->n_limits > 0 ? bsearch (&key, book->limits, book->n_limits,
-                                       sizeof key, compare_limits)
-                            : NULL;
+  return sorted_array_find (book->limits, book->n_limits, sizeof *book->limits,
+                            account);
 }
 
 /* ACCOUNT's entry, which is new where there was none; NULL if it has no quota,
@@ -80,26 +53,18 @@
   const book_limit_t *limit = find_limit (book, account);
   if (entry || !limit || book->n == BOOK_ACCOUNTS_MAX)
     return entry;
-  if (book->n == book->n_allocated)
-    {
-      book->n_allocated = 2 * book->n_allocated + 16;
-      book->entries
-          = realloc (book->entries, book->n_allocated * sizeof *book->entries);
-      if (!book->entries)
-        abort ();
-    }
-  size_t at = position (book, account);
-  memmove (&book->entries[at + 1], &book->entries[at],
-           (book->n - at) * sizeof *book->entries);
-  book->n++;
-  book->entries[at] = (book_entry_t){ .account = account,
-                                      .rate = limit->rate,
-                                      .burst = limit->burst,
-                                      .level = limit->burst / 2,
-                                      .level_at = now,
-                                      .used_at = now };
-  book->entries[at].own.account = account;
-  return &book->entries[at];
+  size_t at = sorted_array_position (book->entries, book->n,
+                                     sizeof *book->entries, account);
+  entry = sorted_array_insert ((void **)&book->entries, &book->n,
+                               &book->n_allocated, sizeof *book->entries, at);
+  *entry = (book_entry_t){ .account = account,
+                           .rate = limit->rate,
+                           .burst = limit->burst,
+                           .level = limit->burst / 2,
+                           .level_at = now,
+                           .own = { .account = account },
+                           .used_at = now };
+  return entry;
 }
 
 static double
@@ -149,7 +114,8 @@
                               .rate = account->rate,
                               .burst = account->burst };
     }
-  qsort (book->limits, book->n_limits, sizeof *book->limits, compare_limits);
+  qsort (book->limits, book->n_limits, sizeof *book->limits,
+         sorted_array_compare);
 }
 
 void
--- a/src/quota/limiter.c
+++ b/src/quota/limiter.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/sorted_array.h"
+
 enum
 {
   LIMITER_BUCKETS_MAX = 16384, /* those beyond it need a request */
@@ -38,30 +40,11 @@
   limiter->n_allocated = 0;
 }
 
-/* The position of ACCOUNT's bucket, or the one where it belongs.  */
-static size_t
-position (const limiter_t *limiter, uint64_t account)
-{
-  size_t low = 0;
-  size_t high = limiter->n;
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-      if (limiter->buckets[middle].account < account)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
-}
-
 static limiter_bucket_t *
 find (const limiter_t *limiter, uint64_t account)
 {
-  size_t at = position (limiter, account);
-  return at < limiter->n && limiter->buckets[at].account == account
-             ? &limiter->buckets[at]
-             : NULL;
+  return sorted_array_find (limiter->buckets, limiter->n,
+                            sizeof *limiter->buckets, account);
 }
 
 static double
@@ -85,22 +68,15 @@
 static limiter_bucket_t *
 insert (limiter_t *limiter, uint64_t account, double tokens, usec_t now)
 {
-  size_t at = position (limiter, account);
-  if (limiter->n == limiter->n_allocated)
-    {
-      limiter->n_allocated = 2 * limiter->n_allocated + 16;
-      limiter->buckets = realloc (
-          limiter->buckets, limiter->n_allocated * sizeof *limiter->buckets);
-      if (!limiter->buckets)
-        abort ();
-    }
-  memmove (&limiter->buckets[at + 1], &limiter->buckets[at],
-           (limiter->n - at) * sizeof *limiter->buckets);
-  limiter->n++;
-  limiter->buckets[at] = (limiter_bucket_t){ .account = account,
-                                             .refilled_at = now,
-                                             .tokens = tokens };
-  return &limiter->buckets[at];
+  size_t at = sorted_array_position (limiter->buckets, limiter->n,
+                                     sizeof *limiter->buckets, account);
+  limiter_bucket_t *bucket = sorted_array_insert (
+      (void **)&limiter->buckets, &limiter->n, &limiter->n_allocated,
+      sizeof *limiter->buckets, at);
+  *bucket = (limiter_bucket_t){ .account = account,
+                                .refilled_at = now,
+                                .tokens = tokens };
+  return bucket;
 }
 
 static bool
--- a/src/router/caller_connection.h
+++ b/src/router/caller_connection.h
@@ -60,9 +60,6 @@
 /* All its exchanges must have been finished.  */
 void caller_connection_free (caller_connection_t *connection);
 
-/* Free EXCHANGE, which its connection has put into PORT's list `ended`.  */
-void caller_exchange_free (caller_http_t *port, exchange_t *exchange);
-
 /* Handle the events READY (POLLER_* bits) on its socket.  */
 void caller_connection_socket_ready (caller_connection_t *connection,
                                      unsigned int ready);
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -1,5 +1,5 @@
-/* caller_http_internal: the state of the callers' port, for its source files.
- */
+/* caller_http_internal: the state of the callers' port, and the functions that
+   the source files of its connections call in each other.  */
 
 #ifndef ROUTER_CALLER_HTTP_INTERNAL_H
 #define ROUTER_CALLER_HTTP_INTERNAL_H
@@ -27,4 +27,45 @@
   char buffer[READ_BUFFER_BYTES]; /* what was read last */
 };
 
+/* caller_exchange.c */
+/* The first exchange of CONNECTION, or NULL.  */
+exchange_t *caller_first_exchange (const caller_connection_t *connection);
+/* A new exchange for the request that the parser is reading.  */
+exchange_t *caller_exchange_add (caller_connection_t *connection);
+/* Remove EXCHANGE, which the port frees later, as its caller may still use
+   it.  */
+void caller_exchange_remove (caller_connection_t *connection,
+                             exchange_t *exchange);
+/* Free EXCHANGE, which was removed from its connection.  */
+void caller_exchange_free (caller_http_t *port, exchange_t *exchange);
+/* Answer EXCHANGE for REASON without passing it on.  */
+void caller_exchange_refuse (exchange_t *exchange, exchange_reason_t reason);
+/* Pass on the requests that need not wait for others.  */
+void caller_dispatch (caller_connection_t *connection);
+/* The caller can't be answered any more: abort what is under way.  */
+void caller_abort_exchanges (caller_connection_t *connection);
+/* Have CONNECTION advanced, after the present event.  */
+void caller_set_ready (caller_connection_t *connection);
+/* End CONNECTION at once.  */
+void caller_set_closed (caller_connection_t *connection);
+
+/* caller_read.c */
+/* Whether what has arrived may be parsed: the request under way, or a further
+   one.  */
+bool caller_may_parse (const caller_connection_t *connection);
+/* Parse what was read before.  */
+void caller_parse_unparsed (caller_connection_t *connection);
+/* Read and parse what has arrived.  */
+void caller_read_input (caller_connection_t *connection);
+/* Read and drop what has arrived.  */
+void caller_drop_input (caller_connection_t *connection);
+
+/* caller_write.c */
+/* Send the responses that are due, in order, as far as the socket takes
+   them.  */
+void caller_send_responses (caller_connection_t *connection);
+/* Tell the caller to go on, if it waits for that with the body of the first
+   request.  */
+void caller_send_continue (caller_connection_t *connection);
+
 #endif
--- /dev/null
+++ b/src/router/caller_read.c
@@ -0,0 +1,183 @@
+/* caller_read: reads the requests on a caller's connection.  */
+
+#include "router/caller_http_internal.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  PIPELINE_MAX = 16, /* requests on one connection; further ones are not read
+                        yet */
+  BODY_BYTES_MAX = 16 * 1024 * 1024,
+};
+
+/* The request can't be read, or not to its end: it is answered in its turn,
+   and is the last.  */
+static void
+reject (caller_connection_t *connection, exchange_reason_t reason)
+{
+  exchange_t *exchange = connection->incoming;
+  if (!exchange)
+    exchange = caller_exchange_add (connection);
+  connection->incoming = NULL;
+  connection->reads_no_more = true;
+  exchange->is_last = true;
+  exchange->is_whole = true;
+  if (!exchange->is_finished)
+    caller_exchange_refuse (exchange, reason);
+  caller_set_ready (connection);
+}
+
+static void
+append_body (caller_connection_t *connection, exchange_t *exchange,
+             const char *data, size_t length)
+{
+  size_t needed = exchange->body_bytes + length;
+  if (exchange->is_finished)
+    return;
+  if (needed > BODY_BYTES_MAX)
+    {
+      reject (connection, REASON_TOO_LARGE);
+      return;
+    }
+  if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN,
+                           exchange->body_bytes, needed))
+    {
+      caller_exchange_refuse (exchange, REASON_MEMORY);
+      return;
+    }
+  char *grown = realloc (exchange->body, needed);
+  if (!grown)
+    abort ();
+  exchange->body = grown;
+  memcpy (exchange->body + exchange->body_bytes, data, length);
+  exchange->body_bytes = needed;
+}
+
+static void
+end_request (caller_connection_t *connection)
+{
+  exchange_t *exchange = connection->incoming;
+  connection->incoming = NULL;
+  exchange->is_whole = true;
+  exchange->is_last = !connection->parser.keeps_alive;
+  connection->reads_no_more = exchange->is_last;
+  if (exchange->is_finished)
+    caller_set_ready (connection);
+  caller_dispatch (connection);
+}
+
+static void
+apply_event (caller_connection_t *connection, request_event_t event)
+{
+  switch (event)
+    {
+    case REQUEST_MORE:
+      break;
+    case REQUEST_HEAD:
+      connection->incoming = caller_exchange_add (connection);
+      connection->incoming->wants_continue
+          = request_head_expects_continue (&connection->incoming->head);
+      if (connection->incoming->wants_continue)
+        caller_set_ready (connection);
+      break;
+    case REQUEST_BODY:
+      append_body (connection, connection->incoming, connection->parser.body,
+                   connection->parser.body_bytes);
+      break;
+    case REQUEST_WHOLE:
+      end_request (connection);
+      break;
+    case REQUEST_BAD:
+      reject (connection, REASON_BAD_REQUEST);
+      break;
+    case REQUEST_TOO_LARGE:
+      reject (connection, REASON_LONG_HEAD);
+      break;
+    }
+}
+
+bool
+caller_may_parse (const caller_connection_t *connection)
+{
+  return connection->phase == CALLER_OPEN && !connection->reads_no_more
+         && (connection->incoming || connection->n_exchanges < PIPELINE_MAX);
+}
+
+/* Returns how much of DATA was parsed.  */
+static size_t
+parse (caller_connection_t *connection, const char *data, size_t length)
+{
+  size_t n = 0;
+  while (n < length && caller_may_parse (connection))
+    {
+      size_t n_read = 0;
+      request_event_t event = request_parser_read (
+          &connection->parser, data + n, length - n, &n_read);
+      n += n_read;
+      apply_event (connection, event);
+    }
+  return n;
+}
+
+void
+caller_parse_unparsed (caller_connection_t *connection)
+{
+  if (connection->n_unparsed == 0 || !caller_may_parse (connection))
+    return;
+  char *data = connection->unparsed;
+  size_t length = connection->n_unparsed;
+  connection->unparsed = NULL;
+  connection->n_unparsed = 0;
+  size_t n = parse (connection, data, length);
+  if (n < length && !connection->reads_no_more)
+    {
+      memmove (data, data + n, length - n);
+      connection->unparsed = data;
+      connection->n_unparsed = length - n;
+    }
+  else
+    free (data);
+}
+
+static void
+keep_unparsed (caller_connection_t *connection, const char *data,
+               size_t length)
+{
+  if (length == 0 || connection->reads_no_more)
+    return;
+  connection->unparsed = malloc (length);
+  if (!connection->unparsed)
+    abort ();
+  memcpy (connection->unparsed, data, length);
+  connection->n_unparsed = length;
+}
+
+void
+caller_drop_input (caller_connection_t *connection)
+{
+  caller_http_t *port = connection->port;
+  ssize_t n = recv (connection->watch.fd, port->buffer, sizeof port->buffer,
+                    MSG_DONTWAIT);
+  if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+    caller_set_closed (connection);
+}
+
+void
+caller_read_input (caller_connection_t *connection)
+{
+  caller_http_t *port = connection->port;
+  ssize_t n = recv (connection->watch.fd, port->buffer, sizeof port->buffer,
+                    MSG_DONTWAIT);
+  if (n > 0)
+    {
+      size_t n_parsed = parse (connection, port->buffer, (size_t)n);
+      keep_unparsed (connection, port->buffer + n_parsed,
+                     (size_t)n - n_parsed);
+    }
+  else if (n == 0 || (errno != EAGAIN && errno != EINTR))
+    caller_set_closed (connection);
+}
--- a/src/routing/account.c
+++ b/src/routing/account.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "base/name.h"
+#include "base/sorted_array.h"
 
 static uint64_t
 hash_of (const char *text)
@@ -19,14 +20,6 @@
   return hash_of (name);
 }
 
-static int
-compare_hashes (const void *a, const void *b)
-{
-  uint64_t left = ((const account_key_t *)a)->hash;
-  uint64_t right = ((const account_key_t *)b)->hash;
-  return left < right ? -1 : left > right;
-}
-
 void
 account_index_keys (route_config_t *config)
 {
@@ -45,7 +38,8 @@
                                .text = account->keys[j],
                                .account = account };
     }
-  qsort (config->key_index, n, sizeof *config->key_index, compare_hashes);
+  qsort (config->key_index, n, sizeof *config->key_index,
+         sorted_array_compare);
 }
 
 void
@@ -113,19 +107,11 @@
 account_by_key (const route_config_t *config, const char *key)
 {
   uint64_t hash = hash_of (key);
-  size_t low = 0;
-  size_t high = config->n_keys;
-  while (low < high)
-    {
-      size_t middle = low + (high - low) / 2;
-      if (config->key_index[middle].hash < hash)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  for (; low < config->n_keys && config->key_index[low].hash == hash; low++)
-    if (texts_equal (config->key_index[low].text, key))
-      return config->key_index[low].account;
+  size_t at = sorted_array_position (config->key_index, config->n_keys,
+                                     sizeof *config->key_index, hash);
+  for (; at < config->n_keys && config->key_index[at].hash == hash; at++)
+    if (texts_equal (config->key_index[at].text, key))
+      return config->key_index[at].account;
   return NULL;
 }
 
