--- a/test/unit/test_platform_codec.c
+++ b/test/unit/test_platform_codec.c
@@ -8,6 +8,7 @@
 #include "config_codec.h"
 #include "fleet/backend_list.h"
 #include "lookup_codec.h"
+#include "routing/account.h"
 #include "routing/route_config.h"
 
 #define SERVICES                                                              \
@@ -110,6 +111,72 @@
   assert_rejected ("");
 }
 
+#define ACCOUNTS(table)                                                       \
+  "{\"version\":\"00000001\",\"routes\":{}," SERVICES ",\"tenants\":" table "}"
+
+static void
+test_accounts (void)
+{
+  route_config_t *config = read_config (ACCOUNTS (
+      "{\"a\":{\"api_keys\":[\"k1\",\"k2\"],\"priority\":3,\"rate_per_s\":"
+      "4.5,\"burst\":9,\"home_regions\":[\"north\"]},\"b\":{}}"));
+  g_assert_nonnull (config);
+  g_assert_true (route_config_check (config, NULL));
+  g_assert_true (config->has_accounts);
+  g_assert_cmpuint (config->n_accounts, ==, 2);
+  const client_account_t *account = account_by_key (config, "k2");
+  g_assert_nonnull (account);
+  g_assert_cmpstr (account->name.text, ==, "a");
+  g_assert_true (account->has_priority);
+  g_assert_cmpuint (account->priority, ==, 3);
+  g_assert_cmpfloat (account->rate, ==, 4.5);
+  g_assert_cmpfloat (account->burst, ==, 9);
+  g_assert_true (account_allows_region (account, "north"));
+  g_assert_false (account_allows_region (account, "east"));
+  g_assert_false (config->accounts[1].has_priority);
+  g_assert_cmpfloat (config->accounts[1].rate, ==, 0);
+  route_config_free (config);
+  config = read_config (ACCOUNTS ("{}"));
+  g_assert_false (config->has_accounts);
+  route_config_free (config);
+}
+
+/* Guards against faults that pass, and against an error that tells a key.  */
+static void
+test_accounts_refused (void)
+{
+  static const char *const tables[]
+      = { "[]",
+          "{\"a\":[]}",
+          "{\"a b\":{}}",
+          "{\"a\":{\"api_keys\":\"secret\"}}",
+          "{\"a\":{\"api_keys\":[\"secret\",7]}}",
+          "{\"a\":{\"api_keys\":[\"\"]}}",
+          "{\"a\":{\"api_keys\":[\"secret\"],\"rate_per_s\":\"1\"}}",
+          "{\"a\":{\"api_keys\":[\"secret\"],\"rate_per_s\":-1}}",
+          "{\"a\":{\"api_keys\":[\"secret\"],\"burst\":-1}}",
+          "{\"a\":{\"api_keys\":[\"secret\"],\"priority\":-1}}",
+          "{\"a\":{\"api_keys\":[\"secret\"],\"home_regions\":[7]}}",
+          "{\"a\":{\"api_keys\":[\"secret\"]},\"b\":{\"api_keys\":"
+          "[\"secret\"]}}",
+          "{\"a\":{\"api_keys\":[\"secret" };
+  for (size_t i = 0; i < G_N_ELEMENTS (tables); i++)
+    {
+      char *text = g_strconcat (
+          "{\"version\":\"00000001\",\"routes\":{}," SERVICES ",\"tenants\":",
+          tables[i], "}", NULL);
+      err_t err = { 0 };
+      route_config_t *config = config_codec_read (text, strlen (text), &err);
+      if (config)
+        g_assert_false (route_config_check (config, &err));
+      g_assert_cmpint (err.kind, !=, ERR_NONE);
+      g_assert_cmpuint (strlen (err.remedy), >, 0);
+      g_assert_null (strstr (err.message, "secret"));
+      route_config_free (config);
+      g_free (text);
+    }
+}
+
 /* Guards against a version that another reading makes huge, such as
    "-0000001": it would be in force for good and hide every later one.  */
 static void
@@ -333,6 +400,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/platform/accounts", test_accounts);
+  g_test_add_func ("/platform/accounts-refused", test_accounts_refused);
   g_test_add_func ("/platform/config", test_config_is_read);
   g_test_add_func ("/platform/config-cut", test_config_cut_short);
   g_test_add_func ("/platform/config-refused", test_config_refused);
