feat(router,director): a request that ran where three servers ended is tried one at a time

Change: from the third end on, together or apart, one router of each region runs such a request, once at a time; the others refuse it for a second, as not run. Directors tell which requests are on trial beside those in quarantine.

Ruled out: one run at a time at each router (273 at the largest site); a grant from the directors for each run.

--- a/src/director/core_crashes.c
+++ b/src/director/core_crashes.c
@@ -3,20 +3,25 @@
 #include "base/log.h"
 #include "fleet/crash_evidence.h"
 
-/* Recompute the quarantined requests; log them if they changed.  */
+/* Recompute the requests that are quarantined or on trial; log them if they
+   changed.  */
 static void
 update_quarantine (director_core_t *core)
 {
   core->n_quarantined
       = crash_table_quarantined (&core->crashes, core->quarantined);
+  core->n_on_trial = crash_table_on_trial (&core->crashes, core->on_trial);
+  /* Doubled, so that a request counts differently in the two lists.  */
   uint64_t digest
-      = fingerprints_digest (core->quarantined, core->n_quarantined);
+      = fingerprints_digest (core->quarantined, core->n_quarantined)
+        + 2 * fingerprints_digest (core->on_trial, core->n_on_trial);
   if (digest == core->quarantine_digest)
     return;
   core->quarantine_digest = digest;
   core->next_share_at = 0;
   LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_changed",
              LOG_U ("requests", core->n_quarantined),
+             LOG_U ("on_trial", core->n_on_trial),
              LOG_U ("suspects", core->crashes.n_suspects));
 }
 
@@ -51,20 +56,29 @@
   update_quarantine (core);
 }
 
+static void
+write_fingerprints (const fingerprint_t *fingerprints, size_t n,
+                    fleet_fingerprint_t *wire)
+{
+  for (size_t i = 0; i < n; i++)
+    wire[i] = (fleet_fingerprint_t){ .low = fingerprints[i].low,
+                                     .high = fingerprints[i].high };
+}
+
 void
 core_crashes_fill_result (const director_core_t *core, uint64_t known_digest,
-                          fleet_pull_result_t *result,
-                          fleet_fingerprint_t *fingerprints)
+                          fleet_pull_result_t *result, suspect_lists_t *lists)
 {
   result->quarantine_digest = core->quarantine_digest;
   if (known_digest == core->quarantine_digest)
     return;
-  for (size_t i = 0; i < core->n_quarantined; i++)
-    fingerprints[i]
-        = (fleet_fingerprint_t){ .low = core->quarantined[i].low,
-                                 .high = core->quarantined[i].high };
-  result->quarantined.quarantined_val = fingerprints;
+  write_fingerprints (core->quarantined, core->n_quarantined,
+                      lists->quarantined);
+  write_fingerprints (core->on_trial, core->n_on_trial, lists->on_trial);
+  result->quarantined.quarantined_val = lists->quarantined;
   result->quarantined.quarantined_len = (u_int)core->n_quarantined;
+  result->on_trial.on_trial_val = lists->on_trial;
+  result->on_trial.on_trial_len = (u_int)core->n_on_trial;
 }
 
 void
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -164,7 +164,9 @@
   usec_t next_crash_expiry_at;
   size_t n_quarantined;
   fingerprint_t quarantined[QUARANTINED_MAX]; /* sorted */
-  uint64_t quarantine_digest;
+  size_t n_on_trial;
+  fingerprint_t on_trial[QUARANTINED_MAX]; /* sorted */
+  uint64_t quarantine_digest;              /* of both */
 
   book_t quotas; /* of the client accounts in STATE's configuration */
   usec_t next_quota_expiry_at;
@@ -255,12 +257,19 @@
 void core_crashes_merge (director_core_t *core,
                          const fleet_suspect_t *suspects, size_t n,
                          usec_t sent_at, usec_t now);
-/* Fill in the quarantined requests, unless the router has those with
-   KNOWN_DIGEST; FINGERPRINTS has room for QUARANTINED_MAX.  */
+/* Room for what a pull's result tells of suspects.  */
+typedef struct suspect_lists
+{
+  fleet_fingerprint_t quarantined[QUARANTINED_MAX];
+  fleet_fingerprint_t on_trial[QUARANTINED_MAX];
+} suspect_lists_t;
+
+/* Fill in the requests that are quarantined or on trial, unless the router has
+   those with KNOWN_DIGEST.  RESULT refers to LISTS.  */
 void core_crashes_fill_result (const director_core_t *core,
                                uint64_t known_digest,
                                fleet_pull_result_t *result,
-                               fleet_fingerprint_t *fingerprints);
+                               suspect_lists_t *lists);
 /* Fill in the last releases by operators; RELEASES has room for
    FLEET_WIRE_RELEASES_MAX.  */
 void core_crashes_fill_releases (const director_core_t *core,
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -220,9 +220,8 @@
   fill_state (core, args, &result, evacuated);
   fleet_reopened_t reopened[REOPENED_DOMAINS_MAX];
   fill_reopened (core, &result, reopened, now);
-  fleet_fingerprint_t quarantined[QUARANTINED_MAX];
-  core_crashes_fill_result (core, args->quarantine_digest, &result,
-                            quarantined);
+  suspect_lists_t suspects;
+  core_crashes_fill_result (core, args->quarantine_digest, &result, &suspects);
   fleet_release_t releases[FLEET_WIRE_RELEASES_MAX];
   core_crashes_fill_releases (core, &result, releases, now);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
--- a/src/fleet/crash_evidence.c
+++ b/src/fleet/crash_evidence.c
@@ -116,6 +116,12 @@
   return suspect->crashes[suspect->n_crashes - 1].ended_at + HOLD_BACK_TIME;
 }
 
+bool
+suspect_is_on_trial (const suspect_t *suspect)
+{
+  return collect (suspect, true, NULL).n_crashes >= SEPARATE_CRASHES_MIN;
+}
+
 static bool
 is_enough (const evidence_t *evidence, bool was_answered)
 {
--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -48,6 +48,11 @@
    confirmed yet.  */
 usec_t suspect_held_back_until (const suspect_t *suspect);
 
+/* Whether SUSPECT ran where so many backend servers ended, at whatever times,
+   that requests like it may only be tried one at a time.  Also counts crashes
+   that are not confirmed yet.  */
+bool suspect_is_on_trial (const suspect_t *suspect);
+
 /* Whether a complete answer came to SUSPECT shortly before its first crash. */
 bool suspect_was_answered (const suspect_t *suspect);
 
--- a/src/fleet/crash_table.c
+++ b/src/fleet/crash_table.c
@@ -291,6 +291,19 @@
   return n;
 }
 
+size_t
+crash_table_on_trial (crash_table_t *table, fingerprint_t out[QUARANTINED_MAX])
+{
+  size_t n = 0;
+  judge (table);
+  for (size_t i = 0; i < table->n_suspects && n < QUARANTINED_MAX; i++)
+    if (!table->suspects[i].is_quarantined
+        && suspect_is_on_trial (&table->suspects[i]))
+      out[n++] = table->suspects[i].fingerprint;
+  qsort (out, n, sizeof out[0], compare_fingerprints);
+  return n;
+}
+
 bool
 fingerprints_contain (const fingerprint_t *sorted, size_t n,
                       fingerprint_t fingerprint)
--- a/src/fleet/crash_table.h
+++ b/src/fleet/crash_table.h
@@ -82,6 +82,11 @@
 size_t crash_table_quarantined (crash_table_t *table,
                                 fingerprint_t out[QUARANTINED_MAX]);
 
+/* The same for those that are on trial and not quarantined
+   (suspect_is_on_trial).  */
+size_t crash_table_on_trial (crash_table_t *table,
+                             fingerprint_t out[QUARANTINED_MAX]);
+
 /* Whether the N fingerprints of SORTED contain FINGERPRINT.  */
 bool fingerprints_contain (const fingerprint_t *sorted, size_t n,
                            fingerprint_t fingerprint);
--- a/src/router/director_apply.c
+++ b/src/router/director_apply.c
@@ -149,25 +149,37 @@
   return true;
 }
 
+/* Replace *FINGERPRINTS by the N entries at WIRE.  */
+static void
+replace_fingerprints (fingerprint_t **fingerprints, size_t *n_fingerprints,
+                      const fleet_fingerprint_t *wire, size_t n)
+{
+  free (*fingerprints);
+  *fingerprints = calloc (n + 1, sizeof **fingerprints);
+  if (!*fingerprints)
+    abort ();
+  for (size_t i = 0; i < n; i++)
+    (*fingerprints)[i]
+        = (fingerprint_t){ .low = wire[i].low, .high = wire[i].high };
+  *n_fingerprints = n;
+}
+
 static bool
 apply_quarantine (director_sync_t *sync, fleet_snapshot_t *snapshot,
                   const fleet_pull_result_t *result)
 {
   if (result->quarantine_digest == sync->quarantine_digest)
     return false;
-  size_t n = result->quarantined.quarantined_len;
-  free (snapshot->quarantined);
-  snapshot->quarantined = calloc (n + 1, sizeof (fingerprint_t));
-  if (!snapshot->quarantined)
-    abort ();
-  for (size_t i = 0; i < n; i++)
-    snapshot->quarantined[i] = (fingerprint_t){
-      .low = result->quarantined.quarantined_val[i].low,
-      .high = result->quarantined.quarantined_val[i].high,
-    };
-  snapshot->n_quarantined = n;
+  replace_fingerprints (&snapshot->quarantined, &snapshot->n_quarantined,
+                        result->quarantined.quarantined_val,
+                        result->quarantined.quarantined_len);
+  replace_fingerprints (&snapshot->on_trial, &snapshot->n_on_trial,
+                        result->on_trial.on_trial_val,
+                        result->on_trial.on_trial_len);
   sync->quarantine_digest = result->quarantine_digest;
-  LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_in_force", LOG_U ("requests", n));
+  LOG_EVENT (LOG_LEVEL_WARNING, "quarantine_in_force",
+             LOG_U ("requests", snapshot->n_quarantined),
+             LOG_U ("on_trial", snapshot->n_on_trial));
   return true;
 }
 
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "balance/trial_router.h"
 #include "base/log.h"
 #include "fleet/backend_list.h"
 #include "fleet/crash_evidence.h"
@@ -10,6 +11,8 @@
 /* A quarantine lasts much longer; a caller that is told less would come again
    in vain.  */
 #define QUARANTINE_RETRY_AFTER (60 * USEC_PER_SEC)
+/* Another router, or an earlier request, tries it meanwhile.  */
+#define TRIAL_RETRY_AFTER USEC_PER_SEC
 #define CRASH_EXPIRY_INTERVAL USEC_PER_SEC
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
@@ -53,7 +56,8 @@
 knows_suspects (const dispatcher_t *dispatcher)
 {
   return dispatcher->crashes.n_suspects > 0
-         || dispatcher->snapshot->n_quarantined > 0;
+         || dispatcher->snapshot->n_quarantined > 0
+         || dispatcher->snapshot->n_on_trial > 0;
 }
 
 static bool
@@ -72,6 +76,52 @@
   return suspect ? suspect_held_back_until (suspect) : 0;
 }
 
+static bool
+is_same_request (const fingerprint_t *a, const fingerprint_t *b)
+{
+  return a->low == b->low && a->high == b->high;
+}
+
+/* Whether another request with EXCHANGE's fingerprint is at a backend
+   server.  */
+static bool
+is_running (const dispatcher_t *dispatcher, const exchange_t *exchange)
+{
+  LIST_FOREACH (link, &dispatcher->active)
+  {
+    exchange_t *other = LIST_ENTRY (link, exchange_t, link);
+    if (other == exchange || !other->call)
+      continue;
+    fingerprint_t fingerprint = fingerprint_of (other);
+    if (is_same_request (&fingerprint, &exchange->fingerprint))
+      return true;
+  }
+  return false;
+}
+
+/* Whether EXCHANGE's request, if it is a suspect on trial, must not run here
+   now.  */
+static bool
+waits_for_trial (const dispatcher_t *dispatcher, const exchange_t *exchange)
+{
+  const fleet_snapshot_t *snapshot = dispatcher->snapshot;
+  const suspect_t *suspect
+      = crash_table_find (&dispatcher->crashes, exchange->fingerprint);
+  bool is_on_trial
+      = (suspect && suspect_is_on_trial (suspect))
+        || fingerprints_contain (snapshot->on_trial, snapshot->n_on_trial,
+                                 exchange->fingerprint);
+  if (!is_on_trial)
+    return false;
+  const fleet_settings_t *settings = dispatcher->options.settings;
+  uint32_t trial_router
+      = trial_router_choose (snapshot->routers, snapshot->n_routers,
+                             settings->region.text, exchange->fingerprint.low);
+  bool is_chosen
+      = trial_router == 0 || trial_router == settings->requests.address;
+  return !is_chosen || is_running (dispatcher, exchange);
+}
+
 /* Why EXCHANGE must not be sent at NOW, for what requests like it did to
    backend servers, and in *RETRY_AFTER how long; REASON_NONE: it may be.  */
 static exchange_reason_t
@@ -85,7 +135,11 @@
   if (is_quarantined (dispatcher, fingerprint))
     return REASON_QUARANTINED;
   *retry_after = held_back_until (dispatcher, fingerprint) - now;
-  return *retry_after > 0 ? REASON_HELD_BACK : REASON_NONE;
+  if (*retry_after > 0)
+    return REASON_HELD_BACK;
+  *retry_after = TRIAL_RETRY_AFTER;
+  return waits_for_trial (dispatcher, exchange) ? REASON_HELD_BACK
+                                                : REASON_NONE;
 }
 
 bool
--- a/src/router/fleet_snapshot.c
+++ b/src/router/fleet_snapshot.c
@@ -44,6 +44,17 @@
   return snapshot;
 }
 
+static fingerprint_t *
+copy_fingerprints (const fingerprint_t *fingerprints, size_t n)
+{
+  fingerprint_t *copy = calloc (n + 1, sizeof *copy);
+  if (!copy)
+    abort ();
+  if (n > 0)
+    memcpy (copy, fingerprints, n * sizeof *copy);
+  return copy;
+}
+
 fleet_snapshot_t *
 fleet_snapshot_copy (const fleet_snapshot_t *snapshot)
 {
@@ -54,16 +65,16 @@
   copy->n_evacuated = snapshot->n_evacuated;
   copy->evacuated = calloc (snapshot->n_evacuated + 1, sizeof (name_t));
   copy->reopened = snapshot->reopened;
-  copy->n_quarantined = snapshot->n_quarantined;
   copy->quarantined
-      = calloc (snapshot->n_quarantined + 1, sizeof (fingerprint_t));
+      = copy_fingerprints (snapshot->quarantined, snapshot->n_quarantined);
+  copy->n_quarantined = snapshot->n_quarantined;
+  copy->on_trial
+      = copy_fingerprints (snapshot->on_trial, snapshot->n_on_trial);
+  copy->n_on_trial = snapshot->n_on_trial;
   copy->n_routers = snapshot->n_routers;
   copy->routers = calloc (snapshot->n_routers + 1, sizeof (pool_router_t));
-  if (!copy->evacuated || !copy->routers || !copy->quarantined)
+  if (!copy->evacuated || !copy->routers)
     abort ();
-  if (snapshot->n_quarantined > 0)
-    memcpy (copy->quarantined, snapshot->quarantined,
-            snapshot->n_quarantined * sizeof (fingerprint_t));
   if (snapshot->n_evacuated > 0)
     memcpy (copy->evacuated, snapshot->evacuated,
             snapshot->n_evacuated * sizeof (name_t));
@@ -90,5 +101,6 @@
   free (snapshot->evacuated);
   free (snapshot->routers);
   free (snapshot->quarantined);
+  free (snapshot->on_trial);
   free (snapshot);
 }
--- a/src/router/fleet_snapshot.h
+++ b/src/router/fleet_snapshot.h
@@ -34,6 +34,8 @@
   pool_router_t *routers;
   size_t n_quarantined;
   fingerprint_t *quarantined; /* requests not to be sent; sorted */
+  size_t n_on_trial;
+  fingerprint_t *on_trial; /* requests to be tried one at a time; sorted */
 } fleet_snapshot_t;
 
 /* Takes ownership of CONFIG.  The result has one reference.  */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -213,9 +213,10 @@
   fleet_list_update_t list;
   uint32_t directors<FLEET_WIRE_DIRECTORS_MAX>; /* addresses */
   fleet_reopened_t reopened<FLEET_WIRE_DOMAINS_MAX>;
-  uint64_t quarantine_digest; /* 0: no request is quarantined */
+  uint64_t quarantine_digest; /* of both lists; 0: they are empty */
   /* Empty where the router has the same digest. */
   fleet_fingerprint_t quarantined<FLEET_WIRE_QUARANTINED_MAX>;
+  fleet_fingerprint_t on_trial<FLEET_WIRE_QUARANTINED_MAX>;
   fleet_release_t releases<FLEET_WIRE_RELEASES_MAX>;
   fleet_quota_t quotas<FLEET_WIRE_USAGES_MAX>; /* of the accounts of `usages` */
   fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* changed since loads_known */
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -53,6 +53,36 @@
   g_assert_false (crash_table_is_quarantined (&table, innocent));
 }
 
+/* Three ends at one moment are no evidence, but from then on the request is
+   tried once at a time; a complete answer ends that.  */
+static void
+test_on_trial (void)
+{
+  crash_table_t table = { 0 };
+  fingerprint_t on_trial[QUARANTINED_MAX];
+  add (&table, poison, 1, 10 * SEC, 11 * SEC);
+  add (&table, poison, 2, 10 * SEC, 11 * SEC);
+  g_assert_cmpuint (crash_table_on_trial (&table, on_trial), ==, 0);
+  add (&table, poison, 3, 10 * SEC, 11 * SEC);
+  g_assert_false (crash_table_is_quarantined (&table, poison));
+  g_assert_cmpuint (crash_table_on_trial (&table, on_trial), ==, 1);
+  g_assert_cmpuint (on_trial[0].low, ==, poison.low);
+  crash_table_complete (&table, poison, 12 * SEC, false);
+  g_assert_cmpuint (crash_table_on_trial (&table, on_trial), ==, 0);
+}
+
+/* A quarantined request is refused, not tried.  */
+static void
+test_quarantine_ends_trial (void)
+{
+  crash_table_t table = { 0 };
+  fingerprint_t on_trial[QUARANTINED_MAX];
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
+    add (&table, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
+  g_assert_true (crash_table_is_quarantined (&table, poison));
+  g_assert_cmpuint (crash_table_on_trial (&table, on_trial), ==, 0);
+}
+
 /* A rack fails: one request that runs everywhere sees many crashes at
    once.  */
 static void
@@ -395,6 +425,9 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/crash-table/on-trial", test_on_trial);
+  g_test_add_func ("/crash-table/quarantine-ends-trial",
+                   test_quarantine_ends_trial);
   g_test_add_func ("/crash-table/one-after-the-other",
                    test_one_after_the_other);
   g_test_add_func ("/crash-table/same-time", test_at_the_same_time);
--- a/test/unit/test_platform_codec.c
+++ b/test/unit/test_platform_codec.c
@@ -141,6 +141,9 @@
   route_config_free (config);
 }
 
+#define SHARED_KEY                                                            \
+  "{\"a\":{\"api_keys\":[\"secret\"]},\"b\":{\"api_keys\":[\"secret\"]}}"
+
 /* Guards against faults that pass, and against an error that tells a key.  */
 static void
 test_accounts_refused (void)
@@ -157,8 +160,7 @@
           "{\"a\":{\"api_keys\":[\"secret\"],\"burst\":-1}}",
           "{\"a\":{\"api_keys\":[\"secret\"],\"priority\":-1}}",
           "{\"a\":{\"api_keys\":[\"secret\"],\"home_regions\":[7]}}",
-          "{\"a\":{\"api_keys\":[\"secret\"]},\"b\":{\"api_keys\":"
-          "[\"secret\"]}}",
+          SHARED_KEY,
           "{\"a\":{\"api_keys\":[\"secret" };
   for (size_t i = 0; i < G_N_ELEMENTS (tables); i++)
     {
