--- a/src/quota/limiter.c
+++ b/src/quota/limiter.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  LIMITER_BUCKETS_MAX = 16384, /* those beyond it need a request */
+  LIMITER_BUCKETS_MAX = 16384, /* of accounts that are told to be in debt */
 };
 
 /* A debt of the fleet's bucket is paid back over this time.  */
--- a/src/quota/limiter.h
+++ b/src/quota/limiter.h
@@ -72,9 +72,9 @@
    how many.  limiter_report_ended must follow before the next report.  */
 size_t limiter_report (limiter_t *limiter, quota_usage_t *usages, usec_t now);
 
-/* The last report was answered with the N STATES, of the reported accounts and
-   of those in debt, if IS_ANSWERED is true, at
-   NOW; or it may be lost.  */
+/* The last report was answered at NOW, if IS_ANSWERED is true, with the N
+   STATES of the reported accounts and of those in debt; otherwise it may be
+   lost.  */
 void limiter_report_ended (limiter_t *limiter, bool is_answered,
                            const quota_state_t *states, size_t n, usec_t now);
 
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -159,7 +159,8 @@
       break;
     if (caller_connection_is_idle (connection))
       {
-        free_connection (port, connection);
+        /* Requests behind the first one may still be under way.  */
+        caller_set_closed (connection);
         continue;
       }
     connection->active_at = now;
@@ -182,6 +183,7 @@
   advance_ready (port);
   usec_t now = clock_monotonic ();
   close_idle (port, now);
+  advance_ready (port);
   free_ended (port);
   resume_accepting (port, now);
 }
--- a/test/functional/test_fleet_pipeline.sh
+++ b/test/functional/test_fleet_pipeline.sh
@@ -9,9 +9,9 @@
 GRACE=6s
 REQUEST_TIMEOUT=5
 
-# pipeline NAME METHOD PATH...: send requests NAME-1, NAME-2, ... on one connection at once;
-# the answers go to FOLDER/NAME.
-pipeline() {
+# send NAME METHOD PATH...: send requests NAME-1, NAME-2, ... on one connection at once, which
+# stays open as file descriptor $connection.
+send() {
   local name=$1 method=$2 n=0 text='' last
   shift 2
   last=$#
@@ -25,9 +25,14 @@
   done
   exec {connection}<>"/dev/tcp/$(router_address 1)/$REQUESTS_PORT"
   printf '%s' "$text" >&"$connection"
-  timeout 12 cat <&"$connection" >"$FOLDER/$name" &
+}
+hang_up() { exec {connection}>&-; }
+# pipeline NAME METHOD PATH...: the same; the answers go to FOLDER/NAME.
+pipeline() {
+  send "$@"
+  timeout 12 cat <&"$connection" >"$FOLDER/$1" &
   READER=$!
-  exec {connection}>&-
+  hang_up
 }
 reached() { grep -q "^$1 " "$FOLDER/reached"; }
 # answers NAME: the ids of the answers, in order.
@@ -56,9 +61,9 @@
 rm "$FOLDER/release"
 
 # A caller who leaves takes all its requests along.
-pipeline gone GET /x/held /x/held
+send gone GET /x/held /x/held
 wait_for $REQUEST_TIMEOUT reached gone-2
-kill $READER
+hang_up
 ended() { [ "$(grep -c 'event=request_ended id=gone-[12] outcome=gone' "$FOLDER/router-1.log")" = 2 ]; }
 wait_for $REQUEST_TIMEOUT ended
 
