--- a/src/base/sorted_array.c
+++ b/src/base/sorted_array.c
@@ -33,8 +33,10 @@
                    uint64_t key)
 {
   size_t at = sorted_array_position (items, n, item_bytes, key);
+  if (at == n)
+    return NULL;
   char *item = (char *)(uintptr_t)items + at * item_bytes;
-  return at < n && key_of (item) == key ? item : NULL;
+  return key_of (item) == key ? item : NULL;
 }
 
 void *
