--- a/src/router/caller_write.c
+++ b/src/router/caller_write.c
@@ -61,26 +61,32 @@
     socket_close_by_reset (connection->watch.fd);
 }
 
+/* The part of DATA, LENGTH bytes, after the first N_DONE.  */
+static struct iovec
+rest_of (const char *data, size_t length, size_t n_done)
+{
+  if (n_done >= length)
+    return (struct iovec){ .iov_base = NULL, .iov_len = 0 };
+  return (struct iovec){ .iov_base = (char *)(uintptr_t)data + n_done,
+                         .iov_len = length - n_done };
+}
+
 /* Write what is left of the response.  Returns false if the caller is gone. */
 static bool
 write_response (caller_connection_t *connection)
 {
   const caller_response_t *response = &connection->response;
-  size_t in_head = connection->n_written < response->head_bytes
-                       ? response->head_bytes - connection->n_written
-                       : 0;
-  size_t body_done = connection->n_written + in_head - response->head_bytes;
+  size_t n = connection->n_written;
+  size_t n_of_body = n > response->head_bytes ? n - response->head_bytes : 0;
   struct iovec parts[]
-      = { { .iov_base = response->head + response->head_bytes - in_head,
-            .iov_len = in_head },
-          { .iov_base = (char *)(uintptr_t)response->body + body_done,
-            .iov_len = response->body_bytes - body_done } };
+      = { rest_of (response->head, response->head_bytes, n),
+          rest_of (response->body, response->body_bytes, n_of_body) };
   struct msghdr message = { .msg_iov = parts, .msg_iovlen = 2 };
-  ssize_t n
+  ssize_t n_sent
       = sendmsg (connection->watch.fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
-  if (n >= 0)
-    connection->n_written += (size_t)n;
-  return n >= 0 || errno == EAGAIN || errno == EINTR;
+  if (n_sent >= 0)
+    connection->n_written += (size_t)n_sent;
+  return n_sent >= 0 || errno == EAGAIN || errno == EINTR;
 }
 
 static bool
