--- a/test/support/director_world.h
+++ b/test/support/director_world.h
@@ -57,6 +57,8 @@
   free (core->packed_routers.bytes);
   list_source_clear (&core->list_source);
   backend_list_clear (&core->backend_list);
+  book_clear (&core->quotas);
+  load_table_clear (&core->loads);
   pthread_mutex_destroy (&core->lock);
   pthread_cond_destroy (&core->mailbox_changed);
   free (world);
