refactor(quota,router): fmin and fmax, and one way to advance a connection

The limiter had its own minimum and maximum beside fmin and fmax, which the rest of the project calls. caller_http_finish repeated caller_set_ready; calling it leaves the port unused there, so the dispatcher's pointer to its port and the function that set it go. No behaviour is meant to change.

--- a/src/quota/limiter.c
+++ b/src/quota/limiter.c
@@ -1,5 +1,6 @@
 #include "quota/limiter.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -53,18 +54,6 @@
   return 1.0 / (double)(n_routers > 0 ? n_routers : 1);
 }
 
-static double
-max_double (double a, double b)
-{
-  return a > b ? a : b;
-}
-
-static double
-min_double (double a, double b)
-{
-  return a < b ? a : b;
-}
-
 static limiter_bucket_t *
 insert (limiter_t *limiter, uint64_t account, double tokens, usec_t now)
 {
@@ -93,7 +82,7 @@
   double own = bucket->reported_demand;
   if (!is_fresh (bucket, now))
     return even_part (n_routers);
-  double all = max_double (own, bucket->fleet.demand);
+  double all = fmax (own, bucket->fleet.demand);
   return all > 0 ? own / all : 0;
 }
 
@@ -103,27 +92,27 @@
 {
   if (!is_fresh (bucket, now))
     return unreported_fraction * bucket->rate * part;
-  double repaid = min_double (bucket->fleet.level, 0)
+  double repaid = fmin (bucket->fleet.level, 0)
                   / ((double)REPAY_TIME / (double)USEC_PER_SEC);
-  return part * max_double (bucket->rate + repaid, 0);
+  return part * fmax (bucket->rate + repaid, 0);
 }
 
 /* Refilling goes up to this; a report of the fleet's level may give more.  */
 static double
 tokens_max (const limiter_bucket_t *bucket, double part)
 {
-  return max_double (1, bucket->burst * part);
+  return fmax (1, bucket->burst * part);
 }
 
 static void
 refill (limiter_bucket_t *bucket, double part, usec_t now)
 {
   double span = (double)(now - bucket->refilled_at) / (double)USEC_PER_SEC;
-  double most = max_double (tokens_max (bucket, part),
-                            min_double (bucket->tokens, tokens_if_calm));
+  double most = fmax (tokens_max (bucket, part),
+                      fmin (bucket->tokens, tokens_if_calm));
   bucket->refilled_at = now;
-  bucket->tokens = min_double (
-      most, bucket->tokens + span * refill_rate (bucket, part, now));
+  bucket->tokens
+      = fmin (most, bucket->tokens + span * refill_rate (bucket, part, now));
 }
 
 /* The fleet's bucket is in debt: what the router holds beyond its part is
@@ -138,7 +127,7 @@
   bucket->is_in_debt = true;
   if (most < 1)
     most = random_unit (&limiter->random);
-  bucket->tokens = min_double (bucket->tokens, most);
+  bucket->tokens = fmin (bucket->tokens, most);
 }
 
 /* Give out the router's part of the fleet's level, which was told now.  */
@@ -154,10 +143,10 @@
       return;
     }
   bucket->is_in_debt = false;
-  bucket->tokens = max_double (
-      bucket->tokens, min_double (most, part * level * level_fraction));
+  bucket->tokens
+      = fmax (bucket->tokens, fmin (most, part * level * level_fraction));
   if (level >= bucket->burst / 2 && bucket->fleet.demand <= bucket->rate)
-    bucket->tokens = max_double (bucket->tokens, tokens_if_calm);
+    bucket->tokens = fmax (bucket->tokens, tokens_if_calm);
 }
 
 static usec_t
@@ -166,9 +155,8 @@
 {
   usec_t wait = RETRY_AFTER_MAX;
   if (rate > 0)
-    wait = (usec_t)min_double ((1 - bucket->tokens) / rate
-                                   * (double)USEC_PER_SEC,
-                               (double)RETRY_AFTER_MAX);
+    wait = (usec_t)fmin ((1 - bucket->tokens) / rate * (double)USEC_PER_SEC,
+                         (double)RETRY_AFTER_MAX);
   if (wait < RETRY_AFTER_MIN)
     wait = RETRY_AFTER_MIN;
   return wait + (usec_t)(random_unit (&limiter->random) * (double)wait / 2);
@@ -184,8 +172,7 @@
   if (!bucket)
     bucket = insert (
         limiter, account->id,
-        max_double (tokens_at_first, account->burst * even_part (n_routers)),
-        now);
+        fmax (tokens_at_first, account->burst * even_part (n_routers)), now);
   double part = part_of (bucket, now, n_routers);
   bucket->rate = account->rate;
   bucket->burst = account->burst;
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -98,12 +98,10 @@
 /* --- Running ------------------------------------------------------------ */
 
 void
-caller_http_finish (caller_http_t *port, exchange_t *exchange)
+caller_http_finish (exchange_t *exchange)
 {
-  caller_connection_t *connection = exchange->connection;
   exchange->is_finished = true;
-  list_remove (&connection->ready_link);
-  list_push_back (&port->ready, &connection->ready_link);
+  caller_set_ready (exchange->connection);
 }
 
 void
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -39,7 +39,7 @@
 
 /* Send EXCHANGE's response, or the status for its reason; one of them must be
    set.  EXCHANGE is freed once the response is written.  */
-void caller_http_finish (caller_http_t *port, exchange_t *exchange);
+void caller_http_finish (exchange_t *exchange);
 
 /* From now on every connection ends after a response, and requests are passed
    on one after the other.  */
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -252,12 +252,6 @@
   dispatcher->shutdown_started_at = started_at;
 }
 
-void
-dispatcher_set_port (dispatcher_t *dispatcher, caller_http_t *port)
-{
-  dispatcher->port = port;
-}
-
 dispatcher_t *
 dispatcher_new (const dispatcher_options_t *options)
 {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -25,10 +25,6 @@
 dispatcher_t *dispatcher_new (const dispatcher_options_t *options);
 void dispatcher_free (dispatcher_t *dispatcher);
 
-/* Set the port that passes requests in and sends the responses.  It has to be
-   set before the first request.  */
-void dispatcher_set_port (dispatcher_t *dispatcher, caller_http_t *port);
-
 /* EXCHANGE's request was received completely.  */
 void dispatcher_request (dispatcher_t *dispatcher, exchange_t *exchange);
 
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -44,7 +44,7 @@
       exchange->query.service ? exchange->query.service : "",
       exchange_reason_name (reason), now - exchange->received_at);
   list_remove (&exchange->link);
-  caller_http_finish (dispatcher->port, exchange);
+  caller_http_finish (exchange);
 }
 
 void
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -36,7 +36,6 @@
   dispatcher_options_t options;
   backend_http_t *backends;
   backend_pool_t *pool;
-  caller_http_t *port;
   fleet_snapshot_t *snapshot;
   list_t queue;  /* of exchanges that wait for room, in the order of sending */
   list_t active; /* of exchanges that are not queued */
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -203,7 +203,6 @@
   thread->port = caller_http_new (&port, err);
   if (!thread->port)
     return false;
-  dispatcher_set_port (thread->dispatcher, thread->port);
   thread->readiness_port = readiness_port_open (&settings->readiness, err);
   return thread->readiness_port != NULL;
 }
