test(review): linter remarks about signed char on x86-64

char is signed on x86-64, so bugprone-narrowing-conversions reports two files that are clean on arm64. make_body casts the whole conditional expression to char; with that cast alone gcc refuses the build (-Wsign-compare: the operand changes the signedness from char to size_t), so the last branch is an int.

--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -225,8 +225,8 @@
 {
   size_t length = strlen (id);
   for (size_t i = 0; i < body_bytes; i++)
-    body[i]
-        = length > 0 && i % 2 == 0 ? id[i / 2 % length] : (char)('a' + i % 26);
+    body[i] = (char)(length > 0 && i % 2 == 0 ? id[i / 2 % length]
+                                              : 'a' + (int)(i % 26));
 }
 
 static void
