test(review): stand-in servers are processes that can crash

Each server is a process of its own, which a path can end; it comes back under another id. A server may be left out of the list. The client may leave.

--- a/review/standin-2/standin_client.c
+++ b/review/standin-2/standin_client.c
@@ -3,11 +3,14 @@
      standin-client put ADDRESS FILE
      standin-client get ADDRESS PATH ID
      standin-client post ADDRESS PATH ID BYTES
+     standin-client leave ADDRESS PATH ID MSEC
      standin-client slow ADDRESS PATH1 ID1 PATH2 ID2 PAUSE1 PAUSE2
 
    put    sends the configuration in FILE as the operator, and follows one
           redirect.
    get    sends one request; `post` one with a body of BYTES bytes.
+   leave  sends one request, and closes the connection if there is no answer
+          within MSEC.
    slow   sends a request, does not read for PAUSE1 msec, sends another one on
           the same connection, does not read for PAUSE2 msec, and then reads
           both answers to the end of the connection.
@@ -184,6 +187,25 @@
   return status == STATUS_OK ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+static int
+run_leave (char **args)
+{
+  input_t input = { 0 };
+  int timeout = (int)strtol (args[3], NULL, 10);
+  int fd = net_connect (args[0], 0, timeout);
+  int status = 0;
+  if (fd < 0)
+    {
+      printf ("%s - 0 no-connection\n", args[2]);
+      return EXIT_FAILURE;
+    }
+  if (send_request (fd, "GET", args[1], args[2], 0))
+    status = read_answer (fd, &input, args[2]);
+  close (fd);
+  free (input.bytes);
+  return status == STATUS_OK ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
 static int
 run_slow (char **args)
 {
@@ -239,6 +261,7 @@
 {
   static char text[64 * 1024];
   char location[NET_FIELD_BYTES];
+  char further[NET_FIELD_BYTES];
   FILE *file = fopen (args[1], "r");
   if (!file)
     return EXIT_FAILURE;
@@ -246,7 +269,7 @@
   fclose (file);
   int status = put_config (args[0], text, length, location);
   if (location[0])
-    status = put_config (location, text, length, location);
+    status = put_config (location, text, length, further);
   printf ("put %d\n", status);
   return status == STATUS_OK ? EXIT_SUCCESS : EXIT_FAILURE;
 }
@@ -261,6 +284,8 @@
     return run_one (argv + 2, "GET", 0);
   if (strcmp (verb, "post") == 0 && argc == 6)
     return run_one (argv + 2, "POST", strtoul (argv[5], NULL, 10));
+  if (strcmp (verb, "leave") == 0 && argc == 6)
+    return run_leave (argv + 2);
   if (strcmp (verb, "slow") == 0 && argc == 9)
     return run_slow (argv + 2);
   fprintf (stderr, "usage: see the head of standin_client.c\n");
--- a/review/standin-2/standin_servers.c
+++ b/review/standin-2/standin_servers.c
@@ -1,10 +1,12 @@
 /* standin-servers: the platform's list of servers, and the servers themselves.
 
-     standin-servers ADDRESS LIST_PORT RECORD SERVICE:ZONE... [-e ENTRY]...
+     standin-servers ADDRESS LIST_PORT RECORD SERVICE:ZONE... [-u SERVICE:ZONE]
+                     [-e ENTRY]...
 
-   Each SERVICE:ZONE gets a server of that service in that zone, with the id
-   "i-N" and the port LIST_PORT + N, N from 1 on.  The list tells all of them,
-   each with all fields of the platform's page, and then each ENTRY, as
+   Each SERVICE:ZONE gets a server of that service in that zone, a process of
+   its own with the port LIST_PORT + N, N from 1 on.  Its id is "i-N", and
+   "i-N-B" after its B-th crash.  The list tells all of them but those after a
+   -u, each with all fields of the platform's page, and then each ENTRY, as
    "ZONE=JSON", which another writer has put there.
 
    A path tells the server what to do, by these parts:
@@ -14,19 +16,25 @@
                 the connection
      pause-N    begin to read the request's body, pause for N msec, and read on
      wait-N     work for N msec before the answer
+     crash-N    work for N msec, whether or not the connection goes on, and
+   then end the server's process; it starts again after DOWN_MSEC
 
    Other paths are answered with a short body.  Bodies are made from the
    request's id (net_fill).  A health path is answered as the page has it.  A
    request that names another instance is answered 421 and not run.  RECORD
    gets a line for each run: "MSEC run ID SERVER SERVICE METHOD", when it
-   begins, and "MSEC end ID SERVER how", when it ends.  */
+   begins, "MSEC end ID SERVER how", when it ends, and "MSEC crash ID SERVER",
+   when it ends the process.  */
 
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "net.h"
@@ -40,6 +48,9 @@
   BLOCK_BYTES = 64 * 1024,
   SHORT_BODY_BYTES = 100,
   SLOTS = 8,
+  DOWN_MSEC = 2000,
+  MSEC_PER_SEC = 1000,
+  NSEC_PER_MSEC = 1000 * 1000,
 };
 
 typedef struct server
@@ -48,7 +59,9 @@
   char service[NAME_BYTES];
   char zone[NAME_BYTES];
   unsigned int port;
-  int listener;
+  bool is_unlisted;
+  unsigned int boot;    /* how often it has crashed */
+  long long started_at; /* Unix time in msec */
 } server_t;
 
 typedef struct connection
@@ -60,6 +73,8 @@
 static const char *address;
 static const char *record;
 static server_t servers[SERVERS_MAX];
+/* Guards the ids and starts of the servers.  */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static size_t n_servers;
 static const char *entries[ENTRIES_MAX];
 static size_t n_entries;
@@ -75,15 +90,15 @@
   for (size_t i = 0; i < n_servers; i++)
     {
       const server_t *server = &servers[i];
-      if (strcmp (server->zone, zone) != 0)
+      if (server->is_unlisted || strcmp (server->zone, zone) != 0)
         continue;
       used += (size_t)snprintf (
           list + used, LIST_BYTES - used,
           "%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"%s:%u\","
           "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":%d,"
-          "\"state\":\"ready\",\"cold_left\":\"0ms\",\"born\":%d}",
+          "\"state\":\"ready\",\"cold_left\":\"0ms\",\"born\":%lld}",
           comma, server->id, server->service, address, server->port, zone,
-          SLOTS, 1000 + (int)i);
+          SLOTS, server->started_at);
       comma = ",";
     }
   size_t n = strlen (zone);
@@ -111,6 +126,7 @@
 {
   char list[LIST_BYTES] = "{\"instances\":{";
   const char *comma = "";
+  pthread_mutex_lock (&lock);
   for (size_t i = 0; i < n_servers; i++)
     {
       if (is_zone_told (i))
@@ -122,6 +138,7 @@
       strncat (list, "]", sizeof list - strlen (list) - 1);
       comma = ",";
     }
+  pthread_mutex_unlock (&lock);
   strncat (list, "},\"next_token\":null}", sizeof list - strlen (list) - 1);
   char head[NET_FIELD_BYTES];
   int n = snprintf (head, sizeof head,
@@ -237,6 +254,14 @@
   sscanf (run->head.text, "%15s", method);
   net_record (record, "%lld run %.64s %s %s %s", net_msec (), run->id,
               server->id, server->service, method);
+  long crash = path_number (run, "/crash-");
+  if (crash >= 0)
+    {
+      net_sleep (crash);
+      net_record (record, "%lld crash %.64s %s", net_msec (), run->id,
+                  server->id);
+      _exit (EXIT_FAILURE);
+    }
   long pause = path_number (run, "/pause-");
   if (pause > 0)
     {
@@ -324,11 +349,42 @@
     }
 }
 
+static void
+start_boot (server_t *server, size_t number)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  pthread_mutex_lock (&lock);
+  server->started_at
+      = (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC;
+  if (server->boot == 0)
+    snprintf (server->id, sizeof server->id, "i-%zu", number);
+  else
+    snprintf (server->id, sizeof server->id, "i-%zu-%u", number, server->boot);
+  pthread_mutex_unlock (&lock);
+}
+
+/* Run a server's process, and start it again after each crash.  */
 static void *
 run_server (void *closure)
 {
-  const server_t *server = closure;
-  accept_all (server->listener, server);
+  server_t *server = closure;
+  size_t number = (size_t)(server - servers) + 1;
+  for (;; server->boot++)
+    {
+      start_boot (server, number);
+      pid_t pid = fork ();
+      if (pid < 0)
+        abort ();
+      if (pid == 0)
+        {
+          prctl (PR_SET_PDEATHSIG, SIGKILL);
+          accept_all (net_listen (address, server->port), server);
+          _exit (EXIT_FAILURE);
+        }
+      waitpid (pid, NULL, 0);
+      net_sleep (DOWN_MSEC);
+    }
   return NULL;
 }
 
@@ -336,11 +392,10 @@
 add_server (const char *text, unsigned int list_port)
 {
   server_t *server = &servers[n_servers];
-  if (n_servers == SERVERS_MAX
+  if (n_servers + 1 >= SERVERS_MAX
       || sscanf (text, "%47[^:]:%47s", server->service, server->zone) != 2)
     return false;
   n_servers++;
-  snprintf (server->id, sizeof server->id, "i-%zu", n_servers);
   server->port = list_port + (unsigned int)n_servers;
   return true;
 }
@@ -351,7 +406,7 @@
   if (argc < 5)
     {
       fprintf (stderr, "usage: standin-servers ADDRESS LIST_PORT RECORD "
-                       "SERVICE:ZONE... [-e ENTRY]...\n");
+                       "SERVICE:ZONE... [-u SERVICE:ZONE] [-e ENTRY]...\n");
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -361,12 +416,17 @@
   for (int i = 4; i < argc; i++)
     if (strcmp (argv[i], "-e") == 0 && i + 1 < argc && n_entries < ENTRIES_MAX)
       entries[n_entries++] = argv[++i];
+    else if (strcmp (argv[i], "-u") == 0 && i + 1 < argc)
+      {
+        servers[n_servers].is_unlisted = true;
+        if (!add_server (argv[++i], list_port))
+          return EXIT_FAILURE;
+      }
     else if (!add_server (argv[i], list_port))
       return EXIT_FAILURE;
   for (size_t i = 0; i < n_servers; i++)
     {
       pthread_t thread;
-      servers[i].listener = net_listen (address, servers[i].port);
       if (pthread_create (&thread, NULL, run_server, &servers[i]) != 0)
         return EXIT_FAILURE;
     }
