--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -15,7 +15,7 @@
 # Other clients, with orders of their own.
 (
   n=0
-  while :; do
+  while [ ! -e "$FOLDER/enough" ]; do
     n=$((n + 1))
     "$STANDINS/standin-client" post "$(router_address $((n % 3 + 1))):8641" "/x/wait-300/item-$n" \
       "other-$n" 100 >>"$FOLDER/others" || true
@@ -28,11 +28,15 @@
   sleep 0.5
 done
 sleep 1
-kill -KILL "${PIDS[others]}"
+touch "$FOLDER/enough"
+wait "${PIDS[others]}" || true
+unset 'PIDS[others]'
 
 {
   echo '--- what the client got: ID STATUS BYTES'
   cat "$FOLDER/answers"
+  echo '--- orders of other clients that were not served: ID STATUS BYTES'
+  awk '$2 != 200' "$FOLDER/others"
   echo '--- what the servers did: MSEC'
   grep -F poison- "$FOLDER/runs"
 } >>"$RECORD"
