--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,6 +3,8 @@
 # other, from a client that leaves before the crash.  TROUBLE=0: the client stays.
 set -euo pipefail
 HERE=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+RECORD=$HERE/record.txt
 source "$HERE/../common-2.sh"
 TIMES=30
 CRASH_MSEC=800
@@ -17,12 +19,14 @@
   n=0
   while [ ! -e "$FOLDER/enough" ]; do
     n=$((n + 1))
+    sent "other-$n" POST "/x/wait-300/item-$n" to router-$((n % 3 + 1))
     "$STANDINS/standin-client" post "$(router_address $((n % 3 + 1))):8641" "/x/wait-300/item-$n" \
       "other-$n" 100 >>"$FOLDER/others" || true
   done
 ) &
 PIDS[others]=$!
 for n in $(seq $TIMES); do
+  sent "poison-$n" GET /x/crash-$CRASH_MSEC to router-$((n % 3 + 1)), left after $LEAVE_MSEC ms
   "$STANDINS/standin-client" leave "$(router_address $((n % 3 + 1))):8641" /x/crash-$CRASH_MSEC \
     "poison-$n" $LEAVE_MSEC >>"$FOLDER/answers" || true
   sleep 0.5
@@ -33,6 +37,8 @@
 unset 'PIDS[others]'
 
 {
+  echo '--- what was sent: MSEC (of the steady clock, as below)'
+  cat "$FOLDER/sent"
   echo '--- what the client got: ID STATUS BYTES'
   cat "$FOLDER/answers"
   echo '--- orders of other clients that were not served: ID STATUS BYTES'
--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -7,7 +7,6 @@
 BIN=$ROOT/target
 STANDINS=$ROOT/target/review-2
 TROUBLE=${TROUBLE:-1}
-RECORD=$HERE/record.txt
 FOLDER=$(mktemp -d)
 declare -A PIDS
 ZONES=(zapad-a stred-a vychod-a)
@@ -29,6 +28,9 @@
 # say TEXT: to the record and to standard output.
 say() { echo "$*" | tee -a "$RECORD"; }
 
+# sent ID WHAT: notes a request before it is sent, with the steady clock's time in ms.
+sent() { echo "$(awk '{ printf "%d", $1 * 1000 }' /proc/uptime) sent $*" >>"$FOLDER/sent"; }
+
 for program in "$BIN/mulberry-router" "$BIN/mulberry-director" "$STANDINS/standin-servers" \
   "$STANDINS/standin-client"; do
   [ -x "$program" ] || cannot_run "$program is missing: build it first"
