feat(router): request_sent tells whether the backend server is believed cold

The logs could not tell a router that has not learned of a new start from one whose limit for cold backend servers leaks. limited=1 is a server that is believed cold or may be; list_age_ms is how old the knowledge is that says so.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -249,6 +249,10 @@
    of other routers included.  */
 double backend_load_at (const backend_t *backend, usec_t now);
 
+/* Whether BACKEND is believed cold at NOW, or its state is not known, so that
+   the rate of its requests is limited.  */
+bool backend_is_limited (const backend_t *backend, usec_t now);
+
 /* Slots and mean latency of the healthy backend servers that are eligible for
    a query and do not rest.  */
 typedef struct pool_capacity
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -87,8 +87,8 @@
   return tokens < 1 ? tokens : 1;
 }
 
-static bool
-is_limited (const backend_t *backend, usec_t now)
+bool
+backend_is_limited (const backend_t *backend, usec_t now)
 {
   return backend->may_be_cold || now < backend->cold_until;
 }
@@ -96,13 +96,13 @@
 bool
 pool_cold_start_allows (const backend_t *backend, usec_t now)
 {
-  return !is_limited (backend, now) || tokens_at (backend, now) >= 1;
+  return !backend_is_limited (backend, now) || tokens_at (backend, now) >= 1;
 }
 
 void
 pool_cold_start_take (backend_t *backend, usec_t now)
 {
-  if (!is_limited (backend, now))
+  if (!backend_is_limited (backend, now))
     return;
   backend->cold_tokens = tokens_at (backend, now) - 1;
   backend->cold_refilled_at = now;
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -112,6 +112,9 @@
              LOG_F ("load", backend_load_at (backend, now)),
              LOG_I ("report_age_ms",
                     (now - backend->load_reported_at) / USEC_PER_MSEC),
+             LOG_U ("limited", backend_is_limited (backend, now)),
+             LOG_I ("list_age_ms", (now - dispatcher->snapshot->list.read_at)
+                                       / USEC_PER_MSEC),
              LOG_U ("try", exchange->n_attempts),
              LOG_I ("left_ms", (exchange->deadline - now) / USEC_PER_MSEC));
 }
