--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -17,14 +17,17 @@
    ends the backend server, with all that runs there, which starts again after
    DOWN_USEC under another id, and one that ends in "crash-N" does so after N
    msec; each such end is appended to FOLDER/ends as "ID BACKEND MSEC -". Where
-   "-504" follows, each second one is answered 504 instead, as at a deadline. A
-   backend server that FOLDER/leaving names says in all its answers that it
-   leaves; one that FOLDER/resting names refuses all requests, and wants a rest
-   of REST_SECONDS. A request that reaches a backend server is appended to
-   FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or "refused".  Each
-   run is also appended to FOLDER/accounts as "ID ACCOUNT MSEC KEY": the client
-   account that the request names, or "-", and "key" if it bears a key, else
-   "no-key".  */
+   "-504" follows, each second one is answered 504 instead, as at a deadline.
+   One that ends in "restart" ends the backend server, which starts again after
+   DOWN_USEC under the same id, and is cold for COLD_MSEC; the list shows that
+   LIST_LAG_MSEC later, and the start is appended to FOLDER/starts as "-
+   BACKEND MSEC -". A backend server that FOLDER/leaving names says in all its
+   answers that it leaves; one that FOLDER/resting names refuses all requests,
+   and wants a rest of REST_SECONDS. A request that reaches a backend server is
+   appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or
+   "refused".  Each run is also appended to FOLDER/accounts as "ID ACCOUNT MSEC
+   KEY": the client account that the request names, or "-", and "key" if it
+   bears a key, else "no-key".  */
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -56,6 +59,8 @@
   HELD_STEPS_MAX = 2000,
   RUN_STEP_USEC = 5 * 1000,
   DOWN_USEC = 1000 * 1000,
+  COLD_MSEC = 3000,
+  LIST_LAG_MSEC = 800,
 };
 
 typedef struct fake_backend
@@ -67,6 +72,8 @@
   struct MHD_Daemon *daemon;
   unsigned int boot; /* counts its starts; guarded by fake.lock */
   bool is_down;      /* guarded by fake.lock */
+  bool keeps_id;     /* at its next start; guarded by fake.lock */
+  long long born;    /* Unix msec of a start under the same id; 0: none */
 } fake_backend_t;
 
 static struct
@@ -101,6 +108,14 @@
   return found;
 }
 
+static long long
+now_msec (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC;
+}
+
 /* Append a line to FOLDER/NAME.  */
 static void
 note (const char *name, const char *request, const char *backend,
@@ -112,11 +127,7 @@
   FILE *file = fopen (path, "a");
   if (file)
     {
-      struct timespec now;
-      clock_gettime (CLOCK_REALTIME, &now);
-      fprintf (file, "%s %s %lld %s\n", request, backend,
-               (long long)now.tv_sec * MSEC_PER_SEC
-                   + now.tv_nsec / NSEC_PER_MSEC,
+      fprintf (file, "%s %s %lld %s\n", request, backend, now_msec (),
                type ? type : "-");
       fclose (file);
     }
@@ -147,6 +158,30 @@
   return result;
 }
 
+/* For how many msec BACKEND, which was born at BORN, is still cold.  */
+static long long
+cold_left (long long born)
+{
+  long long left = born > 0 ? born + COLD_MSEC - now_msec () : 0;
+  return left > 0 ? left : 0;
+}
+
+static enum MHD_Result
+answer_health (struct MHD_Connection *connection,
+               const fake_backend_t *backend)
+{
+  char left[32];
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  snprintf (left, sizeof left, "%lld", cold_left (backend->born));
+  MHD_add_response_header (response, "Instance-Id", backend->id);
+  MHD_add_response_header (response, "Cold-Ms", left);
+  enum MHD_Result result
+      = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 answer (struct MHD_Connection *connection, unsigned int status,
         const char *text, const char *id, const char *backend)
@@ -197,12 +232,14 @@
 
 /* The port refuses connections from now on, and the open ones are closed.  */
 static void
-crash_backend (fake_backend_t *backend, const char *request)
+crash_backend (fake_backend_t *backend, const char *request, bool keeps_id)
 {
   pthread_t thread;
   pthread_mutex_lock (&fake.lock);
   bool was_down = backend->is_down;
   backend->is_down = true;
+  if (!was_down)
+    backend->keeps_id = keeps_id;
   pthread_mutex_unlock (&fake.lock);
   if (was_down)
     return;
@@ -258,7 +295,7 @@
   const char *id = header (connection, "Request-Id");
   const char *expected = header (connection, "Expect-Instance");
   if (strcmp (url, "/health") == 0)
-    return answer (connection, MHD_HTTP_OK, "", NULL, backend->id);
+    return answer_health (connection, backend);
   if (!id || !header (connection, "Deadline-Ms"))
     return answer (connection, MHD_HTTP_BAD_REQUEST, "no id or deadline", NULL,
                    NULL);
@@ -276,7 +313,9 @@
   if (ends_with (url, "lost"))
     return MHD_NO;
   if (ends_with (url, "crash"))
-    crash_backend (backend, id);
+    crash_backend (backend, id, false);
+  if (ends_with (url, "restart"))
+    crash_backend (backend, id, true);
   const char *delay = strstr (url, "crash-");
   if (delay)
     {
@@ -287,7 +326,7 @@
         return answer (connection, MHD_HTTP_GATEWAY_TIMEOUT, "", id,
                        backend->id);
       if (is_boot (backend, boot))
-        crash_backend (backend, id);
+        crash_backend (backend, id, false);
     }
   if (ends_with (url, "slow"))
     run_for (backend, boot, SLOW_USEC);
@@ -330,13 +369,19 @@
         }
       if (is_named ("gone", backend->id))
         continue;
+      bool is_shown = now_msec () >= backend->born + LIST_LAG_MSEC;
+      long long born = is_shown ? backend->born : 0;
       used += (size_t)snprintf (
           text + used, sizeof text - used,
           "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"capacity\":"
-          "%d,\"state\":\"%s\",\"cold_left\":\"0ms\",\"id\":\"%s\"}",
+          "%d,\"state\":\"%s\",\"cold_left\":\"%lldms\",\"id\":\"%s\"",
           is_first ? "" : ",", fake.address, backend->port + fake.offset,
           SLOTS, is_named ("draining", backend->id) ? "draining" : "ready",
-          backend->id);
+          cold_left (born), backend->id);
+      if (born > 0)
+        used += (size_t)snprintf (text + used, sizeof text - used,
+                                  ",\"born\":%lld", born);
+      used += (size_t)snprintf (text + used, sizeof text - used, "}");
       is_first = false;
     }
   snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
@@ -356,22 +401,35 @@
       MHD_OPTION_END);
 }
 
-/* Each start has an id of its own.  */
+/* Give BACKEND an id for its next start.  */
 static void
-start_backend (fake_backend_t *backend)
+name_start (fake_backend_t *backend)
 {
-  struct MHD_Daemon *daemon
-      = open_port (backend->port, serve_backend, backend);
-  pthread_mutex_lock (&fake.lock);
-  backend->daemon = daemon;
   int n = snprintf (backend->id, sizeof backend->id, "%s-%u", backend->domain,
                     backend->number);
   if (backend->boot > 0)
     snprintf (backend->id + n, sizeof backend->id - (size_t)n, "-%u",
               backend->boot);
+}
+
+/* Each start has an id of its own, but one after a request for a restart.  */
+static void
+start_backend (fake_backend_t *backend)
+{
+  struct MHD_Daemon *daemon
+      = open_port (backend->port, serve_backend, backend);
+  pthread_mutex_lock (&fake.lock);
+  backend->daemon = daemon;
+  bool is_restart = backend->keeps_id;
+  if (!is_restart)
+    name_start (backend);
   backend->boot++;
+  backend->born = is_restart ? now_msec () : 0;
+  backend->keeps_id = false;
   backend->is_down = false;
   pthread_mutex_unlock (&fake.lock);
+  if (is_restart)
+    note ("starts", "-", backend->id, NULL);
 }
 
 static bool
