fix(router,director): a refused connection limits a backend server everywhere

Cause: what a router believes of a backend server outlived the start that it was learned of, and evidence of the end stayed with the router that saw it. The list shows a new start about a second late. One refused connection, which proves that the start has ended, changed nothing; two took the server out, at that router alone, and with 85 routers hardly any met two in a second.

Ruled out: that the limit for cold servers leaks.

Change: the first refused connection takes the server out at that router and limits it, at all routers, as a cold one, until a later start is known or it must be warm (docs/design/restarts.md). Why it works: the time until all know is 0.7 s at most, and the limit depends on no list.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -15,6 +15,8 @@
 /* Time from the failure to the first probe, and between probes.  */
 #define FIRST_PROBE_DELAY (300 * USEC_PER_MSEC)
 #define PROBE_INTERVAL (700 * USEC_PER_MSEC)
+_Static_assert(REFUSAL_INTERVAL > PROBE_INTERVAL,
+               "a refused probe comes within REFUSAL_INTERVAL");
 
 backend_pool_t *
 backend_pool_new (const backend_pool_options_t *options)
@@ -132,9 +134,8 @@
       = record->is_draining
         || (backend->record.is_draining
             && backend->record.started_unix_ms == record->started_unix_ms);
-  usec_t cold_until = read_at + record->cold_left;
-  if (record->cold_left > 0 && cold_until > backend->cold_until)
-    backend->cold_until = cold_until;
+  if (record->cold_left > 0)
+    pool_cold_start_set (backend, read_at + record->cold_left);
   backend->record = *record;
   backend->record.is_draining = is_draining;
   if (is_new || is_restarted)
@@ -219,6 +220,20 @@
       = backend->latency == 0 ? latency : (7 * backend->latency + latency) / 8;
 }
 
+usec_t
+backend_pool_connection_refused (backend_pool_t *pool, backend_t *backend,
+                                 usec_t now)
+{
+  usec_t until = now + REFUSAL_INTERVAL + backend->cold_start;
+  pool_cold_start_suspect (backend, until, now);
+  if (backend->health == BACKEND_UP)
+    {
+      set_health (pool, backend, BACKEND_DOWN);
+      backend->next_probe_at = now + FIRST_PROBE_DELAY;
+    }
+  return until;
+}
+
 static void
 count_failure (backend_pool_t *pool, backend_t *backend, uint32_t limit,
                usec_t now)
@@ -332,10 +347,8 @@
   backend->is_probing = false;
   backend->next_probe_at = now + PROBE_INTERVAL;
   if (is_healthy && backend->health == BACKEND_DOWN)
-    {
-      reset_backend (pool, backend);
-      if (cold_left > 0 && now + cold_left > backend->cold_until)
-        backend->cold_until = now + cold_left;
-    }
+    reset_backend (pool, backend);
+  if (is_healthy && cold_left > 0)
+    pool_cold_start_set (backend, now + cold_left);
   free_if_unused (pool, backend);
 }
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -19,6 +19,7 @@
 #include "balance/run_estimate.h"
 #include "base/list.h"
 #include "base/random.h"
+#include "fleet/cold_table.h"
 #include "fleet/fleet_defs.h"
 #include "fleet/notice_table.h"
 #include "fleet/reopened_domains.h"
@@ -95,8 +96,11 @@
   usec_t checked_at; /* when a health check last had another reason than
                         BACKEND_DOWN; 0: never */
 
-  bool may_be_cold;   /* the list is too old to tell; limited as if cold */
-  usec_t cold_until;  /* end of the cold start */
+  bool may_be_cold;  /* the list is too old to tell; limited as if cold */
+  usec_t cold_until; /* when it is warm, as it said itself or is listed */
+  usec_t cold_until_at_most; /* when it is warm at the latest, as it has
+                                refused connections */
+  usec_t cold_start;         /* how long a start is cold */
   double cold_rate;   /* requests per second of this router while cold */
   double cold_tokens; /* token bucket of cold_rate: requests allowed now */
   usec_t cold_refilled_at; /* when cold_tokens was last computed */
@@ -245,6 +249,18 @@
                               const load_report_t *reports, size_t n,
                               usec_t now);
 
+/* BACKEND refused a connection at NOW: no process listens there.  It gets no
+   request until a probe succeeds, and then may have just started.  Returns
+   until when it must be taken to be cold, unless it is asked again.  */
+usec_t backend_pool_connection_refused (backend_pool_t *pool,
+                                        backend_t *backend, usec_t now);
+
+/* Applies N reports of backend servers that are cold, or may be.  Returns how
+   many of them are newly limited at NOW.  */
+size_t backend_pool_hear_colds (backend_pool_t *pool,
+                                const cold_report_t *reports, size_t n,
+                                usec_t now);
+
 /* Returns the estimated number of requests that run or wait at BACKEND, those
    of other routers included.  */
 double backend_load_at (const backend_t *backend, usec_t now);
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -12,6 +12,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "routing/route_config.h"
+
 enum
 {
   SHARERS_MAX = 4, /* routers that may send to one cold backend server */
@@ -21,6 +23,9 @@
    requests in transit and for routers whose lists of routers differ.  */
 static const double rate_fraction = 0.6;
 
+/* A time that other routers tell is late by what the messages took.  */
+#define MESSAGE_TIME (200 * USEC_PER_MSEC)
+
 static uint64_t
 rank_hash (const backend_t *backend, uint32_t address)
 {
@@ -61,12 +66,12 @@
   size_t n = 0;
   size_t rank = rank_in_region (backend, update, pool->self, &n);
   size_t n_sharers = n < SHARERS_MAX ? n : SHARERS_MAX;
-  double rate = 0;
-  for (size_t i = 0; update->config && i < update->config->n_services; i++)
-    if (strcmp (update->config->services[i].name.text,
-                backend->record.service.text)
-        == 0)
-      rate = update->config->services[i].cold_rate;
+  const service_config_t *service
+      = update->config ? route_config_service (update->config,
+                                               backend->record.service.text)
+                       : NULL;
+  double rate = service ? service->cold_rate : 0;
+  backend->cold_start = service ? service->cold_start_duration : 0;
   if (rank >= SHARERS_MAX)
     rate = 0;
   else
@@ -87,10 +92,51 @@
   return tokens < 1 ? tokens : 1;
 }
 
+/* Whether a start of BACKEND is known that is later than the refusals of
+   connections.  */
+static bool
+has_started_since (const backend_t *backend)
+{
+  return backend->cold_until_at_most
+         <= backend->cold_until + REFUSAL_INTERVAL + MESSAGE_TIME;
+}
+
 bool
 backend_is_limited (const backend_t *backend, usec_t now)
 {
-  return backend->may_be_cold || now < backend->cold_until;
+  if (backend->may_be_cold || now < backend->cold_until)
+    return true;
+  return now < backend->cold_until_at_most && !has_started_since (backend);
+}
+
+void
+pool_cold_start_set (backend_t *backend, usec_t until)
+{
+  if (until > backend->cold_until)
+    backend->cold_until = until;
+}
+
+bool
+pool_cold_start_suspect (backend_t *backend, usec_t until, usec_t now)
+{
+  bool was_limited = backend_is_limited (backend, now);
+  if (until > backend->cold_until_at_most)
+    backend->cold_until_at_most = until;
+  return !was_limited && backend_is_limited (backend, now);
+}
+
+size_t
+backend_pool_hear_colds (backend_pool_t *pool, const cold_report_t *reports,
+                         size_t n, usec_t now)
+{
+  size_t n_new = 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      backend_t *backend = pool_index_find_id (pool, reports[i].server);
+      if (backend && pool_cold_start_suspect (backend, reports[i].until, now))
+        n_new++;
+    }
+  return n_new;
 }
 
 bool
--- a/src/balance/pool_index.c
+++ b/src/balance/pool_index.c
@@ -1,4 +1,5 @@
-/* Index of the backend servers by service, and by their id in load reports.
+/* Index of the backend servers by service, by their id in load reports, and by
+   the hash of their id.
 
    Load pattern: hundreds of backend servers, while the router may use a tenth
    of a CPU core.  With the index, a request examines only the backend servers
@@ -62,26 +63,58 @@
   return left < right ? -1 : left > right;
 }
 
+static int
+compare_id_hashes (const void *a, const void *b)
+{
+  uint64_t left = (*(backend_t *const *)a)->id_hash;
+  uint64_t right = (*(backend_t *const *)b)->id_hash;
+  return left < right ? -1 : left > right;
+}
+
+/* All N backend servers in the order of COMPARE, malloc'd.  */
+static backend_t **
+sorted_backends (const backend_pool_t *pool, size_t n,
+                 int (*compare) (const void *a, const void *b))
+{
+  size_t at = 0;
+  backend_t **backends = calloc (n + 1, sizeof (backend_t *));
+  if (!backends)
+    abort ();
+  LIST_FOREACH (link, &pool->backends)
+  backends[at++] = LIST_ENTRY (link, backend_t, link);
+  qsort (backends, n, sizeof (backend_t *), compare);
+  return backends;
+}
+
 static void
-index_load_ids (backend_pool_t *pool)
+index_ids (backend_pool_t *pool)
 {
   size_t n = 0;
   LIST_FOREACH (link, &pool->backends)
   n++;
-  pool->by_load_id = calloc (n + 1, sizeof (backend_t *));
-  if (!pool->by_load_id)
-    abort ();
-  LIST_FOREACH (link, &pool->backends)
-  pool->by_load_id[pool->n_by_load_id++] = LIST_ENTRY (link, backend_t, link);
-  qsort (pool->by_load_id, n, sizeof (backend_t *), compare_load_ids);
+  pool->by_load_id = sorted_backends (pool, n, compare_load_ids);
+  pool->by_id_hash = sorted_backends (pool, n, compare_id_hashes);
+  pool->n_by_id = n;
+}
+
+backend_t *
+pool_index_find_id (const backend_pool_t *pool, uint64_t id_hash)
+{
+  const backend_t wanted = { .id_hash = id_hash };
+  const backend_t *key = &wanted;
+  backend_t **found = bsearch (&key, pool->by_id_hash, pool->n_by_id,
+                               sizeof (backend_t *), compare_id_hashes);
+  return found ? *found : NULL;
 }
 
 void
 pool_index_clear (backend_pool_t *pool)
 {
   free (pool->by_load_id);
+  free (pool->by_id_hash);
   pool->by_load_id = NULL;
-  pool->n_by_load_id = 0;
+  pool->by_id_hash = NULL;
+  pool->n_by_id = 0;
   for (size_t i = 0; i < pool->n_services; i++)
     free (pool->services[i].backends);
   free (pool->services);
@@ -100,24 +133,26 @@
     pool_service_t *service = find_service (pool, name->text);
     add_backend (service ? service : add_service (pool, name), backend);
   }
-  index_load_ids (pool);
+  index_ids (pool);
 }
 
+/* Remove BACKEND from the N at BACKENDS.  */
 static void
-remove_load_id (backend_pool_t *pool, const backend_t *backend)
+remove_from (backend_t **backends, size_t n, const backend_t *backend)
 {
-  size_t n = 0;
-  for (size_t i = 0; i < pool->n_by_load_id; i++)
-    if (pool->by_load_id[i] != backend)
-      pool->by_load_id[n++] = pool->by_load_id[i];
-  pool->n_by_load_id = n;
+  size_t n_kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (backends[i] != backend)
+      backends[n_kept++] = backends[i];
 }
 
 void
 pool_index_remove (backend_pool_t *pool, const backend_t *backend)
 {
   pool_service_t *service = find_service (pool, backend->record.service.text);
-  remove_load_id (pool, backend);
+  remove_from (pool->by_load_id, pool->n_by_id, backend);
+  remove_from (pool->by_id_hash, pool->n_by_id, backend);
+  pool->n_by_id--;
   for (size_t i = 0; service && i < service->n; i++)
     if (service->backends[i] == backend)
       {
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -24,10 +24,15 @@
   pool_service_t *services; /* malloc'd */
   size_t n_down;            /* backend servers that are BACKEND_DOWN */
   backend_notices_t notices;
-  size_t n_by_load_id;
+  size_t n_by_id;
   backend_t **by_load_id; /* malloc'd; all, by the id in load reports */
+  backend_t **by_id_hash; /* the same ones, by the hash of their id */
 };
 
+/* A backend server that is still down this long after it refused a connection
+   has refused another one, to the probe of some router.  */
+#define REFUSAL_INTERVAL (1000 * USEC_PER_MSEC)
+
 enum
 {
   /* A leaving backend server serves for the time `drain`; what is sent to it
@@ -40,6 +45,8 @@
 const pool_service_t *pool_index_find (const backend_pool_t *pool,
                                        const char *service);
 void pool_index_rebuild (backend_pool_t *pool);
+/* Returns the backend server whose id has the hash ID_HASH, or NULL.  */
+backend_t *pool_index_find_id (const backend_pool_t *pool, uint64_t id_hash);
 /* Must be called before BACKEND is freed.  */
 void pool_index_remove (backend_pool_t *pool, const backend_t *backend);
 void pool_index_clear (backend_pool_t *pool);
@@ -70,6 +77,11 @@
 /* Returns whether a cold BACKEND may get one more request; true if BACKEND is
    not cold.  */
 bool pool_cold_start_allows (const backend_t *backend, usec_t now);
+/* BACKEND is cold until UNTIL, as it said itself or is listed.  */
+void pool_cold_start_set (backend_t *backend, usec_t until);
+/* BACKEND is warm at UNTIL at the latest.  Returns true if it was not limited
+   at NOW before.  */
+bool pool_cold_start_suspect (backend_t *backend, usec_t until, usec_t now);
 /* Takes one token if BACKEND is cold.  */
 void pool_cold_start_take (backend_t *backend, usec_t now);
 /* Sets the part of the cold-start request rate of BACKEND that this router may
--- a/src/balance/pool_load.c
+++ b/src/balance/pool_load.c
@@ -39,7 +39,7 @@
                          size_t n, usec_t now)
 {
   size_t at = 0;
-  for (size_t i = 0; i < pool->n_by_load_id; i++)
+  for (size_t i = 0; i < pool->n_by_id; i++)
     {
       uint32_t id = pool->by_load_id[i]->load_id;
       while (at < n && reports[at].server < id)
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -12,6 +12,7 @@
 #include "director/director_core.h"
 #include "director/director_state.h"
 #include "fleet/clock_offset.h"
+#include "fleet/cold_table.h"
 #include "fleet/crash_table.h"
 #include "fleet/crash_wire.h"
 #include "fleet/list_update.h"
@@ -84,6 +85,7 @@
       uint64_t list_digest;      /* of its list of backend servers */
       uint64_t incarnation;      /* of its process */
       uint64_t crashes_sequence; /* of the crash reports sent to it */
+      uint64_t colds_sent;       /* the changes of `colds` sent to it */
     } share_reply;
     operator_request_t *operator_request;
     backend_list_t backend_list;
@@ -101,6 +103,7 @@
   uint64_t incarnation;          /* of its process, by its last reply */
   uint64_t crashes_known;        /* the changes of `crashes` that it has */
   uint64_t loads_told;           /* the changes of `loads` sent to it */
+  uint64_t colds_told;           /* the changes of `colds` that it has */
   _Atomic int n_calls_in_flight; /* FLEET_AGREE calls without a reply yet */
 } director_peer_t;
 
@@ -172,6 +175,8 @@
   usec_t next_quota_expiry_at;
   load_table_t loads; /* of backend servers, as routers told lately */
   usec_t next_load_expiry_at;
+  cold_table_t colds; /* backend servers that are cold, or may be */
+  usec_t next_cold_expiry_at;
 
   list_t operator_requests; /* unfinished; some are proposed */
   proposal_id_t last_proposal_id;
@@ -340,6 +345,30 @@
 /* Forget old reports when due.  */
 void core_loads_tick (director_core_t *core, usec_t now);
 
+/* core_colds.c */
+
+/* Keep which backend servers the router of ARGS saw to be cold, or to have
+   ended, and fill in those that it does not know of; COLDS has room for
+   FLEET_WIRE_COLDS_MAX.  */
+void core_colds_answer (director_core_t *core, const fleet_pull_args_t *args,
+                        fleet_pull_result_t *result, fleet_cold_t *colds,
+                        usec_t now);
+/* Fill in those that the director in slot TO does not know of; COLDS as above.
+   Returns the last change that they include.  */
+uint64_t core_colds_fill_share (director_core_t *core, slot_t to,
+                                fleet_share_args_t *args, fleet_cold_t *colds,
+                                usec_t now);
+/* The director in slot TO, whose process is INCARNATION, has the changes up to
+   SENT.  To be called before core_crashes_shared.  */
+void core_colds_shared (director_core_t *core, slot_t to, uint64_t incarnation,
+                        uint64_t sent);
+/* Keep what another director shares.  */
+void core_colds_merge_share (director_core_t *core,
+                             const fleet_share_args_t *args, usec_t sent_at,
+                             usec_t now);
+/* Forget what has ended when due.  */
+void core_colds_tick (director_core_t *core, usec_t now);
+
 /* core_view.c */
 
 /* This director's view of the deployment as JSON text, malloc'd.  */
--- a/src/director/core_loads.c
+++ b/src/director/core_loads.c
@@ -33,12 +33,12 @@
                    fleet_pull_result_t *result, fleet_load_t *loads,
                    usec_t now)
 {
-  bool is_same = args->loads_source == core->options.seed;
+  bool is_same = args->source == core->options.seed;
   merge (core, args->loads.loads_val, args->loads.loads_len, now);
   result->loads.loads_val = loads;
   result->loads.loads_len = (u_int)write_changes (
       core, is_same ? args->loads_known : 0, loads, now);
-  result->loads_source = core->options.seed;
+  result->source = core->options.seed;
   result->loads_known = core->loads.n_changes;
 }
 
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -89,6 +89,7 @@
       {
         core->peers[i].clock = (clock_offset_t){ 0 };
         core->peers[i].crashes_known = 0;
+        core->peers[i].colds_told = 0;
       }
   core->roster = *roster;
   save_roster (core, now);
@@ -283,6 +284,7 @@
   director_core_t *core;
   uint32_t address;          /* IPv4, of the callee */
   uint64_t crashes_sequence; /* of the crash reports that it carries */
+  uint64_t colds_sent;       /* the last change of `colds` that it carries */
 } share_call_t;
 
 /* The reply to FLEET_SHARE, or its failure, on the RPC thread.  */
@@ -300,6 +302,7 @@
       item->body.share_reply.list_digest = answer.list_digest;
       item->body.share_reply.incarnation = answer.incarnation;
       item->body.share_reply.crashes_sequence = call->crashes_sequence;
+      item->body.share_reply.colds_sent = call->colds_sent;
       if (!core_mailbox_post (call->core, item))
         free (item);
     }
@@ -338,12 +341,15 @@
   core_quotas_fill_share (core, to, args, &quotas, now);
   static fleet_load_t loads[FLEET_WIRE_LOADS_MAX];
   core_loads_fill_share (core, to, args, loads, now);
+  static fleet_cold_t colds[FLEET_WIRE_COLDS_MAX];
+  uint64_t colds_sent = core_colds_fill_share (core, to, args, colds, now);
   share_call_t *call = calloc (1, sizeof *call);
   if (!call)
     abort ();
   *call = (share_call_t){ .core = core,
                           .address = core->roster.addresses[to],
-                          .crashes_sequence = crashes.sequence };
+                          .crashes_sequence = crashes.sequence,
+                          .colds_sent = colds_sent };
   rpc_request_t request = { .procedure = FLEET_SHARE,
                             .encode = (xdrproc_t)xdr_fleet_share_args_t,
                             .args = args,
@@ -445,6 +451,7 @@
                       args->suspects.suspects_len, sent_at, now);
   core_quotas_merge_share (core, args, now);
   core_loads_merge_share (core, args, sent_at);
+  core_colds_merge_share (core, args, sent_at, now);
   fleet_share_result_t result = { .list_digest = core->backend_list.digest,
                                   .incarnation = core->options.seed };
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
@@ -465,6 +472,7 @@
   send_shares (core, now);
   core_quotas_tick (core, now);
   core_loads_tick (core, now);
+  core_colds_tick (core, now);
 }
 
 /* --- RPC procedures, on the RPC thread ---------------------------------- */
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -233,6 +233,8 @@
   core_quotas_answer (core, args, &result, quotas, now);
   static fleet_load_t loads[FLEET_WIRE_LOADS_MAX];
   core_loads_answer (core, args, &result, loads, now);
+  static fleet_cold_t colds[FLEET_WIRE_COLDS_MAX];
+  core_colds_answer (core, args, &result, colds, now);
   result.directors.directors_val = core->roster.addresses;
   result.directors.directors_len = (u_int)core->roster.n_slots;
   rpc_reply (item->call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -182,6 +182,8 @@
         if (slot == SLOT_NONE)
           break;
         core->peers[slot].list_digest = item->body.share_reply.list_digest;
+        core_colds_shared (core, slot, item->body.share_reply.incarnation,
+                           item->body.share_reply.colds_sent);
         core_crashes_shared (core, slot, item->body.share_reply.incarnation,
                              item->body.share_reply.crashes_sequence);
         break;
@@ -400,6 +402,7 @@
   backend_list_clear (&core->backend_list);
   book_clear (&core->quotas);
   load_table_clear (&core->loads);
+  cold_table_clear (&core->colds);
   settings_feed_release (core->options.feed, core->settings);
   pthread_cond_destroy (&core->mailbox_changed);
   pthread_mutex_destroy (&core->lock);
--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -5,6 +5,8 @@
 
 #include <math.h>
 
+#include "base/log.h"
+
 /* What backend servers say of themselves is told at most this often.  */
 #define NOTICES_INTERVAL USEC_PER_SEC
 /* Load reports that were heard earlier are not told.  */
@@ -66,7 +68,7 @@
            usec_t now)
 {
   static load_report_t reports[LOADS_MAX];
-  args->loads_source = sync->loads_source;
+  args->source = sync->source;
   args->loads_known = sync->loads_known;
   if (!sync->heard_loads)
     return;
@@ -78,6 +80,24 @@
   args->loads.loads_len = (u_int)n;
 }
 
+/* Fill in the cold backend servers that were seen and not told yet.  WIRE has
+   room for COLDS_MAX.  */
+static void
+add_colds (director_sync_t *sync, fleet_pull_args_t *args, fleet_cold_t *wire,
+           usec_t now)
+{
+  static cold_report_t reports[COLDS_MAX];
+  args->colds_known = sync->colds_known;
+  if (!sync->seen_colds)
+    return;
+  const cold_query_t query = { .after = sync->seen_known, .now = now };
+  size_t n = cold_table_changed (sync->seen_colds, &query, reports, COLDS_MAX,
+                                 &sync->seen_sent);
+  cold_wire_write (reports, n, wire, now);
+  args->colds.colds_val = wire;
+  args->colds.colds_len = (u_int)n;
+}
+
 void
 director_report_fill (director_sync_t *sync, uint32_t director,
                       fleet_pull_args_t *args, director_report_t *report,
@@ -87,6 +107,7 @@
   add_notices (sync, args, report->notices, now);
   add_usages (sync, args, report->usages, now);
   add_loads (sync, args, report->loads, now);
+  add_colds (sync, args, report->colds, now);
 }
 
 static void
@@ -109,12 +130,22 @@
             usec_t now)
 {
   sync->heard_known = sync->heard_sent;
-  sync->loads_source = result->loads_source;
+  sync->source = result->source;
   sync->loads_known = result->loads_known;
   sync->n_loads = result->loads.loads_len;
   load_wire_read (result->loads.loads_val, sync->n_loads, sync->loads, now);
 }
 
+static void
+keep_colds (director_sync_t *sync, const fleet_pull_result_t *result,
+            usec_t now)
+{
+  sync->seen_known = sync->seen_sent;
+  sync->colds_known = result->colds_known;
+  sync->n_colds = result->colds.colds_len;
+  cold_wire_read (result->colds.colds_val, sync->n_colds, sync->colds, now);
+}
+
 void
 director_report_keep_result (director_sync_t *sync,
                              const fleet_pull_result_t *result, bool is_fresh,
@@ -124,11 +155,23 @@
   sync->is_answered = result != NULL;
   sync->n_quotas = 0;
   sync->n_loads = 0;
+  sync->n_colds = 0;
   if (!result)
     return;
   if (is_fresh)
     keep_quotas (sync, result);
   keep_loads (sync, result, now);
+  keep_colds (sync, result, now);
+}
+
+static void
+hear_colds (director_sync_t *sync, usec_t now)
+{
+  size_t n_new
+      = backend_pool_hear_colds (sync->pool, sync->colds, sync->n_colds, now);
+  if (n_new > 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "backends_may_be_cold", LOG_U ("new", n_new),
+               LOG_U ("told", sync->n_colds));
 }
 
 void
@@ -142,4 +185,6 @@
                           sync->n_quotas, now);
   if (sync->n_loads > 0)
     backend_pool_hear_loads (sync->pool, sync->loads, sync->n_loads, now);
+  if (sync->n_colds > 0)
+    hear_colds (sync, now);
 }
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -146,6 +146,12 @@
   sync->heard_loads = loads;
 }
 
+void
+director_sync_set_seen_colds (director_sync_t *sync, const cold_table_t *colds)
+{
+  sync->seen_colds = colds;
+}
+
 void
 director_sync_set_limiter (director_sync_t *sync, limiter_t *limiter)
 {
@@ -163,10 +169,11 @@
 }
 
 void
-director_sync_hurry (director_sync_t *sync)
+director_sync_hurry (director_sync_t *sync, usec_t at)
 {
   pthread_mutex_lock (&sync->lock);
-  sync->next_pull_at = 0;
+  if (at < sync->next_pull_at)
+    sync->next_pull_at = at;
   pthread_mutex_unlock (&sync->lock);
 }
 
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -14,6 +14,7 @@
 #ifndef ROUTER_DIRECTOR_SYNC_H
 #define ROUTER_DIRECTOR_SYNC_H
 
+#include "fleet/cold_table.h"
 #include "load/load_table.h"
 #include "quota/limiter.h"
 #include "router/fleet_snapshot.h"
@@ -49,7 +50,8 @@
                                 const crash_table_t *crashes);
 
 /* Report what the backend servers of POOL say of themselves to the directors,
-   and apply to it what other routers heard of their load.  POOL is used by
+   and apply to it what other routers heard of their load and saw of cold
+   ones.  POOL is used by
    director_sync_tick only and must stay valid.  */
 void director_sync_set_pool (director_sync_t *sync, backend_pool_t *pool);
 
@@ -58,6 +60,12 @@
 void director_sync_set_heard_loads (director_sync_t *sync,
                                     const load_table_t *loads);
 
+/* Report the cold backend servers that this router saw, COLDS, to the
+   directors.  COLDS is read by director_sync_tick only and must stay valid.
+ */
+void director_sync_set_seen_colds (director_sync_t *sync,
+                                   const cold_table_t *colds);
+
 /* Report the requests that LIMITER counts to the directors, and apply to it
    what they answer.  LIMITER is used by director_sync_tick only and must stay
    valid.  */
@@ -80,8 +88,8 @@
 size_t director_sync_releases (director_sync_t *sync,
                                director_release_t *releases);
 
-/* Make the next pull due at once.  */
-void director_sync_hurry (director_sync_t *sync);
+/* Make the next pull due at AT, if it is due later.  */
+void director_sync_hurry (director_sync_t *sync, usec_t at);
 
 /* Send a pull if one is due at NOW.  */
 void director_sync_tick (director_sync_t *sync, usec_t now);
--- a/src/router/director_sync_internal.h
+++ b/src/router/director_sync_internal.h
@@ -6,6 +6,7 @@
 
 #include <pthread.h>
 
+#include "fleet/cold_wire.h"
 #include "fleet/crash_wire.h"
 #include "fleet/load_wire.h"
 #include "fleet/notice_wire.h"
@@ -43,8 +44,13 @@
   const load_table_t *heard_loads; /* NULL: none are told */
   uint64_t heard_known;            /* changes of HEARD_LOADS that were told */
   uint64_t heard_sent;             /* the same, once the pull is answered */
-  uint64_t loads_source; /* process of the director that loads_known is for */
-  uint64_t loads_known;  /* its changes that were received */
+  uint64_t source;      /* process of the director that loads_known and
+                           colds_known are for */
+  uint64_t loads_known; /* its changes that were received */
+  const cold_table_t *seen_colds; /* NULL: none are told */
+  uint64_t seen_known;            /* changes of SEEN_COLDS that were told */
+  uint64_t seen_sent;             /* the same, once the pull is answered */
+  uint64_t colds_known;
   /* What the last pull told for the limiter and the pool.  */
   bool has_ended;   /* it is not applied yet */
   bool is_answered; /* valid if has_ended, as the following */
@@ -52,6 +58,8 @@
   quota_state_t quotas[QUOTA_USAGES_MAX];
   size_t n_loads;
   load_report_t loads[LOADS_MAX];
+  size_t n_colds;
+  cold_report_t colds[COLDS_MAX];
 };
 
 /* director_apply.c */
@@ -68,6 +76,7 @@
   fleet_notice_t notices[NOTICES_MAX];
   fleet_usage_t usages[QUOTA_USAGES_MAX];
   fleet_load_t loads[LOADS_MAX];
+  fleet_cold_t colds[COLDS_MAX];
 } director_report_t;
 
 /* Fill ARGS with what DIRECTOR is to be told, and what is known of it; ARGS
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -191,6 +191,7 @@
   dispatcher_send_probes (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
   dispatcher_expire_stutters (dispatcher, now);
+  dispatcher_expire_colds (dispatcher, now);
   usec_t wait = list_empty (&dispatcher->queue) ? IDLE_TICK : QUEUE_TICK;
   usec_t due = backend_http_due_at (dispatcher->backends) - now;
   return due < wait ? (due > 0 ? due : 0) : wait;
@@ -278,6 +279,7 @@
   random_seed (&dispatcher->limiter.random, options->seed);
   director_sync_set_limiter (options->sync, &dispatcher->limiter);
   director_sync_set_heard_loads (options->sync, &dispatcher->heard_loads);
+  director_sync_set_seen_colds (options->sync, &dispatcher->seen_colds);
   return dispatcher;
 }
 
@@ -289,6 +291,7 @@
   route_split_free (dispatcher->split);
   limiter_clear (&dispatcher->limiter);
   load_table_clear (&dispatcher->heard_loads);
+  cold_table_clear (&dispatcher->seen_colds);
   fleet_snapshot_unref (dispatcher->snapshot);
   free (dispatcher);
 }
--- /dev/null
+++ b/src/router/dispatcher_cold.c
@@ -0,0 +1,64 @@
+/* What this router sees of backend servers that start again.
+
+   Load pattern: a part of a service's backend servers ends and is back after
+   a second under the same ids, cold.  The list shows that about a second
+   later.  Each router sends so little to one of them that it seldom notices,
+   while all together overrun it; so what one sees is told to all.  */
+
+#include "router/dispatcher_internal.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+#define COLD_EXPIRY_INTERVAL USEC_PER_SEC
+/* The least time between two pulls that are earlier than regular ones, so that
+   what is seen at one moment travels together.  */
+#define COLD_PULL_INTERVAL (100 * USEC_PER_MSEC)
+
+/* BACKEND must be taken to be cold until UNTIL, by EVIDENCE.  */
+static void
+keep (dispatcher_t *dispatcher, const backend_t *backend, usec_t until,
+      const char *evidence, usec_t now)
+{
+  const cold_report_t report = { .server = backend->id_hash, .until = until };
+  bool is_new
+      = cold_table_until (&dispatcher->seen_colds, report.server) <= now;
+  if (!cold_table_put (&dispatcher->seen_colds, &report, true) || !is_new)
+    return;
+  LOG_EVENT (LOG_LEVEL_INFO, "backend_may_be_cold",
+             LOG_S ("backend", backend->record.id),
+             LOG_S ("evidence", evidence),
+             LOG_I ("left_ms", (until - now) / USEC_PER_MSEC));
+  usec_t due_at = dispatcher->next_cold_pull_at > now
+                      ? dispatcher->next_cold_pull_at
+                      : now;
+  dispatcher->next_cold_pull_at = due_at + COLD_PULL_INTERVAL;
+  director_sync_hurry (dispatcher->options.sync, due_at);
+}
+
+void
+dispatcher_cold_evidence (dispatcher_t *dispatcher, backend_t *backend,
+                          const backend_response_t *response, usec_t now)
+{
+  if (response->was_refused)
+    {
+      usec_t until
+          = backend_pool_connection_refused (dispatcher->pool, backend, now);
+      keep (dispatcher, backend, until, "connection refused", now);
+      return;
+    }
+  bool is_own = strcmp (response->backend_id, backend->record.id) == 0;
+  if (response->is_complete && is_own && response->cold_remaining > 0)
+    keep (dispatcher, backend, now + response->cold_remaining, "health check",
+          now);
+}
+
+void
+dispatcher_expire_colds (dispatcher_t *dispatcher, usec_t now)
+{
+  if (now < dispatcher->next_cold_expiry_at)
+    return;
+  dispatcher->next_cold_expiry_at = now + COLD_EXPIRY_INTERVAL;
+  cold_table_expire (&dispatcher->seen_colds, now);
+}
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -199,7 +199,7 @@
              LOG_U ("boot", boot), LOG_S ("evidence", evidence),
              LOG_U ("requests", n));
   if (was_repeated (dispatcher, boot))
-    director_sync_hurry (dispatcher->options.sync);
+    director_sync_hurry (dispatcher->options.sync, 0);
 }
 
 /* EXCHANGE was running at BACKEND when the connection ended.  */
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -55,6 +55,9 @@
   usec_t next_quota_expiry_at;
   load_table_t heard_loads; /* of backend servers, to be told to directors */
   bool shares_machines;     /* some backend server tells its pace */
+  cold_table_t seen_colds;  /* backend servers, to be told to directors */
+  usec_t next_cold_expiry_at;
+  usec_t next_cold_pull_at; /* no earlier pull only for them */
 };
 
 /* dispatcher_finish.c */
@@ -160,6 +163,14 @@
 void dispatcher_hear_load (dispatcher_t *dispatcher, const backend_t *backend,
                            const backend_outcome_t *outcome, usec_t now);
 
+/* dispatcher_cold.c */
+/* Record what RESPONSE, to a request or a health check, shows of the start of
+   BACKEND: that it has ended, or how long it stays cold.  */
+void dispatcher_cold_evidence (dispatcher_t *dispatcher, backend_t *backend,
+                               const backend_response_t *response, usec_t now);
+/* Forget what has ended, when due.  */
+void dispatcher_expire_colds (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_stutter.c */
 /* Whether each request to BACKEND needs a new connection at NOW.  */
 bool dispatcher_stutters (const dispatcher_t *dispatcher,
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -55,6 +55,7 @@
              LOG_U ("failures", backend->consecutive_failures));
   dispatcher_crash_evidence_of_probe (dispatcher, backend, response);
   dispatcher_read_probe_notices (dispatcher, backend, response, now);
+  dispatcher_cold_evidence (dispatcher, backend, response, now);
   backend_pool_probe_ended (dispatcher->pool, backend, is_healthy,
                             response->cold_remaining, now);
   if (is_healthy)
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -161,6 +161,7 @@
           .expected_latency = dispatcher_expected_run_time (exchange) };
   if (!response->is_foreign)
     dispatcher_hear_load (dispatcher, backend, &outcome, now);
+  dispatcher_cold_evidence (dispatcher, backend, response, now);
   if (!will_retry)
     memcpy (exchange->last_backend_id, backend->record.id,
             sizeof exchange->last_backend_id);
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -46,6 +46,7 @@
                            before the response was complete */
   bool was_reconnected; /* a new connection could be made after that */
   bool is_unreachable;  /* no connection, or no new one, could be made */
+  bool was_refused;     /* the same, as no process listens there */
   unsigned int status;  /* HTTP status code */
   framing_kind_t framing;   /* valid if has_head */
   bool has_announced;       /* a length of the body, also where none is sent */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -19,6 +19,7 @@
 const FLEET_WIRE_USAGES_MAX = 256;
 const FLEET_WIRE_TOTALS_MAX = 1024;
 const FLEET_WIRE_LOADS_MAX = 1024;
+const FLEET_WIRE_COLDS_MAX = 1024;
 
 struct fleet_router_t
 {
@@ -149,6 +150,13 @@
   uint32_t duration_and_failure;
 };
 
+/* A backend server that is cold, or may be. */
+struct fleet_cold_t
+{
+  uint64_t server; /* a hash of its id */
+  uint32_t left;   /* msec until it is warm at the latest */
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
@@ -163,8 +171,11 @@
   fleet_notice_t notices<FLEET_WIRE_NOTICES_MAX>;
   fleet_usage_t usages<FLEET_WIRE_USAGES_MAX>;
   fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* heard since the last pull */
-  uint64_t loads_source; /* the director's process that loads_known is of */
-  uint64_t loads_known;  /* its changes that the router has */
+  uint64_t source; /* the director's process that loads_known and colds_known
+                      are of */
+  uint64_t loads_known; /* its changes that the router has */
+  fleet_cold_t colds<FLEET_WIRE_COLDS_MAX>; /* seen since the last pull */
+  uint64_t colds_known;
 };
 
 /* Where a router takes requests. */
@@ -220,8 +231,10 @@
   fleet_release_t releases<FLEET_WIRE_RELEASES_MAX>;
   fleet_quota_t quotas<FLEET_WIRE_USAGES_MAX>; /* of the accounts of `usages` */
   fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* changed since loads_known */
-  uint64_t loads_source;
+  uint64_t source;
   uint64_t loads_known;
+  fleet_cold_t colds<FLEET_WIRE_COLDS_MAX>; /* changed since colds_known */
+  uint64_t colds_known;
 };
 
 /* Which director holds which slot of the log. */
@@ -246,6 +259,8 @@
   fleet_total_t totals<FLEET_WIRE_TOTALS_MAX>;   /* to the leader */
   fleet_bucket_t buckets<FLEET_WIRE_TOTALS_MAX>; /* from the leader alone */
   fleet_load_t loads<FLEET_WIRE_LOADS_MAX>; /* changed since the last share */
+  fleet_cold_t colds<FLEET_WIRE_COLDS_MAX>; /* the same; seen by the sender's
+                                               routers, or from the leader */
 };
 
 struct fleet_share_result_t
--- a/test/support/sync_world.h
+++ b/test/support/sync_world.h
@@ -66,7 +66,7 @@
 static inline rpc_out_call_t *
 sync_world_pull (sync_world_t *world)
 {
-  director_sync_hurry (world->sync);
+  director_sync_hurry (world->sync, 0);
   director_sync_tick (world->sync, clock_monotonic ());
   return held_rpc_take_call (world->rpc);
 }
