test(admin): a resend's reply is compared, not the VM that gave it

Traced: right after the start the first VM answers 503 after 3 s without a leader, mulberryctl asks the next VM, and the resend is answered by the first; the two lines differ in nothing but "by ADDRESS" (byte 84). The check was wrong about what an answer is. Now the whole replies are compared, as JSON, which has more fields than the text had; the text is checked as before, by one more submission, which the counter of accepted ones shows.

--- a/test/functional/test_admin.sh
+++ b/test/functional/test_admin.sh
@@ -60,11 +60,14 @@
 # A sheet: checked, accepted, sent again, shown as it was.
 expect 0 ctl sheet check "$SHEET"
 output_has 'whole shift'
-expect 0 ctl -v "$FIRST_VM" sheet submit "$SHEET"
-output_has "accepted: sheet $NUMBER"
+# The replies are compared whole; the text form also names the VM that replied.
+expect 0 ctl -o json -v "$FIRST_VM" sheet submit "$SHEET"
+output_has "\"number\": *$NUMBER"
 cp "$FOLDER/output" "$FOLDER/first"
-expect 0 ctl -v "$FIRST_VM" sheet submit "$SHEET"
+expect 0 ctl -o json -v "$FIRST_VM" sheet submit "$SHEET"
 cmp "$FOLDER/first" "$FOLDER/output" || fail 'a resend got another answer'
+expect 0 ctl -v "$FIRST_VM" sheet submit "$SHEET"
+output_has "accepted: sheet $NUMBER"
 expect 0 ctl -v "$FIRST_VM" sheet show
 cmp "$FOLDER/output" "$SHEET" || fail 'another sheet is shown'
 
@@ -127,7 +130,7 @@
 
 # Merged metrics tell of the entry VMs that don't run.
 expect 1 ctl metrics
-output_has 'mulberry_sheets_total reason=accepted 3'
+output_has 'mulberry_sheets_total reason=accepted 4'
 output_has 'is missing in these figures'
 expect 0 ctl vm list
 cluster_stop || fail 'a process did not stop cleanly'
