--- a/src/router/dispatcher_cold.c
+++ b/src/router/dispatcher_cold.c
@@ -43,6 +43,8 @@
 {
   if (response->was_refused)
     {
+      router_metrics_connection_refused (dispatcher->options.metrics,
+                                         backend->record.service.text);
       usec_t until
           = backend_pool_connection_refused (dispatcher->pool, backend, now);
       keep (dispatcher, backend, until, "connection refused", now);
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -150,3 +150,14 @@
   for (size_t i = 0; i < n; i++)
     count (metrics, &invalid);
 }
+
+void
+router_metrics_connection_refused (router_metrics_t *metrics,
+                                   const char *service)
+{
+  const metric_options_t refused
+      = { .name = "mulberry_router_connections_refused_total",
+          .help = "Connections that backend servers refused",
+          .service = service };
+  count (metrics, &refused);
+}
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -52,6 +52,10 @@
 void router_metrics_not_whole (router_metrics_t *metrics,
                                const char *backend_id);
 
+/* A backend server of SERVICE refused a connection.  */
+void router_metrics_connection_refused (router_metrics_t *metrics,
+                                        const char *service);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
