fix(router): an early pull is put off by 100 ms at most

What is seen at one moment of many backend servers moved the next early pull by 100 ms for each of them; so those seen later were told with the regular pull.

--- a/src/router/dispatcher_cold.c
+++ b/src/router/dispatcher_cold.c
@@ -16,6 +16,18 @@
    what is seen at one moment travels together.  */
 #define COLD_PULL_INTERVAL (100 * USEC_PER_MSEC)
 
+static void
+hurry_pull (dispatcher_t *dispatcher, usec_t now)
+{
+  usec_t due_at = dispatcher->next_cold_pull_at;
+  if (due_at <= now)
+    {
+      due_at = now;
+      dispatcher->next_cold_pull_at = now + COLD_PULL_INTERVAL;
+    }
+  director_sync_hurry (dispatcher->options.sync, due_at);
+}
+
 /* BACKEND must be taken to be cold until UNTIL, by EVIDENCE.  */
 static void
 keep (dispatcher_t *dispatcher, const backend_t *backend, usec_t until,
@@ -30,11 +42,7 @@
              LOG_S ("backend", backend->record.id),
              LOG_S ("evidence", evidence),
              LOG_I ("left_ms", (until - now) / USEC_PER_MSEC));
-  usec_t due_at = dispatcher->next_cold_pull_at > now
-                      ? dispatcher->next_cold_pull_at
-                      : now;
-  dispatcher->next_cold_pull_at = due_at + COLD_PULL_INTERVAL;
-  director_sync_hurry (dispatcher->options.sync, due_at);
+  hurry_pull (dispatcher, now);
 }
 
 void
