fix(platform): a configuration field of another type is refused, never a default

Operators got 200 for a configuration that was not the one in force: null in place of any optional field, `limits` that is no object, and a `service` or `traffic_split` of another type beside the other one were taken for a default or passed over; of `service` beside `traffic_split` the former won.

Only a missing field has its default now. null is a type like others; each element of `traffic_split` is an object with a weight; `service` and `traffic_split` exclude each other; `protocol` and `tls`, which aren't used, are of their type; `cold_per_s` below 0 is refused, as no cold server would get a request for good. Fields that aren't known are ignored as before. The errors name the object and the field.

--- a/test/unit/test_platform_fields.c
+++ b/test/unit/test_platform_fields.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #include "backend_list_codec.h"
+#include "config_codec.h"
 #include "fleet/backend_list.h"
+#include "routing/route_config.h"
 
 /* A value that each field is given in turn.  */
 typedef struct variant
@@ -219,6 +221,156 @@
       "\"cold_left\":null,\"born\":1780000000000}");
 }
 
+/* --- Configurations ------------------------------------------------------ */
+
+static const char whole_config[]
+    = "{\"version\":\"0000001f\",\"routes\":{"
+      "\"one\":{\"host\":\"a.example\",\"path_prefix\":\"/x/\",\"route_kind\":"
+      "\"idempotent\",\"timeout\":\"800ms\",\"target_latency\":\"400ms\","
+      "\"priority\":2,\"service\":\"search\",\"attempts\":2,\"sticky\":true,"
+      "\"anonymous\":false,\"home_regions\":[\"north\"]},"
+      "\"two\":{\"host\":\"a.example\",\"path_prefix\":\"/y/\",\"route_kind\":"
+      "\"non_idempotent\",\"timeout\":\"800ms\",\"target_latency\":\"400ms\","
+      "\"priority\":2,\"attempts\":2,\"sticky\":true,\"home_regions\":[],"
+      "\"traffic_split\":[{\"service\":\"search\",\"weight\":90},"
+      "{\"service\":\"chart\",\"weight\":10}]}},"
+      "\"services\":{\"search\":{\"health_path\":\"/health\",\"max_conns\":330"
+      ",\"protocol\":\"h1\",\"tls\":false,\"cold_start\":\"3s\",\"cold_per_s\""
+      ":5.7},\"chart\":{\"health_path\":\"/health\"},\"spare\":{"
+      "\"health_path\":\"/health\"}},"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+      "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"},"
+      "\"tenants\":{\"a\":{\"api_keys\":[\"k1\"],\"priority\":3,"
+      "\"rate_per_s\":4.5,\"burst\":9,\"home_regions\":[\"north\"]}}}";
+
+static const field_case_t config_fields[] = {
+  { "", "version", "" },
+  { "", "routes", "object" },
+  { "", "services", "" },
+  { "", "limits", "missing object members" },
+  { "", "tenants", "missing object" },
+  { "", "another", ALL },
+  { "routes", "one", "missing" },
+  { "routes/one", "host", "text digits" },
+  { "routes/one", "path_prefix", "empty text digits" },
+  { "routes/one", "route_kind", "" },
+  { "routes/one", "timeout", "missing" },
+  { "routes/one", "target_latency", "missing" },
+  { "routes/one", "priority", "missing zero one" },
+  { "routes/one", "attempts", "missing one" },
+  { "routes/one", "sticky", "missing false true" },
+  { "routes/one", "anonymous", "missing false true" },
+  { "routes/one", "home_regions", "missing array" },
+  { "routes/one", "service", "" },
+  { "routes/one", "traffic_split", "missing" },
+  { "routes/one", "another", ALL },
+  { "routes/two", "service", "missing" },
+  { "routes/two", "traffic_split", "" },
+  { "routes/two/traffic_split/1", "service", "" },
+  { "routes/two/traffic_split/1", "weight", "zero one real" },
+  { "routes/two/traffic_split/1", "another", ALL },
+  { "services", "spare", "missing" },
+  { "services/search", "health_path", "empty text digits" },
+  { "services/search", "max_conns", "missing zero one" },
+  { "services/search", "protocol", "missing empty text digits" },
+  { "services/search", "tls", "missing false true" },
+  { "services/search", "cold_start", "missing" },
+  { "services/search", "cold_per_s", "missing zero one real" },
+  { "services/search", "another", ALL },
+  { "limits", "max_header_bytes", "missing zero one" },
+  { "limits", "max_body_bytes", "missing zero one" },
+  { "limits", "header_timeout", "missing" },
+  { "limits", "idle_timeout", "missing" },
+  { "limits", "another", ALL },
+  { "tenants", "a", "missing object members" },
+  { "tenants/a", "api_keys", "missing array" },
+  { "tenants/a", "priority", "missing zero one" },
+  { "tenants/a", "rate_per_s", "missing zero one real" },
+  { "tenants/a", "burst", "missing zero one real" },
+  { "tenants/a", "home_regions", "missing array" },
+  { "tenants/a", "another", ALL },
+};
+
+static const value_case_t config_values[] = {
+  { "", "version", "\"1f\"" },
+  { "", "version", "\"0000001g\"" },
+  { "routes/one", "route_kind", "\"often\"" },
+  { "routes/one", "timeout", "\"-1s\"" },
+  { "routes/one", "timeout", "\"800\"" },
+  { "routes/one", "timeout", "\"9999999999s\"" },
+  { "routes/one", "attempts", "2.0" },
+  { "routes/one", "home_regions", "[\"north\",7]" },
+  { "routes/one", "home_regions", "[\"\"]" },
+  { "routes/two", "service", "\"search\"" },
+  { "routes/two", "traffic_split", "[{}]" },
+  { "routes/two", "traffic_split", "[{\"service\":\"search\"}]" },
+  { "routes/two", "traffic_split", "[[\"search\",1]]" },
+  { "routes/two/traffic_split/1", "weight", "\"10\"" },
+  { "services/search", "cold_start", "\"3\"" },
+  { "services/search", "cold_per_s", "\"5.7\"" },
+  { "services/search", "cold_per_s", "-0.1" },
+  { "limits", "idle_timeout", "\"15\"" },
+  { "tenants/a", "api_keys", "[\"\"]" },
+  { "tenants/a", "rate_per_s", "-0.1" },
+};
+
+/* Whether the configuration TEXT may come in force.  If not, an error says why
+   and, where the field itself is refused, names FIELD.  */
+static bool
+config_is_read (const char *text, const char *field)
+{
+  err_t err = { 0 };
+  route_config_t *config = config_codec_read (text, strlen (text), &err);
+  bool is_read = config && route_config_check (config, &err);
+  g_assert_cmpint (err.kind == ERR_NONE, ==, is_read);
+  if (!config && !strstr (err.message, field))
+    {
+      g_test_message ("not named: %s, but: %s", field, err.message);
+      g_test_fail ();
+    }
+  if (!is_read)
+    g_assert_cmpuint (strlen (err.remedy), >, 0);
+  route_config_free (config);
+  return is_read;
+}
+
+static void
+test_config_fields (void)
+{
+  g_assert_true (config_is_read (whole_config, ""));
+  for (size_t i = 0; i < G_N_ELEMENTS (config_fields); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (variants); j++)
+      {
+        const field_case_t *row = &config_fields[i];
+        char *text = text_with (whole_config, row->path, row->field,
+                                variants[j].json);
+        if (config_is_read (text, row->field)
+            != is_accepted (row, variants[j].name))
+          {
+            g_test_message ("%s/%s %s", row->path, row->field,
+                            variants[j].name);
+            g_test_fail ();
+          }
+        free (text);
+      }
+}
+
+static void
+test_config_values (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (config_values); i++)
+    {
+      const value_case_t *row = &config_values[i];
+      char *text = text_with (whole_config, row->path, row->field, row->json);
+      if (config_is_read (text, ""))
+        {
+          g_test_message ("%s/%s: %s", row->path, row->field, row->json);
+          g_test_fail ();
+        }
+      free (text);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -227,5 +379,7 @@
   g_test_add_func ("/platform/fields/entry-values", test_entry_values);
   g_test_add_func ("/platform/fields/entry-of-another-writer",
                    test_entry_of_another_writer);
+  g_test_add_func ("/platform/fields/config", test_config_fields);
+  g_test_add_func ("/platform/fields/config-values", test_config_values);
   return g_test_run ();
 }
