fix(routing): a configuration whose weights have no finite sum is refused

Cause, by reading: each weight was checked to be finite, their sum was not. With two weights of 1e308 it is infinite, the credits of the services that have weight become infinite and then not a number, and from then on the first service is chosen, also one of weight 0.

Failed before, pass after: test_platform_fields /config-values.

--- a/src/routing/route_config.c
+++ b/src/routing/route_config.c
@@ -40,6 +40,7 @@
     return err_set (err, ERR_USAGE,
                     "name one service, or several services with weights",
                     "route %s has no service", route->name.text);
+  double sum = 0;
   for (size_t i = 0; i < route->n_shares; i++)
     {
       const route_share_t *share = &route->shares[i];
@@ -54,8 +55,12 @@
         return err_set (err, ERR_USAGE, "set a finite weight of 0 or more",
                         "route %s gives service %s the invalid weight %g",
                         route->name.text, share->service.text, share->weight);
+      sum += share->weight;
     }
-  return true;
+  return !isinf (sum)
+         || err_set (err, ERR_USAGE, "set weights with a finite sum",
+                     "the weights of route %s have no finite sum",
+                     route->name.text);
 }
 
 bool
--- a/test/unit/test_platform_fields.c
+++ b/test/unit/test_platform_fields.c
@@ -306,6 +306,9 @@
   { "routes/two", "traffic_split", "[{\"service\":\"search\"}]" },
   { "routes/two", "traffic_split", "[[\"search\",1]]" },
   { "routes/two/traffic_split/1", "weight", "\"10\"" },
+  { "routes/two", "traffic_split",
+    "[{\"service\":\"search\",\"weight\":1e308},"
+    "{\"service\":\"chart\",\"weight\":1e308}]" },
   { "services/search", "cold_start", "\"3\"" },
   { "services/search", "cold_per_s", "\"5.7\"" },
   { "services/search", "cold_per_s", "-0.1" },
