fix(settings): a key without a value, or cut at a null byte, is refused

Cause: the reader looked at the text of a scalar alone, not at whether it is YAML's null, nor at its length. A quoted "null" stays a text.

Failed before, pass after: test_settings_fields, each of 37 keys with 20 values (15 wrong ones were taken, of vm, failure_domain, region, peer_secret, data_folder and the failure domains' names and regions).

--- a/src/settings/yaml_reader.c
+++ b/src/settings/yaml_reader.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/duration.h"
 #include "base/inet.h"
@@ -103,15 +104,38 @@
     }
 }
 
+/* The text of NODE, or NULL with an error that names KEY: if NODE is no
+   scalar, is YAML's null, or has a null byte, at which C would cut it.  */
+static const char *
+scalar_text (yaml_reader_t *reader, const yaml_node_t *node, const char *key,
+             err_t *err)
+{
+  if (node->type != YAML_SCALAR_NODE)
+    {
+      yaml_reader_fault (reader, node, err, "give a single value",
+                         "key '%s' has a list or mapping as its value", key);
+      return NULL;
+    }
+  const char *text = (const char *)node->data.scalar.value;
+  bool is_plain = node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
+  if (is_plain && (strcmp (text, "~") == 0 || strcasecmp (text, "null") == 0))
+    yaml_reader_fault (reader, node, err, "give a value, or quote the word",
+                       "key '%s' has no value", key);
+  else if (strlen (text) != node->data.scalar.length)
+    yaml_reader_fault (reader, node, err, "remove the null byte",
+                       "key '%s' has a null byte in its value", key);
+  else
+    return text;
+  return NULL;
+}
+
 static bool
 store_scalar (yaml_reader_t *reader, yaml_node_t *node,
               const yaml_field_t *field, char *at, err_t *err)
 {
-  if (node->type != YAML_SCALAR_NODE)
-    return yaml_reader_fault (reader, node, err, "give a single value",
-                              "key '%s' has a list or mapping as its value",
-                              field->key);
-  const char *text = (const char *)node->data.scalar.value;
+  const char *text = scalar_text (reader, node, field->key, err);
+  if (!text)
+    return false;
   err_t why = { 0 };
   struct in_addr address;
   switch (field->kind)
