test(functional): logs are read once the awaited line is written, or the process has ended

Where no line may be in a log, the processes are ended first, so that a late one counts too: test_fleet_stutter, test_fleet_accounts, test_fleet_directors.

--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -93,6 +93,25 @@
   done
 }
 
+# logged PATTERN PROCESS...: whether the log of one of them has it; a log is written a little
+# after the event, so wait for it.
+logged() {
+  local pattern=$1 name
+  shift
+  for name in "$@"; do grep -q "$pattern" "$FOLDER/$name.log" && return 0; done
+  return 1
+}
+
+# Every event is in the log of a process that has ended in order.
+end_all() {
+  local name
+  for name in "$@"; do kill -TERM "${PIDS[$name]}" 2>/dev/null || true; done
+  for name in "$@"; do
+    wait "${PIDS[$name]}" 2>/dev/null || true
+    unset "PIDS[$name]"
+  done
+}
+
 fleet_end() {
   for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
   wait 2>/dev/null || true
--- a/test/functional/test_admin.sh
+++ b/test/functional/test_admin.sh
@@ -99,7 +99,7 @@
 [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Authorization: Mulberry-HMAC-SHA256 operator=a' "http://$FIRST:8081/v1/status")" = 401 ] || fail 'let in garbage'
 # mulberryctl signs a refused request anew twice: 3 of its own and 3 of curl.
 [ "$(counter mulberry_admin_refused_total)" = 6 ] || fail "$(counter mulberry_admin_refused_total) refusals were counted, not 6"
-grep -q 'event=admin_request operator=[a-z.]* from=.* number='"$NUMBER" "$FOLDER/control-$FIRST_VM.log" || fail 'who did it was not logged'
+wait_for 10 grep -q 'event=admin_request operator=[a-z.]* from=.* number='"$NUMBER" "$FOLDER/control-$FIRST_VM.log" || fail 'who did it was not logged'
 
 # Garbage bytes end their connection; the process goes on.
 head -c 65536 /dev/urandom | timeout 5 bash -c "cat >/dev/tcp/$FIRST/8081" || true
--- a/test/functional/test_agreement.sh
+++ b/test/functional/test_agreement.sh
@@ -32,7 +32,11 @@
 wait_for 10 in_force_everywhere $N
 never_back
 # A sheet's new budget is shared out by a few entries, not by a storm of them.
-INDEX=$(sed -nE "s/.*event=sheet_applied number=$N .*index=([0-9]+).*/\1/p" "$FOLDER"/control-*.log | sort -n | tail -1)
+applied() {
+  INDEX=$(sed -nE "s/.*event=sheet_applied number=$N .*index=([0-9]+).*/\1/p" "$FOLDER"/control-*.log | sort -n | tail -1)
+  [ -n "$INDEX" ]
+}
+wait_for 10 applied
 [ "$INDEX" -le $((SUBMISSIONS * 30)) ] || fail "$INDEX entries for $SUBMISSIONS sheets"
 for i in 1001 $((N / 2 + 500)) $N; do
   cp "$FOLDER/answer-$i" "$FOLDER/first"
--- a/test/functional/test_fleet_accounts.sh
+++ b/test/functional/test_fleet_accounts.sh
@@ -89,5 +89,6 @@
 wait_for 10 put_again
 gone() { [ "$(ask 3 /x/1 "old-$RANDOM$RANDOM" secret-old)" = 401 ]; }
 wait_for 5 gone
+end_all "${!PIDS[@]}"
 ! grep -q 'secret-' "$FOLDER"/*.log || fail 'a log holds a key'
 echo 'good: client accounts, keys and quotas'
--- a/test/functional/test_fleet_directors.sh
+++ b/test/functional/test_fleet_directors.sh
@@ -18,8 +18,7 @@
 wait_for 20 put "$(config 00000005 idempotent /x/)"
 wait_for 10 served
 for i in $(seq $DIRECTORS); do
-  grep -q "event=roster_adopted slots=$DIRECTORS" "$FOLDER/director-$i.log" \
-    || fail "director $i adopted no roster of $DIRECTORS slots"
+  wait_for 10 logged "event=roster_adopted slots=$DIRECTORS" "director-$i"
 done
 echo "good: $DIRECTORS directors with one roster"
 
@@ -51,5 +50,6 @@
   [ "$n" -le 5 ] || fail "director $i published $n configurations"
 done
 wait_for 10 served
+end_all "${!PIDS[@]}"
 ! grep -hE 'rpc_(call|reply)_too_long|roster_full' "$FOLDER"/*.log || fail 'a message did not fit'
 echo 'good: all directors killed'
--- a/test/functional/test_fleet_response_length.sh
+++ b/test/functional/test_fleet_response_length.sh
@@ -11,10 +11,10 @@
   lengths-differ length-and-chunks other-encoding
 each failed chunk-0x chunk-0x-text chunk-letter chunk-sign chunk-blank chunk-huge chunks-1.0 chunks-status
 check_all
-grep -q 'event=backend_answered id=length-list-.* framing=invalid' "$FOLDER"/router-*.log ||
-  fail 'no log line tells that a length could not be read'
+# A log line tells that a length, or the chunks, could not be read.
+ROUTERS='router-1 router-2 router-3'
+wait_for 10 logged 'event=backend_answered id=length-list-.* framing=invalid' $ROUTERS
 for name in chunk-0x chunk-0x-text chunk-letter chunks-status; do
-  grep -q "event=backend_answered id=$name-.* framing=invalid .*end=rejected" "$FOLDER"/router-*.log ||
-    fail "no log line tells that the chunks of $name could not be read"
+  wait_for 10 logged "event=backend_answered id=$name-.* framing=invalid .*end=rejected" $ROUTERS
 done
 echo "good: $N responses"
--- a/test/functional/test_fleet_stutter.sh
+++ b/test/functional/test_fleet_stutter.sh
@@ -41,8 +41,10 @@
 none_failed twice-late idempotent
 
 [ -z "$WRONG" ] || fail "$WRONG"
-grep -q 'event=backend_stutters .*seen=' "$FOLDER"/router-*.log || fail 'no log line tells that a backend server answers twice'
+# A log line tells that a backend server answers twice.
+wait_for 10 logged 'event=backend_stutters .*seen=' router-1 router-2 router-3
 kept=$(on_kept_connections)
 [ -z "$kept" ] || fail "sent on a kept connection to a backend server that answers twice:" $kept
+end_all router-1 router-2 router-3
 ! grep -h 'event=backend_probed' "$FOLDER"/router-*.log || fail 'a backend server was left out for it'
 echo good
