--- a/src/director/core_operator.c
+++ b/src/director/core_operator.c
@@ -25,6 +25,8 @@
       return "unavailable";
     case OUTCOME_NOT_FOUND:
       return "not_found";
+    case OUTCOME_NO_VERSION:
+      return "no_version";
     case OUTCOME_UNKNOWN:
       return "unknown";
     }
@@ -155,7 +157,8 @@
   if (is_current && request->kind == OPERATOR_PUT_CONFIG
       && request->config_version <= core->state.config_version)
     {
-      finish (core, request, OUTCOME_DONE);
+      finish (core, request,
+              core->state.config ? OUTCOME_DONE : OUTCOME_NO_VERSION);
       return true;
     }
   request->leader_address = leader_address (core);
@@ -165,6 +168,16 @@
   return true;
 }
 
+/* Whether REQUEST may change the state.  A configuration of version 0 can't:
+   proposed, it would be acknowledged and not be kept.  */
+static bool
+is_change (const operator_request_t *request)
+{
+  return request->kind != OPERATOR_GET_CONFIG
+         && (request->kind != OPERATOR_PUT_CONFIG
+             || request->config_version > 0);
+}
+
 /* Finish REQUEST now or, on the leader, propose it.  Otherwise it waits for
    the next tick.  */
 static void
@@ -172,8 +185,7 @@
 {
   if (try_answer (core, request))
     return;
-  if (core->replica && core->role == ROLE_LEADER
-      && request->kind != OPERATOR_GET_CONFIG)
+  if (core->replica && core->role == ROLE_LEADER && is_change (request))
     propose (core, request);
 }
 
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -122,6 +122,10 @@
       return reply_error (exchange->connection, MHD_HTTP_NOT_FOUND,
                           "no request with this fingerprint is quarantined "
                           "here; `mulberryctl fleet show` lists them");
+    case OUTCOME_NO_VERSION:
+      return reply_error (exchange->connection, MHD_HTTP_BAD_REQUEST,
+                          "version 00000000 stands for no configuration: "
+                          "begin with 00000001");
     case OUTCOME_UNAVAILABLE:
       return reply_error (exchange->connection, MHD_HTTP_SERVICE_UNAVAILABLE,
                           "not accepted: this director knows no leader or no "
--- a/src/director/operator_request.h
+++ b/src/director/operator_request.h
@@ -32,8 +32,9 @@
   /* Not accepted: no leader or no configuration is known, or the disk or the
      mailbox can't take the request.  */
   OUTCOME_UNAVAILABLE,
-  OUTCOME_NOT_FOUND, /* no request with FINGERPRINT is quarantined here */
-  OUTCOME_UNKNOWN,   /* may still be committed; safe to repeat unchanged */
+  OUTCOME_NOT_FOUND,  /* no request with FINGERPRINT is quarantined here */
+  OUTCOME_NO_VERSION, /* CONFIG_VERSION is 0, which stands for none */
+  OUTCOME_UNKNOWN,    /* may still be committed; safe to repeat unchanged */
 } operator_outcome_t;
 
 typedef struct operator_request operator_request_t;
