feat(director): the log tells which field of a skipped backend server is wrong

backend_list_entries_skipped told a number only. Now that every field counts, a platform that stops writing one would leave the routers without backend servers, and nobody would learn why.

--- a/src/director/list_reader.c
+++ b/src/director/list_reader.c
@@ -35,19 +35,21 @@
 /* Log when readings start to fail, when they succeed again, and when the
    number of skipped entries changes.  */
 static void
-log_read_result (list_reader_t *reader, bool ok, size_t n_skipped,
-                 const err_t *err)
+log_read_result (list_reader_t *reader, bool ok,
+                 const list_read_stats_t *reading, const err_t *err)
 {
   if (!ok && !reader->last_read_failed)
     log_error (LOG_LEVEL_WARNING, "backend_list_lost", err);
   if (ok && reader->last_read_failed)
     LOG_EVENT (LOG_LEVEL_INFO, "backend_list_regained", LOG_U ("ok", 1));
-  if (ok && n_skipped != reader->n_skipped)
-    LOG_EVENT (LOG_LEVEL_WARNING, "backend_list_entries_skipped",
-               LOG_U ("entries", n_skipped));
+  if (ok && reading->n_skipped != reader->n_skipped)
+    LOG_EVENT (
+        LOG_LEVEL_WARNING, "backend_list_entries_skipped",
+        LOG_U ("entries", reading->n_skipped),
+        LOG_S ("field", reading->n_skipped ? reading->skipped_field : ""));
   reader->last_read_failed = !ok;
   if (ok)
-    reader->n_skipped = n_skipped;
+    reader->n_skipped = reading->n_skipped;
 }
 
 static void
@@ -109,7 +111,7 @@
   reader->next_read_at
       = started_at
         + list_reader_min_interval (reading.n_calls, reader->settings);
-  log_read_result (reader, ok, reading.n_skipped, &err);
+  log_read_result (reader, ok, &reading, &err);
   if (ok)
     director_core_put_list (reader->core, &list);
 }
--- a/test/unit/test_platform_fields.c
+++ b/test/unit/test_platform_fields.c
@@ -142,10 +142,10 @@
   { "", "born", "\"1700\"" },
 };
 
-/* Reads a page with ENTRY between two others, which must be read; returns
-   whether ENTRY was read too.  */
-static bool
-entry_is_read (const char *entry)
+/* Reads a page with ENTRY between two others, which must be read.  Returns the
+   field for which ENTRY was skipped; NULL if it was read too.  */
+static const char *
+skipped_field (const char *entry)
 {
   backend_list_t list = { 0 };
   list_page_t page;
@@ -158,22 +158,24 @@
   g_assert_cmpuint (list.n_records, >=, 2);
   g_assert_cmpstr (list.records[0].id, ==, "i-1");
   g_assert_cmpstr (list.records[list.n_records - 1].id, ==, "i-2");
-  bool is_read = list.n_records == 3;
+  g_assert_cmpint (page.skipped_field == NULL, ==, list.n_records == 3);
   backend_list_clear (&list);
-  return is_read;
+  return page.skipped_field;
 }
 
 static void
 test_entry_fields (void)
 {
-  g_assert_true (entry_is_read (whole_entry));
+  g_assert_null (skipped_field (whole_entry));
   for (size_t i = 0; i < G_N_ELEMENTS (entry_fields); i++)
     for (size_t j = 0; j < G_N_ELEMENTS (variants); j++)
       {
         const field_case_t *row = &entry_fields[i];
         char *entry
             = text_with (whole_entry, row->path, row->field, variants[j].json);
-        if (entry_is_read (entry) != is_accepted (row, variants[j].name))
+        const char *expected
+            = is_accepted (row, variants[j].name) ? NULL : row->field;
+        if (g_strcmp0 (skipped_field (entry), expected) != 0)
           {
             g_test_message ("%s %s: %s", row->field, variants[j].name, entry);
             g_test_fail ();
@@ -185,7 +187,7 @@
 static void
 assert_entry_skipped (const char *entry)
 {
-  if (!entry_is_read (entry))
+  if (skipped_field (entry))
     return;
   g_test_message ("was read: %s", entry);
   g_test_fail ();
