--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -373,7 +373,8 @@
       long long born = is_shown ? backend->born : 0;
       used += (size_t)snprintf (
           text + used, sizeof text - used,
-          "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"capacity\":"
+          "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"version\":\"v1\","
+          "\"capacity\":"
           "%d,\"state\":\"%s\",\"cold_left\":\"%lldms\",\"id\":\"%s\"",
           is_first ? "" : ",", fake.address, backend->port + fake.offset,
           SLOTS, is_named ("draining", backend->id) ? "draining" : "ready",
