fix(router): an answer in delivery is not cut by the close of its connection

The kernel resets a closed connection on which bytes arrive, and drops what it holds.

The socket is kept now until the caller closes, or for 5 s after its host has acknowledged all, or for 20 s in which it acknowledged nothing; the planned stop waits for that too. The same cause was found in two further places: a kept connection whose caller only took what the kernel held counted as idle after 20 s, and the end of the process closed connections with unread input.

--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -64,7 +64,7 @@
     }
   if (connection->phase == CALLER_OPEN)
     caller_dispatch (connection);
-  if (connection->phase != CALLER_CLOSED)
+  if (connection->phase != CALLER_CLOSED && !connection->input_has_ended)
     watch_for (connection);
 }
 
@@ -106,7 +106,9 @@
                           LIST_ENTRY (link, exchange_t, connection_link));
   list_remove (&connection->link);
   list_remove (&connection->ready_link);
-  poller_remove (connection->port->options.poller, &connection->watch);
+  if (!connection->input_has_ended)
+    poller_remove (connection->port->options.poller, &connection->watch);
+  caller_drain_input (connection);
   close (connection->watch.fd);
   request_parser_clear (&connection->parser);
   free (connection->response.head);
--- a/src/router/caller_connection.h
+++ b/src/router/caller_connection.h
@@ -19,7 +19,8 @@
 typedef enum
 {
   CALLER_OPEN,
-  CALLER_CLOSING, /* the last response is sent; what arrives is dropped */
+  CALLER_CLOSING, /* the last response is written, but the caller may not have
+                     it yet; what arrives is dropped */
   CALLER_CLOSED,  /* to be freed */
 } caller_phase_t;
 
@@ -44,6 +45,13 @@
   caller_response_t response; /* of the first exchange; valid if is_writing */
   bool is_writing;
   size_t n_written; /* of the response's head and body */
+
+  size_t n_undelivered;  /* bytes that the caller's host had not acknowledged
+                            when that was last looked at */
+  usec_t undelivered_at; /* CALLER_CLOSING: when n_undelivered changed */
+  size_t n_dropped;      /* bytes that were read and dropped */
+  bool input_has_ended;  /* CALLER_CLOSING: the caller has closed its side;
+                            the socket is not watched any more */
 };
 
 /* What a connection needs of its port.  */
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -14,15 +14,9 @@
 
 enum
 {
-  CONNECTIONS_MAX = 3000,
   ACCEPTS_MAX = 32, /* at one event; other work may be due */
 };
 
-/* A connection on which nothing is sent for so long is closed; longer than
-   callers keep an idle connection.  */
-#define IDLE_TIMEOUT (20 * USEC_PER_SEC)
-/* How long a caller may take to close after the last response.  */
-#define CLOSING_TIMEOUT USEC_PER_SEC
 /* How long no connection is accepted after the process ran out of file
    descriptors.  */
 #define ACCEPT_PAUSE (100 * USEC_PER_MSEC)
@@ -146,6 +140,7 @@
                           LIST_ENTRY (link, exchange_t, connection_link));
 }
 
+/* Close connections on which nothing has happened for long.  */
 static void
 close_idle (caller_http_t *port, usec_t now)
 {
@@ -155,7 +150,8 @@
         = LIST_ENTRY (link, caller_connection_t, link);
     if (now - connection->active_at < IDLE_TIMEOUT)
       break;
-    if (caller_connection_is_idle (connection))
+    if (caller_connection_is_idle (connection)
+        && !caller_takes_response (connection))
       {
         /* Requests behind the first one may still be under way.  */
         caller_set_closed (connection);
@@ -165,13 +161,25 @@
     list_remove (&connection->link);
     list_push_back (&port->connections, &connection->link);
   }
+}
+
+static void
+check_closing (caller_http_t *port, usec_t now)
+{
   LIST_FOREACH (link, &port->closing)
   {
     caller_connection_t *connection
         = LIST_ENTRY (link, caller_connection_t, link);
-    if (now - connection->active_at < CLOSING_TIMEOUT)
+    if (now - connection->active_at < CLOSING_CHECK_INTERVAL)
       break;
-    free_connection (port, connection);
+    if (caller_closing_is_over (connection, now))
+      {
+        free_connection (port, connection);
+        continue;
+      }
+    connection->active_at = now;
+    list_remove (&connection->link);
+    list_push_back (&port->closing, &connection->link);
   }
 }
 
@@ -181,6 +189,7 @@
   advance_ready (port);
   usec_t now = clock_monotonic ();
   close_idle (port, now);
+  check_closing (port, now);
   advance_ready (port);
   free_ended (port);
   resume_accepting (port, now);
@@ -198,6 +207,22 @@
   return port->n_open;
 }
 
+static size_t
+count_undelivered (const list_t *connections)
+{
+  size_t n = 0;
+  LIST_FOREACH (link, connections)
+  n += caller_has_undelivered (LIST_ENTRY (link, caller_connection_t, link));
+  return n;
+}
+
+size_t
+caller_http_n_undelivered (const caller_http_t *port)
+{
+  return count_undelivered (&port->connections)
+         + count_undelivered (&port->closing);
+}
+
 void
 caller_http_disable_keep_alive (caller_http_t *port)
 {
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -49,6 +49,10 @@
    not written whole.  */
 size_t caller_http_n_open (const caller_http_t *port);
 
+/* The number of connections whose caller may not have got all that was
+   written.  It looks at every connection.  */
+size_t caller_http_n_undelivered (const caller_http_t *port);
+
 /* Handle the events READY (POLLER_* bits) of WATCH, which is WATCH_CALLER_PORT
    or WATCH_CALLER_SOCKET.  */
 void caller_http_socket_ready (caller_http_t *port, watch_t *watch,
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -9,8 +9,14 @@
 enum
 {
   READ_BUFFER_BYTES = 16 * 1024,
+  CONNECTIONS_MAX = 3000,
 };
 
+/* A connection on which nothing is sent for so long is closed; longer than
+   callers keep an idle connection.  */
+#define IDLE_TIMEOUT (20 * USEC_PER_SEC)
+#define CLOSING_CHECK_INTERVAL USEC_PER_SEC
+
 struct caller_http
 {
   caller_http_options_t options;
@@ -57,8 +63,27 @@
 void caller_parse_unparsed (caller_connection_t *connection);
 /* Read and parse what has arrived.  */
 void caller_read_input (caller_connection_t *connection);
-/* Read and drop what has arrived.  */
+
+/* caller_close.c */
+/* Begin to end CONNECTION, whose last response is written: no more is sent,
+   and its requests are aborted.  It is closed when the caller closes it, which
+   has the response then, or by caller_closing_is_over.  */
+void caller_begin_closing (caller_connection_t *connection);
+/* Read and drop some of what has arrived on CONNECTION, which is
+   CALLER_CLOSING.  */
 void caller_drop_input (caller_connection_t *connection);
+/* Read and drop what has arrived on CONNECTION, so that its close does not
+   reset it.  */
+void caller_drain_input (caller_connection_t *connection);
+/* Whether the caller may not have got all that was written: it has not closed
+   CONNECTION, which ends, or its host has not acknowledged all.  */
+bool caller_has_undelivered (const caller_connection_t *connection);
+/* Whether the caller's host has got something since the last call, and not
+   all.  */
+bool caller_takes_response (caller_connection_t *connection);
+/* Whether CONNECTION, which is CALLER_CLOSING, is to be closed now.  To be
+   called every CLOSING_CHECK_INTERVAL.  */
+bool caller_closing_is_over (caller_connection_t *connection, usec_t now);
 
 /* caller_write.c */
 /* Send the responses that are due, in order, as far as the socket takes
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -156,16 +156,6 @@
   connection->n_unparsed = length;
 }
 
-void
-caller_drop_input (caller_connection_t *connection)
-{
-  caller_http_t *port = connection->port;
-  ssize_t n = recv (connection->watch.fd, port->buffer, sizeof port->buffer,
-                    MSG_DONTWAIT);
-  if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
-    caller_set_closed (connection);
-}
-
 void
 caller_read_input (caller_connection_t *connection)
 {
--- a/src/router/caller_write.c
+++ b/src/router/caller_write.c
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 
-#include "base/clock.h"
 #include "base/log.h"
 #include "wire/socket_close.h"
 
@@ -96,23 +95,6 @@
          == connection->response.head_bytes + connection->response.body_bytes;
 }
 
-/* The last response is written: end the connection after it.  What the caller
-   still sends is read and dropped, since the kernel would reset a connection
-   with unread bytes, and drop what the caller has not got yet.  */
-static void
-begin_closing (caller_connection_t *connection)
-{
-  caller_abort_exchanges (connection);
-  connection->reads_no_more = true;
-  connection->phase = CALLER_CLOSING;
-  connection->active_at = clock_monotonic ();
-  list_remove (&connection->link);
-  list_push_back (&connection->port->closing, &connection->link);
-  socket_close_in_order (connection->watch.fd);
-  if (shutdown (connection->watch.fd, SHUT_WR) != 0)
-    caller_set_closed (connection);
-}
-
 static void
 end_response (caller_connection_t *connection, exchange_t *exchange)
 {
@@ -122,7 +104,7 @@
   connection->is_writing = false;
   caller_exchange_remove (connection, exchange);
   if (closes)
-    begin_closing (connection);
+    caller_begin_closing (connection);
 }
 
 void
--- a/src/router/shutdown_phase.h
+++ b/src/router/shutdown_phase.h
@@ -26,7 +26,8 @@
 } shutdown_phase_t;
 
 /* The phase ELAPSED after SIGTERM, if the process is killed GRACE after
-   SIGTERM and N_OPEN requests are not received or not answered whole.  */
+   SIGTERM and N_OPEN requests are not received, not answered whole, or their
+   callers have not got all of the response.  */
 shutdown_phase_t shutdown_phase_at (usec_t elapsed, usec_t grace,
                                     size_t n_open);
 
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -125,9 +125,14 @@
       caller_http_disable_keep_alive (thread->port);
       dispatcher_begin_shutdown (thread->dispatcher, now);
     }
-  shutdown_phase_t phase = shutdown_phase_at (
-      now - thread->shutdown_started_at, thread->settings->bounds.grace,
-      caller_http_n_open (thread->port));
+  usec_t elapsed = now - thread->shutdown_started_at;
+  usec_t grace = thread->settings->bounds.grace;
+  size_t n_open = caller_http_n_open (thread->port);
+  shutdown_phase_t phase = shutdown_phase_at (elapsed, grace, n_open);
+  /* Only where it decides: it looks at every connection.  */
+  if (phase == SHUTDOWN_EXIT && n_open == 0)
+    phase = shutdown_phase_at (elapsed, grace,
+                               caller_http_n_undelivered (thread->port));
   if (phase != SHUTDOWN_FINISH && phase != SHUTDOWN_EXIT)
     return phase;
   if (thread->finish_started_at == 0)
@@ -138,6 +143,15 @@
                                                            : phase;
 }
 
+static void
+log_undelivered (const traffic_thread_t *thread)
+{
+  size_t n = caller_http_n_undelivered (thread->port);
+  if (n > 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "responses_not_taken",
+               LOG_U ("connections", n));
+}
+
 static usec_t
 min_usec (usec_t a, usec_t b)
 {
@@ -185,7 +199,10 @@
       if (thread->shutdown_started_at > 0)
         wait = min_usec (wait, SHUTDOWN_TICK);
       if (phase == SHUTDOWN_EXIT)
-        return NULL;
+        {
+          log_undelivered (thread);
+          return NULL;
+        }
     }
 }
 
