fix(router): nothing is passed on behind a response that ends its connection

Whether it may overlap was decided by the requests alone; that the response under way is the last was looked at only at its begin.

caller_dispatch stops while a last response is written, and behind one that is ready and has no length; before, the latter was given up with 502 though nothing had been passed on behind it. What arrives during the writing of a last response is read and dropped within the bound of the close, so that a caller that is still sending can go on to read.

Evidence, on the unchanged code: test_router_caller_close /behind-no-length passed on 2 requests instead of 1, /behind-waiting-answer 3 instead of 2; test_fleet_pipeline_last "5 of 5 requests ran behind a response that ends their connection".

--- a/src/router/caller_close.c
+++ b/src/router/caller_close.c
@@ -93,7 +93,7 @@
 end_input (caller_connection_t *connection)
 {
   size_t n = count_undelivered (connection);
-  if (n == 0 || n == SIZE_MAX)
+  if (connection->phase != CALLER_CLOSING || n == 0 || n == SIZE_MAX)
     {
       caller_set_closed (connection);
       return;
--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -10,7 +10,7 @@
 watch_for (caller_connection_t *connection)
 {
   unsigned int wanted = 0;
-  if (connection->phase == CALLER_CLOSING
+  if (connection->phase == CALLER_CLOSING || caller_writes_last (connection)
       || (caller_may_parse (connection) && connection->n_unparsed == 0))
     wanted |= POLLER_READABLE;
   if (connection->is_writing)
@@ -49,7 +49,11 @@
       return;
     }
   touch (connection);
-  if (ready & POLLER_READABLE)
+  if (!(ready & POLLER_READABLE))
+    return;
+  if (caller_writes_last (connection))
+    caller_drop_input (connection);
+  else
     caller_read_input (connection);
 }
 
--- a/src/router/caller_exchange.c
+++ b/src/router/caller_exchange.c
@@ -97,11 +97,28 @@
          && port->options.may_overlap (port->options.closure, exchange);
 }
 
+bool
+caller_writes_last (const caller_connection_t *connection)
+{
+  return connection->is_writing && connection->response.closes;
+}
+
+/* Whether it is known that the connection ends after the response to EXCHANGE,
+   which is not being written yet.  */
+static bool
+will_close (const exchange_t *exchange)
+{
+  return exchange->is_last
+         || (exchange->is_finished && response_ends_by_close (exchange));
+}
+
 void
 caller_dispatch (caller_connection_t *connection)
 {
   const caller_http_t *port = connection->port;
   bool is_first = true;
+  if (caller_writes_last (connection))
+    return;
   LIST_FOREACH (link, &connection->exchanges)
   {
     exchange_t *exchange = LIST_ENTRY (link, exchange_t, connection_link);
@@ -114,7 +131,7 @@
         exchange->is_dispatched = true;
         port->options.request_received (port->options.closure, exchange);
       }
-    if (!is_safe (exchange))
+    if (!is_safe (exchange) || will_close (exchange))
       return;
     is_first = false;
   }
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -46,7 +46,10 @@
 void caller_exchange_free (caller_http_t *port, exchange_t *exchange);
 /* Answer EXCHANGE for REASON without passing it on.  */
 void caller_exchange_refuse (exchange_t *exchange, exchange_reason_t reason);
-/* Pass on the requests that need not wait for others.  */
+/* Whether the response that is being written is the last of CONNECTION.  */
+bool caller_writes_last (const caller_connection_t *connection);
+/* Pass on the requests that need not wait for others, and none behind a
+   response that is known to end the connection.  */
 void caller_dispatch (caller_connection_t *connection);
 /* The caller can't be answered any more: abort what is under way.  */
 void caller_abort_exchanges (caller_connection_t *connection);
@@ -69,8 +72,8 @@
    and its requests are aborted.  It is closed when the caller closes it, which
    has the response then, or by caller_closing_is_over.  */
 void caller_begin_closing (caller_connection_t *connection);
-/* Read and drop some of what has arrived on CONNECTION, which is
-   CALLER_CLOSING.  */
+/* Read and drop some of what has arrived on CONNECTION, whose last response is
+   being written or is written.  */
 void caller_drop_input (caller_connection_t *connection);
 /* Read and drop what has arrived on CONNECTION, so that its close does not
    reset it.  */
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -104,6 +104,7 @@
 caller_may_parse (const caller_connection_t *connection)
 {
   return connection->phase == CALLER_OPEN && !connection->reads_no_more
+         && !caller_writes_last (connection)
          && (connection->incoming || connection->n_exchanges < PIPELINE_MAX);
 }
 
--- a/test/unit/test_router_caller_close.c
+++ b/test/unit/test_router_caller_close.c
@@ -1,5 +1,6 @@
 /* Guards against answers that a caller who reads slowly does not get to their
-   end.  */
+   end, and against requests that are passed on behind an answer that ends
+   their connection, so that their own answers are dropped.  */
 
 #include <errno.h>
 #include <glib.h>
@@ -298,6 +299,13 @@
   g_assert_cmpuint (fixture->n_received, ==, 1);
 }
 
+static void
+test_behind_no_length (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  check_behind (fixture, "", FRAMING_UNTIL_CLOSE);
+}
+
 static void
 test_behind_close (fixture_t *fixture, gconstpointer data)
 {
@@ -313,6 +321,28 @@
   check_behind (fixture, "", FRAMING_LENGTH);
 }
 
+/* An answer that will end its connection waits for one that is being
+   written.  */
+static void
+test_behind_waiting_answer (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  send_request (fixture, "1", "");
+  send_request (fixture, "2", "");
+  await_requests (fixture, 2);
+  answer (fixture, 0, FRAMING_LENGTH, HUGE_BYTES);
+  answer (fixture, 1, FRAMING_UNTIL_CLOSE, SMALL_BYTES);
+  run_for (fixture, SETTLE);
+  send_request (fixture, "3", "");
+  run_for (fixture, SETTLE);
+  g_assert_cmpuint (fixture->n_received, ==, 2);
+  read_all (fixture);
+  g_assert_nonnull (strstr (fixture->answer->str + HUGE_BYTES, "200 OK"));
+  g_assert_false (fixture->was_reset);
+  g_assert_cmpuint (fixture->n_received, ==, 2);
+  g_assert_cmpuint (fixture->n_gone, ==, 0);
+}
+
 /* An answer to a request that is too large comes before its body has.  */
 static void
 test_behind_early_answer (fixture_t *fixture, gconstpointer data)
@@ -355,8 +385,10 @@
   add ("/caller-close/kept-read-late", test_kept_is_read_late);
   add ("/caller-close/closes-its-side", test_closes_its_side);
   add ("/caller-close/port-ends", test_port_ends);
+  add ("/caller-close/behind-no-length", test_behind_no_length);
   add ("/caller-close/behind-close", test_behind_close);
   add ("/caller-close/behind-stop", test_behind_stop);
+  add ("/caller-close/behind-waiting-answer", test_behind_waiting_answer);
   add ("/caller-close/behind-early-answer", test_behind_early_answer);
   return g_test_run ();
 }
