fix(router): a caller that waits to go on is not cut when its socket is full

A caller that reads its earlier answers slowly and sends a further request with "Expect: 100-continue" had its connection closed: the 25 bytes of the interim response did not fit into the socket, and anything but a whole send counted as a failure. They are sent once the socket has room.

Evidence: test_router_caller_close /continue-waits-for-room, on the code before: 'fixture->has_ended' should be FALSE.

--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -13,7 +13,7 @@
   if (connection->phase == CALLER_CLOSING || caller_writes_last (connection)
       || (caller_may_parse (connection) && connection->n_unparsed == 0))
     wanted |= POLLER_READABLE;
-  if (connection->is_writing)
+  if (connection->is_writing || caller_awaits_continue (connection))
     wanted |= POLLER_WRITABLE;
   if (wanted == connection->watched_for)
     return;
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -92,8 +92,10 @@
 /* Send the responses that are due, in order, as far as the socket takes
    them.  */
 void caller_send_responses (caller_connection_t *connection);
-/* Tell the caller to go on, if it waits for that with the body of the first
+/* Whether the caller is to be told to go on with the body of the first
    request.  */
+bool caller_awaits_continue (const caller_connection_t *connection);
+/* Tell it, if the socket has room.  */
 void caller_send_continue (caller_connection_t *connection);
 
 #endif
--- a/src/router/caller_write.c
+++ b/src/router/caller_write.c
@@ -128,17 +128,29 @@
     }
 }
 
+bool
+caller_awaits_continue (const caller_connection_t *connection)
+{
+  const exchange_t *exchange = caller_first_exchange (connection);
+  return exchange && exchange->wants_continue && !exchange->is_whole;
+}
+
 void
 caller_send_continue (caller_connection_t *connection)
 {
   static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
-  exchange_t *exchange = caller_first_exchange (connection);
-  if (!exchange || !exchange->wants_continue || exchange->is_whole)
+  if (!caller_awaits_continue (connection))
     return;
+  exchange_t *exchange = caller_first_exchange (connection);
+  ssize_t n = 0;
+  if (exchange->body_bytes == 0)
+    {
+      n = send (connection->watch.fd, text, sizeof text - 1,
+                MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+      if (n != (ssize_t)sizeof text - 1)
+        caller_set_closed (connection);
+    }
   exchange->wants_continue = false;
-  if (exchange->body_bytes == 0
-      && send (connection->watch.fd, text, sizeof text - 1,
-               MSG_NOSIGNAL | MSG_DONTWAIT)
-             != (ssize_t)sizeof text - 1)
-    caller_set_closed (connection);
 }
--- a/test/unit/test_router_caller_close.c
+++ b/test/unit/test_router_caller_close.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
-#include "router/caller_http.h"
+#include "router/caller_connection.h"
 
 #include "../support/loopback.h"
 
@@ -371,6 +371,43 @@
   g_assert_cmpuint (fixture->n_received, ==, 0);
 }
 
+/* Earlier answers fill the socket when a caller waits to be told to go on with
+   the body of a further request.  */
+static void
+test_continue_waits_for_room (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  static char filler[RECEIVE_BUFFER_BYTES];
+  size_t n_filled = 0;
+  ssize_t n;
+  memset (filler, 'x', sizeof filler);
+  send_request (fixture, "1", "");
+  await_requests (fixture, 1);
+  int fd = fixture->received[0]->connection->watch.fd;
+  answer (fixture, 0, FRAMING_LENGTH, SMALL_BYTES);
+  run_for (fixture, SETTLE);
+  while ((n = send (fd, filler, sizeof filler, MSG_NOSIGNAL | MSG_DONTWAIT))
+         > 0)
+    n_filled += (size_t)n;
+  send_request (fixture, "2", "Expect: 100-continue\r\nContent-Length: 2\r\n");
+  run_for (fixture, SETTLE);
+  usec_t end = clock_monotonic () + TIME_MAX;
+  while ((fixture->answer->len < n_filled
+          || !g_str_has_suffix (fixture->answer->str + n_filled, "\r\n\r\n"))
+         && !fixture->has_ended && !fixture->was_reset
+         && clock_monotonic () < end)
+    {
+      read_some (fixture);
+      step (fixture);
+    }
+  g_assert_false (fixture->has_ended);
+  g_assert_false (fixture->was_reset);
+  g_assert_nonnull (strstr (fixture->answer->str + n_filled, "100 Continue"));
+  g_assert_cmpint (send (fixture->client, "ab", 2, MSG_NOSIGNAL), ==, 2);
+  await_requests (fixture, 2);
+  answer (fixture, 1, FRAMING_LENGTH, SMALL_BYTES);
+}
+
 static void
 add (const char *path, void (*test) (fixture_t *, gconstpointer))
 {
@@ -390,5 +427,6 @@
   add ("/caller-close/behind-stop", test_behind_stop);
   add ("/caller-close/behind-waiting-answer", test_behind_waiting_answer);
   add ("/caller-close/behind-early-answer", test_behind_early_answer);
+  add ("/caller-close/continue-waits-for-room", test_continue_waits_for_room);
   return g_test_run ();
 }
