test(router): the end of a connection where the system does not tell what it holds

A caller that reads late gets all, as on a system that tells; the connection is kept until it closes. The test refuses the ioctl as test_agreement_storage_full refuses writes.

--- a/test/unit/test_router_caller_close.c
+++ b/test/unit/test_router_caller_close.c
@@ -4,6 +4,7 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -26,12 +27,31 @@
 
 /* Longer than a caller may take to close after it has its answer.  */
 #define SILENCE (7 * USEC_PER_SEC)
+#define SHORT_SILENCE (2 * USEC_PER_SEC)
 /* Longer than a connection is kept on which nothing happens.  */
 #define KEPT_SILENCE (21 * USEC_PER_SEC)
 /* A request that would be passed on is passed on sooner.  */
 #define SETTLE (200 * USEC_PER_MSEC)
 #define TIME_MAX (30 * USEC_PER_SEC)
 
+/* Some systems do not tell what a socket holds.  */
+static bool ioctl_fails;
+int real_ioctl (int fd, unsigned long request, ...) __asm__("__real_ioctl");
+int wrap_ioctl (int fd, unsigned long request, ...) __asm__("__wrap_ioctl");
+
+int
+wrap_ioctl (int fd, unsigned long request, ...)
+{
+  va_list arguments;
+  va_start (arguments, request);
+  void *value = va_arg (arguments, void *);
+  va_end (arguments);
+  if (!ioctl_fails)
+    return real_ioctl (fd, request, value);
+  errno = ENOTTY;
+  return -1;
+}
+
 typedef struct fixture
 {
   poller_t *poller;
@@ -107,7 +127,8 @@
   if (fixture->port)
     caller_http_free (fixture->port);
   poller_free (fixture->poller);
-  close (fixture->client);
+  if (fixture->client >= 0)
+    close (fixture->client);
   g_string_free (fixture->answer, TRUE);
 }
 
@@ -207,14 +228,13 @@
 
 /* After SIGTERM: the caller sends a further request, and reads late.  */
 static void
-test_answer_is_read_late (fixture_t *fixture, gconstpointer data)
+check_read_late (fixture_t *fixture, usec_t silence)
 {
-  (void)data;
   caller_http_disable_keep_alive (fixture->port);
   send_request (fixture, "1", "");
   await_requests (fixture, 1);
   answer (fixture, 0, FRAMING_LENGTH, LARGE_BYTES);
-  run_for (fixture, SILENCE);
+  run_for (fixture, silence);
   send_request (fixture, "2", "");
   run_for (fixture, SETTLE);
   read_all (fixture);
@@ -223,6 +243,27 @@
   g_assert_cmpuint (fixture->n_received, ==, 1);
 }
 
+static void
+test_answer_is_read_late (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  check_read_late (fixture, SILENCE);
+}
+
+static void
+test_system_does_not_tell (fixture_t *fixture, gconstpointer data)
+{
+  (void)data;
+  ioctl_fails = true;
+  check_read_late (fixture, SHORT_SILENCE);
+  g_assert_cmpuint (caller_http_n_undelivered (fixture->port), ==, 1);
+  close (fixture->client);
+  fixture->client = -1;
+  run_for (fixture, SETTLE);
+  g_assert_cmpuint (caller_http_n_undelivered (fixture->port), ==, 0);
+  ioctl_fails = false;
+}
+
 /* A connection that is kept is closed when nothing happens on it for long;
    that a caller takes what the kernel holds goes unnoticed.  */
 static void
@@ -419,6 +460,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   add ("/caller-close/read-late", test_answer_is_read_late);
+  add ("/caller-close/system-does-not-tell", test_system_does_not_tell);
   add ("/caller-close/kept-read-late", test_kept_is_read_late);
   add ("/caller-close/closes-its-side", test_closes_its_side);
   add ("/caller-close/port-ends", test_port_ends);
