--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -10,10 +10,10 @@
 watch_for (caller_connection_t *connection)
 {
   unsigned int wanted = 0;
-  if (connection->phase == CALLER_CLOSING
+  if (connection->phase == CALLER_CLOSING || caller_writes_last (connection)
       || (caller_may_parse (connection) && connection->n_unparsed == 0))
     wanted |= POLLER_READABLE;
-  if (connection->is_writing)
+  if (connection->is_writing || caller_awaits_continue (connection))
     wanted |= POLLER_WRITABLE;
   if (wanted == connection->watched_for)
     return;
@@ -49,7 +49,11 @@
       return;
     }
   touch (connection);
-  if (ready & POLLER_READABLE)
+  if (!(ready & POLLER_READABLE))
+    return;
+  if (caller_writes_last (connection))
+    caller_drop_input (connection);
+  else
     caller_read_input (connection);
 }
 
@@ -64,7 +68,7 @@
     }
   if (connection->phase == CALLER_OPEN)
     caller_dispatch (connection);
-  if (connection->phase != CALLER_CLOSED)
+  if (connection->phase != CALLER_CLOSED && !connection->input_has_ended)
     watch_for (connection);
 }
 
@@ -106,7 +110,9 @@
                           LIST_ENTRY (link, exchange_t, connection_link));
   list_remove (&connection->link);
   list_remove (&connection->ready_link);
-  poller_remove (connection->port->options.poller, &connection->watch);
+  if (!connection->input_has_ended)
+    poller_remove (connection->port->options.poller, &connection->watch);
+  caller_drain_input (connection);
   close (connection->watch.fd);
   request_parser_clear (&connection->parser);
   free (connection->response.head);
