fix(router): a planned stop allows for the spread of a route's run times

What callers saw: a request of 1.2 s taken 0.1 s after SIGTERM, with a grace of 2 s, ended with the router's own 504 ("taken, then broken off"). Cause: the mean run time of the route decided, 46 ms before the last deadline; runs longer than the mean were cut.

--- a/src/balance/run_estimate.c
+++ b/src/balance/run_estimate.c
@@ -5,7 +5,9 @@
 
 enum
 {
-  MEAN_DIVISOR = 8, /* a new duration has a weight of 1/8 in the mean */
+  MEAN_DIVISOR = 8,      /* a new duration has a weight of 1/8 in the mean */
+  DEVIATION_DIVISOR = 4, /* and 1/4 in the deviation */
+  LIMIT_DEVIATIONS = 4,  /* from the mean to the limit; as in RFC 6298 */
 };
 
 /* Initial estimates, as factors of the latency objective.  */
@@ -43,9 +45,10 @@
 {
   usec_t objective = route->latency_objective > 0 ? route->latency_objective
                                                   : DEFAULT_OBJECTIVE;
+  usec_t uncached = (usec_t)((double)objective * initial_uncached);
   return (run_time_t){ .cached = (usec_t)((double)objective * initial_cached),
-                       .uncached
-                       = (usec_t)((double)objective * initial_uncached) };
+                       .uncached = uncached,
+                       .uncached_deviation = uncached / 2 };
 }
 
 run_time_t
@@ -63,6 +66,22 @@
   *mean += (duration - *mean) / MEAN_DIVISOR;
 }
 
+usec_t
+run_time_limit (const run_time_t *run_time)
+{
+  return run_time->uncached + LIMIT_DEVIATIONS * run_time->uncached_deviation;
+}
+
+static void
+update_deviation (run_time_t *run_time, usec_t duration)
+{
+  usec_t deviation = duration > run_time->uncached
+                         ? duration - run_time->uncached
+                         : run_time->uncached - duration;
+  run_time->uncached_deviation
+      += (deviation - run_time->uncached_deviation) / DEVIATION_DIVISOR;
+}
+
 void
 run_estimate_update (run_estimate_t *estimate, const route_t *route,
                      bool was_cached, usec_t duration)
@@ -77,5 +96,7 @@
       estimate->routes[at].run_time = initial_estimate (route);
     }
   run_time_t *run_time = &estimate->routes[at].run_time;
+  if (!was_cached)
+    update_deviation (run_time, duration);
   update_mean (was_cached ? &run_time->cached : &run_time->uncached, duration);
 }
--- a/src/balance/run_estimate.h
+++ b/src/balance/run_estimate.h
@@ -21,6 +21,7 @@
 {
   usec_t cached;
   usec_t uncached;
+  usec_t uncached_deviation; /* mean absolute deviation from it */
 } run_time_t;
 
 /* Hash table with open addressing.  Zero-initialized: empty.  */
@@ -38,6 +39,10 @@
 run_time_t run_estimate_get (const run_estimate_t *estimate,
                              const route_t *route);
 
+/* Returns a duration that few requests with RUN_TIME, to a backend server that
+   did not handle their objects recently, exceed.  */
+usec_t run_time_limit (const run_time_t *run_time);
+
 /* Records that a request of ROUTE took DURATION, including network and queue
    time.  WAS_CACHED: the backend server had handled the object recently.  */
 void run_estimate_update (run_estimate_t *estimate, const route_t *route,
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -54,11 +54,12 @@
   if (!dispatcher->is_shutting_down)
     return true;
   usec_t started_at = dispatcher->shutdown_started_at;
+  run_time_t run
+      = run_estimate_get (&dispatcher->run_estimates, exchange->route);
   const shutdown_request_t request = {
     .received_at = exchange->received_at - started_at,
     .deadline = exchange->deadline - started_at,
-    .expected_run
-    = run_estimate_get (&dispatcher->run_estimates, exchange->route).uncached
+    .longest_run = run_time_limit (&run),
   };
   return shutdown_may_send (
       now - started_at, dispatcher->options.settings->bounds.grace, &request);
--- a/src/router/shutdown_phase.c
+++ b/src/router/shutdown_phase.c
@@ -51,5 +51,5 @@
   if (request->deadline <= last_deadline)
     return true;
   return is_serving (request->received_at, grace)
-         && elapsed + request->expected_run <= last_deadline;
+         && elapsed + request->longest_run <= last_deadline;
 }
--- a/src/router/shutdown_phase.h
+++ b/src/router/shutdown_phase.h
@@ -41,7 +41,7 @@
 {
   usec_t received_at;
   usec_t deadline;
-  usec_t expected_run; /* how long it runs at a backend server */
+  usec_t longest_run; /* that it may need at a backend server */
 } shutdown_request_t;
 
 /* Whether REQUEST may be sent to a backend server ELAPSED after SIGTERM: it
--- a/test/unit/test_router_stop.c
+++ b/test/unit/test_router_stop.c
@@ -49,11 +49,11 @@
 }
 
 static bool
-may_send (usec_t elapsed, usec_t deadline, usec_t expected_run)
+may_send (usec_t elapsed, usec_t deadline, usec_t longest_run)
 {
   const shutdown_request_t request = { .received_at = elapsed,
                                        .deadline = deadline,
-                                       .expected_run = expected_run };
+                                       .longest_run = longest_run };
   return shutdown_may_send (elapsed, GRACE, &request);
 }
 
@@ -86,7 +86,7 @@
 {
   shutdown_request_t request = { .received_at = -USEC_PER_SEC,
                                  .deadline = 2 * GRACE,
-                                 .expected_run = GRACE / 4 };
+                                 .longest_run = GRACE / 4 };
   g_assert_true (shutdown_may_send (GRACE / 2, GRACE, &request));
   g_assert_false (shutdown_may_send (GRACE * 3 / 4, GRACE, &request));
 }
