fix(router): a backend server that reads slowly is not taken for a silent one

Cause: TCP_USER_TIMEOUT (1.5 s). Linux counts against it the time for which the peer's closed window is probed, though each probe is acknowledged, and counts on if the peer reads a little meanwhile.

wire/send_watch, pure, is told TCP_INFO every 0.1 s while a request of 16 KB or more is sent. From the moment when bytes are held back it raises the option, a little ahead of the time since, so that the kernel probes on and does not end the connection; and it tells silence itself, by probes and segments that are not acknowledged. Before that moment, and where the kernel tells no TCP_INFO, nothing changes. A connection whose option was raised gets no other request.

Evidence: test_router_upload on the code before: /slow-and-silent "is_complete should be TRUE" (cut after 1,979 to 2,043 ms), /trickle the same.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -10,6 +10,7 @@
 
 #include "base/list.h"
 #include "router/foreign_response.h"
+#include "wire/http_socket.h"
 
 /* For how long bytes are awaited on a connection that gets no other request:
    they show that the backend server still sends such bytes.  */
@@ -43,6 +44,7 @@
   bool is_counted;         /* all that was read on it is in n_read */
   uint64_t n_read;         /* bytes of responses */
   connection_user_t *user; /* NULL: idle */
+  send_watch_t send_watch; /* of an upload; held: no other request follows */
 };
 
 struct backend_connections
@@ -403,6 +405,13 @@
   return state;
 }
 
+send_state_t
+backend_connection_check_upload (backend_connection_t *connection, usec_t now)
+{
+  return http_socket_check_send (connection->watch.fd, &connection->send_watch,
+                                 now);
+}
+
 void
 backend_connections_release (backend_connections_t *connections,
                              connection_user_t *user, uint64_t n_read,
@@ -419,6 +428,12 @@
     return;
   connection->user = NULL;
   watch_for (connections, connection, POLLER_READABLE);
+  /* TCP_USER_TIMEOUT was raised on it.  */
+  if (connection->send_watch.is_held)
+    {
+      end_idle (connections, connection);
+      return;
+    }
   if (!connection->last.is_only_use)
     return;
   connection->retired_at = now;
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -20,6 +20,7 @@
 #include "fleet/fleet_defs.h"
 #include "router/poller.h"
 #include "router/response_reader.h"
+#include "wire/send_watch.h"
 
 typedef struct backend_connections backend_connections_t;
 typedef struct backend_connection backend_connection_t;
@@ -32,6 +33,7 @@
   char id[RESPONSE_ID_BYTES]; /* of the request; "" for a health check */
   bool is_head;               /* the request's method is HEAD */
   bool is_only_use;           /* the connection gets no other request */
+  bool is_upload;             /* backend_connection_check_upload is called */
 } connection_use_t;
 
 /* Where bytes that belong to no request were seen.  */
@@ -119,6 +121,12 @@
    used again.  */
 bool backend_connection_is_spoilt (const backend_connection_t *connection);
 
+/* How sending an upload on CONNECTION goes on at NOW.  A backend server that
+   reads slowly is given time until the next call, which is due after
+   SEND_WATCH_SPAN.  */
+send_state_t backend_connection_check_upload (backend_connection_t *connection,
+                                              usec_t now);
+
 /* Free the closed connections.  To be called when no event refers to them any
    more.  */
 void backend_connections_sweep (backend_connections_t *connections);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -7,11 +7,13 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "wire/http_handles.h"
+#include "wire/send_watch.h"
 
 enum
 {
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
+  UPLOAD_BYTES_MIN = 16 * 1024, /* a smaller body fits into each window */
   END_BYTES = 1,    /* the kernel counts the end of a stream as a byte */
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
@@ -19,6 +21,7 @@
 struct backend_call
 {
   list_t link;
+  list_t upload_link; /* in `uploads` */
   backend_http_t *client;
   void *owner;
   CURL *easy;
@@ -26,6 +29,7 @@
   inet_t remote;
   connection_use_t use;
   connection_user_t user;
+  size_t body_bytes;          /* of the request */
   uint64_t n_read;            /* bytes of the whole response; 0: not known */
   unsigned int n_connections; /* that the request was transmitted on */
   bool needs_new_connection;  /* it was not transmitted on the kept one */
@@ -39,6 +43,8 @@
   http_handles_t *handles;
   backend_connections_t *connections;
   list_t calls;        /* in flight */
+  list_t uploads;      /* those whose request may not have been sent yet */
+  usec_t uploads_at;   /* when these are checked next */
   uint64_t n_releases; /* of the budget, when calls were last resumed */
   usec_t due_at;       /* of libcurl's next timeout */
 };
@@ -191,6 +197,7 @@
   call->client = client;
   call->reader.budget = client->options.budget;
   call->easy = http_handles_take (client->handles, &transfer);
+  list_init (&call->upload_link);
   list_push_back (&client->calls, &call->link);
   return call;
 }
@@ -215,10 +222,23 @@
                                call->n_read, clock_monotonic ());
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
+  list_remove (&call->upload_link);
   list_remove (&call->link);
   free (call);
 }
 
+/* Look at CALL's request while it is sent, where it is long.  */
+static void
+watch_upload (backend_http_t *client, backend_call_t *call)
+{
+  call->use.is_upload = call->body_bytes >= UPLOAD_BYTES_MIN;
+  if (!call->use.is_upload)
+    return;
+  if (list_empty (&client->uploads))
+    client->uploads_at = clock_monotonic () + SEND_WATCH_SPAN;
+  list_push_back (&client->uploads, &call->upload_link);
+}
+
 backend_call_t *
 backend_http_call (backend_http_t *client, const backend_request_t *request)
 {
@@ -234,6 +254,8 @@
   snprintf (call->use.id, sizeof call->use.id, "%s", request->id);
   snprintf (call->reader.id, sizeof call->reader.id, "%s", request->id);
   call->reader.is_head_request = strcmp (request->method, "HEAD") == 0;
+  call->body_bytes = request->body_bytes;
+  watch_upload (client, call);
   set_options (call, request);
   curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
   return call;
@@ -323,6 +345,20 @@
                           n_bytes);
 }
 
+static void
+finish_call (backend_http_t *client, backend_call_t *call, CURLcode code)
+{
+  record_result (call, code);
+  call->n_read = response_bytes (call);
+  tell_bytes_after (call);
+  backend_response_t response = call->reader.response;
+  void *owner = call->owner;
+  call->reader.response = (backend_response_t){ 0 };
+  call_free (call);
+  client->options.done (client->options.closure, owner, &response);
+  backend_response_clear (&response);
+}
+
 static void
 finish_ended_calls (backend_http_t *client)
 {
@@ -335,15 +371,7 @@
           restart_call (call);
           continue;
         }
-      record_result (call, code);
-      call->n_read = response_bytes (call);
-      tell_bytes_after (call);
-      backend_response_t response = call->reader.response;
-      void *owner = call->owner;
-      call->reader.response = (backend_response_t){ 0 };
-      call_free (call);
-      client->options.done (client->options.closure, owner, &response);
-      backend_response_clear (&response);
+      finish_call (client, call, code);
     }
   backend_connections_sweep (client->connections);
 }
@@ -373,6 +401,8 @@
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
+  if (!list_empty (&client->uploads) && client->uploads_at < client->due_at)
+    return client->uploads_at;
   return client->due_at;
 }
 
@@ -394,12 +424,67 @@
   }
 }
 
+/* Whether libcurl has written all of CALL's request.  */
+static bool
+is_written (const backend_call_t *call)
+{
+  curl_off_t n_bytes = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &n_bytes);
+  return (size_t)n_bytes >= call->body_bytes;
+}
+
+/* End CALL if its backend server has gone silent.  */
+static void
+check_upload (backend_http_t *client, backend_call_t *call, usec_t now)
+{
+  if (!call->user.connection)
+    return;
+  switch (backend_connection_check_upload (call->user.connection, now))
+    {
+    case SEND_GOES_ON:
+      return;
+    case SEND_ARRIVED:
+      if (is_written (call))
+        list_remove (&call->upload_link);
+      return;
+    case SEND_SILENT:
+      LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned",
+                 LOG_S ("id", call->reader.id),
+                 LOG_S ("reason", "the backend server acknowledges nothing"),
+                 LOG_U ("bytes", call->body_bytes));
+      finish_call (client, call, CURLE_SEND_ERROR);
+      return;
+    }
+}
+
+/* What is told of an upload that ends may end others.  */
+static void
+check_uploads (backend_http_t *client, usec_t now)
+{
+  list_t due;
+  list_t *link;
+  if (list_empty (&client->uploads) || now < client->uploads_at)
+    return;
+  client->uploads_at = now + SEND_WATCH_SPAN;
+  list_init (&due);
+  while ((link = list_pop_front (&client->uploads)))
+    list_push_back (&due, link);
+  while ((link = list_pop_front (&due)))
+    {
+      list_push_back (&client->uploads, link);
+      check_upload (client, LIST_ENTRY (link, backend_call_t, upload_link),
+                    now);
+    }
+  backend_connections_sweep (client->connections);
+}
+
 void
 backend_http_tick (backend_http_t *client, usec_t now)
 {
   int running = 0;
   resume_paused_calls (client);
   backend_connections_expire (client->connections, now);
+  check_uploads (client, now);
   if (now < client->due_at)
     return;
   client->due_at = INT64_MAX;
@@ -429,6 +514,7 @@
   curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_timer);
   curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->calls);
+  list_init (&client->uploads);
   return client;
 }
 
--- a/src/wire/http_socket.c
+++ b/src/wire/http_socket.c
@@ -1,15 +1,14 @@
 #include "wire/http_socket.h"
 
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "wire/socket_close.h"
 
 enum
 {
-  UNACKNOWLEDGED_MSEC = 1500, /* TCP then ends the connection */
-  KEEPALIVE_SECONDS = 1,      /* idle time before a probe, and between two */
+  KEEPALIVE_SECONDS = 1, /* idle time before a probe, and between two */
   KEEPALIVE_PROBES = 2,
 };
 
@@ -18,7 +17,7 @@
 {
   (void)closure;
   (void)purpose;
-  int unacknowledged = UNACKNOWLEDGED_MSEC;
+  int unacknowledged = SEND_TIMEOUT_MSEC;
   int on = 1;
   int seconds = KEEPALIVE_SECONDS;
   int probes = KEEPALIVE_PROBES;
@@ -31,3 +30,33 @@
   socket_close_by_reset (fd);
   return CURL_SOCKOPT_OK;
 }
+
+bool
+http_socket_read_facts (int fd, send_facts_t *facts)
+{
+  struct tcp_info info = { 0 };
+  socklen_t length = sizeof info;
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0)
+    return false;
+  *facts = (send_facts_t){
+    .n_unacknowledged = info.tcpi_unacked,
+    .unsent_bytes = info.tcpi_notsent_bytes,
+    .n_probes = info.tcpi_probes,
+    .since_sent = (usec_t)info.tcpi_last_data_sent * USEC_PER_MSEC,
+    .since_acknowledged = (usec_t)info.tcpi_last_ack_recv * USEC_PER_MSEC,
+  };
+  return true;
+}
+
+send_state_t
+http_socket_check_send (int fd, send_watch_t *watch, usec_t now)
+{
+  send_facts_t facts;
+  if (!http_socket_read_facts (fd, &facts))
+    return SEND_ARRIVED;
+  send_state_t state = send_watch_check (watch, &facts, now);
+  if (watch->is_held)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &watch->timeout_msec,
+                sizeof watch->timeout_msec);
+  return state;
+}
--- a/src/wire/http_socket.h
+++ b/src/wire/http_socket.h
@@ -4,6 +4,10 @@
 #define WIRE_HTTP_SOCKET_H
 
 #include <curl/curl.h>
+#include <stdbool.h>
+
+#include "base/time_defs.h"
+#include "wire/send_watch.h"
 
 /* For CURLOPT_SOCKOPTFUNCTION.  Connections are reset on close.  Detects a
    connection whose state a device between the two ends has lost: by
@@ -12,4 +16,11 @@
 int http_socket_set_options (void *closure, curl_socket_t fd,
                              curlsocktype purpose);
 
+/* What the kernel tells of sending on FD; false: nothing.  */
+bool http_socket_read_facts (int fd, send_facts_t *facts);
+
+/* How sending on FD goes on at NOW; sets TCP_USER_TIMEOUT as WATCH tells.
+   SEND_ARRIVED if the kernel tells nothing.  */
+send_state_t http_socket_check_send (int fd, send_watch_t *watch, usec_t now);
+
 #endif
