fix(router): a whole answer is delivered though its upload has not ended

Cause: libcurl ends a call only when the request is written, too, and an error of that counted against the response. And where the rest of the request was in the kernel's buffer, the connection was kept: the next request waited behind bytes that the server might never read.

While a request of 16 KB or more is sent, the router looks every 0.1 s whether its response is whole by its framing; then it delivers it and closes the connection, so that no other bytes come where the rest of the body is due. An error of sending after a whole response is none of the response. After such a request a connection with bytes that are not acknowledged gets no other.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -412,6 +412,20 @@
                                  now);
 }
 
+/* Whether another request on CONNECTION would wait behind the rest of an
+   upload, or for a peer that is given more time than usual.  */
+static bool
+is_held_up (const backend_connection_t *connection)
+{
+  send_facts_t facts;
+  if (!connection->last.is_upload)
+    return false;
+  if (connection->send_watch.is_held)
+    return true;
+  return http_socket_read_facts (connection->watch.fd, &facts)
+         && !send_facts_all_acknowledged (&facts);
+}
+
 void
 backend_connections_release (backend_connections_t *connections,
                              connection_user_t *user, uint64_t n_read,
@@ -428,8 +442,7 @@
     return;
   connection->user = NULL;
   watch_for (connections, connection, POLLER_READABLE);
-  /* TCP_USER_TIMEOUT was raised on it.  */
-  if (connection->send_watch.is_held)
+  if (is_held_up (connection))
     {
       end_idle (connections, connection);
       return;
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -345,6 +345,39 @@
                           n_bytes);
 }
 
+/* Whether CALL's response was read to its end, as its framing tells.  */
+static bool
+has_whole_response (const backend_call_t *call)
+{
+  const response_reader_t *reader = &call->reader;
+  const answer_head_t *head = &reader->head;
+  if (!answer_head_is_final (head))
+    return false;
+  switch (response_framing_kind (&head->framing, reader->is_head_request,
+                                 head->status))
+    {
+    case FRAMING_NO_BODY:
+      return true;
+    case FRAMING_LENGTH:
+      return reader->response.body_bytes == head->framing.length;
+    case FRAMING_CHUNKS:
+      return chunk_decoder_has_ended (&reader->chunks);
+    case FRAMING_UNTIL_CLOSE:
+    case FRAMING_INVALID:
+      break;
+    }
+  return false;
+}
+
+/* The result of CALL, for which libcurl tells CODE: it fails calls that can't
+   send the rest of their request, also after the whole response.  */
+static CURLcode
+call_result (const backend_call_t *call, CURLcode code)
+{
+  bool is_cut = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR;
+  return is_cut && has_whole_response (call) ? CURLE_OK : code;
+}
+
 static void
 finish_call (backend_http_t *client, backend_call_t *call, CURLcode code)
 {
@@ -371,7 +404,7 @@
           restart_call (call);
           continue;
         }
-      finish_call (client, call, code);
+      finish_call (client, call, call_result (call, code));
     }
   backend_connections_sweep (client->connections);
 }
@@ -433,12 +466,29 @@
   return (size_t)n_bytes >= call->body_bytes;
 }
 
-/* End CALL if its backend server has gone silent.  */
+static void
+abandon_upload (backend_http_t *client, backend_call_t *call,
+                const char *reason, CURLcode code)
+{
+  LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned", LOG_S ("id", call->reader.id),
+             LOG_S ("reason", reason), LOG_U ("bytes", call->body_bytes));
+  finish_call (client, call, code);
+}
+
+/* libcurl ends a call once its request is written, also after the whole
+   response.  A backend server that has responded may read no more, so the rest
+   is not waited for, and the connection is closed.  */
 static void
 check_upload (backend_http_t *client, backend_call_t *call, usec_t now)
 {
   if (!call->user.connection)
     return;
+  if (has_whole_response (call))
+    {
+      abandon_upload (client, call, "the response came before its end",
+                      CURLE_OK);
+      return;
+    }
   switch (backend_connection_check_upload (call->user.connection, now))
     {
     case SEND_GOES_ON:
@@ -448,11 +498,8 @@
         list_remove (&call->upload_link);
       return;
     case SEND_SILENT:
-      LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned",
-                 LOG_S ("id", call->reader.id),
-                 LOG_S ("reason", "the backend server acknowledges nothing"),
-                 LOG_U ("bytes", call->body_bytes));
-      finish_call (client, call, CURLE_SEND_ERROR);
+      abandon_upload (client, call, "the backend server acknowledges nothing",
+                      CURLE_SEND_ERROR);
       return;
     }
 }
