fix(entry): slow readers and early answers, as in routers

Requests of the entry program ended as "unknown" where a backend server paused for 1.5 s while it read them, or answered before it had read a long one; and a connection with the unread rest of a request was used again.

Evidence: test_entry_upload /slow-and-silent and /early ("results[0].is_complete should be TRUE") and /early-buffered ("results[1].is_complete") failed before and pass now, also under the sanitizers; test_entry_client passes.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -5,11 +5,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/list.h"
+#include "base/log.h"
 #include "base/number.h"
 #include "wire/answer_head.h"
 #include "wire/chunk_decoder.h"
 #include "wire/http_handles.h"
+#include "wire/http_socket.h"
 
 enum
 {
@@ -30,6 +33,9 @@
   char id[ID_BYTES];
   bool no_resend;
   bool is_head;
+  size_t body_bytes; /* of the request */
+  int fd; /* of its connection, if the body is watched; -1: not known */
+  send_watch_t send_watch;
   unsigned int n_sends; /* connections that it was sent on */
   answer_head_t head;
   chunk_decoder_t chunks; /* of a body in chunks */
@@ -44,6 +50,7 @@
   backend_client_options_t options;
   http_handles_t *handles;
   list_t calls;
+  usec_t uploads_at; /* when long requests are checked next */
 };
 
 static framing_kind_t
@@ -191,13 +198,31 @@
          || framing_kind (call) != FRAMING_INVALID;
 }
 
+/* Whether CALL's request is long enough to be watched while it is sent.  */
+static bool
+is_upload (const backend_call_t *call)
+{
+  return call->body_bytes >= SEND_WATCH_BYTES_MIN && call->n_sends > 0;
+}
+
+/* Another request on CALL's connection would wait behind the rest of this one,
+   which its server may never read.  */
+static bool
+is_held_up (const backend_call_t *call)
+{
+  send_facts_t facts;
+  return is_upload (call) && http_socket_read_facts (call->fd, &facts)
+         && !send_facts_all_acknowledged (&facts);
+}
+
 /* What follows another request's answer on its connection can't be told apart
    either, so that is not to be used again.  Returns false if the call has to
    end.  */
 static bool
 end_head (backend_call_t *call)
 {
-  if (answer_head_is_final (&call->head) && !call->reply.id_matches)
+  if (answer_head_is_final (&call->head)
+      && (!call->reply.id_matches || is_held_up (call)))
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
   return has_readable_framing (call);
 }
@@ -232,10 +257,7 @@
 before_transmission (void *closure, char *remote, char *local, int remote_port,
                      int local_port)
 {
-  (void)remote;
   (void)local;
-  (void)remote_port;
-  (void)local_port;
   backend_call_t *call = closure;
   const backend_client_options_t *options = &call->client->options;
   if (call->n_sends > 0 && call->no_resend)
@@ -243,6 +265,10 @@
   if (call->owner && !options->before_send (options->closure, call->owner))
     return CURL_PREREQFUNC_ABORT;
   call->n_sends++;
+  call->send_watch = (send_watch_t){ 0 };
+  if (is_upload (call))
+    call->fd = http_handles_socket (call->client->handles, remote, remote_port,
+                                    local_port);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -316,6 +342,7 @@
           .on_header = on_header,
           .on_connection = before_transmission };
   call->client = client;
+  call->fd = -1;
   call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->calls, &call->link);
   return call;
@@ -338,6 +365,7 @@
   backend_call_t *call = call_new (client, request);
   call->owner = request->owner;
   call->no_resend = request->no_resend;
+  call->body_bytes = request->body_bytes;
   call->is_head = strcmp (request->method, "HEAD") == 0;
   snprintf (call->id, sizeof call->id, "%s", request->id);
   set_options (call, request);
@@ -388,18 +416,103 @@
                      : curl_easy_strerror (code);
 }
 
+/* Whether CALL's answer was read to its end, as its framing tells.  */
+static bool
+has_whole_answer (const backend_call_t *call)
+{
+  const answer_head_t *head = &call->head;
+  if (!answer_head_is_final (head))
+    return false;
+  switch (framing_kind (call))
+    {
+    case FRAMING_NO_BODY:
+      return true;
+    case FRAMING_LENGTH:
+      return call->reply.body_bytes == head->framing.length;
+    case FRAMING_CHUNKS:
+      return chunk_decoder_has_ended (&call->chunks);
+    case FRAMING_UNTIL_CLOSE:
+    case FRAMING_INVALID:
+      break;
+    }
+  return false;
+}
+
+/* libcurl fails calls that can't send the rest of their request, also after
+   the whole answer.  */
+static CURLcode
+call_result (const backend_call_t *call, CURLcode code)
+{
+  bool is_cut = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR;
+  return is_cut && has_whole_answer (call) ? CURLE_OK : code;
+}
+
+static void
+finish_call (backend_client_t *client, backend_call_t *call, CURLcode code)
+{
+  finish_reply (call, code);
+  if (call->owner)
+    client->options.done (client->options.closure, call->owner, &call->reply);
+  call_free (call);
+}
+
 static void
 collect_finished (backend_client_t *client)
 {
   CURLcode code;
   backend_call_t *call;
   while ((call = http_handles_ended (client->handles, &code)))
+    finish_call (client, call, call_result (call, code));
+}
+
+static void
+abandon_upload (backend_client_t *client, backend_call_t *call,
+                const char *reason, CURLcode code)
+{
+  LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned", LOG_S ("id", call->id),
+             LOG_S ("reason", reason), LOG_U ("bytes", call->body_bytes));
+  finish_call (client, call, code);
+}
+
+/* A server that has answered may read no more: the rest of the request is not
+   waited for, and the connection is closed.  One that reads slowly is told
+   from one that has gone silent.  */
+static void
+check_upload (backend_client_t *client, backend_call_t *call, usec_t now)
+{
+  if (has_whole_answer (call))
+    {
+      abandon_upload (client, call, "the response came before its end",
+                      CURLE_OK);
+      return;
+    }
+  send_state_t state
+      = http_socket_check_send (call->fd, &call->send_watch, now);
+  if (call->send_watch.is_held)
+    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+  if (state == SEND_SILENT)
+    abandon_upload (client, call, "the backend server acknowledges nothing",
+                    CURLE_SEND_ERROR);
+}
+
+/* What is told of an upload that ends may end others.  */
+static void
+check_uploads (backend_client_t *client, usec_t now)
+{
+  list_t due;
+  list_t *link;
+  if (now < client->uploads_at)
+    return;
+  client->uploads_at = now + SEND_WATCH_SPAN;
+  list_init (&due);
+  while ((link = list_pop_front (&client->calls)))
+    list_push_back (&due, link);
+  while ((link = list_pop_front (&due)))
     {
-      finish_reply (call, code);
-      if (call->owner)
-        client->options.done (client->options.closure, call->owner,
-                              &call->reply);
-      call_free (call);
+      backend_call_t *call = LIST_ENTRY (link, backend_call_t, link);
+      list_push_back (&client->calls, link);
+      if (is_upload (call))
+        check_upload (client, call, now);
     }
 }
 
@@ -410,6 +523,7 @@
   int running = 0;
   curl_multi_perform (multi, &running);
   collect_finished (client);
+  check_uploads (client, clock_monotonic ());
   struct curl_waitfd extra = { .fd = fd, .events = CURL_WAIT_POLLIN };
   int msec = (int)((wait + USEC_PER_MSEC - 1) / USEC_PER_MSEC);
   curl_multi_poll (multi, &extra, 1, msec, NULL);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -13,7 +13,6 @@
 {
   CONNECTIONS_CACHED = 2000,
   URL_BYTES = 64,
-  UPLOAD_BYTES_MIN = 16 * 1024, /* a smaller body fits into each window */
   END_BYTES = 1,    /* the kernel counts the end of a stream as a byte */
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
@@ -231,7 +230,7 @@
 static void
 watch_upload (backend_http_t *client, backend_call_t *call)
 {
-  call->use.is_upload = call->body_bytes >= UPLOAD_BYTES_MIN;
+  call->use.is_upload = call->body_bytes >= SEND_WATCH_BYTES_MIN;
   if (!call->use.is_upload)
     return;
   if (list_empty (&client->uploads))
--- a/src/wire/http_handles.c
+++ b/src/wire/http_handles.c
@@ -1,11 +1,23 @@
 #include "wire/http_handles.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "base/list.h"
 #include "wire/http_socket.h"
 
+typedef struct open_socket
+{
+  list_t link;
+  int fd;
+} open_socket_t;
+
 struct http_handles
 {
+  list_t sockets; /* of all connections */
   CURLM *multi;
   CURL **idle; /* malloc'd; easy handles for reuse */
   size_t n_idle;
@@ -18,6 +30,7 @@
   http_handles_t *handles = calloc (1, sizeof *handles);
   if (!handles)
     abort ();
+  list_init (&handles->sockets);
   handles->multi = curl_multi_init ();
   if (!handles->multi)
     abort ();
@@ -32,6 +45,8 @@
     curl_easy_cleanup (handles->idle[i]);
   free (handles->idle);
   curl_multi_cleanup (handles->multi);
+  LIST_FOREACH (link, &handles->sockets)
+  free (LIST_ENTRY (link, open_socket_t, link));
   free (handles);
 }
 
@@ -57,6 +72,72 @@
   return easy;
 }
 
+static void
+forget_socket (http_handles_t *handles, int fd)
+{
+  LIST_FOREACH (link, &handles->sockets)
+  {
+    open_socket_t *socket = LIST_ENTRY (link, open_socket_t, link);
+    if (socket->fd != fd)
+      continue;
+    list_remove (link);
+    free (socket);
+  }
+}
+
+static curl_socket_t
+open_socket (void *closure, curlsocktype purpose, struct curl_sockaddr *to)
+{
+  http_handles_t *handles = closure;
+  (void)purpose;
+  int fd = socket (to->family, to->socktype | SOCK_CLOEXEC, to->protocol);
+  if (fd < 0)
+    return CURL_SOCKET_BAD;
+  open_socket_t *opened = calloc (1, sizeof *opened);
+  if (!opened)
+    abort ();
+  opened->fd = fd;
+  forget_socket (handles, fd);
+  list_push_back (&handles->sockets, &opened->link);
+  return fd;
+}
+
+static int
+close_socket (void *closure, curl_socket_t fd)
+{
+  forget_socket (closure, fd);
+  return close (fd);
+}
+
+static bool
+is_name (const struct sockaddr_in *name, const char *address, int port)
+{
+  char text[INET_ADDRSTRLEN] = "";
+  inet_ntop (AF_INET, &name->sin_addr, text, sizeof text);
+  return ntohs (name->sin_port) == port && strcmp (text, address) == 0;
+}
+
+int
+http_handles_socket (const http_handles_t *handles, const char *remote,
+                     int remote_port, int local_port)
+{
+  LIST_FOREACH (link, &handles->sockets)
+  {
+    const open_socket_t *opened = LIST_ENTRY (link, open_socket_t, link);
+    struct sockaddr_in local = { 0 };
+    struct sockaddr_in peer = { 0 };
+    socklen_t local_length = sizeof local;
+    socklen_t peer_length = sizeof peer;
+    if (getsockname (opened->fd, (struct sockaddr *)&local, &local_length) == 0
+        && getpeername (opened->fd, (struct sockaddr *)&peer, &peer_length)
+               == 0
+        && ntohs (local.sin_port) == local_port
+        && is_name (&peer, remote, remote_port))
+      return opened->fd;
+  }
+  return -1;
+}
+
 CURL *
 http_handles_take (http_handles_t *handles, const http_transfer_t *transfer)
 {
@@ -71,6 +152,10 @@
                     (long)(transfer->timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, transfer->idle_seconds);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, http_socket_set_options);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, handles);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, handles);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, transfer->on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer->owner);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, transfer->on_header);
--- a/src/wire/http_handles.h
+++ b/src/wire/http_handles.h
@@ -38,6 +38,12 @@
 CURL *http_handles_take (http_handles_t *handles,
                          const http_transfer_t *transfer);
 
+/* The socket of a connection of these handles, as ON_CONNECTION is told of it;
+   -1: none, or the caller opens sockets by itself.  It is valid until the
+   transfer ends.  */
+int http_handles_socket (const http_handles_t *handles, const char *remote,
+                         int remote_port, int local_port);
+
 /* Abort EASY's transfer if it still runs, and return EASY to the pool.  */
 void http_handles_give_back (http_handles_t *handles, CURL *easy);
 
--- a/src/wire/send_watch.h
+++ b/src/wire/send_watch.h
@@ -20,6 +20,8 @@
 enum
 {
   SEND_TIMEOUT_MSEC = 1500, /* bytes may stay unacknowledged for so long */
+  /* Shorter requests need no watch: they fit into a usual window.  */
+  SEND_WATCH_BYTES_MIN = 16 * 1024,
 };
 
 /* The time from one check to the next.  */
