--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -5,11 +5,12 @@
 
    Listens on N ports, for fake-platform's list with an offset.  The last part
    of a request's path names the response (see `responses`); some come twice,
-   one in TWICE_EVERY of those of a port (see `repeats`).  A body is BODY_BYTES
-   long and made from the request's id; a HEAD gets none.  A health check is
-   answered as by the backend server that the last request expected at that
-   port.  Each request that is run is appended to FOLDER/runs as "ID BACKEND
-   MSEC".  */
+   one in TWICE_EVERY of those of a port (see `repeats`).  "reads-late" pauses
+   before it reads a request's body, "answers-early" answers first.  A body is
+   BODY_BYTES long and made from the request's id; a HEAD gets none.  A health
+   check is answered as by the backend server that the last request expected at
+   that port.  Each request that is run is appended to FOLDER/runs as "ID
+   BACKEND MSEC".  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -39,6 +40,7 @@
   TWICE_LATE_MSEC = 60, /* at most */
   PACKET_BYTES = HEAD_BYTES + BODY_BYTES,
   USEC_PER_MSEC = 1000,
+  READ_PAUSE_MSEC = 3200, /* more than twice the router's send timeout */
 };
 
 typedef enum
@@ -197,9 +199,10 @@
     }
 }
 
-/* Read a request's head and its body, by its length, into REQUEST.  */
+/* Read a request's head into REQUEST, with what comes along of its body; the
+   rest of that, by its length, is *N_LEFT.  */
 static bool
-read_request (int fd, char request[REQUEST_BYTES])
+read_head (int fd, char request[REQUEST_BYTES], size_t *n_left)
 {
   size_t used = 0;
   for (;;)
@@ -214,12 +217,27 @@
         continue;
       char length[ID_BYTES];
       find_field (request, "Content-Length", length);
-      size_t head_bytes = (size_t)(end - request) + 4;
-      if (used >= head_bytes + strtoul (length, NULL, 10))
-        return true;
+      size_t bytes = (size_t)(end - request) + 4 + strtoul (length, NULL, 10);
+      *n_left = bytes > used ? bytes - used : 0;
+      return true;
     }
 }
 
+static bool
+read_rest (int fd, size_t n_left)
+{
+  char buffer[REQUEST_BYTES];
+  while (n_left > 0)
+    {
+      ssize_t n = recv (fd, buffer,
+                        n_left < sizeof buffer ? n_left : sizeof buffer, 0);
+      if (n <= 0)
+        return false;
+      n_left -= (size_t)n;
+    }
+  return true;
+}
+
 static void
 make_body (char *body, size_t body_bytes, const char *id)
 {
@@ -256,6 +274,16 @@
   return &responses[0];
 }
 
+/* Whether NAME is the last part of REQUEST's path.  */
+static bool
+is_named (const char *request, const char *name)
+{
+  char path[256] = "";
+  sscanf (request, "%*s %255s", path);
+  const char *last = strrchr (path, '/');
+  return last && strcmp (last + 1, name) == 0;
+}
+
 static repeat_t
 find_repeat (const char *request)
 {
@@ -436,12 +464,30 @@
   return is_sent && response->ending == ENDS_KEPT;
 }
 
+/* Returns false if the connection has to be closed.  */
+static bool
+serve_request (client_t *client)
+{
+  char request[REQUEST_BYTES];
+  size_t n_left = 0;
+  if (!read_head (client->fd, request, &n_left))
+    return false;
+  if (is_named (request, "answers-early"))
+    {
+      bool is_kept = answer (client, request);
+      usleep (READ_PAUSE_MSEC * USEC_PER_MSEC);
+      return is_kept && read_rest (client->fd, n_left);
+    }
+  if (is_named (request, "reads-late"))
+    usleep (READ_PAUSE_MSEC * USEC_PER_MSEC);
+  return read_rest (client->fd, n_left) && answer (client, request);
+}
+
 static void *
 serve (void *closure)
 {
   client_t *client = closure;
-  char request[REQUEST_BYTES];
-  while (read_request (client->fd, request) && answer (client, request))
+  while (serve_request (client))
     ;
   close (client->fd);
   free (client);
