refactor(wire): one function tells whether a response has ended

http_response_has_ended and http_transfer_result stood in router and entry alike. No behaviour changes: test_router_upload, test_entry_upload, test_router_backend_http, _reuse and _response_matrix and test_entry_client pass.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -416,35 +416,11 @@
                      : curl_easy_strerror (code);
 }
 
-/* Whether CALL's answer was read to its end, as its framing tells.  */
 static bool
 has_whole_answer (const backend_call_t *call)
 {
-  const answer_head_t *head = &call->head;
-  if (!answer_head_is_final (head))
-    return false;
-  switch (framing_kind (call))
-    {
-    case FRAMING_NO_BODY:
-      return true;
-    case FRAMING_LENGTH:
-      return call->reply.body_bytes == head->framing.length;
-    case FRAMING_CHUNKS:
-      return chunk_decoder_has_ended (&call->chunks);
-    case FRAMING_UNTIL_CLOSE:
-    case FRAMING_INVALID:
-      break;
-    }
-  return false;
-}
-
-/* libcurl fails calls that can't send the rest of their request, also after
-   the whole answer.  */
-static CURLcode
-call_result (const backend_call_t *call, CURLcode code)
-{
-  bool is_cut = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR;
-  return is_cut && has_whole_answer (call) ? CURLE_OK : code;
+  return http_response_has_ended (&call->head, framing_kind (call),
+                                  call->reply.body_bytes, &call->chunks);
 }
 
 static void
@@ -462,7 +438,8 @@
   CURLcode code;
   backend_call_t *call;
   while ((call = http_handles_ended (client->handles, &code)))
-    finish_call (client, call, call_result (call, code));
+    finish_call (client, call,
+                 http_transfer_result (code, has_whole_answer (call)));
 }
 
 static void
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -344,37 +344,15 @@
                           n_bytes);
 }
 
-/* Whether CALL's response was read to its end, as its framing tells.  */
 static bool
 has_whole_response (const backend_call_t *call)
 {
   const response_reader_t *reader = &call->reader;
   const answer_head_t *head = &reader->head;
-  if (!answer_head_is_final (head))
-    return false;
-  switch (response_framing_kind (&head->framing, reader->is_head_request,
-                                 head->status))
-    {
-    case FRAMING_NO_BODY:
-      return true;
-    case FRAMING_LENGTH:
-      return reader->response.body_bytes == head->framing.length;
-    case FRAMING_CHUNKS:
-      return chunk_decoder_has_ended (&reader->chunks);
-    case FRAMING_UNTIL_CLOSE:
-    case FRAMING_INVALID:
-      break;
-    }
-  return false;
-}
-
-/* The result of CALL, for which libcurl tells CODE: it fails calls that can't
-   send the rest of their request, also after the whole response.  */
-static CURLcode
-call_result (const backend_call_t *call, CURLcode code)
-{
-  bool is_cut = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR;
-  return is_cut && has_whole_response (call) ? CURLE_OK : code;
+  framing_kind_t kind = response_framing_kind (
+      &head->framing, reader->is_head_request, head->status);
+  return http_response_has_ended (head, kind, reader->response.body_bytes,
+                                  &reader->chunks);
 }
 
 static void
@@ -403,7 +381,8 @@
           restart_call (call);
           continue;
         }
-      finish_call (client, call, call_result (call, code));
+      finish_call (client, call,
+                   http_transfer_result (code, has_whole_response (call)));
     }
   backend_connections_sweep (client->connections);
 }
--- a/src/wire/http_handles.c
+++ b/src/wire/http_handles.c
@@ -199,6 +199,34 @@
   return NULL;
 }
 
+bool
+http_response_has_ended (const answer_head_t *head, framing_kind_t kind,
+                         uint64_t n_read, const chunk_decoder_t *chunks)
+{
+  if (!answer_head_is_final (head))
+    return false;
+  switch (kind)
+    {
+    case FRAMING_NO_BODY:
+      return true;
+    case FRAMING_LENGTH:
+      return n_read == head->framing.length;
+    case FRAMING_CHUNKS:
+      return chunk_decoder_has_ended (chunks);
+    case FRAMING_UNTIL_CLOSE:
+    case FRAMING_INVALID:
+      break;
+    }
+  return false;
+}
+
+CURLcode
+http_transfer_result (CURLcode code, bool has_ended)
+{
+  bool is_cut = code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR;
+  return is_cut && has_ended ? CURLE_OK : code;
+}
+
 /* libcurl reports success if an ordinary close ends a response, also within
    its head.  */
 static bool
--- a/src/wire/http_handles.h
+++ b/src/wire/http_handles.h
@@ -9,6 +9,7 @@
 
 #include "base/time_defs.h"
 #include "wire/answer_head.h"
+#include "wire/chunk_decoder.h"
 
 typedef struct http_handles http_handles_t;
 
@@ -51,6 +52,17 @@
    NULL if there is none.  The owner must still give the handle back.  */
 void *http_handles_ended (http_handles_t *handles, CURLcode *code);
 
+/* Whether a response with HEAD and a body that is framed as KIND has ended:
+   N_READ bytes of it were received, or CHUNKS.  libcurl ends a transfer later,
+   once the rest of its request is written.  */
+bool http_response_has_ended (const answer_head_t *head, framing_kind_t kind,
+                              uint64_t n_read, const chunk_decoder_t *chunks);
+
+/* The result of a transfer for which libcurl tells CODE, whose response
+   HAS_ENDED: libcurl fails transfers that can't send the rest of their
+   request.  */
+CURLcode http_transfer_result (CURLcode code, bool has_ended);
+
 /* How the connection of a transfer ended, whose request was sent, with result
    CODE and the response's HEAD.  IS_HEAD: the method is HEAD.  */
 connection_end_t http_connection_end (CURLcode code, const answer_head_t *head,
