--- /dev/null
+++ b/test/unit/test_balance_refused_gaps.c
@@ -0,0 +1,153 @@
+/* Guards against a limit of a backend server that is lost, kept without need,
+   or not seen when requests are queued for it.  */
+
+#include <glib.h>
+#include <xxhash.h>
+
+#include "../support/pool_world.h"
+#include "balance/pool_internal.h"
+
+#define COLD_START (3 * USEC_PER_SEC)
+
+static backend_pool_t *
+open_pool (world_t *world, usec_t cold_start)
+{
+  world_init (world);
+  add_routers (world, 8);
+  add_backends (world);
+  world->service.cold_start_duration = cold_start;
+  return pool_open (world);
+}
+
+static backend_t *
+picked (world_t *world, backend_pool_t *pool)
+{
+  backend_t *backend = pick_any (world, pool, 1, NOW);
+  g_assert_nonnull (backend);
+  return backend;
+}
+
+/* The reports of a pull are applied before the list that came with them.  */
+static void
+test_report_before_list (void)
+{
+  world_t world;
+  world_init (&world);
+  add_routers (&world, 8);
+  world.service.cold_start_duration = COLD_START;
+  backend_pool_t *pool = pool_open (&world);
+  const char *id = "north-a-0";
+  const cold_report_t report = { .server = XXH3_64bits (id, strlen (id)),
+                                 .until = NOW + USEC_PER_SEC };
+  backend_pool_hear_colds (pool, &report, 1, NOW);
+  add_backends (&world);
+  update (&world, pool, NOW);
+  backend_t *backend = pool_index_find_id (pool, report.server);
+  g_assert_nonnull (backend);
+  g_assert_true (backend_is_limited (backend, NOW));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* One reading of the list lacks the backend server, as its entry could not be
+   read; the next one has it as before.  */
+static void
+test_unlisted_for_a_moment (void)
+{
+  world_t world;
+  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_t *backend = picked (&world, pool);
+  uint64_t id_hash = backend->id_hash;
+  usec_t until = backend_pool_connection_refused (pool, backend, NOW);
+  backend_list_t whole = world.list;
+  world.list = (backend_list_t){ .read_at = NOW };
+  update (&world, pool, NOW);
+  world.list = whole;
+  update (&world, pool, NOW);
+  backend = pool_index_find_id (pool, id_hash);
+  g_assert_nonnull (backend);
+  g_assert_true (backend_is_limited (backend, until - 1));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* A service whose servers are never cold.  */
+static void
+test_no_cold_start (void)
+{
+  world_t world;
+  backend_pool_t *pool = open_pool (&world, 0);
+  world.service.cold_rate = 0;
+  update (&world, pool, NOW);
+  backend_t *backend = picked (&world, pool);
+  backend_pool_connection_refused (pool, backend, NOW);
+  usec_t back_at = NOW + 300 * USEC_PER_MSEC;
+  g_assert_true (backend_pool_begin_probe (backend, back_at));
+  backend_pool_probe_ended (pool, backend, true, 0, back_at);
+  g_assert_false (backend_is_limited (backend, back_at));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* All backend servers are limited, and this router may send to none of them
+   for a second.  */
+static void
+test_capacity_of_limited (void)
+{
+  world_t world;
+  backend_pool_t *pool = open_pool (&world, COLD_START);
+  g_strlcpy (world.settings.address, "10.0.9.9",
+             sizeof world.settings.address);
+  backend_pool_free (pool);
+  pool = pool_open (&world);
+  const backend_list_t *list = &world.list;
+  for (size_t i = 0; i < list->n_records; i++)
+    {
+      const char *id = list->records[i].id;
+      const cold_report_t report = { .server = XXH3_64bits (id, strlen (id)),
+                                     .until = NOW + COLD_START };
+      backend_pool_hear_colds (pool, &report, 1, NOW);
+    }
+  pool_query_t query = query_of (&world, 1);
+  g_assert_null (backend_pool_pick (pool, &query, NOW));
+  g_assert_cmpuint (backend_pool_capacity (pool, &query, NOW).slots, ==, 0);
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+/* Another router's health check tells of a start 1 s after the one that the
+   list shows, and the list does not come any more.  */
+static void
+test_second_start_soon_after_listed (void)
+{
+  world_t world;
+  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_t *backend = picked (&world, pool);
+  for (size_t i = 0; i < world.list.n_records; i++)
+    if (strcmp (world.list.records[i].id, backend->record.id) == 0)
+      world.list.records[i].cold_left = COLD_START;
+  update (&world, pool, NOW);
+  usec_t warm_at = NOW + USEC_PER_SEC + COLD_START;
+  const cold_report_t report
+      = { .server = backend->id_hash, .until = warm_at };
+  backend_pool_hear_colds (pool, &report, 1, NOW + USEC_PER_SEC);
+  g_assert_true (backend_is_limited (backend, warm_at - 1));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/refused-gaps/report-before-list",
+                   test_report_before_list);
+  g_test_add_func ("/refused-gaps/unlisted-for-a-moment",
+                   test_unlisted_for_a_moment);
+  g_test_add_func ("/refused-gaps/no-cold-start", test_no_cold_start);
+  g_test_add_func ("/refused-gaps/capacity-of-limited",
+                   test_capacity_of_limited);
+  g_test_add_func ("/refused-gaps/second-start-soon-after-listed",
+                   test_second_start_soon_after_listed);
+  return g_test_run ();
+}
--- a/test/unit/test_router_director_sync.c
+++ b/test/unit/test_router_director_sync.c
@@ -58,10 +58,41 @@
   sync_world_free (world);
 }
 
+/* Guards against evidence that is lost with the director that it was told to:
+   the next one is told again.  */
+static void
+test_colds_told_to_next_director (void)
+{
+  sync_world_t *world = sync_world_new ();
+  cold_table_t seen = { 0 };
+  const cold_report_t report
+      = { .server = 7, .until = clock_monotonic () + 60 * USEC_PER_SEC };
+  g_assert_true (cold_table_put (&seen, &report, true));
+  director_sync_set_seen_colds (world->sync, &seen);
+  fleet_pull_result_t first = { .confirmed_age = -1, .source = 1 };
+  answer_pull (world, &first);
+  fleet_pull_result_t restarted = { .confirmed_age = -1, .source = 2 };
+  answer_pull (world, &restarted);
+  rpc_out_call_t *call = sync_world_pull (world);
+  g_assert_nonnull (call);
+  fleet_pull_args_t args = { 0 };
+  XDR xdr;
+  xdrmem_create (&xdr, call->args, (u_int)call->args_bytes, XDR_DECODE);
+  g_assert_true (xdr_fleet_pull_args_t (&xdr, &args));
+  g_assert_cmpuint (args.source, ==, 2);
+  g_assert_cmpuint (args.colds.colds_len, ==, 1);
+  xdr_free ((xdrproc_t)xdr_fleet_pull_args_t, (char *)&args);
+  held_rpc_free_call (call);
+  cold_table_clear (&seen);
+  sync_world_free (world);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/director-sync/damaged-routers", test_damaged_routers);
+  g_test_add_func ("/director-sync/colds-told-to-next-director",
+                   test_colds_told_to_next_director);
   return g_test_run ();
 }
