--- /dev/null
+++ b/test/unit/test_router_cold_evidence.c
@@ -0,0 +1,168 @@
+/* Guards against evidence that a backend server has ended which reaches the
+   directors late, or says more than was seen.  */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "../support/sync_world.h"
+#include "balance/pool_internal.h"
+#include "fleet/backend_list.h"
+#include "router/dispatcher_internal.h"
+#include "wire/generated/fleet.h"
+
+enum
+{
+  BACKENDS = 20,
+};
+
+#define COLD_START (3 * USEC_PER_SEC)
+/* Between two pulls for evidence alone.  */
+#define PULL_INTERVAL (100 * USEC_PER_MSEC)
+
+typedef struct evidence_world
+{
+  sync_world_t *world;
+  dispatcher_t *dispatcher;
+  service_config_t service;
+  route_config_t config;
+  backend_list_t list;
+} evidence_world_t;
+
+static void
+add_backend (evidence_world_t *evidence, unsigned number)
+{
+  backend_record_t record = { .slots = 1, .started_unix_ms = 1 };
+  snprintf (record.id, sizeof record.id, "backend-%02u", number);
+  strcpy (record.service.text, "search");
+  strcpy (record.domain.text, "north-a");
+  record.address = (inet_t){ .address = number + 1, .port = 80 };
+  backend_list_add (&evidence->list, &record);
+}
+
+static void
+evidence_open (evidence_world_t *evidence)
+{
+  *evidence = (evidence_world_t){ .world = sync_world_new () };
+  strcpy (evidence->service.name.text, "search");
+  evidence->service.cold_start_duration = COLD_START;
+  evidence->service.cold_rate = 2;
+  evidence->config
+      = (route_config_t){ .n_services = 1, .services = &evidence->service };
+  for (unsigned i = 0; i < BACKENDS; i++)
+    add_backend (evidence, i);
+  backend_list_finalize (&evidence->list);
+  evidence->list.read_at = clock_monotonic ();
+  const pool_update_t update
+      = { .list = &evidence->list, .config = &evidence->config };
+  backend_pool_t *pool = evidence->world->pool;
+  backend_pool_update (pool, &update, clock_monotonic ());
+  evidence->dispatcher = calloc (1, sizeof *evidence->dispatcher);
+  evidence->dispatcher->pool = pool;
+  evidence->dispatcher->options.sync = evidence->world->sync;
+  director_sync_set_seen_colds (evidence->world->sync,
+                                &evidence->dispatcher->seen_colds);
+}
+
+static void
+evidence_close (evidence_world_t *evidence)
+{
+  cold_table_clear (&evidence->dispatcher->seen_colds);
+  free (evidence->dispatcher);
+  backend_list_clear (&evidence->list);
+  sync_world_free (evidence->world);
+}
+
+static backend_t *
+backend_of (const evidence_world_t *evidence, size_t number)
+{
+  return evidence->world->pool->by_id_hash[number];
+}
+
+static void
+refuse (evidence_world_t *evidence, size_t number, usec_t now)
+{
+  const backend_response_t response
+      = { .is_unreachable = true, .was_refused = true };
+  dispatcher_cold_evidence (evidence->dispatcher,
+                            backend_of (evidence, number), &response, now);
+}
+
+/* Pull once, so that the next regular pull is not due.  */
+static void
+pull (evidence_world_t *evidence)
+{
+  fleet_pull_result_t result = { .confirmed_age = 0, .source = 1 };
+  rpc_out_call_t *call = sync_world_pull (evidence->world);
+  g_assert_nonnull (call);
+  held_rpc_answer (call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
+}
+
+/* What is seen after many servers have ended at once is told as soon as what
+   is seen after one has.  */
+static void
+test_told_soon_after_many (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  pull (&evidence);
+  pull (&evidence);
+  usec_t now = clock_monotonic ();
+  for (size_t i = 0; i + 1 < BACKENDS; i++)
+    refuse (&evidence, i, now);
+  g_assert_cmpint (director_sync_next_pull (evidence.world->sync), <=, now);
+  pull (&evidence);
+  now += PULL_INTERVAL;
+  refuse (&evidence, BACKENDS - 1, now);
+  g_assert_cmpint (director_sync_next_pull (evidence.world->sync), <=,
+                   now + PULL_INTERVAL);
+  evidence_close (&evidence);
+}
+
+/* A health check that tells of a longer cold start than the service has.  */
+static void
+test_health_check_lies (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  usec_t now = clock_monotonic ();
+  backend_t *backend = backend_of (&evidence, 0);
+  backend_response_t response = { .is_complete = true,
+                                  .status = 200,
+                                  .cold_remaining = 3600 * USEC_PER_SEC };
+  strcpy (response.backend_id, backend->record.id);
+  dispatcher_cold_evidence (evidence.dispatcher, backend, &response, now);
+  g_assert_cmpint (
+      cold_table_until (&evidence.dispatcher->seen_colds, backend->id_hash),
+      <=, now + COLD_START + USEC_PER_SEC);
+  evidence_close (&evidence);
+}
+
+/* What the directors have told already is not worth another pull.  */
+static void
+test_known_is_not_hurried (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  pull (&evidence);
+  pull (&evidence);
+  usec_t now = clock_monotonic ();
+  usec_t due_at = director_sync_next_pull (evidence.world->sync);
+  const cold_report_t told = { .server = backend_of (&evidence, 0)->id_hash,
+                               .until = now + USEC_PER_SEC + COLD_START };
+  backend_pool_hear_colds (evidence.world->pool, &told, 1, now);
+  refuse (&evidence, 0, now);
+  g_assert_cmpint (director_sync_next_pull (evidence.world->sync), ==, due_at);
+  evidence_close (&evidence);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cold-evidence/told-soon-after-many",
+                   test_told_soon_after_many);
+  g_test_add_func ("/cold-evidence/health-check-lies", test_health_check_lies);
+  g_test_add_func ("/cold-evidence/known-is-not-hurried",
+                   test_known_is_not_hurried);
+  return g_test_run ();
+}
