--- a/test/unit/test_director_colds.c
+++ b/test/unit/test_director_colds.c
@@ -27,7 +27,7 @@
 static void
 fleet_open (fleet_t *fleet)
 {
-  for (slot_t i = 0; i < DIRECTORS; i++)
+  for (size_t i = 0; i < DIRECTORS; i++)
     {
       fleet->worlds[i] = director_world_new ();
       director_core_t *core = &fleet->worlds[i]->core;
@@ -40,7 +40,7 @@
 static void
 fleet_close (fleet_t *fleet)
 {
-  for (slot_t i = 0; i < DIRECTORS; i++)
+  for (size_t i = 0; i < DIRECTORS; i++)
     {
       cold_table_clear (&fleet->worlds[i]->core.colds);
       director_world_free (fleet->worlds[i]);
@@ -93,8 +93,8 @@
 static void
 share_all_once (fleet_t *fleet)
 {
-  for (slot_t i = 0; i < DIRECTORS; i++)
-    for (slot_t j = 0; j < DIRECTORS; j++)
+  for (size_t i = 0; i < DIRECTORS; i++)
+    for (size_t j = 0; j < DIRECTORS; j++)
       if (i != j && (i == LEADER || j == LEADER))
         share (fleet, i, j, 0, NOW);
 }
@@ -135,12 +135,12 @@
   uint64_t known = 0;
   pull (&fleet, FOLLOWER, 1, &known, NOW);
   for (usec_t now = NOW; now < NOW + LEFT; now += 2 * TRANSIT)
-    for (slot_t i = FOLLOWER; i < DIRECTORS; i++)
+    for (size_t i = FOLLOWER; i < DIRECTORS; i++)
       {
         share (&fleet, i, LEADER, TRANSIT, now);
         share (&fleet, LEADER, i, TRANSIT, now);
       }
-  for (slot_t i = 0; i < DIRECTORS; i++)
+  for (size_t i = 0; i < DIRECTORS; i++)
     g_assert_cmpint (until_at (&fleet, i), <=, NOW + LEFT + 2 * TRANSIT);
   fleet_close (&fleet);
 }
@@ -160,14 +160,14 @@
       core_of (&fleet, leader)->role = ROLE_FOLLOWER;
       leader = (slot_t)((leader + 1) % DIRECTORS);
       core_of (&fleet, leader)->role = ROLE_LEADER;
-      for (slot_t i = 0; i < DIRECTORS; i++)
+      for (size_t i = 0; i < DIRECTORS; i++)
         if (i != leader)
           {
             share (&fleet, i, leader, TRANSIT, now);
             share (&fleet, leader, i, TRANSIT, now);
           }
     }
-  for (slot_t i = 0; i < DIRECTORS; i++)
+  for (size_t i = 0; i < DIRECTORS; i++)
     g_assert_cmpint (until_at (&fleet, i), <=, NOW + 2 * LEFT);
   fleet_close (&fleet);
 }
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -129,7 +129,8 @@
   backend_response_t response = { .is_complete = true,
                                   .status = 200,
                                   .cold_remaining = 3600 * USEC_PER_SEC };
-  strcpy (response.backend_id, backend->record.id);
+  g_strlcpy (response.backend_id, backend->record.id,
+             sizeof response.backend_id);
   dispatcher_cold_evidence (evidence.dispatcher, backend, &response, now);
   g_assert_cmpint (
       cold_table_until (&evidence.dispatcher->seen_colds, backend->id_hash),
