--- a/test/unit/test_balance_refused_gaps.c
+++ b/test/unit/test_balance_refused_gaps.c
@@ -136,6 +136,26 @@
   world_clear (&world);
 }
 
+/* A start is listed that was before the refusal: there is still no process. */
+static void
+test_listed_start_before_refusal (void)
+{
+  world_t world;
+  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_t *backend = picked (&world, pool);
+  backend_pool_connection_refused (pool, backend, NOW);
+  for (size_t i = 0; i < world.list.n_records; i++)
+    if (strcmp (world.list.records[i].id, backend->record.id) == 0)
+      {
+        world.list.records[i].started_unix_ms++;
+        world.list.records[i].cold_left = COLD_START - USEC_PER_SEC;
+      }
+  update (&world, pool, NOW + 1);
+  g_assert_cmpint (backend->health, ==, BACKEND_DOWN);
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -149,5 +169,7 @@
                    test_capacity_of_limited);
   g_test_add_func ("/refused-gaps/second-start-soon-after-listed",
                    test_second_start_soon_after_listed);
+  g_test_add_func ("/refused-gaps/listed-start-before-refusal",
+                   test_listed_start_before_refusal);
   return g_test_run ();
 }
