--- a/test/unit/test_director_colds.c
+++ b/test/unit/test_director_colds.c
@@ -211,6 +211,23 @@
   fleet_close (&fleet);
 }
 
+/* A server ends again shortly before its limit does.  */
+static void
+test_second_end_is_shared_soon (void)
+{
+  fleet_t fleet;
+  fleet_open (&fleet);
+  director_core_t *core = core_of (&fleet, FOLLOWER);
+  const cold_report_t first
+      = { .server = SERVER, .until = NOW + USEC_PER_SEC / 5 };
+  g_assert_true (cold_table_put (&core->colds, &first, true));
+  core->next_share_at = NOW + SHARE_INTERVAL;
+  uint64_t known = 0;
+  pull (&fleet, FOLLOWER, 1, &known, NOW);
+  g_assert_cmpint (core->next_share_at, <, NOW + SHARE_INTERVAL);
+  fleet_close (&fleet);
+}
+
 /* More servers than one message holds reach a director in several.  */
 static void
 test_more_than_a_message (void)
@@ -245,5 +262,7 @@
                    test_leader_lost_and_seen_again);
   g_test_add_func ("/director-colds/more-than-a-message",
                    test_more_than_a_message);
+  g_test_add_func ("/director-colds/second-end-is-shared-soon",
+                   test_second_end_is_shared_soon);
   return g_test_run ();
 }
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -138,6 +138,23 @@
   evidence_close (&evidence);
 }
 
+/* A server ends again shortly before its limit does.  */
+static void
+test_second_end_is_told_soon (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  pull (&evidence);
+  pull (&evidence);
+  usec_t now = clock_monotonic ();
+  refuse (&evidence, 0, now - COLD_START - USEC_PER_SEC / 2);
+  pull (&evidence);
+  refuse (&evidence, 0, now);
+  g_assert_cmpint (director_sync_next_pull (evidence.world->sync), <=,
+                   now + PULL_INTERVAL);
+  evidence_close (&evidence);
+}
+
 /* What the directors have told already is not worth another pull.  */
 static void
 test_known_is_not_hurried (void)
@@ -165,5 +182,7 @@
   g_test_add_func ("/cold-evidence/health-check-lies", test_health_check_lies);
   g_test_add_func ("/cold-evidence/known-is-not-hurried",
                    test_known_is_not_hurried);
+  g_test_add_func ("/cold-evidence/second-end-is-told-soon",
+                   test_second_end_is_told_soon);
   return g_test_run ();
 }
