--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -15,8 +15,8 @@
 /* Time from the failure to the first probe, and between probes.  */
 #define FIRST_PROBE_DELAY (300 * USEC_PER_MSEC)
 #define PROBE_INTERVAL (700 * USEC_PER_MSEC)
-_Static_assert(REFUSAL_INTERVAL > PROBE_INTERVAL,
-               "a refused probe comes within REFUSAL_INTERVAL");
+_Static_assert(COLD_REFUSAL_INTERVAL > PROBE_INTERVAL,
+               "a refused probe comes within COLD_REFUSAL_INTERVAL");
 
 backend_pool_t *
 backend_pool_new (const backend_pool_options_t *options)
@@ -35,6 +35,7 @@
 backend_pool_free (backend_pool_t *pool)
 {
   pool_index_clear (pool);
+  cold_table_clear (&pool->colds);
   LIST_FOREACH (link, &pool->backends)
   free (LIST_ENTRY (link, backend_t, link));
   free (pool);
@@ -82,6 +83,18 @@
   backend->quality = (backend_quality_t){ 0 };
 }
 
+/* A start of BACKEND is listed by a reading at READ_AT.  One that has refused
+   a connection since then stays down.  */
+static void
+restart_backend (backend_pool_t *pool, backend_t *backend, usec_t read_at)
+{
+  bool is_down = backend->health == BACKEND_DOWN
+                 && pool_cold_start_is_suspect (backend, read_at);
+  reset_backend (pool, backend);
+  if (is_down)
+    set_health (pool, backend, BACKEND_DOWN);
+}
+
 /* Returns the backend server with RECORD's id; adds one if there is none.  The
    search starts after *POSITION, whose id must not be greater than the
    record's; *POSITION is then set to the backend server returned.  */
@@ -126,8 +139,6 @@
   bool is_new = backend->record.id[0] == '\0';
   bool is_restarted
       = !is_new && backend->record.started_unix_ms != record->started_unix_ms;
-  if (is_restarted)
-    reset_backend (pool, backend);
   /* A backend server that drains never stops draining until it exits; an older
      list can arrive late.  */
   bool is_draining
@@ -136,6 +147,11 @@
             && backend->record.started_unix_ms == record->started_unix_ms);
   if (record->cold_left > 0)
     pool_cold_start_set (backend, read_at + record->cold_left);
+  if (is_new)
+    pool_cold_start_suspect (
+        backend, cold_table_until (&pool->colds, backend->id_hash), read_at);
+  if (is_restarted)
+    restart_backend (pool, backend, read_at);
   backend->record = *record;
   backend->record.is_draining = is_draining;
   if (is_new || is_restarted)
@@ -186,6 +202,7 @@
     free_if_unused (pool, backend);
   }
   pool_update_weights (pool, update);
+  cold_table_expire (&pool->colds, now);
 }
 
 bool
@@ -224,14 +241,21 @@
 backend_pool_connection_refused (backend_pool_t *pool, backend_t *backend,
                                  usec_t now)
 {
-  usec_t until = now + REFUSAL_INTERVAL + backend->cold_start;
-  pool_cold_start_suspect (backend, until, now);
+  const cold_report_t report
+      = { .server = backend->id_hash,
+          .until = now + COLD_REFUSAL_INTERVAL + backend->cold_start };
+  bool has_cold_start = backend->cold_start > 0;
+  if (has_cold_start)
+    {
+      cold_table_put (&pool->colds, &report, true);
+      pool_cold_start_suspect (backend, report.until, now);
+    }
   if (backend->health == BACKEND_UP)
     {
       set_health (pool, backend, BACKEND_DOWN);
       backend->next_probe_at = now + FIRST_PROBE_DELAY;
     }
-  return until;
+  return has_cold_start ? report.until : 0;
 }
 
 static void
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -251,7 +251,8 @@
 
 /* BACKEND refused a connection at NOW: no process listens there.  It gets no
    request until a probe succeeds, and then may have just started.  Returns
-   until when it must be taken to be cold, unless it is asked again.  */
+   when it is warm at the latest, unless it refuses again; 0 if its service has
+   no cold start.  */
 usec_t backend_pool_connection_refused (backend_pool_t *pool,
                                         backend_t *backend, usec_t now);
 
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -98,7 +98,13 @@
 has_started_since (const backend_t *backend)
 {
   return backend->cold_until_at_most
-         <= backend->cold_until + REFUSAL_INTERVAL + MESSAGE_TIME;
+         <= backend->cold_until + COLD_REFUSAL_INTERVAL + MESSAGE_TIME;
+}
+
+bool
+pool_cold_start_is_suspect (const backend_t *backend, usec_t now)
+{
+  return now < backend->cold_until_at_most && !has_started_since (backend);
 }
 
 bool
@@ -106,7 +112,7 @@
 {
   if (backend->may_be_cold || now < backend->cold_until)
     return true;
-  return now < backend->cold_until_at_most && !has_started_since (backend);
+  return pool_cold_start_is_suspect (backend, now);
 }
 
 void
@@ -132,6 +138,7 @@
   size_t n_new = 0;
   for (size_t i = 0; i < n; i++)
     {
+      cold_table_put (&pool->colds, &reports[i], false);
       backend_t *backend = pool_index_find_id (pool, reports[i].server);
       if (backend && pool_cold_start_suspect (backend, reports[i].until, now))
         n_new++;
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -24,15 +24,12 @@
   pool_service_t *services; /* malloc'd */
   size_t n_down;            /* backend servers that are BACKEND_DOWN */
   backend_notices_t notices;
+  cold_table_t colds; /* all that was seen and told, also of unlisted ones */
   size_t n_by_id;
   backend_t **by_load_id; /* malloc'd; all, by the id in load reports */
   backend_t **by_id_hash; /* the same ones, by the hash of their id */
 };
 
-/* A backend server that is still down this long after it refused a connection
-   has refused another one, to the probe of some router.  */
-#define REFUSAL_INTERVAL (1000 * USEC_PER_MSEC)
-
 enum
 {
   /* A leaving backend server serves for the time `drain`; what is sent to it
@@ -82,6 +79,9 @@
 /* BACKEND is warm at UNTIL at the latest.  Returns true if it was not limited
    at NOW before.  */
 bool pool_cold_start_suspect (backend_t *backend, usec_t until, usec_t now);
+/* Whether BACKEND has refused a connection since the latest start that is
+   known.  */
+bool pool_cold_start_is_suspect (const backend_t *backend, usec_t now);
 /* Takes one token if BACKEND is cold.  */
 void pool_cold_start_take (backend_t *backend, usec_t now);
 /* Sets the part of the cold-start request rate of BACKEND that this router may
--- a/src/director/core_colds.c
+++ b/src/director/core_colds.c
@@ -8,7 +8,8 @@
    after this, so that reports of one moment travel together.  */
 #define COLD_SHARE_DELAY (100 * USEC_PER_MSEC)
 
-/* Returns how many of the N servers at WIRE were not known to be cold.  */
+/* Returns how many of the N servers at WIRE were not known to be cold for
+   long.  */
 static size_t
 merge (director_core_t *core, const fleet_cold_t *wire, size_t n,
        bool is_direct, usec_t sent_at, usec_t now)
@@ -20,7 +21,7 @@
     {
       usec_t until = cold_table_until (&core->colds, reports[i].server);
       if (cold_table_put (&core->colds, &reports[i], is_direct)
-          && until <= now)
+          && until < now + COLD_URGENT_LEFT)
         n_new++;
     }
   if (n_new > 0)
--- a/src/fleet/cold_table.c
+++ b/src/fleet/cold_table.c
@@ -12,20 +12,35 @@
   *table = (cold_table_t){ 0 };
 }
 
-static const cold_entry_t *
+static cold_entry_t *
 find_entry (const cold_table_t *table, uint64_t server)
 {
   return sorted_array_find (table->entries, table->n, sizeof *table->entries,
                             server);
 }
 
+/* A router has seen what was relayed to ENTRY.  */
+static void
+confirm (cold_table_t *table, cold_entry_t *entry, const cold_report_t *report,
+         bool is_direct)
+{
+  if (!is_direct || entry->is_direct
+      || report->until < entry->report.until - COLD_TOLERANCE)
+    return;
+  entry->is_direct = true;
+  entry->change = ++table->n_changes;
+}
+
 bool
 cold_table_put (cold_table_t *table, const cold_report_t *report,
                 bool is_direct)
 {
-  const cold_entry_t *known = find_entry (table, report->server);
+  cold_entry_t *known = find_entry (table, report->server);
   if (known && report->until <= known->report.until + COLD_TOLERANCE)
-    return false;
+    {
+      confirm (table, known, report, is_direct);
+      return false;
+    }
   if (!known && table->n == COLD_SERVERS_MAX)
     return false;
   size_t at = sorted_array_position (table->entries, table->n,
@@ -46,11 +61,17 @@
   return entry ? entry->report.until : 0;
 }
 
+/* Whether ENTRY is in force and its change not known.  */
 static bool
-is_wanted (const cold_entry_t *entry, const cold_query_t *query)
+is_news (const cold_entry_t *entry, const cold_query_t *query)
 {
-  return entry->change > query->after && entry->report.until > query->now
-         && (entry->is_direct || !query->only_direct);
+  return entry->change > query->after && entry->report.until > query->now;
+}
+
+static bool
+is_left_out (const cold_entry_t *entry, const cold_query_t *query)
+{
+  return query->only_direct && !entry->is_direct;
 }
 
 static int
@@ -73,13 +94,21 @@
     abort ();
   size_t n = 0;
   for (size_t i = 0; i < table->n; i++)
-    if (is_wanted (&table->entries[i], query))
-      wanted[n++] = &table->entries[i];
+    {
+      const cold_entry_t *entry = &table->entries[i];
+      if (!is_news (entry, query))
+        continue;
+      if (!is_left_out (entry, query))
+        wanted[n++] = entry;
+      else if (entry->change <= *known)
+        *known = entry->change - 1;
+    }
   qsort (wanted, n, sizeof (cold_entry_t *), compare_changes);
   if (n > max)
     {
       n = max;
-      *known = n > 0 ? wanted[n - 1]->change : query->after;
+      uint64_t last = n > 0 ? wanted[n - 1]->change : query->after;
+      *known = last < *known ? last : *known;
     }
   for (size_t i = 0; i < n; i++)
     reports[i] = wanted[i]->report;
--- a/src/fleet/cold_table.h
+++ b/src/fleet/cold_table.h
@@ -27,10 +27,19 @@
    news: a time that travels as what is left of it arrives a little later.  */
 #define COLD_TOLERANCE (50 * USEC_PER_MSEC)
 
+/* A backend server that is still down this long after it refused a connection
+   has refused another one, to the health check of some router.  */
+#define COLD_REFUSAL_INTERVAL (1000 * USEC_PER_MSEC)
+/* A report that extends one with less than this left can't wait: others take
+   the server for warm when that is over.  */
+#define COLD_URGENT_LEFT (2 * USEC_PER_SEC)
+
 typedef struct cold_report
 {
   uint64_t server; /* a hash of its id, whatever its start */
-  usec_t until;    /* when it is warm at the latest */
+  /* When it is warm at the latest: COLD_REFUSAL_INTERVAL and the duration of a
+     cold start after it was seen to be down, or after its start.  */
+  usec_t until;
 } cold_report_t;
 
 typedef struct cold_entry
@@ -52,7 +61,8 @@
 void cold_table_clear (cold_table_t *table);
 
 /* Keep REPORT if it extends what is known of its server by more than
-   COLD_TOLERANCE.  Returns false if it does not, or the table is full.  */
+   COLD_TOLERANCE.  Returns false if it does not, or the table is full.  A
+   report that only confirms what was relayed makes it direct.  */
 bool cold_table_put (cold_table_t *table, const cold_report_t *report,
                      bool is_direct);
 
@@ -67,8 +77,8 @@
 } cold_query_t;
 
 /* Write up to MAX reports that QUERY asks for to REPORTS, the oldest changes
-   first, and to *KNOWN the last change that they include.  Returns how many.
- */
+   first, and to *KNOWN the last change up to which nothing is left out.
+   Returns how many.  */
 size_t cold_table_changed (const cold_table_t *table,
                            const cold_query_t *query, cold_report_t *reports,
                            size_t max, uint64_t *known);
--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -136,11 +136,13 @@
   load_wire_read (result->loads.loads_val, sync->n_loads, sync->loads, now);
 }
 
+/* A director that has not been asked before is told all with the next pull. */
 static void
 keep_colds (director_sync_t *sync, const fleet_pull_result_t *result,
             usec_t now)
 {
-  sync->seen_known = sync->seen_sent;
+  bool is_same = result->source == sync->source;
+  sync->seen_known = is_same ? sync->seen_sent : 0;
   sync->colds_known = result->colds_known;
   sync->n_colds = result->colds.colds_len;
   cold_wire_read (result->colds.colds_val, sync->n_colds, sync->colds, now);
@@ -160,8 +162,8 @@
     return;
   if (is_fresh)
     keep_quotas (sync, result);
-  keep_loads (sync, result, now);
   keep_colds (sync, result, now);
+  keep_loads (sync, result, now);
 }
 
 static void
--- a/src/router/dispatcher_cold.c
+++ b/src/router/dispatcher_cold.c
@@ -28,15 +28,15 @@
   director_sync_hurry (dispatcher->options.sync, due_at);
 }
 
-/* BACKEND must be taken to be cold until UNTIL, by EVIDENCE.  */
+/* Tell that BACKEND is warm at UNTIL at the latest, by EVIDENCE; all knew that
+   it is at KNOWN_UNTIL.  */
 static void
-keep (dispatcher_t *dispatcher, const backend_t *backend, usec_t until,
-      const char *evidence, usec_t now)
+tell (dispatcher_t *dispatcher, const backend_t *backend, usec_t until,
+      usec_t known_until, const char *evidence, usec_t now)
 {
   const cold_report_t report = { .server = backend->id_hash, .until = until };
-  bool is_new
-      = cold_table_until (&dispatcher->seen_colds, report.server) <= now;
-  if (!cold_table_put (&dispatcher->seen_colds, &report, true) || !is_new)
+  if (!cold_table_put (&dispatcher->seen_colds, &report, true)
+      || known_until >= now + COLD_URGENT_LEFT)
     return;
   LOG_EVENT (LOG_LEVEL_INFO, "backend_may_be_cold",
              LOG_S ("backend", backend->record.id),
@@ -45,23 +45,47 @@
   hurry_pull (dispatcher, now);
 }
 
+/* BACKEND refused a connection.  */
+static void
+connection_refused (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
+{
+  usec_t known_until = backend->cold_until_at_most;
+  usec_t until
+      = backend_pool_connection_refused (dispatcher->pool, backend, now);
+  if (until > now)
+    tell (dispatcher, backend, until, known_until, "connection refused", now);
+  router_metrics_connection_refused (dispatcher->options.metrics,
+                                     backend->record.service.text);
+}
+
+/* BACKEND says that it stays cold for COLD_LEFT; not for longer than a start
+   does.  */
+static void
+cold_told (dispatcher_t *dispatcher, const backend_t *backend,
+           usec_t cold_left, usec_t now)
+{
+  usec_t left
+      = cold_left < backend->cold_start ? cold_left : backend->cold_start;
+  usec_t known_until = backend->cold_until_at_most > backend->cold_until
+                           ? backend->cold_until_at_most
+                           : backend->cold_until;
+  if (left > 0)
+    tell (dispatcher, backend, now + left + COLD_REFUSAL_INTERVAL, known_until,
+          "health check", now);
+}
+
 void
 dispatcher_cold_evidence (dispatcher_t *dispatcher, backend_t *backend,
                           const backend_response_t *response, usec_t now)
 {
   if (response->was_refused)
     {
-      router_metrics_connection_refused (dispatcher->options.metrics,
-                                         backend->record.service.text);
-      usec_t until
-          = backend_pool_connection_refused (dispatcher->pool, backend, now);
-      keep (dispatcher, backend, until, "connection refused", now);
+      connection_refused (dispatcher, backend, now);
       return;
     }
   bool is_own = strcmp (response->backend_id, backend->record.id) == 0;
-  if (response->is_complete && is_own && response->cold_remaining > 0)
-    keep (dispatcher, backend, now + response->cold_remaining, "health check",
-          now);
+  if (response->is_complete && is_own)
+    cold_told (dispatcher, backend, response->cold_remaining, now);
 }
 
 void
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -23,6 +23,7 @@
 {
   sync_world_t *world;
   dispatcher_t *dispatcher;
+  metrics_t *metrics;
   service_config_t service;
   route_config_t config;
   backend_list_t list;
@@ -59,6 +60,9 @@
   evidence->dispatcher = calloc (1, sizeof *evidence->dispatcher);
   evidence->dispatcher->pool = pool;
   evidence->dispatcher->options.sync = evidence->world->sync;
+  evidence->metrics = metrics_new ();
+  evidence->dispatcher->options.metrics
+      = router_metrics_new (evidence->metrics);
   director_sync_set_seen_colds (evidence->world->sync,
                                 &evidence->dispatcher->seen_colds);
 }
@@ -67,6 +71,8 @@
 evidence_close (evidence_world_t *evidence)
 {
   cold_table_clear (&evidence->dispatcher->seen_colds);
+  router_metrics_free (evidence->dispatcher->options.metrics);
+  metrics_free (evidence->metrics);
   free (evidence->dispatcher);
   backend_list_clear (&evidence->list);
   sync_world_free (evidence->world);
