fix(fleet,director): a backend server that is cold again while cold is listed so

The digest of the list held only whether a record is cold, so a second cold start before the end of the first was no change, and routers counted the old one down. A record has a mark now that the reader of the list sets anew when its cold end moves later by more than readings do.

--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -192,6 +192,7 @@
       core_operator_submit (core, item->body.operator_request);
       break;
     case ITEM_BACKEND_LIST:
+      backend_list_mark_cold (&item->body.backend_list, &core->backend_list);
       core_pulls_replace_list (core, &item->body.backend_list);
       break;
     }
--- a/src/fleet/backend_list.c
+++ b/src/fleet/backend_list.c
@@ -53,16 +53,18 @@
          && inet_equal (&a->address, &b->address)
          && a->is_draining == b->is_draining && a->slots == b->slots
          && (a->cold_left > 0) == (b->cold_left > 0)
-         && a->started_unix_ms == b->started_unix_ms;
+         && a->started_unix_ms == b->started_unix_ms
+         && a->cold_mark == b->cold_mark;
 }
 
 static void
 digest_record (XXH3_state_t *state, const backend_record_t *record)
 {
   const uint64_t numbers[]
-      = { record->address.address, record->address.port,
-          record->is_draining,     record->slots,
-          record->cold_left > 0,   (uint64_t)record->started_unix_ms };
+      = { record->address.address,    record->address.port,
+          record->is_draining,        record->slots,
+          record->cold_left > 0,      (uint64_t)record->started_unix_ms,
+          (uint64_t)record->cold_mark };
   XXH3_64bits_update (state, record->id, strlen (record->id) + 1);
   XXH3_64bits_update (state, record->service.text,
                       strlen (record->service.text) + 1);
@@ -139,3 +141,25 @@
   return XXH3_64bits_withSeed (record->id, strlen (record->id),
                                (XXH64_hash_t)record->started_unix_ms);
 }
+
+/* The end of a cold start, computed from two readings, differs by what these
+   took.  */
+#define COLD_END_TOLERANCE (500 * USEC_PER_MSEC)
+
+void
+backend_list_mark_cold (backend_list_t *list, const backend_list_t *before)
+{
+  for (size_t i = 0; i < list->n_records; i++)
+    {
+      backend_record_t *record = &list->records[i];
+      if (record->cold_left <= 0)
+        continue;
+      const backend_record_t *known = backend_list_find (before, record->id);
+      usec_t end = list->read_at + record->cold_left;
+      bool is_same
+          = known && known->cold_mark != 0
+            && end <= before->read_at + known->cold_left + COLD_END_TOLERANCE;
+      record->cold_mark = is_same ? known->cold_mark : end;
+    }
+  backend_list_finalize (list);
+}
--- a/src/fleet/backend_list.h
+++ b/src/fleet/backend_list.h
@@ -23,6 +23,13 @@
    records with the same id the one with the latest start is kept.  */
 void backend_list_finalize (backend_list_t *list);
 
+/* Mark the cold records of LIST, which was read from the platform, and
+   finalize it: a record that is cold for longer than BEFORE, the list read
+   before it, told has become cold again.  Without a mark the digest would not
+   differ.  */
+void backend_list_mark_cold (backend_list_t *list,
+                             const backend_list_t *before);
+
 /* Free the records and reset LIST to an empty list.  */
 void backend_list_clear (backend_list_t *list);
 
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -36,6 +36,8 @@
   uint32_t slots;          /* requests that it can run concurrently */
   usec_t cold_left;        /* from the list's read_at until it is warm */
   int64_t started_unix_ms; /* Unix time in milliseconds; 0: unknown */
+  int64_t cold_mark; /* differs for each time that it became cold; 0: it is
+                        not, or no reader of the list has marked it */
 } backend_record_t;
 
 /* All backend servers at one point in time.  */
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -56,6 +56,7 @@
     .slots = record->slots,
     .cold_left = record->cold_left,
     .started_at = record->started_unix_ms,
+    .cold_mark = record->cold_mark,
   };
 }
 
@@ -87,6 +88,7 @@
         .slots = wire->slots,
         .cold_left = wire->cold_left,
         .started_unix_ms = wire->started_at,
+        .cold_mark = wire->cold_mark,
       };
       if (!name_parse (&record.service, wire->service, NULL)
           || !name_parse (&record.domain, wire->domain, NULL))
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -44,6 +44,7 @@
   uint32_t slots;
   int64_t cold_left;  /* usec, when the list was read */
   int64_t started_at; /* msec since 1970 */
+  int64_t cold_mark;  /* differs for each time that it became cold; 0: none */
 };
 
 struct fleet_list_t
--- a/test/unit/test_fleet_list_cold_again.c
+++ b/test/unit/test_fleet_list_cold_again.c
@@ -45,8 +45,11 @@
   backend_list_t first;
   backend_list_t second;
   usec_t again_at = NOW + 2 * USEC_PER_SEC;
+  const backend_list_t none = { 0 };
   read_list (&first, COLD_START, NOW);
+  backend_list_mark_cold (&first, &none);
   read_list (&second, COLD_START, again_at);
+  backend_list_mark_cold (&second, &first);
   follow (&source, &first, &follower, NOW);
   if (second.digest != first.digest)
     list_source_record_change (&source, &first, &second);
@@ -60,10 +63,29 @@
   list_source_clear (&source);
 }
 
+/* Readings of one cold start are the same list, though they differ by the time
+   that each of them takes.  */
+static void
+test_one_cold_start (void)
+{
+  const backend_list_t none = { 0 };
+  backend_list_t first;
+  backend_list_t second;
+  read_list (&first, COLD_START, NOW);
+  backend_list_mark_cold (&first, &none);
+  read_list (&second, COLD_START - USEC_PER_SEC,
+             NOW + USEC_PER_SEC + USEC_PER_SEC / 5);
+  backend_list_mark_cold (&second, &first);
+  g_assert_cmpuint (second.digest, ==, first.digest);
+  backend_list_clear (&first);
+  backend_list_clear (&second);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/list/one-cold-start", test_one_cold_start);
   g_test_add_func ("/list/cold-again", test_cold_again);
   return g_test_run ();
 }
