fix(wire): bound the heads and trailers of every transfer

Here: a list of backend servers in chunks with trailers without end took a director to 426,812 KiB (its VM has 163,840) within the 600 ms that a page may take, and mulberryctl to 1,038,856 KiB, the limit that the test sets.

Cause: libcurl keeps each trailer until the handle's next transfer, and bounds a line and a head, but not how many trailers there are. Routers and entry VMs read chunks themselves; the list's client and mulberryctl leave it to libcurl.

wire/head_bound ends a transfer after 64 KB of heads and trailers; the entry VM's client, which relied on libcurl for heads, has it too.

--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -50,6 +50,8 @@
   static const char key[] = CREDENTIAL_ANSWER_HEADER ": ";
   attempt_t *attempt = closure;
   size_t length = size * n;
+  if (!head_bound_add (&attempt->body.head, length))
+    return 0;
   const size_t value_bytes = sizeof attempt->signature - 1;
   if (length >= strlen (key) + value_bytes
       && strncasecmp (line, key, strlen (key)) == 0)
--- a/src/ctl/download.c
+++ b/src/ctl/download.c
@@ -62,6 +62,7 @@
   if (page->is_post)
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "");
   download_into (&page->body, curl);
+  head_bound_watch (&page->body.head, curl);
   curl_multi_add_handle (multi, curl);
 }
 
--- a/src/ctl/download.h
+++ b/src/ctl/download.h
@@ -9,11 +9,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "wire/head_bound.h"
+
 typedef struct download
 {
   char *text; /* NUL-terminated; NULL until the first byte arrives */
   size_t length;
   size_t limit; /* in bytes; a longer body aborts the transfer */
+  head_bound_t head;
 } download_t;
 
 /* Make CURL append the body that it receives to DOWNLOAD, whose limit is
--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -9,6 +9,7 @@
 #include "base/number.h"
 #include "wire/answer_head.h"
 #include "wire/chunk_decoder.h"
+#include "wire/head_bound.h"
 #include "wire/http_handles.h"
 
 enum
@@ -32,6 +33,7 @@
   bool is_head;
   unsigned int n_sends; /* connections that it was sent on */
   answer_head_t head;
+  head_bound_t head_bound;
   chunk_decoder_t chunks; /* of a body in chunks */
   bool has_id;            /* the last head has an X-Request-Id */
   bool is_too_long;
@@ -207,6 +209,8 @@
 {
   backend_call_t *call = closure;
   size_t length = size * n;
+  if (!head_bound_add (&call->head_bound, length))
+    return 0;
   switch (answer_head_next (&call->head, data, length))
     {
     case HEAD_LINE_FIELD:
@@ -379,6 +383,8 @@
   reply->is_complete = code == CURLE_OK && is_whole (call, code);
   reply->is_truncated = !reply->is_complete && reply->status > 0;
   reply->error = call->is_too_long ? "its answer is longer than the limit"
+                 : head_bound_is_exceeded (&call->head_bound)
+                     ? "its head is longer than the limit"
                  : chunk_decoder_is_malformed (&call->chunks)
                      ? "the chunks of its answer can't be read"
                  : !has_readable_framing (call)
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -1,7 +1,7 @@
 /* fake-raw-backend: backend servers that frame and end their responses in
    every way, also in wrong ones.
 
-     fake-raw-backend ADDRESS FIRST_PORT N FOLDER
+     fake-raw-backend ADDRESS FIRST_PORT N FOLDER [NAME]
 
    Listens on N ports, for fake-platform's list with an offset.  The last part
    of a request's path names the response (see `responses`); some come twice,
@@ -9,7 +9,9 @@
    long and made from the request's id; a HEAD gets none.  A health check is
    answered as by the backend server that the last request expected at that
    port.  Each request that is run is appended to FOLDER/runs as "ID BACKEND
-   MSEC".  */
+   MSEC".  If NAME is given, each request gets this response, also a health
+   check; responses without end are in raw_backend_endless.c, and the bytes
+   that were sent of each go to FOLDER/endless.  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -23,10 +25,13 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "raw_backend.h"
+
 enum
 {
   REQUEST_BYTES = 8192,
   HEAD_BYTES = 1024,
+  NAME_BYTES = 256,
   ID_BYTES = 128,
   BODY_BYTES = 900,
   LARGE_BYTES = 2 * 1024 * 1024,
@@ -167,9 +172,10 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const char *folder;
+static const char *name_of_all; /* of each response; NULL: by the path */
 
-static bool
-write_all (int fd, const char *bytes, size_t length)
+bool
+raw_backend_write (int fd, const char *bytes, size_t length)
 {
   while (length > 0)
     {
@@ -229,41 +235,56 @@
                                               : 'a' + (int)(i % 26));
 }
 
+/* Append "ID TEXT NUMBER" to FOLDER/FILE.  */
 static void
-note_run (const char *id, const char *instance)
+note (const char *file_name, const char *id, const char *text,
+      long long number)
 {
   char path[512];
-  struct timespec now;
-  snprintf (path, sizeof path, "%s/runs", folder);
+  snprintf (path, sizeof path, "%s/%s", folder, file_name);
   FILE *file = fopen (path, "a");
   if (!file)
     return;
-  clock_gettime (CLOCK_REALTIME, &now);
-  fprintf (file, "%s %s %lld\n", id, instance,
-           (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC);
+  fprintf (file, "%s %s %lld\n", id, text, number);
   fclose (file);
 }
 
+static void
+note_run (const char *id, const char *instance)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  note ("runs", id, instance,
+        (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC);
+}
+
+/* The name of the response to REQUEST: the last part of its path.  */
+static void
+find_name (const char *request, char name[NAME_BYTES])
+{
+  char path[NAME_BYTES] = "";
+  sscanf (request, "%*s %255[^? ]", path);
+  const char *slash = strrchr (path, '/');
+  snprintf (name, NAME_BYTES, "%s",
+            name_of_all ? name_of_all
+            : slash     ? slash + 1
+                        : "");
+}
+
 static const response_t *
-find_response (const char *request)
+find_response (const char *name)
 {
-  char path[256] = "";
-  sscanf (request, "%*s %255s", path);
-  const char *name = strrchr (path, '/');
   for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
-    if (name && strcmp (name + 1, responses[i].name) == 0)
+    if (strcmp (name, responses[i].name) == 0)
       return &responses[i];
   return &responses[0];
 }
 
 static repeat_t
-find_repeat (const char *request)
+find_repeat (const char *name)
 {
-  char path[256] = "";
-  sscanf (request, "%*s %255s", path);
-  const char *name = strrchr (path, '/');
   for (size_t i = 0; i < sizeof repeats / sizeof repeats[0]; i++)
-    if (name && strcmp (name + 1, repeats[i].name) == 0)
+    if (strcmp (name, repeats[i].name) == 0)
       return repeats[i].repeat;
   return REPEAT_NONE;
 }
@@ -291,7 +312,7 @@
 {
   copy_t *copy = closure;
   usleep (copy->wait_msec * USEC_PER_MSEC);
-  write_all (copy->fd, copy->bytes, copy->length);
+  raw_backend_write (copy->fd, copy->bytes, copy->length);
   close (copy->fd);
   free (copy);
   return NULL;
@@ -318,15 +339,15 @@
                size_t length)
 {
   unsigned int number = next_number (client->port);
-  if (!write_all (client->fd, client->held, client->n_held))
+  if (!raw_backend_write (client->fd, client->held, client->n_held))
     return false;
   client->n_held = 0;
-  if (!write_all (client->fd, bytes, length))
+  if (!raw_backend_write (client->fd, bytes, length))
     return false;
   if (number % TWICE_EVERY != TWICE_EVERY - 1)
     return true;
   if (repeat == REPEAT_AT_ONCE)
-    return write_all (client->fd, bytes, length);
+    return raw_backend_write (client->fd, bytes, length);
   if (repeat == REPEAT_LATE)
     send_copy_later (client->fd, bytes, length,
                      1 + number * 7 % TWICE_LATE_MSEC);
@@ -357,8 +378,9 @@
   char line[64];
   int n = size ? snprintf (line, sizeof line, "%s\r\n", size)
                : snprintf (line, sizeof line, "%zx\r\n", length);
-  return write_all (fd, line, (size_t)n) && write_all (fd, bytes, length)
-         && write_all (fd, "\r\n", 2);
+  return raw_backend_write (fd, line, (size_t)n)
+         && raw_backend_write (fd, bytes, length)
+         && raw_backend_write (fd, "\r\n", 2);
 }
 
 static bool
@@ -377,9 +399,9 @@
   if (response->ending != ENDS_KEPT)
     return true;
   const char *trailers = response->trailers ? response->trailers : "";
-  return write_all (fd, "0\r\n", 3)
-         && write_all (fd, trailers, strlen (trailers))
-         && write_all (fd, "\r\n", 2);
+  return raw_backend_write (fd, "0\r\n", 3)
+         && raw_backend_write (fd, trailers, strlen (trailers))
+         && raw_backend_write (fd, "\r\n", 2);
 }
 
 static bool
@@ -393,7 +415,7 @@
   make_body (body, response->n_sent, id);
   bool is_sent = response->is_chunked
                      ? send_chunks (fd, response, body, response->n_sent)
-                     : write_all (fd, body, response->n_sent);
+                     : raw_backend_write (fd, body, response->n_sent);
   free (body);
   return is_sent;
 }
@@ -405,19 +427,31 @@
   char id[ID_BYTES];
   char instance[ID_BYTES];
   char head[HEAD_BYTES];
+  char name[NAME_BYTES];
+  find_name (request, name);
   find_field (request, "Request-Id", id);
+  if (!id[0])
+    find_field (request, "X-Request-Id", id);
   find_field (request, "Expect-Instance", instance);
   expected_instance (client->port, instance);
   if (id[0])
     note_run (id, instance);
-  const response_t *response = find_response (request);
+  if (raw_backend_is_endless (name))
+    {
+      size_t n_sent
+          = raw_backend_send_endless (client->fd, name, id, instance);
+      note ("endless", name, id, (long long)n_sent);
+      return false;
+    }
+  const response_t *response = find_response (name);
   int n = snprintf (head, sizeof head,
                     "HTTP/%s %s\r\nServer-Stamp: fake\r\n"
-                    "Request-Id: %s\r\nInstance-Id: %s\r\n%s\r\n",
+                    "Request-Id: %s\r\nX-Request-Id: %s\r\n"
+                    "Instance-Id: %s\r\n%s\r\n",
                     response->version ? response->version : "1.1",
-                    response->status ? response->status : "200 OK", id,
+                    response->status ? response->status : "200 OK", id, id,
                     instance, response->fields);
-  repeat_t repeat = find_repeat (request);
+  repeat_t repeat = find_repeat (name);
   if (repeat != REPEAT_NONE)
     {
       char packet[PACKET_BYTES];
@@ -425,7 +459,7 @@
       make_body (packet + n, BODY_BYTES, id);
       return send_repeated (client, repeat, packet, (size_t)n + BODY_BYTES);
     }
-  bool is_sent = write_all (client->fd, head, (size_t)n);
+  bool is_sent = raw_backend_write (client->fd, head, (size_t)n);
   if (strncmp (request, "HEAD ", 5) != 0)
     is_sent = is_sent && send_body (client->fd, response, id);
   if (response->ending == ENDS_RESET)
@@ -495,15 +529,16 @@
 int
 main (int argc, char **argv)
 {
-  if (argc != 5)
+  if (argc != 5 && argc != 6)
     {
-      fprintf (stderr,
-               "usage: fake-raw-backend ADDRESS FIRST_PORT N FOLDER\n");
+      fprintf (stderr, "usage: fake-raw-backend ADDRESS FIRST_PORT N FOLDER "
+                       "[NAME]\n");
       return 2;
     }
   unsigned int first = (unsigned int)strtoul (argv[2], NULL, 10);
   unsigned int n = (unsigned int)strtoul (argv[3], NULL, 10);
   folder = argv[4];
+  name_of_all = argc == 6 ? argv[5] : NULL;
   sigset_t stop;
   sigemptyset (&stop);
   sigaddset (&stop, SIGTERM);
