fix(router): a body rejected as it is read on ends its call at once

A response waits when the budget for bodies is full. If it was rejected when it was read on, its call went on until its timeout: the caller waited, and the backend server's slot was held.

Cause: curl_easy_pause passes on what was kept back, and tells by its result alone that the callback rejected it; the transfer isn't ended, and the result was not looked at.

Now the call ends with that result in the same turn.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -19,6 +19,8 @@
 struct backend_call
 {
   list_t link;
+  list_t failed_link; /* in the client's `failed` */
+  CURLcode failure;   /* of a call in `failed` */
   backend_http_t *client;
   void *owner;
   CURL *easy;
@@ -39,6 +41,8 @@
   http_handles_t *handles;
   backend_connections_t *connections;
   list_t calls;        /* in flight */
+  usec_t failed_at;    /* when a call was last put there */
+  list_t failed;       /* calls that failed while they were resumed */
   uint64_t n_releases; /* of the budget, when calls were last resumed */
   usec_t due_at;       /* of libcurl's next timeout */
 };
@@ -192,6 +196,7 @@
   call->reader.budget = client->options.budget;
   call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->calls, &call->link);
+  list_init (&call->failed_link);
   return call;
 }
 
@@ -216,6 +221,7 @@
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
   list_remove (&call->link);
+  list_remove (&call->failed_link);
   free (call);
 }
 
@@ -323,28 +329,42 @@
                           n_bytes);
 }
 
+/* CALL has ended with CODE.  */
+static void
+finish_call (backend_http_t *client, backend_call_t *call, CURLcode code)
+{
+  record_result (call, code);
+  call->n_read = response_bytes (call);
+  tell_bytes_after (call);
+  backend_response_t response = call->reader.response;
+  void *owner = call->owner;
+  call->reader.response = (backend_response_t){ 0 };
+  call_free (call);
+  client->options.done (client->options.closure, owner, &response);
+  backend_response_clear (&response);
+}
+
+/* One in each turn.  */
+static void
+finish_failed_call (backend_http_t *client)
+{
+  list_t *link = list_pop_front (&client->failed);
+  if (!link)
+    return;
+  backend_call_t *call = LIST_ENTRY (link, backend_call_t, failed_link);
+  finish_call (client, call, call->failure);
+}
+
 static void
 finish_ended_calls (backend_http_t *client)
 {
   CURLcode code;
   backend_call_t *call;
   while ((call = http_handles_ended (client->handles, &code)))
-    {
-      if (call->needs_new_connection)
-        {
-          restart_call (call);
-          continue;
-        }
-      record_result (call, code);
-      call->n_read = response_bytes (call);
-      tell_bytes_after (call);
-      backend_response_t response = call->reader.response;
-      void *owner = call->owner;
-      call->reader.response = (backend_response_t){ 0 };
-      call_free (call);
-      client->options.done (client->options.closure, owner, &response);
-      backend_response_clear (&response);
-    }
+    if (call->needs_new_connection)
+      restart_call (call);
+    else
+      finish_call (client, call, code);
   backend_connections_sweep (client->connections);
 }
 
@@ -373,7 +393,20 @@
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
-  return client->due_at;
+  return list_empty (&client->failed) ? client->due_at : client->failed_at;
+}
+
+/* libcurl tells of a body that is rejected here by the result alone: the
+   transfer would go on until its timeout.  */
+static void
+resume_call (backend_http_t *client, backend_call_t *call)
+{
+  call->failure = curl_easy_pause (call->easy, CURLPAUSE_CONT);
+  if (call->failure == CURLE_OK)
+    return;
+  list_remove (&call->failed_link);
+  list_push_back (&client->failed, &call->failed_link);
+  client->failed_at = clock_monotonic ();
 }
 
 /* Let the calls that wait for room in the budget try again.  */
@@ -389,7 +422,7 @@
     if (call->is_paused)
       {
         call->is_paused = false;
-        curl_easy_pause (call->easy, CURLPAUSE_CONT);
+        resume_call (client, call);
       }
   }
 }
@@ -399,6 +432,7 @@
 {
   int running = 0;
   resume_paused_calls (client);
+  finish_failed_call (client);
   backend_connections_expire (client->connections, now);
   if (now < client->due_at)
     return;
@@ -429,6 +463,7 @@
   curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_timer);
   curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->calls);
+  list_init (&client->failed);
   return client;
 }
 
--- a/test/unit/test_router_backend_http.c
+++ b/test/unit/test_router_backend_http.c
@@ -624,6 +624,32 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a body that is rejected when it is read on after a wait, and
+   whose call then goes on until its timeout.  */
+static void
+test_rejected_after_wait (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  fixture.keeps = true;
+  for (int i = 0; i < SIZED_FITTING; i++)
+    start_call (&fixture, "/sized");
+  run_until_ended (&fixture, SIZED_FITTING);
+  start_call_anew (&fixture, "/many-chunks");
+  run_for (&fixture, 4 * PAUSE);
+  g_assert_cmpuint (fixture.n_ended, ==, SIZED_FITTING);
+  fixture.budget.max = SMALL_BODY_BYTES;
+  usec_t began_at = clock_monotonic ();
+  for (size_t i = 0; i < SIZED_FITTING; i++)
+    backend_response_clear (&fixture.kept[i]);
+  run_until_ended (&fixture, SIZED_FITTING + 1);
+  g_assert_cmpuint (fixture.n_complete, ==, SIZED_FITTING);
+  g_assert_cmpint (clock_monotonic () - began_at, <, CALL_TIMEOUT / 4);
+  backend_response_clear (&fixture.kept[SIZED_FITTING]);
+  g_assert_cmpuint (fixture.budget.used, ==, 0);
+  fixture_close (&fixture);
+}
+
 static void
 run_until_held (fixture_t *fixture, gint n)
 {
@@ -769,6 +795,8 @@
   g_test_add_func ("/backend-http/answers-wait", test_answers_wait_for_memory);
   g_test_add_func ("/backend-http/chunks-wait-for-memory",
                    test_chunks_wait_for_memory);
+  g_test_add_func ("/backend-http/rejected-after-wait",
+                   test_rejected_after_wait);
   g_test_add_func ("/backend-http/given-up", test_given_up_is_reset);
   g_test_add_func ("/backend-http/two-ids", test_two_ids);
   g_test_add_data_func ("/backend-http/refusal-twice-at-once",
