fix(router): responses in small chunks leave other sockets their turn

Cause: libcurl reads on a socket for as long as data waits there, 100 times 16 KB, before the router's thread sees another one; in chunks of a byte a visit took 12 to 89 ms.

A response is read on for 1 ms in a turn of the thread; then it pauses, and those that paused go on in that order, as far as the next turn's time goes. Bodies with a length rarely need it.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -16,11 +16,16 @@
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
 
+/* For how long responses are read on before other sockets have their turn.
+   libcurl reads on a socket for as long as data waits there, 1.6 MB at most;
+   in small chunks that takes tens of milliseconds.  */
+#define TURN_TIME (1 * USEC_PER_MSEC)
+
 struct backend_call
 {
   list_t link;
-  list_t failed_link; /* in the client's `failed` */
-  CURLcode failure;   /* of a call in `failed` */
+  list_t turn_link; /* in the client's `yielded` or `failed` */
+  CURLcode failure; /* of a call in `failed` */
   backend_http_t *client;
   void *owner;
   CURL *easy;
@@ -40,20 +45,38 @@
   backend_http_options_t options;
   http_handles_t *handles;
   backend_connections_t *connections;
-  list_t calls;        /* in flight */
-  usec_t failed_at;    /* when a call was last put there */
-  list_t failed;       /* calls that failed while they were resumed */
+  list_t calls;   /* in flight */
+  list_t yielded; /* calls that have had their turn, oldest first */
+  list_t failed;  /* calls that failed while they were resumed */
+  usec_t turn_ends_at;
   uint64_t n_releases; /* of the budget, when calls were last resumed */
   usec_t due_at;       /* of libcurl's next timeout */
 };
 
 /* --- Callbacks of libcurl ----------------------------------------------- */
 
+static void
+begin_turn (backend_http_t *client)
+{
+  client->turn_ends_at = clock_monotonic () + TURN_TIME;
+}
+
+static bool
+turn_is_over (const backend_http_t *client)
+{
+  return clock_monotonic () >= client->turn_ends_at;
+}
+
 static size_t
 on_body (char *data, size_t size, size_t n, void *closure)
 {
   backend_call_t *call = closure;
   size_t length = size * n;
+  if (turn_is_over (call->client))
+    {
+      list_push_back (&call->client->yielded, &call->turn_link);
+      return CURL_WRITEFUNC_PAUSE;
+    }
   switch (response_reader_body (&call->reader, data, length))
     {
     case BODY_READ:
@@ -196,7 +219,7 @@
   call->reader.budget = client->options.budget;
   call->easy = http_handles_take (client->handles, &transfer);
   list_push_back (&client->calls, &call->link);
-  list_init (&call->failed_link);
+  list_init (&call->turn_link);
   return call;
 }
 
@@ -221,7 +244,7 @@
   curl_slist_free_all (call->headers);
   backend_response_clear (&call->reader.response);
   list_remove (&call->link);
-  list_remove (&call->failed_link);
+  list_remove (&call->turn_link);
   free (call);
 }
 
@@ -351,7 +374,7 @@
   list_t *link = list_pop_front (&client->failed);
   if (!link)
     return;
-  backend_call_t *call = LIST_ENTRY (link, backend_call_t, failed_link);
+  backend_call_t *call = LIST_ENTRY (link, backend_call_t, turn_link);
   finish_call (client, call, call->failure);
 }
 
@@ -375,6 +398,7 @@
   int events = 0;
   int running = 0;
   int fd = watch->fd;
+  begin_turn (client);
   ready = backend_connections_ready (client->connections, watch, ready);
   if (ready == 0)
     return;
@@ -393,7 +417,11 @@
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
-  return list_empty (&client->failed) ? client->due_at : client->failed_at;
+  bool is_waiting
+      = !list_empty (&client->yielded) || !list_empty (&client->failed);
+  return is_waiting && client->turn_ends_at < client->due_at
+             ? client->turn_ends_at
+             : client->due_at;
 }
 
 /* libcurl tells of a body that is rejected here by the result alone: the
@@ -404,9 +432,19 @@
   call->failure = curl_easy_pause (call->easy, CURLPAUSE_CONT);
   if (call->failure == CURLE_OK)
     return;
-  list_remove (&call->failed_link);
-  list_push_back (&client->failed, &call->failed_link);
-  client->failed_at = clock_monotonic ();
+  list_remove (&call->turn_link);
+  list_push_back (&client->failed, &call->turn_link);
+}
+
+/* Let the calls that have yielded read on, in turn.  */
+static void
+resume_yielded_calls (backend_http_t *client)
+{
+  while (!list_empty (&client->yielded) && !turn_is_over (client))
+    {
+      list_t *link = list_pop_front (&client->yielded);
+      resume_call (client, LIST_ENTRY (link, backend_call_t, turn_link));
+    }
 }
 
 /* Let the calls that wait for room in the budget try again.  */
@@ -431,7 +469,9 @@
 backend_http_tick (backend_http_t *client, usec_t now)
 {
   int running = 0;
+  begin_turn (client);
   resume_paused_calls (client);
+  resume_yielded_calls (client);
   finish_failed_call (client);
   backend_connections_expire (client->connections, now);
   if (now < client->due_at)
@@ -463,6 +503,7 @@
   curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_timer);
   curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->calls);
+  list_init (&client->yielded);
   list_init (&client->failed);
   return client;
 }
