fix(router): skip a bounded number of responses to earlier requests

A backend server that sent responses to an earlier request without end, before a request's own, held the router's thread, with a log line for each: 2,383 in a row in the test, ended by a gap in the data alone.

64 of them, or 16 MB, are skipped on a connection; the next one ends the call as a response to another request does, and the connection is closed.

test_router_backend_reuse /copies-without-end failed before (2383 <= 64); two copies before a response are skipped as before (/two-copies).

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -10,6 +10,7 @@
 
 #include "base/list.h"
 #include "router/foreign_response.h"
+#include "router/response_reader.h"
 
 /* For how long bytes are awaited on a connection that gets no other request:
    they show that the backend server still sends such bytes.  */
@@ -22,6 +23,8 @@
   READ_BYTES = 4096,        /* at a time */
   HIDDEN_BYTES = 64 * 1024, /* within the kernel's usual buffer */
   EXTRA_BYTES_READ_MAX = 64 * 1024,
+  FOREIGN_RESPONSES_MAX = 64, /* that are skipped on a connection */
+  FOREIGN_BYTES_MAX = RESPONSE_BYTES_MAX,
 };
 
 struct backend_connection
@@ -34,6 +37,8 @@
   bool may_be_foreign;   /* what comes next may answer an earlier request */
   bool is_spoilt;        /* such a response has come */
   uint64_t n_foreign;    /* bytes of it that are still to be read */
+  unsigned int n_foreign_responses; /* that have come */
+  uint64_t foreign_bytes;           /* of them all */
   inet_t remote;
   uint16_t local_port; /* 0: no request was sent yet */
   connection_use_t last;
@@ -460,6 +465,16 @@
   return n;
 }
 
+/* Whether BYTES more may be skipped on CONNECTION.  A backend server that
+   sends such responses without end would hold the thread: beyond the bound
+   libcurl gets one, and the call ends with it.  */
+static bool
+may_skip (const backend_connection_t *connection, uint64_t bytes)
+{
+  return connection->n_foreign_responses < FOREIGN_RESPONSES_MAX
+         && connection->foreign_bytes + bytes <= FOREIGN_BYTES_MAX;
+}
+
 /* Whether a response to an earlier request begins on CONNECTION.  */
 static bool
 find_foreign (backend_connections_t *connections,
@@ -471,12 +486,15 @@
                     MSG_PEEK | MSG_DONTWAIT);
   if (n <= 0)
     return false;
-  connection->n_foreign
+  uint64_t n_bytes
       = foreign_response_bytes (buffer, (size_t)n, connection->last.id);
-  connection->may_be_foreign = connection->n_foreign > 0;
+  connection->may_be_foreign = n_bytes > 0 && may_skip (connection, n_bytes);
+  connection->is_spoilt |= n_bytes > 0;
   if (!connection->may_be_foreign)
     return false;
-  connection->is_spoilt = true;
+  connection->n_foreign = n_bytes;
+  connection->n_foreign_responses++;
+  connection->foreign_bytes += n_bytes;
   if (options->extra_bytes)
     options->extra_bytes (options->closure, &connection->last,
                           EXTRA_BEFORE_RESPONSE,
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -21,6 +21,9 @@
   LARGE_BYTES = 3 * 1024 * 1024,
   HAND_ON_ROUNDS = 100,
   HAND_ON_TURNS_MAX = 8,
+  ENDLESS_BLOCK_BYTES = 64 * 1024,
+  N_ENDLESS_BLOCKS = 256,
+  COPIES_READ_MAX = 64,
 };
 
 #define CALL_TIMEOUT (20 * USEC_PER_SEC)
@@ -37,6 +40,7 @@
   SENDS_COPY_BEFORE_NEXT,
   SENDS_COPY_IN_PARTS, /* before the next, with a pause in its body */
   SENDS_COPIES_BEFORE_NEXT,
+  SENDS_COPIES_WITHOUT_END,
   CLOSES_LATE,
 } behaviour_t;
 
@@ -55,7 +59,8 @@
   size_t n_answered;
   answer_facts_t last; /* of the call that ended last */
   bool was_reused;
-  size_t n_extra; /* reports of bytes on an idle connection */
+  size_t n_extra;  /* reports of bytes on an idle connection */
+  size_t n_before; /* of them, before a response */
   connection_use_t extra_use;
   extra_place_t extra_place;
 } fixture_t;
@@ -124,6 +129,17 @@
   return is_kept;
 }
 
+/* N_ENDLESS_BLOCKS are more than the client may read.  */
+static void
+write_copies_without_end (int fd, const char *copy)
+{
+  g_autoptr (GString) block = g_string_new (NULL);
+  while (block->len < ENDLESS_BLOCK_BYTES)
+    g_string_append (block, copy);
+  for (int i = 0; i < N_ENDLESS_BLOCKS; i++)
+    write_text (fd, block->str);
+}
+
 /* COPY is the response that was sent before.  */
 static void
 precede_second_response (const connection_t *connection, const char *copy)
@@ -137,6 +153,9 @@
     case SENDS_COPY_BEFORE_NEXT:
       write_text (connection->fd, copy);
       return;
+    case SENDS_COPIES_WITHOUT_END:
+      write_copies_without_end (connection->fd, copy);
+      return;
     case SENDS_COPY_IN_PARTS:
       send (connection->fd, copy, strlen (copy) - 1, MSG_NOSIGNAL);
       g_usleep (PAUSE);
@@ -229,6 +248,7 @@
   fixture_t *fixture = closure;
   g_assert_cmpuint (n_bytes, >, 0);
   fixture->n_extra++;
+  fixture->n_before += place == EXTRA_BEFORE_RESPONSE;
   fixture->extra_use = *use;
   fixture->extra_place = place;
 }
@@ -412,6 +432,25 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a router that reads responses to an earlier request for as
+   long as a backend server sends them: none of its other requests goes on
+   meanwhile.  */
+static void
+test_copies_without_end (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_COPIES_WITHOUT_END);
+  call (&fixture, "id-1", false);
+  call (&fixture, "id-2", false);
+  g_assert_cmpint (answer_classify (&fixture.last), !=, BACKEND_ANSWERED);
+  g_assert_cmpuint (fixture.n_before, <=, COPIES_READ_MAX);
+  g_assert_cmpuint (fixture.n_extra, <=, fixture.n_before + 1);
+  call (&fixture, "id-3", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  fixture_close (&fixture);
+}
+
 /* Guards against a response of one's own that is left out, and against an end
    that is guessed.  */
 static void
@@ -542,6 +581,8 @@
   g_test_add_data_func ("/backend-reuse/two-copies",
                         GINT_TO_POINTER (SENDS_COPIES_BEFORE_NEXT),
                         test_copy_before_response);
+  g_test_add_func ("/backend-reuse/copies-without-end",
+                   test_copies_without_end);
   g_test_add_func ("/backend-reuse/foreign-response",
                    test_foreign_response_bytes);
   g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
