--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -18,10 +18,17 @@
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
 
+/* For how long responses are read on before other sockets have their turn.
+   libcurl reads on a socket for as long as data waits there, 1.6 MB at most;
+   in small chunks that takes tens of milliseconds.  */
+#define TURN_TIME (1 * USEC_PER_MSEC)
+
 struct backend_call
 {
   list_t link;
   list_t upload_link; /* in `uploads` */
+  list_t turn_link;   /* in the client's `yielded` or `failed` */
+  CURLcode failure;   /* of a call in `failed` */
   backend_http_t *client;
   void *owner;
   CURL *easy;
@@ -42,20 +49,40 @@
   backend_http_options_t options;
   http_handles_t *handles;
   backend_connections_t *connections;
-  list_t calls;        /* in flight */
-  list_t uploads;      /* those whose request may not have been sent yet */
-  usec_t uploads_at;   /* when these are checked next */
+  list_t calls;      /* in flight */
+  list_t uploads;    /* those whose request may not have been sent yet */
+  usec_t uploads_at; /* when these are checked next */
+  list_t yielded;    /* calls that have had their turn, oldest first */
+  list_t failed;     /* calls that failed while they were resumed */
+  usec_t turn_ends_at;
   uint64_t n_releases; /* of the budget, when calls were last resumed */
   usec_t due_at;       /* of libcurl's next timeout */
 };
 
 /* --- Callbacks of libcurl ----------------------------------------------- */
 
+static void
+begin_turn (backend_http_t *client)
+{
+  client->turn_ends_at = clock_monotonic () + TURN_TIME;
+}
+
+static bool
+turn_is_over (const backend_http_t *client)
+{
+  return clock_monotonic () >= client->turn_ends_at;
+}
+
 static size_t
 on_body (char *data, size_t size, size_t n, void *closure)
 {
   backend_call_t *call = closure;
   size_t length = size * n;
+  if (turn_is_over (call->client))
+    {
+      list_push_back (&call->client->yielded, &call->turn_link);
+      return CURL_WRITEFUNC_PAUSE;
+    }
   switch (response_reader_body (&call->reader, data, length))
     {
     case BODY_READ:
@@ -199,6 +226,7 @@
   call->easy = http_handles_take (client->handles, &transfer);
   list_init (&call->upload_link);
   list_push_back (&client->calls, &call->link);
+  list_init (&call->turn_link);
   return call;
 }
 
@@ -224,6 +252,7 @@
   backend_response_clear (&call->reader.response);
   list_remove (&call->upload_link);
   list_remove (&call->link);
+  list_remove (&call->turn_link);
   free (call);
 }
 
@@ -360,6 +389,7 @@
                                   &reader->chunks);
 }
 
+/* CALL has ended with CODE.  */
 static void
 finish_call (backend_http_t *client, backend_call_t *call, CURLcode code)
 {
@@ -374,6 +404,17 @@
   backend_response_clear (&response);
 }
 
+/* One in each turn.  */
+static void
+finish_failed_call (backend_http_t *client)
+{
+  list_t *link = list_pop_front (&client->failed);
+  if (!link)
+    return;
+  backend_call_t *call = LIST_ENTRY (link, backend_call_t, turn_link);
+  finish_call (client, call, call->failure);
+}
+
 static void
 finish_ended_calls (backend_http_t *client)
 {
@@ -399,6 +440,7 @@
   int events = 0;
   int running = 0;
   int fd = watch->fd;
+  begin_turn (client);
   ready = backend_connections_ready (client->connections, watch, ready);
   if (ready == 0)
     return;
@@ -417,9 +459,34 @@
 usec_t
 backend_http_due_at (const backend_http_t *client)
 {
-  if (!list_empty (&client->uploads) && client->uploads_at < client->due_at)
-    return client->uploads_at;
-  return client->due_at;
+  bool is_waiting
+      = !list_empty (&client->yielded) || !list_empty (&client->failed);
+  return is_waiting && client->turn_ends_at < client->due_at
+             ? client->turn_ends_at
+             : client->due_at;
+}
+
+/* libcurl tells of a body that is rejected here by the result alone: the
+   transfer would go on until its timeout.  */
+static void
+resume_call (backend_http_t *client, backend_call_t *call)
+{
+  call->failure = curl_easy_pause (call->easy, CURLPAUSE_CONT);
+  if (call->failure == CURLE_OK)
+    return;
+  list_remove (&call->turn_link);
+  list_push_back (&client->failed, &call->turn_link);
+}
+
+/* Let the calls that have yielded read on, in turn.  */
+static void
+resume_yielded_calls (backend_http_t *client)
+{
+  while (!list_empty (&client->yielded) && !turn_is_over (client))
+    {
+      list_t *link = list_pop_front (&client->yielded);
+      resume_call (client, LIST_ENTRY (link, backend_call_t, turn_link));
+    }
 }
 
 /* Let the calls that wait for room in the budget try again.  */
@@ -435,7 +502,7 @@
     if (call->is_paused)
       {
         call->is_paused = false;
-        curl_easy_pause (call->easy, CURLPAUSE_CONT);
+        resume_call (client, call);
       }
   }
 }
@@ -512,7 +579,10 @@
 backend_http_tick (backend_http_t *client, usec_t now)
 {
   int running = 0;
+  begin_turn (client);
   resume_paused_calls (client);
+  resume_yielded_calls (client);
+  finish_failed_call (client);
   backend_connections_expire (client->connections, now);
   check_uploads (client, now);
   if (now < client->due_at)
@@ -545,6 +615,8 @@
   curl_multi_setopt (multi, CURLMOPT_TIMERDATA, client);
   list_init (&client->calls);
   list_init (&client->uploads);
+  list_init (&client->yielded);
+  list_init (&client->failed);
   return client;
 }
 
