--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -176,8 +176,9 @@
 bool backend_pool_has_eligible (const backend_pool_t *pool,
                                 const pool_query_t *query, usec_t now);
 
-/* If all backend servers that are eligible for QUERY rest at NOW, returns when
-   the first of them wants requests again; otherwise 0.  */
+/* If all backend servers that are eligible for QUERY rest at NOW, or are cold
+   and bear no request of this router, returns when the first of them may get
+   one again; otherwise 0.  */
 usec_t backend_pool_rest_end (const backend_pool_t *pool,
                               const pool_query_t *query, usec_t now);
 
@@ -271,7 +272,7 @@
 bool backend_is_limited (const backend_t *backend, usec_t now);
 
 /* Slots and mean latency of the healthy backend servers that are eligible for
-   a query and do not rest.  */
+   a query and may get requests of this router.  */
 typedef struct pool_capacity
 {
   uint32_t slots;
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -115,6 +115,18 @@
   return pool_cold_start_is_suspect (backend, now);
 }
 
+usec_t
+pool_cold_start_closed_until (const backend_t *backend, usec_t now)
+{
+  if (backend->cold_rate > 0 || backend->may_be_cold
+      || !backend_is_limited (backend, now))
+    return 0;
+  if (pool_cold_start_is_suspect (backend, now)
+      && backend->cold_until_at_most > backend->cold_until)
+    return backend->cold_until_at_most;
+  return backend->cold_until;
+}
+
 void
 pool_cold_start_set (backend_t *backend, usec_t until)
 {
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -79,6 +79,10 @@
 /* BACKEND is warm at UNTIL at the latest.  Returns true if it was not limited
    at NOW before.  */
 bool pool_cold_start_suspect (backend_t *backend, usec_t until, usec_t now);
+/* If this router may send nothing to BACKEND at NOW as others share the rate
+   that it bears, returns until when; otherwise 0, also if that is not known.
+ */
+usec_t pool_cold_start_closed_until (const backend_t *backend, usec_t now);
 /* Whether BACKEND has refused a connection since the latest start that is
    known.  */
 bool pool_cold_start_is_suspect (const backend_t *backend, usec_t now);
--- a/src/balance/pool_notices.c
+++ b/src/balance/pool_notices.c
@@ -97,6 +97,18 @@
          && pool_may_serve (backend, query);
 }
 
+/* Until when BACKEND gets nothing of this router, as it rests or others share
+   the rate that it bears; 0: it may get requests at NOW.  */
+static usec_t
+closed_until (const backend_t *backend, usec_t now)
+{
+  usec_t limit_end = pool_cold_start_closed_until (backend, now);
+  usec_t rest_end = backend_notice_is_resting (&backend->notice, now)
+                        ? backend->notice.rest_until
+                        : 0;
+  return rest_end > limit_end ? rest_end : limit_end;
+}
+
 usec_t
 backend_pool_rest_end (const backend_pool_t *pool, const pool_query_t *query,
                        usec_t now)
@@ -108,10 +120,11 @@
       const backend_t *backend = service->backends[i];
       if (!pool_is_eligible (backend, query))
         continue;
-      if (!backend_notice_is_resting (&backend->notice, now))
+      usec_t until = closed_until (backend, now);
+      if (until == 0)
         return 0;
-      if (backend->notice.rest_until < end)
-        end = backend->notice.rest_until;
+      if (until < end)
+        end = until;
     }
   return end == INT64_MAX ? 0 : end;
 }
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -267,7 +267,8 @@
     {
       const backend_t *backend = service->backends[i];
       if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP
-          || backend_notice_is_resting (&backend->notice, now))
+          || backend_notice_is_resting (&backend->notice, now)
+          || pool_cold_start_closed_until (backend, now) > 0)
         continue;
       capacity.slots += backend->record.slots;
       if (backend->latency == 0)
--- a/test/support/pool_world.h
+++ b/test/support/pool_world.h
@@ -134,6 +134,18 @@
   return pool;
 }
 
+/* A pool of a world with eight routers, whose service has a cold start of
+   COLD_START.  */
+static inline backend_pool_t *
+pool_open_cold (world_t *world, usec_t cold_start)
+{
+  world_init (world);
+  add_routers (world, 8);
+  add_backends (world);
+  world->service.cold_start_duration = cold_start;
+  return pool_open (world);
+}
+
 static inline void
 world_clear (world_t *world)
 {
--- a/test/unit/test_balance_limited_capacity.c
+++ b/test/unit/test_balance_limited_capacity.c
@@ -8,23 +8,13 @@
 
 #define COLD_START (3 * USEC_PER_SEC)
 
-static backend_pool_t *
-open_pool (world_t *world, usec_t cold_start)
-{
-  world_init (world);
-  add_routers (world, 8);
-  add_backends (world);
-  world->service.cold_start_duration = cold_start;
-  return pool_open (world);
-}
-
 /* All backend servers are limited, and this router may send to none of them
    for a second.  */
 static void
 test_capacity_of_limited (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   g_strlcpy (world.settings.address, "10.0.9.9",
              sizeof world.settings.address);
   backend_pool_free (pool);
@@ -40,6 +30,10 @@
   pool_query_t query = query_of (&world, 1);
   g_assert_null (backend_pool_pick (pool, &query, NOW));
   g_assert_cmpuint (backend_pool_capacity (pool, &query, NOW).slots, ==, 0);
+  g_assert_cmpint (backend_pool_rest_end (pool, &query, NOW), ==,
+                   NOW + COLD_START);
+  g_assert_cmpint (backend_pool_rest_end (pool, &query, NOW + COLD_START), ==,
+                   0);
   backend_pool_free (pool);
   world_clear (&world);
 }
--- a/test/unit/test_balance_refused.c
+++ b/test/unit/test_balance_refused.c
@@ -8,16 +8,6 @@
 
 #define COLD_START (3 * USEC_PER_SEC)
 
-static backend_pool_t *
-open_pool (world_t *world)
-{
-  world_init (world);
-  add_routers (world, 8);
-  add_backends (world);
-  world->service.cold_start_duration = COLD_START;
-  return pool_open (world);
-}
-
 static backend_t *
 picked (world_t *world, backend_pool_t *pool)
 {
@@ -45,7 +35,7 @@
 test_one_refusal_is_enough (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   usec_t until = backend_pool_connection_refused (pool, backend, NOW);
   g_assert_cmpint (backend->health, ==, BACKEND_DOWN);
@@ -62,7 +52,7 @@
 test_probe_keeps_limit (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   backend_pool_connection_refused (pool, backend, NOW);
   usec_t back_at = NOW + USEC_PER_SEC;
@@ -79,7 +69,7 @@
 test_told_by_others (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   const cold_report_t reports[]
       = { { .server = 1, .until = NOW + USEC_PER_SEC },
@@ -99,7 +89,7 @@
 test_listed_start_is_exact (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   usec_t until = backend_pool_connection_refused (pool, backend, NOW);
   usec_t started_at = NOW + USEC_PER_SEC / 10;
--- a/test/unit/test_balance_refused_gaps.c
+++ b/test/unit/test_balance_refused_gaps.c
@@ -9,16 +9,6 @@
 
 #define COLD_START (3 * USEC_PER_SEC)
 
-static backend_pool_t *
-open_pool (world_t *world, usec_t cold_start)
-{
-  world_init (world);
-  add_routers (world, 8);
-  add_backends (world);
-  world->service.cold_start_duration = cold_start;
-  return pool_open (world);
-}
-
 static backend_t *
 picked (world_t *world, backend_pool_t *pool)
 {
@@ -55,7 +45,7 @@
 test_unlisted_for_a_moment (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   uint64_t id_hash = backend->id_hash;
   usec_t until = backend_pool_connection_refused (pool, backend, NOW);
@@ -76,7 +66,7 @@
 test_no_cold_start (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world, 0);
+  backend_pool_t *pool = pool_open_cold (&world, 0);
   world.service.cold_rate = 0;
   update (&world, pool, NOW);
   backend_t *backend = picked (&world, pool);
@@ -95,7 +85,7 @@
 test_second_start_soon_after_listed (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   for (size_t i = 0; i < world.list.n_records; i++)
     if (strcmp (world.list.records[i].id, backend->record.id) == 0)
@@ -115,7 +105,7 @@
 test_listed_start_before_refusal (void)
 {
   world_t world;
-  backend_pool_t *pool = open_pool (&world, COLD_START);
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
   backend_t *backend = picked (&world, pool);
   backend_pool_connection_refused (pool, backend, NOW);
   for (size_t i = 0; i < world.list.n_records; i++)
