--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "router/backend_transfer.h"
 #include "wire/http_handles.h"
 #include "wire/send_watch.h"
 
@@ -169,25 +170,6 @@
 
 /* --- Calls -------------------------------------------------------------- */
 
-static void
-set_method (CURL *easy, const backend_request_t *request)
-{
-  bool has_body = request->body_bytes > 0;
-  if (strcmp (request->method, "HEAD") == 0)
-    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else if (!has_body && strcmp (request->method, "GET") == 0)
-    curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
-  else
-    {
-      curl_easy_setopt (easy, CURLOPT_POST, 1L);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)request->body_bytes);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
-                        has_body ? request->body : "");
-      curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
-    }
-}
-
 static void
 set_options (backend_call_t *call, const backend_request_t *request)
 {
@@ -204,7 +186,7 @@
                     (long)request->needs_new_connection);
   backend_connections_attach (call->client->connections, easy);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
-  set_method (easy, request);
+  backend_transfer_set_method (easy, request);
 }
 
 static backend_call_t *
@@ -297,25 +279,6 @@
   call_free (call);
 }
 
-/* Whether CODE tells that the connection has ended.  libcurl makes a new one
-   if a reused connection ended before any byte of the response.  */
-static bool
-is_cut_off (CURLcode code)
-{
-  switch (code)
-    {
-    case CURLE_GOT_NOTHING:
-    case CURLE_RECV_ERROR:
-    case CURLE_SEND_ERROR:
-    case CURLE_PARTIAL_FILE:
-    case CURLE_ABORTED_BY_CALLBACK: /* by on_connection */
-    case CURLE_COULDNT_CONNECT:
-      return true;
-    default:
-      return false;
-    }
-}
-
 /* Store the result of CALL's transfer in its response.  */
 static void
 record_result (backend_call_t *call, CURLcode code)
@@ -332,7 +295,8 @@
   response->may_have_reached = was_sent;
   response->was_reused = was_sent && n_new_connections == 0;
   response->timed_out = code == CURLE_OPERATION_TIMEDOUT;
-  response->was_cut_off = response->may_have_reached && is_cut_off (code);
+  response->was_cut_off
+      = response->may_have_reached && backend_transfer_is_cut_off (code);
   response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
   response->is_unreachable = code == CURLE_COULDNT_CONNECT;
   long connect_errno = 0;
