--- a/test/support/director_world.h
+++ b/test/support/director_world.h
@@ -59,6 +59,7 @@
   backend_list_clear (&core->backend_list);
   book_clear (&core->quotas);
   load_table_clear (&core->loads);
+  cold_table_clear (&core->colds);
   pthread_mutex_destroy (&core->lock);
   pthread_cond_destroy (&core->mailbox_changed);
   free (world);
