fix(router): a connection with an unread request is not closed as idle

Now such input keeps the connection, idle_timeout of the configuration holds if it is longer than 20 s, and a connection that is given up leaves unread what it has not read.

--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -112,7 +112,10 @@
   list_remove (&connection->ready_link);
   if (!connection->input_has_ended)
     poller_remove (connection->port->options.poller, &connection->watch);
-  caller_drain_input (connection);
+  /* On a connection that is given up, a request that has not been read is
+     reset, so that its caller knows that.  */
+  if (connection->phase != CALLER_CLOSED)
+    caller_drain_input (connection);
   close (connection->watch.fd);
   request_parser_clear (&connection->parser);
   free (connection->response.head);
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -140,6 +140,16 @@
                           LIST_ENTRY (link, exchange_t, connection_link));
 }
 
+/* Whether bytes have come that were not read yet.  */
+static bool
+has_unread_input (const caller_connection_t *connection)
+{
+  char byte;
+  return recv (connection->watch.fd, &byte, sizeof byte,
+               MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
 /* Close connections on which nothing has happened for long.  */
 static void
 close_idle (caller_http_t *port, usec_t now)
@@ -148,10 +158,11 @@
   {
     caller_connection_t *connection
         = LIST_ENTRY (link, caller_connection_t, link);
-    if (now - connection->active_at < IDLE_TIMEOUT)
+    if (now - connection->active_at < port->idle_timeout)
       break;
     if (caller_connection_is_idle (connection)
-        && !caller_takes_response (connection))
+        && !caller_takes_response (connection)
+        && !has_unread_input (connection))
       {
         /* Requests behind the first one may still be under way.  */
         caller_set_closed (connection);
@@ -223,6 +234,12 @@
          + count_undelivered (&port->closing);
 }
 
+void
+caller_http_set_idle_timeout (caller_http_t *port, usec_t timeout)
+{
+  port->idle_timeout = timeout > IDLE_TIMEOUT ? timeout : IDLE_TIMEOUT;
+}
+
 void
 caller_http_disable_keep_alive (caller_http_t *port)
 {
@@ -258,6 +275,7 @@
   if (!port)
     abort ();
   port->options = *options;
+  port->idle_timeout = IDLE_TIMEOUT;
   list_init (&port->connections);
   list_init (&port->closing);
   list_init (&port->ready);
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -41,6 +41,9 @@
    set.  EXCHANGE is freed once the response is written.  */
 void caller_http_finish (exchange_t *exchange);
 
+/* Connections may be idle for TIMEOUT, and for 20 s at least.  */
+void caller_http_set_idle_timeout (caller_http_t *port, usec_t timeout);
+
 /* From now on every connection ends after a response, and requests are passed
    on one after the other.  */
 void caller_http_disable_keep_alive (caller_http_t *port);
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -238,6 +238,13 @@
   dispatcher_update_snapshot (dispatcher);
 }
 
+usec_t
+dispatcher_idle_timeout (const dispatcher_t *dispatcher)
+{
+  const route_config_t *config = dispatcher->snapshot->config;
+  return config ? config->limits.idle_timeout : 0;
+}
+
 bool
 dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now)
 {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -53,6 +53,10 @@
    due.  */
 usec_t dispatcher_tick (dispatcher_t *dispatcher, usec_t now);
 
+/* How long callers may leave their connections idle, by the configuration; 0:
+   not known.  */
+usec_t dispatcher_idle_timeout (const dispatcher_t *dispatcher);
+
 /* Whether the router can serve requests: it has a configuration and backend
    servers, and its snapshot is settled (see director_sync.h).  */
 bool dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now);
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -188,7 +188,11 @@
       shutdown_phase_t phase = update_shutdown (thread, now);
       director_sync_tick (thread->sync, now);
       if (atomic_exchange (&thread->snapshot_changed, false))
-        dispatcher_update_snapshot (thread->dispatcher);
+        {
+          dispatcher_update_snapshot (thread->dispatcher);
+          caller_http_set_idle_timeout (
+              thread->port, dispatcher_idle_timeout (thread->dispatcher));
+        }
       update_readiness (thread, now);
       wait = dispatcher_tick (thread->dispatcher, now);
       if (thread->finish_started_at > 0)
