--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -237,6 +237,16 @@
       = backend->latency == 0 ? latency : (7 * backend->latency + latency) / 8;
 }
 
+/* BACKEND gets no request until a probe succeeds.  */
+static void
+take_out (backend_pool_t *pool, backend_t *backend, usec_t now)
+{
+  if (backend->health == BACKEND_DOWN)
+    return;
+  set_health (pool, backend, BACKEND_DOWN);
+  backend->next_probe_at = now + FIRST_PROBE_DELAY;
+}
+
 usec_t
 backend_pool_connection_refused (backend_pool_t *pool, backend_t *backend,
                                  usec_t now)
@@ -250,11 +260,7 @@
       cold_table_put (&pool->colds, &report, true);
       pool_cold_start_suspect (backend, report.until, now);
     }
-  if (backend->health == BACKEND_UP)
-    {
-      set_health (pool, backend, BACKEND_DOWN);
-      backend->next_probe_at = now + FIRST_PROBE_DELAY;
-    }
+  take_out (pool, backend, now);
   return has_cold_start ? report.until : 0;
 }
 
@@ -263,10 +269,8 @@
                usec_t now)
 {
   backend->consecutive_failures++;
-  if (backend->consecutive_failures < limit || backend->health == BACKEND_DOWN)
-    return;
-  set_health (pool, backend, BACKEND_DOWN);
-  backend->next_probe_at = now + FIRST_PROBE_DELAY;
+  if (backend->consecutive_failures >= limit)
+    take_out (pool, backend, now);
 }
 
 bool
