fix(platform,ctl,director,control): many small pieces of a body are copied once

A director did not ask for the list again within 10 s.

Cause: the list's client reallocated its buffer for each piece that libcurl handed over. A page in chunks of 16 bytes is 65,536 pieces up to the bound of 1 MB; where each reallocation moves the buffer, as with the sanitizers, 32 GB are copied while one reading, with a timeout of 0.6 s, can't be interrupted. The class: a buffer that grows by what arrives. mulberryctl and both operators' ports did the same; the requests' bodies of routers and entry VMs still do, within their budgets.

base/byte_buffer doubles its room.

--- a/src/control/admin_port.c
+++ b/src/control/admin_port.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/byte_buffer.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "control/admin_exchange.h"
@@ -35,8 +36,7 @@
 typedef struct upload
 {
   usec_t started_at; /* monotonic clock */
-  char *text;
-  size_t length;
+  byte_buffer_t text;
   bool is_too_long; /* TEXT is incomplete */
 } upload_t;
 
@@ -54,9 +54,10 @@
                SHEET_BYTES_MAX);
       return admin_reply_error (exchange, MHD_HTTP_CONTENT_TOO_LARGE, &err);
     }
-  bool ok = admin_submit (&port->service, upload->text ? upload->text : "",
-                          upload->length, &exchange->credential->operator_name,
-                          &faults, &accepted, &err);
+  const char *text = upload->text.bytes ? upload->text.bytes : "";
+  bool ok = admin_submit (&port->service, text, upload->text.length,
+                          &exchange->credential->operator_name, &faults,
+                          &accepted, &err);
   admin_metrics_sheet (&port->metrics, ok ? ERR_NONE : err.kind);
   if (ok)
     return admin_reply_accepted (exchange, &accepted);
@@ -111,11 +112,12 @@
 authenticate (admin_port_t *port, admin_exchange_t *exchange,
               const upload_t *upload, enum MHD_Result *queued)
 {
-  const credential_request_t signed_request = { .method = exchange->method,
-                                                .target = exchange->target,
-                                                .vm = port->address_port,
-                                                .body = upload->text,
-                                                .body_bytes = upload->length };
+  const credential_request_t signed_request
+      = { .method = exchange->method,
+          .target = exchange->target,
+          .vm = port->address_port,
+          .body = upload->text.bytes,
+          .body_bytes = upload->text.length };
   exchange->authorization = MHD_lookup_connection_value (
       exchange->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
   pthread_mutex_lock (&port->lock);
@@ -176,18 +178,8 @@
 static void
 upload_add (upload_t *upload, const char *data, size_t length)
 {
-  if (upload->length + length > SHEET_BYTES_MAX)
-    {
-      upload->is_too_long = true;
-      return;
-    }
-  char *text = realloc (upload->text, upload->length + length + 1);
-  if (!text)
-    abort ();
-  memcpy (text + upload->length, data, length);
-  upload->text = text;
-  upload->length += length;
-  upload->text[upload->length] = '\0';
+  if (!byte_buffer_append (&upload->text, data, length, SHEET_BYTES_MAX))
+    upload->is_too_long = true;
 }
 
 static enum MHD_Result
@@ -225,7 +217,7 @@
   upload_t *upload = *state;
   if (!upload)
     return;
-  free (upload->text);
+  free (upload->text.bytes);
   free (upload);
   *state = NULL;
 }
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -123,8 +123,8 @@
   if (attempt->status == HTTP_STATUS_UNAUTHORIZED)
     return ATTEMPT_FINAL;
   if (!credential_check_answer (attempt->options->credential, attempt->header,
-                                attempt->status, attempt->body.text,
-                                attempt->body.length, attempt->signature))
+                                attempt->status, attempt->body.text.bytes,
+                                attempt->body.text.length, attempt->signature))
     return ATTEMPT_BAD_SIGNATURE;
   if (attempt->status == HTTP_STATUS_SERVICE_UNAVAILABLE
       || attempt->status == HTTP_STATUS_GATEWAY_TIMEOUT)
@@ -207,7 +207,7 @@
       usec_t remaining = deadline - clock_monotonic ();
       if (i > 0 && remaining <= 0)
         break;
-      free (attempt->body.text);
+      free (attempt->body.text.bytes);
       attempt->body = (download_t){ .limit = REPLY_BYTES_MAX };
       result = attempt_run (attempt, remaining);
       if (result != ATTEMPT_FINAL
@@ -230,12 +230,12 @@
   if (result == ATTEMPT_FINAL)
     {
       *reply = (client_reply_t){ .status = attempt.status,
-                                 .length = attempt.body.length,
+                                 .length = attempt.body.text.length,
                                  .address = address };
       reply->body = download_take_text (&attempt.body);
       return true;
     }
-  free (attempt.body.text);
+  free (attempt.body.text.bytes);
   outcome->any_sent = outcome->any_sent || result == ATTEMPT_NO_ANSWER;
   outcome->any_bad_signature
       = outcome->any_bad_signature || result == ATTEMPT_BAD_SIGNATURE;
--- a/src/ctl/download.c
+++ b/src/ctl/download.c
@@ -19,16 +19,9 @@
 {
   download_t *download = closure;
   size_t length = size * n;
-  if (length > download->limit - download->length)
-    return 0;
-  char *new_text = realloc (download->text, download->length + length + 1);
-  if (!new_text)
-    return 0;
-  memcpy (new_text + download->length, bytes, length);
-  download->text = new_text;
-  download->length += length;
-  new_text[download->length] = '\0';
-  return length;
+  bool fits
+      = byte_buffer_append (&download->text, bytes, length, download->limit);
+  return fits ? length : 0;
 }
 
 void
@@ -41,8 +34,7 @@
 char *
 download_take_text (download_t *download)
 {
-  char *text = download->text;
-  download->text = NULL;
+  char *text = byte_buffer_take (&download->text);
   return text ? text : strdup ("");
 }
 
@@ -116,5 +108,5 @@
 pages_free (page_t *pages, size_t n)
 {
   for (size_t i = 0; i < n; i++)
-    free (pages[i].body.text);
+    free (pages[i].body.text.bytes);
 }
--- a/src/ctl/download.h
+++ b/src/ctl/download.h
@@ -9,12 +9,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/byte_buffer.h"
 #include "wire/head_bound.h"
 
 typedef struct download
 {
-  char *text; /* NUL-terminated; NULL until the first byte arrives */
-  size_t length;
+  byte_buffer_t text;
   size_t limit; /* in bytes; a longer body aborts the transfer */
   head_bound_t head;
 } download_t;
--- a/src/ctl/fleet_command.c
+++ b/src/ctl/fleet_command.c
@@ -203,8 +203,8 @@
   inet_format_address (at.address, address);
   page_t page = { .address = address, .port = at.port, .path = "/v1/fleet" };
   pages_fetch (&page, 1);
-  json_t *view = page.status == HTTP_STATUS_OK && page.body.text
-                     ? json_loads (page.body.text, 0, NULL)
+  json_t *view = page.status == HTTP_STATUS_OK && page.body.text.bytes
+                     ? json_loads (page.body.text.bytes, 0, NULL)
                      : NULL;
   exit_code_t code = EXIT_OK;
   if (!view)
--- a/src/ctl/vm_view.c
+++ b/src/ctl/vm_view.c
@@ -32,7 +32,7 @@
   process->expected = true;
   process->metrics = metrics_new ();
   err_t err = { 0 };
-  const char *text = pages[0].body.text;
+  const char *text = pages[0].body.text.bytes;
   process->reached
       = pages[0].status == HTTP_STATUS_OK && health->status != 0 && text;
   if (!process->reached)
@@ -41,9 +41,11 @@
     snprintf (process->problem, sizeof process->problem, "%.250s",
               err.message);
   else if (health->status != HTTP_STATUS_OK)
-    snprintf (process->problem, sizeof process->problem, "%.*s",
-              (int)strcspn (health->body.text ? health->body.text : "", "\n"),
-              health->body.text ? health->body.text : "");
+    snprintf (
+        process->problem, sizeof process->problem, "%.*s",
+        (int)strcspn (health->body.text.bytes ? health->body.text.bytes : "",
+                      "\n"),
+        health->body.text.bytes ? health->body.text.bytes : "");
 }
 
 static size_t
--- a/src/director/director_port.c
+++ b/src/director/director_port.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/byte_buffer.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/name.h"
@@ -46,8 +47,7 @@
 {
   director_port_t *port;
   struct MHD_Connection *connection;
-  char *body;
-  size_t body_length;
+  byte_buffer_t body;
   bool is_body_too_long;
   bool is_submitted; /* REQUEST was submitted, and may be finished */
   operator_request_t request;
@@ -148,16 +148,16 @@
     return err_set (err, ERR_LIMIT, "send a smaller configuration",
                     "the configuration exceeds the limit of %d bytes",
                     BODY_BYTES_MAX);
-  route_config_t *config = config_codec_read (
-      exchange->body ? exchange->body : "", exchange->body_length, err);
+  route_config_t *config
+      = config_codec_read (exchange->body.bytes ? exchange->body.bytes : "",
+                           exchange->body.length, err);
   if (!config)
     return false;
   bool ok = route_config_check (config, err);
   exchange->request.kind = OPERATOR_PUT_CONFIG;
   exchange->request.config_version = config->version;
-  exchange->request.text = exchange->body;
-  exchange->request.length = exchange->body_length;
-  exchange->body = NULL;
+  exchange->request.length = exchange->body.length;
+  exchange->request.text = byte_buffer_take (&exchange->body);
   route_config_free (config);
   return ok;
 }
@@ -250,18 +250,8 @@
 static void
 append_body (exchange_t *exchange, const char *data, size_t length)
 {
-  if (exchange->body_length + length > BODY_BYTES_MAX)
-    {
-      exchange->is_body_too_long = true;
-      return;
-    }
-  char *grown = realloc (exchange->body, exchange->body_length + length + 1);
-  if (!grown)
-    abort ();
-  exchange->body = grown;
-  memcpy (exchange->body + exchange->body_length, data, length);
-  exchange->body_length += length;
-  exchange->body[exchange->body_length] = '\0';
+  if (!byte_buffer_append (&exchange->body, data, length, BODY_BYTES_MAX))
+    exchange->is_body_too_long = true;
 }
 
 static enum MHD_Result
@@ -303,7 +293,7 @@
   exchange_t *exchange = *context;
   if (!exchange)
     return;
-  free (exchange->body);
+  free (exchange->body.bytes);
   free (exchange->request.text);
   free (exchange);
   *context = NULL;
