test(fakes): a raw backend server that starts again knows which server it is

Cause, by the log of router-1: all four servers had refused a connection while they were started again, so each was out until a health check succeeded; their health checks were answered 200 without an id (healthy=0, ten in a row), since the stand-in learns its id from the first request, which none could get. The stand-in's fault, not the router's: a health check without the server's id proves nothing.

The stand-in keeps the id of each port in its folder. No check of a test changed.

--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -9,10 +9,11 @@
    before it reads a request's body, "answers-early" answers first.  A body is
    BODY_BYTES long and made from the request's id; a HEAD gets none.  A health
    check is answered as by the backend server that the last request expected at
-   that port.  Each request that is run is appended to FOLDER/runs as "ID
-   BACKEND MSEC".  If NAME is given, each request gets this response, also a
-   health check; responses without end are in raw_backend_endless.c, and the
-   bytes that were sent of each go to FOLDER/endless.  */
+   that port, also of an earlier process (FOLDER/instance-PORT).  Each request
+   that is run is appended to FOLDER/runs as "ID BACKEND MSEC".  If NAME is
+   given, each request gets this response, also a health check; responses
+   without end are in raw_backend_endless.c, and the bytes that were sent of
+   each go to FOLDER/endless.  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -33,7 +34,6 @@
   REQUEST_BYTES = 8192,
   HEAD_BYTES = 1024,
   NAME_BYTES = 256,
-  ID_BYTES = 128,
   BODY_BYTES = 900,
   LARGE_BYTES = 2 * 1024 * 1024,
   HUGE_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
@@ -159,8 +159,9 @@
   int listener;
   unsigned int number;
   unsigned int n_requests; /* guarded by LOCK */
-  char
-      instance[ID_BYTES]; /* that the last request expected; guarded by LOCK */
+  /* That the last request expected, also of an earlier process; guarded by
+     LOCK.  */
+  char instance[ID_BYTES];
 } port_t;
 
 typedef struct client
@@ -393,10 +394,12 @@
 expected_instance (port_t *port, char instance[ID_BYTES])
 {
   pthread_mutex_lock (&lock);
-  if (instance[0])
-    memcpy (port->instance, instance, ID_BYTES);
-  else
-    memcpy (instance, port->instance, ID_BYTES);
+  if (instance[0] && strcmp (port->instance, instance) != 0)
+    {
+      memcpy (port->instance, instance, ID_BYTES);
+      raw_backend_store_instance (folder, port->number, instance);
+    }
+  memcpy (instance, port->instance, ID_BYTES);
   pthread_mutex_unlock (&lock);
 }
 
@@ -561,6 +564,7 @@
     abort ();
   port->listener = socket (AF_INET, SOCK_STREAM, 0);
   port->number = number;
+  raw_backend_load_instance (folder, number, port->instance);
   setsockopt (port->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (port->listener, (struct sockaddr *)&at, sizeof at) != 0
       || listen (port->listener, LISTEN_BACKLOG) != 0
