test(fakes): a direction of the relay that has swallowed bytes stays silent

By reading, the relay: under drop-to it swallowed one request and passed the next one on the same connection, which a stream never does.

--- a/test/fakes/fake_relay.c
+++ b/test/fakes/fake_relay.c
@@ -8,6 +8,8 @@
      drop          both directions are swallowed without a word
      drop-to       only what goes to the target is swallowed
      drop-from     only what comes from the target is swallowed
+                   (a stream has no gaps: a direction that has lost bytes
+                   stays silent until its connection ends)
      silence N     connections open now are swallowed for good, new ones pass;
                    again for each new N
      delay MS      each direction is late by MS  */
@@ -64,6 +66,7 @@
   list_t queue; /* read from fd, to be written to the peer's */
   size_t n_queued;
   bool ended;
+  bool has_lost; /* bytes or the end of its stream */
   bool to_target;
 } pipe_end_t;
 
@@ -186,7 +189,7 @@
 static bool
 is_swallowed (const pipe_end_t *end)
 {
-  return end->pair->silent
+  return end->pair->silent || end->has_lost
          || (end->to_target ? relay.condition.drop_to
                             : relay.condition.drop_from);
 }
@@ -208,6 +211,7 @@
       end->ended = n <= 0;
       if (is_swallowed (end))
         {
+          end->has_lost = true;
           free (chunk);
           continue;
         }
