fix(agreement): a locked data folder is told with its own remedy

A second process on a data folder was told to free space on its disk or repair it. Test: /agreement/storage/owner failed before ('another process' is not in the message).

--- a/src/agreement/storage.c
+++ b/src/agreement/storage.c
@@ -115,9 +115,14 @@
   storage->folder_fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (storage->folder_fd < 0)
     return fail (storage, "open the data folder", err);
-  if (flock (storage->folder_fd, LOCK_EX | LOCK_NB) != 0)
+  if (flock (storage->folder_fd, LOCK_EX | LOCK_NB) == 0)
+    return true;
+  if (errno != EWOULDBLOCK)
     return fail (storage, "lock the data folder", err);
-  return true;
+  return err_set (err, ERR_STORAGE,
+                  "stop the other process, or give this one a data folder of "
+                  "its own",
+                  "another process has locked the data folder %s", folder);
 }
 
 bool
--- a/test/unit/test_agreement_storage.c
+++ b/test/unit/test_agreement_storage.c
@@ -142,7 +142,8 @@
   folder_free (folder);
 }
 
-/* Two processes must not write to one data folder.  */
+/* Two processes must not write to one data folder, and the remedy names that
+   and not the disk.  */
 static void
 test_folder_has_one_owner (void)
 {
@@ -153,6 +154,8 @@
   storage_t *storage = storage_open (folder, &image, NULL);
   g_assert_null (storage_open (folder, &other, &err));
   g_assert_cmpint (err.kind, ==, ERR_STORAGE);
+  g_assert_nonnull (strstr (err.message, "another process"));
+  g_assert_nonnull (strstr (err.remedy, "stop the other process"));
   image_clear (&image);
   storage_close (storage);
   folder_free (folder);
