--- a/src/router/readiness_port.c
+++ b/src/router/readiness_port.c
@@ -15,6 +15,8 @@
   IDLE_SECONDS = 10,
 };
 
+static const char not_found[] = "no such page; ask for " PATH_READY "\n";
+
 struct readiness_port
 {
   struct MHD_Daemon *daemon;
@@ -32,11 +34,11 @@
   (void)data_bytes;
   (void)context;
   readiness_port_t *port = closure;
-  bool is_known = strcmp (url, PATH_READY) == 0;
+  if (strcmp (url, PATH_READY) != 0)
+    return http_reply_text (connection, MHD_HTTP_NOT_FOUND, "text/plain",
+                            not_found, strlen (not_found));
   bool is_ready = atomic_load (&port->is_ready);
-  unsigned int status = !is_known  ? MHD_HTTP_NOT_FOUND
-                        : is_ready ? MHD_HTTP_OK
-                                   : MHD_HTTP_SERVICE_UNAVAILABLE;
+  unsigned int status = is_ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE;
   const char *text = is_ready ? "ready\n" : "not ready\n";
   return http_reply_text (connection, status, "text/plain", text,
                           strlen (text));
--- a/test/functional/test_fleet.sh
+++ b/test/functional/test_fleet.sh
@@ -14,6 +14,8 @@
 [ "$(request 1 /x/1 id-0)" = 503 ] || fail 'a router without a configuration did not answer 503'
 wait_for 15 put "$(config 00000005 idempotent /x/)"
 for i in 1 2 3; do wait_for 10 ready $i; done
+unknown=$(curl -s -w ' %{http_code}' "http://$(router_address 1):7813/other")
+[[ $unknown == *'ask for /ready'*' 404' ]] || fail "an unknown page of the readiness port told '$unknown'"
 echo 'good: started'
 
 # The newest configuration, from any director; what is invalid or older changes nothing.
