fix(balance): a server that may have started again loses what its last start taught

Callers: a router that was told that a backend server may have started again limited it, but went on to choose by the load, latency, quality, pace and objects of the start that had ended, until the list showed the new one, about a second later; objects were sent there for a cache that is gone.

Cause: only a listed start or this router's own health check discarded them.

Each report that tells more than was known discards them now; health stays, as a report says nothing of it. A report that repeats what is known discards nothing, so what the new start teaches stays.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -48,6 +48,18 @@
   pool->options.settings = settings;
 }
 
+void
+pool_forget_start (backend_t *backend)
+{
+  backend->consecutive_failures = 0;
+  backend->other_load = 0;
+  backend->other_load_mean = 0;
+  backend->pace = 0;
+  backend->latency = 0;
+  recent_objects_clear (&backend->recent_objects);
+  backend->quality = (backend_quality_t){ 0 };
+}
+
 static void
 set_health (backend_pool_t *pool, backend_t *backend, backend_health_t health)
 {
@@ -74,13 +86,7 @@
 reset_backend (backend_pool_t *pool, backend_t *backend)
 {
   set_health (pool, backend, BACKEND_UP);
-  backend->consecutive_failures = 0;
-  backend->other_load = 0;
-  backend->other_load_mean = 0;
-  backend->pace = 0;
-  backend->latency = 0;
-  recent_objects_clear (&backend->recent_objects);
-  backend->quality = (backend_quality_t){ 0 };
+  pool_forget_start (backend);
 }
 
 /* A start of BACKEND is listed by a reading at READ_AT.  One that has refused
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -150,10 +150,14 @@
   size_t n_new = 0;
   for (size_t i = 0; i < n; i++)
     {
-      cold_table_put (&pool->colds, &reports[i], false);
+      bool is_news = cold_table_put (&pool->colds, &reports[i], false);
       backend_t *backend = pool_index_find_id (pool, reports[i].server);
-      if (backend && pool_cold_start_suspect (backend, reports[i].until, now))
+      if (!backend)
+        continue;
+      if (pool_cold_start_suspect (backend, reports[i].until, now))
         n_new++;
+      if (is_news && pool_cold_start_is_suspect (backend, now))
+        pool_forget_start (backend);
     }
   return n_new;
 }
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -71,6 +71,9 @@
 /* Sets the rendezvous weights of all backend servers.  */
 void pool_update_weights (backend_pool_t *pool, const pool_update_t *update);
 
+/* Discards what was observed of BACKEND's last start, but not its health.  */
+void pool_forget_start (backend_t *backend);
+
 /* Returns whether a cold BACKEND may get one more request; true if BACKEND is
    not cold.  */
 bool pool_cold_start_allows (const backend_t *backend, usec_t now);
--- a/test/unit/test_balance_refused_gaps.c
+++ b/test/unit/test_balance_refused_gaps.c
@@ -120,6 +120,35 @@
   world_clear (&world);
 }
 
+/* What is known of load, quality and objects is of the start that has ended;
+   what is learned afterwards stays.  */
+static void
+test_told_forgets_last_start (void)
+{
+  world_t world;
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
+  const pool_query_t query = query_of (&world, 1);
+  backend_t *backend = picked (&world, pool);
+  const cold_report_t report
+      = { .server = backend->id_hash, .until = NOW + 2 * USEC_PER_SEC };
+  for (int round = 0; round < 2; round++)
+    {
+      backend_pool_request_sent (pool, backend, &query, NOW);
+      report_answered (pool, backend, NOW);
+      pool_load_update (backend, SLOTS, 200, NOW);
+      backend_pool_hear_colds (pool, &report, 1, NOW);
+      g_assert_cmpuint (backend->other_load, ==, round * SLOTS);
+      g_assert_cmpuint (backend->pace, ==, round * 200);
+      g_assert_true ((backend->latency > 0) == round);
+      g_assert_true (
+          recent_objects_contains (&backend->recent_objects, query.object_hash)
+          == round);
+      g_assert_cmpint (backend->health, ==, BACKEND_UP);
+    }
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -133,5 +162,7 @@
                    test_second_start_soon_after_listed);
   g_test_add_func ("/refused-gaps/listed-start-before-refusal",
                    test_listed_start_before_refusal);
+  g_test_add_func ("/refused-gaps/told-forgets-last-start",
+                   test_told_forgets_last_start);
   return g_test_run ();
 }
