test(functional): a cold flood while no director is in reach, known red

test_fleet_cold_flood with all directors paused for 6 s from the server's end (PAUSE_SECONDS).

Weighed and not built: to limit each server to which a router has no connection of before. With 85 routers each sends to one server every ten seconds, so nearly all servers would be limited at nearly all routers as soon as the directors are lost, though all servers are well.

--- a/test/functional/test_fleet_cold_flood.sh
+++ b/test/functional/test_fleet_cold_flood.sh
@@ -11,6 +11,7 @@
 COLD_MAX=8 # requests a second: COLD_RATE * cold_overshoot + cold_slack
 N_OBJECTS=101
 LOAD_SECONDS=25
+PAUSE_SECONDS=${PAUSE_SECONDS:-0} # of all directors, from the server's end on
 
 fleet_start
 wait_for 15 put "$(config 00000006 idempotent /x/ | sed "s/\"cold_per_s\":5/\"cold_per_s\":$COLD_RATE/")"
@@ -31,6 +32,11 @@
 sleep 3
 request 1 /x/restart id-restart >/dev/null || true
 started() { [ -s "$FOLDER/starts" ]; }
+if [ "$PAUSE_SECONDS" -gt 0 ]; then
+  kill -STOP "${PIDS[director-1]}" "${PIDS[director-2]}" "${PIDS[director-3]}"
+  sleep "$PAUSE_SECONDS"
+  kill -CONT "${PIDS[director-1]}" "${PIDS[director-2]}" "${PIDS[director-3]}"
+fi
 wait_for 10 started
 read -r _ BACKEND STARTED _ <"$FOLDER/starts"
 wait "${LOADS[@]}"
