test(fakes): a raw backend server knows its id before its first request

Cause, shown: the stand-in learned its id from the first request.

start_raw in fleet.sh writes the ids before the start, and waits until the stand-in listens; the soak and the fleet tests use it. No check changed.

--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -11,6 +11,7 @@
 OPERATORS_PORT=7810
 LOOKUPS_PORT=7811
 REQUESTS_PORT=7812
+RAW_OFFSET=20 # of the ports of raw backend servers, where the list's are
 
 fail() {
   echo "failed: $*" >&2
@@ -93,6 +94,22 @@
   done
 }
 
+listens() { : <"/dev/tcp/$1/$2"; }
+
+# start_raw NAME FIRST N [RESPONSE]: N backend servers from the FIRST of the list on (1: the first),
+# which frame and end responses in every way.  They know their ids: a router that has one out
+# sends it health checks alone, which name no id.
+start_raw() {
+  local name=$1 first=$2 n=$3 i port
+  shift 3
+  for ((i = first; i < first + n; i++)); do
+    port=$((${LIST#*:} + RAW_OFFSET + i))
+    echo "${DOMAINS[$(((i - 1) / 2))]}-$(((i - 1) % 2))" >"$FOLDER/instance-$port"
+  done
+  start "$name" "$BUILD/test/fake-raw-backend" "${LIST%:*}" $((${LIST#*:} + RAW_OFFSET + first)) "$n" "$FOLDER" "$@"
+  wait_for 10 listens "${LIST%:*}" $port # the last one that is opened
+}
+
 # logged PATTERN PROCESS...: whether the log of one of them has it; a log is written a little
 # after the event, so wait for it.
 logged() {
--- a/test/functional/response_ends.sh
+++ b/test/functional/response_ends.sh
@@ -2,13 +2,12 @@
 # every way.  Source it with BUILD and SOURCE set.
 
 source "$SOURCE/test/functional/fleet.sh"
-OFFSET=20
 BACKENDS=6
 ROUNDS=3
 BODY_BYTES=900
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $OFFSET "${DOMAINS[@]}"
-start raw "$BUILD/test/fake-raw-backend" "${LIST%:*}" $((${LIST#*:} + 1 + OFFSET)) $BACKENDS "$FOLDER"
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RAW_OFFSET "${DOMAINS[@]}"
+start_raw raw 1 $BACKENDS
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
 wait_for 15 put "$(config 00000005 non_idempotent /x/)"
 served() { [ "$(request "$1" /x/length "id-$RANDOM$RANDOM")" = 200 ]; }
--- a/test/functional/test_fleet_endless_response.sh
+++ b/test/functional/test_fleet_endless_response.sh
@@ -6,24 +6,18 @@
 SOURCE=$2
 source "$SOURCE/test/functional/fleet.sh"
 source "$SOURCE/test/functional/endless.sh"
-OFFSET=20
-FIRST=$((${LIST#*:} + 1 + OFFSET))
 BACKENDS=6
 FAULTY=2        # the first ones, while all that they get is answered without end
 AT_ONCE=8       # requests that get such a response
 OTHERS=8        # requests beside them, at once
 LATE_MSEC=2000  # the timeout of the route, of fleet.sh
 
-start_backends() { # NAME FIRST N [RESPONSE]
-  start "$1" "$BUILD/test/fake-raw-backend" "${LIST%:*}" "$2" "$3" "$FOLDER" ${4:+"$4"}
-}
-
 # The list without end: directors go on, and get the list once it is whole.
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; done
 asked() { [ "$(order GET /Config.Get)" != 000 ]; }
 wait_for 10 asked
 for name in $ENDLESS_HEADS $ENDLESS_OTHER $ENDLESS_BODIES $ENDLESS_CHUNKS; do
-  start_backends list "${LIST#*:}" 1 "$name"
+  start list "$BUILD/test/fake-raw-backend" "${LIST%:*}" "${LIST#*:}" 1 "$FOLDER" "$name"
   wait_for 10 begun "$name"
   sleep 0.3
   asked || fail "$name: a director does not answer its operators"
@@ -32,8 +26,8 @@
 done
 rm "$FOLDER/endless"
 
-start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $OFFSET "${DOMAINS[@]}"
-start_backends raw "$FIRST" $BACKENDS
+start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RAW_OFFSET "${DOMAINS[@]}"
+start_raw raw 1 $BACKENDS
 for i in 1 2 3; do start_vm router $i; done
 wait_for 15 put "$(config 00000005 non_idempotent /x/)"
 served() { [ "$(request "$1" /x/length "id-$RANDOM$RANDOM")" = 200 ]; }
@@ -82,10 +76,10 @@
 
 # Health checks that are answered without end, of two backend servers.
 kill_one KILL raw
-start_backends raw $((FIRST + FAULTY)) $((BACKENDS - FAULTY))
+start_raw raw $((1 + FAULTY)) $((BACKENDS - FAULTY))
 for name in endless-body endless-fields endless-trailers endless-small-chunks; do
   rm -f "$FOLDER/endless"
-  start_backends faulty "$FIRST" $FAULTY "$name"
+  start_raw faulty 1 $FAULTY "$name"
   wait_for 20 probed "$name"
   for i in 1 2 3; do wait_for 10 served $i; done
   for i in 1 2 3; do check_peak "$name as health check" router-$i; done
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -49,7 +49,6 @@
 SHIM=$BUILD/test/libfault-shim.so
 [ -e "$SHIM" ] || SHIM=
 RELAY_OFFSET=50
-RAW_OFFSET=20
 RAW_PORT=2 # of the backend servers; it is neither drained, nor leaves or rests
 QUOTA_RATE=10 # of one account, a second; the callers ask for more
 QUOTA_WINDOW_MSEC=5000
@@ -219,7 +218,7 @@
 touch "$FOLDER/drained"
 echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RELAY_OFFSET "${DOMAINS[@]}"
-start raw "$BUILD/test/fake-raw-backend" "${LIST%:*}" $((${LIST#*:} + RAW_PORT + RAW_OFFSET)) 1 "$FOLDER"
+start_raw raw $RAW_PORT 1
 ROUTES=()
 for port in 1 2 3 4 5 6; do
   to=$((port == RAW_PORT ? port + RAW_OFFSET : port))
