fix(balance): health checks of a cold backend server are bounded

Cause: each router that had met a refusal checked it every 0.7 s, also those that may send it nothing while it is limited.

Those that don't share its rate check it once a second all together, at phases from their hash, until the limit ends; those that share it check as before, and a check that is answered takes half a token. So that a server that stays down goes on refusing (COLD_REFUSAL_INTERVAL), two of those that share the rate check it as soon as they are told.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -345,44 +345,58 @@
   free_if_unused (pool, backend);
 }
 
+bool
+backend_pool_begin_probe (backend_t *backend, usec_t now)
+{
+  if (backend->is_probing || backend_is_leaving (backend)
+      || backend_notice_is_resting (&backend->notice, now))
+    return false;
+  backend->is_probing = true;
+  backend->wants_probe = false;
+  return true;
+}
+
+static bool
+is_probe_due (const backend_t *backend, usec_t now)
+{
+  if (backend->wants_probe)
+    return true;
+  return backend->health == BACKEND_DOWN && now >= backend->next_probe_at
+         && now >= pool_cold_start_probe_at (backend, backend->next_probe_at,
+                                             now);
+}
+
 backend_t *
 backend_pool_due_probe (backend_pool_t *pool, usec_t now)
 {
-  if (pool->n_down == 0)
+  if (pool->n_down == 0 && !pool->has_wanted_probes)
     return NULL;
+  bool is_wanted_later = false;
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    if (backend->health != BACKEND_DOWN || backend->is_probing
-        || !backend->is_listed || backend_is_leaving (backend)
-        || backend_notice_is_resting (&backend->notice, now)
-        || now < backend->next_probe_at)
+    is_wanted_later |= backend->wants_probe && backend->is_probing;
+    if (!is_probe_due (backend, now) || !backend->is_listed
+        || !backend_pool_begin_probe (backend, now))
       continue;
-    backend->is_probing = true;
     return backend;
   }
+  pool->has_wanted_probes = is_wanted_later;
   return NULL;
 }
 
-bool
-backend_pool_begin_probe (backend_t *backend, usec_t now)
-{
-  if (backend->is_probing || backend_is_leaving (backend)
-      || backend_notice_is_resting (&backend->notice, now))
-    return false;
-  backend->is_probing = true;
-  return true;
-}
-
 void
 backend_pool_probe_ended (backend_pool_t *pool, backend_t *backend,
                           bool is_healthy, usec_t cold_left, usec_t now)
 {
   backend->is_probing = false;
+  backend->probed_at = now;
   backend->next_probe_at = now + PROBE_INTERVAL;
   if (is_healthy && backend->health == BACKEND_DOWN)
     reset_backend (pool, backend);
   if (is_healthy && cold_left > 0)
     pool_cold_start_set (backend, now + cold_left);
+  if (is_healthy)
+    pool_cold_start_take_probe (backend, now);
   free_if_unused (pool, backend);
 }
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -16,13 +16,23 @@
 
 enum
 {
-  SHARERS_MAX = 4, /* routers that may send to one cold backend server */
+  SHARERS_MAX = 4,  /* routers that may send to one cold backend server */
+  LOOKOUTS_MAX = 2, /* of these, that look at it as soon as they are told */
 };
 
 /* Fraction of the allowed rate that is used.  The remainder is a margin for
    requests in transit and for routers whose lists of routers differ.  */
 static const double rate_fraction = 0.6;
 
+/* Between two health checks of one limited backend server by all routers
+   together that do not share its rate.  Those that share it check it as often
+   as any.  */
+#define SPREAD_PROBE_INTERVAL USEC_PER_SEC
+
+/* Tokens that a health check takes which is answered; the margin bears the
+   rest.  */
+static const double probe_cost = 0.5;
+
 /* A time that other routers tell is late by what the messages took.  */
 #define MESSAGE_TIME (200 * USEC_PER_MSEC)
 
@@ -79,6 +89,22 @@
   if (backend->cold_refilled_at == 0)
     backend->cold_refilled_at = now;
   backend->cold_rate = rate;
+  backend->is_lookout = rank < LOOKOUTS_MAX;
+  backend->spread_period = (usec_t)update->n_routers * SPREAD_PROBE_INTERVAL;
+  if (backend->spread_period > 0)
+    backend->spread_phase = (usec_t)(rank_hash (backend, pool->self)
+                                     % (uint64_t)backend->spread_period);
+}
+
+usec_t
+pool_cold_start_probe_at (const backend_t *backend, usec_t at, usec_t now)
+{
+  usec_t period = backend->spread_period;
+  if (period == 0 || backend->cold_rate > 0
+      || !backend_is_limited (backend, now))
+    return at;
+  usec_t since_phase = (at + period - backend->spread_phase) % period;
+  return since_phase == 0 ? at : at + period - since_phase;
 }
 
 /* The bucket holds at most one token, so that the requests in one second
@@ -143,6 +169,23 @@
   return !was_limited && backend_is_limited (backend, now);
 }
 
+/* REPORT tells something new of BACKEND.  */
+static void
+hear_cold (backend_pool_t *pool, backend_t *backend,
+           const cold_report_t *report, usec_t now)
+{
+  if (!pool_cold_start_is_suspect (backend, now))
+    return;
+  pool_forget_start (backend);
+  /* So that a backend server that stays down goes on refusing.  */
+  usec_t seen_at = report->until - COLD_REFUSAL_INTERVAL - backend->cold_start;
+  if (backend->health == BACKEND_DOWN || !backend->is_lookout
+      || backend->probed_at > seen_at)
+    return;
+  backend->wants_probe = true;
+  pool->has_wanted_probes = true;
+}
+
 size_t
 backend_pool_hear_colds (backend_pool_t *pool, const cold_report_t *reports,
                          size_t n, usec_t now)
@@ -156,8 +199,8 @@
         continue;
       if (pool_cold_start_suspect (backend, reports[i].until, now))
         n_new++;
-      if (is_news && pool_cold_start_is_suspect (backend, now))
-        pool_forget_start (backend);
+      if (is_news)
+        hear_cold (pool, backend, &reports[i], now);
     }
   return n_new;
 }
@@ -168,11 +211,23 @@
   return !backend_is_limited (backend, now) || tokens_at (backend, now) >= 1;
 }
 
-void
-pool_cold_start_take (backend_t *backend, usec_t now)
+static void
+take_tokens (backend_t *backend, double n, usec_t now)
 {
   if (!backend_is_limited (backend, now))
     return;
-  backend->cold_tokens = tokens_at (backend, now) - 1;
+  backend->cold_tokens = tokens_at (backend, now) - n;
   backend->cold_refilled_at = now;
 }
+
+void
+pool_cold_start_take (backend_t *backend, usec_t now)
+{
+  take_tokens (backend, 1, now);
+}
+
+void
+pool_cold_start_take_probe (backend_t *backend, usec_t now)
+{
+  take_tokens (backend, probe_cost, now);
+}
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -23,6 +23,7 @@
   size_t n_services;
   pool_service_t *services; /* malloc'd */
   size_t n_down;            /* backend servers that are BACKEND_DOWN */
+  bool has_wanted_probes;   /* one that is not BACKEND_DOWN may want a probe */
   backend_notices_t notices;
   cold_table_t colds; /* all that was seen and told, also of unlisted ones */
   size_t n_by_id;
@@ -89,8 +90,14 @@
 /* Whether BACKEND has refused a connection since the latest start that is
    known.  */
 bool pool_cold_start_is_suspect (const backend_t *backend, usec_t now);
+/* When BACKEND is to be probed by this router, if by its state alone it would
+   be at AT.  */
+usec_t pool_cold_start_probe_at (const backend_t *backend, usec_t at,
+                                 usec_t now);
 /* Takes one token if BACKEND is cold.  */
 void pool_cold_start_take (backend_t *backend, usec_t now);
+/* Takes part of a token if BACKEND is cold.  */
+void pool_cold_start_take_probe (backend_t *backend, usec_t now);
 /* Sets the part of the cold-start request rate of BACKEND that this router may
    use.  */
 void pool_cold_start_set_rate (backend_pool_t *pool, backend_t *backend,
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -295,7 +295,10 @@
   const char *id = header (connection, "Request-Id");
   const char *expected = header (connection, "Expect-Instance");
   if (strcmp (url, "/health") == 0)
-    return answer_health (connection, backend);
+    {
+      note ("checks", "-", backend->id, NULL);
+      return answer_health (connection, backend);
+    }
   if (!id || !header (connection, "Deadline-Ms"))
     return answer (connection, MHD_HTTP_BAD_REQUEST, "no id or deadline", NULL,
                    NULL);
--- a/test/functional/test_fleet_cold_flood.sh
+++ b/test/functional/test_fleet_cold_flood.sh
@@ -41,22 +41,28 @@
 read -r _ BACKEND STARTED _ <"$FOLDER/starts"
 wait "${LOADS[@]}"
 
-# The busiest second of BACKEND between two offsets in msec from its start.
+# The busiest second of BACKEND between two offsets in msec from its start, by the files that follow.
 busiest() {
-  awk -v backend="$BACKEND" -v from="$((STARTED + $1))" -v to="$((STARTED + $2))" '
+  local from=$1 to=$2
+  shift 2
+  (cd "$FOLDER" && sort -snk3 "$@") | awk -v backend="$BACKEND" -v from="$((STARTED + from))" -v to="$((STARTED + to))" '
     $2 == backend && $3 >= from && $3 < to {
       at[++n] = $3
       while (at[n] - at[first + 1] >= 1000) first++
       if (n - first > most) most = n - first
     }
-    END { print most + 0 }' "$FOLDER/reached"
+    END { print most + 0 }'
 }
-BEFORE=$(busiest -4000 -1200)
-COLD=$(busiest 0 3000)
-AFTER=$(busiest 6000 16000)
+BEFORE=$(busiest -4000 -1200 reached)
+COLD=$(busiest 0 3000 reached)
+CHECKS=$(busiest 0 3000 checks)
+BOTH=$(busiest 0 3000 reached checks)
+AFTER=$(busiest 6000 16000 reached)
 echo "$BACKEND: requests in the busiest second: before=$BEFORE cold=$COLD after=$AFTER;" \
+  "health checks while cold=$CHECKS, with requests=$BOTH;" \
   "answers: $(sort "$FOLDER"/answers-* | uniq -c | awk '{ printf "%s=%d ", $2, $1 }')"
 [ "$BEFORE" -gt $COLD_MAX ] || fail 'the load before the restart shows nothing'
 [ "$COLD" -le $COLD_MAX ] || fail "the cold backend server got $COLD requests in a second, $COLD_MAX are allowed"
+[ "$BOTH" -le $COLD_MAX ] || fail "the cold backend server got $BOTH requests and health checks in a second, $COLD_MAX are allowed"
 [ "$AFTER" -gt $COLD_MAX ] || fail 'the backend server gets no more requests than a cold one for good'
 echo 'good: a backend server that started again under its old id'
