fix(router): a request that was given up on is held to account for the end of its server

What callers saw: a request that ends its servers came again and again from a client that left before each end.

Cause: evidence was made of calls that are open when their connection ends. A call that a router gives up on (the caller left, the time limit came, the answer was not whole) was forgotten, and nobody asked whether its server had ended.

Change: fleet/abandoned_runs remembers what was given up on by boot and fingerprint, until its deadline and 2 s, at most 10 s. Once the server is seen to have ended, all of it becomes crashes. A server with such runs that has answered nothing for 300 ms is asked for its health, so that the end is seen soon. While a request is on trial, the next run waits for 2 s after one that was given up on.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -339,6 +339,18 @@
   free_if_unused (pool, backend);
 }
 
+backend_t *
+backend_pool_find_boot (const backend_pool_t *pool, uint64_t boot)
+{
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    if (backend->is_listed && backend_record_boot (&backend->record) == boot)
+      return backend;
+  }
+  return NULL;
+}
+
 backend_t *
 backend_pool_due_probe (backend_pool_t *pool, usec_t now)
 {
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -228,6 +228,10 @@
 void backend_pool_request_ended (backend_pool_t *pool, backend_t *backend,
                                  const backend_outcome_t *outcome, usec_t now);
 
+/* Returns the listed backend server with BOOT (backend_record_boot), or
+   NULL.  */
+backend_t *backend_pool_find_boot (const backend_pool_t *pool, uint64_t boot);
+
 /* Returns a backend server that is due for a health probe and marks it as
    being probed, or returns NULL.  Report the result with
    backend_pool_probe_ended.  */
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -272,11 +272,13 @@
   return call;
 }
 
-void
+bool
 backend_http_abort (backend_http_t *client, backend_call_t *call)
 {
+  bool was_sent = call->n_connections > 0;
   (void)client;
   call_free (call);
+  return was_sent;
 }
 
 /* Store the result of CALL's transfer in its response.  */
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -66,8 +66,9 @@
 backend_call_t *backend_http_call (backend_http_t *client,
                                    const backend_request_t *request);
 
-/* Abort CALL and close its connection; `done` is not called.  */
-void backend_http_abort (backend_http_t *client, backend_call_t *call);
+/* Abort CALL and close its connection; `done` is not called.  Returns whether
+   bytes of the request may have left this VM.  */
+bool backend_http_abort (backend_http_t *client, backend_call_t *call);
 
 /* Handle the events READY (POLLER_* bits) on the socket of WATCH.  */
 void backend_http_socket_ready (backend_http_t *client, watch_t *watch,
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -19,7 +19,7 @@
 };
 
 /* Intervals of dispatcher_tick if no event comes earlier: while requests are
-   queued, and otherwise.  */
+   queued or given up on, and otherwise.  */
 #define QUEUE_TICK (20 * USEC_PER_MSEC)
 #define IDLE_TICK (100 * USEC_PER_MSEC)
 /* Retry-After while there is no settled snapshot: a router that has just
@@ -189,10 +189,13 @@
   dispatcher_expire_quotas (dispatcher, now);
   dispatcher_serve_queue (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
+  dispatcher_check_abandoned (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
   dispatcher_expire_stutters (dispatcher, now);
   dispatcher_expire_colds (dispatcher, now);
-  usec_t wait = list_empty (&dispatcher->queue) ? IDLE_TICK : QUEUE_TICK;
+  bool is_idle
+      = list_empty (&dispatcher->queue) && dispatcher->abandoned.n == 0;
+  usec_t wait = is_idle ? IDLE_TICK : QUEUE_TICK;
   usec_t due = backend_http_due_at (dispatcher->backends) - now;
   return due < wait ? (due > 0 ? due : 0) : wait;
 }
@@ -225,7 +228,7 @@
                                  .routers = snapshot->routers,
                                  .n_routers = snapshot->n_routers };
   backend_pool_update (dispatcher->pool, &update, now);
-  dispatcher_crash_evidence_of_list (dispatcher);
+  dispatcher_crash_evidence_of_list (dispatcher, now);
   dispatcher_serve_queue (dispatcher, now);
 }
 
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -17,10 +17,8 @@
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
 
-/* Requests of the same caller with the same content have the same fingerprint,
-   whatever their request ids and deadlines are.  */
-static fingerprint_t
-fingerprint_of (exchange_t *exchange)
+fingerprint_t
+dispatcher_fingerprint (exchange_t *exchange)
 {
   if (exchange->has_fingerprint)
     return exchange->fingerprint;
@@ -82,17 +80,21 @@
   return a->low == b->low && a->high == b->high;
 }
 
-/* Whether another request with EXCHANGE's fingerprint is at a backend
-   server.  */
+/* Whether another request with EXCHANGE's fingerprint is at a backend server,
+   or may be there still after it was given up on lately.  */
 static bool
-is_running (const dispatcher_t *dispatcher, const exchange_t *exchange)
+is_running (const dispatcher_t *dispatcher, const exchange_t *exchange,
+            usec_t now)
 {
+  if (abandoned_runs_has_recent (&dispatcher->abandoned, exchange->fingerprint,
+                                 now))
+    return true;
   LIST_FOREACH (link, &dispatcher->active)
   {
     exchange_t *other = LIST_ENTRY (link, exchange_t, link);
     if (other == exchange || !other->call)
       continue;
-    fingerprint_t fingerprint = fingerprint_of (other);
+    fingerprint_t fingerprint = dispatcher_fingerprint (other);
     if (is_same_request (&fingerprint, &exchange->fingerprint))
       return true;
   }
@@ -102,7 +104,8 @@
 /* Whether EXCHANGE's request, if it is a suspect on trial, must not run here
    now.  */
 static bool
-waits_for_trial (const dispatcher_t *dispatcher, const exchange_t *exchange)
+waits_for_trial (const dispatcher_t *dispatcher, const exchange_t *exchange,
+                 usec_t now)
 {
   const fleet_snapshot_t *snapshot = dispatcher->snapshot;
   const suspect_t *suspect
@@ -119,7 +122,7 @@
                              settings->region.text, exchange->fingerprint.low);
   bool is_chosen
       = trial_router == 0 || trial_router == settings->requests.address;
-  return !is_chosen || is_running (dispatcher, exchange);
+  return !is_chosen || is_running (dispatcher, exchange, now);
 }
 
 /* Why EXCHANGE must not be sent at NOW, for what requests like it did to
@@ -130,7 +133,7 @@
 {
   if (!knows_suspects (dispatcher))
     return REASON_NONE;
-  fingerprint_t fingerprint = fingerprint_of (exchange);
+  fingerprint_t fingerprint = dispatcher_fingerprint (exchange);
   *retry_after = QUARANTINE_RETRY_AFTER;
   if (is_quarantined (dispatcher, fingerprint))
     return REASON_QUARANTINED;
@@ -138,8 +141,8 @@
   if (*retry_after > 0)
     return REASON_HELD_BACK;
   *retry_after = TRIAL_RETRY_AFTER;
-  return waits_for_trial (dispatcher, exchange) ? REASON_HELD_BACK
-                                                : REASON_NONE;
+  return waits_for_trial (dispatcher, exchange, now) ? REASON_HELD_BACK
+                                                     : REASON_NONE;
 }
 
 bool
@@ -161,7 +164,7 @@
   if (reason == REASON_NONE)
     return false;
   char text[FINGERPRINT_TEXT_BYTES];
-  fingerprint_format (fingerprint_of (exchange), text);
+  fingerprint_format (dispatcher_fingerprint (exchange), text);
   LOG_EVENT (LOG_LEVEL_WARNING, "request_quarantined",
              LOG_S ("id", exchange->id), LOG_S ("fingerprint", text),
              LOG_S ("reason", exchange_reason_name (reason)));
@@ -188,10 +191,11 @@
   return false;
 }
 
-/* The backend server BOOT has ended, as EVIDENCE shows.  */
-static void
-confirm_end (dispatcher_t *dispatcher, uint64_t boot, const char *evidence)
+void
+dispatcher_confirm_end (dispatcher_t *dispatcher, uint64_t boot,
+                        const char *evidence, usec_t now)
 {
+  dispatcher_suspect_abandoned (dispatcher, boot, now);
   size_t n = crash_table_confirm (&dispatcher->crashes, boot);
   if (n == 0)
     return;
@@ -202,30 +206,29 @@
     director_sync_hurry (dispatcher->options.sync, 0);
 }
 
-/* EXCHANGE was running at BACKEND when the connection ended.  */
-static void
-add_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
-             const backend_t *backend, usec_t now)
+void
+dispatcher_add_suspect (dispatcher_t *dispatcher, fingerprint_t fingerprint,
+                        const char *id, const crash_t *crash, usec_t now)
 {
-  fingerprint_t fingerprint = fingerprint_of (exchange);
   char text[FINGERPRINT_TEXT_BYTES];
-  const crash_t crash = { .boot = backend_record_boot (&backend->record),
-                          .sent_at = exchange->sent_at,
-                          .ended_at = now };
+  const backend_t *backend
+      = backend_pool_find_boot (dispatcher->pool, crash->boot);
   usec_t answered_at = recent_answers_find (&dispatcher->answers, fingerprint);
   if (answered_at > 0 && !crash_table_find (&dispatcher->crashes, fingerprint))
     crash_table_complete (&dispatcher->crashes, fingerprint, answered_at,
                           true);
-  crash_table_add (&dispatcher->crashes, fingerprint, &crash, now);
+  crash_table_add (&dispatcher->crashes, fingerprint, crash, now);
   const suspect_t none = { 0 };
   const suspect_t *suspect
       = crash_table_find (&dispatcher->crashes, fingerprint);
   if (!suspect)
     suspect = &none;
   fingerprint_format (fingerprint, text);
-  LOG_EVENT (LOG_LEVEL_INFO, "request_suspected", LOG_S ("id", exchange->id),
+  LOG_EVENT (LOG_LEVEL_INFO, "request_suspected", LOG_S ("id", id),
              LOG_S ("fingerprint", text),
-             LOG_S ("backend", backend->record.id), LOG_U ("boot", crash.boot),
+             LOG_S ("backend", backend ? backend->record.id : ""),
+             LOG_U ("boot", crash->boot),
+             LOG_I ("sent_ms_ago", (now - crash->sent_at) / USEC_PER_MSEC),
              LOG_U ("known", suspect->n_crashes),
              LOG_U ("confirmed", suspect_n_confirmed (suspect)),
              LOG_U ("counted", suspect_count (suspect, false)),
@@ -239,7 +242,7 @@
 clear_suspect (dispatcher_t *dispatcher, exchange_t *exchange,
                const backend_response_t *response, usec_t now)
 {
-  fingerprint_t fingerprint = fingerprint_of (exchange);
+  fingerprint_t fingerprint = dispatcher_fingerprint (exchange);
   const suspect_t *suspect
       = crash_table_find (&dispatcher->crashes, fingerprint);
   size_t n_known = suspect ? suspect->n_crashes : 0;
@@ -272,18 +275,26 @@
                            const backend_response_t *response, usec_t now)
 {
   backend_t *backend = exchange->backend;
+  uint64_t boot = backend_record_boot (&backend->record);
   if (response->was_cut_off && !backend_is_leaving (backend))
     {
-      add_suspect (dispatcher, exchange, backend, now);
+      const crash_t crash
+          = { .boot = boot, .sent_at = exchange->sent_at, .ended_at = now };
+      dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
+                              exchange->id, &crash, now);
       if (!response->was_reconnected)
         check_backend (dispatcher, backend, now);
     }
+  if (response->may_have_reached && !response->was_cut_off
+      && (!response->is_complete || response->is_foreign))
+    dispatcher_abandon_run (dispatcher, exchange, now);
   if (response->is_unreachable)
-    confirm_end (dispatcher, backend_record_boot (&backend->record),
-                 "unreachable");
+    dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
   if (!is_complete_run)
     return;
-  recent_answers_add (&dispatcher->answers, fingerprint_of (exchange), now);
+  abandoned_runs_seen (&dispatcher->abandoned, boot, now);
+  recent_answers_add (&dispatcher->answers, dispatcher_fingerprint (exchange),
+                      now);
   if (knows_suspects (dispatcher))
     clear_suspect (dispatcher, exchange, response, now);
 }
@@ -291,15 +302,17 @@
 void
 dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
                                     const backend_t *backend,
-                                    const backend_response_t *response)
+                                    const backend_response_t *response,
+                                    usec_t now)
 {
   uint64_t boot = backend_record_boot (&backend->record);
   bool is_other = response->is_complete && response->backend_id[0]
                   && strcmp (response->backend_id, backend->record.id) != 0;
   if (response->is_unreachable)
-    confirm_end (dispatcher, boot, "unreachable");
+    dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
   else if (is_other)
-    confirm_end (dispatcher, boot, "another backend server at its address");
+    dispatcher_confirm_end (dispatcher, boot,
+                            "another backend server at its address", now);
 }
 
 static bool
@@ -329,11 +342,12 @@
 }
 
 void
-dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher)
+dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher, usec_t now)
 {
   const crash_t *crash;
   while ((crash = find_unlisted (dispatcher)))
-    confirm_end (dispatcher, crash->boot, "not listed any more");
+    dispatcher_confirm_end (dispatcher, crash->boot, "not listed any more",
+                            now);
 }
 
 void
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -60,7 +60,8 @@
 dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
                   const backend_outcome_t *outcome, usec_t now)
 {
-  backend_http_abort (dispatcher->backends, exchange->call);
+  if (backend_http_abort (dispatcher->backends, exchange->call))
+    dispatcher_abandon_run (dispatcher, exchange, now);
   exchange->call = NULL;
   dispatcher_release_backend (dispatcher, exchange, outcome, now);
 }
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -6,6 +6,7 @@
 
 #include "balance/backend_stutter.h"
 #include "balance/retry_share.h"
+#include "fleet/abandoned_runs.h"
 #include "fleet/crash_table.h"
 #include "fleet/recent_answers.h"
 #include "quota/limiter.h"
@@ -49,6 +50,7 @@
   usec_t shutdown_started_at; /* monotonic; valid if is_shutting_down */
   crash_table_t crashes;      /* that this router has seen */
   recent_answers_t answers;   /* that this router has seen */
+  abandoned_runs_t abandoned; /* that this router has given up on */
   usec_t next_crash_expiry_at;
   backend_stutters_t stutters;
   limiter_t limiter; /* of the client accounts' quotas */
@@ -122,14 +124,39 @@
 /* Record what RESPONSE to a health check shows of BACKEND.  */
 void dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
                                          const backend_t *backend,
-                                         const backend_response_t *response);
+                                         const backend_response_t *response,
+                                         usec_t now);
 /* Record which backend servers the new snapshot does not list any more.  */
-void dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher);
+void dispatcher_crash_evidence_of_list (dispatcher_t *dispatcher, usec_t now);
+/* Requests with FINGERPRINT were running at the backend server that CRASH
+   tells of, which has ended.  ID is of one of them, or "".  */
+void dispatcher_add_suspect (dispatcher_t *dispatcher,
+                             fingerprint_t fingerprint, const char *id,
+                             const crash_t *crash, usec_t now);
+/* The backend server BOOT has ended, as EVIDENCE shows at NOW.  */
+void dispatcher_confirm_end (dispatcher_t *dispatcher, uint64_t boot,
+                             const char *evidence, usec_t now);
+/* Requests of the same caller with the same content have the same fingerprint,
+   whatever their request ids and deadlines are.  */
+fingerprint_t dispatcher_fingerprint (exchange_t *exchange);
 /* Forget the crashes of requests that an operator has released.  */
 void dispatcher_apply_releases (dispatcher_t *dispatcher);
 /* Forget old crashes when due.  */
 void dispatcher_expire_crashes (dispatcher_t *dispatcher, usec_t now);
 
+/* dispatcher_abandoned.c */
+/* EXCHANGE's call was sent to its backend server and ends without an answer,
+   though its run may go on.  */
+void dispatcher_abandon_run (dispatcher_t *dispatcher, exchange_t *exchange,
+                             usec_t now);
+/* The backend server BOOT has ended: what may have been running there, given
+   up on, was there at its end.  */
+void dispatcher_suspect_abandoned (dispatcher_t *dispatcher, uint64_t boot,
+                                   usec_t now);
+/* Ask backend servers for their health, where requests may be running that
+   were given up on.  */
+void dispatcher_check_abandoned (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_accounts.c */
 /* Find the client account of EXCHANGE's caller, if the configuration names
    accounts, and count the request against its quota.  Returns false if it was
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -53,7 +53,7 @@
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
-  dispatcher_crash_evidence_of_probe (dispatcher, backend, response);
+  dispatcher_crash_evidence_of_probe (dispatcher, backend, response, now);
   dispatcher_read_probe_notices (dispatcher, backend, response, now);
   dispatcher_cold_evidence (dispatcher, backend, response, now);
   backend_pool_probe_ended (dispatcher->pool, backend, is_healthy,
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -161,3 +161,14 @@
           .service = service };
   count (metrics, &refused);
 }
+
+void
+router_metrics_abandoned_dropped (router_metrics_t *metrics, uint64_t n)
+{
+  const metric_options_t dropped
+      = { .name = "mulberry_router_abandoned_dropped_total",
+          .help = "Requests given up on and forgotten for want of room" };
+  counter_t *counter = metrics_counter (metrics->metrics, &dropped, NULL);
+  if (counter)
+    counter_add (counter, n);
+}
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -56,6 +56,10 @@
 void router_metrics_connection_refused (router_metrics_t *metrics,
                                         const char *service);
 
+/* N requests that were given up on are not remembered any more, for want of
+   room (abandoned_runs).  */
+void router_metrics_abandoned_dropped (router_metrics_t *metrics, uint64_t n);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
