test(soak): callers of a request that ends its servers leave before the end

The round draws how long they stay. Drawing took place in a subshell, whose RANDOM does not follow the seed (RANDOM=25 gives other numbers there each time): only the lost process did.

--- a/test/soak/crashes.sh
+++ b/test/soak/crashes.sh
@@ -20,12 +20,14 @@
 PAUSES=(0.05 0.1 0.3 1)
 RUN_MSEC=(0 50 300 700 1400 2000 2500 3000)
 ENDS=("" "" "" -504)
+STAYS=("" "" 0.3 0.5) # how long the callers stay; "": until the end
 SETTLED_SECONDS=4
 ENDS_MIN=0 # one caller alone may end two in a round
 
-draw() { # NAME: one of the array's values
+# draw NAME: one of the array's values, in DRAWN.  A subshell's RANDOM does not follow the seed.
+draw() {
   local -n values=$1
-  echo "${values[$((RANDOM % ${#values[@]}))]}"
+  DRAWN=${values[$((RANDOM % ${#values[@]}))]}
 }
 
 fleet_start
@@ -35,8 +37,12 @@
     0) lost=director-$((RANDOM % 3 + 1)) ;;
     1) lost=router-$((RANDOM % 3 + 1)) ;;
   esac
-  callers=$(draw CALLERS) pause=$(draw PAUSES) run=$(draw RUN_MSEC)$(draw ENDS)
-  echo "round $round: $callers callers, $pause s, $run ms, lost: ${lost:-none}"
+  draw CALLERS; callers=$DRAWN
+  draw PAUSES; pause=$DRAWN
+  draw RUN_MSEC; run=$DRAWN
+  draw ENDS; run+=$DRAWN
+  draw STAYS; LEAVES=$DRAWN
+  echo "round $round: $callers callers, $pause s, $run ms, stay: ${LEAVES:-until the end}, lost: ${lost:-none}"
   if [ -n "$lost" ]; then
     kill_one KILL "$lost"
     sleep $SETTLED_SECONDS
