fix(wire,router,entry): the kernel's clock ends no upload to a closed window

Cause: TCP_USER_TIMEOUT was raised from check to check, 450 ms ahead. The kernel sends its next probe no later than that and ends the connection then, whether or not this process has run since. A router that is not scheduled for 0.45 s while a window is closed, or for 1.6 s before the first check sees it closed, leaves the end to the kernel.

Ruled out, by trials on loopback with TCP_INFO each 5 ms: the option far ahead or off alone (probes at 256, 696, 1561, 3256, 6616 ms: silence is seen late); a short option that is raised in time (the time of a probe is set when one is sent or answered, so the span between two is the absence that is allowed); keep-alive (not sent while bytes wait to be sent).

Change: while a request of 16 KB or more is sent the option is off, and TCP_RTO_MAX_MS (Linux 6.15) bounds the span between two probes to 1 s (measured: 1563, 2588, 3614, ... ms). The watch alone tells silence, from the start: no byte acknowledged for 1.5 s (a peer's own segments, such as a response sent again, don't count while its window is open), or a probe unanswered for 0.7 s. A late check counts for 0.2 s at most. Once all has arrived, the option is back. On an older kernel all is as before.

Also found by the trial: Linux answers no probe within 500 ms of the one before; the one at 696 ms stays unanswered for 867 ms, and 850 were allowed. Such a probe has 1.2 s now.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -217,15 +217,35 @@
          && !send_facts_all_acknowledged (&facts);
 }
 
+static bool
+is_written (const backend_call_t *call)
+{
+  curl_off_t n_bytes = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &n_bytes);
+  return (size_t)n_bytes >= call->body_bytes;
+}
+
+/* CALL's final head has come, and what follows on its connection is known.  */
+static void
+end_upload (backend_call_t *call)
+{
+  if (is_upload (call))
+    http_socket_end_send (call->fd, &call->send_watch);
+}
+
 /* What follows another request's answer on its connection can't be told apart
    either, so that is not to be used again.  Returns false if the call has to
    end.  */
 static bool
 end_head (backend_call_t *call)
 {
-  if (answer_head_is_final (&call->head)
-      && (!call->reply.id_matches || is_held_up (call)))
-    curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+  if (answer_head_is_final (&call->head))
+    {
+      if (!call->reply.id_matches || is_held_up (call))
+        curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+      else
+        end_upload (call);
+    }
   return has_readable_framing (call);
 }
 
@@ -269,10 +289,12 @@
   if (call->owner && !options->before_send (options->closure, call->owner))
     return CURL_PREREQFUNC_ABORT;
   call->n_sends++;
-  call->send_watch = (send_watch_t){ 0 };
   if (is_upload (call))
-    call->fd = http_handles_socket (call->client->handles, remote, remote_port,
-                                    local_port);
+    {
+      call->fd = http_handles_socket (call->client->handles, remote,
+                                      remote_port, local_port);
+      http_socket_start_send (call->fd, &call->send_watch);
+    }
   return CURL_PREREQFUNC_OK;
 }
 
@@ -473,6 +495,8 @@
       = http_socket_check_send (call->fd, &call->send_watch, now);
   if (call->send_watch.is_held)
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+  if (state == SEND_ARRIVED && is_written (call))
+    end_upload (call);
   if (state == SEND_SILENT)
     abandon_upload (client, call, "the backend server acknowledges nothing",
                     CURLE_SEND_ERROR);
--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -404,6 +404,9 @@
     hide (connections, connection);
   connection->had_head_request |= use->is_head;
   connection->last = *use;
+  http_socket_end_send (connection->watch.fd, &connection->send_watch);
+  if (use->is_upload)
+    http_socket_start_send (connection->watch.fd, &connection->send_watch);
   list_remove (&connection->retired_link);
   connection->user = user;
   user->connection = connection;
@@ -417,6 +420,12 @@
                                  now);
 }
 
+void
+backend_connection_end_upload (backend_connection_t *connection)
+{
+  http_socket_end_send (connection->watch.fd, &connection->send_watch);
+}
+
 /* Whether another request on CONNECTION would wait behind the rest of an
    upload, or for a peer that is given more time than usual.  */
 static bool
@@ -452,6 +461,7 @@
       end_idle (connections, connection);
       return;
     }
+  backend_connection_end_upload (connection);
   if (!connection->last.is_only_use)
     return;
   connection->retired_at = now;
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -127,6 +127,9 @@
 send_state_t backend_connection_check_upload (backend_connection_t *connection,
                                               usec_t now);
 
+/* All of the upload on CONNECTION has arrived: it needs no further check.  */
+void backend_connection_end_upload (backend_connection_t *connection);
+
 /* Free the closed connections.  To be called when no event refers to them any
    more.  */
 void backend_connections_sweep (backend_connections_t *connections);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -509,7 +509,10 @@
       return;
     case SEND_ARRIVED:
       if (is_written (call))
-        list_remove (&call->upload_link);
+        {
+          backend_connection_end_upload (call->user.connection);
+          list_remove (&call->upload_link);
+        }
       return;
     case SEND_SILENT:
       abandon_upload (client, call, "the backend server acknowledges nothing",
--- a/src/wire/http_socket.h
+++ b/src/wire/http_socket.h
@@ -19,6 +19,13 @@
 /* What the kernel tells of sending on FD; false: nothing.  */
 bool http_socket_read_facts (int fd, send_facts_t *facts);
 
+/* A request is about to be sent on FD: set WATCH, and its socket options.  */
+void http_socket_start_send (int fd, send_watch_t *watch);
+
+/* All of it has arrived: the options are as they were set first.  If bytes
+   were held back, nothing is changed.  */
+void http_socket_end_send (int fd, send_watch_t *watch);
+
 /* How sending on FD goes on at NOW; sets TCP_USER_TIMEOUT as WATCH tells.
    SEND_ARRIVED if the kernel tells nothing.  */
 send_state_t http_socket_check_send (int fd, send_watch_t *watch, usec_t now);
--- a/src/wire/send_watch.c
+++ b/src/wire/send_watch.c
@@ -10,9 +10,17 @@
    */
   AHEAD_MSEC = 450,
   /* Of a probe; with the time between two, about SEND_TIMEOUT_MSEC.  */
-  PROBE_TIMEOUT_MSEC = 850,
+  PROBE_TIMEOUT_MSEC = 700,
+  /* Linux leaves a probe unanswered that comes within 500 ms of the one
+     before; the next one follows after SEND_PROBE_SPAN_MSEC at most.  */
+  UNANSWERED_MSEC = 500,
+  REPEAT_TIMEOUT_MSEC = SEND_PROBE_SPAN_MSEC + 200,
 };
 
+/* What a check that comes late adds to the time of silence, at most: nobody
+   looked meanwhile.  */
+#define LOOKED_SPAN_MAX (2 * SEND_WATCH_SPAN)
+
 bool
 send_facts_all_acknowledged (const send_facts_t *facts)
 {
@@ -27,43 +35,77 @@
 }
 
 static void
-update_timeout (send_watch_t *watch, const send_facts_t *facts, usec_t now)
+update_timeout (send_watch_t *watch, usec_t now)
 {
-  if (!watch->is_held)
-    watch->held_at = now - facts->since_sent;
-  watch->is_held = true;
   int held_msec = (int)((now - watch->held_at) / USEC_PER_MSEC);
   watch->timeout_msec = SEND_TIMEOUT_MSEC;
   if (watch->timeout_msec < held_msec + AHEAD_MSEC)
     watch->timeout_msec = held_msec + AHEAD_MSEC;
 }
 
+/* An acknowledgement is awaited anew at NOW.  */
+static void
+start_awaiting (send_watch_t *watch, const send_facts_t *facts, usec_t now)
+{
+  bool may_be_unanswered = facts->since_acknowledged
+                           < UNANSWERED_MSEC * USEC_PER_MSEC + SEND_WATCH_SPAN;
+  watch->awaited_at = now;
+  watch->awaited_for = 0;
+  watch->probe_limit
+      = (may_be_unanswered ? REPEAT_TIMEOUT_MSEC : PROBE_TIMEOUT_MSEC)
+        * USEC_PER_MSEC;
+}
+
+/* Whether the peer has acknowledged since it was awaited.  What it sends of
+   its own tells nothing while bytes are under way to a window that is open. */
+static bool
+has_acknowledged (const send_watch_t *watch, const send_facts_t *facts,
+                  usec_t now)
+{
+  if (watch->n_acknowledged != facts->n_acknowledged)
+    return true;
+  return (facts->n_unacknowledged == 0 || facts->is_closed)
+         && watch->awaited_at < now - facts->since_acknowledged;
+}
+
 static void
 update_awaited (send_watch_t *watch, const send_facts_t *facts, usec_t now)
 {
-  usec_t acknowledged_at = now - facts->since_acknowledged;
   bool is_awaited = facts->n_unacknowledged > 0 || facts->n_probes > 0;
-  if (is_awaited && !watch->is_awaited)
-    watch->awaited_at = now;
-  if (watch->awaited_at < acknowledged_at)
-    watch->awaited_at = acknowledged_at;
+  usec_t looked = now - watch->checked_at;
+  if (is_awaited
+      && (!watch->is_awaited || has_acknowledged (watch, facts, now)))
+    start_awaiting (watch, facts, now);
+  else
+    watch->awaited_for += looked < LOOKED_SPAN_MAX ? looked : LOOKED_SPAN_MAX;
   watch->is_awaited = is_awaited;
+  watch->checked_at = now;
+  watch->n_acknowledged = facts->n_acknowledged;
 }
 
 static bool
-is_silent (const send_watch_t *watch, const send_facts_t *facts, usec_t now)
+is_silent (const send_watch_t *watch, const send_facts_t *facts)
 {
-  usec_t limit
-      = facts->n_unacknowledged > 0 ? SEND_TIMEOUT_MSEC : PROBE_TIMEOUT_MSEC;
-  return watch->is_awaited && now - watch->awaited_at >= limit * USEC_PER_MSEC;
+  usec_t limit = facts->n_unacknowledged > 0
+                     ? SEND_TIMEOUT_MSEC * USEC_PER_MSEC
+                     : watch->probe_limit;
+  return watch->is_awaited && watch->awaited_for >= limit;
 }
 
 send_state_t
 send_watch_check (send_watch_t *watch, const send_facts_t *facts, usec_t now)
 {
-  if (!watch->is_held && !holds_back (facts))
-    return send_facts_all_acknowledged (facts) ? SEND_ARRIVED : SEND_GOES_ON;
-  update_timeout (watch, facts, now);
-  update_awaited (watch, facts, now);
-  return is_silent (watch, facts, now) ? SEND_SILENT : SEND_GOES_ON;
+  if (!watch->is_held && holds_back (facts))
+    {
+      watch->is_held = true;
+      watch->held_at = now - facts->since_sent;
+    }
+  if (watch->is_held)
+    update_timeout (watch, now);
+  if (watch->is_held || watch->is_alone)
+    update_awaited (watch, facts, now);
+  if (is_silent (watch, facts))
+    return SEND_SILENT;
+  return !watch->is_held && send_facts_all_acknowledged (facts) ? SEND_ARRIVED
+                                                                : SEND_GOES_ON;
 }
--- a/test/unit/test_entry_upload.c
+++ b/test/unit/test_entry_upload.c
@@ -117,6 +117,23 @@
   fixture_close (&fixture);
 }
 
+/* This process is not scheduled for a while, as the server's window is closed.
+ */
+static void
+test_not_scheduled (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  start (&fixture, 0, "/slow-reader", UPLOAD_BYTES);
+  usec_t end = clock_monotonic () + 1500 * USEC_PER_MSEC;
+  while (clock_monotonic () < end)
+    backend_client_run (fixture.client, POLL_SPAN, -1);
+  g_usleep (USEC_PER_SEC);
+  run_until_ended (&fixture, 1);
+  g_assert_true (fixture.results[0].is_complete);
+  fixture_close (&fixture);
+}
+
 /* The whole answer to an upload of N_BYTES is delivered while the server does
    not read, and the next request gets another connection.  */
 static void
@@ -154,6 +171,7 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/entry/upload/slow-and-silent", test_slow_and_silent);
+  g_test_add_func ("/entry/upload/not-scheduled", test_not_scheduled);
   g_test_add_func ("/entry/upload/early", test_early_answer);
   g_test_add_func ("/entry/upload/early-buffered", test_early_answer_buffered);
   return g_test_run ();
--- a/test/unit/test_router_upload.c
+++ b/test/unit/test_router_upload.c
@@ -104,17 +104,28 @@
   backend_http_call (fixture->client, &request);
 }
 
+static void
+run_once (fixture_t *fixture)
+{
+  poller_event_t event;
+  if (poller_wait (fixture->poller, POLL_SPAN, &event))
+    backend_http_socket_ready (fixture->client, event.watch, event.ready);
+  backend_http_tick (fixture->client, clock_monotonic ());
+}
+
 /* Runs the client until N calls have ended.  */
 static void
 run_until_ended (fixture_t *fixture, gint n)
 {
   while (g_atomic_int_get (&fixture->server.n_ended) < n)
-    {
-      poller_event_t event;
-      if (poller_wait (fixture->poller, POLL_SPAN, &event))
-        backend_http_socket_ready (fixture->client, event.watch, event.ready);
-      backend_http_tick (fixture->client, clock_monotonic ());
-    }
+    run_once (fixture);
+}
+
+static void
+run_until (fixture_t *fixture, usec_t end)
+{
+  while (clock_monotonic () < end)
+    run_once (fixture);
 }
 
 static void
@@ -159,6 +170,32 @@
   fixture_close (&fixture);
 }
 
+/* This process is not scheduled for a while, as the server's window is closed
+   and before it can be seen to be: the kernel does not end the connection
+   meanwhile.  */
+static void
+test_not_scheduled (void)
+{
+  static const struct
+  {
+    usec_t runs, absent;
+  } cases[] = {
+    { 1500 * USEC_PER_MSEC, 1000 * USEC_PER_MSEC },
+    { 50 * USEC_PER_MSEC, 2500 * USEC_PER_MSEC },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      start (&fixture, 0, "/slow-reader", UPLOAD_BYTES);
+      run_until (&fixture, clock_monotonic () + cases[i].runs);
+      g_usleep ((gulong)cases[i].absent);
+      run_until_ended (&fixture, 1);
+      g_assert_true (fixture.results[0].is_complete);
+      fixture_close (&fixture);
+    }
+}
+
 /* A server with a small window reads a little at a time: Linux counts the time
    in which it probes that window as a whole, although bytes arrive meanwhile.
  */
@@ -235,6 +272,7 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/router/upload/slow-and-silent", test_slow_and_silent);
+  g_test_add_func ("/router/upload/not-scheduled", test_not_scheduled);
   g_test_add_func ("/router/upload/trickle", test_trickle);
   g_test_add_data_func ("/router/upload/early", "/early", test_early_answer);
   g_test_add_data_func ("/router/upload/early-in-chunks", "/early-in-chunks",
--- a/test/unit/test_wire_send_watch.c
+++ b/test/unit/test_wire_send_watch.c
@@ -17,6 +17,8 @@
   uint32_t n_unacknowledged;
   uint32_t unsent_bytes;
   uint32_t n_probes;
+  uint64_t n_acknowledged;
+  bool is_closed;
 } world_t;
 
 static world_t
@@ -33,7 +35,9 @@
           .unsent_bytes = world->unsent_bytes,
           .n_probes = world->n_probes,
           .since_sent = world->now - world->sent_at,
-          .since_acknowledged = world->now - world->acknowledged_at };
+          .since_acknowledged = world->now - world->acknowledged_at,
+          .n_acknowledged = world->n_acknowledged,
+          .is_closed = world->is_closed };
   return send_watch_check (&world->watch, &facts, world->now);
 }
 
@@ -173,6 +177,67 @@
   g_assert_false (watch.is_held);
 }
 
+/* Where the kernel ends nothing, bytes under way to an open window are silence
+   from the start, whatever the peer sends of its own; not if they are
+   acknowledged, nor if the window is closed.  */
+static void
+test_alone (void)
+{
+  static const struct
+  {
+    uint64_t acknowledged_each;
+    bool is_closed;
+    bool is_silent;
+  } cases[]
+      = { { 0, false, true }, { 1000, false, false }, { 0, true, false } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      world_t world = world_new ();
+      world.watch.is_alone = true;
+      world.n_unacknowledged = 2;
+      world.is_closed = cases[i].is_closed;
+      bool is_silent = false;
+      for (int n = 0; n < 17; n++)
+        {
+          world.acknowledged_at = world.now;
+          world.n_acknowledged += cases[i].acknowledged_each;
+          is_silent |= check_next (&world) == SEND_SILENT;
+        }
+      g_assert_cmpint (is_silent, ==, cases[i].is_silent);
+    }
+}
+
+/* Linux leaves a probe unanswered that comes within 500 ms of the one before:
+   the next one may follow a second later.  */
+static void
+test_unanswered_probe (void)
+{
+  world_t world = world_new ();
+  hold_back (&world, 400 * USEC_PER_MSEC, 200 * USEC_PER_MSEC);
+  world.n_probes = 1;
+  for (int i = 0; i < 11; i++)
+    g_assert_cmpint (check_next (&world), ==, SEND_GOES_ON);
+  g_assert_cmpint (span_until_silent (&world), <=, 2 * SEND_WATCH_SPAN);
+}
+
+/* What comes late counts once it is looked at: a probe that was unanswered
+   before a long absence has time to be answered after it.  */
+static void
+test_absent (void)
+{
+  world_t world = world_new ();
+  hold_back (&world, 3 * USEC_PER_SEC, 1000 * USEC_PER_MSEC);
+  world.acknowledged_at = world.now - 900 * USEC_PER_MSEC;
+  world.n_probes = 1;
+  g_assert_cmpint (check_next (&world), ==, SEND_GOES_ON);
+  world.now += 20 * USEC_PER_SEC;
+  g_assert_cmpint (check (&world), ==, SEND_GOES_ON);
+  world.now += 20 * USEC_PER_SEC;
+  world.acknowledged_at = world.now - 900 * USEC_PER_MSEC;
+  g_assert_cmpint (check (&world), ==, SEND_GOES_ON);
+  g_assert_cmpint (span_until_silent (&world), <=, 800 * USEC_PER_MSEC);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -184,5 +249,8 @@
   g_test_add_func ("/wire/send-watch/silent-when-open", test_silent_when_open);
   g_test_add_func ("/wire/send-watch/not-silent", test_not_silent);
   g_test_add_func ("/wire/send-watch/not-held", test_not_held);
+  g_test_add_func ("/wire/send-watch/alone", test_alone);
+  g_test_add_func ("/wire/send-watch/unanswered-probe", test_unanswered_probe);
+  g_test_add_func ("/wire/send-watch/absent", test_absent);
   return g_test_run ();
 }
