feat(router,balance): what can't be answered in time is refused on arrival

What callers saw: at three times the traffic a queue held requests until nobody's answer was in time, and many until their deadline. The queue refused only what would wait past the deadline.

--- /dev/null
+++ b/src/balance/queue_wait.c
@@ -0,0 +1,66 @@
+#include "balance/queue_wait.h"
+
+static usec_t
+larger (usec_t a, usec_t b)
+{
+  return a > b ? a : b;
+}
+
+/* The longest wait, from the arrival, that leaves time for the run.  One place
+   is always worth waiting for: otherwise a server could be idle until the next
+   arrival, and a run longer than the target would never be served.  */
+static usec_t
+wait_max (const queue_forecast_t *forecast)
+{
+  return larger (forecast->target - forecast->run, forecast->place_time);
+}
+
+bool
+queue_wait_is_too_long (const queue_forecast_t *forecast)
+{
+  return forecast->waited + forecast->wait > wait_max (forecast);
+}
+
+bool
+queue_wait_turns_away (queue_wait_t *wait, uint64_t kind,
+                       const queue_forecast_t *forecast, bool *is_let_in)
+{
+  size_t at = kind % QUEUE_WAIT_KINDS;
+  *is_let_in = false;
+  if (wait->kinds[at].kind != kind)
+    {
+      wait->kinds[at].kind = kind;
+      wait->kinds[at].n_in_row = 0;
+    }
+  if (!queue_wait_is_too_long (forecast))
+    {
+      wait->kinds[at].n_in_row = 0;
+      return false;
+    }
+  if (wait->kinds[at].n_in_row < QUEUE_WAIT_TURNED_AWAY_MAX)
+    {
+      wait->kinds[at].n_in_row++;
+      return true;
+    }
+  wait->kinds[at].n_in_row = 0;
+  *is_let_in = true;
+  return false;
+}
+
+usec_t
+queue_wait_return (queue_returns_t *returns, const queue_forecast_t *forecast,
+                   usec_t most, random_state_t *random, usec_t now)
+{
+  usec_t excess = forecast->wait - wait_max (forecast);
+  usec_t drained_at = now + larger (excess, QUEUE_RETURN_MIN);
+  usec_t at = larger (drained_at, returns->last_at + forecast->place_time);
+  if (at - now <= most)
+    {
+      returns->last_at = at;
+      return at - now;
+    }
+  usec_t half = most / 2;
+  usec_t spread
+      = half > 0 ? (usec_t)random_below (random, (uint64_t)half + 1) : 0;
+  return larger (most - spread, QUEUE_RETURN_MIN);
+}
--- a/src/ctl/request_trace.c
+++ b/src/ctl/request_trace.c
@@ -158,6 +158,8 @@
   { "no_backend", "no backend server was available for it; it did not run" },
   { "overload", "admission control refused it: it could not have started in "
                 "time; it did not run" },
+  { "too_late", "others used all places for so long that its answer would "
+                "have missed the target latency; it did not run" },
   { "refused", "the backend servers refused it before they started; it did "
                "not run" },
   { "memory",
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -283,6 +283,7 @@
   list_init (&dispatcher->active);
   director_sync_set_crashes (options->sync, &dispatcher->crashes);
   director_sync_set_pool (options->sync, dispatcher->pool);
+  random_seed (&dispatcher->random, options->seed);
   random_seed (&dispatcher->limiter.random, options->seed);
   director_sync_set_limiter (options->sync, &dispatcher->limiter);
   director_sync_set_heard_loads (options->sync, &dispatcher->heard_loads);
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -4,6 +4,9 @@
 #include "base/log.h"
 #include "router/response_head.h"
 
+/* The longest Retry-After for a caller that sent no deadline.  */
+#define RETURN_MAX (2 * USEC_PER_SEC)
+
 static void
 log_ended (const exchange_t *exchange, usec_t now)
 {
@@ -77,22 +80,18 @@
 }
 
 /* The Retry-After of a refused request: the time until a backend server wants
-   requests again, if all rest; otherwise the expected time in the queue,
+   requests again, if all rest; otherwise the time until the queue has room,
    within a quarter of the time until the caller's deadline.  */
 static usec_t
-retry_after (const dispatcher_t *dispatcher, const exchange_t *exchange,
-             usec_t now)
+retry_after (dispatcher_t *dispatcher, const exchange_t *exchange, usec_t now)
 {
   usec_t rest_end = rest_end_of_all (dispatcher, exchange, now);
   if (rest_end > 0)
     return rest_end - now;
-  usec_t wait = dispatcher_expected_queue_wait (dispatcher, exchange, now);
-  usec_t wait_max = (exchange->caller_deadline - now) / 4;
-  if (wait < 50 * USEC_PER_MSEC)
-    wait = 50 * USEC_PER_MSEC;
-  if (exchange->caller_deadline > 0 && wait > wait_max)
-    wait = wait_max;
-  return wait > 0 ? wait : 0;
+  usec_t wait_max = exchange->caller_deadline > 0
+                        ? (exchange->caller_deadline - now) / 4
+                        : RETURN_MAX;
+  return dispatcher_return_time (dispatcher, exchange, wait_max, now);
 }
 
 void
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -5,6 +5,7 @@
 #define ROUTER_DISPATCHER_INTERNAL_H
 
 #include "balance/backend_stutter.h"
+#include "balance/queue_wait.h"
 #include "balance/retry_share.h"
 #include "fleet/crash_table.h"
 #include "fleet/recent_answers.h"
@@ -29,6 +30,7 @@
 {
   name_t name;
   retry_share_t retries;
+  queue_returns_t returns; /* of callers that were turned away */
 } service_state_t;
 
 struct dispatcher
@@ -44,6 +46,8 @@
   service_state_t unlisted_service; /* its retries are never refilled */
   route_split_t *split;             /* for the configuration of SNAPSHOT */
   run_estimate_t run_estimates;
+  queue_wait_t queue_wait;
+  random_state_t random;
   bool is_shutting_down;
   bool is_finishing;          /* all requests are refused */
   usec_t shutdown_started_at; /* monotonic; valid if is_shutting_down */
@@ -85,10 +89,16 @@
 /* Send EXCHANGE to a backend server, queue it, or refuse it.  */
 void dispatcher_send_or_queue (dispatcher_t *dispatcher, exchange_t *exchange,
                                usec_t now);
-/* The time that EXCHANGE would spend in the queue if it were queued now; 0 if
+/* What EXCHANGE would have to expect if it were queued now; its `wait` is 0 if
    there is no estimate.  */
-usec_t dispatcher_expected_queue_wait (const dispatcher_t *dispatcher,
-                                       const exchange_t *exchange, usec_t now);
+queue_forecast_t dispatcher_queue_forecast (const dispatcher_t *dispatcher,
+                                            const exchange_t *exchange,
+                                            usec_t now);
+/* After which time a caller of EXCHANGE's service that is refused finds room;
+   at most MOST.  */
+usec_t dispatcher_return_time (dispatcher_t *dispatcher,
+                               const exchange_t *exchange, usec_t most,
+                               usec_t now);
 /* Send the queued requests that a backend server has room for, and refuse
    those whose deadline has come.  */
 void dispatcher_serve_queue (dispatcher_t *dispatcher, usec_t now);
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -136,6 +137,15 @@
   return true;
 }
 
+/* Whether OTHER, which is queued, goes before EXCHANGE.  */
+static bool
+goes_before (const exchange_t *other, const exchange_t *exchange)
+{
+  if (other->is_let_in != exchange->is_let_in)
+    return other->is_let_in;
+  return other->priority <= exchange->priority;
+}
+
 /* Queue EXCHANGE by priority, a smaller number first, then by arrival.  */
 static void
 enqueue (dispatcher_t *dispatcher, exchange_t *exchange)
@@ -145,7 +155,7 @@
        link = link->prev)
     {
       const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
-      if (other->priority <= exchange->priority)
+      if (goes_before (other, exchange))
         break;
       before = link;
     }
@@ -153,10 +163,23 @@
   list_push_back (before, &exchange->link);
 }
 
-usec_t
-dispatcher_expected_queue_wait (const dispatcher_t *dispatcher,
-                                const exchange_t *exchange, usec_t now)
+/* The time from the arrival within which an answer helps EXCHANGE's caller
+   most.  */
+static usec_t
+target_latency (const exchange_t *exchange)
 {
+  usec_t objective = exchange->route->latency_objective;
+  usec_t time_limit = exchange->deadline - exchange->received_at;
+  return objective > 0 && objective < time_limit ? objective : time_limit;
+}
+
+queue_forecast_t
+dispatcher_queue_forecast (const dispatcher_t *dispatcher,
+                           const exchange_t *exchange, usec_t now)
+{
+  queue_forecast_t forecast = { .waited = now - exchange->received_at,
+                                .run = exchange->query.run_time.cached,
+                                .target = target_latency (exchange) };
   pool_capacity_t capacity
       = backend_pool_capacity (dispatcher->pool, &exchange->query, now);
   size_t ahead = 0;
@@ -164,15 +187,67 @@
   {
     const exchange_t *other = LIST_ENTRY (link, exchange_t, link);
     if (strcmp (other->query.service, exchange->query.service) == 0
-        && other->priority <= exchange->priority)
+        && goes_before (other, exchange))
       ahead++;
   }
   size_t n_routers = dispatcher->snapshot->n_routers;
   double slots
       = (double)capacity.slots / (double)(n_routers > 0 ? n_routers : 1);
   if (capacity.mean_latency == 0 || slots <= 0)
-    return 0;
-  return (usec_t)((double)capacity.mean_latency * (double)(ahead + 1) / slots);
+    return forecast;
+  double place_time = (double)capacity.mean_latency / slots;
+  forecast.place_time = (usec_t)place_time;
+  forecast.wait = (usec_t)(place_time * (double)(ahead + 1));
+  return forecast;
+}
+
+usec_t
+dispatcher_return_time (dispatcher_t *dispatcher, const exchange_t *exchange,
+                        usec_t most, usec_t now)
+{
+  service_state_t *state = service_state (dispatcher, exchange->query.service);
+  queue_forecast_t forecast
+      = dispatcher_queue_forecast (dispatcher, exchange, now);
+  return queue_wait_return (&state->returns, &forecast, most,
+                            &dispatcher->random, now);
+}
+
+/* A hash of EXCHANGE's route and client account.  */
+static uint64_t
+kind_of (const exchange_t *exchange)
+{
+  uint64_t account = exchange->account ? exchange->account->id : 0;
+  const char *route = exchange->route->name.text;
+  return XXH3_64bits_withSeed (route, strlen (route), account);
+}
+
+/* Whether EXCHANGE, for which no backend server has room, is turned away on
+   its arrival.  One that may have run could not be told that it has not.  */
+static bool
+turns_away (dispatcher_t *dispatcher, exchange_t *exchange,
+            const queue_forecast_t *forecast)
+{
+  return !exchange->may_have_run
+         && queue_wait_turns_away (&dispatcher->queue_wait, kind_of (exchange),
+                                   forecast, &exchange->is_let_in);
+}
+
+/* Whether EXCHANGE has waited in the queue for longer than an answer within
+   its target latency allows, at NOW.  */
+static bool
+has_waited_too_long (const dispatcher_t *dispatcher,
+                     const exchange_t *exchange, usec_t now)
+{
+  if (now - exchange->received_at
+      <= target_latency (exchange) - exchange->query.run_time.cached)
+    return false;
+  if (exchange->may_have_run || exchange->is_let_in
+      || backend_pool_rest_end (dispatcher->pool, &exchange->query, now) > 0)
+    return false;
+  queue_forecast_t forecast
+      = dispatcher_queue_forecast (dispatcher, exchange, now);
+  forecast.wait = 0;
+  return queue_wait_is_too_long (&forecast);
 }
 
 void
@@ -203,17 +278,23 @@
       dispatcher_refuse (dispatcher, exchange, REASON_RESTING, now);
       return;
     }
-  usec_t wait = dispatcher_expected_queue_wait (dispatcher, exchange, now);
-  if (wait > exchange->deadline - now)
+  queue_forecast_t forecast
+      = dispatcher_queue_forecast (dispatcher, exchange, now);
+  if (forecast.wait > exchange->deadline - now)
     {
       dispatcher_refuse (dispatcher, exchange, REASON_OVERLOAD, now);
       return;
     }
-  if (wait > last_deadline (dispatcher) - now)
+  if (forecast.wait > last_deadline (dispatcher) - now)
     {
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
       return;
     }
+  if (rest_end == 0 && turns_away (dispatcher, exchange, &forecast))
+    {
+      dispatcher_refuse (dispatcher, exchange, REASON_TOO_LATE, now);
+      return;
+    }
   enqueue (dispatcher, exchange);
 }
 
@@ -229,8 +310,9 @@
       continue;
     else if (!ends_in_time (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
-    else
-      try_send (dispatcher, exchange, now);
+    else if (!try_send (dispatcher, exchange, now)
+             && has_waited_too_long (dispatcher, exchange, now))
+      dispatcher_refuse (dispatcher, exchange, REASON_TOO_LATE, now);
   }
 }
 
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -28,6 +28,8 @@
       return "no_backend";
     case REASON_OVERLOAD:
       return "overload";
+    case REASON_TOO_LATE:
+      return "too_late";
     case REASON_RESTING:
       return "resting";
     case REASON_REFUSED:
@@ -72,6 +74,7 @@
     case REASON_NO_CONFIG:
     case REASON_NO_BACKEND:
     case REASON_OVERLOAD:
+    case REASON_TOO_LATE:
     case REASON_RESTING:
     case REASON_REFUSED:
     case REASON_MEMORY:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -49,6 +49,8 @@
   REASON_NO_CONFIG,   /* 503, not run */
   REASON_NO_BACKEND,  /* 503, not run: no backend server is available */
   REASON_OVERLOAD,    /* 503, not run: it would wait beyond its deadline */
+  REASON_TOO_LATE,    /* 503, not run: others use all places for so long that
+                         its answer would miss the route's target latency */
   REASON_RESTING,     /* 503, not run: all backend servers want a rest, beyond
                          its deadline */
   REASON_REFUSED,     /* 503, not run: backend servers refused it */
@@ -90,6 +92,7 @@
   const client_account_t *account; /* of the caller; NULL: none.  In SNAPSHOT's
                                       configuration */
   bool is_in_quota;                /* it was counted against ACCOUNT's quota */
+  bool is_let_in;    /* it goes first in the queue, and is not turned away */
   uint32_t priority; /* the account's or the route's; 0: highest */
   pool_query_t query;
   usec_t deadline; /* monotonic; the caller's or the route's, if earlier */
