fix(router): what a late answer tells of cold servers is asked for again

What callers saw: by reading, a router that was paused while the answer to a pull waited took what was left of a limit from when it ran again, and limited servers that were warm by then.

Cause: times travel as what is left and were counted from the arrival; an exchange of more than a second does not say when they were read. Counting from the sending would end limits too early if the director was paused as well; so such an answer is not taken, and the next pull asks for the same changes.

test_router_cold_evidence (late-answer-is-asked-again): '(5 == 0)' on the old code, passes now.

--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -136,13 +136,23 @@
   load_wire_read (result->loads.loads_val, sync->n_loads, sync->loads, now);
 }
 
-/* A director that has not been asked before is told all with the next pull. */
+/* An exchange that took longer, as a process was paused, does not say when
+   what is left of a time was read.  */
+#define COLD_EXCHANGE_MAX USEC_PER_SEC
+
+/* A director that has not been asked before is told all with the next pull.
+   What a late answer says is asked for again.  */
 static void
 keep_colds (director_sync_t *sync, const fleet_pull_result_t *result,
             usec_t now)
 {
   bool is_same = result->source == sync->source;
   sync->seen_known = is_same ? sync->seen_sent : 0;
+  if (now - sync->pull_sent_at > COLD_EXCHANGE_MAX)
+    {
+      sync->colds_known = is_same ? sync->colds_known : 0;
+      return;
+    }
   sync->colds_known = result->colds_known;
   sync->n_colds = result->colds.colds_len;
   cold_wire_read (result->colds.colds_val, sync->n_colds, sync->colds, now);
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -7,6 +7,7 @@
 #include "../support/sync_world.h"
 #include "balance/pool_internal.h"
 #include "fleet/backend_list.h"
+#include "router/director_sync_internal.h"
 #include "router/dispatcher_internal.h"
 #include "wire/generated/fleet.h"
 
@@ -179,6 +180,34 @@
   evidence_close (&evidence);
 }
 
+/* A router that was paused can't tell how old an answer is that waited.  */
+static void
+test_late_answer_is_asked_again (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  backend_t *backend = backend_of (&evidence, 0);
+  fleet_cold_t cold
+      = { .server = backend->id_hash, .left = COLD_START / USEC_PER_MSEC };
+  fleet_pull_result_t result
+      = { .source = 1, .colds_known = 5, .colds = { 1, &cold } };
+  const bool is_late[] = { true, false };
+  for (size_t i = 0; i < G_N_ELEMENTS (is_late); i++)
+    {
+      rpc_out_call_t *call = sync_world_pull (evidence.world);
+      g_assert_nonnull (call);
+      if (is_late[i])
+        g_usleep (11 * USEC_PER_SEC / 10);
+      held_rpc_answer (call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
+      g_assert_cmpuint (evidence.world->sync->colds_known, ==,
+                        is_late[i] ? 0 : result.colds_known);
+      usec_t now = clock_monotonic ();
+      director_sync_tick (evidence.world->sync, now);
+      g_assert_true (backend_is_limited (backend, now) == !is_late[i]);
+    }
+  evidence_close (&evidence);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -190,5 +219,7 @@
                    test_known_is_not_hurried);
   g_test_add_func ("/cold-evidence/second-end-is-told-soon",
                    test_second_end_is_told_soon);
+  g_test_add_func ("/cold-evidence/late-answer-is-asked-again",
+                   test_late_answer_is_asked_again);
   return g_test_run ();
 }
