feat(router): count how long servers stay limited that say they are not cold

What the limit after a refused connection costs could not be told from what the servers' own cold starts cost.

mulberry_router_needless_limit_msec_total, by service: when a health check answers that the server is not cold, what is left of the limit, once for each extension. Only routers that check the server count, so it is a lower bound.

test_balance_refused (needless-limit-counts-once) passes; the function is new.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -107,6 +107,7 @@
   usec_t cold_until; /* when it is warm, as it said itself or is listed */
   usec_t cold_until_at_most; /* when it is warm at the latest, as it has
                                 refused connections */
+  usec_t needless_until;     /* limits up to then were found to be needless */
   usec_t cold_start;         /* how long a start is cold */
   double cold_rate;   /* requests per second of this router while cold */
   double cold_tokens; /* token bucket of cold_rate: requests allowed now */
@@ -270,6 +271,10 @@
                                 const cold_report_t *reports, size_t n,
                                 usec_t now);
 
+/* BACKEND says at NOW that it is not cold.  Returns for how long it stays
+   limited in spite of that, without what was returned before.  */
+usec_t backend_pool_needless_limit (backend_t *backend, usec_t now);
+
 /* Returns the estimated number of requests that run or wait at BACKEND, those
    of other routers included.  */
 double backend_load_at (const backend_t *backend, usec_t now);
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -169,6 +169,19 @@
   return !was_limited && backend_is_limited (backend, now);
 }
 
+usec_t
+backend_pool_needless_limit (backend_t *backend, usec_t now)
+{
+  if (!pool_cold_start_is_suspect (backend, now))
+    return 0;
+  usec_t from = backend->needless_until > now ? backend->needless_until : now;
+  usec_t until = backend->cold_until_at_most;
+  if (until <= from)
+    return 0;
+  backend->needless_until = until;
+  return until - from;
+}
+
 /* REPORT tells something new of BACKEND.  */
 static void
 hear_cold (backend_pool_t *pool, backend_t *backend,
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -41,6 +41,15 @@
   backend_http_call (dispatcher->backends, &request);
 }
 
+static void
+count_needless_limit (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
+{
+  usec_t span = backend_pool_needless_limit (backend, now);
+  if (span > 0)
+    router_metrics_needless_limit (dispatcher->options.metrics,
+                                   backend->record.service.text, span);
+}
+
 void
 dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
                         const backend_response_t *response)
@@ -56,6 +65,8 @@
   dispatcher_crash_evidence_of_probe (dispatcher, backend, response);
   dispatcher_read_probe_notices (dispatcher, backend, response, now);
   dispatcher_cold_evidence (dispatcher, backend, response, now);
+  if (is_healthy && response->cold_remaining == 0)
+    count_needless_limit (dispatcher, backend, now);
   backend_pool_probe_ended (dispatcher->pool, backend, is_healthy,
                             response->cold_remaining, now);
   if (is_healthy)
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -43,11 +43,18 @@
 /* Registering a metric again returns the same one.  It is registered at each
    use, because services are added and removed with the configuration.  */
 static void
-count (router_metrics_t *metrics, const metric_options_t *options)
+count_n (router_metrics_t *metrics, const metric_options_t *options,
+         uint64_t n)
 {
   counter_t *counter = metrics_counter (metrics->metrics, options, NULL);
   if (counter)
-    counter_add (counter, 1);
+    counter_add (counter, n);
+}
+
+static void
+count (router_metrics_t *metrics, const metric_options_t *options)
+{
+  count_n (metrics, options, 1);
 }
 
 /* The label of NAME: itself, or "other" if SET is full.  */
@@ -161,3 +168,14 @@
           .service = service };
   count (metrics, &refused);
 }
+
+void
+router_metrics_needless_limit (router_metrics_t *metrics, const char *service,
+                               usec_t span)
+{
+  const metric_options_t needless
+      = { .name = "mulberry_router_needless_limit_msec_total",
+          .help = "Time that backend servers are limited which are not cold",
+          .service = service };
+  count_n (metrics, &needless, (uint64_t)(span / USEC_PER_MSEC));
+}
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -56,6 +56,10 @@
 void router_metrics_connection_refused (router_metrics_t *metrics,
                                         const char *service);
 
+/* A backend server of SERVICE that is not cold is limited for SPAN.  */
+void router_metrics_needless_limit (router_metrics_t *metrics,
+                                    const char *service, usec_t span);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
--- a/test/unit/test_balance_refused.c
+++ b/test/unit/test_balance_refused.c
@@ -105,6 +105,27 @@
   world_clear (&world);
 }
 
+/* The time for which a backend server is limited that says it is warm counts
+   once.  */
+static void
+test_needless_limit_counts_once (void)
+{
+  world_t world;
+  backend_pool_t *pool = pool_open_cold (&world, COLD_START);
+  backend_t *backend = picked (&world, pool);
+  g_assert_cmpint (backend_pool_needless_limit (backend, NOW), ==, 0);
+  usec_t until = backend_pool_connection_refused (pool, backend, NOW);
+  const usec_t at = NOW + USEC_PER_SEC;
+  g_assert_cmpint (backend_pool_needless_limit (backend, at), ==, until - at);
+  g_assert_cmpint (backend_pool_needless_limit (backend, at + 1), ==, 0);
+  usec_t later = backend_pool_connection_refused (pool, backend, at + 1);
+  g_assert_cmpint (backend_pool_needless_limit (backend, at + 2), ==,
+                   later - until);
+  g_assert_cmpint (backend_pool_needless_limit (backend, later), ==, 0);
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -115,5 +136,7 @@
   g_test_add_func ("/refused/told-by-others", test_told_by_others);
   g_test_add_func ("/refused/listed-start-is-exact",
                    test_listed_start_is_exact);
+  g_test_add_func ("/refused/needless-limit-counts-once",
+                   test_needless_limit_counts_once);
   return g_test_run ();
 }
