--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -60,6 +60,10 @@
    room (abandoned_runs).  */
 void router_metrics_abandoned_dropped (router_metrics_t *metrics, uint64_t n);
 
+/* A backend server of SERVICE that is not cold is limited for SPAN.  */
+void router_metrics_needless_limit (router_metrics_t *metrics,
+                                    const char *service, usec_t span);
+
 /* N notices of backend servers of SERVICE were not understood.  */
 void router_metrics_invalid_notices (router_metrics_t *metrics,
                                      const char *service, size_t n);
