fix(router): a router that stops reads all that has arrived before it exits

Cause: it exited 50 ms after it ran again (FINISH_TIME_MIN), whether or not all that had arrived was read; in these 50 ms it looked at every connection in every turn.

Now shutdown_phase decides it by the turns of the loop: the process exits when no turn has found anything to do for 50 ms, at the latest 100 ms before the kill; where the kill is closer, after 50 ms as before. A turn that comes late restarts the time, since a wait that a pause interrupts finds nothing. Until 0.5 s before the kill it still passes on what ends in time, and doesn't end what it has sent, also where it would otherwise exit at 88% of the grace.

No check was changed.

--- a/src/router/shutdown_phase.h
+++ b/src/router/shutdown_phase.h
@@ -16,6 +16,9 @@
 
 #include "base/time_defs.h"
 
+/* The longest wait for events during a graceful shutdown.  */
+#define SHUTDOWN_TICK (20 * USEC_PER_MSEC)
+
 typedef enum
 {
   SHUTDOWN_SERVE,  /* new requests are accepted */
@@ -31,6 +34,29 @@
 shutdown_phase_t shutdown_phase_at (usec_t elapsed, usec_t grace,
                                     size_t n_open);
 
+/* What the turns of the thread that serves callers tell of requests that have
+   arrived and were not read yet; times are relative to SIGTERM.  Zeroes before
+   the first turn.  */
+typedef struct shutdown_turns
+{
+  usec_t last_at;
+  usec_t quiet_since;  /* no turn found anything to do since then */
+  usec_t finish_since; /* the first turn in which the process was to exit or to
+                          finish; 0: none */
+} shutdown_turns_t;
+
+/* A turn ELAPSED after SIGTERM, which found something to do iff IS_BUSY.  One
+   that comes late tells nothing: the process may not have run, and its wait
+   for events may have been interrupted before it found them.  */
+void shutdown_add_turn (shutdown_turns_t *turns, usec_t elapsed, bool is_busy);
+
+/* The phase, if shutdown_phase_at told PHASE: a process that would exit goes
+   on until all that has arrived is read, if the time until it is killed
+   allows.  */
+shutdown_phase_t shutdown_phase_after (shutdown_turns_t *turns,
+                                       shutdown_phase_t phase, usec_t elapsed,
+                                       usec_t grace);
+
 /* The latest deadline, in time after SIGTERM, that a backend server may be
    given, so that its response is passed on before SHUTDOWN_FINISH.  */
 usec_t shutdown_last_deadline (usec_t grace);
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -15,11 +15,6 @@
 #include "router/readiness_port.h"
 #include "router/shutdown_phase.h"
 
-/* The longest wait for events during a graceful shutdown.  */
-#define SHUTDOWN_TICK (20 * USEC_PER_MSEC)
-/* What has arrived is read and answered for so long before the exit.  */
-#define FINISH_TIME_MIN (50 * USEC_PER_MSEC)
-
 struct traffic_thread
 {
   traffic_thread_options_t options;
@@ -37,7 +32,7 @@
   _Atomic bool snapshot_changed; /* set by the RPC thread */
   bool is_ready;
   usec_t shutdown_started_at; /* monotonic; 0: not started */
-  usec_t finish_started_at;   /* SHUTDOWN_FINISH; monotonic; 0: not started */
+  shutdown_turns_t turns;
 };
 
 static void
@@ -113,9 +108,10 @@
   director_sync_set_takes_requests (thread->sync, is_ready);
 }
 
-/* Begin or advance the graceful shutdown.  */
+/* Begin or advance the graceful shutdown, after a turn that had an event iff
+   IS_BUSY.  */
 static shutdown_phase_t
-update_shutdown (traffic_thread_t *thread, usec_t now)
+update_shutdown (traffic_thread_t *thread, bool is_busy, usec_t now)
 {
   if (!atomic_load (&thread->stop_requested))
     return SHUTDOWN_SERVE;
@@ -128,19 +124,15 @@
   usec_t elapsed = now - thread->shutdown_started_at;
   usec_t grace = thread->settings->bounds.grace;
   size_t n_open = caller_http_n_open (thread->port);
-  shutdown_phase_t phase = shutdown_phase_at (elapsed, grace, n_open);
+  shutdown_add_turn (&thread->turns, elapsed, is_busy);
+  shutdown_phase_t phase = shutdown_phase_after (
+      &thread->turns, shutdown_phase_at (elapsed, grace, n_open), elapsed,
+      grace);
   /* Only where it decides: it looks at every connection.  */
   if (phase == SHUTDOWN_EXIT && n_open == 0)
     phase = shutdown_phase_at (elapsed, grace,
                                caller_http_n_undelivered (thread->port));
-  if (phase != SHUTDOWN_FINISH && phase != SHUTDOWN_EXIT)
-    return phase;
-  if (thread->finish_started_at == 0)
-    thread->finish_started_at = now;
-  /* Also after a pause of the process, requests that have arrived are answered
-     before it exits.  */
-  return now - thread->finish_started_at < FINISH_TIME_MIN ? SHUTDOWN_FINISH
-                                                           : phase;
+  return phase;
 }
 
 static void
@@ -181,11 +173,12 @@
   for (;;)
     {
       poller_event_t event;
-      if (poller_wait (thread->poller, wait, &event))
+      bool is_busy = poller_wait (thread->poller, wait, &event);
+      if (is_busy)
         handle_event (thread, &event);
       usec_t now = clock_monotonic ();
       apply_settings (thread);
-      shutdown_phase_t phase = update_shutdown (thread, now);
+      shutdown_phase_t phase = update_shutdown (thread, is_busy, now);
       director_sync_tick (thread->sync, now);
       if (atomic_exchange (&thread->snapshot_changed, false))
         {
@@ -195,7 +188,7 @@
         }
       update_readiness (thread, now);
       wait = dispatcher_tick (thread->dispatcher, now);
-      if (thread->finish_started_at > 0)
+      if (phase == SHUTDOWN_FINISH || phase == SHUTDOWN_EXIT)
         dispatcher_finish_all (thread->dispatcher);
       caller_http_run (thread->port);
       wait = min_usec (wait, caller_http_timeout (thread->port));
--- a/test/unit/test_router_stop.c
+++ b/test/unit/test_router_stop.c
@@ -121,6 +121,71 @@
   g_assert_cmpint (shutdown_phase_at (finish, GRACE, 0), ==, SHUTDOWN_EXIT);
 }
 
+/* Turns of TICK from FROM until the process exits; they find something to do
+   until BUSY_UNTIL.  Returns when it exits.  */
+static usec_t
+exit_after (usec_t from, usec_t tick, usec_t busy_until)
+{
+  shutdown_turns_t turns = { .last_at = USEC_PER_MSEC };
+  usec_t at = from;
+  for (;; at += tick)
+    {
+      shutdown_phase_t phase = shutdown_phase_at (at, GRACE, 0);
+      shutdown_add_turn (&turns, at, at < busy_until);
+      phase = shutdown_phase_after (&turns, phase, at, GRACE);
+      if (phase == SHUTDOWN_EXIT)
+        return at;
+      g_assert_cmpint (at, <, GRACE + USEC_PER_SEC);
+    }
+}
+
+/* A process that had not run, as it was paused, exited 50 ms after it ran
+   again, before it had read all that had arrived.  */
+static void
+test_reads_all_first (void)
+{
+  static const struct
+  {
+    usec_t from, tick, busy_until, exit_min, exit_max; /* msec */
+  } rows[] = {
+    { 5500, 1, 5750, 5790, 5830 },  /* until nothing more arrives */
+    { 5500, 1, 9000, 5890, 5910 },  /* up to a margin before the kill */
+    { 5950, 1, 9000, 5995, 6010 },  /* if paused for longer, for 50 ms */
+    { 5400, 20, 5400, 5440, 5460 }, /* nothing has arrived */
+    { 5400, 20, 5650, 5700, 5740 }, /* before the time to finish, too */
+    { 5300, 40, 9000, 5890, 5940 },
+    { 5300, 40, 5300, 5890, 5940 }, /* late turns tell nothing */
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      usec_t at = exit_after (rows[i].from * USEC_PER_MSEC,
+                              rows[i].tick * USEC_PER_MSEC,
+                              rows[i].busy_until * USEC_PER_MSEC);
+      g_test_message ("row %zu: exits at %ld us", i, (long)at);
+      g_assert_cmpint (at, >=, rows[i].exit_min * USEC_PER_MSEC);
+      g_assert_cmpint (at, <=, rows[i].exit_max * USEC_PER_MSEC);
+    }
+}
+
+/* Until it ends requests, those that end in time are served.  */
+static void
+test_refuses_while_reading (void)
+{
+  static const struct
+  {
+    usec_t at; /* msec */
+    shutdown_phase_t phase;
+  } rows[] = { { 5400, SHUTDOWN_REFUSE }, { 5600, SHUTDOWN_FINISH } };
+  shutdown_turns_t turns = { 0 };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      usec_t at = rows[i].at * USEC_PER_MSEC;
+      shutdown_add_turn (&turns, at, true);
+      g_assert_cmpint (shutdown_phase_after (&turns, SHUTDOWN_EXIT, at, GRACE),
+                       ==, rows[i].phase);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -142,5 +207,8 @@
                    test_finishes_in_every_grace);
   g_test_add_func ("/shutdown/writes-responses-first",
                    test_writes_responses_first);
+  g_test_add_func ("/shutdown/reads-all-first", test_reads_all_first);
+  g_test_add_func ("/shutdown/refuses-while-reading",
+                   test_refuses_while_reading);
   return g_test_run ();
 }
