fix(base): a process whose output is no longer read ends on SIGTERM

Cause: log_stop joined the writer thread, which waits in write for room. Log calls themselves never wait: they only queue.

Change: log_stop waits 1 s for the writer thread to end and returns all the same; the lines that are left are lost with the process. It may be called again, as the test does. The program's names are no longer used after that, since they are freed.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -26,6 +26,9 @@
 /* How long the writer thread lets lines accumulate before it writes them, so
    that it wakes up less often.  */
 #define BATCH_DELAY (40 * USEC_PER_MSEC)
+/* How long the end of the process waits for the writer thread, whose output
+   may no longer be read.  */
+#define STOP_WAIT USEC_PER_SEC
 /* The longest wait of the writer thread without a signal.  */
 #define IDLE_WAIT (10 * USEC_PER_SEC)
 
@@ -55,6 +58,7 @@
   event_rate_t rates[EVENT_SLOTS];
   bool has_writer;
   bool stopping;
+  bool has_ended;      /* the writer thread */
   size_t n_held_lines; /* number of rates with a HELD_LINE */
   size_t n_queued;
   uint64_t dropped;
@@ -473,6 +477,10 @@
       write_lines (&lines);
       report_dropped (dropped);
     }
+  pthread_mutex_lock (&log_state.lock);
+  log_state.has_ended = true;
+  pthread_cond_signal (&log_state.changed);
+  pthread_mutex_unlock (&log_state.lock);
   return NULL;
 }
 
@@ -481,6 +489,7 @@
 {
   pthread_mutex_lock (&log_state.lock);
   log_state.stopping = false;
+  log_state.has_ended = false;
   log_state.has_writer
       = pthread_create (&log_state.writer, NULL, writer_run, NULL) == 0;
   bool ok = log_state.has_writer;
@@ -490,15 +499,32 @@
                      "can't create the log writer thread");
 }
 
+/* Wait until the writer thread has ended, up to STOP_WAIT.  Returns false if
+   it has not, or if there is none.  The lock must be held.  */
+static bool
+wait_for_writer (void)
+{
+  usec_t end = clock_monotonic () + STOP_WAIT;
+  usec_t now;
+  while (log_state.has_writer && !log_state.has_ended
+         && (now = clock_monotonic ()) < end)
+    clock_wait (&log_state.changed, &log_state.lock, end - now);
+  return log_state.has_writer && log_state.has_ended;
+}
+
 void
 log_stop (void)
 {
   pthread_mutex_lock (&log_state.lock);
-  bool has_writer = log_state.has_writer;
   log_state.stopping = true;
   pthread_cond_signal (&log_state.changed);
+  bool has_ended = wait_for_writer ();
+  /* The caller may free the names, and the writer thread may still use them.
+   */
+  if (!has_ended)
+    log_state.program = log_state.vm = "-";
   pthread_mutex_unlock (&log_state.lock);
-  if (!has_writer)
+  if (!has_ended)
     return;
   pthread_join (log_state.writer, NULL);
   pthread_mutex_lock (&log_state.lock);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -89,7 +89,9 @@
    with ERR_IO, and lines still go to standard error.  */
 bool log_start (err_t *err);
 
-/* Write all queued lines and end the writer thread.  */
+/* Write all queued lines and end the writer thread.  If standard output is not
+   read, returns after 1 s, and the writer thread goes on; may be called again.
+ */
 void log_stop (void);
 
 /* Log EVENT with an array of fields; see LOG_EVENT.  */
--- a/test/unit/test_base_log.c
+++ b/test/unit/test_base_log.c
@@ -290,6 +290,46 @@
   g_free (text);
 }
 
+typedef struct late_reader
+{
+  int fd;
+  gint has_stopped; /* atomic */
+} late_reader_t;
+
+/* Thread function: read_pipe, once log_stop has returned, or after 4 s.  */
+static void *
+read_pipe_late (void *closure)
+{
+  late_reader_t *reader = closure;
+  for (int i = 0; i < 400 && !g_atomic_int_get (&reader->has_stopped); i++)
+    g_usleep (10 * G_TIME_SPAN_MILLISECOND);
+  return read_pipe (&reader->fd);
+}
+
+/* A process whose standard output was no longer read never ended.  */
+static void
+test_stop_does_not_wait_for_output (void)
+{
+  int saved;
+  late_reader_t reader = { .fd = stdout_to_pipe (&saved) };
+  GThread *thread = g_thread_new ("reader", read_pipe_late, &reader);
+  g_assert_true (log_start (NULL));
+  for (int i = 0; i < 100; i++)
+    {
+      g_autofree char *event = g_strdup_printf ("stop_%d", i);
+      write_burst (g_intern_string (event), LOG_BURST);
+    }
+  gint64 start = g_get_monotonic_time ();
+  log_stop ();
+  gint64 took = g_get_monotonic_time () - start;
+  g_atomic_int_set (&reader.has_stopped, 1);
+  log_stop ();
+  stdout_restore (saved);
+  g_autofree char *text = g_thread_join (thread);
+  g_assert_cmpint (took, <, 3 * G_TIME_SPAN_SECOND);
+  g_assert_nonnull (strstr (text, "event=stop_0 i=0"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -305,5 +345,6 @@
                    test_rate_limit_compares_names_by_content);
   g_test_add_func ("/base/log/newest", test_the_newest_of_a_burst_is_written);
   g_test_add_func ("/base/log/no-wait", test_log_calls_do_not_block_on_output);
+  g_test_add_func ("/base/log/stop", test_stop_does_not_wait_for_output);
   return g_test_run ();
 }
