--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -154,8 +154,7 @@
       = { .name = "mulberry_router_invalid_notices_total",
           .help = "Fields of backend servers that could not be read",
           .service = service };
-  for (size_t i = 0; i < n; i++)
-    count (metrics, &invalid);
+  count_n (metrics, &invalid, n);
 }
 
 void
