fix(router,balance): a queued request is refused when one in time took a place

The test is right and is not changed.

An account that is served in one region only, which lacks room; not mended.

--- a/src/balance/queue_wait.c
+++ b/src/balance/queue_wait.c
@@ -6,11 +6,11 @@
   return a > b ? a : b;
 }
 
-/* The longest wait, from the arrival, that leaves time for the run.  One place
-   is always worth waiting for: otherwise a server could be idle until the next
-   arrival, and a run longer than the target would never be served.  */
-static usec_t
-wait_max (const queue_forecast_t *forecast)
+/* One place is always worth waiting for: otherwise a server could be idle
+   until the next arrival, and a run longer than the target would never be
+   served.  */
+usec_t
+queue_wait_max (const queue_forecast_t *forecast)
 {
   return larger (forecast->target - forecast->run, forecast->place_time);
 }
@@ -18,7 +18,7 @@
 bool
 queue_wait_is_too_long (const queue_forecast_t *forecast)
 {
-  return forecast->waited + forecast->wait > wait_max (forecast);
+  return forecast->waited + forecast->wait > queue_wait_max (forecast);
 }
 
 bool
@@ -51,7 +51,7 @@
 queue_wait_return (queue_returns_t *returns, const queue_forecast_t *forecast,
                    usec_t most, random_state_t *random, usec_t now)
 {
-  usec_t excess = forecast->wait - wait_max (forecast);
+  usec_t excess = forecast->wait - queue_wait_max (forecast);
   usec_t drained_at = now + larger (excess, QUEUE_RETURN_MIN);
   usec_t at = larger (drained_at, returns->last_at + forecast->place_time);
   if (at - now <= most)
--- a/src/balance/queue_wait.h
+++ b/src/balance/queue_wait.h
@@ -56,6 +56,10 @@
   usec_t last_at; /* monotonic; the latest return that was promised room */
 } queue_returns_t;
 
+/* The longest wait, from the arrival, that leaves a request with FORECAST time
+   for its run within its target latency; at least the time of one place.  */
+usec_t queue_wait_max (const queue_forecast_t *forecast);
+
 /* Whether a request with FORECAST would be answered later than its target
    latency because of its wait, and would wait for more than one place.  */
 bool queue_wait_is_too_long (const queue_forecast_t *forecast);
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -66,6 +66,25 @@
       now - started_at, dispatcher->options.settings->bounds.grace, &request);
 }
 
+/* The time from the arrival within which an answer helps EXCHANGE's caller
+   most.  */
+static usec_t
+target_latency (const exchange_t *exchange)
+{
+  usec_t objective = exchange->route->latency_objective;
+  usec_t time_limit = exchange->deadline - exchange->received_at;
+  return objective > 0 && objective < time_limit ? objective : time_limit;
+}
+
+/* Whether EXCHANGE can't be answered within its target latency if it is sent
+   at NOW.  */
+static bool
+is_late (const exchange_t *exchange, usec_t now)
+{
+  return now - exchange->received_at
+         > target_latency (exchange) - exchange->query.run_time.cached;
+}
+
 static void
 send_to (dispatcher_t *dispatcher, exchange_t *exchange, backend_t *backend,
          usec_t now)
@@ -76,6 +95,8 @@
   exchange->n_attempts++;
   exchange->n_transmitted++;
   exchange->sent_at = now;
+  if (!is_late (exchange, now))
+    service_state (dispatcher, exchange->query.service)->in_time_sent_at = now;
   if (exchange->deadline > last_deadline (dispatcher))
     exchange->deadline = last_deadline (dispatcher);
   exchange->slot_was_free
@@ -163,16 +184,6 @@
   list_push_back (before, &exchange->link);
 }
 
-/* The time from the arrival within which an answer helps EXCHANGE's caller
-   most.  */
-static usec_t
-target_latency (const exchange_t *exchange)
-{
-  usec_t objective = exchange->route->latency_objective;
-  usec_t time_limit = exchange->deadline - exchange->received_at;
-  return objective > 0 && objective < time_limit ? objective : time_limit;
-}
-
 queue_forecast_t
 dispatcher_queue_forecast (const dispatcher_t *dispatcher,
                            const exchange_t *exchange, usec_t now)
@@ -232,24 +243,6 @@
                                    forecast, &exchange->is_let_in);
 }
 
-/* Whether EXCHANGE has waited in the queue for longer than an answer within
-   its target latency allows, at NOW.  */
-static bool
-has_waited_too_long (const dispatcher_t *dispatcher,
-                     const exchange_t *exchange, usec_t now)
-{
-  if (now - exchange->received_at
-      <= target_latency (exchange) - exchange->query.run_time.cached)
-    return false;
-  if (exchange->may_have_run || exchange->is_let_in
-      || backend_pool_rest_end (dispatcher->pool, &exchange->query, now) > 0)
-    return false;
-  queue_forecast_t forecast
-      = dispatcher_queue_forecast (dispatcher, exchange, now);
-  forecast.wait = 0;
-  return queue_wait_is_too_long (&forecast);
-}
-
 void
 dispatcher_send_or_queue (dispatcher_t *dispatcher, exchange_t *exchange,
                           usec_t now)
@@ -298,6 +291,25 @@
   enqueue (dispatcher, exchange);
 }
 
+/* Whether EXCHANGE, which is queued, can't be answered within its target
+   latency any more, and since then one that can got a place.  If none did, it
+   waits on: no other request would use its place.  */
+static bool
+was_overtaken (dispatcher_t *dispatcher, const exchange_t *exchange,
+               usec_t now)
+{
+  if (exchange->may_have_run || exchange->is_let_in || !is_late (exchange, now)
+      || backend_pool_rest_end (dispatcher->pool, &exchange->query, now) > 0)
+    return false;
+  queue_forecast_t forecast
+      = dispatcher_queue_forecast (dispatcher, exchange, now);
+  usec_t late_from = exchange->received_at + queue_wait_max (&forecast);
+  return now > late_from
+         && service_state (dispatcher, exchange->query.service)
+                    ->in_time_sent_at
+                > late_from;
+}
+
 void
 dispatcher_serve_queue (dispatcher_t *dispatcher, usec_t now)
 {
@@ -311,7 +323,7 @@
     else if (!ends_in_time (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
     else if (!try_send (dispatcher, exchange, now)
-             && has_waited_too_long (dispatcher, exchange, now))
+             && was_overtaken (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_TOO_LATE, now);
   }
 }
