fix(router): a health check that is under way at the end is freed

What was seen: test_fleet_stop_paused, sanitized, 1 of 6 runs: "a router did not stop cleanly", LeakSanitizer with 16 bytes of dispatcher_send_probe. Callers saw nothing.

Cause: the owner of a health check's call was freed when the call had ended alone, and the calls that are under way when the dispatcher is freed end without that. The dispatcher keeps a list of them now.

--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -168,7 +168,7 @@
   else
     {
       dispatcher_probe_ended (dispatcher, owner->backend, response);
-      free (owner);
+      dispatcher_free_probe (owner);
     }
 }
 
@@ -281,6 +281,7 @@
   dispatcher->snapshot = fleet_snapshot_new ();
   list_init (&dispatcher->queue);
   list_init (&dispatcher->active);
+  list_init (&dispatcher->probes);
   director_sync_set_crashes (options->sync, &dispatcher->crashes);
   director_sync_set_pool (options->sync, dispatcher->pool);
   random_seed (&dispatcher->limiter.random, options->seed);
@@ -294,6 +295,8 @@
 dispatcher_free (dispatcher_t *dispatcher)
 {
   backend_http_free (dispatcher->backends);
+  LIST_FOREACH (link, &dispatcher->probes)
+  dispatcher_free_probe (LIST_ENTRY (link, call_owner_t, link));
   backend_pool_free (dispatcher->pool);
   route_split_free (dispatcher->split);
   limiter_clear (&dispatcher->limiter);
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -39,6 +39,7 @@
   fleet_snapshot_t *snapshot;
   list_t queue;  /* of exchanges that wait for room, in the order of sending */
   list_t active; /* of exchanges that are not queued */
+  list_t probes; /* of the owners of health checks that are under way */
   size_t n_services;
   service_state_t services[SERVICES_MAX];
   service_state_t unlisted_service; /* its retries are never refilled */
@@ -193,6 +194,7 @@
 void dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend);
 /* Send health checks to the backend servers that are down and due for one.  */
 void dispatcher_send_probes (dispatcher_t *dispatcher, usec_t now);
+void dispatcher_free_probe (call_owner_t *owner);
 /* A health check of BACKEND has ended with RESPONSE.  */
 void dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
                              const backend_response_t *response);
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -25,6 +25,7 @@
   if (!owner)
     abort ();
   owner->backend = backend;
+  list_push_back (&dispatcher->probes, &owner->link);
   const backend_request_t request
       = { .address = backend->record.address,
           .boot = backend_record_boot (&backend->record),
@@ -41,6 +42,13 @@
   backend_http_call (dispatcher->backends, &request);
 }
 
+void
+dispatcher_free_probe (call_owner_t *owner)
+{
+  list_remove (&owner->link);
+  free (owner);
+}
+
 void
 dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
                         const backend_response_t *response)
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -33,6 +33,7 @@
 {
   exchange_t *exchange; /* NULL for a health check */
   backend_t *backend;   /* set for a health check only */
+  list_t link;          /* of a health check: in dispatcher_t's probes */
 } call_owner_t;
 
 /* Why the router itself answers a request.  The comments give the HTTP
