--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -69,7 +69,7 @@
 /* The time from the arrival within which an answer helps EXCHANGE's caller
    most.  */
 static usec_t
-target_latency (const exchange_t *exchange)
+best_latency (const exchange_t *exchange)
 {
   usec_t objective = exchange->route->latency_objective;
   usec_t time_limit = exchange->deadline - exchange->received_at;
@@ -82,7 +82,7 @@
 is_late (const exchange_t *exchange, usec_t now)
 {
   return now - exchange->received_at
-         > target_latency (exchange) - exchange->query.run_time.cached;
+         > best_latency (exchange) - exchange->query.run_time.cached;
 }
 
 static void
@@ -190,7 +190,7 @@
 {
   queue_forecast_t forecast = { .waited = now - exchange->received_at,
                                 .run = exchange->query.run_time.cached,
-                                .target = target_latency (exchange) };
+                                .target = best_latency (exchange) };
   pool_capacity_t capacity
       = backend_pool_capacity (dispatcher->pool, &exchange->query, now);
   size_t ahead = 0;
