fix(router): checks for requests that were given up on spare a cold server

Seen: a server that starts again under its old id, while the list shows its last start, was asked for its health every 300 ms by each router with a request that was given up on there, for as long as the list is late: nothing refuses any more, so nothing confirms the end. test_balance_refused_checks, abandoned-runs (60 routers, limited server): 240 health checks in a second before, where 8 requests are allowed.

Cause: the check began a probe of any server, limited or not; only probes of servers that are out are spread. Now a limited server is asked in place of a request, so only by routers that share its rate, with a whole token.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -368,6 +368,13 @@
   return true;
 }
 
+bool
+backend_pool_begin_check (backend_t *backend, usec_t now)
+{
+  return pool_cold_start_allows (backend, now)
+         && backend_pool_begin_probe (backend, now);
+}
+
 static bool
 is_probe_due (const backend_t *backend, usec_t now)
 {
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -250,6 +250,10 @@
    backend_pool_probe_ended.  */
 bool backend_pool_begin_probe (backend_t *backend, usec_t now);
 
+/* The same for a health check that no state of BACKEND asks for: a limited one
+   gets it in place of a request.  */
+bool backend_pool_begin_check (backend_t *backend, usec_t now);
+
 /* Records the result of a probe.  COLD_LEFT is the rest of the cold start that
    the backend server reported, in usec.  Frees BACKEND if it is no longer
    listed and has no requests in flight.  */
--- a/src/router/dispatcher_abandoned.c
+++ b/src/router/dispatcher_abandoned.c
@@ -74,7 +74,7 @@
     dispatcher_confirm_end (dispatcher, boot, "not listed any more", now);
   else if (backend_is_leaving (backend))
     abandoned_runs_take (&dispatcher->abandoned, boot, runs, now);
-  else if (backend_pool_begin_probe (backend, now))
+  else if (backend_pool_begin_check (backend, now))
     dispatcher_send_probe (dispatcher, backend);
 }
 
--- a/test/unit/test_balance_refused_checks.c
+++ b/test/unit/test_balance_refused_checks.c
@@ -5,6 +5,7 @@
 
 #include "../support/pool_world.h"
 #include "balance/pool_internal.h"
+#include "fleet/abandoned_runs.h"
 
 enum
 {
@@ -198,6 +199,41 @@
   world_clear (&world);
 }
 
+/* The list still shows the last start; all have been told of a refusal.  */
+static void
+test_abandoned_runs (void)
+{
+  static site_t site;
+  static abandoned_runs_t runs[N_ROUTERS];
+  site_open (&site);
+  for (size_t i = 0; i < N_ROUTERS; i++)
+    {
+      const cold_report_t report
+          = { .server = site.backends[i]->id_hash,
+              .until = NOW + COLD_REFUSAL_INTERVAL + COLD_START };
+      const abandoned_call_t call
+          = { .boot = backend_record_boot (&site.backends[i]->record),
+              .fingerprint = { .low = i + 1 },
+              .sent_at = NOW - USEC_PER_SEC,
+              .deadline = NOW + USEC_PER_SEC };
+      backend_pool_hear_colds (site.pools[i], &report, 1, NOW);
+      abandoned_runs_add (&runs[i], &call, NOW);
+    }
+  for (size_t step = 0; step < 300; step++)
+    for (size_t i = 0; i < N_ROUTERS; i++)
+      {
+        usec_t now = NOW + (usec_t)step * STEP;
+        uint64_t boot = abandoned_runs_due_check (&runs[i], now);
+        if (boot == 0 || !backend_pool_begin_check (site.backends[i], now))
+          continue;
+        site.n_reached[step]++;
+        backend_pool_probe_ended (site.pools[i], site.backends[i], true,
+                                  NOW + COLD_START - now, now);
+      }
+  g_assert_cmpuint (busiest_second (&site, 0, 300), <=, COLD_MAX);
+  site_close (&site);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -206,5 +242,6 @@
                    test_many_routers_wait);
   g_test_add_func ("/refused-checks/router-alone", test_router_alone);
   g_test_add_func ("/refused-checks/told-looks-once", test_told_looks_once);
+  g_test_add_func ("/refused-checks/abandoned-runs", test_abandoned_runs);
   return g_test_run ();
 }
