fix(balance): kinds of requests that share a hash entry don't starve each other

Two kinds (route and account) with one entry reset each other's count of refusals, so neither was ever let in: 0 of 100 each. A kind has one of four entries now, and the one refused least makes room. Found by the review; /queue-wait/shared-entry failed before ((0 == 11)), passes now.

--- a/src/balance/queue_wait.c
+++ b/src/balance/queue_wait.c
@@ -1,5 +1,10 @@
 #include "balance/queue_wait.h"
 
+enum
+{
+  PROBES_MAX = 4, /* entries in which a kind may be */
+};
+
 static usec_t
 larger (usec_t a, usec_t b)
 {
@@ -27,28 +32,41 @@
   return forecast->run <= left;
 }
 
+/* The entry of KIND, which takes the place of the one with the smallest count
+   among PROBES_MAX if there is none.  */
+static queue_kind_t *
+kind_entry (queue_wait_t *wait, uint64_t kind)
+{
+  queue_kind_t *least = NULL;
+  for (uint64_t i = 0; i < PROBES_MAX; i++)
+    {
+      queue_kind_t *entry = &wait->kinds[(kind + i) % QUEUE_WAIT_KINDS];
+      if (entry->kind == kind)
+        return entry;
+      if (!least || entry->n_in_row < least->n_in_row)
+        least = entry;
+    }
+  *least = (queue_kind_t){ .kind = kind };
+  return least;
+}
+
 bool
 queue_wait_turns_away (queue_wait_t *wait, uint64_t kind,
                        const queue_forecast_t *forecast, bool *is_let_in)
 {
-  size_t at = kind % QUEUE_WAIT_KINDS;
+  queue_kind_t *entry = kind_entry (wait, kind);
   *is_let_in = false;
-  if (wait->kinds[at].kind != kind)
-    {
-      wait->kinds[at].kind = kind;
-      wait->kinds[at].n_in_row = 0;
-    }
   if (!queue_wait_is_too_long (forecast))
     {
-      wait->kinds[at].n_in_row = 0;
+      entry->n_in_row = 0;
       return false;
     }
-  if (wait->kinds[at].n_in_row < QUEUE_WAIT_TURNED_AWAY_MAX)
+  if (entry->n_in_row < QUEUE_WAIT_TURNED_AWAY_MAX)
     {
-      wait->kinds[at].n_in_row++;
+      entry->n_in_row++;
       return true;
     }
-  wait->kinds[at].n_in_row = 0;
+  entry->n_in_row = 0;
   *is_let_in = true;
   return false;
 }
--- a/src/balance/queue_wait.h
+++ b/src/balance/queue_wait.h
@@ -25,8 +25,8 @@
 enum
 {
   QUEUE_WAIT_TURNED_AWAY_MAX = 8,
-  QUEUE_WAIT_KINDS = 512, /* a power of two; two kinds with the same entry
-                             forget each other's count */
+  QUEUE_WAIT_KINDS = 512, /* a power of two; of kinds that share entries the
+                             one that was refused least is forgotten */
 };
 
 typedef struct queue_forecast
@@ -39,14 +39,16 @@
   usec_t place_time; /* between two places that become free; 0: not known */
 } queue_forecast_t;
 
+typedef struct queue_kind
+{
+  uint64_t kind;
+  uint32_t n_in_row; /* turned away since one was let in */
+} queue_kind_t;
+
 /* Zero-initialized: nothing was turned away.  */
 typedef struct queue_wait
 {
-  struct
-  {
-    uint64_t kind;
-    uint32_t n_in_row; /* turned away since one was let in */
-  } kinds[QUEUE_WAIT_KINDS];
+  queue_kind_t kinds[QUEUE_WAIT_KINDS];
 } queue_wait_t;
 
 /* When the callers that one service's queue turned away come back.
--- a/test/unit/test_balance_queue_wait.c
+++ b/test/unit/test_balance_queue_wait.c
@@ -256,6 +256,25 @@
     }
 }
 
+/* Two kinds with the same hash entry, in turns: neither is starved.  */
+static void
+test_shared_entry (void)
+{
+  queue_wait_t wait = { 0 };
+  const queue_forecast_t late
+      = { .wait = 300, .run = 150, .target = 400, .place_time = 20 };
+  size_t n_let_in[2] = { 0 };
+  for (size_t i = 0; i < 200; i++)
+    {
+      bool is_let_in;
+      queue_wait_turns_away (&wait, 7 + i % 2 * QUEUE_WAIT_KINDS, &late,
+                             &is_let_in);
+      n_let_in[i % 2] += is_let_in;
+    }
+  for (size_t i = 0; i < 2; i++)
+    g_assert_cmpuint (n_let_in[i], ==, 100 / (QUEUE_WAIT_TURNED_AWAY_MAX + 1));
+}
+
 /* Callers that are turned away in one moment come back one for each place, as
    far as they can wait; the others are spread.  */
 static void
@@ -302,6 +321,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/queue-wait/overload", test_overload);
   g_test_add_func ("/queue-wait/rule", test_rule);
+  g_test_add_func ("/queue-wait/shared-entry", test_shared_entry);
   g_test_add_func ("/queue-wait/returns", test_returns);
   return g_test_run ();
 }
