fix(balance): a request that needs only the next place is queued, also after a slow upload

What it had waited counted although nobody was before it, so a caller whose upload had taken longer than the target latency was refused while a place was about to be free. Found by the review; the row of /queue-wait/rule failed before ((1 == 0)), passes now.

--- a/src/balance/queue_wait.c
+++ b/src/balance/queue_wait.c
@@ -23,7 +23,8 @@
 bool
 queue_wait_is_too_long (const queue_forecast_t *forecast)
 {
-  return forecast->waited + forecast->wait > queue_wait_max (forecast);
+  return forecast->wait > forecast->place_time
+         && forecast->waited + forecast->wait > queue_wait_max (forecast);
 }
 
 bool
--- a/test/unit/test_balance_queue_wait.c
+++ b/test/unit/test_balance_queue_wait.c
@@ -241,6 +241,7 @@
   { "waits until its deadline", { 0, 2000, 150, 2500, 20 }, false },
   { "nothing ahead, run over target", { 0, 80, 600, 400, 80 }, false },
   { "one ahead, run over target", { 0, 160, 600, 400, 80 }, true },
+  { "next place, after a slow upload", { 300, 10, 100, 200, 20 }, false },
   { "nothing known", { 0, 0, 200, 400, 0 }, false },
 };
 
