fix(balance): a cold time that no start has doesn't limit a backend server

A health check that told of an hour took a server that was well out for an hour at that router; in a service without cold starts it got no request at all. The time of the service's cold start bounds it, as it bounds what is told to others.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -413,8 +413,10 @@
   backend->next_probe_at = now + PROBE_INTERVAL;
   if (is_healthy && backend->health == BACKEND_DOWN)
     reset_backend (pool, backend);
-  if (is_healthy && cold_left > 0)
-    pool_cold_start_set (backend, now + cold_left);
+  usec_t left
+      = cold_left < backend->cold_start ? cold_left : backend->cold_start;
+  if (is_healthy && left > 0)
+    pool_cold_start_set (backend, now + left);
   if (is_healthy)
     pool_cold_start_take_probe (backend, now);
   free_if_unused (pool, backend);
--- a/test/unit/test_balance_refused_gaps.c
+++ b/test/unit/test_balance_refused_gaps.c
@@ -149,6 +149,27 @@
   world_clear (&world);
 }
 
+/* A health check tells of a cold time that no start has: a backend server that
+   is well would get no requests until then.  */
+static void
+test_impossible_cold_time (void)
+{
+  static const usec_t cold_starts[] = { 0, COLD_START };
+  for (size_t i = 0; i < G_N_ELEMENTS (cold_starts); i++)
+    {
+      world_t world;
+      backend_pool_t *pool = pool_open_cold (&world, cold_starts[i]);
+      backend_t *backend = picked (&world, pool);
+      g_assert_true (backend_pool_begin_probe (backend, NOW));
+      backend_pool_probe_ended (pool, backend, true, 3600 * USEC_PER_SEC, NOW);
+      g_assert_false (backend_is_limited (backend, NOW + cold_starts[i]));
+      g_assert_cmpint (backend_is_limited (backend, NOW), ==,
+                       cold_starts[i] > 0);
+      backend_pool_free (pool);
+      world_clear (&world);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -162,6 +183,8 @@
                    test_second_start_soon_after_listed);
   g_test_add_func ("/refused-gaps/listed-start-before-refusal",
                    test_listed_start_before_refusal);
+  g_test_add_func ("/refused-gaps/impossible-cold-time",
+                   test_impossible_cold_time);
   g_test_add_func ("/refused-gaps/told-forgets-last-start",
                    test_told_forgets_last_start);
   return g_test_run ();
