refactor(balance,wire): names from the review

refuse for turn away, is_exempt for is_let_in, kernel_timer_is_off for is_alone, probes_when_told for is_lookout.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -93,9 +93,9 @@
   uint32_t consecutive_failures;
   usec_t next_probe_at; /* valid while health is BACKEND_DOWN */
   bool is_probing;
-  bool wants_probe; /* whatever its health is */
-  bool is_lookout;  /* this router probes it when told that it has ended */
-  usec_t probed_at; /* when the last probe ended; 0: never */
+  bool wants_probe;      /* whatever its health is */
+  bool probes_when_told; /* this router does, when told that it has ended */
+  usec_t probed_at;      /* when the last probe ended; 0: never */
   /* Of the probes that this router sends while it may send no requests, as
      the backend server is limited; a period of 0: as often as any.  */
   usec_t spread_period;
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -16,8 +16,8 @@
 
 enum
 {
-  SHARERS_MAX = 4,  /* routers that may send to one cold backend server */
-  LOOKOUTS_MAX = 2, /* of these, that look at it as soon as they are told */
+  SHARERS_MAX = 4,       /* routers that may send to one cold backend server */
+  PROBERS_WHEN_TOLD = 2, /* of these, that probe it as soon as they are told */
 };
 
 /* Fraction of the allowed rate that is used.  The remainder is a margin for
@@ -89,7 +89,7 @@
   if (backend->cold_refilled_at == 0)
     backend->cold_refilled_at = now;
   backend->cold_rate = rate;
-  backend->is_lookout = rank < LOOKOUTS_MAX;
+  backend->probes_when_told = rank < PROBERS_WHEN_TOLD;
   backend->spread_period = (usec_t)update->n_routers * SPREAD_PROBE_INTERVAL;
   if (backend->spread_period > 0)
     backend->spread_phase = (usec_t)(rank_hash (backend, pool->self)
@@ -192,7 +192,7 @@
   pool_forget_start (backend);
   /* So that a backend server that stays down goes on refusing.  */
   usec_t seen_at = report->until - COLD_REFUSAL_INTERVAL - backend->cold_start;
-  if (backend->health == BACKEND_DOWN || !backend->is_lookout
+  if (backend->health == BACKEND_DOWN || !backend->probes_when_told
       || backend->probed_at > seen_at)
     return;
   backend->wants_probe = true;
--- a/src/balance/queue_wait.c
+++ b/src/balance/queue_wait.c
@@ -44,7 +44,7 @@
       queue_kind_t *entry = &wait->kinds[(kind + i) % QUEUE_WAIT_KINDS];
       if (entry->kind == kind)
         return entry;
-      if (!least || entry->n_in_row < least->n_in_row)
+      if (!least || entry->n_refused < least->n_refused)
         least = entry;
     }
   *least = (queue_kind_t){ .kind = kind };
@@ -52,23 +52,23 @@
 }
 
 bool
-queue_wait_turns_away (queue_wait_t *wait, uint64_t kind,
-                       const queue_forecast_t *forecast, bool *is_let_in)
+queue_wait_refuses (queue_wait_t *wait, uint64_t kind,
+                    const queue_forecast_t *forecast, bool *is_exempt)
 {
   queue_kind_t *entry = kind_entry (wait, kind);
-  *is_let_in = false;
+  *is_exempt = false;
   if (!queue_wait_is_too_long (forecast))
     {
-      entry->n_in_row = 0;
+      entry->n_refused = 0;
       return false;
     }
-  if (entry->n_in_row < QUEUE_WAIT_TURNED_AWAY_MAX)
+  if (entry->n_refused < QUEUE_WAIT_REFUSED_MAX)
     {
-      entry->n_in_row++;
+      entry->n_refused++;
       return true;
     }
-  entry->n_in_row = 0;
-  *is_let_in = true;
+  entry->n_refused = 0;
+  *is_exempt = true;
   return false;
 }
 
--- a/src/balance/queue_wait.h
+++ b/src/balance/queue_wait.h
@@ -1,16 +1,16 @@
 /* queue_wait: whether a request is worth its place in a router's queue, and
-   when a caller that was turned away finds room.  Pure.
+   when a caller that was refused finds room.  Pure.
 
    Load pattern: more requests than slots for some seconds.  A queue whose wait
    is longer than an answer within the target latency allows makes every answer
    late.  So a request that can't be answered within its route's target latency
-   is turned away when it arrives, as not run, while others use the places.
+   is refused when it arrives, as not run, while others use the places.
 
    A request that waits no longer than until the next place is free is never
-   turned away, however long it runs.  The wait counts only requests of the
-   same or a higher priority.  Of the requests of one kind (route and client
-   account) in a row at most QUEUE_WAIT_TURNED_AWAY_MAX are turned away, so
-   none is starved.  */
+   refused, however long it runs.  The wait counts only requests of the same or
+   a higher priority.  Of the requests of one kind (route and client account)
+   at most QUEUE_WAIT_REFUSED_MAX in a row are refused on arrival, so that none
+   is starved by that; refusals of queued requests are not counted.  */
 
 #ifndef BALANCE_QUEUE_WAIT_H
 #define BALANCE_QUEUE_WAIT_H
@@ -24,7 +24,7 @@
 
 enum
 {
-  QUEUE_WAIT_TURNED_AWAY_MAX = 8,
+  QUEUE_WAIT_REFUSED_MAX = 8,
   QUEUE_WAIT_KINDS = 512, /* a power of two; of kinds that share entries the
                              one that was refused least is forgotten */
 };
@@ -42,16 +42,16 @@
 typedef struct queue_kind
 {
   uint64_t kind;
-  uint32_t n_in_row; /* turned away since one was let in */
+  uint32_t n_refused; /* on arrival, in a row */
 } queue_kind_t;
 
-/* Zero-initialized: nothing was turned away.  */
+/* Zero-initialized: nothing was refused.  */
 typedef struct queue_wait
 {
   queue_kind_t kinds[QUEUE_WAIT_KINDS];
 } queue_wait_t;
 
-/* When the callers that one service's queue turned away come back.
+/* When the callers that one service's queue refused come back.
    Zero-initialized: none does.  */
 typedef struct queue_returns
 {
@@ -70,13 +70,13 @@
    answered before its deadline if it gets a place now.  */
 bool queue_wait_can_end (const queue_forecast_t *forecast, usec_t left);
 
-/* Whether the request of KIND (a hash) with FORECAST is turned away on its
-   arrival.  Sets *IS_LET_IN if its wait is too long, but enough of its kind
-   were turned away: it goes first, and is not turned away later.  */
-bool queue_wait_turns_away (queue_wait_t *wait, uint64_t kind,
-                            const queue_forecast_t *forecast, bool *is_let_in);
+/* Whether the request of KIND (a hash) with FORECAST is refused on its
+   arrival.  Sets *IS_EXEMPT if its wait is too long, but enough of its kind
+   were refused: it goes first, and is not refused later.  */
+bool queue_wait_refuses (queue_wait_t *wait, uint64_t kind,
+                         const queue_forecast_t *forecast, bool *is_exempt);
 
-/* The time after which a caller that was turned away with FORECAST finds room:
+/* The time after which a caller that was refused with FORECAST finds room:
    when the queue has drained so far, and behind those that were told to come
    back before it, one for each place.  At least QUEUE_RETURN_MIN and at most
    MOST, or QUEUE_RETURN_MIN if that is later; callers beyond MOST are spread
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -31,7 +31,7 @@
 {
   name_t name;
   retry_share_t retries;
-  queue_returns_t returns; /* of callers that were turned away */
+  queue_returns_t returns; /* of callers that were refused */
   usec_t in_time_sent_at;  /* when a request that could be answered within its
                               target latency was last sent; 0: none */
 } service_state_t;
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -162,8 +162,8 @@
 static bool
 goes_before (const exchange_t *other, const exchange_t *exchange)
 {
-  if (other->is_let_in != exchange->is_let_in)
-    return other->is_let_in;
+  if (other->is_exempt != exchange->is_exempt)
+    return other->is_exempt;
   return other->priority <= exchange->priority;
 }
 
@@ -232,15 +232,15 @@
   return XXH3_64bits_withSeed (route, strlen (route), account);
 }
 
-/* Whether EXCHANGE, for which no backend server has room, is turned away on
+/* Whether EXCHANGE, for which no backend server has room, is refused on
    its arrival.  One that may have run could not be told that it has not.  */
 static bool
-turns_away (dispatcher_t *dispatcher, exchange_t *exchange,
-            const queue_forecast_t *forecast)
+refuses_arrival (dispatcher_t *dispatcher, exchange_t *exchange,
+                 const queue_forecast_t *forecast)
 {
   return !exchange->may_have_run
-         && queue_wait_turns_away (&dispatcher->queue_wait, kind_of (exchange),
-                                   forecast, &exchange->is_let_in);
+         && queue_wait_refuses (&dispatcher->queue_wait, kind_of (exchange),
+                                forecast, &exchange->is_exempt);
 }
 
 void
@@ -283,7 +283,7 @@
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
       return;
     }
-  if (rest_end == 0 && turns_away (dispatcher, exchange, &forecast))
+  if (rest_end == 0 && refuses_arrival (dispatcher, exchange, &forecast))
     {
       dispatcher_refuse (dispatcher, exchange, REASON_TOO_LATE, now);
       return;
@@ -305,7 +305,7 @@
       = dispatcher_queue_forecast (dispatcher, exchange, now);
   if (!queue_wait_can_end (&forecast, exchange->deadline - now))
     return true;
-  if (exchange->is_let_in)
+  if (exchange->is_exempt)
     return false;
   usec_t late_from = exchange->received_at + queue_wait_max (&forecast);
   return now > late_from
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -93,7 +93,7 @@
   const client_account_t *account; /* of the caller; NULL: none.  In SNAPSHOT's
                                       configuration */
   bool is_in_quota;                /* it was counted against ACCOUNT's quota */
-  bool is_let_in;    /* it goes first in the queue, and is not turned away */
+  bool is_exempt;    /* it goes first in the queue, and is not refused */
   uint32_t priority; /* the account's or the route's; 0: highest */
   pool_query_t query;
   usec_t deadline; /* monotonic; the caller's or the route's, if earlier */
--- a/src/wire/http_socket.c
+++ b/src/wire/http_socket.c
@@ -63,18 +63,19 @@
   send_facts_t facts;
   int span = SEND_PROBE_SPAN_MSEC;
   *watch = (send_watch_t){ 0 };
-  watch->is_alone = http_socket_read_facts (fd, &facts)
-                    && setsockopt (fd, IPPROTO_TCP, RTO_MAX_MSEC_OPTION, &span,
-                                   sizeof span)
-                           == 0
-                    && set_user_timeout (fd, 0);
+  watch->kernel_timer_is_off
+      = http_socket_read_facts (fd, &facts)
+        && setsockopt (fd, IPPROTO_TCP, RTO_MAX_MSEC_OPTION, &span,
+                       sizeof span)
+               == 0
+        && set_user_timeout (fd, 0);
 }
 
 void
 http_socket_end_send (int fd, send_watch_t *watch)
 {
-  if (watch->is_alone && !watch->is_held)
-    watch->is_alone = !set_user_timeout (fd, SEND_TIMEOUT_MSEC);
+  if (watch->kernel_timer_is_off && !watch->is_held)
+    watch->kernel_timer_is_off = !set_user_timeout (fd, SEND_TIMEOUT_MSEC);
 }
 
 send_state_t
@@ -84,7 +85,7 @@
   if (!http_socket_read_facts (fd, &facts))
     return SEND_ARRIVED;
   send_state_t state = send_watch_check (watch, &facts, now);
-  if (watch->is_held && !watch->is_alone)
+  if (watch->is_held && !watch->kernel_timer_is_off)
     set_user_timeout (fd, watch->timeout_msec);
   return state;
 }
--- a/src/wire/send_watch.c
+++ b/src/wire/send_watch.c
@@ -102,7 +102,7 @@
     }
   if (watch->is_held)
     update_timeout (watch, now);
-  if (watch->is_held || watch->is_alone)
+  if (watch->is_held || watch->kernel_timer_is_off)
     update_awaited (watch, facts, now);
   if (is_silent (watch, facts))
     return SEND_SILENT;
--- a/src/wire/send_watch.h
+++ b/src/wire/send_watch.h
@@ -48,21 +48,22 @@
 /* Whether all bytes that were written to the socket are acknowledged.  */
 bool send_facts_all_acknowledged (const send_facts_t *facts);
 
-/* Of one connection.  All zero at first, but for IS_ALONE.  */
+/* Of one connection.  All zero at first, but for KERNEL_TIMER_IS_OFF.  */
 typedef struct send_watch
 {
-  bool is_alone;   /* TCP_USER_TIMEOUT is off, and probes are bounded; else it
-                      is SEND_TIMEOUT_MSEC at first */
-  bool is_held;    /* the peer's window held bytes back, now or before */
-  usec_t held_at;  /* since when, at first */
-  bool is_awaited; /* an acknowledgement is */
+  /* TCP_USER_TIMEOUT is off, and the time between probes is bounded; else it
+     is SEND_TIMEOUT_MSEC at first.  */
+  bool kernel_timer_is_off;
+  bool is_held;       /* the peer's window held bytes back, now or before */
+  usec_t held_at;     /* since when, at first */
+  bool is_awaited;    /* an acknowledgement is */
   usec_t awaited_at;  /* since when, without any */
   usec_t awaited_for; /* as far as it was looked at; valid if is_awaited */
   usec_t probe_limit; /* for awaited_for, if a probe is unanswered */
   usec_t checked_at;
   uint64_t n_acknowledged; /* at the last check */
   int timeout_msec; /* the value for TCP_USER_TIMEOUT; valid if is_held and not
-                       is_alone */
+                       kernel_timer_is_off */
 } send_watch_t;
 
 typedef enum
@@ -73,7 +74,7 @@
   SEND_SILENT,  /* the peer acknowledges nothing */
 } send_state_t;
 
-/* Check FACTS at NOW.  Unless WATCH is alone, the kernel ends connections to
+/* Check FACTS at NOW.  Unless its timer is off, the kernel ends connections to
    silent peers before bytes are held back.  */
 send_state_t send_watch_check (send_watch_t *watch, const send_facts_t *facts,
                                usec_t now);
--- a/test/unit/test_balance_queue_wait.c
+++ b/test/unit/test_balance_queue_wait.c
@@ -38,7 +38,7 @@
 {
   size_t kind;
   usec_t arrived_at;
-  bool is_let_in;
+  bool is_exempt;
 } waiting_t;
 
 typedef struct totals
@@ -65,8 +65,8 @@
 static bool
 goes_before (const waiting_t *other, const waiting_t *item)
 {
-  if (other->is_let_in != item->is_let_in)
-    return other->is_let_in;
+  if (other->is_exempt != item->is_exempt)
+    return other->is_exempt;
   return kinds[other->kind].priority <= kinds[item->kind].priority;
 }
 
@@ -113,8 +113,8 @@
   queue_forecast_t forecast = forecast_of (queue, &item, now);
   if (forecast.wait > DEADLINE
       || (queue->has_rule
-          && queue_wait_turns_away (&queue->rule, kind + 1, &forecast,
-                                    &item.is_let_in)))
+          && queue_wait_refuses (&queue->rule, kind + 1, &forecast,
+                                 &item.is_exempt)))
     {
       g_assert_cmpuint (queue->n, >, 0);
       return;
@@ -140,7 +140,7 @@
     queue->totals.n_expired++;
   else if (queue->has_rule && !queue_wait_can_end (&forecast, left))
     return true;
-  else if (!queue->has_rule || item->is_let_in || now <= late_from
+  else if (!queue->has_rule || item->is_exempt || now <= late_from
            || queue->in_time_sent_at <= late_from)
     return false;
   return true;
@@ -220,8 +220,8 @@
   g_assert_cmpint (thrice.emptied_at, <=,
                    LOAD_END * STEP + 400 * USEC_PER_MSEC);
   for (size_t i = 0; i < KINDS; i++)
-    g_assert_cmpuint (thrice.n_placed[i] * (QUEUE_WAIT_TURNED_AWAY_MAX + 2),
-                      >=, thrice.n_asked[i]);
+    g_assert_cmpuint (thrice.n_placed[i] * (QUEUE_WAIT_REFUSED_MAX + 2), >=,
+                      thrice.n_asked[i]);
   /* What the rule is for.  */
   g_assert_cmpuint (by_deadline.n_in_time * 2, <, even.n_in_time);
   g_assert_cmpint (by_deadline.emptied_at, >, LOAD_END * STEP + USEC_PER_SEC);
@@ -264,19 +264,19 @@
   queue_wait_t wait = { 0 };
   const queue_forecast_t late
       = { .wait = 300, .run = 150, .target = 400, .place_time = 20 };
-  size_t n_let_in[2] = { 0 };
+  size_t n_exempt[2] = { 0 };
   for (size_t i = 0; i < 200; i++)
     {
-      bool is_let_in;
-      queue_wait_turns_away (&wait, 7 + i % 2 * QUEUE_WAIT_KINDS, &late,
-                             &is_let_in);
-      n_let_in[i % 2] += is_let_in;
+      bool is_exempt;
+      queue_wait_refuses (&wait, 7 + i % 2 * QUEUE_WAIT_KINDS, &late,
+                          &is_exempt);
+      n_exempt[i % 2] += is_exempt;
     }
   for (size_t i = 0; i < 2; i++)
-    g_assert_cmpuint (n_let_in[i], ==, 100 / (QUEUE_WAIT_TURNED_AWAY_MAX + 1));
+    g_assert_cmpuint (n_exempt[i], ==, 100 / (QUEUE_WAIT_REFUSED_MAX + 1));
 }
 
-/* Callers that are turned away in one moment come back one for each place, as
+/* Callers that are refused in one moment come back one for each place, as
    far as they can wait; the others are spread.  */
 static void
 test_returns (void)
--- a/test/unit/test_balance_refused_checks.c
+++ b/test/unit/test_balance_refused_checks.c
@@ -168,7 +168,8 @@
     }
 }
 
-/* One refusal that any router tells of has the lookouts look, once.  */
+/* One refusal that any router tells of has the routers probe, once, that do
+   so when told.  */
 static void
 test_told_looks_once (void)
 {
@@ -188,7 +189,7 @@
           backend_pool_hear_colds (pool, &report, 1, NOW + round);
           backend_t *due = backend_pool_due_probe (pool, NOW + round);
           g_assert_true ((due == backend)
-                         == (round == 0 && backend->is_lookout));
+                         == (round == 0 && backend->probes_when_told));
           if (due)
             backend_pool_probe_ended (pool, due, true, 0, NOW + round + 1);
           n_probed += due != NULL;
--- a/test/unit/test_wire_send_watch.c
+++ b/test/unit/test_wire_send_watch.c
@@ -193,7 +193,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       world_t world = world_new ();
-      world.watch.is_alone = true;
+      world.watch.kernel_timer_is_off = true;
       world.n_unacknowledged = 2;
       world.is_closed = cases[i].is_closed;
       bool is_silent = false;
