--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -217,14 +217,6 @@
          && !send_facts_all_acknowledged (&facts);
 }
 
-static bool
-is_written (const backend_call_t *call)
-{
-  curl_off_t n_bytes = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &n_bytes);
-  return (size_t)n_bytes >= call->body_bytes;
-}
-
 /* CALL's final head has come, and what follows on its connection is known.  */
 static void
 end_upload (backend_call_t *call)
@@ -495,7 +487,8 @@
       = http_socket_check_send (call->fd, &call->send_watch, now);
   if (call->send_watch.is_held)
     curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
-  if (state == SEND_ARRIVED && is_written (call))
+  if (state == SEND_ARRIVED
+      && http_socket_is_written (call->easy, call->body_bytes))
     end_upload (call);
   if (state == SEND_SILENT)
     abandon_upload (client, call, "the backend server acknowledges nothing",
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "router/backend_transfer.h"
 #include "wire/http_handles.h"
+#include "wire/http_socket.h"
 #include "wire/send_watch.h"
 
 enum
@@ -473,15 +474,6 @@
   }
 }
 
-/* Whether libcurl has written all of CALL's request.  */
-static bool
-is_written (const backend_call_t *call)
-{
-  curl_off_t n_bytes = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_SIZE_UPLOAD_T, &n_bytes);
-  return (size_t)n_bytes >= call->body_bytes;
-}
-
 static void
 abandon_upload (backend_http_t *client, backend_call_t *call,
                 const char *reason, CURLcode code)
@@ -510,7 +502,7 @@
     case SEND_GOES_ON:
       return;
     case SEND_ARRIVED:
-      if (is_written (call))
+      if (http_socket_is_written (call->easy, call->body_bytes))
         {
           backend_connection_end_upload (call->user.connection);
           list_remove (&call->upload_link);
--- a/src/wire/http_socket.c
+++ b/src/wire/http_socket.c
@@ -71,6 +71,14 @@
         && set_user_timeout (fd, 0);
 }
 
+bool
+http_socket_is_written (CURL *easy, size_t body_bytes)
+{
+  curl_off_t n_bytes = 0;
+  curl_easy_getinfo (easy, CURLINFO_SIZE_UPLOAD_T, &n_bytes);
+  return (size_t)n_bytes >= body_bytes;
+}
+
 void
 http_socket_end_send (int fd, send_watch_t *watch)
 {
--- a/src/wire/http_socket.h
+++ b/src/wire/http_socket.h
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 #include <stdbool.h>
+#include <stddef.h>
 
 #include "base/time_defs.h"
 #include "wire/send_watch.h"
@@ -22,6 +23,9 @@
 /* A request is about to be sent on FD: set WATCH, and its socket options.  */
 void http_socket_start_send (int fd, send_watch_t *watch);
 
+/* Whether libcurl has written all BODY_BYTES of EASY's request.  */
+bool http_socket_is_written (CURL *easy, size_t body_bytes);
+
 /* All of it has arrived: the options are as they were set first.  If bytes
    were held back, nothing is changed.  */
 void http_socket_end_send (int fd, send_watch_t *watch);
