feat(router): logs tell what a response was taken for, and whether the request may have run

A promise of "not run" that was not due could not be found in the logs: a refusal that the backend server states, a status that only looks like one and a request that was never sent end with the same line. backend_answered has class and may_have_run now, request_ended has may_have_run: one with may_have_run=1 and 408, 421, 429 or 503 is the fault itself.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -67,3 +67,26 @@
   return !is_timeout
          && (result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR);
 }
+
+const char *
+answer_class_name (backend_result_t result)
+{
+  switch (result)
+    {
+    case BACKEND_ANSWERED:
+      return "answered";
+    case BACKEND_SERVER_ERROR:
+      return "server_error";
+    case BACKEND_REFUSED:
+      return "refused";
+    case BACKEND_MISDIRECTED:
+      return "misdirected";
+    case BACKEND_NO_VALID_ANSWER:
+      return "no_valid_answer";
+    case BACKEND_OTHER_ANSWER:
+      return "other_answer";
+    case BACKEND_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
--- a/src/balance/answer_class.h
+++ b/src/balance/answer_class.h
@@ -27,6 +27,9 @@
 
 backend_result_t answer_classify (const answer_facts_t *facts);
 
+/* The name of RESULT in logs, for example "refused"; a static string.  */
+const char *answer_class_name (backend_result_t result);
+
 /* Returns whether the request may have run or may still run.  If false, the
    request can be sent to another backend server even if it is not
    idempotent.  */
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -16,7 +16,7 @@
   LOG_EVENT (
       LOG_LEVEL_INFO, "request_ended", LOG_S ("id", exchange->id),
       LOG_S ("outcome", exchange_reason_name (exchange->reason)),
-      LOG_U ("status", status),
+      LOG_U ("status", status), LOG_U ("may_have_run", exchange->may_have_run),
       LOG_S ("framing", response_framing_label (exchange)),
       LOG_U ("body_bytes", exchange->response.body_bytes),
       LOG_S ("route", exchange->route ? exchange->route->name.text : ""),
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -99,11 +99,13 @@
 
 static void
 log_answered (const exchange_t *exchange, const backend_response_t *response,
-              usec_t now)
+              const answer_facts_t *facts, usec_t now)
 {
   LOG_EVENT (LOG_LEVEL_INFO, "backend_answered", LOG_S ("id", exchange->id),
              LOG_S ("backend", exchange->backend->record.id),
              LOG_U ("status", response->status),
+             LOG_S ("class", answer_class_name (answer_classify (facts))),
+             LOG_U ("may_have_run", answer_may_have_run (facts)),
              LOG_U ("whole", response->is_complete),
              LOG_U ("sent", response->may_have_reached),
              LOG_U ("not_started", response->not_started),
@@ -131,7 +133,7 @@
   backend_result_t result = answer_classify (&facts);
   bool reached = facts.may_have_been_sent;
   exchange->call = NULL;
-  log_answered (exchange, response, now);
+  log_answered (exchange, response, &facts, now);
   router_metrics_response_ended (
       dispatcher->options.metrics, exchange->query.service,
       framing_name (response), connection_end_name (response->connection_end));
