--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -4,16 +4,16 @@
      fake-raw-backend ADDRESS FIRST_PORT N FOLDER [NAME]
 
    Listens on N ports, for fake-platform's list with an offset.  The last part
-   of a request's path names the response (see `responses`); some come twice,
-   one in TWICE_EVERY of those of a port (see `repeats`).  "reads-late" pauses
-   before it reads a request's body, "answers-early" answers first.  A body is
-   BODY_BYTES long and made from the request's id; a HEAD gets none.  A health
-   check is answered as by the backend server that the last request expected at
-   that port, also of an earlier process (FOLDER/instance-PORT).  Each request
-   that is run is appended to FOLDER/runs as "ID BACKEND MSEC".  If NAME is
-   given, each request gets this response, also a health check; responses
-   without end are in raw_backend_endless.c, and the bytes that were sent of
-   each go to FOLDER/endless.  */
+   of a request's path names the response (raw_backend_responses.c); some come
+   twice, one in TWICE_EVERY of those of a port (see `repeats`).  "reads-late"
+   pauses before it reads a request's body, "answers-early" answers first.  A
+   body is BODY_BYTES long and made from the request's id; a HEAD gets none.  A
+   health check is answered as by the backend server that the last request
+   expected at that port, also of an earlier process (FOLDER/instance-PORT).
+   Each request that is run is appended to FOLDER/runs as "ID BACKEND MSEC". If
+   NAME is given, each request gets this response, also a health check;
+   responses without end are in raw_backend_endless.c, and the bytes that were
+   sent of each go to FOLDER/endless.  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -28,16 +28,13 @@
 #include <unistd.h>
 
 #include "raw_backend.h"
+#include "raw_response.h"
 
 enum
 {
   REQUEST_BYTES = 8192,
   HEAD_BYTES = 1024,
   NAME_BYTES = 256,
-  BODY_BYTES = 900,
-  LARGE_BYTES = 2 * 1024 * 1024,
-  HUGE_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
-  PART_BYTES = 450,
   LISTEN_BACKLOG = 128,
   MSEC_PER_SEC = 1000,
   NSEC_PER_MSEC = 1000 * 1000,
@@ -48,93 +45,6 @@
   READ_PAUSE_MSEC = 3200, /* more than twice the router's send timeout */
 };
 
-typedef enum
-{
-  ENDS_KEPT,
-  ENDS_CLOSED,
-  ENDS_RESET,
-} ending_t;
-
-/* STATUS and VERSION are the status line's, NULL: "200 OK" and "1.1".  FIELDS
-   follow the usual ones; N_SENT bytes of the body follow the head, in chunks
-   of CHUNK_BYTES (0: in one) if IS_CHUNKED, with the last chunk and the
-   TRAILERS if ENDING is ENDS_KEPT.  SIZE, unless NULL, is the size line of the
-   chunk.  TEXT, unless NULL, comes in place of the body.  */
-typedef struct response
-{
-  const char *name;
-  const char *fields;
-  size_t n_sent;
-  ending_t ending;
-  bool is_chunked;
-  const char *status;
-  const char *version;
-  const char *size;
-  size_t chunk_bytes;
-  const char *trailers;
-  const char *text;
-} response_t;
-
-/* A response in chunks, whole, with other options of response_t.  */
-#define CHUNKED(...)                                                          \
-  .fields = "Transfer-Encoding: chunked\r\n", .is_chunked = true,             \
-  .n_sent = BODY_BYTES, __VA_ARGS__
-
-static const response_t responses[] = {
-  { "length", "Content-Length: 900\r\n", BODY_BYTES, ENDS_KEPT, false },
-  { "chunks", "Transfer-Encoding: chunked\r\n", BODY_BYTES, ENDS_KEPT, true },
-  { "close", "Connection: close\r\n", BODY_BYTES, ENDS_CLOSED, false },
-  { "same-length-twice", "Content-Length: 900\r\nContent-Length: 900\r\n",
-    BODY_BYTES, ENDS_KEPT, false },
-  { "close-early", "Connection: close\r\n", PART_BYTES, ENDS_CLOSED, false },
-  { "close-empty", "", 0, ENDS_CLOSED, false },
-  { "reset-early", "", PART_BYTES, ENDS_RESET, false },
-  { "length-early", "Content-Length: 900\r\n", PART_BYTES, ENDS_CLOSED,
-    false },
-  { "length-reset", "Content-Length: 900\r\n", PART_BYTES, ENDS_RESET, false },
-  { "chunks-early", "Transfer-Encoding: chunked\r\n", PART_BYTES, ENDS_CLOSED,
-    true },
-  { "length-list", "Content-Length: 450, 900\r\n", BODY_BYTES, ENDS_KEPT,
-    false },
-  { "length-letter", "Content-Length: 450x\r\n", BODY_BYTES, ENDS_KEPT,
-    false },
-  { "length-sign", "Content-Length: +450\r\n", BODY_BYTES, ENDS_KEPT, false },
-  { "length-huge", "Content-Length: 99999999999999999999\r\n", PART_BYTES,
-    ENDS_CLOSED, false },
-  { "length-blank", "Content-Length : 900\r\n", PART_BYTES, ENDS_CLOSED,
-    false },
-  { "length-folded", "Content-Length: 450\r\n 900\r\n", BODY_BYTES, ENDS_KEPT,
-    false },
-  { "lengths-differ", "Content-Length: 450\r\nContent-Length: 900\r\n",
-    BODY_BYTES, ENDS_KEPT, false },
-  { "length-and-chunks",
-    "Content-Length: 450\r\nTransfer-Encoding: chunked\r\n", PART_BYTES,
-    ENDS_KEPT, true },
-  { "other-encoding", "Transfer-Encoding: identity\r\n", PART_BYTES,
-    ENDS_CLOSED, false },
-  { "large-close", "", LARGE_BYTES, ENDS_CLOSED, false },
-  { "huge-close", "", HUGE_BYTES, ENDS_CLOSED, false },
-  { "error-close", "", BODY_BYTES, ENDS_CLOSED, false, "500 Error" },
-  { "no-content", "", 0, ENDS_KEPT, false, "204 No Content" },
-  { "no-content-length", "Content-Length: 900\r\n", 0, ENDS_KEPT, false,
-    "204 No Content" },
-  { "not-modified", "", 0, ENDS_KEPT, false, "304 Not Modified" },
-  { "not-modified-length", "Content-Length: 900\r\n", 0, ENDS_KEPT, false,
-    "304 Not Modified" },
-  { .name = "chunk-0x", CHUNKED (.size = "0x384") },
-  { .name = "chunk-0x-text",
-    CHUNKED (.size = "0xd", .text = "name: value\r\n") },
-  { .name = "chunk-letter", CHUNKED (.size = "384x") },
-  { .name = "chunk-sign", CHUNKED (.size = "+384") },
-  { .name = "chunk-blank", CHUNKED (.size = " 384") },
-  { .name = "chunk-huge", CHUNKED (.size = "10000000000000384") },
-  { .name = "chunks-1.0", CHUNKED (.version = "1.0") },
-  { .name = "chunks-status", CHUNKED (.trailers = "HTTP/1.1 200 OK\r\n") },
-  { .name = "chunks-trailer", CHUNKED (.trailers = "X-Sum: 1\r\n") },
-  { .name = "chunks-extension", CHUNKED (.size = "384;a=\"b\"") },
-  { .name = "chunks-small", CHUNKED (.chunk_bytes = 7) },
-};
-
 typedef enum
 {
   REPEAT_NONE,
@@ -290,15 +200,6 @@
                         : "");
 }
 
-static const response_t *
-find_response (const char *name)
-{
-  for (size_t i = 0; i < sizeof responses / sizeof responses[0]; i++)
-    if (strcmp (name, responses[i].name) == 0)
-      return &responses[i];
-  return &responses[0];
-}
-
 /* Whether NAME is the last part of REQUEST's path.  */
 static bool
 is_named (const char *request, const char *name)
@@ -415,7 +316,8 @@
 }
 
 static bool
-send_chunks (int fd, const response_t *response, const char *body, size_t left)
+send_chunks (int fd, const raw_response_t *response, const char *body,
+             size_t left)
 {
   while (left > 0)
     {
@@ -436,7 +338,7 @@
 }
 
 static bool
-send_body (int fd, const response_t *response, const char *id)
+send_body (int fd, const raw_response_t *response, const char *id)
 {
   if (response->text)
     return send_chunks (fd, response, response->text, strlen (response->text));
@@ -474,7 +376,7 @@
       note ("endless", name, id, (long long)n_sent);
       return false;
     }
-  const response_t *response = find_response (name);
+  const raw_response_t *response = raw_response_find (name);
   int n = snprintf (head, sizeof head,
                     "HTTP/%s %s\r\nServer-Stamp: fake\r\n"
                     "Request-Id: %s\r\nX-Request-Id: %s\r\n"
--- /dev/null
+++ b/test/fakes/raw_response.h
@@ -0,0 +1,47 @@
+/* raw_response: the responses of fake-raw-backend.  */
+
+#ifndef TEST_FAKES_RAW_RESPONSE_H
+#define TEST_FAKES_RAW_RESPONSE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+enum
+{
+  BODY_BYTES = 900,
+  LARGE_BYTES = 2 * 1024 * 1024,
+  HUGE_BYTES = 12 * 1024 * 1024, /* more than sockets buffer */
+  PART_BYTES = 450,
+};
+
+typedef enum
+{
+  ENDS_KEPT,
+  ENDS_CLOSED,
+  ENDS_RESET,
+} ending_t;
+
+/* STATUS and VERSION are the status line's, NULL: "200 OK" and "1.1".  FIELDS
+   follow the usual ones; N_SENT bytes of the body follow the head, in chunks
+   of CHUNK_BYTES (0: in one) if IS_CHUNKED, with the last chunk and the
+   TRAILERS if ENDING is ENDS_KEPT.  SIZE, unless NULL, is the size line of the
+   chunk.  TEXT, unless NULL, comes in place of the body.  */
+typedef struct raw_response
+{
+  const char *name;
+  const char *fields;
+  size_t n_sent;
+  ending_t ending;
+  bool is_chunked;
+  const char *status;
+  const char *version;
+  const char *size;
+  size_t chunk_bytes;
+  const char *trailers;
+  const char *text;
+} raw_response_t;
+
+/* The response with this NAME; the first one if there is none.  */
+const raw_response_t *raw_response_find (const char *name);
+
+#endif
