fix(balance,router): a status that promises "not run" is passed on only if the backend server states it

Callers were told 408, 429, 503 (or 503 of the router's own after a 421, and after any status that came with the field) for requests that had run: they may send such a request again, and it runs twice.

Cause: a status was taken for a statement, and the field was believed beside a status that contradicts it. One decision now takes both: it says what the caller is told, whether the request may go elsewhere and whether it counts as run.

Unit tests of the whole table of statuses.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -2,8 +2,11 @@
 
 enum
 {
+  STATUS_BAD_REQUEST = 400,
   STATUS_REQUEST_TIMEOUT = 408,
   STATUS_MISDIRECTED = 421, /* Misdirected Request */
+  STATUS_TOO_MANY_REQUESTS = 429,
+  STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504,
   STATUS_SERVER_ERROR_MIN = 500,
 };
@@ -32,6 +35,25 @@
   return !facts->is_encoded && (facts->is_signed || !is_success);
 }
 
+/* Whether a caller takes STATUS for a promise that its request has not run and
+   never will.  */
+static bool
+promises_not_run (unsigned int status)
+{
+  return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED
+         || status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+}
+
+/* Whether the backend server states that it did not run the request.  A status
+   alone states nothing, and one that tells of a run contradicts the field.  */
+static bool
+states_not_run (const answer_facts_t *facts)
+{
+  return facts->not_started
+         && (promises_not_run (facts->status)
+             || facts->status == STATUS_BAD_REQUEST);
+}
+
 backend_result_t
 answer_classify (const answer_facts_t *facts)
 {
@@ -41,8 +63,10 @@
     return BACKEND_NO_VALID_ANSWER;
   if (facts->status == STATUS_MISDIRECTED)
     return BACKEND_MISDIRECTED;
-  if (facts->not_started)
+  if (states_not_run (facts))
     return BACKEND_REFUSED;
+  if (promises_not_run (facts->status))
+    return BACKEND_DOUBTFUL_REFUSAL;
   if (!is_trusted (facts))
     return BACKEND_NO_VALID_ANSWER;
   return facts->status >= STATUS_SERVER_ERROR_MIN ? BACKEND_SERVER_ERROR
@@ -55,7 +79,8 @@
   if (!facts->may_have_been_sent)
     return false;
   backend_result_t result = answer_classify (facts);
-  return result != BACKEND_REFUSED && result != BACKEND_MISDIRECTED;
+  bool is_refusal = result == BACKEND_REFUSED || result == BACKEND_MISDIRECTED;
+  return !is_refusal || !states_not_run (facts);
 }
 
 bool
@@ -64,7 +89,7 @@
   backend_result_t result = answer_classify (facts);
   bool is_timeout = facts->status == STATUS_REQUEST_TIMEOUT
                     || facts->status == STATUS_GATEWAY_TIMEOUT;
-  return !is_timeout
+  return !is_timeout && !facts->not_started
          && (result == BACKEND_ANSWERED || result == BACKEND_SERVER_ERROR);
 }
 
@@ -79,6 +104,8 @@
       return "server_error";
     case BACKEND_REFUSED:
       return "refused";
+    case BACKEND_DOUBTFUL_REFUSAL:
+      return "doubtful_refusal";
     case BACKEND_MISDIRECTED:
       return "misdirected";
     case BACKEND_NO_VALID_ANSWER:
--- a/src/balance/answer_class.h
+++ b/src/balance/answer_class.h
@@ -30,7 +30,8 @@
 /* The name of RESULT in logs, for example "refused"; a static string.  */
 const char *answer_class_name (backend_result_t result);
 
-/* Returns whether the request may have run or may still run.  If false, the
+/* Returns whether the request may have run or may still run: unless nothing
+   was sent, or the answer states the contrary.  If false, the
    request can be sent to another backend server even if it is not
    idempotent.  */
 bool answer_may_have_run (const answer_facts_t *facts);
--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -286,6 +286,7 @@
   switch (outcome->result)
     {
     case BACKEND_SERVER_ERROR:
+    case BACKEND_DOUBTFUL_REFUSAL:
     case BACKEND_NO_VALID_ANSWER:
       return true;
     case BACKEND_REFUSED:
@@ -338,6 +339,7 @@
       count_failure (pool, backend, FAILURES_UNTIL_DOWN, now);
       break;
     case BACKEND_SERVER_ERROR:
+    case BACKEND_DOUBTFUL_REFUSAL:
     case BACKEND_OTHER_ANSWER:
     case BACKEND_CANCELLED:
       break;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -42,15 +42,17 @@
 /* Result of one request to a backend server.  */
 typedef enum
 {
-  BACKEND_ANSWERED,        /* valid answer with a status below 500 */
-  BACKEND_SERVER_ERROR,    /* valid answer with a 5xx status */
-  BACKEND_REFUSED,         /* refused before the request started to run */
-  BACKEND_MISDIRECTED,     /* another backend server has this address */
-  BACKEND_NO_VALID_ANSWER, /* no connection, or an incomplete or untrusted
-                              answer */
-  BACKEND_OTHER_ANSWER,    /* an answer to an earlier request on the
-                              connection */
-  BACKEND_CANCELLED,       /* this router ended the call */
+  BACKEND_ANSWERED,         /* valid answer with a status below 500 */
+  BACKEND_SERVER_ERROR,     /* valid answer with a 5xx status */
+  BACKEND_REFUSED,          /* refused before the request started to run */
+  BACKEND_DOUBTFUL_REFUSAL, /* a status that promises callers that the request
+                               has not run, without the field that states it */
+  BACKEND_MISDIRECTED,      /* another backend server has this address */
+  BACKEND_NO_VALID_ANSWER,  /* no connection, or an incomplete or untrusted
+                               answer */
+  BACKEND_OTHER_ANSWER,     /* an answer to an earlier request on the
+                               connection */
+  BACKEND_CANCELLED,        /* this router ended the call */
 } backend_result_t;
 
 /* Load report of a backend server, in requests.  */
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -26,19 +26,17 @@
 }
 
 /* Whether EXCHANGE may be sent to another backend server now, after a call
-   that ended with RESULT.  Takes a retry from the budget if the request had
-   reached a backend server.  */
+   that MAY_HAVE_RUN it or not.  Takes a retry from the budget if the request
+   had REACHED a backend server.  */
 static bool
-may_retry (dispatcher_t *dispatcher, exchange_t *exchange,
-           backend_result_t result, bool reached, usec_t now)
+may_retry (dispatcher_t *dispatcher, exchange_t *exchange, bool may_have_run,
+           bool reached, usec_t now)
 {
-  bool not_run
-      = result == BACKEND_MISDIRECTED || result == BACKEND_REFUSED || !reached;
   if (exchange->n_attempts >= ATTEMPTS_MAX || now >= exchange->deadline
       || exchange->n_transmitted >= exchange->route->max_attempts
       || exchange->query.n_excluded >= POOL_EXCLUDED_MAX)
     return false;
-  if (!not_run
+  if (may_have_run
       && (!exchange->route->is_idempotent
           || dispatcher_may_be_poison (dispatcher, exchange, now)))
     return false;
@@ -67,6 +65,7 @@
       forward_response (dispatcher, exchange, response);
       return;
     case BACKEND_REFUSED:
+    case BACKEND_DOUBTFUL_REFUSAL:
     case BACKEND_MISDIRECTED:
       dispatcher_refuse (dispatcher, exchange, REASON_REFUSED, now);
       return;
@@ -141,8 +140,8 @@
     router_metrics_not_whole (dispatcher->options.metrics, backend->record.id);
   if (!reached)
     exchange->n_transmitted--;
-  if (answer_may_have_run (&facts))
-    exchange->may_have_run = true;
+  bool may_have_run = answer_may_have_run (&facts);
+  exchange->may_have_run = exchange->may_have_run || may_have_run;
   exchange->was_refused = exchange->was_refused || result == BACKEND_REFUSED;
   exchange->query.excluded[exchange->query.n_excluded++ % POOL_EXCLUDED_MAX]
       = backend->id_hash;
@@ -154,8 +153,9 @@
   if (result == BACKEND_OTHER_ANSWER)
     dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
-  bool will_retry = result != BACKEND_ANSWERED
-                    && may_retry (dispatcher, exchange, result, reached, now);
+  bool will_retry
+      = result != BACKEND_ANSWERED
+        && may_retry (dispatcher, exchange, may_have_run, reached, now);
   const backend_outcome_t outcome
       = { .result = result,
           .load = response->load,
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -199,13 +199,15 @@
 }
 
 /* Hop-by-hop headers are not forwarded, nor Content-Length, which is generated
-   again.  */
+   again, nor HEADER_NOT_STARTED: a response that states it is not forwarded
+   unless its status contradicts it.  */
 static bool
 is_forwarded (const char *name)
 {
   static const char *const excluded[] = {
     "Connection",       "Keep-Alive", "Transfer-Encoding", "Content-Length",
-    "Proxy-Connection", "Trailer",    "Upgrade",           "TE"
+    "Proxy-Connection", "Trailer",    "Upgrade",           "TE",
+    HEADER_NOT_STARTED
   };
   for (size_t i = 0; i < sizeof excluded / sizeof excluded[0]; i++)
     if (strcasecmp (name, excluded[i]) == 0)
--- /dev/null
+++ b/test/functional/test_fleet_ran_and_refused.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# Guards against a request that a backend server ran and that its caller is told has not run.
+set -euo pipefail
+BUILD=$1
+SOURCE=$2
+source "$SOURCE/test/functional/response_ends.sh"
+
+ran() { grep -q "^$ID " "$FOLDER/runs"; }
+
+# 408, 421, 429 and 503 promise that it has not run and never will.
+no_promise() {
+  case $STATUS in
+    408 | 421 | 429 | 503) ! ran || WRONG+="$ID: told $STATUS, and ran"$'\n' ;;
+  esac
+}
+
+# A response of a backend server that promises nothing is passed on as it is, without the field
+# that its status contradicts.  One that was not passed on did not reach a backend server.
+passed_on() {
+  local status=${ID#ran-}
+  no_promise
+  [ "$STATUS" = "${status%%-*}" ] && [ "$IS_WHOLE" = 1 ] || { [ "$STATUS" = 503 ] && ! ran; } ||
+    WRONG+="$ID: $STATUS, whole $IS_WHOLE"$'\n'
+  ! grep -qi '^Not-Executed:' "$FOLDER/head.text" || WRONG+="$ID: told the field"$'\n'
+}
+
+all() {
+  ROUNDS=5 each no_promise ran-408 ran-421 ran-429 ran-503
+  ROUNDS=5 each passed_on ran-200-stated ran-404-stated ran-500-stated ran-504-stated
+}
+
+all
+check_all
+# A request that may run again gets the same answers: its caller, too, is told no promise.
+put "$(config 00000006 idempotent /x/)" || fail 'the second configuration is not accepted'
+in_force() { logged 'event=config_in_force version=6' router-1 && logged 'event=config_in_force version=6' router-2 &&
+  logged 'event=config_in_force version=6' router-3; }
+wait_for 10 in_force
+all
+[ -z "$WRONG" ] || fail "$(echo "$WRONG" | sed '/^$/d' | wc -l) of $N, idempotent: $WRONG"
+# The fault itself can be found in the logs.
+! logged 'event=request_ended .* status=\(408\|421\|429\|503\) may_have_run=1' router-1 router-2 router-3 ||
+  fail 'a request that may have run ended with a promise'
+echo "good: $N responses"
--- a/test/unit/test_balance_answer_class.c
+++ b/test/unit/test_balance_answer_class.c
@@ -34,6 +34,47 @@
   g_assert_false (answer_may_have_run (&facts));
 }
 
+/* Guards against a status that is taken for a statement: without the field, a
+   backend server that answers so may have run the request.  */
+static void
+test_status_states_nothing (void)
+{
+  static const unsigned int statuses[] = { 408, 421, 429, 503 };
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      answer_facts_t facts = good_answer ();
+      facts.status = statuses[i];
+      backend_result_t doubtful = facts.status == 421
+                                      ? BACKEND_MISDIRECTED
+                                      : BACKEND_DOUBTFUL_REFUSAL;
+      g_assert_cmpint (answer_classify (&facts), ==, doubtful);
+      g_assert_true (answer_may_have_run (&facts));
+      g_assert_false (answer_shows_complete_run (&facts));
+      facts.not_started = true;
+      g_assert_false (answer_may_have_run (&facts));
+    }
+}
+
+/* Guards against the field being believed beside a status that tells of a run.
+ */
+static void
+test_contradicted_statement (void)
+{
+  for (unsigned int status = 200; status < 600; status++)
+    {
+      bool is_agreeing = status == 400 || status == 408 || status == 421
+                         || status == 429 || status == 503;
+      answer_facts_t facts = good_answer ();
+      facts.status = status;
+      facts.not_started = true;
+      g_assert_cmpint (answer_may_have_run (&facts), ==, !is_agreeing);
+      g_assert_false (answer_shows_complete_run (&facts));
+    }
+  answer_facts_t facts = good_answer ();
+  facts.not_started = true;
+  g_assert_cmpint (answer_classify (&facts), ==, BACKEND_ANSWERED);
+}
+
 /* A second answer to the previous request arrives late on the same connection
    and looks like a refusal of this request, which may in fact run.  */
 static void
@@ -125,6 +166,9 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/answer-class/success", test_success);
   g_test_add_func ("/answer-class/refusal", test_refusal_did_not_run);
+  g_test_add_func ("/answer-class/status-states-nothing",
+                   test_status_states_nothing);
+  g_test_add_func ("/answer-class/contradicted", test_contradicted_statement);
   g_test_add_func ("/answer-class/another-request",
                    test_answer_to_another_request);
   g_test_add_func ("/answer-class/earlier-request",
