fix(wire): a response whose status is none is not an answer

Here 000 and 099 were 502 already, by libcurl; of the same class 600, 999, "200x" and HTTP/2.0 on an HTTP/1 connection reached callers as they came, and 101, which no request asks for, held the caller until its time limit (504).

Cause: the status line was read for three digits alone.

--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -7,8 +7,10 @@
 enum
 {
   STATUS_DIGITS = 3,
+  STATUS_MIN = 100,
+  STATUS_SWITCHING = 101, /* Switching Protocols, which no request asks for */
   STATUS_FINAL_MIN = 200, /* lower ones are informational */
-  STATUS_MAX = 999,
+  STATUS_MAX = 599,
 };
 
 static bool
@@ -50,6 +52,13 @@
   return true;
 }
 
+/* Whether C may follow the digits of a status.  */
+static bool
+ends_status (char c)
+{
+  return c == ' ' || c == '\r' || c == '\n';
+}
+
 /* Whether a status line goes on within LINE: another response was cut there,
    and what came before belongs to no request.  */
 static bool
@@ -61,20 +70,23 @@
   return false;
 }
 
-/* "HTTP/1.1 200 OK": 200.  */
+/* "HTTP/1.1 200 OK": 200.  False for what is no status line of HTTP/1, and for
+   a status that is none (RFC 9110, section 15) or that no request asks for. */
 static bool
 parse_status (const char *line, size_t length, unsigned int *status)
 {
+  static const char form[] = "HTTP/1.1 ";
   uint64_t number;
-  const char *blank = memchr (line, ' ', length);
-  size_t begin = blank ? (size_t)(blank - line) + 1 : length;
-  if (begin + STATUS_DIGITS > length
+  size_t begin = sizeof form - 1;
+  size_t end = begin + STATUS_DIGITS;
+  if (end >= length || !begins_status (line, length)
+      || !begins_with (line, length, "HTTP/1.") || !ends_status (line[end])
       || number_parse_unsigned_span (&number, line + begin, STATUS_DIGITS,
                                      STATUS_MAX)
              != NUMBER_OK)
     return false;
   *status = (unsigned int)number;
-  return true;
+  return number >= STATUS_MIN && number != STATUS_SWITCHING;
 }
 
 head_line_t
--- a/test/unit/test_wire_response_framing.c
+++ b/test/unit/test_wire_response_framing.c
@@ -317,6 +317,33 @@
     read_head ("", 200, good[i]);
 }
 
+/* Guards against a status that is none, and against one of another protocol,
+   being taken for a response.  */
+static void
+test_no_status (void)
+{
+  static const char *const none[]
+      = { "HTTP/1.1 200x OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 20 OK\r\n",
+          "HTTP/1.1  200 OK\r\n", "HTTP/1.1 +20 OK\r\n",  "HTTP/1.1 OK\r\n",
+          "HTTP/1.1\r\n",         "HTTP/2.0 200 OK\r\n",  "HTTP/2 200\r\n",
+          "HTTP/0.9 200 OK\r\n",  "HTTP/1.1 20\n",        "HTTP/1.1 200" };
+  for (size_t i = 0; i < G_N_ELEMENTS (none); i++)
+    {
+      answer_head_t head = { 0 };
+      if (answer_head_next (&head, none[i], strlen (none[i]))
+          != HEAD_LINE_MALFORMED)
+        g_error ("taken for a status line: %s", none[i]);
+    }
+  for (unsigned int status = 0; status < 1000; status++)
+    {
+      answer_head_t head = { 0 };
+      g_autofree char *line = g_strdup_printf ("HTTP/1.1 %03u\r\n", status);
+      bool is_status = status >= 100 && status < 600 && status != 101;
+      g_assert_cmpint (answer_head_next (&head, line, strlen (line)), ==,
+                       is_status ? HEAD_LINE_STATUS : HEAD_LINE_MALFORMED);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -329,6 +356,7 @@
   g_test_add_func ("/response_framing/connection-end", test_connection_end);
   g_test_add_func ("/response_framing/head", test_head);
   g_test_add_func ("/response_framing/two-heads", test_two_heads);
+  g_test_add_func ("/response_framing/no-status", test_no_status);
   g_test_add_func ("/response_framing/head-after-final",
                    test_head_after_final);
   return g_test_run ();
