--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -1,6 +1,5 @@
 #include "router/backend_connections.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -8,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/list.h"
+#include "router/backend_connections_internal.h"
 #include "router/foreign_response.h"
 #include "router/response_reader.h"
 #include "wire/http_socket.h"
@@ -19,8 +18,6 @@
 
 enum
 {
-  BUCKETS = 256, /* by local port */
-  SOCKETS_MIN = 64,
   READ_BYTES = 4096,        /* at a time */
   HIDDEN_BYTES = 64 * 1024, /* within the kernel's usual buffer */
   EXTRA_BYTES_READ_MAX = 64 * 1024,
@@ -28,110 +25,6 @@
   FOREIGN_BYTES_MAX = RESPONSE_BYTES_MAX,
 };
 
-struct backend_connection
-{
-  list_t link; /* in a bucket once a request was sent, or in `closed` */
-  watch_t watch;
-  bool is_watched;
-  bool has_ended;        /* it was shut down here */
-  bool had_head_request; /* the length of its responses does not tell */
-  bool may_be_foreign;   /* what comes next may answer an earlier request */
-  bool is_spoilt;        /* such a response has come */
-  uint64_t n_foreign;    /* bytes of it that are still to be read */
-  unsigned int n_foreign_responses; /* that have come */
-  uint64_t foreign_bytes;           /* of them all */
-  inet_t remote;
-  uint16_t local_port; /* 0: no request was sent yet */
-  connection_use_t last;
-  list_t hidden_link;  /* in `hidden` */
-  list_t retired_link; /* in `retired` */
-  usec_t retired_at;
-  bool is_counted;         /* all that was read on it is in n_read */
-  uint64_t n_read;         /* bytes of responses */
-  connection_user_t *user; /* NULL: idle */
-  send_watch_t send_watch; /* of an upload; held: no other request follows */
-};
-
-struct backend_connections
-{
-  backend_connections_options_t options;
-  list_t buckets[BUCKETS];
-  list_t unused;  /* connections on which no request was sent yet */
-  list_t hidden;  /* whose bytes libcurl does not see */
-  list_t retired; /* idle ones that get no other request, by retired_at */
-  list_t closed;  /* to be freed */
-  size_t n_sockets;
-  backend_connection_t **by_socket; /* malloc'd; index: file descriptor */
-};
-
-static backend_connection_t *
-find_by_socket (const backend_connections_t *connections, int fd)
-{
-  return fd >= 0 && (size_t)fd < connections->n_sockets
-             ? connections->by_socket[fd]
-             : NULL;
-}
-
-static void
-grow (backend_connections_t *connections, size_t needed)
-{
-  size_t n = connections->n_sockets ? connections->n_sockets : SOCKETS_MIN;
-  while (n < needed)
-    n *= 2;
-  if (n == connections->n_sockets)
-    return;
-  connections->by_socket
-      = realloc (connections->by_socket, n * sizeof (backend_connection_t *));
-  if (!connections->by_socket)
-    abort ();
-  for (size_t i = connections->n_sockets; i < n; i++)
-    connections->by_socket[i] = NULL;
-  connections->n_sockets = n;
-}
-
-/* The socket of CONNECTION was closed.  */
-static void
-forget (backend_connections_t *connections, backend_connection_t *connection)
-{
-  connections->by_socket[connection->watch.fd] = NULL;
-  list_remove (&connection->hidden_link);
-  list_remove (&connection->retired_link);
-  list_remove (&connection->link);
-  list_push_back (&connections->closed, &connection->link);
-}
-
-/* If the socket FD was in use before, libcurl has closed it without a call of
-   close_socket.  */
-static void
-forget_unreported (backend_connections_t *connections, int fd)
-{
-  backend_connection_t *connection = find_by_socket (connections, fd);
-  if (!connection)
-    return;
-  if (connection->user)
-    *connection->user = (connection_user_t){ 0 };
-  forget (connections, connection);
-}
-
-static backend_connection_t *
-add (backend_connections_t *connections, int fd)
-{
-  backend_connection_t *connection = calloc (1, sizeof *connection);
-  if (!connection)
-    abort ();
-  connection->watch = (watch_t){ .kind = WATCH_BACKEND_SOCKET,
-                                 .fd = fd,
-                                 .owner = connection };
-  connection->is_counted = true;
-  list_init (&connection->hidden_link);
-  list_init (&connection->retired_link);
-  forget_unreported (connections, fd);
-  list_push_back (&connections->unused, &connection->link);
-  grow (connections, (size_t)fd + 1);
-  connections->by_socket[fd] = connection;
-  return connection;
-}
-
 static curl_socket_t
 open_socket (void *closure, curlsocktype purpose, struct curl_sockaddr *to)
 {
@@ -140,7 +33,7 @@
   int fd = socket (to->family, to->socktype | SOCK_CLOEXEC, to->protocol);
   if (fd < 0)
     return CURL_SOCKET_BAD;
-  add (connections, fd);
+  connection_table_add (connections, fd);
   return fd;
 }
 
@@ -185,14 +78,14 @@
 close_socket (void *closure, curl_socket_t fd)
 {
   backend_connections_t *connections = closure;
-  backend_connection_t *connection = find_by_socket (connections, fd);
+  backend_connection_t *connection = connection_table_find (connections, fd);
   if (connection)
     {
       stop_watching (connections, connection);
       if (connection->user)
         *connection->user
             = (connection_user_t){ .n_unread = unread_bytes (connection) };
-      forget (connections, connection);
+      connection_table_forget (connections, connection);
     }
   return close (fd);
 }
@@ -226,9 +119,9 @@
 backend_connections_watch (backend_connections_t *connections,
                            curl_socket_t fd, int what)
 {
-  backend_connection_t *connection = find_by_socket (connections, fd);
+  backend_connection_t *connection = connection_table_find (connections, fd);
   if (!connection)
-    connection = add (connections, fd);
+    connection = connection_table_add (connections, fd);
   if (what == CURL_POLL_REMOVE)
     stop_watching (connections, connection);
   else
@@ -290,63 +183,6 @@
   return false;
 }
 
-static list_t *
-bucket (backend_connections_t *connections, uint16_t local_port)
-{
-  return &connections->buckets[local_port % BUCKETS];
-}
-
-static backend_connection_t *
-find_used (backend_connections_t *connections, const inet_t *remote,
-           uint16_t local_port)
-{
-  LIST_FOREACH (link, bucket (connections, local_port))
-  {
-    backend_connection_t *connection
-        = LIST_ENTRY (link, backend_connection_t, link);
-    if (connection->local_port == local_port
-        && inet_equal (&connection->remote, remote))
-      return connection;
-  }
-  return NULL;
-}
-
-/* Whether NAME, of a socket, is ADDRESS.  */
-static bool
-is_address (const struct sockaddr_in *name, const inet_t *address)
-{
-  return ntohl (name->sin_addr.s_addr) == address->address
-         && ntohs (name->sin_port) == address->port;
-}
-
-/* Whether FD is the socket of a connection from LOCAL_PORT to REMOTE: the
-   kernel may use a port for several remote addresses.  */
-static bool
-is_connection (int fd, const inet_t *remote, uint16_t local_port)
-{
-  struct sockaddr_in local = { 0 };
-  struct sockaddr_in peer = { 0 };
-  socklen_t local_length = sizeof local;
-  socklen_t peer_length = sizeof peer;
-  return getsockname (fd, (struct sockaddr *)&local, &local_length) == 0
-         && getpeername (fd, (struct sockaddr *)&peer, &peer_length) == 0
-         && ntohs (local.sin_port) == local_port && is_address (&peer, remote);
-}
-
-static backend_connection_t *
-find_unused (backend_connections_t *connections, const inet_t *remote,
-             uint16_t local_port)
-{
-  LIST_FOREACH (link, &connections->unused)
-  {
-    backend_connection_t *connection
-        = LIST_ENTRY (link, backend_connection_t, link);
-    if (is_connection (connection->watch.fd, remote, local_port))
-      return connection;
-  }
-  return NULL;
-}
-
 /* The socket is readable from N_BYTES on, or at its end.  */
 static void
 set_readable_from (const backend_connection_t *connection, int n_bytes)
@@ -381,23 +217,19 @@
 {
   connection_state_t state = CONNECTION_IS_KEPT;
   backend_connection_t *connection
-      = find_used (connections, remote, local_port);
+      = connection_table_find_used (connections, remote, local_port);
   if (connection && !check_idle (connections, connection))
     return CONNECTION_IS_UNUSABLE;
   if (!connection)
     {
       state = CONNECTION_IS_NEW;
-      connection = find_unused (connections, remote, local_port);
+      connection
+          = connection_table_find_unused (connections, remote, local_port);
     }
   if (!connection)
     return state;
   if (state == CONNECTION_IS_NEW)
-    {
-      connection->remote = *remote;
-      connection->local_port = local_port;
-      list_remove (&connection->link);
-      list_push_back (bucket (connections, local_port), &connection->link);
-    }
+    connection_table_use (connections, connection, remote, local_port);
   connection->may_be_foreign = state == CONNECTION_IS_KEPT && use->id[0]
                                && !connection->had_head_request;
   if (connection->may_be_foreign)
@@ -601,22 +433,16 @@
   if (!connections)
     abort ();
   connections->options = *options;
-  for (size_t i = 0; i < BUCKETS; i++)
-    list_init (&connections->buckets[i]);
-  list_init (&connections->unused);
+  connection_table_init (connections);
   list_init (&connections->hidden);
   list_init (&connections->retired);
-  list_init (&connections->closed);
   return connections;
 }
 
 void
 backend_connections_free (backend_connections_t *connections)
 {
-  for (size_t fd = 0; fd < connections->n_sockets; fd++)
-    if (connections->by_socket[fd])
-      forget (connections, connections->by_socket[fd]);
+  connection_table_clear (connections);
   backend_connections_sweep (connections);
-  free (connections->by_socket);
   free (connections);
 }
