fix(entry,delivery): a refusal of a resent request says nothing of its first transmission

Callers of an entry VM could be told `not-run` for an idempotent request that had run: a kept connection was closed after the request, libcurl sent it again on another one, and the backend server refused that with X-Not-Started. Its cost was refunded, too.

Cause: the refusal was taken for both transmissions. The reply now tells that there was an earlier one, and the request may have run then: `unknown`, unless a later attempt is answered.

Evidence: test_delivery and test_entry_client failed before (outcome NOT_RUN in place of UNKNOWN; a refusal of a resend looked like any other); the two, test_delivery_matrix and test_entry_upload pass now. Not run as processes.

--- a/src/delivery/request.c
+++ b/src/delivery/request.c
@@ -250,6 +250,8 @@
   uint32_t generation = step->event->as.refusal.generation;
   step_release_slot (step);
   request->send_started = false;
+  request->may_have_run
+      = request->may_have_run || step->event->as.refusal.may_have_run;
   if (request->forwarded && generation != 0)
     {
       step_report_not_run (step, reason, generation);
--- a/src/delivery/request_defs.h
+++ b/src/delivery/request_defs.h
@@ -114,6 +114,7 @@
       request_reason_t reason;
       uint32_t generation; /* not 0: the target claimed the ticket, then
                                released the claim */
+      bool may_have_run;   /* by an earlier transmission of this send */
     } refusal;
     struct
     {
--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -421,6 +421,7 @@
   backend_reply_t *reply = &call->reply;
   reply->status = call->head.status;
   reply->maybe_sent = call->n_sends > 0;
+  reply->was_resent = call->n_sends > 1;
   reply->timed_out = code == CURLE_OPERATION_TIMEDOUT;
   reply->is_complete = code == CURLE_OK && is_whole (call, code);
   reply->is_truncated = !reply->is_complete && reply->status > 0;
--- a/src/entry/backend_client.h
+++ b/src/entry/backend_client.h
@@ -29,6 +29,8 @@
 {
   bool is_complete;  /* an answer with an explicit length came, to its end */
   bool maybe_sent;   /* bytes of the request may have been sent */
+  bool was_resent;   /* on another connection: the answer tells nothing of the
+                        transmission before it */
   bool is_truncated; /* an answer began but is not complete */
   bool id_matches;   /* its X-Request-Id is the one that was sent */
   bool not_started;  /* X-Not-Started: refused before it ran */
--- a/src/entry/job.c
+++ b/src/entry/job.c
@@ -169,7 +169,9 @@
   request_event_t event
       = { .kind = EVENT_TARGET_REFUSED, .request_id = job->request.send_id };
   event.as.refusal.reason = REASON_BACKEND_FAILED;
-  costs_refund (job->context->costs, &job->charge);
+  event.as.refusal.may_have_run = reply->was_resent;
+  if (!reply->was_resent)
+    costs_refund (job->context->costs, &job->charge);
   if (job->request.forwarded)
     {
       event.as.refusal.reason = reason_parse (reply->reason);
--- a/test/unit/test_delivery.c
+++ b/test/unit/test_delivery.c
@@ -385,6 +385,38 @@
   g_assert_cmpint (actions.items[0].as.outcome.kind, ==, OUTCOME_UNKNOWN);
 }
 
+/* Guards against "not run" for a request whose target refused it, after an
+   earlier transmission of the same send that may have run.  */
+static void
+test_refusal_after_a_transmission_is_unknown (void)
+{
+  for (int was_transmitted = 0; was_transmitted <= 1; was_transmitted++)
+    {
+      request_t request;
+      request_actions_t actions;
+      request_counters_t counters = { 0 };
+      retry_budget_t budget;
+      retry_budget_init (&budget, 1000, 1);
+      const request_options_t options = {
+        .idempotent = true, .id = 256, .deadline = USEC_PER_SEC, .max_sends = 1
+      };
+      request_start (&request, &options, 0, &actions);
+      request_event_t events[]
+          = { { .kind = EVENT_ADMITTED },
+              { .kind = EVENT_SEND_STARTED, .request_id = 257 },
+              { .kind = EVENT_TARGET_REFUSED, .request_id = 257 } };
+      events[2].as.refusal.reason = REASON_BACKEND_FAILED;
+      events[2].as.refusal.may_have_run = was_transmitted == 1;
+      for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+        request_on_event (&request, &events[i], &budget, &counters, 1,
+                          &actions);
+      const request_action_t *last = &actions.items[actions.n - 1];
+      g_assert_cmpint (last->kind, ==, ACTION_REPORT_OUTCOME);
+      g_assert_cmpint (last->as.outcome.kind, ==,
+                       was_transmitted ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN);
+    }
+}
+
 /* Guards against a late failure that ends the wrong attempt: the connection of
    the first send fails after the second send has started.  */
 static void
@@ -459,6 +491,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/request/refused-after-transmission",
+                   test_refusal_after_a_transmission_is_unknown);
   g_test_add_func ("/slots/owner", test_slots_have_one_owner);
   g_test_add_func ("/slots/once", test_slots_are_released_once);
   g_test_add_func ("/slots/cancel",
--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -200,6 +200,30 @@
   g_assert_true (second.reply.maybe_sent);
 }
 
+/* Guards against "not run" for an idempotent request that libcurl sent twice:
+   the server that closed the first connection may have run it.  */
+static void
+test_refusal_of_a_resend (void)
+{
+  static const char refusal[] = "HTTP/1.1 503 Full\r\nX-Request-Id: r\r\n"
+                                "X-Not-Started: 1\r\n"
+                                "Content-Length: 2\r\n\r\nno";
+  script_t script = { .replies = { kept_alive, "", refusal, refusal } };
+  script_start (&script);
+  backend_client_t *client = open_client ();
+  result_t first = call (client, &script, "GET", false);
+  g_assert_false (first.reply.was_resent);
+  result_t second = call (client, &script, "GET", false);
+  g_assert_cmpint (script.n_requests, ==, 3);
+  g_assert_true (second.reply.not_started);
+  g_assert_true (second.reply.was_resent);
+  result_t third = call (client, &script, "GET", false);
+  g_assert_true (third.reply.not_started);
+  g_assert_false (third.reply.was_resent);
+  backend_client_free (client);
+  script_stop (&script);
+}
+
 typedef struct framing_case
 {
   const char *path;
@@ -421,6 +445,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   curl_global_init (CURL_GLOBAL_DEFAULT);
+  g_test_add_func ("/entry_client/refusal_of_a_resend",
+                   test_refusal_of_a_resend);
   g_test_add_func ("/entry_client/libcurl_sends_a_post_twice",
                    test_libcurl_sends_a_post_twice);
   g_test_add_func ("/entry_client/once_is_once", test_no_resend_sends_once);
