--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -42,6 +42,7 @@
   TWICE_LATE_MSEC = 60, /* at most */
   PACKET_BYTES = HEAD_BYTES + BODY_BYTES,
   USEC_PER_MSEC = 1000,
+  SEEN_MAX = 64,          /* requests whose ids are kept */
   READ_PAUSE_MSEC = 3200, /* more than twice the router's send timeout */
 };
 
@@ -164,6 +165,32 @@
                                               : 'a' + (int)(i % 26));
 }
 
+/* Whether a request with this ID came before, among the last SEEN_MAX.  */
+static bool
+came_before (const char *id)
+{
+  static char seen[SEEN_MAX][ID_BYTES]; /* guarded by LOCK */
+  static size_t n_seen;
+  bool is_found = false;
+  pthread_mutex_lock (&lock);
+  for (size_t i = 0; i < SEEN_MAX && !is_found; i++)
+    is_found = strcmp (seen[i], id) == 0;
+  if (!is_found)
+    snprintf (seen[n_seen++ % SEEN_MAX], ID_BYTES, "%s", id);
+  pthread_mutex_unlock (&lock);
+  return is_found;
+}
+
+/* The response with this NAME to the request with this ID.  */
+static const raw_response_t *
+find_response (const char *name, const char *id)
+{
+  const raw_response_t *response = raw_response_find (name);
+  return response->next && came_before (id)
+             ? raw_response_find (response->next)
+             : response;
+}
+
 /* Append "ID TEXT NUMBER" to FOLDER/FILE.  */
 static void
 note (const char *file_name, const char *id, const char *text,
@@ -367,7 +394,8 @@
     find_field (request, "X-Request-Id", id);
   find_field (request, "Expect-Instance", instance);
   expected_instance (client->port, instance);
-  if (id[0])
+  const raw_response_t *response = find_response (name, id);
+  if (id[0] && !response->is_refused)
     note_run (id, instance);
   if (raw_backend_is_endless (name))
     {
@@ -376,7 +404,6 @@
       note ("endless", name, id, (long long)n_sent);
       return false;
     }
-  const raw_response_t *response = raw_response_find (name);
   int n = snprintf (head, sizeof head,
                     "HTTP/%s %s\r\nServer-Stamp: fake\r\n"
                     "Request-Id: %s\r\nX-Request-Id: %s\r\n"
--- a/test/fakes/raw_response.h
+++ b/test/fakes/raw_response.h
@@ -25,7 +25,9 @@
    follow the usual ones; N_SENT bytes of the body follow the head, in chunks
    of CHUNK_BYTES (0: in one) if IS_CHUNKED, with the last chunk and the
    TRAILERS if ENDING is ENDS_KEPT.  SIZE, unless NULL, is the size line of the
-   chunk.  TEXT, unless NULL, comes in place of the body.  */
+   chunk.  TEXT, unless NULL, comes in place of the body.  NEXT, unless NULL,
+   names the response to a request that came before.  A request that IS_REFUSED
+   is not run.  */
 typedef struct raw_response
 {
   const char *name;
@@ -33,12 +35,14 @@
   size_t n_sent;
   ending_t ending;
   bool is_chunked;
+  bool is_refused;
   const char *status;
   const char *version;
   const char *size;
   size_t chunk_bytes;
   const char *trailers;
   const char *text;
+  const char *next;
 } raw_response_t;
 
 /* The response with this NAME; the first one if there is none.  */
