fix(entry): a head that says both that a request was refused and that it was not states nothing

Callers of an entry VM were told `not-run`, or the request went to another backend server, if a 503 had X-Not-Started twice and the last one was 1. Cause: the last field was taken.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -42,6 +42,7 @@
   head_bound_t head_bound;
   chunk_decoder_t chunks; /* of a body in chunks */
   bool has_id;            /* the last head has an X-Request-Id */
+  bool has_refusal;       /* or an X-Not-Started, whatever it says */
   bool is_too_long;
   size_t body_capacity;
   backend_reply_t reply;
@@ -164,7 +165,12 @@
       call->has_id = true;
     }
   else if ((value = header_value (line, "X-Not-Started")))
-    reply->not_started = strcmp (value, "1") == 0;
+    {
+      bool is_refusal = strcmp (value, "1") == 0;
+      reply->not_started
+          = is_refusal && (!call->has_refusal || reply->not_started);
+      call->has_refusal = true;
+    }
   else if ((value = header_value (line, "Content-Type")))
     copy_text (reply->content_type, value);
   else if ((value = header_value (line, "X-Mulberry-Outcome")))
@@ -183,6 +189,7 @@
 {
   backend_reply_t *reply = &call->reply;
   call->has_id = false;
+  call->has_refusal = false;
   reply->id_matches = false;
   reply->not_started = false;
   reply->content_type[0] = '\0';
--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -407,6 +407,24 @@
   g_assert_true (same.id_matches);
 }
 
+/* Guards against a refusal that is believed although the same head denies it.
+ */
+static void
+test_contradicting_refusals (void)
+{
+  static const char *const values[] = { "0", "1" };
+  for (size_t i = 0; i < 2; i++)
+    for (size_t j = 0; j < 2; j++)
+      {
+        g_autofree char *text
+            = g_strdup_printf ("HTTP/1.1 503 Full\r\nX-Request-Id: r\r\n"
+                               "X-Not-Started: %s\r\nX-Not-Started: %s\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               values[i], values[j]);
+        g_assert_cmpint (reply_to (text).not_started, ==, i == 1 && j == 1);
+      }
+}
+
 /* Guards against a request on a connection that gave another request's answer:
    what follows there can't be told apart either.  */
 static void
@@ -445,6 +463,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   curl_global_init (CURL_GLOBAL_DEFAULT);
+  g_test_add_func ("/entry_client/contradicting_refusals",
+                   test_contradicting_refusals);
   g_test_add_func ("/entry_client/refusal_of_a_resend",
                    test_refusal_of_a_resend);
   g_test_add_func ("/entry_client/libcurl_sends_a_post_twice",
