--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -13,7 +13,7 @@
 # Checked while it runs and after it, from what callers and backend servers see:
 #   - a request that may run once ran at most once, and once where it has an answer;
 #   - an answer is the answer to its own request; one with a length has its whole body;
-#   - a request that was told "not run" (503) did not run;
+#   - a request that was told "not run" (408, 421, 429, 503) did not run;
 #   - a draining backend server gets nothing new after 3 s, nor one that told the
 #     router that it leaves; one that asked the router for a rest gets at most two
 #     requests until its end;
@@ -325,7 +325,7 @@
   END {
     for (id in runs) if (runs[id] > 1 && id !~ /^g/) { print "ran " runs[id] " times: " id; bad = 1 }
     for (id in told) {
-      if ((told[id] == 503 || told[id] == 429) && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
+      if (told[id] ~ /^(408|421|429|503)$/ && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
       if (told[id] == 200 && (id ~ /^g/ ? runs[id] < 1 : runs[id] != 1)) { print "answered, but did not run once: " id; bad = 1 }
     }
     printf "seed %s: %d answered (%d not certain), %d beyond a quota, %d not run, %d unknown, %d without an answer\n", seed, n[200], ended["unsure"], n[429], n[503], n[502] + n[504], n["000"]
