--- a/test/fakes/fake_caller.c
+++ b/test/fakes/fake_caller.c
@@ -1,7 +1,8 @@
 /* fake-caller: one caller, who sends requests on kept connections, one after
    the other or a few at once, and never sends a request twice.
 
-     fake-caller SEED STOP_FILE ADDRESS:PORT...
+     fake-caller [--ends NAME,...] [--deadline MSEC] SEED STOP_FILE
+                 ADDRESS:PORT...
 
    Goes on until STOP_FILE exists.  Each connection goes to one of the
    addresses and carries up to ten requests; it is left when an answer closes
@@ -12,9 +13,10 @@
    Standard output has a line a request: "ID STATUS ANSWER_ID BODY", status 000
    where no whole answer came; BODY is "whole", "part", or "unsure" where the
    answer ended with its connection. The paths are those that fake-platform or
-   fake-raw-backend knows.  */
+   fake-raw-backend knows, or the NAMEs in turn.  */
 
 #include <arpa/inet.h>
+#include <getopt.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -42,8 +44,16 @@
   DEADLINE_MSEC = 3000,
   PAUSE_USEC = 50 * 1000, /* after a connection that could not be opened */
   EXIT_USAGE_ERROR = 2,
+  ENDS_MAX = 32,
 };
 
+static struct
+{
+  unsigned int deadline_msec;
+  size_t n_ends; /* 0: those of `path_end` */
+  const char *ends[ENDS_MAX];
+} options = { .deadline_msec = DEADLINE_MSEC };
+
 typedef struct answer
 {
   int status; /* 0: no whole answer */
@@ -177,6 +187,8 @@
           "other", "reset-early", "length-early",  "chunks",
           "lost",  "length-list", "length-letter", "chunks-early",
           "other", "close-empty", "length-reset",  "" };
+  if (options.n_ends > 0)
+    return options.ends[n % options.n_ends];
   return ends[n % (sizeof ends / sizeof ends[0])];
 }
 
@@ -202,10 +214,10 @@
   int length = snprintf (
       text, sizeof text,
       "%s /%c/%u/%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
-      "Deadline-Ms: %d\r\nCookie: Affinity-Key=%u\r\n"
+      "Deadline-Ms: %u\r\nCookie: Affinity-Key=%u\r\n"
       "Authorization: Token soak-key-%u\r\nTenant: forged\r\n%s",
       is_get ? "GET" : "POST", is_get ? 'p' : 'x', n, path_end (n), id,
-      DEADLINE_MSEC, n % OBJECTS,
+      options.deadline_msec, n % OBJECTS,
       (unsigned int)(strtoul (seed, NULL, 10) % ACCOUNTS),
       is_get ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
   return send (stream->fd, text, (size_t)length, MSG_NOSIGNAL) == length;
@@ -252,14 +264,46 @@
   return n;
 }
 
+static void
+set_ends (char *names)
+{
+  char *rest = names;
+  char *name;
+  while (options.n_ends < ENDS_MAX && (name = strsep (&rest, ",")))
+    options.ends[options.n_ends++] = name;
+}
+
+static bool
+read_options (int argc, char **argv)
+{
+  static const struct option known[]
+      = { { "ends", required_argument, NULL, 'e' },
+          { "deadline", required_argument, NULL, 'd' },
+          { 0 } };
+  int option;
+  while ((option = getopt_long (argc, argv, "+", known, NULL)) != -1)
+    {
+      if (option == 'e')
+        set_ends (optarg);
+      else if (option == 'd')
+        options.deadline_msec = (unsigned int)strtoul (optarg, NULL, 10);
+      else
+        return false;
+    }
+  return argc - optind >= 3;
+}
+
 int
 main (int argc, char **argv)
 {
-  if (argc < 4)
+  if (!read_options (argc, argv))
     {
-      fprintf (stderr, "usage: fake-caller SEED STOP_FILE ADDRESS:PORT...\n");
+      fprintf (stderr, "usage: fake-caller [--ends NAME,...] [--deadline MSEC]"
+                       " SEED STOP_FILE ADDRESS:PORT...\n");
       return EXIT_USAGE_ERROR;
     }
+  argc -= optind - 1;
+  argv += optind - 1;
   random_state_t random;
   random_seed (&random, strtoull (argv[1], NULL, 10));
   size_t n_addresses = (size_t)argc - 3;
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -13,7 +13,7 @@
    Each request that is run is appended to FOLDER/runs as "ID BACKEND MSEC". If
    NAME is given, each request gets this response, also a health check;
    responses without end are in raw_backend_endless.c, and the bytes that were
-   sent of each go to FOLDER/endless.  */
+   sent of each go to FOLDER/endless.  SIGUSR1 closes the listeners alone.  */
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -36,6 +36,7 @@
   HEAD_BYTES = 1024,
   NAME_BYTES = 256,
   LISTEN_BACKLOG = 128,
+  LISTENERS_MAX = 64,
   MSEC_PER_SEC = 1000,
   NSEC_PER_MSEC = 1000 * 1000,
   TWICE_EVERY = 8,
@@ -84,6 +85,8 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
+static int listeners[LISTENERS_MAX];
+static size_t n_listeners;
 static const char *folder;
 static const char *name_of_all; /* of each response; NULL: by the path */
 
@@ -353,6 +356,15 @@
   return is_sent;
 }
 
+static const raw_response_t *
+choose_response (const port_t *port, const char *name)
+{
+  const raw_response_t *response = raw_response_find (name);
+  return response->is_refused_by_odd && port->number % 2 == 1
+             ? raw_response_find ("refused")
+             : response;
+}
+
 /* Returns false if the connection has to be closed.  */
 static bool
 answer (client_t *client, const char *request)
@@ -367,8 +379,10 @@
     find_field (request, "X-Request-Id", id);
   find_field (request, "Expect-Instance", instance);
   expected_instance (client->port, instance);
-  if (id[0])
+  const raw_response_t *response = choose_response (client->port, name);
+  if (id[0] && !response->is_refusal)
     note_run (id, instance);
+  usleep (response->pause_msec * USEC_PER_MSEC);
   if (raw_backend_is_endless (name))
     {
       size_t n_sent
@@ -376,7 +390,6 @@
       note ("endless", name, id, (long long)n_sent);
       return false;
     }
-  const raw_response_t *response = raw_response_find (name);
   int n = snprintf (head, sizeof head,
                     "HTTP/%s %s\r\nServer-Stamp: fake\r\n"
                     "Request-Id: %s\r\nX-Request-Id: %s\r\n"
@@ -392,9 +405,11 @@
       make_body (packet + n, BODY_BYTES, id);
       return send_repeated (client, repeat, packet, (size_t)n + BODY_BYTES);
     }
-  bool is_sent = raw_backend_write (client->fd, head, (size_t)n);
-  if (strncmp (request, "HEAD ", 5) != 0)
+  bool is_sent
+      = response->is_silent || raw_backend_write (client->fd, head, (size_t)n);
+  if (strncmp (request, "HEAD ", 5) != 0 && !response->is_silent)
     is_sent = is_sent && send_body (client->fd, response, id);
+  usleep (response->linger_msec * USEC_PER_MSEC);
   if (response->ending == ENDS_RESET)
     {
       const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
@@ -475,9 +490,19 @@
       free (port);
       return false;
     }
+  if (n_listeners < LISTENERS_MAX)
+    listeners[n_listeners++] = port->listener;
   return true;
 }
 
+/* Connections that are open stay so.  */
+static void
+close_listeners (void)
+{
+  for (size_t i = 0; i < n_listeners; i++)
+    shutdown (listeners[i], SHUT_RDWR);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -494,6 +519,7 @@
   sigset_t stop;
   sigemptyset (&stop);
   sigaddset (&stop, SIGTERM);
+  sigaddset (&stop, SIGUSR1);
   pthread_sigmask (SIG_BLOCK, &stop, NULL);
   for (unsigned int i = 0; i < n; i++)
     if (!open_port (argv[1], first + i))
@@ -502,6 +528,7 @@
         return 1;
       }
   int number;
-  sigwait (&stop, &number);
+  while (sigwait (&stop, &number) == 0 && number == SIGUSR1)
+    close_listeners ();
   return 0;
 }
--- a/test/fakes/raw_response.h
+++ b/test/fakes/raw_response.h
@@ -25,7 +25,9 @@
    follow the usual ones; N_SENT bytes of the body follow the head, in chunks
    of CHUNK_BYTES (0: in one) if IS_CHUNKED, with the last chunk and the
    TRAILERS if ENDING is ENDS_KEPT.  SIZE, unless NULL, is the size line of the
-   chunk.  TEXT, unless NULL, comes in place of the body.  */
+   chunk.  TEXT, unless NULL, comes in place of the body.  PAUSE_MSEC pass
+   between the request's last byte and the response, LINGER_MSEC between that
+   and its connection's end.  Of a silent one nothing is sent but the end.  */
 typedef struct raw_response
 {
   const char *name;
@@ -39,6 +41,11 @@
   size_t chunk_bytes;
   const char *trailers;
   const char *text;
+  unsigned int pause_msec;
+  unsigned int linger_msec;
+  bool is_silent;
+  bool is_refusal;        /* the request is not run */
+  bool is_refused_by_odd; /* servers at odd ports refuse the request */
 } raw_response_t;
 
 /* The response with this NAME; the first one if there is none.  */
