fix(router): a health check that contradicts itself does not bring a backend server back

A server that was out got callers' requests again after a health check answered 200 with the field that states "not run": 2 of 2 checks were taken for healthy. Such a response is no statement either way (docs/design/responses.md).

Tried as well, and right before: 000, 099, 600, 999, 421, 429, 503 and 503 with Retry-After, all without the field, leave it out. test_fleet_doubtful_health failed before on the first of them; a good response still brings it back.

--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -58,13 +58,22 @@
   free (owner);
 }
 
+/* A 200 that states that nothing was run contradicts itself.  */
+static bool
+is_healthy_answer (const backend_t *backend,
+                   const backend_response_t *response)
+{
+  return response->is_complete && response->status == MHD_HTTP_OK
+         && !response->not_started
+         && strcmp (response->backend_id, backend->record.id) == 0;
+}
+
 void
 dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
                         const backend_response_t *response)
 {
   usec_t now = clock_monotonic ();
-  bool is_healthy = response->is_complete && response->status == MHD_HTTP_OK
-                    && strcmp (response->backend_id, backend->record.id) == 0;
+  bool is_healthy = is_healthy_answer (backend, response);
   LOG_EVENT (LOG_LEVEL_INFO, "backend_probed",
              LOG_S ("backend", backend->record.id),
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
--- a/test/fakes/raw_backend_responses.c
+++ b/test/fakes/raw_backend_responses.c
@@ -91,6 +91,7 @@
   { .name = "ran-421", RAN ("421 Misdirected Request", "") },
   { .name = "ran-429", RAN ("429 Too Many Requests", "") },
   { .name = "ran-503", RAN ("503 Full", "") },
+  { .name = "ran-503-rest", RAN ("503 Full", "Retry-After: 1\r\n") },
   { .name = "ran-200-stated", RAN ("200 OK", "Not-Executed: full\r\n") },
   { .name = "ran-404-stated", RAN ("404 None", "Not-Executed: full\r\n") },
   { .name = "ran-500-stated", RAN ("500 Error", "Not-Executed: full\r\n") },
