test(soak): one backend server runs requests and refuses them; all four statuses are checked

The soak could not show the fault of docs/incidents/report-refused.md: none of its backend servers ran a request that it refused, and only 503 and 429 were looked at. Now one of them answers 503, 429, 408 or 421 without the field, 200 and 500 with it, 000 and 999. Checked: 408, 421, 429 and 503 for what ran, a status that is none, and request_ended lines that may have run with a promise. stop_check looks at all four statuses, too.

--- a/test/fakes/fake_caller.c
+++ b/test/fakes/fake_caller.c
@@ -183,10 +183,13 @@
 path_end (unsigned int n)
 {
   static const char *const ends[]
-      = { "lost",  "close",       "close-early",   "length",
-          "other", "reset-early", "length-early",  "chunks",
-          "lost",  "length-list", "length-letter", "chunks-early",
-          "other", "close-empty", "length-reset",  "" };
+      = { "lost",           "close",          "close-early",   "length",
+          "other",          "reset-early",    "length-early",  "chunks",
+          "lost",           "length-list",    "length-letter", "chunks-early",
+          "other",          "close-empty",    "length-reset",  "",
+          "ran-503",        "ran-429",        "ran-408",       "ran-421",
+          "ran-200-stated", "ran-500-stated", "status-000",    "status-999",
+          "length" };
   if (options.n_ends > 0)
     return options.ends[n % options.n_ends];
   return ends[n % (sizeof ends / sizeof ends[0])];
--- a/test/fakes/raw_response.h
+++ b/test/fakes/raw_response.h
@@ -35,6 +35,9 @@
   size_t n_sent;
   ending_t ending;
   bool is_chunked;
+  bool is_silent;
+  bool is_refusal;        /* the request is not run */
+  bool is_refused_by_odd; /* servers at odd ports refuse the request */
   const char *status;
   const char *version;
   const char *size;
@@ -43,9 +46,6 @@
   const char *text;
   unsigned int pause_msec;
   unsigned int linger_msec;
-  bool is_silent;
-  bool is_refusal;        /* the request is not run */
-  bool is_refused_by_odd; /* servers at odd ports refuse the request */
 } raw_response_t;
 
 /* The response with this NAME; the first one if there is none.  */
--- a/test/functional/stop_check.sh
+++ b/test/functional/stop_check.sh
@@ -12,7 +12,7 @@
     END {
       for (id in told) {
         if (!whole[id] && (runs[id] || at[id] < end)) { print "cut without an answer: " id " " told[id] " at " at[id]; bad = 1 }
-        if (told[id] == 503 && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
+        if (told[id] ~ /^(408|421|429|503)$/ && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
         if (told[id] == 200 && runs[id] != 1) { print "answered, but did not run once: " id; bad = 1 }
         if (runs[id] > 1) { print "ran " runs[id] " times: " id; bad = 1 }
         if ((told[id] == 502 || told[id] == 504) && at[id] > stop) { print "taken, then broken off: " id " " told[id] " at " at[id]; bad = 1 }
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -8,12 +8,16 @@
 # delays, silences or swallows one way; disks are slow or full; times of day jump;
 # settings change, with a signal and without; backend servers drain, leave or want
 # a rest; old configurations are delivered again.  One backend server frames its
-# responses in every way, and cuts and resets them.
+# responses in every way, and cuts and resets them; it runs requests and answers with a
+# status that says they have not run, without the field that states it, or with the field
+# and another status, or with a status that is none.
 #
 # Checked while it runs and after it, from what callers and backend servers see:
 #   - a request that may run once ran at most once, and once where it has an answer;
 #   - an answer is the answer to its own request; one with a length has its whole body;
-#   - a request that was told "not run" (503) did not run;
+#   - a request that was told "not run" (408, 421, 429 or 503) did not run, and no log has
+#     a line of one that may have run;
+#   - no caller is told a status that is none;
 #   - a draining backend server gets nothing new after 3 s, nor one that told the
 #     router that it leaves; one that asked the router for a rest gets at most two
 #     requests until its end;
@@ -318,6 +322,7 @@
   }
   {
     told[$1] = $2; n[$2]++
+    if (($2 + 0 < 200 || $2 + 0 > 599) && ($2 != "000" || $3 != "-")) { print "told a status that is none: " $0; bad = 1 }
     if ($2 == 200 && $3 != $1) { print "answer of " $3 " for " $1; bad = 1 }
     if ($2 == 200 && $4 == "part") { print "a part told as whole: " $1; bad = 1 }
     ended[$4] += $2 == 200
@@ -325,7 +330,7 @@
   END {
     for (id in runs) if (runs[id] > 1 && id !~ /^g/) { print "ran " runs[id] " times: " id; bad = 1 }
     for (id in told) {
-      if ((told[id] == 503 || told[id] == 429) && runs[id]) { print "told not run, but it ran: " id; bad = 1 }
+      if (told[id] ~ /^(408|421|429|503)$/ && runs[id]) { print "told not run, but it ran: " id " " told[id]; bad = 1 }
       if (told[id] == 200 && (id ~ /^g/ ? runs[id] < 1 : runs[id] != 1)) { print "answered, but did not run once: " id; bad = 1 }
     }
     printf "seed %s: %d answered (%d not certain), %d beyond a quota, %d not run, %d unknown, %d without an answer\n", seed, n[200], ended["unsure"], n[429], n[503], n[502] + n[504], n["000"]
@@ -333,3 +338,5 @@
     if (!ended["unsure"]) { print "no answer ended with its connection"; bad = 1 }
     exit bad
   }' "$FOLDER/drained" "$FOLDER/runs" "$FOLDER/told" || soak_fail "the runs and what callers were told do not agree"
+! grep -h 'event=request_ended .* status=\(408\|421\|429\|503\) may_have_run=1' "$FOLDER"/router-*.log ||
+  soak_fail 'a request that may have run ended with a promise'
