--- a/test/fakes/raw_response.h
+++ b/test/fakes/raw_response.h
@@ -26,8 +26,9 @@
    of CHUNK_BYTES (0: in one) if IS_CHUNKED, with the last chunk and the
    TRAILERS if ENDING is ENDS_KEPT.  SIZE, unless NULL, is the size line of the
    chunk.  TEXT, unless NULL, comes in place of the body.  NEXT, unless NULL,
-   names the response to a request that came before.  A request that IS_REFUSED
-   is not run.  */
+   names the response to a request that came before.  PAUSE_MSEC pass between
+   the request's last byte and the response, LINGER_MSEC between that and its
+   connection's end.  Of a silent one nothing is sent but the end.  */
 typedef struct raw_response
 {
   const char *name;
@@ -35,7 +36,9 @@
   size_t n_sent;
   ending_t ending;
   bool is_chunked;
-  bool is_refused;
+  bool is_silent;
+  bool is_refusal;        /* the request is not run */
+  bool is_refused_by_odd; /* servers at odd ports refuse the request */
   const char *status;
   const char *version;
   const char *size;
@@ -43,6 +46,8 @@
   const char *trailers;
   const char *text;
   const char *next;
+  unsigned int pause_msec;
+  unsigned int linger_msec;
 } raw_response_t;
 
 /* The response with this NAME; the first one if there is none.  */
