fix(fleet,director): a release that comes while a message is written is told

Operators that released a quarantined request at one director saw it end there alone: the other directors and all routers went on refusing the request for the rest of ten minutes (test_fleet_poison, "never came true: all_released").

Cause, from the logs of such a run: the director reads the clock, handles the operator's release, which takes the time of then, and in the same pass shares what it knows with the time of before. So the release's age was below 0, and the receiver skipped it as impossible; but it acknowledged the message, and the release was never told again. Crashes and complete answers travel in the same way. Ages are written as 0 at least now; what receivers skip has not changed.

--- a/src/director/core_crashes.c
+++ b/src/director/core_crashes.c
@@ -95,7 +95,7 @@
         releases[n++] = (fleet_release_t){
           .fingerprint = { .low = suspect->fingerprint.low,
                            .high = suspect->fingerprint.high },
-          .age = now - suspect->released_at,
+          .age = crash_wire_age (suspect->released_at, now),
         };
     }
   result->releases.releases_val = releases;
--- a/src/fleet/crash_wire.c
+++ b/src/fleet/crash_wire.c
@@ -6,6 +6,12 @@
                    && (int)QUARANTINED_MAX == FLEET_WIRE_QUARANTINED_MAX,
                "the limits of crash reports differ");
 
+int64_t
+crash_wire_age (usec_t at, usec_t now)
+{
+  return at < now ? now - at : 0;
+}
+
 static void
 write_suspect (const suspect_t *suspect, fleet_suspect_t *wire,
                fleet_crash_t *crashes, usec_t now)
@@ -15,17 +21,20 @@
     {
       const crash_t *crash = &suspect->crashes[i];
       if (crash->is_confirmed)
-        crashes[n++] = (fleet_crash_t){ .boot = crash->boot,
-                                        .sent_age = now - crash->sent_at,
-                                        .ended_age = now - crash->ended_at };
+        crashes[n++] = (fleet_crash_t){
+          .boot = crash->boot,
+          .sent_age = crash_wire_age (crash->sent_at, now),
+          .ended_age = crash_wire_age (crash->ended_at, now)
+        };
     }
   *wire = (fleet_suspect_t){
     .fingerprint
     = { .low = suspect->fingerprint.low, .high = suspect->fingerprint.high },
-    .completed_age
-    = suspect->completed_at > 0 ? now - suspect->completed_at : -1,
+    .completed_age = suspect->completed_at > 0
+                         ? crash_wire_age (suspect->completed_at, now)
+                         : -1,
     .is_released = suspect->released_at > 0,
-    .released_age = now - suspect->released_at
+    .released_age = crash_wire_age (suspect->released_at, now)
   };
   wire->crashes.crashes_len = n;
   wire->crashes.crashes_val = crashes;
--- a/src/fleet/crash_wire.h
+++ b/src/fleet/crash_wire.h
@@ -21,6 +21,10 @@
   uint64_t sequence; /* the receiver then knows TABLE's changes up to here */
 } crash_report_t;
 
+/* The age at NOW, when a message begins, of what happened at AT, in usec. What
+   happened since is of age 0: receivers drop ages below that.  */
+int64_t crash_wire_age (usec_t at, usec_t now);
+
 /* Fill REPORT with the changes of TABLE after the change AFTER, as many as it
    has room for: first suspects with crashes at separate times, newest first,
    at most URGENT_SUSPECTS_MAX, because they change all the time; then all,
--- a/test/unit/test_fleet_crash_table.c
+++ b/test/unit/test_fleet_crash_table.c
@@ -406,6 +406,23 @@
       crash_wire_merge (&from, report.suspects, report.n, 22 * SEC, 22 * SEC));
 }
 
+/* A release that comes while a message is written, which bears the time of its
+   begin; it was dropped as one of the future, and never told again.  */
+static void
+test_release_as_message_begins (void)
+{
+  crash_table_t from = { 0 };
+  crash_table_t to = { 0 };
+  uint64_t known = 0;
+  for (int i = 0; i < SEPARATE_CRASHES; i++)
+    add (&from, poison, 10u + i, (10 + i) * SEC, (10 + i) * SEC + 1);
+  tell (&from, &to, &known, 19 * SEC, 0);
+  g_assert_true (crash_table_is_quarantined (&to, poison));
+  crash_table_release (&from, poison, 20 * SEC + 1);
+  tell (&from, &to, &known, 20 * SEC, 0);
+  g_assert_false (crash_table_is_quarantined (&to, poison));
+}
+
 static void
 test_fingerprint_text (void)
 {
@@ -445,6 +462,8 @@
   g_test_add_func ("/crash-table/boot", test_boot);
   g_test_add_func ("/crash-table/released", test_released);
   g_test_add_func ("/crash-table/release-told", test_release_told);
+  g_test_add_func ("/crash-table/release-as-message-begins",
+                   test_release_as_message_begins);
   g_test_add_func ("/crash-table/fingerprint-text", test_fingerprint_text);
   return g_test_run ();
 }
