fix(router): the end of a backend server is charged to the start that ran the request

A router read the boot of a call from its backend server's entry when the call ended. If the list had shown a later start of the same id by then, a connection that was cut off, a run that was given up on and a refused health check counted against that later start, which runs on: the crash of the earlier one was not confirmed, and what ran at the later one was confirmed as crashed there. A response of the earlier start that says it leaves took the later one out of use for good.

The call keeps the start that it was made to (call_owner_t). Where the list shows a later start, the earlier one has ended, so its crash is confirmed at once; asking the later one for its health can't show that.

No run with real processes shows it: the stand-in starts again under another id there.

--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -167,7 +167,7 @@
     dispatcher_call_ended (dispatcher, owner->exchange, response);
   else
     {
-      dispatcher_probe_ended (dispatcher, owner->backend, response);
+      dispatcher_probe_ended (dispatcher, owner, response);
       dispatcher_free_probe (owner);
     }
 }
--- a/src/router/dispatcher_abandoned.c
+++ b/src/router/dispatcher_abandoned.c
@@ -8,20 +8,18 @@
 #include "router/dispatcher_internal.h"
 
 #include "base/log.h"
-#include "fleet/backend_list.h"
 
 void
 dispatcher_abandon_run (dispatcher_t *dispatcher, exchange_t *exchange,
                         usec_t now)
 {
-  const backend_t *backend = exchange->backend;
   const abandoned_call_t call
-      = { .boot = backend_record_boot (&backend->record),
+      = { .boot = exchange->owner.boot,
           .fingerprint = dispatcher_fingerprint (exchange),
           .sent_at = exchange->sent_at,
           .deadline = exchange->deadline };
   uint64_t n_dropped = dispatcher->abandoned.n_dropped;
-  if (backend_is_leaving (backend))
+  if (backend_is_leaving (exchange->backend))
     return;
   abandoned_runs_add (&dispatcher->abandoned, &call, now);
   n_dropped = dispatcher->abandoned.n_dropped - n_dropped;
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -258,6 +258,14 @@
              LOG_U ("status", response->status), LOG_U ("known", n_known));
 }
 
+/* Whether the list shows a later start of OWNER's backend server than the one
+   that the call was made to.  */
+static bool
+has_started_again (const call_owner_t *owner, const backend_t *backend)
+{
+  return owner->boot != backend_record_boot (&backend->record);
+}
+
 /* Ask BACKEND for its health, to learn whether it has ended.  */
 static void
 check_backend (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
@@ -275,14 +283,17 @@
                            const backend_response_t *response, usec_t now)
 {
   backend_t *backend = exchange->backend;
-  uint64_t boot = backend_record_boot (&backend->record);
+  uint64_t boot = exchange->owner.boot;
   if (response->was_cut_off && !backend_is_leaving (backend))
     {
       const crash_t crash
           = { .boot = boot, .sent_at = exchange->sent_at, .ended_at = now };
       dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
                               exchange->id, &crash, now);
-      if (!response->was_reconnected)
+      if (has_started_again (&exchange->owner, backend))
+        dispatcher_confirm_end (dispatcher, boot, "a later start is listed",
+                                now);
+      else if (!response->was_reconnected)
         check_backend (dispatcher, backend, now);
     }
   if (response->may_have_reached && !response->was_cut_off
@@ -301,11 +312,12 @@
 
 void
 dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
-                                    const backend_t *backend,
+                                    const call_owner_t *probe,
                                     const backend_response_t *response,
                                     usec_t now)
 {
-  uint64_t boot = backend_record_boot (&backend->record);
+  const backend_t *backend = probe->backend;
+  uint64_t boot = probe->boot;
   bool is_other = response->is_complete && response->backend_id[0]
                   && strcmp (response->backend_id, backend->record.id) != 0;
   if (response->is_unreachable)
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -134,9 +134,10 @@
                                 bool is_complete_run,
                                 const backend_response_t *response,
                                 usec_t now);
-/* Record what RESPONSE to a health check shows of BACKEND.  */
+/* Record what RESPONSE to PROBE, a health check, shows of its backend
+   server.  */
 void dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
-                                         const backend_t *backend,
+                                         const call_owner_t *probe,
                                          const backend_response_t *response,
                                          usec_t now);
 /* Record which backend servers the new snapshot does not list any more.  */
@@ -234,8 +235,9 @@
 /* Send health checks to the backend servers that are down and due for one.  */
 void dispatcher_send_probes (dispatcher_t *dispatcher, usec_t now);
 void dispatcher_free_probe (call_owner_t *owner);
-/* A health check of BACKEND has ended with RESPONSE.  */
-void dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
+/* OWNER's health check has ended with RESPONSE.  */
+void dispatcher_probe_ended (dispatcher_t *dispatcher,
+                             const call_owner_t *owner,
                              const backend_response_t *response);
 
 #endif
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -25,10 +25,11 @@
   if (!owner)
     abort ();
   owner->backend = backend;
+  owner->boot = backend_record_boot (&backend->record);
   list_push_back (&dispatcher->probes, &owner->link);
   const backend_request_t request
       = { .address = backend->record.address,
-          .boot = backend_record_boot (&backend->record),
+          .boot = owner->boot,
           .backend_id = backend->record.id,
           .needs_new_connection
           = dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
@@ -59,9 +60,10 @@
 }
 
 void
-dispatcher_probe_ended (dispatcher_t *dispatcher, backend_t *backend,
+dispatcher_probe_ended (dispatcher_t *dispatcher, const call_owner_t *owner,
                         const backend_response_t *response)
 {
+  backend_t *backend = owner->backend;
   usec_t now = clock_monotonic ();
   bool is_healthy = response->is_complete && response->status == MHD_HTTP_OK
                     && strcmp (response->backend_id, backend->record.id) == 0;
@@ -70,8 +72,9 @@
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
-  dispatcher_crash_evidence_of_probe (dispatcher, backend, response, now);
-  dispatcher_read_probe_notices (dispatcher, backend, response, now);
+  dispatcher_crash_evidence_of_probe (dispatcher, owner, response, now);
+  if (owner->boot == backend_record_boot (&backend->record))
+    dispatcher_read_probe_notices (dispatcher, backend, response, now);
   dispatcher_cold_evidence (dispatcher, backend, response, now);
   if (is_healthy && response->cold_remaining == 0)
     count_needless_limit (dispatcher, backend, now);
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -104,9 +104,10 @@
   exchange->object_was_known = backend_pool_request_sent (
       dispatcher->pool, backend, &exchange->query, now);
   exchange->owner.exchange = exchange;
+  exchange->owner.boot = backend_record_boot (&backend->record);
   const backend_request_t request
       = { .address = backend->record.address,
-          .boot = backend_record_boot (&backend->record),
+          .boot = exchange->owner.boot,
           .backend_id = backend->record.id,
           .needs_new_connection
           = dispatcher_stutters (dispatcher, backend, now),
--- a/src/router/dispatcher_stutter.c
+++ b/src/router/dispatcher_stutter.c
@@ -46,9 +46,8 @@
                                      usec_t now)
 {
   const backend_record_t *record = &exchange->backend->record;
-  note_extra_bytes (dispatcher, backend_record_boot (record), record->id,
-                    exchange->id, EXTRA_BEFORE_RESPONSE, response->body_bytes,
-                    now);
+  note_extra_bytes (dispatcher, exchange->owner.boot, record->id, exchange->id,
+                    EXTRA_BEFORE_RESPONSE, response->body_bytes, now);
 }
 
 void
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -33,6 +33,8 @@
 {
   exchange_t *exchange; /* NULL for a health check */
   backend_t *backend;   /* set for a health check only */
+  uint64_t boot;        /* backend_record_boot of the start that it was made
+                           to; the list may show a later one meanwhile */
   list_t link;          /* of a health check: in dispatcher_t's probes */
 } call_owner_t;
 
