fix(router,balance): a backend server that left in order has not crashed

What a router had given up on at a backend server became crashes of those requests when the server left in order and was off the list before the next look at it (300 ms), or when a later start took its entry: only the entry told that it was leaving. Three such exits, and a request that merely was given up on there was refused for ten minutes.

The notices of backend servers outlive the list and are kept by start; they keep now also that a list has shown the server leaving, and what is given up on or cut off is judged by the notice of its start. A notice that is kept for that is not told to directors as one that the server gave.

Not covered: a server that ends in order without saying so.

--- a/src/balance/backend_notices.h
+++ b/src/balance/backend_notices.h
@@ -28,6 +28,7 @@
 {
   uint64_t boot;
   usec_t leaving_since; /* of the first answer that said so; 0: not leaving */
+  bool was_draining;    /* a list has shown that it leaves */
   usec_t rest_until;    /* 0: never rested */
   /* Since the last rest no request was answered.  One request at a time is
      sent until one is, so that what waited does not arrive at once.  */
--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -162,6 +162,7 @@
   backend->record.is_draining = is_draining;
   if (is_new || is_restarted)
     pool_notices_load (pool, backend);
+  pool_notices_keep_draining (pool, backend, read_at);
   backend->load_id = load_server_id (backend_record_boot (&backend->record));
   backend->region = *region;
   backend->is_listed = true;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -215,6 +215,11 @@
 /* Whether BACKEND leaves, by the list or by its own answers.  */
 bool backend_is_leaving (const backend_t *backend);
 
+/* Whether the start BOOT (backend_record_boot) of a backend server leaves or
+   has left in order, as a list or its own answers have told.  Holds also when
+   it is off the list, or a later start of it is listed.  */
+bool backend_pool_boot_is_leaving (const backend_pool_t *pool, uint64_t boot);
+
 /* Records that QUERY's request was sent to BACKEND.  Returns true if this
    router sent a request of the same object to BACKEND recently.  Each call
    must be followed by one of backend_pool_request_ended.  */
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -69,6 +69,11 @@
 /* Sets BACKEND's notice to what its present start has said before.  */
 void pool_notices_load (const backend_pool_t *pool, backend_t *backend);
 
+/* Keeps that the list shows BACKEND leaving, if it does, also for the time
+   after it is freed.  */
+void pool_notices_keep_draining (backend_pool_t *pool, backend_t *backend,
+                                 usec_t now);
+
 /* Sets the rendezvous weights of all backend servers.  */
 void pool_update_weights (backend_pool_t *pool, const pool_update_t *update);
 
--- a/src/balance/pool_notices.c
+++ b/src/balance/pool_notices.c
@@ -22,6 +22,17 @@
   *backend_notices_get (&pool->notices, boot, now) = backend->notice;
 }
 
+void
+pool_notices_keep_draining (backend_pool_t *pool, backend_t *backend,
+                            usec_t now)
+{
+  if (!backend->record.is_draining || backend->notice.was_draining)
+    return;
+  usec_t noted_at = backend->notice.noted_at;
+  backend->notice.was_draining = true;
+  store (pool, backend, noted_at > 0 ? noted_at : now);
+}
+
 bool
 backend_pool_note_leaving (backend_pool_t *pool, backend_t *backend,
                            usec_t now)
@@ -87,6 +98,13 @@
   return backend->record.is_draining || backend->notice.leaving_since > 0;
 }
 
+bool
+backend_pool_boot_is_leaving (const backend_pool_t *pool, uint64_t boot)
+{
+  const backend_notice_t *notice = backend_notices_find (&pool->notices, boot);
+  return notice && (notice->leaving_since > 0 || notice->was_draining);
+}
+
 bool
 pool_is_last_resort (const backend_pool_t *pool, const backend_t *backend,
                      const pool_query_t *query, usec_t now)
--- a/src/router/dispatcher_abandoned.c
+++ b/src/router/dispatcher_abandoned.c
@@ -19,7 +19,7 @@
           .sent_at = exchange->sent_at,
           .deadline = exchange->deadline };
   uint64_t n_dropped = dispatcher->abandoned.n_dropped;
-  if (backend_is_leaving (exchange->backend))
+  if (backend_pool_boot_is_leaving (dispatcher->pool, call.boot))
     return;
   abandoned_runs_add (&dispatcher->abandoned, &call, now);
   n_dropped = dispatcher->abandoned.n_dropped - n_dropped;
@@ -47,9 +47,8 @@
                               usec_t now)
 {
   abandoned_run_t runs[ABANDONED_PER_BOOT_MAX];
-  const backend_t *backend = backend_pool_find_boot (dispatcher->pool, boot);
   size_t n = abandoned_runs_take (&dispatcher->abandoned, boot, runs, now);
-  if (n == 0 || (backend && backend_is_leaving (backend)))
+  if (n == 0 || backend_pool_boot_is_leaving (dispatcher->pool, boot))
     return;
   usec_t ended_at = end_of (dispatcher, boot, now);
   for (size_t i = 0; i < n; i++)
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -284,7 +284,8 @@
 {
   backend_t *backend = exchange->backend;
   uint64_t boot = exchange->owner.boot;
-  if (response->was_cut_off && !backend_is_leaving (backend))
+  if (response->was_cut_off
+      && !backend_pool_boot_is_leaving (dispatcher->pool, boot))
     {
       const crash_t crash
           = { .boot = boot, .sent_at = exchange->sent_at, .ended_at = now };
--- a/test/unit/test_router_crash_start.c
+++ b/test/unit/test_router_crash_start.c
@@ -1,5 +1,5 @@
 /* Guards against the end of a backend server that is charged to a later start
-   of it.  */
+   of it, and against an orderly exit that is taken for a crash.  */
 
 #include <glib.h>
 
@@ -175,6 +175,64 @@
   fixture_close (&fixture);
 }
 
+typedef enum
+{
+  LEAVES_BY_ANSWER,
+  LEAVES_BY_LIST,
+  N_WAYS,
+} way_t;
+
+static void
+leave (fixture_t *fixture, way_t way)
+{
+  if (way == LEAVES_BY_ANSWER)
+    backend_pool_note_leaving (fixture->world->pool,
+                               fixture->exchange->backend, fixture->now);
+  else
+    show (fixture, 1, true);
+}
+
+/* Given up on before the backend server left, or cut off at its end, by when
+   no list shows it.  */
+static void
+test_left_in_order (void)
+{
+  for (way_t way = 0; way < N_WAYS; way++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      dispatcher_abandon_run (fixture.dispatcher, fixture.exchange,
+                              fixture.now);
+      leave (&fixture, way);
+      show (&fixture, 0, false);
+      dispatcher_check_abandoned (fixture.dispatcher, fixture.now + CHECK_AGO);
+      g_assert_null (charged (&fixture));
+      fixture_close (&fixture);
+    }
+}
+
+/* The same, and its address is taken by a later start.  */
+static void
+test_left_and_started_again (void)
+{
+  for (way_t way = 0; way < N_WAYS; way++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      begin_call (&fixture);
+      leave (&fixture, way);
+      show (&fixture, 2, false);
+      const backend_response_t response
+          = { .was_cut_off = true, .may_have_reached = true };
+      end_call (&fixture, &response);
+      dispatcher_abandon_run (fixture.dispatcher, fixture.exchange,
+                              fixture.now);
+      dispatcher_check_abandoned (fixture.dispatcher, fixture.now + CHECK_AGO);
+      g_assert_null (charged (&fixture));
+      fixture_close (&fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -187,5 +245,8 @@
                    test_given_up_after_later_start);
   g_test_add_func ("/crash-start/leaving-of-earlier-start",
                    test_leaving_of_earlier_start);
+  g_test_add_func ("/crash-start/left-in-order", test_left_in_order);
+  g_test_add_func ("/crash-start/left-and-started-again",
+                   test_left_and_started_again);
   return g_test_run ();
 }
