fix(fleet): a burst of ends is one event for a request that was answered before

Cause, from the logs of such runs: 12 runs sent together end 9 servers within 0.3 s. An innocent request that is cut off there is sent again at once, by the router or its callers, to a server that ends next. A run sent after an end counted as a separate time, so six ends at three times, the evidence against a request that was answered before, came together within 229 ms, sooner than any of its runs (0.5 s) could end in an answer.

For a request that was answered before only ends half a second apart are separate now. For one that never was answered nothing changes. What that costs: one that ends its servers, was answered within the minute before and comes faster than twice a second is quarantined up to a second after its first end at the earliest; it is on trial meanwhile. The bound holds for such a request in all cells of rate, run time and routers (/crash-bound/ answered, which passed before as well).

/crash-bound/burst-of-retries plays the recorded times of one router; it failed before.

--- a/src/fleet/crash_evidence.c
+++ b/src/fleet/crash_evidence.c
@@ -60,6 +60,14 @@
 
 /* --- One request -------------------------------------------------------- */
 
+bool
+suspect_was_answered (const suspect_t *suspect)
+{
+  return suspect->n_crashes > 0 && suspect->completed_at > suspect->released_at
+         && suspect->crashes[0].ended_at
+                < suspect->completed_at + ANSWERED_BEFORE_TIME;
+}
+
 /* The crashes of SUSPECT at boots that are not in EXPLAINED, which may be
    NULL.  */
 static evidence_t
@@ -68,6 +76,7 @@
 {
   evidence_t evidence = { 0 };
   usec_t last_ended_at = 0;
+  bool was_answered = suspect_was_answered (suspect);
   for (size_t i = 0; i < suspect->n_crashes; i++)
     {
       const crash_t *crash = &suspect->crashes[i];
@@ -76,7 +85,7 @@
         continue;
       evidence.n_crashes++;
       bool is_separate = evidence.n_separate == 0
-                         || crash->sent_at >= last_ended_at
+                         || (!was_answered && crash->sent_at >= last_ended_at)
                          || crash->ended_at >= last_ended_at + SAME_EVENT_TIME;
       if (!is_separate)
         continue;
@@ -98,14 +107,6 @@
   return collect (suspect, false, NULL).n_crashes;
 }
 
-bool
-suspect_was_answered (const suspect_t *suspect)
-{
-  return suspect->n_crashes > 0 && suspect->completed_at > suspect->released_at
-         && suspect->crashes[0].ended_at
-                < suspect->completed_at + ANSWERED_BEFORE_TIME;
-}
-
 usec_t
 suspect_held_back_until (const suspect_t *suspect)
 {
--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -3,9 +3,10 @@
 
    Three things tell one from the other:
    - Time.  What ends many backend servers at once, such as the loss of a rack,
-     is one event.  Crashes are separate if the later run was sent after the
-     earlier crash, or ended SAME_EVENT_TIME after it; runs that overlap can be
-     separate.
+     is one event.  Crashes are separate if the later one came SAME_EVENT_TIME
+     after the earlier one; runs that overlap can be separate.  Of a request
+     that was never answered they are also if the later run was sent after the
+     earlier crash.
    - Answers.  A request that ends its backend servers never has a complete
      answer.  One that had one shortly before its first crash needs more
      evidence; a complete answer afterwards discards all of it (crash_table).
--- a/test/unit/test_fleet_crash_bound.c
+++ b/test/unit/test_fleet_crash_bound.c
@@ -122,8 +122,17 @@
   return n_late;
 }
 
+/* All have had an answer to the request, before it began to end servers.  */
 static void
-test_bound (void)
+note_answered (fleet_t *fleet)
+{
+  crash_table_complete (&fleet->director, poison, SEC - 1, true);
+  for (size_t i = 0; i < fleet->n_routers; i++)
+    crash_table_complete (&fleet->routers[i], poison, SEC - 1, true);
+}
+
+static void
+check_bound (bool was_answered)
 {
   static const usec_t intervals[]
       = { 2000, 1000, 500, 370, 250, 125, 83 }; /* msec */
@@ -137,6 +146,8 @@
         {
           memset (&fleet, 0, sizeof fleet);
           fleet.n_routers = routers[k];
+          if (was_answered)
+            note_answered (&fleet);
           size_t n_late
               = late_sends (&fleet, intervals[i] * MSEC, run_times[j] * MSEC);
           if (n_late > LATE_SENDS_MAX)
@@ -147,6 +158,18 @@
         }
 }
 
+static void
+test_bound (void)
+{
+  check_bound (false);
+}
+
+static void
+test_bound_answered (void)
+{
+  check_bound (true);
+}
+
 /* Callers send the request all at once, and each again RESEND_TIME after its
    run has ended its server.  Returns how many sends come too late.  */
 static size_t
@@ -325,6 +348,31 @@
   g_assert_true (crash_table_is_quarantined (&table, poison));
 }
 
+typedef struct recorded_run
+{
+  int sent_at;  /* msec since the first end */
+  int ended_at; /* the same */
+} recorded_run_t;
+
+/* Nine servers end within 331 ms, and a common request that was cut off is
+   sent again at once, to one that ends next: the runs that one router saw when
+   two requests were refused that merely ran beside it.  */
+static void
+test_burst_of_retries (void)
+{
+  static const recorded_run_t runs[]
+      = { { -34, 0 },    { 1, 30 },     { 31, 80 },  { -39, 132 },
+          { -157, 143 }, { -101, 229 }, { -37, 317 } };
+  crash_table_t table = { 0 };
+  crash_table_complete (&table, common_request (0), SEC, true);
+  for (uint64_t i = 0; i < G_N_ELEMENTS (runs); i++)
+    {
+      add (&table, common_request (0), i + 1, 2 * SEC + runs[i].sent_at * MSEC,
+           2 * SEC + runs[i].ended_at * MSEC);
+      assert_none_refused (&table);
+    }
+}
+
 /* One caller sends a thousand different requests that end their servers: the
    table stays bounded, those that come again and again are refused, and the
    common requests beside them are not.  */
@@ -367,11 +415,13 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/crash-bound/rate-and-overlap", test_bound);
+  g_test_add_func ("/crash-bound/answered", test_bound_answered);
   g_test_add_func ("/crash-bound/at-once", test_at_once);
   g_test_add_func ("/crash-bound/few-servers", test_few_servers);
   g_test_add_func ("/crash-bound/racks", test_racks);
   g_test_add_func ("/crash-bound/beside-poison", test_beside_poison);
   g_test_add_func ("/crash-bound/answered-before", test_answered_before);
+  g_test_add_func ("/crash-bound/burst-of-retries", test_burst_of_retries);
   g_test_add_func ("/crash-bound/flood", test_flood);
   return g_test_run ();
 }
