fix(router): runs and notices of a start that is not listed yet pass to that start

Read again: a server that starts again under its id takes requests before the list shows that start (the list is behind by some 0.8 s on the users' platform). Such a call was sent to the earlier start by the list, and runs at the later one.

- a notice (leaving, a rest) of the later start was ignored, and requests would go on to a server that had refused them or left;
- what was given up on there became a confirmed crash of the earlier start, though the server ran on: its connection was not cut off, so it was not at the earlier start's end;
- a request that ended both starts counted once, as one boot counts once.

Notices and runs that were given up on are read by the entry again, as before. A call that was cut off counts for the start that it was sent to, or, where its end under this request is known, for the listed one. Refused calls and health checks stay with the start that they were sent to.

No run with real processes shows either; by reading alone.

--- a/src/router/dispatcher_abandoned.c
+++ b/src/router/dispatcher_abandoned.c
@@ -8,13 +8,16 @@
 #include "router/dispatcher_internal.h"
 
 #include "base/log.h"
+#include "fleet/backend_list.h"
 
 void
 dispatcher_abandon_run (dispatcher_t *dispatcher, exchange_t *exchange,
                         usec_t now)
 {
+  /* Its connection was not cut off, so it runs at the start that is listed
+     now, not at an earlier one that has ended.  */
   const abandoned_call_t call
-      = { .boot = exchange->owner.boot,
+      = { .boot = backend_record_boot (&exchange->backend->record),
           .fingerprint = dispatcher_fingerprint (exchange),
           .sent_at = exchange->sent_at,
           .deadline = exchange->deadline };
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -258,12 +258,19 @@
              LOG_U ("status", response->status), LOG_U ("known", n_known));
 }
 
-/* Whether the list shows a later start of OWNER's backend server than the one
-   that the call was made to.  */
-static bool
-has_started_again (const call_owner_t *owner, const backend_t *backend)
+/* The start that ended under EXCHANGE: the one that it was sent to, unless its
+   end under this request is known.  Then a later one took the request before
+   it was listed.  */
+static uint64_t
+ended_boot (dispatcher_t *dispatcher, exchange_t *exchange)
 {
-  return owner->boot != backend_record_boot (&backend->record);
+  uint64_t boot = exchange->owner.boot;
+  const suspect_t *suspect = crash_table_find (
+      &dispatcher->crashes, dispatcher_fingerprint (exchange));
+  for (size_t i = 0; suspect && i < suspect->n_crashes; i++)
+    if (suspect->crashes[i].boot == boot)
+      return backend_record_boot (&exchange->backend->record);
+  return boot;
 }
 
 /* Ask BACKEND for its health, to learn whether it has ended.  */
@@ -277,26 +284,34 @@
   dispatcher_send_probe (dispatcher, backend);
 }
 
+/* EXCHANGE's call was cut off, as RESPONSE tells.  */
+static void
+suspect_cut_off (dispatcher_t *dispatcher, exchange_t *exchange,
+                 const backend_response_t *response, usec_t now)
+{
+  backend_t *backend = exchange->backend;
+  const crash_t crash = { .boot = ended_boot (dispatcher, exchange),
+                          .sent_at = exchange->sent_at,
+                          .ended_at = now };
+  if (backend_pool_boot_is_leaving (dispatcher->pool, crash.boot))
+    return;
+  dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
+                          exchange->id, &crash, now);
+  if (crash.boot != backend_record_boot (&backend->record))
+    dispatcher_confirm_end (dispatcher, crash.boot, "a later start is listed",
+                            now);
+  else if (!response->was_reconnected)
+    check_backend (dispatcher, backend, now);
+}
+
 void
 dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
                            bool is_complete_run,
                            const backend_response_t *response, usec_t now)
 {
-  backend_t *backend = exchange->backend;
   uint64_t boot = exchange->owner.boot;
-  if (response->was_cut_off
-      && !backend_pool_boot_is_leaving (dispatcher->pool, boot))
-    {
-      const crash_t crash
-          = { .boot = boot, .sent_at = exchange->sent_at, .ended_at = now };
-      dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
-                              exchange->id, &crash, now);
-      if (has_started_again (&exchange->owner, backend))
-        dispatcher_confirm_end (dispatcher, boot, "a later start is listed",
-                                now);
-      else if (!response->was_reconnected)
-        check_backend (dispatcher, backend, now);
-    }
+  if (response->was_cut_off)
+    suspect_cut_off (dispatcher, exchange, response, now);
   if (response->may_have_reached && !response->was_cut_off
       && (!response->is_complete || response->is_foreign))
     dispatcher_abandon_run (dispatcher, exchange, now);
@@ -304,7 +319,8 @@
     dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
   if (!is_complete_run)
     return;
-  abandoned_runs_seen (&dispatcher->abandoned, boot, now);
+  abandoned_runs_seen (&dispatcher->abandoned,
+                       backend_record_boot (&exchange->backend->record), now);
   recent_answers_add (&dispatcher->answers, dispatcher_fingerprint (exchange),
                       now);
   if (knows_suspects (dispatcher))
--- a/src/router/dispatcher_notices.c
+++ b/src/router/dispatcher_notices.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "fleet/backend_list.h"
 
 /* EXCHANGE's backend server says that it leaves.  */
 static void
@@ -46,9 +45,6 @@
   if (!is_believed)
     return;
   backend_t *backend = exchange->backend;
-  /* It tells nothing of a later start.  */
-  if (exchange->owner.boot != backend_record_boot (&backend->record))
-    return;
   if (response->is_leaving)
     note_leaving (dispatcher, exchange->id, backend, now);
   if (response->status == MHD_HTTP_SERVICE_UNAVAILABLE && response->rest > 0)
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -73,8 +73,7 @@
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
   dispatcher_crash_evidence_of_probe (dispatcher, owner, response, now);
-  if (owner->boot == backend_record_boot (&backend->record))
-    dispatcher_read_probe_notices (dispatcher, backend, response, now);
+  dispatcher_read_probe_notices (dispatcher, backend, response, now);
   dispatcher_cold_evidence (dispatcher, backend, response, now);
   if (is_healthy && response->cold_remaining == 0)
     count_needless_limit (dispatcher, backend, now);
