--- a/src/router/dispatcher_abandoned.c
+++ b/src/router/dispatcher_abandoned.c
@@ -14,14 +14,15 @@
 dispatcher_abandon_run (dispatcher_t *dispatcher, exchange_t *exchange,
                         usec_t now)
 {
-  const backend_t *backend = exchange->backend;
+  /* Its connection was not cut off, so it runs at the start that is listed
+     now, not at an earlier one that has ended.  */
   const abandoned_call_t call
-      = { .boot = backend_record_boot (&backend->record),
+      = { .boot = backend_record_boot (&exchange->backend->record),
           .fingerprint = dispatcher_fingerprint (exchange),
           .sent_at = exchange->sent_at,
           .deadline = exchange->deadline };
   uint64_t n_dropped = dispatcher->abandoned.n_dropped;
-  if (backend_is_leaving (backend))
+  if (backend_pool_boot_is_leaving (dispatcher->pool, call.boot))
     return;
   abandoned_runs_add (&dispatcher->abandoned, &call, now);
   n_dropped = dispatcher->abandoned.n_dropped - n_dropped;
@@ -49,9 +50,8 @@
                               usec_t now)
 {
   abandoned_run_t runs[ABANDONED_PER_BOOT_MAX];
-  const backend_t *backend = backend_pool_find_boot (dispatcher->pool, boot);
   size_t n = abandoned_runs_take (&dispatcher->abandoned, boot, runs, now);
-  if (n == 0 || (backend && backend_is_leaving (backend)))
+  if (n == 0 || backend_pool_boot_is_leaving (dispatcher->pool, boot))
     return;
   usec_t ended_at = end_of (dispatcher, boot, now);
   for (size_t i = 0; i < n; i++)
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -258,6 +258,21 @@
              LOG_U ("status", response->status), LOG_U ("known", n_known));
 }
 
+/* The start that ended under EXCHANGE: the one that it was sent to, unless its
+   end under this request is known.  Then a later one took the request before
+   it was listed.  */
+static uint64_t
+ended_boot (dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  uint64_t boot = exchange->owner.boot;
+  const suspect_t *suspect = crash_table_find (
+      &dispatcher->crashes, dispatcher_fingerprint (exchange));
+  for (size_t i = 0; suspect && i < suspect->n_crashes; i++)
+    if (suspect->crashes[i].boot == boot)
+      return backend_record_boot (&exchange->backend->record);
+  return boot;
+}
+
 /* Ask BACKEND for its health, to learn whether it has ended.  */
 static void
 check_backend (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
@@ -269,22 +284,34 @@
   dispatcher_send_probe (dispatcher, backend);
 }
 
+/* EXCHANGE's call was cut off, as RESPONSE tells.  */
+static void
+suspect_cut_off (dispatcher_t *dispatcher, exchange_t *exchange,
+                 const backend_response_t *response, usec_t now)
+{
+  backend_t *backend = exchange->backend;
+  const crash_t crash = { .boot = ended_boot (dispatcher, exchange),
+                          .sent_at = exchange->sent_at,
+                          .ended_at = now };
+  if (backend_pool_boot_is_leaving (dispatcher->pool, crash.boot))
+    return;
+  dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
+                          exchange->id, &crash, now);
+  if (crash.boot != backend_record_boot (&backend->record))
+    dispatcher_confirm_end (dispatcher, crash.boot, "a later start is listed",
+                            now);
+  else if (!response->was_reconnected)
+    check_backend (dispatcher, backend, now);
+}
+
 void
 dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
                            bool is_complete_run,
                            const backend_response_t *response, usec_t now)
 {
-  backend_t *backend = exchange->backend;
-  uint64_t boot = backend_record_boot (&backend->record);
-  if (response->was_cut_off && !backend_is_leaving (backend))
-    {
-      const crash_t crash
-          = { .boot = boot, .sent_at = exchange->sent_at, .ended_at = now };
-      dispatcher_add_suspect (dispatcher, dispatcher_fingerprint (exchange),
-                              exchange->id, &crash, now);
-      if (!response->was_reconnected)
-        check_backend (dispatcher, backend, now);
-    }
+  uint64_t boot = exchange->owner.boot;
+  if (response->was_cut_off)
+    suspect_cut_off (dispatcher, exchange, response, now);
   if (response->may_have_reached && !response->was_cut_off
       && (!response->is_complete || response->is_foreign))
     dispatcher_abandon_run (dispatcher, exchange, now);
@@ -292,7 +319,8 @@
     dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
   if (!is_complete_run)
     return;
-  abandoned_runs_seen (&dispatcher->abandoned, boot, now);
+  abandoned_runs_seen (&dispatcher->abandoned,
+                       backend_record_boot (&exchange->backend->record), now);
   recent_answers_add (&dispatcher->answers, dispatcher_fingerprint (exchange),
                       now);
   if (knows_suspects (dispatcher))
@@ -301,11 +329,12 @@
 
 void
 dispatcher_crash_evidence_of_probe (dispatcher_t *dispatcher,
-                                    const backend_t *backend,
+                                    const call_owner_t *probe,
                                     const backend_response_t *response,
                                     usec_t now)
 {
-  uint64_t boot = backend_record_boot (&backend->record);
+  const backend_t *backend = probe->backend;
+  uint64_t boot = probe->boot;
   bool is_other = response->is_complete && response->backend_id[0]
                   && strcmp (response->backend_id, backend->record.id) != 0;
   if (response->is_unreachable)
