--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -46,9 +46,13 @@
 count_needless_limit (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
 {
   usec_t span = backend_pool_needless_limit (backend, now);
-  if (span > 0)
-    router_metrics_needless_limit (dispatcher->options.metrics,
-                                   backend->record.service.text, span);
+  if (span == 0)
+    return;
+  LOG_EVENT (LOG_LEVEL_INFO, "limit_needless",
+             LOG_S ("backend", backend->record.id),
+             LOG_I ("ms", span / USEC_PER_MSEC));
+  router_metrics_needless_limit (dispatcher->options.metrics,
+                                 backend->record.service.text, span);
 }
 
 void
