fix(placement,entry): a backend server that refuses a connection returns with a slow start

Callers saw a server that crashed and returned under its name, while the sheet stayed the same, get all its slots at once with a cold cache, or none for the rest of a back-off that its last start had earned.

Cause: what entry VMs measure belongs to one start of a server, and only a sheet began a new one. A refused connection shows that no process listens there; it was counted as any failure.

Now it is an outcome of its own (OUTCOME_DOWN): latency, back-off, refusals and hints of the last start are forgotten and the ramp begins anew; the baseline latency stays, as it is that of a warm cache, and a server that stays down is ejected as before. It counts for direct calls alone: a refusal of another entry VM says nothing of the servers behind it.

test_placement_steer /steer/crashed: 3 slots after the crash before, 1 after. test_entry_backend_table /backend_table/refused: 3 at once before, 1 after. test_entry_client /unreachable_sends_nothing failed before on the missing field.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -1,6 +1,7 @@
 #include "entry/backend_client.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -414,6 +415,14 @@
                 == BODY_WHOLE;
 }
 
+static bool
+is_refused (const backend_call_t *call, CURLcode code)
+{
+  long connect_errno = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &connect_errno);
+  return code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
+}
+
 /* Set the reply's fields from the result of the transfer.  */
 static void
 finish_reply (backend_call_t *call, CURLcode code)
@@ -422,6 +431,7 @@
   reply->status = call->head.status;
   reply->maybe_sent = call->n_sends > 0;
   reply->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  reply->was_refused = is_refused (call, code);
   reply->is_complete = code == CURLE_OK && is_whole (call, code);
   reply->is_truncated = !reply->is_complete && reply->status > 0;
   reply->error = call->is_too_long ? "its answer is longer than the limit"
--- a/src/entry/backend_client.h
+++ b/src/entry/backend_client.h
@@ -33,6 +33,7 @@
   bool id_matches;   /* its X-Request-Id is the one that was sent */
   bool not_started;  /* X-Not-Started: refused before it ran */
   bool timed_out;
+  bool was_refused; /* the connection, as no process listens there */
   unsigned int status;
   char content_type[BACKEND_HEADER_VALUE_BYTES]; /* of the answer */
   /* X-Mulberry-Outcome, X-Mulberry-Reason, X-Mulberry-Generation and
--- a/src/entry/backend_run.c
+++ b/src/entry/backend_run.c
@@ -43,6 +43,8 @@
         return OUTCOME_REFUSED;
       return reply->status >= STATUS_FAULT ? OUTCOME_FAILED : OUTCOME_ANSWERED;
     }
+  if (reply->was_refused && !run->is_forwarded)
+    return OUTCOME_DOWN;
   if (!reply->maybe_sent && now >= run->deadline)
     return OUTCOME_CANCELLED;
   return reply->timed_out ? OUTCOME_TIMED_OUT : OUTCOME_FAILED;
--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -97,6 +97,22 @@
   update_baseline (observe, observe->latency);
 }
 
+/* The server's start has ended: what it taught does not hold for the next one,
+   which begins with a cold cache.  The baseline latency is that of a warm
+   cache, and a server that stays down is ejected as one that fails.  */
+static void
+forget_start (observe_t *observe, usec_t now)
+{
+  observe->latency = 0;
+  observe->backoff_until = 0;
+  observe->refusal_rate = 0;
+  observe->hints[HINT_ENDPOINT] = (hint_t){ 0 };
+  observe->hints[HINT_PEER] = (hint_t){ 0 };
+  ramp_options_t options = ramp_defaults ();
+  ramp_begin (&observe->ramp, &options,
+              now > observe->ejected_until ? now : observe->ejected_until);
+}
+
 void
 observe_end (observe_t *observe, run_outcome_t outcome, usec_t latency,
              usec_t now)
@@ -115,6 +131,10 @@
       update_latency (observe, (double)latency, now);
       observe->failure_rate += failure_gain * (1 - observe->failure_rate);
       break;
+    case OUTCOME_DOWN:
+      forget_start (observe, now);
+      observe->failure_rate += failure_gain * (1 - observe->failure_rate);
+      break;
     case OUTCOME_FAILED:
       observe->failure_rate += failure_gain * (1 - observe->failure_rate);
       break;
--- a/src/placement/observe.h
+++ b/src/placement/observe.h
@@ -23,6 +23,7 @@
 {
   OUTCOME_ANSWERED,
   OUTCOME_FAILED,    /* error answer, or the connection broke */
+  OUTCOME_DOWN,      /* no process listens there: its start has ended */
   OUTCOME_TIMED_OUT, /* no answer by the deadline */
   OUTCOME_REFUSED,   /* not run: the server or its admitting VM is full */
   OUTCOME_CANCELLED, /* the caller disconnected; no result */
--- a/src/placement/steer.c
+++ b/src/placement/steer.c
@@ -536,6 +536,7 @@
     case OUTCOME_ANSWERED:
       service_latency (steer, ran->backend.service, latency);
       return false;
+    case OUTCOME_DOWN:
     case OUTCOME_FAILED:
     case OUTCOME_TIMED_OUT:
       return ran->listed && eject_if_outlier (steer, ran, now);
--- a/test/unit/test_entry_backend_table.c
+++ b/test/unit/test_entry_backend_table.c
@@ -322,6 +322,36 @@
   close_fixture (&fixture);
 }
 
+/* Slots of the first backend server that are used in a flood just after a
+   connection was refused, to it or to an entry VM.  */
+static unsigned
+most_after_refusal (placement_kind_t kind)
+{
+  fixture_t fixture;
+  open_fixture (&fixture);
+  apply (&fixture, 1, LOCAL);
+  simulate (&fixture, USEC_PER_SEC, BUSY, false);
+  const placement_t place = { .kind = kind };
+  const backend_reply_t reply = { .was_refused = true };
+  backend_run_t run = { 0 };
+  backend_run_begin (&run, fixture.table, &place, fixture.now + SLOW_USEC,
+                     fixture.now);
+  backend_run_reply (&run, fixture.table, &reply, fixture.now);
+  simulate (&fixture, 100 * USEC_PER_MSEC, FLOOD, false);
+  unsigned most = fixture.most[0];
+  close_fixture (&fixture);
+  return most;
+}
+
+/* A backend server that crashed and returned gets a slow start; an entry VM
+   that did says nothing of the backend servers behind it.  */
+static void
+test_refused_connection_begins_slow_start (void)
+{
+  g_assert_cmpuint (most_after_refusal (PLACE_LOCAL), ==, 1);
+  g_assert_cmpuint (most_after_refusal (PLACE_FORWARD), ==, SLOTS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -337,5 +367,7 @@
                    test_home_domain_first_then_forwarded);
   g_test_add_func ("/backend_table/run_time",
                    test_run_time_is_taken_from_entry_vms_only);
+  g_test_add_func ("/backend_table/refused",
+                   test_refused_connection_begins_slow_start);
   return g_test_run ();
 }
--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -413,6 +413,7 @@
   result_t result = call (client, &script, "POST", true);
   g_assert_false (result.reply.is_complete);
   g_assert_false (result.reply.maybe_sent);
+  g_assert_true (result.reply.was_refused);
   backend_client_free (client);
 }
 
--- a/test/unit/test_placement_steer.c
+++ b/test/unit/test_placement_steer.c
@@ -259,6 +259,56 @@
   steer_free (fixture.steer);
 }
 
+/* A server crashes and returns under its name while the sheet stays the same:
+   it is cold, and what its last start refused is no reason to spare it.  */
+static void
+test_crashed_server_returns_cold (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  for (int i = 0; i < 20; i++)
+    finish (&fixture, 0, OUTCOME_ANSWERED, run);
+  g_assert_cmpuint (steer_slots (fixture.steer, 0, fixture.now), ==, 3);
+  for (int i = 0; i < 20; i++)
+    finish (&fixture, 0, OUTCOME_REFUSED, run);
+  fixture.now += USEC_PER_SEC;
+  const observe_t *observe = steer_observe (fixture.steer, 0);
+  g_assert_true (observe_backing_off (observe, fixture.now));
+  steer_started (fixture.steer, 0);
+  steer_started (fixture.steer, 0);
+  finish (&fixture, 0, OUTCOME_DOWN, 0);
+  g_assert_cmpuint (steer_slots (fixture.steer, 0, fixture.now), ==, 1);
+  g_assert_false (observe_backing_off (observe, fixture.now));
+  g_assert_cmpuint (observe->in_flight, ==, 1);
+  fixture.now += 20 * USEC_PER_SEC;
+  g_assert_cmpuint (steer_slots (fixture.steer, 0, fixture.now), ==, 3);
+  steer_free (fixture.steer);
+}
+
+/* A server that stays down is ejected as one that fails, for longer each
+   time.  */
+static void
+test_server_that_stays_down_is_ejected (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture);
+  bool ejected = false;
+  for (int i = 0; i < 20 && !ejected; i++)
+    ejected
+        = steer_finished (fixture.steer, 0, 0, OUTCOME_DOWN, 0, fixture.now);
+  g_assert_true (ejected);
+  usec_t until = steer_observe (fixture.steer, 0)->ejected_until;
+  g_assert_cmpuint (steer_slots (fixture.steer, 0, fixture.now), ==, 0);
+  usec_t span = until - fixture.now;
+  fixture.now = until;
+  g_assert_true (
+      steer_finished (fixture.steer, 0, 0, OUTCOME_DOWN, 0, fixture.now));
+  until = steer_observe (fixture.steer, 0)->ejected_until;
+  g_assert_cmpint (until - fixture.now, >, span);
+  g_assert_cmpuint (steer_slots (fixture.steer, 0, until), ==, 1);
+  steer_free (fixture.steer);
+}
+
 /* A sheet drops a server with a request in flight: the slot must stay valid
    until that request has ended.  */
 static void
@@ -294,5 +344,7 @@
   g_test_add_func ("/steer/slowdown", test_slowdown_is_per_region_and_expires);
   g_test_add_func ("/steer/leaving", test_leaving_server_gets_nothing_new);
   g_test_add_func ("/steer/slot", test_slot_outlives_the_sheet);
+  g_test_add_func ("/steer/crashed", test_crashed_server_returns_cold);
+  g_test_add_func ("/steer/down", test_server_that_stays_down_is_ejected);
   return g_test_run ();
 }
