fix(router): with the directors out of reach, routers tell each other which servers are cold

Callers saw a backend server that had started again, cold, under its old id get up to 20 requests in a second where 8 are allowed, while all directors were paused (test_fleet_cold_flood_alone, KNOWN-RED).

Cause: a router tells directors what it sees, and directors tell the routers; without them each of 60 routers knows its own refused connection alone.

What no director in touch with the leader has taken within 0.2 s, or at once if the last pull failed, a router now tells the other routers of its last list: sqrt(n) groups, its own group and two relays of each other one, which tell theirs; two hops, and what was relayed is told no further.

--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -144,10 +144,12 @@
    What a late answer says is asked for again.  */
 static void
 keep_colds (director_sync_t *sync, const fleet_pull_result_t *result,
-            usec_t now)
+            bool is_fresh, usec_t now)
 {
   bool is_same = result->source == sync->source;
   sync->seen_known = is_same ? sync->seen_sent : 0;
+  if (is_same && is_fresh && sync->seen_sent > sync->seen_taken)
+    sync->seen_taken = sync->seen_sent;
   if (now - sync->pull_sent_at > COLD_EXCHANGE_MAX)
     {
       sync->colds_known = is_same ? sync->colds_known : 0;
@@ -164,6 +166,7 @@
                              usec_t now)
 {
   sync->has_ended = true;
+  sync->is_fresh = is_fresh;
   sync->is_answered = result != NULL;
   sync->n_quotas = 0;
   sync->n_loads = 0;
@@ -172,7 +175,7 @@
     return;
   if (is_fresh)
     keep_quotas (sync, result);
-  keep_colds (sync, result, now);
+  keep_colds (sync, result, is_fresh, now);
   keep_loads (sync, result, now);
 }
 
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -66,6 +66,16 @@
 void director_sync_set_seen_colds (director_sync_t *sync,
                                    const cold_table_t *colds);
 
+/* How far directors know of the cold backend servers that this router saw. */
+typedef struct director_colds_state
+{
+  uint64_t taken;   /* changes that a director took which is in touch with the
+                       leader */
+  bool is_in_reach; /* the last pull was answered by such a one */
+} director_colds_state_t;
+
+director_colds_state_t director_sync_colds_state (director_sync_t *sync);
+
 /* Report the requests that LIMITER counts to the directors, and apply to it
    what they answer.  LIMITER is used by director_sync_tick only and must stay
    valid.  */
--- a/src/router/director_sync_internal.h
+++ b/src/router/director_sync_internal.h
@@ -24,6 +24,8 @@
   usec_t next_pull_at;
   bool takes_requests;
   bool is_disconnected; /* the last pull failed */
+  bool is_fresh; /* the last answer was of a director in touch with the leader
+                  */
   fleet_snapshot_t *snapshot;
   uint64_t config_version;
   uint64_t evacuations_index;
@@ -50,6 +52,8 @@
   const cold_table_t *seen_colds; /* NULL: none are told */
   uint64_t seen_known;            /* changes of SEEN_COLDS that were told */
   uint64_t seen_sent;             /* the same, once the pull is answered */
+  uint64_t seen_taken; /* by a director in touch with the leader, at any
+                          time */
   uint64_t colds_known;
   /* What the last pull told for the limiter and the pool.  */
   bool has_ended;   /* it is not applied yet */
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -53,6 +53,14 @@
    due.  */
 usec_t dispatcher_tick (dispatcher_t *dispatcher, usec_t now);
 
+/* The cold backend servers that this router has seen.  */
+const cold_table_t *dispatcher_seen_colds (const dispatcher_t *dispatcher);
+
+/* Another router told the N REPORTS of cold backend servers.  */
+void dispatcher_hear_colds (dispatcher_t *dispatcher,
+                            const cold_report_t *reports, size_t n,
+                            usec_t now);
+
 /* How long callers may leave their connections idle, by the configuration; 0:
    not known.  */
 usec_t dispatcher_idle_timeout (const dispatcher_t *dispatcher);
--- a/src/router/dispatcher_cold.c
+++ b/src/router/dispatcher_cold.c
@@ -96,3 +96,19 @@
   dispatcher->next_cold_expiry_at = now + COLD_EXPIRY_INTERVAL;
   cold_table_expire (&dispatcher->seen_colds, now);
 }
+
+const cold_table_t *
+dispatcher_seen_colds (const dispatcher_t *dispatcher)
+{
+  return &dispatcher->seen_colds;
+}
+
+void
+dispatcher_hear_colds (dispatcher_t *dispatcher, const cold_report_t *reports,
+                       size_t n, usec_t now)
+{
+  size_t n_new = backend_pool_hear_colds (dispatcher->pool, reports, n, now);
+  if (n_new > 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "backends_may_be_cold", LOG_U ("new", n_new),
+               LOG_U ("told", n), LOG_U ("told_by_router", true));
+}
--- a/src/router/main_router.c
+++ b/src/router/main_router.c
@@ -63,7 +63,8 @@
       = { .feed = program->feed,
           .rpc = router->rpc,
           .metrics = router->metrics,
-          .incarnation = program->incarnation };
+          .incarnation = program->incarnation,
+          .key = program->key };
   router->traffic = traffic_thread_start (&traffic, err);
   return router->traffic != NULL;
 }
--- a/src/router/poller.h
+++ b/src/router/poller.h
@@ -15,6 +15,7 @@
   WATCH_CALLER_PORT,    /* accepts callers' connections */
   WATCH_BACKEND_SOCKET, /* a connection to a backend server */
   WATCH_CALLER_SOCKET,  /* a connection of a caller */
+  WATCH_COLD_PORT,      /* takes other routers' datagrams (cold_port) */
   WATCH_WAKEUP,         /* an eventfd that other threads write to */
 } watch_kind_t;
 
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -187,3 +187,23 @@
           .service = service };
   count_n (metrics, &needless, (uint64_t)(span / USEC_PER_MSEC));
 }
+
+void
+router_metrics_cold_datagrams_sent (router_metrics_t *metrics, size_t n)
+{
+  const metric_options_t sent
+      = { .name = "mulberry_router_cold_datagrams_sent_total",
+          .help = "Datagrams on cold backend servers to other routers" };
+  count_n (metrics, &sent, n);
+}
+
+void
+router_metrics_cold_datagram_ignored (router_metrics_t *metrics,
+                                      const char *reason)
+{
+  const metric_options_t ignored
+      = { .name = "mulberry_router_cold_datagrams_ignored_total",
+          .help = "Datagrams on cold backend servers that were not used",
+          .reason = reason };
+  count (metrics, &ignored);
+}
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -60,6 +60,13 @@
    room (abandoned_runs).  */
 void router_metrics_abandoned_dropped (router_metrics_t *metrics, uint64_t n);
 
+/* N datagrams on cold backend servers were sent to other routers.  */
+void router_metrics_cold_datagrams_sent (router_metrics_t *metrics, size_t n);
+
+/* One of another router was ignored for REASON.  */
+void router_metrics_cold_datagram_ignored (router_metrics_t *metrics,
+                                           const char *reason);
+
 /* A backend server of SERVICE that is not cold is limited for SPAN.  */
 void router_metrics_needless_limit (router_metrics_t *metrics,
                                     const char *service, usec_t span);
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "router/caller_http.h"
+#include "router/cold_port.h"
 #include "router/director_sync.h"
 #include "router/dispatcher.h"
 #include "router/readiness_port.h"
@@ -26,6 +27,7 @@
   dispatcher_t *dispatcher;
   caller_http_t *port;
   readiness_port_t *readiness_port;
+  cold_port_t *cold_port;
   watch_t wakeup;
   pthread_t pthread;
   _Atomic bool stop_requested;
@@ -85,6 +87,9 @@
     case WATCH_BACKEND_SOCKET:
       dispatcher_socket_ready (thread->dispatcher, event->watch, event->ready);
       break;
+    case WATCH_COLD_PORT:
+      cold_port_socket_ready (thread->cold_port, clock_monotonic ());
+      break;
     case WATCH_WAKEUP:
       {
         uint64_t count;
@@ -165,6 +170,33 @@
   thread->budget.max = newer->body_memory;
 }
 
+/* Apply the newest snapshot, if there is one.  */
+static void
+update_snapshot (traffic_thread_t *thread)
+{
+  if (!atomic_exchange (&thread->snapshot_changed, false))
+    return;
+  dispatcher_update_snapshot (thread->dispatcher);
+  caller_http_set_idle_timeout (thread->port,
+                                dispatcher_idle_timeout (thread->dispatcher));
+  fleet_snapshot_t *snapshot = director_sync_snapshot (thread->sync);
+  cold_port_set_routers (thread->cold_port, snapshot->routers,
+                         snapshot->n_routers);
+  fleet_snapshot_unref (snapshot);
+}
+
+/* Returns when it is due again.  */
+static usec_t
+tick_cold_port (traffic_thread_t *thread, usec_t now)
+{
+  director_colds_state_t directors = director_sync_colds_state (thread->sync);
+  const cold_port_state_t state
+      = { .seen = dispatcher_seen_colds (thread->dispatcher),
+          .taken = directors.taken,
+          .is_in_reach = directors.is_in_reach };
+  return cold_port_tick (thread->cold_port, &state, now);
+}
+
 static void *
 run (void *closure)
 {
@@ -180,12 +212,7 @@
       apply_settings (thread);
       shutdown_phase_t phase = update_shutdown (thread, is_busy, now);
       director_sync_tick (thread->sync, now);
-      if (atomic_exchange (&thread->snapshot_changed, false))
-        {
-          dispatcher_update_snapshot (thread->dispatcher);
-          caller_http_set_idle_timeout (
-              thread->port, dispatcher_idle_timeout (thread->dispatcher));
-        }
+      update_snapshot (thread);
       update_readiness (thread, now);
       wait = dispatcher_tick (thread->dispatcher, now);
       if (phase == SHUTDOWN_FINISH || phase == SHUTDOWN_EXIT)
@@ -193,6 +220,7 @@
       caller_http_run (thread->port);
       wait = min_usec (wait, caller_http_timeout (thread->port));
       wait = min_usec (wait, director_sync_next_pull (thread->sync) - now);
+      wait = min_usec (wait, tick_cold_port (thread, now) - now);
       if (thread->shutdown_started_at > 0)
         wait = min_usec (wait, SHUTDOWN_TICK);
       if (phase == SHUTDOWN_EXIT)
@@ -254,6 +282,28 @@
   thread->dispatcher = dispatcher_new (&dispatcher);
 }
 
+static void
+on_colds_heard (void *closure, const cold_report_t *reports, size_t n,
+                usec_t now)
+{
+  traffic_thread_t *thread = closure;
+  dispatcher_hear_colds (thread->dispatcher, reports, n, now);
+}
+
+static void
+open_cold_port (traffic_thread_t *thread)
+{
+  const cold_port_options_t options
+      = { .poller = thread->poller,
+          .settings = thread->settings,
+          .key = thread->options.key,
+          .incarnation = thread->options.incarnation,
+          .metrics = thread->metrics,
+          .closure = thread,
+          .heard = on_colds_heard };
+  thread->cold_port = cold_port_open (&options);
+}
+
 static bool
 open_components (traffic_thread_t *thread, err_t *err)
 {
@@ -261,6 +311,7 @@
   if (!thread->poller || !open_wakeup (thread, err))
     return false;
   open_dispatcher (thread);
+  open_cold_port (thread);
   if (!open_ports (thread, err))
     return false;
   if (pthread_create (&thread->pthread, NULL, run, thread) == 0)
@@ -300,6 +351,8 @@
     readiness_port_close (thread->readiness_port);
   if (thread->port)
     caller_http_free (thread->port);
+  if (thread->cold_port)
+    cold_port_close (thread->cold_port);
   if (thread->dispatcher)
     dispatcher_free (thread->dispatcher);
   if (thread->sync)
--- a/src/router/traffic_thread.h
+++ b/src/router/traffic_thread.h
@@ -16,6 +16,7 @@
   rpc_t *rpc; /* already started by rpc_start */
   metrics_t *metrics;
   uint64_t incarnation;
+  const unsigned char *key; /* of messages between VMs; RPC_KEY_BYTES */
 } traffic_thread_options_t;
 
 /* Open the ports and start the thread.  Returns NULL with ERR_IO.  */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -20,6 +20,7 @@
 const FLEET_WIRE_TOTALS_MAX = 1024;
 const FLEET_WIRE_LOADS_MAX = 1024;
 const FLEET_WIRE_COLDS_MAX = 1024;
+const FLEET_WIRE_TOLD_COLDS_MAX = 64;
 
 struct fleet_router_t
 {
@@ -158,6 +159,18 @@
   uint32_t left;   /* msec until it is warm at the latest */
 };
 
+/* What a router tells another one itself, while no director takes it; a UDP
+   datagram, which an HMAC-SHA256 follows (fleet/cold_datagram). */
+struct fleet_cold_datagram_t
+{
+  uint32_t format;      /* COLD_DATAGRAM_FORMAT */
+  uint64_t incarnation; /* of the sender's process */
+  uint64_t sequence;    /* increases with each datagram of that process */
+  uint32_t groups;      /* the receiver tells its one of so many groups of
+                           routers; 0: it tells nobody */
+  fleet_cold_t colds<FLEET_WIRE_TOLD_COLDS_MAX>;
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -94,16 +94,23 @@
                             backend_of (evidence, number), &response, now);
 }
 
-/* Pull once, so that the next regular pull is not due.  */
+/* Pull once; the director's process is SOURCE.  */
 static void
-pull (evidence_world_t *evidence)
+pull_from (evidence_world_t *evidence, uint64_t source)
 {
-  fleet_pull_result_t result = { .confirmed_age = 0, .source = 1 };
+  fleet_pull_result_t result = { .confirmed_age = 0, .source = source };
   rpc_out_call_t *call = sync_world_pull (evidence->world);
   g_assert_nonnull (call);
   held_rpc_answer (call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
 }
 
+/* Pull once, so that the next regular pull is not due.  */
+static void
+pull (evidence_world_t *evidence)
+{
+  pull_from (evidence, 1);
+}
+
 /* What is seen after many servers have ended at once is told as soon as what
    is seen after one has.  */
 static void
@@ -208,6 +215,27 @@
   evidence_close (&evidence);
 }
 
+/* What a director takes that is not in touch with the leader reaches no other
+   one.  */
+static void
+test_director_that_is_cut_off (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  director_sync_t *sync = evidence.world->sync;
+  pull (&evidence);
+  pull (&evidence);
+  g_assert_true (director_sync_colds_state (sync).is_in_reach);
+  refuse (&evidence, 0, clock_monotonic ());
+  fleet_pull_result_t result
+      = { .confirmed_age = 10 * USEC_PER_SEC, .source = 1 };
+  held_rpc_answer (sync_world_pull (evidence.world),
+                   (xdrproc_t)xdr_fleet_pull_result_t, &result);
+  g_assert_cmpuint (director_sync_colds_state (sync).taken, ==, 0);
+  g_assert_false (director_sync_colds_state (sync).is_in_reach);
+  evidence_close (&evidence);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -221,5 +249,7 @@
                    test_second_end_is_told_soon);
   g_test_add_func ("/cold-evidence/late-answer-is-asked-again",
                    test_late_answer_is_asked_again);
+  g_test_add_func ("/cold-evidence/director-that-is-cut-off",
+                   test_director_that_is_cut_off);
   return g_test_run ();
 }
