fix(director,router): a director that was paused does not lengthen limits by its pause

Callers saw a backend server that was warm limited as a cold one for as long as a director had been paused, besides the limit itself.

Cause: a pull carries what is left of a time, and no time of its own; a director that was paused for 6 s reads a pull from before the pause and counts from then, and all directors and routers follow.

The core's thread looks for work every few milliseconds, so a longer gap than a second shows a pause. For half a second after one, in which what had arrived is read, the director keeps no reports of cold servers and its answers name no source; a router takes that for a director that it has not asked before, and tells all again with its next pull. Weighed: the sender's clock in each pull, as in shares; a VM that is suspended would make its reports too short, which floods a server.

test_director_colds /director-colds/paused: a limit of 4 s read 6 s late ended 10 s after it was told, now it is not kept. test_router_cold_evidence /paused-director-is-told-again. Both failed before.

--- a/src/director/core_colds.c
+++ b/src/director/core_colds.c
@@ -8,6 +8,32 @@
    after this, so that reports of one moment travel together.  */
 #define COLD_SHARE_DELAY (100 * USEC_PER_MSEC)
 
+/* The thread looks for work every few milliseconds; after a longer time the
+   process was paused.  */
+#define PAUSE_MIN USEC_PER_SEC
+/* Until what arrived during a pause has been read.  */
+#define RESUME_SPAN (500 * USEC_PER_MSEC)
+
+void
+core_colds_note_run (director_core_t *core, usec_t now)
+{
+  if (core->ran_at > 0 && now - core->ran_at > PAUSE_MIN)
+    {
+      core->resumed_at = now;
+      LOG_EVENT (LOG_LEVEL_WARNING, "director_was_paused",
+                 LOG_I ("ms", (now - core->ran_at) / USEC_PER_MSEC));
+    }
+  core->ran_at = now;
+}
+
+/* Whether a pull that is read at NOW may have been sent before a pause: it
+   does not say when what is left of its times was read.  */
+static bool
+may_be_late (const director_core_t *core, usec_t now)
+{
+  return core->resumed_at > 0 && now < core->resumed_at + RESUME_SPAN;
+}
+
 /* Returns how many of the N servers at WIRE were not known to be cold for
    long.  */
 static size_t
@@ -58,9 +84,11 @@
                    fleet_pull_result_t *result, fleet_cold_t *colds,
                    usec_t now)
 {
-  if (merge (core, args->colds.colds_val, args->colds.colds_len, true, now,
-             now)
-      > 0)
+  if (may_be_late (core, now))
+    result->source = 0; /* the router tells all again */
+  else if (merge (core, args->colds.colds_val, args->colds.colds_len, true,
+                  now, now)
+           > 0)
     hurry_share (core, now);
   bool is_same = args->source == core->options.seed;
   const cold_query_t query
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -176,6 +176,8 @@
   load_table_t loads; /* of backend servers, as routers told lately */
   usec_t next_load_expiry_at;
   cold_table_t colds; /* backend servers that are cold, or may be */
+  usec_t ran_at;      /* when the thread last looked for work; 0: never */
+  usec_t resumed_at;  /* when the process was last paused until; 0: never */
   usec_t next_cold_expiry_at;
 
   list_t operator_requests; /* unfinished; some are proposed */
@@ -347,9 +349,12 @@
 
 /* core_colds.c */
 
+/* The core's thread looks for work at NOW.  */
+void core_colds_note_run (director_core_t *core, usec_t now);
 /* Keep which backend servers the router of ARGS saw to be cold, or to have
    ended, and fill in those that it does not know of; COLDS has room for
-   FLEET_WIRE_COLDS_MAX.  */
+   FLEET_WIRE_COLDS_MAX.  After a pause of this process nothing is kept, and
+   RESULT has no source, so that the router tells all again.  */
 void core_colds_answer (director_core_t *core, const fleet_pull_args_t *args,
                         fleet_pull_result_t *result, fleet_cold_t *colds,
                         usec_t now);
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -292,6 +292,7 @@
     {
       core_item_t *item = next_item (core, next_tick_at);
       usec_t now = clock_monotonic ();
+      core_colds_note_run (core, now);
       if (item)
         core_item_handle (core, item, now);
       if (now >= next_tick_at)
--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -140,13 +140,14 @@
    what is left of a time was read.  */
 #define COLD_EXCHANGE_MAX USEC_PER_SEC
 
-/* A director that has not been asked before is told all with the next pull.
+/* A director that has not been asked before is told all with the next pull,
+   as one without a source: it was paused and has kept nothing.
    What a late answer says is asked for again.  */
 static void
 keep_colds (director_sync_t *sync, const fleet_pull_result_t *result,
             bool is_fresh, usec_t now)
 {
-  bool is_same = result->source == sync->source;
+  bool is_same = result->source != 0 && result->source == sync->source;
   sync->seen_known = is_same ? sync->seen_sent : 0;
   if (is_same && is_fresh && sync->seen_sent > sync->seen_taken)
     sync->seen_taken = sync->seen_sent;
--- a/test/unit/test_director_colds.c
+++ b/test/unit/test_director_colds.c
@@ -249,6 +249,28 @@
   fleet_close (&fleet);
 }
 
+/* A pull that was sent before the director was paused is read after it: what
+   was left then is over.  The router tells again.  */
+static void
+test_paused_director (void)
+{
+  fleet_t fleet;
+  fleet_open (&fleet);
+  director_core_t *core = core_of (&fleet, FOLLOWER);
+  core_colds_note_run (core, NOW);
+  usec_t resumed_at = NOW + 6 * USEC_PER_SEC;
+  core_colds_note_run (core, resumed_at);
+  uint64_t known = 0;
+  pull (&fleet, FOLLOWER, 1, &known, resumed_at + USEC_PER_MSEC);
+  g_assert_cmpint (until_at (&fleet, FOLLOWER), ==, 0);
+  usec_t now = resumed_at;
+  for (; now < resumed_at + USEC_PER_SEC; now += 10 * USEC_PER_MSEC)
+    core_colds_note_run (core, now);
+  pull (&fleet, FOLLOWER, 1, &known, now);
+  g_assert_cmpint (until_at (&fleet, FOLLOWER), ==, now + LEFT);
+  fleet_close (&fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -264,5 +286,6 @@
                    test_more_than_a_message);
   g_test_add_func ("/director-colds/second-end-is-shared-soon",
                    test_second_end_is_shared_soon);
+  g_test_add_func ("/director-colds/paused", test_paused_director);
   return g_test_run ();
 }
--- a/test/unit/test_router_cold_evidence.c
+++ b/test/unit/test_router_cold_evidence.c
@@ -215,6 +215,30 @@
   evidence_close (&evidence);
 }
 
+/* A director that was paused answers without a source, again and again: what
+   it was told it has not kept.  */
+static void
+test_paused_director_is_told_again (void)
+{
+  evidence_world_t evidence;
+  evidence_open (&evidence);
+  director_sync_t *sync = evidence.world->sync;
+  pull (&evidence);
+  pull (&evidence);
+  refuse (&evidence, 0, clock_monotonic ());
+  for (int i = 0; i < 3; i++)
+    {
+      pull_from (&evidence, 0);
+      g_assert_cmpuint (sync->seen_known, ==, 0);
+      g_assert_cmpuint (director_sync_colds_state (sync).taken, ==, 0);
+    }
+  pull (&evidence);
+  pull (&evidence);
+  g_assert_cmpuint (director_sync_colds_state (sync).taken, ==,
+                    evidence.dispatcher->seen_colds.n_changes);
+  evidence_close (&evidence);
+}
+
 /* What a director takes that is not in touch with the leader reaches no other
    one.  */
 static void
@@ -249,6 +273,8 @@
                    test_second_end_is_told_soon);
   g_test_add_func ("/cold-evidence/late-answer-is-asked-again",
                    test_late_answer_is_asked_again);
+  g_test_add_func ("/cold-evidence/paused-director-is-told-again",
+                   test_paused_director_is_told_again);
   g_test_add_func ("/cold-evidence/director-that-is-cut-off",
                    test_director_that_is_cut_off);
   return g_test_run ();
