fix(fleet,router): routers tell each other only while directors don't answer

The delay now counts from the sending of the pull that is in flight. test_fleet_cold_spread /cold-spread/directors: nothing is told between pulls that are answered; with a form that tells between them it fails (8 datagrams sent).

--- a/src/fleet/cold_spread.c
+++ b/src/fleet/cold_spread.c
@@ -19,8 +19,9 @@
 void
 cold_spread_init (cold_spread_t *spread, uint32_t self, uint64_t seed)
 {
-  *spread
-      = (cold_spread_t){ .self = self, .bytes_left = COLD_SPREAD_BYTE_BURST };
+  *spread = (cold_spread_t){ .self = self,
+                             .tell_at = INT64_MAX,
+                             .bytes_left = COLD_SPREAD_BYTE_BURST };
   random_seed (&spread->random, seed);
 }
 
@@ -104,25 +105,31 @@
       enqueue (&spread->own, &reports[i]);
 }
 
+/* From when on a router tells what it sees.  */
+static usec_t
+out_of_reach_at (const cold_directors_t *directors, usec_t now)
+{
+  if (!directors->is_in_reach)
+    return now;
+  return directors->asked_at > 0 ? directors->asked_at + COLD_SPREAD_DELAY
+                                 : INT64_MAX;
+}
+
 void
 cold_spread_see (cold_spread_t *spread, const cold_table_t *seen,
-                 uint64_t taken, bool is_in_reach, usec_t now)
+                 const cold_directors_t *directors, usec_t now)
 {
-  if (taken > spread->settled)
-    spread->settled = taken;
-  if (seen->n_changes <= spread->settled)
-    {
-      spread->pending_since = 0;
-      return;
-    }
-  if (spread->pending_since == 0)
-    spread->pending_since = now;
-  usec_t wait = is_in_reach ? COLD_SPREAD_DELAY : 0;
-  if (now < spread->pending_since + wait || spread->own.n > 0
+  if (directors->taken > spread->settled)
+    spread->settled = directors->taken;
+  spread->tell_at = INT64_MAX;
+  if (seen->n_changes <= spread->settled || spread->own.n > 0
       || spread->n_routers == 0)
     return;
-  spread->pending_since = 0;
-  queue_own (spread, seen, now);
+  usec_t at = out_of_reach_at (directors, now);
+  if (at <= now)
+    queue_own (spread, seen, now);
+  else
+    spread->tell_at = at;
 }
 
 /* --- What others tell ---------------------------------------------------- */
@@ -338,10 +345,7 @@
                    + 1;
   if (due_at != INT64_MAX && spread->bytes_left <= 0 && paid_at > due_at)
     due_at = paid_at;
-  usec_t pending_at = spread->pending_since + COLD_SPREAD_DELAY;
-  if (spread->pending_since > 0 && spread->own.n == 0 && pending_at < due_at)
-    due_at = pending_at;
-  return due_at;
+  return spread->tell_at < due_at ? spread->tell_at : due_at;
 }
 
 void
--- a/src/fleet/cold_spread.h
+++ b/src/fleet/cold_spread.h
@@ -1,9 +1,9 @@
 /* cold_spread: which reports of cold backend servers a router tells other
    routers itself, and when.
 
-   Directors relay what routers see.  What no director has taken for
-   COLD_SPREAD_DELAY, as none is in reach, a router tells the others of its
-   list, in two steps.  Their addresses put the routers into about sqrt(n)
+   Directors relay what routers see.  While none is in reach, or one that was
+   asked has not answered for COLD_SPREAD_DELAY, a router tells the others of
+   its list, in two steps.  Their addresses put the routers into about sqrt(n)
    groups, whose number the sender chooses; it tells its own group, and
    COLD_SPREAD_RELAYS random routers of each other one, which tell theirs.
    What was relayed is told no further, so nothing travels in a circle.  A
@@ -24,8 +24,8 @@
   COLD_SPREAD_RELAYS = 2, /* of a group: one may be down */
 };
 
-/* A director takes a report at once, and answers within 50 ms of the network's
-   delay; one that elects takes longer, and is as good as out of reach.  */
+/* A director answers within some 50 ms; one that takes longer waits for an
+   election, or is as good as out of reach.  */
 #define COLD_SPREAD_DELAY (200 * USEC_PER_MSEC)
 /* A report that extends what the routers know by less is not told: one server
    that is down refuses connections of many routers.  */
@@ -69,13 +69,13 @@
   uint32_t *routers; /* malloc'd; the others, in order of their addresses */
   size_t n_senders;
   size_t n_senders_allocated;
-  cold_sender_t *senders;  /* malloc'd, by address */
-  cold_table_t known;      /* what routers have told each other */
-  uint64_t settled;        /* changes of the own table that need not be told */
-  usec_t pending_since;    /* later ones were seen then; 0: there are none */
-  cold_queue_t own;        /* to all */
-  bool has_told_relays;    /* of OWN; its own group follows */
-  cold_queue_t relayed;    /* to the own group */
+  cold_sender_t *senders; /* malloc'd, by address */
+  cold_table_t known;     /* what routers have told each other */
+  uint64_t settled;       /* changes of the own table that need not be told */
+  usec_t tell_at;       /* when later ones are told; INT64_MAX: not, so far */
+  cold_queue_t own;     /* to all */
+  bool has_told_relays; /* of OWN; its own group follows */
+  cold_queue_t relayed; /* to the own group */
   uint32_t relayed_groups; /* by the last sender */
   int64_t bytes_left;      /* of the budget; negative: overdrawn */
   usec_t refilled_at;
@@ -91,10 +91,18 @@
 void cold_spread_set_routers (cold_spread_t *spread, const uint32_t *addresses,
                               size_t n);
 
-/* SEEN holds what this router has seen; directors took its changes up to
-   TAKEN.  IS_IN_REACH: a director answered the last time.  */
+/* What directors know of what this router has seen.  */
+typedef struct cold_directors
+{
+  uint64_t taken;   /* changes that a director took which is in touch with the
+                       leader */
+  bool is_in_reach; /* the last pull was answered by such a one */
+  usec_t asked_at;  /* when the pull that is in flight was sent; 0: none is */
+} cold_directors_t;
+
+/* SEEN holds what this router has seen.  */
 void cold_spread_see (cold_spread_t *spread, const cold_table_t *seen,
-                      uint64_t taken, bool is_in_reach, usec_t now);
+                      const cold_directors_t *directors, usec_t now);
 
 /* DATAGRAM has arrived and is authentic.  Returns false if it is ignored: it
    is of no listed router, or came before.  */
--- a/src/router/cold_port.c
+++ b/src/router/cold_port.c
@@ -189,7 +189,8 @@
 }
 
 usec_t
-cold_port_tick (cold_port_t *port, const cold_port_state_t *state, usec_t now)
+cold_port_tick (cold_port_t *port, const cold_table_t *seen,
+                const cold_directors_t *directors, usec_t now)
 {
   static cold_batch_t batch;
   if (port->watch.fd < 0)
@@ -201,8 +202,7 @@
       port->next_expiry_at = now + EXPIRY_INTERVAL;
       cold_spread_expire (&port->spread, now);
     }
-  cold_spread_see (&port->spread, state->seen, state->taken,
-                   state->is_in_reach, now);
+  cold_spread_see (&port->spread, seen, directors, now);
   while (cold_spread_next (&port->spread, now, &batch))
     send_batch (port, &batch, now);
   return cold_spread_due_at (&port->spread);
--- a/src/router/cold_port.h
+++ b/src/router/cold_port.h
@@ -38,17 +38,9 @@
 /* Datagrams have arrived.  */
 void cold_port_socket_ready (cold_port_t *port, usec_t now);
 
-/* What this router has seen, and how far directors know it.  */
-typedef struct cold_port_state
-{
-  const cold_table_t *seen;
-  uint64_t taken;   /* changes of SEEN that a director took */
-  bool is_in_reach; /* a director answered the last time */
-} cold_port_state_t;
-
-/* Send what is due.  Returns the monotonic time of the next call; INT64_MAX:
-   when something is seen or heard.  */
-usec_t cold_port_tick (cold_port_t *port, const cold_port_state_t *state,
-                       usec_t now);
+/* Send what is due of SEEN, what this router has seen.  Returns the monotonic
+   time of the next call; INT64_MAX: when something is seen or heard.  */
+usec_t cold_port_tick (cold_port_t *port, const cold_table_t *seen,
+                       const cold_directors_t *directors, usec_t now);
 
 #endif
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -152,13 +152,14 @@
   sync->seen_colds = colds;
 }
 
-director_colds_state_t
+cold_directors_t
 director_sync_colds_state (director_sync_t *sync)
 {
   pthread_mutex_lock (&sync->lock);
-  const director_colds_state_t state
+  const cold_directors_t state
       = { .taken = sync->seen_taken,
-          .is_in_reach = !sync->is_disconnected && sync->is_fresh };
+          .is_in_reach = !sync->is_disconnected && sync->is_fresh,
+          .asked_at = sync->is_pulling ? sync->pull_sent_at : 0 };
   pthread_mutex_unlock (&sync->lock);
   return state;
 }
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -14,7 +14,7 @@
 #ifndef ROUTER_DIRECTOR_SYNC_H
 #define ROUTER_DIRECTOR_SYNC_H
 
-#include "fleet/cold_table.h"
+#include "fleet/cold_spread.h"
 #include "load/load_table.h"
 #include "quota/limiter.h"
 #include "router/fleet_snapshot.h"
@@ -67,14 +67,7 @@
                                    const cold_table_t *colds);
 
 /* How far directors know of the cold backend servers that this router saw. */
-typedef struct director_colds_state
-{
-  uint64_t taken;   /* changes that a director took which is in touch with the
-                       leader */
-  bool is_in_reach; /* the last pull was answered by such a one */
-} director_colds_state_t;
-
-director_colds_state_t director_sync_colds_state (director_sync_t *sync);
+cold_directors_t director_sync_colds_state (director_sync_t *sync);
 
 /* Report the requests that LIMITER counts to the directors, and apply to it
    what they answer.  LIMITER is used by director_sync_tick only and must stay
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -189,12 +189,10 @@
 static usec_t
 tick_cold_port (traffic_thread_t *thread, usec_t now)
 {
-  director_colds_state_t directors = director_sync_colds_state (thread->sync);
-  const cold_port_state_t state
-      = { .seen = dispatcher_seen_colds (thread->dispatcher),
-          .taken = directors.taken,
-          .is_in_reach = directors.is_in_reach };
-  return cold_port_tick (thread->cold_port, &state, now);
+  const cold_directors_t directors = director_sync_colds_state (thread->sync);
+  return cold_port_tick (thread->cold_port,
+                         dispatcher_seen_colds (thread->dispatcher),
+                         &directors, now);
 }
 
 static void *
--- a/test/unit/test_fleet_cold_spread.c
+++ b/test/unit/test_fleet_cold_spread.c
@@ -43,8 +43,7 @@
   size_t n;
   router_t *routers;
   usec_t now;
-  uint64_t taken; /* by directors, of each router's changes */
-  bool is_in_reach;
+  cold_directors_t directors; /* the same for each router */
   flight_t *flights;
   size_t first;
   size_t n_flights;
@@ -145,8 +144,8 @@
           router_t *router = &world->routers[i];
           if (router->is_down)
             continue;
-          cold_spread_see (&router->spread, &router->seen, world->taken,
-                           world->is_in_reach, world->now);
+          cold_spread_see (&router->spread, &router->seen, &world->directors,
+                           world->now);
           while (cold_spread_next (&router->spread, world->now, &batch))
             send_batch (world, i, &batch);
         }
@@ -226,24 +225,36 @@
   world_close (&world);
 }
 
-/* Nothing is told that a director takes, or takes within the delay.  */
+/* Nothing is told that directors take with one of the next pulls, however long
+   that takes; a director that does not answer is out of reach.  */
 static void
 test_directors_in_reach (void)
 {
   world_t world;
   world_open (&world, 9);
-  world.is_in_reach = true;
+  world.directors.is_in_reach = true;
   see_refusal (&world, 0, SERVER);
-  run (&world, COLD_SPREAD_DELAY / 2);
+  for (int i = 0; i < 4; i++)
+    {
+      run (&world, 2 * COLD_SPREAD_DELAY);
+      world.directors.asked_at = world.now;
+      run (&world, COLD_SPREAD_DELAY - STEP);
+      world.directors.asked_at = 0;
+    }
   g_assert_cmpuint (world.routers[0].n_sent, ==, 0);
-  world.taken = 1;
+  world.directors.taken = 1;
+  world.directors.asked_at = world.now;
   run (&world, USEC_PER_SEC);
   g_assert_cmpuint (world.routers[0].n_sent, ==, 0);
   see_refusal (&world, 0, SERVER);
-  run (&world, COLD_SPREAD_DELAY / 2);
+  world.directors.asked_at = world.now;
+  run (&world, COLD_SPREAD_DELAY - STEP);
   g_assert_cmpuint (world.routers[0].n_sent, ==, 0);
-  run (&world, USEC_PER_SEC);
-  g_assert_cmpuint (world.routers[8].first_heard_at, >, 0);
+  g_assert_cmpint (cold_spread_due_at (&world.routers[0].spread), ==,
+                   world.directors.asked_at + COLD_SPREAD_DELAY);
+  run (&world, 3 * (DELAY + STEP));
+  for (size_t i = 1; i < world.n; i++)
+    g_assert_cmpint (world.routers[i].first_heard_at, >, 0);
   world_close (&world);
 }
 
