fix(fleet): a report that a relay has no room for is not taken for told

A router that relays keeps up to 64 reports for its next batch. Those that found no room were kept as told all the same, so when they came again, from another router, they were dropped: their group was not told until the limit had grown by 0.25 s. Now what finds no room is not kept.

--- a/src/fleet/cold_spread.c
+++ b/src/fleet/cold_spread.c
@@ -72,24 +72,36 @@
 /* Keep REPORT as told.  Returns false if it extends too little what was told
    before; it is not kept then, so that several small ones add up.  */
 static bool
-is_news (cold_spread_t *spread, const cold_report_t *report, bool is_own)
+keep_if_news (cold_spread_t *spread, const cold_report_t *report, bool is_own)
 {
   usec_t known_until = cold_table_until (&spread->known, report->server);
   return report->until > known_until + COLD_SPREAD_EXTENSION
          && cold_table_put (&spread->known, report, is_own);
 }
 
-static void
-enqueue (cold_queue_t *queue, const cold_report_t *report)
+/* The place in QUEUE for a report of SERVER; NULL if there is none.  */
+static cold_report_t *
+place_of (cold_queue_t *queue, uint64_t server)
 {
   for (size_t i = 0; i < queue->n; i++)
-    if (queue->reports[i].server == report->server)
-      {
-        queue->reports[i] = *report;
-        return;
-      }
-  if (queue->n < COLD_DATAGRAM_REPORTS_MAX)
-    queue->reports[queue->n++] = *report;
+    if (queue->reports[i].server == server)
+      return &queue->reports[i];
+  return queue->n < COLD_DATAGRAM_REPORTS_MAX ? &queue->reports[queue->n]
+                                              : NULL;
+}
+
+/* Queue REPORT if it is news and there is room; otherwise it is not kept as
+   told.  */
+static void
+enqueue (cold_spread_t *spread, cold_queue_t *queue,
+         const cold_report_t *report, bool is_own)
+{
+  cold_report_t *place = place_of (queue, report->server);
+  if (!place || !keep_if_news (spread, report, is_own))
+    return;
+  if (place == &queue->reports[queue->n])
+    queue->n++;
+  *place = *report;
 }
 
 /* Queue what SEEN holds that is not settled, as far as there is room.  */
@@ -101,8 +113,7 @@
   size_t n = cold_table_changed (seen, &query, reports,
                                  COLD_DATAGRAM_REPORTS_MAX, &spread->settled);
   for (size_t i = 0; i < n; i++)
-    if (is_news (spread, &reports[i], true))
-      enqueue (&spread->own, &reports[i]);
+    enqueue (spread, &spread->own, &reports[i], true);
 }
 
 /* From when on a router tells what it sees.  */
@@ -185,12 +196,15 @@
   for (size_t i = 0; i < datagram->n; i++)
     {
       const cold_report_t *report = &datagram->reports[i];
-      if (report->until <= now || !is_news (spread, report, false)
-          || datagram->groups == 0)
+      if (report->until <= now)
         continue;
-      spread->relayed_groups = datagram->groups;
-      enqueue (&spread->relayed, report);
+      if (datagram->groups == 0)
+        keep_if_news (spread, report, false);
+      else
+        enqueue (spread, &spread->relayed, report, false);
     }
+  if (datagram->groups > 0)
+    spread->relayed_groups = datagram->groups;
   return true;
 }
 
--- a/test/unit/test_fleet_cold_spread.c
+++ b/test/unit/test_fleet_cold_spread.c
@@ -313,6 +313,34 @@
   world_close (&world);
 }
 
+/* Two routers tell of more servers at once than a relay has room for.  */
+static void
+test_more_than_a_batch (void)
+{
+  static cold_batch_t batch;
+  world_t world;
+  world_open (&world, 9);
+  cold_spread_t *spread = &world.routers[0].spread;
+  size_t n_relayed = 0;
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      cold_datagram_t datagram = { .from = address_of (1),
+                                   .to = address_of (0),
+                                   .sequence = i,
+                                   .groups = 1,
+                                   .n = COLD_DATAGRAM_REPORTS_MAX };
+      for (size_t k = 0; k < datagram.n; k++)
+        datagram.reports[k] = (cold_report_t){ .server = 1000 * (i % 2) + k,
+                                               .until = NOW + LIMIT };
+      g_assert_true (cold_spread_hear (spread, &datagram, NOW));
+      if (i % 2 == 0
+          && cold_spread_next (spread, NOW + (usec_t)i * DELAY, &batch))
+        n_relayed += batch.n;
+    }
+  g_assert_cmpuint (n_relayed, ==, 2 * COLD_DATAGRAM_REPORTS_MAX);
+  world_close (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -323,5 +351,6 @@
   g_test_add_func ("/cold-spread/directors", test_directors_in_reach);
   g_test_add_func ("/cold-spread/no-circle", test_no_circle);
   g_test_add_func ("/cold-spread/replay", test_replay);
+  g_test_add_func ("/cold-spread/more-than-a-batch", test_more_than_a_batch);
   return g_test_run ();
 }
