--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -152,6 +152,18 @@
   sync->seen_colds = colds;
 }
 
+cold_directors_t
+director_sync_colds_state (director_sync_t *sync)
+{
+  pthread_mutex_lock (&sync->lock);
+  const cold_directors_t state
+      = { .taken = sync->seen_taken,
+          .is_in_reach = !sync->is_disconnected && sync->is_fresh,
+          .asked_at = sync->is_pulling ? sync->pull_sent_at : 0 };
+  pthread_mutex_unlock (&sync->lock);
+  return state;
+}
+
 void
 director_sync_set_limiter (director_sync_t *sync, limiter_t *limiter)
 {
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -14,7 +14,7 @@
 #ifndef ROUTER_DIRECTOR_SYNC_H
 #define ROUTER_DIRECTOR_SYNC_H
 
-#include "fleet/cold_table.h"
+#include "fleet/cold_spread.h"
 #include "load/load_table.h"
 #include "quota/limiter.h"
 #include "router/fleet_snapshot.h"
@@ -66,6 +66,9 @@
 void director_sync_set_seen_colds (director_sync_t *sync,
                                    const cold_table_t *colds);
 
+/* How far directors know of the cold backend servers that this router saw. */
+cold_directors_t director_sync_colds_state (director_sync_t *sync);
+
 /* Report the requests that LIMITER counts to the directors, and apply to it
    what they answer.  LIMITER is used by director_sync_tick only and must stay
    valid.  */
