test(functional): a process that did not stop cleanly is told with its exit code and log

cluster_stop said only that a process did not stop cleanly; the logs went with the folder. It prints the exit code and the last 60 lines of the log now.

--- a/test/functional/cluster.sh
+++ b/test/functional/cluster.sh
@@ -136,15 +136,17 @@
 
 # Stop all that runs; fails where one did not end cleanly.
 cluster_stop() {
-  local name failed=0
+  local name code failed=0
   for name in "${!PIDS[@]}"; do
     case $name in entry-*) kill -TERM "${PIDS[$name]}" 2>/dev/null || true ;; esac
   done
   for name in $(printf '%s\n' "${!PIDS[@]}" | sort -r); do
-    if ! stop_one "$name"; then
-      echo "$name did not stop cleanly" >&2
-      failed=1
-    fi
+    code=0
+    stop_one "$name" || code=$?
+    [ $code -ne 0 ] || continue
+    echo "$name did not stop cleanly: exit code $code; the end of its log:" >&2
+    tail -n 60 "$FOLDER/$name.log" >&2 || true
+    failed=1
   done
   return $failed
 }
