fix(test): the stand-in for backend servers reads no freed client

Cause: of the clients that close while the process is stopped, all are told in one batch. The one with a suspended run was cancelled and its daemon was run at once; MHD frees the other clients that have closed then, and their entries of the batch were still to be read: AddressSanitizer reports a heap-use-after-free in serve, exit code 1.

Clients are only cancelled in the first pass; daemons run after the last entry of a client was read.

--- a/test/fakes/fake_backend.c
+++ b/test/fakes/fake_backend.c
@@ -505,6 +505,17 @@
   return next;
 }
 
+/* CLIENT has closed its connection.  Returns the backend server to be served
+   for that; NULL: none.  */
+static backend_t *
+client_closed (client_t *client)
+{
+  if (!client->run || !client->run->suspended)
+    return NULL;
+  run_cancel (client->run);
+  return client->backend;
+}
+
 static void
 serve (int signals)
 {
@@ -526,13 +537,8 @@
               if (read (signals, &info, sizeof info) > 0)
                 return;
             }
-          else if (!is_backend (client) && client->run
-                   && client->run->suspended)
-            {
-              run_cancel (client->run);
-              backend_t *backend = client->backend;
-              MHD_run (backend->daemon);
-            }
+          else if (!is_backend (client))
+            events[i].data.ptr = client_closed (client);
         }
       for (int i = 0; i < n; i++)
         if (is_backend (events[i].data.ptr))
