fix(ledger): an attempt waits for late votes while there is time

functional/test_stop, sanitized beside load: "a planned stop refused N requests", reason=ledger; callers whose request had more than a second left were told that it had not run.

Cause: a replica counts as late after 100 ms, so that the next one is asked. When all three were late, the attempt gave up after 300 ms, released its votes and refused, whatever time the request had left; a vote that came then was ignored.

A late replica may still vote, so an attempt to run waits for a majority until 300 ms before the deadline, which leave time for the refusal. It gives up at once, as before, where replicas fail or another attempt holds a vote.

--- a/src/entry/job_claim.c
+++ b/src/entry/job_claim.c
@@ -8,6 +8,7 @@
   CONTEND_PAUSE_MSEC = 30,
   POLL_INTERVAL_MSEC = 40,
   ASK_TIMEOUT_MSEC = 1000,
+  REFUSAL_MSEC = 300, /* before the deadline, to learn that it won't run */
 };
 
 static void
@@ -65,6 +66,7 @@
   job_context_t *context = job->context;
   if (job->has_claim)
     claim_destroy (&job->claim);
+  usec_t deadline = request_wakeup (&job->request);
   const claim_options_t options
       = { .order = CLAIM_ORDER_SEQUENTIAL,
           .intent = intent,
@@ -74,9 +76,10 @@
                        .number = ++context->last_attempt_number },
           .fingerprint = job->fingerprint,
           .vote_timeout = VOTE_TIMEOUT_MSEC * USEC_PER_MSEC,
+          .collect_until = deadline - REFUSAL_MSEC * USEC_PER_MSEC,
           .contention_backoff = CONTEND_PAUSE_MSEC * USEC_PER_MSEC,
           .poll_interval = POLL_INTERVAL_MSEC * USEC_PER_MSEC,
-          .deadline = request_wakeup (&job->request) };
+          .deadline = deadline };
   claim_requests_t requests = { 0 };
   claim_start (&job->claim, &options, now, &requests);
   job->has_claim = true;
--- a/src/ledger/claim.c
+++ b/src/ledger/claim.c
@@ -189,6 +189,24 @@
   return replica->answered || replica->failed || replica->late;
 }
 
+static bool
+are_all_concluded (const claim_t *claim)
+{
+  for (size_t i = 0; i < n_replicas (claim); i++)
+    if (!is_concluded (&claim->replicas[i]))
+      return false;
+  return true;
+}
+
+static bool
+waits_for_late_votes (const claim_t *claim, usec_t now)
+{
+  return claim->options.intent == CLAIM_TO_RUN
+         && now < claim->options.collect_until
+         && count_votes (claim, VOTE_HELD) == 0
+         && count_outstanding (claim) > 0;
+}
+
 static void
 mark_late (claim_t *claim, usec_t now)
 {
@@ -268,10 +286,8 @@
         return;
       request_next_vote (claim, now, requests);
     }
-  for (size_t i = 0; i < claim->n_requested; i++)
-    if (!is_concluded (&claim->replicas[i]))
-      return;
-  start_waiting (claim, now, requests);
+  if (are_all_concluded (claim) && !waits_for_late_votes (claim, now))
+    start_waiting (claim, now, requests);
 }
 
 static void
@@ -379,6 +395,8 @@
       if (!is_concluded (replica) && late_at < next)
         next = late_at;
     }
+  if (are_all_concluded (claim))
+    next = claim->options.collect_until;
   /* No replica is asked before the back-off is over.  */
   if (claim->backoff_until > 0)
     next = claim->backoff_until;
--- a/src/ledger/claim.h
+++ b/src/ledger/claim.h
@@ -12,7 +12,11 @@
    the next one when the previous one has answered, has failed or is late.
    Where another attempt holds a vote, the next replica is asked only after a
    back-off, so that two attempts don't split the votes while the first one is
-   still collecting them.  */
+   still collecting them.
+
+   A late replica may still vote.  Where a majority depends on such votes, an
+   attempt to run waits for them until collect_until, and gives up then; at
+   once where another attempt holds a vote.  */
 
 #ifndef LEDGER_CLAIM_H
 #define LEDGER_CLAIM_H
@@ -39,6 +43,8 @@
   attempt_t attempt;
   fingerprint_t fingerprint;
   usec_t vote_timeout;       /* after it a replica is late */
+  usec_t collect_until;      /* on this VM's clock; CLAIM_TO_RUN waits for late
+                                votes until then */
   usec_t contention_backoff; /* after a vote for another attempt */
   usec_t poll_interval;      /* of queries in CLAIM_WAITING */
   usec_t deadline; /* on this VM's clock; the result is CLAIM_UNKNOWN then */
--- a/test/unit/test_ledger_claim.c
+++ b/test/unit/test_ledger_claim.c
@@ -253,6 +253,55 @@
   close_all (&replicas);
 }
 
+/* Guards against a claim that is given up, long before its deadline, because
+   the replicas vote late.  */
+static void
+test_late_votes_are_waited_for (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  claim_t claim;
+  claim_options_t options = options_for (1, CLAIM_TO_RUN);
+  options.collect_until = 8 * vote_timeout;
+  claim_requests_t requests = { 0 };
+  claim_start (&claim, &options, 0, &requests);
+  for (usec_t late_at = vote_timeout; late_at <= 3 * vote_timeout;
+       late_at += vote_timeout)
+    {
+      g_assert_cmpint (claim_wakeup (&claim), ==, late_at);
+      claim_tick (&claim, late_at, &requests);
+    }
+  g_assert_cmpint (claim_wakeup (&claim), ==, options.collect_until);
+  ledger_vote_t vote = { .kind = VOTE_GRANTED, .generation = 1 };
+  claim_on_vote (&claim, 2, &vote, 5 * vote_timeout, &requests);
+  claim_on_vote (&claim, 0, &vote, 7 * vote_timeout, &requests);
+  g_assert_cmpint (claim.phase, ==, CLAIM_WON);
+  close_all (&replicas);
+}
+
+/* Votes that don't come by then leave time to learn that nothing will run.  */
+static void
+test_late_votes_are_given_up (void)
+{
+  replicas_t replicas;
+  open_all (&replicas);
+  replicas.silent[0] = replicas.silent[1] = true;
+  claim_t claim;
+  claim_options_t options = options_for (1, CLAIM_TO_RUN);
+  options.collect_until = 8 * vote_timeout;
+  claim_requests_t requests = { 0 };
+  claim_start (&claim, &options, 0, &requests);
+  while (claim.phase == CLAIM_COLLECTING)
+    {
+      replicas.now = claim_wakeup (&claim);
+      claim_tick (&claim, replicas.now, &requests);
+    }
+  g_assert_cmpint (replicas.now, ==, options.collect_until);
+  replicas.silent[0] = replicas.silent[1] = false;
+  g_assert_cmpint (run_until_settled (&replicas, &claim), ==, CLAIM_REFUSED);
+  close_all (&replicas);
+}
+
 /* Guards against two attempts that block each other.  Each holds one vote and
    the third replica is dead; both release their votes and learn that nothing
    ran.  */
@@ -321,6 +370,8 @@
   g_test_add_func ("/claim/refusal", test_refusal_stops_a_delayed_attempt);
   g_test_add_func ("/claim/restarted",
                    test_restarted_replicas_never_vote_again);
+  g_test_add_func ("/claim/late", test_late_votes_are_waited_for);
+  g_test_add_func ("/claim/late-given-up", test_late_votes_are_given_up);
   g_test_add_func ("/claim/split", test_split_votes_end_as_not_run);
   g_test_add_func ("/claim/crashed", test_crashed_minority_does_not_block);
   return g_test_run ();
