fix(entry): requests wait for the cost cap while the control processes elect a leader

Cause: an entry VM that holds no share asks the control VMs in turn, every 50 ms. Those that are not the leader refuse at once, and after as many refusals in a row as there are VMs (9, so 450 ms) it refused callers for the cap.

It refuses now once no leader has answered for 4 s, whatever the number of refusals; until then requests wait, their deadline at most.

--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -21,6 +21,8 @@
 #define REQUEST_INTERVAL_MAX (1 * USEC_PER_SEC)
 #define REQUEST_TIMEOUT (1 * USEC_PER_SEC)
 #define RETURN_TIMEOUT (1 * USEC_PER_SEC)
+/* Without a leader; several elections in a row are over by then.  */
+#define LEADER_WAIT (4 * USEC_PER_SEC)
 
 struct spend_share
 {
@@ -38,7 +40,7 @@
   int64_t returned_sent;      /* in the pending request */
   int64_t wanted_sent;        /* in the pending request */
   bool is_last_grant_short;   /* it was less than requested */
-  size_t n_failed_requests;   /* in a row, without an answer from a leader */
+  usec_t unanswered_since;    /* by a leader; 0: the last request was */
   size_t leader_vm;           /* the control VM that is asked; its VM index */
 };
 
@@ -77,11 +79,11 @@
 
 /* Whether no further grant is to be expected soon.  */
 static bool
-is_exhausted (const spend_share_t *share)
+is_exhausted (const spend_share_t *share, usec_t now)
 {
   return share->is_last_grant_short
-         || share->n_failed_requests
-                >= share->options.settings->topology.n_vms;
+         || (share->unanswered_since > 0
+             && now - share->unanswered_since >= LEADER_WAIT);
 }
 
 spend_result_t
@@ -98,7 +100,7 @@
                                 .amount = amount };
   else
     {
-      result = is_exhausted (share) ? SPEND_REFUSED : SPEND_RETRY_LATER;
+      result = is_exhausted (share, now) ? SPEND_REFUSED : SPEND_RETRY_LATER;
       pthread_cond_signal (&share->changed);
     }
   pthread_mutex_unlock (&share->lock);
@@ -175,11 +177,12 @@
   share->is_request_pending = false;
   if (answer.verdict == CONTROL_SPEND_REFUSED)
     {
-      share->n_failed_requests++;
+      if (share->unanswered_since == 0)
+        share->unanswered_since = clock_monotonic ();
       select_next_leader (share);
     }
   else
-    share->n_failed_requests = 0;
+    share->unanswered_since = 0;
   if (answer.verdict != CONTROL_SPEND_REFUSED
       && answer.budget == share->budget)
     apply_answer (share, &answer);
--- a/src/entry/spend_share.h
+++ b/src/entry/spend_share.h
@@ -55,7 +55,8 @@
 {
   SPEND_CHARGED,
   SPEND_RETRY_LATER, /* the share is empty; more is being requested */
-  SPEND_REFUSED,     /* the cap is used up, or no control VM answers */
+  SPEND_REFUSED,     /* the cap is used up, or no control VM has answered for
+                        longer than elections take */
 } spend_result_t;
 
 /* Charge AMOUNT to the share; CHARGE is set with SPEND_CHARGED only.  */
