fix(entry): a started entry VM is named to callers once it can serve

functional/test_stop, sanitized: reason=deadline, and beside load requests that took half a second more; callers were sent to the entry VM that had just been restarted.

Cause: other entry VMs named it from its first heartbeat on. Its sheet is in force 0.5 s later (506 to 551 ms in the logs of two runs), and what it may spend comes after that. A caller's request waited there, until its deadline where control had no leader at that moment.

A VM is not named before it says that it serves: with a sheet applied and a leader's answer on what it may spend. Its row says until then what it says of a VM that leaves, which earlier releases follow too; no format changes. It is forwarded nothing, but may hold replicas of tickets, as before. Where no VM is known to serve, one names itself, as all wait then.

--- a/src/entry/backend_table.c
+++ b/src/entry/backend_table.c
@@ -203,6 +203,12 @@
   free (local_backends);
 }
 
+bool
+backend_table_has_sheet (const backend_table_t *table)
+{
+  return table->sheet_number > 0;
+}
+
 void
 backend_table_tick (backend_table_t *table, usec_t now)
 {
--- a/src/entry/backend_table.h
+++ b/src/entry/backend_table.h
@@ -54,6 +54,8 @@
    run, and once a second evaluate the backend servers' outcomes for outlier
    ejection.  Call it every few milliseconds.  */
 void backend_table_tick (backend_table_t *table, usec_t now);
+/* Whether a sheet was applied.  */
+bool backend_table_has_sheet (const backend_table_t *table);
 
 /* Choose where a request for SERVICE goes and take a slot where that is a
    local one.  EXCLUDED_VMS has a bit for each entry VM that must not be
--- a/src/entry/caller_port.c
+++ b/src/entry/caller_port.c
@@ -58,15 +58,6 @@
   return hash;
 }
 
-/* Whether look-ups may return VM.  */
-static bool
-accepts_callers (const caller_port_t *port, vm_id_t vm)
-{
-  if (vm == port->options.self)
-    return !port->is_leaving;
-  return peer_ledger_takes_callers (port->options.peers, vm);
-}
-
 /* Update the VMs that accept callers, where this is older than
    LIVE_RING_MAX_AGE_USEC.  */
 static void
@@ -77,8 +68,16 @@
       && now - port->live_updated_at < LIVE_RING_MAX_AGE_USEC)
     return;
   port->live_updated_at = now;
+  bool is_any_live = false;
   for (size_t i = 0; i < port->live_vms.n_vms; i++)
-    port->is_live[i] = accepts_callers (port, (vm_id_t)i);
+    {
+      port->is_live[i]
+          = peer_ledger_takes_callers (port->options.peers, (vm_id_t)i);
+      is_any_live = is_any_live || port->is_live[i];
+    }
+  /* Where nobody is known to serve, callers wait here.  */
+  if (!is_any_live && !port->is_leaving)
+    port->is_live[port->options.self] = true;
   live_ring_build (&port->live_vms, port->is_live);
 }
 
--- a/src/entry/dispatcher.c
+++ b/src/entry/dispatcher.c
@@ -56,6 +56,7 @@
   list_t jobs;
   size_t n_jobs;
   job_t *job_table[JOBS_MAX];
+  bool has_served; /* the other entry VMs were told that it can serve */
   uint32_t next_index;
   uint64_t serial;
   job_t *jobs_by_fd[CALLER_FDS_MAX]; /* jobs without an outcome, by caller */
@@ -288,6 +289,18 @@
     }
 }
 
+/* Callers come once there is a sheet, and what it allows to spend is known. */
+static void
+announce_serving (dispatcher_t *dispatcher)
+{
+  if (dispatcher->has_served
+      || !backend_table_has_sheet (dispatcher->context.backends)
+      || !spend_share_is_known (dispatcher->options.spend))
+    return;
+  dispatcher->has_served = true;
+  peer_ledger_serve (dispatcher->options.peers);
+}
+
 static void
 tick (dispatcher_t *dispatcher)
 {
@@ -297,6 +310,7 @@
   dispatcher->last_tick_at = now;
   backend_table_tick (dispatcher->context.backends, now);
   costs_tick (dispatcher->context.costs);
+  announce_serving (dispatcher);
   if (now - dispatcher->last_broadcast_at >= QUARANTINE_BROADCAST_USEC)
     {
       dispatcher->last_broadcast_at = now;
--- a/src/entry/leave_watch.c
+++ b/src/entry/leave_watch.c
@@ -38,7 +38,7 @@
                     usec_t now)
 {
   watched_vm_t *vm = &watch->vms[record->vm];
-  if (!record->is_leaving)
+  if (!record->takes_no_callers)
     vm->incarnation = 0;
   else if (vm->incarnation != record->incarnation)
     {
--- a/src/entry/peer_ledger.c
+++ b/src/entry/peer_ledger.c
@@ -34,6 +34,7 @@
   ledger_t *ledger;
   liveness_t *liveness;
   leave_watch_t *leave_watch;
+  bool is_leaving;
   size_t n_acknowledged;       /* of LEAVE_WATCH */
   pthread_cond_t acknowledged; /* the leaving, by one more entry VM */
   uint64_t sequence;
@@ -42,25 +43,6 @@
 
 /* --- Serving ---------------------------------------------------------- */
 
-static peer_vote_t *
-copy_vote (uint64_t job_id, uint8_t replica, const ledger_vote_t *vote)
-{
-  size_t n = vote && vote->outcome.body_kept ? vote->outcome.n_body : 0;
-  peer_vote_t *copy = malloc (sizeof *copy + n + 1);
-  if (!copy)
-    abort ();
-  *copy = (peer_vote_t){ .job_id = job_id,
-                         .replica = replica,
-                         .is_answered = vote != NULL };
-  if (!vote)
-    return copy;
-  copy->vote = *vote;
-  if (n > 0)
-    memcpy (copy->body, vote->outcome.body, n);
-  copy->vote.outcome.body = copy->body;
-  return copy;
-}
-
 static void
 serve_ledger_request (void *closure, rpc_call_t *call)
 {
@@ -206,7 +188,7 @@
           .outcome = peer_messages_get_outcome (&from.outcome) };
   pending->receiver (
       pending->closure,
-      copy_vote (pending->job_id, pending->replica, ok ? &vote : NULL));
+      peer_vote_copy (pending->job_id, pending->replica, ok ? &vote : NULL));
   if (ok)
     xdr_free ((xdrproc_t)xdr_entry_vote_t, (char *)&from);
   free (pending);
@@ -219,7 +201,7 @@
   pthread_mutex_lock (&peers->lock);
   ledger_vote_t vote
       = ledger_on_request (peers->ledger, message, clock_monotonic ());
-  peer_vote_t *copy = copy_vote (job_id, replica, &vote);
+  peer_vote_t *copy = peer_vote_copy (job_id, replica, &vote);
   pthread_mutex_unlock (&peers->lock);
   return copy;
 }
@@ -241,7 +223,7 @@
   if (call->vm >= peers->options.settings->topology.n_vms)
     {
       call->receiver (call->closure,
-                      copy_vote (call->job_id, call->replica, NULL));
+                      peer_vote_copy (call->job_id, call->replica, NULL));
       return;
     }
   const ledger_request_t *request = call->message;
@@ -318,13 +300,16 @@
 send_heartbeat (peer_ledger_t *peers, vm_id_t vm)
 {
   entry_row_t rows[LIVENESS_CHANGES_MAX];
+  pthread_mutex_lock (&peers->lock);
+  bool says_leaving = peers->is_leaving;
+  pthread_mutex_unlock (&peers->lock);
   entry_heartbeat_t args = make_heartbeat (peers, false, rows);
   heartbeat_call_t *call = malloc (sizeof *call);
   if (!call)
     abort ();
   *call = (heartbeat_call_t){ .peers = peers,
                               .vm = vm,
-                              .says_leaving = args.own.leaving };
+                              .says_leaving = says_leaving };
   call_peer (peers, vm,
              &(rpc_request_t){ .procedure = ENTRY_HEARTBEAT,
                                .encode = (xdrproc_t)xdr_entry_heartbeat_t,
@@ -443,7 +428,7 @@
 takes_callers (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
 {
   return liveness_is_reachable (peers->liveness, vm, now)
-         && !liveness_record (peers->liveness, vm)->is_leaving;
+         && !liveness_record (peers->liveness, vm)->takes_no_callers;
 }
 
 bool
@@ -463,6 +448,7 @@
   pthread_mutex_lock (&peers->lock);
   bool takes
       = liveness_is_reachable (peers->liveness, vm, now)
+        && !liveness_is_starting (liveness_record (peers->liveness, vm))
         && !leave_watch_has_left (peers->leave_watch, vm, lookup_age, now);
   pthread_mutex_unlock (&peers->lock);
   return takes;
@@ -524,6 +510,21 @@
   pthread_mutex_unlock (&peers->lock);
 }
 
+void
+peer_ledger_serve (peer_ledger_t *peers)
+{
+  pthread_mutex_lock (&peers->lock);
+  bool is_leaving = peers->is_leaving;
+  if (!is_leaving)
+    {
+      liveness_announce_serving (peers->liveness);
+      pthread_cond_signal (&peers->stopped);
+    }
+  pthread_mutex_unlock (&peers->lock);
+  if (!is_leaving)
+    LOG_EVENT (LOG_LEVEL_INFO, "serving");
+}
+
 void
 peer_ledger_leave (peer_ledger_t *peers)
 {
@@ -532,6 +533,7 @@
   size_t n_unaware;
   size_t next = 0;
   pthread_mutex_lock (&peers->lock);
+  peers->is_leaving = true;
   liveness_announce_leaving (peers->liveness);
   pthread_mutex_unlock (&peers->lock);
   while ((n_unaware = tell_leaving (peers, &next)) > 0
@@ -541,6 +543,16 @@
              LOG_I ("usec", clock_monotonic () - started_at));
 }
 
+/* Whether VM may hold a replica of a new ticket's claim; one that can't serve
+   yet votes all the same.  With the lock held.  */
+static bool
+may_hold_replica (const peer_ledger_t *peers, vm_id_t vm, usec_t now)
+{
+  return takes_callers (peers, vm, now)
+         || (liveness_is_reachable (peers->liveness, vm, now)
+             && liveness_is_starting (liveness_record (peers->liveness, vm)));
+}
+
 bool
 peer_ledger_issue (peer_ledger_t *peers, char text[TICKET_TEXT_BYTES],
                    err_t *err)
@@ -559,7 +571,7 @@
         = liveness_record (peers->liveness, (vm_id_t)i)->incarnation,
         .domain = topology->vms[i].domain,
         .region = topology->domains[topology->vms[i].domain].region,
-        .reachable = is_self || takes_callers (peers, (vm_id_t)i, now)
+        .reachable = is_self || may_hold_replica (peers, (vm_id_t)i, now)
       };
     }
   const ticket_issue_options_t issue
--- a/src/entry/peer_ledger.h
+++ b/src/entry/peer_ledger.h
@@ -9,6 +9,7 @@
 #ifndef ENTRY_PEER_LEDGER_H
 #define ENTRY_PEER_LEDGER_H
 
+#include "entry/peer_vote.h"
 #include "ledger/ledger.h"
 #include "settings/settings_defs.h"
 #include "wire/rpc.h"
@@ -24,16 +25,6 @@
   rpc_t *rpc;               /* not yet started */
 } peer_ledger_options_t;
 
-/* A replica's vote in reply to one call.  */
-typedef struct peer_vote
-{
-  uint64_t job_id; /* of the call */
-  uint8_t replica;
-  bool is_answered; /* false: the call failed, and VOTE is not set */
-  ledger_vote_t vote;
-  char body[]; /* vote.outcome.body points to it */
-} peer_vote_t;
-
 /* Called once for each call, on the RPC thread or from within
    peer_ledger_call_replica.  The receiver frees VOTE.  */
 typedef void (*peer_vote_receiver_t) (void *closure, peer_vote_t *vote);
@@ -78,12 +69,16 @@
                                      uint8_t replica,
                                      const ledger_request_t *message);
 
-/* Whether new callers may be sent to VM: it is reachable and not about to
-   stop.  */
+/* This VM can serve from now on: tell the other entry VMs.  Does nothing after
+   peer_ledger_leave.  */
+void peer_ledger_serve (peer_ledger_t *peers);
+
+/* Whether new callers may be sent to VM: it is reachable, can serve, and is
+   not about to stop.  */
 bool peer_ledger_takes_callers (peer_ledger_t *peers, vm_id_t vm);
 
-/* Whether requests may be forwarded to VM: it is reachable, and has not been
-   known to leave for as long as callers keep a look-up.  */
+/* Whether requests may be forwarded to VM: it is reachable, can serve, and has
+   not been known to leave for as long as callers keep a look-up.  */
 bool peer_ledger_takes_forwarded (peer_ledger_t *peers, vm_id_t vm);
 
 /* Tell the other entry VMs that this VM is about to stop, and wait until all
--- a/src/entry/peer_messages.c
+++ b/src/entry/peer_messages.c
@@ -76,7 +76,7 @@
                         .episode = row->revision,
                         .stamp = row->vm_clock,
                         .reachable = row->is_reachable,
-                        .leaving = row->is_leaving };
+                        .leaving = row->takes_no_callers };
 }
 
 liveness_record_t
@@ -87,5 +87,5 @@
                               .revision = row->episode,
                               .vm_clock = row->stamp,
                               .is_reachable = row->reachable,
-                              .is_leaving = row->leaving };
+                              .takes_no_callers = row->leaving };
 }
--- a/src/entry/spend_share.c
+++ b/src/entry/spend_share.c
@@ -41,6 +41,7 @@
   int64_t wanted_sent;        /* in the pending request */
   bool is_last_grant_short;   /* it was less than requested */
   usec_t unanswered_since;    /* by a leader; 0: the last request was */
+  bool is_known;              /* a leader has answered for this budget */
   size_t leader_vm;           /* the control VM that is asked; its VM index */
 };
 
@@ -69,6 +70,7 @@
                                 : share->options.generation;
       share->budget = budget;
       share->is_last_grant_short = false;
+      share->is_known = false;
       reset_holder (share, generation, step + 1);
       share->next_request_at = 0;
       share->request_interval = REQUEST_INTERVAL;
@@ -86,6 +88,15 @@
              && now - share->unanswered_since >= LEADER_WAIT);
 }
 
+bool
+spend_share_is_known (spend_share_t *share)
+{
+  pthread_mutex_lock (&share->lock);
+  bool is_known = share->is_known;
+  pthread_mutex_unlock (&share->lock);
+  return is_known;
+}
+
 spend_result_t
 spend_share_charge (spend_share_t *share, int64_t amount,
                     spend_charge_t *charge)
@@ -140,6 +151,7 @@
     }
   if (answer->verdict != CONTROL_SPEND_GRANTED)
     return;
+  share->is_known = true;
   const escrow_answer_t grant
       = { .account = { share->options.self, answer->generation },
           .granted = answer->granted,
--- a/src/membership/liveness.c
+++ b/src/membership/liveness.c
@@ -70,6 +70,7 @@
   member_t *self = &liveness->members[options->self];
   self->record.incarnation = options->incarnation;
   self->record.is_reachable = true;
+  self->record.takes_no_callers = true;
   self->transmissions_left = liveness->transmissions;
   liveness->n_known = 1;
   return liveness;
@@ -147,15 +148,33 @@
   member->transmissions_left = liveness->transmissions;
 }
 
-void
-liveness_announce_leaving (liveness_t *liveness)
+static void
+announce (liveness_t *liveness, bool takes_no_callers)
 {
   member_t *self = &liveness->members[liveness->options.self];
-  self->record.is_leaving = true;
+  self->record.takes_no_callers = takes_no_callers;
   self->record.revision++;
   schedule_gossip (liveness, self);
 }
 
+void
+liveness_announce_serving (liveness_t *liveness)
+{
+  announce (liveness, false);
+}
+
+void
+liveness_announce_leaving (liveness_t *liveness)
+{
+  announce (liveness, true);
+}
+
+bool
+liveness_is_starting (const liveness_record_t *record)
+{
+  return record->takes_no_callers && record->revision == 0;
+}
+
 /* Whether RECORD replaces KNOWN; see liveness_record_t.  */
 static bool
 supersedes (const liveness_record_t *record, const liveness_record_t *known)
--- a/src/membership/liveness.h
+++ b/src/membership/liveness.h
@@ -41,11 +41,11 @@
 {
   uint64_t incarnation; /* one start of the VM; 0: unknown VM */
   usec_t vm_clock;      /* latest known value of the VM's monotonic clock */
-  uint32_t revision;    /* incremented by the VM with each refutation, and when
-                           it leaves */
+  uint32_t revision;    /* incremented by the VM with each refutation, when it
+                           begins to serve and when it leaves */
   vm_id_t vm;
   bool is_reachable;
-  bool is_leaving; /* it is about to stop */
+  bool takes_no_callers; /* it can't serve yet, or is about to stop */
 } liveness_record_t;
 
 typedef struct liveness liveness_t;
@@ -69,6 +69,9 @@
 /* This VM's own record, with VM_CLOCK as the current value of its clock.  */
 liveness_record_t liveness_own_record (const liveness_t *liveness,
                                        usec_t vm_clock);
+/* Mark this VM as ready for callers and gossip that; until then it takes none.
+ */
+void liveness_announce_serving (liveness_t *liveness);
 /* Mark this VM as leaving and gossip that.  */
 void liveness_announce_leaving (liveness_t *liveness);
 
@@ -85,6 +88,9 @@
 size_t liveness_changes (liveness_t *liveness,
                          liveness_record_t records[LIVENESS_CHANGES_MAX]);
 
+/* Whether RECORD is that of a VM that has not announced anything yet.  */
+bool liveness_is_starting (const liveness_record_t *record);
+
 /* The known record of VM, owned by LIVENESS; its incarnation is 0 if VM is
    unknown.  VM must be less than n_vms.  */
 const liveness_record_t *liveness_record (const liveness_t *liveness,
--- a/test/unit/test_entry_leave_watch.c
+++ b/test/unit/test_entry_leave_watch.c
@@ -8,11 +8,12 @@
 #define SPAN (2 * USEC_PER_SEC)
 
 static void
-record (leave_watch_t *watch, uint64_t incarnation, bool is_leaving,
+record (leave_watch_t *watch, uint64_t incarnation, bool takes_no_callers,
         usec_t now)
 {
-  const liveness_record_t row
-      = { .vm = 1, .incarnation = incarnation, .is_leaving = is_leaving };
+  const liveness_record_t row = { .vm = 1,
+                                  .incarnation = incarnation,
+                                  .takes_no_callers = takes_no_callers };
   leave_watch_record (watch, &row, now);
 }
 
--- a/test/unit/test_membership_liveness.c
+++ b/test/unit/test_membership_liveness.c
@@ -232,16 +232,29 @@
   simulation_free (sim);
 }
 
-/* All VMs must learn within 4 s that one is leaving.  */
 static void
-test_leaving (void)
+check_takes_no_callers (const simulation_t *sim, vm_id_t of, bool expected)
+{
+  for (size_t vm = 0; vm < sim->n; vm++)
+    g_assert_cmpint (liveness_record (sim->vms[vm], of)->takes_no_callers, ==,
+                     expected);
+}
+
+/* All VMs must learn within 4 s that one serves, and that one is leaving.  */
+static void
+test_serving_and_leaving (void)
 {
   simulation_t *sim = simulation_new (100);
   run_periods (sim, 40);
+  check_takes_no_callers (sim, 11, true);
+  g_assert_true (liveness_is_starting (liveness_record (sim->vms[3], 11)));
+  liveness_announce_serving (sim->vms[11]);
+  run_periods (sim, 8);
+  check_takes_no_callers (sim, 11, false);
   liveness_announce_leaving (sim->vms[11]);
   run_periods (sim, 8);
-  for (size_t vm = 0; vm < sim->n; vm++)
-    g_assert_true (vm == 11 || liveness_record (sim->vms[vm], 11)->is_leaving);
+  check_takes_no_callers (sim, 11, true);
+  g_assert_false (liveness_is_starting (liveness_record (sim->vms[3], 11)));
   simulation_free (sim);
 }
 
@@ -254,6 +267,6 @@
   g_test_add_func ("/liveness/refutation", test_refutation);
   g_test_add_func ("/liveness/partition", test_partition);
   g_test_add_func ("/liveness/outdated-records", test_outdated_records);
-  g_test_add_func ("/liveness/leaving", test_leaving);
+  g_test_add_func ("/liveness/serving-leaving", test_serving_and_leaving);
   return g_test_run ();
 }
