fix(entry): a connection that holds back a part of an upload is not used again

Cause: when a backend server answers before it has read an upload, the connection was kept if all that had been written was acknowledged. libcurl writes 64 KB at a time, so a part may be unwritten then: it wrote the rest within 100 ms, before the next check of uploads, took the call for done, and the next request on that connection waited behind bytes that the server never read.

The connection is kept only if libcurl has written all of the upload, too.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -214,7 +214,8 @@
 {
   send_facts_t facts;
   return is_upload (call) && http_socket_read_facts (call->fd, &facts)
-         && !send_facts_all_acknowledged (&facts);
+         && (!http_socket_is_written (call->easy, call->body_bytes)
+             || !send_facts_all_acknowledged (&facts));
 }
 
 /* CALL's final head has come, and what follows on its connection is known.  */
--- a/test/unit/test_entry_upload.c
+++ b/test/unit/test_entry_upload.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "entry/backend_client.h"
+#include "wire/send_watch.h"
 
 #include "../support/upload_server.h"
 
@@ -15,9 +16,11 @@
 {
   CALLS_MAX = 2,
   ANSWER_BYTES_MAX = 1000,
+  STEPS_MAX = 12, /* of the client, in which it writes a part of an upload */
 };
 
 #define CALL_TIMEOUT (30 * USEC_PER_SEC)
+#define PAUSE (SEND_WATCH_SPAN / 2)
 
 typedef struct result
 {
@@ -151,6 +154,30 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a connection that is used again although a part of the upload
+   was never written: all that was written had arrived, as this process was not
+   scheduled for a while.  */
+static void
+test_early_answer_not_scheduled (void)
+{
+  for (int n_runs = 1; n_runs <= STEPS_MAX; n_runs++)
+    {
+      fixture_t fixture;
+      fixture_open (&fixture);
+      g_atomic_int_set (&fixture.server.n_others, 2);
+      start (&fixture, 0, "/early", BUFFERED_BYTES);
+      for (int i = 0; i < n_runs; i++)
+        backend_client_run (fixture.client, 0, -1);
+      g_usleep (PAUSE);
+      run_until_ended (&fixture, 1);
+      g_assert_true (fixture.results[0].is_complete);
+      start (&fixture, 1, "/next", 0);
+      run_until_ended (&fixture, 2);
+      g_assert_true (fixture.results[1].is_complete);
+      fixture_close (&fixture);
+    }
+}
+
 static void
 test_early_answer (void)
 {
@@ -174,5 +201,7 @@
   g_test_add_func ("/entry/upload/not-scheduled", test_not_scheduled);
   g_test_add_func ("/entry/upload/early", test_early_answer);
   g_test_add_func ("/entry/upload/early-buffered", test_early_answer_buffered);
+  g_test_add_func ("/entry/upload/early-not-scheduled",
+                   test_early_answer_not_scheduled);
   return g_test_run ();
 }
