fix(placement): full gates of other regions are not tried again by all at one moment

Cause: after many refusals an entry VM leaves the servers of another region alone for 4 s. At the start of a burst all VMs find all gates full within 0.2 s, so 4 s later all try all of them again: forwarded requests refuse each other, return before all queued ones, and delay them.

The back-off is spread over 2 to 6 s, drawn once from a hash of the time, and is not moved by refusals that come during it.

--- a/src/placement/observe.c
+++ b/src/placement/observe.c
@@ -48,12 +48,24 @@
     observe->in_flight--;
 }
 
+/* Spread by half to either side: servers that all VMs found full at one moment
+   are not tried again by all at one moment.  */
+static usec_t
+overload_backoff (usec_t now)
+{
+  uint64_t hash = (uint64_t)now * UINT64_C (0x9e3779b97f4a7c15);
+  return overload_backoff_time / 2
+         + (usec_t)((hash >> 32) % (uint64_t)overload_backoff_time);
+}
+
 void
 observe_back_off (observe_t *observe, usec_t now)
 {
   observe->refusal_rate += refusal_gain * (1 - observe->refusal_rate);
   bool overload = observe->refusal_rate > overload_refusal_rate;
-  usec_t until = now + (overload ? overload_backoff_time : backoff_time);
+  if (overload && observe->backoff_until > now + backoff_time)
+    return;
+  usec_t until = now + (overload ? overload_backoff (now) : backoff_time);
   if (until > observe->backoff_until)
     observe->backoff_until = until;
 }
--- a/test/unit/test_placement_steer.c
+++ b/test/unit/test_placement_steer.c
@@ -278,6 +278,44 @@
   steer_free (fixture.steer);
 }
 
+/* Guards against servers that all entry VMs found full at one moment and try
+   again at one moment, where their requests refuse each other once more.  */
+static void
+test_overloaded_servers_return_one_by_one (void)
+{
+  enum
+  {
+    SERVERS = 200,
+    REFUSALS = 40,
+    WINDOWS = 100,
+  };
+  const usec_t window = 100 * USEC_PER_MSEC;
+  const usec_t start = 50 * USEC_PER_SEC;
+  size_t n_back[WINDOWS] = { 0 };
+  for (size_t i = 0; i < SERVERS; i++)
+    {
+      observe_t observe;
+      observe_init (&observe, false, 0);
+      usec_t now = start;
+      for (size_t j = 0; j < REFUSALS; j++)
+        {
+          now = start + (usec_t)(i * 50 + j * 1000);
+          observe_back_off (&observe, now);
+        }
+      size_t n = 0;
+      while (observe_backing_off (&observe, now) && n < WINDOWS)
+        {
+          now += window;
+          n++;
+        }
+      g_assert_cmpuint (n, >=, 10);
+      g_assert_cmpuint (n, <, WINDOWS);
+      n_back[n]++;
+    }
+  for (size_t n = 0; n < WINDOWS; n++)
+    g_assert_cmpuint (n_back[n], <=, SERVERS / 10);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -294,5 +332,7 @@
   g_test_add_func ("/steer/slowdown", test_slowdown_is_per_region_and_expires);
   g_test_add_func ("/steer/leaving", test_leaving_server_gets_nothing_new);
   g_test_add_func ("/steer/slot", test_slot_outlives_the_sheet);
+  g_test_add_func ("/steer/overloaded-return",
+                   test_overloaded_servers_return_one_by_one);
   return g_test_run ();
 }
