fix(balance): 421 without the statement counts like any answer that is not valid

One 421 without the field that states "not run" took a backend server out of every caller's choice until a health check succeeded. Whoever has requests that a backend server answers so could take one server after the other from others.

Cause: backend_pool_request_ended saw the result alone, and not whether the backend server stated that the request has not run. The outcome tells it now (may_have_run): without the statement, two in a row are needed, as for BACKEND_NO_VALID_ANSWER; with it one, as before, since the address then belongs to another server.

Test: /pool/doubtful-misdirection, failed before ("1 == 2"); test_balance_pool, test_balance_patterns and test_balance_answer_class pass.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -334,7 +334,10 @@
         }
       break;
     case BACKEND_MISDIRECTED:
-      count_failure (pool, backend, 1, now);
+      /* Without the statement that the request has not run, the status may be
+         one that the backend server gives a single caller.  */
+      count_failure (pool, backend,
+                     outcome->may_have_run ? FAILURES_UNTIL_DOWN : 1, now);
       break;
     case BACKEND_NO_VALID_ANSWER:
       count_failure (pool, backend, FAILURES_UNTIL_DOWN, now);
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -229,6 +229,7 @@
 typedef struct backend_outcome
 {
   backend_result_t result;
+  bool may_have_run; /* the request */
   backend_load_t load;
   usec_t latency;
   usec_t expected_latency; /* 0: not known, or no slot was free at the start */
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -158,6 +158,7 @@
         && may_retry (dispatcher, exchange, may_have_run, reached, now);
   const backend_outcome_t outcome
       = { .result = result,
+          .may_have_run = may_have_run,
           .load = response->load,
           .latency = now - exchange->sent_at,
           .expected_latency = dispatcher_expected_run_time (exchange) };
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -204,6 +204,44 @@
   world_clear (&world);
 }
 
+/* How many requests in a row that end with OUTCOME take a backend server
+   out.  */
+static int
+requests_until_out (const backend_outcome_t *outcome)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_finalize (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  int n = 0;
+  for (; n < 10; n++)
+    {
+      pool_query_t query = query_of (&world, 1);
+      backend_t *backend = backend_pool_pick (pool, &query, NOW);
+      if (!backend)
+        break;
+      backend_pool_request_sent (pool, backend, &query, NOW);
+      backend_pool_request_ended (pool, backend, outcome, NOW);
+    }
+  backend_pool_free (pool);
+  world_clear (&world);
+  return n;
+}
+
+/* Guards against one request that takes a backend server from all callers, as
+   it is answered 421 without the field that states that it has not run.  */
+static void
+test_doubtful_misdirection_is_one_failure (void)
+{
+  backend_outcome_t outcome = { .result = BACKEND_MISDIRECTED };
+  g_assert_cmpint (requests_until_out (&outcome), ==, 1);
+  outcome.may_have_run = true;
+  const backend_outcome_t broken = { .result = BACKEND_NO_VALID_ANSWER };
+  g_assert_cmpint (requests_until_out (&outcome), ==,
+                   requests_until_out (&broken));
+}
+
 /* Guards against a backend server that is left out, or gets less, because it
    answers requests twice.  */
 static void
@@ -454,6 +492,8 @@
   g_test_add_func ("/pool/restart", test_restart_under_the_same_id);
   g_test_add_func ("/pool/home-regions", test_home_regions);
   g_test_add_func ("/pool/crash", test_crash_and_recovery);
+  g_test_add_func ("/pool/doubtful-misdirection",
+                   test_doubtful_misdirection_is_one_failure);
   g_test_add_func ("/pool/other-answers", test_other_answers_are_no_failures);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
   g_test_add_func ("/pool/cold-return",
