fix(router): a backend server that limits one caller uses up no retries

408 and 429 without the field that states "not run" were sent to another backend server where the route is idempotent, and each took a retry from the budget of the service on that router. One caller that a service limits could so use up the retries of all others.

Test: test_fleet_ran_and_refused failed before ("408 or 429 was sent to another backend server"), passes twice after; test_fleet_refused_in_part and /answer-class/limited-caller pass.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -83,6 +83,13 @@
   return !is_refusal || !states_not_run (facts);
 }
 
+bool
+answer_limits_caller (const answer_facts_t *facts)
+{
+  return answer_classify (facts) == BACKEND_DOUBTFUL_REFUSAL
+         && facts->status != STATUS_UNAVAILABLE;
+}
+
 bool
 answer_shows_complete_run (const answer_facts_t *facts)
 {
--- a/src/balance/answer_class.h
+++ b/src/balance/answer_class.h
@@ -36,6 +36,11 @@
    idempotent.  */
 bool answer_may_have_run (const answer_facts_t *facts);
 
+/* Returns whether the answer is one that a backend server gives a caller whose
+   requests it limits: 408 or 429 without the statement that the request has
+   not run.  It tells nothing of other callers' requests, and gets no retry. */
+bool answer_limits_caller (const answer_facts_t *facts);
+
 /* Returns whether the answer shows that the request ran to its end.  A backend
    server that answers with a timeout has stopped the run before that.  */
 bool answer_shows_complete_run (const answer_facts_t *facts);
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -154,7 +154,7 @@
     dispatcher_stutter_seen_in_response (dispatcher, exchange, response, now);
   dispatcher_read_notices (dispatcher, exchange, result, response, now);
   bool will_retry
-      = result != BACKEND_ANSWERED
+      = result != BACKEND_ANSWERED && !answer_limits_caller (&facts)
         && may_retry (dispatcher, exchange, may_have_run, reached, now);
   const backend_outcome_t outcome
       = { .result = result,
--- a/test/functional/test_fleet_ran_and_refused.sh
+++ b/test/functional/test_fleet_ran_and_refused.sh
@@ -38,6 +38,12 @@
 wait_for 10 in_force
 all
 [ -z "$WRONG" ] || fail "$(echo "$WRONG" | sed '/^$/d' | wc -l) of $N, idempotent: $WRONG"
+# A backend server that limits one caller does not use up the retries of others; one that has no room is retried.
+! logged 'event=request_sent id=ran-\(408\|429\)-.* try=2' router-1 router-2 router-3 ||
+  fail '408 or 429 was sent to another backend server'
+asked_503() { ROUNDS=3 each no_promise ran-503 && logged 'event=request_sent id=ran-503-.* try=2' router-1 router-2 router-3; }
+wait_for 15 asked_503
+[ -z "$WRONG" ] || fail "of $N, idempotent: $WRONG"
 # The fault itself can be found in the logs.
 ! logged 'event=request_ended .* status=\(408\|421\|429\|503\) may_have_run=1' router-1 router-2 router-3 ||
   fail 'a request that may have run ended with a promise'
--- a/test/unit/test_balance_answer_class.c
+++ b/test/unit/test_balance_answer_class.c
@@ -55,6 +55,24 @@
     }
 }
 
+/* Guards against one caller's limit that uses up the retries of others.  */
+static void
+test_limited_caller (void)
+{
+  for (unsigned int status = 200; status < 600; status++)
+    {
+      answer_facts_t facts = good_answer ();
+      facts.status = status;
+      bool is_limit = status == 408 || status == 429;
+      g_assert_cmpint (answer_limits_caller (&facts), ==, is_limit);
+      facts.not_started = true;
+      g_assert_false (answer_limits_caller (&facts));
+      facts.not_started = false;
+      facts.is_complete = false;
+      g_assert_false (answer_limits_caller (&facts));
+    }
+}
+
 /* Guards against the field being believed beside a status that tells of a run.
  */
 static void
@@ -168,6 +186,7 @@
   g_test_add_func ("/answer-class/refusal", test_refusal_did_not_run);
   g_test_add_func ("/answer-class/status-states-nothing",
                    test_status_states_nothing);
+  g_test_add_func ("/answer-class/limited-caller", test_limited_caller);
   g_test_add_func ("/answer-class/contradicted", test_contradicted_statement);
   g_test_add_func ("/answer-class/another-request",
                    test_answer_to_another_request);
