fix(balance): an answer that contradicts itself feeds no estimate

A 200 or 404 with the field that states "not run" counted as a run: its duration went into the estimates of the route, the latency and pace of the backend server, and it ended the row of failures that takes a server out, though the run may not have happened.

Cause: BACKEND_ANSWERED alone was asked for. The outcome tells the statement now (not_started); such an answer goes to its caller as before, and nothing else follows from it.

Tests: /pool/contradiction failed before ("900000 == 0"); test_fleet_ran_and_refused failed before (run_ms of one router 115, 131, 150 while it got only such answers and refusals) and passes twice after. test_balance_pool, _patterns and _load pass.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -301,10 +301,19 @@
   return false;
 }
 
-/* Whether RESULT shows how well the backend server answers.  */
+bool
+backend_outcome_shows_run (const backend_outcome_t *outcome)
+{
+  return outcome->result == BACKEND_ANSWERED && !outcome->not_started;
+}
+
+/* Whether OUTCOME shows how well the backend server answers.  */
 static bool
-tells_quality (backend_result_t result)
+tells_quality (const backend_outcome_t *outcome)
 {
+  backend_result_t result = outcome->result;
+  if (result == BACKEND_ANSWERED)
+    return backend_outcome_shows_run (outcome);
   return result != BACKEND_MISDIRECTED && result != BACKEND_OTHER_ANSWER
          && result != BACKEND_CANCELLED;
 }
@@ -315,13 +324,15 @@
 {
   backend->in_flight--;
   update_load (backend, &outcome->load, now);
-  if (tells_quality (outcome->result))
+  if (tells_quality (outcome))
     backend_quality_update (&backend->quality,
                             backend_outcome_is_failure (outcome),
                             outcome->latency, outcome->expected_latency, now);
   switch (outcome->result)
     {
     case BACKEND_ANSWERED:
+      if (!backend_outcome_shows_run (outcome))
+        break;
       backend->consecutive_failures = 0;
       update_latency (backend, outcome->latency);
       break;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -89,7 +89,8 @@
   backend_quality_t quality;
   backend_health_t health;
   /* Results BACKEND_NO_VALID_ANSWER and BACKEND_MISDIRECTED since the last
-     BACKEND_ANSWERED, successful probe or restart of the backend server.
+     BACKEND_ANSWERED that shows a run, successful probe or restart of the
+     backend server.
      BACKEND_SERVER_ERROR, BACKEND_REFUSED, BACKEND_OTHER_ANSWER and
      BACKEND_CANCELLED leave the count unchanged.  */
   uint32_t consecutive_failures;
@@ -230,6 +231,8 @@
 {
   backend_result_t result;
   bool may_have_run; /* the request */
+  bool not_started;  /* the answer states that the request did not start to
+                        run; BACKEND_ANSWERED contradicts that */
   backend_load_t load;
   usec_t latency;
   usec_t expected_latency; /* 0: not known, or no slot was free at the start */
@@ -239,6 +242,10 @@
    slot was free.  */
 bool backend_outcome_is_failure (const backend_outcome_t *outcome);
 
+/* Whether OUTCOME is that of a run that ended well, as far as is known: its
+   duration may go into estimates.  */
+bool backend_outcome_shows_run (const backend_outcome_t *outcome);
+
 /* Records the end of a request.  Frees BACKEND if it is no longer listed and
    this was its last request.  */
 void backend_pool_request_ended (backend_pool_t *pool, backend_t *backend,
--- a/src/router/dispatcher_load.c
+++ b/src/router/dispatcher_load.c
@@ -22,7 +22,7 @@
 static uint16_t
 relative_duration (const backend_outcome_t *outcome)
 {
-  if (outcome->result != BACKEND_ANSWERED || outcome->expected_latency <= 0
+  if (!backend_outcome_shows_run (outcome) || outcome->expected_latency <= 0
       || outcome->latency <= 0)
     return 0;
   return to_count ((uint64_t)(outcome->latency * LOAD_PACE_NORMAL
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -145,7 +145,8 @@
   exchange->was_refused = exchange->was_refused || result == BACKEND_REFUSED;
   exchange->query.excluded[exchange->query.n_excluded++ % POOL_EXCLUDED_MAX]
       = backend->id_hash;
-  if (result == BACKEND_ANSWERED && exchange->slot_was_free)
+  if (result == BACKEND_ANSWERED && !facts.not_started
+      && exchange->slot_was_free)
     run_estimate_update (&dispatcher->run_estimates, exchange->route,
                          exchange->object_was_known, now - exchange->sent_at);
   dispatcher_crash_evidence (
@@ -159,6 +160,7 @@
   const backend_outcome_t outcome
       = { .result = result,
           .may_have_run = may_have_run,
+          .not_started = facts.not_started,
           .load = response->load,
           .latency = now - exchange->sent_at,
           .expected_latency = dispatcher_expected_run_time (exchange) };
--- a/test/functional/test_fleet_ran_and_refused.sh
+++ b/test/functional/test_fleet_ran_and_refused.sh
@@ -30,6 +30,11 @@
 }
 
 all
+# No response was one of a run that is known: the estimates of the router's first request hold.
+estimates() { sed -n 's/.*event=request_sent id=ran-.* \(run_ms=[0-9]* fresh_run_ms=[0-9]*\) .*/\1/p' "$FOLDER/router-$1.log" | sort -u; }
+for i in 1 2 3; do
+  [ "$(estimates $i | wc -l)" = 1 ] || fail "router $i estimates run times from contradictions: $(estimates $i)"
+done
 check_all
 # A request that may run again gets the same answers: its caller, too, is told no promise.
 put "$(config 00000006 idempotent /x/)" || fail 'the second configuration is not accepted'
--- a/test/unit/test_balance_pool.c
+++ b/test/unit/test_balance_pool.c
@@ -242,6 +242,39 @@
                    requests_until_out (&broken));
 }
 
+/* Guards against estimates from a run that may not have happened: a success
+   beside the statement that the request has not run.  */
+static void
+test_contradiction_tells_nothing (void)
+{
+  world_t world;
+  world_init (&world);
+  add_backend (&world, 0, 0);
+  backend_list_finalize (&world.list);
+  backend_pool_t *pool = pool_open (&world);
+  const backend_outcome_t broken = { .result = BACKEND_NO_VALID_ANSWER };
+  const backend_outcome_t contradiction
+      = { .result = BACKEND_ANSWERED,
+          .not_started = true,
+          .latency = 900 * USEC_PER_MSEC,
+          .expected_latency = 100 * USEC_PER_MSEC };
+  const backend_outcome_t *const outcomes[]
+      = { &contradiction, &broken, &contradiction, &broken };
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      pool_query_t query = query_of (&world, 1);
+      backend_t *backend = backend_pool_pick (pool, &query, NOW);
+      g_assert_nonnull (backend);
+      backend_pool_request_sent (pool, backend, &query, NOW);
+      backend_pool_request_ended (pool, backend, outcomes[i], NOW);
+      g_assert_cmpint (backend->latency, ==, 0);
+      g_assert_cmpfloat (backend->quality.slowness, ==, 0);
+    }
+  g_assert_null (pick_any (&world, pool, 1, NOW));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 /* Guards against a backend server that is left out, or gets less, because it
    answers requests twice.  */
 static void
@@ -494,6 +527,7 @@
   g_test_add_func ("/pool/crash", test_crash_and_recovery);
   g_test_add_func ("/pool/doubtful-misdirection",
                    test_doubtful_misdirection_is_one_failure);
+  g_test_add_func ("/pool/contradiction", test_contradiction_tells_nothing);
   g_test_add_func ("/pool/other-answers", test_other_answers_are_no_failures);
   g_test_add_func ("/pool/cold", test_cold_rate_over_all_routers);
   g_test_add_func ("/pool/cold-return",
