fix(quota): a started router takes no part of the burst before it is told of a bucket

All routers and directors had started twice within 3.3 s; after the first start of that window the routers gave out 9, 8 and 8 requests of an account with a burst of 10, and router 2 all 10 within 10 ms after the second.

Cause: what a router gives out for an account that it is asked for first is the burst divided by the routers that it knows of. A started director lists only those that have come back to it, so each router took the whole burst.

--- a/src/quota/limiter.c
+++ b/src/quota/limiter.c
@@ -39,6 +39,7 @@
   limiter->buckets = NULL;
   limiter->n = 0;
   limiter->n_allocated = 0;
+  limiter->has_been_told = false;
 }
 
 static limiter_bucket_t *
@@ -54,6 +55,18 @@
   return 1.0 / (double)(n_routers > 0 ? n_routers : 1);
 }
 
+/* Tokens for an account that the router is asked for first.  The routers that
+   a started one knows of may not be all: it takes no part of the burst until a
+   director has told it of a bucket.  */
+static double
+first_tokens (const limiter_t *limiter, const client_account_t *account,
+              size_t n_routers)
+{
+  if (!limiter->has_been_told)
+    return tokens_at_first;
+  return fmax (tokens_at_first, account->burst * even_part (n_routers));
+}
+
 static limiter_bucket_t *
 insert (limiter_t *limiter, uint64_t account, double tokens, usec_t now)
 {
@@ -170,9 +183,8 @@
     return true;
   limiter_bucket_t *bucket = find (limiter, account->id);
   if (!bucket)
-    bucket = insert (
-        limiter, account->id,
-        fmax (tokens_at_first, account->burst * even_part (n_routers)), now);
+    bucket = insert (limiter, account->id,
+                     first_tokens (limiter, account, n_routers), now);
   double part = part_of (bucket, now, n_routers);
   bucket->rate = account->rate;
   bucket->burst = account->burst;
@@ -270,6 +282,7 @@
     }
   if (!is_answered)
     return;
+  limiter->has_been_told = limiter->has_been_told || n > 0;
   for (size_t i = 0; i < n; i++)
     {
       limiter_bucket_t *bucket = find (limiter, states[i].account);
--- a/src/quota/limiter.h
+++ b/src/quota/limiter.h
@@ -53,6 +53,7 @@
   size_t n_allocated;
   limiter_bucket_t *buckets; /* malloc'd, by account */
   random_state_t random;
+  bool has_been_told; /* of an account, by a director */
 } limiter_t;
 
 void limiter_clear (limiter_t *limiter);
--- a/test/unit/test_quota_fleet.c
+++ b/test/unit/test_quota_fleet.c
@@ -29,6 +29,7 @@
   usec_t now;
   random_state_t random;
   size_t n_routers;
+  size_t n_listed; /* routers that a router knows of */
   limiter_t routers[ROUTERS_MAX];
   bool is_cut[ROUTERS_MAX]; /* from the directors */
   book_t directors[DIRECTORS];
@@ -54,6 +55,7 @@
 {
   fleet_t *fleet = g_new0 (fleet_t, 1);
   fleet->n_routers = n_routers;
+  fleet->n_listed = n_routers;
   fleet->now = 100 * USEC_PER_SEC;
   random_seed (&fleet->random, seed);
   fleet->account.id = 7;
@@ -78,8 +80,8 @@
 {
   usec_t retry_after = 0;
   fleet->n_asked++;
-  if (limiter_admit (&fleet->routers[router], &fleet->account,
-                     fleet->n_routers, fleet->now, &retry_after))
+  if (limiter_admit (&fleet->routers[router], &fleet->account, fleet->n_listed,
+                     fleet->now, &retry_after))
     fleet->n_admitted[(fleet->now - started_at) / (100 * USEC_PER_MSEC)]++;
   else
     {
@@ -270,6 +272,33 @@
     }
 }
 
+/* Failure: all processes end and start again, twice within a window.  The
+   directors list no more routers than have come back to them.  Guards against
+   routers that each give out the whole burst then.  */
+static void
+test_restarted_fleet (void)
+{
+  static const double rate = 10;
+  fleet_t *fleet = fleet_new (3, rate, 0);
+  usec_t from = fleet->now;
+  run (fleet, 5 * USEC_PER_SEC, rate * 3, 3, from);
+  for (size_t start = 0; start < 2; start++)
+    {
+      for (size_t i = 0; i < fleet->n_routers; i++)
+        limiter_clear (&fleet->routers[i]);
+      for (size_t i = 0; i < DIRECTORS; i++)
+        book_clear (&fleet->directors[i]);
+      set_quota (fleet, rate, rate);
+      fleet->n_listed = 1;
+      run (fleet, 400 * USEC_PER_MSEC, rate * 3, 3, from);
+      fleet->n_listed = fleet->n_routers;
+      run (fleet, 2 * USEC_PER_SEC, rate * 3, 3, from);
+    }
+  g_test_message ("%zu of %zu", busiest_window (fleet), allowed (rate));
+  g_assert_cmpuint (busiest_window (fleet), <=, allowed (rate));
+  fleet_free (fleet);
+}
+
 /* A lower limit binds within a window.  */
 static void
 test_lowered_limit (void)
@@ -381,6 +410,7 @@
   g_test_add_func ("/quota/within-quota", test_within_quota);
   g_test_add_func ("/quota/cut-region", test_cut_region);
   g_test_add_func ("/quota/lost-director", test_lost_director);
+  g_test_add_func ("/quota/restarted-fleet", test_restarted_fleet);
   g_test_add_func ("/quota/lowered-limit", test_lowered_limit);
   g_test_add_func ("/quota/moving-callers", test_moving_callers);
   g_test_add_func ("/quota/give-back", test_give_back);
