--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -331,7 +331,7 @@
       if (is_boot (backend, boot))
         crash_backend (backend, id, false);
     }
-  if (ends_with (url, "slow"))
+  if (ends_with (url, "slow") || ends_with (url, "slow-large"))
     run_for (backend, boot, SLOW_USEC);
   if (ends_with (url, "long"))
     run_for (backend, boot, LONG_USEC);
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -50,6 +50,7 @@
 data_folder: $FOLDER/data-$number
 backend_list: $LIST
 backend_list_rate: 50
+body_memory_mb: ${BODY_MEMORY_MB:-64}
 failure_domains:
 $(for d in "${DOMAINS[@]}"; do printf '  - name: %s\n    region: %s\n' "$d" "${d%-*}"; done)
 seeds: [$NET.1.1:1, $NET.1.2:1, $NET.1.3:1]
