fix(settings): bounds with a sound default may be left out

What operators saw: settings without one of the eleven bounds were refused, so that no process of an installation without it would start. The template gave the key an empty value, which is refused too.

Cause: every bound was required, also those that no program follows.

Now only drain and grace are required, and a missing one is told with what to add: no value of ours could stand for when a process is killed. Callers keep a look-up for 1 s where lookup_age is missing, of retries there are none beyond what is given, and the other five are not followed by any program.

--- a/src/settings/fleet_settings.c
+++ b/src/settings/fleet_settings.c
@@ -60,13 +60,23 @@
 
 #define BOUND_FIELD(k, type, member)                                          \
   {                                                                           \
-    .key = (k), .kind = (type), .required = true,                             \
-    .offset = offsetof (fleet_bounds_t, member), .min = 0, .max = 1e9         \
+    .key = (k), .kind = (type), .offset = offsetof (fleet_bounds_t, member),  \
+    .min = 0, .max = 1e9                                                      \
+  }
+
+#define REQUIRED_BOUND_FIELD(k, member, advice)                               \
+  {                                                                           \
+    .key = (k), .kind = YAML_FIELD_DURATION, .required = true,                \
+    .offset = offsetof (fleet_bounds_t, member), .remedy = (advice)           \
   }
 
 static const yaml_field_t bound_fields[] = {
-  BOUND_FIELD ("drain", YAML_FIELD_DURATION, drain),
-  BOUND_FIELD ("grace", YAML_FIELD_DURATION, grace),
+  REQUIRED_BOUND_FIELD ("drain", drain,
+                        "add the time after which a draining backend server "
+                        "may get no new request, for example 'drain: 3s'"),
+  REQUIRED_BOUND_FIELD ("grace", grace,
+                        "add the time from SIGTERM to SIGKILL of a process, "
+                        "for example 'grace: 6s'"),
   BOUND_FIELD ("config_apply", YAML_FIELD_DURATION, config_apply),
   BOUND_FIELD ("settle", YAML_FIELD_DURATION, settle),
   BOUND_FIELD ("lookup_age", YAML_FIELD_DURATION, lookup_age),
@@ -168,6 +178,7 @@
   memset (&document, 0, sizeof document);
   document.settings.backend_list_lag = FLEET_LIST_LAG_DEFAULT;
   document.settings.body_memory = FLEET_BODY_MEMORY_DEFAULT;
+  document.settings.bounds.lookup_age = FLEET_LOOKUP_AGE_DEFAULT;
   bool ok = read_document (&reader, &document, err);
   yaml_reader_close (&reader);
   if (!ok)
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -28,6 +28,9 @@
 /* body_memory where the settings don't give it, in bytes; it leaves room for
    the rest of a router on a VM with 160 MB.  */
 #define FLEET_BODY_MEMORY_DEFAULT (64ul * 1024 * 1024)
+/* bounds.lookup_age where the settings don't give it: no caller keeps an
+   answer for long that no promise bounds.  */
+#define FLEET_LOOKUP_AGE_DEFAULT (1 * USEC_PER_SEC)
 
 typedef struct fleet_domain
 {
@@ -35,7 +38,8 @@
   name_t region;
 } fleet_domain_t;
 
-/* Time and rate limits that the operators set for the whole deployment.  */
+/* Time and rate limits that the operators set for the whole deployment; 0
+   where one that may be missing is not given, but for lookup_age.  */
 typedef struct fleet_bounds
 {
   usec_t drain; /* until a draining backend server gets no new request */
--- a/src/settings/yaml_reader.c
+++ b/src/settings/yaml_reader.c
@@ -204,7 +204,9 @@
 {
   for (size_t i = 0; i < n_fields; i++)
     if (fields[i].required && !seen[i])
-      return yaml_reader_fault (reader, node, err, "add the missing key",
+      return yaml_reader_fault (reader, node, err,
+                                fields[i].remedy ? fields[i].remedy
+                                                 : "add the missing key",
                                 "%s: missing key '%s'", what, fields[i].key);
   return true;
 }
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -42,10 +42,11 @@
   const char *key;
   yaml_field_kind_t kind;
   bool required;
-  size_t offset;  /* of the value in the structure to fill */
-  double min;     /* numbers: least value as written, before SCALE */
-  double max;     /* numbers: greatest value as written */
-  uint64_t scale; /* factor for whole numbers; 0 means 1 */
+  size_t offset;      /* of the value in the structure to fill */
+  double min;         /* numbers: least value as written, before SCALE */
+  double max;         /* numbers: greatest value as written */
+  uint64_t scale;     /* factor for whole numbers; 0 means 1 */
+  const char *remedy; /* where a required key is missing; NULL: add it */
 } yaml_field_t;
 
 /* Parse the file PATH.  After true, close READER with yaml_reader_close.  */
