test(functional): the cost cap without a leader is checked without a race against an election

test_cost_cap_leaderless failed once of 5 runs, plain beside a sanitized one: control VMs came back after 1.2 s, but no leader was elected within the 3.9 s of a request, which was told so truthfully (reason=deadline).

The check asked more than the test guards. Control stays without a majority until all requests (1.5 s) have ended: they are answered from what the VM holds or wait until their deadline, at least one does, and none is refused for the cap. With control back, requests are answered again.

--- a/test/functional/test_cost_cap_leaderless.sh
+++ b/test/functional/test_cost_cap_leaderless.sh
@@ -11,8 +11,7 @@
 trap 'cluster_kill; rm -rf "$FOLDER"' EXIT
 CAP=10        # yen: about 2,000 requests
 REQUESTS=60   # more than what one entry VM holds of it
-DEADLINE_MS=3900
-LEADERLESS_SECONDS=1.2
+DEADLINE_MS=1500 # elections may take 4 s
 
 cluster_prepare
 sed -i "s/^shift,,,cost_cap,,.*/shift,,,cost_cap,,$CAP/; /^shift,,,expected_requests/d" "$SHEET"
@@ -40,13 +39,22 @@
   ask "$n" &
   asks+=($!)
 done
-sleep $LEADERLESS_SECONDS
-for vm in $STOPPED; do start_control "$vm"; done
 wait "${asks[@]}"
+WAITED=0
 for n in $(seq $REQUESTS); do
-  grep -q ' 200 ' "$FOLDER/told-$n" && continue
-  echo "request $n, sent while there was no leader:" >&2
-  cat "$FOLDER/told-$n" >&2
-  exit 1
+  if grep -q 'Reason: deadline' "$FOLDER/told-$n"; then
+    WAITED=$((WAITED + 1))
+  elif ! grep -q ' 200 ' "$FOLDER/told-$n"; then
+    echo "request $n, sent while there was no leader:" >&2
+    cat "$FOLDER/told-$n" >&2
+    exit 1
+  fi
 done
+[ $WAITED -gt 0 ] || { echo "no request had to wait: the test shows nothing" >&2; exit 1; }
+for vm in $STOPPED; do start_control "$vm"; done
+answered_again() {
+  ask again
+  grep -q ' 200 ' "$FOLDER/told-again"
+}
+wait_for 20 answered_again
 cluster_stop
