Revert "fix(agreement): an election on slow disks is not given up before its votes are synced"

Read again, what it adds to the election timeout, the time that the vote's sync took, has no bound: a disk that stalls for five seconds delays the next election by five more.

--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -400,7 +400,6 @@
       break;
     case EVENT_SYNCED:
       disk_synced (replica, event->body.synced);
-      election_on_synced (replica);
       break;
     case EVENT_SNAPSHOT:
       snapshot_taken (replica, event->body.snapshot.index,
--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -36,35 +36,10 @@
   memset (replica->yielded_at, 0, sizeof replica->yielded_at);
   replica->first_yield_at = 0;
   replica->held_request.kind = MESSAGE_KINDS;
-  replica->vote_sequence = 0;
   replica->election_deadline = replica->now + replica->options.election_timeout
                                + random_delay (replica);
 }
 
-/* The vote that was just given, and the election timeout with it, waits for
-   the persist action of this step.  */
-static void
-await_vote_sync (replica_t *replica)
-{
-  replica->vote_sequence = replica->persist_sequence + 1;
-}
-
-void
-election_on_synced (replica_t *replica)
-{
-  if (replica->vote_sequence == 0
-      || replica->synced_sequence < replica->vote_sequence)
-    return;
-  /* The candidate's requests, or the answer to it, leave only now; the other
-     disks may be as slow.  */
-  usec_t sync_time = replica->now - replica->voted_at;
-  usec_t until = replica->now + sync_time + replica->options.election_timeout
-                 + random_delay (replica);
-  replica->vote_sequence = 0;
-  if (replica->election_deadline < until)
-    replica->election_deadline = until;
-}
-
 void
 election_end (replica_t *replica)
 {
@@ -119,7 +94,6 @@
   replica->voted_at = replica->now;
   replica->is_dirty = true;
   election_reset (replica);
-  await_vote_sync (replica);
   request_votes (replica, false);
 }
 
@@ -304,7 +278,6 @@
   replica->voted_at = replica->now;
   replica->is_dirty = true;
   election_reset (replica);
-  await_vote_sync (replica);
   return true;
 }
 
@@ -401,7 +374,7 @@
   answer_held_request (replica);
   if (replica->is_pre_candidate)
     election_check_votes (replica);
-  if (replica->now < replica->election_deadline || replica->vote_sequence > 0)
+  if (replica->now < replica->election_deadline)
     return;
   if (config_has_vote (replica, replica->options.slot, replica->incarnation))
     pre_vote_start (replica);
