--- a/src/router/caller_exchange.c
+++ b/src/router/caller_exchange.c
@@ -52,7 +52,7 @@
 void
 caller_exchange_free (caller_http_t *port, exchange_t *exchange)
 {
-  body_budget_resize (port->options.budget, BODY_REQUEST, exchange->body_bytes,
+  body_budget_resize (port->options.budget, BODY_CERTAIN, exchange->body_bytes,
                       0);
   backend_response_clear (&exchange->response);
   fleet_snapshot_unref (exchange->snapshot);
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -14,21 +14,6 @@
   BODY_BYTES_MAX = 16 * 1024 * 1024,
 };
 
-/* Refuse EXCHANGE, which is never passed on: its body makes room at once.  */
-static void
-refuse (caller_connection_t *connection, exchange_t *exchange,
-        exchange_reason_t reason)
-{
-  caller_exchange_refuse (exchange, reason);
-  if (exchange->body_bytes > 0)
-    exchange->wants_continue = false;
-  body_budget_resize (connection->port->options.budget, BODY_REQUEST,
-                      exchange->body_bytes, 0);
-  free (exchange->body);
-  exchange->body = NULL;
-  exchange->body_bytes = 0;
-}
-
 /* The request can't be read, or not to its end: it is answered in its turn,
    and is the last.  */
 static void
@@ -42,7 +27,7 @@
   exchange->is_last = true;
   exchange->is_whole = true;
   if (!exchange->is_finished)
-    refuse (connection, exchange, reason);
+    caller_exchange_refuse (exchange, reason);
   caller_set_ready (connection);
 }
 
@@ -58,10 +43,10 @@
       reject (connection, REASON_TOO_LARGE);
       return;
     }
-  if (!body_budget_resize (connection->port->options.budget, BODY_REQUEST,
+  if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN,
                            exchange->body_bytes, needed))
     {
-      refuse (connection, exchange, REASON_MEMORY);
+      caller_exchange_refuse (exchange, REASON_MEMORY);
       return;
     }
   char *grown = realloc (exchange->body, needed);
