fix(test): a script of four replies has room for the NULL that ends it

The test of a refused resend was the first with as many replies as the array holds; its end was read behind it.

--- a/test/unit/test_entry_client.c
+++ b/test/unit/test_entry_client.c
@@ -16,7 +16,7 @@
 
 enum
 {
-  REPLIES_MAX = 4,
+  REPLIES_MAX = 5, /* with the NULL that ends them */
   REQUEST_BYTES = 4096,
   POST_BODY_BYTES = 5,
 };
