refactor(wire): that a connection was refused is recognised in one place

Entry VMs got a copy of what routers read from libcurl for it (http_connection_was_refused serves both now), and answer_may_have_run one negation too many. Behaviour is as before.

--- a/src/balance/answer_class.c
+++ b/src/balance/answer_class.c
@@ -80,7 +80,7 @@
     return false;
   backend_result_t result = answer_classify (facts);
   bool is_refusal = result == BACKEND_REFUSED || result == BACKEND_MISDIRECTED;
-  return !is_refusal || !states_not_run (facts);
+  return !(is_refusal && states_not_run (facts));
 }
 
 bool
--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -1,7 +1,6 @@
 #include "entry/backend_client.h"
 
 #include <curl/curl.h>
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -457,14 +456,6 @@
          && (end == CONNECTION_REJECTED || end == CONNECTION_MALFORMED);
 }
 
-static bool
-is_refused (const backend_call_t *call, CURLcode code)
-{
-  long connect_errno = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &connect_errno);
-  return code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
-}
-
 /* Set the reply's fields from the result of the transfer.  */
 static void
 finish_reply (backend_call_t *call, CURLcode code)
@@ -474,7 +465,7 @@
   reply->maybe_sent = call->n_sends > 0;
   reply->was_resent = call->n_sends > 1;
   reply->timed_out = code == CURLE_OPERATION_TIMEDOUT;
-  reply->was_refused = is_refused (call, code);
+  reply->was_refused = http_connection_was_refused (call->easy, code);
   reply->is_complete = code == CURLE_OK && is_whole (call, code);
   reply->is_truncated = !reply->is_complete
                         && (reply->status > 0 || has_no_answer (call, code));
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -1,6 +1,5 @@
 #include "router/backend_http.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -302,10 +301,7 @@
       = response->may_have_reached && backend_transfer_is_cut_off (code);
   response->was_reconnected = code == CURLE_ABORTED_BY_CALLBACK;
   response->is_unreachable = code == CURLE_COULDNT_CONNECT;
-  long connect_errno = 0;
-  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &connect_errno);
-  response->was_refused
-      = response->is_unreachable && connect_errno == ECONNREFUSED;
+  response->was_refused = http_connection_was_refused (call->easy, code);
   response->is_complete
       = code == CURLE_OK && response->completeness != BODY_TRUNCATED;
   response->error = curl_easy_strerror (code);
--- a/src/wire/http_handles.c
+++ b/src/wire/http_handles.c
@@ -1,6 +1,7 @@
 #include "wire/http_handles.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -220,6 +221,14 @@
   return false;
 }
 
+bool
+http_connection_was_refused (CURL *easy, CURLcode code)
+{
+  long connect_errno = 0;
+  curl_easy_getinfo (easy, CURLINFO_OS_ERRNO, &connect_errno);
+  return code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
+}
+
 CURLcode
 http_transfer_result (CURLcode code, bool has_ended)
 {
--- a/src/wire/http_handles.h
+++ b/src/wire/http_handles.h
@@ -63,6 +63,10 @@
    request.  */
 CURLcode http_transfer_result (CURLcode code, bool has_ended);
 
+/* Whether EASY's transfer, with result CODE, found that no process listens at
+   the server's address.  */
+bool http_connection_was_refused (CURL *easy, CURLcode code);
+
 /* How the connection of a transfer ended, whose request was sent, with result
    CODE and the response's HEAD.  IS_HEAD: the method is HEAD.  */
 connection_end_t http_connection_end (CURLcode code, const answer_head_t *head,
