feat(router): the limit that a backend server names is read and logged

Server-Limit of a whole response to this request, or of a health check, is kept with the server's other notices; backend_limit tells each change, and request_sent what the router believes (server_limit, -1: none). What is odd is counted like other notices that can't be read. No choice uses it yet.

Until now no log could tell whether routers did not read the field, took the limit each for itself, or learned of it too late.

--- a/src/balance/backend_notices.h
+++ b/src/balance/backend_notices.h
@@ -1,6 +1,6 @@
 /* backend_notices: what backend servers have said of themselves to this
-   router: that they leave, and until when they want to rest.  Pure; times are
-   usec of one monotonic clock.
+   router: that they leave, until when they want to rest, and how many requests
+   a second they take.  Pure; times are usec of one monotonic clock.
 
    Load patterns: a backend server leaves before any list shows it; an
    overloaded one wants no requests for a while, and several that rest until
@@ -17,7 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "base/time_defs.h"
+#include "balance/request_limit.h"
 
 enum
 {
@@ -33,6 +33,7 @@
   /* Since the last rest no request was answered.  One request at a time is
      sent until one is, so that what waited does not arrive at once.  */
   bool is_trial;
+  request_limit_t limit;
   usec_t noted_at; /* of the last notice */
 } backend_notice_t;
 
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -207,6 +207,12 @@
 bool backend_pool_note_served (backend_pool_t *pool, backend_t *backend,
                                usec_t sent_at, usec_t now);
 
+/* BACKEND makes STATEMENT in a response that arrived at NOW, to a request that
+   was sent at SENT_AT.  Returns whether its limit has changed.  */
+bool backend_pool_note_limit (backend_pool_t *pool, backend_t *backend,
+                              const limit_statement_t *statement,
+                              usec_t sent_at, usec_t now);
+
 /* Writes what listed backend servers have said that holds at NOW to NOTICES,
    which has room for N_MAX.  Returns how many; those beyond N_MAX are left
    out.  */
--- a/src/balance/pool_notices.c
+++ b/src/balance/pool_notices.c
@@ -67,6 +67,19 @@
   return true;
 }
 
+bool
+backend_pool_note_limit (backend_pool_t *pool, backend_t *backend,
+                         const limit_statement_t *statement, usec_t sent_at,
+                         usec_t now)
+{
+  request_limit_t *limit = &backend->notice.limit;
+  bool was_in_force = limit->is_in_force;
+  bool has_changed = request_limit_hear (limit, statement, sent_at, now);
+  if (was_in_force || limit->is_in_force)
+    store (pool, backend, now);
+  return has_changed;
+}
+
 size_t
 backend_pool_notices (const backend_pool_t *pool, told_notice_t *notices,
                       size_t n_max, usec_t now)
--- a/src/router/dispatcher_notices.c
+++ b/src/router/dispatcher_notices.c
@@ -31,6 +31,25 @@
         LOG_I ("sent_ms_ago", (now - exchange->sent_at) / USEC_PER_MSEC));
 }
 
+/* BACKEND's response to the request ID, sent at SENT_AT, makes STATEMENT.  */
+static void
+note_limit (dispatcher_t *dispatcher, const char *id, backend_t *backend,
+            const limit_statement_t *statement, usec_t sent_at, usec_t now)
+{
+  const request_limit_t *limit = &backend->notice.limit;
+  usec_t named_at = limit->named_at;
+  if (!backend_pool_note_limit (dispatcher->pool, backend, statement, sent_at,
+                                now))
+    return;
+  LOG_EVENT (LOG_LEVEL_INFO, "backend_limit", LOG_S ("id", id),
+             LOG_S ("backend", backend->record.id),
+             LOG_S ("service", backend->record.service.text),
+             LOG_U ("in_force", limit->is_in_force),
+             LOG_F ("requests_a_second", limit->rate),
+             LOG_I ("last_named_ms_ago",
+                    named_at > 0 ? (now - named_at) / USEC_PER_MSEC : -1));
+}
+
 void
 dispatcher_read_notices (dispatcher_t *dispatcher, const exchange_t *exchange,
                          backend_result_t result,
@@ -47,6 +66,8 @@
   backend_t *backend = exchange->backend;
   if (response->is_leaving)
     note_leaving (dispatcher, exchange->id, backend, now);
+  note_limit (dispatcher, exchange->id, backend, &response->limit,
+              exchange->sent_at, now);
   if (response->status == MHD_HTTP_SERVICE_UNAVAILABLE && response->rest > 0)
     note_rest (dispatcher, exchange, response->rest, now);
   else if (result == BACKEND_ANSWERED
@@ -67,6 +88,8 @@
                 && strcmp (response->backend_id, backend->record.id) == 0;
   if (is_own && response->is_leaving)
     note_leaving (dispatcher, "", backend, now);
+  if (is_own && response->limit.kind == LIMIT_NAMED)
+    note_limit (dispatcher, "", backend, &response->limit, now, now);
   if (is_own && response->status == MHD_HTTP_SERVICE_UNAVAILABLE
       && response->rest > 0)
     backend_pool_note_rest (dispatcher->pool, backend, response->rest, now);
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -137,6 +137,9 @@
              LOG_I ("report_age_ms",
                     (now - backend->load_reported_at) / USEC_PER_MSEC),
              LOG_U ("limited", backend_is_limited (backend, now)),
+             LOG_F ("server_limit", backend->notice.limit.is_in_force
+                                        ? backend->notice.limit.rate
+                                        : -1),
              LOG_I ("list_age_ms", (now - dispatcher->snapshot->list.read_at)
                                        / USEC_PER_MSEC),
              LOG_U ("try", exchange->n_attempts),
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -14,6 +14,7 @@
   LOAD_MAX = BACKEND_SLOTS_MAX, /* requests that a load report may tell */
   COLD_MSEC_MAX = 3600 * 1000,
   REST_SECONDS_MAX = 24 * 3600,
+  LIMIT_UNITS = 1000,   /* of notice_field_t, in one request a second */
   BODY_ROOM_MIN = 2048, /* bytes */
 };
 
@@ -267,7 +268,7 @@
 }
 
 static void
-set_notice (notice_field_t *field, bool is_valid, usec_t value)
+set_notice (notice_field_t *field, bool is_valid, int64_t value)
 {
   if (!is_valid || (field->is_present && field->value != value))
     field->is_invalid = true;
@@ -293,6 +294,18 @@
   set_notice (field, is_valid, (usec_t)(seconds * (double)USEC_PER_SEC));
 }
 
+/* Requests a second, with or without a fraction.  More than BACKEND_LIMIT_MAX
+   is as much as that.  */
+static void
+parse_limit (notice_field_t *field, const char *value)
+{
+  double rate = BACKEND_LIMIT_MAX;
+  number_result_t result
+      = number_parse_decimal (&rate, value, strlen (value), BACKEND_LIMIT_MAX);
+  set_notice (field, result != NUMBER_MALFORMED,
+              (int64_t)(rate * LIMIT_UNITS));
+}
+
 static void
 parse_header (response_reader_t *reader, const char *name, const char *value)
 {
@@ -307,6 +320,8 @@
     parse_leaving (&reader->leaving, value);
   else if (strcasecmp (name, "Retry-After") == 0)
     parse_retry_after (&reader->retry_after, value);
+  else if (strcasecmp (name, HEADER_LIMIT) == 0)
+    parse_limit (&reader->limit, value);
   else if (strcasecmp (name, HEADER_STAMP) == 0)
     response->is_signed = true;
   else if (strcasecmp (name, "Content-Encoding") == 0)
@@ -326,6 +341,7 @@
   reader->has_id = false;
   reader->leaving = (notice_field_t){ 0 };
   reader->retry_after = (notice_field_t){ 0 };
+  reader->limit = (notice_field_t){ 0 };
 }
 
 /* Parse the field LINE, LENGTH bytes, and keep it if it is to be forwarded.
@@ -360,19 +376,32 @@
 
 /* The value of FIELD; 0 if it is not there or not understood, which is
    counted.  */
-static usec_t
+static int64_t
 notice_value (response_reader_t *reader, const notice_field_t *field)
 {
   reader->response.n_invalid_notices += field->is_invalid;
   return field->is_invalid ? 0 : field->value;
 }
 
+static limit_statement_t
+limit_statement (response_reader_t *reader)
+{
+  int64_t value = notice_value (reader, &reader->limit);
+  if (!reader->limit.is_present)
+    return (limit_statement_t){ .kind = LIMIT_NOT_NAMED };
+  if (reader->limit.is_invalid)
+    return (limit_statement_t){ .kind = LIMIT_UNREADABLE };
+  return (limit_statement_t){ .kind = LIMIT_NAMED,
+                              .rate = (double)value / LIMIT_UNITS };
+}
+
 static void
 end_head (response_reader_t *reader)
 {
   backend_response_t *response = &reader->response;
   response->is_leaving = notice_value (reader, &reader->leaving) > 0;
   response->rest = notice_value (reader, &reader->retry_after);
+  response->limit = limit_statement (reader);
 }
 
 bool
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -58,7 +58,8 @@
   backend_load_t load;
   bool is_leaving; /* the backend server says that it leaves */
   usec_t rest;     /* from Retry-After: how long it wants nothing; 0: none */
-  size_t n_invalid_notices; /* of these two, not understood and ignored */
+  limit_statement_t limit;
+  size_t n_invalid_notices; /* of these three, not understood and ignored */
   size_t n_headers;
   response_header_t headers[RESPONSE_HEADERS_MAX]; /* to be forwarded */
   char *body; /* allocated with malloc; NULL if it is empty */
@@ -78,7 +79,7 @@
 {
   bool is_present;
   bool is_invalid;
-  usec_t value;
+  int64_t value;
 } notice_field_t;
 
 /* Zero at first, but for `id` and `budget`.  */
@@ -93,6 +94,7 @@
   bool has_id;            /* the response has a request id */
   notice_field_t leaving;
   notice_field_t retry_after;
+  notice_field_t limit; /* thousandths of a request a second */
   backend_response_t response;
 } response_reader_t;
 
