test(functional): a limit that a backend server names holds over all routers

The log shows server_limit=1.1 on requests that are sent all the same, at a single router too: it is known and not used.

--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -23,7 +23,9 @@
    LIST_LAG_MSEC later, and the start is appended to FOLDER/starts as "-
    BACKEND MSEC -". A backend server that FOLDER/leaving names says in all its
    answers that it leaves; one that FOLDER/resting names refuses all requests,
-   and wants a rest of REST_SECONDS. A request that reaches a backend server is
+   and wants a rest of REST_SECONDS; one that FOLDER/limited names with a text
+   behind a blank has that text as Server-Limit in the answers to its requests.
+   A request that reaches a backend server is
    appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or
    "refused".  Each run is also appended to FOLDER/accounts as "ID ACCOUNT MSEC
    KEY": the client account that the request names, or "-", and "key" if it
@@ -88,26 +90,43 @@
 
 static char large_body[LARGE_BYTES + 1];
 
-/* Whether FOLDER/NAME has the line ID.  */
+enum
+{
+  LINE_BYTES = 64,
+};
+
+/* Whether FOLDER/NAME has a line of ID, or of ID and a text behind a blank,
+   which is copied to TEXT if that isn't NULL.  */
 static bool
-is_named (const char *name, const char *id)
+find_line (const char *name, const char *id, char text[LINE_BYTES])
 {
   char path[512];
-  char line[64];
+  char line[LINE_BYTES];
   bool found = false;
   snprintf (path, sizeof path, "%s/%s", fake.folder, name);
   FILE *file = fopen (path, "r");
   if (!file)
     return false;
-  while (fgets (line, sizeof line, file))
+  while (!found && fgets (line, sizeof line, file))
     {
       line[strcspn (line, "\n")] = '\0';
-      found = found || strcmp (line, id) == 0;
+      size_t length = strcspn (line, " ");
+      found = length == strlen (id) && memcmp (line, id, length) == 0;
+      if (found && text)
+        snprintf (text, LINE_BYTES, "%s",
+                  line + length + (line[length] == ' '));
     }
   fclose (file);
   return found;
 }
 
+/* Whether FOLDER/NAME has the line ID.  */
+static bool
+is_named (const char *name, const char *id)
+{
+  return find_line (name, id, NULL);
+}
+
 static long long
 now_msec (void)
 {
@@ -134,9 +153,17 @@
   pthread_mutex_unlock (&fake.lock);
 }
 
+/* What an answer says of its backend server.  */
+typedef struct said
+{
+  bool leaves;
+  const char *limit; /* NULL: names none */
+} said_t;
+
 static enum MHD_Result
 answer_as (struct MHD_Connection *connection, unsigned int status,
-           const char *text, const char *id, const char *backend, bool leaves)
+           const char *text, const char *id, const char *backend,
+           const said_t *said)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
@@ -151,7 +178,9 @@
     MHD_add_response_header (response, "Not-Executed", "1");
   if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
     MHD_add_response_header (response, "Retry-After", REST_SECONDS);
-  if (leaves)
+  if (said->limit)
+    MHD_add_response_header (response, "Server-Limit", said->limit);
+  if (said->leaves)
     MHD_add_response_header (response, "Server-Leaving", "1");
   enum MHD_Result result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
@@ -186,7 +215,7 @@
 answer (struct MHD_Connection *connection, unsigned int status,
         const char *text, const char *id, const char *backend)
 {
-  return answer_as (connection, status, text, id, backend, false);
+  return answer_as (connection, status, text, id, backend, &(said_t){ 0 });
 }
 
 static const char *
@@ -339,10 +368,13 @@
     wait_for_release ();
   if (!is_boot (backend, boot))
     return MHD_NO;
+  char limit[LINE_BYTES];
+  const said_t said
+      = { .leaves = is_named ("leaving", backend->id),
+          .limit = find_line ("limited", backend->id, limit) ? limit : NULL };
   return answer_as (connection, MHD_HTTP_OK,
                     ends_with (url, "large") ? large_body : backend->id,
-                    ends_with (url, "other") ? "of-another" : id, NULL,
-                    is_named ("leaving", backend->id));
+                    ends_with (url, "other") ? "of-another" : id, NULL, &said);
 }
 
 static enum MHD_Result
