fix(balance): routers together keep to the limit that a backend server names

The class: a server's own statement that one router hears and no decision uses.

Now the first 4 + limit routers of the server's region, by an order that each works out alone, share the limit; what one hears the others learn with load reports. An answer that names none, to a later request, ends it.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -206,6 +206,7 @@
     backend->is_evacuated = is_evacuated (update, backend->record.domain.text);
     backend->may_be_cold = may_be_cold (pool, backend, update);
     pool_cold_start_set_rate (pool, backend, update, now);
+    pool_limit_set_place (pool, backend, update);
     free_if_unused (pool, backend);
   }
   pool_update_weights (pool, update);
@@ -219,6 +220,7 @@
   (void)pool;
   backend->in_flight++;
   pool_cold_start_take (backend, now);
+  pool_limit_take (backend, now);
   if (!query->has_object)
     return false;
   bool was_sent_before
@@ -382,6 +384,7 @@
     return false;
   backend->is_probing = true;
   backend->wants_probe = false;
+  pool_limit_take (backend, now);
   return true;
 }
 
@@ -389,12 +392,15 @@
 backend_pool_begin_check (backend_t *backend, usec_t now)
 {
   return pool_cold_start_allows (backend, now)
+         && pool_limit_allows (backend, now)
          && backend_pool_begin_probe (backend, now);
 }
 
 static bool
 is_probe_due (const backend_t *backend, usec_t now)
 {
+  if (!pool_limit_allows (backend, now))
+    return false;
   if (backend->wants_probe)
     return true;
   return backend->health == BACKEND_DOWN && now >= backend->next_probe_at
@@ -411,7 +417,9 @@
   LIST_FOREACH (link, &pool->backends)
   {
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
-    is_wanted_later |= backend->wants_probe && backend->is_probing;
+    is_wanted_later
+        |= backend->wants_probe
+           && (backend->is_probing || !pool_limit_allows (backend, now));
     if (!is_probe_due (backend, now) || !backend->is_listed
         || !backend_pool_begin_probe (backend, now))
       continue;
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -15,6 +15,7 @@
 
 #include "balance/backend_notices.h"
 #include "balance/backend_quality.h"
+#include "balance/limit_share.h"
 #include "balance/recent_objects.h"
 #include "balance/run_estimate.h"
 #include "base/list.h"
@@ -114,7 +115,8 @@
   usec_t cold_start;         /* how long a start is cold */
   double cold_rate;   /* requests per second of this router while cold */
   double cold_tokens; /* token bucket of cold_rate: requests allowed now */
-  usec_t cold_refilled_at; /* when cold_tokens was last computed */
+  usec_t cold_refilled_at;   /* when cold_tokens was last computed */
+  limit_share_t limit_share; /* of notice.limit */
 } backend_t;
 
 typedef struct backend_pool backend_pool_t;
@@ -188,11 +190,16 @@
                                 const pool_query_t *query, usec_t now);
 
 /* If all backend servers that are eligible for QUERY rest at NOW, or are cold
-   and bear no request of this router, returns when the first of them may get
-   one again; otherwise 0.  */
+   or limited and bear no request of this router, returns when the first of
+   them may get one again; otherwise 0.  */
 usec_t backend_pool_rest_end (const backend_pool_t *pool,
                               const pool_query_t *query, usec_t now);
 
+/* Whether a backend server that is eligible for QUERY gets no request of this
+   router at NOW only because others share its limit.  */
+bool backend_pool_is_shared_by_others (const backend_pool_t *pool,
+                                       const pool_query_t *query, usec_t now);
+
 /* BACKEND has said that it leaves.  From now on it gets no request as long as
    another backend server is eligible.  Returns false if it was known.  */
 bool backend_pool_note_leaving (backend_pool_t *pool, backend_t *backend,
@@ -282,10 +289,11 @@
                                bool is_healthy, usec_t cold_left, usec_t now);
 
 /* Applies N load reports that other routers heard, ordered by server.  A
-   report that is older than the one known of its backend server is ignored. */
-void backend_pool_hear_loads (backend_pool_t *pool,
-                              const load_report_t *reports, size_t n,
-                              usec_t now);
+   report that is older than the one known of its backend server is ignored.
+   Returns how many limits have changed.  */
+size_t backend_pool_hear_loads (backend_pool_t *pool,
+                                const load_report_t *reports, size_t n,
+                                usec_t now);
 
 /* BACKEND refused a connection at NOW: no process listens there.  It gets no
    request until a probe succeeds, and then may have just started.  Returns
@@ -318,6 +326,9 @@
 {
   uint32_t slots;
   usec_t mean_latency; /* 0: not known */
+  double
+      limited_rate; /* requests a second of this router, to those whose limit
+                       is less than their slots, which are not counted */
 } pool_capacity_t;
 
 pool_capacity_t backend_pool_capacity (const backend_pool_t *pool,
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -43,15 +43,11 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
-/* Returns how many routers of the backend server's region rank before the one
-   with ADDRESS, or SIZE_MAX if that one is not listed in the region; sets *N
-   to the number of routers in that region.  A router that is not listed has no
-   share, because the others divide the whole rate among themselves.  */
-static size_t
-rank_in_region (const backend_t *backend, const pool_update_t *update,
-                uint32_t address, size_t *n)
-{
-  uint64_t own_hash = rank_hash (backend, address);
+size_t
+pool_rank_in_region (const backend_pool_t *pool, const backend_t *backend,
+                     const pool_update_t *update, size_t *n)
+{
+  uint64_t own_hash = rank_hash (backend, pool->self);
   size_t rank = 0;
   bool is_listed = false;
   *n = 0;
@@ -61,7 +57,7 @@
       if (strcmp (router->region.text, backend->region.text) != 0)
         continue;
       ++*n;
-      if (router->address == address)
+      if (router->address == pool->self)
         is_listed = true;
       else if (rank_hash (backend, router->address) < own_hash)
         rank++;
@@ -74,7 +70,7 @@
                           const pool_update_t *update, usec_t now)
 {
   size_t n = 0;
-  size_t rank = rank_in_region (backend, update, pool->self, &n);
+  size_t rank = pool_rank_in_region (pool, backend, update, &n);
   size_t n_sharers = n < SHARERS_MAX ? n : SHARERS_MAX;
   const service_config_t *service
       = update->config ? route_config_service (update->config,
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -108,4 +108,34 @@
 void pool_cold_start_set_rate (backend_pool_t *pool, backend_t *backend,
                                const pool_update_t *update, usec_t now);
 
+/* Returns how many routers of the region of BACKEND rank before this one, in
+   an order of their own for each backend server, or SIZE_MAX if this one is
+   not listed there; sets *N to the number of routers in that region.  A router
+   that is not listed has no share, because the others divide all among
+   themselves.  */
+size_t pool_rank_in_region (const backend_pool_t *pool,
+                            const backend_t *backend,
+                            const pool_update_t *update, size_t *n);
+/* Sets this router's place among those that may share BACKEND's limit.  */
+void pool_limit_set_place (const backend_pool_t *pool, backend_t *backend,
+                           const pool_update_t *update);
+/* Whether BACKEND's limit allows one more request or health check.  */
+bool pool_limit_allows (const backend_t *backend, usec_t now);
+/* A request or health check is sent to BACKEND.  */
+void pool_limit_take (backend_t *backend, usec_t now);
+/* If other routers share BACKEND's limit, returns when this one may try it;
+   otherwise 0.  */
+usec_t pool_limit_closed_until (const backend_t *backend, usec_t now);
+/* Whether BACKEND's limit is less than what its slots allow.  */
+bool pool_limit_binds (const backend_t *backend);
+/* Requests a second that this router may send to BACKEND; valid if it has a
+   limit.  */
+double pool_limit_rate (const backend_t *backend);
+/* Another router told LIMIT of BACKEND, heard at AT.  Returns whether it has
+   changed.  */
+bool pool_limit_hear_told (backend_pool_t *pool, backend_t *backend,
+                           load_limit_t limit, usec_t at, usec_t now);
+/* Keeps BACKEND's notice, also for the time after it is freed.  */
+void pool_notices_store (backend_pool_t *pool, backend_t *backend, usec_t now);
+
 #endif
--- a/src/balance/pool_load.c
+++ b/src/balance/pool_load.c
@@ -26,7 +26,8 @@
 static void
 hear (backend_t *backend, const load_report_t *report, usec_t now)
 {
-  if (report->at <= backend->load_reported_at + ECHO_TIME)
+  if (report->lacks_load
+      || report->at <= backend->load_reported_at + ECHO_TIME)
     return;
   pool_load_update (backend, (uint32_t)report->running + report->waiting,
                     report->pace, report->at);
@@ -34,17 +35,23 @@
                           report->duration, LOAD_PACE_NORMAL, now);
 }
 
-void
+size_t
 backend_pool_hear_loads (backend_pool_t *pool, const load_report_t *reports,
                          size_t n, usec_t now)
 {
   size_t at = 0;
+  size_t n_limits = 0;
   for (size_t i = 0; i < pool->n_by_id; i++)
     {
       uint32_t id = pool->by_load_id[i]->load_id;
       while (at < n && reports[at].server < id)
         at++;
-      if (at < n && reports[at].server == id)
-        hear (pool->by_load_id[i], &reports[at], now);
+      if (at == n || reports[at].server != id)
+        continue;
+      backend_t *backend = pool->by_load_id[i];
+      hear (backend, &reports[at], now);
+      n_limits += pool_limit_hear_told (pool, backend, reports[at].limit,
+                                        reports[at].at, now);
     }
+  return n_limits;
 }
--- a/src/balance/pool_notices.c
+++ b/src/balance/pool_notices.c
@@ -12,9 +12,8 @@
   backend->notice = notice ? *notice : (backend_notice_t){ 0 };
 }
 
-/* Keep BACKEND's notice, also for the time after it is freed.  */
-static void
-store (backend_pool_t *pool, backend_t *backend, usec_t now)
+void
+pool_notices_store (backend_pool_t *pool, backend_t *backend, usec_t now)
 {
   uint64_t boot = backend_record_boot (&backend->record);
   backend->notice.boot = boot;
@@ -30,7 +29,7 @@
     return;
   usec_t noted_at = backend->notice.noted_at;
   backend->notice.was_draining = true;
-  store (pool, backend, noted_at > 0 ? noted_at : now);
+  pool_notices_store (pool, backend, noted_at > 0 ? noted_at : now);
 }
 
 bool
@@ -40,7 +39,7 @@
   if (backend->notice.leaving_since > 0)
     return false;
   backend->notice.leaving_since = now;
-  store (pool, backend, now);
+  pool_notices_store (pool, backend, now);
   return true;
 }
 
@@ -52,7 +51,7 @@
   if (now + span > backend->notice.rest_until)
     backend->notice.rest_until = now + span;
   backend->notice.is_trial = true;
-  store (pool, backend, now);
+  pool_notices_store (pool, backend, now);
   return !was_resting;
 }
 
@@ -63,23 +62,10 @@
   if (!backend->notice.is_trial || sent_at < backend->notice.rest_until)
     return false;
   backend->notice.is_trial = false;
-  store (pool, backend, now);
+  pool_notices_store (pool, backend, now);
   return true;
 }
 
-bool
-backend_pool_note_limit (backend_pool_t *pool, backend_t *backend,
-                         const limit_statement_t *statement, usec_t sent_at,
-                         usec_t now)
-{
-  request_limit_t *limit = &backend->notice.limit;
-  bool was_in_force = limit->is_in_force;
-  bool has_changed = request_limit_hear (limit, statement, sent_at, now);
-  if (was_in_force || limit->is_in_force)
-    store (pool, backend, now);
-  return has_changed;
-}
-
 size_t
 backend_pool_notices (const backend_pool_t *pool, told_notice_t *notices,
                       size_t n_max, usec_t now)
@@ -133,11 +119,13 @@
 static usec_t
 closed_until (const backend_t *backend, usec_t now)
 {
-  usec_t limit_end = pool_cold_start_closed_until (backend, now);
-  usec_t rest_end = backend_notice_is_resting (&backend->notice, now)
-                        ? backend->notice.rest_until
-                        : 0;
-  return rest_end > limit_end ? rest_end : limit_end;
+  usec_t until = pool_cold_start_closed_until (backend, now);
+  usec_t limit_end = pool_limit_closed_until (backend, now);
+  until = limit_end > until ? limit_end : until;
+  if (backend_notice_is_resting (&backend->notice, now)
+      && backend->notice.rest_until > until)
+    until = backend->notice.rest_until;
+  return until;
 }
 
 usec_t
@@ -159,3 +147,20 @@
     }
   return end == INT64_MAX ? 0 : end;
 }
+
+bool
+backend_pool_is_shared_by_others (const backend_pool_t *pool,
+                                  const pool_query_t *query, usec_t now)
+{
+  const pool_service_t *service = pool_index_find (pool, query->service);
+  for (size_t i = 0; i < service->n; i++)
+    {
+      const backend_t *backend = service->backends[i];
+      if (pool_is_eligible (backend, query)
+          && pool_limit_closed_until (backend, now) > 0
+          && !backend_notice_is_resting (&backend->notice, now)
+          && pool_cold_start_closed_until (backend, now) == 0)
+        return true;
+    }
+  return false;
+}
--- a/src/balance/pool_pick.c
+++ b/src/balance/pool_pick.c
@@ -173,7 +173,8 @@
 /* Finds the candidates for a request.  An object has only a few candidates, so
    that each backend server keeps its objects cached even if there are more
    requests than slots.  A cold backend server that may not get another request
-   now is not a candidate.  LAST_RESORT: only backend servers that leave are.
+   now, or that names a limit, is not a candidate.  LAST_RESORT: only backend
+   servers that leave are.
  */
 static void
 find_candidates (backend_pool_t *pool, const pool_query_t *query,
@@ -190,7 +191,8 @@
                              : pool_is_eligible (backend, query);
       if (is_eligible && backend->health == BACKEND_UP
           && backend_notice_allows (&backend->notice, backend->in_flight, now)
-          && pool_cold_start_allows (backend, now))
+          && pool_cold_start_allows (backend, now)
+          && pool_limit_allows (backend, now))
         add_candidate (candidates, max, backend,
                        rendezvous_score (backend, object_hash, now));
     }
@@ -268,9 +270,13 @@
       const backend_t *backend = service->backends[i];
       if (!pool_is_eligible (backend, query) || backend->health != BACKEND_UP
           || backend_notice_is_resting (&backend->notice, now)
-          || pool_cold_start_closed_until (backend, now) > 0)
+          || pool_cold_start_closed_until (backend, now) > 0
+          || pool_limit_closed_until (backend, now) > 0)
         continue;
-      capacity.slots += backend->record.slots;
+      if (pool_limit_binds (backend))
+        capacity.limited_rate += pool_limit_rate (backend);
+      else
+        capacity.slots += backend->record.slots;
       if (backend->latency == 0)
         continue;
       sum += backend->latency;
--- a/src/fleet/load_wire.c
+++ b/src/fleet/load_wire.c
@@ -6,6 +6,21 @@
   return high << 16 | (low & UINT16_MAX);
 }
 
+enum
+{
+  FLAG_FAILED = 1 << 0,
+  FLAG_LACKS_LOAD = 1 << 1,
+  LIMIT_SHIFT = 2, /* the other bits of the half */
+};
+
+static uint32_t
+pack_flags (const load_report_t *report)
+{
+  return (report->has_failed ? FLAG_FAILED : 0)
+         | (report->lacks_load ? FLAG_LACKS_LOAD : 0)
+         | (uint32_t)report->limit << LIMIT_SHIFT;
+}
+
 void
 load_wire_write (const load_report_t *reports, size_t n, fleet_load_t *wire,
                  usec_t now)
@@ -19,8 +34,8 @@
         .counts = pack_halves (reports[i].running, reports[i].waiting),
         .pace_and_age = pack_halves (
             reports[i].pace, age > UINT16_MAX ? UINT16_MAX : (uint32_t)age),
-        .duration_and_failure
-        = pack_halves (reports[i].duration, reports[i].has_failed),
+        .duration_and_flags
+        = pack_halves (reports[i].duration, pack_flags (&reports[i])),
       };
     }
 }
@@ -37,8 +52,11 @@
         .running = (uint16_t)(wire[i].counts >> 16),
         .waiting = (uint16_t)(wire[i].counts & UINT16_MAX),
         .pace = (uint16_t)(wire[i].pace_and_age >> 16),
-        .duration = (uint16_t)(wire[i].duration_and_failure >> 16),
-        .has_failed = (wire[i].duration_and_failure & UINT16_MAX) != 0,
+        .duration = (uint16_t)(wire[i].duration_and_flags >> 16),
+        .has_failed = (wire[i].duration_and_flags & FLAG_FAILED) != 0,
+        .lacks_load = (wire[i].duration_and_flags & FLAG_LACKS_LOAD) != 0,
+        .limit = (load_limit_t)((wire[i].duration_and_flags & UINT16_MAX)
+                                >> LIMIT_SHIFT),
         .at = sent_at - age,
       };
     }
--- a/src/load/load_defs.h
+++ b/src/load/load_defs.h
@@ -15,11 +15,26 @@
   LOAD_SERVERS_MAX = 8192,     /* in a table */
 };
 
+/* How many requests a second a backend server takes from all routers, as its
+   response named it: tenths, rounded down, above LOAD_LIMIT_ZERO.  */
+typedef uint16_t load_limit_t;
+
+enum
+{
+  LOAD_LIMIT_NOT_TOLD,
+  LOAD_LIMIT_ENDED, /* it names none any more */
+  LOAD_LIMIT_ZERO,
+  LOAD_LIMIT_MAX = (1 << 14) - 1,
+  LOAD_LIMIT_UNITS = 10, /* in one request a second */
+};
+
 /* The load of a backend server at one moment, and what became of the request
    whose response told it.  */
 typedef struct load_report
 {
-  uint64_t server;  /* of load_server_id */
+  uint64_t server; /* of load_server_id */
+  bool lacks_load; /* only the limit is told */
+  load_limit_t limit;
   uint16_t running; /* requests */
   uint16_t waiting;
   uint16_t pace; /* how long work takes, in percent of normal; 0: not told */
--- a/src/router/director_report.c
+++ b/src/router/director_report.c
@@ -190,6 +190,16 @@
                LOG_U ("told", sync->n_colds));
 }
 
+static void
+hear_loads (director_sync_t *sync, usec_t now)
+{
+  size_t n_limits
+      = backend_pool_hear_loads (sync->pool, sync->loads, sync->n_loads, now);
+  if (n_limits > 0)
+    LOG_EVENT (LOG_LEVEL_INFO, "backend_limits_told",
+               LOG_U ("changed", n_limits), LOG_U ("told", sync->n_loads));
+}
+
 void
 director_report_settle (director_sync_t *sync, usec_t now)
 {
@@ -200,7 +210,7 @@
     limiter_report_ended (sync->limiter, sync->is_answered, sync->quotas,
                           sync->n_quotas, now);
   if (sync->n_loads > 0)
-    backend_pool_hear_loads (sync->pool, sync->loads, sync->n_loads, now);
+    hear_loads (sync, now);
   if (sync->n_colds > 0)
     hear_colds (sync, now);
 }
--- a/src/router/dispatcher_cold.c
+++ b/src/router/dispatcher_cold.c
@@ -14,16 +14,16 @@
 #define COLD_EXPIRY_INTERVAL USEC_PER_SEC
 /* The least time between two pulls that are earlier than regular ones, so that
    what is seen at one moment travels together.  */
-#define COLD_PULL_INTERVAL (100 * USEC_PER_MSEC)
+#define HURRIED_PULL_INTERVAL (100 * USEC_PER_MSEC)
 
-static void
-hurry_pull (dispatcher_t *dispatcher, usec_t now)
+void
+dispatcher_hurry_pull (dispatcher_t *dispatcher, usec_t now)
 {
-  usec_t due_at = dispatcher->next_cold_pull_at;
+  usec_t due_at = dispatcher->next_hurried_pull_at;
   if (due_at <= now)
     {
       due_at = now;
-      dispatcher->next_cold_pull_at = now + COLD_PULL_INTERVAL;
+      dispatcher->next_hurried_pull_at = now + HURRIED_PULL_INTERVAL;
     }
   director_sync_hurry (dispatcher->options.sync, due_at);
 }
@@ -42,7 +42,7 @@
              LOG_S ("backend", backend->record.id),
              LOG_S ("evidence", evidence),
              LOG_I ("left_ms", (until - now) / USEC_PER_MSEC));
-  hurry_pull (dispatcher, now);
+  dispatcher_hurry_pull (dispatcher, now);
 }
 
 /* BACKEND refused a connection.  */
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -69,25 +69,18 @@
   dispatcher_release_backend (dispatcher, exchange, outcome, now);
 }
 
-/* When the first of EXCHANGE's backend servers wants requests again, those
-   that refused it included; 0 if one of them does not rest.  */
-static usec_t
-rest_end_of_all (const dispatcher_t *dispatcher, const exchange_t *exchange,
-                 usec_t now)
-{
-  pool_query_t query = exchange->query;
-  query.n_excluded = 0;
-  return backend_pool_rest_end (dispatcher->pool, &query, now);
-}
-
 /* The Retry-After of a refused request: the time until a backend server wants
    requests again, if all rest; otherwise the time until the queue has room,
-   within a quarter of the time until the caller's deadline.  */
+   within a quarter of the time until the caller's deadline.  Another router
+   may have room at once where others share a limit.  */
 static usec_t
 retry_after (dispatcher_t *dispatcher, const exchange_t *exchange, usec_t now)
 {
-  usec_t rest_end = rest_end_of_all (dispatcher, exchange, now);
-  if (rest_end > 0)
+  pool_query_t query = exchange->query;
+  query.n_excluded = 0; /* those that refused it included */
+  usec_t rest_end = backend_pool_rest_end (dispatcher->pool, &query, now);
+  if (rest_end > 0
+      && !backend_pool_is_shared_by_others (dispatcher->pool, &query, now))
     return rest_end - now;
   usec_t wait_max = exchange->caller_deadline > 0
                         ? (exchange->caller_deadline - now) / 4
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -66,7 +66,7 @@
   bool shares_machines;     /* some backend server tells its pace */
   cold_table_t seen_colds;  /* backend servers, to be told to directors */
   usec_t next_cold_expiry_at;
-  usec_t next_cold_pull_at; /* no earlier pull only for them */
+  usec_t next_hurried_pull_at; /* no earlier one than regular before */
 };
 
 /* dispatcher_finish.c */
@@ -209,6 +209,8 @@
    BACKEND: that it has ended, or how long it stays cold.  */
 void dispatcher_cold_evidence (dispatcher_t *dispatcher, backend_t *backend,
                                const backend_response_t *response, usec_t now);
+/* Tell directors what was just seen earlier than with the regular pull.  */
+void dispatcher_hurry_pull (dispatcher_t *dispatcher, usec_t now);
 /* Forget what has ended, when due.  */
 void dispatcher_expire_colds (dispatcher_t *dispatcher, usec_t now);
 
--- a/src/router/dispatcher_load.c
+++ b/src/router/dispatcher_load.c
@@ -34,10 +34,14 @@
                       const backend_outcome_t *outcome, usec_t now)
 {
   const backend_load_t *load = &outcome->load;
-  if (!shares_load (dispatcher, load))
+  load_limit_t limit = request_limit_tell (&backend->notice.limit, now);
+  bool has_load = shares_load (dispatcher, load);
+  if (!has_load && limit == LOAD_LIMIT_NOT_TOLD)
     return;
   const load_report_t report
       = { .server = backend->load_id,
+          .lacks_load = !has_load,
+          .limit = limit,
           .running = to_count (load->running),
           .waiting = to_count (load->waiting),
           .pace = to_count (load->pace),
--- a/src/router/dispatcher_notices.c
+++ b/src/router/dispatcher_notices.c
@@ -37,7 +37,7 @@
             const limit_statement_t *statement, usec_t sent_at, usec_t now)
 {
   const request_limit_t *limit = &backend->notice.limit;
-  usec_t named_at = limit->named_at;
+  usec_t heard_at = limit->heard_at;
   if (!backend_pool_note_limit (dispatcher->pool, backend, statement, sent_at,
                                 now))
     return;
@@ -46,8 +46,9 @@
              LOG_S ("service", backend->record.service.text),
              LOG_U ("in_force", limit->is_in_force),
              LOG_F ("requests_a_second", limit->rate),
-             LOG_I ("last_named_ms_ago",
-                    named_at > 0 ? (now - named_at) / USEC_PER_MSEC : -1));
+             LOG_I ("last_heard_ms_ago",
+                    heard_at > 0 ? (now - heard_at) / USEC_PER_MSEC : -1));
+  dispatcher_hurry_pull (dispatcher, now);
 }
 
 void
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -208,9 +208,12 @@
   size_t n_routers = dispatcher->snapshot->n_routers;
   double slots
       = (double)capacity.slots / (double)(n_routers > 0 ? n_routers : 1);
-  if (capacity.mean_latency == 0 || slots <= 0)
+  double places = capacity.limited_rate / (double)USEC_PER_SEC; /* a usec */
+  if (capacity.mean_latency > 0)
+    places += slots / (double)capacity.mean_latency;
+  if (places <= 0)
     return forecast;
-  double place_time = (double)capacity.mean_latency / slots;
+  double place_time = 1 / places;
   forecast.place_time = (usec_t)place_time;
   forecast.wait = (usec_t)(place_time * (double)(ahead + 1));
   return forecast;
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -148,8 +148,9 @@
   uint32_t counts;       /* high half: requests that run; low: that wait */
   uint32_t pace_and_age; /* high half: percent; low: msec since it said so */
   /* High half: of the request that it answered, in percent of what the router
-     expected, 0: not known; low: 1 if it failed. */
-  uint32_t duration_and_failure;
+     expected, 0: not known; low: 1 if it failed, 2 if no load is told, and 4
+     times the load_limit_t of the server. */
+  uint32_t duration_and_flags;
 };
 
 /* A backend server that is cold, or may be. */
