feat(router): a router learns whether it reaches any backend server

Failures at two servers, or a second without a response, raise a doubt; then up to four random servers are asked for their health over new connections. One answer shows that there is no cut, none that there is one. backends_reached tells each change. No choice uses it yet: until now a cut could not be told in the logs from servers that end or are full.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -429,6 +429,20 @@
   return NULL;
 }
 
+backend_t *
+backend_pool_random_check (backend_pool_t *pool, usec_t now)
+{
+  uint64_t first
+      = pool->n_by_id > 0 ? random_below (&pool->random, pool->n_by_id) : 0;
+  for (size_t i = 0; i < pool->n_by_id; i++)
+    {
+      backend_t *backend = pool->by_load_id[(first + i) % pool->n_by_id];
+      if (backend->is_listed && backend_pool_begin_check (backend, now))
+        return backend;
+    }
+  return NULL;
+}
+
 void
 backend_pool_probe_ended (backend_pool_t *pool, backend_t *backend,
                           bool is_healthy, usec_t cold_left, usec_t now)
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -282,6 +282,10 @@
    gets it in place of a request.  */
 bool backend_pool_begin_check (backend_t *backend, usec_t now);
 
+/* Returns a random listed backend server, marked as being probed, or NULL if
+   none may be.  */
+backend_t *backend_pool_random_check (backend_pool_t *pool, usec_t now);
+
 /* Records the result of a probe.  COLD_LEFT is the rest of the cold start that
    the backend server reported, in usec.  Frees BACKEND if it is no longer
    listed and has no requests in flight.  */
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -188,6 +188,7 @@
   dispatcher_apply_releases (dispatcher);
   dispatcher_expire_quotas (dispatcher, now);
   dispatcher_serve_queue (dispatcher, now);
+  dispatcher_check_reach (dispatcher, now);
   dispatcher_send_probes (dispatcher, now);
   dispatcher_check_abandoned (dispatcher, now);
   dispatcher_expire_crashes (dispatcher, now);
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -4,6 +4,7 @@
 #ifndef ROUTER_DISPATCHER_INTERNAL_H
 #define ROUTER_DISPATCHER_INTERNAL_H
 
+#include "balance/backend_reach.h"
 #include "balance/backend_stutter.h"
 #include "balance/queue_wait.h"
 #include "balance/retry_share.h"
@@ -60,7 +61,9 @@
   abandoned_runs_t abandoned; /* that this router has given up on */
   usec_t next_crash_expiry_at;
   backend_stutters_t stutters;
-  limiter_t limiter; /* of the client accounts' quotas */
+  backend_reach_t reach;
+  usec_t next_waiting_at; /* when calls in flight are looked at for it */
+  limiter_t limiter;      /* of the client accounts' quotas */
   usec_t next_quota_expiry_at;
   load_table_t heard_loads; /* of backend servers, to be told to directors */
   bool shares_machines;     /* some backend server tells its pace */
@@ -214,6 +217,17 @@
 /* Forget what has ended, when due.  */
 void dispatcher_expire_colds (dispatcher_t *dispatcher, usec_t now);
 
+/* dispatcher_reach.c */
+/* Record what RESPONSE to OWNER's call shows of the links to BACKEND.  */
+void dispatcher_reach_evidence (dispatcher_t *dispatcher,
+                                const call_owner_t *owner,
+                                const backend_t *backend,
+                                const backend_response_t *response,
+                                usec_t now);
+/* Ask backend servers for their health if it is doubtful whether any is
+   reached.  */
+void dispatcher_check_reach (dispatcher_t *dispatcher, usec_t now);
+
 /* dispatcher_stutter.c */
 /* Whether each request to BACKEND needs a new connection at NOW.  */
 bool dispatcher_stutters (const dispatcher_t *dispatcher,
@@ -234,6 +248,9 @@
 /* dispatcher_probe.c */
 /* Send a health check to BACKEND, which is marked as being probed.  */
 void dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend);
+/* The same, over a new connection, as one of a round of backend_reach.  */
+void dispatcher_send_reach_check (dispatcher_t *dispatcher,
+                                  backend_t *backend);
 /* Send health checks to the backend servers that are down and due for one.  */
 void dispatcher_send_probes (dispatcher_t *dispatcher, usec_t now);
 void dispatcher_free_probe (call_owner_t *owner);
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -14,8 +14,8 @@
    a probe to be useful.  */
 #define PROBE_TIMEOUT (500 * USEC_PER_MSEC)
 
-void
-dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend)
+static void
+send_check (dispatcher_t *dispatcher, backend_t *backend, bool is_reach_check)
 {
   const route_config_t *config = dispatcher->snapshot->config;
   const service_config_t *service
@@ -25,6 +25,7 @@
   if (!owner)
     abort ();
   owner->backend = backend;
+  owner->is_reach_check = is_reach_check;
   owner->boot = backend_record_boot (&backend->record);
   list_push_back (&dispatcher->probes, &owner->link);
   const backend_request_t request
@@ -32,7 +33,8 @@
           .boot = owner->boot,
           .backend_id = backend->record.id,
           .needs_new_connection
-          = dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
+          = is_reach_check
+            || dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
           .method = "GET",
           .target = service ? service->health_path : "/",
           .id = "",
@@ -43,6 +45,18 @@
   backend_http_call (dispatcher->backends, &request);
 }
 
+void
+dispatcher_send_probe (dispatcher_t *dispatcher, backend_t *backend)
+{
+  send_check (dispatcher, backend, false);
+}
+
+void
+dispatcher_send_reach_check (dispatcher_t *dispatcher, backend_t *backend)
+{
+  send_check (dispatcher, backend, true);
+}
+
 static void
 count_needless_limit (dispatcher_t *dispatcher, backend_t *backend, usec_t now)
 {
@@ -85,6 +99,7 @@
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
+  dispatcher_reach_evidence (dispatcher, owner, backend, response, now);
   dispatcher_crash_evidence_of_probe (dispatcher, owner, response, now);
   dispatcher_read_probe_notices (dispatcher, backend, response, now);
   dispatcher_cold_evidence (dispatcher, backend, response, now);
--- /dev/null
+++ b/src/router/dispatcher_reach.c
@@ -0,0 +1,104 @@
+/* Whether this router reaches any backend server, and what follows from it. */
+
+#include "router/dispatcher_internal.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+static const char *
+state_name (reach_state_t state)
+{
+  switch (state)
+    {
+    case REACH_ANY:
+      return "any";
+    case REACH_DOUBTFUL:
+      return "doubtful";
+    case REACH_NONE:
+      break;
+    }
+  return "none";
+}
+
+static contact_t
+contact_of (const backend_response_t *response)
+{
+  if (response->has_head)
+    return CONTACT_RESPONSE;
+  bool is_connected = response->may_have_reached && !response->is_unreachable;
+  return is_connected ? CONTACT_SILENT : CONTACT_FAILED;
+}
+
+/* The state was BEFORE.  */
+static void
+note_change (dispatcher_t *dispatcher, reach_state_t before, usec_t now)
+{
+  reach_state_t state = dispatcher->reach.state;
+  if (state == before)
+    return;
+  LOG_EVENT (state == REACH_NONE ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+             "backends_reached", LOG_S ("state", state_name (state)),
+             LOG_S ("before", state_name (before)),
+             LOG_I ("response_ms_ago",
+                    (now - dispatcher->reach.response_at) / USEC_PER_MSEC));
+}
+
+void
+dispatcher_reach_evidence (dispatcher_t *dispatcher, const call_owner_t *owner,
+                           const backend_t *backend,
+                           const backend_response_t *response, usec_t now)
+{
+  backend_reach_t *reach = &dispatcher->reach;
+  reach_state_t before = reach->state;
+  contact_t contact = contact_of (response);
+  if (owner->is_reach_check)
+    backend_reach_check_ended (reach, contact, now);
+  else
+    backend_reach_contact (reach, backend->id_hash, contact,
+                           !response->was_reused, now);
+  note_change (dispatcher, before, now);
+}
+
+/* Note that a request has waited for its response for so long.  */
+static void
+note_waiting (dispatcher_t *dispatcher, usec_t now)
+{
+  usec_t sent_at = now;
+  LIST_FOREACH (link, &dispatcher->active)
+  {
+    const exchange_t *exchange = LIST_ENTRY (link, exchange_t, link);
+    if (exchange->call && exchange->backend && exchange->sent_at < sent_at)
+      sent_at = exchange->sent_at;
+  }
+  backend_reach_waiting (&dispatcher->reach, sent_at, now);
+}
+
+/* Ask some backend servers for their health.  */
+static void
+begin_round (dispatcher_t *dispatcher, usec_t now)
+{
+  size_t n = 0;
+  backend_t *backend;
+  while (n < REACH_CHECKS
+         && (backend = backend_pool_random_check (dispatcher->pool, now)))
+    {
+      dispatcher_send_reach_check (dispatcher, backend);
+      n++;
+    }
+  backend_reach_begin_round (&dispatcher->reach, n, now);
+}
+
+void
+dispatcher_check_reach (dispatcher_t *dispatcher, usec_t now)
+{
+  reach_state_t before = dispatcher->reach.state;
+  if (now >= dispatcher->next_waiting_at)
+    {
+      dispatcher->next_waiting_at = now + REACH_ROUND_INTERVAL / 4;
+      note_waiting (dispatcher, now);
+      note_change (dispatcher, before, now);
+    }
+  if (backend_reach_round_is_due (&dispatcher->reach, now))
+    begin_round (dispatcher, now);
+}
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -132,6 +132,8 @@
   backend_result_t result = answer_classify (&facts);
   bool reached = facts.may_have_been_sent;
   exchange->call = NULL;
+  dispatcher_reach_evidence (dispatcher, &exchange->owner, backend, response,
+                             now);
   log_answered (exchange, response, &facts, now);
   router_metrics_response_ended (
       dispatcher->options.metrics, exchange->query.service,
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -35,6 +35,7 @@
   backend_t *backend;   /* set for a health check only */
   uint64_t boot;        /* backend_record_boot of the start that it was made
                            to; the list may show a later one meanwhile */
+  bool is_reach_check;  /* a health check for backend_reach */
   list_t link;          /* of a health check: in dispatcher_t's probes */
 } call_owner_t;
 
