test(functional): routers that are cut off from backend servers serve their callers

The stand-in cuts links by the caller's address: connections hang, are reset, or live on while new ones hang.

--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -25,6 +25,7 @@
    answers that it leaves; one that FOLDER/resting names refuses all requests,
    and wants a rest of REST_SECONDS; one that FOLDER/limited names with a text
    behind a blank has that text as Server-Limit in the answers to its requests.
+   FOLDER/cut cuts links to the backend servers (platform_cut.h).
    A request that reaches a backend server is
    appended to FOLDER/reached as "ID BACKEND MSEC KIND"; KIND is "run" or
    "refused".  Each run is also appended to FOLDER/accounts as "ID ACCOUNT MSEC
@@ -43,6 +44,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "platform_cut.h"
+
 #define REST_SECONDS "4"
 
 enum
@@ -63,6 +66,7 @@
   DOWN_USEC = 1000 * 1000,
   COLD_MSEC = 3000,
   LIST_LAG_MSEC = 800,
+  CUT_STEP_USEC = 20 * 1000,
 };
 
 typedef struct fake_backend
@@ -224,6 +228,22 @@
   return MHD_lookup_connection_value (connection, MHD_HEADER_KIND, name);
 }
 
+static const struct sockaddr *
+caller_address (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection,
+                                  MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+      ->client_addr;
+}
+
+static enum MHD_Result
+accept_caller (void *closure, const struct sockaddr *address, socklen_t length)
+{
+  (void)closure;
+  (void)length;
+  return cut_of (fake.folder, address) == CUT_RESET ? MHD_NO : MHD_YES;
+}
+
 static bool
 ends_with (const char *text, const char *end)
 {
@@ -319,7 +339,9 @@
       *data_bytes = 0;
       return MHD_YES;
     }
-  if (!is_boot (backend, boot))
+  const struct sockaddr *from = caller_address (connection);
+  cut_wait (fake.folder, from);
+  if (!is_boot (backend, boot) || cut_of (fake.folder, from) == CUT_RESET)
     return MHD_NO;
   const char *id = header (connection, "Request-Id");
   const char *expected = header (connection, "Expect-Instance");
@@ -427,14 +449,35 @@
 static struct MHD_Daemon *
 open_port (unsigned int port, MHD_AccessHandlerCallback handler, void *closure)
 {
+  bool is_backend = handler == serve_backend;
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   inet_pton (AF_INET, fake.address, &address.sin_addr);
   return MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
-      (uint16_t)port, NULL, NULL, handler, closure, MHD_OPTION_SOCK_ADDR,
-      (struct sockaddr *)&address, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-      MHD_OPTION_END);
+      (uint16_t)port, is_backend ? accept_caller : NULL, NULL, handler,
+      closure, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+}
+
+/* Keep the listening sockets to FOLDER/cut.  */
+static void *
+watch_cuts (void *closure)
+{
+  (void)closure;
+  for (;;)
+    {
+      pthread_mutex_lock (&fake.lock);
+      for (size_t i = 0; i < fake.n_backends; i++)
+        if (!fake.backends[i].is_down)
+          cut_filter (fake.folder,
+                      MHD_get_daemon_info (fake.backends[i].daemon,
+                                           MHD_DAEMON_INFO_LISTEN_FD)
+                          ->listen_fd);
+      pthread_mutex_unlock (&fake.lock);
+      usleep (CUT_STEP_USEC);
+    }
+  return NULL;
 }
 
 /* Give BACKEND an id for its next start.  */
@@ -510,11 +553,13 @@
         return 1;
       }
   struct MHD_Daemon *list = open_port (port, serve_list, NULL);
-  if (!list)
+  pthread_t cuts;
+  if (!list || pthread_create (&cuts, NULL, watch_cuts, NULL) != 0)
     return 1;
   int number;
   sigwait (&stop, &number);
   MHD_stop_daemon (list);
+  pthread_mutex_lock (&fake.lock); /* the cuts are watched no more */
   for (size_t i = 0; i < fake.n_backends; i++)
     MHD_stop_daemon (fake.backends[i].daemon);
   return 0;
