fix(router): requests of a router that is cut off from backend servers are carried by others

Cause: whether a router can serve was an input of nothing. It kept requests for servers that it could not reach, and look-ups went on naming it. The class: a router's own view of its links is neither formed nor told.

Now it sends them to a router that reaches servers, and tells directors, which name it no more as long as another one reaches any.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -256,6 +256,17 @@
   backend->next_probe_at = now + FIRST_PROBE_DELAY;
 }
 
+void
+backend_pool_links_restored (backend_pool_t *pool)
+{
+  LIST_FOREACH (link, &pool->backends)
+  {
+    backend_t *backend = LIST_ENTRY (link, backend_t, link);
+    set_health (pool, backend, BACKEND_UP);
+    backend->consecutive_failures = 0;
+  }
+}
+
 usec_t
 backend_pool_connection_refused (backend_pool_t *pool, backend_t *backend,
                                  usec_t now)
--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -144,7 +144,9 @@
 typedef struct pool_router
 {
   uint32_t address;
+  uint16_t port; /* for requests; 0: not known */
   name_t region;
+  bool is_cut_off; /* it reaches no backend server */
 } pool_router_t;
 
 typedef struct pool_update
@@ -299,6 +301,10 @@
                                 const load_report_t *reports, size_t n,
                                 usec_t now);
 
+/* This router reaches backend servers again, after none were in reach: they
+   were not down for what was seen meanwhile.  */
+void backend_pool_links_restored (backend_pool_t *pool);
+
 /* BACKEND refused a connection at NOW: no process listens there.  It gets no
    request until a probe succeeds, and then may have just started.  Returns
    when it is warm at the latest, unless it refuses again; 0 if its service has
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -43,6 +43,17 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
+/* Whether some router of REGION that reaches backend servers is known.  */
+static bool
+has_reaching (const pool_update_t *update, const char *region)
+{
+  for (size_t i = 0; i < update->n_routers; i++)
+    if (!update->routers[i].is_cut_off
+        && strcmp (update->routers[i].region.text, region) == 0)
+      return true;
+  return false;
+}
+
 size_t
 pool_rank_in_region (const backend_pool_t *pool, const backend_t *backend,
                      const pool_update_t *update, size_t *n)
@@ -50,11 +61,13 @@
   uint64_t own_hash = rank_hash (backend, pool->self);
   size_t rank = 0;
   bool is_listed = false;
+  bool skips_cut_off = has_reaching (update, backend->region.text);
   *n = 0;
   for (size_t i = 0; i < update->n_routers; i++)
     {
       const pool_router_t *router = &update->routers[i];
-      if (strcmp (router->region.text, backend->region.text) != 0)
+      if (strcmp (router->region.text, backend->region.text) != 0
+          || (router->is_cut_off && skips_cut_off))
         continue;
       ++*n;
       if (router->address == pool->self)
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -110,7 +110,8 @@
 
 /* Returns how many routers of the region of BACKEND rank before this one, in
    an order of their own for each backend server, or SIZE_MAX if this one is
-   not listed there; sets *N to the number of routers in that region.  A router
+   not listed there.  Those that are cut off from backend servers do not count,
+   unless all are.  Sets *N to the number of routers in that region.  A router
    that is not listed has no share, because the others divide all among
    themselves.  */
 size_t pool_rank_in_region (const backend_pool_t *pool,
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -111,6 +111,7 @@
         peers[wire.peers.peers_len++]
             = (fleet_peer_t){ .address = record->request_address.address,
                               .port = record->request_address.port,
+                              .is_cut_off = record->is_cut_off,
                               .domain
                               = FLEET_WIRE_TEXT (record->domain.text) };
     }
--- a/src/director/core_view.c
+++ b/src/director/core_view.c
@@ -124,11 +124,11 @@
       const router_record_t *record = &core->router_table.records[i];
       json_array_append_new (
           routers,
-          json_pack ("{s:s,s:s,s:o,s:b,s:o}", "vm", record->vm.text,
+          json_pack ("{s:s,s:s,s:o,s:b,s:b,s:o}", "vm", record->vm.text,
                      "failure_domain", record->domain.text, "requests",
                      address_json (&record->request_address), "takes_requests",
-                     record->takes_requests, "heard_ms_ago",
-                     age_json (record->heard_at, now)));
+                     record->takes_requests, "cut_off", record->is_cut_off,
+                     "heard_ms_ago", age_json (record->heard_at, now)));
     }
   return routers;
 }
--- a/src/director/lookup.c
+++ b/src/director/lookup.c
@@ -17,6 +17,23 @@
   RANK_EXCLUDED,       /* takes no requests */
 } lookup_rank_t;
 
+/* Which routers may be named.  */
+typedef struct candidates
+{
+  const router_table_t *routers;
+  bool has_reaching; /* some reach backend servers */
+} candidates_t;
+
+static candidates_t
+candidates_of (const router_table_t *routers)
+{
+  candidates_t candidates = { .routers = routers };
+  for (size_t i = 0; i < routers->n_records; i++)
+    candidates.has_reaching |= routers->records[i].takes_requests
+                               && !routers->records[i].is_cut_off;
+  return candidates;
+}
+
 /* True where some route of HOST allows REGION, or HOST has no route in
    CONFIG.  */
 static bool
@@ -39,10 +56,11 @@
 }
 
 static lookup_rank_t
-rank_of (const router_record_t *router, const route_config_t *config,
-         const lookup_query_t *query)
+rank_of (const candidates_t *candidates, const router_record_t *router,
+         const route_config_t *config, const lookup_query_t *query)
 {
-  if (!router->takes_requests)
+  if (!router->takes_requests
+      || (router->is_cut_off && candidates->has_reaching))
     return RANK_EXCLUDED;
   if (strcmp (router->domain.text, query->domain) == 0)
     return RANK_OWN_DOMAIN;
@@ -55,13 +73,14 @@
 
 /* Write the addresses of up to MAX routers of RANK; returns their number.  */
 static size_t
-append_rank (const router_table_t *routers, const route_config_t *config,
+append_rank (const candidates_t *candidates, const route_config_t *config,
              const lookup_query_t *query, lookup_rank_t rank,
              inet_t *addresses, size_t max)
 {
+  const router_table_t *routers = candidates->routers;
   size_t n = 0;
   for (size_t i = 0; i < routers->n_records && n < max; i++)
-    if (rank_of (&routers->records[i], config, query) == rank)
+    if (rank_of (candidates, &routers->records[i], config, query) == rank)
       addresses[n++] = routers->records[i].request_address;
   return n;
 }
@@ -70,13 +89,14 @@
 lookup_choose (const router_table_t *routers, const route_config_t *config,
                const lookup_query_t *query, inet_t *addresses, size_t max)
 {
-  size_t n
-      = append_rank (routers, config, query, RANK_OWN_DOMAIN, addresses, max);
-  n += append_rank (routers, config, query, RANK_OWN_REGION, addresses + n,
+  const candidates_t candidates = candidates_of (routers);
+  size_t n = append_rank (&candidates, config, query, RANK_OWN_DOMAIN,
+                          addresses, max);
+  n += append_rank (&candidates, config, query, RANK_OWN_REGION, addresses + n,
                     max - n);
   for (lookup_rank_t rank = RANK_ALLOWED_REGION;
        n == 0 && rank < RANK_EXCLUDED; rank++)
-    n = append_rank (routers, config, query, rank, addresses, max);
+    n = append_rank (&candidates, config, query, rank, addresses, max);
   return n;
 }
 
--- a/src/director/lookup.h
+++ b/src/director/lookup.h
@@ -19,11 +19,12 @@
 } lookup_query_t;
 
 /* Fill in ADDRESSES with the request addresses of up to MAX routers that take
-   requests, and return their number.  Routers in the caller's failure domain
-   come first, then those in the rest of its region.  Where there are none of
-   either, the routers in regions that the host's routes in CONFIG allow; where
-   there are none of those, all others.  CONFIG is NULL while no configuration
-   is known; every region is allowed then.  */
+   requests, and return their number.  Those that are cut off from backend
+   servers count as taking none, unless all are.  Routers in the caller's
+   failure domain come first, then those in the rest of its region.  Where
+   there are none of either, the routers in regions that the host's routes in
+   CONFIG allow; where there are none of those, all others.  CONFIG is NULL
+   while no configuration is known; every region is allowed then.  */
 size_t lookup_choose (const router_table_t *routers,
                       const route_config_t *config,
                       const lookup_query_t *query, inet_t *addresses,
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -59,6 +59,7 @@
   inet_t request_address; /* where it accepts callers' requests */
   uint64_t incarnation;
   bool takes_requests; /* false while it starts or stops */
+  bool is_cut_off;     /* it reaches no backend server */
   bool is_direct;      /* received from the router itself, not relayed */
   usec_t heard_at;     /* time of its last report, local monotonic clock */
 } router_record_t;
--- a/src/fleet/fleet_wire.c
+++ b/src/fleet/fleet_wire.c
@@ -22,6 +22,7 @@
                            .port = record->request_address.port,
                            .incarnation = record->incarnation,
                            .takes_requests = record->takes_requests,
+                           .is_cut_off = record->is_cut_off,
                            .age = now - record->heard_at };
 }
 
@@ -36,6 +37,7 @@
     = { .address = from->address, .port = (uint16_t)from->port },
     .incarnation = from->incarnation,
     .takes_requests = from->takes_requests,
+    .is_cut_off = from->is_cut_off,
     .heard_at = now - (from->age > 0 ? from->age : 0),
   };
   return name_parse (&record->vm, from->vm, NULL)
--- a/src/fleet/router_table.c
+++ b/src/fleet/router_table.c
@@ -75,7 +75,8 @@
       const router_record_t *record = &table->records[i];
       const uint64_t numbers[]
           = { record->request_address.address, record->request_address.port,
-              record->incarnation, record->takes_requests };
+              record->incarnation, record->takes_requests,
+              record->is_cut_off };
       digest = XXH3_64bits_withSeed (numbers, sizeof numbers, digest);
     }
   return digest | 1;
--- a/src/fleet/router_table.h
+++ b/src/fleet/router_table.h
@@ -29,8 +29,9 @@
    Returns how many were removed.  */
 size_t router_table_expire (router_table_t *table, usec_t now);
 
-/* A digest that changes when a router is added or removed, restarts, or starts
-   or stops accepting requests.  Never 0.  */
+/* A digest that changes when a router is added or removed, restarts, starts or
+   stops accepting requests, or is cut off from backend servers or not any
+   more.  Never 0.  */
 uint64_t router_table_digest (const router_table_t *table);
 
 #endif
--- a/src/router/director_apply.c
+++ b/src/router/director_apply.c
@@ -142,8 +142,12 @@
       const name_t *region
           = fleet_settings_region (sync->options.settings, peer->domain);
       if (region)
-        snapshot->routers[snapshot->n_routers++]
-            = (pool_router_t){ .address = peer->address, .region = *region };
+        snapshot->routers[snapshot->n_routers++] = (pool_router_t){
+          .address = peer->address,
+          .port = peer->port <= UINT16_MAX ? (uint16_t)peer->port : 0,
+          .region = *region,
+          .is_cut_off = peer->is_cut_off
+        };
     }
   xdr_free ((xdrproc_t)xdr_fleet_peers_t, (char *)&wire);
   return true;
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -203,6 +203,7 @@
                            .request_address = settings->requests,
                            .incarnation = sync->options.incarnation,
                            .takes_requests = sync->takes_requests,
+                           .is_cut_off = sync->is_cut_off,
                            .heard_at = now };
   fleet_pull_args_t args
       = { .router = fleet_wire_encode_router (&self, now),
@@ -247,6 +248,16 @@
   pthread_mutex_unlock (&sync->lock);
 }
 
+void
+director_sync_set_cut_off (director_sync_t *sync, bool is_cut_off)
+{
+  pthread_mutex_lock (&sync->lock);
+  if (sync->is_cut_off != is_cut_off)
+    sync->next_pull_at = 0;
+  sync->is_cut_off = is_cut_off;
+  pthread_mutex_unlock (&sync->lock);
+}
+
 fleet_snapshot_t *
 director_sync_snapshot (director_sync_t *sync)
 {
--- a/src/router/director_sync.h
+++ b/src/router/director_sync.h
@@ -106,6 +106,9 @@
 void director_sync_set_takes_requests (director_sync_t *sync,
                                        bool takes_requests);
 
+/* Whether this router reaches no backend server.  Announced likewise.  */
+void director_sync_set_cut_off (director_sync_t *sync, bool is_cut_off);
+
 /* The newest snapshot, with a reference for the caller.  */
 fleet_snapshot_t *director_sync_snapshot (director_sync_t *sync);
 
--- a/src/router/director_sync_internal.h
+++ b/src/router/director_sync_internal.h
@@ -23,6 +23,7 @@
   bool is_pulling;
   usec_t next_pull_at;
   bool takes_requests;
+  bool is_cut_off;      /* no backend server is in reach */
   bool is_disconnected; /* the last pull failed */
   bool is_fresh; /* the last answer was of a director in touch with the leader
                   */
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/number.h"
 #include "platform_api.h"
+#include "router/carry_headers.h"
 #include "routing/route_config.h"
 
 enum
@@ -69,6 +70,8 @@
   usec_t now = clock_monotonic ();
   const char *id = request_head_field (&exchange->head, HEADER_REQUEST_ID);
   snprintf (exchange->id, sizeof exchange->id, "%s", id ? id : "");
+  exchange->is_carried
+      = request_head_field (&exchange->head, HEADER_CARRIED) != NULL;
   list_push_back (&dispatcher->active, &exchange->link);
   exchange->snapshot = fleet_snapshot_ref (dispatcher->snapshot);
   if (dispatcher->is_finishing)
@@ -163,7 +166,9 @@
 {
   dispatcher_t *dispatcher = closure;
   call_owner_t *owner = owner_closure;
-  if (owner->exchange)
+  if (owner->exchange && owner->exchange->carrier != 0)
+    dispatcher_carry_ended (dispatcher, owner->exchange, response);
+  else if (owner->exchange)
     dispatcher_call_ended (dispatcher, owner->exchange, response);
   else
     {
--- a/src/router/dispatcher_finish.c
+++ b/src/router/dispatcher_finish.c
@@ -29,6 +29,7 @@
                             : 0),
       LOG_U ("sent", exchange->n_transmitted),
       LOG_U ("tries", exchange->n_attempts),
+      LOG_U ("carriers", exchange->n_carriers),
       LOG_I ("usec", now - exchange->received_at),
       LOG_I ("left_ms", (exchange->deadline - now) / USEC_PER_MSEC),
       LOG_I ("retry_after_ms", exchange->retry_after / USEC_PER_MSEC));
@@ -63,9 +64,15 @@
 dispatcher_abort (dispatcher_t *dispatcher, exchange_t *exchange,
                   const backend_outcome_t *outcome, usec_t now)
 {
-  if (backend_http_abort (dispatcher->backends, exchange->call))
-    dispatcher_abandon_run (dispatcher, exchange, now);
+  bool was_sent = backend_http_abort (dispatcher->backends, exchange->call);
   exchange->call = NULL;
+  if (exchange->carrier != 0)
+    {
+      exchange->carrier = 0;
+      return;
+    }
+  if (was_sent)
+    dispatcher_abandon_run (dispatcher, exchange, now);
   dispatcher_release_backend (dispatcher, exchange, outcome, now);
 }
 
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -6,6 +6,7 @@
 
 #include "balance/backend_reach.h"
 #include "balance/backend_stutter.h"
+#include "balance/carrier_choice.h"
 #include "balance/queue_wait.h"
 #include "balance/retry_share.h"
 #include "fleet/abandoned_runs.h"
@@ -62,6 +63,7 @@
   usec_t next_crash_expiry_at;
   backend_stutters_t stutters;
   backend_reach_t reach;
+  carrier_choice_t carriers;
   usec_t next_waiting_at; /* when calls in flight are looked at for it */
   limiter_t limiter;      /* of the client accounts' quotas */
   usec_t next_quota_expiry_at;
@@ -122,6 +124,20 @@
    was free there, so that it had to wait.  */
 usec_t dispatcher_expected_run_time (const exchange_t *exchange);
 
+/* Forward RESPONSE, whose contents move to EXCHANGE.  */
+void dispatcher_forward_response (dispatcher_t *dispatcher,
+                                  exchange_t *exchange,
+                                  backend_response_t *response);
+
+/* dispatcher_carry.c */
+/* If no backend server is in reach, send EXCHANGE to another router, or refuse
+   it if none can carry it.  Returns false if neither was done.  */
+bool dispatcher_carry (dispatcher_t *dispatcher, exchange_t *exchange,
+                       usec_t now);
+/* EXCHANGE's call to another router has ended with RESPONSE.  */
+void dispatcher_carry_ended (dispatcher_t *dispatcher, exchange_t *exchange,
+                             backend_response_t *response);
+
 /* dispatcher_crashes.c */
 /* Whether EXCHANGE, which was cut off by a crash, must not be sent to a
    further backend server, because requests like it were cut off before.  */
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -115,6 +115,8 @@
 dispatcher_send_probes (dispatcher_t *dispatcher, usec_t now)
 {
   backend_t *backend;
+  if (dispatcher->reach.state == REACH_NONE)
+    return; /* dispatcher_check_reach asks */
   while ((backend = backend_pool_due_probe (dispatcher->pool, now)))
     dispatcher_send_probe (dispatcher, backend);
 }
--- a/src/router/dispatcher_reach.c
+++ b/src/router/dispatcher_reach.c
@@ -42,6 +42,9 @@
              LOG_S ("before", state_name (before)),
              LOG_I ("response_ms_ago",
                     (now - dispatcher->reach.response_at) / USEC_PER_MSEC));
+  director_sync_set_cut_off (dispatcher->options.sync, state == REACH_NONE);
+  if (before == REACH_NONE)
+    backend_pool_links_restored (dispatcher->pool);
 }
 
 void
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -44,9 +44,9 @@
          || retry_share_take (dispatcher_retry_budget (dispatcher, exchange));
 }
 
-static void
-forward_response (dispatcher_t *dispatcher, exchange_t *exchange,
-                  backend_response_t *response)
+void
+dispatcher_forward_response (dispatcher_t *dispatcher, exchange_t *exchange,
+                             backend_response_t *response)
 {
   exchange->response = *response;
   *response = (backend_response_t){ 0 };
@@ -62,7 +62,7 @@
     {
     case BACKEND_ANSWERED:
     case BACKEND_SERVER_ERROR:
-      forward_response (dispatcher, exchange, response);
+      dispatcher_forward_response (dispatcher, exchange, response);
       return;
     case BACKEND_REFUSED:
     case BACKEND_DOUBTFUL_REFUSAL:
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -261,7 +261,8 @@
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
       return;
     }
-  if (try_send (dispatcher, exchange, now))
+  if (dispatcher_carry (dispatcher, exchange, now)
+      || try_send (dispatcher, exchange, now))
     return;
   if (!backend_pool_has_eligible (dispatcher->pool, &exchange->query, now))
     {
@@ -333,7 +334,8 @@
       continue;
     else if (!ends_in_time (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_STOPPING, now);
-    else if (!try_send (dispatcher, exchange, now)
+    else if (!dispatcher_carry (dispatcher, exchange, now)
+             && !try_send (dispatcher, exchange, now)
              && gives_up (dispatcher, exchange, now))
       dispatcher_refuse (dispatcher, exchange, REASON_TOO_LATE, now);
   }
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -32,6 +32,8 @@
       return "too_late";
     case REASON_RESTING:
       return "resting";
+    case REASON_CUT_OFF:
+      return "cut_off";
     case REASON_REFUSED:
       return "refused";
     case REASON_MEMORY:
@@ -76,6 +78,7 @@
     case REASON_OVERLOAD:
     case REASON_TOO_LATE:
     case REASON_RESTING:
+    case REASON_CUT_OFF:
     case REASON_REFUSED:
     case REASON_MEMORY:
     case REASON_QUARANTINED:
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -57,6 +57,8 @@
                          its answer would miss the route's target latency */
   REASON_RESTING,     /* 503, not run: all backend servers want a rest, beyond
                          its deadline */
+  REASON_CUT_OFF,     /* 503, not run: another router sent it here to be
+                         carried, and no backend server is in reach */
   REASON_REFUSED,     /* 503, not run: backend servers refused it */
   REASON_MEMORY,      /* 503, not run: request bodies use too much memory */
   REASON_QUARANTINED, /* 503, not run: requests like it crash backend
@@ -104,6 +106,9 @@
   uint32_t n_transmitted; /* attempts that may have reached a backend server */
   uint32_t n_attempts;    /* all, failed connections included */
   bool may_have_run;
+  bool is_carried;     /* another router sent it here */
+  uint32_t carrier;    /* the router, by address, that carries it; 0: none */
+  uint32_t n_carriers; /* that it was sent to */
   bool has_fingerprint;
   fingerprint_t fingerprint; /* valid if has_fingerprint */
   bool was_refused;          /* a backend server had no room for it */
--- a/src/router/request_headers.c
+++ b/src/router/request_headers.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "platform_api.h"
+#include "router/carry_headers.h"
 
 enum
 {
@@ -26,7 +27,7 @@
   static const char *const excluded[] = {
     "Connection",       "Keep-Alive",    "Transfer-Encoding", "Content-Length",
     "Proxy-Connection", "Trailer",       "Upgrade",           "TE",
-    "Expect",           HEADER_DEADLINE, HEADER_BACKEND_ID
+    "Expect",           HEADER_DEADLINE, HEADER_BACKEND_ID,   HEADER_CARRIED
   };
   for (size_t i = 0; i < sizeof excluded / sizeof excluded[0]; i++)
     if (strcasecmp (name, excluded[i]) == 0)
@@ -70,29 +71,52 @@
   add_header (copy, name, value);
 }
 
-struct curl_slist *
-request_headers (const exchange_t *exchange, const backend_t *backend,
-                 usec_t now)
+/* Copy the fields of EXCHANGE's head, and the time that is left at NOW.  */
+static void
+forward_head (header_copy_t *copy, const exchange_t *exchange, usec_t now)
 {
-  header_copy_t copy
-      = { .hides_key = exchange->snapshot->config->has_accounts };
   char time_left[32];
   for (size_t i = 0; i < exchange->head.n_fields; i++)
-    forward_header (&copy, request_field_name (&exchange->head, i),
+    forward_header (copy, request_field_name (&exchange->head, i),
                     request_field_value (&exchange->head, i));
   snprintf (time_left, sizeof time_left, "%lld",
             (long long)((exchange->deadline - now) / USEC_PER_MSEC));
-  add_header (&copy, HEADER_DEADLINE, time_left);
+  add_header (copy, HEADER_DEADLINE, time_left);
+}
+
+/* Keep libcurl from adding fields of its own.  */
+static struct curl_slist *
+finish_head (const header_copy_t *copy, const exchange_t *exchange)
+{
+  struct curl_slist *list = curl_slist_append (copy->list, "Expect:");
+  if (!copy->has_accept)
+    list = curl_slist_append (list, "Accept:");
+  /* It adds one even if there is no body.  */
+  if (!request_head_field (&exchange->head, "Content-Type"))
+    list = curl_slist_append (list, "Content-Type:");
+  return list;
+}
+
+struct curl_slist *
+request_headers (const exchange_t *exchange, const backend_t *backend,
+                 usec_t now)
+{
+  header_copy_t copy
+      = { .hides_key = exchange->snapshot->config->has_accounts };
+  forward_head (&copy, exchange, now);
   add_header (&copy, HEADER_BACKEND_ID, backend->record.id);
   if (exchange->account)
     add_header (&copy, HEADER_ACCOUNT, exchange->account->name.text);
-  copy.list = curl_slist_append (copy.list, "Expect:");
-  if (!copy.has_accept)
-    copy.list = curl_slist_append (copy.list, "Accept:");
-  /* Otherwise libcurl adds a Content-Type, even if there is no body.  */
-  if (!request_head_field (&exchange->head, "Content-Type"))
-    copy.list = curl_slist_append (copy.list, "Content-Type:");
-  return copy.list;
+  return finish_head (&copy, exchange);
+}
+
+struct curl_slist *
+request_headers_carry (const exchange_t *exchange, usec_t now)
+{
+  header_copy_t copy = { 0 };
+  forward_head (&copy, exchange, now);
+  add_header (&copy, HEADER_CARRIED, "1");
+  return finish_head (&copy, exchange);
 }
 
 struct curl_slist *
--- a/src/router/response_head.c
+++ b/src/router/response_head.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "platform_api.h"
+#include "router/carry_headers.h"
 #include "wire/response_framing.h"
 
 /* Text that grows.  */
@@ -126,6 +127,8 @@
     append_header (buffer, HEADER_REQUEST_ID, exchange->id);
   if (exchange->reason == REASON_NO_ACCOUNT)
     append_header (buffer, "WWW-Authenticate", KEY_SCHEME);
+  if (exchange->reason == REASON_CUT_OFF)
+    append_header (buffer, HEADER_CUT_OFF, "1");
   if (exchange->retry_after > 0)
     {
       char seconds[32];
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -132,6 +132,17 @@
   count (metrics, &sent);
 }
 
+void
+router_metrics_request_carried (router_metrics_t *metrics, const char *service)
+{
+  const metric_options_t carried
+      = { .name = "mulberry_router_carried_total",
+          .help = "Requests sent to other routers, as no backend server was "
+                  "in reach",
+          .service = service };
+  count (metrics, &carried);
+}
+
 void
 router_metrics_response_ended (router_metrics_t *metrics, const char *service,
                                const char *framing, const char *connection_end)
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -35,6 +35,10 @@
 void router_metrics_request_sent (router_metrics_t *metrics,
                                   const char *service, bool is_retry);
 
+/* Count a request for SERVICE that another router is to carry.  */
+void router_metrics_request_carried (router_metrics_t *metrics,
+                                     const char *service);
+
 /* Count a response of a backend server of SERVICE by its FRAMING ("unknown" if
    its head is not whole) and by how its connection ended.  */
 void router_metrics_response_ended (router_metrics_t *metrics,
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -31,6 +31,7 @@
   uint32_t port;
   uint64_t incarnation;
   bool takes_requests;
+  bool is_cut_off; /* it reaches no backend server */
   int64_t age; /* usec since the router said so */
 };
 
@@ -198,6 +199,7 @@
 {
   uint32_t address;
   uint32_t port;
+  bool is_cut_off; /* it reaches no backend server */
   string domain<FLEET_NAME_BYTES_MAX>;
 };
 
--- a/test/unit/test_director_state.c
+++ b/test/unit/test_director_state.c
@@ -294,6 +294,32 @@
   return lookup_choose (table, config, &query, addresses, 8);
 }
 
+/* Guards against callers that are sent to a router that reaches no backend
+   server although others do, and against look-ups that name nobody when none
+   does.  */
+static void
+test_lookup_cut_off (void)
+{
+  g_autofree router_table_t *table = g_new0 (router_table_t, 1);
+  inet_t addresses[8];
+  add_router (table, 1, "north-a", "north", true);
+  add_router (table, 2, "north-b", "north", true);
+  add_router (table, 3, "east-a", "east", true);
+  uint64_t digest = router_table_digest (table);
+  table->records[0].is_cut_off = true;
+  g_assert_cmpuint (router_table_digest (table), !=, digest);
+  g_assert_cmpuint (choose (table, NULL, "north", "north-a", addresses), ==,
+                    1);
+  g_assert_cmpuint (addresses[0].address, ==, 2);
+  table->records[1].is_cut_off = true;
+  g_assert_cmpuint (choose (table, NULL, "north", "north-a", addresses), ==,
+                    1);
+  g_assert_cmpuint (addresses[0].address, ==, 3);
+  table->records[2].is_cut_off = true;
+  g_assert_cmpuint (choose (table, NULL, "north", "north-a", addresses), ==,
+                    2);
+}
+
 /* Guards against callers that are sent to a router that takes no requests or
    has expired, or across regions although there is a nearer router.  */
 static void
@@ -369,6 +395,7 @@
   g_test_add_func ("/director/roster-file", test_roster_file);
   g_test_add_func ("/director/list-interval", test_list_interval);
   g_test_add_func ("/director/lookup", test_lookup);
+  g_test_add_func ("/director/lookup-cut-off", test_lookup_cut_off);
   g_test_add_func ("/director/router-reports",
                    test_router_reports_in_any_order);
   return g_test_run ();
