fix(router): what another router carries ends before the process does

A request that is carried while the process stops had its caller's deadline, past the process's end; now it has the same bound as one that is sent to a server. The comment on keep-alive says what the kernel does: with TCP_USER_TIMEOUT 1500 ms and probes each second a connection that went silent ended after 1.94 s, without it after 2.97 s (a run on Linux 6.18).

--- a/src/router/dispatcher_carry.c
+++ b/src/router/dispatcher_carry.c
@@ -64,6 +64,7 @@
   list_remove (&exchange->link);
   list_push_back (&dispatcher->active, &exchange->link);
   leave_quota (dispatcher, exchange);
+  dispatcher_bound_deadline (dispatcher, exchange);
   exchange->carrier = router->address;
   exchange->n_carriers++;
   exchange->sent_at = now;
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -109,6 +109,9 @@
 /* Send EXCHANGE to a backend server, queue it, or refuse it.  */
 void dispatcher_send_or_queue (dispatcher_t *dispatcher, exchange_t *exchange,
                                usec_t now);
+/* EXCHANGE is sent now: it must end before the process does.  */
+void dispatcher_bound_deadline (const dispatcher_t *dispatcher,
+                                exchange_t *exchange);
 /* What EXCHANGE would have to expect if it were queued now; its `wait` is 0 if
    there is no estimate.  */
 queue_forecast_t dispatcher_queue_forecast (const dispatcher_t *dispatcher,
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -47,6 +47,15 @@
              : INT64_MAX;
 }
 
+void
+dispatcher_bound_deadline (const dispatcher_t *dispatcher,
+                           exchange_t *exchange)
+{
+  usec_t last = last_deadline (dispatcher);
+  if (exchange->deadline > last)
+    exchange->deadline = last;
+}
+
 /* Whether EXCHANGE would end before the process does if it were sent now.  */
 static bool
 ends_in_time (const dispatcher_t *dispatcher, const exchange_t *exchange,
@@ -97,8 +106,7 @@
   exchange->sent_at = now;
   if (!is_late (exchange, now))
     service_state (dispatcher, exchange->query.service)->in_time_sent_at = now;
-  if (exchange->deadline > last_deadline (dispatcher))
-    exchange->deadline = last_deadline (dispatcher);
+  dispatcher_bound_deadline (dispatcher, exchange);
   exchange->slot_was_free
       = backend_load_at (backend, now) + 1 <= backend->record.slots;
   exchange->object_was_known = backend_pool_request_sent (
--- a/src/wire/http_socket.h
+++ b/src/wire/http_socket.h
@@ -13,7 +13,8 @@
 /* For CURLOPT_SOCKOPTFUNCTION.  Connections are reset on close.  Detects a
    connection whose state a device between the two ends has lost: by
    TCP_USER_TIMEOUT while sent bytes stay unacknowledged, and by keep-alive
-   probes while the connection is idle.  */
+   probes while the connection is idle.  Linux gives up on probes after that
+   time, too, whatever their number: 2 s after the last bytes here, not 3.  */
 int http_socket_set_options (void *closure, curl_socket_t fd,
                              curlsocktype purpose);
 
