fix(router): an answer that waits for memory gives that of its upload back

Cause: a request keeps the memory of its body until its answer is delivered, and the answers waited for that memory, each for the others: a cycle.

Now an answer that must wait, whose upload has all been written, gives the upload's memory back; such a request is not tried again, and its fingerprint is taken first.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -74,6 +74,24 @@
   return clock_monotonic () >= client->turn_ends_at;
 }
 
+/* CALL's response waits for room.  */
+static void
+wait_for_room (backend_call_t *call)
+{
+  const backend_http_options_t *options = &call->client->options;
+  bool is_first = !call->is_paused;
+  call->is_paused = true;
+  if (!is_first)
+    return;
+  bool is_written = call->body_bytes > 0
+                    && http_socket_is_written (call->easy, call->body_bytes);
+  LOG_EVENT (LOG_LEVEL_INFO, "answer_waits", LOG_S ("id", call->reader.id),
+             LOG_U ("length", call->reader.head.framing.length),
+             LOG_U ("request_written", is_written));
+  if (is_written && options->request_written)
+    options->request_written (options->closure, call->owner);
+}
+
 static size_t
 on_body (char *data, size_t size, size_t n, void *closure)
 {
@@ -91,11 +109,7 @@
         curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
       return length;
     case BODY_MUST_WAIT:
-      if (!call->is_paused)
-        LOG_EVENT (LOG_LEVEL_INFO, "answer_waits",
-                   LOG_S ("id", call->reader.id),
-                   LOG_U ("length", call->reader.head.framing.length));
-      call->is_paused = true;
+      wait_for_room (call);
       return CURL_WRITEFUNC_PAUSE;
     case BODY_REJECTED:
       break;
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -34,6 +34,10 @@
      what is left is freed afterwards.  Never called from inside
      backend_http_call.  */
   void (*done) (void *closure, void *owner, backend_response_t *response);
+  /* The response to OWNER's call waits for room in the budget, and all of the
+     request has been written: its body is not read any more, and its memory
+     may be given back.  The callee must not call this module.  */
+  void (*request_written) (void *closure, void *owner);
   /* As in backend_connections_options_t.  The callee must not call this
      module.  */
   void (*extra_bytes) (void *closure, const connection_use_t *use,
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -177,6 +177,23 @@
     }
 }
 
+/* What is known of the request by its body is kept.  */
+static void
+on_request_written (void *closure, void *owner_closure)
+{
+  dispatcher_t *dispatcher = closure;
+  exchange_t *exchange = ((call_owner_t *)owner_closure)->exchange;
+  if (!exchange || exchange->body_is_released)
+    return;
+  dispatcher_fingerprint (exchange);
+  exchange->body_is_released = true;
+  body_budget_resize (dispatcher->options.budget, BODY_CERTAIN,
+                      exchange->body_bytes, 0);
+  free (exchange->body);
+  exchange->body = NULL;
+  exchange->body_bytes = 0;
+}
+
 static void
 on_extra_bytes (void *closure, const connection_use_t *use,
                 extra_place_t place, size_t n_bytes)
@@ -282,6 +299,7 @@
           .budget = options->budget,
           .closure = dispatcher,
           .done = on_call_ended,
+          .request_written = on_request_written,
           .extra_bytes = on_extra_bytes };
   dispatcher->backends = backend_http_new (&backends);
   const backend_pool_options_t pool
--- a/src/router/dispatcher_carry.c
+++ b/src/router/dispatcher_carry.c
@@ -150,7 +150,7 @@
   exchange->may_have_run = true;
   if (timed_out)
     dispatcher_finish (dispatcher, exchange, REASON_TIMEOUT);
-  else if (exchange->route->is_idempotent
+  else if (exchange->route->is_idempotent && !exchange->body_is_released
            && retry_share_take (
                dispatcher_retry_budget (dispatcher, exchange)))
     dispatcher_send_or_queue (dispatcher, exchange, now);
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -33,6 +33,7 @@
            bool reached, usec_t now)
 {
   if (exchange->n_attempts >= ATTEMPTS_MAX || now >= exchange->deadline
+      || exchange->body_is_released
       || exchange->n_transmitted >= exchange->route->max_attempts
       || exchange->query.n_excluded >= POOL_EXCLUDED_MAX)
     return false;
