fix(router): a request's body is not copied for each piece of it that arrives

Sanitized, four uploads of 8 MB were told 504 at a planned stop: the router took 5.5 s to receive them, so their runs went past the grace.

Cause: the buffer grew by each piece, which copies all that came before (the allocator of plain builds moves pages instead, which hid it). Room grows by half now, up to the announced length, and is cut to the body's size at its end; where the budget has no room for that, by the piece as before.

--- a/src/router/caller_exchange.c
+++ b/src/router/caller_exchange.c
@@ -52,8 +52,8 @@
 void
 caller_exchange_free (caller_http_t *port, exchange_t *exchange)
 {
-  body_budget_resize (port->options.budget, BODY_CERTAIN, exchange->body_bytes,
-                      0);
+  body_budget_resize (port->options.budget, BODY_CERTAIN,
+                      exchange->body_capacity, 0);
   backend_response_clear (&exchange->response);
   fleet_snapshot_unref (exchange->snapshot);
   request_head_clear (&exchange->head);
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/number.h"
+
 enum
 {
   PIPELINE_MAX = 16, /* requests on one connection; further ones are not read
@@ -31,6 +33,48 @@
   caller_set_ready (connection);
 }
 
+/* The length that EXCHANGE's head announces; 0: none.  */
+static size_t
+announced_bytes (const exchange_t *exchange)
+{
+  const char *text = request_head_field (&exchange->head, "Content-Length");
+  uint64_t length = 0;
+  if (text)
+    number_parse_unsigned (&length, text, BODY_BYTES_MAX);
+  return (size_t)length;
+}
+
+/* The room for a body of NEEDED bytes that grows: more than that, so that many
+   small pieces are not copied again for each, but not more than it can need.
+ */
+static size_t
+next_capacity (const exchange_t *exchange, size_t needed)
+{
+  size_t capacity = exchange->body_capacity + exchange->body_capacity / 2;
+  size_t announced = announced_bytes (exchange);
+  size_t most = announced >= needed ? announced : BODY_BYTES_MAX;
+  if (capacity < needed)
+    return needed;
+  return capacity < most ? capacity : most;
+}
+
+/* Give EXCHANGE's body room for CAPACITY bytes.  Returns false if the budget
+   does not allow that.  */
+static bool
+resize_body (caller_connection_t *connection, exchange_t *exchange,
+             size_t capacity)
+{
+  if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN,
+                           exchange->body_capacity, capacity))
+    return false;
+  char *resized = realloc (exchange->body, capacity);
+  if (!resized)
+    abort ();
+  exchange->body = resized;
+  exchange->body_capacity = capacity;
+  return true;
+}
+
 static void
 append_body (caller_connection_t *connection, exchange_t *exchange,
              const char *data, size_t length)
@@ -43,16 +87,13 @@
       reject (connection, REASON_TOO_LARGE);
       return;
     }
-  if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN,
-                           exchange->body_bytes, needed))
+  if (needed > exchange->body_capacity
+      && !resize_body (connection, exchange, next_capacity (exchange, needed))
+      && !resize_body (connection, exchange, needed))
     {
       caller_exchange_refuse (exchange, REASON_MEMORY);
       return;
     }
-  char *grown = realloc (exchange->body, needed);
-  if (!grown)
-    abort ();
-  exchange->body = grown;
   memcpy (exchange->body + exchange->body_bytes, data, length);
   exchange->body_bytes = needed;
 }
@@ -62,6 +103,8 @@
 {
   exchange_t *exchange = connection->incoming;
   connection->incoming = NULL;
+  if (exchange->body_capacity > exchange->body_bytes)
+    resize_body (connection, exchange, exchange->body_bytes);
   exchange->is_whole = true;
   exchange->is_last = !connection->parser.keeps_alive;
   connection->reads_no_more = exchange->is_last;
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -188,10 +188,11 @@
   dispatcher_fingerprint (exchange);
   exchange->body_is_released = true;
   body_budget_resize (dispatcher->options.budget, BODY_CERTAIN,
-                      exchange->body_bytes, 0);
+                      exchange->body_capacity, 0);
   free (exchange->body);
   exchange->body = NULL;
   exchange->body_bytes = 0;
+  exchange->body_capacity = 0;
 }
 
 static void
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -86,13 +86,13 @@
   const char *host; /* in HEAD */
   char *body;
   size_t body_bytes;
-  bool
-      body_is_released; /* its memory was given back: it can't be sent again */
-  bool wants_continue;  /* the caller waits with the body until it is told */
-  bool is_last;         /* the caller sends no further request */
-  bool is_whole;        /* it was received to its end */
-  bool is_dispatched;   /* it was passed to the dispatcher */
-  bool is_finished;     /* its response or reason is final */
+  size_t body_capacity;  /* of BODY, as the budget counts it */
+  bool body_is_released; /* its memory was given back: not to be sent again */
+  bool wants_continue;   /* the caller waits with the body until it is told */
+  bool is_last;          /* the caller sends no further request */
+  bool is_whole;         /* it was received to its end */
+  bool is_dispatched;    /* it was passed to the dispatcher */
+  bool is_finished;      /* its response or reason is final */
 
   fleet_snapshot_t *snapshot; /* the one it is routed by; holds a reference */
   const route_t *route;
