refactor(router): a carried request keeps to the route's attempts; facts of a response in one place

The field between two routers says how many backend servers may still get the request, so that attempts of both add up to the route's; before, the second router began anew. What is observed of a response was written twice, and the end of an unreachable server decided in two places.

--- a/src/balance/backend_pool.h
+++ b/src/balance/backend_pool.h
@@ -340,9 +340,9 @@
 {
   uint32_t slots;
   usec_t mean_latency; /* 0: not known */
-  double
-      limited_rate; /* requests a second of this router, to those whose limit
-                       is less than their slots, which are not counted */
+  /* Requests a second that this router may send to those whose limit is less
+     than their slots, which are not counted in SLOTS.  */
+  double limited_rate;
 } pool_capacity_t;
 
 pool_capacity_t backend_pool_capacity (const backend_pool_t *pool,
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -14,7 +14,6 @@
 enum
 {
   CONNECTIONS_CACHED = 2000,
-  URL_BYTES = 64,
   END_BYTES = 1,    /* the kernel counts the end of a stream as a byte */
   IDLE_SECONDS = 8, /* longer idle connections are not reused */
 };
@@ -79,10 +78,9 @@
 wait_for_room (backend_call_t *call)
 {
   const backend_http_options_t *options = &call->client->options;
-  bool is_first = !call->is_paused;
-  call->is_paused = true;
-  if (!is_first)
+  if (call->is_paused)
     return;
+  call->is_paused = true;
   bool is_written = call->body_bytes > 0
                     && http_socket_is_written (call->easy, call->body_bytes);
   LOG_EVENT (LOG_LEVEL_INFO, "answer_waits", LOG_S ("id", call->reader.id),
@@ -188,12 +186,7 @@
 set_options (backend_call_t *call, const backend_request_t *request)
 {
   CURL *easy = call->easy;
-  char address[INET_TEXT_BYTES];
-  char url[URL_BYTES];
-  inet_format (&request->address, address);
-  snprintf (url, sizeof url, "http://%s/", address);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
+  backend_transfer_set_target (easy, request);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)(request->connect_timeout / USEC_PER_MSEC + 1));
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
--- a/src/router/backend_transfer.c
+++ b/src/router/backend_transfer.c
@@ -1,7 +1,24 @@
 #include "router/backend_transfer.h"
 
+#include <stdio.h>
 #include <string.h>
 
+enum
+{
+  URL_BYTES = 64,
+};
+
+void
+backend_transfer_set_target (CURL *easy, const backend_request_t *request)
+{
+  char address[INET_TEXT_BYTES];
+  char url[URL_BYTES];
+  inet_format (&request->address, address);
+  snprintf (url, sizeof url, "http://%s/", address);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
+}
+
 void
 backend_transfer_set_method (CURL *easy, const backend_request_t *request)
 {
--- a/src/router/backend_transfer.h
+++ b/src/router/backend_transfer.h
@@ -9,6 +9,10 @@
 
 #include "router/backend_http.h"
 
+/* Set where EASY's REQUEST goes: the address, the path and the query.  */
+void backend_transfer_set_target (CURL *easy,
+                                  const backend_request_t *request);
+
 /* Set the method and the body of REQUEST, which EASY borrows.  */
 void backend_transfer_set_method (CURL *easy,
                                   const backend_request_t *request);
--- a/src/router/carry_headers.h
+++ b/src/router/carry_headers.h
@@ -4,7 +4,8 @@
 #ifndef ROUTER_CARRY_HEADERS_H
 #define ROUTER_CARRY_HEADERS_H
 
-/* Of a request: it must not be passed to a further router.  */
+/* Of a request: how many backend servers may still get it.  It must not be
+   passed to a further router.  */
 #define HEADER_CARRIED "Mulberry-Carried"
 /* Of a response: the router reaches no backend server.  */
 #define HEADER_CUT_OFF "Mulberry-Cut-Off"
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -17,6 +17,7 @@
   DEADLINE_DEFAULT_SECONDS = 30, /* if the caller sends none, or one that
                                     can't be read */
   DEADLINE_MSEC_MAX = 24 * 3600 * 1000,
+  CARRIED_ATTEMPTS_MAX = 1000,
 };
 
 /* Intervals of dispatcher_tick if no event comes earlier: while requests are
@@ -64,14 +65,25 @@
     exchange->deadline = exchange->received_at + timeout;
 }
 
+/* What is no number leaves one attempt.  */
+static void
+read_carried (exchange_t *exchange)
+{
+  const char *text = request_head_field (&exchange->head, HEADER_CARRIED);
+  uint64_t n = 1;
+  if (!text)
+    return;
+  number_parse_unsigned (&n, text, CARRIED_ATTEMPTS_MAX);
+  exchange->carried_attempts = n > 0 ? (uint32_t)n : 1;
+}
+
 void
 dispatcher_request (dispatcher_t *dispatcher, exchange_t *exchange)
 {
   usec_t now = clock_monotonic ();
   const char *id = request_head_field (&exchange->head, HEADER_REQUEST_ID);
   snprintf (exchange->id, sizeof exchange->id, "%s", id ? id : "");
-  exchange->is_carried
-      = request_head_field (&exchange->head, HEADER_CARRIED) != NULL;
+  read_carried (exchange);
   list_push_back (&dispatcher->active, &exchange->link);
   exchange->snapshot = fleet_snapshot_ref (dispatcher->snapshot);
   if (dispatcher->is_finishing)
--- a/src/router/dispatcher_carry.c
+++ b/src/router/dispatcher_carry.c
@@ -4,8 +4,8 @@
    Load pattern: some routers lose their links to all backend servers; callers
    go on connecting to them, as they keep look-ups and connections.  The other
    router gets the request as from a caller, with a field that says that it
-   must not be passed on once more.  It counts it against the account's quota,
-   the retry budget and the route's attempts.  */
+   must not be passed on once more, and how many backend servers may still get
+   it.  It counts it against the account's quota and the retry budget.  */
 
 #include "router/dispatcher_internal.h"
 
@@ -14,7 +14,6 @@
 #include <strings.h>
 #include <xxhash.h>
 
-#include "balance/answer_class.h"
 #include "base/clock.h"
 #include "base/log.h"
 #include "router/carry_headers.h"
@@ -56,6 +55,14 @@
   return XXH3_64bits (&router->address, sizeof router->address);
 }
 
+/* Of the route's attempts; at least one, or it would not be sent again.  */
+static uint32_t
+attempts_left (const exchange_t *exchange)
+{
+  uint32_t max = exchange->route->max_attempts;
+  return max > exchange->n_transmitted ? max - exchange->n_transmitted : 1;
+}
+
 static void
 send_to (dispatcher_t *dispatcher, exchange_t *exchange,
          const pool_router_t *router, usec_t now)
@@ -76,7 +83,8 @@
           .method = exchange->method,
           .target = exchange->target,
           .id = exchange->id,
-          .headers = request_headers_carry (exchange, now),
+          .headers
+          = request_headers_carry (exchange, attempts_left (exchange), now),
           .body = exchange->body,
           .body_bytes = exchange->body_bytes,
           .timeout = exchange->deadline - now + RESPONSE_TRAVEL_TIME,
@@ -96,7 +104,7 @@
 {
   if (dispatcher->reach.state != REACH_NONE)
     return false;
-  if (exchange->is_carried)
+  if (exchange->carried_attempts > 0)
     {
       dispatcher_refuse (dispatcher, exchange, REASON_CUT_OFF, now);
       return true;
@@ -124,20 +132,13 @@
   return false;
 }
 
-/* Whether RESPONSE is the whole answer to EXCHANGE's request.  A router's own
+/* Whether RESPONSE is the whole answer to the request.  A router's own
    rejections are promises, unlike those of backend servers, which it passes on
    only where they state that the request has not run.  */
 static bool
 is_answer (const backend_response_t *response)
 {
-  const answer_facts_t facts = { .may_have_been_sent = true,
-                                 .is_complete = response->is_complete,
-                                 .is_foreign = response->is_foreign,
-                                 .was_reused = response->was_reused,
-                                 .id_matches = response->id_matches,
-                                 .is_signed = response->is_signed,
-                                 .is_encoded = response->is_encoded,
-                                 .status = response->status };
+  answer_facts_t facts = dispatcher_response_facts (response);
   backend_result_t result = answer_classify (&facts);
   return result != BACKEND_NO_VALID_ANSWER && result != BACKEND_OTHER_ANSWER;
 }
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -304,6 +304,14 @@
     check_backend (dispatcher, backend, now);
 }
 
+/* No connection to BOOT's backend server can be made.  */
+static void
+note_unreachable (dispatcher_t *dispatcher, uint64_t boot, usec_t now)
+{
+  if (dispatcher_shows_end (dispatcher, boot, false))
+    dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
+}
+
 void
 dispatcher_crash_evidence (dispatcher_t *dispatcher, exchange_t *exchange,
                            bool is_complete_run,
@@ -315,9 +323,8 @@
   if (response->may_have_reached && !response->was_cut_off
       && (!response->is_complete || response->is_foreign))
     dispatcher_abandon_run (dispatcher, exchange, now);
-  if (response->is_unreachable
-      && dispatcher_shows_end (dispatcher, boot, false))
-    dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
+  if (response->is_unreachable)
+    note_unreachable (dispatcher, boot, now);
   if (!is_complete_run)
     return;
   abandoned_runs_seen (&dispatcher->abandoned,
@@ -339,10 +346,7 @@
   bool is_other = response->is_complete && response->backend_id[0]
                   && strcmp (response->backend_id, backend->record.id) != 0;
   if (response->is_unreachable)
-    {
-      if (dispatcher_shows_end (dispatcher, boot, false))
-        dispatcher_confirm_end (dispatcher, boot, "unreachable", now);
-    }
+    note_unreachable (dispatcher, boot, now);
   else if (is_other)
     dispatcher_confirm_end (dispatcher, boot,
                             "another backend server at its address", now);
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -4,6 +4,7 @@
 #ifndef ROUTER_DISPATCHER_INTERNAL_H
 #define ROUTER_DISPATCHER_INTERNAL_H
 
+#include "balance/answer_class.h"
 #include "balance/backend_reach.h"
 #include "balance/backend_stutter.h"
 #include "balance/carrier_choice.h"
@@ -137,6 +138,7 @@
    was free there, so that it had to wait.  */
 usec_t dispatcher_expected_run_time (const exchange_t *exchange);
 
+answer_facts_t dispatcher_response_facts (const backend_response_t *response);
 /* Forward RESPONSE, whose contents move to EXCHANGE.  */
 void dispatcher_forward_response (dispatcher_t *dispatcher,
                                   exchange_t *exchange,
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -11,8 +11,8 @@
   ATTEMPTS_MAX = 6, /* those that reached no backend server included */
 };
 
-static answer_facts_t
-response_facts (const backend_response_t *response)
+answer_facts_t
+dispatcher_response_facts (const backend_response_t *response)
 {
   return (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
                            .is_complete = response->is_complete,
@@ -25,6 +25,15 @@
                            .status = response->status };
 }
 
+/* How many backend servers may get EXCHANGE from this router.  */
+static uint32_t
+max_attempts (const exchange_t *exchange)
+{
+  uint32_t max = exchange->route->max_attempts;
+  uint32_t left = exchange->carried_attempts;
+  return left > 0 && left < max ? left : max;
+}
+
 /* Whether EXCHANGE may be sent to another backend server now, after a call
    that MAY_HAVE_RUN it or not.  Takes a retry from the budget if the request
    had REACHED a backend server.  */
@@ -34,7 +43,7 @@
 {
   if (exchange->n_attempts >= ATTEMPTS_MAX || now >= exchange->deadline
       || exchange->body_is_released
-      || exchange->n_transmitted >= exchange->route->max_attempts
+      || exchange->n_transmitted >= max_attempts (exchange)
       || exchange->query.n_excluded >= POOL_EXCLUDED_MAX)
     return false;
   if (may_have_run
@@ -129,7 +138,7 @@
 {
   usec_t now = clock_monotonic ();
   backend_t *backend = exchange->backend;
-  answer_facts_t facts = response_facts (response);
+  answer_facts_t facts = dispatcher_response_facts (response);
   backend_result_t result = answer_classify (&facts);
   bool reached = facts.may_have_been_sent;
   exchange->call = NULL;
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -108,7 +108,8 @@
   uint32_t n_transmitted; /* attempts that may have reached a backend server */
   uint32_t n_attempts;    /* all, failed connections included */
   bool may_have_run;
-  bool is_carried;     /* another router sent it here */
+  uint32_t carried_attempts; /* that another router, which sent it here, leaves
+                                to this one; 0: it came from a caller */
   uint32_t carrier;    /* the router, by address, that carries it; 0: none */
   uint32_t n_carriers; /* that it was sent to */
   bool has_fingerprint;
--- a/src/router/request_headers.c
+++ b/src/router/request_headers.c
@@ -111,11 +111,14 @@
 }
 
 struct curl_slist *
-request_headers_carry (const exchange_t *exchange, usec_t now)
+request_headers_carry (const exchange_t *exchange, uint32_t n_attempts,
+                       usec_t now)
 {
   header_copy_t copy = { 0 };
+  char attempts[16];
   forward_head (&copy, exchange, now);
-  add_header (&copy, HEADER_CARRIED, "1");
+  snprintf (attempts, sizeof attempts, "%u", n_attempts);
+  add_header (&copy, HEADER_CARRIED, attempts);
   return finish_head (&copy, exchange);
 }
 
--- a/src/router/request_headers.h
+++ b/src/router/request_headers.h
@@ -15,9 +15,10 @@
 struct curl_slist *request_headers (const exchange_t *exchange,
                                     const backend_t *backend, usec_t now);
 
-/* Headers of EXCHANGE's request for a router that is to carry it at NOW.  */
+/* Headers of EXCHANGE's request for a router that is to carry it at NOW, to
+   at most N_ATTEMPTS backend servers.  */
 struct curl_slist *request_headers_carry (const exchange_t *exchange,
-                                          usec_t now);
+                                          uint32_t n_attempts, usec_t now);
 
 /* Headers for a health check of BACKEND.  */
 struct curl_slist *request_headers_probe (const backend_t *backend);
