fix(router): a carried request that may have run before is not told as not run

Cause: an idempotent request whose call broke off was carried once more, and the 503 of the router that carries it, true of its own attempts, was passed on.

--- a/src/router/dispatcher_carry.c
+++ b/src/router/dispatcher_carry.c
@@ -132,17 +132,6 @@
   return false;
 }
 
-/* Whether RESPONSE is the whole answer to the request.  A router's own
-   rejections are promises, unlike those of backend servers, which it passes on
-   only where they state that the request has not run.  */
-static bool
-is_answer (const backend_response_t *response)
-{
-  answer_facts_t facts = dispatcher_response_facts (response);
-  backend_result_t result = answer_classify (&facts);
-  return result != BACKEND_NO_VALID_ANSWER && result != BACKEND_OTHER_ANSWER;
-}
-
 /* The other router may have sent the request on.  */
 static void
 broke_off (dispatcher_t *dispatcher, exchange_t *exchange, bool timed_out,
@@ -159,6 +148,36 @@
     dispatcher_refuse (dispatcher, exchange, REASON_BROKE_OFF, now);
 }
 
+/* The other router has taken the request.  Its own rejections are promises,
+   unlike those of backend servers, which it passes on only where they state
+   that the request has not run; they tell nothing of earlier attempts.  */
+static void
+take_response (dispatcher_t *dispatcher, exchange_t *exchange,
+               backend_response_t *response, usec_t now)
+{
+  answer_facts_t facts = dispatcher_response_facts (response);
+  switch (answer_classify (&facts))
+    {
+    case BACKEND_ANSWERED:
+    case BACKEND_SERVER_ERROR:
+      dispatcher_forward_response (dispatcher, exchange, response);
+      return;
+    case BACKEND_REFUSED:
+    case BACKEND_DOUBTFUL_REFUSAL:
+    case BACKEND_MISDIRECTED:
+      if (exchange->may_have_run)
+        dispatcher_refuse (dispatcher, exchange, REASON_REFUSED, now);
+      else
+        dispatcher_forward_response (dispatcher, exchange, response);
+      return;
+    case BACKEND_NO_VALID_ANSWER:
+    case BACKEND_OTHER_ANSWER:
+    case BACKEND_CANCELLED:
+      break;
+    }
+  broke_off (dispatcher, exchange, response->timed_out, now);
+}
+
 void
 dispatcher_carry_ended (dispatcher_t *dispatcher, exchange_t *exchange,
                         backend_response_t *response)
@@ -180,8 +199,6 @@
       carrier_avoid (&dispatcher->carriers, carrier, now);
       dispatcher_send_or_queue (dispatcher, exchange, now);
     }
-  else if (is_answer (response))
-    dispatcher_forward_response (dispatcher, exchange, response);
   else
-    broke_off (dispatcher, exchange, response->timed_out, now);
+    take_response (dispatcher, exchange, response, now);
 }
--- a/test/fakes/fake_relay.c
+++ b/test/fakes/fake_relay.c
@@ -12,7 +12,11 @@
                    are reset when they would pass again)
      silence N     connections open now are swallowed for good, new ones pass;
                    again for each new N
-     delay MS      each direction is late by MS  */
+     delay MS      each direction is late by MS
+     lose ADDRESS  connections from there are reset, new ones too
+     mute ADDRESS  they are swallowed both ways
+
+   A second file of the same form is read besides.  */
 
 #include <argp.h>
 #include <arpa/inet.h>
@@ -39,6 +43,7 @@
   POLL_MSEC = 20,
   DELAY_POLL_MSEC = 1,
   EXIT_USAGE_ERROR = 2,
+  CALLERS_MAX = 8, /* that are lost or muted */
 };
 
 typedef struct route
@@ -74,10 +79,17 @@
 {
   list_t link;
   pipe_end_t ends[2];
+  uint32_t from; /* address, network order */
   bool silent;
   bool broken;
 } pair_t;
 
+typedef struct callers
+{
+  size_t n;
+  uint32_t addresses[CALLERS_MAX]; /* network order */
+} callers_t;
+
 typedef struct condition
 {
   bool cut;
@@ -85,6 +97,8 @@
   bool drop_from;
   long silence;
   usec_t delay;
+  callers_t lost;
+  callers_t muted;
 } condition_t;
 
 static struct
@@ -92,18 +106,37 @@
   route_t routes[ROUTES_MAX];
   size_t n_routes;
   const char *control;
+  const char *cuts;
   condition_t condition;
   int epoll;
   list_t pairs;
 } relay;
 
+static bool
+has_caller (const callers_t *callers, uint32_t address)
+{
+  for (size_t i = 0; i < callers->n; i++)
+    if (callers->addresses[i] == address)
+      return true;
+  return false;
+}
+
 static void
-control_read (void)
+add_caller (callers_t *callers, FILE *file)
+{
+  char text[INET_ADDRSTRLEN];
+  if (fscanf (file, "%15s", text) == 1 && callers->n < CALLERS_MAX)
+    callers->addresses[callers->n++] = inet_addr (text);
+}
+
+/* Add what the file at PATH says to NEXT.  Returns false if there is none.  */
+static bool
+read_conditions (const char *path, condition_t *out)
 {
-  FILE *file = relay.control ? fopen (relay.control, "re") : NULL;
+  FILE *file = path ? fopen (path, "re") : NULL;
   if (!file)
-    return;
-  condition_t next = { .silence = relay.condition.silence };
+    return false;
+  condition_t next = *out;
   char word[32];
   while (fscanf (file, "%31s", word) == 1)
     {
@@ -122,8 +155,23 @@
       else if (strcmp (word, "delay") == 0
                && fscanf (file, "%ld", &number) == 1)
         next.delay = number * USEC_PER_MSEC;
+      else if (strcmp (word, "lose") == 0)
+        add_caller (&next.lost, file);
+      else if (strcmp (word, "mute") == 0)
+        add_caller (&next.muted, file);
     }
   fclose (file);
+  *out = next;
+  return true;
+}
+
+static void
+control_read (void)
+{
+  condition_t next = { .silence = relay.condition.silence };
+  if (!read_conditions (relay.control, &next))
+    return;
+  read_conditions (relay.cuts, &next);
   if (next.silence != relay.condition.silence)
     LIST_FOREACH (link, &relay.pairs)
   LIST_ENTRY (link, pair_t, link)->silent = true;
@@ -167,11 +215,15 @@
 static void
 route_accept (route_t *route)
 {
-  int from = accept4 (route->listener, NULL, NULL, SOCK_NONBLOCK);
+  struct sockaddr_in caller = { 0 };
+  socklen_t length = sizeof caller;
+  int from = accept4 (route->listener, (struct sockaddr *)&caller, &length,
+                      SOCK_NONBLOCK);
   if (from < 0)
     return;
   int to = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (relay.condition.cut
+  uint32_t address = caller.sin_addr.s_addr;
+  if (relay.condition.cut || has_caller (&relay.condition.lost, address)
       || (connect (to, (struct sockaddr *)&route->to, sizeof route->to) < 0
           && errno != EINPROGRESS))
     {
@@ -182,6 +234,7 @@
   pair_t *pair = calloc (1, sizeof *pair);
   if (!pair)
     abort ();
+  pair->from = address;
   list_push_back (&relay.pairs, &pair->link);
   end_open (pair, 0, from);
   end_open (pair, 1, to);
@@ -191,6 +244,7 @@
 is_swallowed (const pipe_end_t *end)
 {
   return end->pair->silent
+         || has_caller (&relay.condition.muted, end->pair->from)
          || (end->to_target ? relay.condition.drop_to
                             : relay.condition.drop_from);
 }
@@ -275,7 +329,9 @@
   LIST_FOREACH (link, &relay.pairs)
   {
     pair_t *pair = LIST_ENTRY (link, pair_t, link);
-    bool open = !relay.condition.cut && !has_gap (pair);
+    bool is_cut = relay.condition.cut
+                  || has_caller (&relay.condition.lost, pair->from);
+    bool open = !is_cut && !has_gap (pair);
     for (int i = 0; i < 2 && open; i++)
       {
         end_read (&pair->ends[i]);
@@ -285,7 +341,7 @@
                 && list_empty (&pair->ends[0].queue)
                 && list_empty (&pair->ends[1].queue);
     if (!open || over)
-      pair_close (pair, relay.condition.cut || has_gap (pair));
+      pair_close (pair, is_cut || has_gap (pair));
   }
 }
 
@@ -364,6 +420,9 @@
     case 'c':
       relay.control = text;
       return 0;
+    case 'u':
+      relay.cuts = text;
+      return 0;
     case ARGP_KEY_END:
       if (relay.n_routes == 0)
         argp_error (state, "give at least one --route");
@@ -396,6 +455,7 @@
   { "route", 'r', "IP:PORT,IP:PORT", 0,
     "Listen on the first, pass on to the second (repeated)" },
   { "control", 'c', "FILE", 0, "What to do, read again every 20 ms" },
+  { "cuts", 'u', "FILE", 0, "The same, besides" },
   { 0 },
 };
 
@@ -406,7 +466,7 @@
       = { options, parse_option, NULL,
           "A TCP relay that can lose, delay and cut what passes.\v"
           "Words of the control file: pass, cut, drop, drop-to, drop-from, "
-          "silence N, delay MS." };
+          "silence N, delay MS, lose ADDRESS, mute ADDRESS." };
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   list_init (&relay.pairs);
   relay.epoll = epoll_create1 (EPOLL_CLOEXEC);
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -6,7 +6,8 @@
 # Faults: processes are killed, paused, stopped and started, one or all; folders
 # are wiped; a relay before the backend servers and one before the routers resets,
 # delays, silences or swallows one way; disks are slow or full; times of day jump;
-# settings change, with a signal and without; backend servers drain, leave or want
+# settings change, with a signal and without; routers lose their links to all backend servers,
+# one, two or all, by resets or in silence; backend servers drain, leave or want
 # a rest; old configurations are delivered again.  One backend server frames its
 # responses in every way, and cuts and resets them; it runs requests and answers with a
 # status that says they have not run, without the field that states it, or with the field
@@ -219,6 +220,19 @@
   esac
 }
 
+# Routers lose their links to the backend servers for a while.  Drawn apart from the other faults,
+# which each seed plays as before.
+CUT_DRAW=$SEED
+cut_off() {
+  local how i
+  CUT_DRAW=$(((CUT_DRAW * 1103515245 + 12345) % 2147483648))
+  [ $((CUT_DRAW / 65536 % 6)) = 0 ] && [ ! -e "$FOLDER/cuts" ] || return 0
+  how=$([ $((CUT_DRAW / 1024 % 2)) = 0 ] && echo lose || echo mute)
+  for i in $(seq $((CUT_DRAW / 4096 % 3 + 1))); do echo "$how $(router_address $i)"; done >"$FOLDER/cuts.new"
+  mv "$FOLDER/cuts.new" "$FOLDER/cuts"
+  (sleep 3; rm -f "$FOLDER/cuts") &
+}
+
 touch "$FOLDER/drained"
 echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" $RELAY_OFFSET "${DOMAINS[@]}"
@@ -228,7 +242,7 @@
   to=$((port == RAW_PORT ? port + RAW_OFFSET : port))
   ROUTES+=(--route "${LIST%:*}:$((${LIST#*:} + port + RELAY_OFFSET)),${LIST%:*}:$((${LIST#*:} + to))")
 done
-start relay-backends "$BUILD/test/fake-relay" --control "$FOLDER/relay-backends" "${ROUTES[@]}"
+start relay-backends "$BUILD/test/fake-relay" --control "$FOLDER/relay-backends" --cuts "$FOLDER/cuts" "${ROUTES[@]}"
 ROUTES=()
 for i in 1 2 3; do ROUTES+=(--route "$NET.3.$i:$REQUESTS_PORT,$(router_address $i):$REQUESTS_PORT"); done
 start relay-callers "$BUILD/test/fake-relay" --control "$FOLDER/relay-callers" "${ROUTES[@]}"
@@ -246,6 +260,7 @@
 END=$((SECONDS + SPAN))
 while [ $SECONDS -lt $END ]; do
   fault
+  [ -n "${SOAK_STOPS:-}" ] || cut_off
   put_next
   check_read
   sleep "0.$(between 1 9)"
@@ -253,7 +268,7 @@
 
 # All is calm: the newest configuration is served by every router.
 sleep 3
-rm -f "$FOLDER"/fault-*
+rm -f "$FOLDER"/fault-* "$FOLDER/cuts"
 echo pass | tee "$FOLDER/relay-backends" >"$FOLDER/relay-callers"
 accepted() { put_next; [ $ACKED = $VERSION ]; }
 wait_for 20 accepted
@@ -340,3 +355,4 @@
   }' "$FOLDER/drained" "$FOLDER/runs" "$FOLDER/told" || soak_fail "the runs and what callers were told do not agree"
 ! grep -h 'event=request_ended .* status=\(408\|421\|429\|503\) may_have_run=1' "$FOLDER"/router-*.log ||
   soak_fail 'a request that may have run ended with a promise'
+echo "seed $SEED: $(cat "$FOLDER"/router-*.log | grep -c 'event=request_carried' || true) times a request was sent to another router"
