fix(router): connections that are not made in time are no cut as long as servers answer

Causes: a connection that is not made within 0.4 s counted like a refused one, though routers short of processor time make few that fast; and a round that was still out when a response ended the doubt went on to decide. Now only refusals by all show a cut at once; timeouts do if nothing answers for 1 s, or no new connection is made in 1.5 s of doubt. A round ends with its doubt.

--- a/src/balance/backend_reach.c
+++ b/src/balance/backend_reach.c
@@ -7,8 +7,17 @@
     reach->changed_at = now;
   reach->state = state;
   reach->n_good_rounds = 0;
-  if (state == REACH_ANY)
-    reach->n_failed = 0;
+  if (state != REACH_ANY)
+    return;
+  reach->n_failed = 0;
+  reach->is_round_open = false;
+}
+
+static void
+note_made (backend_reach_t *reach, contact_t contact, usec_t now)
+{
+  if (contact == CONTACT_RESPONSE || contact == CONTACT_SILENT)
+    reach->made_at = now;
 }
 
 /* Returns whether enough servers have failed.  */
@@ -30,6 +39,8 @@
 backend_reach_contact (backend_reach_t *reach, uint64_t server,
                        contact_t contact, bool is_new, usec_t now)
 {
+  if (is_new)
+    note_made (reach, contact, now);
   if (contact != CONTACT_RESPONSE)
     {
       if (note_failure (reach, server, now) && reach->state == REACH_ANY)
@@ -39,7 +50,6 @@
   reach->response_at = now;
   if (!is_new || reach->state == REACH_NONE)
     return;
-  reach->n_failed = 0;
   enter (reach, REACH_ANY, now);
 }
 
@@ -63,8 +73,9 @@
 {
   reach->next_round_at = now + REACH_ROUND_INTERVAL;
   reach->is_round_open = n > 0;
+  reach->n_checks = n;
   reach->n_out = n;
-  reach->n_silent = 0;
+  reach->n_refused = 0;
 }
 
 static void
@@ -78,14 +89,23 @@
     enter (reach, REACH_ANY, now);
 }
 
+/* Whether a round without an answer shows a cut.  */
+static bool
+shows_cut (const backend_reach_t *reach, usec_t now)
+{
+  usec_t made_at = reach->made_at > reach->changed_at ? reach->made_at
+                                                      : reach->changed_at;
+  return reach->n_refused == reach->n_checks
+         || now - reach->response_at > REACH_SILENCE
+         || now - made_at > REACH_UNMADE;
+}
+
 static void
 end_bad_round (backend_reach_t *reach, usec_t now)
 {
-  bool may_be_full
-      = reach->n_silent > 0 && now - reach->response_at <= REACH_SILENCE;
   reach->is_round_open = false;
   reach->n_good_rounds = 0;
-  if (!may_be_full)
+  if (shows_cut (reach, now))
     enter (reach, REACH_NONE, now);
   else if (reach->state == REACH_DOUBTFUL
            && now - reach->failed_at > REACH_FAILURE_LIFETIME)
@@ -99,7 +119,8 @@
   if (!reach->is_round_open)
     return;
   reach->n_out--;
-  reach->n_silent += contact == CONTACT_SILENT;
+  reach->n_refused += contact == CONTACT_REFUSED;
+  note_made (reach, contact, now);
   if (contact == CONTACT_RESPONSE)
     end_good_round (reach, now);
   else if (reach->n_out == 0)
--- a/src/balance/backend_reach.h
+++ b/src/balance/backend_reach.h
@@ -8,8 +8,10 @@
    Servers that end, or are full, look the same one by one.  So failures at two
    servers raise a doubt, and a few servers, chosen at random from all, are
    then asked for their health over new connections.  One answer shows that
-   there is no cut.  Servers that take a connection and do not answer may be
-   full: that counts as a cut only if no response of any server came lately. */
+   there is no cut, and refusals by all that there is one.  Connections that
+   are not made in time, or get no answer, may be due to full servers or a busy
+   router: they show a cut only if no response of any server came lately, or no
+   new connection was made since the doubt.  */
 
 #ifndef BALANCE_BACKEND_REACH_H
 #define BALANCE_BACKEND_REACH_H
@@ -31,6 +33,8 @@
 #define REACH_FAILURE_LIFETIME (2 * USEC_PER_SEC)
 /* Without a response for so long, though requests are in flight.  */
 #define REACH_SILENCE USEC_PER_SEC
+/* Without a new connection for so long in a doubt.  */
+#define REACH_UNMADE (1500 * USEC_PER_MSEC)
 /* Between two rounds.  */
 #define REACH_ROUND_INTERVAL (500 * USEC_PER_MSEC)
 
@@ -46,7 +50,8 @@
 {
   CONTACT_RESPONSE, /* the head of a response */
   CONTACT_SILENT,   /* it was made; no response came */
-  CONTACT_FAILED,   /* it could not be made */
+  CONTACT_UNMADE,   /* it was not made in time */
+  CONTACT_REFUSED,
 } contact_t;
 
 /* All zero at first.  */
@@ -59,10 +64,12 @@
                                       with a response */
   usec_t failed_at;                /* the last of them */
   usec_t response_at;              /* the last response over any connection */
+  usec_t made_at;                  /* the last new connection */
   usec_t next_round_at;
   bool is_round_open;
-  size_t n_out; /* checks of the round without a result */
-  size_t n_silent;
+  size_t n_checks; /* of the round */
+  size_t n_out;    /* of these, without a result */
+  size_t n_refused;
   size_t n_good_rounds; /* in a row */
 } backend_reach_t;
 
--- a/src/router/dispatcher_reach.c
+++ b/src/router/dispatcher_reach.c
@@ -26,8 +26,9 @@
 {
   if (response->has_head)
     return CONTACT_RESPONSE;
-  bool is_connected = response->may_have_reached && !response->is_unreachable;
-  return is_connected ? CONTACT_SILENT : CONTACT_FAILED;
+  if (response->is_unreachable)
+    return CONTACT_REFUSED;
+  return response->may_have_reached ? CONTACT_SILENT : CONTACT_UNMADE;
 }
 
 bool
