refactor(balance): a router's rank at a backend server is worked out once an update

The shares of cold servers and of limits each scanned and hashed all routers for every backend server at every update, the same order both times. No behaviour changes.

--- a/src/balance/backend_pool.c
+++ b/src/balance/backend_pool.c
@@ -205,8 +205,9 @@
     backend_t *backend = LIST_ENTRY (link, backend_t, link);
     backend->is_evacuated = is_evacuated (update, backend->record.domain.text);
     backend->may_be_cold = may_be_cold (pool, backend, update);
-    pool_cold_start_set_rate (pool, backend, update, now);
-    pool_limit_set_place (pool, backend, update);
+    region_rank_t rank = pool_region_rank (pool, backend, update);
+    pool_cold_start_set_rate (pool, backend, update, &rank, now);
+    pool_limit_set_place (pool, backend, update, &rank);
     free_if_unused (pool, backend);
   }
   pool_update_weights (pool, update);
--- a/src/balance/pool_cold_start.c
+++ b/src/balance/pool_cold_start.c
@@ -54,36 +54,38 @@
   return false;
 }
 
-size_t
-pool_rank_in_region (const backend_pool_t *pool, const backend_t *backend,
-                     const pool_update_t *update, size_t *n)
+region_rank_t
+pool_region_rank (const backend_pool_t *pool, const backend_t *backend,
+                  const pool_update_t *update)
 {
+  region_rank_t result = { 0 };
   uint64_t own_hash = rank_hash (backend, pool->self);
-  size_t rank = 0;
   bool is_listed = false;
   bool skips_cut_off = has_reaching (update, backend->region.text);
-  *n = 0;
   for (size_t i = 0; i < update->n_routers; i++)
     {
       const pool_router_t *router = &update->routers[i];
       if (strcmp (router->region.text, backend->region.text) != 0
           || (router->is_cut_off && skips_cut_off))
         continue;
-      ++*n;
+      result.n++;
       if (router->address == pool->self)
         is_listed = true;
       else if (rank_hash (backend, router->address) < own_hash)
-        rank++;
+        result.rank++;
     }
-  return is_listed ? rank : SIZE_MAX;
+  if (!is_listed)
+    result.rank = SIZE_MAX;
+  return result;
 }
 
 void
 pool_cold_start_set_rate (backend_pool_t *pool, backend_t *backend,
-                          const pool_update_t *update, usec_t now)
+                          const pool_update_t *update,
+                          const region_rank_t *place, usec_t now)
 {
-  size_t n = 0;
-  size_t rank = pool_rank_in_region (pool, backend, update, &n);
+  size_t n = place->n;
+  size_t rank = place->rank;
   size_t n_sharers = n < SHARERS_MAX ? n : SHARERS_MAX;
   const service_config_t *service
       = update->config ? route_config_service (update->config,
--- a/src/balance/pool_internal.h
+++ b/src/balance/pool_internal.h
@@ -38,6 +38,21 @@
   LAST_RESORT_DIVISOR = 2,
 };
 
+/* Where this router stands in the order of a backend server, which is another
+   one for each.  */
+typedef struct region_rank
+{
+  size_t rank; /* routers before it; SIZE_MAX: it is not listed, and has no
+                  share, as the others divide all among themselves */
+  size_t n;    /* routers in the order */
+} region_rank_t;
+
+/* The order is that of the routers of BACKEND's region; those that are cut off
+   from backend servers do not count, unless all are.  */
+region_rank_t pool_region_rank (const backend_pool_t *pool,
+                                const backend_t *backend,
+                                const pool_update_t *update);
+
 /* Returns the backend servers of SERVICE; an empty entry if there are none.
    Valid until the index changes.  */
 const pool_service_t *pool_index_find (const backend_pool_t *pool,
@@ -106,20 +121,13 @@
 /* Sets the part of the cold-start request rate of BACKEND that this router may
    use.  */
 void pool_cold_start_set_rate (backend_pool_t *pool, backend_t *backend,
-                               const pool_update_t *update, usec_t now);
-
-/* Returns how many routers of the region of BACKEND rank before this one, in
-   an order of their own for each backend server, or SIZE_MAX if this one is
-   not listed there.  Those that are cut off from backend servers do not count,
-   unless all are.  Sets *N to the number of routers in that region.  A router
-   that is not listed has no share, because the others divide all among
-   themselves.  */
-size_t pool_rank_in_region (const backend_pool_t *pool,
-                            const backend_t *backend,
-                            const pool_update_t *update, size_t *n);
+                               const pool_update_t *update,
+                               const region_rank_t *place, usec_t now);
+
 /* Sets this router's place among those that may share BACKEND's limit.  */
 void pool_limit_set_place (const backend_pool_t *pool, backend_t *backend,
-                           const pool_update_t *update);
+                           const pool_update_t *update,
+                           const region_rank_t *rank);
 /* Whether BACKEND's limit allows one more request or health check.  */
 bool pool_limit_allows (const backend_t *backend, usec_t now);
 /* A request or health check is sent to BACKEND.  */
--- a/src/balance/pool_limit.c
+++ b/src/balance/pool_limit.c
@@ -19,10 +19,11 @@
 
 void
 pool_limit_set_place (const backend_pool_t *pool, backend_t *backend,
-                      const pool_update_t *update)
+                      const pool_update_t *update, const region_rank_t *rank)
 {
   limit_place_t *place = &backend->limit_share.place;
-  place->rank = pool_rank_in_region (pool, backend, update, &place->n_near);
+  place->rank = rank->rank;
+  place->n_near = rank->n;
   place->n_all = update->n_routers;
   place->spread = spread_of (pool, backend);
 }
