feat(router): a log line and a counter tell of an id sent again on a connection

backend_answered can't tell an answer to this attempt from a copy of an answer to an earlier one with the same id: both read class=refused, may_have_run=0. Each connection keeps the ids that it has carried (router/sent_ids, a Bloom filter of 1 KiB: no id is missed, at 1,000 ids one in 50 others is taken for one), and id_sent_again tells of a request whose id is among them. What is believed of an answer is as before.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -210,6 +210,20 @@
   }
 }
 
+/* Tell it if CONNECTION has carried the id of USE before.  */
+static void
+note_id (backend_connections_t *connections, backend_connection_t *connection,
+         const connection_use_t *use)
+{
+  const backend_connections_options_t *options = &connections->options;
+  if (!use->id[0])
+    return;
+  if (sent_ids_may_contain (&connection->sent_ids, use->id)
+      && options->id_sent_again)
+    options->id_sent_again (options->closure, use);
+  sent_ids_add (&connection->sent_ids, use->id);
+}
+
 connection_state_t
 backend_connections_use (backend_connections_t *connections,
                          const inet_t *remote, uint16_t local_port,
@@ -236,6 +250,7 @@
     hide (connections, connection);
   connection->had_head_request |= use->is_head;
   connection->last = *use;
+  note_id (connections, connection, use);
   http_socket_end_send (connection->watch.fd, &connection->send_watch);
   if (use->is_upload)
     http_socket_start_send (connection->watch.fd, &connection->send_watch);
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -61,6 +61,10 @@
    */
   void (*extra_bytes) (void *closure, const connection_use_t *use,
                        extra_place_t place, size_t n_bytes);
+  /* A request is about to be sent for USE on a connection that has carried
+     its id before: an answer with that id may be one to the earlier request.
+     NULL: it is not told.  */
+  void (*id_sent_again) (void *closure, const connection_use_t *use);
 } backend_connections_options_t;
 
 backend_connections_t *
--- a/src/router/backend_connections_internal.h
+++ b/src/router/backend_connections_internal.h
@@ -6,6 +6,7 @@
 
 #include "base/list.h"
 #include "router/backend_connections.h"
+#include "router/sent_ids.h"
 
 enum
 {
@@ -27,6 +28,7 @@
   inet_t remote;
   uint16_t local_port; /* 0: no request was sent yet */
   connection_use_t last;
+  sent_ids_t sent_ids; /* of the requests that it has carried */
   list_t hidden_link;  /* in `hidden` */
   list_t retired_link; /* in `retired` */
   usec_t retired_at;
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -570,7 +570,8 @@
   const backend_connections_options_t connections
       = { .poller = options->poller,
           .closure = options->closure,
-          .extra_bytes = options->extra_bytes };
+          .extra_bytes = options->extra_bytes,
+          .id_sent_again = options->id_sent_again };
   client->connections = backend_connections_new (&connections);
   CURLM *multi = http_handles_multi (client->handles);
   curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_socket);
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -42,6 +42,8 @@
      module.  */
   void (*extra_bytes) (void *closure, const connection_use_t *use,
                        extra_place_t place, size_t n_bytes);
+  /* The same.  */
+  void (*id_sent_again) (void *closure, const connection_use_t *use);
 } backend_http_options_t;
 
 backend_http_t *backend_http_new (const backend_http_options_t *options);
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -215,6 +215,13 @@
   dispatcher_extra_bytes (dispatcher, use, place, n_bytes);
 }
 
+static void
+on_id_sent_again (void *closure, const connection_use_t *use)
+{
+  dispatcher_t *dispatcher = closure;
+  dispatcher_id_sent_again (dispatcher, use);
+}
+
 usec_t
 dispatcher_tick (dispatcher_t *dispatcher, usec_t now)
 {
@@ -313,7 +320,8 @@
           .closure = dispatcher,
           .done = on_call_ended,
           .request_written = on_request_written,
-          .extra_bytes = on_extra_bytes };
+          .extra_bytes = on_extra_bytes,
+          .id_sent_again = on_id_sent_again };
   dispatcher->backends = backend_http_new (&backends);
   const backend_pool_options_t pool
       = { .settings = options->settings, .seed = options->seed };
--- a/src/router/dispatcher_stutter.c
+++ b/src/router/dispatcher_stutter.c
@@ -58,6 +58,15 @@
                     n_bytes, clock_monotonic ());
 }
 
+void
+dispatcher_id_sent_again (dispatcher_t *dispatcher,
+                          const connection_use_t *use)
+{
+  router_metrics_id_sent_again (dispatcher->options.metrics, use->backend_id);
+  LOG_EVENT (LOG_LEVEL_INFO, "id_sent_again", LOG_S ("id", use->id),
+             LOG_S ("backend", use->backend_id));
+}
+
 bool
 dispatcher_stutters (const dispatcher_t *dispatcher, const backend_t *backend,
                      usec_t now)
--- a/src/router/router_metrics.c
+++ b/src/router/router_metrics.c
@@ -93,6 +93,18 @@
   count (metrics, &extra);
 }
 
+void
+router_metrics_id_sent_again (router_metrics_t *metrics,
+                              const char *backend_id)
+{
+  const metric_options_t again
+      = { .name = "mulberry_router_ids_sent_again_total",
+          .help = "Requests whose connection had carried their id before, by "
+                  "backend server",
+          .request_class = label_of (&metrics->backends, backend_id) };
+  count (metrics, &again);
+}
+
 void
 router_metrics_not_whole (router_metrics_t *metrics, const char *backend_id)
 {
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -51,6 +51,11 @@
 void router_metrics_extra_bytes (router_metrics_t *metrics,
                                  const char *backend_id, const char *where);
 
+/* The connection to backend server BACKEND_ID that a request was to be sent on
+   had carried its id before.  Counted as above.  */
+void router_metrics_id_sent_again (router_metrics_t *metrics,
+                                   const char *backend_id);
+
 /* A response of backend server BACKEND_ID was not whole.  Counted as
    above.  */
 void router_metrics_not_whole (router_metrics_t *metrics,
