test(router): a copy of an earlier attempt's refusal is taken for the answer

- test_router_backend_reuse /refusal-copy-*, /refusal-copies, /answer-copy: eight of eight; the request with an id that its connection has carried gets the copy, class refused, and runs.
With two names at one address in the list, 3 of 3 requests that their callers sent once: 421, sent again under the other name on the same connection, told 503, ran.

fake-raw-backend writes a refusal once more after some msec, fake-caller comes back with the id and prints the times of each try, fake-platform lists an address under a second id.

--- a/test/fakes/fake_caller.c
+++ b/test/fakes/fake_caller.c
@@ -1,8 +1,8 @@
 /* fake-caller: one caller, who sends requests on kept connections, one after
    the other or a few at once, and never sends a request twice.
 
-     fake-caller [--ends NAME,...] [--deadline MSEC] SEED STOP_FILE
-                 ADDRESS:PORT...
+     fake-caller [--ends NAME,...] [--deadline MSEC] [--again MSEC] SEED
+                 STOP_FILE ADDRESS:PORT...
 
    Goes on until STOP_FILE exists.  Each connection goes to one of the
    addresses and carries up to ten requests; it is left when an answer closes
@@ -10,10 +10,14 @@
    threes.  Two thirds are POST of paths that begin with /x/ and may run once,
    the others GET of paths that begin with /p/, their ids with "g".  Each bears
    the key "soak-key-N", N from 0 to 3 by SEED, and names another account.
-   Standard output has a line a request: "ID STATUS ANSWER_ID BODY", status 000
-   where no whole answer came; BODY is "whole", "part", or "unsure" where the
-   answer ended with its connection. The paths are those that fake-platform or
-   fake-raw-backend knows, or the NAMEs in turn.  */
+   Standard output has a line a request: "ID STATUS ANSWER_ID BODY FROM TO",
+   status 000 where no whole answer came; BODY is "whole", "part", or "unsure"
+   where the answer ended with its connection; the times are Unix msec, from
+   before it was sent until it was answered.  With --again a request that was
+   sent alone and told not to have run is sent again after so long, with the
+   same id, TRIES_MAX times in all, each with a line.  Paths that end in
+   "-copied" or "-copied-N" begin with /q/, and are POST. The paths are those
+   that fake-platform or fake-raw-backend knows, or the NAMEs in turn.  */
 
 #include <arpa/inet.h>
 #include <getopt.h>
@@ -24,6 +28,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/inet.h"
@@ -45,12 +50,17 @@
   PAUSE_USEC = 50 * 1000, /* after a connection that could not be opened */
   EXIT_USAGE_ERROR = 2,
   ENDS_MAX = 32,
+  TRIES_MAX = 3, /* of a request, with --again */
+  MSEC_PER_SEC = 1000,
+  USEC_PER_MSEC = 1000,
+  NSEC_PER_MSEC = 1000 * 1000,
 };
 
 static struct
 {
   unsigned int deadline_msec;
-  size_t n_ends; /* 0: those of `path_end` */
+  unsigned int again_msec; /* 0: no request is sent again */
+  size_t n_ends;           /* 0: those of `path_end` */
   const char *ends[ENDS_MAX];
 } options = { .deadline_msec = DEADLINE_MSEC };
 
@@ -195,10 +205,25 @@
   return ends[n % (sizeof ends / sizeof ends[0])];
 }
 
+/* Whether the backend server refuses request N, and writes that twice.  */
+static bool
+is_copied (unsigned int n)
+{
+  return strstr (path_end (n), "-copied") != NULL;
+}
+
 static bool
 is_idempotent (unsigned int n)
 {
-  return n % 3 == 0;
+  return n % 3 == 0 && !is_copied (n);
+}
+
+static char
+first_letter (unsigned int n)
+{
+  if (is_copied (n))
+    return 'q';
+  return is_idempotent (n) ? 'p' : 'x';
 }
 
 static void
@@ -219,20 +244,38 @@
       "%s /%c/%u/%s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
       "Deadline-Ms: %u\r\nCookie: Affinity-Key=%u\r\n"
       "Authorization: Token soak-key-%u\r\nTenant: forged\r\n%s",
-      is_get ? "GET" : "POST", is_get ? 'p' : 'x', n, path_end (n), id,
+      is_get ? "GET" : "POST", first_letter (n), n, path_end (n), id,
       options.deadline_msec, n % OBJECTS,
       (unsigned int)(strtoul (seed, NULL, 10) % ACCOUNTS),
       is_get ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
   return send (stream->fd, text, (size_t)length, MSG_NOSIGNAL) == length;
 }
 
-/* Send the N_SENT requests from number N on, and print what came of each.
-   Returns false if the connection is to be left.  */
+static long long
+now_msec (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (long long)now.tv_sec * MSEC_PER_SEC + now.tv_nsec / NSEC_PER_MSEC;
+}
+
+/* Whether ANSWER promises that its request has not run and never will.  */
 static bool
-ask (stream_t *stream, const char *seed, unsigned int n, unsigned int n_sent)
+promises_not_run (const answer_t *answer)
+{
+  return answer->status == 408 || answer->status == 421
+         || answer->status == 429 || answer->status == 503;
+}
+
+/* Send the N_SENT requests from number N on, and print what came of each;
+ *LAST is the last answer.  Returns false if the connection is to be left. */
+static bool
+try_once (stream_t *stream, const char *seed, unsigned int n,
+          unsigned int n_sent, answer_t *last)
 {
   answer_t answer = { .closes = false };
   bool is_sent[PIPELINED] = { false };
+  long long from = now_msec ();
   for (unsigned int i = 0; i < n_sent; i++)
     is_sent[i] = send_request (stream, seed, n + i);
   for (unsigned int i = 0; i < n_sent; i++)
@@ -243,15 +286,32 @@
       if (!was_closed && is_sent[i])
         read_answer (stream, &answer);
       make_id (id, seed, n + i);
-      printf ("%s %03d %s %s\n", id, answer.status,
-              answer.id[0] ? answer.id : "-", answer.body);
+      printf ("%s %03d %s %s %lld %lld\n", id, answer.status,
+              answer.id[0] ? answer.id : "-", answer.body, from, now_msec ());
     }
   fflush (stdout);
+  *last = answer;
   if (answer.status == STATUS_QUOTA)
     usleep (QUOTA_PAUSE_USEC);
   return !answer.closes;
 }
 
+/* The same; one that was sent alone comes again as --again has it.  */
+static bool
+ask (stream_t *stream, const char *seed, unsigned int n, unsigned int n_sent)
+{
+  answer_t answer;
+  bool goes_on = try_once (stream, seed, n, n_sent, &answer);
+  for (int tries = 1; goes_on && options.again_msec > 0 && n_sent == 1
+                      && tries < TRIES_MAX && promises_not_run (&answer);
+       tries++)
+    {
+      usleep (options.again_msec * USEC_PER_MSEC);
+      goes_on = try_once (stream, seed, n, n_sent, &answer);
+    }
+  return goes_on;
+}
+
 /* Send up to REQUESTS_OF_CONNECTION requests on STREAM, N_SENT at once, after
    number N.  Returns the last number.  */
 static unsigned int
@@ -282,6 +342,7 @@
   static const struct option known[]
       = { { "ends", required_argument, NULL, 'e' },
           { "deadline", required_argument, NULL, 'd' },
+          { "again", required_argument, NULL, 'a' },
           { 0 } };
   int option;
   while ((option = getopt_long (argc, argv, "+", known, NULL)) != -1)
@@ -290,6 +351,8 @@
         set_ends (optarg);
       else if (option == 'd')
         options.deadline_msec = (unsigned int)strtoul (optarg, NULL, 10);
+      else if (option == 'a')
+        options.again_msec = (unsigned int)strtoul (optarg, NULL, 10);
       else
         return false;
     }
@@ -302,7 +365,7 @@
   if (!read_options (argc, argv))
     {
       fprintf (stderr, "usage: fake-caller [--ends NAME,...] [--deadline MSEC]"
-                       " SEED STOP_FILE ADDRESS:PORT...\n");
+                       " [--again MSEC] SEED STOP_FILE ADDRESS:PORT...\n");
       return EXIT_USAGE_ERROR;
     }
   argc -= optind - 1;
--- a/test/fakes/fake_platform.c
+++ b/test/fakes/fake_platform.c
@@ -9,14 +9,16 @@
    as "ID BACKEND MSEC TYPE", by the time of day; TYPE is the request's
    Content-Type, or "-".  FOLDER/draining names the backend
    servers that drain, one a line; FOLDER/gone those that run on but are not
-   listed.  A path that ends in "slow" runs for half a second; one that ends in
-   "long" for LONG_USEC; one that ends in "large" is answered with LARGE_BYTES;
-   one that ends in "held" runs until FOLDER/release exists; one that ends in
-   "lost" runs, and its connection ends without an answer; one that ends in
-   "other" is answered as if it were another request; one that ends in "crash"
-   ends the backend server, with all that runs there, which starts again after
-   DOWN_USEC under another id, and one that ends in "crash-N" does so after N
-   msec; each such end is appended to FOLDER/ends as "ID BACKEND MSEC -". Where
+   listed; a line "BACKEND ID" of FOLDER/renamed lists BACKEND's address under
+   ID, too.  A path that ends in "slow" runs for half a second; one that ends
+   in "long" for LONG_USEC; one that ends in "large" is answered with
+   LARGE_BYTES; one that ends in "held" runs until FOLDER/release exists; one
+   that ends in "lost" runs, and its connection ends without an answer; one
+   that ends in "other" is answered as if it were another request; one that
+   ends in "crash" ends the backend server, with all that runs there, which
+   starts again after DOWN_USEC under another id, and one that ends in
+   "crash-N" does so after N msec; each such end is appended to FOLDER/ends as
+   "ID BACKEND MSEC -". Where
    "-504" follows, each second one is answered 504 instead, as at a deadline.
    One that ends in "restart" ends the backend server, which starts again after
    DOWN_USEC under the same id, and is cold for COLD_MSEC; the list shows that
@@ -399,6 +401,29 @@
                     ends_with (url, "other") ? "of-another" : id, NULL, &said);
 }
 
+/* Write BACKEND's entry in the list, under ID, to TEXT of SIZE bytes.  Returns
+   its length.  */
+static size_t
+write_entry (char *text, size_t size, const fake_backend_t *backend,
+             const char *id, bool is_first)
+{
+  bool is_shown = now_msec () >= backend->born + LIST_LAG_MSEC;
+  long long born = is_shown ? backend->born : 0;
+  size_t used = (size_t)snprintf (
+      text, size,
+      "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"version\":\"v1\","
+      "\"capacity\":"
+      "%d,\"state\":\"%s\",\"cold_left\":\"%lldms\",\"id\":\"%s\"",
+      is_first ? "" : ",", fake.address, backend->port + fake.offset, SLOTS,
+      is_named ("draining", backend->id) ? "draining" : "ready",
+      cold_left (born), id);
+  if (born > 0)
+    used
+        += (size_t)snprintf (text + used, size - used, ",\"born\":%lld", born);
+  used += (size_t)snprintf (text + used, size - used, "}");
+  return used;
+}
+
 static enum MHD_Result
 serve_list (void *closure, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *data,
@@ -412,6 +437,7 @@
   (void)data_bytes;
   (void)context;
   char text[TEXT_BYTES];
+  char renamed[LINE_BYTES];
   size_t used = (size_t)snprintf (text, sizeof text, "{\"instances\":{");
   bool is_first = true; /* of its domain */
   for (size_t i = 0; i < fake.n_backends; i++)
@@ -426,20 +452,11 @@
         }
       if (is_named ("gone", backend->id))
         continue;
-      bool is_shown = now_msec () >= backend->born + LIST_LAG_MSEC;
-      long long born = is_shown ? backend->born : 0;
-      used += (size_t)snprintf (
-          text + used, sizeof text - used,
-          "%s{\"service\":\"search\",\"address\":\"%s:%u\",\"version\":\"v1\","
-          "\"capacity\":"
-          "%d,\"state\":\"%s\",\"cold_left\":\"%lldms\",\"id\":\"%s\"",
-          is_first ? "" : ",", fake.address, backend->port + fake.offset,
-          SLOTS, is_named ("draining", backend->id) ? "draining" : "ready",
-          cold_left (born), backend->id);
-      if (born > 0)
-        used += (size_t)snprintf (text + used, sizeof text - used,
-                                  ",\"born\":%lld", born);
-      used += (size_t)snprintf (text + used, sizeof text - used, "}");
+      used += write_entry (text + used, sizeof text - used, backend,
+                           backend->id, is_first);
+      if (find_line ("renamed", backend->id, renamed))
+        used += write_entry (text + used, sizeof text - used, backend, renamed,
+                             false);
       is_first = false;
     }
   snprintf (text + used, sizeof text - used, "]},\"next_token\":null}");
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -392,6 +392,22 @@
              : response;
 }
 
+/* Send HEAD, of LENGTH bytes, with the body for ID, as often as RESPONSE or
+   the response NAME comes.  */
+static bool
+send_packet (client_t *client, const raw_response_t *response,
+             const char *name, const char *head, size_t length, const char *id)
+{
+  char packet[PACKET_BYTES];
+  memcpy (packet, head, length);
+  make_body (packet + length, BODY_BYTES, id);
+  length += BODY_BYTES;
+  if (response->copy_msec == 0)
+    return send_repeated (client, find_repeat (name), packet, length);
+  send_copy_later (client->fd, packet, length, response->copy_msec);
+  return raw_backend_write (client->fd, packet, length);
+}
+
 /* Returns false if the connection has to be closed.  */
 static bool
 answer (client_t *client, const char *request)
@@ -424,14 +440,8 @@
                     response->version ? response->version : "1.1",
                     response->status ? response->status : "200 OK", id, id,
                     instance, response->fields);
-  repeat_t repeat = find_repeat (name);
-  if (repeat != REPEAT_NONE)
-    {
-      char packet[PACKET_BYTES];
-      memcpy (packet, head, (size_t)n);
-      make_body (packet + n, BODY_BYTES, id);
-      return send_repeated (client, repeat, packet, (size_t)n + BODY_BYTES);
-    }
+  if (find_repeat (name) != REPEAT_NONE || response->copy_msec > 0)
+    return send_packet (client, response, name, head, (size_t)n, id);
   bool is_sent
       = response->is_silent || raw_backend_write (client->fd, head, (size_t)n);
   if (strncmp (request, "HEAD ", 5) != 0 && !response->is_silent)
--- a/test/fakes/raw_response.h
+++ b/test/fakes/raw_response.h
@@ -28,7 +28,9 @@
    chunk.  TEXT, unless NULL, comes in place of the body.  NEXT, unless NULL,
    names the response to a request that came before.  PAUSE_MSEC pass between
    the request's last byte and the response, LINGER_MSEC between that and its
-   connection's end.  Of a silent one nothing is sent but the end.  */
+   connection's end.  Of a silent one nothing is sent but the end.  If
+   COPY_MSEC isn't 0, the response is sent once more that much later, on the
+   same connection.  */
 typedef struct raw_response
 {
   const char *name;
@@ -48,6 +50,7 @@
   const char *next;
   unsigned int pause_msec;
   unsigned int linger_msec;
+  unsigned int copy_msec;
 } raw_response_t;
 
 /* The response with this NAME; the first one if there is none.  */
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -47,6 +47,8 @@
 typedef struct fixture
 {
   behaviour_t behaviour;
+  const char *refusal; /* status of the first response of all; NULL: 200 */
+  gint n_requests;     /* atomic */
   int listener;
   inet_t address;
   GThread *server;
@@ -99,6 +101,19 @@
                           id);
 }
 
+/* As the server refuses REQUEST, with STATUS.  */
+static char *
+refusal_to (const char *request, const char *status)
+{
+  char id[64] = "";
+  const char *field = strstr (request, "Request-Id: ");
+  if (field)
+    sscanf (field, "Request-Id: %63s", id);
+  return g_strdup_printf ("HTTP/1.1 %s\r\nRequest-Id: %s\r\n"
+                          "Not-Executed: full\r\nContent-Length: 2\r\n\r\nno",
+                          status, id);
+}
+
 static char *
 chunks_to (const char *response, const char *after)
 {
@@ -182,7 +197,12 @@
   bool is_kept = true;
   while (is_kept && recv (connection->fd, request, sizeof request - 1, 0) > 0)
     {
-      g_autofree char *response = response_to (request);
+      const char *refusal = connection->fixture->refusal;
+      bool is_refused
+          = g_atomic_int_add (&connection->fixture->n_requests, 1) == 0
+            && refusal;
+      g_autofree char *response
+          = is_refused ? refusal_to (request, refusal) : response_to (request);
       g_autofree char *twice = g_strconcat (response, response, NULL);
       g_autofree char *chunks = chunks_to (response, "HTTP/1.1 200 OK");
       behaviour_t behaviour = connection->fixture->behaviour;
@@ -237,6 +257,7 @@
                           .is_complete = response->is_complete,
                           .id_matches = response->id_matches,
                           .is_signed = response->is_signed,
+                          .not_started = response->not_started,
                           .status = response->status };
   fixture->n_answered += answer_classify (&fixture->last) == BACKEND_ANSWERED;
 }
@@ -432,6 +453,44 @@
   fixture_close (&fixture);
 }
 
+typedef struct copy_case
+{
+  const char *path;
+  const char *refusal;
+  behaviour_t behaviour;
+} copy_case_t;
+
+static const copy_case_t copy_cases[] = {
+  { "/backend-reuse/refusal-copy-503", "503 Full", SENDS_COPY_BEFORE_NEXT },
+  { "/backend-reuse/refusal-copy-429", "429 Busy", SENDS_COPY_BEFORE_NEXT },
+  { "/backend-reuse/refusal-copy-408", "408 Late", SENDS_COPY_BEFORE_NEXT },
+  { "/backend-reuse/refusal-copy-421", "421 Other", SENDS_COPY_BEFORE_NEXT },
+  { "/backend-reuse/refusal-copy-400", "400 Bad", SENDS_COPY_BEFORE_NEXT },
+  { "/backend-reuse/refusal-copy-in-parts", "503 Full", SENDS_COPY_IN_PARTS },
+  { "/backend-reuse/refusal-copies", "503 Full", SENDS_COPIES_BEFORE_NEXT },
+  { "/backend-reuse/answer-copy", NULL, SENDS_COPY_BEFORE_NEXT },
+};
+
+/* Guards against a request that is told as not run and runs: a copy of the
+   answer to an attempt with the same id is taken for its own.  */
+static void
+test_copy_with_own_id (gconstpointer data)
+{
+  const copy_case_t *copy_case = data;
+  fixture_t fixture;
+  fixture_open (&fixture, copy_case->behaviour);
+  fixture.refusal = copy_case->refusal;
+  call (&fixture, "id-1", false);
+  g_assert_cmpint (answer_may_have_run (&fixture.last), ==,
+                   !copy_case->refusal);
+  call (&fixture, "id-1", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  fixture_close (&fixture);
+}
+
 /* Guards against a router that reads responses to an earlier request for as
    long as a backend server sends them: none of its other requests goes on
    meanwhile.  */
@@ -581,6 +640,9 @@
   g_test_add_data_func ("/backend-reuse/two-copies",
                         GINT_TO_POINTER (SENDS_COPIES_BEFORE_NEXT),
                         test_copy_before_response);
+  for (size_t i = 0; i < G_N_ELEMENTS (copy_cases); i++)
+    g_test_add_data_func (copy_cases[i].path, &copy_cases[i],
+                          test_copy_with_own_id);
   g_test_add_func ("/backend-reuse/copies-without-end",
                    test_copies_without_end);
   g_test_add_func ("/backend-reuse/foreign-response",
