fix(router): a connection carries a request's id once

Callers saw: 503 for a request that runs, and runs again when they come back (REFUSED, TWICE).

Cause: an answer is believed by its id, and an id names a request, not an attempt. A backend server that writes a refusal once more answers a later attempt of the same request with it, if that is on the same connection. A caller that comes back with its id gets there, and so does the router by itself: it leaves out the backend server that refused by its name, but libcurl keeps connections by address, and two names of the list may have one address.

Why this works: on a connection that has not carried the id before, an answer with that id is one to this attempt, at any delay and however often a copy comes. The mark of such a server (backend_stutters) is not relied on.

Weighed: closing each connection after a refusal (new connections when servers are full, and a copy of any other answer still passes); a table of recent ids of the router (bounded in time, and a copy may come at any delay).

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -210,18 +210,20 @@
   }
 }
 
-/* Tell it if CONNECTION has carried the id of USE before.  */
-static void
-note_id (backend_connections_t *connections, backend_connection_t *connection,
-         const connection_use_t *use)
+/* Whether CONNECTION, which is idle, may have carried the id of USE: an answer
+   with that id could be one to the earlier request.  If so, it is shut
+   down.  */
+static bool
+has_carried (backend_connections_t *connections,
+             backend_connection_t *connection, const connection_use_t *use)
 {
   const backend_connections_options_t *options = &connections->options;
-  if (!use->id[0])
-    return;
-  if (sent_ids_may_contain (&connection->sent_ids, use->id)
-      && options->id_sent_again)
+  if (!use->id[0] || !sent_ids_may_contain (&connection->sent_ids, use->id))
+    return false;
+  if (options->id_sent_again)
     options->id_sent_again (options->closure, use);
-  sent_ids_add (&connection->sent_ids, use->id);
+  end_idle (connections, connection);
+  return true;
 }
 
 connection_state_t
@@ -232,7 +234,9 @@
   connection_state_t state = CONNECTION_IS_KEPT;
   backend_connection_t *connection
       = connection_table_find_used (connections, remote, local_port);
-  if (connection && !check_idle (connections, connection))
+  if (connection
+      && (!check_idle (connections, connection)
+          || has_carried (connections, connection, use)))
     return CONNECTION_IS_UNUSABLE;
   if (!connection)
     {
@@ -250,7 +254,7 @@
     hide (connections, connection);
   connection->had_head_request |= use->is_head;
   connection->last = *use;
-  note_id (connections, connection, use);
+  sent_ids_add (&connection->sent_ids, use->id);
   http_socket_end_send (connection->watch.fd, &connection->send_watch);
   if (use->is_upload)
     http_socket_start_send (connection->watch.fd, &connection->send_watch);
@@ -303,7 +307,7 @@
     return;
   connection->user = NULL;
   watch_for (connections, connection, POLLER_READABLE);
-  if (is_held_up (connection))
+  if (is_held_up (connection) || sent_ids_is_full (&connection->sent_ids))
     {
       end_idle (connections, connection);
       return;
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -7,7 +7,12 @@
    and each is looked at once more just before a request is sent on it.  One
    with bytes, or that the peer has closed, is shut down, which libcurl does
    notice.  A whole response to an earlier request that comes between a request
-   and its response is read here, so that libcurl gets the request's own.  */
+   and its response is read here, so that libcurl gets the request's own.
+
+   A response is told from one to an earlier request by its id.  So a
+   connection carries an id once only: an id that is sent again gets another
+   connection.
+ */
 
 #ifndef ROUTER_BACKEND_CONNECTIONS_H
 #define ROUTER_BACKEND_CONNECTIONS_H
@@ -61,9 +66,8 @@
    */
   void (*extra_bytes) (void *closure, const connection_use_t *use,
                        extra_place_t place, size_t n_bytes);
-  /* A request is about to be sent for USE on a connection that has carried
-     its id before: an answer with that id may be one to the earlier request.
-     NULL: it is not told.  */
+  /* A request for USE was about to be sent on a connection that may have
+     carried its id before, which is unusable then.  NULL: none is told.  */
   void (*id_sent_again) (void *closure, const connection_use_t *use);
 } backend_connections_options_t;
 
@@ -84,7 +88,8 @@
 {
   CONNECTION_IS_NEW,
   CONNECTION_IS_KEPT,
-  CONNECTION_IS_UNUSABLE, /* bytes wait on it, or the peer has closed it */
+  CONNECTION_IS_UNUSABLE, /* bytes wait on it, the peer has closed it, or it
+                             may have carried the request's id */
 } connection_state_t;
 
 /* A request is about to be sent for USE on the connection from LOCAL_PORT to
--- a/src/router/dispatcher_internal.h
+++ b/src/router/dispatcher_internal.h
@@ -282,8 +282,8 @@
 void dispatcher_extra_bytes (dispatcher_t *dispatcher,
                              const connection_use_t *use, extra_place_t place,
                              size_t n_bytes);
-/* A request goes to a backend server on a connection that has carried its id
-   before.  */
+/* A request for USE met a connection that has carried its id before, and gets
+   another one.  */
 void dispatcher_id_sent_again (dispatcher_t *dispatcher,
                                const connection_use_t *use);
 /* Forget the backend servers that have stopped stuttering by NOW.  */
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "router/backend_http.h"
 #include "router/foreign_response.h"
+#include "router/sent_ids.h"
 
 #include "../support/loopback.h"
 
@@ -549,6 +550,28 @@
     }
 }
 
+/* Guards against a connection that carries requests for as long as it is
+   open: too many ids would be taken for those that it has carried.  */
+static void
+test_many_requests (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_NOTHING);
+  for (int i = 0; i < 2 * SENT_IDS_MAX; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%d", i);
+      start_call (&fixture, id, false);
+      backend_http_tick (fixture.client, clock_monotonic ());
+      while (fixture.n_ended <= (size_t)i)
+        run_once (&fixture);
+      assert_answered (&fixture);
+    }
+  g_assert_cmpint (g_atomic_int_get (&fixture.n_accepted), >=, 2);
+  g_assert_cmpint (g_atomic_int_get (&fixture.n_accepted), <=,
+                   2 + 2 * SENT_IDS_MAX / 50);
+  fixture_close (&fixture);
+}
+
 static void
 test_new_connection (void)
 {
@@ -647,6 +670,7 @@
                    test_copies_without_end);
   g_test_add_func ("/backend-reuse/foreign-response",
                    test_foreign_response_bytes);
+  g_test_add_func ("/backend-reuse/many-requests", test_many_requests);
   g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
   g_test_add_func ("/backend-reuse/used-again", test_used_again_after_all);
   g_test_add_func ("/backend-reuse/handed-on-at-once", test_handed_on_at_once);
