--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -32,9 +32,9 @@
       = { .address = backend->record.address,
           .boot = owner->boot,
           .backend_id = backend->record.id,
-          .needs_new_connection
-          = is_reach_check
-            || dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
+          /* It bears no id: on a kept connection its answer could be one to
+             an earlier request.  */
+          .needs_new_connection = true,
           .method = "GET",
           .target = service ? service->health_path : "/",
           .id = "",
