feat(fleet): messages between directors and routers may grow without a new form

While VMs are replaced one after the other two builds run side by side.

The first item is the form of a process's messages, which fleet show, peer_form and director_form tell. Items that can't be read cost the items alone.

--- a/src/ctl/fleet_command.c
+++ b/src/ctl/fleet_command.c
@@ -40,18 +40,21 @@
 {
   size_t i;
   json_t *row;
-  printf ("%-6s %-18s %-6s %s\n", "SLOT", "DIRECTOR", "LEADS", "HEARD MS AGO");
+  printf ("%-6s %-18s %-6s %-6s %s\n", "SLOT", "DIRECTOR", "LEADS", "FORM",
+          "HEARD MS AGO");
   json_array_foreach (json_object_get (view, "directors"), i, row) printf (
-      "%-6lld %-18s %-6s %lld\n", (long long)integer_field (row, "slot"),
+      "%-6lld %-18s %-6s %-6s %lld\n", (long long)integer_field (row, "slot"),
       string_field (row, "address"), yes_or_no_field (row, "leads"),
+      string_field (row, "form"),
       (long long)integer_field (row, "heard_ms_ago"));
-  printf ("\n%-20s %-16s %-24s %-6s %-8s %s\n", "ROUTER", "FAILURE DOMAIN",
-          "REQUESTS", "TAKES", "CUT OFF", "HEARD MS AGO");
+  printf ("\n%-20s %-16s %-24s %-6s %-8s %-6s %s\n", "ROUTER",
+          "FAILURE DOMAIN", "REQUESTS", "TAKES", "CUT OFF", "FORM",
+          "HEARD MS AGO");
   json_array_foreach (json_object_get (view, "routers"), i, row) printf (
-      "%-20s %-16s %-24s %-6s %-8s %lld\n", string_field (row, "vm"),
+      "%-20s %-16s %-24s %-6s %-8s %-6s %lld\n", string_field (row, "vm"),
       string_field (row, "failure_domain"), string_field (row, "requests"),
       yes_or_no_field (row, "takes_requests"),
-      yes_or_no_field (row, "cut_off"),
+      yes_or_no_field (row, "cut_off"), string_field (row, "form"),
       (long long)integer_field (row, "heard_ms_ago"));
 }
 
--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/crash_table.h"
 #include "fleet/crash_wire.h"
 #include "fleet/list_update.h"
+#include "fleet/message_items.h"
 #include "fleet/notice_wire.h"
 #include "fleet/packed.h"
 #include "fleet/reopened_domains.h"
@@ -75,8 +76,8 @@
       uint32_t sender_address; /* IPv4 */
       blob_t *encoded;         /* by message_encode */
     } replica_message;
-    fleet_pull_args_t pull;
-    fleet_share_args_t share;
+    pull_message_t pull;
+    share_message_t share;
     fleet_announce_args_t announce;
     fleet_announce_result_t announce_reply;
     struct
@@ -84,6 +85,7 @@
       uint32_t address;          /* IPv4, of the director that replied */
       uint64_t list_digest;      /* of its list of backend servers */
       uint64_t incarnation;      /* of its process */
+      uint32_t form;             /* of its messages */
       uint64_t crashes_sequence; /* of the crash reports sent to it */
       uint64_t colds_sent;       /* the changes of `colds` sent to it */
     } share_reply;
@@ -95,6 +97,7 @@
 /* What this director knows of the director that holds a slot.  */
 typedef struct director_peer
 {
+  uint32_t form; /* of its messages; MESSAGE_FORM_NOT_TOLD: not known */
   /* When the slot's holder was last heard from; 0: never.  Reset to the
      present when this director becomes leader or assigns the slot.  */
   usec_t last_heard_at;
@@ -230,6 +233,9 @@
 /* Create the roster at the first start; announce and share when due.  */
 void core_peers_tick (director_core_t *core, usec_t now);
 /* Handle an ITEM_SHARE and reply.  */
+/* The messages of the director that holds SLOT have FORM.  */
+void core_peers_note_form (director_core_t *core, slot_t slot, uint32_t form);
+
 void core_peers_handle_share (director_core_t *core, core_item_t *item,
                               usec_t now);
 /* Handle an ITEM_ANNOUNCE and reply.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -292,20 +292,22 @@
 on_share_reply (void *closure, const rpc_result_t *result)
 {
   share_call_t *call = closure;
-  fleet_share_result_t answer = { 0 };
+  share_reply_t answer = { 0 };
   if (result->ok
-      && rpc_result_decode (result, (xdrproc_t)xdr_fleet_share_result_t,
+      && rpc_result_decode (result, (xdrproc_t)message_xdr_share_reply,
                             &answer))
     {
       core_item_t *item = core_item_new (ITEM_SHARE_REPLY);
       item->body.share_reply.address = call->address;
-      item->body.share_reply.list_digest = answer.list_digest;
-      item->body.share_reply.incarnation = answer.incarnation;
+      item->body.share_reply.list_digest = answer.fixed.list_digest;
+      item->body.share_reply.incarnation = answer.fixed.incarnation;
+      item->body.share_reply.form = message_items_form (&answer.items);
       item->body.share_reply.crashes_sequence = call->crashes_sequence;
       item->body.share_reply.colds_sent = call->colds_sent;
       if (!core_mailbox_post (call->core, item))
         free (item);
     }
+  xdr_free ((xdrproc_t)message_xdr_share_reply, (char *)&answer);
   free (call);
 }
 
@@ -328,9 +330,10 @@
 }
 
 static void
-send_share (director_core_t *core, slot_t to, fleet_share_args_t *args,
+send_share (director_core_t *core, slot_t to, share_message_t *message,
             usec_t now)
 {
+  fleet_share_args_t *args = &message->fixed;
   fleet_packed_t deltas[LIST_DELTAS_MAX];
   args->list
       = list_source_build_update (&core->list_source, &core->backend_list,
@@ -351,8 +354,8 @@
                           .crashes_sequence = crashes.sequence,
                           .colds_sent = colds_sent };
   rpc_request_t request = { .procedure = FLEET_SHARE,
-                            .encode = (xdrproc_t)xdr_fleet_share_args_t,
-                            .args = args,
+                            .encode = (xdrproc_t)message_xdr_share,
+                            .args = message,
                             .done = on_share_reply,
                             .closure = call };
   call_director (core, call->address, &request);
@@ -374,19 +377,22 @@
       = now + (has_reports ? SHARE_INTERVAL_REPORTS : SHARE_INTERVAL);
   bool is_leader = core->role == ROLE_LEADER;
   packed_t routers = pack_routers (core, now);
-  fleet_share_args_t args = { .address = core->own_address, .slot = own_slot };
-  args.routers.fleet_packed_t_val = routers.bytes;
-  args.routers.fleet_packed_t_len = (u_int)routers.length;
+  share_message_t message = { 0 };
+  fleet_share_args_t *args = &message.fixed;
+  args->address = core->own_address;
+  args->slot = own_slot;
+  args->routers.fleet_packed_t_val = routers.bytes;
+  args->routers.fleet_packed_t_len = (u_int)routers.length;
   if (is_leader && replica_is_current (core->replica, now))
     {
-      args.confirmed_index = core->applied_index;
-      args.roster = roster_to_wire (&core->roster);
+      args->confirmed_index = core->applied_index;
+      args->roster = roster_to_wire (&core->roster);
     }
   for (slot_t slot = 0; slot < (slot_t)core->roster.n_slots; slot++)
     if (slot != own_slot
         && (is_leader || core->leader_slot == SLOT_NONE
             || core->leader_slot == slot))
-      send_share (core, slot, &args, now);
+      send_share (core, slot, &message, now);
   free (routers.bytes);
 }
 
@@ -429,10 +435,22 @@
   return now - delay;
 }
 
+void
+core_peers_note_form (director_core_t *core, slot_t slot, uint32_t form)
+{
+  char address[INET_TEXT_BYTES];
+  if (form == core->peers[slot].form)
+    return;
+  core->peers[slot].form = form;
+  inet_format_address (core->roster.addresses[slot], address);
+  LOG_EVENT (LOG_LEVEL_INFO, "peer_form", LOG_S ("director", address),
+             LOG_U ("form", form), LOG_U ("own", MESSAGE_FORM));
+}
+
 void
 core_peers_handle_share (director_core_t *core, core_item_t *item, usec_t now)
 {
-  const fleet_share_args_t *args = &item->body.share;
+  const fleet_share_args_t *args = &item->body.share.fixed;
   usec_t sent_at = share_sent_at (core, args, now);
   if (args->confirmed_index > 0 && now - sent_at < SHARE_INTERVAL)
     adopt_leader_roster (core, &args->roster, now);
@@ -440,6 +458,10 @@
       && roster_slot (&core->roster, args->address) == args->slot
       && sent_at > core->peers[args->slot].last_heard_at)
     core->peers[args->slot].last_heard_at = sent_at;
+  slot_t slot = roster_slot (&core->roster, args->address);
+  if (slot != SLOT_NONE)
+    core_peers_note_form (core, slot,
+                          message_items_form (&item->body.share.items));
   merge_routers (core, &args->routers, sent_at);
   if (args->confirmed_index > 0 && sent_at > core->pending_confirm_at)
     {
@@ -452,9 +474,9 @@
   core_quotas_merge_share (core, args, now);
   core_loads_merge_share (core, args, sent_at);
   core_colds_merge_share (core, args, sent_at, now);
-  fleet_share_result_t result = { .list_digest = core->backend_list.digest,
-                                  .incarnation = core->options.seed };
-  rpc_reply (item->call, (xdrproc_t)xdr_fleet_share_result_t, &result);
+  share_reply_t reply = { .fixed = { .list_digest = core->backend_list.digest,
+                                     .incarnation = core->options.seed } };
+  rpc_reply (item->call, (xdrproc_t)message_xdr_share_reply, &reply);
 }
 
 void
@@ -522,7 +544,7 @@
 serve_pull (void *closure, rpc_call_t *call)
 {
   core_item_t *item = core_item_new (ITEM_PULL);
-  enqueue_call (closure, call, item, (xdrproc_t)xdr_fleet_pull_args_t,
+  enqueue_call (closure, call, item, (xdrproc_t)message_xdr_pull,
                 &item->body.pull);
 }
 
@@ -530,7 +552,7 @@
 serve_share (void *closure, rpc_call_t *call)
 {
   core_item_t *item = core_item_new (ITEM_SHARE);
-  enqueue_call (closure, call, item, (xdrproc_t)xdr_fleet_share_args_t,
+  enqueue_call (closure, call, item, (xdrproc_t)message_xdr_share,
                 &item->body.share);
 }
 
--- a/src/director/core_pulls.c
+++ b/src/director/core_pulls.c
@@ -172,14 +172,16 @@
   result->evacuated.evacuated_len = (u_int)state->n_evacuated;
 }
 
-/* Record what a router reports about itself.  */
+/* Record what a router reports about itself, in a message of FORM.  */
 static void
-merge_router (director_core_t *core, const fleet_router_t *wire, usec_t now)
+merge_router (director_core_t *core, const fleet_router_t *wire, uint32_t form,
+              usec_t now)
 {
   router_record_t record;
   if (fleet_wire_decode_router (wire, now, &record))
     {
       record.is_direct = true;
+      record.form = form;
       router_table_merge (&core->router_table, &record);
     }
 }
@@ -205,38 +207,41 @@
 void
 core_pulls_answer (director_core_t *core, core_item_t *item, usec_t now)
 {
-  const fleet_pull_args_t *args = &item->body.pull;
-  merge_router (core, &args->router, now);
+  const fleet_pull_args_t *args = &item->body.pull.fixed;
+  merge_router (core, &args->router,
+                message_items_form (&item->body.pull.items), now);
   merge_notices (core, args, now);
   core_crashes_merge (core, args->suspects.suspects_val,
                       args->suspects.suspects_len, now, now);
   fleet_name_t evacuated[EVACUATED_MAX];
   fleet_packed_t deltas[LIST_DELTAS_MAX];
-  fleet_pull_result_t result = {
+  pull_reply_t reply = { 0 };
+  fleet_pull_result_t *result = &reply.fixed;
+  *result = (fleet_pull_result_t){
     .confirmed_age = core->confirmed_at > 0 ? now - core->confirmed_at : -1,
     .routers_digest = core->routers_digest,
     .list = list_source_build_update (&core->list_source, &core->backend_list,
                                       args->list_digest, deltas, now)
   };
-  fill_state (core, args, &result, evacuated);
+  fill_state (core, args, result, evacuated);
   fleet_reopened_t reopened[REOPENED_DOMAINS_MAX];
-  fill_reopened (core, &result, reopened, now);
+  fill_reopened (core, result, reopened, now);
   suspect_lists_t suspects;
-  core_crashes_fill_result (core, args->quarantine_digest, &result, &suspects);
+  core_crashes_fill_result (core, args->quarantine_digest, result, &suspects);
   fleet_release_t releases[FLEET_WIRE_RELEASES_MAX];
-  core_crashes_fill_releases (core, &result, releases, now);
+  core_crashes_fill_releases (core, result, releases, now);
   if (args->wants_routers && args->routers_digest != core->routers_digest)
     {
-      result.routers.fleet_packed_t_val = core->packed_routers.bytes;
-      result.routers.fleet_packed_t_len = (u_int)core->packed_routers.length;
+      result->routers.fleet_packed_t_val = core->packed_routers.bytes;
+      result->routers.fleet_packed_t_len = (u_int)core->packed_routers.length;
     }
   fleet_quota_t quotas[FLEET_WIRE_USAGES_MAX];
-  core_quotas_answer (core, args, &result, quotas, now);
+  core_quotas_answer (core, args, result, quotas, now);
   static fleet_load_t loads[FLEET_WIRE_LOADS_MAX];
-  core_loads_answer (core, args, &result, loads, now);
+  core_loads_answer (core, args, result, loads, now);
   static fleet_cold_t colds[FLEET_WIRE_COLDS_MAX];
-  core_colds_answer (core, args, &result, colds, now);
-  result.directors.directors_val = core->roster.addresses;
-  result.directors.directors_len = (u_int)core->roster.n_slots;
-  rpc_reply (item->call, (xdrproc_t)xdr_fleet_pull_result_t, &result);
+  core_colds_answer (core, args, result, colds, now);
+  result->directors.directors_val = core->roster.addresses;
+  result->directors.directors_len = (u_int)core->roster.n_slots;
+  rpc_reply (item->call, (xdrproc_t)message_xdr_pull_reply, &reply);
 }
--- a/src/director/core_view.c
+++ b/src/director/core_view.c
@@ -25,6 +25,14 @@
   return json_integer (at > 0 ? (now - at) / USEC_PER_MSEC : -1);
 }
 
+/* The form of a process's messages; null if it is not known.  */
+static json_t *
+form_json (uint32_t form)
+{
+  return form == MESSAGE_FORM_NOT_TOLD ? json_null ()
+                                       : json_sprintf ("%u", form);
+}
+
 static json_t *
 route_json (const route_t *route)
 {
@@ -106,8 +114,10 @@
       bool is_self = core->roster.addresses[i] == core->own_address;
       json_array_append_new (
           directors,
-          json_pack ("{s:i,s:s,s:b,s:b,s:o}", "slot", (int)i, "address",
+          json_pack ("{s:i,s:s,s:b,s:b,s:o,s:o}", "slot", (int)i, "address",
                      address, "leads", core->leader_slot == i, "self", is_self,
+                     "form",
+                     form_json (is_self ? MESSAGE_FORM : core->peers[i].form),
                      "heard_ms_ago",
                      is_self ? json_integer (0)
                              : age_json (core->peers[i].last_heard_at, now)));
@@ -124,11 +134,12 @@
       const router_record_t *record = &core->router_table.records[i];
       json_array_append_new (
           routers,
-          json_pack ("{s:s,s:s,s:o,s:b,s:b,s:o}", "vm", record->vm.text,
+          json_pack ("{s:s,s:s,s:o,s:b,s:b,s:o,s:o}", "vm", record->vm.text,
                      "failure_domain", record->domain.text, "requests",
                      address_json (&record->request_address), "takes_requests",
                      record->takes_requests, "cut_off", record->is_cut_off,
-                     "heard_ms_ago", age_json (record->heard_at, now)));
+                     "form", form_json (record->form), "heard_ms_ago",
+                     age_json (record->heard_at, now)));
     }
   return routers;
 }
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -129,10 +129,10 @@
       blob_unref (item->body.replica_message.encoded);
       break;
     case ITEM_PULL:
-      xdr_free ((xdrproc_t)xdr_fleet_pull_args_t, (char *)&item->body.pull);
+      xdr_free ((xdrproc_t)message_xdr_pull, (char *)&item->body.pull);
       break;
     case ITEM_SHARE:
-      xdr_free ((xdrproc_t)xdr_fleet_share_args_t, (char *)&item->body.share);
+      xdr_free ((xdrproc_t)message_xdr_share, (char *)&item->body.share);
       break;
     case ITEM_ANNOUNCE:
       xdr_free ((xdrproc_t)xdr_fleet_announce_args_t,
@@ -182,6 +182,7 @@
         if (slot == SLOT_NONE)
           break;
         core->peers[slot].list_digest = item->body.share_reply.list_digest;
+        core_peers_note_form (core, slot, item->body.share_reply.form);
         core_colds_shared (core, slot, item->body.share_reply.incarnation,
                            item->body.share_reply.colds_sent);
         core_crashes_shared (core, slot, item->body.share_reply.incarnation,
--- a/src/fleet/fleet_defs.h
+++ b/src/fleet/fleet_defs.h
@@ -61,7 +61,8 @@
   bool takes_requests; /* false while it starts or stops */
   bool is_cut_off;     /* it reaches no backend server */
   bool is_direct;      /* received from the router itself, not relayed */
-  usec_t heard_at;     /* time of its last report, local monotonic clock */
+  uint32_t form;   /* of its messages (fleet/message_items); 0: not known */
+  usec_t heard_at; /* time of its last report, local monotonic clock */
 } router_record_t;
 
 #endif
--- a/src/router/director_sync.c
+++ b/src/router/director_sync.c
@@ -77,21 +77,35 @@
                LOG_U ("version", sync->config_version));
 }
 
+/* The messages of the director that answered have FORM.  */
+static void
+note_director_form (director_sync_t *sync, uint32_t form)
+{
+  if (form == sync->director_form)
+    return;
+  sync->director_form = form;
+  LOG_EVENT (LOG_LEVEL_INFO, "director_form", LOG_U ("form", form),
+             LOG_U ("own", MESSAGE_FORM));
+}
+
 static void
 on_pull_ended (void *closure, const rpc_result_t *result)
 {
   director_sync_t *sync = closure;
-  fleet_pull_result_t answer = { 0 };
+  pull_reply_t answer = { 0 };
   bool changed = false;
   bool ok = result->ok
-            && rpc_result_decode (result, (xdrproc_t)xdr_fleet_pull_result_t,
+            && rpc_result_decode (result, (xdrproc_t)message_xdr_pull_reply,
                                   &answer);
   usec_t now = clock_monotonic ();
   pthread_mutex_lock (&sync->lock);
   sync->is_pulling = false;
   set_disconnected (sync, !ok, &result->error);
   if (ok)
-    changed = director_apply_result (sync, &answer, now);
+    {
+      note_director_form (sync, message_items_form (&answer.items));
+      changed = director_apply_result (sync, &answer.fixed, now);
+    }
   else
     {
       director_choice_avoid (&sync->directors, now);
@@ -99,7 +113,7 @@
       sync->next_pull_at = now + DIRECTOR_SYNC_INTERVAL / 4;
     }
   pthread_mutex_unlock (&sync->lock);
-  xdr_free ((xdrproc_t)xdr_fleet_pull_result_t, (char *)&answer);
+  xdr_free ((xdrproc_t)message_xdr_pull_reply, (char *)&answer);
   if (changed)
     sync->options.snapshot_changed (sync->options.closure);
 }
@@ -108,7 +122,7 @@
 
 static void
 send_pull (director_sync_t *sync, uint32_t director,
-           const fleet_pull_args_t *args)
+           const pull_message_t *message)
 {
   char address[INET_TEXT_BYTES];
   inet_format_address (director, address);
@@ -118,10 +132,10 @@
           .program = MULBERRY_FLEET,
           .version = MULBERRY_FLEET_V1,
           .procedure = FLEET_PULL,
-          .encode = (xdrproc_t)xdr_fleet_pull_args_t,
-          .args = (void *)(uintptr_t)args,
-          .timeout
-          = args->config_version > 0 ? PULL_TIMEOUT : FIRST_PULL_TIMEOUT,
+          .encode = (xdrproc_t)message_xdr_pull,
+          .args = (void *)(uintptr_t)message,
+          .timeout = message->fixed.config_version > 0 ? PULL_TIMEOUT
+                                                       : FIRST_PULL_TIMEOUT,
           .done = on_pull_ended,
           .closure = sync };
   rpc_send (sync->options.rpc, &request);
@@ -205,13 +219,14 @@
                            .takes_requests = sync->takes_requests,
                            .is_cut_off = sync->is_cut_off,
                            .heard_at = now };
-  fleet_pull_args_t args
-      = { .router = fleet_wire_encode_router (&self, now),
-          .config_version = sync->config_version,
-          .list_digest = sync->list_digest,
-          .routers_digest = sync->routers_digest,
-          .wants_routers = now >= sync->routers_pulled_at + ROUTERS_INTERVAL,
-          .quarantine_digest = sync->quarantine_digest };
+  pull_message_t message
+      = { .fixed = { .router = fleet_wire_encode_router (&self, now),
+                     .config_version = sync->config_version,
+                     .list_digest = sync->list_digest,
+                     .routers_digest = sync->routers_digest,
+                     .wants_routers
+                     = now >= sync->routers_pulled_at + ROUTERS_INTERVAL,
+                     .quarantine_digest = sync->quarantine_digest } };
   static director_report_t report;
   uint32_t director = 0;
   if (is_due)
@@ -222,11 +237,11 @@
                                                  : START_PULL_INTERVAL);
       sync->pull_sent_at = now;
       director = director_choice_next (&sync->directors, now);
-      director_report_fill (sync, director, &args, &report, now);
+      director_report_fill (sync, director, &message.fixed, &report, now);
     }
   pthread_mutex_unlock (&sync->lock);
   if (is_due)
-    send_pull (sync, director, &args);
+    send_pull (sync, director, &message);
 }
 
 usec_t
--- a/src/router/director_sync_internal.h
+++ b/src/router/director_sync_internal.h
@@ -9,6 +9,7 @@
 #include "fleet/cold_wire.h"
 #include "fleet/crash_wire.h"
 #include "fleet/load_wire.h"
+#include "fleet/message_items.h"
 #include "fleet/notice_wire.h"
 #include "router/director_choice.h"
 #include "router/director_sync.h"
@@ -37,10 +38,11 @@
   backend_pool_t *pool; /* set before the first tick */
   usec_t notices_told_at;
   const crash_table_t *crashes; /* set before the first tick */
-  uint32_t crashes_director;    /* the director that crashes_known is for */
-  uint64_t crashes_known;       /* changes of CRASHES that it has */
-  uint64_t crashes_sent;        /* the same, once it answers the pull */
-  size_t n_releases;            /* by the last pull */
+  uint32_t director_form; /* of the messages of the director that answered */
+  uint32_t crashes_director; /* the director that crashes_known is for */
+  uint64_t crashes_known;    /* changes of CRASHES that it has */
+  uint64_t crashes_sent;     /* the same, once it answers the pull */
+  size_t n_releases;         /* by the last pull */
   director_release_t releases[DIRECTOR_RELEASES_MAX];
   bool is_confirmed;
   limiter_t *limiter;              /* NULL: no quotas */
--- a/src/wire/fleet.x
+++ b/src/wire/fleet.x
@@ -21,6 +21,8 @@
 const FLEET_WIRE_LOADS_MAX = 1024;
 const FLEET_WIRE_COLDS_MAX = 1024;
 const FLEET_WIRE_TOLD_COLDS_MAX = 64;
+const FLEET_ITEMS_MAX = 32;
+const FLEET_ITEM_BYTES_MAX = 65536;
 
 struct fleet_router_t
 {
@@ -173,6 +175,19 @@
   fleet_cold_t colds<FLEET_WIRE_TOLD_COLDS_MAX>;
 };
 
+/* What a message says behind its fixed fields (fleet/message_items).  A reader
+   passes over kinds that it does not know. */
+struct fleet_item_t
+{
+  uint32_t kind;
+  opaque value<FLEET_ITEM_BYTES_MAX>;
+};
+
+struct fleet_items_t
+{
+  fleet_item_t items<FLEET_ITEMS_MAX>;
+};
+
 /* A router tells of itself and says what it has. */
 struct fleet_pull_args_t
 {
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -76,7 +76,7 @@
 start_vm() {
   write_settings "$1" "$2"
   start "$1-$2" ${SHIM:+env LD_PRELOAD="$SHIM" FAULT_CONTROL="$FOLDER/fault-$1-$2"} \
-    "$BUILD/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
+    "${PROGRAMS:-$BUILD}/mulberry-$1" --settings "$FOLDER/$1-$2.yaml"
 }
 
 kill_one() {
--- a/test/fuzz/fuzz_fleet_message.c
+++ b/test/fuzz/fuzz_fleet_message.c
@@ -13,6 +13,7 @@
 #include "fleet/crash_wire.h"
 #include "fleet/fleet_wire.h"
 #include "fleet/list_update.h"
+#include "fleet/message_items.h"
 #include "fleet/notice_wire.h"
 #include "fleet/router_table.h"
 
@@ -223,14 +224,16 @@
 check_pull (fuzz_input_t *input)
 {
   static router_table_t table;
-  fleet_pull_args_t args = { 0 };
-  if (!decode (input, (xdrproc_t)xdr_fleet_pull_args_t, &args))
+  pull_message_t message = { 0 };
+  const fleet_pull_args_t *args = &message.fixed;
+  if (!decode (input, (xdrproc_t)message_xdr_pull, &message))
     return;
   table.n_records = 0;
-  merge_router (&args.router, &table);
-  merge_suspects (args.suspects.suspects_val, args.suspects.suspects_len);
-  put_notices (args.notices.notices_val, args.notices.notices_len);
-  xdr_free ((xdrproc_t)xdr_fleet_pull_args_t, (char *)&args);
+  merge_router (&args->router, &table);
+  merge_suspects (args->suspects.suspects_val, args->suspects.suspects_len);
+  put_notices (args->notices.notices_val, args->notices.notices_len);
+  message_items_form (&message.items);
+  xdr_free ((xdrproc_t)message_xdr_pull, (char *)&message);
 }
 
 static void
