fix(router): a health check does not believe a copy of a request's answer

An answer with an id that the connection has carried is none to a health check: it is left out where its end is known, and nothing of it is believed where not.

What remains: the copy of a health check's own earlier answer, which has no id either, that comes after the next check was sent on the same connection.

--- a/src/router/backend_connections.c
+++ b/src/router/backend_connections.c
@@ -248,13 +248,14 @@
     return state;
   if (state == CONNECTION_IS_NEW)
     connection_table_use (connections, connection, remote, local_port);
-  connection->may_be_foreign = state == CONNECTION_IS_KEPT && use->id[0]
-                               && !connection->had_head_request;
+  connection->may_be_foreign
+      = state == CONNECTION_IS_KEPT && !connection->had_head_request;
   if (connection->may_be_foreign)
     hide (connections, connection);
   connection->had_head_request |= use->is_head;
   connection->last = *use;
-  sent_ids_add (&connection->sent_ids, use->id);
+  if (use->id[0])
+    sent_ids_add (&connection->sent_ids, use->id);
   http_socket_end_send (connection->watch.fd, &connection->send_watch);
   if (use->is_upload)
     http_socket_start_send (connection->watch.fd, &connection->send_watch);
@@ -375,8 +376,8 @@
                     MSG_PEEK | MSG_DONTWAIT);
   if (n <= 0)
     return false;
-  uint64_t n_bytes
-      = foreign_response_bytes (buffer, (size_t)n, connection->last.id);
+  uint64_t n_bytes = foreign_response_bytes (
+      buffer, (size_t)n, connection->last.id, &connection->sent_ids);
   connection->may_be_foreign = n_bytes > 0 && may_skip (connection, n_bytes);
   connection->is_spoilt |= n_bytes > 0;
   if (!connection->may_be_foreign)
@@ -431,6 +432,12 @@
   connection->may_be_foreign = false;
 }
 
+const sent_ids_t *
+backend_connection_sent_ids (const backend_connection_t *connection)
+{
+  return &connection->sent_ids;
+}
+
 bool
 backend_connection_is_spoilt (const backend_connection_t *connection)
 {
--- a/src/router/backend_connections.h
+++ b/src/router/backend_connections.h
@@ -25,6 +25,7 @@
 #include "fleet/fleet_defs.h"
 #include "router/poller.h"
 #include "router/response_reader.h"
+#include "router/sent_ids.h"
 #include "wire/send_watch.h"
 
 typedef struct backend_connections backend_connections_t;
@@ -126,6 +127,10 @@
 /* libcurl reads a response on CONNECTION: nothing more is left out there.  */
 void backend_connection_response_began (backend_connection_t *connection);
 
+/* The ids of the requests that CONNECTION has carried.  */
+const sent_ids_t *
+backend_connection_sent_ids (const backend_connection_t *connection);
+
 /* Whether a response to an earlier request came on CONNECTION: it must not be
    used again.  */
 bool backend_connection_is_spoilt (const backend_connection_t *connection);
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -120,8 +120,13 @@
 {
   backend_call_t *call = closure;
   size_t length = size * n;
+  call->reader.earlier_ids = NULL;
   if (call->user.connection)
-    backend_connection_response_began (call->user.connection);
+    {
+      backend_connection_response_began (call->user.connection);
+      call->reader.earlier_ids
+          = backend_connection_sent_ids (call->user.connection);
+    }
   if (!response_reader_head (&call->reader, data, length))
     return 0;
   const backend_connection_t *connection = call->user.connection;
--- a/src/router/dispatcher_notices.c
+++ b/src/router/dispatcher_notices.c
@@ -85,7 +85,7 @@
 dispatcher_read_probe_notices (dispatcher_t *dispatcher, backend_t *backend,
                                const backend_response_t *response, usec_t now)
 {
-  bool is_own = response->is_complete
+  bool is_own = response->is_complete && !response->is_foreign
                 && strcmp (response->backend_id, backend->record.id) == 0;
   if (is_own && response->is_leaving)
     note_leaving (dispatcher, "", backend, now);
--- a/src/router/dispatcher_probe.c
+++ b/src/router/dispatcher_probe.c
@@ -32,9 +32,9 @@
       = { .address = backend->record.address,
           .boot = owner->boot,
           .backend_id = backend->record.id,
-          /* It bears no id: on a kept connection its answer could be one to
-             an earlier request.  */
-          .needs_new_connection = true,
+          .needs_new_connection
+          = is_reach_check
+            || dispatcher_stutters (dispatcher, backend, clock_monotonic ()),
           .method = "GET",
           .target = service ? service->health_path : "/",
           .id = "",
@@ -83,7 +83,7 @@
                    const backend_response_t *response)
 {
   return response->is_complete && response->status == MHD_HTTP_OK
-         && !response->not_started
+         && !response->is_foreign && !response->not_started
          && strcmp (response->backend_id, backend->record.id) == 0;
 }
 
@@ -97,12 +97,16 @@
   LOG_EVENT (LOG_LEVEL_INFO, "backend_probed",
              LOG_S ("backend", backend->record.id),
              LOG_U ("healthy", is_healthy), LOG_U ("status", response->status),
+             LOG_U ("of_earlier", response->is_foreign),
              LOG_I ("cold_left_ms", response->cold_remaining / USEC_PER_MSEC),
              LOG_U ("failures", backend->consecutive_failures));
   dispatcher_reach_evidence (dispatcher, owner, backend, response, now);
-  dispatcher_crash_evidence_of_probe (dispatcher, owner, response, now);
-  dispatcher_read_probe_notices (dispatcher, backend, response, now);
-  dispatcher_cold_evidence (dispatcher, backend, response, now);
+  if (!response->is_foreign)
+    {
+      dispatcher_crash_evidence_of_probe (dispatcher, owner, response, now);
+      dispatcher_read_probe_notices (dispatcher, backend, response, now);
+      dispatcher_cold_evidence (dispatcher, backend, response, now);
+    }
   if (is_healthy && response->cold_remaining == 0)
     count_needless_limit (dispatcher, backend, now);
   backend_pool_probe_ended (dispatcher->pool, backend, is_healthy,
--- a/src/router/foreign_response.c
+++ b/src/router/foreign_response.c
@@ -1,5 +1,6 @@
 #include "router/foreign_response.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
@@ -23,9 +24,11 @@
 /* What LINE, a field line of LENGTH bytes, tells of the response's request.
    As for response_reader, an id ends at a null byte or a carriage return.  */
 static id_kind_t
-read_id (const char *line, size_t length, const char *id)
+read_id (const char *line, size_t length, const char *id,
+         const sent_ids_t *sent)
 {
   static const char name[] = HEADER_REQUEST_ID ":";
+  char value[RESPONSE_ID_BYTES];
   size_t begin = sizeof name - 1;
   if (length < begin || strncasecmp (line, name, begin) != 0)
     return ID_NONE;
@@ -36,8 +39,10 @@
     end++;
   while (end > begin && is_blank (line[end - 1]))
     end--;
-  bool is_own = end - begin == strlen (id)
-                && memcmp (line + begin, id, end - begin) == 0;
+  snprintf (value, sizeof value, "%.*s", (int)(end - begin), line + begin);
+  if (!id[0])
+    return sent_ids_may_contain (sent, value) ? ID_OTHER : ID_NONE;
+  bool is_own = end - begin == strlen (id) && strcmp (value, id) == 0;
   return is_own ? ID_OWN : ID_OTHER;
 }
 
@@ -65,7 +70,8 @@
 }
 
 uint64_t
-foreign_response_bytes (const char *data, size_t length, const char *id)
+foreign_response_bytes (const char *data, size_t length, const char *id,
+                        const sent_ids_t *sent)
 {
   answer_head_t head = { 0 };
   bool is_foreign = false;
@@ -83,7 +89,7 @@
         case HEAD_LINE_STATUS:
           break;
         case HEAD_LINE_FIELD:
-          switch (read_id (line, n, id))
+          switch (read_id (line, n, id, sent))
             {
             case ID_OWN:
               return 0;
--- a/src/router/response_reader.c
+++ b/src/router/response_reader.c
@@ -262,6 +262,9 @@
 parse_id (response_reader_t *reader, const char *value)
 {
   bool is_equal = reader->id[0] && strcmp (value, reader->id) == 0;
+  if (!reader->id[0] && reader->earlier_ids
+      && sent_ids_may_contain (reader->earlier_ids, value))
+    reader->is_of_earlier = true;
   reader->response.id_matches
       = is_equal && (!reader->has_id || reader->response.id_matches);
   reader->has_id = true;
@@ -339,6 +342,7 @@
 {
   backend_response_clear (&reader->response);
   reader->has_id = false;
+  reader->is_of_earlier = false;
   reader->leaving = (notice_field_t){ 0 };
   reader->retry_after = (notice_field_t){ 0 };
   reader->limit = (notice_field_t){ 0 };
@@ -407,8 +411,9 @@
 bool
 response_reader_is_foreign (const response_reader_t *reader)
 {
-  return reader->head.has_ended && reader->id[0]
-         && !reader->response.id_matches;
+  bool is_of_other
+      = reader->id[0] ? !reader->response.id_matches : reader->is_of_earlier;
+  return reader->head.has_ended && is_of_other;
 }
 
 /* Where a body ends must be certain: what libcurl makes of a length that can't
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -9,6 +9,7 @@
 
 #include "balance/backend_pool.h"
 #include "router/body_budget.h"
+#include "router/sent_ids.h"
 #include "wire/answer_head.h"
 #include "wire/chunk_decoder.h"
 
@@ -92,6 +93,10 @@
   answer_head_t head;
   chunk_decoder_t chunks; /* of a body in chunks */
   bool has_id;            /* the response has a request id */
+  /* Of the requests that its connection has carried; NULL: not known.  Must be
+     valid while the head is read.  */
+  const sent_ids_t *earlier_ids;
+  bool is_of_earlier; /* of a health check: it has one of these ids */
   notice_field_t leaving;
   notice_field_t retry_after;
   notice_field_t limit; /* thousandths of a request a second */
--- a/test/fuzz/fuzz_router_response.c
+++ b/test/fuzz/fuzz_router_response.c
@@ -86,7 +86,8 @@
   char *copy = malloc (size > 0 ? size : 1);
   check (copy != NULL);
   memcpy (copy, data, size);
-  uint64_t n = foreign_response_bytes (copy, size, reader->id);
+  const sent_ids_t sent = { 0 };
+  uint64_t n = foreign_response_bytes (copy, size, reader->id, &sent);
   free (copy);
   if (n == 0 || n_head == SIZE_MAX)
     return;
--- a/test/unit/test_router_backend_reuse.c
+++ b/test/unit/test_router_backend_reuse.c
@@ -42,6 +42,7 @@
   SENDS_COPY_IN_PARTS, /* before the next, with a pause in its body */
   SENDS_COPIES_BEFORE_NEXT,
   SENDS_COPIES_WITHOUT_END,
+  SENDS_ENDLESS_COPY_BEFORE_NEXT, /* its head, and chunks for its body */
   CLOSES_LATE,
 } behaviour_t;
 
@@ -156,6 +157,13 @@
     write_text (fd, block->str);
 }
 
+static void
+write_chunks (int fd, const char *copy)
+{
+  g_autofree char *chunks = chunks_to (copy, "");
+  write_text (fd, chunks);
+}
+
 /* COPY is the response that was sent before.  */
 static void
 precede_second_response (const connection_t *connection, const char *copy)
@@ -172,6 +180,9 @@
     case SENDS_COPIES_WITHOUT_END:
       write_copies_without_end (connection->fd, copy);
       return;
+    case SENDS_ENDLESS_COPY_BEFORE_NEXT:
+      write_chunks (connection->fd, copy);
+      return;
     case SENDS_COPY_IN_PARTS:
       send (connection->fd, copy, strlen (copy) - 1, MSG_NOSIGNAL);
       g_usleep (PAUSE);
@@ -257,6 +268,7 @@
       = (answer_facts_t){ .may_have_been_sent = response->may_have_reached,
                           .is_complete = response->is_complete,
                           .id_matches = response->id_matches,
+                          .is_foreign = response->is_foreign,
                           .is_signed = response->is_signed,
                           .not_started = response->not_started,
                           .status = response->status };
@@ -541,13 +553,54 @@
     { "Request-Id: a\r\n\r\n", 0 },
     { "", 0 },
   };
+  sent_ids_t sent = { 0 };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       const char *data = cases[i].data;
       g_test_message ("%s", data);
-      g_assert_cmpuint (foreign_response_bytes (data, strlen (data), "b"), ==,
-                        cases[i].n);
+      g_assert_cmpuint (
+          foreign_response_bytes (data, strlen (data), "b", &sent), ==,
+          cases[i].n);
     }
+  /* To a health check, which has no id.  */
+  const char *copy = cases[0].data;
+  g_assert_cmpuint (foreign_response_bytes (copy, strlen (copy), "", &sent),
+                    ==, 0);
+  sent_ids_add (&sent, "a");
+  g_assert_cmpuint (foreign_response_bytes (copy, strlen (copy), "", &sent),
+                    ==, cases[0].n);
+}
+
+/* Guards against a health check that is judged by the copy of a request's
+   refusal, whose rest, limit and cold time are not its own.  */
+static void
+test_health_check_behind_copy (gconstpointer data)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, (behaviour_t)GPOINTER_TO_INT (data));
+  fixture.refusal = "503 Full";
+  call (&fixture, "id-1", false);
+  call (&fixture, "", false);
+  g_assert_true (fixture.was_reused);
+  g_assert_cmpuint (fixture.last.status, ==, 200);
+  g_assert_false (fixture.last.is_foreign);
+  fixture_close (&fixture);
+}
+
+/* The copy has no end that is known, so that it can't be left out.  */
+static void
+test_health_check_reads_copy (void)
+{
+  fixture_t fixture;
+  fixture_open (&fixture, SENDS_ENDLESS_COPY_BEFORE_NEXT);
+  call (&fixture, "id-1", false);
+  call (&fixture, "", false);
+  g_assert_true (fixture.was_reused);
+  g_assert_true (fixture.last.is_foreign);
+  call (&fixture, "id-2", false);
+  assert_answered (&fixture);
+  g_assert_false (fixture.was_reused);
+  fixture_close (&fixture);
 }
 
 /* Guards against a connection that carries requests for as long as it is
@@ -670,6 +723,14 @@
                    test_copies_without_end);
   g_test_add_func ("/backend-reuse/foreign-response",
                    test_foreign_response_bytes);
+  g_test_add_data_func ("/backend-reuse/health-check-behind-copy",
+                        GINT_TO_POINTER (SENDS_COPY_BEFORE_NEXT),
+                        test_health_check_behind_copy);
+  g_test_add_data_func ("/backend-reuse/health-check-behind-copies",
+                        GINT_TO_POINTER (SENDS_COPIES_BEFORE_NEXT),
+                        test_health_check_behind_copy);
+  g_test_add_func ("/backend-reuse/health-check-reads-copy",
+                   test_health_check_reads_copy);
   g_test_add_func ("/backend-reuse/many-requests", test_many_requests);
   g_test_add_func ("/backend-reuse/new-connection", test_new_connection);
   g_test_add_func ("/backend-reuse/used-again", test_used_again_after_all);
