refactor(entry): the fields of an answer are read in a module of their own

No behaviour changes.

Build, formatter, linter on the files; unit tests of entry, backend connections and responses.

--- a/src/entry/backend_client.c
+++ b/src/entry/backend_client.c
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "base/list.h"
 #include "base/log.h"
-#include "base/number.h"
+#include "entry/reply_fields.h"
 #include "wire/answer_head.h"
 #include "wire/chunk_decoder.h"
 #include "wire/head_bound.h"
@@ -19,7 +19,6 @@
 {
   URL_BYTES = 2048 + 64,
   HEADER_LINE_BYTES = 512,
-  ID_BYTES = 64,
   CONNECTIONS_CACHED = 1024,
 };
 
@@ -30,7 +29,7 @@
   void *owner;
   CURL *easy;
   struct curl_slist *headers;
-  char id[ID_BYTES];
+  reply_fields_t fields;
   bool no_resend;
   bool is_head;
   size_t body_bytes; /* of the request */
@@ -40,9 +39,6 @@
   answer_head_t head;
   head_bound_t head_bound;
   chunk_decoder_t chunks; /* of a body in chunks */
-  bool has_id;            /* the last head has an X-Request-Id */
-  bool has_not_started;   /* it has an X-Not-Started */
-  bool has_outcome;       /* it has an X-Mulberry-Outcome */
   bool is_too_long;
   size_t body_capacity;
   backend_reply_t reply;
@@ -120,108 +116,6 @@
   return length;
 }
 
-/* The value of the header NAME in LINE; NULL where LINE is another header.  */
-static const char *
-header_value (const char *line, const char *name)
-{
-  size_t length = strlen (name);
-  if (strncasecmp (line, name, length) != 0 || line[length] != ':')
-    return NULL;
-  line += length + 1;
-  return line + strspn (line, " \t");
-}
-
-static void
-copy_text (char text[BACKEND_HEADER_VALUE_BYTES], const char *value)
-{
-  snprintf (text, BACKEND_HEADER_VALUE_BYTES, "%.*s",
-            BACKEND_HEADER_VALUE_BYTES - 1, value);
-}
-
-/* The number VALUE, of at most MAX; 0 if it is none.  */
-static uint64_t
-unsigned_value (const char *value, uint64_t max)
-{
-  uint64_t number = 0;
-  number_parse_unsigned (&number, value, max);
-  return number;
-}
-
-/* A value beside another one that differs tells nothing.  */
-static void
-parse_id (backend_call_t *call, const char *value)
-{
-  backend_reply_t *reply = &call->reply;
-  bool is_equal = strcmp (value, call->id) == 0;
-  reply->id_matches = is_equal && (!call->has_id || reply->id_matches);
-  call->has_id = true;
-}
-
-static void
-parse_not_started (backend_call_t *call, const char *value)
-{
-  backend_reply_t *reply = &call->reply;
-  bool is_stated = strcmp (value, "1") == 0;
-  reply->not_started
-      = is_stated && (!call->has_not_started || reply->not_started);
-  call->has_not_started = true;
-}
-
-static void
-parse_outcome (backend_call_t *call, const char *value)
-{
-  backend_reply_t *reply = &call->reply;
-  if (!call->has_outcome)
-    copy_text (reply->outcome, value);
-  else if (strcmp (value, reply->outcome) != 0)
-    reply->outcome[0] = '\0';
-  call->has_outcome = true;
-}
-
-static void
-parse_field (backend_call_t *call, const char *data, size_t length)
-{
-  backend_reply_t *reply = &call->reply;
-  char line[HEADER_LINE_BYTES];
-  if (length >= sizeof line)
-    return;
-  memcpy (line, data, length);
-  line[length] = '\0';
-  line[strcspn (line, "\r\n")] = '\0';
-  const char *value;
-  if ((value = header_value (line, "X-Request-Id")))
-    parse_id (call, value);
-  else if ((value = header_value (line, "X-Not-Started")))
-    parse_not_started (call, value);
-  else if ((value = header_value (line, "Content-Type")))
-    copy_text (reply->content_type, value);
-  else if ((value = header_value (line, "X-Mulberry-Outcome")))
-    parse_outcome (call, value);
-  else if ((value = header_value (line, "X-Mulberry-Reason")))
-    copy_text (reply->reason, value);
-  else if ((value = header_value (line, "X-Mulberry-Generation")))
-    reply->generation = (uint32_t)unsigned_value (value, UINT32_MAX);
-  else if ((value = header_value (line, "X-Mulberry-Run-Us")))
-    reply->run_time = (usec_t)unsigned_value (value, INT64_MAX);
-}
-
-/* Forget what the fields of an informational response told.  */
-static void
-reset_fields (backend_call_t *call)
-{
-  backend_reply_t *reply = &call->reply;
-  call->has_id = false;
-  call->has_not_started = false;
-  call->has_outcome = false;
-  reply->id_matches = false;
-  reply->not_started = false;
-  reply->content_type[0] = '\0';
-  reply->outcome[0] = '\0';
-  reply->reason[0] = '\0';
-  reply->generation = 0;
-  reply->run_time = 0;
-}
-
 /* Returns false if the call has to end, and its connection with it.  */
 static bool
 has_readable_framing (const backend_call_t *call)
@@ -282,12 +176,12 @@
   switch (answer_head_next (&call->head, data, length))
     {
     case HEAD_LINE_FIELD:
-      parse_field (call, data, length);
+      reply_fields_parse (&call->fields, &call->reply, data, length);
       return length;
     case HEAD_LINE_END:
       return end_head (call) ? length : 0;
     case HEAD_LINE_STATUS:
-      reset_fields (call);
+      reply_fields_reset (&call->fields, &call->reply);
       return length;
     case HEAD_LINE_TRAILER:
       return length;
@@ -416,7 +310,7 @@
   call->no_resend = request->no_resend;
   call->body_bytes = request->body_bytes;
   call->is_head = strcmp (request->method, "HEAD") == 0;
-  snprintf (call->id, sizeof call->id, "%s", request->id);
+  snprintf (call->fields.id, sizeof call->fields.id, "%s", request->id);
   set_options (call, request);
   curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
   return call;
@@ -511,7 +405,7 @@
 abandon_upload (backend_client_t *client, backend_call_t *call,
                 const char *reason, CURLcode code)
 {
-  LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned", LOG_S ("id", call->id),
+  LOG_EVENT (LOG_LEVEL_INFO, "upload_abandoned", LOG_S ("id", call->fields.id),
              LOG_S ("reason", reason), LOG_U ("bytes", call->body_bytes));
   finish_call (client, call, code);
 }
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -120,13 +120,8 @@
 {
   backend_call_t *call = closure;
   size_t length = size * n;
-  call->reader.earlier_ids = NULL;
   if (call->user.connection)
-    {
-      backend_connection_response_began (call->user.connection);
-      call->reader.earlier_ids
-          = backend_connection_sent_ids (call->user.connection);
-    }
+    backend_connection_response_began (call->user.connection);
   if (!response_reader_head (&call->reader, data, length))
     return 0;
   const backend_connection_t *connection = call->user.connection;
@@ -160,6 +155,9 @@
       call->needs_new_connection = true;
       return CURL_PREREQFUNC_ABORT;
     }
+  if (call->user.connection)
+    call->reader.earlier_ids
+        = backend_connection_sent_ids (call->user.connection);
   call->n_connections++;
   return CURL_PREREQFUNC_OK;
 }
--- a/src/router/response_reader.h
+++ b/src/router/response_reader.h
@@ -93,8 +93,8 @@
   answer_head_t head;
   chunk_decoder_t chunks; /* of a body in chunks */
   bool has_id;            /* the response has a request id */
-  /* Of the requests that its connection has carried; NULL: not known.  Must be
-     valid while the head is read.  */
+  /* Of the requests that its connection has carried; NULL: not known.  Valid
+     as long as the connection is open.  */
   const sent_ids_t *earlier_ids;
   bool is_of_earlier; /* of a health check: it has one of these ids */
   notice_field_t leaving;
