fix(balance): a report of a cold server before the first list reads no null array

Cause: the arrays of ids are made with the first list; until then their number is 0 and their address null. The other bsearch calls (cold_spread, list_update, crash_table) check the number already; this one does now.

test_balance_refused_gaps, /refused-gaps/report-before-first-list, sanitized: ended by the sanitizer before, passes now.

--- a/src/balance/pool_index.c
+++ b/src/balance/pool_index.c
@@ -100,6 +100,8 @@
 backend_t *
 pool_index_find_id (const backend_pool_t *pool, uint64_t id_hash)
 {
+  if (pool->n_by_id == 0)
+    return NULL;
   const backend_t wanted = { .id_hash = id_hash };
   const backend_t *key = &wanted;
   backend_t **found = bsearch (&key, pool->by_id_hash, pool->n_by_id,
--- a/test/unit/test_balance_refused_gaps.c
+++ b/test/unit/test_balance_refused_gaps.c
@@ -39,6 +39,21 @@
   world_clear (&world);
 }
 
+/* The same, and no list was ever read: a process that has just started.  */
+static void
+test_report_before_first_list (void)
+{
+  world_t world;
+  world_init (&world);
+  const backend_pool_options_t options = { .settings = &world.settings };
+  backend_pool_t *pool = backend_pool_new (&options);
+  const cold_report_t report = { .server = 1, .until = NOW + USEC_PER_SEC };
+  g_assert_cmpuint (backend_pool_hear_colds (pool, &report, 1, NOW), ==, 0);
+  g_assert_null (pool_index_find_id (pool, report.server));
+  backend_pool_free (pool);
+  world_clear (&world);
+}
+
 /* One reading of the list lacks the backend server, as its entry could not be
    read; the next one has it as before.  */
 static void
@@ -176,6 +191,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/refused-gaps/report-before-list",
                    test_report_before_list);
+  g_test_add_func ("/refused-gaps/report-before-first-list",
+                   test_report_before_first_list);
   g_test_add_func ("/refused-gaps/unlisted-for-a-moment",
                    test_unlisted_for_a_moment);
   g_test_add_func ("/refused-gaps/no-cold-start", test_no_cold_start);
