refactor(router,director): an id is compared in place; a director's form ends with its slot

foreign_response copied the id of each response on a kept connection, though only health checks need the copy; requests compare it in place again. A slot that is given to another director no longer shows the form of the former one. two_routes of two fleet tests stands in fleet.sh; the one of fleet_stop.sh, with other routes, is long_routes now. Unit tests of router and director, test_fleet_refused_late and the four test_fleet_stop pass.

--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -90,6 +90,7 @@
         core->peers[i].clock = (clock_offset_t){ 0 };
         core->peers[i].crashes_known = 0;
         core->peers[i].colds_told = 0;
+        core->peers[i].form = MESSAGE_FORM_NOT_TOLD;
       }
   core->roster = *roster;
   save_roster (core, now);
--- a/src/router/foreign_response.c
+++ b/src/router/foreign_response.c
@@ -21,6 +21,16 @@
   return c == ' ' || c == '\t';
 }
 
+/* Whether the connection may have carried the id that is the LENGTH bytes of
+   ID.  */
+static bool
+may_have_carried (const sent_ids_t *sent, const char *id, size_t length)
+{
+  char text[RESPONSE_ID_BYTES];
+  snprintf (text, sizeof text, "%.*s", (int)length, id);
+  return sent_ids_may_contain (sent, text);
+}
+
 /* What LINE, a field line of LENGTH bytes, tells of the response's request.
    As for response_reader, an id ends at a null byte or a carriage return.  */
 static id_kind_t
@@ -28,7 +38,6 @@
          const sent_ids_t *sent)
 {
   static const char name[] = HEADER_REQUEST_ID ":";
-  char value[RESPONSE_ID_BYTES];
   size_t begin = sizeof name - 1;
   if (length < begin || strncasecmp (line, name, begin) != 0)
     return ID_NONE;
@@ -39,10 +48,12 @@
     end++;
   while (end > begin && is_blank (line[end - 1]))
     end--;
-  snprintf (value, sizeof value, "%.*s", (int)(end - begin), line + begin);
+  size_t id_length = end - begin;
   if (!id[0])
-    return sent_ids_may_contain (sent, value) ? ID_OTHER : ID_NONE;
-  bool is_own = end - begin == strlen (id) && strcmp (value, id) == 0;
+    return may_have_carried (sent, line + begin, id_length) ? ID_OTHER
+                                                            : ID_NONE;
+  bool is_own
+      = id_length == strlen (id) && memcmp (line + begin, id, id_length) == 0;
   return is_own ? ID_OWN : ID_OTHER;
 }
 
--- a/test/functional/fleet.sh
+++ b/test/functional/fleet.sh
@@ -154,6 +154,16 @@
 JSON
 }
 
+# two_routes VERSION: requests under /x/ run at most once, those under /p/ may be sent again.
+two_routes() {
+  local rest='"timeout":"2s","target_latency":"300ms","priority":1,"service":"search","attempts":2,"home_regions":[]'
+  cat <<JSON
+{"version":"$1","routes":{"x":{"host":"a.example","path_prefix":"/x/","route_kind":"non_idempotent",$rest},
+"p":{"host":"a.example","path_prefix":"/p/","route_kind":"idempotent",$rest}},
+"services":{"search":{"health_path":"/health","max_conns":300,"cold_start":"3s","cold_per_s":50}},"limits":{}}
+JSON
+}
+
 # Whether a router says that it takes requests.
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(router_address "$1"):7813/ready")" = 200 ]; }
 
--- a/test/functional/fleet_stop.sh
+++ b/test/functional/fleet_stop.sh
@@ -5,7 +5,7 @@
 STEP_MSEC=100
 LEAD_MSEC=400
 
-two_routes() {
+long_routes() {
   cat <<JSON
 {"version":"00000005","routes":{
 "r":{"host":"a.example","path_prefix":"/x/","route_kind":"non_idempotent","timeout":"30s",
@@ -19,7 +19,7 @@
 start platform "$BUILD/test/fake-platform" "$LIST" "$FOLDER" 0 "${DOMAINS[@]}"
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; done
 for i in 2 3; do start_vm router $i; done
-put() { [ "$(order POST /Config.Put "$(two_routes)")" = 200 ]; }
+put() { [ "$(order POST /Config.Put "$(long_routes)")" = 200 ]; }
 wait_for 15 put
 served() { [ "$(request 1 /long/long "id-$RANDOM$RANDOM")" = 200 ]; }
 
--- a/test/functional/test_fleet_refused_late.sh
+++ b/test/functional/test_fleet_refused_late.sh
@@ -9,15 +9,6 @@
 ENDS+=,late,idle-reset,length,late-close,late-or-refused,late,reset,length,late,refused
 CALLERS=()
 
-two_routes() {
-  local rest='"timeout":"2s","target_latency":"300ms","priority":1,"service":"search","attempts":2,"home_regions":[]'
-  cat <<JSON
-{"version":"00000005","routes":{"x":{"host":"a.example","path_prefix":"/x/","route_kind":"non_idempotent",$rest},
-"p":{"host":"a.example","path_prefix":"/p/","route_kind":"idempotent",$rest}},
-"services":{"search":{"health_path":"/health","max_conns":300,"cold_start":"3s","cold_per_s":50}},"limits":{}}
-JSON
-}
-
 call() { # SEED DEADLINE_MSEC
   "$BUILD/test/fake-caller" --ends "$ENDS" --deadline "$2" "$1" "$FOLDER/enough" \
     "$NET".2.{1,2,3}:$REQUESTS_PORT >"$FOLDER/told-$1" 2>>"$FOLDER/callers.log" &
@@ -50,7 +41,7 @@
 start_raw raw-1 1 3
 start_raw raw-4 4 3
 for i in 1 2 3; do mkdir "$FOLDER/data-$i"; start_vm director $i; start_vm router $i; done
-wait_for 15 put "$(two_routes)"
+wait_for 15 put "$(two_routes 00000005)"
 for i in 1 2 3; do wait_for 10 served $i; done
 
 for n in {1..16}; do call "$n" 3000; done
--- a/test/functional/test_fleet_versions.sh
+++ b/test/functional/test_fleet_versions.sh
@@ -22,15 +22,6 @@
     fail "commit $PRODUCTION can't be built: $(tail -n 3 "$FOLDER/build.log")"
 }
 
-two_routes() { # VERSION
-  local rest='"timeout":"2s","target_latency":"300ms","priority":1,"service":"search","attempts":2,"home_regions":[]'
-  cat <<JSON
-{"version":"$1","routes":{"x":{"host":"a.example","path_prefix":"/x/","route_kind":"non_idempotent",$rest},
-"p":{"host":"a.example","path_prefix":"/p/","route_kind":"idempotent",$rest}},
-"services":{"search":{"health_path":"/health","max_conns":300,"cold_start":"3s","cold_per_s":50}},"limits":{}}
-JSON
-}
-
 VERSION=5
 SENT=0
 REFUSED=0
