fix(agreement): slow disks no longer keep a cluster without a leader

While syncs took longer than some 200 ms no leader was elected, one election after the other, and no change was acknowledged for as long as that lasted (KNOWN-RED: test_fleet_slow_disks, and by the same fault test_fleet_full_disks, test_fleet_response_end, test_fleet_changes, test_fleet beside load).

Causes, two of them: - The election timeout of 0.4 s ran from the vote, whose sync and those of the voters have to end within it. The bound is one timeout here; failed elections raise it to three, and give voters with fast disks that time too. - A follower answered heartbeats after the sync of what came before them, so a leader lost its lease whenever a sync took a timeout. While its disk is busy it acknowledges the contact at once, and no entry. What is safe does not change: the promise of a lease is kept over a restart by the start time, and the term that the answer names is the leader's own.

--- a/src/agreement/replica.c
+++ b/src/agreement/replica.c
@@ -400,6 +400,7 @@
       break;
     case EVENT_SYNCED:
       disk_synced (replica, event->body.synced);
+      election_on_synced (replica);
       break;
     case EVENT_SNAPSHOT:
       snapshot_taken (replica, event->body.snapshot.index,
--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -15,6 +15,11 @@
   REFUSE_DURATION = 6,
 };
 
+enum
+{
+  FAILED_VOTES_MAX = 2, /* that raise sync_allowance */
+};
+
 static usec_t
 round_trips (const replica_t *replica, int n)
 {
@@ -36,15 +41,60 @@
   memset (replica->yielded_at, 0, sizeof replica->yielded_at);
   replica->first_yield_at = 0;
   replica->held_request.kind = MESSAGE_KINDS;
+  replica->vote_sequence = 0;
   replica->election_deadline = replica->now + replica->options.election_timeout
                                + random_delay (replica);
 }
 
+/* This replica has just voted, for itself or another one.  The election
+   timeout begins anew when the vote is on disk, as the persist action of this
+   step.  */
+static void
+vote_given (replica_t *replica)
+{
+  replica->voted_at = replica->now;
+  replica->is_dirty = true;
+  election_reset (replica);
+  replica->vote_sequence = replica->persist_sequence + 1;
+}
+
+/* The time that an election gets for slow disks: as long as this replica's own
+   sync took, but no longer than one election timeout, so that a stall of
+   seconds does not delay the next election by as long.  Elections that failed
+   raise both, as the disks of others may be slower.  */
+static usec_t
+sync_allowance (const replica_t *replica)
+{
+  const usec_t timeout = replica->options.election_timeout;
+  usec_t sync_time = replica->now - replica->voted_at;
+  usec_t least = replica->n_failed_votes * timeout;
+  usec_t most = least + timeout;
+  if (sync_time < least)
+    return least;
+  return sync_time < most ? sync_time : most;
+}
+
+void
+election_on_synced (replica_t *replica)
+{
+  if (replica->vote_sequence == 0
+      || replica->synced_sequence < replica->vote_sequence)
+    return;
+  usec_t until = replica->now + sync_allowance (replica)
+                 + replica->options.election_timeout + random_delay (replica);
+  replica->vote_sequence = 0;
+  if (replica->n_failed_votes < FAILED_VOTES_MAX)
+    replica->n_failed_votes++;
+  if (replica->election_deadline < until)
+    replica->election_deadline = until;
+}
+
 void
 election_end (replica_t *replica)
 {
   memset (replica->has_been_heard, 0, sizeof replica->has_been_heard);
   replica->vain_since = 0;
+  replica->n_failed_votes = 0;
 }
 
 static size_t
@@ -91,9 +141,7 @@
   replica->vote.term++;
   replica->vote.slot = replica->options.slot;
   replica->vote.incarnation = replica->incarnation;
-  replica->voted_at = replica->now;
-  replica->is_dirty = true;
-  election_reset (replica);
+  vote_given (replica);
   request_votes (replica, false);
 }
 
@@ -275,9 +323,7 @@
     return false;
   replica->vote.slot = message->from;
   replica->vote.incarnation = message->from_incarnation;
-  replica->voted_at = replica->now;
-  replica->is_dirty = true;
-  election_reset (replica);
+  vote_given (replica);
   return true;
 }
 
@@ -374,7 +420,7 @@
   answer_held_request (replica);
   if (replica->is_pre_candidate)
     election_check_votes (replica);
-  if (replica->now < replica->election_deadline)
+  if (replica->now < replica->election_deadline || replica->vote_sequence > 0)
     return;
   if (config_has_vote (replica, replica->options.slot, replica->incarnation))
     pre_vote_start (replica);
--- a/src/agreement/replica_follower.c
+++ b/src/agreement/replica_follower.c
@@ -18,18 +18,42 @@
   return true;
 }
 
-static void
-send_append_response (replica_t *replica, const message_t *message,
-                      bool success, log_index_t index)
+static message_t
+append_response_to (const replica_t *replica, const message_t *message,
+                    bool success, log_index_t index)
 {
   message_t response = message_to (replica, MESSAGE_APPEND_RESPONSE,
                                    message->from, message->from_incarnation);
   response.body.append_response.success = success;
   response.body.append_response.index = index;
   response.body.append_response.sent_at = message->body.append.sent_at;
+  return response;
+}
+
+static void
+send_append_response (replica_t *replica, const message_t *message,
+                      bool success, log_index_t index)
+{
+  message_t response = append_response_to (replica, message, success, index);
   message_send_after_sync (replica, &response);
 }
 
+/* Acknowledge the contact with the leader, and no entry, while the disk is
+   busy.  The promise to grant no vote for an election timeout needs no sync:
+   a restart counts as contact with a leader.  Without it the leader would
+   lose its lease whenever a sync takes as long as that.  A replica without a
+   vote has no such promise to give.  */
+static void
+acknowledge_contact (replica_t *replica, const message_t *message)
+{
+  if (list_empty (&replica->pending_syncs)
+      || !config_has_vote (replica, replica->options.slot,
+                           replica->incarnation))
+    return;
+  message_t response = append_response_to (replica, message, true, 0);
+  message_send (replica, &response);
+}
+
 /* The prev_index that the leader should try next: before all entries of the
    conflicting term.  */
 static log_index_t
@@ -85,6 +109,7 @@
         send_append_response (replica, message, false, replica->last_index);
       return;
     }
+  acknowledge_contact (replica, message);
   log_index_t last_matching = append->prev_index + append->n_entries;
   if (append->prev_index > replica->snapshot.index)
     {
--- a/src/agreement/replica_internal.h
+++ b/src/agreement/replica_internal.h
@@ -110,6 +110,10 @@
   message_t held_request;
   usec_t held_at;
   usec_t voted_at; /* its last vote, also for itself; 0: none */
+  /* The persist action of that vote while it is not on disk; 0: it is, or an
+     election timeout began later.  */
+  uint64_t vote_sequence;
+  int n_failed_votes; /* votes on disk since the last message of a leader */
   slot_t leader;
   bool is_pre_candidate;          /* its pre-vote is in progress */
   bool has_granted[REPLICAS_MAX]; /* by slot: the vote or pre-vote */
@@ -186,6 +190,8 @@
 /* There is a leader.  */
 void election_end (replica_t *replica);
 void election_tick (replica_t *replica);
+/* More of the state is on disk.  */
+void election_on_synced (replica_t *replica);
 void election_on_vote_request (replica_t *replica, const message_t *message);
 void election_on_vote_response (replica_t *replica, const message_t *message);
 
--- a/test/unit/test_agreement_election_faults.c
+++ b/test/unit/test_agreement_election_faults.c
@@ -2,6 +2,21 @@
 
 #include "../support/timed_cluster.h"
 
+/* Two of them take longer than an election timeout.  */
+#define SLOW_SYNC (250 * USEC_PER_MSEC)
+/* One takes longer than two election timeouts.  */
+#define SLOWER_SYNC (900 * USEC_PER_MSEC)
+/* The slowest of disks of which others are fast.  */
+#define UNLIKE_SYNC_MAX (600 * USEC_PER_MSEC)
+/* Within it test_fleet_full_disks wants each change acknowledged.  */
+#define SLOW_CHANGE_MAX (10 * USEC_PER_SEC)
+/* All disks take no sync for so long.  */
+#define STALL (5 * USEC_PER_SEC)
+/* A leader is there no later than this after the disks work again: the
+   requests of an election that others have left by then, a timeout that is
+   doubled at most, and a failed election.  */
+#define STALL_DELAY_MAX (2 * USEC_PER_SEC)
+
 /* The same, and the first replicas have asked in vain for long when the last
    one starts.  */
 static void
@@ -68,6 +83,72 @@
   check_leader_comes (cluster, lease_end (cluster), RETRY_DELAY_MAX);
 }
 
+/* Runs until a leader remains, no later than END.  */
+static void
+check_leader_remains (timed_cluster_t *cluster, usec_t end)
+{
+  slot_t leader;
+  do
+    {
+      run_to_leader (cluster, end);
+      leader = leader_of (cluster);
+      run_until (cluster, cluster->now + WATCH_TIME);
+    }
+  while (cluster->now < end
+         && (leader == SLOT_NONE || leader_of (cluster) != leader));
+  if (cluster->now >= end)
+    g_error ("seed %u, %u replicas: no leader remains", cluster->seed,
+             cluster->n);
+}
+
+static void
+slow_disks_of (timed_cluster_t *cluster, usec_t shortest, usec_t longest)
+{
+  for (slot_t i = 0; i < cluster->n; i++)
+    cluster->sync_time[i] = random_between (cluster, shortest, longest);
+  start_bare_majority (cluster, START_SPREAD);
+  check_leader_remains (cluster, cluster->now + SLOW_CHANGE_MAX);
+}
+
+/* All disks are slow, and a bare majority is left: the vote of the candidate
+   and then those of the others take as long as an election timeout.  Guards
+   against one election after the other, each given up before its votes are
+   on disk, and no leader for as long as the disks are slow.  */
+static void
+slow_disks (timed_cluster_t *cluster)
+{
+  slow_disks_of (cluster, SLOW_SYNC, SLOW_SYNC + USEC_PER_MSEC);
+}
+
+/* Guards against a leader that gives up while its first entry is written,
+   because followers answer heartbeats only after the sync.  */
+static void
+slower_disks (timed_cluster_t *cluster)
+{
+  slow_disks_of (cluster, SLOWER_SYNC, SLOWER_SYNC + USEC_PER_MSEC);
+}
+
+/* Guards against voters with fast disks that begin anew before the slower
+   ones have voted.  */
+static void
+unlike_disks (timed_cluster_t *cluster)
+{
+  slow_disks_of (cluster, USEC_PER_MSEC, UNLIKE_SYNC_MAX);
+}
+
+/* Guards against a timeout that grows with a stall: the next election would
+   wait as long again.  */
+static void
+stalled_disks (timed_cluster_t *cluster)
+{
+  usec_t end = cluster->now + STALL;
+  start_bare_majority (cluster, START_SPREAD);
+  for (slot_t i = bare_majority_first (cluster); i < cluster->n; i++)
+    cluster->synced_at[i] = end;
+  run_until (cluster, end);
+  check_leader_remains (cluster, end + STALL_DELAY_MAX);
+}
+
 static const scenario_t scenarios[]
     = { { "/agreement/election/staggered-start", FAULT_SEEDS,
           staggered_start },
@@ -75,6 +156,10 @@
           pending_voter_change },
         { "/agreement/election/lost-link", FAULT_SEEDS, lost_link },
         { "/agreement/election/deaf", FAULT_SEEDS, deaf_replica },
+        { "/agreement/election/slow-disks", FAULT_SEEDS, slow_disks },
+        { "/agreement/election/slower-disks", FAULT_SEEDS, slower_disks },
+        { "/agreement/election/unlike-disks", FAULT_SEEDS, unlike_disks },
+        { "/agreement/election/stalled-disks", FAULT_SEEDS, stalled_disks },
         { "/agreement/election/lost-messages", FAULT_SEEDS, lost_messages } };
 
 int
