fix(director): a roster is stored without holding up heartbeats

With syncs of 300 ms a director that took the place of a lost one never got its vote (test_fleet_changes in a trial: "never came true: votes"): each change of the roster was stored on the thread that sends and answers heartbeats, two syncs long, so the leader and its followers fell silent for 0.6 s of an election timeout of 0.4 s, and the leader was gone before the vote could move.

The roster is stored by roster_saver now. It is used, and told, once it is on disk, or once storing it has failed, as before. A roster that the leader made itself counts only if it still leads then; otherwise the one in use is stored again, and the next leader's comes with its shares. While one is stored others are passed over: announcements and shares are repeated.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -11,6 +11,7 @@
 #include "agreement/replica_disk.h"
 #include "director/director_core.h"
 #include "director/director_state.h"
+#include "director/roster_saver.h"
 #include "fleet/clock_offset.h"
 #include "fleet/cold_table.h"
 #include "fleet/crash_table.h"
@@ -133,7 +134,7 @@
   bool has_warned_roster_full;  /* that a director has no slot */
   bool must_publish_config;     /* STATE's configuration is newer than
                                    PACKED_CONFIG */
-  bool is_roster_unsaved;
+  bool is_roster_unsaved;       /* ROSTER is not on disk */
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
   slot_t leader_slot;     /* as last logged */
@@ -142,6 +143,9 @@
 
   roster_t roster;
   usec_t next_roster_save_at; /* while the roster is unsaved */
+  roster_saver_t *roster_saver;
+  roster_t adopted_roster; /* used once it is saved; no slots: none */
+  bool is_roster_assigned; /* ADOPTED_ROSTER is of this director as leader */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
   roster_t heard_roster;             /* by the last reply to an announcement */
@@ -232,10 +236,9 @@
 void core_peers_send (director_core_t *core, const message_t *message);
 /* Create the roster at the first start; announce and share when due.  */
 void core_peers_tick (director_core_t *core, usec_t now);
-/* Handle an ITEM_SHARE and reply.  */
 /* The messages of the director that holds SLOT have FORM.  */
 void core_peers_note_form (director_core_t *core, slot_t slot, uint32_t form);
-
+/* Handle an ITEM_SHARE and reply.  */
 void core_peers_handle_share (director_core_t *core, core_item_t *item,
                               usec_t now);
 /* Handle an ITEM_ANNOUNCE and reply.  */
@@ -243,12 +246,7 @@
                                  usec_t now);
 /* Handle an ITEM_ANNOUNCE_REPLY.  */
 void core_peers_handle_announce_reply (director_core_t *core,
-                                       core_item_t *item, usec_t now);
-/* Use ROSTER from now on, save it, and open the replica if this director has a
-   slot in it; in another slot than before, the replica starts anew.  */
-void core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
-                              usec_t now);
-
+                                       core_item_t *item);
 /* core_pulls.c */
 
 /* Handle an ITEM_PULL and reply.  */
--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -5,7 +5,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "director/roster_file.h"
 #include "fleet/backend_list.h"
 #include "fleet/fleet_wire.h"
 
@@ -62,25 +61,20 @@
 
 /* --- The roster --------------------------------------------------------- */
 
-static void
-save_roster (director_core_t *core, usec_t now)
+/* Returns false, and does nothing, while another roster is saved.  */
+static bool
+save_roster (director_core_t *core, const roster_t *roster)
 {
-  err_t err = { 0 };
-  bool was_unsaved = core->is_roster_unsaved;
-  core->is_roster_unsaved
-      = !roster_file_save (core->settings->data_folder, &core->roster, &err);
-  core->next_roster_save_at = now + ROSTER_SAVE_INTERVAL;
-  if (core->is_roster_unsaved)
-    log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
-  else if (was_unsaved)
-    LOG_EVENT (LOG_LEVEL_INFO, "roster_saved",
-               LOG_U ("slots", core->roster.n_slots));
+  return roster_saver_save (core->roster_saver, core->settings->data_folder,
+                            roster);
 }
 
-void
-core_peers_adopt_roster (director_core_t *core, const roster_t *roster,
-                         usec_t now)
+/* Use the roster that was to be saved.  If that failed it is used all the
+   same: a director on a full disk goes on for as long as it runs.  */
+static void
+use_adopted_roster (director_core_t *core, usec_t now)
 {
+  const roster_t *roster = &core->adopted_roster;
   slot_t slot = roster_slot (roster, core->own_address);
   bool has_moved = core->replica
                    && slot != roster_slot (&core->roster, core->own_address);
@@ -93,15 +87,73 @@
         core->peers[i].form = MESSAGE_FORM_NOT_TOLD;
       }
   core->roster = *roster;
-  save_roster (core, now);
+  core->adopted_roster = (roster_t){ 0 };
+  core->next_share_at = 0;
   LOG_EVENT (LOG_LEVEL_INFO, "roster_adopted",
-             LOG_U ("slots", roster->n_slots), LOG_U ("slot", slot));
+             LOG_U ("slots", core->roster.n_slots), LOG_U ("slot", slot));
   if (has_moved)
     core_replica_change_slot (core, now);
   else
     core_replica_open (core);
 }
 
+/* The save in progress has ended.  A roster that this director assigned counts
+   only while it leads: the next leader may have assigned the slot anew.  */
+static void
+end_roster_save (director_core_t *core, bool is_saved, usec_t now)
+{
+  if (is_saved && core->is_roster_unsaved)
+    LOG_EVENT (LOG_LEVEL_INFO, "roster_saved",
+               LOG_U ("slots", core->roster.n_slots));
+  core->is_roster_unsaved = !is_saved;
+  core->next_roster_save_at = now + ROSTER_SAVE_INTERVAL;
+  if (core->adopted_roster.n_slots == 0)
+    return;
+  bool may_assign
+      = core->role == ROLE_LEADER && replica_is_current (core->replica, now);
+  if (!core->is_roster_assigned || may_assign)
+    {
+      use_adopted_roster (core, now);
+      return;
+    }
+  LOG_EVENT (LOG_LEVEL_INFO, "roster_given_up", LOG_S ("cause", "no leader"));
+  core->adopted_roster = (roster_t){ 0 };
+  core->is_roster_unsaved = true;
+  core->next_roster_save_at = now;
+}
+
+static void
+check_roster_save (director_core_t *core, usec_t now)
+{
+  switch (roster_saver_poll (core->roster_saver))
+    {
+    case ROSTER_SAVER_BUSY:
+      return;
+    case ROSTER_SAVER_SAVED:
+      end_roster_save (core, true, now);
+      break;
+    case ROSTER_SAVER_FAILED:
+      end_roster_save (core, false, now);
+      break;
+    case ROSTER_SAVER_IDLE:
+      break;
+    }
+  if (core->is_roster_unsaved && now >= core->next_roster_save_at)
+    save_roster (core, &core->roster);
+}
+
+/* Save ROSTER, and use it then.  IS_ASSIGNED: this director, as the leader,
+   made it.  While another one is saved, ROSTER is ignored: announcements and
+   shares are repeated.  */
+static void
+adopt_roster (director_core_t *core, const roster_t *roster, bool is_assigned)
+{
+  if (!save_roster (core, roster))
+    return;
+  core->adopted_roster = *roster;
+  core->is_roster_assigned = is_assigned;
+}
+
 static roster_t
 roster_from_wire (const fleet_roster_t *wire)
 {
@@ -212,8 +264,7 @@
   roster_t new_roster = core->roster;
   new_roster.addresses[slot] = address;
   core->peers[slot].last_heard_at = now;
-  core->next_share_at = 0;
-  core_peers_adopt_roster (core, &new_roster, now);
+  adopt_roster (core, &new_roster, true);
 }
 
 /* Said once; the director stands by, as the announcements go on.  */
@@ -242,7 +293,7 @@
           && !roster_bootstrap_add (&core->bootstrap, args->address, now))
         warn_roster_full (core, args->address);
       if (roster.n_slots > 0)
-        core_peers_adopt_roster (core, &roster, now);
+        adopt_roster (core, &roster, false);
     }
   else if (roster.n_slots > 0)
     reassign_slot (core, args->address, &roster, now);
@@ -252,14 +303,13 @@
 }
 
 void
-core_peers_handle_announce_reply (director_core_t *core, core_item_t *item,
-                                  usec_t now)
+core_peers_handle_announce_reply (director_core_t *core, core_item_t *item)
 {
   roster_t roster = roster_from_wire (&item->body.announce_reply.roster);
   core->heard_roster = roster;
   if (roster.n_slots > 0 && !core->replica
       && !roster_equal (&core->roster, &roster))
-    core_peers_adopt_roster (core, &roster, now);
+    adopt_roster (core, &roster, false);
 }
 
 /* Adopt the roster that the leader shares.  A director whose slot was assigned
@@ -267,14 +317,13 @@
    slot: messages are accepted only from a slot's holder, so its replica does
    not take part in the log until then.  */
 static void
-adopt_leader_roster (director_core_t *core, const fleet_roster_t *wire,
-                     usec_t now)
+adopt_leader_roster (director_core_t *core, const fleet_roster_t *wire)
 {
   roster_t roster = roster_from_wire (wire);
   if (roster.n_slots == core->roster.n_slots
       && !roster_equal (&core->roster, &roster)
       && roster_slot (&roster, core->own_address) != SLOT_NONE)
-    core_peers_adopt_roster (core, &roster, now);
+    adopt_roster (core, &roster, false);
 }
 
 /* --- Shared state ------------------------------------------------------- */
@@ -454,7 +503,7 @@
   const fleet_share_args_t *args = &item->body.share.fixed;
   usec_t sent_at = share_sent_at (core, args, now);
   if (args->confirmed_index > 0 && now - sent_at < SHARE_INTERVAL)
-    adopt_leader_roster (core, &args->roster, now);
+    adopt_leader_roster (core, &args->roster);
   if (args->slot < ROSTER_MAX
       && roster_slot (&core->roster, args->address) == args->slot
       && sent_at > core->peers[args->slot].last_heard_at)
@@ -486,11 +535,10 @@
   roster_t roster;
   if (core->roster.n_slots == 0
       && roster_bootstrap_tick (&core->bootstrap, now, &roster))
-    core_peers_adopt_roster (core, &roster, now);
+    adopt_roster (core, &roster, false);
   if (core->leader_slot != SLOT_NONE)
     core->leader_known_at = now;
-  if (core->is_roster_unsaved && now >= core->next_roster_save_at)
-    save_roster (core, now);
+  check_roster_save (core, now);
   send_announcements (core, now);
   send_shares (core, now);
   core_quotas_tick (core, now);
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -173,7 +173,7 @@
       core_peers_handle_announce (core, item, now);
       break;
     case ITEM_ANNOUNCE_REPLY:
-      core_peers_handle_announce_reply (core, item, now);
+      core_peers_handle_announce_reply (core, item);
       break;
     case ITEM_SHARE_REPLY:
       {
@@ -374,6 +374,9 @@
       log_error (LOG_LEVEL_ERROR, "storage_failed", &failure);
       core_replica_fail_disk (core, clock_monotonic ());
     }
+  core->roster_saver = roster_saver_start (err);
+  if (!core->roster_saver)
+    return NULL;
   init_bootstrap (core);
   core_replica_open (core);
   core_peers_register (core);
@@ -392,6 +395,7 @@
   pthread_cond_signal (&core->mailbox_changed);
   pthread_mutex_unlock (&core->lock);
   pthread_join (core->thread, NULL);
+  roster_saver_stop (core->roster_saver);
   core_replica_close_disk (core);
 }
 
--- a/test/support/data_folder.h
+++ b/test/support/data_folder.h
@@ -17,8 +17,8 @@
 static inline void
 folder_free (char *folder)
 {
-  const char *names[] = { "log", "log.new" };
-  for (int i = 0; i < 2; i++)
+  const char *names[] = { "log", "log.new", "roster", "roster.new" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
       char *path = g_build_filename (folder, names[i], NULL);
       g_unlink (path);
--- a/test/support/director_world.h
+++ b/test/support/director_world.h
@@ -32,6 +32,7 @@
   core->options.rpc = held_rpc_open ();
   core->options.lookups = lookup_view_new ();
   core->options.seed = 1;
+  core->roster_saver = roster_saver_start (NULL);
   core->own_address = DIRECTOR_ADDRESS;
   core->leader_slot = SLOT_NONE;
   list_init (&core->mailbox);
@@ -49,6 +50,7 @@
 director_world_free (director_world_t *world)
 {
   director_core_t *core = &world->core;
+  roster_saver_stop (core->roster_saver);
   held_rpc_drop_replies (core->options.rpc);
   rpc_close (core->options.rpc);
   lookup_view_free (core->options.lookups);
