--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -135,6 +135,8 @@
   bool must_publish_config;     /* STATE's configuration is newer than
                                    PACKED_CONFIG */
   bool is_roster_unsaved;       /* ROSTER is not on disk */
+  bool is_roster_assigned;      /* ADOPTED_ROSTER is of this director, as
+                                   leader */
   replica_t *replica; /* NULL without a slot, and after a disk failure */
   replica_role_t role;
   slot_t leader_slot;     /* as last logged */
@@ -145,7 +147,6 @@
   usec_t next_roster_save_at; /* while the roster is unsaved */
   roster_saver_t *roster_saver;
   roster_t adopted_roster; /* used once it is saved; no slots: none */
-  bool is_roster_assigned; /* ADOPTED_ROSTER is of this director as leader */
   roster_bootstrap_t bootstrap;
   usec_t next_announce_at;
   roster_t heard_roster;             /* by the last reply to an announcement */
