feat(router): bodies above 16 MB are passed on while they come

Cause: a body was held whole before anything was passed on. One that announces more than 16 MB now goes through a stream of 128 KB (router/body_stream): the request is dispatched with its head, the caller is read on while there is room, and libcurl is paused while there is nothing. Once some of the body was taken the request is not sent again (body_is_released), neither to a backend server nor to another router. max_body_bytes is in force now: a longer body is told 413 at its head. Shorter bodies go their way as before; those without a length keep the bound of 16 MB.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -37,6 +37,8 @@
   connection_use_t use;
   connection_user_t user;
   size_t body_bytes;          /* of the request */
+  body_stream_t *stream;      /* of the request's body; or NULL */
+  bool awaits_stream;         /* libcurl found nothing in STREAM */
   uint64_t n_read;            /* bytes of the whole response; 0: not known */
   unsigned int n_connections; /* that the request was transmitted on */
   bool needs_new_connection;  /* it was not transmitted on the kept one */
@@ -115,6 +117,19 @@
   return 0;
 }
 
+static size_t
+on_upload (char *buffer, size_t size, size_t n, void *closure)
+{
+  backend_call_t *call = closure;
+  const backend_http_options_t *options = &call->client->options;
+  size_t n_taken = body_stream_take (call->stream, buffer, size * n);
+  call->awaits_stream = n_taken == 0;
+  if (call->awaits_stream)
+    return CURL_READFUNC_PAUSE;
+  options->stream_taken (options->closure, call->owner);
+  return n_taken;
+}
+
 static size_t
 on_header (char *data, size_t size, size_t n, void *closure)
 {
@@ -197,6 +212,8 @@
   backend_connections_attach (call->client->connections, easy);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   backend_transfer_set_method (easy, request);
+  if (request->stream)
+    backend_transfer_set_stream (easy, request, on_upload, call);
 }
 
 static backend_call_t *
@@ -275,7 +292,9 @@
   snprintf (call->use.id, sizeof call->use.id, "%s", request->id);
   snprintf (call->reader.id, sizeof call->reader.id, "%s", request->id);
   call->reader.is_head_request = strcmp (request->method, "HEAD") == 0;
-  call->body_bytes = request->body_bytes;
+  call->stream = request->stream;
+  call->body_bytes = call->stream ? (size_t)body_stream_length (call->stream)
+                                  : request->body_bytes;
   watch_upload (client, call);
   set_options (call, request);
   curl_multi_add_handle (http_handles_multi (client->handles), call->easy);
@@ -451,6 +470,17 @@
   list_push_back (&client->failed, &call->turn_link);
 }
 
+void
+backend_http_stream_filled (backend_http_t *client, backend_call_t *call)
+{
+  bool is_receiving = !call->is_paused && list_empty (&call->turn_link);
+  if (!call->awaits_stream || !is_receiving)
+    return;
+  call->awaits_stream = false;
+  begin_turn (client);
+  resume_call (client, call);
+}
+
 /* Let the calls that have yielded read on, in turn.  */
 static void
 resume_yielded_calls (backend_http_t *client)
--- a/src/router/backend_http.h
+++ b/src/router/backend_http.h
@@ -17,6 +17,7 @@
 #include "balance/backend_pool.h"
 #include "base/inet.h"
 #include "router/backend_connections.h"
+#include "router/body_stream.h"
 #include "router/poller.h"
 #include "router/response_reader.h"
 
@@ -34,6 +35,9 @@
      what is left is freed afterwards.  Never called from inside
      backend_http_call.  */
   void (*done) (void *closure, void *owner, backend_response_t *response);
+  /* Some of the stream of OWNER's request was taken: there is room in it.  The
+     callee must not call this module.  */
+  void (*stream_taken) (void *closure, void *owner);
   /* The response to OWNER's call waits for room in the budget, and all of the
      request has been written: its body is not read any more, and its memory
      may be given back.  The callee must not call this module.  */
@@ -62,6 +66,7 @@
   struct curl_slist *headers; /* owned by the call from now on */
   const char *body;           /* must stay valid until the call has ended */
   size_t body_bytes;
+  body_stream_t *stream;  /* in place of BODY; the same holds for it */
   usec_t timeout;         /* of the whole call */
   usec_t connect_timeout; /* of setting up the connection */
   void *owner;            /* passed to `done` */
@@ -72,6 +77,9 @@
 backend_call_t *backend_http_call (backend_http_t *client,
                                    const backend_request_t *request);
 
+/* More of the body is in the stream of CALL's request.  */
+void backend_http_stream_filled (backend_http_t *client, backend_call_t *call);
+
 /* Abort CALL and close its connection; `done` is not called.  Returns whether
    bytes of the request may have left this VM.  */
 bool backend_http_abort (backend_http_t *client, backend_call_t *call);
--- a/src/router/backend_transfer.c
+++ b/src/router/backend_transfer.c
@@ -38,6 +38,19 @@
     }
 }
 
+void
+backend_transfer_set_stream (CURL *easy, const backend_request_t *request,
+                             curl_read_callback on_read, void *closure)
+{
+  curl_easy_setopt (easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, NULL);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)body_stream_length (request->stream));
+  curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_read);
+  curl_easy_setopt (easy, CURLOPT_READDATA, closure);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
 bool
 backend_transfer_is_cut_off (CURLcode code)
 {
--- a/src/router/backend_transfer.h
+++ b/src/router/backend_transfer.h
@@ -17,6 +17,11 @@
 void backend_transfer_set_method (CURL *easy,
                                   const backend_request_t *request);
 
+/* The body of REQUEST, after backend_transfer_set_method: libcurl reads it by
+   ON_READ, with CLOSURE.  */
+void backend_transfer_set_stream (CURL *easy, const backend_request_t *request,
+                                  curl_read_callback on_read, void *closure);
+
 /* Whether CODE tells that the connection has ended.  libcurl makes a new one
    if a reused connection ended before any byte of the response.  */
 bool backend_transfer_is_cut_off (CURLcode code);
--- a/src/router/caller_exchange.c
+++ b/src/router/caller_exchange.c
@@ -58,6 +58,7 @@
   fleet_snapshot_unref (exchange->snapshot);
   request_head_clear (&exchange->head);
   free (exchange->body);
+  body_stream_free (exchange->stream);
   free (exchange);
 }
 
@@ -122,7 +123,7 @@
   LIST_FOREACH (link, &connection->exchanges)
   {
     exchange_t *exchange = LIST_ENTRY (link, exchange_t, connection_link);
-    if (!exchange->is_whole)
+    if (!exchange->is_whole && !exchange->stream)
       return;
     if (!exchange->is_dispatched && !exchange->is_finished)
       {
--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -234,6 +234,18 @@
          + count_undelivered (&port->closing);
 }
 
+void
+caller_http_set_max_body (caller_http_t *port, uint64_t n_bytes)
+{
+  port->max_body_bytes = n_bytes;
+}
+
+void
+caller_http_read_on (exchange_t *exchange)
+{
+  caller_set_ready (exchange->connection);
+}
+
 void
 caller_http_set_idle_timeout (caller_http_t *port, usec_t timeout)
 {
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -20,9 +20,12 @@
   inet_t address;
   body_budget_t *budget; /* for the bodies of requests */
   void *closure;
-  /* EXCHANGE's request was received completely.  The callee finishes EXCHANGE
-     by caller_http_finish, during this call or later.  */
+  /* EXCHANGE's request was received completely, or the head of one whose body
+     is passed on while it comes.  The callee finishes EXCHANGE by
+     caller_http_finish, during this call or later.  */
   void (*request_received) (void *closure, exchange_t *exchange);
+  /* More of such a body is in EXCHANGE's stream.  */
+  void (*body_arrived) (void *closure, exchange_t *exchange);
   /* Whether EXCHANGE's request may run while earlier ones of its connection
      do.  */
   bool (*may_overlap) (void *closure, const exchange_t *exchange);
@@ -44,6 +47,12 @@
 /* Connections may be idle for TIMEOUT, and for 20 s at least.  */
 void caller_http_set_idle_timeout (caller_http_t *port, usec_t timeout);
 
+/* Requests with longer bodies are rejected; 0: none is for its length.  */
+void caller_http_set_max_body (caller_http_t *port, uint64_t n_bytes);
+
+/* There is room in EXCHANGE's stream again.  */
+void caller_http_read_on (exchange_t *exchange);
+
 /* From now on every connection ends after a response, and requests are passed
    on one after the other.  */
 void caller_http_disable_keep_alive (caller_http_t *port);
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -7,13 +7,16 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/log.h"
 #include "base/number.h"
+#include "platform_api.h"
 
 enum
 {
   PIPELINE_MAX = 16, /* requests on one connection; further ones are not read
                         yet */
-  BODY_BYTES_MAX = 16 * 1024 * 1024,
+  /* A longer body is passed on while it comes, if its length is known.  */
+  HELD_BODY_BYTES_MAX = 16 * 1024 * 1024,
 };
 
 /* The request can't be read, or not to its end: it is answered in its turn,
@@ -34,14 +37,22 @@
 }
 
 /* The length that EXCHANGE's head announces; 0: none.  */
-static size_t
+static uint64_t
 announced_bytes (const exchange_t *exchange)
 {
   const char *text = request_head_field (&exchange->head, "Content-Length");
   uint64_t length = 0;
   if (text)
-    number_parse_unsigned (&length, text, BODY_BYTES_MAX);
-  return (size_t)length;
+    number_parse_unsigned (&length, text, UINT64_MAX);
+  return length;
+}
+
+/* Whether a body of LENGTH bytes is longer than the configuration allows.  */
+static bool
+is_too_long (const caller_connection_t *connection, uint64_t length)
+{
+  uint64_t max = connection->port->max_body_bytes;
+  return max > 0 && length > max;
 }
 
 /* The room for a body of NEEDED bytes that grows: more than that, so that many
@@ -51,8 +62,8 @@
 next_capacity (const exchange_t *exchange, size_t needed)
 {
   size_t capacity = exchange->body_capacity + exchange->body_capacity / 2;
-  size_t announced = announced_bytes (exchange);
-  size_t most = announced >= needed ? announced : BODY_BYTES_MAX;
+  uint64_t announced = announced_bytes (exchange);
+  size_t most = announced >= needed ? (size_t)announced : HELD_BODY_BYTES_MAX;
   if (capacity < needed)
     return needed;
   return capacity < most ? capacity : most;
@@ -75,6 +86,52 @@
   return true;
 }
 
+/* Pass EXCHANGE's body, of LENGTH bytes, on while it comes.  */
+static void
+begin_stream (caller_connection_t *connection, exchange_t *exchange,
+              uint64_t length)
+{
+  if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN, 0,
+                           BODY_STREAM_BYTES))
+    {
+      caller_exchange_refuse (exchange, REASON_MEMORY);
+      return;
+    }
+  exchange->stream = body_stream_new (length);
+  exchange->body_capacity = BODY_STREAM_BYTES;
+  const char *id = request_head_field (&exchange->head, HEADER_REQUEST_ID);
+  LOG_EVENT (LOG_LEVEL_INFO, "body_streamed", LOG_S ("id", id ? id : ""),
+             LOG_U ("length", length));
+}
+
+/* The head of CONNECTION's incoming request has come.  */
+static void
+begin_request (caller_connection_t *connection)
+{
+  exchange_t *exchange = caller_exchange_add (connection);
+  connection->incoming = exchange;
+  exchange->wants_continue = request_head_expects_continue (&exchange->head);
+  uint64_t length = announced_bytes (exchange);
+  if (is_too_long (connection, length))
+    {
+      reject (connection, REASON_TOO_LARGE);
+      return;
+    }
+  if (length > HELD_BODY_BYTES_MAX)
+    begin_stream (connection, exchange, length);
+  if (exchange->wants_continue || exchange->stream)
+    caller_set_ready (connection);
+}
+
+/* Whether the next bytes of the body might find no room.  */
+static bool
+is_stream_full (const caller_connection_t *connection)
+{
+  const exchange_t *exchange = connection->incoming;
+  return exchange && exchange->stream && !exchange->is_finished
+         && body_stream_room (exchange->stream) < READ_BUFFER_BYTES;
+}
+
 static void
 append_body (caller_connection_t *connection, exchange_t *exchange,
              const char *data, size_t length)
@@ -82,7 +139,15 @@
   size_t needed = exchange->body_bytes + length;
   if (exchange->is_finished)
     return;
-  if (needed > BODY_BYTES_MAX)
+  if (exchange->stream)
+    {
+      const caller_http_t *port = connection->port;
+      body_stream_put (exchange->stream, data, length);
+      if (exchange->is_dispatched)
+        port->options.body_arrived (port->options.closure, exchange);
+      return;
+    }
+  if (needed > HELD_BODY_BYTES_MAX || is_too_long (connection, needed))
     {
       reject (connection, REASON_TOO_LARGE);
       return;
@@ -103,7 +168,7 @@
 {
   exchange_t *exchange = connection->incoming;
   connection->incoming = NULL;
-  if (exchange->body_capacity > exchange->body_bytes)
+  if (!exchange->stream && exchange->body_capacity > exchange->body_bytes)
     resize_body (connection, exchange, exchange->body_bytes);
   exchange->is_whole = true;
   exchange->is_last = !connection->parser.keeps_alive;
@@ -121,11 +186,7 @@
     case REQUEST_MORE:
       break;
     case REQUEST_HEAD:
-      connection->incoming = caller_exchange_add (connection);
-      connection->incoming->wants_continue
-          = request_head_expects_continue (&connection->incoming->head);
-      if (connection->incoming->wants_continue)
-        caller_set_ready (connection);
+      begin_request (connection);
       break;
     case REQUEST_BODY:
       append_body (connection, connection->incoming, connection->parser.body,
@@ -147,7 +208,7 @@
 caller_may_parse (const caller_connection_t *connection)
 {
   return connection->phase == CALLER_OPEN && !connection->reads_no_more
-         && !caller_writes_last (connection)
+         && !caller_writes_last (connection) && !is_stream_full (connection)
          && (connection->incoming || connection->n_exchanges < PIPELINE_MAX);
 }
 
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -207,6 +207,23 @@
   exchange->body_capacity = 0;
 }
 
+/* What was taken of the body is gone.  */
+static void
+on_stream_taken (void *closure, void *owner_closure)
+{
+  exchange_t *exchange = ((call_owner_t *)owner_closure)->exchange;
+  (void)closure;
+  exchange->body_is_released = true;
+  caller_http_read_on (exchange);
+}
+
+void
+dispatcher_body_arrived (dispatcher_t *dispatcher, exchange_t *exchange)
+{
+  if (exchange->call)
+    backend_http_stream_filled (dispatcher->backends, exchange->call);
+}
+
 static void
 on_extra_bytes (void *closure, const connection_use_t *use,
                 extra_place_t place, size_t n_bytes)
@@ -291,6 +308,13 @@
   return config ? config->limits.idle_timeout : 0;
 }
 
+uint64_t
+dispatcher_max_body (const dispatcher_t *dispatcher)
+{
+  const route_config_t *config = dispatcher->snapshot->config;
+  return config ? config->limits.max_body_bytes : 0;
+}
+
 bool
 dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now)
 {
@@ -320,6 +344,7 @@
           .closure = dispatcher,
           .done = on_call_ended,
           .request_written = on_request_written,
+          .stream_taken = on_stream_taken,
           .extra_bytes = on_extra_bytes,
           .id_sent_again = on_id_sent_again };
   dispatcher->backends = backend_http_new (&backends);
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -25,9 +25,13 @@
 dispatcher_t *dispatcher_new (const dispatcher_options_t *options);
 void dispatcher_free (dispatcher_t *dispatcher);
 
-/* EXCHANGE's request was received completely.  */
+/* EXCHANGE's request was received completely, or as far as it has to be
+   (caller_http_options_t).  */
 void dispatcher_request (dispatcher_t *dispatcher, exchange_t *exchange);
 
+/* More of the body is in EXCHANGE's stream.  */
+void dispatcher_body_arrived (dispatcher_t *dispatcher, exchange_t *exchange);
+
 /* Whether EXCHANGE's request may run more than once, by its route; true also
    if it has none, since it is refused then.  */
 bool dispatcher_is_idempotent (const dispatcher_t *dispatcher,
@@ -65,6 +69,10 @@
    not known.  */
 usec_t dispatcher_idle_timeout (const dispatcher_t *dispatcher);
 
+/* The longest body of a request, in bytes, by the configuration; 0: no limit,
+   or not known.  */
+uint64_t dispatcher_max_body (const dispatcher_t *dispatcher);
+
 /* Whether the router can serve requests: it has a configuration and backend
    servers, and its snapshot is settled (see director_sync.h).  */
 bool dispatcher_is_ready (const dispatcher_t *dispatcher, usec_t now);
--- a/src/router/dispatcher_carry.c
+++ b/src/router/dispatcher_carry.c
@@ -87,6 +87,7 @@
           = request_headers_carry (exchange, attempts_left (exchange), now),
           .body = exchange->body,
           .body_bytes = exchange->body_bytes,
+          .stream = exchange->stream,
           .timeout = exchange->deadline - now + RESPONSE_TRAVEL_TIME,
           .connect_timeout = CONNECT_TIMEOUT,
           .owner = &exchange->owner };
@@ -194,11 +195,11 @@
              LOG_U ("sent", response->may_have_reached),
              LOG_S ("error", response->is_complete ? "" : response->error),
              LOG_I ("usec", now - exchange->sent_at));
-  if (!response->may_have_reached || is_cut_off (response))
-    {
-      carrier_avoid (&dispatcher->carriers, carrier, now);
-      dispatcher_send_or_queue (dispatcher, exchange, now);
-    }
+  bool was_not_taken = !response->may_have_reached || is_cut_off (response);
+  if (was_not_taken)
+    carrier_avoid (&dispatcher->carriers, carrier, now);
+  if (was_not_taken && !exchange->body_is_released)
+    dispatcher_send_or_queue (dispatcher, exchange, now);
   else
     take_response (dispatcher, exchange, response, now);
 }
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -17,6 +17,16 @@
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
 
+/* Of a body that is passed on while it comes only the length is known.  */
+static XXH128_hash_t
+hash_body (const exchange_t *exchange)
+{
+  if (!exchange->stream)
+    return XXH3_128bits (exchange->body, exchange->body_bytes);
+  uint64_t length = body_stream_length (exchange->stream);
+  return XXH3_128bits (&length, sizeof length);
+}
+
 fingerprint_t
 dispatcher_fingerprint (exchange_t *exchange)
 {
@@ -33,7 +43,7 @@
   XXH128_hash_t hashes[N_PARTS + 1];
   for (size_t i = 0; i < N_PARTS; i++)
     hashes[i] = XXH3_128bits (parts[i], parts[i] ? strlen (parts[i]) : 0);
-  hashes[N_PARTS] = XXH3_128bits (exchange->body, exchange->body_bytes);
+  hashes[N_PARTS] = hash_body (exchange);
   XXH128_hash_t hash = XXH3_128bits (hashes, sizeof hashes);
   exchange->fingerprint
       = (fingerprint_t){ .low = hash.low64, .high = hash.high64 };
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -125,6 +125,7 @@
           .headers = request_headers (exchange, backend, now),
           .body = exchange->body,
           .body_bytes = exchange->body_bytes,
+          .stream = exchange->stream,
           .timeout = exchange->deadline - now + RESPONSE_TRAVEL_TIME,
           .connect_timeout = CONNECT_TIMEOUT,
           .owner = &exchange->owner };
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -15,6 +15,7 @@
 #include "base/time_defs.h"
 #include "ledger/ledger_defs.h"
 #include "router/backend_http.h"
+#include "router/body_stream.h"
 #include "router/fleet_snapshot.h"
 #include "router/poller.h"
 #include "router/request_parser.h"
@@ -86,8 +87,11 @@
   const char *host; /* in HEAD */
   char *body;
   size_t body_bytes;
-  size_t body_capacity;  /* of BODY, as the budget counts it */
-  bool body_is_released; /* its memory was given back: not to be sent again */
+  size_t body_capacity;  /* of BODY or STREAM, as the budget counts it */
+  body_stream_t *stream; /* of a body that is passed on while it comes; NULL:
+                            BODY holds it whole */
+  bool body_is_released; /* some of it is no longer held: not to be sent
+                            again */
   bool wants_continue;   /* the caller waits with the body until it is told */
   bool is_last;          /* the caller sends no further request */
   bool is_whole;         /* it was received to its end */
--- a/src/router/traffic_thread.c
+++ b/src/router/traffic_thread.c
@@ -61,6 +61,13 @@
   dispatcher_request (thread->dispatcher, exchange);
 }
 
+static void
+on_body_arrived (void *closure, exchange_t *exchange)
+{
+  traffic_thread_t *thread = closure;
+  dispatcher_body_arrived (thread->dispatcher, exchange);
+}
+
 static bool
 may_overlap (void *closure, const exchange_t *exchange)
 {
@@ -179,6 +186,8 @@
   dispatcher_update_snapshot (thread->dispatcher);
   caller_http_set_idle_timeout (thread->port,
                                 dispatcher_idle_timeout (thread->dispatcher));
+  caller_http_set_max_body (thread->port,
+                            dispatcher_max_body (thread->dispatcher));
   fleet_snapshot_t *snapshot = director_sync_snapshot (thread->sync);
   cold_port_set_routers (thread->cold_port, snapshot->routers,
                          snapshot->n_routers);
@@ -238,6 +247,7 @@
                                        .budget = &thread->budget,
                                        .closure = thread,
                                        .request_received = on_request,
+                                       .body_arrived = on_body_arrived,
                                        .may_overlap = may_overlap,
                                        .caller_gone = on_gone };
   thread->port = caller_http_new (&port, err);
--- a/test/fakes/fake_raw_backend.c
+++ b/test/fakes/fake_raw_backend.c
@@ -6,7 +6,8 @@
    Listens on N ports, for fake-platform's list with an offset.  The last part
    of a request's path names the response (raw_backend_responses.c); some come
    twice, one in TWICE_EVERY of those of a port (see `repeats`).  "reads-late"
-   pauses before it reads a request's body, "answers-early" answers first.  A
+   pauses before it reads a request's body, "answers-early" answers first,
+   "keeps-body" stores it in FOLDER/body-ID.  A
    body is BODY_BYTES long and made from the request's id; a HEAD gets none.  A
    health check is answered as by the backend server that the last request
    expected at that port, also of an earlier process (FOLDER/instance-PORT).
@@ -110,10 +111,10 @@
     }
 }
 
-/* Read a request's head into REQUEST, with what comes along of its body; the
-   rest of that, by its length, is *N_LEFT.  */
+/* Read a request's head into REQUEST, with what comes along of its body, up to
+ *N_READ bytes in all; the rest of that, by its length, is *N_LEFT.  */
 static bool
-read_head (int fd, char request[REQUEST_BYTES], size_t *n_left)
+read_head (int fd, char request[REQUEST_BYTES], size_t *n_read, size_t *n_left)
 {
   size_t used = 0;
   for (;;)
@@ -129,13 +130,16 @@
       char length[ID_BYTES];
       find_field (request, "Content-Length", length);
       size_t bytes = (size_t)(end - request) + 4 + strtoul (length, NULL, 10);
+      *n_read = used;
       *n_left = bytes > used ? bytes - used : 0;
       return true;
     }
 }
 
+/* Read the N_LEFT bytes that are left of a body, and append them to KEPT
+   unless it is NULL.  */
 static bool
-read_rest (int fd, size_t n_left)
+read_rest (int fd, size_t n_left, FILE *kept)
 {
   char buffer[REQUEST_BYTES];
   while (n_left > 0)
@@ -144,11 +148,31 @@
                         n_left < sizeof buffer ? n_left : sizeof buffer, 0);
       if (n <= 0)
         return false;
+      if (kept)
+        fwrite (buffer, 1, (size_t)n, kept);
       n_left -= (size_t)n;
     }
   return true;
 }
 
+/* Store the body of REQUEST, which came with its first bytes; N_LEFT bytes are
+   still to come.  */
+static bool
+keep_body (int fd, const char *request, size_t n_read, size_t n_left)
+{
+  char path[512];
+  char id[ID_BYTES];
+  find_field (request, "Request-Id", id);
+  snprintf (path, sizeof path, "%s/body-%s", folder, id);
+  FILE *kept = fopen (path, "w");
+  if (!kept)
+    return false;
+  size_t begin = (size_t)(strstr (request, "\r\n\r\n") - request) + 4;
+  fwrite (request + begin, 1, n_read - begin, kept);
+  bool is_whole = read_rest (fd, n_left, kept);
+  return fclose (kept) == 0 && is_whole;
+}
+
 static void
 make_body (char *body, size_t body_bytes, const char *id)
 {
@@ -433,18 +457,22 @@
 serve_request (raw_client_t *client)
 {
   char request[REQUEST_BYTES];
+  size_t n_read = 0;
   size_t n_left = 0;
-  if (!read_head (client->fd, request, &n_left))
+  if (!read_head (client->fd, request, &n_read, &n_left))
     return false;
+  if (is_named (request, "keeps-body"))
+    return keep_body (client->fd, request, n_read, n_left)
+           && answer (client, request);
   if (is_named (request, "answers-early"))
     {
       bool is_kept = answer (client, request);
       usleep (READ_PAUSE_MSEC * USEC_PER_MSEC);
-      return is_kept && read_rest (client->fd, n_left);
+      return is_kept && read_rest (client->fd, n_left, NULL);
     }
   if (is_named (request, "reads-late"))
     usleep (READ_PAUSE_MSEC * USEC_PER_MSEC);
-  return read_rest (client->fd, n_left) && answer (client, request);
+  return read_rest (client->fd, n_left, NULL) && answer (client, request);
 }
 
 static void *
--- a/test/unit/test_router_caller_close.c
+++ b/test/unit/test_router_caller_close.c
@@ -393,6 +393,7 @@
       = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 30000000\r\n\r\n";
   static const char body[RECEIVE_BUFFER_BYTES];
   const size_t total = 30 * 1000 * 1000;
+  caller_http_set_max_body (fixture->port, total - 1);
   g_assert_cmpint (send (fixture->client, head, sizeof head - 1, MSG_NOSIGNAL),
                    ==, sizeof head - 1);
   for (size_t n = 0; n < total;)
