feat(agreement): messages and records of a later build may say more

A message between replicas, and a record in their log, was refused if anything followed its fields, so nothing could ever be added to them: a director of the present build would drop the message, and take a record that a later build wrote before a way back for a damaged one. What follows is passed over now; checksums and the MAC still cover it.

--- a/src/agreement/message.c
+++ b/src/agreement/message.c
@@ -209,7 +209,7 @@
       XDR xdrs;
       xdrmem_create (&xdrs, (char *)bytes, (u_int)length, XDR_DECODE);
       xdrs.x_public = (char *)&length;
-      if (filter_message (&xdrs, message) && xdr_getpos (&xdrs) == length)
+      if (filter_message (&xdrs, message))
         return true;
       message_clear (message);
     }
--- a/src/agreement/message.h
+++ b/src/agreement/message.h
@@ -146,7 +146,8 @@
 /* The encoded message as a new block, owned by the caller.  */
 blob_t *message_encode (const message_t *message);
 
-/* Decode BYTES into *MESSAGE, which message_clear releases.  On failure,
+/* Decode BYTES into *MESSAGE, which message_clear releases.  What follows the
+   message is of a later build, and is passed over.  On failure,
    returns false with ERR_PROTOCOL, and nothing needs to be released.  */
 bool message_decode (message_t *message, const void *bytes, size_t length,
                      err_t *err);
--- a/src/agreement/storage_record.c
+++ b/src/agreement/storage_record.c
@@ -191,8 +191,7 @@
   XDR xdrs;
   xdrmem_create (&xdrs, (char *)bytes, (u_int)length, XDR_DECODE);
   xdrs.x_public = (char *)&length;
-  bool is_legal
-      = filter_persist (&xdrs, &persist) && xdr_getpos (&xdrs) == length;
+  bool is_legal = filter_persist (&xdrs, &persist);
   if (is_legal)
     image_apply (image, &persist);
   persist_clear (&persist);
--- a/src/agreement/storage_record.h
+++ b/src/agreement/storage_record.h
@@ -31,9 +31,10 @@
    one that was never written.  */
 size_t record_padded_bytes (size_t length);
 
-/* Apply the records in DATA to IMAGE.  *END is set to the end of the last
-   complete record; the bytes after it were never synced.  False with
-   ERR_STORAGE if a synced record is damaged.  */
+/* Apply the records in DATA to IMAGE.  What follows the fields of a record in
+   its payload is of a later build, and is passed over.  *END is set to the end
+   of the last complete record; the bytes after it were never synced.  False
+   with ERR_STORAGE if a synced record is damaged.  */
 bool records_read (replica_image_t *image, const uint8_t *data, size_t length,
                    size_t *end, err_t *err);
 
