--- a/test/unit/test_agreement_forms.c
+++ b/test/unit/test_agreement_forms.c
@@ -232,11 +232,12 @@
   const form_t *form = data;
   gsize length = 0;
   g_autofree char *recorded = read_recorded (form->name, &length);
-  g_autofree char *longer = with_more (recorded, length);
+  char *longer = with_more (recorded, length);
   blob_t *written = write_message (form);
   g_assert_cmpmem (written->bytes, written->length, recorded, length);
   assert_reads (recorded, length, recorded, length);
   assert_reads (longer, length + ADDED_BYTES, recorded, length);
+  g_free (longer);
   blob_unref (written);
 }
 
@@ -283,8 +284,9 @@
     {
       gsize n = 0;
       g_autofree char *recorded = read_recorded (names[i], &n);
-      g_autofree char *longer = with_more (recorded, n);
+      char *longer = with_more (recorded, n);
       append_record (log, &length, longer, n + added);
+      g_free (longer);
     }
   replica_image_t image;
   replica_image_init (&image);
