fix(agreement): votes are not split again and again while disks are slow

The time of giving way is longer by this replica's last sync, less a round trip, and by two election timeouts at most.

--- a/src/agreement/replica_election.c
+++ b/src/agreement/replica_election.c
@@ -6,10 +6,11 @@
    that are outranked stop asking, and a pre-candidate refuses those that it
    outranks.  It can't know whether the highest-ranked one is able to win, so
    both end: stopping leaves a part of each interval free, and refusing ends
-   when it has asked in vain for long.  All in round trips.  */
+   when it has asked in vain for long.  All in round trips, to which
+   slow_sync_time is added.  */
 enum
 {
-  VOTE_DURATION = 3,   /* from a pre-vote to the leader's first message */
+  VOTE_DURATION = 3,   /* of vote_duration */
   YIELD_DURATION = 4,  /* from the first time that it yields to the last */
   YIELD_INTERVAL = 10, /* until it yields again */
   REFUSE_DURATION = 6,
@@ -18,6 +19,7 @@
 enum
 {
   FAILED_VOTES_MAX = 2, /* that raise sync_allowance */
+  SLOW_SYNC_MAX = 2,    /* of slow_sync_time, in election timeouts */
 };
 
 static usec_t
@@ -26,6 +28,25 @@
   return n * replica->options.round_trip;
 }
 
+/* What a vote may take longer than round trips allow for, by this replica's
+   last sync: the disks of others may be as slow.  */
+static usec_t
+slow_sync_time (const replica_t *replica)
+{
+  usec_t most = SLOW_SYNC_MAX * replica->options.election_timeout;
+  usec_t excess = replica->sync_time - round_trips (replica, 1);
+  if (excess < 0)
+    return 0;
+  return excess < most ? excess : most;
+}
+
+/* From a pre-vote to the leader's first message.  */
+static usec_t
+vote_duration (const replica_t *replica)
+{
+  return round_trips (replica, VOTE_DURATION) + slow_sync_time (replica);
+}
+
 /* Returns a random time below half a round trip, so that not all replicas ask
    for pre-votes at the same moment.  */
 static usec_t
@@ -66,12 +87,11 @@
 sync_allowance (const replica_t *replica)
 {
   const usec_t timeout = replica->options.election_timeout;
-  usec_t sync_time = replica->now - replica->voted_at;
   usec_t least = replica->n_failed_votes * timeout;
   usec_t most = least + timeout;
-  if (sync_time < least)
+  if (replica->sync_time < least)
     return least;
-  return sync_time < most ? sync_time : most;
+  return replica->sync_time < most ? replica->sync_time : most;
 }
 
 void
@@ -244,8 +264,7 @@
 vote_is_in_progress (const replica_t *replica)
 {
   return replica->voted_at > 0
-         && replica->now
-                < replica->voted_at + round_trips (replica, VOTE_DURATION);
+         && replica->now < replica->voted_at + vote_duration (replica);
 }
 
 /* Whether this replica, which asks for pre-votes too, goes before the sender
@@ -269,8 +288,8 @@
   for (size_t higher = slot + 1; higher < REPLICAS_MAX; higher++)
     replica->yielded_at[higher] = 0;
   replica->yielded_at[slot] = replica->now;
-  usec_t until = replica->now + round_trips (replica, VOTE_DURATION)
-                 + random_delay (replica);
+  usec_t until
+      = replica->now + vote_duration (replica) + random_delay (replica);
   if (replica->election_deadline < until)
     replica->election_deadline = until;
 }
@@ -282,8 +301,9 @@
 election_yield (replica_t *replica, slot_t slot)
 {
   usec_t since = replica->now - replica->first_yield_at;
-  if (replica->first_yield_at == 0
-      || since >= round_trips (replica, YIELD_INTERVAL))
+  usec_t interval
+      = round_trips (replica, YIELD_INTERVAL) + slow_sync_time (replica);
+  if (replica->first_yield_at == 0 || since >= interval)
     {
       memset (replica->yielded_at, 0, sizeof replica->yielded_at);
       replica->first_yield_at = replica->now;
@@ -293,8 +313,7 @@
       && since < round_trips (replica, YIELD_DURATION))
     yield_anew (replica, slot);
   if (replica->yielded_at[slot] == 0
-      || replica->now >= replica->yielded_at[slot]
-                             + round_trips (replica, VOTE_DURATION))
+      || replica->now >= replica->yielded_at[slot] + vote_duration (replica))
     return;
   replica->is_pre_candidate = false;
   if (replica->role == ROLE_CANDIDATE)
@@ -357,8 +376,7 @@
 holds_request (const replica_t *replica)
 {
   return replica->held_request.kind != MESSAGE_KINDS
-         && replica->now
-                < replica->held_at + round_trips (replica, VOTE_DURATION);
+         && replica->now < replica->held_at + vote_duration (replica);
 }
 
 /* Hold a request for a pre-vote until the lease is over, so that its sender
--- a/src/agreement/replica_internal.h
+++ b/src/agreement/replica_internal.h
@@ -26,6 +26,7 @@
   list_t link;
   uint64_t sequence;
   log_index_t last_index;
+  usec_t started_at;
 } pending_sync_t;
 
 /* A message that is sent when the persist action SEQUENCE is synced.  */
@@ -91,6 +92,7 @@
   log_index_t persisted_index; /* last entry in a persist action */
   uint64_t persist_sequence;   /* of the last persist action */
   uint64_t synced_sequence;    /* of the last synced one */
+  usec_t sync_time;            /* that it took */
   log_index_t synced_index;    /* last entry on disk */
   list_t pending_syncs;
   list_t deferred_messages;
--- a/src/agreement/replica_log.c
+++ b/src/agreement/replica_log.c
@@ -166,6 +166,7 @@
     abort ();
   pending->sequence = replica->persist_sequence;
   pending->last_index = replica->last_index;
+  pending->started_at = replica->now;
   list_push_back (&replica->pending_syncs, &pending->link);
 }
 
@@ -236,6 +237,7 @@
       break;
     replica->synced_sequence = pending->sequence;
     replica->synced_index = pending->last_index;
+    replica->sync_time = replica->now - pending->started_at;
     list_remove (link);
     free (pending);
   }
--- a/test/unit/test_agreement_election_faults.c
+++ b/test/unit/test_agreement_election_faults.c
@@ -128,6 +128,18 @@
   slow_disks_of (cluster, SLOWER_SYNC, SLOWER_SYNC + USEC_PER_MSEC);
 }
 
+/* All start at once, with the same logs.  Guards against replicas that become
+   candidates themselves while the request of the one that they gave way to
+   waits for its disk, so that the votes are split again and again.  */
+static void
+slower_disks_of_all (timed_cluster_t *cluster)
+{
+  for (slot_t i = 0; i < cluster->n; i++)
+    cluster->sync_time[i] = SLOWER_SYNC;
+  start_from (cluster, 0, START_SPREAD);
+  check_leader_remains (cluster, cluster->now + SLOW_CHANGE_MAX);
+}
+
 /* Guards against voters with fast disks that begin anew before the slower
    ones have voted.  */
 static void
@@ -158,6 +170,8 @@
         { "/agreement/election/deaf", FAULT_SEEDS, deaf_replica },
         { "/agreement/election/slow-disks", FAULT_SEEDS, slow_disks },
         { "/agreement/election/slower-disks", FAULT_SEEDS, slower_disks },
+        { "/agreement/election/slower-disks-of-all", FAULT_SEEDS,
+          slower_disks_of_all },
         { "/agreement/election/unlike-disks", FAULT_SEEDS, unlike_disks },
         { "/agreement/election/stalled-disks", FAULT_SEEDS, stalled_disks },
         { "/agreement/election/lost-messages", FAULT_SEEDS, lost_messages } };
