--- a/src/director/core_peers.c
+++ b/src/director/core_peers.c
@@ -143,15 +143,16 @@
 }
 
 /* Save ROSTER, and use it then.  IS_ASSIGNED: this director, as the leader,
-   made it.  While another one is saved, ROSTER is ignored: announcements and
-   shares are repeated.  */
-static void
+   made it.  Returns false, and does nothing, while another one is saved:
+   announcements and shares are repeated.  */
+static bool
 adopt_roster (director_core_t *core, const roster_t *roster, bool is_assigned)
 {
   if (!save_roster (core, roster))
-    return;
+    return false;
   core->adopted_roster = *roster;
   core->is_roster_assigned = is_assigned;
+  return true;
 }
 
 static roster_t
@@ -256,15 +257,16 @@
                                        roster_slot (claimed_roster, address));
   if (slot == SLOT_NONE)
     return;
+  roster_t new_roster = core->roster;
+  new_roster.addresses[slot] = address;
+  if (!adopt_roster (core, &new_roster, true))
+    return;
+  core->peers[slot].last_heard_at = now;
   char text[INET_TEXT_BYTES];
   inet_format_address (address, text);
   LOG_EVENT (LOG_LEVEL_WARNING, "slot_taken_over", LOG_U ("slot", slot),
              LOG_S ("director", text),
              LOG_I ("silent_ms", silence[slot] / USEC_PER_MSEC));
-  roster_t new_roster = core->roster;
-  new_roster.addresses[slot] = address;
-  core->peers[slot].last_heard_at = now;
-  adopt_roster (core, &new_roster, true);
 }
 
 /* Said once; the director stands by, as the announcements go on.  */
--- a/src/director/roster_saver.c
+++ b/src/director/roster_saver.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "director/roster_file.h"
 #include "settings/settings_defs.h"
@@ -20,11 +21,20 @@
   roster_t roster;
 };
 
+/* A save that takes longer is logged.  */
+#define SLOW_SAVE_TIME USEC_PER_SEC
+
 static roster_saver_state_t
 save (const roster_saver_t *saver)
 {
   err_t err = { 0 };
-  if (roster_file_save (saver->folder, &saver->roster, &err))
+  usec_t started_at = clock_monotonic ();
+  bool is_saved = roster_file_save (saver->folder, &saver->roster, &err);
+  usec_t taken = clock_monotonic () - started_at;
+  if (taken >= SLOW_SAVE_TIME)
+    LOG_EVENT (LOG_LEVEL_WARNING, "roster_save_slow",
+               LOG_I ("ms", taken / USEC_PER_MSEC));
+  if (is_saved)
     return ROSTER_SAVER_SAVED;
   log_error (LOG_LEVEL_ERROR, "roster_not_saved", &err);
   return ROSTER_SAVER_FAILED;
--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -212,7 +212,7 @@
   backend_connections_attach (call->client->connections, easy);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   backend_transfer_set_method (easy, request);
-  if (request->stream)
+  if (call->stream)
     backend_transfer_set_stream (easy, request, on_upload, call);
 }
 
@@ -292,7 +292,8 @@
   snprintf (call->use.id, sizeof call->use.id, "%s", request->id);
   snprintf (call->reader.id, sizeof call->reader.id, "%s", request->id);
   call->reader.is_head_request = strcmp (request->method, "HEAD") == 0;
-  call->stream = request->stream;
+  /* libcurl sends no body with HEAD.  */
+  call->stream = call->use.is_head ? NULL : request->stream;
   call->body_bytes = call->stream ? (size_t)body_stream_length (call->stream)
                                   : request->body_bytes;
   watch_upload (client, call);
--- a/src/router/body_stream.c
+++ b/src/router/body_stream.c
@@ -35,6 +35,12 @@
   return stream->length;
 }
 
+bool
+body_stream_is_empty (const body_stream_t *stream)
+{
+  return stream->n == 0;
+}
+
 size_t
 body_stream_room (const body_stream_t *stream)
 {
--- a/src/router/body_stream.h
+++ b/src/router/body_stream.h
@@ -25,6 +25,8 @@
 
 uint64_t body_stream_length (const body_stream_t *stream);
 
+bool body_stream_is_empty (const body_stream_t *stream);
+
 /* How many bytes may be put now.  */
 size_t body_stream_room (const body_stream_t *stream);
 
--- a/src/router/caller_connection.c
+++ b/src/router/caller_connection.c
@@ -64,10 +64,12 @@
     {
       caller_send_responses (connection);
       caller_parse_unparsed (connection);
-      caller_send_continue (connection);
     }
   if (connection->phase == CALLER_OPEN)
-    caller_dispatch (connection);
+    {
+      caller_dispatch (connection);
+      caller_send_continue (connection);
+    }
   if (connection->phase != CALLER_CLOSED && !connection->input_has_ended)
     watch_for (connection);
 }
--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -52,7 +52,7 @@
 is_too_long (const caller_connection_t *connection, uint64_t length)
 {
   uint64_t max = connection->port->max_body_bytes;
-  return max > 0 && length > max;
+  return length > (max > 0 ? max : HELD_BODY_BYTES_MAX);
 }
 
 /* The room for a body of NEEDED bytes that grows: more than that, so that many
@@ -94,7 +94,7 @@
   if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN, 0,
                            BODY_STREAM_BYTES))
     {
-      caller_exchange_refuse (exchange, REASON_MEMORY);
+      reject (connection, REASON_MEMORY);
       return;
     }
   exchange->stream = body_stream_new (length);
--- a/src/router/caller_write.c
+++ b/src/router/caller_write.c
@@ -107,13 +107,28 @@
     caller_begin_closing (connection);
 }
 
+/* EXCHANGE, whose body is passed on while it comes, has ended before that: its
+   response does not wait for the rest, and ends the connection.  */
+static void
+cut_body (caller_connection_t *connection, exchange_t *exchange)
+{
+  connection->incoming = NULL;
+  connection->reads_no_more = true;
+  exchange->is_last = true;
+  exchange->is_whole = true;
+}
+
 void
 caller_send_responses (caller_connection_t *connection)
 {
   while (connection->phase == CALLER_OPEN)
     {
       exchange_t *exchange = caller_first_exchange (connection);
-      if (!exchange || !exchange->is_finished || !exchange->is_whole)
+      if (!exchange || !exchange->is_finished)
+        return;
+      if (exchange->stream && !exchange->is_whole)
+        cut_body (connection, exchange);
+      if (!exchange->is_whole)
         return;
       if (!connection->is_writing)
         begin_response (connection, exchange);
@@ -132,7 +147,8 @@
 caller_awaits_continue (const caller_connection_t *connection)
 {
   const exchange_t *exchange = caller_first_exchange (connection);
-  return exchange && exchange->wants_continue && !exchange->is_whole;
+  return exchange && exchange->wants_continue && !exchange->is_whole
+         && !(exchange->stream && exchange->is_finished);
 }
 
 void
--- a/src/router/dispatcher_crashes.c
+++ b/src/router/dispatcher_crashes.c
@@ -17,14 +17,14 @@
 /* The least time between two checks whether one backend server has ended.  */
 #define CRASH_CHECK_INTERVAL USEC_PER_SEC
 
-/* Of a body that is passed on while it comes only the length is known.  */
+/* A body that is passed on while it comes is not known: other requests may
+   have one of the same length, so that the id stands for it.  */
 static XXH128_hash_t
 hash_body (const exchange_t *exchange)
 {
-  if (!exchange->stream)
-    return XXH3_128bits (exchange->body, exchange->body_bytes);
-  uint64_t length = body_stream_length (exchange->stream);
-  return XXH3_128bits (&length, sizeof length);
+  if (exchange->stream)
+    return XXH3_128bits (exchange->id, strlen (exchange->id));
+  return XXH3_128bits (exchange->body, exchange->body_bytes);
 }
 
 fingerprint_t
--- a/src/router/dispatcher_response.c
+++ b/src/router/dispatcher_response.c
@@ -169,8 +169,9 @@
   bool will_retry
       = result != BACKEND_ANSWERED && !answer_limits_caller (&facts)
         && may_retry (dispatcher, exchange, may_have_run, reached, now);
+  bool is_of_caller = response->timed_out && exchange_awaits_caller (exchange);
   const backend_outcome_t outcome
-      = { .result = result,
+      = { .result = is_of_caller ? BACKEND_CANCELLED : result,
           .may_have_run = may_have_run,
           .not_started = facts.not_started,
           .load = response->load,
--- a/src/router/dispatcher_send.c
+++ b/src/router/dispatcher_send.c
@@ -108,7 +108,8 @@
     service_state (dispatcher, exchange->query.service)->in_time_sent_at = now;
   dispatcher_bound_deadline (dispatcher, exchange);
   exchange->slot_was_free
-      = backend_load_at (backend, now) + 1 <= backend->record.slots;
+      = !exchange->stream
+        && backend_load_at (backend, now) + 1 <= backend->record.slots;
   exchange->object_was_known = backend_pool_request_sent (
       dispatcher->pool, backend, &exchange->query, now);
   exchange->owner.exchange = exchange;
@@ -359,7 +360,9 @@
     if (!exchange->call || now < exchange->deadline + RESPONSE_TRAVEL_TIME)
       continue;
     const backend_outcome_t outcome
-        = { .result = BACKEND_NO_VALID_ANSWER,
+        = { .result = exchange_awaits_caller (exchange)
+                          ? BACKEND_CANCELLED
+                          : BACKEND_NO_VALID_ANSWER,
             .latency = now - exchange->sent_at,
             .expected_latency = dispatcher_expected_run_time (exchange) };
     dispatcher_abort (dispatcher, exchange, &outcome, now);
--- a/src/router/exchange.c
+++ b/src/router/exchange.c
@@ -3,6 +3,13 @@
 #include <microhttpd.h>
 #include <stdlib.h>
 
+bool
+exchange_awaits_caller (const exchange_t *exchange)
+{
+  return exchange->stream && !exchange->is_whole
+         && body_stream_is_empty (exchange->stream);
+}
+
 const char *
 exchange_reason_name (exchange_reason_t reason)
 {
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -126,7 +126,9 @@
   backend_call_t *call;
   call_owner_t owner; /* of CALL */
   usec_t sent_at;
-  bool slot_was_free;    /* when it was sent, by the estimated load */
+  bool slot_was_free;    /* when it was sent, by the estimated load; false if
+                            its time depends on the caller's, who still sends
+                            the body */
   bool object_was_known; /* the backend server had handled its object for this
                             router before */
 
@@ -136,6 +138,9 @@
   backend_response_t response;
 };
 
+/* Whether EXCHANGE's call waits for more of the body from the caller.  */
+bool exchange_awaits_caller (const exchange_t *exchange);
+
 /* The name of REASON in logs, metrics and response bodies.  */
 const char *exchange_reason_name (exchange_reason_t reason);
 
--- a/test/functional/test_fleet_long_body.sh
+++ b/test/functional/test_fleet_long_body.sh
@@ -76,6 +76,32 @@
 [ "$n" = 1 ] || fail "a request whose body was gone was sent $n times"
 echo 'good: refused'
 
+# What has ended is told at once, though most of the body is still to come: to one that waits to be told to go
+# on with it, to one that asks for the head alone, to ones that send no more of it.
+head_only() { # ROUTER METHOD PATH ID [field]: the first line of the answer within 3 s
+  printf '%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nContent-Length: 40000000\r\n%s\r\n%s' \
+    "$2" "$3" "$4" "${5:+$5$'\r\n'}" "${6:-}" |
+    timeout 3 bash -c "exec 3<>/dev/tcp/$(router_address "$1")/$REQUESTS_PORT; cat >&3; head -n 1 <&3" | tr -d '\r'
+}
+STALLED=8
+case $(head_only 3 POST /nowhere no-route 'Expect: 100-continue') in
+  'HTTP/1.1 404 '*) ;;
+  *) fail 'a request without a route was not told so at once' ;;
+esac
+case $(head_only 3 HEAD /x/length head) in
+  'HTTP/1.1 200 '*) ;;
+  *) fail 'a HEAD with a long body was not answered at once' ;;
+esac
+for n in $(seq $STALLED); do
+  case $(head_only 3 POST /x/length "stalls-$n" 'Deadline-Ms: 600' 'a part') in
+    'HTTP/1.1 504 '*) ;;
+    *) fail 'a caller that sends no more of its body was not told 504 in time' ;;
+  esac
+done
+! grep -q 'event=backend_probed .*failures=[1-9]' "$FOLDER/router-3.log" || fail 'backend servers are blamed for callers that stall'
+! grep -q '^stalls-' "$FOLDER/runs" || fail 'a request ran whose body did not come to its end'
+echo 'good: told at once'
+
 # A caller that leaves in the middle: the request does not run, and the router goes on.
 upload 2 keeps-body leaves "$FOLDER/long" --limit-rate 10M -m 1
 wait_for 5 grep -q 'event=request_ended id=leaves outcome=gone' "$FOLDER/router-2.log"
