fix(router): no body is told to be too long before there is a configuration

Found at the last read: a router that has just started knew no limit, took 16 MB for it and told 413, which a caller takes for final, to an upload that the configuration allows. Without a configuration it refuses with 503, as others; one that names no limit has the bound of 16 MB (test_fleet_long_body, "no limit").

--- a/src/router/caller_http.c
+++ b/src/router/caller_http.c
@@ -288,6 +288,7 @@
     abort ();
   port->options = *options;
   port->idle_timeout = IDLE_TIMEOUT;
+  port->max_body_bytes = UINT64_MAX;
   list_init (&port->connections);
   list_init (&port->closing);
   list_init (&port->ready);
--- a/src/router/caller_http.h
+++ b/src/router/caller_http.h
@@ -47,8 +47,8 @@
 /* Connections may be idle for TIMEOUT, and for 20 s at least.  */
 void caller_http_set_idle_timeout (caller_http_t *port, usec_t timeout);
 
-/* Requests with longer bodies are rejected.  0: not known, and the limit is
-   what a router holds whole.  */
+/* Requests with longer bodies are rejected, at first none.  0: those that are
+   longer than what a router holds whole.  */
 void caller_http_set_max_body (caller_http_t *port, uint64_t n_bytes);
 
 /* There is room in EXCHANGE's stream again.  */
--- a/src/router/caller_http_internal.h
+++ b/src/router/caller_http_internal.h
@@ -24,7 +24,7 @@
   bool is_accepting; /* the listening socket is watched */
   usec_t accept_at;  /* when to accept again; 0: not for a lack of resources */
   usec_t idle_timeout;     /* of a connection */
-  uint64_t max_body_bytes; /* of a request; 0: not known */
+  uint64_t max_body_bytes; /* of a request; 0: what is held whole */
   bool keep_alive_disabled;
   list_t connections; /* by last activity, the oldest first */
   list_t closing;     /* the same, of those that are CALLER_CLOSING */
--- a/src/router/dispatcher.c
+++ b/src/router/dispatcher.c
@@ -312,7 +312,7 @@
 dispatcher_max_body (const dispatcher_t *dispatcher)
 {
   const route_config_t *config = dispatcher->snapshot->config;
-  return config ? config->limits.max_body_bytes : 0;
+  return config ? config->limits.max_body_bytes : UINT64_MAX;
 }
 
 bool
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -69,8 +69,8 @@
    not known.  */
 usec_t dispatcher_idle_timeout (const dispatcher_t *dispatcher);
 
-/* The longest body of a request, in bytes, by the configuration; 0: no limit,
-   or not known.  */
+/* The longest body of a request, in bytes, by the configuration; 0: it names
+   none.  UINT64_MAX without a configuration: requests are refused for that. */
 uint64_t dispatcher_max_body (const dispatcher_t *dispatcher);
 
 /* Whether the router can serve requests: it has a configuration and backend
--- a/test/functional/test_fleet_long_body.sh
+++ b/test/functional/test_fleet_long_body.sh
@@ -32,6 +32,9 @@
   rm "$FOLDER/body-$1"
 }
 
+# Without a limit in the configuration, the bound is what a router holds whole.
+upload 1 keeps-body no-limit "$FOLDER/long"
+[ "$(cat "$FOLDER/no-limit.status")" = 413 ] || fail "no limit: status $(cat "$FOLDER/no-limit.status")"
 wait_for 15 put "$(long_config 00000006)"
 in_force() { grep -q 'event=config_in_force version=6 ' "$FOLDER/router-1.log"; }
 wait_for 10 in_force
