refactor(router): the announced length is read once, by the parser

It is kept with the exchange. No behaviour changes; test_router units and test_fleet_long_body pass.

--- a/src/router/caller_read.c
+++ b/src/router/caller_read.c
@@ -8,7 +8,6 @@
 #include <sys/socket.h>
 
 #include "base/log.h"
-#include "base/number.h"
 #include "platform_api.h"
 
 enum
@@ -36,17 +35,6 @@
   caller_set_ready (connection);
 }
 
-/* The length that EXCHANGE's head announces; 0: none.  */
-static uint64_t
-announced_bytes (const exchange_t *exchange)
-{
-  const char *text = request_head_field (&exchange->head, "Content-Length");
-  uint64_t length = 0;
-  if (text)
-    number_parse_unsigned (&length, text, UINT64_MAX);
-  return length;
-}
-
 /* Whether a body of LENGTH bytes is longer than the configuration allows.  */
 static bool
 is_too_long (const caller_connection_t *connection, uint64_t length)
@@ -62,8 +50,9 @@
 next_capacity (const exchange_t *exchange, size_t needed)
 {
   size_t capacity = exchange->body_capacity + exchange->body_capacity / 2;
-  uint64_t announced = announced_bytes (exchange);
-  size_t most = announced >= needed ? (size_t)announced : HELD_BODY_BYTES_MAX;
+  size_t most = exchange->announced_bytes >= needed
+                    ? (size_t)exchange->announced_bytes
+                    : HELD_BODY_BYTES_MAX;
   if (capacity < needed)
     return needed;
   return capacity < most ? capacity : most;
@@ -86,10 +75,9 @@
   return true;
 }
 
-/* Pass EXCHANGE's body, of LENGTH bytes, on while it comes.  */
+/* Pass EXCHANGE's body on while it comes.  */
 static void
-begin_stream (caller_connection_t *connection, exchange_t *exchange,
-              uint64_t length)
+begin_stream (caller_connection_t *connection, exchange_t *exchange)
 {
   if (!body_budget_resize (connection->port->options.budget, BODY_CERTAIN, 0,
                            BODY_STREAM_BYTES))
@@ -97,11 +85,11 @@
       reject (connection, REASON_MEMORY);
       return;
     }
-  exchange->stream = body_stream_new (length);
+  exchange->stream = body_stream_new (exchange->announced_bytes);
   exchange->body_capacity = BODY_STREAM_BYTES;
   const char *id = request_head_field (&exchange->head, HEADER_REQUEST_ID);
   LOG_EVENT (LOG_LEVEL_INFO, "body_streamed", LOG_S ("id", id ? id : ""),
-             LOG_U ("length", length));
+             LOG_U ("length", exchange->announced_bytes));
 }
 
 /* The head of CONNECTION's incoming request has come.  */
@@ -111,14 +99,14 @@
   exchange_t *exchange = caller_exchange_add (connection);
   connection->incoming = exchange;
   exchange->wants_continue = request_head_expects_continue (&exchange->head);
-  uint64_t length = announced_bytes (exchange);
-  if (is_too_long (connection, length))
+  exchange->announced_bytes = request_parser_body_length (&connection->parser);
+  if (is_too_long (connection, exchange->announced_bytes))
     {
       reject (connection, REASON_TOO_LARGE);
       return;
     }
-  if (length > HELD_BODY_BYTES_MAX)
-    begin_stream (connection, exchange, length);
+  if (exchange->announced_bytes > HELD_BODY_BYTES_MAX)
+    begin_stream (connection, exchange);
   if (exchange->wants_continue || exchange->stream)
     caller_set_ready (connection);
 }
--- a/src/router/exchange.h
+++ b/src/router/exchange.h
@@ -84,7 +84,8 @@
   request_head_t head;
   const char *target; /* path and query, as received; in HEAD */
   char id[EXCHANGE_ID_BYTES];
-  const char *host; /* in HEAD */
+  const char *host;         /* in HEAD */
+  uint64_t announced_bytes; /* of the body, by the head; 0: none */
   char *body;
   size_t body_bytes;
   size_t body_capacity;  /* of BODY or STREAM, as the budget counts it */
--- a/src/router/request_parser.c
+++ b/src/router/request_parser.c
@@ -366,6 +366,13 @@
   return REQUEST_MORE;
 }
 
+uint64_t
+request_parser_body_length (const request_parser_t *parser)
+{
+  uint64_t length = parser->http.content_length;
+  return length == UINT64_MAX ? 0 : length; /* http_parser's "not known" */
+}
+
 const char *
 request_parser_method (const request_parser_t *parser)
 {
--- a/src/router/request_parser.h
+++ b/src/router/request_parser.h
@@ -11,6 +11,7 @@
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 enum
 {
@@ -87,6 +88,10 @@
                                      const char *data, size_t length,
                                      size_t *n_read);
 
+/* The length of the body that the head announces; 0: none.  Valid at
+   REQUEST_HEAD.  */
+uint64_t request_parser_body_length (const request_parser_t *parser);
+
 /* Valid from REQUEST_HEAD to the next request.  */
 const char *request_parser_method (const request_parser_t *parser);
 
