refactor(router): one function tells libcurl of a method and its body

backend_transfer_set_stream set again what backend_transfer_set_method had just set, for a body that is passed on while it comes. The one sets both kinds; the client adds its read function where there is a stream. No behaviour changes; test_router_upload, test_fleet_upload and test_fleet_long_body pass.

--- a/src/router/backend_http.c
+++ b/src/router/backend_http.c
@@ -211,9 +211,12 @@
                     (long)request->needs_new_connection);
   backend_connections_attach (call->client->connections, easy);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
-  backend_transfer_set_method (easy, request);
   if (call->stream)
-    backend_transfer_set_stream (easy, request, on_upload, call);
+    {
+      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_upload);
+      curl_easy_setopt (easy, CURLOPT_READDATA, call);
+    }
+  backend_transfer_set_method (easy, request);
 }
 
 static backend_call_t *
--- a/src/router/backend_transfer.c
+++ b/src/router/backend_transfer.c
@@ -22,35 +22,24 @@
 void
 backend_transfer_set_method (CURL *easy, const backend_request_t *request)
 {
-  bool has_body = request->body_bytes > 0;
+  uint64_t body_bytes = request->stream ? body_stream_length (request->stream)
+                                        : request->body_bytes;
   if (strcmp (request->method, "HEAD") == 0)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else if (!has_body && strcmp (request->method, "GET") == 0)
+  else if (body_bytes == 0 && strcmp (request->method, "GET") == 0)
     curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
   else
     {
       curl_easy_setopt (easy, CURLOPT_POST, 1L);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)request->body_bytes);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
-                        has_body ? request->body : "");
+                        (curl_off_t)body_bytes);
+      if (!request->stream)
+        curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
+                          body_bytes > 0 ? request->body : "");
       curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
     }
 }
 
-void
-backend_transfer_set_stream (CURL *easy, const backend_request_t *request,
-                             curl_read_callback on_read, void *closure)
-{
-  curl_easy_setopt (easy, CURLOPT_POST, 1L);
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, NULL);
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                    (curl_off_t)body_stream_length (request->stream));
-  curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_read);
-  curl_easy_setopt (easy, CURLOPT_READDATA, closure);
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
-}
-
 bool
 backend_transfer_is_cut_off (CURLcode code)
 {
--- a/src/router/backend_transfer.h
+++ b/src/router/backend_transfer.h
@@ -13,15 +13,11 @@
 void backend_transfer_set_target (CURL *easy,
                                   const backend_request_t *request);
 
-/* Set the method and the body of REQUEST, which EASY borrows.  */
+/* Set the method and the body of REQUEST, which EASY borrows.  A stream is
+   read by EASY's CURLOPT_READFUNCTION.  */
 void backend_transfer_set_method (CURL *easy,
                                   const backend_request_t *request);
 
-/* The body of REQUEST, after backend_transfer_set_method: libcurl reads it by
-   ON_READ, with CLOSURE.  */
-void backend_transfer_set_stream (CURL *easy, const backend_request_t *request,
-                                  curl_read_callback on_read, void *closure);
-
 /* Whether CODE tells that the connection has ended.  libcurl makes a new one
    if a reused connection ended before any byte of the response.  */
 bool backend_transfer_is_cut_off (CURLcode code);
