refactor(director): the roster stands in a file of its own

They are core_roster.c now, moved as they were; core_peers_call is what both use. No behaviour changes; test_director units, test_fleet, test_fleet_changes and test_fleet_slow_disks pass.

--- a/src/director/core_internal.h
+++ b/src/director/core_internal.h
@@ -235,19 +235,34 @@
 /* Send MESSAGE to its replica; dropped while too many calls to that director
    are in flight.  */
 void core_peers_send (director_core_t *core, const message_t *message);
-/* Create the roster at the first start; announce and share when due.  */
+/* Send REQUEST, of which the procedure, the arguments and the callback are
+   set, to the director at the address TO.  */
+void core_peers_call (director_core_t *core, uint32_t to,
+                      rpc_request_t *request);
+/* Do what is due of the roster, and share.  */
 void core_peers_tick (director_core_t *core, usec_t now);
 /* The messages of the director that holds SLOT have FORM.  */
 void core_peers_note_form (director_core_t *core, slot_t slot, uint32_t form);
 /* Handle an ITEM_SHARE and reply.  */
 void core_peers_handle_share (director_core_t *core, core_item_t *item,
                               usec_t now);
+
+/* core_roster.c */
+
+/* Create the roster at the first start; save it; announce when due.  */
+void core_roster_tick (director_core_t *core, usec_t now);
+/* Borrows ROSTER's addresses.  */
+fleet_roster_t core_roster_to_wire (roster_t *roster);
 /* Handle an ITEM_ANNOUNCE and reply.  */
-void core_peers_handle_announce (director_core_t *core, core_item_t *item,
-                                 usec_t now);
+void core_roster_handle_announce (director_core_t *core, core_item_t *item,
+                                  usec_t now);
 /* Handle an ITEM_ANNOUNCE_REPLY.  */
-void core_peers_handle_announce_reply (director_core_t *core,
-                                       core_item_t *item);
+void core_roster_handle_announce_reply (director_core_t *core,
+                                        core_item_t *item);
+/* Adopt the roster WIRE that the leader shares, if it differs.  */
+void core_roster_adopt_shared (director_core_t *core,
+                               const fleet_roster_t *wire);
+
 /* core_pulls.c */
 
 /* Handle an ITEM_PULL and reply.  */
--- a/src/director/director_core.c
+++ b/src/director/director_core.c
@@ -170,10 +170,10 @@
       core_peers_handle_share (core, item, now);
       break;
     case ITEM_ANNOUNCE:
-      core_peers_handle_announce (core, item, now);
+      core_roster_handle_announce (core, item, now);
       break;
     case ITEM_ANNOUNCE_REPLY:
-      core_peers_handle_announce_reply (core, item);
+      core_roster_handle_announce_reply (core, item);
       break;
     case ITEM_SHARE_REPLY:
       {
